--- /dev/null
+++ b/Makefile
@@ -0,0 +1,37 @@
+# One virtual environment, made from the lock; every target sets it up first.
+VENV ?= .venv
+PYTHON := $(VENV)/bin/python
+export PYTHONPATH := $(CURDIR)
+export PYTHONHASHSEED := 0
+
+.PHONY: setup demo test lint format bench generate
+
+setup: $(VENV)/.lock-installed
+
+$(VENV)/.lock-installed: requirements.lock pyproject.toml
+	test -x $(PYTHON) || python3 -m venv $(VENV)
+	$(PYTHON) -m pip install --quiet --require-hashes -r requirements.lock
+	$(PYTHON) -m pip install --quiet --no-deps --no-build-isolation -e .
+	touch $@
+
+test: setup
+	$(PYTHON) -m tests.run
+
+demo: setup
+	$(PYTHON) -m demo
+
+bench: setup
+	$(PYTHON) -m bench
+
+lint: setup
+	$(VENV)/bin/ruff format --check .
+	$(VENV)/bin/ruff check .
+	$(VENV)/bin/mypy lavendertide standins demo bench tests
+
+format: setup
+	$(VENV)/bin/ruff format .
+	$(VENV)/bin/ruff check --fix .
+
+# Needs Debian's thrift-compiler; the result is committed.
+generate:
+	thrift --gen py:slots,package_prefix=lavendertide.encodings.generated. -out lavendertide/encodings/generated lavendertide/encodings/peer_protocol.thrift
--- /dev/null
+++ b/lavendertide/command_line/__init__.py
@@ -0,0 +1,1 @@
+"""The command-line tool `lavendertide`, for callers and operators."""
--- /dev/null
+++ b/lavendertide/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""Joins the aggregates into a process and runs its tasks."""
--- /dev/null
+++ b/lavendertide/ids.py
@@ -0,0 +1,28 @@
+"""Identifiers of everything that the tier names.
+
+Each is a `NewType`, so that a shard is never taken for a version or a target for a
+host. Ids carry no behaviour.
+"""
+
+from typing import NewType
+
+OwnerId = NewType("OwnerId", str)
+PlanId = NewType("PlanId", str)
+PlanClass = NewType("PlanClass", str)
+CallerKey = NewType("CallerKey", str)
+IndexName = NewType("IndexName", str)
+ShardNumber = NewType("ShardNumber", int)
+IndexVersion = NewType("IndexVersion", int)
+TargetId = NewType("TargetId", str)
+HostId = NewType("HostId", str)
+DaemonId = NewType("DaemonId", str)
+Incarnation = NewType("Incarnation", int)
+FailureDomain = NewType("FailureDomain", str)
+Region = NewType("Region", str)
+Address = NewType("Address", str)
+QueryId = NewType("QueryId", str)
+AttemptId = NewType("AttemptId", str)
+TicketId = NewType("TicketId", str)
+ExchangeId = NewType("ExchangeId", str)
+Fingerprint = NewType("Fingerprint", str)
+ConfigurationVersion = NewType("ConfigurationVersion", int)
--- /dev/null
+++ b/lavendertide/messages.py
@@ -0,0 +1,269 @@
+"""The messages that travel between callers' tasks, peers and targets.
+
+All messages are kept here as plain data classes. How they are written to a socket is
+the business of `lavendertide.encodings`; who sends them when is decided by the
+aggregates.
+"""
+
+from dataclasses import dataclass
+from enum import Enum
+
+from lavendertide.ids import (
+    Address,
+    AttemptId,
+    ConfigurationVersion,
+    DaemonId,
+    ExchangeId,
+    FailureDomain,
+    Fingerprint,
+    HostId,
+    Incarnation,
+    IndexName,
+    IndexVersion,
+    OwnerId,
+    PlanId,
+    QueryId,
+    Region,
+    ShardNumber,
+    TargetId,
+    TicketId,
+)
+
+
+class Operation(Enum):
+    """What a caller may ask of an index."""
+
+    SEARCH = "search"
+    REDEEM = "redeem"
+    CHARGE = "charge"
+
+    @property
+    def is_idempotent(self) -> bool:
+        """Whether the operation may be sent again after an unknown outcome."""
+        return self is Operation.SEARCH
+
+
+class Outcome(Enum):
+    """What is known about a request's effect."""
+
+    RAN = "ran"
+    NOT_RUN = "not_run"
+    UNKNOWN = "unknown"
+
+
+class MemberState(Enum):
+    """What a daemon is known to be doing."""
+
+    JOINING = "joining"
+    SERVING = "serving"
+    LEAVING = "leaving"
+    SUSPECT = "suspect"
+    REMOVED = "removed"
+
+
+class DeclineReason(Enum):
+    """Why a sub-request certainly did not run."""
+
+    SHED = "shed"
+    DRAINING = "draining"
+    VERSION_NOT_HELD = "version_not_held"
+    QUEUED_TOO_LONG = "queued_too_long"
+    QUEUE_FULL = "queue_full"
+    NO_LEASE = "no_lease"
+    UNREACHABLE = "unreachable"
+    POISONED = "poisoned"
+    CANCELLED = "cancelled"
+    STALE_VIEW = "stale_view"
+
+
+class LossReason(Enum):
+    """Why it is unknown whether a sub-request ran."""
+
+    TARGET_CLOSED = "target_closed"
+    TIMED_OUT = "timed_out"
+    PEER_LOST = "peer_lost"
+    MISMATCHED_REPLY = "mismatched_reply"
+
+
+@dataclass(frozen=True, slots=True)
+class MemberRecord:
+    """One daemon as the fleet sees it; a higher incarnation overrides a lower one."""
+
+    daemon: DaemonId
+    host: HostId
+    region: Region
+    failure_domain: FailureDomain
+    peer_address: Address
+    caller_address: Address
+    incarnation: Incarnation
+    state: MemberState
+
+
+@dataclass(frozen=True, slots=True)
+class Row:
+    """One row of a result; rows are ordered by falling score, then by key."""
+
+    key: str
+    score: float
+    document: str
+
+
+@dataclass(frozen=True, slots=True)
+class SubRequest:
+    """One attempt at one shard on one target.
+
+    Attributes:
+        body: The caller's request body, passed on as it came.
+        remaining_ms: What was left of the deadline when it was sent.
+        fingerprint: Digest that is equal for equal requests of one owner.
+    """
+
+    attempt: AttemptId
+    query: QueryId
+    owner: OwnerId
+    index: IndexName
+    shard: ShardNumber
+    version: IndexVersion
+    target: TargetId
+    operation: Operation
+    body: str
+    remaining_ms: int
+    fingerprint: Fingerprint
+
+
+@dataclass(frozen=True, slots=True)
+class Answered:
+    """A target's result for one shard.
+
+    Attributes:
+        rows: The shard's best rows, best first.
+        matches: How many rows of the shard match in all.
+        amount: Sum over the matching rows, in the index's smallest unit.
+    """
+
+    attempt: AttemptId
+    query: QueryId
+    shard: ShardNumber
+    version: IndexVersion
+    rows: tuple[Row, ...]
+    matches: int
+    amount: int
+
+
+@dataclass(frozen=True, slots=True)
+class Declined:
+    """The sub-request certainly did not run."""
+
+    attempt: AttemptId
+    reason: DeclineReason
+
+
+@dataclass(frozen=True, slots=True)
+class Lost:
+    """The sub-request may have run."""
+
+    attempt: AttemptId
+    reason: LossReason
+
+
+SubReply = Answered | Declined | Lost
+
+
+@dataclass(frozen=True, slots=True)
+class Hello:
+    """Opens a peer connection and proves knowledge of the fleet's key."""
+
+    member: MemberRecord
+    proof: str
+
+
+@dataclass(frozen=True, slots=True)
+class Heartbeat:
+    """Tells a peer that the sender lives, and what it has learned."""
+
+    sequence: int
+    sender: MemberRecord
+    news: tuple[MemberRecord, ...]
+    configuration_version: ConfigurationVersion
+
+
+@dataclass(frozen=True, slots=True)
+class HeartbeatAck:
+    """Answers a heartbeat; the receiver's lease runs from the heartbeat's sending."""
+
+    sequence: int
+    sender: MemberRecord
+    news: tuple[MemberRecord, ...]
+    configuration_version: ConfigurationVersion
+
+
+@dataclass(frozen=True, slots=True)
+class SubRequests:
+    """Sub-requests relayed to the daemon that holds the targets' slots."""
+
+    items: tuple[SubRequest, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class SubReplies:
+    """Replies to relayed sub-requests, in no particular order."""
+
+    items: tuple[SubReply, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Cancels:
+    """Attempts whose replies nobody waits for any more."""
+
+    attempts: tuple[AttemptId, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigurationPull:
+    """Asks a peer for its configuration if it is newer."""
+
+    known_version: ConfigurationVersion
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigurationPush:
+    """Both published lists of one version, as published and compressed."""
+
+    version: ConfigurationVersion
+    lists: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class TicketRequest:
+    """A non-idempotent request on its way to the daemon that minted its ticket."""
+
+    exchange: ExchangeId
+    ticket: TicketId
+    plan: PlanId
+    index: IndexName
+    operation: Operation
+    body: str
+    remaining_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class TicketReply:
+    """What the minting daemon knows of a ticket's execution."""
+
+    exchange: ExchangeId
+    outcome: Outcome
+    detail: str
+
+
+Frame = (
+    Hello
+    | Heartbeat
+    | HeartbeatAck
+    | SubRequests
+    | SubReplies
+    | Cancels
+    | ConfigurationPull
+    | ConfigurationPush
+    | TicketRequest
+    | TicketReply
+)
--- /dev/null
+++ b/lavendertide/options.py
@@ -0,0 +1,95 @@
+"""The daemon's settings: one typed options object.
+
+`lavendertide.encodings.settings_yaml` reads it from a YAML file. Every key is checked
+here; unknown keys are refused.
+"""
+
+from typing import Annotated
+
+from pydantic import BaseModel, ConfigDict, Field, StringConstraints
+
+IpPort = Annotated[str, StringConstraints(pattern=r"^[0-9.]+:[0-9]{1,5}$")]
+Name = Annotated[str, StringConstraints(pattern=r"^[a-z0-9][a-z0-9-]{0,62}$")]
+
+
+class _Section(BaseModel):
+    """A section of the settings; unknown keys are refused."""
+
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+
+class PlaceOptions(_Section):
+    """Where the daemon is.
+
+    Attributes:
+        daemon: Name of the process, unique in the fleet.
+        host: Name of the host that it shares with other daemons.
+    """
+
+    daemon: Name
+    host: Name
+    region: Name
+    failure_domain: Name
+
+
+class AddressOptions(_Section):
+    """Where the daemon listens.
+
+    Attributes:
+        callers: For callers' HTTP.
+        peers: For the other daemons.
+        admin: For the administration API and metrics.
+    """
+
+    callers: IpPort
+    peers: IpPort
+    admin: IpPort
+
+
+class PlatformOptions(_Section):
+    """Where the platform's services are, as base addresses."""
+
+    configuration: IpPort
+    membership: IpPort
+
+
+class FleetOptions(_Section):
+    """How the daemons find and trust each other.
+
+    Attributes:
+        key: Shared secret of the fleet.
+        seeds: Peer addresses to ask first.
+        heartbeat_s: Time between two heartbeats to a peer.
+        lease_s: How long an answered heartbeat is good for.
+    """
+
+    key: Annotated[str, Field(min_length=16)]
+    seeds: tuple[IpPort, ...] = ()
+    heartbeat_s: Annotated[float, Field(gt=0, le=5)] = 0.5
+    lease_s: Annotated[float, Field(gt=0, le=30)] = 2.0
+
+
+class QueryOptions(_Section):
+    """Bounds of a query.
+
+    Attributes:
+        deadline_max_ms: The longest deadline that a caller may ask for.
+        body_max_bytes: The largest request body.
+        rows_max: The largest page that a caller may ask for.
+        in_flight_max: Queries that one process runs at a time.
+    """
+
+    deadline_max_ms: Annotated[int, Field(ge=10, le=60_000)] = 2_000
+    body_max_bytes: Annotated[int, Field(ge=256)] = 16_384
+    rows_max: Annotated[int, Field(ge=1, le=10_000)] = 200
+    in_flight_max: Annotated[int, Field(ge=1)] = 512
+
+
+class Options(_Section):
+    """All settings of one daemon."""
+
+    place: PlaceOptions
+    addresses: AddressOptions
+    platform: PlatformOptions
+    fleet: FleetOptions
+    queries: QueryOptions = QueryOptions()
--- /dev/null
+++ b/lavendertide/runtime/__init__.py
@@ -0,0 +1,10 @@
+"""All that knows about green threads, sockets and clocks.
+
+No module outside this folder imports `eventlet`, so that decisions can be tested
+without it and the library can be replaced in one place. It warns at each start that it
+is deprecated; docs/DESIGN.md records that risk, so the warning is kept out of the logs.
+"""
+
+import warnings
+
+warnings.filterwarnings("ignore", message=r"\s*Eventlet is deprecated")
--- /dev/null
+++ b/lavendertide/runtime/sockets.py
@@ -0,0 +1,62 @@
+"""Listening and connecting sockets, and the WSGI server.
+
+Addresses are `IP:port`; names are not resolved, since the platform works by IP
+numbers.
+"""
+
+import socket
+from collections.abc import Callable
+from typing import Any
+
+import eventlet
+from eventlet import wsgi
+
+from lavendertide.ids import Address
+
+BACKLOG = 512
+
+
+def split_address(address: Address) -> tuple[str, int]:
+    """Returns IP and port of an address."""
+    host, _, port = address.rpartition(":")
+    return host, int(port)
+
+
+def listen(address: Address) -> socket.socket:
+    """Opens a listening socket.
+
+    Raises:
+        OSError: The address is taken or not of this host.
+    """
+    listener: socket.socket = eventlet.listen(split_address(address), backlog=BACKLOG)
+    return listener
+
+
+def connect(address: Address, timeout_s: float) -> socket.socket:
+    """Opens a connection.
+
+    Raises:
+        OSError: Nobody answered within the timeout.
+    """
+    with eventlet.Timeout(timeout_s, TimeoutError("connect timeout")):
+        connection: socket.socket = eventlet.connect(split_address(address))
+    connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    return connection
+
+
+def serve_wsgi(
+    listener: socket.socket,
+    application: Callable[..., Any],
+    most_connections: int,
+    keep_alive_s: float,
+) -> None:
+    """Serves HTTP, one task a connection, until the listener is closed."""
+    wsgi.server(
+        listener,
+        application,
+        max_size=most_connections,
+        keepalive=True,
+        socket_timeout=keep_alive_s,
+        log_output=False,
+        debug=False,
+    )
