Serve a query from a caller's socket to targets and back

One path from end to end: admission, one pinned version, fan-out over the shards, relay to the daemon that holds a target's slots, merge, honest coverage; tickets for requests that may run once; heartbeats and configuration between daemons.

--- /dev/null
+++ b/lavendertide/configuration/catalog.py
@@ -0,0 +1,194 @@
+"""Look-ups in the configuration in force.
+
+A `Catalog` is built once from a checked publication and then only read: who holds a
+key, what a plan may use, and which targets hold a shard of a version.
+"""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from returns.result import Failure, Result, Success
+
+from lavendertide.configuration.lists import IndexEntry, PlanEntry, Publication
+from lavendertide.errors import Fault, Refusal, RefusalKind
+from lavendertide.ids import (
+    Address,
+    CallerKey,
+    ConfigurationVersion,
+    FailureDomain,
+    IndexName,
+    IndexVersion,
+    OwnerId,
+    PlanClass,
+    PlanId,
+    Region,
+    TargetId,
+)
+from lavendertide.messages import Operation
+
+
+@dataclass(frozen=True, slots=True)
+class Plan:
+    """A plan as the fleet applies it."""
+
+    plan: PlanId
+    owner: OwnerId
+    plan_class: PlanClass
+    rate_per_s: float
+    burst: int
+    concurrency: int
+
+
+@dataclass(frozen=True, slots=True)
+class TargetPlace:
+    """Where a target is and what it accepts."""
+
+    target: TargetId
+    owner: OwnerId
+    index: IndexName
+    address: Address
+    region: Region
+    failure_domain: FailureDomain
+    slots: int
+    connections: int
+
+
+@dataclass(frozen=True, slots=True)
+class Index:
+    """An index with the shard maps of the versions that are published.
+
+    Attributes:
+        versions: For each version the replicas of each shard, by shard number.
+    """
+
+    index: IndexName
+    owner: OwnerId
+    preference: str
+    versions: Mapping[IndexVersion, tuple[tuple[TargetId, ...], ...]]
+
+
+class Catalog:
+    """One version of the configuration, ready for look-ups."""
+
+    def __init__(self, publication: Publication) -> None:
+        self._version = ConfigurationVersion(publication.plans.version)
+        self._plans_by_key = _plans_by_key(publication)
+        self._indexes = {
+            IndexName(entry.index): _index(entry) for entry in publication.uses.indexes
+        }
+        self._targets = {
+            place.target: place
+            for entry in publication.uses.indexes
+            for place in _places(entry)
+        }
+        self._uses = {
+            (PlanId(use.plan), IndexName(use.index)): frozenset(use.operations)
+            for use in publication.uses.uses
+        }
+
+    @property
+    def version(self) -> ConfigurationVersion:
+        """The version of both lists."""
+        return self._version
+
+    @property
+    def targets(self) -> Mapping[TargetId, TargetPlace]:
+        """All targets by id."""
+        return self._targets
+
+    @property
+    def indexes(self) -> Mapping[IndexName, Index]:
+        """All indexes by name."""
+        return self._indexes
+
+    @property
+    def plans(self) -> Mapping[CallerKey, Plan]:
+        """All plans by caller key."""
+        return self._plans_by_key
+
+    def plan_of(self, key: CallerKey) -> Result[Plan, Refusal]:
+        """Returns the plan that a caller's key belongs to."""
+        plan = self._plans_by_key.get(key)
+        if plan is None:
+            return Failure(
+                Refusal(
+                    RefusalKind.UNKNOWN_KEY,
+                    "No plan holds this key.",
+                    "Ask the owner to add the key to a plan in the list of plans.",
+                    Fault.CALLER,
+                )
+            )
+        return Success(plan)
+
+    def index_for(
+        self, plan: Plan, index: IndexName, operation: Operation
+    ) -> Result[Index, Refusal]:
+        """Returns the index if the plan may use it in this way."""
+        if operation not in self._uses.get((plan.plan, index), frozenset()):
+            return Failure(
+                Refusal(
+                    RefusalKind.NOT_ENTITLED,
+                    f"Plan '{plan.plan}' may not {operation.value} '{index}'.",
+                    "Ask the owner to add the use to the list of uses.",
+                    Fault.PLAN,
+                )
+            )
+        return Success(self._indexes[index])
+
+    def uses_of(self, plan: PlanId) -> dict[IndexName, frozenset[Operation]]:
+        """Returns what a plan may use."""
+        return {
+            index: operations
+            for (holder, index), operations in self._uses.items()
+            if holder == plan
+        }
+
+
+def _plans_by_key(publication: Publication) -> dict[CallerKey, Plan]:
+    return {
+        CallerKey(key): _plan(entry)
+        for entry in publication.plans.plans
+        for key in entry.keys
+    }
+
+
+def _plan(entry: PlanEntry) -> Plan:
+    return Plan(
+        plan=PlanId(entry.plan),
+        owner=OwnerId(entry.owner),
+        plan_class=PlanClass(entry.plan_class),
+        rate_per_s=entry.rate_per_s,
+        burst=entry.burst,
+        concurrency=entry.concurrency,
+    )
+
+
+def _index(entry: IndexEntry) -> Index:
+    return Index(
+        index=IndexName(entry.index),
+        owner=OwnerId(entry.owner),
+        preference=entry.preference,
+        versions={
+            IndexVersion(version.version): tuple(
+                tuple(TargetId(target) for target in replicas)
+                for replicas in version.shards
+            )
+            for version in entry.versions
+        },
+    )
+
+
+def _places(entry: IndexEntry) -> list[TargetPlace]:
+    return [
+        TargetPlace(
+            target=TargetId(target.target),
+            owner=OwnerId(entry.owner),
+            index=IndexName(entry.index),
+            address=Address(target.address),
+            region=Region(target.region),
+            failure_domain=FailureDomain(target.failure_domain),
+            slots=entry.slots,
+            connections=entry.connections,
+        )
+        for target in entry.targets
+    ]
--- /dev/null
+++ b/lavendertide/daemon/dispatcher.py
@@ -0,0 +1,68 @@
+"""Carries sub-requests to whichever daemon holds their target's slots."""
+
+from lavendertide.configuration.adoption import Configuration
+from lavendertide.configuration.catalog import Catalog, TargetPlace
+from lavendertide.fleet.peers import Peers
+from lavendertide.fleet.ranking import rank_for_target
+from lavendertide.fleet.roster import SILENCE_S, Roster
+from lavendertide.ids import AttemptId
+from lavendertide.messages import Declined, DeclineReason, SubReply, SubRequest
+from lavendertide.runtime import clock, tasks
+from lavendertide.targets.target_pool import TargetPool
+
+
+class Dispatcher:
+    """Finds the holder of a target's slots and relays to it."""
+
+    def __init__(
+        self,
+        configuration: Configuration,
+        roster: Roster,
+        peers: Peers,
+        pool: TargetPool,
+    ) -> None:
+        self._configuration = configuration
+        self._roster = roster
+        self._peers = peers
+        self._pool = pool
+
+    def send(self, request: SubRequest, inbox: tasks.Mailbox[SubReply]) -> None:
+        """Sends a sub-request; exactly one reply comes to the inbox."""
+        catalog: Catalog = self._configuration.catalog.unwrap()
+        place = catalog.targets.get(request.target)
+        if place is None:
+            inbox.send(Declined(request.attempt, DeclineReason.STALE_VIEW))
+            return
+        self._relay(place, request, inbox)
+
+    def accept(self, request: SubRequest, inbox: tasks.Mailbox[SubReply]) -> None:
+        """Takes a sub-request that a peer has relayed to this daemon."""
+        catalog: Catalog = self._configuration.catalog.unwrap()
+        place = catalog.targets.get(request.target)
+        if place is None:
+            inbox.send(Declined(request.attempt, DeclineReason.STALE_VIEW))
+            return
+        self._pool.submit(place, request, inbox)
+
+    def cancel(self, attempts: list[AttemptId]) -> None:
+        """Says that nobody waits for these attempts any more."""
+        if not attempts:
+            return
+        self._pool.cancel(attempts)
+        self._peers.cancel(attempts)
+
+    def _relay(
+        self,
+        place: TargetPlace,
+        request: SubRequest,
+        inbox: tasks.Mailbox[SubReply],
+    ) -> None:
+        now_s = clock.monotonic_s()
+        for member in rank_for_target(place, self._roster.members):
+            if member.daemon == self._roster.own.daemon:
+                self._pool.submit(place, request, inbox)
+                return
+            if self._roster.is_reachable(member.daemon, SILENCE_S, now_s):
+                self._peers.link_to(member).relay(request, inbox)
+                return
+        inbox.send(Declined(request.attempt, DeclineReason.NO_LEASE))
--- /dev/null
+++ b/lavendertide/daemon/query_service.py
@@ -0,0 +1,73 @@
+"""Searches from admission to answer, free of any front end's encoding."""
+
+import uuid
+
+from returns.result import Failure, Result
+
+from lavendertide.configuration.adoption import Configuration
+from lavendertide.configuration.catalog import Catalog, Index, Plan
+from lavendertide.errors import Fault, Refusal, RefusalKind
+from lavendertide.ids import QueryId
+from lavendertide.messages import Operation
+from lavendertide.options import QueryOptions
+from lavendertide.plans.admission import Allowances
+from lavendertide.queries.deadline import Deadline
+from lavendertide.queries.fan_out import FanOutParts, run_query
+from lavendertide.queries.query import Answer, Query, Question
+from lavendertide.runtime import clock
+
+
+class QueryService:
+    """Admits searches and runs them."""
+
+    def __init__(
+        self,
+        options: QueryOptions,
+        configuration: Configuration,
+        allowances: Allowances,
+        parts: FanOutParts,
+    ) -> None:
+        self._options = options
+        self._configuration = configuration
+        self._allowances = allowances
+        self._parts = parts
+
+    def search(self, question: Question) -> Result[Answer, Refusal]:
+        """Answers a search, or refuses it before any of it ran."""
+        return self._configuration.catalog.bind(
+            lambda catalog: catalog.plan_of(question.key).bind(
+                lambda plan: catalog.index_for(
+                    plan, question.index, Operation.SEARCH
+                ).bind(lambda index: self._admit(question, catalog, plan, index))
+            )
+        )
+
+    def _admit(
+        self, question: Question, catalog: Catalog, plan: Plan, index: Index
+    ) -> Result[Answer, Refusal]:
+        if question.page_size > self._options.rows_max:
+            return Failure(_page_too_large(self._options.rows_max))
+        now_s = clock.monotonic_s()
+        allowance = self._allowances.of(plan, now_s)
+        match allowance.enter(1.0, now_s):
+            case Failure(refusal):
+                return Failure(refusal)
+        try:
+            query = self._query(question, plan, now_s)
+            return run_query(self._parts, query, index, catalog)
+        finally:
+            allowance.leave()
+
+    def _query(self, question: Question, plan: Plan, now_s: float) -> Query:
+        budget_ms = min(question.deadline_ms, self._options.deadline_max_ms)
+        deadline = Deadline(now_s + budget_ms / 1000)
+        return Query(QueryId(uuid.uuid4().hex), plan, question, deadline)
+
+
+def _page_too_large(rows_max: int) -> Refusal:
+    return Refusal(
+        RefusalKind.RESULT_TOO_LARGE,
+        f"A page holds at most {rows_max} rows.",
+        "Ask for a smaller page_size.",
+        Fault.CALLER,
+    )
--- /dev/null
+++ b/lavendertide/encodings/caller_json.py
@@ -0,0 +1,163 @@
+"""What callers send and receive, as JSON.
+
+docs/PROTOCOLS.md describes the protocol. Nothing here decides anything: a front end
+for another protocol would replace this module and `lavendertide.daemon.caller_front`.
+"""
+
+import json
+from typing import Any, Final
+
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
+from returns.result import Failure, Result, Success
+
+from lavendertide.errors import Fault, Refusal, RefusalKind
+from lavendertide.executions.execution import ExecutionResult
+from lavendertide.executions.order import Order
+from lavendertide.fleet.addresses import AddressAnswer
+from lavendertide.ids import CallerKey, IndexName, TicketId
+from lavendertide.messages import Operation, Outcome
+from lavendertide.queries.query import Answer, Question
+
+STATUS_OF_KIND: Final = {
+    RefusalKind.MALFORMED_REQUEST: 400,
+    RefusalKind.UNKNOWN_KEY: 401,
+    RefusalKind.NOT_ENTITLED: 403,
+    RefusalKind.UNKNOWN_TICKET: 404,
+    RefusalKind.TICKET_EXPIRED: 410,
+    RefusalKind.BODY_TOO_LARGE: 413,
+    RefusalKind.RESULT_TOO_LARGE: 413,
+    RefusalKind.POISONED: 422,
+    RefusalKind.OVER_PLAN_RATE: 429,
+    RefusalKind.OVER_PLAN_CONCURRENCY: 429,
+}
+STATUS_UNAVAILABLE: Final = 503
+
+
+class _SearchBody(BaseModel):
+    """The JSON body of a search."""
+
+    model_config = ConfigDict(extra="forbid", strict=True)
+
+    index: str
+    deadline_ms: int = Field(ge=1)
+    page_size: int = Field(ge=0, default=20)
+    body: str
+
+
+def decode_question(key: str, data: bytes) -> Result[Question, Refusal]:
+    """Returns the search that a caller has sent."""
+    try:
+        body = _SearchBody.model_validate_json(data)
+    except ValidationError as error:
+        return Failure(malformed(_first_problem(error)))
+    return Success(
+        Question(
+            key=CallerKey(key),
+            index=IndexName(body.index),
+            deadline_ms=body.deadline_ms,
+            page_size=body.page_size,
+            body=body.body,
+        )
+    )
+
+
+class _OrderBody(BaseModel):
+    """The JSON body of a non-idempotent request."""
+
+    model_config = ConfigDict(extra="forbid")
+
+    ticket: str
+    index: str
+    operation: Operation
+    deadline_ms: int = Field(ge=1)
+    body: str
+
+
+def decode_order(key: str, data: bytes) -> Result[Order, Refusal]:
+    """Returns the non-idempotent request that a caller has sent."""
+    try:
+        body = _OrderBody.model_validate_json(data)
+    except ValidationError as error:
+        return Failure(malformed(_first_problem(error)))
+    if body.operation.is_idempotent:
+        return Failure(malformed("operation: a search goes to /v1/search."))
+    return Success(
+        Order(
+            key=CallerKey(key),
+            ticket=TicketId(body.ticket),
+            index=IndexName(body.index),
+            operation=body.operation,
+            deadline_ms=body.deadline_ms,
+            body=body.body,
+        )
+    )
+
+
+def _first_problem(error: ValidationError) -> str:
+    problem = error.errors(include_url=False)[0]
+    place = ".".join(str(part) for part in problem["loc"]) or "the body"
+    return f"{place}: {problem['msg']}."
+
+
+def malformed(problem: str) -> Refusal:
+    """Returns the refusal of a request that cannot be read."""
+    return Refusal(
+        RefusalKind.MALFORMED_REQUEST,
+        problem,
+        "See docs/PROTOCOLS.md for the request's form.",
+        Fault.CALLER,
+    )
+
+
+def encode_answer(answer: Answer) -> bytes:
+    """Returns the body that a caller receives for a search."""
+    return _json(
+        {
+            "query": answer.query,
+            "outcome": answer.outcome.value,
+            "version": answer.version,
+            "whole": not answer.gaps,
+            "covered": list(answer.covered),
+            "gaps": [
+                {"shard": g.shard, "reason": g.reason.value, "fault": g.fault.value}
+                for g in answer.gaps
+            ],
+            "matches": answer.page.matches,
+            "amount": answer.page.amount,
+            "rows": [[r.key, r.score, r.document] for r in answer.page.rows],
+            "attempts": answer.attempts,
+        }
+    )
+
+
+def encode_refusal(refusal: Refusal) -> tuple[int, bytes]:
+    """Returns status and body of a refusal; a refused request has not run."""
+    status = STATUS_OF_KIND.get(refusal.kind, STATUS_UNAVAILABLE)
+    return status, _json(
+        {
+            "outcome": Outcome.NOT_RUN.value,
+            "kind": refusal.kind.value,
+            "fault": refusal.fault.value,
+            "message": refusal.message,
+            "remedy": refusal.remedy,
+        }
+    )
+
+
+def encode_ticket(ticket: TicketId) -> bytes:
+    """Returns the body that holds a fresh ticket."""
+    return _json({"ticket": ticket})
+
+
+def encode_execution(result: ExecutionResult) -> bytes:
+    """Returns the body that a caller receives for a non-idempotent request."""
+    return _json({"outcome": result.outcome.value, "detail": result.detail})
+
+
+def encode_addresses(answer: AddressAnswer) -> bytes:
+    """Returns the body of an address answer."""
+    return _json({"addresses": list(answer.addresses), "lifetime_s": answer.lifetime_s})
+
+
+def _json(document: dict[str, Any]) -> bytes:
+    return json.dumps(document, separators=(",", ":")).encode()
--- /dev/null
+++ b/lavendertide/encodings/peer_frames.py
@@ -0,0 +1,296 @@
+"""Frames between daemons: `thrift` structs behind a four-byte length.
+
+The structs are generated from `peer_protocol.thrift`; this module turns them into the
+data classes of `lavendertide.messages` and back. The accelerated codec is required,
+since the library otherwise falls back to one that is many times slower.
+"""
+
+import struct
+from typing import Any, Final
+
+from returns.result import Failure, Result, Success
+from thrift.protocol.TBinaryProtocol import TBinaryProtocolAcceleratedFactory
+from thrift.transport.TTransport import TMemoryBuffer
+
+from lavendertide import messages
+from lavendertide.encodings.generated.peer_protocol import ttypes
+from lavendertide.errors import Fault, Refusal, RefusalKind
+from lavendertide.ids import (
+    Address,
+    AttemptId,
+    ConfigurationVersion,
+    DaemonId,
+    ExchangeId,
+    FailureDomain,
+    Fingerprint,
+    HostId,
+    Incarnation,
+    IndexName,
+    IndexVersion,
+    OwnerId,
+    PlanId,
+    QueryId,
+    Region,
+    ShardNumber,
+    TargetId,
+    TicketId,
+)
+
+FRAME_MAX_BYTES: Final = 8 * 1024 * 1024
+LENGTH: Final = struct.Struct("!I")
+
+_PROTOCOLS: Final = TBinaryProtocolAcceleratedFactory(fallback=False)
+
+
+def encode_frame(frame: messages.Frame) -> bytes:
+    """Returns a frame with its length in front."""
+    buffer = TMemoryBuffer()
+    _to_union(frame).write(_PROTOCOLS.getProtocol(buffer))
+    payload: bytes = buffer.getvalue()
+    return LENGTH.pack(len(payload)) + payload
+
+
+def decode_frame(payload: bytes) -> Result[messages.Frame, Refusal]:
+    """Returns the message of a frame without its length."""
+    union = ttypes.Frame()
+    try:
+        union.read(_PROTOCOLS.getProtocol(TMemoryBuffer(payload)))
+        return Success(_from_union(union))
+    except (ArithmeticError, AttributeError, EOFError, LookupError) as error:
+        return Failure(_malformed(error))
+    except (TypeError, ValueError, ttypes.TException) as error:
+        return Failure(_malformed(error))
+
+
+def _malformed(error: Exception) -> Refusal:
+    return Refusal(
+        RefusalKind.MALFORMED_REQUEST,
+        f"A peer's frame cannot be read: {error!r}.",
+        "Run the same release on all daemons of the fleet.",
+        Fault.SYSTEM,
+    )
+
+
+def _to_union(frame: messages.Frame) -> Any:
+    match frame:
+        case messages.SubRequests(items):
+            packed = ttypes.SubRequests([_pack_sub_request(item) for item in items])
+            return ttypes.Frame(sub_requests=packed)
+        case messages.SubReplies(items):
+            replies = ttypes.SubReplies([_pack_sub_reply(item) for item in items])
+            return ttypes.Frame(sub_replies=replies)
+        case messages.Cancels(attempts):
+            return ttypes.Frame(cancels=ttypes.Cancels(list(attempts)))
+        case messages.TicketRequest():
+            return ttypes.Frame(ticket_request=_pack_ticket_request(frame))
+        case messages.TicketReply(exchange, outcome, detail):
+            reply = ttypes.TicketReply(exchange, outcome.value, detail)
+            return ttypes.Frame(ticket_reply=reply)
+        case _:
+            return _control_to_union(frame)
+
+
+def _control_to_union(frame: messages.Frame) -> Any:
+    match frame:
+        case messages.Hello(member, proof):
+            return ttypes.Frame(hello=ttypes.Hello(_pack_member(member), proof))
+        case messages.Heartbeat():
+            return ttypes.Frame(heartbeat=ttypes.Heartbeat(*_pack_beat(frame)))
+        case messages.HeartbeatAck():
+            return ttypes.Frame(heartbeat_ack=ttypes.HeartbeatAck(*_pack_beat(frame)))
+        case messages.ConfigurationPull(known):
+            return ttypes.Frame(configuration_pull=ttypes.ConfigurationPull(known))
+        case messages.ConfigurationPush(version, lists):
+            push = ttypes.ConfigurationPush(version, lists)
+            return ttypes.Frame(configuration_push=push)
+    raise TypeError(f"not a frame: {frame!r}")
+
+
+def _from_union(union: Any) -> messages.Frame:
+    if union.sub_requests is not None:
+        items = union.sub_requests.items
+        return messages.SubRequests(tuple(_unpack_sub_request(item) for item in items))
+    if union.sub_replies is not None:
+        items = union.sub_replies.items
+        return messages.SubReplies(tuple(_unpack_sub_reply(item) for item in items))
+    if union.cancels is not None:
+        attempts = union.cancels.attempts
+        return messages.Cancels(tuple(AttemptId(attempt) for attempt in attempts))
+    if union.ticket_request is not None:
+        return _unpack_ticket_request(union.ticket_request)
+    if union.ticket_reply is not None:
+        reply = union.ticket_reply
+        return messages.TicketReply(
+            ExchangeId(reply.exchange), messages.Outcome(reply.outcome), reply.detail
+        )
+    return _control_from_union(union)
+
+
+def _control_from_union(union: Any) -> messages.Frame:
+    if union.hello is not None:
+        return messages.Hello(_unpack_member(union.hello.member), union.hello.proof)
+    if union.heartbeat is not None:
+        return messages.Heartbeat(*_unpack_beat(union.heartbeat))
+    if union.heartbeat_ack is not None:
+        return messages.HeartbeatAck(*_unpack_beat(union.heartbeat_ack))
+    if union.configuration_pull is not None:
+        known = ConfigurationVersion(union.configuration_pull.known_version)
+        return messages.ConfigurationPull(known)
+    if union.configuration_push is not None:
+        push = union.configuration_push
+        return messages.ConfigurationPush(
+            ConfigurationVersion(push.version), push.lists
+        )
+    raise ValueError("a frame without a message")
+
+
+def _pack_member(member: messages.MemberRecord) -> Any:
+    return ttypes.MemberRecord(
+        member.daemon,
+        member.host,
+        member.region,
+        member.failure_domain,
+        member.peer_address,
+        member.caller_address,
+        member.incarnation,
+        member.state.value,
+    )
+
+
+def _unpack_member(record: Any) -> messages.MemberRecord:
+    return messages.MemberRecord(
+        DaemonId(record.daemon),
+        HostId(record.host),
+        Region(record.region),
+        FailureDomain(record.failure_domain),
+        Address(record.peer_address),
+        Address(record.caller_address),
+        Incarnation(record.incarnation),
+        messages.MemberState(record.state),
+    )
+
+
+def _pack_beat(beat: messages.Heartbeat | messages.HeartbeatAck) -> tuple[Any, ...]:
+    return (
+        beat.sequence,
+        _pack_member(beat.sender),
+        [_pack_member(member) for member in beat.news],
+        beat.configuration_version,
+    )
+
+
+def _unpack_beat(
+    beat: Any,
+) -> tuple[
+    int,
+    messages.MemberRecord,
+    tuple[messages.MemberRecord, ...],
+    ConfigurationVersion,
+]:
+    return (
+        beat.sequence,
+        _unpack_member(beat.sender),
+        tuple(_unpack_member(member) for member in beat.news),
+        ConfigurationVersion(beat.configuration_version),
+    )
+
+
+def _pack_sub_request(request: messages.SubRequest) -> Any:
+    return ttypes.SubRequest(
+        request.attempt,
+        request.query,
+        request.owner,
+        request.index,
+        request.shard,
+        request.version,
+        request.target,
+        request.operation.value,
+        request.body,
+        request.remaining_ms,
+        request.fingerprint,
+    )
+
+
+def _unpack_sub_request(request: Any) -> messages.SubRequest:
+    return messages.SubRequest(
+        AttemptId(request.attempt),
+        QueryId(request.query),
+        OwnerId(request.owner),
+        IndexName(request.index),
+        ShardNumber(request.shard),
+        IndexVersion(request.version),
+        TargetId(request.target),
+        messages.Operation(request.operation),
+        request.body,
+        request.remaining_ms,
+        Fingerprint(request.fingerprint),
+    )
+
+
+_ANSWERED: Final = "answered"
+_DECLINED: Final = "declined"
+_LOST: Final = "lost"
+
+
+def _pack_sub_reply(reply: messages.SubReply) -> Any:
+    match reply:
+        case messages.Answered():
+            return ttypes.SubReply(
+                attempt=reply.attempt,
+                kind=_ANSWERED,
+                shard=reply.shard,
+                version=reply.version,
+                rows=[ttypes.Row(r.key, r.score, r.document) for r in reply.rows],
+                matches=reply.matches,
+                amount=reply.amount,
+                query=reply.query,
+            )
+        case messages.Declined(attempt, decline):
+            return ttypes.SubReply(attempt, _DECLINED, decline.value)
+        case messages.Lost(attempt, loss):
+            return ttypes.SubReply(attempt, _LOST, loss.value)
+
+
+def _unpack_sub_reply(reply: Any) -> messages.SubReply:
+    attempt = AttemptId(reply.attempt)
+    match reply.kind:
+        case "declined":
+            return messages.Declined(attempt, messages.DeclineReason(reply.reason))
+        case "lost":
+            return messages.Lost(attempt, messages.LossReason(reply.reason))
+        case _:
+            return messages.Answered(
+                attempt=attempt,
+                query=QueryId(reply.query),
+                shard=ShardNumber(reply.shard),
+                version=IndexVersion(reply.version),
+                rows=tuple(
+                    messages.Row(r.key, r.score, r.document) for r in reply.rows
+                ),
+                matches=reply.matches,
+                amount=reply.amount,
+            )
+
+
+def _pack_ticket_request(request: messages.TicketRequest) -> Any:
+    return ttypes.TicketRequest(
+        request.exchange,
+        request.ticket,
+        request.plan,
+        request.index,
+        request.operation.value,
+        request.body,
+        request.remaining_ms,
+    )
+
+
+def _unpack_ticket_request(request: Any) -> messages.TicketRequest:
+    return messages.TicketRequest(
+        ExchangeId(request.exchange),
+        TicketId(request.ticket),
+        PlanId(request.plan),
+        IndexName(request.index),
+        messages.Operation(request.operation),
+        request.body,
+        request.remaining_ms,
+    )
--- /dev/null
+++ b/lavendertide/encodings/peer_protocol.thrift
@@ -0,0 +1,114 @@
+// The frames that daemons of one fleet exchange. Times are milliseconds.
+namespace py peer_protocol
+
+struct MemberRecord {
+  1: string daemon,
+  2: string host,
+  3: string region,
+  4: string failure_domain,
+  5: string peer_address,
+  6: string caller_address,
+  7: i64 incarnation,
+  8: string state,
+}
+
+struct SubRequest {
+  1: string attempt,
+  2: string query,
+  3: string owner,
+  4: string index,
+  5: i32 shard,
+  6: i64 version,
+  7: string target,
+  8: string operation,
+  9: string body,
+  10: i32 remaining_ms,
+  11: string fingerprint,
+}
+
+struct Row {
+  1: string key,
+  2: double score,
+  3: string document,
+}
+
+struct SubReply {
+  1: string attempt,
+  2: string kind,
+  3: string reason,
+  4: i32 shard,
+  5: i64 version,
+  6: list<Row> rows,
+  7: i64 matches,
+  8: i64 amount,
+  9: string query,
+}
+
+struct Hello {
+  1: MemberRecord member,
+  2: string proof,
+}
+
+struct Heartbeat {
+  1: i64 sequence,
+  2: MemberRecord sender,
+  3: list<MemberRecord> news,
+  4: i64 configuration_version,
+}
+
+struct HeartbeatAck {
+  1: i64 sequence,
+  2: MemberRecord sender,
+  3: list<MemberRecord> news,
+  4: i64 configuration_version,
+}
+
+struct SubRequests {
+  1: list<SubRequest> items,
+}
+
+struct SubReplies {
+  1: list<SubReply> items,
+}
+
+struct Cancels {
+  1: list<string> attempts,
+}
+
+struct ConfigurationPull {
+  1: i64 known_version,
+}
+
+struct ConfigurationPush {
+  1: i64 version,
+  2: binary lists,
+}
+
+struct TicketRequest {
+  1: string exchange,
+  2: string ticket,
+  3: string plan,
+  4: string index,
+  5: string operation,
+  6: string body,
+  7: i32 remaining_ms,
+}
+
+struct TicketReply {
+  1: string exchange,
+  2: string outcome,
+  3: string detail,
+}
+
+union Frame {
+  1: Hello hello,
+  2: Heartbeat heartbeat,
+  3: HeartbeatAck heartbeat_ack,
+  4: SubRequests sub_requests,
+  5: SubReplies sub_replies,
+  6: Cancels cancels,
+  7: ConfigurationPull configuration_pull,
+  8: ConfigurationPush configuration_push,
+  9: TicketRequest ticket_request,
+  10: TicketReply ticket_reply,
+}
--- /dev/null
+++ b/lavendertide/encodings/platform_http.py
@@ -0,0 +1,81 @@
+"""The platform's services over HTTP: configuration and membership.
+
+Both are only read. docs/PROTOCOLS.md describes the two protocols.
+"""
+
+import json
+from typing import Final
+
+import urllib3
+from returns.result import Failure, Result, Success
+
+from lavendertide.errors import Fault, Refusal, RefusalKind
+from lavendertide.ids import Address, ConfigurationVersion, HostId
+from lavendertide.runtime.sockets import split_address
+
+LISTS_PATH: Final = "/v1/lists"
+HOSTS_PATH: Final = "/v1/hosts"
+CONNECT_TIMEOUT_S: Final = 0.5
+ANSWER_MARGIN_S: Final = 2.0
+
+
+class HttpConfigurationReader:
+    """Watches the configuration service."""
+
+    def __init__(self, address: Address) -> None:
+        self._address = address
+        self._pool = _pool(address)
+
+    def watch(
+        self, known: ConfigurationVersion, wait_s: float
+    ) -> Result[bytes | None, Refusal]:
+        """Waits for a version above the known one; none if there was none."""
+        path = f"{LISTS_PATH}?after={known}&wait_s={wait_s:g}"
+        timeout = urllib3.Timeout(CONNECT_TIMEOUT_S, wait_s + ANSWER_MARGIN_S)
+        try:
+            response = self._pool.request("GET", path, timeout=timeout, retries=False)
+        except urllib3.exceptions.HTTPError as error:
+            return Failure(_unreachable("configuration service", self._address, error))
+        match response.status:
+            case 200:
+                return Success(response.data)
+            case 204:
+                return Success(None)
+        problem = urllib3.exceptions.HTTPError(f"status {response.status}")
+        return Failure(_unreachable("configuration service", self._address, problem))
+
+
+class HttpMembershipReader:
+    """Reads the published membership list."""
+
+    def __init__(self, address: Address) -> None:
+        self._address = address
+        self._pool = _pool(address)
+
+    def read(self) -> Result[dict[HostId, str], Refusal]:
+        """Returns the state (`live` or `leaving`) of each listed host."""
+        try:
+            response = self._pool.request(
+                "GET",
+                HOSTS_PATH,
+                timeout=urllib3.Timeout(CONNECT_TIMEOUT_S, ANSWER_MARGIN_S),
+                retries=False,
+            )
+            listed = json.loads(response.data)["hosts"]
+            return Success({HostId(h["host"]): str(h["state"]) for h in listed})
+        except (urllib3.exceptions.HTTPError, KeyError, TypeError, ValueError) as error:
+            return Failure(_unreachable("membership list", self._address, error))
+
+
+def _pool(address: Address) -> urllib3.HTTPConnectionPool:
+    host, port = split_address(address)
+    return urllib3.HTTPConnectionPool(host, port, maxsize=1, block=False)
+
+
+def _unreachable(what: str, address: Address, error: Exception) -> Refusal:
+    return Refusal(
+        RefusalKind.UNREACHABLE,
+        f"The {what} at {address} does not answer: {type(error).__name__}.",
+        "See whether it runs and whether `platform` in the settings names it rightly.",
+        Fault.SYSTEM,
+    )
--- /dev/null
+++ b/lavendertide/plans/admission.py
@@ -0,0 +1,105 @@
+"""Admission of queries within their plans.
+
+Each daemon grants its share of a plan's rate and concurrency. A query that is refused
+here has not run, and the refusal says so.
+"""
+
+from returns.result import Failure, Result, Success
+
+from lavendertide.configuration.catalog import Plan
+from lavendertide.errors import Fault, Refusal, RefusalKind
+from lavendertide.ids import PlanId
+
+
+class Allowance:
+    """What one plan may use on this daemon.
+
+    A token bucket bounds the rate, a counter the concurrency.
+    """
+
+    def __init__(self, plan: Plan, now_s: float) -> None:
+        self._plan = plan
+        self._tokens = float(plan.burst)
+        self._refilled_at_s = now_s
+        self._in_flight = 0
+
+    @property
+    def in_flight(self) -> int:
+        """Queries of the plan that run here."""
+        return self._in_flight
+
+    @property
+    def tokens(self) -> float:
+        """Queries that may start at once."""
+        return self._tokens
+
+    def apply(self, plan: Plan) -> None:
+        """Takes over a changed plan without giving its burst anew."""
+        self._plan = plan
+        self._tokens = min(self._tokens, float(plan.burst))
+
+    def enter(self, share: float, now_s: float) -> Result[None, Refusal]:
+        """Lets a query in, or says why not.
+
+        Args:
+            share: This daemon's part of the plan, above zero and at most one.
+            now_s: Present time.
+        """
+        self._refill(share, now_s)
+        if self._in_flight >= max(1.0, self._plan.concurrency * share):
+            return Failure(self._over_concurrency())
+        if self._tokens < 1.0:
+            return Failure(self._over_rate())
+        self._tokens -= 1.0
+        self._in_flight += 1
+        return Success(None)
+
+    def leave(self) -> None:
+        """Says that a query let in earlier has ended."""
+        self._in_flight -= 1
+
+    def _refill(self, share: float, now_s: float) -> None:
+        gained = (now_s - self._refilled_at_s) * self._plan.rate_per_s * share
+        ceiling = max(1.0, self._plan.burst * share)
+        self._tokens = min(ceiling, self._tokens + gained)
+        self._refilled_at_s = now_s
+
+    def _over_rate(self) -> Refusal:
+        return Refusal(
+            RefusalKind.OVER_PLAN_RATE,
+            f"Plan '{self._plan.plan}' allows {self._plan.rate_per_s:g} queries/s.",
+            "Send again after a second, or ask the owner for a larger plan.",
+            Fault.PLAN,
+        )
+
+    def _over_concurrency(self) -> Refusal:
+        return Refusal(
+            RefusalKind.OVER_PLAN_CONCURRENCY,
+            f"Plan '{self._plan.plan}' allows {self._plan.concurrency} at a time.",
+            "Wait for an answer before sending more, or ask for a larger plan.",
+            Fault.PLAN,
+        )
+
+
+class Allowances:
+    """The allowances of all plans on this daemon."""
+
+    def __init__(self) -> None:
+        self._by_plan: dict[PlanId, Allowance] = {}
+
+    def of(self, plan: Plan, now_s: float) -> Allowance:
+        """Returns the plan's allowance, made at its first use."""
+        allowance = self._by_plan.get(plan.plan)
+        if allowance is None:
+            allowance = Allowance(plan, now_s)
+            self._by_plan[plan.plan] = allowance
+        return allowance
+
+    def apply(self, plans: dict[PlanId, Plan]) -> None:
+        """Takes over the plans of a new configuration."""
+        for plan_id, allowance in list(self._by_plan.items()):
+            changed = plans.get(plan_id)
+            if changed is not None:
+                allowance.apply(changed)
+            elif allowance.in_flight == 0:
+                del self._by_plan[plan_id]
--- /dev/null
+++ b/lavendertide/queries/coverage.py
@@ -0,0 +1,107 @@
+"""Which shards an answer covers, which it does not, and why."""
+
+from dataclasses import dataclass
+from enum import Enum
+
+from lavendertide.errors import Fault
+from lavendertide.ids import ShardNumber
+from lavendertide.messages import Answered, DeclineReason, LossReason
+
+
+class GapReason(Enum):
+    """Why a shard is not covered."""
+
+    NO_ANSWER_IN_TIME = "no_answer_in_time"
+    NO_REPLICA = "no_replica"
+    REFUSED_BY_TARGETS = "refused_by_targets"
+    TARGET_FAILED = "target_failed"
+    VERSION_NOT_HELD = "version_not_held"
+    POISONED = "poisoned"
+
+
+@dataclass(frozen=True, slots=True)
+class Gap:
+    """A shard that the answer does not cover."""
+
+    shard: ShardNumber
+    reason: GapReason
+    fault: Fault
+
+
+class Coverage:
+    """The shards of one pinned version, each covered or with a reason why not.
+
+    Covered shards and gaps together are always exactly the version's shards.
+    """
+
+    def __init__(self, shard_count: int) -> None:
+        self._answers: dict[ShardNumber, Answered] = {}
+        self._gaps = {
+            ShardNumber(number): Gap(
+                ShardNumber(number), GapReason.NO_ANSWER_IN_TIME, Fault.TARGET
+            )
+            for number in range(shard_count)
+        }
+
+    @property
+    def is_whole(self) -> bool:
+        """Whether every shard is covered."""
+        return not self._gaps
+
+    @property
+    def answers(self) -> list[Answered]:
+        """The answers by shard number."""
+        return [self._answers[shard] for shard in sorted(self._answers)]
+
+    @property
+    def covered(self) -> list[ShardNumber]:
+        """The covered shards in order."""
+        return sorted(self._answers)
+
+    @property
+    def gaps(self) -> list[Gap]:
+        """The uncovered shards in order, with reasons."""
+        return [self._gaps[shard] for shard in sorted(self._gaps)]
+
+    def has(self, shard: ShardNumber) -> bool:
+        """Returns whether a shard is covered."""
+        return shard in self._answers
+
+    def cover(self, answer: Answered) -> bool:
+        """Takes in an answer; a second one for the same shard changes nothing."""
+        if answer.shard not in self._gaps:
+            return False
+        del self._gaps[answer.shard]
+        self._answers[answer.shard] = answer
+        return True
+
+    def explain(self, shard: ShardNumber, gap: GapReason, fault: Fault) -> None:
+        """Says why a shard is not covered so far."""
+        if shard in self._gaps:
+            self._gaps[shard] = Gap(shard, gap, fault)
+
+
+def gap_of_decline(reason: DeclineReason) -> tuple[GapReason, Fault]:
+    """Returns what a gap is called when its last attempt was declined."""
+    match reason:
+        case DeclineReason.VERSION_NOT_HELD:
+            return GapReason.VERSION_NOT_HELD, Fault.TARGET
+        case DeclineReason.POISONED:
+            return GapReason.POISONED, Fault.CALLER
+        case DeclineReason.UNREACHABLE:
+            return GapReason.TARGET_FAILED, Fault.LINK
+        case DeclineReason.NO_LEASE | DeclineReason.STALE_VIEW:
+            return GapReason.NO_REPLICA, Fault.SYSTEM
+        case _:
+            return GapReason.REFUSED_BY_TARGETS, Fault.TARGET
+
+
+def gap_of_loss(reason: LossReason) -> tuple[GapReason, Fault]:
+    """Returns what a gap is called when its last attempt was lost."""
+    match reason:
+        case LossReason.TIMED_OUT:
+            return GapReason.NO_ANSWER_IN_TIME, Fault.TARGET
+        case LossReason.PEER_LOST:
+            return GapReason.TARGET_FAILED, Fault.SYSTEM
+        case _:
+            return GapReason.TARGET_FAILED, Fault.TARGET
--- /dev/null
+++ b/lavendertide/queries/merging.py
@@ -0,0 +1,43 @@
+"""Merging the shards' results into one page."""
+
+import heapq
+import itertools
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from lavendertide.messages import Answered, Row
+
+
+@dataclass(frozen=True, slots=True)
+class Page:
+    """The best rows over all covered shards.
+
+    Attributes:
+        rows: Best first; equal scores by key.
+        matches: How many rows match on the covered shards.
+        amount: Sum over the matching rows of the covered shards.
+    """
+
+    rows: tuple[Row, ...]
+    matches: int
+    amount: int
+
+
+def merge(answers: Iterable[Answered], page_size: int) -> Page:
+    """Merges results that are each in order already.
+
+    Args:
+        answers: One per covered shard.
+        page_size: Rows to keep.
+    """
+    kept = list(answers)
+    ordered = heapq.merge(*(answer.rows for answer in kept), key=_order)
+    return Page(
+        rows=tuple(itertools.islice(ordered, page_size)),
+        matches=sum(answer.matches for answer in kept),
+        amount=sum(answer.amount for answer in kept),
+    )
+
+
+def _order(row: Row) -> tuple[float, str]:
+    return -row.score, row.key
--- /dev/null
+++ b/lavendertide/queries/query.py
@@ -0,0 +1,83 @@
+"""What a caller asked, and the answer it gets."""
+
+import hashlib
+from dataclasses import dataclass
+
+from lavendertide.configuration.catalog import Plan
+from lavendertide.ids import (
+    CallerKey,
+    Fingerprint,
+    IndexName,
+    IndexVersion,
+    OwnerId,
+    QueryId,
+    ShardNumber,
+)
+from lavendertide.messages import Operation, Outcome
+from lavendertide.queries.coverage import Gap
+from lavendertide.queries.deadline import Deadline
+from lavendertide.queries.merging import Page
+
+FINGERPRINT_BYTES = 16
+
+
+@dataclass(frozen=True, slots=True)
+class Question:
+    """A search as a front end has decoded it.
+
+    Attributes:
+        deadline_ms: How long the caller is willing to wait.
+        page_size: Rows that the caller wants.
+        body: The search itself, opaque to the tier.
+    """
+
+    key: CallerKey
+    index: IndexName
+    deadline_ms: int
+    page_size: int
+    body: str
+
+
+@dataclass(frozen=True, slots=True)
+class Query:
+    """An admitted search."""
+
+    query: QueryId
+    plan: Plan
+    question: Question
+    deadline: Deadline
+
+    @property
+    def fingerprint(self) -> Fingerprint:
+        """Digest that is equal when the same owner's callers ask the same again."""
+        return fingerprint_of(
+            self.plan.owner, self.question.index, Operation.SEARCH, self.question.body
+        )
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """The answer to a search.
+
+    Attributes:
+        covered: Shards of the version that the page reflects.
+        gaps: All other shards of the version, with reasons.
+        attempts: Sub-requests that were sent.
+    """
+
+    query: QueryId
+    outcome: Outcome
+    version: IndexVersion
+    page: Page
+    covered: tuple[ShardNumber, ...]
+    gaps: tuple[Gap, ...]
+    attempts: int
+
+
+def fingerprint_of(
+    owner: OwnerId, index: IndexName, operation: Operation, body: str
+) -> Fingerprint:
+    """Returns the digest by which equal requests of one owner are recognised."""
+    text = "\n".join((owner, index, operation.value, body))
+    digest = hashlib.blake2b(text.encode(), digest_size=FINGERPRINT_BYTES)
+    return Fingerprint(digest.hexdigest())
