--- /dev/null
+++ b/standins/launcher.py
@@ -0,0 +1,238 @@
+"""Starts a deployment as separate processes on the loopback address.
+
+Only tests, the demo and the benchmarks use it. It ends the processes that it has
+started, by their ids, and no others.
+"""
+
+import contextlib
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any
+
+import urllib3
+import yaml
+
+from standins.deployment import (
+    OwnerSpec,
+    PlacedTarget,
+    count_targets,
+    daemon_settings,
+    place_targets,
+    publication,
+    target_specification,
+)
+
+LOOPBACK = "127.0.0.1"
+READY_S = 20.0
+POLL_S = 0.05
+STOP_S = 10.0
+
+
+class Launcher:
+    """A running deployment.
+
+    Attributes:
+        placed: All targets with their addresses.
+        callers: Address for callers of each daemon, by its name.
+        admins: Address for operators of each daemon, by its name.
+    """
+
+    def __init__(
+        self,
+        owners: tuple[OwnerSpec, ...],
+        seed: int = 1,
+        target_processes: int = 2,
+        median_ms: float = 5.0,
+        overrides: dict[str, Any] | None = None,
+    ) -> None:
+        self.owners = owners
+        self.placed = place_targets(owners, _free_addresses(count_targets(owners)))
+        self.callers: dict[str, str] = {}
+        self.peers: dict[str, str] = {}
+        self.admins: dict[str, str] = {}
+        self.configuration, self.membership = _free_addresses(2)
+        self._controls: dict[str, str] = {}
+        self._seed = seed
+        self._target_processes = target_processes
+        self._median_ms = median_ms
+        self._overrides = overrides or {}
+        self._folder = tempfile.TemporaryDirectory()
+        self._processes: dict[str, subprocess.Popen[bytes]] = {}
+        self._settings: dict[str, Path] = {}
+        self._version = 0
+        self._http = urllib3.PoolManager(retries=False)
+
+    def start(self) -> None:
+        """Starts everything and waits until all daemons serve."""
+        self._start_platform()
+        self._start_targets()
+        self.publish()
+        self._write_settings()
+        for name in self._settings:
+            self.start_daemon(name)
+        for name in self._settings:
+            self.wait_until_ready(name)
+
+    def stop(self) -> None:
+        """Ends every process that was started here."""
+        for process in self._processes.values():
+            with contextlib.suppress(ProcessLookupError):
+                process.send_signal(signal.SIGCONT)
+                process.kill()
+        for process in self._processes.values():
+            process.wait(STOP_S)
+        self._http.clear()
+        self._folder.cleanup()
+
+    @contextlib.contextmanager
+    def running(self) -> Iterator["Launcher"]:
+        """Starts the deployment and ends it with the context."""
+        try:
+            self.start()
+            yield self
+        finally:
+            self.stop()
+
+    def publish(self, index_versions: tuple[int, ...] = (1,)) -> int:
+        """Publishes both lists under the next version, which is returned."""
+        self._version += 1
+        lists = publication(self.owners, self.placed, self._version, index_versions)
+        self.post(self.configuration, "/v1/publish", lists)
+        return self._version
+
+    def start_daemon(self, name: str) -> None:
+        """Starts a daemon, or starts it again."""
+        self._spawn(name, "lavendertide", str(self._settings[name]))
+
+    def signal_daemon(self, name: str, signal_number: int) -> None:
+        """Sends a signal to a daemon."""
+        self._processes[name].send_signal(signal_number)
+
+    def wait_for_exit(self, name: str) -> int:
+        """Waits until a daemon has ended; returns its exit code."""
+        return self._processes[name].wait(STOP_S)
+
+    def wait_until_ready(self, name: str) -> None:
+        """Waits until a daemon has the configuration and knows its peers."""
+        deadline_s = time.monotonic() + READY_S
+        while time.monotonic() < deadline_s:
+            with contextlib.suppress(urllib3.exceptions.HTTPError):
+                status = self.get(self.admins[name], "/v1/status")
+                reachable = [m for m in status["members"] if m["reachable"]]
+                known = len(reachable) >= len(self._settings)
+                if known and status["configuration"] >= self._version:
+                    return
+            time.sleep(POLL_S)
+        raise TimeoutError(f"daemon {name} is not ready after {READY_S:g} s")
+
+    def change_target(self, target: str, **behaviour: Any) -> None:
+        """Changes how a target behaves."""
+        body = {"target": target, "behaviour": behaviour}
+        self.post(self._controls[target], "/v1/change", body)
+
+    def target_counts(self) -> dict[str, dict[str, Any]]:
+        """Returns what all targets have seen."""
+        counts: dict[str, dict[str, Any]] = {}
+        for control in set(self._controls.values()):
+            counts.update(self.get(control, "/v1/counts"))
+        return counts
+
+    def get(self, address: str, path: str) -> Any:
+        """Reads JSON from one of the processes."""
+        return self._http.request("GET", f"http://{address}{path}").json()
+
+    def post(self, address: str, path: str, body: Any) -> Any:
+        """Sends JSON to one of the processes."""
+        return self._http.request("POST", f"http://{address}{path}", json=body).json()
+
+    def _start_platform(self) -> None:
+        self._spawn(
+            "platform",
+            "standins.platform_services",
+            self.configuration,
+            self.membership,
+        )
+        _wait_for_listener(self.configuration)
+        _wait_for_listener(self.membership)
+
+    def _start_targets(self) -> None:
+        controls = _free_addresses(self._target_processes)
+        for number, control in enumerate(controls):
+            served = self.placed[number :: self._target_processes]
+            self._start_target_process(number, control, served)
+        for control in controls:
+            _wait_for_listener(control)
+
+    def _start_target_process(
+        self, number: int, control: str, served: list[PlacedTarget]
+    ) -> None:
+        specification = target_specification(
+            served, control, self._seed, median_ms=self._median_ms
+        )
+        path = Path(self._folder.name) / f"targets-{number}.json"
+        path.write_text(json.dumps(specification))
+        self._spawn(f"targets-{number}", "standins.targets", str(path))
+        for target in served:
+            self._controls[target.target] = control
+
+    def _write_settings(self) -> None:
+        hosts = [(owner, n) for owner in self.owners for n in range(owner.hosts)]
+        free = iter(_free_addresses(3 * len(hosts)))
+        addresses = [(next(free), next(free), next(free)) for _ in hosts]
+        seeds = [peers for _, peers, _ in addresses[:3]]
+        for (owner, number), own in zip(hosts, addresses, strict=True):
+            settings = daemon_settings(
+                owner, number, own, seeds, (self.configuration, self.membership)
+            )
+            for section, values in self._overrides.items():
+                settings.setdefault(section, {}).update(values)
+            name = settings["place"]["daemon"]
+            self.callers[name], self.peers[name], self.admins[name] = own
+            path = Path(self._folder.name) / f"{name}.yaml"
+            path.write_text(yaml.safe_dump(settings))
+            self._settings[name] = path
+
+    def _spawn(self, name: str, module: str, *arguments: str) -> None:
+        log = (Path(self._folder.name) / f"{name}.log").open("ab")
+        self._processes[name] = subprocess.Popen(
+            [sys.executable, "-m", module, *arguments],
+            stdin=subprocess.DEVNULL,
+            stdout=log,
+            stderr=log,
+            env=dict(os.environ),
+        )
+        log.close()
+
+    def log_of(self, name: str) -> str:
+        """Returns what a process has printed."""
+        return (Path(self._folder.name) / f"{name}.log").read_text()
+
+
+def _free_addresses(count: int) -> list[str]:
+    """Returns loopback addresses that nobody listens on."""
+    probes = [socket.socket() for _ in range(count)]
+    try:
+        for probe in probes:
+            probe.bind((LOOPBACK, 0))
+        return [f"{LOOPBACK}:{probe.getsockname()[1]}" for probe in probes]
+    finally:
+        for probe in probes:
+            probe.close()
+
+
+def _wait_for_listener(address: str) -> None:
+    host, port = address.split(":")
+    deadline_s = time.monotonic() + READY_S
+    while time.monotonic() < deadline_s:
+        with contextlib.suppress(OSError), socket.create_connection((host, int(port))):
+            return
+        time.sleep(POLL_S)
+    raise TimeoutError(f"nobody listens on {address} after {READY_S:g} s")
