--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks on separate processes; their bounds come from the stated target."""
--- /dev/null
+++ b/demo/__main__.py
@@ -0,0 +1,125 @@
+"""Starts a small deployment, queries it, kills a daemon and prints an account."""
+
+import json
+import signal
+import statistics
+import sys
+import time
+from collections import Counter
+from dataclasses import dataclass, field
+from typing import Any
+
+from returns.result import Failure, Success
+
+from lavendertide.caller_client import CallerClient
+from standins.deployment import ASSOCIATION, KOINOPRAXIA, smaller
+from standins.launcher import Launcher
+
+ROUNDS = 60
+DEADLINE_MS = 500
+PAGE_SIZE = 10
+KILLED = "association-1"
+OWNERS = (smaller(ASSOCIATION, 8, 3), smaller(KOINOPRAXIA, 8, 2))
+
+
+@dataclass
+class Account:
+    """What the callers of the demo have seen."""
+
+    whole: int = 0
+    partial: int = 0
+    failed: int = 0
+    attempts: int = 0
+    shards: int = 0
+    latencies_ms: list[float] = field(default_factory=list)
+    outcomes: Counter[str] = field(default_factory=Counter)
+
+    def add_search(self, answer: dict[str, Any], latency_ms: float) -> None:
+        """Adds an answered search."""
+        self.latencies_ms.append(latency_ms)
+        self.attempts += answer["attempts"]
+        self.shards += len(answer["covered"]) + len(answer["gaps"])
+        if answer["whole"]:
+            self.whole += 1
+        else:
+            self.partial += 1
+
+
+def main() -> int:
+    """Runs the demo; returns the exit code."""
+    account = Account()
+    launcher = Launcher(OWNERS)
+    with launcher.running():
+        print(f"{len(launcher.callers)} daemons serve {len(launcher.placed)} targets")
+        clerk, apprentice = _clients(launcher)
+        for number in range(ROUNDS):
+            if number == ROUNDS // 2:
+                print(f"killing {KILLED}")
+                launcher.signal_daemon(KILLED, signal.SIGKILL)
+            _search(clerk, "venue-desk", f"order {number}", account)
+            _search(apprentice, "apprentice-app", f"voucher {number}", account)
+            if number % 5 == 0:
+                _redeem(apprentice, f"voucher-{number}", account)
+        executions = _executions(launcher)
+    doubled = sum(1 for count in executions.values() if count > 1)
+    _print_account(account, doubled)
+    return 0 if account.whole and not doubled else 1
+
+
+def _clients(launcher: Launcher) -> tuple[CallerClient, CallerClient]:
+    hosts = list(launcher.callers.values())
+    clerk = CallerClient(hosts, "stall-clerk", "eu-west-ie", "ie-dub-b")
+    apprentice = CallerClient(hosts, "apprentice", "attiki", "attiki-a")
+    return clerk, apprentice
+
+
+def _search(client: CallerClient, index: str, body: str, account: Account) -> None:
+    started_s = time.monotonic()
+    match client.search(index, body, DEADLINE_MS, PAGE_SIZE, started_s):
+        case Success(answer):
+            account.add_search(answer, (time.monotonic() - started_s) * 1000)
+        case Failure(_):
+            account.failed += 1
+
+
+def _redeem(client: CallerClient, body: str, account: Account) -> None:
+    now_s = time.monotonic()
+    answer = client.ticket(now_s).bind(
+        lambda ticket: client.execute(
+            ticket, "apprentice-app", "redeem", body, DEADLINE_MS, now_s
+        )
+    )
+    match answer:
+        case Success(document):
+            account.outcomes[document["outcome"]] += 1
+        case Failure(refusal):
+            account.outcomes[refusal.kind.value] += 1
+
+
+def _executions(launcher: Launcher) -> Counter[str]:
+    executions: Counter[str] = Counter()
+    for counts in launcher.target_counts().values():
+        executions.update(counts["executions"])
+    return executions
+
+
+def _print_account(account: Account, doubled: int) -> None:
+    latencies = sorted(account.latencies_ms)
+    summary = {
+        "queries": len(latencies) + account.failed,
+        "whole": account.whole,
+        "partial": account.partial,
+        "failed": account.failed,
+        "doubled": doubled,
+        "p50_ms": round(statistics.median(latencies), 1),
+        "p99_ms": round(latencies[int(len(latencies) * 0.99)], 1),
+        "extra_load_ratio": round(account.attempts / account.shards - 1, 4),
+    }
+    print(f"searches: {account.whole} whole, {account.partial} partial")
+    print(f"redemptions by outcome: {dict(account.outcomes)}")
+    print(f"half of the searches took {summary['p50_ms']} ms or less")
+    print(json.dumps(summary))
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tests/processes/__init__.py
@@ -0,0 +1,1 @@
+"""Tests that run the daemon as separate processes."""
--- /dev/null
+++ b/tests/processes/test_whole_path.py
@@ -0,0 +1,57 @@
+"""Tests of the whole path on separate processes."""
+
+import time
+import unittest
+
+from lavendertide.caller_client import CallerClient
+from standins.deployment import ASSOCIATION, KOINOPRAXIA, smaller
+from standins.launcher import Launcher
+
+OWNERS = (smaller(ASSOCIATION, 4, 2), smaller(KOINOPRAXIA, 4, 1))
+
+
+class WholePathTest(unittest.TestCase):
+    """A caller is answered by processes that share the work."""
+
+    launcher: Launcher
+
+    @classmethod
+    def setUpClass(cls) -> None:
+        cls.launcher = Launcher(OWNERS)
+        cls.addClassCleanup(cls.launcher.stop)
+        cls.launcher.start()
+
+    def client(self, key: str) -> CallerClient:
+        """Returns a caller that knows all hosts."""
+        return CallerClient(list(self.launcher.callers.values()), key)
+
+    def test_a_search_covers_every_shard_of_one_version(self) -> None:
+        clerk = self.client("stall-clerk")
+        answer = clerk.search("venue-desk", "order", 1_000, 5, time.monotonic())
+        document = answer.unwrap()
+        self.assertEqual(document["covered"], [0, 1, 2, 3])
+        self.assertEqual(document["matches"], 12)
+        self.assertEqual(len(document["rows"]), 5)
+        versions = {key.split("/")[1] for key, _, _ in document["rows"]}
+        self.assertEqual(versions, {"1"})
+
+    def test_a_plan_cannot_use_a_neighbours_index(self) -> None:
+        clerk = self.client("stall-clerk")
+        answer = clerk.search("voucher-finder", "v", 1_000, 5, time.monotonic())
+        self.assertEqual(answer.failure().kind.value, "not_entitled")
+
+    def test_a_redemption_sent_to_every_host_runs_once(self) -> None:
+        now_s = time.monotonic()
+        ticket = self.client("apprentice").ticket(now_s).unwrap()
+        for host in self.launcher.callers.values():
+            client = CallerClient([host], "apprentice")
+            client._addresses, client._kept_until_s = [host], now_s + 60
+            answer = client.execute(
+                ticket, "apprentice-app", "redeem", "voucher-1", 1_000, now_s
+            )
+            self.assertEqual(answer.unwrap()["outcome"], "ran", answer)
+        runs = [
+            counts["executions"].get("voucher-1", 0)
+            for counts in self.launcher.target_counts().values()
+        ]
+        self.assertEqual(sum(runs), 1)
