Divide each plan over the fleet by claims and shares

Each daemon granted the whole plan, so a plan grew with the number of hosts that its callers use. tests.processes.test_plans_over_hosts failed first: with a plan of 40/s and four hosts 844 queries were admitted in 5 s, bound 323. With shares: 208 admitted.

--- a/lavendertide/daemon/daemon.py
+++ b/lavendertide/daemon/daemon.py
@@ -7,6 +7,7 @@
 from returns.result import Failure, Success
 
 from lavendertide.configuration.adoption import Configuration
+from lavendertide.configuration.catalog import Plan
 from lavendertide.configuration.service_watch import watch_service
 from lavendertide.daemon.admin_front import AdminFront
 from lavendertide.daemon.caller_front import CallerFront
@@ -23,18 +24,22 @@
 from lavendertide.executions.ledger import Ledger
 from lavendertide.fleet.news import FleetNews
 from lavendertide.fleet.peers import Peers
-from lavendertide.fleet.roster import Roster
+from lavendertide.fleet.roster import SILENCE_S, Roster
 from lavendertide.ids import (
     Address,
     DaemonId,
     FailureDomain,
     HostId,
     Incarnation,
+    PlanId,
     Region,
 )
 from lavendertide.messages import MemberRecord, MemberState
 from lavendertide.options import Options
 from lavendertide.plans.admission import Allowances
+from lavendertide.plans.allocation import PlanAllocator, Presence
+from lavendertide.plans.allocators import Allocators
+from lavendertide.plans.share_exchange import ShareExchange
 from lavendertide.queries.fan_out import FanOutParts, HedgeBudgets
 from lavendertide.queries.hedging import BudgetedHedge
 from lavendertide.queries.replicas import ReplicaChoice
@@ -57,7 +62,7 @@
         self._options = options
         self._stopping = tasks.Signal()
         self._configuration = Configuration()
-        self._allowances = Allowances()
+        self._plans: dict[PlanId, Plan] = {}
         self._roster = Roster(_own_record(options))
         self._news = FleetNews(
             options.fleet.key, self._roster, self._configuration, self._on_change
@@ -68,6 +73,8 @@
             tuple(Address(seed) for seed in options.fleet.seeds),
             options.fleet.heartbeat_s,
         )
+        self._shares = self._make_shares()
+        self._allowances = Allowances(self._shares)
         self._pool = TargetPool(HttpTargetExchange)
         self._dispatcher = Dispatcher(
             self._configuration, self._roster, self._peers, self._pool
@@ -94,9 +101,12 @@
         peer_listener = sockets.listen(Address(addresses.peers))
         caller_listener = sockets.listen(Address(addresses.callers))
         admin_listener = sockets.listen(Address(addresses.admin))
-        peer_front = PeerFront(self._news, self._dispatcher, self._tickets)
+        peer_front = PeerFront(
+            self._news, self._dispatcher, self._tickets, self._shares.allocator
+        )
         tasks.spawn(peer_front.serve, peer_listener)
         self._peers.follow_roster()
+        tasks.spawn(self._shares.keep)
         self._watch_platform()
         caller_front = CallerFront(
             self._options.queries.body_max_bytes,
@@ -116,6 +126,26 @@
         self._stopping.wait()
         _log.info("stopped")
 
+    def _make_shares(self) -> ShareExchange:
+        allocators = Allocators()
+        allocator = PlanAllocator(
+            self._rate_of, self._presence, allocators, clock.monotonic_s()
+        )
+        return ShareExchange(self._roster, self._peers, allocators, allocator)
+
+    def _rate_of(self, plan: PlanId) -> float | None:
+        found = self._plans.get(plan)
+        return found.rate_per_s if found else None
+
+    def _presence(self, daemon: DaemonId) -> Presence:
+        member = self._roster.find(daemon)
+        if member is None or member.state is MemberState.REMOVED:
+            return Presence.GONE
+        now_s = clock.monotonic_s()
+        if self._roster.is_reachable(daemon, SILENCE_S, now_s):
+            return Presence.PRESENT
+        return Presence.SILENT
+
     def _fan_out_parts(self) -> FanOutParts:
         own = self._roster.own
         holdings = Holdings()
@@ -156,8 +186,8 @@
         self._peers.follow_roster()
         match self._configuration.catalog:
             case Success(catalog):
-                plans = {plan.plan: plan for plan in catalog.plans.values()}
-                self._allowances.apply(plans)
+                self._plans = {plan.plan: plan for plan in catalog.plans.values()}
+                self._allowances.apply(self._plans)
 
 
 def _own_record(options: Options) -> MemberRecord:
--- a/lavendertide/daemon/peer_front.py
+++ b/lavendertide/daemon/peer_front.py
@@ -14,12 +14,14 @@
     Frame,
     Hello,
     Lost,
+    PlanClaims,
     SubReplies,
     SubReply,
     SubRequests,
     TicketRequest,
 )
-from lavendertide.runtime import tasks
+from lavendertide.plans.allocation import PlanAllocator
+from lavendertide.runtime import clock, tasks
 
 REPLIES_PER_FRAME_MAX = 128
 
@@ -30,11 +32,16 @@
     """Serves the connections that peers open."""
 
     def __init__(
-        self, news: FleetNews, dispatcher: Dispatcher, tickets: TicketService
+        self,
+        news: FleetNews,
+        dispatcher: Dispatcher,
+        tickets: TicketService,
+        allocator: PlanAllocator,
     ) -> None:
         self._news = news
         self._dispatcher = dispatcher
         self._tickets = tickets
+        self._allocator = allocator
 
     def serve(self, listener: socket.socket) -> None:
         """Accepts connections for as long as the listener is open."""
@@ -63,6 +70,8 @@
                     self._dispatcher.accept(item, outbox)  # type: ignore[arg-type]
             case Cancels(attempts):
                 self._dispatcher.cancel(list(attempts))
+            case PlanClaims():
+                outbox.send(self._allocator.answer(frame, clock.monotonic_s()))
             case TicketRequest():
                 tasks.spawn(self._answer_ticket, frame, outbox)
             case _:
--- a/lavendertide/daemon/query_service.py
+++ b/lavendertide/daemon/query_service.py
@@ -49,7 +49,7 @@
             return Failure(_page_too_large(self._options.rows_max))
         now_s = clock.monotonic_s()
         allowance = self._allowances.of(plan, now_s)
-        match allowance.enter(1.0, now_s):
+        match allowance.enter(self._allowances.share_of(plan, now_s), now_s):
             case Failure(refusal):
                 return Failure(refusal)
         try:
--- a/lavendertide/daemon/ticket_service.py
+++ b/lavendertide/daemon/ticket_service.py
@@ -81,7 +81,7 @@
     ) -> Result[ExecutionResult, Refusal]:
         now_s = clock.monotonic_s()
         allowance = self._allowances.of(plan, now_s)
-        match allowance.enter(1.0, now_s):
+        match allowance.enter(self._allowances.share_of(plan, now_s), now_s):
             case Failure(refusal):
                 return Failure(refusal)
         try:
--- a/lavendertide/encodings/peer_frames.py
+++ b/lavendertide/encodings/peer_frames.py
@@ -13,6 +13,7 @@
 from thrift.transport.TTransport import TMemoryBuffer
 
 from lavendertide import messages
+from lavendertide.encodings import plan_frames
 from lavendertide.encodings.generated.peer_protocol import ttypes
 from lavendertide.errors import Fault, Refusal, RefusalKind
 from lavendertide.ids import (
@@ -86,6 +87,8 @@
         case messages.TicketReply(exchange, outcome, detail):
             reply = ttypes.TicketReply(exchange, outcome.value, detail)
             return ttypes.Frame(ticket_reply=reply)
+        case messages.PlanClaims() | messages.PlanGrants():
+            return plan_frames.to_union(frame)
         case _:
             return _control_to_union(frame)
 
@@ -123,6 +126,8 @@
         return messages.TicketReply(
             ExchangeId(reply.exchange), messages.Outcome(reply.outcome), reply.detail
         )
+    if union.plan_claims is not None or union.plan_grants is not None:
+        return plan_frames.from_union(union)
     return _control_from_union(union)
 
 
--- a/lavendertide/encodings/peer_protocol.thrift
+++ b/lavendertide/encodings/peer_protocol.thrift
@@ -100,6 +100,29 @@
   3: string detail,
 }
 
+struct PlanClaim {
+  60: string plan,
+  61: double demand_per_s,
+  62: double share,
+}
+
+struct PlanClaims {
+  60: string exchange,
+  61: string daemon,
+  62: i64 incarnation,
+  63: list<PlanClaim> claims,
+}
+
+struct PlanGrant {
+  60: string plan,
+  61: double share,
+}
+
+struct PlanGrants {
+  60: string exchange,
+  61: list<PlanGrant> grants,
+}
+
 union Frame {
   1: Hello hello,
   2: Heartbeat heartbeat,
@@ -111,4 +134,6 @@
   8: ConfigurationPush configuration_push,
   9: TicketRequest ticket_request,
   10: TicketReply ticket_reply,
+  60: PlanClaims plan_claims,
+  61: PlanGrants plan_grants,
 }
--- a/lavendertide/fleet/peer_link.py
+++ b/lavendertide/fleet/peer_link.py
@@ -18,6 +18,8 @@
     Frame,
     LossReason,
     Lost,
+    PlanClaims,
+    PlanGrants,
     SubReplies,
     SubReply,
     SubRequest,
@@ -45,7 +47,7 @@
         self._heartbeat_s = heartbeat_s
         self._outbox: tasks.Mailbox[SubRequest | Frame] = tasks.Mailbox(OUTBOX_MAX)
         self._waiting: dict[AttemptId, tasks.Mailbox[SubReply]] = {}
-        self._exchanges: dict[ExchangeId, tasks.Mailbox[TicketReply]] = {}
+        self._exchanges: dict[ExchangeId, tasks.Mailbox[TicketReply | PlanGrants]] = {}
         self._connected = False
         self._task = tasks.spawn(self._keep)
 
@@ -74,7 +76,18 @@
 
     def exchange(self, request: TicketRequest, timeout_s: float) -> TicketReply | None:
         """Asks the minter of a ticket; none if it did not answer in time."""
-        inbox: tasks.Mailbox[TicketReply] = tasks.Mailbox()
+        reply = self._exchange(request, timeout_s)
+        return reply if isinstance(reply, TicketReply) else None
+
+    def claim(self, request: PlanClaims, timeout_s: float) -> PlanGrants | None:
+        """Claims shares of plans; none if the peer did not answer in time."""
+        reply = self._exchange(request, timeout_s)
+        return reply if isinstance(reply, PlanGrants) else None
+
+    def _exchange(
+        self, request: TicketRequest | PlanClaims, timeout_s: float
+    ) -> TicketReply | PlanGrants | None:
+        inbox: tasks.Mailbox[TicketReply | PlanGrants] = tasks.Mailbox()
         self._exchanges[request.exchange] = inbox
         try:
             return inbox.receive(timeout_s) if self.send(request) else None
@@ -140,7 +153,7 @@
                 case SubReplies(items):
                     for reply in items:
                         self._hand_over(reply)
-                case TicketReply(exchange=exchange):
+                case TicketReply(exchange=exchange) | PlanGrants(exchange=exchange):
                     waiter = self._exchanges.get(exchange)
                     if waiter is not None:
                         waiter.send(frame)
--- a/lavendertide/fleet/peers.py
+++ b/lavendertide/fleet/peers.py
@@ -4,7 +4,7 @@
 from lavendertide.fleet.peer_link import PeerLink
 from lavendertide.fleet.roster import Roster
 from lavendertide.ids import Address, AttemptId
-from lavendertide.messages import MemberRecord
+from lavendertide.messages import MemberRecord, PlanClaims, PlanGrants
 
 
 class Peers:
@@ -32,6 +32,12 @@
         """Returns the link to a member, opened at its first use."""
         return self._open(member.peer_address)
 
+    def claim(
+        self, member: MemberRecord, claims: PlanClaims, timeout_s: float
+    ) -> PlanGrants | None:
+        """Claims shares of plans from a member; none if it did not answer in time."""
+        return self.link_to(member).claim(claims, timeout_s)
+
     def follow_roster(self) -> None:
         """Opens links to new members and closes those to removed ones."""
         wanted = {member.peer_address for member in self._roster.members}
--- a/lavendertide/messages.py
+++ b/lavendertide/messages.py
@@ -255,6 +255,46 @@
     detail: str
 
 
+@dataclass(frozen=True, slots=True)
+class PlanClaim:
+    """What one daemon uses of a plan.
+
+    Attributes:
+        demand_per_s: Queries a second that reach the daemon, refused ones included.
+        share: The part of the plan that the daemon grants at present.
+    """
+
+    plan: PlanId
+    demand_per_s: float
+    share: float
+
+
+@dataclass(frozen=True, slots=True)
+class PlanClaims:
+    """A daemon's claims for all plans that the receiver allocates."""
+
+    exchange: ExchangeId
+    daemon: DaemonId
+    incarnation: Incarnation
+    claims: tuple[PlanClaim, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class PlanGrant:
+    """The part of a plan that a daemon may grant from now on."""
+
+    plan: PlanId
+    share: float
+
+
+@dataclass(frozen=True, slots=True)
+class PlanGrants:
+    """Answers a daemon's claims."""
+
+    exchange: ExchangeId
+    grants: tuple[PlanGrant, ...]
+
+
 Frame = (
     Hello
     | Heartbeat
@@ -266,4 +306,6 @@
     | ConfigurationPush
     | TicketRequest
     | TicketReply
+    | PlanClaims
+    | PlanGrants
 )
--- a/lavendertide/plans/admission.py
+++ b/lavendertide/plans/admission.py
@@ -9,6 +9,7 @@
 from lavendertide.configuration.catalog import Plan
 from lavendertide.errors import Fault, Refusal, RefusalKind
 from lavendertide.ids import PlanId
+from lavendertide.plans.shares import ShareSource, WholeShares
 
 
 class Allowance:
@@ -82,11 +83,24 @@
 
 
 class Allowances:
-    """The allowances of all plans on this daemon."""
+    """The allowances of all plans on this daemon.
 
-    def __init__(self) -> None:
+    Args:
+        shares: Says which part of each plan this daemon may grant.
+    """
+
+    def __init__(self, shares: ShareSource | None = None) -> None:
+        self._shares = shares or WholeShares()
         self._by_plan: dict[PlanId, Allowance] = {}
 
+    def share_of(self, plan: Plan, now_s: float) -> float:
+        """Counts a query and returns the part of its plan to grant here."""
+        return self._shares.share_of(plan, now_s)
+
+    def find(self, plan: PlanId) -> Allowance | None:
+        """Returns a plan's allowance if it has been used here."""
+        return self._by_plan.get(plan)
+
     def of(self, plan: Plan, now_s: float) -> Allowance:
         """Returns the plan's allowance, made at its first use."""
         allowance = self._by_plan.get(plan.plan)
--- /dev/null
+++ b/lavendertide/plans/share_exchange.py
@@ -0,0 +1,140 @@
+"""The task that claims this daemon's shares of plans once a second.
+
+Every claim goes to all allocators of its plan, so that each knows all holders and can
+take over from the others.
+"""
+
+import itertools
+from collections import defaultdict
+from typing import Final, Protocol
+
+from lavendertide.configuration.catalog import Plan
+from lavendertide.fleet.roster import Roster
+from lavendertide.ids import DaemonId, ExchangeId, PlanId
+from lavendertide.messages import MemberRecord, PlanClaim, PlanClaims, PlanGrants
+from lavendertide.plans.allocation import PlanAllocator
+from lavendertide.plans.allocators import Allocators
+from lavendertide.plans.shares import HeldShares
+from lavendertide.runtime import clock, tasks
+
+ROUND_S: Final = 1.0
+BATCH_S: Final = 0.02
+ANSWER_TIMEOUT_S: Final = 0.5
+FIRST_GRANT_WAIT_S: Final = 0.1
+
+
+class ClaimLinks(Protocol):
+    """Carries claims to other daemons."""
+
+    def claim(
+        self, member: MemberRecord, claims: PlanClaims, timeout_s: float
+    ) -> PlanGrants | None:
+        """Sends claims; none if they were not answered in time."""
+
+
+class ShareExchange:
+    """This daemon's shares of all plans, kept up to date by one task."""
+
+    def __init__(
+        self,
+        roster: Roster,
+        links: ClaimLinks,
+        allocators: Allocators,
+        allocator: PlanAllocator,
+    ) -> None:
+        self._roster = roster
+        self._links = links
+        self._allocator = allocator
+        self._held = HeldShares()
+        self._wake_ups: tasks.Mailbox[None] = tasks.Mailbox(1)
+        self._first_grants: dict[PlanId, tasks.Signal] = {}
+        self._asked: set[DaemonId] = set()
+        self._allocators = allocators
+        self._exchanges = itertools.count(1)
+
+    @property
+    def held(self) -> HeldShares:
+        """The shares held here."""
+        return self._held
+
+    @property
+    def allocator(self) -> PlanAllocator:
+        """What this daemon allocates for others."""
+        return self._allocator
+
+    def share_of(self, plan: Plan, now_s: float) -> float:
+        """Counts an arrival and returns the part of the plan to grant.
+
+        The first queries of a plan wait a moment for the first grant.
+        """
+        if self._held.arrive(plan, now_s) and plan.plan not in self._first_grants:
+            self._first_grants[plan.plan] = tasks.Signal()
+            self._wake_ups.send(None)
+        first_grant = self._first_grants.get(plan.plan)
+        if first_grant is not None:
+            first_grant.wait(FIRST_GRANT_WAIT_S)
+            self._first_grants.pop(plan.plan, None)
+        return self._held.share_of(plan.plan, self._allocators.member_count)
+
+    def keep(self) -> None:
+        """Claims once a round, and at once when a plan is new here."""
+        round_at_s = clock.monotonic_s()
+        while True:
+            now_s = clock.monotonic_s()
+            if now_s >= round_at_s:
+                self._begin_round(now_s)
+                round_at_s = now_s + ROUND_S
+            self._claim_all(now_s)
+            tasks.sleep(BATCH_S)
+            self._wake_ups.receive(max(0.0, round_at_s - clock.monotonic_s()))
+
+    def _begin_round(self, now_s: float) -> None:
+        self._held.count_demand(now_s)
+        self._held.forget_idle(now_s)
+        self._allocator.forget_absent(now_s)
+        if self._allocators.follow(self._roster.members):
+            self._allocator.note_members_changed(now_s)
+
+    def _claim_all(self, now_s: float) -> None:
+        by_allocator: dict[DaemonId, list[PlanClaim]] = defaultdict(list)
+        for claim in self._held.claims(now_s):
+            for member in self._allocators.of(claim.plan):
+                by_allocator[member.daemon].append(claim)
+        own = self._roster.own
+        for daemon, claims in by_allocator.items():
+            message = PlanClaims(
+                ExchangeId(str(next(self._exchanges))),
+                own.daemon,
+                own.incarnation,
+                tuple(claims),
+            )
+            if daemon == own.daemon:
+                self._take(daemon, self._allocator.answer(message, now_s), now_s)
+            elif daemon in self._asked:
+                self._held.claim_again(claims)
+            else:
+                self._asked.add(daemon)
+                tasks.spawn(self._ask, daemon, message)
+
+    def _ask(self, daemon: DaemonId, message: PlanClaims) -> None:
+        member = self._roster.find(daemon)
+        grants = None
+        if member is not None:
+            grants = self._links.claim(member, message, ANSWER_TIMEOUT_S)
+        self._asked.discard(daemon)
+        if grants is None:
+            self._held.claim_again(message.claims)
+        else:
+            self._take(daemon, grants, clock.monotonic_s())
+
+    def _take(self, daemon: DaemonId, grants: PlanGrants, now_s: float) -> None:
+        self._allocators.note_answer(daemon, now_s)
+        has_lowered = False
+        for grant in grants.grants:
+            if self._allocators.counts(daemon, grant.plan, now_s):
+                has_lowered |= self._held.take_grant(grant.plan, grant.share)
+                first_grant = self._first_grants.get(grant.plan)
+                if first_grant is not None:
+                    first_grant.set()
+        if has_lowered:
+            self._wake_ups.send(None)
--- /dev/null
+++ b/lavendertide/plans/shares.py
@@ -0,0 +1,171 @@
+"""The parts of plans that this daemon may grant.
+
+A share comes from one of the plan's allocators and is kept while none of them answers.
+Before the first one a daemon grants the floor; all floors together are `FLOORS_PART` of
+a plan.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+from typing import Final, Protocol
+
+from lavendertide.configuration.catalog import Plan
+from lavendertide.ids import PlanId
+from lavendertide.messages import PlanClaim
+
+FLOORS_PART: Final = 0.25
+IDLE_S: Final = 60.0
+REFRESH_S: Final = 10.0
+CHANGE_RATIO: Final = 0.2
+PRESSED_RATIO: Final = 0.5
+DEMAND_MIN_PER_S: Final = 0.1
+DEMAND_WEIGHT: Final = 0.5
+PLANS_MAX: Final = 4_096
+
+
+class ShareSource(Protocol):
+    """Says which part of a plan this daemon may grant."""
+
+    def share_of(self, plan: Plan, now_s: float) -> float:
+        """Counts an arrival and returns the part, above zero and at most one."""
+
+
+class WholeShares:
+    """The shares of a daemon that is alone."""
+
+    def share_of(self, plan: Plan, now_s: float) -> float:
+        """Returns the whole plan."""
+        return 1.0
+
+
+@dataclass(slots=True)
+class _Held:
+    """What is known here about one plan, and what was last claimed."""
+
+    plan: Plan
+    counted_from_s: float
+    arrived_at_s: float
+    share: float = 0.0
+    demand_per_s: float = 0.0
+    arrivals: int = 1
+    claimed: PlanClaim | None = None
+    claimed_at_s: float = 0.0
+    is_released: bool = False
+
+
+class HeldShares:
+    """The shares of all plans that callers have lately used here."""
+
+    def __init__(self) -> None:
+        self._plans: dict[PlanId, _Held] = {}
+
+    @property
+    def plans(self) -> list[PlanId]:
+        """Plans that are claimed."""
+        return list(self._plans)
+
+    def arrive(self, plan: Plan, now_s: float) -> bool:
+        """Counts a query that has come in; returns whether it needs a first share."""
+        held = self._plans.get(plan.plan)
+        if held is None:
+            if len(self._plans) < PLANS_MAX:
+                self._plans[plan.plan] = _Held(plan, now_s, now_s)
+            return True
+        held.plan = plan
+        held.arrivals += 1
+        held.arrived_at_s = now_s
+        return held.is_released
+
+    def share_of(self, plan: PlanId, members: int) -> float:
+        """Returns the part of a plan to grant, never below the floor.
+
+        Args:
+            plan: The plan.
+            members: Daemons of the fleet, over which the floors are spread.
+        """
+        held = self._plans.get(plan)
+        floor = FLOORS_PART / max(1, members)
+        return max(floor, held.share) if held else floor
+
+    def demand_of(self, plan: PlanId) -> float:
+        """Returns queries a second that reach this daemon."""
+        held = self._plans.get(plan)
+        return held.demand_per_s if held else 0.0
+
+    def claims(self, now_s: float) -> list[PlanClaim]:
+        """Returns what to claim now: what has changed, is scarce or was long ago.
+
+        A plan that has become idle is claimed with no demand.
+        """
+        due = []
+        for held in self._plans.values():
+            claim = _claim(held, now_s)
+            if _is_due(held, claim, now_s):
+                held.claimed = claim
+                held.claimed_at_s = now_s
+                due.append(claim)
+        return due
+
+    def claim_again(self, claims: Iterable[PlanClaim]) -> None:
+        """Says that an allocator has not answered these claims."""
+        for claim in claims:
+            held = self._plans.get(claim.plan)
+            if held is not None:
+                held.claimed = None
+
+    def take_grant(self, plan: PlanId, share: float) -> bool:
+        """Takes over a share; returns whether it is much lower than the one held."""
+        held = self._plans.get(plan)
+        if held is None or held.is_released:
+            return False
+        is_lower = share < held.share * (1.0 - CHANGE_RATIO)
+        held.share = share
+        return is_lower
+
+    def forget_idle(self, now_s: float) -> None:
+        """Gives up the shares of plans that nobody has used for a while."""
+        for plan, held in list(self._plans.items()):
+            if now_s - held.arrived_at_s > IDLE_S + REFRESH_S:
+                del self._plans[plan]
+
+    def count_demand(self, now_s: float) -> None:
+        """Brings the demand of all plans up to date, once a round."""
+        for held in self._plans.values():
+            span_s = now_s - held.counted_from_s
+            if span_s > 0:
+                _count(held, span_s, now_s)
+
+
+def _is_idle(held: _Held, now_s: float) -> bool:
+    return now_s - held.arrived_at_s > IDLE_S
+
+
+def _claim(held: _Held, now_s: float) -> PlanClaim:
+    held.is_released = _is_idle(held, now_s)
+    if held.is_released:
+        held.share = 0.0
+        return PlanClaim(held.plan.plan, 0.0, 0.0)
+    demand_per_s = max(DEMAND_MIN_PER_S, held.demand_per_s)
+    return PlanClaim(held.plan.plan, demand_per_s, held.share)
+
+
+def _is_due(held: _Held, claim: PlanClaim, now_s: float) -> bool:
+    last = held.claimed
+    if last is None or now_s - held.claimed_at_s >= REFRESH_S:
+        return True
+    if claim.demand_per_s > PRESSED_RATIO * held.share * held.plan.rate_per_s:
+        return True
+    return _differs(claim.share, last.share) or _differs(
+        claim.demand_per_s, last.demand_per_s
+    )
+
+
+def _differs(value: float, last: float) -> bool:
+    return abs(value - last) > CHANGE_RATIO * last
+
+
+def _count(held: _Held, span_s: float, now_s: float) -> None:
+    rate_per_s = held.arrivals / max(1.0, span_s)
+    held.demand_per_s += DEMAND_WEIGHT * (rate_per_s - held.demand_per_s)
+    held.arrivals = 0
+    held.counted_from_s = now_s
