--- /dev/null
+++ b/bench/load.py
@@ -0,0 +1,141 @@
+"""A process of callers that send searches at a steady rate, whatever comes back.
+
+`python -m bench.load SPEC` reads a `LoadSpec` as JSON and writes one JSON line for
+each search. Arrivals are random with a seed and do not wait for earlier answers.
+"""
+
+import lavendertide.runtime.patching  # noqa: F401, I001  (has to come first)
+
+import itertools
+import json
+import random
+import sys
+import time
+from dataclasses import asdict, dataclass
+from pathlib import Path
+from typing import Any, TextIO
+
+import urllib3
+
+from lavendertide.runtime import tasks
+
+CONNECTIONS = 64
+TIMEOUT_MARGIN_S = 2.0
+GRACE_S = 3.0
+
+
+@dataclass(frozen=True)
+class LoadSpec:
+    """What one process of callers does.
+
+    Attributes:
+        hosts: Addresses of the entry hosts, used in turn.
+        starts_at_s: Monotonic time of the first arrival.
+    """
+
+    hosts: tuple[str, ...]
+    key: str
+    index: str
+    rate_per_s: float
+    duration_s: float
+    deadline_ms: int
+    seed: int
+    starts_at_s: float
+    output: str
+
+
+@dataclass(frozen=True)
+class Sample:
+    """What one caller saw.
+
+    Attributes:
+        at_s: Arrival, in seconds since the start.
+        status: HTTP status, zero if the connection broke.
+        covered: Shards that the answer covers.
+        shards: Shards of the version.
+        attempts: Sub-requests that the tier sent.
+        version: The version that the answer names.
+        mixed: Whether a row came from another version.
+    """
+
+    at_s: float
+    latency_ms: float
+    status: int
+    covered: int
+    shards: int
+    attempts: int
+    version: int
+    mixed: bool
+
+
+class Callers:
+    """Sends the searches of one specification."""
+
+    def __init__(self, spec: LoadSpec, output: TextIO) -> None:
+        self._spec = spec
+        self._output = output
+        self._http = urllib3.PoolManager(maxsize=CONNECTIONS, retries=False)
+        self._hosts = itertools.cycle(spec.hosts)
+        self._random = random.Random(spec.seed)
+
+    def run(self) -> None:
+        """Sends until the time is over and waits for the last answers."""
+        arrival_s = self._spec.starts_at_s
+        ends_at_s = arrival_s + self._spec.duration_s
+        number = 0
+        while arrival_s < ends_at_s:
+            tasks.sleep(max(0.0, arrival_s - time.monotonic()))
+            tasks.spawn(self._search, number, arrival_s)
+            number += 1
+            arrival_s += self._random.expovariate(self._spec.rate_per_s)
+        tasks.sleep(self._spec.deadline_ms / 1000 + GRACE_S)
+
+    def _search(self, number: int, arrival_s: float) -> None:
+        status, answer = self._send(next(self._hosts), number)
+        sample = Sample(
+            at_s=arrival_s - self._spec.starts_at_s,
+            latency_ms=(time.monotonic() - arrival_s) * 1000,
+            status=status,
+            covered=len(answer.get("covered", ())),
+            shards=len(answer.get("covered", ())) + len(answer.get("gaps", ())),
+            attempts=answer.get("attempts", 0),
+            version=answer.get("version", 0),
+            mixed=_is_mixed(answer),
+        )
+        self._output.write(json.dumps(asdict(sample)) + "\n")
+
+    def _send(self, host: str, number: int) -> tuple[int, dict[str, Any]]:
+        body = {
+            "index": self._spec.index,
+            "deadline_ms": self._spec.deadline_ms,
+            "page_size": 10,
+            "body": f"{self._spec.key} {number}",
+        }
+        try:
+            response = self._http.request(
+                "POST",
+                f"http://{host}/v1/search",
+                headers={"X-Caller-Key": self._spec.key},
+                json=body,
+                timeout=self._spec.deadline_ms / 1000 + TIMEOUT_MARGIN_S,
+            )
+            return response.status, response.json()
+        except (urllib3.exceptions.HTTPError, ValueError):
+            return 0, {}
+
+
+def _is_mixed(answer: dict[str, Any]) -> bool:
+    versions = {row[0].split("/")[1] for row in answer.get("rows", ())}
+    return bool(versions - {str(answer.get("version"))})
+
+
+def main() -> None:
+    """Runs one specification."""
+    fields = json.loads(Path(sys.argv[1]).read_text())
+    spec = LoadSpec(**{**fields, "hosts": tuple(fields["hosts"])})
+    with Path(spec.output).open("w") as output:
+        Callers(spec, output).run()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/bench/process_stats.py
@@ -0,0 +1,37 @@
+"""Processor time and memory of a process, read from `/proc`."""
+
+import os
+from dataclasses import dataclass
+from pathlib import Path
+
+_UTIME_FIELD = 11
+_STIME_FIELD = 12
+_KB_PER_MB = 1024
+
+
+@dataclass(frozen=True, slots=True)
+class ProcessStats:
+    """What a process has used so far.
+
+    Attributes:
+        cpu_s: Processor time, user and system.
+        rss_mb: Resident memory.
+    """
+
+    cpu_s: float
+    rss_mb: float
+
+
+def read_process_stats(pid: int) -> ProcessStats:
+    """Reads the figures of a running process."""
+    text = Path(f"/proc/{pid}/stat").read_text()
+    fields = text.rpartition(")")[2].split()
+    ticks = int(fields[_UTIME_FIELD]) + int(fields[_STIME_FIELD])
+    return ProcessStats(ticks / os.sysconf("SC_CLK_TCK"), _rss_mb(pid))
+
+
+def _rss_mb(pid: int) -> float:
+    for line in Path(f"/proc/{pid}/status").read_text().splitlines():
+        if line.startswith("VmRSS:"):
+            return int(line.split()[1]) / _KB_PER_MB
+    return 0.0
--- a/standins/launcher.py
+++ b/standins/launcher.py
@@ -116,6 +116,10 @@
         """Sends a signal to a daemon."""
         self._processes[name].send_signal(signal_number)
 
+    def pid_of(self, name: str) -> int:
+        """Returns the process id of one of the processes."""
+        return self._processes[name].pid
+
     def wait_for_exit(self, name: str) -> int:
         """Waits until a daemon has ended; returns its exit code."""
         return self._processes[name].wait(STOP_S)
@@ -138,6 +142,10 @@
         body = {"target": target, "behaviour": behaviour}
         self.post(self._controls[target], "/v1/change", body)
 
+    def crash_target(self, target: str) -> None:
+        """Crashes a target; it comes back after its `restart_ms`."""
+        self.post(self._controls[target], "/v1/crash", {"target": target})
+
     def target_counts(self) -> dict[str, dict[str, Any]]:
         """Returns what all targets have seen."""
         counts: dict[str, dict[str, Any]] = {}
