--- a/bench/query_path.py
+++ b/bench/query_path.py
@@ -93,7 +93,7 @@
         _give_targets_a_tail(launcher)
         specs = _load_specs(scenario, launcher, duration_s, seed, folder)
         cpu_before_s = _daemons_cpu_s(launcher)
-        processes = [_start_load(spec, folder) for spec in specs]
+        processes = [start_load(spec, folder) for spec in specs]
         _sleep_until(specs[0].starts_at_s + duration_s / 3)
         induce(scenario, launcher)
         for process in processes:
@@ -158,7 +158,8 @@
     ]
 
 
-def _start_load(spec: LoadSpec, folder: Path) -> subprocess.Popen[bytes]:
+def start_load(spec: LoadSpec, folder: Path) -> subprocess.Popen[bytes]:
+    """Starts a process of callers."""
     path = folder / f"{spec.key}.json"
     path.write_text(json.dumps(asdict(spec)))
     return subprocess.Popen([sys.executable, "-m", "bench.load", str(path)])
