Record when heartbeats were sent and answered, for leases

A lease runs from the sending of the newest answered heartbeat on one side and from the answer on the other. Peers.keep_beating names the peers that leases rest on.

--- a/lavendertide/fleet/news.py
+++ b/lavendertide/fleet/news.py
@@ -35,6 +35,7 @@
         self._on_change = on_change
         self._sequence = itertools.count(1)
         self._behind: set[Address] = set()
+        self._sent_at_s: dict[Address, tuple[int, float]] = {}
 
     def hello(self) -> Hello:
         """Returns the frame that opens a connection."""
@@ -45,14 +46,16 @@
         """Returns whether the sender knows the fleet's key."""
         return hmac.compare_digest(self._proof(hello.member), hello.proof)
 
-    def heartbeat(self, peer: Address) -> Heartbeat | ConfigurationPull:
+    def heartbeat(self, peer: Address, now_s: float) -> Heartbeat | ConfigurationPull:
         """Returns the next heartbeat, or a pull if the peer has newer lists."""
         if peer in self._behind:
             self._behind.discard(peer)
             return ConfigurationPull(self._configuration.version)
-        return Heartbeat(next(self._sequence), *self._facts())
+        sequence = next(self._sequence)
+        self._sent_at_s[peer] = sequence, now_s
+        return Heartbeat(sequence, *self._facts())
 
-    def answer(self, frame: Frame) -> Frame | None:
+    def answer(self, frame: Frame, now_s: float) -> Frame | None:
         """Returns the answer to a control frame of a peer.
 
         A peer that can reach this daemon need not be reachable from it, so only an
@@ -61,6 +64,7 @@
         match frame:
             case Heartbeat(sequence=sequence, sender=sender, news=news):
                 self._learn((sender, *news))
+                self._roster.note_promise(sender.daemon, now_s)
                 return HeartbeatAck(sequence, *self._facts())
             case ConfigurationPull(known) if known < self._configuration.version:
                 return ConfigurationPush(
@@ -72,9 +76,9 @@
     def take_answer(self, peer: Address, frame: Frame, now_s: float) -> None:
         """Takes in what a peer has answered."""
         match frame:
-            case HeartbeatAck(sender=sender, news=news, configuration_version=version):
+            case HeartbeatAck(sequence, sender, news, version):
                 self._learn((sender, *news))
-                self._roster.hear(sender.daemon, now_s)
+                self._note_answer(peer, sequence, sender, now_s)
                 if version > self._configuration.version:
                     self._behind.add(peer)
             case ConfigurationPush(lists=lists):
@@ -83,6 +87,15 @@
             case _:
                 pass
 
+    def _note_answer(
+        self, peer: Address, sequence: int, sender: MemberRecord, now_s: float
+    ) -> None:
+        newest, sent_at_s = self._sent_at_s[peer]
+        if sequence == newest:
+            self._roster.note_answer(sender.daemon, sent_at_s, now_s)
+        else:
+            self._roster.hear(sender.daemon, now_s)
+
     def _learn(self, records: tuple[MemberRecord, ...]) -> None:
         if self._roster.learn(records):
             self._on_change()
--- a/lavendertide/fleet/peer_link.py
+++ b/lavendertide/fleet/peer_link.py
@@ -118,7 +118,7 @@
         while self._connected:
             now_s = clock.monotonic_s()
             if now_s >= beat_at_s:
-                peer.send(self._news.heartbeat(self._address))
+                peer.send(self._news.heartbeat(self._address, now_s))
                 beat_at_s = now_s + self._heartbeat_s
             item = self._outbox.receive(max(0.0, beat_at_s - now_s))
             if item is not None:
--- a/lavendertide/fleet/peers.py
+++ b/lavendertide/fleet/peers.py
@@ -3,7 +3,7 @@
 from lavendertide.fleet.news import FleetNews
 from lavendertide.fleet.peer_link import PeerLink
 from lavendertide.fleet.roster import Roster
-from lavendertide.ids import Address, AttemptId
+from lavendertide.ids import Address, AttemptId, DaemonId
 from lavendertide.messages import MemberRecord
 
 
@@ -21,6 +21,7 @@
         self._news = news
         self._seeds = seeds
         self._heartbeat_s = heartbeat_s
+        self._lease_partners: frozenset[DaemonId] = frozenset()
         self._links: dict[Address, PeerLink] = {}
 
     @property
@@ -32,6 +33,10 @@
         """Returns the link to a member, opened at its first use."""
         return self._open(member.peer_address)
 
+    def keep_beating(self, daemons: set[DaemonId]) -> None:
+        """Names the peers whose answered heartbeats this daemon's leases rest on."""
+        self._lease_partners = frozenset(daemons)
+
     def follow_roster(self) -> None:
         """Opens links to new members and closes those to removed ones."""
         wanted = {member.peer_address for member in self._roster.members}
--- a/lavendertide/fleet/roster.py
+++ b/lavendertide/fleet/roster.py
@@ -28,6 +28,8 @@
         self._own = own
         self._members = {own.daemon: own}
         self._heard_at_s: dict[DaemonId, float] = {}
+        self._answered_sent_at_s: dict[DaemonId, float] = {}
+        self._promised_at_s: dict[DaemonId, float] = {}
 
     @property
     def own(self) -> MemberRecord:
@@ -56,6 +58,24 @@
         """Notes that a member has answered just now."""
         self._heard_at_s[daemon] = now_s
 
+    def note_answer(self, daemon: DaemonId, sent_at_s: float, now_s: float) -> None:
+        """Notes that a member has answered a heartbeat that was sent at a time."""
+        newest_s = self._answered_sent_at_s.get(daemon, sent_at_s)
+        self._answered_sent_at_s[daemon] = max(newest_s, sent_at_s)
+        self.hear(daemon, now_s)
+
+    def note_promise(self, daemon: DaemonId, now_s: float) -> None:
+        """Notes that this daemon answers a member's heartbeat."""
+        self._promised_at_s[daemon] = now_s
+
+    def answered_sent_at_s(self, daemon: DaemonId) -> float | None:
+        """Returns when the newest answered heartbeat to a member was sent."""
+        return self._answered_sent_at_s.get(daemon)
+
+    def promised_at_s(self, daemon: DaemonId) -> float | None:
+        """Returns when this daemon last answered a member's heartbeat."""
+        return self._promised_at_s.get(daemon)
+
     def is_reachable(self, daemon: DaemonId, silence_s: float, now_s: float) -> bool:
         """Returns whether a member has answered within a span of time."""
         if daemon == self._own.daemon:
