Carry spare slots in replies and verdicts on requests between daemons

A reply says how many slots of its target were free, so that whoever sends hedges can tie them to room that was seen. A frame for verdicts on requests that crash targets is set down with its numbers.

--- a/lavendertide/encodings/peer_frames.py
+++ b/lavendertide/encodings/peer_frames.py
@@ -103,6 +103,9 @@
         case messages.ConfigurationPush(version, lists):
             push = ttypes.ConfigurationPush(version, lists)
             return ttypes.Frame(configuration_push=push)
+        case messages.Verdicts(items):
+            packed = ttypes.Verdicts([_pack_verdict(item) for item in items])
+            return ttypes.Frame(verdicts=packed)
     raise TypeError(f"not a frame: {frame!r}")
 
 
@@ -141,9 +144,30 @@
         return messages.ConfigurationPush(
             ConfigurationVersion(push.version), push.lists
         )
+    if union.verdicts is not None:
+        verdicts = union.verdicts.items
+        return messages.Verdicts(tuple(_unpack_verdict(item) for item in verdicts))
     raise ValueError("a frame without a message")
 
 
+def _pack_verdict(verdict: messages.Verdict) -> Any:
+    return ttypes.Verdict(
+        verdict.fingerprint,
+        verdict.is_condemned,
+        verdict.crashes,
+        verdict.valid_ms,
+    )
+
+
+def _unpack_verdict(verdict: Any) -> messages.Verdict:
+    return messages.Verdict(
+        Fingerprint(verdict.fingerprint),
+        verdict.is_condemned,
+        verdict.crashes,
+        verdict.valid_ms,
+    )
+
+
 def _pack_member(member: messages.MemberRecord) -> Any:
     return ttypes.MemberRecord(
         member.daemon,
@@ -244,9 +268,12 @@
                 matches=reply.matches,
                 amount=reply.amount,
                 query=reply.query,
+                spare_slots=reply.spare_slots,
+            )
+        case messages.Declined(attempt, decline, spare_slots):
+            return ttypes.SubReply(
+                attempt, _DECLINED, decline.value, spare_slots=spare_slots
             )
-        case messages.Declined(attempt, decline):
-            return ttypes.SubReply(attempt, _DECLINED, decline.value)
         case messages.Lost(attempt, loss):
             return ttypes.SubReply(attempt, _LOST, loss.value)
 
@@ -255,7 +282,9 @@
     attempt = AttemptId(reply.attempt)
     match reply.kind:
         case "declined":
-            return messages.Declined(attempt, messages.DeclineReason(reply.reason))
+            return messages.Declined(
+                attempt, messages.DeclineReason(reply.reason), reply.spare_slots or 0
+            )
         case "lost":
             return messages.Lost(attempt, messages.LossReason(reply.reason))
         case _:
@@ -269,6 +298,7 @@
                 ),
                 matches=reply.matches,
                 amount=reply.amount,
+                spare_slots=reply.spare_slots or 0,
             )
 
 
--- a/lavendertide/encodings/peer_protocol.thrift
+++ b/lavendertide/encodings/peer_protocol.thrift
@@ -42,6 +42,7 @@
   7: i64 matches,
   8: i64 amount,
   9: string query,
+  40: i32 spare_slots,
 }
 
 struct Hello {
@@ -100,6 +101,17 @@
   3: string detail,
 }
 
+struct Verdict {
+  40: string fingerprint,
+  41: bool is_condemned,
+  42: i32 crashes,
+  43: i32 valid_ms,
+}
+
+struct Verdicts {
+  40: list<Verdict> items,
+}
+
 union Frame {
   1: Hello hello,
   2: Heartbeat heartbeat,
@@ -111,4 +123,5 @@
   8: ConfigurationPush configuration_push,
   9: TicketRequest ticket_request,
   10: TicketReply ticket_reply,
+  40: Verdicts verdicts,
 }
--- a/lavendertide/messages.py
+++ b/lavendertide/messages.py
@@ -139,6 +139,7 @@
         rows: The shard's best rows, best first.
         matches: How many rows of the shard match in all.
         amount: Sum over the matching rows, in the index's smallest unit.
+        spare_slots: Slots of the target that were free when it had answered.
     """
 
     attempt: AttemptId
@@ -148,14 +149,20 @@
     rows: tuple[Row, ...]
     matches: int
     amount: int
+    spare_slots: int = 0
 
 
 @dataclass(frozen=True, slots=True)
 class Declined:
-    """The sub-request certainly did not run."""
+    """The sub-request certainly did not run.
+
+    Attributes:
+        spare_slots: Slots of the target that were free when it was declined.
+    """
 
     attempt: AttemptId
     reason: DeclineReason
+    spare_slots: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -233,6 +240,29 @@
     lists: bytes
 
 
+@dataclass(frozen=True, slots=True)
+class Verdict:
+    """What a daemon has found out about requests with one fingerprint.
+
+    Attributes:
+        is_condemned: Whether it is refused; otherwise it only runs alone.
+        crashes: Targets that it is known to have crashed.
+        valid_ms: How long the verdict still holds.
+    """
+
+    fingerprint: Fingerprint
+    is_condemned: bool
+    crashes: int
+    valid_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class Verdicts:
+    """Verdicts on requests that crash targets, spread to all peers."""
+
+    items: tuple[Verdict, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class TicketRequest:
     """A non-idempotent request on its way to the daemon that minted its ticket."""
@@ -266,4 +296,5 @@
     | ConfigurationPush
     | TicketRequest
     | TicketReply
+    | Verdicts
 )
