--- /dev/null
+++ b/lavendertide/encodings/holder_frames.py
@@ -0,0 +1,89 @@
+"""The frames by which the holders of targets' slots agree among themselves.
+
+They hand over slots, and they spread what is known of requests that crash targets.
+`lavendertide.encodings.peer_frames` writes and reads all other frames.
+"""
+
+from typing import Any
+
+from lavendertide import messages
+from lavendertide.encodings.generated.peer_protocol import ttypes
+from lavendertide.ids import DaemonId, ExchangeId, Fingerprint, ShardNumber, TargetId
+
+
+def to_union(frame: messages.Frame) -> Any:
+    """Returns the generated struct of a frame."""
+    match frame:
+        case messages.Verdicts(items):
+            packed = ttypes.Verdicts([_pack_verdict(item) for item in items])
+            return ttypes.Frame(verdicts=packed)
+        case messages.TrialClaim(exchange, sender, fingerprint, duration_ms):
+            claim = ttypes.TrialClaim(exchange, sender, fingerprint, duration_ms)
+            return ttypes.Frame(trial_claim=claim)
+        case messages.TrialGrant(exchange, is_granted):
+            grant = ttypes.TrialGrant(exchange, is_granted)
+            return ttypes.Frame(trial_grant=grant)
+        case messages.SlotClaims(sender, items):
+            claims = ttypes.SlotClaims(sender, _pack_claims(items))
+            return ttypes.Frame(slot_claims=claims)
+        case messages.SlotReleases(sender, items):
+            releases = ttypes.SlotReleases(sender, _pack_claims(items))
+            return ttypes.Frame(slot_releases=releases)
+    raise TypeError(f"not a frame: {frame!r}")
+
+
+def from_union(union: Any) -> messages.Frame:
+    """Returns the message of a generated struct."""
+    if union.verdicts is not None:
+        verdicts = union.verdicts.items
+        return messages.Verdicts(tuple(_unpack_verdict(item) for item in verdicts))
+    if union.trial_claim is not None:
+        claim = union.trial_claim
+        return messages.TrialClaim(
+            ExchangeId(claim.exchange),
+            DaemonId(claim.sender),
+            Fingerprint(claim.fingerprint),
+            claim.duration_ms,
+        )
+    if union.trial_grant is not None:
+        grant = union.trial_grant
+        return messages.TrialGrant(ExchangeId(grant.exchange), grant.is_granted)
+    if union.slot_claims is not None:
+        claims = union.slot_claims
+        return messages.SlotClaims(
+            DaemonId(claims.sender), _unpack_claims(claims.items)
+        )
+    if union.slot_releases is not None:
+        releases = union.slot_releases
+        return messages.SlotReleases(
+            DaemonId(releases.sender), _unpack_claims(releases.items)
+        )
+    raise ValueError("a frame without a message")
+
+
+def _pack_verdict(verdict: messages.Verdict) -> Any:
+    return ttypes.Verdict(
+        verdict.fingerprint,
+        verdict.shard,
+        verdict.kind.value,
+        verdict.crashes,
+        verdict.valid_ms,
+    )
+
+
+def _unpack_verdict(verdict: Any) -> messages.Verdict:
+    return messages.Verdict(
+        Fingerprint(verdict.fingerprint),
+        ShardNumber(verdict.shard),
+        messages.VerdictKind(verdict.kind),
+        verdict.crashes,
+        verdict.valid_ms,
+    )
+
+
+def _pack_claims(items: tuple[messages.SlotClaim, ...]) -> list[Any]:
+    return [ttypes.SlotClaim(item.target, item.serial) for item in items]
+
+
+def _unpack_claims(items: list[Any]) -> tuple[messages.SlotClaim, ...]:
+    return tuple(messages.SlotClaim(TargetId(i.target), i.serial) for i in items)
--- a/lavendertide/encodings/peer_frames.py
+++ b/lavendertide/encodings/peer_frames.py
@@ -13,6 +13,7 @@
 from thrift.transport.TTransport import TMemoryBuffer
 
 from lavendertide import messages
+from lavendertide.encodings import holder_frames
 from lavendertide.encodings.generated.peer_protocol import ttypes
 from lavendertide.errors import Fault, Refusal, RefusalKind
 from lavendertide.ids import (
@@ -28,6 +29,7 @@
     IndexName,
     IndexVersion,
     OwnerId,
+    PlanClass,
     PlanId,
     QueryId,
     Region,
@@ -103,10 +105,8 @@
         case messages.ConfigurationPush(version, lists):
             push = ttypes.ConfigurationPush(version, lists)
             return ttypes.Frame(configuration_push=push)
-        case messages.Verdicts(items):
-            packed = ttypes.Verdicts([_pack_verdict(item) for item in items])
-            return ttypes.Frame(verdicts=packed)
-    raise TypeError(f"not a frame: {frame!r}")
+        case _:
+            return holder_frames.to_union(frame)
 
 
 def _from_union(union: Any) -> messages.Frame:
@@ -144,28 +144,7 @@
         return messages.ConfigurationPush(
             ConfigurationVersion(push.version), push.lists
         )
-    if union.verdicts is not None:
-        verdicts = union.verdicts.items
-        return messages.Verdicts(tuple(_unpack_verdict(item) for item in verdicts))
-    raise ValueError("a frame without a message")
-
-
-def _pack_verdict(verdict: messages.Verdict) -> Any:
-    return ttypes.Verdict(
-        verdict.fingerprint,
-        verdict.is_condemned,
-        verdict.crashes,
-        verdict.valid_ms,
-    )
-
-
-def _unpack_verdict(verdict: Any) -> messages.Verdict:
-    return messages.Verdict(
-        Fingerprint(verdict.fingerprint),
-        verdict.is_condemned,
-        verdict.crashes,
-        verdict.valid_ms,
-    )
+    return holder_frames.from_union(union)
 
 
 def _pack_member(member: messages.MemberRecord) -> Any:
@@ -232,6 +211,7 @@
         request.body,
         request.remaining_ms,
         request.fingerprint,
+        request.plan_class,
     )
 
 
@@ -248,6 +228,7 @@
         request.body,
         request.remaining_ms,
         Fingerprint(request.fingerprint),
+        PlanClass(request.plan_class or ""),
     )
 
 
--- a/lavendertide/encodings/peer_protocol.thrift
+++ b/lavendertide/encodings/peer_protocol.thrift
@@ -24,6 +24,7 @@
   9: string body,
   10: i32 remaining_ms,
   11: string fingerprint,
+  40: string plan_class,
 }
 
 struct Row {
@@ -103,15 +104,43 @@
 
 struct Verdict {
   40: string fingerprint,
-  41: bool is_condemned,
-  42: i32 crashes,
-  43: i32 valid_ms,
+  41: i32 shard,
+  42: string kind,
+  43: i32 crashes,
+  44: i32 valid_ms,
 }
 
 struct Verdicts {
   40: list<Verdict> items,
 }
 
+struct TrialClaim {
+  40: string exchange,
+  41: string sender,
+  42: string fingerprint,
+  43: i32 duration_ms,
+}
+
+struct TrialGrant {
+  40: string exchange,
+  41: bool is_granted,
+}
+
+struct SlotClaim {
+  40: string target,
+  41: i64 serial,
+}
+
+struct SlotClaims {
+  40: string sender,
+  41: list<SlotClaim> items,
+}
+
+struct SlotReleases {
+  40: string sender,
+  41: list<SlotClaim> items,
+}
+
 union Frame {
   1: Hello hello,
   2: Heartbeat heartbeat,
@@ -124,4 +153,8 @@
   9: TicketRequest ticket_request,
   10: TicketReply ticket_reply,
   40: Verdicts verdicts,
+  41: TrialClaim trial_claim,
+  42: TrialGrant trial_grant,
+  43: SlotClaims slot_claims,
+  44: SlotReleases slot_releases,
 }
--- a/lavendertide/messages.py
+++ b/lavendertide/messages.py
@@ -21,6 +21,7 @@
     IndexName,
     IndexVersion,
     OwnerId,
+    PlanClass,
     PlanId,
     QueryId,
     Region,
@@ -85,6 +86,14 @@
     MISMATCHED_REPLY = "mismatched_reply"
 
 
+class VerdictKind(Enum):
+    """How a request that was in flight during a crash is treated."""
+
+    SUSPECT = "suspect"
+    CLEARED = "cleared"
+    CONDEMNED = "condemned"
+
+
 @dataclass(frozen=True, slots=True)
 class MemberRecord:
     """One daemon as the fleet sees it; a higher incarnation overrides a lower one."""
@@ -116,6 +125,7 @@
         body: The caller's request body, passed on as it came.
         remaining_ms: What was left of the deadline when it was sent.
         fingerprint: Digest that is equal for equal requests of one owner.
+        plan_class: Class of the caller's plan; classes share an owner's slots.
     """
 
     attempt: AttemptId
@@ -129,6 +139,7 @@
     body: str
     remaining_ms: int
     fingerprint: Fingerprint
+    plan_class: PlanClass = PlanClass("")
 
 
 @dataclass(frozen=True, slots=True)
@@ -242,16 +253,17 @@
 
 @dataclass(frozen=True, slots=True)
 class Verdict:
-    """What a daemon has found out about requests with one fingerprint.
+    """What is known about a request at a shard where it may have crashed a target.
 
     Attributes:
-        is_condemned: Whether it is refused; otherwise it only runs alone.
-        crashes: Targets that it is known to have crashed.
+        shard: The shard; a condemnation holds for all of them.
+        crashes: Crashes with the request in flight; a higher count overrides.
         valid_ms: How long the verdict still holds.
     """
 
     fingerprint: Fingerprint
-    is_condemned: bool
+    shard: ShardNumber
+    kind: VerdictKind
     crashes: int
     valid_ms: int
 
@@ -263,6 +275,52 @@
     items: tuple[Verdict, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class TrialClaim:
+    """Asks a suspect's home daemon for the one trial that may run in the region."""
+
+    exchange: ExchangeId
+    sender: DaemonId
+    fingerprint: Fingerprint
+    duration_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class TrialGrant:
+    """Answers a trial claim."""
+
+    exchange: ExchangeId
+    is_granted: bool
+
+
+@dataclass(frozen=True, slots=True)
+class SlotClaim:
+    """One target whose slots a new primary wants from the former holder.
+
+    Attributes:
+        serial: Tells the claimant which of its claims a release answers.
+    """
+
+    target: TargetId
+    serial: int
+
+
+@dataclass(frozen=True, slots=True)
+class SlotClaims:
+    """Asks the former holder to say when it runs nothing on these targets."""
+
+    sender: DaemonId
+    items: tuple[SlotClaim, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class SlotReleases:
+    """Says that the sender runs nothing on these targets and will start nothing."""
+
+    sender: DaemonId
+    items: tuple[SlotClaim, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class TicketRequest:
     """A non-idempotent request on its way to the daemon that minted its ticket."""
@@ -297,4 +355,8 @@
     | TicketRequest
     | TicketReply
     | Verdicts
+    | TrialClaim
+    | TrialGrant
+    | SlotClaims
+    | SlotReleases
 )
