--- a/lavendertide/daemon/daemon.py
+++ b/lavendertide/daemon/daemon.py
@@ -36,7 +36,6 @@
 from lavendertide.options import Options
 from lavendertide.plans.admission import Allowances
 from lavendertide.queries.fan_out import FanOutParts, HedgeBudgets
-from lavendertide.queries.hedging import BudgetedHedge
 from lavendertide.queries.replicas import ReplicaChoice
 from lavendertide.queries.snapshot import Holdings
 from lavendertide.runtime import clock, sockets, tasks
@@ -45,7 +44,6 @@
 MEMBERSHIP_READ_S: Final = 2.0
 CONNECTIONS_MAX: Final = 1_024
 KEEP_ALIVE_S: Final = 60.0
-HEDGE_POLICY: Final = BudgetedHedge(delay_s=0.04, extra_load=0.05)
 
 _log = logging.getLogger(__name__)
 
@@ -123,7 +121,7 @@
             dispatch=self._dispatcher,
             replica_choice=ReplicaChoice(own.region, own.failure_domain, holdings),
             holdings=holdings,
-            hedge_policy=HEDGE_POLICY,
+            hedge_policy=self._options.policies.hedging,
             hedge_budgets=HedgeBudgets(),
         )
 
--- a/lavendertide/options.py
+++ b/lavendertide/options.py
@@ -4,7 +4,7 @@
 here; unknown keys are refused.
 """
 
-from typing import Annotated
+from typing import Annotated, Literal
 
 from pydantic import BaseModel, ConfigDict, Field, StringConstraints
 
@@ -77,12 +77,150 @@
         body_max_bytes: The largest request body.
         rows_max: The largest page that a caller may ask for.
         in_flight_max: Queries that one process runs at a time.
+        reply_max_bytes: The largest reply that is read from a target.
+        query_max_bytes: Results that one query holds until it is answered.
+        results_max_bytes: Results that all queries of one process hold together.
     """
 
     deadline_max_ms: Annotated[int, Field(ge=10, le=60_000)] = 2_000
     body_max_bytes: Annotated[int, Field(ge=256)] = 16_384
     rows_max: Annotated[int, Field(ge=1, le=10_000)] = 200
     in_flight_max: Annotated[int, Field(ge=1)] = 512
+    reply_max_bytes: Annotated[int, Field(ge=1_024)] = 262_144
+    query_max_bytes: Annotated[int, Field(ge=1_024)] = 2_097_152
+    results_max_bytes: Annotated[int, Field(ge=1_024)] = 25_165_824
+
+
+class NeverHedge(_Section):
+    """Each shard is asked once unless its attempt fails."""
+
+    policy: Literal["never"] = "never"
+
+
+class BudgetedHedge(_Section):
+    """A straggling shard is asked of a second replica, within a budget per owner.
+
+    Attributes:
+        extra_load: Hedges that an owner earns with each first attempt.
+        quantile: Part of the index's replies that come before the hedge is due.
+        delay_min_ms: The shortest time after which a hedge is due.
+        delay_cold_ms: When a hedge is due before any reply was timed.
+    """
+
+    policy: Literal["budgeted"] = "budgeted"
+    extra_load: Annotated[float, Field(ge=0, le=1)] = 0.05
+    quantile: Annotated[float, Field(gt=0, lt=1)] = 0.95
+    delay_min_ms: Annotated[float, Field(gt=0)] = 4.0
+    delay_cold_ms: Annotated[float, Field(gt=0)] = 40.0
+
+
+HedgePolicy = Annotated[NeverHedge | BudgetedHedge, Field(discriminator="policy")]
+
+
+class NearFirst(_Section):
+    """The nearest replica is asked first, equally near ones in turn."""
+
+    policy: Literal["near_first"] = "near_first"
+
+
+class AnyReplica(_Section):
+    """Replicas are asked in random order, several at once; the first reply counts.
+
+    Attributes:
+        at_once: Replicas of each shard that are asked at once.
+    """
+
+    policy: Literal["any"] = "any"
+    at_once: Annotated[int, Field(ge=1, le=8)] = 2
+
+
+ReplicaPolicy = Annotated[NearFirst | AnyReplica, Field(discriminator="policy")]
+
+
+class RouteToPrimary(_Section):
+    """One daemon holds all slots of a target; the others relay to it."""
+
+    policy: Literal["primary"] = "primary"
+
+
+class RouteStaticShare(_Section):
+    """Each daemon keeps a fixed share of a target's slots and dials it itself."""
+
+    policy: Literal["static_share"] = "static_share"
+
+
+RoutePolicy = Annotated[
+    RouteToPrimary | RouteStaticShare, Field(discriminator="policy")
+]
+
+
+class LatencyFirst(_Section):
+    """Stops waiting for the last few shards before the deadline.
+
+    Attributes:
+        deadline_share: Part of the deadline after which the answer may leave.
+        coverage_min: Part of the shards that it has to cover by then.
+    """
+
+    policy: Literal["latency"] = "latency"
+    deadline_share: Annotated[float, Field(gt=0, le=1)] = 0.5
+    coverage_min: Annotated[float, Field(gt=0, le=1)] = 0.95
+
+
+class CoverageFirst(_Section):
+    """Waits until the deadline and asks the replicas of a shard again.
+
+    Attributes:
+        rounds: How often each replica of a shard may be asked.
+        pause_ms: Time between two rounds, longer after each.
+    """
+
+    policy: Literal["coverage"] = "coverage"
+    rounds: Annotated[int, Field(ge=1, le=10)] = 3
+    pause_ms: Annotated[float, Field(gt=0)] = 10.0
+
+
+WaitPolicy = LatencyFirst | CoverageFirst
+
+
+class RetryOptions(_Section):
+    """How many failed attempts are followed by another.
+
+    Attributes:
+        extra_load: Retries that an owner earns with each first attempt.
+    """
+
+    extra_load: Annotated[float, Field(ge=0, le=1)] = 0.2
+
+
+class PolicyOptions(_Section):
+    """How queries use replicas; each policy has variants to compare it with.
+
+    Attributes:
+        latency_first: For the indexes whose owner prefers latency.
+        coverage_first: For the indexes whose owner prefers coverage.
+    """
+
+    hedging: HedgePolicy = BudgetedHedge()
+    replicas: ReplicaPolicy = NearFirst()
+    routing: RoutePolicy = RouteToPrimary()
+    retries: RetryOptions = RetryOptions()
+    latency_first: LatencyFirst = LatencyFirst()
+    coverage_first: CoverageFirst = CoverageFirst()
+
+
+class TicketOptions(_Section):
+    """Bounds of non-idempotent requests.
+
+    Attributes:
+        lifetime_s: How long a ticket is good for.
+        kept_max: Tickets that one process keeps.
+        kept_per_plan_max: Tickets of one plan that one process keeps.
+    """
+
+    lifetime_s: Annotated[float, Field(gt=0, le=86_400)] = 600.0
+    kept_max: Annotated[int, Field(ge=1)] = 20_000
+    kept_per_plan_max: Annotated[int, Field(ge=1)] = 5_000
 
 
 class Options(_Section):
@@ -93,3 +231,5 @@
     platform: PlatformOptions
     fleet: FleetOptions
     queries: QueryOptions = QueryOptions()
+    policies: PolicyOptions = PolicyOptions()
+    tickets: TicketOptions = TicketOptions()
--- a/lavendertide/queries/fan_out.py
+++ b/lavendertide/queries/fan_out.py
@@ -24,13 +24,14 @@
     SubReply,
     SubRequest,
 )
+from lavendertide.options import HedgePolicy
 from lavendertide.queries.coverage import (
     Coverage,
     GapReason,
     gap_of_decline,
     gap_of_loss,
 )
-from lavendertide.queries.hedging import HedgeBudget, HedgePolicy, hedge_at_s
+from lavendertide.queries.hedging import HedgeBudget, hedge_at_s
 from lavendertide.queries.merging import merge
 from lavendertide.queries.query import Answer, Query
 from lavendertide.queries.replicas import ReplicaChoice
--- a/lavendertide/queries/hedging.py
+++ b/lavendertide/queries/hedging.py
@@ -3,31 +3,11 @@
 The policy is a data class, so that baselines are variants and not other code.
 """
 
-from dataclasses import dataclass
 from typing import Final
 
-HEDGE_TOKENS_MAX: Final = 50.0
-
-
-@dataclass(frozen=True, slots=True)
-class NeverHedge:
-    """Each shard is asked once unless its attempt fails."""
-
-
-@dataclass(frozen=True, slots=True)
-class BudgetedHedge:
-    """A second replica is asked after a delay, within a budget.
+from lavendertide.options import BudgetedHedge, HedgePolicy, NeverHedge
 
-    Attributes:
-        delay_s: How long the first attempt may take.
-        extra_load: Hedges allowed per first attempt.
-    """
-
-    delay_s: float
-    extra_load: float
-
-
-HedgePolicy = NeverHedge | BudgetedHedge
+HEDGE_TOKENS_MAX: Final = 50.0
 
 
 class HedgeBudget:
@@ -58,5 +38,5 @@
     match policy:
         case NeverHedge():
             return None
-        case BudgetedHedge(delay_s=delay_s):
-            return started_at_s + delay_s
+        case BudgetedHedge(delay_cold_ms=delay_ms):
+            return started_at_s + delay_ms / 1000
