--- a/lavendertide/daemon/peer_front.py
+++ b/lavendertide/daemon/peer_front.py
@@ -75,7 +75,7 @@
             case TicketRequest():
                 tasks.spawn(self._answer_ticket, frame, outbox)
             case _:
-                answer = self._news.answer(frame)
+                answer = self._news.answer(frame, clock.monotonic_s())
                 if answer is not None:
                     outbox.send(answer)
 
--- a/lavendertide/encodings/peer_frames.py
+++ b/lavendertide/encodings/peer_frames.py
@@ -13,7 +13,7 @@
 from thrift.transport.TTransport import TMemoryBuffer
 
 from lavendertide import messages
-from lavendertide.encodings import plan_frames
+from lavendertide.encodings import holder_frames, plan_frames
 from lavendertide.encodings.generated.peer_protocol import ttypes
 from lavendertide.errors import Fault, Refusal, RefusalKind
 from lavendertide.ids import (
@@ -29,6 +29,7 @@
     IndexName,
     IndexVersion,
     OwnerId,
+    PlanClass,
     PlanId,
     QueryId,
     Region,
@@ -106,7 +107,8 @@
         case messages.ConfigurationPush(version, lists):
             push = ttypes.ConfigurationPush(version, lists)
             return ttypes.Frame(configuration_push=push)
-    raise TypeError(f"not a frame: {frame!r}")
+        case _:
+            return holder_frames.to_union(frame)
 
 
 def _from_union(union: Any) -> messages.Frame:
@@ -146,7 +148,7 @@
         return messages.ConfigurationPush(
             ConfigurationVersion(push.version), push.lists
         )
-    raise ValueError("a frame without a message")
+    return holder_frames.from_union(union)
 
 
 def _pack_member(member: messages.MemberRecord) -> Any:
@@ -213,6 +215,7 @@
         request.body,
         request.remaining_ms,
         request.fingerprint,
+        request.plan_class,
     )
 
 
@@ -229,6 +232,7 @@
         request.body,
         request.remaining_ms,
         Fingerprint(request.fingerprint),
+        PlanClass(request.plan_class or ""),
     )
 
 
@@ -249,9 +253,12 @@
                 matches=reply.matches,
                 amount=reply.amount,
                 query=reply.query,
+                spare_slots=reply.spare_slots,
+            )
+        case messages.Declined(attempt, decline, spare_slots):
+            return ttypes.SubReply(
+                attempt, _DECLINED, decline.value, spare_slots=spare_slots
             )
-        case messages.Declined(attempt, decline):
-            return ttypes.SubReply(attempt, _DECLINED, decline.value)
         case messages.Lost(attempt, loss):
             return ttypes.SubReply(attempt, _LOST, loss.value)
 
@@ -260,7 +267,9 @@
     attempt = AttemptId(reply.attempt)
     match reply.kind:
         case "declined":
-            return messages.Declined(attempt, messages.DeclineReason(reply.reason))
+            return messages.Declined(
+                attempt, messages.DeclineReason(reply.reason), reply.spare_slots or 0
+            )
         case "lost":
             return messages.Lost(attempt, messages.LossReason(reply.reason))
         case _:
@@ -274,6 +283,7 @@
                 ),
                 matches=reply.matches,
                 amount=reply.amount,
+                spare_slots=reply.spare_slots or 0,
             )
 
 
