Keep owners' books, metrics, structured logs and the administration API

Each request is counted at its end, and each refusal, gap and unknown outcome is written into its owner's book with whose fault it was. The administration API shows the fleet to operators and to an owner its own plans, books and targets alone. Labels, reasons and owners are bounded.

--- a/lavendertide/daemon/admin_front.py
+++ b/lavendertide/daemon/admin_front.py
@@ -1,59 +1,132 @@
-"""The administration API: facts about this daemon, and metrics."""
+"""The administration API over HTTP; docs/PROTOCOLS.md lists its paths."""
 
-import json
 from collections.abc import Callable, Iterable
-from typing import Any
+from typing import Any, Final
+from urllib.parse import parse_qs, unquote
 
-from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
+from prometheus_client import CONTENT_TYPE_LATEST
+from returns.result import Failure, Result, Success
 
-from lavendertide.configuration.adoption import Configuration
-from lavendertide.fleet.roster import SILENCE_S, Roster
-from lavendertide.ids import DaemonId
-from lavendertide.runtime import clock
+from lavendertide.daemon.access import Access, access_of, require_operator
+from lavendertide.daemon.admin_service import AdminService
+from lavendertide.encodings import admin_json
+from lavendertide.errors import Fault, Refusal, RefusalKind
+from lavendertide.ids import OwnerId, PlanId
+from lavendertide.options import AdminOptions
+
+ENTRIES_SHOWN: Final = 50
+PLANS_PREFIX: Final = "/v1/plans/"
+BEARER: Final = "Bearer "
+JSON: Final = "application/json"
+STATUS_OF_KIND: Final = {
+    RefusalKind.MALFORMED_REQUEST: "400 Bad Request",
+    RefusalKind.UNKNOWN_KEY: "401 Unauthorized",
+    RefusalKind.NOT_ENTITLED: "403 Forbidden",
+    RefusalKind.NOT_FOUND: "404 Not Found",
+}
+STATUS_UNAVAILABLE: Final = "503 Service Unavailable"
+
+Environment = dict[str, Any]
+Reply = Result[admin_json.Document, Refusal]
 
 
 class AdminFront:
-    """The WSGI application that operators reach."""
+    """The WSGI application that operators and owners reach.
 
-    def __init__(self, roster: Roster, configuration: Configuration) -> None:
-        self._roster = roster
-        self._configuration = configuration
+    Args:
+        options: The keys.
+        service: Answers every path but the metrics.
+        exposition: Returns the metrics in the text format of Prometheus.
+    """
+
+    def __init__(
+        self,
+        options: AdminOptions,
+        service: AdminService,
+        exposition: Callable[[], bytes],
+    ) -> None:
+        self._options = options
+        self._service = service
+        self._exposition = exposition
 
     def __call__(
         self,
-        environment: dict[str, Any],
+        environment: Environment,
         start_response: Callable[[str, list[tuple[str, str]]], Any],
     ) -> Iterable[bytes]:
         """Answers one request."""
-        match environment["PATH_INFO"]:
-            case "/metrics":
-                start_response("200 OK", [("Content-Type", CONTENT_TYPE_LATEST)])
-                return [generate_latest()]
-            case "/v1/status":
-                start_response("200 OK", [("Content-Type", "application/json")])
-                return [self._status()]
+        header = environment.get("HTTP_AUTHORIZATION", "")
+        access = access_of(self._options, header.removeprefix(BEARER))
+        content_type = JSON
+        match access.bind(lambda granted: self._answer(granted, environment)):
+            case Success(bytes(body)):
+                status, content_type = "200 OK", CONTENT_TYPE_LATEST
+            case Success(document):
+                status, body = "200 OK", admin_json.encode(document)
+            case Failure(refusal):
+                status = STATUS_OF_KIND.get(refusal.kind, STATUS_UNAVAILABLE)
+                body = admin_json.encode_refusal(refusal)
+        headers = [("Content-Type", content_type), ("Content-Length", str(len(body)))]
+        start_response(status, headers)
+        return [body]
+
+    def _answer(
+        self, access: Access, environment: Environment
+    ) -> Result[admin_json.Document | bytes, Refusal]:
+        path = environment["PATH_INFO"]
+        match environment["REQUEST_METHOD"], path:
+            case "GET", "/metrics":
+                return require_operator(access).map(lambda _: self._exposition())
+            case "GET", "/v1/status":
+                return self._service.status(access)
+            case "GET", "/v1/configuration":
+                return self._service.configuration(access)
+            case "GET", "/v1/targets":
+                return self._service.targets(access)
+            case "POST", "/v1/drain":
+                return self._service.drain(access)
+            case "GET", _:
+                return self._answer_about_owners(access, path, environment)
             case _:
-                start_response("404 Not Found", [("Content-Type", "text/plain")])
-                return [b"There is no such path. See docs/PROTOCOLS.md.\n"]
-
-    def _is_reachable(self, daemon: DaemonId) -> bool:
-        now_s = clock.monotonic_s()
-        return self._roster.is_reachable(daemon, SILENCE_S, now_s)
-
-    def _status(self) -> bytes:
-        refused = self._configuration.refused
-        return json.dumps(
-            {
-                "daemon": self._roster.own.daemon,
-                "configuration": self._configuration.version,
-                "refused": str(refused.refusal) if refused else None,
-                "members": [
-                    {
-                        "daemon": member.daemon,
-                        "state": member.state.value,
-                        "reachable": self._is_reachable(member.daemon),
-                    }
-                    for member in self._roster.members
-                ],
-            }
-        ).encode()
+                return Failure(_no_such_path(path))
+
+    def _answer_about_owners(
+        self, access: Access, path: str, environment: Environment
+    ) -> Reply:
+        query = parse_qs(environment.get("QUERY_STRING", ""))
+        if path == "/v1/plans":
+            return self._service.plans(access)
+        if path.startswith(PLANS_PREFIX):
+            plan = PlanId(unquote(path.removeprefix(PLANS_PREFIX)))
+            return self._service.plan(access, plan)
+        if path == "/v1/books":
+            owner = query.get("owner", [None])[0]
+            return _entries(query).bind(
+                lambda most: self._service.book(
+                    access, OwnerId(owner) if owner else None, most
+                )
+            )
+        return Failure(_no_such_path(path))
+
+
+def _entries(query: dict[str, list[str]]) -> Result[int, Refusal]:
+    text = query.get("entries", [str(ENTRIES_SHOWN)])[0]
+    if text.isdecimal():
+        return Success(int(text))
+    return Failure(
+        Refusal(
+            RefusalKind.MALFORMED_REQUEST,
+            f"entries: '{text}' is not a whole number.",
+            "Ask for a number of entries such as 50.",
+            Fault.CALLER,
+        )
+    )
+
+
+def _no_such_path(path: str) -> Refusal:
+    return Refusal(
+        RefusalKind.NOT_FOUND,
+        f"There is no path '{path}' for this method.",
+        "docs/PROTOCOLS.md lists the paths of the administration API.",
+        Fault.CALLER,
+    )
--- /dev/null
+++ b/lavendertide/daemon/admin_service.py
@@ -0,0 +1,302 @@
+"""The facts that the administration API answers, free of HTTP."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Protocol
+
+from returns.result import Failure, Result, Success
+
+from lavendertide.configuration.adoption import Configuration
+from lavendertide.configuration.catalog import Catalog, Plan
+from lavendertide.daemon.access import (
+    Access,
+    OperatorAccess,
+    OwnerAccess,
+    require_operator,
+    require_owner,
+)
+from lavendertide.encodings import admin_json
+from lavendertide.errors import Fault, Refusal, RefusalKind
+from lavendertide.fleet.roster import SILENCE_S, Roster
+from lavendertide.ids import OwnerId, PlanId
+from lavendertide.messages import MemberRecord
+from lavendertide.plans.admission import Allowances
+from lavendertide.plans.books import Book, Books
+from lavendertide.plans.share_exchange import ShareExchange
+from lavendertide.runtime import clock
+from lavendertide.targets.lane import Lane
+
+
+class Lanes(Protocol):
+    """The targets whose slots the daemon holds."""
+
+    @property
+    def lanes(self) -> list[Lane]:
+        """The lanes that are open."""
+
+
+@dataclass(frozen=True, slots=True)
+class AdminParts:
+    """What the administration API looks at.
+
+    Attributes:
+        request_drain: Begins the same shutdown as SIGTERM.
+    """
+
+    roster: Roster
+    configuration: Configuration
+    allowances: Allowances
+    shares: ShareExchange
+    books: Books
+    targets: Lanes
+    request_drain: Callable[[], None]
+
+
+class AdminService:
+    """Answers what operators and owners ask about this daemon."""
+
+    def __init__(self, parts: AdminParts) -> None:
+        self._parts = parts
+
+    def status(self, access: Access) -> Result[admin_json.StatusDocument, Refusal]:
+        """Returns this daemon's state and its view of the fleet."""
+        return require_operator(access).map(lambda _: self._status())
+
+    def configuration(
+        self, access: Access
+    ) -> Result[admin_json.ConfigurationDocument, Refusal]:
+        """Returns the version in force and why a later one was refused."""
+        return require_operator(access).map(lambda _: self._configuration())
+
+    def plans(self, access: Access) -> Result[admin_json.PlansDocument, Refusal]:
+        """Returns the names of the plans that the key may see."""
+        return self._parts.configuration.catalog.map(
+            lambda catalog: admin_json.PlansDocument(
+                plans=tuple(
+                    sorted(
+                        plan.plan
+                        for plan in _plans(catalog).values()
+                        if _may_see(access, plan.owner)
+                    )
+                )
+            )
+        )
+
+    def plan(
+        self, access: Access, plan: PlanId
+    ) -> Result[admin_json.PlanDocument, Refusal]:
+        """Returns what a plan may use and what is left of it."""
+        return self._parts.configuration.catalog.bind(
+            lambda catalog: _find_plan(catalog, access, plan).map(
+                lambda found: self._plan(catalog, found)
+            )
+        )
+
+    def book(
+        self, access: Access, owner: OwnerId | None, most: int
+    ) -> Result[admin_json.BookDocument, Refusal]:
+        """Returns an owner's newest failures.
+
+        Args:
+            access: Who asks.
+            owner: Whose book; none for the owner that asks.
+            most: How many entries to return.
+        """
+        match access:
+            case OwnerAccess(own):
+                asked = owner or own
+            case OperatorAccess() if owner is None:
+                return Failure(_owner_missing(self._parts.books.owners))
+            case OperatorAccess():
+                asked = owner
+        return require_owner(access, asked).map(lambda _: self._book(asked, most))
+
+    def targets(self, access: Access) -> Result[admin_json.TargetsDocument, Refusal]:
+        """Returns the targets whose slots this daemon holds."""
+        return Success(
+            admin_json.TargetsDocument(
+                targets=tuple(
+                    _target(lane)
+                    for lane in self._parts.targets.lanes
+                    if _may_see(access, lane.place.owner)
+                )
+            )
+        )
+
+    def drain(self, access: Access) -> Result[admin_json.DrainDocument, Refusal]:
+        """Begins a graceful shutdown."""
+        return require_operator(access).map(lambda _: self._drain())
+
+    def _status(self) -> admin_json.StatusDocument:
+        own = self._parts.roster.own
+        refused = self._parts.configuration.refused
+        now_s = clock.monotonic_s()
+        return admin_json.StatusDocument(
+            daemon=own.daemon,
+            host=own.host,
+            region=own.region,
+            failure_domain=own.failure_domain,
+            state=own.state.value,
+            configuration=self._parts.configuration.version,
+            refused=str(refused.refusal) if refused else None,
+            in_flight=self._parts.allowances.in_flight,
+            members=tuple(
+                self._member(member, now_s) for member in self._parts.roster.members
+            ),
+        )
+
+    def _member(self, member: MemberRecord, now_s: float) -> admin_json.MemberDocument:
+        return admin_json.MemberDocument(
+            daemon=member.daemon,
+            host=member.host,
+            region=member.region,
+            failure_domain=member.failure_domain,
+            state=member.state.value,
+            incarnation=member.incarnation,
+            callers=member.caller_address,
+            reachable=self._parts.roster.is_reachable(member.daemon, SILENCE_S, now_s),
+        )
+
+    def _configuration(self) -> admin_json.ConfigurationDocument:
+        configuration = self._parts.configuration
+        refused = configuration.refused
+        catalog = configuration.catalog.value_or(None)
+        to_wall_s = clock.wall_s() - clock.monotonic_s()
+        return admin_json.ConfigurationDocument(
+            version=configuration.version,
+            adopted_at_s=None,
+            plans=len(_plans(catalog)) if catalog else 0,
+            indexes=len(catalog.indexes) if catalog else 0,
+            targets=len(catalog.targets) if catalog else 0,
+            refused=refused.refusal.message if refused else None,
+            remedy=refused.refusal.remedy if refused else None,
+            refused_at_s=refused.refused_at_s + to_wall_s if refused else None,
+        )
+
+    def _plan(self, catalog: Catalog, plan: Plan) -> admin_json.PlanDocument:
+        shares = self._parts.shares
+        allocation = shares.allocator.find(plan.plan)
+        return admin_json.PlanDocument(
+            plan=plan.plan,
+            owner=plan.owner,
+            plan_class=plan.plan_class,
+            rate_per_s=plan.rate_per_s,
+            burst=plan.burst,
+            concurrency=plan.concurrency,
+            uses=tuple(
+                admin_json.UseDocument(
+                    index=index,
+                    operations=tuple(sorted(o.value for o in operations)),
+                )
+                for index, operations in catalog.uses_of(plan.plan).items()
+            ),
+            here=self._plan_here(plan),
+            allocators=tuple(
+                member.daemon for member in shares.allocators_of(plan.plan)
+            ),
+            fleet=admin_json.PlanFleetDocument(
+                granted=allocation.granted,
+                demand_per_s=allocation.demand_per_s,
+                shares={str(d): share for d, share in allocation.shares.items()},
+            )
+            if allocation
+            else None,
+        )
+
+    def _plan_here(self, plan: Plan) -> admin_json.PlanHereDocument:
+        share = self._parts.shares.share_now(plan.plan)
+        allowance = self._parts.allowances.find(plan.plan)
+        now_s = clock.monotonic_s()
+        return admin_json.PlanHereDocument(
+            daemon=self._parts.roster.own.daemon,
+            share=share,
+            tokens=allowance.tokens_at(share, now_s)
+            if allowance
+            else plan.burst * share,
+            in_flight=allowance.in_flight if allowance else 0,
+            rate_per_s=plan.rate_per_s * share,
+            concurrency=max(1.0, plan.concurrency * share),
+            demand_per_s=self._parts.shares.held.demand_of(plan.plan),
+        )
+
+    def _book(self, owner: OwnerId, most: int) -> admin_json.BookDocument:
+        book = self._parts.books.of(owner) or Book()
+        return admin_json.BookDocument(
+            owner=owner,
+            recorded=book.recorded,
+            tallies=tuple(
+                admin_json.TallyDocument(
+                    kind=tally.kind.value,
+                    reason=tally.reason,
+                    fault=tally.fault.value,
+                    count=count,
+                )
+                for tally, count in book.tallies.items()
+            ),
+            entries=tuple(
+                admin_json.FailureDocument(
+                    at_s=entry.at_s,
+                    query=entry.query,
+                    plan=entry.plan,
+                    index=entry.index,
+                    kind=entry.kind.value,
+                    reason=entry.reason,
+                    fault=entry.fault.value,
+                    shards=entry.shards,
+                )
+                for entry in book.entries(most)
+            ),
+        )
+
+    def _drain(self) -> admin_json.DrainDocument:
+        self._parts.request_drain()
+        return admin_json.DrainDocument(
+            daemon=self._parts.roster.own.daemon, draining=True
+        )
+
+
+def _plans(catalog: Catalog) -> dict[PlanId, Plan]:
+    return {plan.plan: plan for plan in catalog.plans.values()}
+
+
+def _may_see(access: Access, owner: OwnerId) -> bool:
+    return isinstance(require_owner(access, owner), Success)
+
+
+def _find_plan(catalog: Catalog, access: Access, plan: PlanId) -> Result[Plan, Refusal]:
+    found = _plans(catalog).get(plan)
+    if found is None or not _may_see(access, found.owner):
+        return Failure(
+            Refusal(
+                RefusalKind.NOT_FOUND,
+                f"No plan of yours is called '{plan}' in the configuration in force.",
+                "See /v1/plans for the names, or publish the plan.",
+                Fault.CALLER,
+            )
+        )
+    return Success(found)
+
+
+def _target(lane: Lane) -> admin_json.TargetDocument:
+    place = lane.place
+    return admin_json.TargetDocument(
+        target=place.target,
+        owner=place.owner,
+        index=place.index,
+        failure_domain=place.failure_domain,
+        address=place.address,
+        state="open",
+        queued=lane.queued,
+        slots_in_use=lane.slots_in_use,
+        slots=place.slots,
+    )
+
+
+def _owner_missing(owners: list[OwnerId]) -> Refusal:
+    known = ", ".join(owners) or "none has failures here"
+    return Refusal(
+        RefusalKind.MALFORMED_REQUEST,
+        "An operator has to say whose book to show.",
+        f"Add '?owner=NAME' ({known}).",
+        Fault.CALLER,
+    )
--- /dev/null
+++ b/lavendertide/daemon/administration.py
@@ -0,0 +1,50 @@
+"""Joins what operators see: metrics, books and the administration API."""
+
+from collections import Counter
+
+from lavendertide.daemon.admin_front import AdminFront
+from lavendertide.daemon.admin_service import AdminParts, AdminService
+from lavendertide.daemon.recording import (
+    RecordedSearches,
+    RecordedTickets,
+    Recorder,
+    Searches,
+    Tickets,
+)
+from lavendertide.metrics.metrics import Metrics
+from lavendertide.options import AdminOptions
+
+
+class Administration:
+    """The administration of one daemon."""
+
+    def __init__(
+        self, options: AdminOptions, metrics: Metrics, parts: AdminParts
+    ) -> None:
+        self._metrics = metrics
+        self._parts = parts
+        self._recorder = Recorder(parts.configuration, metrics, parts.books)
+        self._front = AdminFront(options, AdminService(parts), self._exposition)
+
+    @property
+    def front(self) -> AdminFront:
+        """The WSGI application that operators and owners reach."""
+        return self._front
+
+    def record_searches(self, searches: Searches) -> RecordedSearches:
+        """Returns searches that are counted and written down."""
+        return RecordedSearches(searches, self._recorder)
+
+    def record_tickets(self, tickets: Tickets) -> RecordedTickets:
+        """Returns tickets that are counted and written down."""
+        return RecordedTickets(tickets, self._recorder)
+
+    def _exposition(self) -> bytes:
+        lanes = self._parts.targets.lanes
+        states = Counter(member.state for member in self._parts.roster.members)
+        self._metrics.set_fleet(self._parts.configuration.version, states)
+        self._metrics.set_targets(
+            sum(lane.queued for lane in lanes),
+            sum(lane.slots_in_use for lane in lanes),
+        )
+        return self._metrics.exposition()
--- a/lavendertide/daemon/caller_front.py
+++ b/lavendertide/daemon/caller_front.py
@@ -5,8 +5,7 @@
 
 from returns.result import Failure, Result, Success
 
-from lavendertide.daemon.query_service import QueryService
-from lavendertide.daemon.ticket_service import TicketService
+from lavendertide.daemon.recording import Searches, Tickets
 from lavendertide.encodings import caller_json
 from lavendertide.errors import Fault, Refusal, RefusalKind
 from lavendertide.fleet.addresses import addresses_for
@@ -40,8 +39,8 @@
         self,
         body_max_bytes: int,
         roster: Roster,
-        queries: QueryService,
-        tickets: TicketService,
+        queries: Searches,
+        tickets: Tickets,
     ) -> None:
         self._body_max_bytes = body_max_bytes
         self._roster = roster
--- a/lavendertide/daemon/daemon.py
+++ b/lavendertide/daemon/daemon.py
@@ -9,7 +9,8 @@
 from lavendertide.configuration.adoption import Configuration
 from lavendertide.configuration.catalog import Plan
 from lavendertide.configuration.service_watch import watch_service
-from lavendertide.daemon.admin_front import AdminFront
+from lavendertide.daemon.admin_service import AdminParts
+from lavendertide.daemon.administration import Administration
 from lavendertide.daemon.caller_front import CallerFront
 from lavendertide.daemon.dispatcher import Dispatcher
 from lavendertide.daemon.peer_front import PeerFront
@@ -35,10 +36,12 @@
     Region,
 )
 from lavendertide.messages import MemberRecord, MemberState
+from lavendertide.metrics.metrics import Metrics
 from lavendertide.options import Options
 from lavendertide.plans.admission import Allowances
 from lavendertide.plans.allocation import PlanAllocator, Presence
 from lavendertide.plans.allocators import Allocators
+from lavendertide.plans.books import Books
 from lavendertide.plans.share_exchange import ShareExchange
 from lavendertide.queries.fan_out import FanOutParts, HedgeBudgets
 from lavendertide.queries.replicas import ReplicaChoice
@@ -60,6 +63,8 @@
         self._options = options
         self._stopping = tasks.Signal()
         self._configuration = Configuration()
+        self._metrics = Metrics()
+        self._books = Books()
         self._plans: dict[PlanId, Plan] = {}
         self._roster = Roster(_own_record(options))
         self._news = FleetNews(
@@ -106,16 +111,16 @@
         self._peers.follow_roster()
         tasks.spawn(self._shares.keep)
         self._watch_platform()
+        administration = self._administration()
         caller_front = CallerFront(
             self._options.queries.body_max_bytes,
             self._roster,
-            self._queries,
-            self._tickets,
+            administration.record_searches(self._queries),
+            administration.record_tickets(self._tickets),
         )
-        admin_front = AdminFront(self._roster, self._configuration)
         for listener, front in (
             (caller_listener, caller_front),
-            (admin_listener, admin_front),
+            (admin_listener, administration.front),
         ):
             tasks.spawn(
                 sockets.serve_wsgi, listener, front, CONNECTIONS_MAX, KEEP_ALIVE_S
@@ -124,6 +129,18 @@
         self._stopping.wait()
         _log.info("stopped")
 
+    def _administration(self) -> Administration:
+        parts = AdminParts(
+            self._roster,
+            self._configuration,
+            self._allowances,
+            self._shares,
+            self._books,
+            self._pool,
+            self._stopping.set,
+        )
+        return Administration(self._options.admin, self._metrics, parts)
+
     def _make_shares(self) -> ShareExchange:
         allocators = Allocators()
         allocator = PlanAllocator(
@@ -186,6 +203,7 @@
             case Success(catalog):
                 self._plans = {plan.plan: plan for plan in catalog.plans.values()}
                 self._allowances.apply(self._plans)
+                self._books.keep_only({plan.owner for plan in self._plans.values()})
 
 
 def _own_record(options: Options) -> MemberRecord:
--- a/lavendertide/daemon/main.py
+++ b/lavendertide/daemon/main.py
@@ -1,6 +1,5 @@
 """The daemon's command line: one argument, the settings file."""
 
-import logging
 import sys
 from pathlib import Path
 
@@ -9,6 +8,8 @@
 
 from lavendertide.daemon.daemon import Daemon
 from lavendertide.encodings.settings_yaml import read_options
+from lavendertide.ids import DaemonId
+from lavendertide.logs import set_up_logs
 
 EXIT_BAD_SETTINGS = 2
 
@@ -19,7 +20,7 @@
     """Runs one daemon of the fleet with the given SETTINGS file."""
     match read_options(settings):
         case Success(options):
-            logging.basicConfig(level=logging.INFO)
+            set_up_logs(options.logs, DaemonId(options.place.daemon))
             Daemon(options).run()
         case Failure(refusal):
             click.echo(f"lavendertided: {refusal}", err=True)
--- /dev/null
+++ b/lavendertide/encodings/admin_json.py
@@ -0,0 +1,246 @@
+"""What the administration API answers, as typed JSON.
+
+The daemon writes these documents and the command line reads them. docs/PROTOCOLS.md
+lists the paths.
+"""
+
+from typing import TypeVar
+
+from pydantic import BaseModel, ConfigDict, ValidationError
+from returns.result import Failure, Result, Success
+
+from lavendertide.errors import Fault, Refusal, RefusalKind
+
+D = TypeVar("D", bound="Document")
+
+
+class Document(BaseModel):
+    """An answer of the administration API; a later release may add keys."""
+
+    model_config = ConfigDict(extra="ignore", frozen=True)
+
+
+class MemberDocument(Document):
+    """One daemon as another sees it."""
+
+    daemon: str
+    host: str
+    region: str
+    failure_domain: str
+    state: str
+    incarnation: int
+    callers: str
+    reachable: bool
+
+
+class StatusDocument(Document):
+    """A daemon and its view of the fleet.
+
+    Attributes:
+        configuration: Version in force, zero before the first.
+        refused: Why the newest publication was refused, none if it was not.
+        in_flight: Queries that run on the daemon.
+    """
+
+    daemon: str
+    host: str
+    region: str
+    failure_domain: str
+    state: str
+    configuration: int
+    refused: str | None
+    in_flight: int
+    members: tuple[MemberDocument, ...]
+
+
+class ConfigurationDocument(Document):
+    """The configuration in force.
+
+    Attributes:
+        adopted_at_s: When it was adopted, in seconds since the epoch.
+        refused: Why the newest publication was refused, none if it was not.
+        refused_at_s: When that was, in seconds since the epoch.
+    """
+
+    version: int
+    adopted_at_s: float | None
+    plans: int
+    indexes: int
+    targets: int
+    refused: str | None
+    remedy: str | None
+    refused_at_s: float | None
+
+
+class UseDocument(Document):
+    """What a plan may do with an index."""
+
+    index: str
+    operations: tuple[str, ...]
+
+
+class PlanHereDocument(Document):
+    """What one daemon grants of a plan.
+
+    Attributes:
+        share: The part of the plan that the daemon grants.
+        tokens: Queries that may start at once.
+        demand_per_s: Queries a second that reach the daemon.
+    """
+
+    daemon: str
+    share: float
+    tokens: float
+    in_flight: int
+    rate_per_s: float
+    concurrency: float
+    demand_per_s: float
+
+
+class PlanFleetDocument(Document):
+    """What an allocator of the plan knows of the whole fleet."""
+
+    granted: float
+    demand_per_s: float
+    shares: dict[str, float]
+
+
+class PlanDocument(Document):
+    """A plan, what it may use and what is left of it.
+
+    Attributes:
+        allocators: Daemons that know what the whole fleet grants of the plan.
+        fleet: None unless this daemon is one of them.
+    """
+
+    plan: str
+    owner: str
+    plan_class: str
+    rate_per_s: float
+    burst: int
+    concurrency: int
+    uses: tuple[UseDocument, ...]
+    here: PlanHereDocument
+    allocators: tuple[str, ...]
+    fleet: PlanFleetDocument | None
+
+
+class PlansDocument(Document):
+    """The plans that the key may see."""
+
+    plans: tuple[str, ...]
+
+
+class TallyDocument(Document):
+    """How often something failed for the same reason."""
+
+    kind: str
+    reason: str
+    fault: str
+    count: int
+
+
+class FailureDocument(Document):
+    """One failure."""
+
+    at_s: float
+    query: str
+    plan: str
+    index: str
+    kind: str
+    reason: str
+    fault: str
+    shards: int
+
+
+class BookDocument(Document):
+    """One owner's failures on one daemon."""
+
+    owner: str
+    recorded: int
+    tallies: tuple[TallyDocument, ...]
+    entries: tuple[FailureDocument, ...]
+
+
+class TargetDocument(Document):
+    """A target whose slots the daemon holds."""
+
+    target: str
+    owner: str
+    index: str
+    failure_domain: str
+    address: str
+    state: str
+    queued: int
+    slots_in_use: int
+    slots: int
+
+
+class TargetsDocument(Document):
+    """All targets whose slots the daemon holds and that the key may see."""
+
+    targets: tuple[TargetDocument, ...]
+
+
+class DrainDocument(Document):
+    """A drain has begun."""
+
+    daemon: str
+    draining: bool
+
+
+class RefusalDocument(Document):
+    """Why a request was refused."""
+
+    kind: str
+    fault: str
+    message: str
+    remedy: str
+
+
+def encode(document: Document) -> bytes:
+    """Returns the body of an answer."""
+    return document.model_dump_json().encode()
+
+
+def encode_refusal(refusal: Refusal) -> bytes:
+    """Returns the body of a refusal."""
+    return encode(
+        RefusalDocument(
+            kind=refusal.kind.value,
+            fault=refusal.fault.value,
+            message=refusal.message,
+            remedy=refusal.remedy,
+        )
+    )
+
+
+def decode(kind: type[D], data: bytes) -> Result[D, Refusal]:
+    """Reads an answer."""
+    try:
+        return Success(kind.model_validate_json(data))
+    except ValidationError:
+        return Failure(_unreadable())
+
+
+def decode_refusal(data: bytes) -> Refusal:
+    """Reads a refusal."""
+    try:
+        document = RefusalDocument.model_validate_json(data)
+        return Refusal(
+            RefusalKind(document.kind),
+            document.message,
+            document.remedy,
+            Fault(document.fault),
+        )
+    except ValueError:
+        return _unreadable()
+
+
+def _unreadable() -> Refusal:
+    return Refusal(
+        RefusalKind.MALFORMED_REQUEST,
+        "The answer is not one of the administration API.",
+        "See whether the address is the daemon's addresses.admin.",
+        Fault.CALLER,
+    )
--- a/lavendertide/errors.py
+++ b/lavendertide/errors.py
@@ -29,6 +29,7 @@
     POISONED = "poisoned"
     NO_SNAPSHOT = "no_snapshot"
     UNREACHABLE = "unreachable"
+    NOT_FOUND = "not_found"
 
 
 class Fault(Enum):
--- /dev/null
+++ b/lavendertide/metrics/metrics.py
@@ -0,0 +1,236 @@
+"""The metrics of one daemon, handed to whoever counts something.
+
+Each daemon object has its own registry, so that tests can make several. Label children
+are kept, which makes counting a look-up and an addition.
+"""
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
+from prometheus_client.exposition import generate_latest
+
+from lavendertide.errors import Fault, RefusalKind
+from lavendertide.ids import OwnerId, PlanClass
+from lavendertide.messages import (
+    Answered,
+    Declined,
+    Lost,
+    MemberState,
+    Outcome,
+    SubReply,
+)
+from lavendertide.metrics import names
+from lavendertide.metrics.labels import (
+    CLASSES_MAX,
+    OWNERS_MAX,
+    BoundedLabel,
+    Children,
+)
+
+_BY_CLASS = ("owner", "plan_class")
+
+
+class Metrics:
+    """Everything that one daemon counts."""
+
+    def __init__(self) -> None:
+        self._registry = CollectorRegistry()
+        self._owners = BoundedLabel(OWNERS_MAX)
+        self._classes = BoundedLabel(CLASSES_MAX)
+        self._make_query_metrics()
+        self._make_target_metrics()
+        self._make_fleet_metrics()
+
+    def _make_query_metrics(self) -> None:
+        self._latency = Children(
+            self._histogram(
+                names.LATENCY_SECONDS,
+                "From a search's arrival to its answer.",
+                _BY_CLASS,
+                names.LATENCY_BUCKETS_S,
+            ).labels
+        )
+        self._coverage = Children(
+            self._histogram(
+                names.COVERAGE_RATIO,
+                "Part of the version's shards that an answer covers.",
+                _BY_CLASS,
+                names.COVERAGE_BUCKETS,
+            ).labels
+        )
+        self._queries = self._counter(
+            names.QUERIES, "Searches by outcome.", (*_BY_CLASS, "outcome")
+        )
+        self._executions = self._counter(
+            names.EXECUTIONS,
+            "Non-idempotent requests by outcome.",
+            (*_BY_CLASS, "outcome"),
+        )
+        self._refusals = self._counter(
+            names.REFUSALS,
+            "Requests refused before any of them ran.",
+            ("owner", "kind", "fault"),
+        )
+        self._gaps = self._counter(
+            names.GAPS,
+            "Shards that answers do not cover.",
+            ("owner", "reason", "fault"),
+        )
+        self._attempts = self._counter(
+            names.ATTEMPTS, "Sub-requests sent for searches.", ("owner",)
+        )
+        self._extra_attempts = self._counter(
+            names.EXTRA_ATTEMPTS,
+            "Sub-requests beyond one for each shard: hedges and retries.",
+            ("owner",),
+        )
+        self._hedges = self._counter(
+            names.HEDGES, "Second attempts while the first is open.", ("owner",)
+        )
+        self._retries = self._counter(
+            names.RETRIES, "Attempts after one that failed.", ("owner",)
+        )
+
+    def _make_target_metrics(self) -> None:
+        self._queueing = Children(
+            self._histogram(
+                names.QUEUEING_SECONDS,
+                "Time that sub-requests wait for a target's slot.",
+                _BY_CLASS,
+                names.QUEUEING_BUCKETS_S,
+            ).labels
+        )
+        self._sub_requests = self._counter(
+            names.SUB_REQUESTS,
+            "Sub-requests to targets held here, by result.",
+            ("owner", "result"),
+        )
+        self._breaches = self._counter(
+            names.BREACHES, "Noticed breaches of a target's limits.", ("limit",)
+        )
+        self._queued = Gauge(
+            names.TARGETS_QUEUED,
+            "Sub-requests that wait for slots held here.",
+            registry=self._registry,
+        )
+        self._slots_in_use = Gauge(
+            names.TARGET_SLOTS_IN_USE,
+            "Slots held here that are in use.",
+            registry=self._registry,
+        )
+
+    def _make_fleet_metrics(self) -> None:
+        self._control_bytes = self._counter(
+            names.CONTROL_BYTES,
+            "Bytes between daemons that carry no sub-request.",
+            ("direction",),
+        )
+        self._version = Gauge(
+            names.CONFIGURATION_VERSION,
+            "Version of both lists in force.",
+            registry=self._registry,
+        )
+        self._members = Gauge(
+            names.MEMBERS,
+            "Daemons in the roster by state.",
+            ("state",),
+            registry=self._registry,
+        )
+
+    def observe_search(
+        self,
+        owner: OwnerId,
+        plan_class: PlanClass,
+        outcome: Outcome,
+        latency_s: float,
+        coverage: float,
+    ) -> None:
+        """Counts an answered search."""
+        labels = self._labels(owner, plan_class)
+        self._latency.of(*labels).observe(latency_s)
+        self._coverage.of(*labels).observe(coverage)
+        self._queries.of(*labels, outcome.value).inc()
+
+    def count_execution(
+        self, owner: OwnerId, plan_class: PlanClass, outcome: Outcome
+    ) -> None:
+        """Counts a non-idempotent request."""
+        self._executions.of(*self._labels(owner, plan_class), outcome.value).inc()
+
+    def count_refusal(self, owner: OwnerId, kind: RefusalKind, fault: Fault) -> None:
+        """Counts a request that was refused before any of it ran."""
+        self._refusals.of(self._owners.value(owner), kind.value, fault.value).inc()
+
+    def count_gap(self, owner: OwnerId, reason: str, fault: Fault, shards: int) -> None:
+        """Counts the shards that an answer does not cover for one reason."""
+        self._gaps.of(self._owners.value(owner), reason, fault.value).inc(shards)
+
+    def count_attempts(self, owner: OwnerId, attempts: int, shards: int) -> None:
+        """Counts the sub-requests of one search."""
+        label = self._owners.value(owner)
+        self._attempts.of(label).inc(attempts)
+        self._extra_attempts.of(label).inc(max(0, attempts - shards))
+
+    def count_hedge(self, owner: OwnerId) -> None:
+        """Counts a second attempt while the first is open."""
+        self._hedges.of(self._owners.value(owner)).inc()
+
+    def count_retry(self, owner: OwnerId) -> None:
+        """Counts an attempt after one that failed."""
+        self._retries.of(self._owners.value(owner)).inc()
+
+    def observe_queueing(
+        self, owner: OwnerId, plan_class: PlanClass, waited_s: float
+    ) -> None:
+        """Counts a sub-request that got its slot."""
+        self._queueing.of(*self._labels(owner, plan_class)).observe(waited_s)
+
+    def count_sub_request(self, owner: OwnerId, reply: SubReply) -> None:
+        """Counts a sub-request to a target held here."""
+        match reply:
+            case Answered():
+                result = "answered"
+            case Declined(reason=decline):
+                result = decline.value
+            case Lost(reason=loss):
+                result = loss.value
+        self._sub_requests.of(self._owners.value(owner), result).inc()
+
+    def count_breach(self, limit: str) -> None:
+        """Counts a noticed breach of a target's `slots` or `connections`."""
+        self._breaches.of(limit).inc()
+
+    def count_control_bytes(self, sent: int, received: int) -> None:
+        """Counts bytes to and from peers that carry no sub-request."""
+        self._control_bytes.of("sent").inc(sent)
+        self._control_bytes.of("received").inc(received)
+
+    def set_fleet(self, version: int, members: dict[MemberState, int]) -> None:
+        """Sets what is known of the fleet at the time of reading."""
+        self._version.set(version)
+        for state in MemberState:
+            self._members.labels(state.value).set(members.get(state, 0))
+
+    def set_targets(self, queued: int, slots_in_use: int) -> None:
+        """Sets the sums over the targets held here at the time of reading."""
+        self._queued.set(queued)
+        self._slots_in_use.set(slots_in_use)
+
+    def exposition(self) -> bytes:
+        """Returns all metrics in the text format of Prometheus."""
+        return generate_latest(self._registry)
+
+    def _labels(self, owner: OwnerId, plan_class: PlanClass) -> tuple[str, str]:
+        return self._owners.value(owner), self._classes.value(plan_class)
+
+    def _histogram(
+        self,
+        name: str,
+        text: str,
+        labels: tuple[str, ...],
+        buckets: tuple[float, ...],
+    ) -> Histogram:
+        return Histogram(name, text, labels, registry=self._registry, buckets=buckets)
+
+    def _counter(
+        self, name: str, text: str, labels: tuple[str, ...]
+    ) -> Children[Counter]:
+        return Children(Counter(name, text, labels, registry=self._registry).labels)
--- a/lavendertide/options.py
+++ b/lavendertide/options.py
@@ -4,11 +4,12 @@
 here; unknown keys are refused.
 """
 
-from typing import Annotated, Literal
+from typing import Annotated, Literal, Self
 
-from pydantic import BaseModel, ConfigDict, Field, StringConstraints
+from pydantic import BaseModel, ConfigDict, Field, StringConstraints, model_validator
 
 IpPort = Annotated[str, StringConstraints(pattern=r"^[0-9.]+:[0-9]{1,5}$")]
+AdminKey = Annotated[str, StringConstraints(min_length=16)]
 Name = Annotated[str, StringConstraints(pattern=r"^[a-z0-9][a-z0-9-]{0,62}$")]
 
 
@@ -223,6 +224,34 @@
     kept_per_plan_max: Annotated[int, Field(ge=1)] = 5_000
 
 
+class AdminOptions(_Section):
+    """Who may use the administration API.
+
+    Without operator keys everybody is an operator, which is allowed on the loopback
+    address only.
+
+    Attributes:
+        operator_keys: Keys that see and drain everything.
+        owner_keys: For each owner the keys that see this owner's plans, books and
+            targets.
+    """
+
+    operator_keys: tuple[AdminKey, ...] = ()
+    owner_keys: dict[Name, tuple[AdminKey, ...]] = {}
+
+
+class LogOptions(_Section):
+    """What the daemon logs to standard error.
+
+    Attributes:
+        level: The least level that is written.
+        form: One JSON object a line, or plain text.
+    """
+
+    level: Literal["debug", "info", "warning", "error"] = "info"
+    form: Literal["json", "text"] = "json"
+
+
 class Options(_Section):
     """All settings of one daemon."""
 
@@ -233,3 +262,14 @@
     queries: QueryOptions = QueryOptions()
     policies: PolicyOptions = PolicyOptions()
     tickets: TicketOptions = TicketOptions()
+    admin: AdminOptions = AdminOptions()
+    logs: LogOptions = LogOptions()
+
+    @model_validator(mode="after")
+    def _guard_administration(self) -> Self:
+        is_local = self.addresses.admin.startswith("127.")
+        if not is_local and not self.admin.operator_keys:
+            raise ValueError(
+                "admin.operator_keys: name a key, or put addresses.admin on 127.0.0.1"
+            )
+        return self
--- a/lavendertide/plans/admission.py
+++ b/lavendertide/plans/admission.py
@@ -29,11 +29,6 @@
         """Queries of the plan that run here."""
         return self._in_flight
 
-    @property
-    def tokens(self) -> float:
-        """Queries that may start at once."""
-        return self._tokens
-
     def apply(self, plan: Plan) -> None:
         """Takes over a changed plan without giving its burst anew."""
         self._plan = plan
@@ -55,14 +50,18 @@
         self._in_flight += 1
         return Success(None)
 
+    def tokens_at(self, share: float, now_s: float) -> float:
+        """Returns how many queries may start at once."""
+        gained = (now_s - self._refilled_at_s) * self._plan.rate_per_s * share
+        ceiling = max(1.0, self._plan.burst * share)
+        return min(ceiling, self._tokens + gained)
+
     def leave(self) -> None:
         """Says that a query let in earlier has ended."""
         self._in_flight -= 1
 
     def _refill(self, share: float, now_s: float) -> None:
-        gained = (now_s - self._refilled_at_s) * self._plan.rate_per_s * share
-        ceiling = max(1.0, self._plan.burst * share)
-        self._tokens = min(ceiling, self._tokens + gained)
+        self._tokens = self.tokens_at(share, now_s)
         self._refilled_at_s = now_s
 
     def _over_rate(self) -> Refusal:
@@ -93,6 +92,11 @@
         self._shares = shares or WholeShares()
         self._by_plan: dict[PlanId, Allowance] = {}
 
+    @property
+    def in_flight(self) -> int:
+        """Queries of all plans that run here."""
+        return sum(allowance.in_flight for allowance in self._by_plan.values())
+
     def share_of(self, plan: Plan, now_s: float) -> float:
         """Counts a query and returns the part of its plan to grant here."""
         return self._shares.share_of(plan, now_s)
--- a/lavendertide/plans/share_exchange.py
+++ b/lavendertide/plans/share_exchange.py
@@ -76,6 +76,14 @@
             self._first_grants.pop(plan.plan, None)
         return self._held.share_of(plan.plan, self._allocators.member_count)
 
+    def share_now(self, plan: PlanId) -> float:
+        """Returns the part of a plan to grant, without counting an arrival."""
+        return self._held.share_of(plan, self._allocators.member_count)
+
+    def allocators_of(self, plan: PlanId) -> list[MemberRecord]:
+        """Returns who allocates a plan."""
+        return self._allocators.of(plan)
+
     def keep(self) -> None:
         """Claims once a round, and at once when a plan is new here."""
         round_at_s = clock.monotonic_s()
--- a/lavendertide/targets/target_pool.py
+++ b/lavendertide/targets/target_pool.py
@@ -28,6 +28,11 @@
         self._make_exchange = make_exchange
         self._lanes: dict[TargetId, _OpenLane] = {}
 
+    @property
+    def lanes(self) -> list[Lane]:
+        """The lanes that are open."""
+        return [opened.lane for opened in self._lanes.values()]
+
     def submit(
         self,
         place: TargetPlace,
--- /dev/null
+++ b/tests/metrics/test_metrics.py
@@ -0,0 +1,50 @@
+"""Tests of `lavendertide.metrics`."""
+
+import unittest
+
+from lavendertide.errors import Fault, RefusalKind
+from lavendertide.ids import OwnerId, PlanClass
+from lavendertide.messages import Outcome
+from lavendertide.metrics.labels import CLASSES_MAX, OTHER, OWNERS_MAX, BoundedLabel
+from lavendertide.metrics.metrics import Metrics
+
+
+class BoundedLabelTest(unittest.TestCase):
+    """A label never takes more values than its bound."""
+
+    def test_values_above_the_bound_are_other(self) -> None:
+        label = BoundedLabel(2)
+        values = [label.value(name) for name in ("a", "b", "c", "a")]
+        self.assertEqual(values, ["a", "b", OTHER, "a"])
+
+
+class MetricsTest(unittest.TestCase):
+    """Owners and classes stand apart, and their number is bounded."""
+
+    def test_owners_stand_apart(self) -> None:
+        metrics = Metrics()
+        for owner in ("association", "koinopraxia"):
+            metrics.observe_search(
+                OwnerId(owner), PlanClass("counter"), Outcome.RAN, 0.01, 1.0
+            )
+        text = metrics.exposition().decode()
+        for owner in ("association", "koinopraxia"):
+            line = (
+                "lavendertide_query_latency_seconds_count"
+                f'{{owner="{owner}",plan_class="counter"}} 1.0'
+            )
+            self.assertIn(line, text)
+
+    def test_many_owners_make_a_bounded_number_of_series(self) -> None:
+        metrics = Metrics()
+        for number in range(1_000):
+            owner = OwnerId(f"owner-{number}")
+            metrics.observe_search(
+                owner, PlanClass(f"class-{number}"), Outcome.RAN, 0.01, 1.0
+            )
+            metrics.count_refusal(owner, RefusalKind.OVERLOADED, Fault.SYSTEM)
+        lines = metrics.exposition().decode().splitlines()
+        counts = [line for line in lines if "latency_seconds_count" in line]
+        self.assertLessEqual(len(counts), OWNERS_MAX + CLASSES_MAX + 2)
+        refusals = [line for line in lines if line.startswith("lavendertide_refusals_")]
+        self.assertLessEqual(len(refusals), 2 * (OWNERS_MAX + 1))
