Give each target connection its own urllib3 connection instead of a pool

A profile showed the pool's upkeep (timeout objects, retries, pool queue, response wrapping) around the connection that the task already has to itself. Ruled out: JSON (below 10%), the logging of warnings, eventlet's timers. Change: HttpTargetExchange holds an HTTPConnection; a connection that the target has closed while idle is still found before anything is sent. The check stays, since a request sent into a closed connection would count as unknown instead of not run. http.client alone is not taken: the house style asks for urllib3.

--- a/lavendertide/encodings/target_http.py
+++ b/lavendertide/encodings/target_http.py
@@ -5,10 +5,11 @@
 """
 
 import json
+from http.client import HTTPException
 from typing import Any, Final
 
-import urllib3
-from urllib3.exceptions import HTTPError, NewConnectionError
+from urllib3.connection import HTTPConnection
+from urllib3.exceptions import HTTPError, ReadTimeoutError
 
 from lavendertide.configuration.catalog import TargetPlace
 from lavendertide.messages import (
@@ -26,6 +27,7 @@
 RUN_PATH: Final = "/v1/run"
 CONNECT_TIMEOUT_S: Final = 0.25
 STATUS_OK: Final = 200
+HEADERS: Final = {"Content-Type": "application/json"}
 DECLINES: Final = {
     409: DeclineReason.VERSION_NOT_HELD,
     410: DeclineReason.DRAINING,
@@ -35,41 +37,52 @@
 
 
 class HttpTargetExchange:
-    """One kept-alive connection to a target."""
+    """One kept-alive connection to a target.
+
+    It uses `urllib3`'s connection and not its pool: each connection belongs to one
+    task, and the pool's upkeep costs about a fifth of an exchange.
+    """
 
     def __init__(self, place: TargetPlace) -> None:
         host, port = split_address(place.address)
-        self._pool = urllib3.HTTPConnectionPool(
-            host, port, maxsize=1, block=False, retries=False
-        )
+        self._connection = HTTPConnection(host, port)
 
     def run(
         self, place: TargetPlace, request: SubRequest, timeout_s: float
     ) -> SubReply:
         """Sends one sub-request and returns what became of it."""
-        timeout = urllib3.Timeout(
-            connect=min(CONNECT_TIMEOUT_S, timeout_s), read=timeout_s
-        )
         try:
-            response = self._pool.urlopen(
-                "POST",
-                RUN_PATH,
-                body=encode_run(request),
-                headers={"Content-Type": "application/json"},
-                timeout=timeout,
-                retries=False,
-            )
-        except (NewConnectionError, urllib3.exceptions.ConnectTimeoutError):
+            self._make_ready(timeout_s)
+        except (HTTPError, OSError):
+            self.close()
             return Declined(request.attempt, DeclineReason.UNREACHABLE)
-        except urllib3.exceptions.TimeoutError:
+        try:
+            return self._exchange(request)
+        except (TimeoutError, ReadTimeoutError):
+            self.close()
             return Lost(request.attempt, LossReason.TIMED_OUT)
-        except HTTPError:
+        except (HTTPError, HTTPException, OSError):
+            self.close()
             return Lost(request.attempt, LossReason.TARGET_CLOSED)
-        return decode_reply(request, response.status, response.data)
 
     def close(self) -> None:
-        """Closes the connection."""
-        self._pool.close()
+        """Closes the connection; the next exchange opens it again."""
+        self._connection.close()
+
+    def _make_ready(self, timeout_s: float) -> None:
+        if self._connection.sock is not None and not self._connection.is_connected:
+            self._connection.close()
+        if self._connection.sock is None:
+            self._connection.timeout = min(CONNECT_TIMEOUT_S, timeout_s)
+            self._connection.connect()
+        self._connection.sock.settimeout(timeout_s)
+
+    def _exchange(self, request: SubRequest) -> SubReply:
+        self._connection.request(
+            "POST", RUN_PATH, body=encode_run(request), headers=HEADERS
+        )
+        response = self._connection.getresponse()
+        return decode_reply(request, response.status, response.data)
 
 
 def encode_run(request: SubRequest) -> bytes:
--- /dev/null
+++ b/tests/encodings/test_target_http.py
@@ -0,0 +1,114 @@
+"""Tests of `lavendertide.encodings.target_http`."""
+
+import json
+import socket
+import threading
+import unittest
+from collections.abc import Callable
+
+from bench.codec import frame_of
+from lavendertide.configuration.catalog import TargetPlace
+from lavendertide.encodings.target_http import HttpTargetExchange
+from lavendertide.ids import (
+    Address,
+    FailureDomain,
+    IndexName,
+    OwnerId,
+    Region,
+    TargetId,
+)
+from lavendertide.messages import Answered, Declined, DeclineReason, LossReason, Lost
+from standins.target import answer_of
+
+TIMEOUT_S = 5.0
+SHORT_TIMEOUT_S = 0.05
+REQUEST = frame_of(1).items[0]
+Behaviour = Callable[[socket.socket], None]
+
+
+def answer_once(connection: socket.socket) -> None:
+    """Reads a request and answers it as a target would."""
+    head, _, body = connection.recv(65_536).partition(b"\r\n\r\n")
+    while len(body) < int(_content_length(head)):
+        body += connection.recv(65_536)
+    reply = json.dumps(answer_of(json.loads(body))).encode()
+    length = f"Content-Length: {len(reply)}".encode()
+    connection.sendall(b"HTTP/1.1 200 OK\r\n" + length + b"\r\n\r\n" + reply)
+
+
+def _content_length(head: bytes) -> bytes:
+    lines = head.lower().split(b"\r\n")
+    return next(line for line in lines if line.startswith(b"content-length"))[15:]
+
+
+def read_and_close(connection: socket.socket) -> None:
+    """Reads a request and crashes."""
+    connection.recv(65_536)
+
+
+def read_and_wait(connection: socket.socket) -> None:
+    """Reads a request and stays silent until the other side gives up."""
+    while connection.recv(65_536):
+        pass
+
+
+class HttpTargetExchangeTest(unittest.TestCase):
+    """What became of a sub-request is told apart: ran, not run, unknown."""
+
+    def setUp(self) -> None:
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.addCleanup(self.listener.close)
+        host, port = self.listener.getsockname()
+        self.place = TargetPlace(
+            target=TargetId("t"),
+            owner=OwnerId("o"),
+            index=IndexName("i"),
+            address=Address(f"{host}:{port}"),
+            region=Region("r"),
+            failure_domain=FailureDomain("d"),
+            slots=1,
+            connections=2,
+        )
+        self.exchange = HttpTargetExchange(self.place)
+        self.addCleanup(self.exchange.close)
+
+    def serve(self, *behaviours: Behaviour) -> threading.Thread:
+        """Serves one connection after the other, each in its own way."""
+
+        def accept_all() -> None:
+            for behaviour in behaviours:
+                connection, _ = self.listener.accept()
+                with connection:
+                    behaviour(connection)
+
+        server = threading.Thread(target=accept_all, daemon=True)
+        server.start()
+        return server
+
+    def test_an_answer_is_taken(self) -> None:
+        self.serve(answer_once)
+        reply = self.exchange.run(self.place, REQUEST, TIMEOUT_S)
+        self.assertIsInstance(reply, Answered)
+
+    def test_a_refused_connection_means_not_run(self) -> None:
+        self.listener.close()
+        reply = self.exchange.run(self.place, REQUEST, TIMEOUT_S)
+        self.assertEqual(reply, Declined(REQUEST.attempt, DeclineReason.UNREACHABLE))
+
+    def test_a_crash_during_the_request_means_unknown(self) -> None:
+        self.serve(read_and_close)
+        reply = self.exchange.run(self.place, REQUEST, TIMEOUT_S)
+        self.assertEqual(reply, Lost(REQUEST.attempt, LossReason.TARGET_CLOSED))
+
+    def test_silence_means_unknown(self) -> None:
+        self.serve(read_and_wait)
+        reply = self.exchange.run(self.place, REQUEST, SHORT_TIMEOUT_S)
+        self.assertEqual(reply, Lost(REQUEST.attempt, LossReason.TIMED_OUT))
+
+    def test_a_connection_closed_while_idle_is_opened_again(self) -> None:
+        first = self.serve(answer_once)
+        self.exchange.run(self.place, REQUEST, TIMEOUT_S)
+        first.join(TIMEOUT_S)
+        self.serve(answer_once)
+        reply = self.exchange.run(self.place, REQUEST, TIMEOUT_S)
+        self.assertIsInstance(reply, Answered)
