Split the query's task by job; time, budget and bound what it sends

Reply times are learned per index; each straggler is hedged at its own time, within a budget per owner and only where a slot was seen free; retries have a budget too. A query whose version is gone starts again with another one. A lost target ends the spreading of the query that was on it. Results are bounded per reply, query and process.

--- a/lavendertide/daemon/daemon.py
+++ b/lavendertide/daemon/daemon.py
@@ -2,6 +2,7 @@
 
 import logging
 import signal
+from functools import partial
 from typing import Final
 
 from returns.result import Failure, Success
@@ -35,9 +36,14 @@
 from lavendertide.messages import MemberRecord, MemberState
 from lavendertide.options import Options
 from lavendertide.plans.admission import Allowances
-from lavendertide.queries.fan_out import FanOutParts, HedgeBudgets
+from lavendertide.queries.gate import Gate
+from lavendertide.queries.hedging import Budgets
+from lavendertide.queries.parts import FanOutParts
 from lavendertide.queries.replicas import ReplicaChoice
+from lavendertide.queries.results_memory import ResultsMemory
 from lavendertide.queries.snapshot import Holdings
+from lavendertide.queries.target_reports import TargetReports
+from lavendertide.queries.timing import Timings
 from lavendertide.runtime import clock, sockets, tasks
 from lavendertide.targets.target_pool import TargetPool
 
@@ -66,13 +72,16 @@
             tuple(Address(seed) for seed in options.fleet.seeds),
             options.fleet.heartbeat_s,
         )
-        self._pool = TargetPool(HttpTargetExchange)
+        self._pool = TargetPool(
+            partial(HttpTargetExchange, reply_max_bytes=options.queries.reply_max_bytes)
+        )
         self._dispatcher = Dispatcher(
             self._configuration, self._roster, self._peers, self._pool
         )
         parts = self._fan_out_parts()
+        gate = Gate(options.queries.in_flight_max, parts.memory)
         self._queries = QueryService(
-            options.queries, self._configuration, self._allowances, parts
+            options.queries, self._configuration, self._allowances, parts, gate
         )
         ledger = Ledger()
         self._tickets = TicketService(
@@ -116,13 +125,21 @@
 
     def _fan_out_parts(self) -> FanOutParts:
         own = self._roster.own
-        holdings = Holdings()
+        policies, queries = self._options.policies, self._options.queries
+        holdings, reports = Holdings(), TargetReports()
         return FanOutParts(
             dispatch=self._dispatcher,
-            replica_choice=ReplicaChoice(own.region, own.failure_domain, holdings),
+            configuration=self._configuration,
+            policies=policies,
+            replica_choice=ReplicaChoice(
+                policies.replicas, own.region, own.failure_domain, holdings, reports
+            ),
             holdings=holdings,
-            hedge_policy=self._options.policies.hedging,
-            hedge_budgets=HedgeBudgets(),
+            reports=reports,
+            timings=Timings(),
+            memory=ResultsMemory(queries.results_max_bytes, queries.query_max_bytes),
+            hedge_budgets=Budgets(),
+            retry_budgets=Budgets(),
         )
 
     def _watch_platform(self) -> None:
--- a/lavendertide/daemon/query_service.py
+++ b/lavendertide/daemon/query_service.py
@@ -11,9 +11,13 @@
 from lavendertide.messages import Operation
 from lavendertide.options import QueryOptions
 from lavendertide.plans.admission import Allowances
-from lavendertide.queries.deadline import Deadline
-from lavendertide.queries.fan_out import FanOutParts, run_query
-from lavendertide.queries.query import Answer, Query, Question
+from lavendertide.queries.deadline import deadline_for
+from lavendertide.queries.fan_out import run_query
+from lavendertide.queries.gate import Gate
+from lavendertide.queries.hedging import straggler_quantile
+from lavendertide.queries.parts import FanOutParts
+from lavendertide.queries.query import Answer, Query, Question, fingerprint_of
+from lavendertide.queries.timing import Estimate
 from lavendertide.runtime import clock
 
 
@@ -26,11 +30,13 @@
         configuration: Configuration,
         allowances: Allowances,
         parts: FanOutParts,
+        gate: Gate,
     ) -> None:
         self._options = options
         self._configuration = configuration
         self._allowances = allowances
         self._parts = parts
+        self._gate = gate
 
     def search(self, question: Question) -> Result[Answer, Refusal]:
         """Answers a search, or refuses it before any of it ran."""
@@ -53,15 +59,39 @@
             case Failure(refusal):
                 return Failure(refusal)
         try:
-            query = self._query(question, plan, now_s)
-            return run_query(self._parts, query, index, catalog)
+            return self._run(self._query(question, plan, now_s), index, catalog)
         finally:
             allowance.leave()
 
+    def _run(
+        self, query: Query, index: Index, catalog: Catalog
+    ) -> Result[Answer, Refusal]:
+        match self._gate.enter(*self._prospect(query)):
+            case Failure(refusal):
+                return Failure(refusal)
+        try:
+            return run_query(self._parts, query, index, catalog)
+        finally:
+            self._gate.leave()
+
+    def _prospect(self, query: Query) -> tuple[float, Estimate | None]:
+        now_s = clock.monotonic_s()
+        timing = self._parts.timings.of(query.question.index, now_s)
+        quantile = straggler_quantile(self._parts.policies.hedging)
+        return query.deadline.remaining_s(now_s), timing.estimate(quantile, now_s)
+
     def _query(self, question: Question, plan: Plan, now_s: float) -> Query:
         budget_ms = min(question.deadline_ms, self._options.deadline_max_ms)
-        deadline = Deadline(now_s + budget_ms / 1000)
-        return Query(QueryId(uuid.uuid4().hex), plan, question, deadline)
+        return Query(
+            query=QueryId(uuid.uuid4().hex),
+            plan=plan,
+            question=question,
+            deadline=deadline_for(budget_ms, now_s),
+            deadline_ms=budget_ms,
+            fingerprint=fingerprint_of(
+                plan.owner, question.index, Operation.SEARCH, question.body
+            ),
+        )
 
 
 def _page_too_large(rows_max: int) -> Refusal:
--- a/lavendertide/encodings/caller_json.py
+++ b/lavendertide/encodings/caller_json.py
@@ -126,6 +126,7 @@
             "amount": answer.page.amount,
             "rows": [[r.key, r.score, r.document] for r in answer.page.rows],
             "attempts": answer.attempts,
+            "deadline_ms": answer.deadline_ms,
         }
     )
 
--- a/lavendertide/encodings/peer_frames.py
+++ b/lavendertide/encodings/peer_frames.py
@@ -83,9 +83,8 @@
             return ttypes.Frame(cancels=ttypes.Cancels(list(attempts)))
         case messages.TicketRequest():
             return ttypes.Frame(ticket_request=_pack_ticket_request(frame))
-        case messages.TicketReply(exchange, outcome, detail):
-            reply = ttypes.TicketReply(exchange, outcome.value, detail)
-            return ttypes.Frame(ticket_reply=reply)
+        case messages.TicketReply():
+            return ttypes.Frame(ticket_reply=_pack_ticket_reply(frame))
         case _:
             return _control_to_union(frame)
 
@@ -122,10 +121,7 @@
     if union.ticket_request is not None:
         return _unpack_ticket_request(union.ticket_request)
     if union.ticket_reply is not None:
-        reply = union.ticket_reply
-        return messages.TicketReply(
-            ExchangeId(reply.exchange), messages.Outcome(reply.outcome), reply.detail
-        )
+        return _unpack_ticket_reply(union.ticket_reply)
     return _control_from_union(union)
 
 
@@ -232,6 +228,7 @@
         request.body,
         request.remaining_ms,
         request.fingerprint,
+        request.page_size,
     )
 
 
@@ -248,6 +245,7 @@
         request.body,
         request.remaining_ms,
         Fingerprint(request.fingerprint),
+        request.page_size or 0,
     )
 
 
@@ -311,6 +309,7 @@
         request.operation.value,
         request.body,
         request.remaining_ms,
+        request.is_inquiry,
     )
 
 
@@ -323,4 +322,33 @@
         messages.Operation(request.operation),
         request.body,
         request.remaining_ms,
+        bool(request.is_inquiry),
+    )
+
+
+def _pack_ticket_reply(reply: messages.TicketReply) -> Any:
+    packed = ttypes.TicketReply(reply.exchange, reply.outcome.value, reply.detail)
+    if reply.refusal is not None:
+        packed.detail = reply.refusal.message
+        packed.refusal_kind = reply.refusal.kind.value
+        packed.refusal_remedy = reply.refusal.remedy
+        packed.refusal_fault = reply.refusal.fault.value
+    return packed
+
+
+def _unpack_ticket_reply(reply: Any) -> messages.TicketReply:
+    return messages.TicketReply(
+        ExchangeId(reply.exchange),
+        messages.Outcome(reply.outcome),
+        reply.detail,
+        _unpack_refusal(reply) if reply.refusal_kind else None,
+    )
+
+
+def _unpack_refusal(reply: Any) -> Refusal:
+    return Refusal(
+        RefusalKind(reply.refusal_kind),
+        reply.detail,
+        reply.refusal_remedy,
+        Fault(reply.refusal_fault),
     )
--- a/lavendertide/encodings/peer_protocol.thrift
+++ b/lavendertide/encodings/peer_protocol.thrift
@@ -24,6 +24,7 @@
   9: string body,
   10: i32 remaining_ms,
   11: string fingerprint,
+  50: i32 page_size,
 }
 
 struct Row {
@@ -93,12 +94,16 @@
   5: string operation,
   6: string body,
   7: i32 remaining_ms,
+  50: bool is_inquiry,
 }
 
 struct TicketReply {
   1: string exchange,
   2: string outcome,
   3: string detail,
+  50: string refusal_kind,
+  51: string refusal_remedy,
+  52: string refusal_fault,
 }
 
 struct Verdict {
--- a/lavendertide/encodings/target_http.py
+++ b/lavendertide/encodings/target_http.py
@@ -25,6 +25,7 @@
 
 RUN_PATH: Final = "/v1/run"
 CONNECT_TIMEOUT_S: Final = 0.25
+REPLY_MAX_BYTES: Final = 262_144
 STATUS_OK: Final = 200
 DECLINES: Final = {
     409: DeclineReason.VERSION_NOT_HELD,
@@ -35,9 +36,17 @@
 
 
 class HttpTargetExchange:
-    """One kept-alive connection to a target."""
+    """One kept-alive connection to a target.
 
-    def __init__(self, place: TargetPlace) -> None:
+    Args:
+        place: The target.
+        reply_max_bytes: A larger reply is not read to its end.
+    """
+
+    def __init__(
+        self, place: TargetPlace, reply_max_bytes: int = REPLY_MAX_BYTES
+    ) -> None:
+        self._reply_max_bytes = reply_max_bytes
         host, port = split_address(place.address)
         self._pool = urllib3.HTTPConnectionPool(
             host, port, maxsize=1, block=False, retries=False
@@ -58,19 +67,32 @@
                 headers={"Content-Type": "application/json"},
                 timeout=timeout,
                 retries=False,
+                preload_content=False,
             )
+            data = self._read(response)
         except (NewConnectionError, urllib3.exceptions.ConnectTimeoutError):
             return Declined(request.attempt, DeclineReason.UNREACHABLE)
         except urllib3.exceptions.TimeoutError:
             return Lost(request.attempt, LossReason.TIMED_OUT)
         except HTTPError:
             return Lost(request.attempt, LossReason.TARGET_CLOSED)
-        return decode_reply(request, response.status, response.data)
+        if data is None:
+            return Lost(request.attempt, LossReason.REPLY_TOO_LARGE)
+        return decode_reply(request, response.status, data)
 
     def close(self) -> None:
         """Closes the connection."""
         self._pool.close()
 
+    def _read(self, response: urllib3.BaseHTTPResponse) -> bytes | None:
+        """Returns the body, none if it is larger than may be read."""
+        data = response.read(self._reply_max_bytes + 1)
+        if len(data) > self._reply_max_bytes:
+            response.close()
+            return None
+        response.release_conn()
+        return data
+
 
 def encode_run(request: SubRequest) -> bytes:
     """Returns the body of a run request."""
@@ -84,6 +106,7 @@
             "version": request.version,
             "operation": request.operation.value,
             "deadline_ms": request.remaining_ms,
+            "page_size": request.page_size,
             "body": request.body,
         }
     ).encode()
--- a/lavendertide/executions/execution.py
+++ b/lavendertide/executions/execution.py
@@ -22,7 +22,7 @@
     SubRequest,
 )
 from lavendertide.queries.deadline import Deadline
-from lavendertide.queries.fan_out import FanOutParts
+from lavendertide.queries.parts import FanOutParts
 from lavendertide.queries.query import fingerprint_of
 from lavendertide.queries.snapshot import Snapshot
 from lavendertide.runtime import clock, tasks
--- a/lavendertide/messages.py
+++ b/lavendertide/messages.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
+from lavendertide.errors import Refusal
 from lavendertide.ids import (
     Address,
     AttemptId,
@@ -82,6 +83,7 @@
     TARGET_CLOSED = "target_closed"
     TIMED_OUT = "timed_out"
     PEER_LOST = "peer_lost"
+    REPLY_TOO_LARGE = "reply_too_large"
     MISMATCHED_REPLY = "mismatched_reply"
 
 
@@ -116,6 +118,7 @@
         body: The caller's request body, passed on as it came.
         remaining_ms: What was left of the deadline when it was sent.
         fingerprint: Digest that is equal for equal requests of one owner.
+        page_size: Rows of the shard that the answer can use.
     """
 
     attempt: AttemptId
@@ -129,6 +132,7 @@
     body: str
     remaining_ms: int
     fingerprint: Fingerprint
+    page_size: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -265,7 +269,11 @@
 
 @dataclass(frozen=True, slots=True)
 class TicketRequest:
-    """A non-idempotent request on its way to the daemon that minted its ticket."""
+    """A non-idempotent request on its way to the daemon that minted its ticket.
+
+    Attributes:
+        is_inquiry: Whether it only asks what is known and runs nothing.
+    """
 
     exchange: ExchangeId
     ticket: TicketId
@@ -274,15 +282,21 @@
     operation: Operation
     body: str
     remaining_ms: int
+    is_inquiry: bool = False
 
 
 @dataclass(frozen=True, slots=True)
 class TicketReply:
-    """What the minting daemon knows of a ticket's execution."""
+    """What the minting daemon knows of a ticket's execution.
+
+    Attributes:
+        refusal: Why this try was refused, none if it was not.
+    """
 
     exchange: ExchangeId
     outcome: Outcome
     detail: str
+    refusal: Refusal | None = None
 
 
 Frame = (
--- a/lavendertide/queries/coverage.py
+++ b/lavendertide/queries/coverage.py
@@ -17,6 +17,7 @@
     TARGET_FAILED = "target_failed"
     VERSION_NOT_HELD = "version_not_held"
     POISONED = "poisoned"
+    RESULT_TOO_LARGE = "result_too_large"
 
 
 @dataclass(frozen=True, slots=True)
@@ -58,6 +59,11 @@
         """The covered shards in order."""
         return sorted(self._answers)
 
+    @property
+    def covered_count(self) -> int:
+        """How many shards are covered."""
+        return len(self._answers)
+
     @property
     def gaps(self) -> list[Gap]:
         """The uncovered shards in order, with reasons."""
@@ -103,5 +109,7 @@
             return GapReason.NO_ANSWER_IN_TIME, Fault.TARGET
         case LossReason.PEER_LOST:
             return GapReason.TARGET_FAILED, Fault.SYSTEM
+        case LossReason.REPLY_TOO_LARGE:
+            return GapReason.RESULT_TOO_LARGE, Fault.TARGET
         case _:
             return GapReason.TARGET_FAILED, Fault.TARGET
--- a/lavendertide/queries/deadline.py
+++ b/lavendertide/queries/deadline.py
@@ -4,6 +4,8 @@
 from typing import Final
 
 ATTEMPT_FLOOR_S: Final = 0.002
+ANSWER_MARGIN_MAX_S: Final = 0.004
+ANSWER_MARGIN_SHARE: Final = 0.1
 
 
 @dataclass(frozen=True, slots=True)
@@ -23,3 +25,17 @@
     def allows_attempt(self, now_s: float) -> bool:
         """Returns whether an attempt could still be of use."""
         return self.remaining_s(now_s) >= ATTEMPT_FLOOR_S
+
+
+def deadline_for(budget_ms: int, arrived_at_s: float) -> Deadline:
+    """Returns when an answer has to leave so that its caller has it in time.
+
+    A small part of the budget is kept for merging, encoding and the way back.
+
+    Args:
+        budget_ms: How long the caller is willing to wait.
+        arrived_at_s: When its request came.
+    """
+    budget_s = budget_ms / 1000
+    margin_s = min(ANSWER_MARGIN_MAX_S, ANSWER_MARGIN_SHARE * budget_s)
+    return Deadline(arrived_at_s + budget_s - margin_s)
--- a/lavendertide/queries/fan_out.py
+++ b/lavendertide/queries/fan_out.py
@@ -1,230 +1,269 @@
-"""The task of one query: ask every shard, hedge stragglers, merge, answer.
+"""The task of one query: ask every shard, take the replies in, merge, answer.
 
 It runs in the task of the caller's connection and is written straight down: send,
-wait for the next reply or the next moment to act, take the reply in, go on.
+wait for the next reply or the next moment to act, take it in, go on. Whom to ask is
+decided in `asking`, how long to wait for the last shards in `waiting`, and which
+version to read in `pinning`.
 """
 
-import itertools
-from collections.abc import Iterator
-from dataclasses import dataclass
-from typing import Protocol
+from typing import Final
 
 from returns.result import Failure, Result, Success
 
-from lavendertide.configuration.catalog import Catalog, Index, TargetPlace
+from lavendertide.configuration.catalog import Catalog, Index
 from lavendertide.errors import Fault, Refusal
-from lavendertide.ids import AttemptId, OwnerId, ShardNumber
 from lavendertide.messages import (
     Answered,
     Declined,
     DeclineReason,
+    LossReason,
     Lost,
-    Operation,
     Outcome,
     SubReply,
-    SubRequest,
 )
-from lavendertide.options import HedgePolicy
+from lavendertide.queries.asking import Asker
+from lavendertide.queries.attempts import Attempt, Attempts
 from lavendertide.queries.coverage import (
     Coverage,
     GapReason,
     gap_of_decline,
     gap_of_loss,
 )
-from lavendertide.queries.hedging import HedgeBudget, hedge_at_s
+from lavendertide.queries.deadline import ATTEMPT_FLOOR_S
+from lavendertide.queries.hedging import straggler_quantile
 from lavendertide.queries.merging import merge
+from lavendertide.queries.parts import FanOutParts
+from lavendertide.queries.pinning import Pinned, find_successor, pin
 from lavendertide.queries.query import Answer, Query
-from lavendertide.queries.replicas import ReplicaChoice
-from lavendertide.queries.snapshot import Holdings, Snapshot
+from lavendertide.queries.results_memory import QueryMemory
+from lavendertide.queries.schedule import AttemptOver, HedgeDue, RoundDue
+from lavendertide.queries.waiting import leaves_at_s, wait_policy
 from lavendertide.runtime import clock, tasks
 
-
-class Dispatch(Protocol):
-    """Carries sub-requests to whichever daemon holds their target's slots."""
-
-    def send(self, request: SubRequest, inbox: tasks.Mailbox[SubReply]) -> None:
-        """Sends a sub-request; exactly one reply comes to the inbox."""
-
-    def cancel(self, attempts: list[AttemptId]) -> None:
-        """Says that nobody waits for these attempts any more."""
-
-
-class HedgeBudgets:
-    """The hedge budgets of all owners on this daemon."""
-
-    def __init__(self) -> None:
-        self._by_owner: dict[OwnerId, HedgeBudget] = {}
-
-    def of(self, owner: OwnerId) -> HedgeBudget:
-        """Returns the budget of one owner."""
-        return self._by_owner.setdefault(owner, HedgeBudget())
-
-
-@dataclass(frozen=True, slots=True)
-class FanOutParts:
-    """What the queries of one daemon share."""
-
-    dispatch: Dispatch
-    replica_choice: ReplicaChoice
-    holdings: Holdings
-    hedge_policy: HedgePolicy
-    hedge_budgets: HedgeBudgets
+RESTARTS_MAX: Final = 3
+REPLIES_PER_TURN_MAX: Final = 128
 
 
 def run_query(
     parts: FanOutParts, query: Query, index: Index, catalog: Catalog
 ) -> Result[Answer, Refusal]:
-    """Asks all shards of one version and merges what came in time."""
-    match parts.holdings.pin(index, clock.monotonic_s()):
-        case Success(snapshot):
-            return Success(_FanOut(parts, query, snapshot, catalog).to_answer())
-        case Failure(refusal):
-            return Failure(refusal)
-    raise AssertionError("a result is a success or a failure")
-
-
-@dataclass(slots=True)
-class _Attempt:
-    """An attempt that has not been answered yet."""
-
-    attempt: AttemptId
-    shard: ShardNumber
-    place: TargetPlace
-
-
-class _FanOut:
+    """Asks all shards of one version and merges what came in time.
+
+    If nobody serves the pinned version any more, the query starts again with another
+    one, and nothing of the earlier one is used.
+    """
+    pinned = pin(parts, index, catalog, clock.monotonic_s())
+    if isinstance(pinned, Failure):
+        return pinned
+    attempts = Attempts(query.query)
+    memory = parts.memory.open()
+    try:
+        fan_out = FanOut(parts, query, pinned.unwrap(), attempts, memory)
+        fan_out.run()
+        while fan_out.successor is not None:
+            memory.release()
+            attempts.note_restart()
+            fan_out = FanOut(parts, query, fan_out.successor, attempts, memory)
+            fan_out.run()
+        return Success(fan_out.answer())
+    finally:
+        memory.release()
+
+
+class FanOut:
     """One query over one snapshot."""
 
     def __init__(
-        self, parts: FanOutParts, query: Query, snapshot: Snapshot, catalog: Catalog
+        self,
+        parts: FanOutParts,
+        query: Query,
+        pinned: Pinned,
+        attempts: Attempts,
+        memory: QueryMemory,
     ) -> None:
         self._parts = parts
         self._query = query
-        self._snapshot = snapshot
-        self._catalog = catalog
-        self._coverage = Coverage(snapshot.shard_count)
+        self._pinned = pinned
+        self._attempts = attempts
+        self._memory = memory
+        self._started_at_s = clock.monotonic_s()
+        self._timing = parts.timings.of(pinned.index.index, self._started_at_s)
+        quantile = straggler_quantile(parts.policies.hedging)
+        self._estimate = self._timing.estimate(quantile, self._started_at_s)
         self._inbox: tasks.Mailbox[SubReply] = tasks.Mailbox()
-        self._open: dict[AttemptId, _Attempt] = {}
-        self._replicas: dict[ShardNumber, Iterator[TargetPlace]] = {}
-        self._numbers = itertools.count(1)
-        self._sent = 0
-
-    def to_answer(self) -> Answer:
-        """Runs the query until it is whole, out of time or out of replicas."""
-        started_at_s = clock.monotonic_s()
-        self._ask_every_shard(started_at_s)
-        hedge_s = hedge_at_s(self._parts.hedge_policy, started_at_s)
-        while self._open and not self._coverage.is_whole:
-            now_s = clock.monotonic_s()
-            if self._query.deadline.remaining_s(now_s) <= 0:
-                break
-            reply = self._inbox.receive(self._wait_s(hedge_s, now_s))
+        self._asker = Asker(parts, query, pinned, attempts, self._estimate, self._inbox)
+        self._policy = wait_policy(parts.policies, pinned.index)
+        self._coverage = Coverage(pinned.snapshot.shard_count)
+        self._is_condemned = False
+        self._successor: Pinned | None = None
+
+    @property
+    def successor(self) -> Pinned | None:
+        """What to read instead, once nobody serves this version any more."""
+        return self._successor
+
+    def run(self) -> None:
+        """Runs until whole, out of time, out of replicas or out of its version."""
+        now_s = self._started_at_s
+        for shard in self._asker.ask_every_shard(now_s):
+            self._coverage.explain(shard, GapReason.NO_REPLICA, Fault.TARGET)
+        while not self._is_over(now_s):
+            first = self._inbox.receive(self._wait_s(now_s))
             now_s = clock.monotonic_s()
-            if reply is not None:
-                self._take(reply, now_s)
-            if hedge_s is not None and now_s >= hedge_s:
-                self._hedge_stragglers(now_s)
-                hedge_s = None
-        self._parts.dispatch.cancel(list(self._open))
-        return self._answer()
-
-    def _ask_every_shard(self, now_s: float) -> None:
-        budget = self._parts.hedge_budgets.of(self._query.plan.owner)
-        budget.earn(self._parts.hedge_policy, self._snapshot.shard_count)
-        for number in range(self._snapshot.shard_count):
-            shard = ShardNumber(number)
-            self._replicas[shard] = self._parts.replica_choice.order(
-                self._snapshot.replicas_of(shard),
-                self._snapshot.version,
-                self._catalog.targets,
-                now_s,
-            )
-            if not self._ask_next_replica(shard, now_s):
-                self._coverage.explain(shard, GapReason.NO_REPLICA, Fault.TARGET)
-
-    def _ask_next_replica(self, shard: ShardNumber, now_s: float) -> bool:
-        if not self._query.deadline.allows_attempt(now_s):
-            return False
-        place = next(self._replicas[shard], None)
-        if place is None:
-            return False
-        attempt = AttemptId(f"{self._query.query}.{next(self._numbers)}")
-        self._open[attempt] = _Attempt(attempt, shard, place)
-        self._sent += 1
-        request = self._sub_request(attempt, shard, place, now_s)
-        self._parts.dispatch.send(request, self._inbox)
-        return True
-
-    def _sub_request(
-        self, attempt: AttemptId, shard: ShardNumber, place: TargetPlace, now_s: float
-    ) -> SubRequest:
-        return SubRequest(
-            attempt=attempt,
+            if first is not None:
+                for reply in self._inbox.receive_ready(first, REPLIES_PER_TURN_MAX):
+                    self._take(reply, now_s)
+            self._act_on_moments(now_s)
+        self._end(now_s)
+
+    def answer(self) -> Answer:
+        """Returns what was covered, and says of every other shard why not."""
+        return Answer(
             query=self._query.query,
-            owner=self._query.plan.owner,
-            index=self._query.question.index,
-            shard=shard,
-            version=self._snapshot.version,
-            target=place.target,
-            operation=Operation.SEARCH,
-            body=self._query.question.body,
-            remaining_ms=self._query.deadline.remaining_ms(now_s),
-            fingerprint=self._query.fingerprint,
+            outcome=self._outcome(),
+            version=self._pinned.snapshot.version,
+            page=merge(self._coverage.answers, self._query.question.page_size),
+            covered=tuple(self._coverage.covered),
+            gaps=tuple(self._coverage.gaps),
+            attempts=self._attempts.sent,
+            deadline_ms=self._query.deadline_ms,
         )
 
-    def _wait_s(self, hedge_s: float | None, now_s: float) -> float:
-        left_s = self._query.deadline.remaining_s(now_s)
-        if hedge_s is None:
-            return left_s
-        return min(left_s, max(0.0, hedge_s - now_s))
+    def _outcome(self) -> Outcome:
+        if self._coverage.covered_count:
+            return Outcome.RAN
+        return Outcome.UNKNOWN if self._attempts.may_have_run else Outcome.NOT_RUN
+
+    def _is_over(self, now_s: float) -> bool:
+        if self._coverage.is_whole or self._is_condemned:
+            return True
+        if self._successor is not None or not self._asker.is_waiting:
+            return True
+        return now_s >= self._leaves_at_s()
+
+    def _wait_s(self, now_s: float) -> float:
+        until_s = self._leaves_at_s()
+        next_at_s = self._asker.schedule.next_at_s
+        if next_at_s is not None:
+            until_s = min(until_s, next_at_s)
+        return max(0.0, until_s - now_s)
+
+    def _leaves_at_s(self) -> float:
+        return leaves_at_s(
+            self._policy,
+            self._query.deadline,
+            self._started_at_s,
+            self._coverage.covered_count,
+            self._pinned.snapshot.shard_count,
+        )
 
     def _take(self, reply: SubReply, now_s: float) -> None:
-        attempt = self._open.pop(reply.attempt, None)
+        attempt = self._asker.close(reply.attempt)
         if attempt is None:
             return
+        target = attempt.place.target
         match reply:
             case Answered() if self._belongs(reply, attempt):
-                self._coverage.cover(reply)
+                self._timing.observe(now_s - attempt.sent_at_s, now_s)
+                self._parts.reports.hear(target, reply.spare_slots, now_s)
+                self._cover(reply)
             case Answered():
-                self._try_elsewhere(attempt, GapReason.TARGET_FAILED, Fault.TARGET)
-            case Declined(reason=reason):
-                if reason is DeclineReason.VERSION_NOT_HELD:
-                    self._parts.holdings.deny(
-                        attempt.place.target, self._snapshot.version, now_s
-                    )
-                self._try_elsewhere(attempt, *gap_of_decline(reason))
+                self._take_loss(attempt, LossReason.MISMATCHED_REPLY, now_s)
+            case Declined(reason=reason, spare_slots=spare_slots):
+                self._parts.reports.hear_decline(target, reason, spare_slots, now_s)
+                self._take_decline(attempt, reason, now_s)
             case Lost(reason=loss):
-                self._try_elsewhere(attempt, *gap_of_loss(loss))
+                self._take_loss(attempt, loss, now_s)
 
-    def _belongs(self, reply: Answered, attempt: _Attempt) -> bool:
+    def _belongs(self, reply: Answered, attempt: Attempt) -> bool:
         return (
             reply.query == self._query.query
             and reply.shard == attempt.shard
-            and reply.version == self._snapshot.version
+            and reply.version == self._pinned.snapshot.version
         )
 
+    def _cover(self, reply: Answered) -> None:
+        self._asker.cancel_shard(reply.shard)
+        if self._memory.hold(reply):
+            self._coverage.cover(reply)
+        else:
+            too_large = GapReason.RESULT_TOO_LARGE
+            self._coverage.explain(reply.shard, too_large, Fault.CALLER)
+
+    def _take_decline(
+        self, attempt: Attempt, reason: DeclineReason, now_s: float
+    ) -> None:
+        match reason:
+            case DeclineReason.POISONED:
+                self._condemn()
+                return
+            case DeclineReason.VERSION_NOT_HELD:
+                version = self._pinned.snapshot.version
+                self._parts.holdings.deny(attempt.place.target, version, now_s)
+            case DeclineReason.QUEUED_TOO_LONG:
+                self._timing.observe(now_s - attempt.sent_at_s, now_s)
+            case _:
+                pass
+        self._try_elsewhere(attempt, *gap_of_decline(reason), now_s)
+
+    def _take_loss(self, attempt: Attempt, loss: LossReason, now_s: float) -> None:
+        self._attempts.note_lost()
+        match loss:
+            case LossReason.TARGET_CLOSED:
+                # The request may be what ended the target: nobody else shall run it.
+                self._asker.stop()
+            case LossReason.TIMED_OUT:
+                self._timing.observe(now_s - attempt.sent_at_s, now_s)
+            case _:
+                pass
+        self._try_elsewhere(attempt, *gap_of_loss(loss), now_s)
+
+    def _condemn(self) -> None:
+        self._is_condemned = True
+        for gap in self._coverage.gaps:
+            self._coverage.explain(gap.shard, GapReason.POISONED, Fault.CALLER)
+
     def _try_elsewhere(
-        self, attempt: _Attempt, reason: GapReason, fault: Fault
+        self, attempt: Attempt, reason: GapReason, fault: Fault, now_s: float
     ) -> None:
-        self._coverage.explain(attempt.shard, reason, fault)
-        if any(other.shard == attempt.shard for other in self._open.values()):
+        shard = attempt.shard
+        self._coverage.explain(shard, reason, fault)
+        if self._asker.ask_elsewhere(shard, now_s):
             return
-        self._ask_next_replica(attempt.shard, clock.monotonic_s())
+        if reason is not GapReason.VERSION_NOT_HELD:
+            self._asker.plan_round(shard, now_s)
+        elif self._has_time_to_restart(now_s):
+            self._successor = find_successor(self._parts, self._pinned, shard, now_s)
 
-    def _hedge_stragglers(self, now_s: float) -> None:
-        budget = self._parts.hedge_budgets.of(self._query.plan.owner)
-        for attempt in list(self._open.values()):
-            if not budget.spend():
-                return
-            self._ask_next_replica(attempt.shard, now_s)
-
-    def _answer(self) -> Answer:
-        return Answer(
-            query=self._query.query,
-            outcome=Outcome.RAN if self._coverage.covered else Outcome.UNKNOWN,
-            version=self._snapshot.version,
-            page=merge(self._coverage.answers, self._query.question.page_size),
-            covered=tuple(self._coverage.covered),
-            gaps=tuple(self._coverage.gaps),
-            attempts=self._sent,
-        )
+    def _has_time_to_restart(self, now_s: float) -> bool:
+        usual_s = self._estimate.straggler_s if self._estimate else ATTEMPT_FLOOR_S
+        left_s = self._query.deadline.remaining_s(now_s)
+        return left_s > usual_s and self._attempts.restarts < RESTARTS_MAX
+
+    def _act_on_moments(self, now_s: float) -> None:
+        while (moment := self._asker.schedule.pop_due(now_s)) is not None:
+            match moment:
+                case HedgeDue(attempt=attempt):
+                    self._asker.hedge(attempt, now_s)
+                case RoundDue(shard=shard):
+                    self._asker.begin_round(shard, now_s)
+                case AttemptOver(attempt=attempt):
+                    given_up = self._asker.give_up(attempt)
+                    if given_up is not None:
+                        self._take_loss(given_up, LossReason.TIMED_OUT, now_s)
+
+    def _end(self, now_s: float) -> None:
+        for attempt in self._attempts.open:
+            self._observe_unanswered(now_s - attempt.sent_at_s, now_s)
+        self._asker.cancel_all()
+        gaps = self._coverage.gaps
+        if self._coverage.covered_count > len(gaps) and not any(
+            gap.reason is GapReason.VERSION_NOT_HELD for gap in gaps
+        ):
+            index, snapshot = self._pinned.index.index, self._pinned.snapshot
+            self._parts.holdings.note_served(index, snapshot.version)
+
+    def _observe_unanswered(self, latency_s: float, now_s: float) -> None:
+        # One that was ended before it was late says nothing about the tail.
+        if self._estimate is not None and latency_s >= self._estimate.straggler_s:
+            self._timing.observe(latency_s, now_s)
--- a/lavendertide/queries/hedging.py
+++ b/lavendertide/queries/hedging.py
@@ -1,42 +1,75 @@
-"""When a straggling shard is asked of a second replica.
+"""When a straggling shard is asked of a second replica, and how often.
 
-The policy is a data class, so that baselines are variants and not other code.
+The policies are data classes of the settings, so that baselines are variants and not
+other code. Hedges and retries each have a budget per owner, earned by first attempts.
 """
 
 from typing import Final
 
+from lavendertide.ids import OwnerId
 from lavendertide.options import BudgetedHedge, HedgePolicy, NeverHedge
+from lavendertide.queries.timing import Estimate
 
-HEDGE_TOKENS_MAX: Final = 50.0
+TOKENS_MAX: Final = 50.0
+STRAGGLER_QUANTILE: Final = 0.95
 
 
-class HedgeBudget:
-    """Hedges that an owner may still send, earned by its first attempts."""
+class Budget:
+    """Extra attempts that an owner may still send, earned by its first attempts."""
 
     def __init__(self) -> None:
-        self._tokens = HEDGE_TOKENS_MAX
+        self._tokens = TOKENS_MAX
 
-    def earn(self, policy: HedgePolicy, attempts: int) -> None:
-        """Earns a part of a hedge for each first attempt."""
-        match policy:
-            case BudgetedHedge(extra_load=extra_load):
-                gained = attempts * extra_load
-                self._tokens = min(HEDGE_TOKENS_MAX, self._tokens + gained)
-            case NeverHedge():
-                pass
+    def earn(self, attempts: int, extra_load: float) -> None:
+        """Earns a part of an extra attempt for each first attempt."""
+        self._tokens = min(TOKENS_MAX, self._tokens + attempts * extra_load)
 
     def spend(self) -> bool:
-        """Takes one hedge out of the budget; returns whether there was one."""
+        """Takes one attempt out of the budget; returns whether there was one."""
         if self._tokens < 1.0:
             return False
         self._tokens -= 1.0
         return True
 
 
-def hedge_at_s(policy: HedgePolicy, started_at_s: float) -> float | None:
-    """Returns when stragglers of a query are hedged, none for never."""
+class Budgets:
+    """One kind of budget for each owner on this daemon."""
+
+    def __init__(self) -> None:
+        self._by_owner: dict[OwnerId, Budget] = {}
+
+    def of(self, owner: OwnerId) -> Budget:
+        """Returns the budget of one owner."""
+        budget = self._by_owner.get(owner)
+        if budget is None:
+            budget = self._by_owner[owner] = Budget()
+        return budget
+
+
+def hedge_delay_s(policy: HedgePolicy, estimate: Estimate | None) -> float | None:
+    """Returns how long an attempt may take before it is hedged, none for never."""
     match policy:
         case NeverHedge():
             return None
-        case BudgetedHedge(delay_cold_ms=delay_ms):
-            return started_at_s + delay_ms / 1000
+        case BudgetedHedge(delay_min_ms=delay_min_ms) if estimate is not None:
+            return max(delay_min_ms / 1000, estimate.straggler_s)
+        case BudgetedHedge(delay_cold_ms=delay_cold_ms):
+            return delay_cold_ms / 1000
+
+
+def hedge_earning(policy: HedgePolicy) -> float:
+    """Returns how many hedges each first attempt earns."""
+    match policy:
+        case NeverHedge():
+            return 0.0
+        case BudgetedHedge(extra_load=extra_load):
+            return extra_load
+
+
+def straggler_quantile(policy: HedgePolicy) -> float:
+    """Returns the quantile of the reply times after which a reply counts as late."""
+    match policy:
+        case NeverHedge():
+            return STRAGGLER_QUANTILE
+        case BudgetedHedge(quantile=quantile):
+            return quantile
--- a/lavendertide/queries/query.py
+++ b/lavendertide/queries/query.py
@@ -40,19 +40,19 @@
 
 @dataclass(frozen=True, slots=True)
 class Query:
-    """An admitted search."""
+    """An admitted search.
+
+    Attributes:
+        deadline_ms: The budget in force, at most what the caller asked for.
+        fingerprint: Digest that is equal when the same owner's callers ask the same.
+    """
 
     query: QueryId
     plan: Plan
     question: Question
     deadline: Deadline
-
-    @property
-    def fingerprint(self) -> Fingerprint:
-        """Digest that is equal when the same owner's callers ask the same again."""
-        return fingerprint_of(
-            self.plan.owner, self.question.index, Operation.SEARCH, self.question.body
-        )
+    deadline_ms: int
+    fingerprint: Fingerprint
 
 
 @dataclass(frozen=True, slots=True)
@@ -63,6 +63,7 @@
         covered: Shards of the version that the page reflects.
         gaps: All other shards of the version, with reasons.
         attempts: Sub-requests that were sent.
+        deadline_ms: The budget that was in force.
     """
 
     query: QueryId
@@ -72,6 +73,7 @@
     covered: tuple[ShardNumber, ...]
     gaps: tuple[Gap, ...]
     attempts: int
+    deadline_ms: int
 
 
 def fingerprint_of(
--- a/lavendertide/queries/replicas.py
+++ b/lavendertide/queries/replicas.py
@@ -1,43 +1,80 @@
 """Which replica of a shard is asked, and which comes next."""
 
-from collections.abc import Iterator, Mapping
+import random
+from collections.abc import Mapping
+from typing import Final
 
 from lavendertide.configuration.catalog import TargetPlace
 from lavendertide.ids import FailureDomain, IndexVersion, Region, TargetId
+from lavendertide.options import AnyReplica, NearFirst, ReplicaPolicy
 from lavendertide.queries.snapshot import Holdings
+from lavendertide.queries.target_reports import TargetReports
+
+# One way, within a failure domain, within a region, between regions.
+HOP_S: Final = (0.001, 0.005, 0.020)
 
 
 class ReplicaChoice:
-    """Orders the replicas of a shard: near ones first, equal ones in rotation."""
+    """Orders the replicas of a shard by the policy of the settings."""
 
     def __init__(
         self,
+        policy: ReplicaPolicy,
         region: Region,
         failure_domain: FailureDomain,
         holdings: Holdings,
+        reports: TargetReports,
     ) -> None:
+        self._policy = policy
         self._region = region
         self._failure_domain = failure_domain
         self._holdings = holdings
+        self._reports = reports
         self._rotation = 0
 
+    @property
+    def at_once(self) -> int:
+        """How many replicas of each shard are asked at once."""
+        match self._policy:
+            case AnyReplica(at_once=at_once):
+                return at_once
+            case NearFirst():
+                return 1
+
     def order(
         self,
         replicas: tuple[TargetId, ...],
         version: IndexVersion,
         places: Mapping[TargetId, TargetPlace],
         now_s: float,
-    ) -> Iterator[TargetPlace]:
+    ) -> list[TargetPlace]:
         """Returns the replicas that are worth asking, the best first."""
-        self._rotation += 1
         known = [
             places[target]
             for target in replicas
             if target in places and self._holdings.may_hold(target, version, now_s)
         ]
-        turn = self._rotation % max(1, len(known))
+        if len(known) < 2:
+            return known
+        match self._policy:
+            case AnyReplica():
+                random.shuffle(known)
+                return known
+            case NearFirst():
+                return self._near_first(known, now_s)
+
+    def hop_s(self, place: TargetPlace) -> float:
+        """Returns how long a message takes one way to a target's failure domain."""
+        return HOP_S[self._distance(place)]
+
+    def _near_first(self, known: list[TargetPlace], now_s: float) -> list[TargetPlace]:
+        self._rotation += 1
+        turn = self._rotation % len(known)
         rotated = known[turn:] + known[:turn]
-        return iter(sorted(rotated, key=self._distance))
+        rotated.sort(key=self._distance)
+        if any(self._reports.is_avoided(place.target, now_s) for place in rotated):
+            rotated.sort(key=lambda p: self._reports.is_avoided(p.target, now_s))
+        return rotated
 
     def _distance(self, place: TargetPlace) -> int:
         if place.failure_domain == self._failure_domain:
--- a/lavendertide/queries/snapshot.py
+++ b/lavendertide/queries/snapshot.py
@@ -1,7 +1,9 @@
 """The one index version that a query reads.
 
 The best version is the newest of which every shard has a replica that has not lately
-denied holding it.
+denied holding it. A version that nobody has answered from yet is tried by one query at
+a time while an older one is known to be served, so that a publication that runs ahead
+of its builds costs few restarts.
 """
 
 from dataclasses import dataclass
@@ -11,9 +13,12 @@
 
 from lavendertide.configuration.catalog import Index
 from lavendertide.errors import Fault, Refusal, RefusalKind
-from lavendertide.ids import IndexVersion, ShardNumber, TargetId
+from lavendertide.ids import IndexName, IndexVersion, ShardNumber, TargetId
 
 DENIAL_S: Final = 5.0
+DENIALS_MAX: Final = 16_384
+PROBE_S: Final = 0.25
+SERVED_VERSIONS_MAX: Final = 8
 
 
 @dataclass(frozen=True, slots=True)
@@ -34,35 +39,79 @@
 
 
 class Holdings:
-    """Which versions targets have lately denied holding."""
+    """Which versions targets serve, learned from their replies.
+
+    Memory is bounded: denials expire, and beyond a number of them the oldest is
+    dropped, which costs one more request to that target.
+    """
 
     def __init__(self) -> None:
         self._denied_until_s: dict[tuple[TargetId, IndexVersion], float] = {}
+        self._served: dict[IndexName, dict[IndexVersion, None]] = {}
+        self._probe_at_s: dict[IndexName, float] = {}
 
     def deny(self, target: TargetId, version: IndexVersion, now_s: float) -> None:
         """Remembers that a target does not hold a version."""
+        self._denied_until_s.pop((target, version), None)
+        if len(self._denied_until_s) >= DENIALS_MAX:
+            del self._denied_until_s[next(iter(self._denied_until_s))]
         self._denied_until_s[target, version] = now_s + DENIAL_S
 
     def may_hold(self, target: TargetId, version: IndexVersion, now_s: float) -> bool:
         """Returns whether it is worth asking a target for a version."""
+        if not self._denied_until_s:
+            return True
         return self._denied_until_s.get((target, version), 0.0) <= now_s
 
+    def may_any_hold(
+        self, targets: tuple[TargetId, ...], version: IndexVersion, now_s: float
+    ) -> bool:
+        """Returns whether it is worth asking any of some targets for a version."""
+        return any(self.may_hold(target, version, now_s) for target in targets)
+
+    def note_served(self, index: IndexName, version: IndexVersion) -> None:
+        """Remembers that all shards of a version were answered or merely late."""
+        served = self._served.setdefault(index, {})
+        if version in served:
+            return
+        served[version] = None
+        if len(served) > SERVED_VERSIONS_MAX:
+            del served[min(served)]
+
     def pin(self, index: Index, now_s: float) -> Result[Snapshot, Refusal]:
         """Chooses the version that a query reads."""
-        for version in sorted(index.versions, reverse=True):
-            replicas = index.versions[version]
-            if all(self._any_may_hold(held, version, now_s) for held in replicas):
-                return Success(Snapshot(version, replicas))
-        return Failure(
-            Refusal(
-                RefusalKind.NO_SNAPSHOT,
-                f"No version of '{index.index}' is held for every shard.",
-                "Publish a version that the targets hold, or wait for their builds.",
-                Fault.TARGET,
-            )
+        usable = [
+            version
+            for version in sorted(index.versions, reverse=True)
+            if self._is_usable(index, version, now_s)
+        ]
+        if not usable:
+            return Failure(_no_snapshot(index))
+        version = self._served_or_probed(index.index, usable, now_s)
+        return Success(Snapshot(version, index.versions[version]))
+
+    def _is_usable(self, index: Index, version: IndexVersion, now_s: float) -> bool:
+        if not self._denied_until_s:
+            return True
+        return all(
+            self.may_any_hold(held, version, now_s) for held in index.versions[version]
         )
 
-    def _any_may_hold(
-        self, targets: tuple[TargetId, ...], version: IndexVersion, now_s: float
-    ) -> bool:
-        return any(self.may_hold(target, version, now_s) for target in targets)
+    def _served_or_probed(
+        self, index: IndexName, usable: list[IndexVersion], now_s: float
+    ) -> IndexVersion:
+        newest = usable[0]
+        served = self._served.get(index, {})
+        if newest in served or now_s >= self._probe_at_s.get(index, 0.0):
+            self._probe_at_s[index] = now_s + PROBE_S
+            return newest
+        return next((version for version in usable if version in served), newest)
+
+
+def _no_snapshot(index: Index) -> Refusal:
+    return Refusal(
+        RefusalKind.NO_SNAPSHOT,
+        f"No version of '{index.index}' is held for every shard.",
+        "Publish a version that the targets hold, or wait for their builds.",
+        Fault.TARGET,
+    )
--- /dev/null
+++ b/lavendertide/queries/target_reports.py
@@ -0,0 +1,83 @@
+"""What the last replies of each target said about its room for more.
+
+A hedge goes only where a slot was free when the target last replied. A target that has
+not replied lately may be asked by one hedge at a time, which brings a fresh report.
+"""
+
+from dataclasses import dataclass
+from typing import Final
+
+from lavendertide.ids import TargetId
+from lavendertide.messages import DeclineReason
+
+REPORT_FRESH_S: Final = 1.0
+AVOID_S: Final = 0.5
+REPORTS_MAX: Final = 8_192
+
+
+@dataclass(slots=True)
+class _Report:
+    spare_slots: int
+    heard_at_s: float
+    hedged_at_s: float = 0.0
+    avoided_until_s: float = 0.0
+
+
+class TargetReports:
+    """The last report of each target that this daemon has asked.
+
+    Memory is bounded: beyond a number of targets the oldest entry is dropped.
+    """
+
+    def __init__(self) -> None:
+        self._by_target: dict[TargetId, _Report] = {}
+
+    def hear(self, target: TargetId, spare_slots: int, now_s: float) -> None:
+        """Takes in how many slots were free when a target replied."""
+        report = self._report(target, now_s)
+        report.spare_slots = spare_slots
+        report.heard_at_s = now_s
+
+    def hear_decline(
+        self, target: TargetId, reason: DeclineReason, spare_slots: int, now_s: float
+    ) -> None:
+        """Takes in a decline; who cannot serve at all is asked last for a while."""
+        self.hear(target, spare_slots, now_s)
+        match reason:
+            case (
+                DeclineReason.UNREACHABLE
+                | DeclineReason.DRAINING
+                | DeclineReason.SHED
+                | DeclineReason.NO_LEASE
+            ):
+                self._by_target[target].avoided_until_s = now_s + AVOID_S
+            case _:
+                pass
+
+    def is_avoided(self, target: TargetId, now_s: float) -> bool:
+        """Returns whether another replica is worth asking first."""
+        report = self._by_target.get(target)
+        return report is not None and now_s < report.avoided_until_s
+
+    def may_hedge(self, target: TargetId, now_s: float) -> bool:
+        """Returns whether the target has room for a hedge, as far as is known."""
+        report = self._by_target.get(target)
+        if report is None:
+            return True
+        if now_s - report.heard_at_s < REPORT_FRESH_S:
+            return report.spare_slots > 0
+        return now_s - report.hedged_at_s >= REPORT_FRESH_S
+
+    def note_hedge(self, target: TargetId, now_s: float) -> None:
+        """Counts a hedge against the room that was reported."""
+        report = self._report(target, now_s - REPORT_FRESH_S)
+        report.spare_slots -= 1
+        report.hedged_at_s = now_s
+
+    def _report(self, target: TargetId, heard_at_s: float) -> _Report:
+        report = self._by_target.get(target)
+        if report is None:
+            if len(self._by_target) >= REPORTS_MAX:
+                del self._by_target[next(iter(self._by_target))]
+            report = self._by_target[target] = _Report(0, heard_at_s)
+        return report
--- /dev/null
+++ b/lavendertide/queries/waiting.py
@@ -0,0 +1,60 @@
+"""How long an answer waits for the last shards, as the index's owner prefers."""
+
+import math
+
+from lavendertide.configuration.catalog import Index
+from lavendertide.options import (
+    CoverageFirst,
+    LatencyFirst,
+    PolicyOptions,
+    WaitPolicy,
+)
+from lavendertide.queries.deadline import Deadline
+
+
+def wait_policy(policies: PolicyOptions, index: Index) -> WaitPolicy:
+    """Returns the policy that an index's owner has chosen in the list of uses."""
+    if index.preference == "coverage":
+        return policies.coverage_first
+    return policies.latency_first
+
+
+def leaves_at_s(
+    policy: WaitPolicy,
+    deadline: Deadline,
+    started_at_s: float,
+    covered: int,
+    shard_count: int,
+) -> float:
+    """Returns when an answer with some shards uncovered may leave.
+
+    Args:
+        policy: What the owner prefers.
+        deadline: When it has to leave.
+        started_at_s: When the query came.
+        covered: Shards that are covered so far.
+        shard_count: Shards of the version.
+    """
+    match policy:
+        case LatencyFirst(deadline_share=share, coverage_min=coverage_min):
+            if covered < coverage_min * shard_count:
+                return deadline.at_s
+            return started_at_s + share * (deadline.at_s - started_at_s)
+        case CoverageFirst():
+            return deadline.at_s
+
+
+def next_round_s(policy: WaitPolicy, rounds: int) -> float | None:
+    """Returns the pause before a shard's replicas are asked again, none for never.
+
+    Args:
+        policy: What the owner prefers.
+        rounds: How many rounds the shard has had.
+    """
+    match policy:
+        case CoverageFirst(rounds=rounds_max, pause_ms=pause_ms):
+            if rounds >= rounds_max:
+                return None
+            return math.ldexp(pause_ms / 1000, rounds - 1)
+        case LatencyFirst():
+            return None
