--- a/lavendertide/messages.py
+++ b/lavendertide/messages.py
@@ -22,6 +22,7 @@
     IndexName,
     IndexVersion,
     OwnerId,
+    PlanClass,
     PlanId,
     QueryId,
     Region,
@@ -87,6 +88,14 @@
     MISMATCHED_REPLY = "mismatched_reply"
 
 
+class VerdictKind(Enum):
+    """How a request that was in flight during a crash is treated."""
+
+    SUSPECT = "suspect"
+    CLEARED = "cleared"
+    CONDEMNED = "condemned"
+
+
 @dataclass(frozen=True, slots=True)
 class MemberRecord:
     """One daemon as the fleet sees it; a higher incarnation overrides a lower one."""
@@ -118,6 +127,7 @@
         body: The caller's request body, passed on as it came.
         remaining_ms: What was left of the deadline when it was sent.
         fingerprint: Digest that is equal for equal requests of one owner.
+        plan_class: Class of the caller's plan; classes share an owner's slots.
         page_size: Rows of the shard that the answer can use.
     """
 
@@ -132,6 +142,7 @@
     body: str
     remaining_ms: int
     fingerprint: Fingerprint
+    plan_class: PlanClass = PlanClass("")
     page_size: int = 0
 
 
@@ -246,16 +257,17 @@
 
 @dataclass(frozen=True, slots=True)
 class Verdict:
-    """What a daemon has found out about requests with one fingerprint.
+    """What is known about a request at a shard where it may have crashed a target.
 
     Attributes:
-        is_condemned: Whether it is refused; otherwise it only runs alone.
-        crashes: Targets that it is known to have crashed.
+        shard: The shard; a condemnation holds for all of them.
+        crashes: Crashes with the request in flight; a higher count overrides.
         valid_ms: How long the verdict still holds.
     """
 
     fingerprint: Fingerprint
-    is_condemned: bool
+    shard: ShardNumber
+    kind: VerdictKind
     crashes: int
     valid_ms: int
 
@@ -267,6 +279,52 @@
     items: tuple[Verdict, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class TrialClaim:
+    """Asks a suspect's home daemon for the one trial that may run in the region."""
+
+    exchange: ExchangeId
+    sender: DaemonId
+    fingerprint: Fingerprint
+    duration_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class TrialGrant:
+    """Answers a trial claim."""
+
+    exchange: ExchangeId
+    is_granted: bool
+
+
+@dataclass(frozen=True, slots=True)
+class SlotClaim:
+    """One target whose slots a new primary wants from the former holder.
+
+    Attributes:
+        serial: Tells the claimant which of its claims a release answers.
+    """
+
+    target: TargetId
+    serial: int
+
+
+@dataclass(frozen=True, slots=True)
+class SlotClaims:
+    """Asks the former holder to say when it runs nothing on these targets."""
+
+    sender: DaemonId
+    items: tuple[SlotClaim, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class SlotReleases:
+    """Says that the sender runs nothing on these targets and will start nothing."""
+
+    sender: DaemonId
+    items: tuple[SlotClaim, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class TicketRequest:
     """A non-idempotent request on its way to the daemon that minted its ticket.
@@ -311,4 +369,8 @@
     | TicketRequest
     | TicketReply
     | Verdicts
+    | TrialClaim
+    | TrialGrant
+    | SlotClaims
+    | SlotReleases
 )
