Bind tickets to plan and request; say unknown where a try may have run

Cause: a refused /v1/execute said not_run although an earlier try under the same ticket may have run, as with an expired ticket or a plan limit on the second try. A ticket also took a second, different request, and one plan could fill the ledger.

A refusal now has the outcome over all tries beside that of this try; only the minter, which knows that a ticket never began, says not_run. Expired tickets are unknown.

A process that wakes takes the length of its pause off the deadline of what it finds in its sockets.

--- a/lavendertide/daemon/caller_front.py
+++ b/lavendertide/daemon/caller_front.py
@@ -9,9 +9,11 @@
 from lavendertide.daemon.ticket_service import TicketService
 from lavendertide.encodings import caller_json
 from lavendertide.errors import Fault, Refusal, RefusalKind
+from lavendertide.executions.order import RefusedOrder
 from lavendertide.fleet.addresses import addresses_for
 from lavendertide.fleet.roster import Roster
-from lavendertide.ids import CallerKey, FailureDomain, Region
+from lavendertide.ids import CallerKey, FailureDomain, Region, TicketId
+from lavendertide.messages import Outcome
 
 Environment = dict[str, Any]
 StartResponse = Callable[[str, list[tuple[str, str]]], Any]
@@ -19,12 +21,14 @@
 KEY_HEADER: Final = "HTTP_X_CALLER_KEY"
 DOMAIN_HEADER: Final = "HTTP_X_FAILURE_DOMAIN"
 REGION_HEADER: Final = "HTTP_X_REGION"
+TICKETS_PATH: Final = "/v1/tickets/"
 REASONS: Final = {
     200: "OK",
     400: "Bad Request",
     401: "Unauthorized",
     403: "Forbidden",
     404: "Not Found",
+    409: "Conflict",
     410: "Gone",
     413: "Content Too Large",
     422: "Unprocessable Content",
@@ -54,42 +58,47 @@
         """Answers one request."""
         match self._answer(environment):
             case Success(body):
+                headers = _headers(body)
                 status = 200
-            case Failure(refusal):
-                status, body = caller_json.encode_refusal(refusal)
-        headers = [
-            ("Content-Type", "application/json"),
-            ("Content-Length", str(len(body))),
-        ]
+            case Failure(RefusedOrder(refusal, outcome)):
+                body = caller_json.encode_refusal(refusal, outcome)
+                status = caller_json.status_of(refusal.kind)
+                headers = _headers(body, caller_json.retry_after_s(refusal.kind))
         start_response(f"{status} {REASONS[status]}", headers)
         return [body]
 
-    def _answer(self, environment: Environment) -> Result[bytes, Refusal]:
+    def _answer(self, environment: Environment) -> Result[bytes, RefusedOrder]:
         key = CallerKey(environment.get(KEY_HEADER, ""))
         match environment["REQUEST_METHOD"], environment["PATH_INFO"]:
             case "GET", "/v1/addresses":
                 return Success(self._addresses(key, environment))
             case "POST", "/v1/search":
-                return self._read(environment).bind(
-                    lambda data: self._search(key, data)
-                )
+                data = self._read(environment)
+                return data.bind(lambda sent: self._search(key, sent)).alt(_not_run)
             case "POST", "/v1/tickets":
-                return self._tickets.mint(key).map(caller_json.encode_ticket)
+                ticket = self._tickets.mint(key)
+                return ticket.map(caller_json.encode_ticket).alt(_not_run)
             case "POST", "/v1/execute":
-                return self._read(environment).bind(
-                    lambda data: self._execute(key, data)
-                )
+                sent = self._read(environment)
+                return sent.alt(_unknown).bind(lambda data: self._execute(key, data))
+            case "GET", path if path.startswith(TICKETS_PATH):
+                return self._inquire(key, path.removeprefix(TICKETS_PATH))
             case _:
-                return Failure(caller_json.malformed("There is no such path."))
+                no_path = caller_json.malformed("There is no such path.")
+                return Failure(_not_run(no_path))
 
     def _search(self, key: CallerKey, data: bytes) -> Result[bytes, Refusal]:
         question = caller_json.decode_question(key, data)
         return question.bind(self._queries.search).map(caller_json.encode_answer)
 
-    def _execute(self, key: CallerKey, data: bytes) -> Result[bytes, Refusal]:
-        order = caller_json.decode_order(key, data)
+    def _execute(self, key: CallerKey, data: bytes) -> Result[bytes, RefusedOrder]:
+        order = caller_json.decode_order(key, data).alt(_unknown)
         return order.bind(self._tickets.execute).map(caller_json.encode_execution)
 
+    def _inquire(self, key: CallerKey, ticket: str) -> Result[bytes, RefusedOrder]:
+        known = self._tickets.inquire(key, TicketId(ticket))
+        return known.map(caller_json.encode_execution).alt(_unknown)
+
     def _addresses(self, key: CallerKey, environment: Environment) -> bytes:
         own = self._roster.own
         answer = addresses_for(
@@ -111,6 +120,25 @@
         return Success(data)
 
 
+def _headers(body: bytes, retry_after_s: int | None = None) -> list[tuple[str, str]]:
+    headers = [
+        ("Content-Type", "application/json"),
+        ("Content-Length", str(len(body))),
+    ]
+    if retry_after_s is not None:
+        headers.append(("Retry-After", str(retry_after_s)))
+    return headers
+
+
+def _not_run(refusal: Refusal) -> RefusedOrder:
+    return RefusedOrder(refusal, Outcome.NOT_RUN)
+
+
+def _unknown(refusal: Refusal) -> RefusedOrder:
+    """Says of an order that could not be read that an earlier try may have run."""
+    return RefusedOrder(refusal, Outcome.UNKNOWN)
+
+
 def _too_large(body_max_bytes: int) -> Refusal:
     return Refusal(
         RefusalKind.BODY_TOO_LARGE,
--- a/lavendertide/daemon/daemon.py
+++ b/lavendertide/daemon/daemon.py
@@ -12,6 +12,7 @@
 from lavendertide.daemon.admin_front import AdminFront
 from lavendertide.daemon.caller_front import CallerFront
 from lavendertide.daemon.dispatcher import Dispatcher
+from lavendertide.daemon.minter import Minter
 from lavendertide.daemon.peer_front import PeerFront
 from lavendertide.daemon.query_service import QueryService
 from lavendertide.daemon.ticket_service import TicketService
@@ -45,6 +46,7 @@
 from lavendertide.queries.target_reports import TargetReports
 from lavendertide.queries.timing import Timings
 from lavendertide.runtime import clock, sockets, tasks
+from lavendertide.runtime.pauses import Pauses, keep_ticking
 from lavendertide.targets.target_pool import TargetPool
 
 MEMBERSHIP_READ_S: Final = 2.0
@@ -60,6 +62,7 @@
     def __init__(self, options: Options) -> None:
         self._options = options
         self._stopping = tasks.Signal()
+        self._pauses = Pauses(clock.monotonic_s())
         self._configuration = Configuration()
         self._allowances = Allowances()
         self._roster = Roster(_own_record(options))
@@ -81,17 +84,22 @@
         parts = self._fan_out_parts()
         gate = Gate(options.queries.in_flight_max, parts.memory)
         self._queries = QueryService(
-            options.queries, self._configuration, self._allowances, parts, gate
+            options.queries,
+            self._configuration,
+            self._allowances,
+            parts,
+            gate,
+            self._pauses,
         )
-        ledger = Ledger()
         self._tickets = TicketService(
             options.fleet.key,
+            options.queries.deadline_max_ms,
             self._configuration,
             self._allowances,
             self._roster,
             self._peers,
-            ledger,
-            Executor(ledger, parts),
+            self._minter(parts),
+            gate,
         )
 
     def run(self) -> None:
@@ -104,6 +112,7 @@
         peer_front = PeerFront(self._news, self._dispatcher, self._tickets)
         tasks.spawn(peer_front.serve, peer_listener)
         self._peers.follow_roster()
+        tasks.spawn(keep_ticking, self._pauses)
         self._watch_platform()
         caller_front = CallerFront(
             self._options.queries.body_max_bytes,
@@ -123,6 +132,17 @@
         self._stopping.wait()
         _log.info("stopped")
 
+    def _minter(self, parts: FanOutParts) -> Minter:
+        ledger = Ledger(self._options.tickets)
+        return Minter(
+            self._options.fleet.key,
+            self._configuration,
+            self._roster,
+            ledger,
+            Executor(ledger, parts),
+            self._pauses,
+        )
+
     def _fan_out_parts(self) -> FanOutParts:
         own = self._roster.own
         policies, queries = self._options.policies, self._options.queries
--- /dev/null
+++ b/lavendertide/daemon/minter.py
@@ -0,0 +1,117 @@
+"""The tickets of this incarnation: minting, binding and executing them.
+
+Every order under a ticket of this daemon ends here, from whichever host it came.
+"""
+
+from typing import Final
+
+from returns.result import Failure, Result, Success
+
+from lavendertide.configuration.adoption import Configuration
+from lavendertide.configuration.catalog import Catalog, Plan
+from lavendertide.errors import Refusal
+from lavendertide.executions.execution import Execution, ExecutionResult, Executor
+from lavendertide.executions.ledger import Entry, Ledger
+from lavendertide.executions.order import RefusedOrder
+from lavendertide.executions.ticket import Ticket, write_ticket
+from lavendertide.fleet.roster import Roster
+from lavendertide.ids import PlanId, TicketId
+from lavendertide.messages import Outcome, TicketRequest
+from lavendertide.queries.deadline import Deadline
+from lavendertide.queries.query import fingerprint_of
+from lavendertide.runtime import clock
+from lavendertide.runtime.pauses import Pauses
+
+EXPIRED: Final = (
+    "The ticket is older than this host keeps tickets, and will not be run again. "
+    "Ask the index whether it ran before taking a new ticket."
+)
+BEHIND: Final = (
+    "The daemon that minted the ticket does not know the plan or the index yet. "
+    "Send it again unchanged, a little later."
+)
+
+
+class Minter:
+    """Mints tickets and executes each of them once at most."""
+
+    def __init__(
+        self,
+        fleet_key: str,
+        configuration: Configuration,
+        roster: Roster,
+        ledger: Ledger,
+        executor: Executor,
+        pauses: Pauses,
+    ) -> None:
+        self._fleet_key = fleet_key
+        self._configuration = configuration
+        self._roster = roster
+        self._ledger = ledger
+        self._executor = executor
+        self._pauses = pauses
+
+    def mint(self, plan: PlanId, now_s: float) -> Result[TicketId, Refusal]:
+        """Returns a ticket for the callers of a plan."""
+        return self._ledger.mint(plan, now_s).map(self._write)
+
+    def has_minted(self, ticket: Ticket) -> bool:
+        """Returns whether a ticket is of this daemon and incarnation."""
+        own = self._roster.own
+        return (ticket.daemon, ticket.incarnation) == (own.daemon, own.incarnation)
+
+    def outcome_of(self, ticket: Ticket, now_s: float) -> ExecutionResult:
+        """Returns what is known of one of its tickets."""
+        entry = self._ledger.find(ticket.serial, now_s)
+        if entry is None:
+            return ExecutionResult(Outcome.UNKNOWN, EXPIRED)
+        return ExecutionResult(entry.outcome, entry.detail)
+
+    def take(
+        self, ticket: Ticket, request: TicketRequest, deadline: Deadline
+    ) -> Result[ExecutionResult, RefusedOrder]:
+        """Executes an order, or says what is known of it."""
+        now_s = clock.monotonic_s()
+        entry = self._ledger.find(ticket.serial, now_s)
+        if entry is None:
+            return Success(ExecutionResult(Outcome.UNKNOWN, EXPIRED))
+        match self._bind(entry, request):
+            case Failure(refusal):
+                # Nothing but what the ticket is bound to can have run under it.
+                return Failure(RefusedOrder(refusal, Outcome.NOT_RUN))
+        if request.is_inquiry:
+            return Success(ExecutionResult(entry.outcome, entry.detail))
+        waited_s = self._pauses.waited_at_most_s(now_s)
+        return Success(
+            self._execute(entry, request, Deadline(deadline.at_s - waited_s))
+        )
+
+    def _bind(self, entry: Entry, request: TicketRequest) -> Result[None, Refusal]:
+        if request.is_inquiry:
+            return self._ledger.check_plan(entry, request.plan)
+        digest = fingerprint_of(
+            request.plan, request.index, request.operation, request.body
+        )
+        return self._ledger.bind(entry, request.plan, digest)
+
+    def _execute(
+        self, entry: Entry, request: TicketRequest, deadline: Deadline
+    ) -> ExecutionResult:
+        catalog = self._configuration.catalog.value_or(None)
+        plan = _find_plan(catalog, request.plan) if catalog else None
+        index = catalog.indexes.get(request.index) if catalog else None
+        if catalog is None or plan is None or index is None:
+            return ExecutionResult(entry.outcome, BEHIND)
+        execution = Execution(
+            request.ticket, plan, index, request.operation, request.body, deadline
+        )
+        return self._executor.execute(entry, execution, catalog)
+
+    def _write(self, entry: Entry) -> TicketId:
+        own = self._roster.own
+        ticket = Ticket(own.daemon, own.incarnation, entry.serial)
+        return write_ticket(ticket, self._fleet_key)
+
+
+def _find_plan(catalog: Catalog, plan: PlanId) -> Plan | None:
+    return next((p for p in catalog.plans.values() if p.plan == plan), None)
--- a/lavendertide/daemon/ticket_service.py
+++ b/lavendertide/daemon/ticket_service.py
@@ -1,156 +1,221 @@
 """Tickets and their execution, on whichever daemon a caller has reached."""
 
 import uuid
+from typing import Final
 
 from returns.result import Failure, Result, Success
 
 from lavendertide.configuration.adoption import Configuration
-from lavendertide.configuration.catalog import Plan
+from lavendertide.configuration.catalog import Catalog, Index, Plan
+from lavendertide.daemon.minter import Minter
 from lavendertide.errors import Fault, Refusal, RefusalKind
-from lavendertide.executions.execution import Execution, ExecutionResult, Executor
-from lavendertide.executions.ledger import Entry, Ledger
-from lavendertide.executions.order import Order
-from lavendertide.executions.ticket import Ticket, read_ticket, write_ticket
+from lavendertide.executions.execution import ExecutionResult
+from lavendertide.executions.order import Order, RefusedOrder
+from lavendertide.executions.ticket import Ticket, read_ticket
 from lavendertide.fleet.peers import Peers
 from lavendertide.fleet.roster import Roster
-from lavendertide.ids import CallerKey, ExchangeId, TicketId
-from lavendertide.messages import Outcome, TicketReply, TicketRequest
+from lavendertide.ids import CallerKey, ExchangeId, IndexName, TicketId
+from lavendertide.messages import (
+    MemberRecord,
+    MemberState,
+    Operation,
+    Outcome,
+    TicketReply,
+    TicketRequest,
+)
 from lavendertide.plans.admission import Allowances
-from lavendertide.queries.deadline import Deadline
+from lavendertide.queries.deadline import Deadline, deadline_for
+from lavendertide.queries.gate import Gate
 from lavendertide.runtime import clock
 
+RELAY_S: Final = 0.005
+INQUIRY_MS: Final = 500
+
+GONE: Final = (
+    "The daemon that minted the ticket is gone, so nobody will run it again. "
+    "Ask the index whether it ran before taking a new ticket."
+)
+NOT_KNOWN: Final = (
+    "The daemon that minted the ticket is not known to this host. "
+    "Send it again unchanged, to another address."
+)
+SILENT: Final = (
+    "The daemon that minted the ticket did not answer in time. "
+    "Send it again unchanged; it runs once at most."
+)
+
 
 class TicketService:
-    """Mints tickets and executes them here or at their minter."""
+    """Takes orders in and hands them to the daemon that minted their ticket."""
 
     def __init__(
         self,
         fleet_key: str,
+        deadline_max_ms: int,
         configuration: Configuration,
         allowances: Allowances,
         roster: Roster,
         peers: Peers,
-        ledger: Ledger,
-        executor: Executor,
+        minter: Minter,
+        gate: Gate,
     ) -> None:
         self._fleet_key = fleet_key
+        self._deadline_max_ms = deadline_max_ms
         self._configuration = configuration
         self._allowances = allowances
         self._roster = roster
         self._peers = peers
-        self._ledger = ledger
-        self._executor = executor
+        self._minter = minter
+        self._gate = gate
 
     def mint(self, key: CallerKey) -> Result[TicketId, Refusal]:
         """Returns a ticket that this incarnation alone can execute."""
-        now_s = clock.monotonic_s()
         return self._configuration.catalog.bind(
             lambda catalog: catalog.plan_of(key).bind(
-                lambda _: self._ledger.mint(now_s).map(self._write)
+                lambda plan: self._minter.mint(plan.plan, clock.monotonic_s())
             )
         )
 
-    def execute(self, order: Order) -> Result[ExecutionResult, Refusal]:
+    def execute(self, order: Order) -> Result[ExecutionResult, RefusedOrder]:
         """Executes an order once at most, whichever daemon it came to."""
+        now_s = clock.monotonic_s()
         ticket = read_ticket(order.ticket, self._fleet_key)
+        if ticket is None:
+            return Failure(RefusedOrder(_unknown_ticket(), Outcome.UNKNOWN))
+        match self._check(order):
+            case Success(plan):
+                pass
+            case Failure(refusal):
+                return Failure(self._refused(ticket, refusal))
+        allowance = self._allowances.of(plan, now_s)
+        match allowance.enter(1.0, now_s):
+            case Failure(refusal):
+                return Failure(self._refused(ticket, refusal))
+        try:
+            return self._run(order, ticket, plan, now_s)
+        finally:
+            allowance.leave()
+
+    def inquire(
+        self, key: CallerKey, text: TicketId
+    ) -> Result[ExecutionResult, Refusal]:
+        """Returns what is known of a ticket, and runs nothing."""
+        ticket = read_ticket(text, self._fleet_key)
         if ticket is None:
             return Failure(_unknown_ticket())
-        return self._configuration.catalog.bind(
-            lambda catalog: catalog.plan_of(order.key).bind(
-                lambda plan: catalog.index_for(plan, order.index, order.operation).bind(
-                    lambda _: self._admit(order, ticket, plan)
-                )
-            )
+        catalog = self._configuration.catalog
+        return catalog.bind(lambda known: known.plan_of(key)).bind(
+            lambda plan: self._inquire(ticket, text, plan)
         )
 
     def execute_for_peer(self, request: TicketRequest) -> TicketReply:
         """Executes a ticket of this daemon that a caller has sent to a peer."""
         ticket = read_ticket(request.ticket, self._fleet_key)
-        if ticket is None or not self._is_own(ticket):
-            return TicketReply(request.exchange, Outcome.UNKNOWN, "minter is gone")
-        deadline = Deadline(clock.monotonic_s() + request.remaining_ms / 1000)
-        match self._execute_own(ticket, request, deadline):
+        if ticket is None or not self._minter.has_minted(ticket):
+            return TicketReply(request.exchange, Outcome.UNKNOWN, GONE)
+        budget_ms = min(request.remaining_ms, self._deadline_max_ms)
+        deadline = Deadline(clock.monotonic_s() + budget_ms / 1000)
+        match self._minter.take(ticket, request, deadline):
             case Success(ExecutionResult(outcome, detail)):
                 return TicketReply(request.exchange, outcome, detail)
-            case Failure(refusal):
-                return TicketReply(request.exchange, Outcome.UNKNOWN, str(refusal))
+            case Failure(RefusedOrder(refusal, outcome)):
+                return TicketReply(request.exchange, outcome, "", refusal)
         raise AssertionError("a result is a success or a failure")
 
-    def _admit(
-        self, order: Order, ticket: Ticket, plan: Plan
-    ) -> Result[ExecutionResult, Refusal]:
-        now_s = clock.monotonic_s()
-        allowance = self._allowances.of(plan, now_s)
-        match allowance.enter(1.0, now_s):
-            case Failure(refusal):
-                return Failure(refusal)
-        try:
-            return self._route(order, ticket, plan, now_s)
-        finally:
-            allowance.leave()
+    def _check(self, order: Order) -> Result[Plan, Refusal]:
+        def may_use(catalog: Catalog, plan: Plan) -> Result[Plan, Refusal]:
+            found = catalog.index_for(plan, order.index, order.operation)
+            return found.bind(_has_one_shard).map(lambda _: plan)
 
-    def _route(
-        self, order: Order, ticket: Ticket, plan: Plan, now_s: float
-    ) -> Result[ExecutionResult, Refusal]:
-        deadline = Deadline(now_s + order.deadline_ms / 1000)
-        request = TicketRequest(
-            ExchangeId(uuid.uuid4().hex),
-            order.ticket,
-            plan.plan,
-            order.index,
-            order.operation,
-            order.body,
-            order.deadline_ms,
+        return self._configuration.catalog.bind(
+            lambda catalog: catalog.plan_of(order.key).bind(
+                lambda plan: may_use(catalog, plan)
+            )
         )
-        if self._is_own(ticket):
-            return self._execute_own(ticket, request, deadline)
-        return Success(self._execute_at_minter(ticket, request, deadline))
 
-    def _execute_own(
-        self, ticket: Ticket, request: TicketRequest, deadline: Deadline
-    ) -> Result[ExecutionResult, Refusal]:
-        found = self._ledger.find(ticket.serial, clock.monotonic_s())
-        return found.bind(lambda entry: self._execute_entry(entry, request, deadline))
+    def _refused(self, ticket: Ticket, refusal: Refusal) -> RefusedOrder:
+        if self._minter.has_minted(ticket):
+            known = self._minter.outcome_of(ticket, clock.monotonic_s())
+            return RefusedOrder(refusal, known.outcome)
+        return RefusedOrder(refusal, Outcome.UNKNOWN)
 
-    def _execute_entry(
-        self, entry: Entry, request: TicketRequest, deadline: Deadline
-    ) -> Result[ExecutionResult, Refusal]:
-        match self._configuration.catalog:
-            case Success(catalog):
-                index = catalog.indexes[request.index]
-                execution = Execution(
-                    request.ticket,
-                    index.owner,
-                    request.index,
-                    request.operation,
-                    request.body,
-                    deadline,
-                )
-                return Success(self._executor.execute(entry, execution, index, catalog))
+    def _run(
+        self, order: Order, ticket: Ticket, plan: Plan, now_s: float
+    ) -> Result[ExecutionResult, RefusedOrder]:
+        budget_ms = min(order.deadline_ms, self._deadline_max_ms)
+        deadline = deadline_for(budget_ms, now_s)
+        match self._gate.enter(deadline.remaining_s(now_s), None):
             case Failure(refusal):
-                return Failure(refusal)
-        raise AssertionError("a result is a success or a failure")
+                return Failure(self._refused(ticket, refusal))
+        try:
+            request = _request(order.ticket, plan, order, deadline, now_s)
+            if self._minter.has_minted(ticket):
+                return self._minter.take(ticket, request, deadline)
+            return self._ask_minter(ticket, request, deadline)
+        finally:
+            self._gate.leave()
 
-    def _execute_at_minter(
+    def _inquire(
+        self, ticket: Ticket, text: TicketId, plan: Plan
+    ) -> Result[ExecutionResult, Refusal]:
+        now_s = clock.monotonic_s()
+        deadline = deadline_for(INQUIRY_MS, now_s)
+        request = _request(text, plan, None, deadline, now_s)
+        if self._minter.has_minted(ticket):
+            found = self._minter.take(ticket, request, deadline)
+        else:
+            found = self._ask_minter(ticket, request, deadline)
+        return found.alt(lambda refused: refused.refusal)
+
+    def _ask_minter(
         self, ticket: Ticket, request: TicketRequest, deadline: Deadline
-    ) -> ExecutionResult:
+    ) -> Result[ExecutionResult, RefusedOrder]:
         member = self._roster.find(ticket.daemon)
-        if member is None or member.incarnation != ticket.incarnation:
-            return ExecutionResult(Outcome.UNKNOWN, "the ticket's minter is gone")
+        if member is None or member.incarnation < ticket.incarnation:
+            return Success(ExecutionResult(Outcome.UNKNOWN, NOT_KNOWN))
+        if _is_gone(member, ticket):
+            return Success(ExecutionResult(Outcome.UNKNOWN, GONE))
         wait_s = deadline.remaining_s(clock.monotonic_s())
         reply = self._peers.link_to(member).exchange(request, wait_s)
         if reply is None:
-            return ExecutionResult(Outcome.UNKNOWN, "the ticket's minter is silent")
-        return ExecutionResult(reply.outcome, reply.detail)
+            return Success(ExecutionResult(Outcome.UNKNOWN, SILENT))
+        if reply.refusal is not None:
+            return Failure(RefusedOrder(reply.refusal, reply.outcome))
+        return Success(ExecutionResult(reply.outcome, reply.detail))
+
+
+def _request(
+    ticket: TicketId, plan: Plan, order: Order | None, deadline: Deadline, now_s: float
+) -> TicketRequest:
+    """Returns the message to the minter; without an order it only asks."""
+    return TicketRequest(
+        exchange=ExchangeId(uuid.uuid4().hex),
+        ticket=ticket,
+        plan=plan.plan,
+        index=order.index if order else IndexName(""),
+        operation=order.operation if order else Operation.SEARCH,
+        body=order.body if order else "",
+        remaining_ms=int(1000 * max(0.0, deadline.remaining_s(now_s) - RELAY_S)),
+        is_inquiry=order is None,
+    )
+
+
+def _is_gone(member: MemberRecord, ticket: Ticket) -> bool:
+    is_later = member.incarnation > ticket.incarnation
+    return is_later or member.state is MemberState.REMOVED
 
-    def _is_own(self, ticket: Ticket) -> bool:
-        own = self._roster.own
-        return (ticket.daemon, ticket.incarnation) == (own.daemon, own.incarnation)
 
-    def _write(self, entry: Entry) -> TicketId:
-        own = self._roster.own
-        ticket = Ticket(own.daemon, own.incarnation, entry.serial)
-        return write_ticket(ticket, self._fleet_key)
+def _has_one_shard(index: Index) -> Result[Index, Refusal]:
+    if all(len(shards) == 1 for shards in index.versions.values()):
+        return Success(index)
+    return Failure(
+        Refusal(
+            RefusalKind.NOT_ENTITLED,
+            f"'{index.index}' has many shards and takes searches only.",
+            "Send the request to an index of one shard.",
+            Fault.PLAN,
+        )
+    )
 
 
 def _unknown_ticket() -> Refusal:
--- a/lavendertide/encodings/caller_json.py
+++ b/lavendertide/encodings/caller_json.py
@@ -23,6 +23,7 @@
     RefusalKind.UNKNOWN_KEY: 401,
     RefusalKind.NOT_ENTITLED: 403,
     RefusalKind.UNKNOWN_TICKET: 404,
+    RefusalKind.TICKET_MISMATCH: 409,
     RefusalKind.TICKET_EXPIRED: 410,
     RefusalKind.BODY_TOO_LARGE: 413,
     RefusalKind.RESULT_TOO_LARGE: 413,
@@ -31,6 +32,14 @@
     RefusalKind.OVER_PLAN_CONCURRENCY: 429,
 }
 STATUS_UNAVAILABLE: Final = 503
+RETRY_AFTER_S: Final = {
+    RefusalKind.OVER_PLAN_RATE: 1,
+    RefusalKind.OVER_PLAN_CONCURRENCY: 1,
+    RefusalKind.OVERLOADED: 1,
+    RefusalKind.NOT_READY: 1,
+    RefusalKind.LEAVING: 1,
+    RefusalKind.NO_SNAPSHOT: 1,
+}
 
 
 class _SearchBody(BaseModel):
@@ -131,12 +140,27 @@
     )
 
 
-def encode_refusal(refusal: Refusal) -> tuple[int, bytes]:
-    """Returns status and body of a refusal; a refused request has not run."""
-    status = STATUS_OF_KIND.get(refusal.kind, STATUS_UNAVAILABLE)
-    return status, _json(
+def status_of(kind: RefusalKind) -> int:
+    """Returns the HTTP status of a refusal."""
+    return STATUS_OF_KIND.get(kind, STATUS_UNAVAILABLE)
+
+
+def retry_after_s(kind: RefusalKind) -> int | None:
+    """Returns when the same request is worth sending again, none for never."""
+    return RETRY_AFTER_S.get(kind)
+
+
+def encode_refusal(refusal: Refusal, outcome: Outcome = Outcome.NOT_RUN) -> bytes:
+    """Returns the body of a refusal.
+
+    Args:
+        refusal: Why this try was refused; it has not run.
+        outcome: What is known of the request over all tries.
+    """
+    return _json(
         {
-            "outcome": Outcome.NOT_RUN.value,
+            "outcome": outcome.value,
+            "this_try": Outcome.NOT_RUN.value,
             "kind": refusal.kind.value,
             "fault": refusal.fault.value,
             "message": refusal.message,
--- a/lavendertide/errors.py
+++ b/lavendertide/errors.py
@@ -26,6 +26,7 @@
     LEAVING = "leaving"
     UNKNOWN_TICKET = "unknown_ticket"
     TICKET_EXPIRED = "ticket_expired"
+    TICKET_MISMATCH = "ticket_mismatch"
     POISONED = "poisoned"
     NO_SNAPSHOT = "no_snapshot"
     UNREACHABLE = "unreachable"
--- a/lavendertide/messages.py
+++ b/lavendertide/messages.py
@@ -7,6 +7,7 @@
 
 from dataclasses import dataclass
 from enum import Enum
+from typing import Final
 
 from lavendertide.errors import Refusal
 from lavendertide.ids import (
@@ -31,6 +32,8 @@
     TicketId,
 )
 
+NO_CLASS: Final = PlanClass("")
+
 
 class Operation(Enum):
     """What a caller may ask of an index."""
@@ -142,7 +145,7 @@
     body: str
     remaining_ms: int
     fingerprint: Fingerprint
-    plan_class: PlanClass = PlanClass("")
+    plan_class: PlanClass = NO_CLASS
     page_size: int = 0
 
 
--- a/lavendertide/queries/asking.py
+++ b/lavendertide/queries/asking.py
@@ -219,6 +219,7 @@
             body=query.question.body,
             remaining_ms=remaining_ms,
             fingerprint=query.fingerprint,
+            plan_class=query.plan.plan_class,
             page_size=query.question.page_size,
         )
 
--- a/lavendertide/queries/query.py
+++ b/lavendertide/queries/query.py
@@ -10,6 +10,7 @@
     IndexName,
     IndexVersion,
     OwnerId,
+    PlanId,
     QueryId,
     ShardNumber,
 )
@@ -77,9 +78,9 @@
 
 
 def fingerprint_of(
-    owner: OwnerId, index: IndexName, operation: Operation, body: str
+    asker: OwnerId | PlanId, index: IndexName, operation: Operation, body: str
 ) -> Fingerprint:
-    """Returns the digest by which equal requests of one owner are recognised."""
-    text = "\n".join((owner, index, operation.value, body))
+    """Returns the digest by which equal requests of one owner or plan are known."""
+    text = "\n".join((asker, index, operation.value, body))
     digest = hashlib.blake2b(text.encode(), digest_size=FINGERPRINT_BYTES)
     return Fingerprint(digest.hexdigest())
