--- a/lavendertide/daemon/daemon.py
+++ b/lavendertide/daemon/daemon.py
@@ -2,6 +2,7 @@
 
 import logging
 import signal
+from functools import partial
 from typing import Final
 
 from returns.result import Failure, Success
@@ -11,6 +12,7 @@
 from lavendertide.daemon.admin_front import AdminFront
 from lavendertide.daemon.caller_front import CallerFront
 from lavendertide.daemon.dispatcher import Dispatcher
+from lavendertide.daemon.minter import Minter
 from lavendertide.daemon.peer_front import PeerFront
 from lavendertide.daemon.query_service import QueryService
 from lavendertide.daemon.ticket_service import TicketService
@@ -35,10 +37,16 @@
 from lavendertide.messages import MemberRecord, MemberState
 from lavendertide.options import Options
 from lavendertide.plans.admission import Allowances
-from lavendertide.queries.fan_out import FanOutParts, HedgeBudgets
+from lavendertide.queries.gate import Gate
+from lavendertide.queries.hedging import Budgets
+from lavendertide.queries.parts import FanOutParts
 from lavendertide.queries.replicas import ReplicaChoice
+from lavendertide.queries.results_memory import ResultsMemory
 from lavendertide.queries.snapshot import Holdings
+from lavendertide.queries.target_reports import TargetReports
+from lavendertide.queries.timing import Timings
 from lavendertide.runtime import clock, sockets, tasks
+from lavendertide.runtime.pauses import Pauses, keep_ticking
 from lavendertide.targets.target_pool import TargetPool
 
 MEMBERSHIP_READ_S: Final = 2.0
@@ -54,6 +62,7 @@
     def __init__(self, options: Options) -> None:
         self._options = options
         self._stopping = tasks.Signal()
+        self._pauses = Pauses(clock.monotonic_s())
         self._configuration = Configuration()
         self._allowances = Allowances()
         self._roster = Roster(_own_record(options))
@@ -66,23 +75,31 @@
             tuple(Address(seed) for seed in options.fleet.seeds),
             options.fleet.heartbeat_s,
         )
-        self._pool = TargetPool(HttpTargetExchange)
+        self._pool = TargetPool(
+            partial(HttpTargetExchange, reply_max_bytes=options.queries.reply_max_bytes)
+        )
         self._dispatcher = Dispatcher(
             self._configuration, self._roster, self._peers, self._pool
         )
         parts = self._fan_out_parts()
+        gate = Gate(options.queries.in_flight_max, parts.memory)
         self._queries = QueryService(
-            options.queries, self._configuration, self._allowances, parts
+            options.queries,
+            self._configuration,
+            self._allowances,
+            parts,
+            gate,
+            self._pauses,
         )
-        ledger = Ledger()
         self._tickets = TicketService(
             options.fleet.key,
+            options.queries.deadline_max_ms,
             self._configuration,
             self._allowances,
             self._roster,
             self._peers,
-            ledger,
-            Executor(ledger, parts),
+            self._minter(parts),
+            gate,
         )
 
     def run(self) -> None:
@@ -95,6 +112,7 @@
         peer_front = PeerFront(self._news, self._dispatcher, self._tickets)
         tasks.spawn(peer_front.serve, peer_listener)
         self._peers.follow_roster()
+        tasks.spawn(keep_ticking, self._pauses)
         self._watch_platform()
         caller_front = CallerFront(
             self._options.queries.body_max_bytes,
@@ -114,15 +132,34 @@
         self._stopping.wait()
         _log.info("stopped")
 
+    def _minter(self, parts: FanOutParts) -> Minter:
+        ledger = Ledger(self._options.tickets)
+        return Minter(
+            self._options.fleet.key,
+            self._configuration,
+            self._roster,
+            ledger,
+            Executor(ledger, parts),
+            self._pauses,
+        )
+
     def _fan_out_parts(self) -> FanOutParts:
         own = self._roster.own
-        holdings = Holdings()
+        policies, queries = self._options.policies, self._options.queries
+        holdings, reports = Holdings(), TargetReports()
         return FanOutParts(
             dispatch=self._dispatcher,
-            replica_choice=ReplicaChoice(own.region, own.failure_domain, holdings),
+            configuration=self._configuration,
+            policies=policies,
+            replica_choice=ReplicaChoice(
+                policies.replicas, own.region, own.failure_domain, holdings, reports
+            ),
             holdings=holdings,
-            hedge_policy=self._options.policies.hedging,
-            hedge_budgets=HedgeBudgets(),
+            reports=reports,
+            timings=Timings(),
+            memory=ResultsMemory(queries.results_max_bytes, queries.query_max_bytes),
+            hedge_budgets=Budgets(),
+            retry_budgets=Budgets(),
         )
 
     def _watch_platform(self) -> None:
--- a/lavendertide/encodings/target_http.py
+++ b/lavendertide/encodings/target_http.py
@@ -26,6 +26,7 @@
 
 RUN_PATH: Final = "/v1/run"
 CONNECT_TIMEOUT_S: Final = 0.25
+REPLY_MAX_BYTES: Final = 262_144
 STATUS_OK: Final = 200
 HEADERS: Final = {"Content-Type": "application/json"}
 DECLINES: Final = {
@@ -41,9 +42,16 @@
 
     It uses `urllib3`'s connection and not its pool: each connection belongs to one
     task, and the pool's upkeep costs about a fifth of an exchange.
+
+    Args:
+        place: The target.
+        reply_max_bytes: A larger reply is not read to its end.
     """
 
-    def __init__(self, place: TargetPlace) -> None:
+    def __init__(
+        self, place: TargetPlace, reply_max_bytes: int = REPLY_MAX_BYTES
+    ) -> None:
+        self._reply_max_bytes = reply_max_bytes
         host, port = split_address(place.address)
         self._connection = HTTPConnection(host, port)
 
@@ -79,10 +87,18 @@
 
     def _exchange(self, request: SubRequest) -> SubReply:
         self._connection.request(
-            "POST", RUN_PATH, body=encode_run(request), headers=HEADERS
+            "POST",
+            RUN_PATH,
+            body=encode_run(request),
+            headers=HEADERS,
+            preload_content=False,
         )
         response = self._connection.getresponse()
-        return decode_reply(request, response.status, response.data)
+        data = response.read(self._reply_max_bytes + 1)
+        if len(data) > self._reply_max_bytes:
+            self.close()
+            return Lost(request.attempt, LossReason.REPLY_TOO_LARGE)
+        return decode_reply(request, response.status, data)
 
 
 def encode_run(request: SubRequest) -> bytes:
@@ -97,6 +113,7 @@
             "version": request.version,
             "operation": request.operation.value,
             "deadline_ms": request.remaining_ms,
+            "page_size": request.page_size,
             "body": request.body,
         }
     ).encode()
