--- a/lavendertide/daemon/admin_front.py
+++ b/lavendertide/daemon/admin_front.py
@@ -7,6 +7,7 @@
 from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
 
 from lavendertide.configuration.adoption import Configuration
+from lavendertide.fleet.readiness import Readiness
 from lavendertide.fleet.roster import SILENCE_S, Roster
 from lavendertide.ids import DaemonId
 from lavendertide.runtime import clock
@@ -15,8 +16,11 @@
 class AdminFront:
     """The WSGI application that operators reach."""
 
-    def __init__(self, roster: Roster, configuration: Configuration) -> None:
+    def __init__(
+        self, roster: Roster, readiness: Readiness, configuration: Configuration
+    ) -> None:
         self._roster = roster
+        self._readiness = readiness
         self._configuration = configuration
 
     def __call__(
@@ -45,6 +49,7 @@
         return json.dumps(
             {
                 "daemon": self._roster.own.daemon,
+                "readiness": self._readiness.state.value,
                 "configuration": self._configuration.version,
                 "refused": str(refused.refusal) if refused else None,
                 "members": [
--- a/lavendertide/daemon/caller_front.py
+++ b/lavendertide/daemon/caller_front.py
@@ -5,13 +5,16 @@
 
 from returns.result import Failure, Result, Success
 
+from lavendertide.daemon.in_flight import InFlight
 from lavendertide.daemon.query_service import QueryService
 from lavendertide.daemon.ticket_service import TicketService
 from lavendertide.encodings import caller_json
 from lavendertide.errors import Fault, Refusal, RefusalKind
-from lavendertide.fleet.addresses import addresses_for
-from lavendertide.fleet.roster import Roster
+from lavendertide.fleet.addresses import AddressBook
+from lavendertide.fleet.readiness import Readiness, ReadinessState
 from lavendertide.ids import CallerKey, FailureDomain, Region
+from lavendertide.messages import MemberRecord
+from lavendertide.runtime import clock
 
 Environment = dict[str, Any]
 StartResponse = Callable[[str, list[tuple[str, str]]], Any]
@@ -39,20 +42,31 @@
     def __init__(
         self,
         body_max_bytes: int,
-        roster: Roster,
+        own: MemberRecord,
+        address_book: AddressBook,
+        readiness: Readiness,
         queries: QueryService,
         tickets: TicketService,
+        in_flight: InFlight,
     ) -> None:
         self._body_max_bytes = body_max_bytes
-        self._roster = roster
+        self._own = own
+        self._address_book = address_book
+        self._readiness = readiness
         self._queries = queries
         self._tickets = tickets
+        self._in_flight = in_flight
 
     def __call__(
         self, environment: Environment, start_response: StartResponse
     ) -> Iterable[bytes]:
         """Answers one request."""
-        match self._answer(environment):
+        self._in_flight.enter()
+        hook: tuple[Callable[..., None], tuple[()], dict[str, Any]]
+        hook = (self._leave, (), {})
+        environment["eventlet.posthooks"].append(hook)
+        now_s = clock.monotonic_s()
+        match self._readiness.check(now_s).bind(lambda _: self._answer(environment)):
             case Success(body):
                 status = 200
             case Failure(refusal):
@@ -61,9 +75,14 @@
             ("Content-Type", "application/json"),
             ("Content-Length", str(len(body))),
         ]
+        if self._readiness.state is ReadinessState.LEAVING:
+            headers.append(("Connection", "close"))
         start_response(f"{status} {REASONS[status]}", headers)
         return [body]
 
+    def _leave(self, _: Environment) -> None:
+        self._in_flight.leave()
+
     def _answer(self, environment: Environment) -> Result[bytes, Refusal]:
         key = CallerKey(environment.get(KEY_HEADER, ""))
         match environment["REQUEST_METHOD"], environment["PATH_INFO"]:
@@ -91,12 +110,11 @@
         return order.bind(self._tickets.execute).map(caller_json.encode_execution)
 
     def _addresses(self, key: CallerKey, environment: Environment) -> bytes:
-        own = self._roster.own
-        answer = addresses_for(
-            self._roster,
+        answer = self._address_book.answer(
             key,
-            Region(environment.get(REGION_HEADER, own.region)),
-            FailureDomain(environment.get(DOMAIN_HEADER, own.failure_domain)),
+            Region(environment.get(REGION_HEADER, self._own.region)),
+            FailureDomain(environment.get(DOMAIN_HEADER, self._own.failure_domain)),
+            clock.monotonic_s(),
         )
         return caller_json.encode_addresses(answer)
 
--- a/lavendertide/daemon/daemon.py
+++ b/lavendertide/daemon/daemon.py
@@ -2,15 +2,19 @@
 
 import logging
 import signal
+import socket
+from pathlib import Path
 from typing import Final
 
-from returns.result import Failure, Success
+from returns.result import Success
 
 from lavendertide.configuration.adoption import Configuration
 from lavendertide.configuration.service_watch import watch_service
 from lavendertide.daemon.admin_front import AdminFront
 from lavendertide.daemon.caller_front import CallerFront
 from lavendertide.daemon.dispatcher import Dispatcher
+from lavendertide.daemon.drain import Drain
+from lavendertide.daemon.in_flight import InFlight
 from lavendertide.daemon.peer_front import PeerFront
 from lavendertide.daemon.query_service import QueryService
 from lavendertide.daemon.ticket_service import TicketService
@@ -21,8 +25,13 @@
 from lavendertide.encodings.target_http import HttpTargetExchange
 from lavendertide.executions.execution import Executor
 from lavendertide.executions.ledger import Ledger
+from lavendertide.fleet.addresses import AddressBook
+from lavendertide.fleet.link_faults import LinkFaults
+from lavendertide.fleet.membership import Membership
 from lavendertide.fleet.news import FleetNews
+from lavendertide.fleet.peer_connection import PeerEdge
 from lavendertide.fleet.peers import Peers
+from lavendertide.fleet.readiness import Readiness
 from lavendertide.fleet.roster import Roster
 from lavendertide.ids import (
     Address,
@@ -42,7 +51,6 @@
 from lavendertide.runtime import clock, sockets, tasks
 from lavendertide.targets.target_pool import TargetPool
 
-MEMBERSHIP_READ_S: Final = 2.0
 CONNECTIONS_MAX: Final = 1_024
 KEEP_ALIVE_S: Final = 60.0
 HEDGE_POLICY: Final = BudgetedHedge(delay_s=0.04, extra_load=0.05)
@@ -55,22 +63,38 @@
 
     def __init__(self, options: Options) -> None:
         self._options = options
-        self._stopping = tasks.Signal()
+        now_s = clock.monotonic_s()
+        fleet = options.fleet
         self._configuration = Configuration()
         self._allowances = Allowances()
         self._roster = Roster(_own_record(options))
-        self._news = FleetNews(
-            options.fleet.key, self._roster, self._configuration, self._on_change
-        )
+        self._readiness = Readiness(fleet.lease_s, now_s)
+        self._in_flight = InFlight()
+        self._faults = LinkFaults()
+        self._edge = PeerEdge(fleet.key, self._roster, self._faults)
+        self._news = FleetNews(self._roster, self._configuration, self._on_change)
         self._peers = Peers(
             self._roster,
+            self._edge,
+            self._news,
+            tuple(Address(seed) for seed in fleet.seeds),
+            fleet.heartbeat_s,
+        )
+        self._membership = Membership(
+            self._roster,
+            self._peers,
             self._news,
-            tuple(Address(seed) for seed in options.fleet.seeds),
-            options.fleet.heartbeat_s,
+            self._readiness,
+            fleet.heartbeat_s,
+            fleet.removal_s,
         )
         self._pool = TargetPool(HttpTargetExchange)
         self._dispatcher = Dispatcher(
-            self._configuration, self._roster, self._peers, self._pool
+            self._configuration,
+            self._roster,
+            self._peers,
+            self._readiness,
+            self._pool,
         )
         parts = self._fan_out_parts()
         self._queries = QueryService(
@@ -89,32 +113,57 @@
 
     def run(self) -> None:
         """Serves until SIGTERM, then finishes what is in flight."""
-        signal.signal(signal.SIGTERM, lambda *_: self._stopping.set())
         addresses = self._options.addresses
         peer_listener = sockets.listen(Address(addresses.peers))
         caller_listener = sockets.listen(Address(addresses.callers))
         admin_listener = sockets.listen(Address(addresses.admin))
-        peer_front = PeerFront(self._news, self._dispatcher, self._tickets)
-        tasks.spawn(peer_front.serve, peer_listener)
-        self._peers.follow_roster()
+        tasks.spawn(self._peer_front().serve, peer_listener)
+        tasks.spawn(self._membership.keep)
         self._watch_platform()
-        caller_front = CallerFront(
-            self._options.queries.body_max_bytes,
+        caller_server = _serve(caller_listener, self._caller_front())
+        _serve(
+            admin_listener,
+            AdminFront(self._roster, self._readiness, self._configuration),
+        )
+        if self._options.faults:
+            tasks.spawn(self._faults.follow, Path(self._options.faults.rules))
+        _log.info("listening", extra={"callers": addresses.callers})
+        drain = Drain(
+            self._roster,
+            self._peers,
+            self._readiness,
+            self._in_flight,
+            self._options.fleet.address_lifetime_s,
+            self._options.fleet.drain_bound_s,
+            lambda: _close(caller_listener, caller_server),
+        )
+        signal.signal(signal.SIGTERM, lambda *_: drain.request())
+        drain.run()
+        _log.info("stopped")
+
+    def _peer_front(self) -> PeerFront:
+        return PeerFront(
+            self._edge,
             self._roster,
+            self._peers,
+            self._news,
+            self._readiness,
+            self._dispatcher,
+            self._tickets,
+            self._in_flight,
+        )
+
+    def _caller_front(self) -> CallerFront:
+        lifetime_s = self._options.fleet.address_lifetime_s
+        return CallerFront(
+            self._options.queries.body_max_bytes,
+            self._roster.own,
+            AddressBook(self._roster, self._configuration, lifetime_s),
+            self._readiness,
             self._queries,
             self._tickets,
+            self._in_flight,
         )
-        admin_front = AdminFront(self._roster, self._configuration)
-        for listener, front in (
-            (caller_listener, caller_front),
-            (admin_listener, admin_front),
-        ):
-            tasks.spawn(
-                sockets.serve_wsgi, listener, front, CONNECTIONS_MAX, KEEP_ALIVE_S
-            )
-        _log.info("serving", extra={"callers": addresses.callers})
-        self._stopping.wait()
-        _log.info("stopped")
 
     def _fan_out_parts(self) -> FanOutParts:
         own = self._roster.own
@@ -136,24 +185,10 @@
             lambda: True,
             self._on_change,
         )
-        tasks.spawn(
-            self._read_membership, HttpMembershipReader(Address(platform.membership))
-        )
-
-    def _read_membership(self, reader: HttpMembershipReader) -> None:
-        reachable = True
-        while True:
-            match reader.read():
-                case Success(_):
-                    reachable = True
-                case Failure(refusal):
-                    if reachable:
-                        _log.warning("membership list lost: %s", refusal)
-                    reachable = False
-            tasks.sleep(MEMBERSHIP_READ_S)
+        membership = HttpMembershipReader(Address(platform.membership))
+        tasks.spawn(self._membership.read_list, membership.read)
 
     def _on_change(self) -> None:
-        self._peers.follow_roster()
         match self._configuration.catalog:
             case Success(catalog):
                 plans = {plan.plan: plan for plan in catalog.plans.values()}
@@ -169,5 +204,16 @@
         peer_address=Address(options.addresses.peers),
         caller_address=Address(options.addresses.callers),
         incarnation=Incarnation(int(clock.wall_s() * 1000)),
-        state=MemberState.SERVING,
+        state=MemberState.JOINING,
     )
+
+
+def _serve(listener: socket.socket, front: sockets.Application) -> tasks.Task:
+    return tasks.spawn(
+        sockets.serve_wsgi, listener, front, CONNECTIONS_MAX, KEEP_ALIVE_S
+    )
+
+
+def _close(listener: socket.socket, server: tasks.Task) -> None:
+    sockets.close_listener(listener)
+    server.stop()
--- a/lavendertide/daemon/dispatcher.py
+++ b/lavendertide/daemon/dispatcher.py
@@ -1,9 +1,12 @@
 """Carries sub-requests to whichever daemon holds their target's slots."""
 
+from returns.result import Failure, Success
+
 from lavendertide.configuration.adoption import Configuration
 from lavendertide.configuration.catalog import Catalog, TargetPlace
 from lavendertide.fleet.peers import Peers
-from lavendertide.fleet.ranking import rank_for_target
+from lavendertide.fleet.ranking import TargetRanks
+from lavendertide.fleet.readiness import Readiness
 from lavendertide.fleet.roster import SILENCE_S, Roster
 from lavendertide.ids import AttemptId
 from lavendertide.messages import Declined, DeclineReason, SubReply, SubRequest
@@ -19,11 +22,14 @@
         configuration: Configuration,
         roster: Roster,
         peers: Peers,
+        readiness: Readiness,
         pool: TargetPool,
     ) -> None:
         self._configuration = configuration
         self._roster = roster
         self._peers = peers
+        self._readiness = readiness
+        self._ranks = TargetRanks(roster)
         self._pool = pool
 
     def send(self, request: SubRequest, inbox: tasks.Mailbox[SubReply]) -> None:
@@ -33,7 +39,11 @@
         if place is None:
             inbox.send(Declined(request.attempt, DeclineReason.STALE_VIEW))
             return
-        self._relay(place, request, inbox)
+        match self._readiness.check(clock.monotonic_s()):
+            case Success(_):
+                self._relay(place, request, inbox)
+            case Failure(_):
+                inbox.send(Declined(request.attempt, DeclineReason.STALE_VIEW))
 
     def accept(self, request: SubRequest, inbox: tasks.Mailbox[SubReply]) -> None:
         """Takes a sub-request that a peer has relayed to this daemon."""
@@ -58,7 +68,7 @@
         inbox: tasks.Mailbox[SubReply],
     ) -> None:
         now_s = clock.monotonic_s()
-        for member in rank_for_target(place, self._roster.members):
+        for member in self._ranks.of(place):
             if member.daemon == self._roster.own.daemon:
                 self._pool.submit(place, request, inbox)
                 return
--- a/lavendertide/daemon/peer_front.py
+++ b/lavendertide/daemon/peer_front.py
@@ -1,92 +1,139 @@
 """Connections from other daemons: one task reads each, one writes to it."""
 
-import logging
 import socket
 
+from returns.result import Failure
+
 from lavendertide.daemon.dispatcher import Dispatcher
+from lavendertide.daemon.in_flight import InFlight
 from lavendertide.daemon.ticket_service import TicketService
-from lavendertide.encodings.peer_socket import PeerSocket
 from lavendertide.fleet.news import FleetNews
+from lavendertide.fleet.peer_connection import PeerConnection, PeerEdge
+from lavendertide.fleet.peers import Peers
+from lavendertide.fleet.readiness import Readiness
+from lavendertide.fleet.roster import Roster
 from lavendertide.messages import (
     Answered,
     Cancels,
     Declined,
+    DeclineReason,
     Frame,
-    Hello,
     Lost,
+    ReachReply,
+    ReachRequest,
     SubReplies,
     SubReply,
+    SubRequest,
     SubRequests,
     TicketRequest,
 )
 from lavendertide.runtime import clock, tasks
 
 REPLIES_PER_FRAME_MAX = 128
+REACH_TIMEOUT_S = 0.7
 
-_log = logging.getLogger(__name__)
+_Outbox = tasks.Mailbox[SubReply | Frame]
 
 
 class PeerFront:
     """Serves the connections that peers open."""
 
     def __init__(
-        self, news: FleetNews, dispatcher: Dispatcher, tickets: TicketService
+        self,
+        edge: PeerEdge,
+        roster: Roster,
+        peers: Peers,
+        news: FleetNews,
+        readiness: Readiness,
+        dispatcher: Dispatcher,
+        tickets: TicketService,
+        in_flight: InFlight,
     ) -> None:
+        self._edge = edge
+        self._roster = roster
+        self._peers = peers
         self._news = news
+        self._readiness = readiness
         self._dispatcher = dispatcher
         self._tickets = tickets
+        self._in_flight = in_flight
 
     def serve(self, listener: socket.socket) -> None:
         """Accepts connections for as long as the listener is open."""
         while True:
             connection, _ = listener.accept()
-            connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            tasks.spawn(self._serve_connection, PeerSocket(connection))
-
-    def _serve_connection(self, peer: PeerSocket) -> None:
-        outbox: tasks.Mailbox[SubReply | Frame] = tasks.Mailbox()
-        first = peer.receive()
-        if not isinstance(first, Hello) or not self._news.accepts(first):
-            _log.warning("peer refused: it does not know the fleet's key")
-            peer.close()
+            tasks.spawn(self._serve_connection, connection)
+
+    def _serve_connection(self, accepted: socket.socket) -> None:
+        peer = self._edge.accept(accepted)
+        if peer is None:
             return
-        writer = tasks.spawn(_write, peer, outbox)
+        self._roster.learn((peer.member,), clock.monotonic_s())
+        outbox: _Outbox = tasks.Mailbox()
+        writer = tasks.spawn(self._write, peer, outbox)
         while (frame := peer.receive()) is not None:
-            self._take(frame, outbox)
+            self._take(peer, frame, outbox)
         writer.stop()
         peer.close()
 
-    def _take(self, frame: Frame, outbox: tasks.Mailbox[SubReply | Frame]) -> None:
+    def _take(self, peer: PeerConnection, frame: Frame, outbox: _Outbox) -> None:
         match frame:
             case SubRequests(items):
-                for item in items:
-                    self._dispatcher.accept(item, outbox)  # type: ignore[arg-type]
+                self._take_sub_requests(items, outbox)
             case Cancels(attempts):
                 self._dispatcher.cancel(list(attempts))
             case TicketRequest():
                 tasks.spawn(self._answer_ticket, frame, outbox)
+            case ReachRequest():
+                tasks.spawn(self._answer_reach, frame, outbox)
             case _:
-                answer = self._news.answer(frame, clock.monotonic_s())
+                now_s = clock.monotonic_s()
+                answer = self._news.answer(peer.daemon, frame, now_s)
                 if answer is not None:
                     outbox.send(answer)
 
-    def _answer_ticket(
-        self, request: TicketRequest, outbox: tasks.Mailbox[SubReply | Frame]
+    def _take_sub_requests(
+        self, items: tuple[SubRequest, ...], outbox: _Outbox
     ) -> None:
-        outbox.send(self._tickets.execute_for_peer(request))
-
-
-def _write(peer: PeerSocket, outbox: tasks.Mailbox[SubReply | Frame]) -> None:
-    try:
-        while (first := outbox.receive()) is not None:
-            replies: list[SubReply] = []
-            for item in outbox.receive_ready(first, REPLIES_PER_FRAME_MAX):
-                match item:
-                    case Answered() | Declined() | Lost():
-                        replies.append(item)
-                    case _:
-                        peer.send(item)
-            if replies:
-                peer.send(SubReplies(tuple(replies)))
-    except OSError:
-        peer.close()
+        self._in_flight.enter(len(items))
+        is_refused = isinstance(self._readiness.check(clock.monotonic_s()), Failure)
+        for item in items:
+            if is_refused:
+                outbox.send(Declined(item.attempt, DeclineReason.STALE_VIEW))
+            else:
+                self._dispatcher.accept(item, outbox)  # type: ignore[arg-type]
+
+    def _answer_ticket(self, request: TicketRequest, outbox: _Outbox) -> None:
+        self._in_flight.enter()
+        try:
+            outbox.send(self._tickets.execute_for_peer(request))
+        finally:
+            self._in_flight.leave()
+
+    def _answer_reach(self, request: ReachRequest, outbox: _Outbox) -> None:
+        member = self._roster.find(request.daemon)
+        is_reached = member is not None and self._peers.link_to(member).reach(
+            REACH_TIMEOUT_S
+        )
+        outbox.send(ReachReply(request.exchange, is_reached))
+
+    def _write(self, peer: PeerConnection, outbox: _Outbox) -> None:
+        try:
+            while (first := outbox.receive()) is not None:
+                self._write_batch(peer, outbox, first)
+        except OSError:
+            peer.close()
+
+    def _write_batch(
+        self, peer: PeerConnection, outbox: _Outbox, first: SubReply | Frame
+    ) -> None:
+        replies: list[SubReply] = []
+        for item in outbox.receive_ready(first, REPLIES_PER_FRAME_MAX):
+            match item:
+                case Answered() | Declined() | Lost():
+                    replies.append(item)
+                case _:
+                    peer.send(item)
+        if replies:
+            self._in_flight.leave(len(replies))
+            peer.send(SubReplies(tuple(replies)))
--- a/lavendertide/encodings/peer_frames.py
+++ b/lavendertide/encodings/peer_frames.py
@@ -92,8 +92,6 @@
 
 def _control_to_union(frame: messages.Frame) -> Any:
     match frame:
-        case messages.Hello(member, proof):
-            return ttypes.Frame(hello=ttypes.Hello(_pack_member(member), proof))
         case messages.Heartbeat():
             return ttypes.Frame(heartbeat=ttypes.Heartbeat(*_pack_beat(frame)))
         case messages.HeartbeatAck():
@@ -103,6 +101,28 @@
         case messages.ConfigurationPush(version, lists):
             push = ttypes.ConfigurationPush(version, lists)
             return ttypes.Frame(configuration_push=push)
+        case _:
+            return _fleet_to_union(frame)
+
+
+def _fleet_to_union(frame: messages.Frame) -> Any:
+    match frame:
+        case messages.Hello(member, nonce):
+            return ttypes.Frame(hello=ttypes.Hello(_pack_member(member), nonce))
+        case messages.Challenge(member, nonce, proof):
+            challenge = ttypes.Challenge(_pack_member(member), nonce, proof)
+            return ttypes.Frame(challenge=challenge)
+        case messages.ChallengeAnswer(proof):
+            return ttypes.Frame(challenge_answer=ttypes.ChallengeAnswer(proof))
+        case messages.RosterPull(digests):
+            return ttypes.Frame(roster_pull=ttypes.RosterPull(list(digests)))
+        case messages.RosterPush(records):
+            push = ttypes.RosterPush([_pack_member(record) for record in records])
+            return ttypes.Frame(roster_push=push)
+        case messages.ReachRequest(exchange, daemon):
+            return ttypes.Frame(reach_request=ttypes.ReachRequest(exchange, daemon))
+        case messages.ReachReply(exchange, is_reached):
+            return ttypes.Frame(reach_reply=ttypes.ReachReply(exchange, is_reached))
     raise TypeError(f"not a frame: {frame!r}")
 
 
@@ -127,8 +147,6 @@
 
 
 def _control_from_union(union: Any) -> messages.Frame:
-    if union.hello is not None:
-        return messages.Hello(_unpack_member(union.hello.member), union.hello.proof)
     if union.heartbeat is not None:
         return messages.Heartbeat(*_unpack_beat(union.heartbeat))
     if union.heartbeat_ack is not None:
@@ -141,6 +159,31 @@
         return messages.ConfigurationPush(
             ConfigurationVersion(push.version), push.lists
         )
+    return _fleet_from_union(union)
+
+
+def _fleet_from_union(union: Any) -> messages.Frame:
+    if union.hello is not None:
+        return messages.Hello(_unpack_member(union.hello.member), union.hello.nonce)
+    if union.challenge is not None:
+        challenge = union.challenge
+        member = _unpack_member(challenge.member)
+        return messages.Challenge(member, challenge.nonce, challenge.proof)
+    if union.challenge_answer is not None:
+        return messages.ChallengeAnswer(union.challenge_answer.proof)
+    if union.roster_pull is not None:
+        return messages.RosterPull(tuple(union.roster_pull.digests))
+    if union.roster_push is not None:
+        records = union.roster_push.records
+        return messages.RosterPush(tuple(_unpack_member(record) for record in records))
+    if union.reach_request is not None:
+        request = union.reach_request
+        return messages.ReachRequest(
+            ExchangeId(request.exchange), DaemonId(request.daemon)
+        )
+    if union.reach_reply is not None:
+        reply = union.reach_reply
+        return messages.ReachReply(ExchangeId(reply.exchange), reply.is_reached)
     raise ValueError("a frame without a message")
 
 
@@ -154,6 +197,7 @@
         member.caller_address,
         member.incarnation,
         member.state.value,
+        member.refutation,
     )
 
 
@@ -167,15 +211,16 @@
         Address(record.caller_address),
         Incarnation(record.incarnation),
         messages.MemberState(record.state),
+        record.refutation or 0,
     )
 
 
 def _pack_beat(beat: messages.Heartbeat | messages.HeartbeatAck) -> tuple[Any, ...]:
     return (
         beat.sequence,
-        _pack_member(beat.sender),
         [_pack_member(member) for member in beat.news],
         beat.configuration_version,
+        beat.digest,
     )
 
 
@@ -183,15 +228,15 @@
     beat: Any,
 ) -> tuple[
     int,
-    messages.MemberRecord,
     tuple[messages.MemberRecord, ...],
     ConfigurationVersion,
+    int,
 ]:
     return (
         beat.sequence,
-        _unpack_member(beat.sender),
         tuple(_unpack_member(member) for member in beat.news),
         ConfigurationVersion(beat.configuration_version),
+        beat.digest or 0,
     )
 
 
--- a/lavendertide/encodings/peer_protocol.thrift
+++ b/lavendertide/encodings/peer_protocol.thrift
@@ -10,6 +10,7 @@
   6: string caller_address,
   7: i64 incarnation,
   8: string state,
+  20: i32 refutation,
 }
 
 struct SubRequest {
@@ -46,21 +47,49 @@
 
 struct Hello {
   1: MemberRecord member,
-  2: string proof,
+  20: string nonce,
+}
+
+struct Challenge {
+  20: MemberRecord member,
+  21: string nonce,
+  22: string proof,
+}
+
+struct ChallengeAnswer {
+  20: string proof,
 }
 
 struct Heartbeat {
   1: i64 sequence,
-  2: MemberRecord sender,
   3: list<MemberRecord> news,
   4: i64 configuration_version,
+  20: i64 digest,
 }
 
 struct HeartbeatAck {
   1: i64 sequence,
-  2: MemberRecord sender,
   3: list<MemberRecord> news,
   4: i64 configuration_version,
+  20: i64 digest,
+}
+
+struct RosterPull {
+  20: list<i64> digests,
+}
+
+struct RosterPush {
+  20: list<MemberRecord> records,
+}
+
+struct ReachRequest {
+  20: string exchange,
+  21: string daemon,
+}
+
+struct ReachReply {
+  20: string exchange,
+  21: bool is_reached,
 }
 
 struct SubRequests {
@@ -111,4 +140,10 @@
   8: ConfigurationPush configuration_push,
   9: TicketRequest ticket_request,
   10: TicketReply ticket_reply,
+  20: Challenge challenge,
+  21: ChallengeAnswer challenge_answer,
+  22: RosterPull roster_pull,
+  23: RosterPush roster_push,
+  24: ReachRequest reach_request,
+  25: ReachReply reach_reply,
 }
--- a/lavendertide/fleet/addresses.py
+++ b/lavendertide/fleet/addresses.py
@@ -1,14 +1,16 @@
 """Which addresses a caller should use, and for how long."""
 
+from collections.abc import Iterable
 from dataclasses import dataclass
 from typing import Final
 
+from lavendertide.configuration.adoption import Configuration
 from lavendertide.fleet.ranking import score
-from lavendertide.fleet.roster import Roster, near_first
+from lavendertide.fleet.roster import SILENCE_S, Roster
 from lavendertide.ids import Address, CallerKey, FailureDomain, Region
+from lavendertide.messages import MemberRecord
 
 ANSWER_SIZE: Final = 4
-LIFETIME_S: Final = 10.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -23,13 +25,59 @@
     lifetime_s: float
 
 
-def addresses_for(
-    roster: Roster,
-    key: CallerKey,
-    region: Region,
-    failure_domain: FailureDomain,
-) -> AddressAnswer:
-    """Returns serving hosts near the caller, spread by the caller's key."""
-    spread = sorted(roster.serving, key=lambda member: -score(key, member.daemon))
-    chosen = near_first(spread, region, failure_domain)[:ANSWER_SIZE]
-    return AddressAnswer(tuple(m.caller_address for m in chosen), LIFETIME_S)
+class AddressBook:
+    """Answers callers from the roster.
+
+    Args:
+        lifetime_s: How long a caller may keep an answer.
+    """
+
+    def __init__(
+        self, roster: Roster, configuration: Configuration, lifetime_s: float
+    ) -> None:
+        self._roster = roster
+        self._configuration = configuration
+        self._lifetime_s = lifetime_s
+
+    def answer(
+        self,
+        key: CallerKey,
+        region: Region,
+        failure_domain: FailureDomain,
+        now_s: float,
+    ) -> AddressAnswer:
+        """Returns the nearest serving hosts; callers of one plan share a few."""
+        name = self._plan_name(key)
+        serving = [m for m in self._roster.serving if self._is_usable(m, now_s)]
+        chosen: list[MemberRecord] = []
+        for ring in _by_distance(serving, region, failure_domain):
+            chosen += sorted(ring, key=lambda member: -score(name, member.daemon))
+            if len(chosen) >= ANSWER_SIZE:
+                break
+        addresses = tuple(member.caller_address for member in chosen[:ANSWER_SIZE])
+        return AddressAnswer(addresses, self._lifetime_s)
+
+    def _plan_name(self, key: CallerKey) -> str:
+        plan = self._configuration.catalog.bind(lambda catalog: catalog.plan_of(key))
+        return plan.map(lambda found: str(found.plan)).value_or(str(key))
+
+    def _is_usable(self, member: MemberRecord, now_s: float) -> bool:
+        if self._roster.is_hinted_leaving(member):
+            return False
+        return self._roster.is_reachable(member.daemon, SILENCE_S, now_s)
+
+
+def _by_distance(
+    members: Iterable[MemberRecord], region: Region, failure_domain: FailureDomain
+) -> tuple[list[MemberRecord], list[MemberRecord], list[MemberRecord]]:
+    same_domain: list[MemberRecord] = []
+    same_region: list[MemberRecord] = []
+    elsewhere: list[MemberRecord] = []
+    for member in members:
+        if member.failure_domain == failure_domain:
+            same_domain.append(member)
+        elif member.region == region:
+            same_region.append(member)
+        else:
+            elsewhere.append(member)
+    return same_domain, same_region, elsewhere
--- /dev/null
+++ b/lavendertide/fleet/membership.py
@@ -0,0 +1,165 @@
+"""The task that keeps the roster true.
+
+It wakes once a period: notices late waking, follows the roster with the links,
+checks watched members that are silent, and removes suspects that the published list
+no longer names. A silent member is suspected only if a few peers can't reach it
+either.
+"""
+
+import logging
+import random
+from collections.abc import Callable
+from typing import Final
+
+from returns.result import Failure, Result, Success
+
+from lavendertide.errors import Refusal
+from lavendertide.fleet.metrics import REMOVALS, REMOVALS_HELD_BACK, SUSPICIONS
+from lavendertide.fleet.news import FleetNews
+from lavendertide.fleet.peers import Peers
+from lavendertide.fleet.readiness import Readiness
+from lavendertide.fleet.removal import PublishedHosts, may_suspect, removals
+from lavendertide.fleet.roster import SILENCE_S, Roster
+from lavendertide.ids import DaemonId, HostId
+from lavendertide.messages import MemberState
+from lavendertide.runtime import clock, tasks
+
+REACH_TIMEOUT_S: Final = 0.7
+HELPERS: Final = 3
+LIST_READ_MIN_S: Final = 2.0
+LIST_READ_PER_MEMBER_S: Final = 0.02
+
+_log = logging.getLogger(__name__)
+
+ListReader = Callable[[], Result[dict[HostId, str], Refusal]]
+
+
+class Membership:
+    """Keeps one daemon's roster.
+
+    Args:
+        period_s: Time between two rounds.
+        removal_s: How long a member has to be suspect before it can be removed.
+    """
+
+    def __init__(
+        self,
+        roster: Roster,
+        peers: Peers,
+        news: FleetNews,
+        readiness: Readiness,
+        period_s: float,
+        removal_s: float,
+    ) -> None:
+        self._roster = roster
+        self._peers = peers
+        self._news = news
+        self._readiness = readiness
+        self._period_s = period_s
+        self._removal_s = removal_s
+        self._published = PublishedHosts()
+        self._checked: set[DaemonId] = set()
+
+    def keep(self) -> None:
+        """Runs a round each period for as long as the daemon lives."""
+        while True:
+            self.run_round(clock.monotonic_s())
+            tasks.sleep(self._period_s)
+
+    def read_list(self, read: ListReader) -> None:
+        """Reads the published list again and again, more rarely in a large fleet."""
+        is_answering = True
+        while True:
+            match read():
+                case Success(states):
+                    is_answering = True
+                    self._published.replace(states)
+                    self._roster.hint_leaving(self._published.leaving)
+                case Failure(refusal):
+                    if is_answering:
+                        _log.warning("membership list lost: %s", refusal)
+                    is_answering = False
+            members = len(self._roster.members)
+            pause_s = max(LIST_READ_MIN_S, members * LIST_READ_PER_MEMBER_S)
+            tasks.sleep(random.uniform(0.5, 1.5) * pause_s)
+
+    def run_round(self, now_s: float) -> None:
+        """Does what is due now."""
+        if self._readiness.tick(now_s):
+            _log.warning("woke late: the view of the fleet is refreshed first")
+            self._roster.contacts.restart_clocks(now_s)
+            self._news.sync_again()
+            self._peers.poke_all()
+        self._refresh(now_s)
+        self._peers.follow_roster()
+        self._peers.retry_broken()
+        self._check_silent(now_s)
+        self._remove(now_s)
+
+    def _refresh(self, now_s: float) -> None:
+        since_s = self._readiness.stale_since_s
+        if since_s is None:
+            return
+        is_current = self._news.is_current_since(since_s)
+        if self._readiness.refreshed(is_current, now_s):
+            _log.info("serving")
+            if self._roster.own.state is MemberState.JOINING:
+                self._roster.announce(MemberState.SERVING, now_s)
+                self._peers.poke_all()
+
+    def _check_silent(self, now_s: float) -> None:
+        if self._readiness.stale_since_s is not None:
+            return
+        for daemon in self._peers.watched - self._checked:
+            member = self._roster.find(daemon)
+            if member is None or member.state is MemberState.SUSPECT:
+                continue
+            if self._roster.contacts.is_silent(daemon, SILENCE_S, now_s):
+                self._checked.add(daemon)
+                tasks.spawn(self._check, daemon)
+
+    def _check(self, daemon: DaemonId) -> None:
+        """Asks a few peers about a silent member, and suspects it if none reach it."""
+        try:
+            if self._is_reached_by_others(daemon):
+                return
+            now_s = clock.monotonic_s()
+            is_silent = self._roster.contacts.is_silent(daemon, SILENCE_S, now_s)
+            member = self._roster.find(daemon)
+            if (
+                is_silent
+                and member in self._roster.members
+                and may_suspect(self._roster)
+            ):
+                SUSPICIONS.inc()
+                _log.info("member suspected", extra={"member": daemon})
+                self._roster.suspect(daemon, now_s)
+                self._peers.poke_all()
+        finally:
+            self._checked.discard(daemon)
+
+    def _is_reached_by_others(self, daemon: DaemonId) -> bool:
+        links = [link for link in self._peers.links if link.is_connected]
+        helpers = random.sample(links, min(HELPERS, len(links)))
+        answers: tasks.Mailbox[bool] = tasks.Mailbox()
+        for link in helpers:
+            tasks.spawn(_ask, link.ask_reach, daemon, answers)
+        return any(answers.receive() for _ in helpers)
+
+    def _remove(self, now_s: float) -> None:
+        due = removals(self._roster, self._published, self._removal_s, now_s)
+        if due.held_back:
+            REMOVALS_HELD_BACK.inc()
+        for daemon in due.daemons:
+            REMOVALS.inc()
+            _log.info("member removed", extra={"member": daemon})
+            self._roster.remove(daemon, now_s)
+        self._roster.forget_removed(now_s)
+
+
+def _ask(
+    ask_reach: Callable[[DaemonId, float], bool],
+    daemon: DaemonId,
+    answers: tasks.Mailbox[bool],
+) -> None:
+    answers.send(ask_reach(daemon, 2 * REACH_TIMEOUT_S))
--- a/lavendertide/fleet/news.py
+++ b/lavendertide/fleet/news.py
@@ -1,111 +1,126 @@
 """What heartbeats carry, and what this daemon learns from them."""
 
-import hashlib
-import hmac
 import itertools
 from collections.abc import Callable
+from typing import Final
 
 from lavendertide.configuration.adoption import Configuration
 from lavendertide.fleet.roster import Roster
-from lavendertide.ids import Address, ConfigurationVersion
+from lavendertide.ids import ConfigurationVersion, DaemonId
 from lavendertide.messages import (
     ConfigurationPull,
     ConfigurationPush,
     Frame,
     Heartbeat,
     HeartbeatAck,
-    Hello,
     MemberRecord,
+    RosterPull,
+    RosterPush,
 )
 
+SYNC_MIN_S: Final = 30.0
+SENT_KEPT_MAX: Final = 512
+
 
 class FleetNews:
     """Writes this daemon's news for peers and takes in theirs."""
 
     def __init__(
         self,
-        key: str,
         roster: Roster,
         configuration: Configuration,
         on_change: Callable[[], None],
     ) -> None:
-        self._key = key.encode()
         self._roster = roster
         self._configuration = configuration
         self._on_change = on_change
         self._sequence = itertools.count(1)
-        self._behind: set[Address] = set()
-        self._sent_at_s: dict[Address, tuple[int, float]] = {}
-
-    def hello(self) -> Hello:
-        """Returns the frame that opens a connection."""
-        own = self._roster.own
-        return Hello(own, self._proof(own))
-
-    def accepts(self, hello: Hello) -> bool:
-        """Returns whether the sender knows the fleet's key."""
-        return hmac.compare_digest(self._proof(hello.member), hello.proof)
-
-    def heartbeat(self, peer: Address, now_s: float) -> Heartbeat | ConfigurationPull:
-        """Returns the next heartbeat, or a pull if the peer has newer lists."""
-        if peer in self._behind:
-            self._behind.discard(peer)
-            return ConfigurationPull(self._configuration.version)
+        self._sent_at_s: dict[int, float] = {}
+        self._newest_version = configuration.version
+        self._pulled_at_s: float | None = None
+        self._synced_at_s: float | None = None
+
+    def heartbeat(self, peer: DaemonId, now_s: float) -> Heartbeat:
+        """Returns the next heartbeat to a peer."""
         sequence = next(self._sequence)
-        self._sent_at_s[peer] = sequence, now_s
-        return Heartbeat(sequence, *self._facts())
+        self._sent_at_s[sequence] = now_s
+        if len(self._sent_at_s) > SENT_KEPT_MAX:
+            del self._sent_at_s[next(iter(self._sent_at_s))]
+        self._roster.contacts.expect(peer, now_s)
+        return Heartbeat(sequence, *self._facts(peer))
 
-    def answer(self, frame: Frame, now_s: float) -> Frame | None:
+    def answer(self, peer: DaemonId, frame: Frame, now_s: float) -> Frame | None:
         """Returns the answer to a control frame of a peer.
 
         A peer that can reach this daemon need not be reachable from it, so only an
         answered heartbeat counts as having heard of the peer.
         """
         match frame:
-            case Heartbeat(sequence=sequence, sender=sender, news=news):
-                self._learn((sender, *news))
-                self._roster.note_promise(sender.daemon, now_s)
-                return HeartbeatAck(sequence, *self._facts())
+            case Heartbeat(sequence=sequence, news=news):
+                self._learn(news, now_s)
+                self._roster.contacts.note_promise(peer, now_s)
+                return HeartbeatAck(sequence, *self._facts(peer))
             case ConfigurationPull(known) if known < self._configuration.version:
                 return ConfigurationPush(
                     self._configuration.version, self._configuration.text
                 )
+            case RosterPull(digests):
+                return RosterPush(self._roster.differing(digests))
             case _:
                 return None
 
-    def take_answer(self, peer: Address, frame: Frame, now_s: float) -> None:
-        """Takes in what a peer has answered."""
+    def take_answer(self, peer: DaemonId, frame: Frame, now_s: float) -> Frame | None:
+        """Takes in what a peer has answered; returns what to ask it next."""
         match frame:
-            case HeartbeatAck(sequence, sender, news, version):
-                self._learn((sender, *news))
-                self._note_answer(peer, sequence, sender, now_s)
-                if version > self._configuration.version:
-                    self._behind.add(peer)
+            case HeartbeatAck(sequence, news, version, digest):
+                self._note_answer(peer, sequence, now_s)
+                self._learn(news, now_s)
+                self._newest_version = max(self._newest_version, version)
+                return self._next_question(version, digest, now_s)
             case ConfigurationPush(lists=lists):
                 if self._configuration.offer(lists, now_s):
                     self._on_change()
-            case _:
-                pass
+            case RosterPush(records):
+                self._learn(records, now_s)
+                self._synced_at_s = self._pulled_at_s
+        return None
 
-    def _note_answer(
-        self, peer: Address, sequence: int, sender: MemberRecord, now_s: float
-    ) -> None:
-        newest, sent_at_s = self._sent_at_s[peer]
-        if sequence == newest:
-            self._roster.note_answer(sender.daemon, sent_at_s, now_s)
-        else:
-            self._roster.hear(sender.daemon, now_s)
-
-    def _learn(self, records: tuple[MemberRecord, ...]) -> None:
-        if self._roster.learn(records):
+    def is_current_since(self, since_s: float) -> bool:
+        """Returns whether peers have told everything anew since a time."""
+        has_synced = self._synced_at_s is not None and self._synced_at_s >= since_s
+        return has_synced and self._configuration.version >= self._newest_version
+
+    def sync_again(self) -> None:
+        """Asks the next peer that answers for the whole roster."""
+        self._pulled_at_s = None
+        self._synced_at_s = None
+
+    def _next_question(
+        self, version: ConfigurationVersion, digest: int, now_s: float
+    ) -> Frame | None:
+        if version > self._configuration.version:
+            return ConfigurationPull(self._configuration.version)
+        if self._pulled_at_s is not None:
+            differs = digest != self._roster.digests.whole
+            if not differs or now_s - self._pulled_at_s < SYNC_MIN_S:
+                return None
+        self._pulled_at_s = now_s
+        return RosterPull(self._roster.digests.buckets)
+
+    def _note_answer(self, peer: DaemonId, sequence: int, now_s: float) -> None:
+        sent_at_s = self._sent_at_s.pop(sequence, None)
+        if sent_at_s is not None:
+            self._roster.contacts.note_answer(peer, sent_at_s, now_s)
+
+    def _learn(self, records: tuple[MemberRecord, ...], now_s: float) -> None:
+        if self._roster.learn(records, now_s):
             self._on_change()
 
     def _facts(
-        self,
-    ) -> tuple[MemberRecord, tuple[MemberRecord, ...], ConfigurationVersion]:
-        members = tuple(self._roster.members)
-        return self._roster.own, members, self._configuration.version
-
-    def _proof(self, member: MemberRecord) -> str:
-        text = f"{member.daemon}\n{member.incarnation}".encode()
-        return hmac.new(self._key, text, hashlib.sha256).hexdigest()
+        self, peer: DaemonId
+    ) -> tuple[tuple[MemberRecord, ...], ConfigurationVersion, int]:
+        return (
+            self._roster.news_for(peer),
+            self._configuration.version,
+            self._roster.digests.whole,
+        )
--- /dev/null
+++ b/lavendertide/fleet/peer_connection.py
@@ -0,0 +1,183 @@
+"""One authenticated connection to another daemon, and the edge that opens them.
+
+A `PeerConnection` exists only after both sides have proved the fleet's key, so every
+frame that it hands out comes from a member. It counts bytes by kind and applies the
+link faults of tests.
+"""
+
+import logging
+import socket
+from collections.abc import Callable
+from typing import Final
+
+from lavendertide.encodings.peer_socket import PeerSocket
+from lavendertide.fleet.handshake import FleetKey, Role, new_nonce
+from lavendertide.fleet.link_faults import LinkFaults
+from lavendertide.fleet.metrics import PEER_BYTES, PEERS_REFUSED
+from lavendertide.fleet.roster import Roster
+from lavendertide.ids import Address, DaemonId
+from lavendertide.messages import (
+    Cancels,
+    Challenge,
+    ChallengeAnswer,
+    Frame,
+    Hello,
+    MemberRecord,
+    SubReplies,
+    SubRequests,
+    TicketReply,
+    TicketRequest,
+)
+from lavendertide.runtime import sockets
+
+CONNECT_TIMEOUT_S: Final = 0.5
+HANDSHAKE_TIMEOUT_S: Final = 1.0
+REFUSED_LOGGED_MAX: Final = 1_024
+
+_log = logging.getLogger(__name__)
+
+
+class PeerConnection:
+    """Frames to and from one member."""
+
+    def __init__(
+        self, stream: PeerSocket, member: MemberRecord, faults: LinkFaults
+    ) -> None:
+        self._stream = stream
+        self._member = member
+        self._faults = faults
+
+    @property
+    def daemon(self) -> DaemonId:
+        """Who is at the other end."""
+        return self._member.daemon
+
+    @property
+    def member(self) -> MemberRecord:
+        """The record that the other end has sent on opening."""
+        return self._member
+
+    def send(self, frame: Frame) -> None:
+        """Sends a frame.
+
+        Raises:
+            OSError: The connection is broken.
+        """
+        if not self._faults.passes_to(self._member.peer_address):
+            return
+        before = self._stream.bytes_sent
+        self._stream.send(frame)
+        sent = self._stream.bytes_sent - before
+        PEER_BYTES.labels(_kind(frame), "sent").inc(sent)
+
+    def receive(self) -> Frame | None:
+        """Waits for the next frame; none once the connection has ended."""
+        while True:
+            before = self._stream.bytes_received
+            frame = self._stream.receive()
+            if frame is None:
+                return None
+            received = self._stream.bytes_received - before
+            PEER_BYTES.labels(_kind(frame), "received").inc(received)
+            if self._faults.passes_from(self._member.peer_address):
+                return frame
+
+    def close(self) -> None:
+        """Ends the connection; a waiting receive returns."""
+        self._stream.close()
+
+
+class PeerEdge:
+    """Opens and accepts connections for this daemon."""
+
+    def __init__(self, key: str, roster: Roster, faults: LinkFaults) -> None:
+        self._key = FleetKey(key)
+        self._roster = roster
+        self._faults = faults
+        self._refused: set[str] = set()
+
+    def dial(self, address: Address) -> PeerConnection | None:
+        """Opens a connection; none if nobody of this fleet answers there."""
+        if not self._faults.allows_dial(address):
+            return None
+        try:
+            connection = sockets.connect(address, CONNECT_TIMEOUT_S)
+        except OSError:
+            return None
+        return self._guard(connection, address, self._open)
+
+    def accept(self, connection: socket.socket) -> PeerConnection | None:
+        """Takes a connection that a peer has dialled; none if it proves nothing."""
+        connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        try:
+            address = Address(connection.getpeername()[0])
+        except OSError:
+            return None
+        return self._guard(connection, address, self._admit)
+
+    def _guard(
+        self,
+        connection: socket.socket,
+        address: Address,
+        shake: Callable[[PeerSocket, Address], MemberRecord | None],
+    ) -> PeerConnection | None:
+        stream = PeerSocket(connection)
+        try:
+            connection.settimeout(HANDSHAKE_TIMEOUT_S)
+            member = shake(stream, address)
+            connection.settimeout(None)
+        except OSError:
+            member = None
+        if member is None:
+            stream.close()
+            return None
+        PEER_BYTES.labels("control", "sent").inc(stream.bytes_sent)
+        PEER_BYTES.labels("control", "received").inc(stream.bytes_received)
+        return PeerConnection(stream, member, self._faults)
+
+    def _open(self, stream: PeerSocket, address: Address) -> MemberRecord | None:
+        own, nonce = self._roster.own, new_nonce()
+        stream.send(Hello(own, nonce))
+        match stream.receive():
+            case Challenge(member, theirs, proof):
+                answer = self._key.sign(Role.DIALLER, own, theirs, nonce)
+                stream.send(ChallengeAnswer(answer))
+                acceptor = Role.ACCEPTOR
+                if self._key.verifies(proof, acceptor, member, nonce, theirs):
+                    return member
+                self._refuse(address)
+        return None
+
+    def _admit(self, stream: PeerSocket, address: Address) -> MemberRecord | None:
+        hello = stream.receive()
+        if not isinstance(hello, Hello):
+            return None
+        if not self._faults.passes_to(hello.member.peer_address):
+            return None
+        own, nonce = self._roster.own, new_nonce()
+        proof = self._key.sign(Role.ACCEPTOR, own, hello.nonce, nonce)
+        stream.send(Challenge(own, nonce, proof))
+        match stream.receive():
+            case ChallengeAnswer(answer):
+                dialler = hello.member
+                if self._key.verifies(
+                    answer, Role.DIALLER, dialler, nonce, hello.nonce
+                ):
+                    return dialler
+                self._refuse(address)
+        return None
+
+    def _refuse(self, address: Address) -> None:
+        PEERS_REFUSED.inc()
+        if address in self._refused or len(self._refused) >= REFUSED_LOGGED_MAX:
+            return
+        self._refused.add(address)
+        _log.warning("peer at %s refused: it does not prove the fleet's key", address)
+
+
+def _kind(frame: Frame) -> str:
+    match frame:
+        case SubRequests() | SubReplies() | Cancels() | TicketRequest() | TicketReply():
+            return "data"
+        case _:
+            return "control"
--- a/lavendertide/fleet/peers.py
+++ b/lavendertide/fleet/peers.py
@@ -1,60 +1,131 @@
-"""The links to all peers, one task each."""
+"""The links to peers, one task each.
+
+A daemon keeps links to the peers that it watches and to those that its leases rest
+on. Any other link is opened at its first use and closes when it is idle.
+"""
+
+from typing import Final
 
 from lavendertide.fleet.news import FleetNews
+from lavendertide.fleet.overlay import watched_by
+from lavendertide.fleet.peer_connection import PeerEdge
 from lavendertide.fleet.peer_link import PeerLink
 from lavendertide.fleet.roster import Roster
 from lavendertide.ids import Address, AttemptId, DaemonId
 from lavendertide.messages import MemberRecord
 
+WATCH_BEATS: Final = 2
+RETRIES_PER_TICK: Final = 4
+
 
 class Peers:
-    """Keeps a link to each peer that the roster or the settings name."""
+    """This daemon's links.
+
+    Args:
+        heartbeat_s: Time between two heartbeats to a peer that a lease rests on. The
+            others that are watched are sent one every `WATCH_BEATS` of it.
+    """
 
     def __init__(
         self,
         roster: Roster,
+        edge: PeerEdge,
         news: FleetNews,
         seeds: tuple[Address, ...],
         heartbeat_s: float,
     ) -> None:
         self._roster = roster
+        self._edge = edge
         self._news = news
         self._seeds = seeds
         self._heartbeat_s = heartbeat_s
-        self._lease_partners: frozenset[DaemonId] = frozenset()
         self._links: dict[Address, PeerLink] = {}
+        self._lease_partners: frozenset[DaemonId] = frozenset()
+        self._watched: frozenset[DaemonId] = frozenset()
+        self._followed = -1
 
     @property
     def links(self) -> list[PeerLink]:
         """All links."""
         return list(self._links.values())
 
+    @property
+    def watched(self) -> frozenset[DaemonId]:
+        """The members that this daemon watches as a part of the fleet."""
+        return self._watched
+
     def link_to(self, member: MemberRecord) -> PeerLink:
         """Returns the link to a member, opened at its first use."""
-        return self._open(member.peer_address)
+        link = self._open(member.peer_address)
+        link.lead_to(member.daemon)
+        return link
 
     def keep_beating(self, daemons: set[DaemonId]) -> None:
         """Names the peers whose answered heartbeats this daemon's leases rest on."""
-        self._lease_partners = frozenset(daemons)
+        partners = frozenset(daemons) - {self._roster.own.daemon}
+        if partners == self._lease_partners:
+            return
+        self._lease_partners = partners
+        self._watch_links()
 
     def follow_roster(self) -> None:
-        """Opens links to new members and closes those to removed ones."""
-        wanted = {member.peer_address for member in self._roster.members}
-        wanted.update(self._seeds)
-        wanted.discard(self._roster.own.peer_address)
-        for address in wanted:
-            self._open(address)
-        for address in set(self._links) - wanted:
+        """Watches whom the roster asks for and drops links to removed members."""
+        if self._followed == self._roster.generation:
+            return
+        self._followed = self._roster.generation
+        members = self._roster.members
+        self._watched = watched_by(self._roster.own.daemon, members)
+        self._watch_links()
+        known = {member.peer_address for member in members}
+        for address in set(self._links) - known - set(self._seeds):
             self._links.pop(address).close()
 
+    def poke_all(self) -> None:
+        """Sends a heartbeat with the newest news to all connected peers at once."""
+        for link in self._links.values():
+            if link.is_connected:
+                link.poke()
+
+    def retry_broken(self) -> None:
+        """Dials some members that could not be reached and are not suspected."""
+        broken = sorted(self._roster.contacts.broken)[:RETRIES_PER_TICK]
+        for daemon in broken:
+            member = self._roster.find(daemon)
+            if member is not None and member in self._roster.members:
+                self.link_to(member).poke()
+
     def cancel(self, attempts: list[AttemptId]) -> None:
         """Passes a cancellation to whichever peers carry the attempts."""
         for link in self._links.values():
             link.cancel(attempts)
 
+    def _watch_links(self) -> None:
+        intervals = dict.fromkeys(self._watched, WATCH_BEATS * self._heartbeat_s)
+        intervals |= dict.fromkeys(self._lease_partners, self._heartbeat_s)
+        wanted: dict[Address, float] = {}
+        for daemon, interval_s in intervals.items():
+            member = self._roster.find(daemon)
+            if member is not None and member in self._roster.members:
+                self.link_to(member)
+                wanted[member.peer_address] = interval_s
+        for address in self._unknown_seeds():
+            wanted.setdefault(address, WATCH_BEATS * self._heartbeat_s)
+            self._open(address)
+        for address, link in self._links.items():
+            link.watch(wanted.get(address))
+
+    def _unknown_seeds(self) -> list[Address]:
+        """Returns the seeds to dial for as long as no other member is known."""
+        if len(self._roster.members) > 1:
+            return []
+        own = self._roster.own.peer_address
+        return [seed for seed in self._seeds if seed != own]
+
     def _open(self, address: Address) -> PeerLink:
         link = self._links.get(address)
         if link is None:
-            link = PeerLink(address, self._news, self._heartbeat_s)
+            link = PeerLink(
+                address, self._edge, self._roster, self._news, self._heartbeat_s
+            )
             self._links[address] = link
         return link
--- /dev/null
+++ b/lavendertide/fleet/readiness.py
@@ -0,0 +1,115 @@
+"""Whether this daemon's view of the fleet is current enough to act on.
+
+A process that was paused for longer than a lease acts on nothing before its peers
+have answered anew. Each check compares the present with the last tick, so the first
+request after a pause is refused before any task has noticed the pause. A daemon that
+reaches nobody serves after a bounded wait: both sides of a split go on.
+"""
+
+from enum import Enum
+from typing import Final
+
+from returns.result import Failure, Result, Success
+
+from lavendertide.errors import Fault, Refusal, RefusalKind
+from lavendertide.fleet.metrics import LATE_WAKES, NOT_READY_REFUSALS
+
+ALONE_AFTER_S: Final = 3.0
+
+
+class ReadinessState(Enum):
+    """What the daemon may do."""
+
+    JOINING = "joining"
+    SERVING = "serving"
+    REFRESHING = "refreshing"
+    LEAVING = "leaving"
+
+
+class Readiness:
+    """Decides whether requests may be taken.
+
+    Args:
+        lease_s: A pause longer than this makes the view of the fleet stale.
+        now_s: When the daemon has started.
+    """
+
+    def __init__(self, lease_s: float, now_s: float) -> None:
+        self._lease_s = lease_s
+        self._state = ReadinessState.JOINING
+        self._ticked_at_s = now_s
+        self._stale_since_s: float | None = now_s
+        self._closes_at_s: float | None = None
+        self._has_woken_late = False
+
+    @property
+    def state(self) -> ReadinessState:
+        """What the daemon may do, as of the last tick or check."""
+        return self._state
+
+    @property
+    def stale_since_s(self) -> float | None:
+        """Since when the view has to be refreshed, none if it is current."""
+        return self._stale_since_s
+
+    def tick(self, now_s: float) -> bool:
+        """Notes that the process runs; returns whether it was paused."""
+        self._notice_pause(now_s)
+        self._ticked_at_s = now_s
+        has_woken_late, self._has_woken_late = self._has_woken_late, False
+        return has_woken_late
+
+    def refreshed(self, is_current: bool, now_s: float) -> bool:
+        """Takes in whether peers have answered; returns whether it now serves."""
+        if self._stale_since_s is None:
+            return False
+        if not is_current and now_s - self._stale_since_s < ALONE_AFTER_S:
+            return False
+        self._stale_since_s = None
+        if self._state is ReadinessState.LEAVING:
+            return False
+        self._state = ReadinessState.SERVING
+        return True
+
+    def leave(self, closes_at_s: float) -> None:
+        """Says that the daemon leaves; it takes requests until a time."""
+        self._state = ReadinessState.LEAVING
+        self._closes_at_s = closes_at_s
+
+    def check(self, now_s: float) -> Result[None, Refusal]:
+        """Returns whether a request may be taken now."""
+        self._notice_pause(now_s)
+        if self._stale_since_s is not None:
+            NOT_READY_REFUSALS.inc()
+            return Failure(_not_ready(self._state))
+        if self._closes_at_s is not None and now_s >= self._closes_at_s:
+            return Failure(_leaving())
+        return Success(None)
+
+    def _notice_pause(self, now_s: float) -> None:
+        if now_s - self._ticked_at_s <= self._lease_s:
+            return
+        LATE_WAKES.inc()
+        self._ticked_at_s = now_s
+        self._stale_since_s = now_s
+        if self._state is not ReadinessState.LEAVING:
+            self._state = ReadinessState.REFRESHING
+        self._has_woken_late = True
+
+
+def _not_ready(state: ReadinessState) -> Refusal:
+    return Refusal(
+        RefusalKind.NOT_READY,
+        f"This host does not serve now: it is {state.value}.",
+        "Use another address.",
+        Fault.SYSTEM,
+    )
+
+
+def _leaving() -> Refusal:
+    return Refusal(
+        RefusalKind.LEAVING,
+        "This host is leaving and takes no more requests.",
+        "Ask for addresses again and use another one.",
+        Fault.SYSTEM,
+    )
--- /dev/null
+++ b/lavendertide/fleet/removal.py
@@ -0,0 +1,82 @@
+"""When a silent member may be suspected, and when a suspect may be removed.
+
+Many members that vanish together are more likely cut off than dead, so both rules
+stop at a share of the fleet. A removal needs the published list too: it must have
+been read, it must name this daemon's own host, and it must no longer name the
+suspect's.
+"""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Final
+
+from lavendertide.fleet.roster import Roster
+from lavendertide.ids import DaemonId, HostId
+from lavendertide.messages import MemberState
+
+SHARE: Final = 4
+TOGETHER_MIN: Final = 2
+TOGETHER_S: Final = 30.0
+LEAVING: Final = "leaving"
+
+
+@dataclass(frozen=True, slots=True)
+class Removals:
+    """Who may be removed now, and how many are held back."""
+
+    daemons: tuple[DaemonId, ...]
+    held_back: int
+
+
+class PublishedHosts:
+    """The published list as it was last read: a hint that lags."""
+
+    def __init__(self) -> None:
+        self._states: Mapping[HostId, str] = {}
+
+    @property
+    def leaving(self) -> frozenset[HostId]:
+        """Hosts that the list says are leaving."""
+        return frozenset(h for h, state in self._states.items() if state == LEAVING)
+
+    def replace(self, states: Mapping[HostId, str]) -> None:
+        """Takes in the newest list."""
+        self._states = states
+
+    def misses(self, host: HostId, own_host: HostId) -> bool:
+        """Returns whether a list that can be trusted no longer names a host."""
+        return own_host in self._states and host not in self._states
+
+
+def most_together(members: int) -> int:
+    """Returns how many members may vanish together and be thought dead."""
+    return max(TOGETHER_MIN, members // SHARE)
+
+
+def may_suspect(roster: Roster) -> bool:
+    """Returns whether one more member may be suspected."""
+    suspects = sum(1 for m in roster.members if m.state is MemberState.SUSPECT)
+    return suspects < most_together(len(roster.members))
+
+
+def removals(
+    roster: Roster, published: PublishedHosts, suspected_for_s: float, now_s: float
+) -> Removals:
+    """Returns who has been suspect for long enough and is no longer published."""
+    own_host = roster.own.host
+    since_s = roster.suspected_since()
+    due = [
+        member.daemon
+        for member in roster.members
+        if member.daemon in since_s
+        and now_s - since_s[member.daemon] >= suspected_for_s
+        and published.misses(member.host, own_host)
+    ]
+    most = most_together(len(roster.members))
+    allowed = [d for d in due if _vanished_with(d, since_s) <= most]
+    return Removals(tuple(allowed), len(due) - len(allowed))
+
+
+def _vanished_with(daemon: DaemonId, since_s: Mapping[DaemonId, float]) -> int:
+    at_s = since_s[daemon]
+    return sum(1 for other_s in since_s.values() if abs(other_s - at_s) < TOGETHER_S)
--- a/lavendertide/messages.py
+++ b/lavendertide/messages.py
@@ -87,7 +87,12 @@
 
 @dataclass(frozen=True, slots=True)
 class MemberRecord:
-    """One daemon as the fleet sees it; a higher incarnation overrides a lower one."""
+    """One daemon as the fleet sees it; a higher incarnation overrides a lower one.
+
+    Attributes:
+        incarnation: Names one run of the daemon.
+        refutation: Rises within a run when the daemon refutes a suspicion.
+    """
 
     daemon: DaemonId
     host: HostId
@@ -97,6 +102,7 @@
     caller_address: Address
     incarnation: Incarnation
     state: MemberState
+    refutation: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -171,20 +177,41 @@
 
 @dataclass(frozen=True, slots=True)
 class Hello:
-    """Opens a peer connection and proves knowledge of the fleet's key."""
+    """Opens a peer connection; the nonce is to be signed by the acceptor."""
+
+    member: MemberRecord
+    nonce: str
+
+
+@dataclass(frozen=True, slots=True)
+class Challenge:
+    """Answers a hello: signs its nonce and sets one for the dialling side."""
 
     member: MemberRecord
+    nonce: str
+    proof: str
+
+
+@dataclass(frozen=True, slots=True)
+class ChallengeAnswer:
+    """Signs the acceptor's nonce; other frames follow only after it."""
+
     proof: str
 
 
 @dataclass(frozen=True, slots=True)
 class Heartbeat:
-    """Tells a peer that the sender lives, and what it has learned."""
+    """Tells a peer that the sender lives, and what it has learned.
+
+    Attributes:
+        news: Changed records, a bounded number.
+        digest: Equal for equal rosters.
+    """
 
     sequence: int
-    sender: MemberRecord
     news: tuple[MemberRecord, ...]
     configuration_version: ConfigurationVersion
+    digest: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -192,9 +219,43 @@
     """Answers a heartbeat; the receiver's lease runs from the heartbeat's sending."""
 
     sequence: int
-    sender: MemberRecord
     news: tuple[MemberRecord, ...]
     configuration_version: ConfigurationVersion
+    digest: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class RosterPull:
+    """Asks for the records of all buckets whose digest differs.
+
+    Attributes:
+        digests: Digest of each bucket of the sender's roster, by bucket number.
+    """
+
+    digests: tuple[int, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class RosterPush:
+    """Records of the buckets that differ, removed members among them."""
+
+    records: tuple[MemberRecord, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class ReachRequest:
+    """Asks a peer whether it can reach a member that the sender can't."""
+
+    exchange: ExchangeId
+    daemon: DaemonId
+
+
+@dataclass(frozen=True, slots=True)
+class ReachReply:
+    """Says whether the member has answered the peer."""
+
+    exchange: ExchangeId
+    is_reached: bool
 
 
 @dataclass(frozen=True, slots=True)
@@ -257,8 +318,14 @@
 
 Frame = (
     Hello
+    | Challenge
+    | ChallengeAnswer
     | Heartbeat
     | HeartbeatAck
+    | RosterPull
+    | RosterPush
+    | ReachRequest
+    | ReachReply
     | SubRequests
     | SubReplies
     | Cancels
--- a/lavendertide/options.py
+++ b/lavendertide/options.py
@@ -61,12 +61,29 @@
         seeds: Peer addresses to ask first.
         heartbeat_s: Time between two heartbeats to a peer.
         lease_s: How long an answered heartbeat is good for.
+        removal_s: How long a member is suspect before it can be removed.
+        address_lifetime_s: How long callers may keep an address answer, and how long
+            a leaving daemon goes on taking requests.
+        drain_bound_s: How long a leaving daemon then waits for requests in flight.
     """
 
     key: Annotated[str, Field(min_length=16)]
     seeds: tuple[IpPort, ...] = ()
     heartbeat_s: Annotated[float, Field(gt=0, le=5)] = 0.5
     lease_s: Annotated[float, Field(gt=0, le=30)] = 2.0
+    removal_s: Annotated[float, Field(gt=0, le=600)] = 10.0
+    address_lifetime_s: Annotated[float, Field(gt=0, le=600)] = 10.0
+    drain_bound_s: Annotated[float, Field(gt=0, le=600)] = 30.0
+
+
+class FaultOptions(_Section):
+    """Link faults for tests; without this section there are none.
+
+    Attributes:
+        rules: The JSON file with the rules, read again and again.
+    """
+
+    rules: str
 
 
 class QueryOptions(_Section):
@@ -93,3 +110,4 @@
     platform: PlatformOptions
     fleet: FleetOptions
     queries: QueryOptions = QueryOptions()
+    faults: FaultOptions | None = None
--- a/lavendertide/runtime/sockets.py
+++ b/lavendertide/runtime/sockets.py
@@ -4,6 +4,7 @@
 numbers.
 """
 
+import contextlib
 import socket
 from collections.abc import Callable
 from typing import Any
@@ -15,6 +16,8 @@
 
 BACKLOG = 512
 
+Application = Callable[..., Any]
+
 
 def split_address(address: Address) -> tuple[str, int]:
     """Returns IP and port of an address."""
@@ -32,6 +35,12 @@
     return listener
 
 
+def close_listener(listener: socket.socket) -> None:
+    """Refuses further connections; those already open go on."""
+    with contextlib.suppress(OSError):
+        listener.shutdown(socket.SHUT_RDWR)
+
+
 def connect(address: Address, timeout_s: float) -> socket.socket:
     """Opens a connection.
 
@@ -46,7 +55,7 @@
 
 def serve_wsgi(
     listener: socket.socket,
-    application: Callable[..., Any],
+    application: Application,
     most_connections: int,
     keep_alive_s: float,
 ) -> None:
--- a/standins/launcher.py
+++ b/standins/launcher.py
@@ -128,7 +128,8 @@
                 status = self.get(self.admins[name], "/v1/status")
                 reachable = [m for m in status["members"] if m["reachable"]]
                 known = len(reachable) >= len(self._settings)
-                if known and status["configuration"] >= self._version:
+                serves = status["readiness"] == "serving"
+                if known and serves and status["configuration"] >= self._version:
                     return
             time.sleep(POLL_S)
         raise TimeoutError(f"daemon {name} is not ready after {READY_S:g} s")
