--- a/lavendertide/encodings/peer_frames.py
+++ b/lavendertide/encodings/peer_frames.py
@@ -13,24 +13,21 @@
 from thrift.transport.TTransport import TMemoryBuffer
 
 from lavendertide import messages
+from lavendertide.encodings import fleet_frames, holder_frames
+from lavendertide.encodings.fleet_frames import pack_member, unpack_member
 from lavendertide.encodings.generated.peer_protocol import ttypes
 from lavendertide.errors import Fault, Refusal, RefusalKind
 from lavendertide.ids import (
-    Address,
     AttemptId,
     ConfigurationVersion,
-    DaemonId,
     ExchangeId,
-    FailureDomain,
     Fingerprint,
-    HostId,
-    Incarnation,
     IndexName,
     IndexVersion,
     OwnerId,
+    PlanClass,
     PlanId,
     QueryId,
-    Region,
     ShardNumber,
     TargetId,
     TicketId,
@@ -102,28 +99,7 @@
             push = ttypes.ConfigurationPush(version, lists)
             return ttypes.Frame(configuration_push=push)
         case _:
-            return _fleet_to_union(frame)
-
-
-def _fleet_to_union(frame: messages.Frame) -> Any:
-    match frame:
-        case messages.Hello(member, nonce):
-            return ttypes.Frame(hello=ttypes.Hello(_pack_member(member), nonce))
-        case messages.Challenge(member, nonce, proof):
-            challenge = ttypes.Challenge(_pack_member(member), nonce, proof)
-            return ttypes.Frame(challenge=challenge)
-        case messages.ChallengeAnswer(proof):
-            return ttypes.Frame(challenge_answer=ttypes.ChallengeAnswer(proof))
-        case messages.RosterPull(digests):
-            return ttypes.Frame(roster_pull=ttypes.RosterPull(list(digests)))
-        case messages.RosterPush(records):
-            push = ttypes.RosterPush([_pack_member(record) for record in records])
-            return ttypes.Frame(roster_push=push)
-        case messages.ReachRequest(exchange, daemon):
-            return ttypes.Frame(reach_request=ttypes.ReachRequest(exchange, daemon))
-        case messages.ReachReply(exchange, is_reached):
-            return ttypes.Frame(reach_reply=ttypes.ReachReply(exchange, is_reached))
-    raise TypeError(f"not a frame: {frame!r}")
+            return fleet_frames.to_union(frame) or holder_frames.to_union(frame)
 
 
 def _from_union(union: Any) -> messages.Frame:
@@ -159,66 +135,13 @@
         return messages.ConfigurationPush(
             ConfigurationVersion(push.version), push.lists
         )
-    return _fleet_from_union(union)
-
-
-def _fleet_from_union(union: Any) -> messages.Frame:
-    if union.hello is not None:
-        return messages.Hello(_unpack_member(union.hello.member), union.hello.nonce)
-    if union.challenge is not None:
-        challenge = union.challenge
-        member = _unpack_member(challenge.member)
-        return messages.Challenge(member, challenge.nonce, challenge.proof)
-    if union.challenge_answer is not None:
-        return messages.ChallengeAnswer(union.challenge_answer.proof)
-    if union.roster_pull is not None:
-        return messages.RosterPull(tuple(union.roster_pull.digests))
-    if union.roster_push is not None:
-        records = union.roster_push.records
-        return messages.RosterPush(tuple(_unpack_member(record) for record in records))
-    if union.reach_request is not None:
-        request = union.reach_request
-        return messages.ReachRequest(
-            ExchangeId(request.exchange), DaemonId(request.daemon)
-        )
-    if union.reach_reply is not None:
-        reply = union.reach_reply
-        return messages.ReachReply(ExchangeId(reply.exchange), reply.is_reached)
-    raise ValueError("a frame without a message")
-
-
-def _pack_member(member: messages.MemberRecord) -> Any:
-    return ttypes.MemberRecord(
-        member.daemon,
-        member.host,
-        member.region,
-        member.failure_domain,
-        member.peer_address,
-        member.caller_address,
-        member.incarnation,
-        member.state.value,
-        member.refutation,
-    )
-
-
-def _unpack_member(record: Any) -> messages.MemberRecord:
-    return messages.MemberRecord(
-        DaemonId(record.daemon),
-        HostId(record.host),
-        Region(record.region),
-        FailureDomain(record.failure_domain),
-        Address(record.peer_address),
-        Address(record.caller_address),
-        Incarnation(record.incarnation),
-        messages.MemberState(record.state),
-        record.refutation or 0,
-    )
+    return fleet_frames.from_union(union) or holder_frames.from_union(union)
 
 
 def _pack_beat(beat: messages.Heartbeat | messages.HeartbeatAck) -> tuple[Any, ...]:
     return (
         beat.sequence,
-        [_pack_member(member) for member in beat.news],
+        [pack_member(member) for member in beat.news],
         beat.configuration_version,
         beat.digest,
     )
@@ -234,7 +157,7 @@
 ]:
     return (
         beat.sequence,
-        tuple(_unpack_member(member) for member in beat.news),
+        tuple(unpack_member(member) for member in beat.news),
         ConfigurationVersion(beat.configuration_version),
         beat.digest or 0,
     )
@@ -253,6 +176,7 @@
         request.body,
         request.remaining_ms,
         request.fingerprint,
+        request.plan_class,
     )
 
 
@@ -269,6 +193,7 @@
         request.body,
         request.remaining_ms,
         Fingerprint(request.fingerprint),
+        PlanClass(request.plan_class or ""),
     )
 
 
@@ -289,9 +214,12 @@
                 matches=reply.matches,
                 amount=reply.amount,
                 query=reply.query,
+                spare_slots=reply.spare_slots,
+            )
+        case messages.Declined(attempt, decline, spare_slots):
+            return ttypes.SubReply(
+                attempt, _DECLINED, decline.value, spare_slots=spare_slots
             )
-        case messages.Declined(attempt, decline):
-            return ttypes.SubReply(attempt, _DECLINED, decline.value)
         case messages.Lost(attempt, loss):
             return ttypes.SubReply(attempt, _LOST, loss.value)
 
@@ -300,7 +228,9 @@
     attempt = AttemptId(reply.attempt)
     match reply.kind:
         case "declined":
-            return messages.Declined(attempt, messages.DeclineReason(reply.reason))
+            return messages.Declined(
+                attempt, messages.DeclineReason(reply.reason), reply.spare_slots or 0
+            )
         case "lost":
             return messages.Lost(attempt, messages.LossReason(reply.reason))
         case _:
@@ -314,6 +244,7 @@
                 ),
                 matches=reply.matches,
                 amount=reply.amount,
+                spare_slots=reply.spare_slots or 0,
             )
 
 
--- a/lavendertide/messages.py
+++ b/lavendertide/messages.py
@@ -21,6 +21,7 @@
     IndexName,
     IndexVersion,
     OwnerId,
+    PlanClass,
     PlanId,
     QueryId,
     Region,
@@ -85,6 +86,14 @@
     MISMATCHED_REPLY = "mismatched_reply"
 
 
+class VerdictKind(Enum):
+    """How a request that was in flight during a crash is treated."""
+
+    SUSPECT = "suspect"
+    CLEARED = "cleared"
+    CONDEMNED = "condemned"
+
+
 @dataclass(frozen=True, slots=True)
 class MemberRecord:
     """One daemon as the fleet sees it; a higher incarnation overrides a lower one.
@@ -122,6 +131,7 @@
         body: The caller's request body, passed on as it came.
         remaining_ms: What was left of the deadline when it was sent.
         fingerprint: Digest that is equal for equal requests of one owner.
+        plan_class: Class of the caller's plan; classes share an owner's slots.
     """
 
     attempt: AttemptId
@@ -135,6 +145,7 @@
     body: str
     remaining_ms: int
     fingerprint: Fingerprint
+    plan_class: PlanClass = PlanClass("")
 
 
 @dataclass(frozen=True, slots=True)
@@ -145,6 +156,7 @@
         rows: The shard's best rows, best first.
         matches: How many rows of the shard match in all.
         amount: Sum over the matching rows, in the index's smallest unit.
+        spare_slots: Slots of the target that were free when it had answered.
     """
 
     attempt: AttemptId
@@ -154,14 +166,20 @@
     rows: tuple[Row, ...]
     matches: int
     amount: int
+    spare_slots: int = 0
 
 
 @dataclass(frozen=True, slots=True)
 class Declined:
-    """The sub-request certainly did not run."""
+    """The sub-request certainly did not run.
+
+    Attributes:
+        spare_slots: Slots of the target that were free when it was declined.
+    """
 
     attempt: AttemptId
     reason: DeclineReason
+    spare_slots: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -294,6 +312,76 @@
     lists: bytes
 
 
+@dataclass(frozen=True, slots=True)
+class Verdict:
+    """What is known about a request at a shard where it may have crashed a target.
+
+    Attributes:
+        shard: The shard; a condemnation holds for all of them.
+        crashes: Crashes with the request in flight; a higher count overrides.
+        valid_ms: How long the verdict still holds.
+    """
+
+    fingerprint: Fingerprint
+    shard: ShardNumber
+    kind: VerdictKind
+    crashes: int
+    valid_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class Verdicts:
+    """Verdicts on requests that crash targets, spread to all peers."""
+
+    items: tuple[Verdict, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class TrialClaim:
+    """Asks a suspect's home daemon for the one trial that may run in the region."""
+
+    exchange: ExchangeId
+    sender: DaemonId
+    fingerprint: Fingerprint
+    duration_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class TrialGrant:
+    """Answers a trial claim."""
+
+    exchange: ExchangeId
+    is_granted: bool
+
+
+@dataclass(frozen=True, slots=True)
+class SlotClaim:
+    """One target whose slots a new primary wants from the former holder.
+
+    Attributes:
+        serial: Tells the claimant which of its claims a release answers.
+    """
+
+    target: TargetId
+    serial: int
+
+
+@dataclass(frozen=True, slots=True)
+class SlotClaims:
+    """Asks the former holder to say when it runs nothing on these targets."""
+
+    sender: DaemonId
+    items: tuple[SlotClaim, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class SlotReleases:
+    """Says that the sender runs nothing on these targets and will start nothing."""
+
+    sender: DaemonId
+    items: tuple[SlotClaim, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class TicketRequest:
     """A non-idempotent request on its way to the daemon that minted its ticket."""
@@ -333,4 +421,9 @@
     | ConfigurationPush
     | TicketRequest
     | TicketReply
+    | Verdicts
+    | TrialClaim
+    | TrialGrant
+    | SlotClaims
+    | SlotReleases
 )
