--- a/lavendertide/messages.py
+++ b/lavendertide/messages.py
@@ -7,6 +7,7 @@
 
 from dataclasses import dataclass
 from enum import Enum
+from typing import Final
 
 from lavendertide.ids import (
     Address,
@@ -30,6 +31,8 @@
     TicketId,
 )
 
+NO_CLASS: Final = PlanClass("")
+
 
 class Operation(Enum):
     """What a caller may ask of an index."""
@@ -145,7 +148,7 @@
     body: str
     remaining_ms: int
     fingerprint: Fingerprint
-    plan_class: PlanClass = PlanClass("")
+    plan_class: PlanClass = NO_CLASS
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/encodings/test_peer_frames.py
+++ b/tests/encodings/test_peer_frames.py
@@ -1,6 +1,7 @@
 """Tests of `lavendertide.encodings.peer_frames`."""
 
 import unittest
+from dataclasses import replace
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -27,16 +28,24 @@
 from lavendertide.messages import (
     Answered,
     Cancels,
+    Challenge,
+    ChallengeAnswer,
     Declined,
     DeclineReason,
     Frame,
     Heartbeat,
-    Lost,
+    HeartbeatAck,
+    Hello,
     LossReason,
+    Lost,
     MemberRecord,
     MemberState,
     Operation,
     Outcome,
+    ReachReply,
+    ReachRequest,
+    RosterPull,
+    RosterPush,
     Row,
     SubReplies,
     TicketReply,
@@ -72,7 +81,15 @@
         )
     ),
     Cancels((AttemptId("q.1"),)),
-    Heartbeat(5, MEMBER, (MEMBER,), ConfigurationVersion(2)),
+    Heartbeat(5, (MEMBER,), ConfigurationVersion(2), 77),
+    HeartbeatAck(5, (), ConfigurationVersion(2), -77),
+    Hello(MEMBER, "nonce"),
+    Challenge(MEMBER, "nonce", "proof"),
+    ChallengeAnswer("proof"),
+    RosterPull((1, 2, 3)),
+    RosterPush((MEMBER, replace(MEMBER, refutation=4))),
+    ReachRequest(ExchangeId("x"), DaemonId("a-0")),
+    ReachReply(ExchangeId("x"), True),
     TicketRequest(
         ExchangeId("x"),
         TicketId("t"),
