--- a/lavendertide/daemon/admin_service.py
+++ b/lavendertide/daemon/admin_service.py
@@ -17,6 +17,7 @@
 )
 from lavendertide.encodings import admin_json
 from lavendertide.errors import Fault, Refusal, RefusalKind
+from lavendertide.fleet.readiness import Readiness
 from lavendertide.fleet.roster import SILENCE_S, Roster
 from lavendertide.ids import OwnerId, PlanId
 from lavendertide.messages import MemberRecord
@@ -44,6 +45,7 @@
     """
 
     roster: Roster
+    readiness: Readiness
     configuration: Configuration
     allowances: Allowances
     shares: ShareExchange
@@ -137,6 +139,7 @@
             region=own.region,
             failure_domain=own.failure_domain,
             state=own.state.value,
+            readiness=self._parts.readiness.state.value,
             configuration=self._parts.configuration.version,
             refused=str(refused.refusal) if refused else None,
             in_flight=self._parts.allowances.in_flight,
--- a/lavendertide/daemon/administration.py
+++ b/lavendertide/daemon/administration.py
@@ -1,16 +1,9 @@
-"""Joins what operators see: metrics, books and the administration API."""
+"""Joins what operators see: the metrics and the administration API."""
 
 from collections import Counter
 
 from lavendertide.daemon.admin_front import AdminFront
 from lavendertide.daemon.admin_service import AdminParts, AdminService
-from lavendertide.daemon.recording import (
-    RecordedSearches,
-    RecordedTickets,
-    Recorder,
-    Searches,
-    Tickets,
-)
 from lavendertide.metrics.metrics import Metrics
 from lavendertide.options import AdminOptions
 
@@ -23,7 +16,6 @@
     ) -> None:
         self._metrics = metrics
         self._parts = parts
-        self._recorder = Recorder(parts.configuration, metrics, parts.books)
         self._front = AdminFront(options, AdminService(parts), self._exposition)
 
     @property
@@ -31,14 +23,6 @@
         """The WSGI application that operators and owners reach."""
         return self._front
 
-    def record_searches(self, searches: Searches) -> RecordedSearches:
-        """Returns searches that are counted and written down."""
-        return RecordedSearches(searches, self._recorder)
-
-    def record_tickets(self, tickets: Tickets) -> RecordedTickets:
-        """Returns tickets that are counted and written down."""
-        return RecordedTickets(tickets, self._recorder)
-
     def _exposition(self) -> bytes:
         lanes = self._parts.targets.lanes
         states = Counter(member.state for member in self._parts.roster.members)
--- a/lavendertide/daemon/recording.py
+++ b/lavendertide/daemon/recording.py
@@ -15,7 +15,7 @@
 from lavendertide.configuration.catalog import Plan
 from lavendertide.errors import Fault, Refusal
 from lavendertide.executions.execution import ExecutionResult
-from lavendertide.executions.order import Order
+from lavendertide.executions.order import Order, RefusedOrder
 from lavendertide.ids import CallerKey, IndexName, OwnerId, QueryId, TicketId
 from lavendertide.messages import DeclineReason, LossReason, Outcome
 from lavendertide.metrics.metrics import Metrics
@@ -43,9 +43,14 @@
     def mint(self, key: CallerKey) -> Result[TicketId, Refusal]:
         """Returns a ticket."""
 
-    def execute(self, order: Order) -> Result[ExecutionResult, Refusal]:
+    def execute(self, order: Order) -> Result[ExecutionResult, RefusedOrder]:
         """Executes an order once at most."""
 
+    def inquire(
+        self, key: CallerKey, text: TicketId
+    ) -> Result[ExecutionResult, Refusal]:
+        """Returns what is known of a ticket, and runs nothing."""
+
 
 @dataclass(frozen=True, slots=True)
 class Recorder:
@@ -151,14 +156,20 @@
             self._recorder.refuse(plan, NO_INDEX, result.failure())
         return result
 
-    def execute(self, order: Order) -> Result[ExecutionResult, Refusal]:
+    def inquire(
+        self, key: CallerKey, text: TicketId
+    ) -> Result[ExecutionResult, Refusal]:
+        """Returns what is known of a ticket, and runs nothing."""
+        return self._inner.inquire(key, text)
+
+    def execute(self, order: Order) -> Result[ExecutionResult, RefusedOrder]:
         """Executes an order and records how it ended."""
         result = self._inner.execute(order)
         plan = self._recorder.plan_of(order.key)
         match result:
             case Success(execution) if plan is not None:
                 self._record_execution(plan, order, execution)
-            case Failure(refusal):
+            case Failure(RefusedOrder(refusal)):
                 self._recorder.refuse(plan, order.index, refusal)
         return result
 
--- a/lavendertide/encodings/admin_json.py
+++ b/lavendertide/encodings/admin_json.py
@@ -37,6 +37,7 @@
     """A daemon and its view of the fleet.
 
     Attributes:
+        readiness: Whether the daemon takes requests.
         configuration: Version in force, zero before the first.
         refused: Why the newest publication was refused, none if it was not.
         in_flight: Queries that run on the daemon.
@@ -47,6 +48,7 @@
     region: str
     failure_domain: str
     state: str
+    readiness: str
     configuration: int
     refused: str | None
     in_flight: int
--- a/lavendertide/encodings/peer_frames.py
+++ b/lavendertide/encodings/peer_frames.py
@@ -13,26 +13,21 @@
 from thrift.transport.TTransport import TMemoryBuffer
 
 from lavendertide import messages
-from lavendertide.encodings import holder_frames, plan_frames
+from lavendertide.encodings import fleet_frames, holder_frames, plan_frames
+from lavendertide.encodings.fleet_frames import pack_member, unpack_member
 from lavendertide.encodings.generated.peer_protocol import ttypes
 from lavendertide.errors import Fault, Refusal, RefusalKind
 from lavendertide.ids import (
-    Address,
     AttemptId,
     ConfigurationVersion,
-    DaemonId,
     ExchangeId,
-    FailureDomain,
     Fingerprint,
-    HostId,
-    Incarnation,
     IndexName,
     IndexVersion,
     OwnerId,
     PlanClass,
     PlanId,
     QueryId,
-    Region,
     ShardNumber,
     TargetId,
     TicketId,
@@ -85,9 +80,8 @@
             return ttypes.Frame(cancels=ttypes.Cancels(list(attempts)))
         case messages.TicketRequest():
             return ttypes.Frame(ticket_request=_pack_ticket_request(frame))
-        case messages.TicketReply(exchange, outcome, detail):
-            reply = ttypes.TicketReply(exchange, outcome.value, detail)
-            return ttypes.Frame(ticket_reply=reply)
+        case messages.TicketReply():
+            return ttypes.Frame(ticket_reply=_pack_ticket_reply(frame))
         case messages.PlanClaims() | messages.PlanGrants():
             return plan_frames.to_union(frame)
         case _:
@@ -96,8 +90,6 @@
 
 def _control_to_union(frame: messages.Frame) -> Any:
     match frame:
-        case messages.Hello(member, proof):
-            return ttypes.Frame(hello=ttypes.Hello(_pack_member(member), proof))
         case messages.Heartbeat():
             return ttypes.Frame(heartbeat=ttypes.Heartbeat(*_pack_beat(frame)))
         case messages.HeartbeatAck():
@@ -108,7 +100,7 @@
             push = ttypes.ConfigurationPush(version, lists)
             return ttypes.Frame(configuration_push=push)
         case _:
-            return holder_frames.to_union(frame)
+            return fleet_frames.to_union(frame) or holder_frames.to_union(frame)
 
 
 def _from_union(union: Any) -> messages.Frame:
@@ -124,18 +116,13 @@
     if union.ticket_request is not None:
         return _unpack_ticket_request(union.ticket_request)
     if union.ticket_reply is not None:
-        reply = union.ticket_reply
-        return messages.TicketReply(
-            ExchangeId(reply.exchange), messages.Outcome(reply.outcome), reply.detail
-        )
+        return _unpack_ticket_reply(union.ticket_reply)
     if union.plan_claims is not None or union.plan_grants is not None:
         return plan_frames.from_union(union)
     return _control_from_union(union)
 
 
 def _control_from_union(union: Any) -> messages.Frame:
-    if union.hello is not None:
-        return messages.Hello(_unpack_member(union.hello.member), union.hello.proof)
     if union.heartbeat is not None:
         return messages.Heartbeat(*_unpack_beat(union.heartbeat))
     if union.heartbeat_ack is not None:
@@ -148,41 +135,15 @@
         return messages.ConfigurationPush(
             ConfigurationVersion(push.version), push.lists
         )
-    return holder_frames.from_union(union)
-
-
-def _pack_member(member: messages.MemberRecord) -> Any:
-    return ttypes.MemberRecord(
-        member.daemon,
-        member.host,
-        member.region,
-        member.failure_domain,
-        member.peer_address,
-        member.caller_address,
-        member.incarnation,
-        member.state.value,
-    )
-
-
-def _unpack_member(record: Any) -> messages.MemberRecord:
-    return messages.MemberRecord(
-        DaemonId(record.daemon),
-        HostId(record.host),
-        Region(record.region),
-        FailureDomain(record.failure_domain),
-        Address(record.peer_address),
-        Address(record.caller_address),
-        Incarnation(record.incarnation),
-        messages.MemberState(record.state),
-    )
+    return fleet_frames.from_union(union) or holder_frames.from_union(union)
 
 
 def _pack_beat(beat: messages.Heartbeat | messages.HeartbeatAck) -> tuple[Any, ...]:
     return (
         beat.sequence,
-        _pack_member(beat.sender),
-        [_pack_member(member) for member in beat.news],
+        [pack_member(member) for member in beat.news],
         beat.configuration_version,
+        beat.digest,
     )
 
 
@@ -190,15 +151,15 @@
     beat: Any,
 ) -> tuple[
     int,
-    messages.MemberRecord,
     tuple[messages.MemberRecord, ...],
     ConfigurationVersion,
+    int,
 ]:
     return (
         beat.sequence,
-        _unpack_member(beat.sender),
-        tuple(_unpack_member(member) for member in beat.news),
+        tuple(unpack_member(member) for member in beat.news),
         ConfigurationVersion(beat.configuration_version),
+        beat.digest or 0,
     )
 
 
@@ -216,6 +177,7 @@
         request.remaining_ms,
         request.fingerprint,
         request.plan_class,
+        request.page_size,
     )
 
 
@@ -233,6 +195,7 @@
         request.remaining_ms,
         Fingerprint(request.fingerprint),
         PlanClass(request.plan_class or ""),
+        request.page_size or 0,
     )
 
 
@@ -296,6 +259,7 @@
         request.operation.value,
         request.body,
         request.remaining_ms,
+        request.is_inquiry,
     )
 
 
@@ -308,4 +272,33 @@
         messages.Operation(request.operation),
         request.body,
         request.remaining_ms,
+        bool(request.is_inquiry),
+    )
+
+
+def _pack_ticket_reply(reply: messages.TicketReply) -> Any:
+    packed = ttypes.TicketReply(reply.exchange, reply.outcome.value, reply.detail)
+    if reply.refusal is not None:
+        packed.detail = reply.refusal.message
+        packed.refusal_kind = reply.refusal.kind.value
+        packed.refusal_remedy = reply.refusal.remedy
+        packed.refusal_fault = reply.refusal.fault.value
+    return packed
+
+
+def _unpack_ticket_reply(reply: Any) -> messages.TicketReply:
+    return messages.TicketReply(
+        ExchangeId(reply.exchange),
+        messages.Outcome(reply.outcome),
+        reply.detail,
+        _unpack_refusal(reply) if reply.refusal_kind else None,
+    )
+
+
+def _unpack_refusal(reply: Any) -> Refusal:
+    return Refusal(
+        RefusalKind(reply.refusal_kind),
+        reply.detail,
+        reply.refusal_remedy,
+        Fault(reply.refusal_fault),
     )
--- a/lavendertide/encodings/plan_frames.py
+++ b/lavendertide/encodings/plan_frames.py
@@ -12,7 +12,13 @@
     match frame:
         case PlanClaims(exchange, daemon, incarnation, claims):
             packed = [
-                ttypes.PlanClaim(claim.plan, claim.demand_per_s, claim.share)
+                ttypes.PlanClaim(
+                    claim.plan,
+                    claim.demand_per_s,
+                    claim.share,
+                    claim.reached,
+                    claim.allocators,
+                )
                 for claim in claims
             ]
             message = ttypes.PlanClaims(exchange, daemon, incarnation, packed)
@@ -41,7 +47,13 @@
         DaemonId(message.daemon),
         Incarnation(message.incarnation),
         tuple(
-            PlanClaim(PlanId(claim.plan), claim.demand_per_s, claim.share)
+            PlanClaim(
+                PlanId(claim.plan),
+                claim.demand_per_s,
+                claim.share,
+                claim.reached,
+                claim.allocators,
+            )
             for claim in message.claims
         ),
     )
--- a/lavendertide/metrics/metrics.py
+++ b/lavendertide/metrics/metrics.py
@@ -4,7 +4,7 @@
 are kept, which makes counting a look-up and an addition.
 """
 
-from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
+from prometheus_client import REGISTRY, CollectorRegistry, Counter, Gauge, Histogram
 from prometheus_client.exposition import generate_latest
 
 from lavendertide.errors import Fault, RefusalKind
@@ -216,7 +216,7 @@
 
     def exposition(self) -> bytes:
         """Returns all metrics in the text format of Prometheus."""
-        return generate_latest(self._registry)
+        return generate_latest(self._registry) + generate_latest(REGISTRY)
 
     def _labels(self, owner: OwnerId, plan_class: PlanClass) -> tuple[str, str]:
         return self._owners.value(owner), self._classes.value(plan_class)
--- a/lavendertide/plans/allocation.py
+++ b/lavendertide/plans/allocation.py
@@ -5,8 +5,8 @@
 
 The shares known to one allocator are together at most `1 + NEWCOMERS_PART`. A lower
 share counts only once its holder has confirmed it, and the share of a silent holder
-stays its own until the roster drops it. An allocator that reaches only half of the
-plan's allocators divides at most half of the plan, and one that reaches fewer only
+stays its own until the roster drops it. A holder that reaches only half of the plan's
+allocators is given from one half of the plan, and one that reaches fewer from
 `NEWCOMERS_PART`, so that the sides of a split do not each give out the whole. The
 daemons that an allocator reaches can always have `NEWCOMERS_PART` between them.
 """
@@ -18,11 +18,10 @@
 
 from lavendertide.ids import DaemonId, Incarnation, PlanId
 from lavendertide.messages import PlanClaim, PlanClaims, PlanGrant, PlanGrants
-from lavendertide.plans.allocators import Allocators
 
 NEWCOMERS_PART: Final = 0.25
 HALF: Final = 0.5
-SETTLING_S: Final = 2.0  # above the silence after which a peer counts as unreachable
+SETTLING_S: Final = 3.0
 STALE_CLAIM_S: Final = 30.0
 RECOMPUTE_S: Final = 0.2
 HOLDERS_MAX: Final = 2_048
@@ -186,7 +185,6 @@
         rate_of: Rate of a plan in the configuration in force, none if there is no
             such plan.
         presence: What the roster says about a daemon.
-        allocators: The allocators of each plan.
         started_at_s: Present time.
     """
 
@@ -194,12 +192,10 @@
         self,
         rate_of: Callable[[PlanId], float | None],
         presence: Callable[[DaemonId], Presence],
-        allocators: Allocators,
         started_at_s: float,
     ) -> None:
         self._rate_of = rate_of
         self._presence = presence
-        self._allocators = allocators
         self._changed_at_s = started_at_s
         self._allocations: dict[PlanId, PlanAllocation] = {}
 
@@ -240,19 +236,15 @@
             message.incarnation,
             claim,
             rate_per_s,
-            self._most(claim.plan, now_s),
+            self._most(claim, now_s),
             self._presence,
             now_s,
         )
 
-    def _most(self, plan: PlanId, now_s: float) -> float:
-        """Returns what this daemon may divide of a plan, by whom it reaches."""
+    def _most(self, claim: PlanClaim, now_s: float) -> float:
+        """Returns what may be divided, by whom the sender of a claim reaches."""
         if now_s - self._changed_at_s < SETTLING_S:
             return NEWCOMERS_PART
-        allocators = self._allocators.of(plan)
-        reached = sum(
-            self._presence(member.daemon) is Presence.PRESENT for member in allocators
-        )
-        if 2 * reached > len(allocators):
+        if 2 * claim.reached > claim.allocators:
             return 1.0 + NEWCOMERS_PART
-        return HALF if 2 * reached == len(allocators) else NEWCOMERS_PART
+        return HALF if 2 * claim.reached == claim.allocators else NEWCOMERS_PART
--- a/lavendertide/plans/allocators.py
+++ b/lavendertide/plans/allocators.py
@@ -1,11 +1,12 @@
 """Which daemons allocate a plan, and whose grants count.
 
 A plan's allocators are the first members of each region in rendezvous order. The grant
-of the first one that has lately answered counts; the others only know the claims.
+of the first one that answers counts; the others only know the claims.
 """
 
 from collections import Counter
 from collections.abc import Iterable
+from dataclasses import dataclass
 from typing import Final
 
 from lavendertide.fleet.ranking import score
@@ -13,7 +14,14 @@
 from lavendertide.messages import MemberRecord
 
 ALLOCATORS_PER_REGION: Final = 3
-ANSWER_KEPT_S: Final = 2.5
+
+
+@dataclass(frozen=True, slots=True)
+class Reach:
+    """How many of a plan's allocators answer, out of all."""
+
+    reached: int
+    allocators: int
 
 
 class Allocators:
@@ -22,7 +30,7 @@
     def __init__(self) -> None:
         self._members: dict[DaemonId, MemberRecord] = {}
         self._ranked: dict[PlanId, list[MemberRecord]] = {}
-        self._answered_at_s: dict[DaemonId, float] = {}
+        self._reached: set[DaemonId] = set()
 
     @property
     def member_count(self) -> int:
@@ -35,6 +43,7 @@
         if by_name.keys() == self._members.keys():
             return False
         self._members = by_name
+        self._reached &= by_name.keys()
         self._ranked.clear()
         return True
 
@@ -46,17 +55,26 @@
             self._ranked[plan] = ranked
         return ranked
 
-    def note_answer(self, daemon: DaemonId, now_s: float) -> None:
-        """Notes that an allocator has answered."""
-        self._answered_at_s[daemon] = now_s
+    def note_answer(self, daemon: DaemonId) -> None:
+        """Notes that an allocator has answered the last claim."""
+        self._reached.add(daemon)
+
+    def note_silence(self, daemon: DaemonId) -> None:
+        """Notes that an allocator has not answered the last claim."""
+        self._reached.discard(daemon)
+
+    def reach_of(self, plan: PlanId) -> Reach:
+        """Returns how many of a plan's allocators answer."""
+        allocators = self.of(plan)
+        reached = sum(member.daemon in self._reached for member in allocators)
+        return Reach(reached, len(allocators))
 
-    def counts(self, daemon: DaemonId, plan: PlanId, now_s: float) -> bool:
+    def counts(self, daemon: DaemonId, plan: PlanId) -> bool:
         """Returns whether no allocator that goes before this one answers."""
         for member in self.of(plan):
             if member.daemon == daemon:
                 return True
-            answered_at_s = self._answered_at_s.get(member.daemon)
-            if answered_at_s is not None and now_s - answered_at_s < ANSWER_KEPT_S:
+            if member.daemon in self._reached:
                 return False
         return False
 
--- a/lavendertide/plans/share_exchange.py
+++ b/lavendertide/plans/share_exchange.py
@@ -102,10 +102,11 @@
         self._allocator.forget_absent(now_s)
         if self._allocators.follow(self._roster.members):
             self._allocator.note_members_changed(now_s)
+            self._held.claim_all_again()
 
     def _claim_all(self, now_s: float) -> None:
         by_allocator: dict[DaemonId, list[PlanClaim]] = defaultdict(list)
-        for claim in self._held.claims(now_s):
+        for claim in self._held.claims(self._allocators.reach_of, now_s):
             for member in self._allocators.of(claim.plan):
                 by_allocator[member.daemon].append(claim)
         own = self._roster.own
@@ -117,7 +118,7 @@
                 tuple(claims),
             )
             if daemon == own.daemon:
-                self._take(daemon, self._allocator.answer(message, now_s), now_s)
+                self._take(daemon, self._allocator.answer(message, now_s))
             elif daemon in self._asked:
                 self._held.claim_again(claims)
             else:
@@ -131,15 +132,16 @@
             grants = self._links.claim(member, message, ANSWER_TIMEOUT_S)
         self._asked.discard(daemon)
         if grants is None:
+            self._allocators.note_silence(daemon)
             self._held.claim_again(message.claims)
         else:
-            self._take(daemon, grants, clock.monotonic_s())
+            self._take(daemon, grants)
 
-    def _take(self, daemon: DaemonId, grants: PlanGrants, now_s: float) -> None:
-        self._allocators.note_answer(daemon, now_s)
+    def _take(self, daemon: DaemonId, grants: PlanGrants) -> None:
+        self._allocators.note_answer(daemon)
         has_lowered = False
         for grant in grants.grants:
-            if self._allocators.counts(daemon, grant.plan, now_s):
+            if self._allocators.counts(daemon, grant.plan):
                 has_lowered |= self._held.take_grant(grant.plan, grant.share)
                 first_grant = self._first_grants.get(grant.plan)
                 if first_grant is not None:
--- a/lavendertide/plans/shares.py
+++ b/lavendertide/plans/shares.py
@@ -5,13 +5,14 @@
 a plan.
 """
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from typing import Final, Protocol
 
 from lavendertide.configuration.catalog import Plan
 from lavendertide.ids import PlanId
 from lavendertide.messages import PlanClaim
+from lavendertide.plans.allocators import Reach
 
 FLOORS_PART: Final = 0.25
 IDLE_S: Final = 60.0
@@ -92,20 +93,31 @@
         held = self._plans.get(plan)
         return held.demand_per_s if held else 0.0
 
-    def claims(self, now_s: float) -> list[PlanClaim]:
+    def claims(
+        self, reach_of: Callable[[PlanId], Reach], now_s: float
+    ) -> list[PlanClaim]:
         """Returns what to claim now: what has changed, is scarce or was long ago.
 
         A plan that has become idle is claimed with no demand.
+
+        Args:
+            reach_of: How many of a plan's allocators answer.
+            now_s: Present time.
         """
         due = []
         for held in self._plans.values():
-            claim = _claim(held, now_s)
+            claim = _claim(held, reach_of(held.plan.plan), now_s)
             if _is_due(held, claim, now_s):
                 held.claimed = claim
                 held.claimed_at_s = now_s
                 due.append(claim)
         return due
 
+    def claim_all_again(self) -> None:
+        """Says that the allocators may have changed."""
+        for held in self._plans.values():
+            held.claimed = None
+
     def claim_again(self, claims: Iterable[PlanClaim]) -> None:
         """Says that an allocator has not answered these claims."""
         for claim in claims:
@@ -140,13 +152,15 @@
     return now_s - held.arrived_at_s > IDLE_S
 
 
-def _claim(held: _Held, now_s: float) -> PlanClaim:
+def _claim(held: _Held, reach: Reach, now_s: float) -> PlanClaim:
     held.is_released = _is_idle(held, now_s)
     if held.is_released:
         held.share = 0.0
-        return PlanClaim(held.plan.plan, 0.0, 0.0)
+        return PlanClaim(held.plan.plan, 0.0, 0.0, reach.reached, reach.allocators)
     demand_per_s = max(DEMAND_MIN_PER_S, held.demand_per_s)
-    return PlanClaim(held.plan.plan, demand_per_s, held.share)
+    return PlanClaim(
+        held.plan.plan, demand_per_s, held.share, reach.reached, reach.allocators
+    )
 
 
 def _is_due(held: _Held, claim: PlanClaim, now_s: float) -> bool:
@@ -155,6 +169,8 @@
         return True
     if claim.demand_per_s > PRESSED_RATIO * held.share * held.plan.rate_per_s:
         return True
+    if claim.reached != last.reached:
+        return True
     return _differs(claim.share, last.share) or _differs(
         claim.demand_per_s, last.demand_per_s
     )
