--- a/lavendertide/errors.py
+++ b/lavendertide/errors.py
@@ -31,6 +31,8 @@
     NO_SNAPSHOT = "no_snapshot"
     UNREACHABLE = "unreachable"
     NOT_FOUND = "not_found"
+    BAD_RUN = "bad_run"
+    LIBRARY_MISSING = "library_missing"
 
 
 class Fault(Enum):
