--- /dev/null
+++ b/lavendertide/reports/plots.py
@@ -0,0 +1,211 @@
+"""Draws a measurement run with matplotlib, one picture for each question.
+
+Matplotlib is only needed here; `lavendertide.reports.page` imports this module when a
+page is asked for.
+"""
+
+import io
+import itertools
+from collections.abc import Callable
+from typing import Any, Final
+
+import matplotlib as mpl
+
+mpl.use("svg")
+
+from matplotlib import pyplot
+
+from lavendertide.reports.run import LatencyRecord, Run, SecondRecord
+
+WIDTH_IN: Final = 9.0
+HEIGHT_IN: Final = 3.4
+FAULT_COLOUR: Final = "#888888"
+BOUND_COLOUR: Final = "#b00020"
+COLOURS: Final = ("#0b6e99", "#d9730d", "#448361", "#9065b0", "#9f6b53", "#c14c8a")
+LINE_STYLES: Final = ("-", "--", ":")
+SVG_SALT: Final = "lavendertide"
+
+mpl.rcParams.update(
+    {
+        "axes.grid": True,
+        "axes.spines.right": False,
+        "axes.spines.top": False,
+        "font.size": 10,
+        "grid.alpha": 0.3,
+        "legend.frameon": False,
+        "svg.fonttype": "none",
+        "svg.hashsalt": SVG_SALT,
+    }
+)
+
+
+def draw_distribution(run: Run) -> Any:
+    """Draws for each variant how many answers took longer than a time."""
+    figure, axes = pyplot.subplots(figsize=(WIDTH_IN, HEIGHT_IN), layout="constrained")
+    for number, variant in enumerate(run.variants):
+        latency = run.latency_of(variant)
+        if latency is not None and latency.buckets:
+            times_ms, slower = _slower_than(latency)
+            axes.step(times_ms, slower, where="post", label=variant, **_style(number))
+    _mark_bound(run, axes.axvline)
+    axes.axhline(0.01, color=FAULT_COLOUR, linewidth=0.8)
+    axes.annotate("1 in 100", (0.0, 0.01), (4, 3), **_BESIDE_AXIS)
+    axes.set_xscale("log")
+    axes.set_yscale("log")
+    axes.set_xlabel("latency in ms")
+    axes.set_ylabel("part of the answers\nthat took longer")
+    axes.xaxis.set_major_formatter("{x:g}")
+    _place_legend(axes, run)
+    return figure
+
+
+def draw_latency(run: Run) -> Any:
+    """Draws the median and the 99th percentile over time, a panel a variant."""
+    figure, panels = _panels(run)
+    for variant, axes in zip(run.variants, panels, strict=True):
+        seconds = run.seconds_of(variant)
+        times_s = [second.at_s for second in seconds]
+        for label, value, number in (("p50", _p50, 0), ("p99", _p99, 1)):
+            values = [value(second) for second in seconds]
+            axes.plot(times_s, values, label=label, **_style(number))
+        _mark_faults(run, variant, axes)
+        _mark_bound(run, axes.axhline)
+        axes.set_ylim(bottom=0)
+        axes.set_title(variant, loc="left", fontsize=10)
+        axes.set_ylabel("latency in ms")
+    panels[0].legend(loc="upper right", ncols=3)
+    panels[-1].set_xlabel("seconds since the start")
+    return figure
+
+
+def draw_coverage(run: Run) -> Any:
+    """Draws the mean coverage of the answers over time."""
+    return _draw_over_time(run, "coverage of the answers", lambda s: s.coverage, 1.0)
+
+
+def draw_extra_load(run: Run) -> Any:
+    """Draws the extra sub-requests over time."""
+    return _draw_over_time(run, "extra sub-requests", lambda s: s.extra_load, None)
+
+
+def to_svg(figure: Any) -> str:
+    """Returns a figure as an `svg` element and closes it."""
+    text = io.StringIO()
+    figure.savefig(text, format="svg", metadata={"Date": None})
+    pyplot.close(figure)
+    svg = text.getvalue()
+    return svg[svg.index("<svg") :]
+
+
+def _draw_over_time(
+    run: Run,
+    label: str,
+    value: Callable[[SecondRecord], float | None],
+    top: float | None,
+) -> Any:
+    figure, axes = pyplot.subplots(figsize=(WIDTH_IN, HEIGHT_IN), layout="constrained")
+    for number, variant in enumerate(run.variants):
+        seconds = run.seconds_of(variant)
+        values = [_number(value(second)) for second in seconds]
+        times_s = [second.at_s for second in seconds]
+        axes.plot(times_s, values, label=variant, **_style(number))
+    for variant in run.variants:
+        _mark_faults(run, variant, axes)
+    if top is not None:
+        low = axes.get_ylim()[0]
+        axes.set_ylim(min(low, top - 0.01), top + 0.05 * (top - low) + 0.001)
+    else:
+        axes.set_ylim(bottom=0)
+    axes.set_ylabel(label)
+    axes.set_xlabel("seconds since the start")
+    axes.yaxis.set_major_formatter(mpl.ticker.PercentFormatter(1.0))
+    _place_legend(axes, run)
+    return figure
+
+
+def _panels(run: Run) -> tuple[Any, list[Any]]:
+    count = max(1, len(run.variants))
+    figure, panels = pyplot.subplots(
+        count,
+        1,
+        figsize=(WIDTH_IN, 1.0 + 2.0 * count),
+        layout="constrained",
+        sharex=True,
+        sharey=True,
+        squeeze=False,
+    )
+    return figure, [row[0] for row in panels]
+
+
+def _slower_than(latency: LatencyRecord) -> tuple[list[float], list[float]]:
+    buckets = sorted(latency.buckets, key=lambda bucket: bucket.upper_ms)
+    total = sum(bucket.count for bucket in buckets) or 1
+    within = itertools.accumulate(bucket.count for bucket in buckets)
+    slower = [1.0 - count / total for count in within]
+    shown = [(b.upper_ms, part) for b, part in zip(buckets, slower, strict=True)]
+    shown = [(upper_ms, part) for upper_ms, part in shown if part > 0]
+    shown.append((buckets[-1].upper_ms, 0.5 / total))
+    return [upper_ms for upper_ms, _ in shown], [part for _, part in shown]
+
+
+def _mark_faults(run: Run, variant: str, axes: Any) -> None:
+    already = {text.get_text() for text in axes.texts}
+    for fault in run.faults_of(variant):
+        if fault.name in already:
+            continue
+        if fault.ends_at_s is not None:
+            axes.axvspan(
+                fault.starts_at_s, fault.ends_at_s, color=FAULT_COLOUR, alpha=0.15
+            )
+        axes.axvline(fault.starts_at_s, color=FAULT_COLOUR, linewidth=1.0)
+        axes.annotate(fault.name, (fault.starts_at_s, 1.0), (3, -12), **_BESIDE_TOP)
+
+
+def _mark_bound(run: Run, draw_line: Callable[..., Any]) -> None:
+    bound_ms = run.header.latency_bound_ms
+    if bound_ms is not None:
+        label = f"bound {bound_ms:g} ms"
+        draw_line(bound_ms, color=BOUND_COLOUR, linewidth=1.0, ls="-.", label=label)
+
+
+def _place_legend(axes: Any, run: Run) -> None:
+    axes.legend(
+        loc="lower left",
+        bbox_to_anchor=(0.0, 1.0),
+        ncols=min(3, len(run.variants) + 1),
+        borderaxespad=0.2,
+    )
+
+
+def _style(number: int) -> dict[str, Any]:
+    return {
+        "color": COLOURS[number % len(COLOURS)],
+        "linestyle": LINE_STYLES[number // len(COLOURS) % len(LINE_STYLES)],
+        "linewidth": 1.6,
+    }
+
+
+def _p50(second: SecondRecord) -> float:
+    return _number(second.p50_ms)
+
+
+def _p99(second: SecondRecord) -> float:
+    return _number(second.p99_ms)
+
+
+def _number(value: float | None) -> float:
+    return float("nan") if value is None else value
+
+
+_BESIDE_TOP: Final[dict[str, Any]] = {
+    "xycoords": ("data", "axes fraction"),
+    "textcoords": "offset points",
+    "fontsize": 9,
+    "color": "#555555",
+}
+_BESIDE_AXIS: Final[dict[str, Any]] = {
+    "xycoords": ("axes fraction", "data"),
+    "textcoords": "offset points",
+    "fontsize": 9,
+    "color": "#555555",
+}
--- /dev/null
+++ b/tests/reports/test_page.py
@@ -0,0 +1,30 @@
+"""Tests of `lavendertide.reports.page`."""
+
+import unittest
+from unittest import mock
+
+from lavendertide.reports.page import render_page
+from tests.reports.test_run import sample_run
+
+
+class RenderPageTest(unittest.TestCase):
+    """A run becomes one page that needs no other file."""
+
+    def test_the_page_names_variants_faults_and_the_bound(self) -> None:
+        page = render_page(sample_run()).unwrap()
+        for words in ("no hedge", "replica killed", "bound 120 ms", "Coverage over"):
+            self.assertIn(words, page)
+
+    def test_the_page_needs_no_other_file(self) -> None:
+        page = render_page(sample_run()).unwrap()
+        self.assertNotIn("<img", page)
+        self.assertNotIn("<link", page)
+        self.assertNotIn("<script", page)
+
+    def test_the_page_is_the_same_each_time(self) -> None:
+        self.assertEqual(render_page(sample_run()), render_page(sample_run()))
+
+    def test_without_matplotlib_the_remedy_is_named(self) -> None:
+        with mock.patch("importlib.util.find_spec", return_value=None):
+            refusal = render_page(sample_run()).failure()
+        self.assertIn("pip install", refusal.remedy)
