--- a/lavendertide/reports/plots.py
+++ b/lavendertide/reports/plots.py
@@ -19,6 +19,7 @@
 
 WIDTH_IN: Final = 9.0
 HEIGHT_IN: Final = 3.4
+HEADROOM: Final = 1.2  # room for the faults' names above the curves
 FAULT_COLOUR: Final = "#888888"
 BOUND_COLOUR: Final = "#b00020"
 COLOURS: Final = ("#0b6e99", "#d9730d", "#448361", "#9065b0", "#9f6b53", "#c14c8a")
@@ -70,10 +71,10 @@
             axes.plot(times_s, values, label=label, **_style(number))
         _mark_faults(run, variant, axes)
         _mark_bound(run, axes.axhline)
-        axes.set_ylim(bottom=0)
+        axes.set_ylim(0, axes.get_ylim()[1] * HEADROOM)
         axes.set_title(variant, loc="left", fontsize=10)
         axes.set_ylabel("latency in ms")
-    panels[0].legend(loc="upper right", ncols=3)
+    panels[0].legend(loc="lower right", bbox_to_anchor=(1.0, 1.0), ncols=3)
     panels[-1].set_xlabel("seconds since the start")
     return figure
 
@@ -113,9 +114,10 @@
         _mark_faults(run, variant, axes)
     if top is not None:
         low = axes.get_ylim()[0]
-        axes.set_ylim(min(low, top - 0.01), top + 0.05 * (top - low) + 0.001)
+        low = min(low, top - 0.01)
+        axes.set_ylim(low, low + (top - low) * HEADROOM)
     else:
-        axes.set_ylim(bottom=0)
+        axes.set_ylim(0, axes.get_ylim()[1] * HEADROOM)
     axes.set_ylabel(label)
     axes.set_xlabel("seconds since the start")
     axes.yaxis.set_major_formatter(mpl.ticker.PercentFormatter(1.0))
