--- /dev/null
+++ b/lavendertide/admin_client.py
@@ -0,0 +1,86 @@
+"""What operators' tools do: ask one daemon's administration API."""
+
+from typing import Final, TypeVar
+from urllib.parse import quote
+
+import urllib3
+from returns.result import Failure, Result
+
+from lavendertide.encodings import admin_json
+from lavendertide.errors import Fault, Refusal, RefusalKind
+
+TIMEOUT_S: Final = 3.0
+STATUS_OK: Final = 200
+
+D = TypeVar("D", bound=admin_json.Document)
+
+
+class AdminClient:
+    """One daemon's administration API.
+
+    Args:
+        address: The daemon's `addresses.admin`.
+        key: An operator's or an owner's key, empty where none is needed.
+    """
+
+    def __init__(self, address: str, key: str) -> None:
+        self._address = address
+        self._headers = {"Authorization": f"Bearer {key}"} if key else {}
+        self._http = urllib3.PoolManager(retries=False)
+
+    def status(self) -> Result[admin_json.StatusDocument, Refusal]:
+        """Returns the daemon's state and its view of the fleet."""
+        return self._ask(admin_json.StatusDocument, "GET", "/v1/status")
+
+    def configuration(self) -> Result[admin_json.ConfigurationDocument, Refusal]:
+        """Returns the configuration in force and why a later one was refused."""
+        return self._ask(admin_json.ConfigurationDocument, "GET", "/v1/configuration")
+
+    def plans(self) -> Result[admin_json.PlansDocument, Refusal]:
+        """Returns the names of the plans that the key may see."""
+        return self._ask(admin_json.PlansDocument, "GET", "/v1/plans")
+
+    def plan(self, plan: str) -> Result[admin_json.PlanDocument, Refusal]:
+        """Returns what a plan may use and what is left of it."""
+        path = f"/v1/plans/{quote(plan, safe='')}"
+        return self._ask(admin_json.PlanDocument, "GET", path)
+
+    def books(
+        self, owner: str | None, entries: int
+    ) -> Result[admin_json.BookDocument, Refusal]:
+        """Returns an owner's newest failures."""
+        path = f"/v1/books?entries={entries}"
+        if owner:
+            path += f"&owner={quote(owner, safe='')}"
+        return self._ask(admin_json.BookDocument, "GET", path)
+
+    def targets(self) -> Result[admin_json.TargetsDocument, Refusal]:
+        """Returns the targets whose slots the daemon holds."""
+        return self._ask(admin_json.TargetsDocument, "GET", "/v1/targets")
+
+    def drain(self) -> Result[admin_json.DrainDocument, Refusal]:
+        """Begins the daemon's graceful shutdown."""
+        return self._ask(admin_json.DrainDocument, "POST", "/v1/drain")
+
+    def _ask(self, kind: type[D], method: str, path: str) -> Result[D, Refusal]:
+        try:
+            response = self._http.request(
+                method,
+                f"http://{self._address}{path}",
+                headers=self._headers,
+                timeout=TIMEOUT_S,
+            )
+        except (urllib3.exceptions.HTTPError, ValueError) as error:
+            return Failure(_unreachable(self._address, type(error).__name__))
+        if response.status != STATUS_OK:
+            return Failure(admin_json.decode_refusal(response.data))
+        return admin_json.decode(kind, response.data)
+
+
+def _unreachable(address: str, problem: str) -> Refusal:
+    return Refusal(
+        RefusalKind.UNREACHABLE,
+        f"No answer from {address}: {problem}.",
+        "See whether the daemon runs and whether this is its addresses.admin.",
+        Fault.LINK,
+    )
--- a/lavendertide/caller_client.py
+++ b/lavendertide/caller_client.py
@@ -16,6 +16,7 @@
 
 TIMEOUT_MARGIN_S: Final = 0.5
 CONNECT_TIMEOUT_S: Final = 0.5
+GET_TIMEOUT_S: Final = 1.5
 TRIES: Final = 3
 TEMPORARY_STATUSES: Final = frozenset({503})
 
@@ -97,6 +98,27 @@
         }
         return self._post("/v1/execute", request, deadline_ms, now_s)
 
+    def outcome(self, ticket: str, now_s: float) -> Result[Document, Refusal]:
+        """Returns what is known of a ticket's request, and runs nothing."""
+        path = f"/v1/tickets/{ticket}"
+        return self.addresses(now_s).bind(
+            lambda addresses: self._get_from_any(addresses, path)
+        )
+
+    def _get_from_any(
+        self, addresses: list[str], path: str
+    ) -> Result[Document, Refusal]:
+        last: Refusal = _unreachable("any host", "no address")
+        for address in addresses:
+            match self._send(address, "GET", path, None, GET_TIMEOUT_S):
+                case Success((200, answer)):
+                    return Success(answer)
+                case Success((_, answer)):
+                    return Failure(_refusal_of(answer))
+                case Failure(refusal):
+                    last = refusal
+        return Failure(last)
+
     def _post(
         self, path: str, body: Document, deadline_ms: int, now_s: float
     ) -> Result[Document, Refusal]:
--- /dev/null
+++ b/lavendertide/command_line/completion.py
@@ -0,0 +1,22 @@
+"""The command that prints a shell's completion script."""
+
+from typing import Final
+
+import click
+from click.shell_completion import ShellComplete, get_completion_class
+
+PROGRAM: Final = "lavendertide"
+VARIABLE: Final = "_LAVENDERTIDE_COMPLETE"
+
+
+@click.command()
+@click.argument("shell", type=click.Choice(["bash", "zsh", "fish"]))
+@click.pass_context
+def completion(context: click.Context, shell: str) -> None:
+    """Prints the completion script for SHELL."""
+    kind = get_completion_class(shell)
+    if kind is None:
+        raise click.UsageError(f"There is no completion for {shell}.")
+    completer = kind(context.find_root().command, {}, PROGRAM, VARIABLE)
+    # The base class's method, since bash's would start bash to ask for its version.
+    click.echo(ShellComplete.source(completer))
--- a/lavendertide/command_line/main.py
+++ b/lavendertide/command_line/main.py
@@ -1,115 +1,50 @@
-"""The commands of `lavendertide`.
+"""The command `lavendertide`: one module for each group of commands.
 
-A refusal is one line on standard error and exit code 1; wrong usage is exit code 2.
+`lavendertide.command_line.output` lists the exit codes.
 """
 
-import json
 import sys
-import time
-from pathlib import Path
-from typing import Any, Final, TypeVar
 
 import click
-from returns.result import Failure, Result
 
-from lavendertide.caller_client import CallerClient
-from lavendertide.configuration.rules import check_publication
-from lavendertide.encodings.settings_yaml import read_options
-from lavendertide.errors import Refusal
-
-EXIT_REFUSED: Final = 1
-DEADLINE_MS: Final = 500
-
-T = TypeVar("T")
+from lavendertide.command_line import callers, operators, output
+from lavendertide.command_line.check import check
+from lavendertide.command_line.completion import completion
+from lavendertide.command_line.reports import report
 
 
 @click.group()
 @click.version_option(package_name="lavendertide")
-def main() -> None:
-    """Queries and operates a lavendertide fleet."""
-
-
-_host = click.option("--host", "hosts", multiple=True, required=True, help="IP:port.")
-_key = click.option("--key", required=True, help="The caller's key.")
-_deadline = click.option("--deadline-ms", default=DEADLINE_MS, show_default=True)
-
-
-@main.command()
-@_host
-@_key
-def addresses(hosts: tuple[str, ...], key: str) -> None:
-    """Shows which addresses a caller should use."""
-    for address in _or_exit(_client(hosts, key).addresses(time.monotonic())):
-        click.echo(address)
-
-
-@main.command()
-@_host
-@_key
-@_deadline
-@click.option("--page-size", default=20, show_default=True)
-@click.argument("index")
-@click.argument("body")
-def query(
-    hosts: tuple[str, ...],
-    key: str,
-    deadline_ms: int,
-    page_size: int,
-    index: str,
-    body: str,
-) -> None:
-    """Searches INDEX for BODY."""
-    client = _client(hosts, key)
-    answer = client.search(index, body, deadline_ms, page_size, time.monotonic())
-    _show(_or_exit(answer))
+def commands() -> None:
+    """Queries and operates a lavendertide fleet.
+
+    Exit codes: 0 good; 1 refused, partial or not known to have run; 2 wrong usage or
+    bad settings; 3 nobody could be reached.
+    """
+
+
+for command in (
+    callers.addresses,
+    callers.query,
+    callers.redeem,
+    callers.outcome,
+    operators.status,
+    operators.configuration,
+    operators.plan,
+    operators.books,
+    operators.targets,
+    operators.drain,
+    report,
+    check,
+    completion,
+):
+    commands.add_command(command)
 
 
-@main.command()
-@_host
-@_key
-@_deadline
-@click.option("--operation", default="redeem", type=click.Choice(["redeem", "charge"]))
-@click.option("--ticket", help="Sends again under an earlier ticket.")
-@click.argument("index")
-@click.argument("body")
-def redeem(
-    hosts: tuple[str, ...],
-    key: str,
-    deadline_ms: int,
-    operation: str,
-    ticket: str | None,
-    index: str,
-    body: str,
-) -> None:
-    """Redeems or charges BODY at INDEX, once at most."""
-    client = _client(hosts, key)
-    ticket = ticket or _or_exit(client.ticket(time.monotonic()))
-    click.echo(f"ticket {ticket}", err=True)
-    now_s = time.monotonic()
-    _show(_or_exit(client.execute(ticket, index, operation, body, deadline_ms, now_s)))
-
-
-@main.command()
-@click.argument("file", type=click.Path(path_type=Path, dir_okay=False))
-def check(file: Path) -> None:
-    """Checks a settings FILE (YAML) or a FILE with both published lists (JSON)."""
-    if file.suffix == ".json":
-        _or_exit(check_publication(file.read_bytes()))
-    else:
-        _or_exit(read_options(file))
-    click.echo(f"{file}: good")
-
-
-def _client(hosts: tuple[str, ...], key: str) -> CallerClient:
-    return CallerClient(list(hosts), key)
-
-
-def _show(document: dict[str, Any]) -> None:
-    click.echo(json.dumps(document, indent=2))
-
-
-def _or_exit(result: Result[T, Refusal]) -> T:
-    if isinstance(result, Failure):
-        click.echo(f"lavendertide: {result.failure()}", err=True)
-        sys.exit(EXIT_REFUSED)
-    return result.unwrap()
+def main() -> None:
+    """Runs the command line; an error is one line and never a traceback."""
+    try:
+        commands(prog_name="lavendertide")
+    except Exception as error:
+        click.echo(f"lavendertide: internal error: {error!r}. Report it.", err=True)
+        sys.exit(output.EXIT_REFUSED)
--- /dev/null
+++ b/lavendertide/command_line/output.py
@@ -0,0 +1,99 @@
+"""How commands end and how they print.
+
+Exit codes: 0 good; 1 refused, partial, or not known to have run; 2 wrong usage or bad
+settings; 3 nobody could be reached. An error is one line on standard error.
+"""
+
+import json
+import sys
+import time
+from collections.abc import Sequence
+from typing import Any, Final, NoReturn, TypeVar
+
+import click
+from pydantic import BaseModel
+from returns.result import Failure, Result
+
+from lavendertide.errors import Refusal, RefusalKind
+
+EXIT_REFUSED: Final = 1
+EXIT_USAGE: Final = 2
+EXIT_UNREACHABLE: Final = 3
+_EXIT_OF_KIND: Final = {
+    RefusalKind.BAD_SETTINGS: EXIT_USAGE,
+    RefusalKind.LIBRARY_MISSING: EXIT_USAGE,
+    RefusalKind.UNREACHABLE: EXIT_UNREACHABLE,
+}
+
+T = TypeVar("T")
+
+
+def or_exit(result: Result[T, Refusal]) -> T:
+    """Returns a success, or prints the refusal and ends the command."""
+    if isinstance(result, Failure):
+        fail(result.failure())
+    return result.unwrap()
+
+
+def fail(refusal: Refusal) -> NoReturn:
+    """Prints a refusal as one line and ends the command."""
+    text = " ".join(str(refusal).split())
+    click.echo(f"lavendertide: {text}", err=True)
+    sys.exit(_EXIT_OF_KIND.get(refusal.kind, EXIT_REFUSED))
+
+
+def show_json(document: BaseModel | dict[str, Any]) -> None:
+    """Prints a document for machines, on one line."""
+    if isinstance(document, BaseModel):
+        click.echo(document.model_dump_json())
+    else:
+        click.echo(json.dumps(document))
+
+
+def show_facts(facts: Sequence[tuple[str, object]]) -> None:
+    """Prints named facts, one a line."""
+    width = max(len(name) for name, _ in facts)
+    for name, value in facts:
+        click.echo(f"{name:<{width}}  {_text(value)}")
+
+
+def show_table(heads: Sequence[str], rows: Sequence[Sequence[object]]) -> None:
+    """Prints a table for people; numbers stand to the right."""
+    cells = [[_text(value) for value in row] for row in rows]
+    widths = [
+        max(len(head), *(len(row[column]) for row in cells)) if cells else len(head)
+        for column, head in enumerate(heads)
+    ]
+    click.echo(_line(heads, widths, [False] * len(heads)))
+    for row, texts in zip(rows, cells, strict=True):
+        are_numbers = [isinstance(value, int | float) for value in row]
+        click.echo(_line(texts, widths, are_numbers))
+
+
+def time_text(at_s: float | None) -> str:
+    """Returns a time of day in UTC, as an operator compares it with a log."""
+    if at_s is None:
+        return "-"
+    return time.strftime("%Y-%m-%d %H:%M:%SZ", time.gmtime(at_s))
+
+
+def _line(
+    texts: Sequence[str], widths: Sequence[int], are_numbers: Sequence[bool]
+) -> str:
+    padded = [
+        text.rjust(width) if is_number else text.ljust(width)
+        for text, width, is_number in zip(texts, widths, are_numbers, strict=True)
+    ]
+    return "  ".join(padded).rstrip()
+
+
+def _text(value: object) -> str:
+    match value:
+        case None | "":
+            return "-"
+        case bool():
+            return "yes" if value else "no"
+        case float():
+            return f"{value:.2f}"
+        case _:
+            return str(value)
--- /dev/null
+++ b/lavendertide/command_line/parameters.py
@@ -0,0 +1,68 @@
+"""Options that several commands share, each with its environment variable."""
+
+import re
+from typing import Final
+
+import click
+
+HOST_VARIABLE: Final = "LAVENDERTIDE_HOST"
+ADMIN_VARIABLE: Final = "LAVENDERTIDE_ADMIN"
+KEY_VARIABLE: Final = "LAVENDERTIDE_KEY"
+DEADLINE_MS: Final = 500
+_ADDRESS: Final = re.compile(r"^[0-9.]+:[0-9]{1,5}$")
+
+
+class AddressType(click.ParamType[str]):
+    """An address of the form `IP:port`."""
+
+    name = "IP:port"
+
+    def convert(
+        self, value: str, param: click.Parameter | None, ctx: click.Context | None
+    ) -> str:
+        """Returns the address, or ends the command as wrongly used."""
+        if not _ADDRESS.match(value):
+            self.fail(f"'{value}' is not IP:port.", param, ctx)
+        return value
+
+
+hosts = click.option(
+    "--host",
+    "hosts",
+    multiple=True,
+    required=True,
+    envvar=HOST_VARIABLE,
+    show_envvar=True,
+    type=AddressType(),
+    help="A daemon's address for callers; may be given more than once.",
+)
+caller_key = click.option(
+    "--key",
+    required=True,
+    envvar=KEY_VARIABLE,
+    show_envvar=True,
+    help="The caller's key.",
+)
+deadline_ms = click.option(
+    "--deadline-ms",
+    default=DEADLINE_MS,
+    show_default=True,
+    type=click.IntRange(min=1),
+    help="How long to wait for the answer.",
+)
+admin = click.option(
+    "--admin",
+    required=True,
+    envvar=ADMIN_VARIABLE,
+    show_envvar=True,
+    type=AddressType(),
+    help="A daemon's address for operators.",
+)
+admin_key = click.option(
+    "--key",
+    default="",
+    envvar=KEY_VARIABLE,
+    show_envvar=True,
+    help="An operator's or an owner's key.",
+)
+as_json = click.option("--json", "as_json", is_flag=True, help="Print JSON.")
--- /dev/null
+++ b/tests/command_line/test_commands.py
@@ -0,0 +1,74 @@
+"""Tests of the commands that need no running daemon."""
+
+import os
+import subprocess
+import sys
+import tempfile
+import unittest
+from pathlib import Path
+
+from lavendertide.reports.run import dump_run
+from tests.reports.test_run import sample_run
+
+NOBODY = "127.0.0.1:1"
+
+
+def run_command(*arguments: str) -> subprocess.CompletedProcess[str]:
+    """Runs the command line as its own process."""
+    code = "from lavendertide.command_line.main import main; main()"
+    environment = {k: v for k, v in os.environ.items() if "LAVENDERTIDE_" not in k}
+    return subprocess.run(
+        [sys.executable, "-c", code, *arguments],
+        capture_output=True,
+        text=True,
+        env=environment,
+        timeout=60,
+        check=False,
+    )
+
+
+class CommandTest(unittest.TestCase):
+    """Each ending has its exit code and one clear line."""
+
+    def assert_ends(
+        self, done: subprocess.CompletedProcess[str], code: int, words: str
+    ) -> None:
+        """Asserts the exit code and the last line on standard error."""
+        self.assertEqual(done.returncode, code, done.stderr)
+        self.assertNotIn("Traceback", done.stderr)
+        self.assertIn(words, done.stderr.strip().splitlines()[-1])
+
+    def test_an_unreachable_daemon_is_exit_code_3(self) -> None:
+        for arguments in (
+            ("status", "--admin", NOBODY),
+            ("drain", "--admin", NOBODY),
+            ("addresses", "--host", NOBODY, "--key", "k"),
+            ("query", "--host", NOBODY, "--key", "k", "venue-desk", "order"),
+        ):
+            with self.subTest(arguments[0]):
+                self.assert_ends(run_command(*arguments), 3, "No answer from")
+
+    def test_wrong_usage_is_exit_code_2(self) -> None:
+        self.assert_ends(run_command("status"), 2, "LAVENDERTIDE_ADMIN")
+        self.assert_ends(run_command("status", "--admin", "here"), 2, "IP:port")
+
+    def test_a_missing_settings_file_is_exit_code_2(self) -> None:
+        self.assert_ends(run_command("check", "absent.yaml"), 2, "absent.yaml")
+
+    def test_completion_is_printed_for_each_shell(self) -> None:
+        for shell in ("bash", "zsh", "fish"):
+            done = run_command("completion", shell)
+            self.assertEqual(done.returncode, 0, done.stderr)
+            self.assertIn("_LAVENDERTIDE_COMPLETE", done.stdout)
+
+    def test_a_report_is_written(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            run, page = Path(folder) / "run.jsonl", Path(folder) / "page.html"
+            run.write_text(dump_run(sample_run()))
+            done = run_command("report", str(run), "-o", str(page))
+            self.assertEqual(done.returncode, 0, done.stderr)
+            self.assertIn("replica killed", page.read_text())
+
+    def test_a_missing_run_is_refused(self) -> None:
+        done = run_command("report", "absent.jsonl", "-o", "page.html")
+        self.assert_ends(done, 1, "absent.jsonl")
--- /dev/null
+++ b/tests/processes/test_product_operations.py
@@ -0,0 +1,83 @@
+"""Tests that the commands of docs/OPERATIONS.md run as they are written."""
+
+import json
+import re
+import shlex
+import tempfile
+import unittest
+from pathlib import Path
+
+from click.testing import CliRunner, Result
+
+from lavendertide.command_line.main import commands
+from lavendertide.reports.run import dump_run
+from standins.deployment import ASSOCIATION, KOINOPRAXIA, publication, smaller
+from standins.launcher import Launcher
+from tests.reports.test_run import sample_run
+
+PAGE = Path(__file__).parents[2] / "docs" / "OPERATIONS.md"
+OWNERS = (smaller(ASSOCIATION, 2, 2), smaller(KOINOPRAXIA, 2, 1))
+OPERATOR_KEY = "operator-key-0001"
+OWNER_KEY = "association-key-1"
+ADMIN = {"operator_keys": [OPERATOR_KEY], "owner_keys": {"association": [OWNER_KEY]}}
+
+
+def commands_of_page() -> list[str]:
+    """Returns the command lines of the page; drains come last."""
+    lines = re.findall(r"^    lavendertide (.+)$", PAGE.read_text(), re.MULTILINE)
+    return sorted(lines, key=lambda line: line.startswith("drain"))
+
+
+class OperationsPageTest(unittest.TestCase):
+    """Each command of the page succeeds on a running deployment."""
+
+    @classmethod
+    def setUpClass(cls) -> None:
+        cls.folder = Path(cls.enterClassContext(tempfile.TemporaryDirectory()))
+        cls.launcher = Launcher(
+            OWNERS, overrides={"admin": ADMIN}, admin_key=OPERATOR_KEY
+        )
+        cls.addClassCleanup(cls.launcher.stop)
+        cls.launcher.start()
+        lists = publication(OWNERS, cls.launcher.placed, 1)
+        (cls.folder / "lists.json").write_text(json.dumps(lists))
+        (cls.folder / "run.jsonl").write_text(dump_run(sample_run()))
+
+    def run_line(self, line: str) -> Result:
+        """Runs a command line in this process."""
+        return CliRunner().invoke(commands, shlex.split(line))
+
+    def redeem(self, host: str) -> str:
+        """Redeems a voucher; returns the ticket that was printed."""
+        done = self.run_line(f"redeem --host {host} --key refund-clerk refund-desk v-1")
+        self.assertEqual(done.exit_code, 0, done.output)
+        self.assertIn("ran", done.stdout)
+        return done.stderr.split()[1]
+
+    def test_every_command_runs_as_written(self) -> None:
+        host = self.launcher.callers["association-0"]
+        filled = {
+            "ADMIN": self.launcher.admins["association-0"],
+            "HOST": host,
+            "OPERATOR-KEY": OPERATOR_KEY,
+            "OWNER-KEY": OWNER_KEY,
+            "CALLER-KEY": "stall-clerk",
+            "OWNER": "association",
+            "PLAN": "stall-clerk",
+            "INDEX": "venue-desk",
+            "LISTS.json": str(self.folder / "lists.json"),
+            "RUN.jsonl": str(self.folder / "run.jsonl"),
+            "SETTINGS.yaml": str(self.launcher.settings["association-0"]),
+            "page.html": str(self.folder / "page.html"),
+            "TICKET": self.redeem(host),
+        }
+        lines = commands_of_page()
+        self.assertGreaterEqual(len(lines), 10)
+        for line in lines:
+            words = [filled.get(word, word) for word in shlex.split(line)]
+            if words[0] == "outcome":
+                words[words.index("stall-clerk")] = "refund-clerk"
+            with self.subTest(line):
+                done = CliRunner().invoke(commands, words)
+                self.assertEqual(done.exit_code, 0, done.output)
+        self.assertEqual(self.launcher.wait_for_exit("association-0"), 0)
