--- a/bench/data_path_slopes.py
+++ b/bench/data_path_slopes.py
@@ -2,7 +2,9 @@
 
 `python -m bench.data_path_slopes` runs one entry daemon without targets of its own and
 one holder, over growing numbers of shards, and fits a line: the slope is the cost of a
-sub-request, the intercept that of a query. Memory is taken with queries in flight.
+sub-request, the intercept that of a query. Then the same shards are spread over more
+holders, so that each frame carries fewer sub-requests: that slope is the cost of a
+frame. Memory is taken with queries in flight.
 """
 
 import argparse
@@ -23,9 +25,12 @@
 from standins.launcher import Launcher
 
 SHARDS = (10, 25, 50, 100)
+SPREAD_SHARDS = 50
+HOLDERS = (1, 4, 8)
 SUB_REQUESTS_PER_S = 1_000.0
 DURATION_S = 8.0
-IDLE_S = 4.0
+SETTLE_S = 4.0
+IDLE_S = 6.0
 DEADLINE_MS = 1_000
 SLOW_MS = 1_500.0
 SLOW_DEADLINE_MS = 2_000
@@ -40,10 +45,11 @@
 
     Attributes:
         entry_us: Processor time of the entry daemon for one query.
-        holder_us: Processor time of the holder for one query.
+        holder_us: Processor time of all holders for one query.
     """
 
     shards: int
+    holders: int
     queries: int
     entry_us: float
     holder_us: float
@@ -68,7 +74,7 @@
     intercept: float
 
 
-def owners_with(shards: int) -> tuple[OwnerSpec, OwnerSpec]:
+def owners_with(shards: int, holders: int = 1) -> tuple[OwnerSpec, OwnerSpec]:
     """Returns an owner with all targets and one with the entry host alone."""
     holder = OwnerSpec(
         owner="holder",
@@ -78,7 +84,7 @@
         plans=(
             PlanSpec("wide", "bench", 10_000.0, 10_000, 10_000, (("wide", _SEARCH),)),
         ),
-        hosts=1,
+        hosts=holders,
     )
     entry = OwnerSpec("entry", "slopes", ("slopes-a",), (), (), hosts=1)
     return holder, entry
@@ -87,27 +93,31 @@
 _SEARCH = ("search",)
 
 
-def measure(shards: int, seed: int, folder: Path) -> Point:
+def measure(shards: int, holders: int, seed: int, folder: Path) -> Point:
     """Measures one number of shards at a constant rate of sub-requests."""
-    launcher = Launcher(owners_with(shards), seed=seed, target_processes=4)
+    owners = owners_with(shards, holders)
+    launcher = Launcher(owners, seed=seed, target_processes=4)
     with launcher.running():
-        idle = _cpu_over(launcher, IDLE_S)
+        time.sleep(SETTLE_S)
         spec = _load(launcher, SUB_REQUESTS_PER_S / shards, DURATION_S, seed, folder)
         before = _stats(launcher)
         process = start_load(spec, folder)
         process.wait()
         after = _stats(launcher)
         elapsed_s = time.monotonic() - spec.starts_at_s + START_DELAY_S
+        idle = _cpu_over(launcher, IDLE_S)
     summary = summarise(read_samples(Path(spec.output)))
     used = {
         name: after[name].cpu_s - before[name].cpu_s - idle[name] * elapsed_s
-        for name in (ENTRY, HOLDER)
+        for name in before
     }
+    entry_s = used.pop(ENTRY)
     return Point(
         shards=shards,
+        holders=holders,
         queries=summary.searches,
-        entry_us=used[ENTRY] / summary.searches * 1e6,
-        holder_us=used[HOLDER] / summary.searches * 1e6,
+        entry_us=entry_s / summary.searches * 1e6,
+        holder_us=sum(used.values()) / summary.searches * 1e6,
         p50_ms=summary.p50_ms,
         whole=summary.whole,
     )
@@ -147,7 +157,9 @@
 
 
 def _stats(launcher: Launcher) -> dict[str, ProcessStats]:
-    return {name: read_process_stats(launcher.pid_of(name)) for name in (ENTRY, HOLDER)}
+    return {
+        name: read_process_stats(launcher.pid_of(name)) for name in launcher.callers
+    }
 
 
 def _cpu_over(launcher: Launcher, span_s: float) -> dict[str, float]:
@@ -164,6 +176,12 @@
     return Line(line.slope, line.intercept)
 
 
+HEADER = (
+    "| shards | holders | queries | entry us/query | holders us/query "
+    "| p50 ms | whole |"
+)
+
+
 def main() -> int:
     """Prints the points and the lines."""
     parser = argparse.ArgumentParser(description=__doc__)
@@ -171,13 +189,15 @@
     seed = parser.parse_args().seed
     print(f"commit {revision()}, seed {seed}, {SUB_REQUESTS_PER_S:g} sub-requests/s")
     with tempfile.TemporaryDirectory() as folder:
-        points = [measure(shards, seed, Path(folder)) for shards in SHARDS]
+        points = [measure(shards, 1, seed, Path(folder)) for shards in SHARDS]
+        spread = [measure(SPREAD_SHARDS, n, seed, Path(folder)) for n in HOLDERS]
         memory = [measure_memory(count, seed, Path(folder)) for count in IN_FLIGHT]
-    print("| shards | queries | entry us/query | holder us/query | p50 ms | whole |")
-    print("|---" * 6 + "|")
-    for p in points:
+    print(HEADER)
+    print("|---" * 7 + "|")
+    for p in points + spread:
         print(
-            f"| {p.shards} | {p.queries} | {p.entry_us:.0f} | {p.holder_us:.0f} "
+            f"| {p.shards} | {p.holders} | {p.queries} "
+            f"| {p.entry_us:.0f} | {p.holder_us:.0f} "
             f"| {p.p50_ms:.1f} | {p.whole:.4f} |"
         )
     print("| queries in flight | entry MB | holder MB |")
@@ -187,6 +207,8 @@
     lines = {
         "entry_us": fit([(p.shards, p.entry_us) for p in points]),
         "holder_us": fit([(p.shards, p.holder_us) for p in points]),
+        "entry_frame_us": fit([(p.holders, p.entry_us) for p in spread]),
+        "holder_frame_us": fit([(p.holders, p.holder_us) for p in spread]),
         "entry_mb": fit([(m.in_flight, m.entry_mb) for m in memory]),
         "holder_mb": fit([(m.in_flight, m.holder_mb) for m in memory]),
     }
@@ -195,7 +217,7 @@
     print(
         json.dumps(
             {
-                "points": [asdict(point) for point in points],
+                "points": [asdict(point) for point in points + spread],
                 "memory": [asdict(point) for point in memory],
                 "lines": {name: asdict(line) for name, line in lines.items()},
             }
