--- a/lavendertide/caller_client.py
+++ b/lavendertide/caller_client.py
@@ -2,22 +2,27 @@
 
 The command line and the demo use it; it also shows other callers how to behave. A
 search goes to the next address when a host cannot be reached. A non-idempotent request
-is sent again under the same ticket, which runs once at most.
+is sent again under the same ticket, which runs once at most. All tries of a request
+share its deadline, and a host's hint when to come back is kept.
 """
 
 import itertools
 import json
+import math
+import time
 from typing import Any, Final
 
 import urllib3
 from returns.result import Failure, Result, Success
 
 from lavendertide.errors import Fault, Refusal, RefusalKind
+from lavendertide.runtime import clock
 
 TIMEOUT_MARGIN_S: Final = 0.5
+TICKET_MS: Final = 1_500
 CONNECT_TIMEOUT_S: Final = 0.5
 TRIES: Final = 3
-TEMPORARY_STATUSES: Final = frozenset({503})
+HTTP_OK: Final = 200
 
 Document = dict[str, Any]
 
@@ -75,7 +80,7 @@
 
     def ticket(self, now_s: float) -> Result[str, Refusal]:
         """Returns a ticket for one non-idempotent request."""
-        answer = self._post("/v1/tickets", {}, 0, now_s)
+        answer = self._post("/v1/tickets", {}, TICKET_MS, now_s)
         return answer.map(lambda document: str(document["ticket"]))
 
     def execute(
@@ -100,28 +105,53 @@
     def _post(
         self, path: str, body: Document, deadline_ms: int, now_s: float
     ) -> Result[Document, Refusal]:
+        ends_at_s = clock.monotonic_s() + deadline_ms / 1000
         return self.addresses(now_s).bind(
-            lambda addresses: self._post_to_any(addresses, path, body, deadline_ms)
+            lambda addresses: self._post_to_any(addresses, path, body, ends_at_s)
         )
 
     def _post_to_any(
-        self, addresses: list[str], path: str, body: Document, deadline_ms: int
+        self,
+        addresses: list[str],
+        path: str,
+        body: Document,
+        ends_at_s: float,
     ) -> Result[Document, Refusal]:
-        timeout_s = deadline_ms / 1000 + TIMEOUT_MARGIN_S
+        """Tries one address after another; all tries share one deadline.
+
+        Sending again is safe on every path: a search may run twice, a ticket that
+        nobody uses is forgotten, and an order runs once under its ticket.
+        """
         last: Refusal = _unreachable("any host", "no address")
-        for address in itertools.islice(itertools.cycle(addresses), TRIES):
-            match self._send(address, "POST", path, body, timeout_s):
-                case Success((200, answer)):
+        for number in range(TRIES):
+            left_s = ends_at_s - clock.monotonic_s()
+            if number and left_s <= 0:
+                break
+            sent = _with_deadline(body, left_s)
+            address = addresses[number % len(addresses)]
+            timeout_s = max(0.0, left_s) + TIMEOUT_MARGIN_S
+            match self._send(address, "POST", path, sent, timeout_s):
+                case Success((status, answer)) if status == HTTP_OK:
                     return Success(answer)
                 case Success((status, answer)):
                     last = _refusal_of(answer)
-                    if status not in TEMPORARY_STATUSES:
-                        return Failure(last)
+                    is_round_over = (number + 1) % len(addresses) == 0
+                    pause_s = _pause_s(status, answer, is_round_over)
+                    if pause_s is None or pause_s >= left_s:
+                        break
+                    time.sleep(pause_s)
                 case Failure(refusal):
-                    self._kept_until_s = 0.0
+                    self._ask_last(address)
                     last = refusal
         return Failure(last)
 
+    def _ask_last(self, address: str) -> None:
+        """Puts an address that did not answer behind the others."""
+        self._kept_until_s = 0.0
+        if address in self._addresses:
+            others = [other for other in self._addresses if other != address]
+            self._addresses = [*others, address]
+
     def _send(
         self,
         address: str,
@@ -143,6 +173,26 @@
             return Failure(_unreachable(address, type(error).__name__))
 
 
+def _with_deadline(body: Document, left_s: float) -> Document:
+    """Returns the body with no more than what is left of the deadline."""
+    if "deadline_ms" not in body:
+        return body
+    left_ms = max(1, math.ceil(1000 * left_s))
+    return {**body, "deadline_ms": min(body["deadline_ms"], left_ms)}
+
+
+def _pause_s(status: int, answer: Document, is_round_over: bool) -> float | None:
+    """Returns when to try again after a refusal, none for never."""
+    hint_s = float(answer.get("retry_after_s") or 0.0)
+    match status:
+        case 429:
+            return hint_s
+        case 503:
+            return hint_s if is_round_over else 0.0
+        case _:
+            return None
+
+
 def _refusal_of(answer: Document) -> Refusal:
     return Refusal(
         RefusalKind(answer["kind"]),
--- a/lavendertide/encodings/caller_json.py
+++ b/lavendertide/encodings/caller_json.py
@@ -165,6 +165,7 @@
             "fault": refusal.fault.value,
             "message": refusal.message,
             "remedy": refusal.remedy,
+            "retry_after_s": retry_after_s(refusal.kind),
         }
     )
 
