--- a/standins/target.py
+++ b/standins/target.py
@@ -29,6 +29,15 @@
     FROZEN = "frozen"
 
 
+class Misreply(Enum):
+    """What is wrong with the target's answers."""
+
+    NOTHING = "nothing"
+    ATTEMPT = "attempt"
+    SHARD = "shard"
+    VERSION = "version"
+
+
 @dataclass
 class TargetBehaviour:
     """How a target behaves; tests change it while it runs.
@@ -39,6 +48,8 @@
         tail_share: Part of the requests that take `tail_ms` instead.
         versions: For each held version the held shards; a missing one is refused.
         restart_ms: How long a crash lasts.
+        misreply: What is wrong with its answers.
+        padding_bytes: What each answer carries besides its rows.
     """
 
     slots: int
@@ -50,6 +61,8 @@
     state: TargetState = TargetState.SERVING
     versions: dict[int, list[int]] = field(default_factory=dict)
     restart_ms: float = 1_000.0
+    misreply: Misreply = Misreply.NOTHING
+    padding_bytes: int = 0
 
 
 @dataclass
@@ -189,7 +202,20 @@
         self.counts.ran += 1
         if request["operation"] != "search":
             self.executions[request["body"]] += 1
-        return 200, answer_of(request)
+        return 200, self._reply(request)
+
+    def _reply(self, request: dict[str, Any]) -> dict[str, Any]:
+        reply = answer_of(request)
+        if self.behaviour.padding_bytes:
+            reply["padding"] = "x" * self.behaviour.padding_bytes
+        match self.behaviour.misreply:
+            case Misreply.ATTEMPT:
+                reply["attempt"] += "0"
+            case Misreply.SHARD:
+                reply["shard"] += 1
+            case Misreply.VERSION:
+                reply["version"] += 1
+        return reply
 
     def _wait(self, delay_s: float, attempt: str) -> bool:
         step_s = 0.005
@@ -214,12 +240,16 @@
         "attempt": request["attempt"],
         "shard": request["shard"],
         "version": request["version"],
-        "rows": sorted(rows, key=lambda row: (-row[1], row[0])),
+        "rows": sorted(rows, key=lambda row: (-row[1], row[0]))[: _page(request)],
         "matches": ROWS_PER_SHARD,
         "amount": 100 * ROWS_PER_SHARD,
     }
 
 
+def _page(request: dict[str, Any]) -> int:
+    return int(request.get("page_size", ROWS_PER_SHARD))
+
+
 def _row(request: dict[str, Any], number: int) -> tuple[str, float, str]:
     name = f"{request['index']}/{request['version']}/{request['shard']}/{number}"
     digest = blake2b(f"{name}/{request['body']}".encode(), digest_size=4).digest()
--- a/standins/targets.py
+++ b/standins/targets.py
@@ -18,7 +18,7 @@
 from eventlet import wsgi
 
 from standins.http_json import Reply, application
-from standins.target import StandInTarget, TargetBehaviour, TargetState
+from standins.target import StandInTarget, Misreply, TargetBehaviour, TargetState
 
 
 def behaviour_of(document: dict[str, Any]) -> dict[str, Any]:
@@ -26,6 +26,8 @@
     fields = dict(document)
     if "state" in fields:
         fields["state"] = TargetState(fields["state"])
+    if "misreply" in fields:
+        fields["misreply"] = Misreply(fields["misreply"])
     if "versions" in fields:
         held = fields["versions"].items()
         fields["versions"] = {int(version): shards for version, shards in held}
--- /dev/null
+++ b/tests/queries/fakes.py
@@ -0,0 +1,236 @@
+"""A dispatch whose targets do what a test tells them, and the parts around it."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from itertools import count
+from typing import Final
+
+from returns.result import Result, Success
+
+from lavendertide.configuration.adoption import Configuration
+from lavendertide.configuration.catalog import Catalog, Index, Plan, TargetPlace
+from lavendertide.errors import Refusal
+from lavendertide.ids import (
+    Address,
+    AttemptId,
+    CallerKey,
+    FailureDomain,
+    IndexName,
+    IndexVersion,
+    OwnerId,
+    PlanClass,
+    PlanId,
+    QueryId,
+    Region,
+    TargetId,
+)
+from lavendertide.messages import (
+    Answered,
+    Declined,
+    DeclineReason,
+    LossReason,
+    Lost,
+    Operation,
+    Row,
+    SubReply,
+    SubRequest,
+)
+from lavendertide.options import BudgetedHedge, PolicyOptions
+from lavendertide.queries.deadline import Deadline
+from lavendertide.queries.fan_out import run_query
+from lavendertide.queries.hedging import Budgets
+from lavendertide.queries.parts import FanOutParts
+from lavendertide.queries.query import Answer, Query, Question, fingerprint_of
+from lavendertide.queries.replicas import ReplicaChoice
+from lavendertide.queries.results_memory import ResultsMemory
+from lavendertide.queries.snapshot import Holdings
+from lavendertide.queries.target_reports import TargetReports
+from lavendertide.queries.timing import Timings
+from lavendertide.runtime import clock, tasks
+
+INDEX: Final = IndexName("venue-desk")
+OWNER: Final = OwnerId("association")
+PLAN: Final = Plan(
+    PlanId("stall-clerk"),
+    OWNER,
+    PlanClass("counter"),
+    rate_per_s=1,
+    burst=1,
+    concurrency=1,
+)
+REGION: Final = Region("eu-west-ie")
+DOMAINS: Final = (FailureDomain("ie-dub-a"), FailureDomain("ie-dub-b"))
+DEADLINE_S: Final = 5.0
+
+_queries = count(1)
+
+Reaction = Callable[[SubRequest], SubReply | None]
+
+
+def answered(request: SubRequest, spare_slots: int = 1) -> SubReply:
+    """Reacts as a target that runs the request at once."""
+    row = Row(f"{request.version}/{request.shard}", float(request.shard), "document")
+    return Answered(
+        attempt=request.attempt,
+        query=request.query,
+        shard=request.shard,
+        version=request.version,
+        rows=(row,),
+        matches=1,
+        amount=10,
+        spare_slots=spare_slots,
+    )
+
+
+def silent(request: SubRequest) -> None:
+    """Reacts as a target that never replies."""
+    del request
+
+
+def declines(reason: DeclineReason) -> Reaction:
+    """Returns the reaction of a target that declines."""
+    return lambda request: Declined(request.attempt, reason)
+
+
+def loses(reason: LossReason) -> Reaction:
+    """Returns the reaction of a target whose reply is lost."""
+    return lambda request: Lost(request.attempt, reason)
+
+
+class FakeDispatch:
+    """Targets that react at once; a silent one leaves its attempt open."""
+
+    def __init__(self) -> None:
+        self.reactions: dict[TargetId, Reaction] = {}
+        self.sent: list[SubRequest] = []
+        self.cancelled: list[AttemptId] = []
+        self.open: dict[AttemptId, tuple[SubRequest, tasks.Mailbox[SubReply]]] = {}
+
+    def send(self, request: SubRequest, inbox: tasks.Mailbox[SubReply]) -> None:
+        """Lets the target react."""
+        self.sent.append(request)
+        reply = self.reactions.get(request.target, answered)(request)
+        if reply is None:
+            self.open[request.attempt] = (request, inbox)
+        else:
+            inbox.send(reply)
+
+    def cancel(self, attempts: list[AttemptId]) -> None:
+        """Notes what is not wanted any more."""
+        self.cancelled.extend(attempts)
+
+    def asked(self, target: str) -> list[SubRequest]:
+        """Returns what one target was asked."""
+        return [request for request in self.sent if request.target == target]
+
+
+def index_of(
+    shards: int,
+    replicas: int = 2,
+    versions: tuple[int, ...] = (1,),
+    preference: str = "latency",
+) -> Index:
+    """Returns an index whose targets are called `t<shard>-<replica>`."""
+    shard_map = tuple(
+        tuple(TargetId(f"t{shard}-{replica}") for replica in range(replicas))
+        for shard in range(shards)
+    )
+    by_version = {IndexVersion(version): shard_map for version in versions}
+    return Index(INDEX, OWNER, preference, by_version)
+
+
+class FakeCatalog(Catalog):
+    """A catalog with one index."""
+
+    def __init__(self, index: Index) -> None:
+        self._indexes = {index.index: index}
+        names = {
+            target
+            for shards in index.versions.values()
+            for replicas in shards
+            for target in replicas
+        }
+        self._targets = {name: _place(name) for name in names}
+
+
+def _place(target: TargetId) -> TargetPlace:
+    replica = int(target.rpartition("-")[2])
+    domain = DOMAINS[replica % len(DOMAINS)]
+    address = Address("127.0.0.1:1")
+    return TargetPlace(target, OWNER, INDEX, address, REGION, domain, 2, 25)
+
+
+class FakeConfiguration(Configuration):
+    """A configuration whose catalog a test can replace."""
+
+    def __init__(self, index: Index) -> None:
+        super().__init__()
+        self._current = FakeCatalog(index)
+
+    @property
+    def catalog(self) -> Result[Catalog, Refusal]:
+        """The catalog in force."""
+        return Success(self._current)
+
+    def publish(self, index: Index) -> None:
+        """Puts another index in force."""
+        self._current = FakeCatalog(index)
+
+
+@dataclass
+class Tier:
+    """A daemon's queries over fake targets."""
+
+    index: Index
+    dispatch: FakeDispatch
+    configuration: FakeConfiguration
+    parts: FanOutParts
+
+    def search(
+        self, deadline_s: float = DEADLINE_S, body: str = "order", page_size: int = 10
+    ) -> Answer:
+        """Runs one search."""
+        question = Question(
+            CallerKey("k"), INDEX, int(deadline_s * 1000), page_size, body
+        )
+        query = Query(
+            query=QueryId(f"q{next(_queries)}"),
+            plan=PLAN,
+            question=question,
+            deadline=Deadline(clock.monotonic_s() + deadline_s),
+            deadline_ms=question.deadline_ms,
+            fingerprint=fingerprint_of(OWNER, INDEX, Operation.SEARCH, body),
+        )
+        catalog = self.configuration.catalog.unwrap()
+        return run_query(self.parts, query, self.index, catalog).unwrap()
+
+
+def tier(
+    index: Index,
+    policies: PolicyOptions | None = None,
+    memory: ResultsMemory | None = None,
+) -> Tier:
+    """Returns a daemon in the first failure domain over an index."""
+    chosen = policies or PolicyOptions(hedging=BudgetedHedge(delay_cold_ms=5.0))
+    holdings, reports = Holdings(), TargetReports()
+    dispatch, configuration = FakeDispatch(), FakeConfiguration(index)
+    parts = FanOutParts(
+        dispatch=dispatch,
+        configuration=configuration,
+        policies=chosen,
+        replica_choice=ReplicaChoice(
+            chosen.replicas, REGION, DOMAINS[0], holdings, reports
+        ),
+        holdings=holdings,
+        reports=reports,
+        timings=Timings(),
+        memory=memory or ResultsMemory(1_000_000, 100_000),
+        hedge_budgets=Budgets(),
+        retry_budgets=Budgets(),
+    )
+    return Tier(index, dispatch, configuration, parts)
+
+
+def with_policies(**policies: object) -> PolicyOptions:
+    """Returns the default policies with some replaced."""
+    return PolicyOptions().model_copy(update=policies)
--- /dev/null
+++ b/tests/queries/test_hedging.py
@@ -0,0 +1,50 @@
+"""Tests of `lavendertide.queries.hedging`."""
+
+import unittest
+
+from lavendertide.options import BudgetedHedge, NeverHedge
+from lavendertide.queries.hedging import TOKENS_MAX, Budget, hedge_delay_s
+from lavendertide.queries.timing import Estimate
+
+KNOWN = Estimate(quickest_s=0.002, straggler_s=0.015, cap_s=0.1)
+
+
+def spend_all(budget: Budget) -> int:
+    """Returns how many attempts a budget allowed."""
+    spent = 0
+    while budget.spend():
+        spent += 1
+    return spent
+
+
+class BudgetTest(unittest.TestCase):
+    """Extra attempts are a bounded part of the first ones."""
+
+    def test_extra_attempts_are_earned_by_first_ones(self) -> None:
+        budget = Budget()
+        spend_all(budget)
+        budget.earn(100, 0.05)
+        self.assertEqual(spend_all(budget), 5)
+
+    def test_a_quiet_owner_does_not_save_without_bound(self) -> None:
+        budget = Budget()
+        budget.earn(1_000_000, 0.05)
+        self.assertEqual(spend_all(budget), TOKENS_MAX)
+
+
+class HedgeDelayTest(unittest.TestCase):
+    """The delay is learned, and conservative before that."""
+
+    def test_a_cold_index_has_the_delay_of_the_settings(self) -> None:
+        policy = BudgetedHedge(delay_cold_ms=40.0)
+        self.assertEqual(hedge_delay_s(policy, None), 0.04)
+
+    def test_a_known_index_has_its_own_quantile(self) -> None:
+        self.assertEqual(hedge_delay_s(BudgetedHedge(), KNOWN), 0.015)
+
+    def test_the_delay_has_a_floor(self) -> None:
+        policy = BudgetedHedge(delay_min_ms=30.0)
+        self.assertEqual(hedge_delay_s(policy, KNOWN), 0.03)
+
+    def test_never_is_never(self) -> None:
+        self.assertIsNone(hedge_delay_s(NeverHedge(), KNOWN))
--- /dev/null
+++ b/tests/queries/test_snapshot.py
@@ -0,0 +1,81 @@
+"""Tests of `lavendertide.queries.snapshot`."""
+
+import unittest
+
+from returns.result import Failure
+
+from lavendertide.ids import IndexVersion, TargetId
+from lavendertide.queries.snapshot import DENIAL_S, DENIALS_MAX, PROBE_S, Holdings
+from tests.queries.fakes import INDEX, index_of
+
+NOW_S = 100.0
+ONE, TWO = IndexVersion(1), IndexVersion(2)
+BOTH = index_of(2, versions=(1, 2))
+
+
+class PinTest(unittest.TestCase):
+    """A query reads the newest version that enough replicas serve."""
+
+    def pinned(self, holdings: Holdings, now_s: float = NOW_S) -> IndexVersion:
+        """Returns the version that is chosen."""
+        return holdings.pin(BOTH, now_s).unwrap().version
+
+    def deny(self, holdings: Holdings, version: IndexVersion, replicas: int) -> None:
+        """Lets some replicas of shard 0 deny a version."""
+        for replica in range(replicas):
+            holdings.deny(TargetId(f"t0-{replica}"), version, NOW_S)
+
+    def test_the_newest_is_read_at_first(self) -> None:
+        self.assertEqual(self.pinned(Holdings()), TWO)
+
+    def test_one_replica_that_may_serve_is_enough(self) -> None:
+        holdings = Holdings()
+        self.deny(holdings, TWO, 1)
+        self.assertEqual(self.pinned(holdings), TWO)
+
+    def test_a_version_denied_by_all_replicas_of_a_shard_is_left(self) -> None:
+        holdings = Holdings()
+        self.deny(holdings, TWO, 2)
+        self.assertEqual(self.pinned(holdings), ONE)
+
+    def test_a_denial_expires(self) -> None:
+        holdings = Holdings()
+        self.deny(holdings, TWO, 2)
+        self.assertEqual(self.pinned(holdings, NOW_S + DENIAL_S), TWO)
+
+    def test_no_version_is_refused(self) -> None:
+        holdings = Holdings()
+        self.deny(holdings, ONE, 2)
+        self.deny(holdings, TWO, 2)
+        self.assertIsInstance(holdings.pin(BOTH, NOW_S), Failure)
+
+
+class ProbeTest(unittest.TestCase):
+    """A version that nobody has answered from is tried by one query at a time."""
+
+    def test_only_one_query_in_a_while_tries_it(self) -> None:
+        holdings = Holdings()
+        holdings.note_served(INDEX, ONE)
+        chosen = [holdings.pin(BOTH, NOW_S).unwrap().version for _ in range(4)]
+        self.assertEqual(chosen, [TWO, ONE, ONE, ONE])
+        later = holdings.pin(BOTH, NOW_S + PROBE_S).unwrap()
+        self.assertEqual(later.version, TWO)
+
+    def test_once_it_is_served_everybody_reads_it(self) -> None:
+        holdings = Holdings()
+        holdings.note_served(INDEX, ONE)
+        holdings.pin(BOTH, NOW_S)
+        holdings.note_served(INDEX, TWO)
+        self.assertEqual(holdings.pin(BOTH, NOW_S).unwrap().version, TWO)
+
+
+class HoldingsBoundTest(unittest.TestCase):
+    """Memory does not grow with the versions ever seen."""
+
+    def test_the_oldest_denial_is_dropped(self) -> None:
+        holdings = Holdings()
+        for number in range(DENIALS_MAX + 1):
+            holdings.deny(TargetId(f"t{number}"), ONE, NOW_S)
+        self.assertTrue(holdings.may_hold(TargetId("t0"), ONE, NOW_S))
+        self.assertFalse(holdings.may_hold(TargetId("t1"), ONE, NOW_S))
+        self.assertEqual(len(holdings._denied_until_s), DENIALS_MAX)
--- /dev/null
+++ b/tests/queries/test_target_reports.py
@@ -0,0 +1,68 @@
+"""Tests of `lavendertide.queries.target_reports`."""
+
+import unittest
+
+from lavendertide.ids import TargetId
+from lavendertide.messages import DeclineReason
+from lavendertide.queries.target_reports import (
+    AVOID_S,
+    REPORT_FRESH_S,
+    REPORTS_MAX,
+    TargetReports,
+)
+
+TARGET = TargetId("t")
+NOW_S = 100.0
+
+
+class HedgeRoomTest(unittest.TestCase):
+    """A hedge goes only where a slot was free."""
+
+    def test_no_more_hedges_than_spare_slots(self) -> None:
+        reports = TargetReports()
+        reports.hear(TARGET, 2, NOW_S)
+        sent = 0
+        while reports.may_hedge(TARGET, NOW_S):
+            reports.note_hedge(TARGET, NOW_S)
+            sent += 1
+        self.assertEqual(sent, 2)
+
+    def test_an_unknown_target_gets_one_hedge_at_a_time(self) -> None:
+        reports = TargetReports()
+        self.assertTrue(reports.may_hedge(TARGET, NOW_S))
+        reports.note_hedge(TARGET, NOW_S)
+        self.assertFalse(reports.may_hedge(TARGET, NOW_S + 0.1))
+        self.assertTrue(reports.may_hedge(TARGET, NOW_S + REPORT_FRESH_S))
+
+    def test_a_full_target_may_be_tried_once_its_report_is_old(self) -> None:
+        reports = TargetReports()
+        reports.hear(TARGET, 0, NOW_S)
+        self.assertFalse(reports.may_hedge(TARGET, NOW_S))
+        self.assertTrue(reports.may_hedge(TARGET, NOW_S + REPORT_FRESH_S))
+
+
+class AvoidanceTest(unittest.TestCase):
+    """A target that cannot serve is asked last for a while."""
+
+    def test_an_unreachable_target_is_avoided_for_a_while(self) -> None:
+        reports = TargetReports()
+        reports.hear_decline(TARGET, DeclineReason.UNREACHABLE, 0, NOW_S)
+        self.assertTrue(reports.is_avoided(TARGET, NOW_S))
+        self.assertFalse(reports.is_avoided(TARGET, NOW_S + AVOID_S))
+
+    def test_a_missing_version_is_no_reason(self) -> None:
+        reports = TargetReports()
+        reports.hear_decline(TARGET, DeclineReason.VERSION_NOT_HELD, 1, NOW_S)
+        self.assertFalse(reports.is_avoided(TARGET, NOW_S))
+
+
+class ReportsBoundTest(unittest.TestCase):
+    """Memory does not grow with the targets ever seen."""
+
+    def test_the_oldest_report_is_dropped(self) -> None:
+        reports = TargetReports()
+        reports.hear(TARGET, 0, NOW_S)
+        for number in range(REPORTS_MAX):
+            reports.hear(TargetId(f"t{number}"), 1, NOW_S)
+        self.assertEqual(len(reports._by_target), REPORTS_MAX)
+        self.assertTrue(reports.may_hedge(TARGET, NOW_S))
