--- a/lavendertide/daemon/caller_front.py
+++ b/lavendertide/daemon/caller_front.py
@@ -5,15 +5,17 @@
 
 from returns.result import Failure, Result, Success
 
+from lavendertide.daemon.in_flight import InFlight
 from lavendertide.daemon.query_service import QueryService
 from lavendertide.daemon.ticket_service import TicketService
 from lavendertide.encodings import caller_json
 from lavendertide.errors import Fault, Refusal, RefusalKind
 from lavendertide.executions.order import RefusedOrder
-from lavendertide.fleet.addresses import addresses_for
-from lavendertide.fleet.roster import Roster
+from lavendertide.fleet.addresses import AddressBook
+from lavendertide.fleet.readiness import Readiness, ReadinessState
 from lavendertide.ids import CallerKey, FailureDomain, Region, TicketId
-from lavendertide.messages import Outcome
+from lavendertide.messages import MemberRecord, Outcome
+from lavendertide.runtime import clock
 
 Environment = dict[str, Any]
 StartResponse = Callable[[str, list[tuple[str, str]]], Any]
@@ -22,6 +24,7 @@
 DOMAIN_HEADER: Final = "HTTP_X_FAILURE_DOMAIN"
 REGION_HEADER: Final = "HTTP_X_REGION"
 TICKETS_PATH: Final = "/v1/tickets/"
+EXECUTE_PATH: Final = "/v1/execute"
 REASONS: Final = {
     200: "OK",
     400: "Bad Request",
@@ -43,20 +46,32 @@
     def __init__(
         self,
         body_max_bytes: int,
-        roster: Roster,
+        own: MemberRecord,
+        address_book: AddressBook,
+        readiness: Readiness,
         queries: QueryService,
         tickets: TicketService,
+        in_flight: InFlight,
     ) -> None:
         self._body_max_bytes = body_max_bytes
-        self._roster = roster
+        self._own = own
+        self._address_book = address_book
+        self._readiness = readiness
         self._queries = queries
         self._tickets = tickets
+        self._in_flight = in_flight
 
     def __call__(
         self, environment: Environment, start_response: StartResponse
     ) -> Iterable[bytes]:
         """Answers one request."""
-        match self._answer(environment):
+        self._in_flight.enter()
+        hook: tuple[Callable[..., None], tuple[()], dict[str, Any]]
+        hook = (self._leave, (), {})
+        environment["eventlet.posthooks"].append(hook)
+        now_s = clock.monotonic_s()
+        ready = self._readiness.check(now_s).alt(_refused(environment))
+        match ready.bind(lambda _: self._answer(environment)):
             case Success(body):
                 headers = _headers(body)
                 status = 200
@@ -64,9 +79,14 @@
                 body = caller_json.encode_refusal(refusal, outcome)
                 status = caller_json.status_of(refusal.kind)
                 headers = _headers(body, caller_json.retry_after_s(refusal.kind))
+        if self._readiness.state is ReadinessState.LEAVING:
+            headers.append(("Connection", "close"))
         start_response(f"{status} {REASONS[status]}", headers)
         return [body]
 
+    def _leave(self, _: Environment) -> None:
+        self._in_flight.leave()
+
     def _answer(self, environment: Environment) -> Result[bytes, RefusedOrder]:
         key = CallerKey(environment.get(KEY_HEADER, ""))
         match environment["REQUEST_METHOD"], environment["PATH_INFO"]:
@@ -78,7 +98,7 @@
             case "POST", "/v1/tickets":
                 ticket = self._tickets.mint(key)
                 return ticket.map(caller_json.encode_ticket).alt(_not_run)
-            case "POST", "/v1/execute":
+            case "POST", path if path == EXECUTE_PATH:
                 sent = self._read(environment)
                 return sent.alt(_unknown).bind(lambda data: self._execute(key, data))
             case "GET", path if path.startswith(TICKETS_PATH):
@@ -100,12 +120,11 @@
         return known.map(caller_json.encode_execution).alt(_unknown)
 
     def _addresses(self, key: CallerKey, environment: Environment) -> bytes:
-        own = self._roster.own
-        answer = addresses_for(
-            self._roster,
+        answer = self._address_book.answer(
             key,
-            Region(environment.get(REGION_HEADER, own.region)),
-            FailureDomain(environment.get(DOMAIN_HEADER, own.failure_domain)),
+            Region(environment.get(REGION_HEADER, self._own.region)),
+            FailureDomain(environment.get(DOMAIN_HEADER, self._own.failure_domain)),
+            clock.monotonic_s(),
         )
         return caller_json.encode_addresses(answer)
 
@@ -134,6 +153,11 @@
     return RefusedOrder(refusal, Outcome.NOT_RUN)
 
 
+def _refused(environment: Environment) -> Callable[[Refusal], RefusedOrder]:
+    """Returns what a refusal before reading means: an earlier try may have run."""
+    return _unknown if environment["PATH_INFO"] == EXECUTE_PATH else _not_run
+
+
 def _unknown(refusal: Refusal) -> RefusedOrder:
     """Says of an order that could not be read that an earlier try may have run."""
     return RefusedOrder(refusal, Outcome.UNKNOWN)
