--- a/standins/launcher.py
+++ b/standins/launcher.py
@@ -13,7 +13,7 @@
 import sys
 import tempfile
 import time
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from pathlib import Path
 from typing import Any
 
@@ -101,10 +101,21 @@
         finally:
             self.stop()
 
-    def publish(self, index_versions: tuple[int, ...] = (1,)) -> int:
-        """Publishes both lists under the next version, which is returned."""
+    def publish(
+        self,
+        index_versions: tuple[int, ...] = (1,),
+        edit: Callable[[dict[str, Any]], None] | None = None,
+    ) -> int:
+        """Publishes both lists under the next version, which is returned.
+
+        Args:
+            index_versions: Versions of every index, all with the same shard map.
+            edit: Changes the lists before they are published.
+        """
         self._version += 1
         lists = publication(self.owners, self.placed, self._version, index_versions)
+        if edit is not None:
+            edit(lists)
         self.post(self.configuration, "/v1/publish", lists)
         return self._version
 
--- /dev/null
+++ b/tests/processes/callers.py
@@ -0,0 +1,81 @@
+"""Callers in threads, which note every answer that they get."""
+
+import threading
+import time
+from typing import Any
+
+from returns.result import Failure, Success
+
+from lavendertide.caller_client import CallerClient
+from standins.launcher import Launcher
+
+WAIT_S = 20.0
+
+
+def client_of(launcher: Launcher, key: str, daemon: str) -> CallerClient:
+    """Returns a caller that only ever uses one daemon."""
+    client = CallerClient([launcher.callers[daemon]], key)
+    client._addresses = [launcher.callers[daemon]]
+    client._kept_until_s = float("inf")
+    return client
+
+
+class SearchLoad:
+    """Searches from several threads at once until it is stopped."""
+
+    def __init__(self, launcher: Launcher, key: str, index: str, threads: int) -> None:
+        self.answers: list[dict[str, Any]] = []
+        self.refusals: list[str] = []
+        self._index = index
+        self._stopped = threading.Event()
+        daemons = sorted(launcher.callers)
+        self._threads = [
+            threading.Thread(
+                target=self._search,
+                args=(client_of(launcher, key, daemons[n % len(daemons)]), n),
+            )
+            for n in range(threads)
+        ]
+
+    def __enter__(self) -> "SearchLoad":
+        for thread in self._threads:
+            thread.start()
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self._stopped.set()
+        for thread in self._threads:
+            thread.join()
+
+    def wait_for(self, more: int) -> None:
+        """Waits until a number of further answers have come."""
+        wanted = len(self.answers) + more
+        wait_until(lambda: len(self.answers) >= wanted)
+
+    def wait_for_version(self, version: int) -> None:
+        """Waits until an answer of a version has come."""
+        wait_until(lambda: any(a["version"] == version for a in self.answers[-20:]))
+
+    def _search(self, client: CallerClient, number: int) -> None:
+        body = f"order of thread {number}"
+        while not self._stopped.is_set():
+            match client.search(self._index, body, 1_000, 50, time.monotonic()):
+                case Success(answer):
+                    answer["asked"] = body
+                    self.answers.append(answer)
+                case Failure(refusal):
+                    self.refusals.append(refusal.kind.value)
+
+
+def wait_until(condition: Any) -> None:
+    """Polls for a condition.
+
+    Raises:
+        TimeoutError: It has not come true.
+    """
+    ends_at_s = time.monotonic() + WAIT_S
+    while time.monotonic() < ends_at_s:
+        if condition():
+            return
+        time.sleep(0.02)
+    raise TimeoutError("the condition has not come true")
--- a/tests/queries/test_fan_out.py
+++ b/tests/queries/test_fan_out.py
@@ -309,6 +309,11 @@
         )
         self.assertEqual(memory.held_bytes, 0)
 
+    def test_a_target_is_asked_for_no_more_rows_than_the_page(self) -> None:
+        searched = tier(index_of(2))
+        searched.search(page_size=7)
+        self.assertEqual([sent.page_size for sent in searched.dispatch.sent], [7, 7])
+
     def test_a_full_process_gives_back_too(self) -> None:
         memory = ResultsMemory(400, 100_000)
         answer = tier(index_of(4), memory=memory).search()
