--- a/lavendertide/daemon/caller_front.py
+++ b/lavendertide/daemon/caller_front.py
@@ -6,8 +6,7 @@
 from returns.result import Failure, Result, Success
 
 from lavendertide.daemon.in_flight import InFlight
-from lavendertide.daemon.query_service import QueryService
-from lavendertide.daemon.ticket_service import TicketService
+from lavendertide.daemon.recording import Searches, Tickets
 from lavendertide.encodings import caller_json
 from lavendertide.errors import Fault, Refusal, RefusalKind
 from lavendertide.executions.order import RefusedOrder
@@ -49,8 +48,8 @@
         own: MemberRecord,
         address_book: AddressBook,
         readiness: Readiness,
-        queries: QueryService,
-        tickets: TicketService,
+        queries: Searches,
+        tickets: Tickets,
         in_flight: InFlight,
     ) -> None:
         self._body_max_bytes = body_max_bytes
--- a/lavendertide/daemon/daemon.py
+++ b/lavendertide/daemon/daemon.py
@@ -3,6 +3,7 @@
 import logging
 import signal
 import socket
+from collections.abc import Callable
 from functools import partial
 from pathlib import Path
 from typing import Final
@@ -10,8 +11,10 @@
 from returns.result import Success
 
 from lavendertide.configuration.adoption import Configuration
+from lavendertide.configuration.catalog import Plan
 from lavendertide.configuration.service_watch import watch_service
-from lavendertide.daemon.admin_front import AdminFront
+from lavendertide.daemon.admin_service import AdminParts
+from lavendertide.daemon.administration import Administration
 from lavendertide.daemon.caller_front import CallerFront
 from lavendertide.daemon.dispatcher import Dispatcher
 from lavendertide.daemon.drain import Drain
@@ -19,6 +22,7 @@
 from lavendertide.daemon.minter import Minter
 from lavendertide.daemon.peer_front import PeerFront
 from lavendertide.daemon.query_service import QueryService
+from lavendertide.daemon.recording import RecordedSearches, RecordedTickets, Recorder
 from lavendertide.daemon.ticket_service import TicketService
 from lavendertide.encodings.platform_http import (
     HttpConfigurationReader,
@@ -34,18 +38,24 @@
 from lavendertide.fleet.peer_connection import PeerEdge
 from lavendertide.fleet.peers import Peers
 from lavendertide.fleet.readiness import Readiness
-from lavendertide.fleet.roster import Roster
+from lavendertide.fleet.roster import SILENCE_S, Roster
 from lavendertide.ids import (
     Address,
     DaemonId,
     FailureDomain,
     HostId,
     Incarnation,
+    PlanId,
     Region,
 )
 from lavendertide.messages import MemberRecord, MemberState
+from lavendertide.metrics.metrics import Metrics
 from lavendertide.options import Options
 from lavendertide.plans.admission import Allowances
+from lavendertide.plans.allocation import PlanAllocator, Presence
+from lavendertide.plans.allocators import Allocators
+from lavendertide.plans.books import Books
+from lavendertide.plans.share_exchange import ShareExchange
 from lavendertide.queries.gate import Gate
 from lavendertide.queries.hedging import Budgets
 from lavendertide.queries.parts import FanOutParts
@@ -73,7 +83,9 @@
         fleet = options.fleet
         self._pauses = Pauses(now_s)
         self._configuration = Configuration()
-        self._allowances = Allowances()
+        self._metrics = Metrics()
+        self._books = Books()
+        self._plans: dict[PlanId, Plan] = {}
         self._roster = Roster(_own_record(options))
         self._readiness = Readiness(fleet.lease_s, now_s)
         self._in_flight = InFlight()
@@ -95,6 +107,8 @@
             fleet.heartbeat_s,
             fleet.removal_s,
         )
+        self._shares = self._make_shares()
+        self._allowances = Allowances(self._shares)
         self._pool = TargetPool(
             partial(HttpTargetExchange, reply_max_bytes=options.queries.reply_max_bytes)
         )
@@ -135,15 +149,12 @@
         tasks.spawn(self._peer_front().serve, peer_listener)
         tasks.spawn(self._membership.keep)
         tasks.spawn(keep_ticking, self._pauses)
+        tasks.spawn(self._shares.keep)
         self._watch_platform()
-        caller_server = _serve(caller_listener, self._caller_front())
-        _serve(
-            admin_listener,
-            AdminFront(self._roster, self._readiness, self._configuration),
-        )
         if self._options.faults:
             tasks.spawn(self._faults.follow, Path(self._options.faults.rules))
         _log.info("listening", extra={"callers": addresses.callers})
+        caller_server = _serve(caller_listener, self._caller_front())
         drain = Drain(
             self._roster,
             self._peers,
@@ -153,6 +164,7 @@
             self._options.fleet.drain_bound_s,
             lambda: _close(caller_listener, caller_server),
         )
+        _serve(admin_listener, self._administration(drain.request).front)
         signal.signal(signal.SIGTERM, lambda *_: drain.request())
         drain.run()
         _log.info("stopped")
@@ -166,21 +178,53 @@
             self._readiness,
             self._dispatcher,
             self._tickets,
+            self._shares.allocator,
             self._in_flight,
         )
 
     def _caller_front(self) -> CallerFront:
         lifetime_s = self._options.fleet.address_lifetime_s
+        recorder = Recorder(self._configuration, self._metrics, self._books)
         return CallerFront(
             self._options.queries.body_max_bytes,
             self._roster.own,
             AddressBook(self._roster, self._configuration, lifetime_s),
             self._readiness,
-            self._queries,
-            self._tickets,
+            RecordedSearches(self._queries, recorder),
+            RecordedTickets(self._tickets, recorder),
             self._in_flight,
         )
 
+    def _administration(self, request_drain: Callable[[], None]) -> Administration:
+        parts = AdminParts(
+            self._roster,
+            self._readiness,
+            self._configuration,
+            self._allowances,
+            self._shares,
+            self._books,
+            self._pool,
+            request_drain,
+        )
+        return Administration(self._options.admin, self._metrics, parts)
+
+    def _make_shares(self) -> ShareExchange:
+        allocator = PlanAllocator(self._rate_of, self._presence, clock.monotonic_s())
+        return ShareExchange(self._roster, self._peers, Allocators(), allocator)
+
+    def _rate_of(self, plan: PlanId) -> float | None:
+        found = self._plans.get(plan)
+        return found.rate_per_s if found else None
+
+    def _presence(self, daemon: DaemonId) -> Presence:
+        member = self._roster.find(daemon)
+        if member is None or member.state is MemberState.REMOVED:
+            return Presence.GONE
+        now_s = clock.monotonic_s()
+        if self._roster.is_reachable(daemon, SILENCE_S, now_s):
+            return Presence.PRESENT
+        return Presence.SILENT
+
     def _minter(self, parts: FanOutParts) -> Minter:
         ledger = Ledger(self._options.tickets)
         return Minter(
@@ -226,8 +270,9 @@
     def _on_change(self) -> None:
         match self._configuration.catalog:
             case Success(catalog):
-                plans = {plan.plan: plan for plan in catalog.plans.values()}
-                self._allowances.apply(plans)
+                self._plans = {plan.plan: plan for plan in catalog.plans.values()}
+                self._allowances.apply(self._plans)
+                self._books.keep_only({plan.owner for plan in self._plans.values()})
 
 
 def _own_record(options: Options) -> MemberRecord:
--- a/lavendertide/encodings/peer_frames.py
+++ b/lavendertide/encodings/peer_frames.py
@@ -13,7 +13,7 @@
 from thrift.transport.TTransport import TMemoryBuffer
 
 from lavendertide import messages
-from lavendertide.encodings import fleet_frames, holder_frames
+from lavendertide.encodings import fleet_frames, holder_frames, plan_frames
 from lavendertide.encodings.fleet_frames import pack_member, unpack_member
 from lavendertide.encodings.generated.peer_protocol import ttypes
 from lavendertide.errors import Fault, Refusal, RefusalKind
@@ -82,6 +82,8 @@
             return ttypes.Frame(ticket_request=_pack_ticket_request(frame))
         case messages.TicketReply():
             return ttypes.Frame(ticket_reply=_pack_ticket_reply(frame))
+        case messages.PlanClaims() | messages.PlanGrants():
+            return plan_frames.to_union(frame)
         case _:
             return _control_to_union(frame)
 
@@ -115,6 +117,8 @@
         return _unpack_ticket_request(union.ticket_request)
     if union.ticket_reply is not None:
         return _unpack_ticket_reply(union.ticket_reply)
+    if union.plan_claims is not None or union.plan_grants is not None:
+        return plan_frames.from_union(union)
     return _control_from_union(union)
 
 
