--- a/standins/launcher.py
+++ b/standins/launcher.py
@@ -52,6 +52,7 @@
         target_processes: int = 2,
         median_ms: float = 5.0,
         overrides: dict[str, Any] | None = None,
+        admin_key: str = "",
     ) -> None:
         self.owners = owners
         self.placed = place_targets(owners, _free_addresses(count_targets(owners)))
@@ -64,6 +65,7 @@
         self._target_processes = target_processes
         self._median_ms = median_ms
         self._overrides = overrides or {}
+        self._headers = {"Authorization": f"Bearer {admin_key}"} if admin_key else {}
         self._folder = tempfile.TemporaryDirectory()
         self._processes: dict[str, subprocess.Popen[bytes]] = {}
         self._settings: dict[str, Path] = {}
@@ -119,6 +121,10 @@
         self.post(self.configuration, "/v1/publish", lists)
         return self._version
 
+    def settings_of(self, name: str) -> Path:
+        """Returns a daemon's settings file."""
+        return self._settings[name]
+
     def start_daemon(self, name: str) -> None:
         """Starts a daemon, or starts it again."""
         self._spawn(name, "lavendertide", str(self._settings[name]))
@@ -167,7 +173,8 @@
 
     def get(self, address: str, path: str) -> Any:
         """Reads JSON from one of the processes."""
-        return self._http.request("GET", f"http://{address}{path}").json()
+        url = f"http://{address}{path}"
+        return self._http.request("GET", url, headers=self._headers).json()
 
     def post(self, address: str, path: str, body: Any) -> Any:
         """Sends JSON to one of the processes."""
--- a/tests/processes/test_product_operations.py
+++ b/tests/processes/test_product_operations.py
@@ -31,11 +31,16 @@
 class OperationsPageTest(unittest.TestCase):
     """Each command of the page succeeds on a running deployment."""
 
+    folder: Path
+    launcher: Launcher
+
     @classmethod
     def setUpClass(cls) -> None:
         cls.folder = Path(cls.enterClassContext(tempfile.TemporaryDirectory()))
         cls.launcher = Launcher(
-            OWNERS, overrides={"admin": ADMIN}, admin_key=OPERATOR_KEY
+            OWNERS,
+            overrides={"admin": ADMIN, "fleet": {"address_lifetime_s": 1.0}},
+            admin_key=OPERATOR_KEY,
         )
         cls.addClassCleanup(cls.launcher.stop)
         cls.launcher.start()
@@ -67,7 +72,7 @@
             "INDEX": "venue-desk",
             "LISTS.json": str(self.folder / "lists.json"),
             "RUN.jsonl": str(self.folder / "run.jsonl"),
-            "SETTINGS.yaml": str(self.launcher.settings["association-0"]),
+            "SETTINGS.yaml": str(self.launcher.settings_of("association-0")),
             "page.html": str(self.folder / "page.html"),
             "TICKET": self.redeem(host),
         }
