Spread the configuration by stamps and deltas, confirmed by peers at the start

They offer stamps to peers, which pull what has changed. A daemon that starts or wakes asks its peers first. Entries that have not changed are not checked again.

--- a/lavendertide/configuration/catalog.py
+++ b/lavendertide/configuration/catalog.py
@@ -67,19 +67,38 @@
     versions: Mapping[IndexVersion, tuple[tuple[TargetId, ...], ...]]
 
 
+@dataclass(frozen=True, slots=True)
+class _BuiltIndex:
+    entry: IndexEntry
+    index: Index
+    places: tuple[TargetPlace, ...]
+
+
 class Catalog:
-    """One version of the configuration, ready for look-ups."""
+    """One version of the configuration, ready for look-ups.
 
-    def __init__(self, publication: Publication) -> None:
+    Args:
+        publication: Checked lists.
+        earlier: The catalog before this one; what was built from entries that are
+            still the same is taken over from it.
+    """
+
+    def __init__(
+        self, publication: Publication, earlier: "Catalog | None" = None
+    ) -> None:
         self._version = ConfigurationVersion(publication.plans.version)
-        self._plans_by_key = _plans_by_key(publication)
-        self._indexes = {
-            IndexName(entry.index): _index(entry) for entry in publication.uses.indexes
+        self._plans_by_id = _plans_by_id(publication, earlier)
+        self._plans_by_key = {
+            CallerKey(key): self._plans_by_id[PlanId(entry.plan)]
+            for entry in publication.plans.plans
+            for key in entry.keys
         }
+        self._built = _build_indexes(publication, earlier)
+        self._indexes = {name: built.index for name, built in self._built.items()}
         self._targets = {
             place.target: place
-            for entry in publication.uses.indexes
-            for place in _places(entry)
+            for built in self._built.values()
+            for place in built.places
         }
         self._uses = {
             (PlanId(use.plan), IndexName(use.index)): frozenset(use.operations)
@@ -106,6 +125,11 @@
         """All plans by caller key."""
         return self._plans_by_key
 
+    @property
+    def plans_by_id(self) -> Mapping[PlanId, Plan]:
+        """All plans by id."""
+        return self._plans_by_id
+
     def plan_of(self, key: CallerKey) -> Result[Plan, Refusal]:
         """Returns the plan that a caller's key belongs to."""
         plan = self._plans_by_key.get(key)
@@ -144,12 +168,30 @@
         }
 
 
-def _plans_by_key(publication: Publication) -> dict[CallerKey, Plan]:
-    return {
-        CallerKey(key): _plan(entry)
-        for entry in publication.plans.plans
-        for key in entry.keys
-    }
+def _plans_by_id(
+    publication: Publication, earlier: Catalog | None
+) -> dict[PlanId, Plan]:
+    before = earlier.plans_by_id if earlier is not None else {}
+    built: dict[PlanId, Plan] = {}
+    for entry in publication.plans.plans:
+        plan = _plan(entry)
+        known = before.get(plan.plan)
+        built[plan.plan] = known if known is not None and known == plan else plan
+    return built
+
+
+def _build_indexes(
+    publication: Publication, earlier: Catalog | None
+) -> dict[IndexName, _BuiltIndex]:
+    before = earlier._built if earlier is not None else {}
+    built: dict[IndexName, _BuiltIndex] = {}
+    for entry in publication.uses.indexes:
+        name = IndexName(entry.index)
+        known = before.get(name)
+        if known is None or known.entry is not entry:
+            known = _BuiltIndex(entry, _index(entry), tuple(_places(entry)))
+        built[name] = known
+    return built
 
 
 def _plan(entry: PlanEntry) -> Plan:
--- /dev/null
+++ b/lavendertide/configuration/contradictions.py
@@ -0,0 +1,142 @@
+"""What contradicts the rules of a publication, entry by entry and as a whole.
+
+Rules about one entry are separate from rules that span entries, since an unchanged
+entry is not checked again.
+"""
+
+from collections import Counter
+from collections.abc import Collection, Iterator
+from typing import Final
+
+from lavendertide.configuration.lists import (
+    IndexEntry,
+    PlanEntry,
+    Publication,
+    UseEntry,
+)
+from lavendertide.errors import Fault, Refusal, RefusalKind
+
+PUBLICATION_MAX_BYTES: Final = 1024 * 1024
+BURST_MAX_S: Final = 3_600.0
+CONNECTIONS_PER_SLOT: Final = 2
+LEAST_TARGETS: Final = 1
+
+
+def publication_refusal(problem: str) -> Refusal:
+    """Returns the refusal of a publication."""
+    return Refusal(
+        RefusalKind.BAD_PUBLICATION,
+        problem,
+        "Mend the entry and publish both lists again under a higher version.",
+        Fault.CALLER,
+    )
+
+
+def entry_contradictions(entry: PlanEntry | IndexEntry | UseEntry) -> Iterator[str]:
+    """Yields what is wrong with an entry on its own, without a full stop."""
+    match entry:
+        case PlanEntry():
+            yield from _plan_contradictions(entry)
+        case IndexEntry():
+            yield from _index_contradictions(entry)
+        case UseEntry():
+            for name in _repeated([operation.value for operation in entry.operations]):
+                yield f"operation {name}"
+
+
+def contradictions(publication: Publication) -> Iterator[str]:
+    """Yields what is wrong between the entries of a publication."""
+    plans = publication.plans
+    uses = publication.uses
+    if plans.version != uses.version:
+        yield (
+            f"plans.version is {plans.version} but uses.version is {uses.version}; "
+            "both lists are one version."
+        )
+    targets = [target for entry in uses.indexes for target in entry.targets]
+    unique = (
+        ("plans.plans", [entry.plan for entry in plans.plans]),
+        ("caller key", [key for entry in plans.plans for key in entry.keys]),
+        ("uses.indexes", [entry.index for entry in uses.indexes]),
+        ("target", [target.target for target in targets]),
+        ("target address", [target.address for target in targets]),
+        ("uses.uses", [f"{use.plan} on {use.index}" for use in uses.uses]),
+    )
+    for place, names in unique:
+        for problem in _repeated(names):
+            yield f"{place}: {problem}."
+    yield from _place_contradictions(publication)
+    yield from _use_contradictions(publication)
+
+
+def _repeated(names: Collection[str]) -> Iterator[str]:
+    if len(set(names)) == len(names):
+        return
+    for name, count in Counter(names).items():
+        if count > 1:
+            yield f"'{name}' stands {count} times"
+
+
+def _plan_contradictions(plan: PlanEntry) -> Iterator[str]:
+    if plan.burst > BURST_MAX_S * plan.rate_per_s:
+        yield (
+            f"plan '{plan.plan}': a burst of {plan.burst} is more than "
+            f"{BURST_MAX_S:g} s of its rate; lower burst or raise rate_per_s"
+        )
+
+
+def _index_contradictions(index: IndexEntry) -> Iterator[str]:
+    name = f"index '{index.index}'"
+    needed = CONNECTIONS_PER_SLOT * index.slots
+    if index.connections < needed:
+        yield (
+            f"{name}: {index.connections} connections are too few for {index.slots} "
+            f"slots; primary and backup together need {needed}"
+        )
+    for problem in _repeated([str(entry.version) for entry in index.versions]):
+        yield f"versions of {name}: {problem}"
+    known = {entry.target for entry in index.targets}
+    for version in index.versions:
+        for number, replicas in enumerate(version.shards):
+            place = f"{name} version {version.version} shard {number}"
+            yield from _shard_contradictions(place, replicas, known)
+
+
+def _shard_contradictions(
+    place: str, replicas: tuple[str, ...], known: set[str]
+) -> Iterator[str]:
+    if len(replicas) < LEAST_TARGETS:
+        yield f"{place}: no target holds it"
+    for problem in _repeated(replicas):
+        yield f"{place}: target {problem}"
+    for target in replicas:
+        if target not in known:
+            yield f"{place}: target '{target}' is not among the targets"
+
+
+def _place_contradictions(publication: Publication) -> Iterator[str]:
+    regions: dict[str, str] = {}
+    for index in publication.uses.indexes:
+        for target in index.targets:
+            region = regions.setdefault(target.failure_domain, target.region)
+            if region != target.region:
+                yield (
+                    f"target '{target.target}': failure domain "
+                    f"'{target.failure_domain}' is in region '{region}' and in "
+                    f"region '{target.region}'; a failure domain has one region."
+                )
+
+
+def _use_contradictions(publication: Publication) -> Iterator[str]:
+    owners = {entry.plan: entry.owner for entry in publication.plans.plans}
+    indexes = {entry.index: entry.owner for entry in publication.uses.indexes}
+    for use in publication.uses.uses:
+        if use.plan not in owners:
+            yield f"uses: plan '{use.plan}' is not in the list of plans."
+        elif use.index not in indexes:
+            yield f"uses: index '{use.index}' is not among the indexes."
+        elif owners[use.plan] != indexes[use.index]:
+            yield (
+                f"uses: plan '{use.plan}' of '{owners[use.plan]}' may not use index "
+                f"'{use.index}' of '{indexes[use.index]}'."
+            )
--- /dev/null
+++ b/lavendertide/configuration/entries.py
@@ -0,0 +1,125 @@
+"""A publication cut into entries: each plan, each index and each use.
+
+An entry is checked once and kept with its digest. When the next publication comes,
+entries with a known digest are taken over as they are, so that adopting a change costs
+about as much as the change is large.
+"""
+
+import json
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
+from hashlib import blake2b
+from typing import Any, Final
+
+from pydantic import ValidationError
+from returns.result import Failure, Result, Success
+
+from lavendertide.configuration.contradictions import entry_contradictions
+from lavendertide.configuration.lists import IndexEntry, PlanEntry, UseEntry
+from lavendertide.ids import ConfigurationDigest, ConfigurationVersion, EntryKey
+from lavendertide.messages import ConfigurationStamp, EntryKind, EntryText
+
+ENTRY_DIGEST_BYTES: Final = 16
+WHOLE_DIGEST_BYTES: Final = 8
+
+EntryModel = PlanEntry | IndexEntry | UseEntry
+
+
+@dataclass(frozen=True, slots=True)
+class Entry:
+    """A checked entry.
+
+    Attributes:
+        text: The entry as canonical JSON.
+        digest: Digest of kind and text.
+    """
+
+    kind: EntryKind
+    key: EntryKey
+    text: bytes
+    digest: bytes
+    model: EntryModel
+
+
+@dataclass(frozen=True, slots=True)
+class EntryProblem:
+    """Why an entry is refused.
+
+    Attributes:
+        place: Path inside the entry; empty for the entry itself.
+    """
+
+    place: str
+    message: str
+
+
+def canonical_text(value: Any) -> bytes:
+    """Returns JSON that is equal for equal values, whatever their formatting."""
+    return json.dumps(value, sort_keys=True, separators=(",", ":")).encode()
+
+
+def entry_digest(kind: EntryKind, text: bytes) -> bytes:
+    """Returns the digest of an entry."""
+    digest = blake2b(kind.value.encode(), digest_size=ENTRY_DIGEST_BYTES)
+    digest.update(b"\n")
+    digest.update(text)
+    return digest.digest()
+
+
+def read_entry(
+    entry: EntryText, known: Mapping[bytes, Entry]
+) -> Result[Entry, EntryProblem]:
+    """Checks an entry unless one with the same digest was checked before.
+
+    Args:
+        entry: The entry as canonical JSON.
+        known: Checked entries by digest.
+    """
+    digest = entry_digest(entry.kind, entry.text)
+    checked = known.get(digest)
+    if checked is not None:
+        return Success(checked)
+    try:
+        model = _validate(entry)
+    except ValidationError as error:
+        return Failure(_first_problem(error))
+    for message in entry_contradictions(model):
+        return Failure(EntryProblem("", message))
+    return Success(Entry(entry.kind, key_of(model), entry.text, digest, model))
+
+
+def key_of(model: EntryModel) -> EntryKey:
+    """Returns the name that an entry has in its publication."""
+    match model:
+        case PlanEntry(plan=plan):
+            return EntryKey(f"{EntryKind.PLAN.value}/{plan}")
+        case IndexEntry(index=index):
+            return EntryKey(f"{EntryKind.INDEX.value}/{index}")
+        case UseEntry(plan=plan, index=index):
+            return EntryKey(f"{EntryKind.USE.value}/{plan}/{index}")
+
+
+def stamp_of(
+    version: ConfigurationVersion, entries: Iterable[Entry]
+) -> ConfigurationStamp:
+    """Returns the stamp of a publication; the order of its entries has no effect."""
+    whole = blake2b(str(version).encode(), digest_size=WHOLE_DIGEST_BYTES)
+    for digest in sorted(entry.digest for entry in entries):
+        whole.update(digest)
+    return ConfigurationStamp(version, ConfigurationDigest(whole.digest()))
+
+
+def _validate(entry: EntryText) -> EntryModel:
+    match entry.kind:
+        case EntryKind.PLAN:
+            return PlanEntry.model_validate_json(entry.text)
+        case EntryKind.INDEX:
+            return IndexEntry.model_validate_json(entry.text)
+        case EntryKind.USE:
+            return UseEntry.model_validate_json(entry.text)
+
+
+def _first_problem(error: ValidationError) -> EntryProblem:
+    problem = error.errors(include_url=False, include_input=False)[0]
+    place = ".".join(str(part) for part in problem["loc"])
+    return EntryProblem(place, problem["msg"])
--- a/lavendertide/configuration/lists.py
+++ b/lavendertide/configuration/lists.py
@@ -2,24 +2,32 @@
 
 The first list holds the plans and the keys of their callers. The second says what
 each plan may use, and describes the indexes themselves: targets, versions and shards.
-Rules that span both lists are in `lavendertide.configuration.rules`.
+Rules that a shape cannot express are in `lavendertide.configuration.contradictions`.
 """
 
-from typing import Annotated, Final
+from typing import Annotated, Any, Final
 
-from pydantic import BaseModel, ConfigDict, Field, StringConstraints
+from pydantic import AfterValidator, BaseModel, ConfigDict, Field, StringConstraints
 
+from lavendertide.addressing import check_ip_port
 from lavendertide.messages import Operation
 
 MOST_SHARDS: Final = 1_000
+MOST_VERSIONS: Final = 16
+MOST_SLOTS: Final = 10_000
+MOST_CONNECTIONS: Final = 100_000
+MOST_QUERIES: Final = 1_000_000
+GREATEST_VERSION: Final = 2**53 - 1
+
 Name = Annotated[str, StringConstraints(pattern=r"^[a-z0-9][a-z0-9-]{0,62}$")]
-IpAddress = Annotated[str, StringConstraints(pattern=r"^[0-9.]+:[0-9]{1,5}$")]
+IpAddress = Annotated[str, AfterValidator(check_ip_port)]
+Version = Annotated[int, Field(ge=1, le=GREATEST_VERSION)]
 
 
 class _Entry(BaseModel):
     """An entry of a published list; unknown keys are refused."""
 
-    model_config = ConfigDict(extra="forbid", frozen=True)
+    model_config = ConfigDict(extra="forbid", frozen=True, strict=True)
 
 
 class PlanEntry(_Entry):
@@ -36,9 +44,9 @@
     plan: Name
     owner: Name
     plan_class: Name
-    rate_per_s: Annotated[float, Field(gt=0)]
-    burst: Annotated[int, Field(ge=1)]
-    concurrency: Annotated[int, Field(ge=1)]
+    rate_per_s: Annotated[float, Field(gt=0, le=MOST_QUERIES, allow_inf_nan=False)]
+    burst: Annotated[int, Field(ge=1, le=MOST_QUERIES)]
+    concurrency: Annotated[int, Field(ge=1, le=MOST_QUERIES)]
     keys: tuple[Name, ...]
 
 
@@ -59,8 +67,10 @@
         shards: For each shard, by number, the targets that hold it.
     """
 
-    version: Annotated[int, Field(ge=1)]
-    shards: Annotated[tuple[tuple[Name, ...], ...], Field(max_length=MOST_SHARDS)]
+    version: Version
+    shards: Annotated[
+        tuple[tuple[Name, ...], ...], Field(min_length=1, max_length=MOST_SHARDS)
+    ]
 
 
 class IndexEntry(_Entry):
@@ -74,11 +84,13 @@
 
     index: Name
     owner: Name
-    slots: Annotated[int, Field(ge=1)]
-    connections: Annotated[int, Field(ge=2)]
+    slots: Annotated[int, Field(ge=1, le=MOST_SLOTS)]
+    connections: Annotated[int, Field(ge=2, le=MOST_CONNECTIONS)]
     preference: Annotated[str, Field(pattern="^(latency|coverage)$")] = "latency"
     targets: tuple[TargetEntry, ...]
-    versions: Annotated[tuple[VersionEntry, ...], Field(min_length=1)]
+    versions: Annotated[
+        tuple[VersionEntry, ...], Field(min_length=1, max_length=MOST_VERSIONS)
+    ]
 
 
 class UseEntry(_Entry):
@@ -92,14 +104,14 @@
 class PlansList(_Entry):
     """The first published list."""
 
-    version: Annotated[int, Field(ge=1)]
+    version: Version
     plans: tuple[PlanEntry, ...]
 
 
 class UsesList(_Entry):
     """The second published list."""
 
-    version: Annotated[int, Field(ge=1)]
+    version: Version
     indexes: tuple[IndexEntry, ...]
     uses: tuple[UseEntry, ...]
 
@@ -109,3 +121,25 @@
 
     plans: PlansList
     uses: UsesList
+
+
+class PlansOutline(_Entry):
+    """The first list before its entries are checked."""
+
+    version: Version
+    plans: list[Any]
+
+
+class UsesOutline(_Entry):
+    """The second list before its entries are checked."""
+
+    version: Version
+    indexes: list[Any]
+    uses: list[Any]
+
+
+class Outline(_Entry):
+    """Both lists before their entries are checked."""
+
+    plans: PlansOutline
+    uses: UsesOutline
--- /dev/null
+++ b/lavendertide/configuration/revision.py
@@ -0,0 +1,202 @@
+"""One version of both lists as checked entries.
+
+A `Revision` is read from a published text or made from the one before it and a delta;
+either way the whole of it has passed the rules.
+"""
+
+import json
+from collections.abc import Iterable, Iterator, Mapping
+from typing import Any, Final
+
+from pydantic import ValidationError
+from returns.result import Failure, Result, Success
+
+from lavendertide.configuration.contradictions import (
+    PUBLICATION_MAX_BYTES,
+    contradictions,
+    publication_refusal,
+)
+from lavendertide.configuration.entries import (
+    Entry,
+    EntryProblem,
+    canonical_text,
+    read_entry,
+    stamp_of,
+)
+from lavendertide.configuration.lists import (
+    IndexEntry,
+    Outline,
+    PlanEntry,
+    PlansList,
+    Publication,
+    UseEntry,
+    UsesList,
+)
+from lavendertide.errors import Refusal
+from lavendertide.ids import ConfigurationVersion, EntryKey
+from lavendertide.messages import (
+    ConfigurationDelta,
+    ConfigurationStamp,
+    EntryKind,
+    EntryText,
+)
+
+PLACES: Final = {
+    EntryKind.PLAN: "plans.plans",
+    EntryKind.INDEX: "uses.indexes",
+    EntryKind.USE: "uses.uses",
+}
+
+
+class Revision:
+    """Checked entries under one version."""
+
+    def __init__(self, publication: Publication, entries: Iterable[Entry]) -> None:
+        self._publication = publication
+        self._entries = {entry.key: entry for entry in entries}
+        version = ConfigurationVersion(publication.plans.version)
+        self._stamp = stamp_of(version, self._entries.values())
+
+    @property
+    def stamp(self) -> ConfigurationStamp:
+        """Version and digest."""
+        return self._stamp
+
+    @property
+    def publication(self) -> Publication:
+        """Both lists."""
+        return self._publication
+
+    @property
+    def entries(self) -> Mapping[EntryKey, Entry]:
+        """All entries by key."""
+        return self._entries
+
+    @property
+    def text(self) -> bytes:
+        """Both lists as JSON, with the entries in canonical form."""
+        version = self._stamp.version
+        return (
+            f'{{"plans":{{"version":{version},"plans":['.encode()
+            + self._texts(EntryKind.PLAN)
+            + f']}},"uses":{{"version":{version},"indexes":['.encode()
+            + self._texts(EntryKind.INDEX)
+            + b'],"uses":['
+            + self._texts(EntryKind.USE)
+            + b"]}}"
+        )
+
+    def changes_since(self, earlier: "Revision | None") -> frozenset[EntryKey]:
+        """Returns the keys of entries that differ from an earlier revision."""
+        before = earlier.entries if earlier is not None else {}
+        changed = {
+            key
+            for key, entry in self._entries.items()
+            if key not in before or before[key].digest != entry.digest
+        }
+        return frozenset(changed | (before.keys() - self._entries.keys()))
+
+    def _texts(self, kind: EntryKind) -> bytes:
+        return b",".join(e.text for e in self._entries.values() if e.kind is kind)
+
+
+def read_revision(text: bytes, known: Revision | None) -> Result[Revision, Refusal]:
+    """Reads and checks a publication.
+
+    Args:
+        text: JSON of the form `{"plans": ..., "uses": ...}`.
+        known: A checked revision, whose entries need no second check.
+
+    Returns:
+        The revision, or the first problem with its remedy.
+    """
+    if len(text) > PUBLICATION_MAX_BYTES:
+        return Failure(
+            publication_refusal(
+                f"the document: {len(text)} bytes are more than the "
+                f"{PUBLICATION_MAX_BYTES} that a publication may have."
+            )
+        )
+    try:
+        outline = Outline.model_validate(json.loads(text.decode("utf-8")))
+    except ValidationError as error:
+        return Failure(publication_refusal(_outline_problem(error)))
+    except (ValueError, RecursionError) as error:
+        return Failure(publication_refusal(f"the document: not JSON: {error}."))
+    return _check(outline, known)
+
+
+def apply_delta(
+    known: Revision, delta: ConfigurationDelta
+) -> Result[Revision, Refusal]:
+    """Makes the next revision from the changed entries and checks it as a whole."""
+    entries = dict(known.entries)
+    for key in delta.removed:
+        entries.pop(key, None)
+    for changed in delta.changed:
+        match read_entry(changed, {}):
+            case Success(entry):
+                entries[entry.key] = entry
+            case Failure(problem):
+                return Failure(publication_refusal(_problem(changed.kind, problem)))
+    publication = _publication(
+        delta.stamp.version, delta.stamp.version, list(entries.values())
+    )
+    return _finish(publication, list(entries.values()))
+
+
+def _check(outline: Outline, known: Revision | None) -> Result[Revision, Refusal]:
+    checked = {e.digest: e for e in known.entries.values()} if known else {}
+    entries: list[Entry] = []
+    for place, raw in _raw_entries(outline):
+        match read_entry(raw, checked):
+            case Success(entry):
+                entries.append(entry)
+            case Failure(problem):
+                path = f"{place}.{problem.place}" if problem.place else place
+                return Failure(publication_refusal(f"{path}: {problem.message}."))
+    publication = _publication(outline.plans.version, outline.uses.version, entries)
+    return _finish(publication, entries)
+
+
+def _finish(
+    publication: Publication, entries: list[Entry]
+) -> Result[Revision, Refusal]:
+    for problem in contradictions(publication):
+        return Failure(publication_refusal(problem))
+    return Success(Revision(publication, entries))
+
+
+def _raw_entries(outline: Outline) -> Iterator[tuple[str, EntryText]]:
+    lists: tuple[tuple[EntryKind, list[Any]], ...] = (
+        (EntryKind.PLAN, outline.plans.plans),
+        (EntryKind.INDEX, outline.uses.indexes),
+        (EntryKind.USE, outline.uses.uses),
+    )
+    for kind, values in lists:
+        for number, value in enumerate(values):
+            yield f"{PLACES[kind]}.{number}", EntryText(kind, canonical_text(value))
+
+
+def _publication(
+    plans_version: int, uses_version: int, entries: list[Entry]
+) -> Publication:
+    models = [entry.model for entry in entries]
+    plans = tuple(model for model in models if isinstance(model, PlanEntry))
+    indexes = tuple(model for model in models if isinstance(model, IndexEntry))
+    uses = tuple(model for model in models if isinstance(model, UseEntry))
+    return Publication.model_construct(
+        plans=PlansList.model_construct(version=plans_version, plans=plans),
+        uses=UsesList.model_construct(version=uses_version, indexes=indexes, uses=uses),
+    )
+
+
+def _outline_problem(error: ValidationError) -> str:
+    problem = error.errors(include_url=False, include_input=False)[0]
+    place = ".".join(str(part) for part in problem["loc"]) or "the document"
+    return f"{place}: {problem['msg']}."
+
+
+def _problem(kind: EntryKind, problem: EntryProblem) -> str:
+    place = f"{PLACES[kind]}.{problem.place}".rstrip(".")
+    return f"{place}: {problem.message}."
--- /dev/null
+++ b/lavendertide/configuration/status.py
@@ -0,0 +1,130 @@
+"""What operators are shown about the configuration of one daemon."""
+
+from dataclasses import dataclass
+from typing import Any
+
+from lavendertide.configuration.adoption import Configuration, Source
+from lavendertide.configuration.service_watch import ServiceContact, ServiceWatch
+from lavendertide.configuration.spreading import SpreadCounts, Spreading
+from lavendertide.ids import ConfigurationVersion
+
+
+@dataclass(frozen=True, slots=True)
+class RefusalStatus:
+    """The newest publication that was refused.
+
+    Attributes:
+        version: The version that it bears, zero if none is legible.
+        digest: Tells apart publications of one version.
+        problem: The reason and the remedy, the same words on every daemon.
+        refused_ago_s: How long this daemon has known.
+        checked_here: Whether it has read the publication itself or heard of it.
+    """
+
+    version: ConfigurationVersion
+    digest: str
+    problem: str
+    refused_ago_s: float
+    checked_here: bool
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigurationStatus:
+    """The configuration of one daemon.
+
+    Attributes:
+        version: The version in force, zero for none.
+        digest: Tells apart publications of one version.
+        adopted_ago_s: How long it has been in force here.
+        source: Whether it came from the service or from a peer.
+        needs_refresh: Whether peers have yet to confirm that it is not old.
+        refusal: The newest refused publication since, if any.
+        service: How the daemon stands with the configuration service.
+        service_silence_s: Time since the service last answered; none for never.
+        counts: What was sent to peers and taken from them.
+    """
+
+    version: ConfigurationVersion
+    digest: str
+    adopted_ago_s: float
+    source: Source
+    needs_refresh: bool
+    refusal: RefusalStatus | None
+    service: ServiceContact
+    service_silence_s: float | None
+    counts: SpreadCounts
+
+
+def status_of(
+    configuration: Configuration,
+    watch: ServiceWatch,
+    spreading: Spreading,
+    now_s: float,
+) -> ConfigurationStatus:
+    """Returns what operators are shown."""
+    contact = watch.contact
+    silence_s = None
+    if contact.answered_at_s is not None:
+        silence_s = now_s - contact.answered_at_s
+    return ConfigurationStatus(
+        version=configuration.version,
+        digest=configuration.stamp.digest.hex(),
+        adopted_ago_s=now_s - configuration.adopted_at_s,
+        source=configuration.source,
+        needs_refresh=spreading.needs_refresh(now_s),
+        refusal=_refusal(configuration, now_s),
+        service=contact,
+        service_silence_s=silence_s,
+        counts=spreading.counts,
+    )
+
+
+def to_document(status: ConfigurationStatus) -> dict[str, Any]:
+    """Returns the status as plain values for JSON."""
+    refusal = status.refusal
+    return {
+        "version": status.version,
+        "digest": status.digest,
+        "adopted_ago_s": round(status.adopted_ago_s, 1),
+        "source": status.source.value,
+        "needs_refresh": status.needs_refresh,
+        "refusal": None if refusal is None else _refusal_document(refusal),
+        "service": {
+            "watching": status.service.is_watching,
+            "reads": status.service.reads,
+            "silence_s": status.service_silence_s,
+            "problem": status.service.problem,
+        },
+        "spreading": {
+            "offers_sent": status.counts.offers_sent,
+            "pulls_sent": status.counts.pulls_sent,
+            "deltas_sent": status.counts.deltas_sent,
+            "wholes_sent": status.counts.wholes_sent,
+            "deltas_adopted": status.counts.deltas_adopted,
+            "wholes_adopted": status.counts.wholes_adopted,
+            "mismatches": status.counts.mismatches,
+        },
+    }
+
+
+def _refusal(configuration: Configuration, now_s: float) -> RefusalStatus | None:
+    refused = configuration.refused
+    if refused is None:
+        return None
+    return RefusalStatus(
+        version=refused.notice.stamp.version,
+        digest=refused.notice.stamp.digest.hex(),
+        problem=str(refused.refusal),
+        refused_ago_s=now_s - refused.refused_at_s,
+        checked_here=refused.is_own,
+    )
+
+
+def _refusal_document(refusal: RefusalStatus) -> dict[str, Any]:
+    return {
+        "version": refusal.version,
+        "digest": refusal.digest,
+        "problem": refusal.problem,
+        "refused_ago_s": round(refusal.refused_ago_s, 1),
+        "checked_here": refusal.checked_here,
+    }
--- a/lavendertide/daemon/admin_front.py
+++ b/lavendertide/daemon/admin_front.py
@@ -7,6 +7,7 @@
 from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
 
 from lavendertide.configuration.adoption import Configuration
+from lavendertide.configuration.status import ConfigurationStatus, to_document
 from lavendertide.fleet.roster import SILENCE_S, Roster
 from lavendertide.ids import DaemonId
 from lavendertide.runtime import clock
@@ -15,9 +16,15 @@
 class AdminFront:
     """The WSGI application that operators reach."""
 
-    def __init__(self, roster: Roster, configuration: Configuration) -> None:
+    def __init__(
+        self,
+        roster: Roster,
+        configuration: Configuration,
+        configuration_status: Callable[[float], ConfigurationStatus],
+    ) -> None:
         self._roster = roster
         self._configuration = configuration
+        self._configuration_status = configuration_status
 
     def __call__(
         self,
@@ -32,6 +39,10 @@
             case "/v1/status":
                 start_response("200 OK", [("Content-Type", "application/json")])
                 return [self._status()]
+            case "/v1/configuration":
+                start_response("200 OK", [("Content-Type", "application/json")])
+                status = self._configuration_status(clock.monotonic_s())
+                return [json.dumps(to_document(status)).encode()]
             case _:
                 start_response("404 Not Found", [("Content-Type", "text/plain")])
                 return [b"There is no such path. See docs/PROTOCOLS.md.\n"]
@@ -42,9 +53,11 @@
 
     def _status(self) -> bytes:
         refused = self._configuration.refused
+        status = self._configuration_status(clock.monotonic_s())
         return json.dumps(
             {
                 "daemon": self._roster.own.daemon,
+                "ready": not status.needs_refresh,
                 "configuration": self._configuration.version,
                 "refused": str(refused.refusal) if refused else None,
                 "members": [
--- a/lavendertide/daemon/daemon.py
+++ b/lavendertide/daemon/daemon.py
@@ -7,7 +7,10 @@
 from returns.result import Failure, Success
 
 from lavendertide.configuration.adoption import Configuration
-from lavendertide.configuration.service_watch import watch_service
+from lavendertide.configuration.service_watch import ServiceWatch
+from lavendertide.configuration.spreading import Spreading
+from lavendertide.configuration.status import ConfigurationStatus, status_of
+from lavendertide.configuration.watchers import is_watcher
 from lavendertide.daemon.admin_front import AdminFront
 from lavendertide.daemon.caller_front import CallerFront
 from lavendertide.daemon.dispatcher import Dispatcher
@@ -23,7 +26,7 @@
 from lavendertide.executions.ledger import Ledger
 from lavendertide.fleet.news import FleetNews
 from lavendertide.fleet.peers import Peers
-from lavendertide.fleet.roster import Roster
+from lavendertide.fleet.roster import SILENCE_S, Roster
 from lavendertide.ids import (
     Address,
     DaemonId,
@@ -43,6 +46,7 @@
 from lavendertide.targets.target_pool import TargetPool
 
 MEMBERSHIP_READ_S: Final = 2.0
+READY_CHECK_S: Final = 0.05
 CONNECTIONS_MAX: Final = 1_024
 KEEP_ALIVE_S: Final = 60.0
 HEDGE_POLICY: Final = BudgetedHedge(delay_s=0.04, extra_load=0.05)
@@ -59,13 +63,30 @@
         self._configuration = Configuration()
         self._allowances = Allowances()
         self._roster = Roster(_own_record(options))
+        seeds = [Address(seed) for seed in options.fleet.seeds]
+        self._spreading = Spreading(
+            self._configuration,
+            [seed for seed in seeds if seed != options.addresses.peers],
+            self._on_change,
+            clock.monotonic_s(),
+        )
+        self._service_watch = ServiceWatch(
+            HttpConfigurationReader(Address(options.platform.configuration)),
+            self._configuration,
+            self._watches_service,
+            self._on_service_change,
+        )
         self._news = FleetNews(
-            options.fleet.key, self._roster, self._configuration, self._on_change
+            options.fleet.key,
+            self._roster,
+            self._configuration,
+            self._spreading,
+            self._on_change,
         )
         self._peers = Peers(
             self._roster,
             self._news,
-            tuple(Address(seed) for seed in options.fleet.seeds),
+            tuple(seeds),
             options.fleet.heartbeat_s,
         )
         self._pool = TargetPool(HttpTargetExchange)
@@ -92,7 +113,6 @@
         signal.signal(signal.SIGTERM, lambda *_: self._stopping.set())
         addresses = self._options.addresses
         peer_listener = sockets.listen(Address(addresses.peers))
-        caller_listener = sockets.listen(Address(addresses.callers))
         admin_listener = sockets.listen(Address(addresses.admin))
         peer_front = PeerFront(self._news, self._dispatcher, self._tickets)
         tasks.spawn(peer_front.serve, peer_listener)
@@ -104,14 +124,25 @@
             self._queries,
             self._tickets,
         )
-        admin_front = AdminFront(self._roster, self._configuration)
-        for listener, front in (
-            (caller_listener, caller_front),
-            (admin_listener, admin_front),
-        ):
-            tasks.spawn(
-                sockets.serve_wsgi, listener, front, CONNECTIONS_MAX, KEEP_ALIVE_S
-            )
+        admin_front = AdminFront(
+            self._roster, self._configuration, self._configuration_status
+        )
+        tasks.spawn(
+            sockets.serve_wsgi,
+            admin_listener,
+            admin_front,
+            CONNECTIONS_MAX,
+            KEEP_ALIVE_S,
+        )
+        self._wait_for_configuration()
+        caller_listener = sockets.listen(Address(addresses.callers))
+        tasks.spawn(
+            sockets.serve_wsgi,
+            caller_listener,
+            caller_front,
+            CONNECTIONS_MAX,
+            KEEP_ALIVE_S,
+        )
         _log.info("serving", extra={"callers": addresses.callers})
         self._stopping.wait()
         _log.info("stopped")
@@ -129,13 +160,8 @@
 
     def _watch_platform(self) -> None:
         platform = self._options.platform
-        tasks.spawn(
-            watch_service,
-            HttpConfigurationReader(Address(platform.configuration)),
-            self._configuration,
-            lambda: True,
-            self._on_change,
-        )
+        tasks.spawn(self._service_watch.run)
+        tasks.spawn(self._spreading.run, lambda: self._peers.links)
         tasks.spawn(
             self._read_membership, HttpMembershipReader(Address(platform.membership))
         )
@@ -152,12 +178,37 @@
                     reachable = False
             tasks.sleep(MEMBERSHIP_READ_S)
 
+    def _wait_for_configuration(self) -> None:
+        """Waits until peers have confirmed what is in force, or the bounded time."""
+        while self._spreading.needs_refresh(clock.monotonic_s()):
+            if self._stopping.wait(READY_CHECK_S):
+                return
+
+    def _configuration_status(self, now_s: float) -> ConfigurationStatus:
+        return status_of(
+            self._configuration, self._service_watch, self._spreading, now_s
+        )
+
+    def _watches_service(self, now_s: float) -> bool:
+        reachable = [
+            member
+            for member in self._roster.serving
+            if self._roster.is_reachable(member.daemon, SILENCE_S, now_s)
+        ]
+        version = self._configuration.version
+        return self._spreading.asks_service(now_s) and is_watcher(
+            self._roster.own, reachable, version
+        )
+
+    def _on_service_change(self) -> None:
+        self._on_change()
+        self._spreading.announce()
+
     def _on_change(self) -> None:
         self._peers.follow_roster()
         match self._configuration.catalog:
             case Success(catalog):
-                plans = {plan.plan: plan for plan in catalog.plans.values()}
-                self._allowances.apply(plans)
+                self._allowances.apply(dict(catalog.plans_by_id))
 
 
 def _own_record(options: Options) -> MemberRecord:
--- a/lavendertide/daemon/peer_front.py
+++ b/lavendertide/daemon/peer_front.py
@@ -19,7 +19,7 @@
     SubRequests,
     TicketRequest,
 )
-from lavendertide.runtime import tasks
+from lavendertide.runtime import clock, tasks
 
 REPLIES_PER_FRAME_MAX = 128
 
@@ -66,7 +66,7 @@
             case TicketRequest():
                 tasks.spawn(self._answer_ticket, frame, outbox)
             case _:
-                answer = self._news.answer(frame)
+                answer = self._news.answer(frame, clock.monotonic_s())
                 if answer is not None:
                     outbox.send(answer)
 
--- /dev/null
+++ b/lavendertide/encodings/configuration_frames.py
@@ -0,0 +1,131 @@
+"""The frames by which daemons spread the configuration.
+
+Texts travel compressed by `zlib`; a bound on what they expand to keeps a broken peer
+from filling this daemon's memory.
+"""
+
+import zlib
+from typing import Any, Final
+
+from lavendertide import messages
+from lavendertide.encodings.generated.peer_protocol import ttypes
+from lavendertide.ids import ConfigurationDigest, ConfigurationVersion, EntryKey
+
+TEXT_MAX_BYTES: Final = 4 * 1024 * 1024
+LINE_END: Final = b"\n"
+
+
+def to_union(frame: messages.Frame) -> Any:
+    """Returns the `thrift` union of a configuration frame."""
+    match frame:
+        case messages.ConfigurationOffer():
+            return ttypes.Frame(configuration_offer=_pack_offer(frame))
+        case messages.ConfigurationPull(known, ask):
+            pull = ttypes.ConfigurationPull(_pack_stamp(known), ask)
+            return ttypes.Frame(configuration_pull=pull)
+        case messages.ConfigurationPush(stamp, lists):
+            push = ttypes.ConfigurationPush(
+                stamp=_pack_stamp(stamp), lists=zlib.compress(lists)
+            )
+            return ttypes.Frame(configuration_push=push)
+        case messages.ConfigurationDelta():
+            return ttypes.Frame(configuration_delta=_pack_delta(frame))
+    raise TypeError(f"not a frame: {frame!r}")
+
+
+def from_union(union: Any) -> messages.ConfigurationFrame | None:
+    """Returns the configuration frame of a `thrift` union, none if it is another.
+
+    Raises:
+        ValueError: A text cannot be expanded or is too long.
+    """
+    if union.configuration_offer is not None:
+        return _unpack_offer(union.configuration_offer)
+    if union.configuration_pull is not None:
+        pull = union.configuration_pull
+        return messages.ConfigurationPull(_unpack_stamp(pull.known), pull.ask)
+    if union.configuration_push is not None:
+        push = union.configuration_push
+        return messages.ConfigurationPush(
+            _unpack_stamp(push.stamp), _expand(push.lists)
+        )
+    if union.configuration_delta is not None:
+        return _unpack_delta(union.configuration_delta)
+    return None
+
+
+def _pack_stamp(stamp: messages.ConfigurationStamp) -> Any:
+    return ttypes.ConfigurationStamp(stamp.version, stamp.digest)
+
+
+def _unpack_stamp(stamp: Any) -> messages.ConfigurationStamp:
+    return messages.ConfigurationStamp(
+        ConfigurationVersion(stamp.version), ConfigurationDigest(stamp.digest)
+    )
+
+
+def _pack_offer(offer: messages.ConfigurationOffer) -> Any:
+    refusal = offer.refusal
+    packed = None
+    if refusal is not None:
+        packed = ttypes.ConfigurationRefusal(
+            refusal.over_version,
+            _pack_stamp(refusal.stamp),
+            refusal.message,
+            refusal.remedy,
+        )
+    return ttypes.ConfigurationOffer(
+        _pack_stamp(offer.stamp), offer.is_confirmed, packed, offer.ask
+    )
+
+
+def _unpack_offer(offer: Any) -> messages.ConfigurationOffer:
+    refusal = None
+    if offer.refusal is not None:
+        refusal = messages.ConfigurationRefusal(
+            ConfigurationVersion(offer.refusal.over_version),
+            _unpack_stamp(offer.refusal.stamp),
+            offer.refusal.message,
+            offer.refusal.remedy,
+        )
+    return messages.ConfigurationOffer(
+        offer.ask, _unpack_stamp(offer.stamp), bool(offer.is_confirmed), refusal
+    )
+
+
+def _pack_delta(delta: messages.ConfigurationDelta) -> Any:
+    lines = [
+        b" ".join((entry.kind.value.encode(), entry.text)) for entry in delta.changed
+    ]
+    return ttypes.ConfigurationDelta(
+        _pack_stamp(delta.base),
+        _pack_stamp(delta.stamp),
+        list(delta.removed),
+        zlib.compress(LINE_END.join(lines)),
+    )
+
+
+def _unpack_delta(delta: Any) -> messages.ConfigurationDelta:
+    lines = _expand(delta.changed).split(LINE_END)
+    return messages.ConfigurationDelta(
+        _unpack_stamp(delta.base),
+        _unpack_stamp(delta.stamp),
+        tuple(EntryKey(key) for key in delta.removed),
+        tuple(_read_line(line) for line in lines if line),
+    )
+
+
+def _read_line(line: bytes) -> messages.EntryText:
+    kind, _, text = line.partition(b" ")
+    return messages.EntryText(messages.EntryKind(kind.decode()), text)
+
+
+def _expand(data: bytes) -> bytes:
+    expander = zlib.decompressobj()
+    try:
+        text = expander.decompress(data, TEXT_MAX_BYTES)
+    except zlib.error as error:
+        raise ValueError(str(error)) from error
+    if not expander.eof:
+        raise ValueError("a text is cut short or too long")
+    return text
--- a/lavendertide/encodings/peer_frames.py
+++ b/lavendertide/encodings/peer_frames.py
@@ -13,6 +13,7 @@
 from thrift.transport.TTransport import TMemoryBuffer
 
 from lavendertide import messages
+from lavendertide.encodings import configuration_frames
 from lavendertide.encodings.generated.peer_protocol import ttypes
 from lavendertide.errors import Fault, Refusal, RefusalKind
 from lavendertide.ids import (
@@ -98,12 +99,8 @@
             return ttypes.Frame(heartbeat=ttypes.Heartbeat(*_pack_beat(frame)))
         case messages.HeartbeatAck():
             return ttypes.Frame(heartbeat_ack=ttypes.HeartbeatAck(*_pack_beat(frame)))
-        case messages.ConfigurationPull(known):
-            return ttypes.Frame(configuration_pull=ttypes.ConfigurationPull(known))
-        case messages.ConfigurationPush(version, lists):
-            push = ttypes.ConfigurationPush(version, lists)
-            return ttypes.Frame(configuration_push=push)
-    raise TypeError(f"not a frame: {frame!r}")
+        case _:
+            return configuration_frames.to_union(frame)
 
 
 def _from_union(union: Any) -> messages.Frame:
@@ -133,14 +130,9 @@
         return messages.Heartbeat(*_unpack_beat(union.heartbeat))
     if union.heartbeat_ack is not None:
         return messages.HeartbeatAck(*_unpack_beat(union.heartbeat_ack))
-    if union.configuration_pull is not None:
-        known = ConfigurationVersion(union.configuration_pull.known_version)
-        return messages.ConfigurationPull(known)
-    if union.configuration_push is not None:
-        push = union.configuration_push
-        return messages.ConfigurationPush(
-            ConfigurationVersion(push.version), push.lists
-        )
+    configuration = configuration_frames.from_union(union)
+    if configuration is not None:
+        return configuration
     raise ValueError("a frame without a message")
 
 
--- a/lavendertide/encodings/peer_protocol.thrift
+++ b/lavendertide/encodings/peer_protocol.thrift
@@ -75,13 +75,42 @@
   1: list<string> attempts,
 }
 
+struct ConfigurationStamp {
+  1: i64 version,
+  2: binary digest,
+}
+
+struct ConfigurationRefusal {
+  1: i64 over_version,
+  2: ConfigurationStamp stamp,
+  3: string message,
+  4: string remedy,
+}
+
+struct ConfigurationOffer {
+  1: ConfigurationStamp stamp,
+  2: bool is_confirmed,
+  3: ConfigurationRefusal refusal,
+  4: i64 ask,
+}
+
 struct ConfigurationPull {
-  1: i64 known_version,
+  30: ConfigurationStamp known,
+  31: i64 ask,
 }
 
+// The lists are JSON, compressed by zlib.
 struct ConfigurationPush {
-  1: i64 version,
   2: binary lists,
+  30: ConfigurationStamp stamp,
+}
+
+// The changed entries are lines of kind, space and JSON, compressed by zlib.
+struct ConfigurationDelta {
+  1: ConfigurationStamp base,
+  2: ConfigurationStamp stamp,
+  3: list<string> removed,
+  4: binary changed,
 }
 
 struct TicketRequest {
@@ -111,4 +140,6 @@
   8: ConfigurationPush configuration_push,
   9: TicketRequest ticket_request,
   10: TicketReply ticket_reply,
+  30: ConfigurationOffer configuration_offer,
+  31: ConfigurationDelta configuration_delta,
 }
--- a/lavendertide/fleet/news.py
+++ b/lavendertide/fleet/news.py
@@ -6,9 +6,12 @@
 from collections.abc import Callable
 
 from lavendertide.configuration.adoption import Configuration
+from lavendertide.configuration.spreading import Spreading
 from lavendertide.fleet.roster import Roster
 from lavendertide.ids import Address, ConfigurationVersion
 from lavendertide.messages import (
+    ConfigurationDelta,
+    ConfigurationOffer,
     ConfigurationPull,
     ConfigurationPush,
     Frame,
@@ -27,14 +30,15 @@
         key: str,
         roster: Roster,
         configuration: Configuration,
+        spreading: Spreading,
         on_change: Callable[[], None],
     ) -> None:
         self._key = key.encode()
         self._roster = roster
         self._configuration = configuration
+        self._spreading = spreading
         self._on_change = on_change
         self._sequence = itertools.count(1)
-        self._behind: set[Address] = set()
 
     def hello(self) -> Hello:
         """Returns the frame that opens a connection."""
@@ -45,14 +49,11 @@
         """Returns whether the sender knows the fleet's key."""
         return hmac.compare_digest(self._proof(hello.member), hello.proof)
 
-    def heartbeat(self, peer: Address) -> Heartbeat | ConfigurationPull:
-        """Returns the next heartbeat, or a pull if the peer has newer lists."""
-        if peer in self._behind:
-            self._behind.discard(peer)
-            return ConfigurationPull(self._configuration.version)
+    def heartbeat(self) -> Heartbeat:
+        """Returns the next heartbeat."""
         return Heartbeat(next(self._sequence), *self._facts())
 
-    def answer(self, frame: Frame) -> Frame | None:
+    def answer(self, frame: Frame, now_s: float) -> Frame | None:
         """Returns the answer to a control frame of a peer.
 
         A peer that can reach this daemon need not be reachable from it, so only an
@@ -62,26 +63,32 @@
             case Heartbeat(sequence=sequence, sender=sender, news=news):
                 self._learn((sender, *news))
                 return HeartbeatAck(sequence, *self._facts())
-            case ConfigurationPull(known) if known < self._configuration.version:
-                return ConfigurationPush(
-                    self._configuration.version, self._configuration.text
-                )
+            case (
+                ConfigurationOffer()
+                | ConfigurationPull()
+                | ConfigurationPush()
+                | ConfigurationDelta()
+            ):
+                return self._spreading.take(frame, None, now_s)
             case _:
                 return None
 
-    def take_answer(self, peer: Address, frame: Frame, now_s: float) -> None:
-        """Takes in what a peer has answered."""
+    def take_answer(self, peer: Address, frame: Frame, now_s: float) -> Frame | None:
+        """Takes in what a peer has answered; returns what to send back, if anything."""
         match frame:
             case HeartbeatAck(sender=sender, news=news, configuration_version=version):
                 self._learn((sender, *news))
                 self._roster.hear(sender.daemon, now_s)
-                if version > self._configuration.version:
-                    self._behind.add(peer)
-            case ConfigurationPush(lists=lists):
-                if self._configuration.offer(lists, now_s):
-                    self._on_change()
+                return self._spreading.hear_version(version, now_s)
+            case (
+                ConfigurationOffer()
+                | ConfigurationPull()
+                | ConfigurationPush()
+                | ConfigurationDelta()
+            ):
+                return self._spreading.take(frame, peer, now_s)
             case _:
-                pass
+                return None
 
     def _learn(self, records: tuple[MemberRecord, ...]) -> None:
         if self._roster.learn(records):
--- a/lavendertide/fleet/peer_link.py
+++ b/lavendertide/fleet/peer_link.py
@@ -118,7 +118,7 @@
         while self._connected:
             now_s = clock.monotonic_s()
             if now_s >= beat_at_s:
-                peer.send(self._news.heartbeat(self._address))
+                peer.send(self._news.heartbeat())
                 beat_at_s = now_s + self._heartbeat_s
             item = self._outbox.receive(max(0.0, beat_at_s - now_s))
             if item is not None:
@@ -145,7 +145,10 @@
                     if waiter is not None:
                         waiter.send(frame)
                 case _:
-                    self._news.take_answer(self._address, frame, clock.monotonic_s())
+                    now_s = clock.monotonic_s()
+                    answer = self._news.take_answer(self._address, frame, now_s)
+                    if answer is not None:
+                        self.send(answer)
         self._connected = False
         peer.close()
 
--- a/standins/launcher.py
+++ b/standins/launcher.py
@@ -132,7 +132,9 @@
                 status = self.get(self.admins[name], "/v1/status")
                 reachable = [m for m in status["members"] if m["reachable"]]
                 known = len(reachable) >= len(self._settings)
-                if known and status["configuration"] >= self._version:
+                current = status["configuration"] >= self._version
+                if known and status["ready"] and current:
+                    _wait_for_listener(self.callers[name])
                     return
             time.sleep(POLL_S)
         raise TimeoutError(f"daemon {name} is not ready after {READY_S:g} s")
