--- a/lavendertide/configuration/catalog.py
+++ b/lavendertide/configuration/catalog.py
@@ -87,12 +87,10 @@
         self, publication: Publication, earlier: "Catalog | None" = None
     ) -> None:
         self._version = ConfigurationVersion(publication.plans.version)
-        self._plans_by_id = _plans_by_id(publication, earlier)
-        self._plans_by_key = {
-            CallerKey(key): self._plans_by_id[PlanId(entry.plan)]
-            for entry in publication.plans.plans
-            for key in entry.keys
+        self._plan_entries = {
+            PlanId(entry.plan): entry for entry in publication.plans.plans
         }
+        self._plans_by_id, self._plans_by_key = _plans(self._plan_entries, earlier)
         self._built = _build_indexes(publication, earlier)
         self._indexes = {name: built.index for name, built in self._built.items()}
         self._targets = {
@@ -168,16 +166,24 @@
         }
 
 
-def _plans_by_id(
-    publication: Publication, earlier: Catalog | None
-) -> dict[PlanId, Plan]:
-    before = earlier.plans_by_id if earlier is not None else {}
-    built: dict[PlanId, Plan] = {}
-    for entry in publication.plans.plans:
-        plan = _plan(entry)
-        known = before.get(plan.plan)
-        built[plan.plan] = known if known is not None and known == plan else plan
-    return built
+def _plans(
+    entries: Mapping[PlanId, PlanEntry], earlier: Catalog | None
+) -> tuple[dict[PlanId, Plan], dict[CallerKey, Plan]]:
+    """Returns the plans by id and by key; only changed entries cost time."""
+    before = earlier._plan_entries if earlier is not None else {}
+    by_id = dict(earlier.plans_by_id) if earlier is not None else {}
+    by_key = dict(earlier.plans) if earlier is not None else {}
+    for plan_id, entry in before.items():
+        if entries.get(plan_id) is not entry:
+            del by_id[plan_id]
+            for key in entry.keys:
+                del by_key[CallerKey(key)]
+    for plan_id, entry in entries.items():
+        if before.get(plan_id) is not entry:
+            plan = _plan(entry)
+            by_id[plan_id] = plan
+            by_key.update((CallerKey(key), plan) for key in entry.keys)
+    return by_id, by_key
 
 
 def _build_indexes(
--- a/lavendertide/encodings/configuration_frames.py
+++ b/lavendertide/encodings/configuration_frames.py
@@ -13,6 +13,7 @@
 
 TEXT_MAX_BYTES: Final = 4 * 1024 * 1024
 LINE_END: Final = b"\n"
+COMPRESSION_LEVEL: Final = 1  # Level 6 takes three times as long for 4% fewer bytes.
 
 
 def to_union(frame: messages.Frame) -> Any:
@@ -25,7 +26,7 @@
             return ttypes.Frame(configuration_pull=pull)
         case messages.ConfigurationPush(stamp, lists):
             push = ttypes.ConfigurationPush(
-                stamp=_pack_stamp(stamp), lists=zlib.compress(lists)
+                stamp=_pack_stamp(stamp), lists=zlib.compress(lists, COMPRESSION_LEVEL)
             )
             return ttypes.Frame(configuration_push=push)
         case messages.ConfigurationDelta():
@@ -101,7 +102,7 @@
         _pack_stamp(delta.base),
         _pack_stamp(delta.stamp),
         list(delta.removed),
-        zlib.compress(LINE_END.join(lines)),
+        zlib.compress(LINE_END.join(lines), COMPRESSION_LEVEL),
     )
 
 
--- a/lavendertide/encodings/peer_frames.py
+++ b/lavendertide/encodings/peer_frames.py
@@ -13,7 +13,7 @@
 from thrift.transport.TTransport import TMemoryBuffer
 
 from lavendertide import messages
-from lavendertide.encodings import configuration_frames
+from lavendertide.encodings import configuration_frames, holder_frames
 from lavendertide.encodings.generated.peer_protocol import ttypes
 from lavendertide.errors import Fault, Refusal, RefusalKind
 from lavendertide.ids import (
@@ -29,6 +29,7 @@
     IndexName,
     IndexVersion,
     OwnerId,
+    PlanClass,
     PlanId,
     QueryId,
     Region,
@@ -99,8 +100,15 @@
             return ttypes.Frame(heartbeat=ttypes.Heartbeat(*_pack_beat(frame)))
         case messages.HeartbeatAck():
             return ttypes.Frame(heartbeat_ack=ttypes.HeartbeatAck(*_pack_beat(frame)))
-        case _:
+        case (
+            messages.ConfigurationOffer()
+            | messages.ConfigurationPull()
+            | messages.ConfigurationPush()
+            | messages.ConfigurationDelta()
+        ):
             return configuration_frames.to_union(frame)
+        case _:
+            return holder_frames.to_union(frame)
 
 
 def _from_union(union: Any) -> messages.Frame:
@@ -133,7 +141,7 @@
     configuration = configuration_frames.from_union(union)
     if configuration is not None:
         return configuration
-    raise ValueError("a frame without a message")
+    return holder_frames.from_union(union)
 
 
 def _pack_member(member: messages.MemberRecord) -> Any:
@@ -200,6 +208,7 @@
         request.body,
         request.remaining_ms,
         request.fingerprint,
+        request.plan_class,
     )
 
 
@@ -216,6 +225,7 @@
         request.body,
         request.remaining_ms,
         Fingerprint(request.fingerprint),
+        PlanClass(request.plan_class or ""),
     )
 
 
@@ -236,9 +246,12 @@
                 matches=reply.matches,
                 amount=reply.amount,
                 query=reply.query,
+                spare_slots=reply.spare_slots,
+            )
+        case messages.Declined(attempt, decline, spare_slots):
+            return ttypes.SubReply(
+                attempt, _DECLINED, decline.value, spare_slots=spare_slots
             )
-        case messages.Declined(attempt, decline):
-            return ttypes.SubReply(attempt, _DECLINED, decline.value)
         case messages.Lost(attempt, loss):
             return ttypes.SubReply(attempt, _LOST, loss.value)
 
@@ -247,7 +260,9 @@
     attempt = AttemptId(reply.attempt)
     match reply.kind:
         case "declined":
-            return messages.Declined(attempt, messages.DeclineReason(reply.reason))
+            return messages.Declined(
+                attempt, messages.DeclineReason(reply.reason), reply.spare_slots or 0
+            )
         case "lost":
             return messages.Lost(attempt, messages.LossReason(reply.reason))
         case _:
@@ -261,6 +276,7 @@
                 ),
                 matches=reply.matches,
                 amount=reply.amount,
+                spare_slots=reply.spare_slots or 0,
             )
 
 
--- a/lavendertide/fleet/news.py
+++ b/lavendertide/fleet/news.py
@@ -39,6 +39,7 @@
         self._spreading = spreading
         self._on_change = on_change
         self._sequence = itertools.count(1)
+        self._sent_at_s: dict[Address, tuple[int, float]] = {}
 
     def hello(self) -> Hello:
         """Returns the frame that opens a connection."""
@@ -49,9 +50,11 @@
         """Returns whether the sender knows the fleet's key."""
         return hmac.compare_digest(self._proof(hello.member), hello.proof)
 
-    def heartbeat(self) -> Heartbeat:
+    def heartbeat(self, peer: Address, now_s: float) -> Heartbeat:
         """Returns the next heartbeat."""
-        return Heartbeat(next(self._sequence), *self._facts())
+        sequence = next(self._sequence)
+        self._sent_at_s[peer] = sequence, now_s
+        return Heartbeat(sequence, *self._facts())
 
     def answer(self, frame: Frame, now_s: float) -> Frame | None:
         """Returns the answer to a control frame of a peer.
@@ -62,6 +65,7 @@
         match frame:
             case Heartbeat(sequence=sequence, sender=sender, news=news):
                 self._learn((sender, *news))
+                self._roster.note_promise(sender.daemon, now_s)
                 return HeartbeatAck(sequence, *self._facts())
             case (
                 ConfigurationOffer()
@@ -76,9 +80,9 @@
     def take_answer(self, peer: Address, frame: Frame, now_s: float) -> Frame | None:
         """Takes in what a peer has answered; returns what to send back, if anything."""
         match frame:
-            case HeartbeatAck(sender=sender, news=news, configuration_version=version):
+            case HeartbeatAck(sequence, sender, news, version):
                 self._learn((sender, *news))
-                self._roster.hear(sender.daemon, now_s)
+                self._note_answer(peer, sequence, sender, now_s)
                 return self._spreading.hear_version(version, now_s)
             case (
                 ConfigurationOffer()
@@ -90,6 +94,15 @@
             case _:
                 return None
 
+    def _note_answer(
+        self, peer: Address, sequence: int, sender: MemberRecord, now_s: float
+    ) -> None:
+        newest, sent_at_s = self._sent_at_s[peer]
+        if sequence == newest:
+            self._roster.note_answer(sender.daemon, sent_at_s, now_s)
+        else:
+            self._roster.hear(sender.daemon, now_s)
+
     def _learn(self, records: tuple[MemberRecord, ...]) -> None:
         if self._roster.learn(records):
             self._on_change()
