--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 export PYTHONPATH := $(CURDIR)
 export PYTHONHASHSEED := 0
 
-.PHONY: setup demo test lint format bench generate
+.PHONY: setup demo test lint format bench generate examples
 
 setup: $(VENV)/.lock-installed
 
@@ -35,3 +35,7 @@
 # Needs Debian's thrift-compiler; the result is committed.
 generate:
 	thrift --gen py:slots,package_prefix=lavendertide.encodings.generated. -out lavendertide/encodings/generated lavendertide/encodings/peer_protocol.thrift
+
+# Writes examples/ and docs/SETTINGS.md anew; the result is committed.
+examples: setup
+	$(PYTHON) -m standins.examples
--- a/lavendertide/command_line/main.py
+++ b/lavendertide/command_line/main.py
@@ -6,15 +6,13 @@
 import json
 import sys
 import time
-from pathlib import Path
 from typing import Any, Final, TypeVar
 
 import click
 from returns.result import Failure, Result
 
 from lavendertide.caller_client import CallerClient
-from lavendertide.configuration.rules import check_publication
-from lavendertide.encodings.settings_yaml import read_options
+from lavendertide.command_line.check import check, settings
 from lavendertide.errors import Refusal
 
 EXIT_REFUSED: Final = 1
@@ -89,15 +87,8 @@
     _show(_or_exit(client.execute(ticket, index, operation, body, deadline_ms, now_s)))
 
 
-@main.command()
-@click.argument("file", type=click.Path(path_type=Path, dir_okay=False))
-def check(file: Path) -> None:
-    """Checks a settings FILE (YAML) or a FILE with both published lists (JSON)."""
-    if file.suffix == ".json":
-        _or_exit(check_publication(file.read_bytes()))
-    else:
-        _or_exit(read_options(file))
-    click.echo(f"{file}: good")
+main.add_command(check)
+main.add_command(settings)
 
 
 def _client(hosts: tuple[str, ...], key: str) -> CallerClient:
--- a/lavendertide/encodings/settings_yaml.py
+++ b/lavendertide/encodings/settings_yaml.py
@@ -1,38 +1,156 @@
-"""Settings files: YAML, checked against `lavendertide.options`."""
+"""Settings files: YAML, checked against `lavendertide.options`.
 
+A refusal names the file, the line of the offending key and the remedy.
+"""
+
+import difflib
+import json
 from pathlib import Path
+from typing import Any, Final
 
 import yaml
 from pydantic import ValidationError
+from pydantic_core import ErrorDetails
 from returns.result import Failure, Result, Success
 
+from lavendertide.encodings.yaml_lines import find_repeated_key, line_of, siblings_of
 from lavendertide.errors import Fault, Refusal, RefusalKind
 from lavendertide.options import Options
+from lavendertide.settings_rules import KeyPath, contradictions
+
+FILE_MAX_BYTES: Final = 256 * 1024
+UNITS: Final = {"_ms": "milliseconds", "_s": "seconds", "_bytes": "bytes"}
+REFERENCE: Final = "docs/SETTINGS.md lists every key."
 
 
 def read_options(path: Path) -> Result[Options, Refusal]:
     """Reads and checks a settings file."""
     try:
-        document = yaml.safe_load(path.read_text(encoding="utf-8"))
-        return Success(Options.model_validate(document))
+        data = path.read_bytes()
     except OSError as error:
-        return Failure(_refusal(f"{path}: {error.strerror}."))
-    except yaml.YAMLError as error:
-        return Failure(_refusal(f"{path}: not YAML: {_one_line(error)}."))
+        return Failure(_refusal(f"{path}: {error.strerror}.", "See whether it exists."))
+    return parse_options(data, str(path))
+
+
+def parse_options(data: bytes, name: str) -> Result[Options, Refusal]:
+    """Checks settings.
+
+    Args:
+        data: YAML in UTF-8.
+        name: What refusals call the file.
+    """
+    if len(data) > FILE_MAX_BYTES:
+        problem = f"{name}: more than {FILE_MAX_BYTES} bytes."
+        return Failure(_refusal(problem, "Name a settings file."))
+    try:
+        text = data.decode("utf-8")
+        root = yaml.compose(text, Loader=yaml.SafeLoader)
+        document = yaml.safe_load(text)
+    except yaml.MarkedYAMLError as error:
+        return Failure(_not_yaml(name, error))
+    except (ValueError, yaml.YAMLError, RecursionError) as error:
+        problem = f"{name}: not YAML: {_one_line(error)}."
+        return Failure(_refusal(problem, "Write YAML in UTF-8."))
+    repeated = find_repeated_key(root)
+    if repeated is not None:
+        problem = f"{name}:{repeated.line}: '{repeated.key}' stands twice."
+        return Failure(_refusal(problem, "Keep one of them."))
+    return _check(document, root, name)
+
+
+def _check(
+    document: Any, root: yaml.Node | None, name: str
+) -> Result[Options, Refusal]:
+    try:
+        options = Options.model_validate_json(json.dumps(document, default=str))
     except ValidationError as error:
-        problem = error.errors(include_url=False)[0]
-        place = ".".join(str(part) for part in problem["loc"]) or "the file"
-        return Failure(_refusal(f"{path}: {place}: {problem['msg']}."))
+        problem = error.errors(include_url=False, include_input=False)[0]
+        return Failure(_misfit(problem, root, name))
+    except (ValueError, TypeError, RecursionError) as error:
+        problem_text = f"{name}: not settings: {_one_line(error)}."
+        return Failure(_refusal(problem_text, REFERENCE))
+    for found in contradictions(options):
+        place = _place(name, root, found.path)
+        return Failure(_refusal(f"{place}: {found.message}", found.remedy))
+    return Success(options)
+
+
+def _misfit(problem: ErrorDetails, root: yaml.Node | None, name: str) -> Refusal:
+    path = problem["loc"]
+    place = _place(name, root, path)
+    match problem["type"]:
+        case "extra_forbidden":
+            remedy = _remedy_for_unknown(root, path)
+            return _refusal(f"{place}: there is no such key.", remedy)
+        case "missing":
+            return _refusal(f"{place}: the key is missing.", f"Add it; {REFERENCE}")
+        case _:
+            return _refusal(f"{place}: {problem['msg']}.", _remedy_for_value(path))
+
+
+def _place(name: str, root: yaml.Node | None, path: KeyPath) -> str:
+    dotted = ".".join(str(part) for part in path) or "the file"
+    return f"{name}:{line_of(root, path)}: {dotted}"
+
+
+def _remedy_for_unknown(root: yaml.Node | None, path: KeyPath) -> str:
+    known = [key for key in _keys_beside(path) if key not in siblings_of(root, path)]
+    wanted = str(path[-1])
+    stem = wanted.rsplit("_", 1)[0]
+    near = [key for key in known if key.rsplit("_", 1)[0] == stem]
+    near = near or difflib.get_close_matches(wanted, known, n=1)
+    if near:
+        return f"Write '{near[0]}'{_unit(near[0])} or remove the key."
+    return f"Remove the key; {REFERENCE}"
+
+
+def _remedy_for_value(path: KeyPath) -> str:
+    key = str(path[-1]) if path else ""
+    unit = _unit(key)
+    if unit:
+        return f"Write a plain number{unit}; docs/SETTINGS.md has the bounds."
+    return f"Change the value; {REFERENCE}"
+
+
+def _unit(key: str) -> str:
+    for suffix, unit in UNITS.items():
+        if key.endswith(suffix):
+            return f" ({unit})"
+    return ""
+
+
+def _keys_beside(path: KeyPath) -> list[str]:
+    """Returns the keys that may stand where a path ends."""
+    schema = Options.model_json_schema()
+    place = schema
+    for part in path[:-1]:
+        place = _resolve(place.get("properties", {}).get(part, place), schema, part)
+    return list(place.get("properties", {}))
+
+
+def _resolve(
+    place: dict[str, Any], schema: dict[str, Any], part: str | int
+) -> dict[str, Any]:
+    if "discriminator" in place and part in place["discriminator"]["mapping"]:
+        place = {"$ref": place["discriminator"]["mapping"][part]}
+    reference = place.get("$ref")
+    if reference is None:
+        return place
+    found: dict[str, Any] = schema["$defs"][reference.rsplit("/", 1)[-1]]
+    return found
+
+
+def _not_yaml(name: str, error: yaml.MarkedYAMLError) -> Refusal:
+    line = error.problem_mark.line + 1 if error.problem_mark is not None else 1
+    problem = error.problem or "it cannot be read"
+    return _refusal(
+        f"{name}:{line}: not YAML: {problem}.", "Mend the line or the one above it."
+    )
 
 
 def _one_line(error: Exception) -> str:
     return " ".join(str(error).split())
 
 
-def _refusal(problem: str) -> Refusal:
-    return Refusal(
-        RefusalKind.BAD_SETTINGS,
-        problem,
-        "Mend the file; docs/OPERATIONS.md lists every key.",
-        Fault.CALLER,
-    )
+def _refusal(problem: str, remedy: str) -> Refusal:
+    return Refusal(RefusalKind.BAD_SETTINGS, problem, remedy, Fault.CALLER)
--- a/lavendertide/options.py
+++ b/lavendertide/options.py
@@ -1,21 +1,26 @@
 """The daemon's settings: one typed options object.
 
 `lavendertide.encodings.settings_yaml` reads it from a YAML file. Every key is checked
-here; unknown keys are refused.
+here by itself, and unknown keys are refused; `lavendertide.settings_rules` holds the
+rules between keys. docs/SETTINGS.md is made from the doc comments below.
 """
 
 from typing import Annotated, Literal
 
-from pydantic import BaseModel, ConfigDict, Field, StringConstraints
+from pydantic import AfterValidator, BaseModel, ConfigDict, Field, StringConstraints
 
-IpPort = Annotated[str, StringConstraints(pattern=r"^[0-9.]+:[0-9]{1,5}$")]
+from lavendertide.addressing import check_ip_port
+
+IpPort = Annotated[str, AfterValidator(check_ip_port)]
 Name = Annotated[str, StringConstraints(pattern=r"^[a-z0-9][a-z0-9-]{0,62}$")]
 
 
 class _Section(BaseModel):
     """A section of the settings; unknown keys are refused."""
 
-    model_config = ConfigDict(extra="forbid", frozen=True)
+    model_config = ConfigDict(
+        extra="forbid", frozen=True, strict=True, allow_inf_nan=False
+    )
 
 
 class PlaceOptions(_Section):
@@ -24,6 +29,8 @@
     Attributes:
         daemon: Name of the process, unique in the fleet.
         host: Name of the host that it shares with other daemons.
+        region: Name of the region, as the list of uses names it.
+        failure_domain: Name of the failure domain, as the list of uses names it.
     """
 
     daemon: Name
@@ -47,7 +54,12 @@
 
 
 class PlatformOptions(_Section):
-    """Where the platform's services are, as base addresses."""
+    """Where the platform's services are.
+
+    Attributes:
+        configuration: The configuration service.
+        membership: The membership list.
+    """
 
     configuration: IpPort
     membership: IpPort
--- /dev/null
+++ b/lavendertide/settings_rules.py
@@ -0,0 +1,144 @@
+"""Rules between the keys of the settings.
+
+Each key is checked by itself in `lavendertide.options`; here are the contradictions
+between keys that are each good.
+"""
+
+import itertools
+from collections import Counter
+from collections.abc import Iterator
+from dataclasses import dataclass
+from typing import Final
+
+from lavendertide.options import BudgetedHedge, Options
+
+HEARTBEATS_PER_LEASE: Final = 2
+ANY_ADDRESS: Final = "0.0.0.0:"
+
+KeyPath = tuple[str | int, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Contradiction:
+    """Keys that are each good but not together.
+
+    Attributes:
+        path: The key to change.
+        message: What contradicts what, in one sentence.
+        remedy: What to write instead, in one sentence.
+    """
+
+    path: KeyPath
+    message: str
+    remedy: str
+
+
+def contradictions(options: Options) -> Iterator[Contradiction]:
+    """Yields what contradicts each other in the settings."""
+    yield from _addresses(options)
+    yield from _seeds(options)
+    yield from _lease(options)
+    yield from _query_bounds(options)
+    yield from _ticket_bounds(options)
+
+
+def _addresses(options: Options) -> Iterator[Contradiction]:
+    own = options.addresses
+    listened = {"callers": own.callers, "peers": own.peers, "admin": own.admin}
+    seen: dict[str, str] = {}
+    for name, address in listened.items():
+        if address in seen:
+            yield Contradiction(
+                ("addresses", name),
+                f"'{address}' is the address of '{seen[address]}' as well.",
+                "Give each listener a port of its own.",
+            )
+        seen[address] = name
+        if name != "admin" and address.startswith(ANY_ADDRESS):
+            yield Contradiction(
+                ("addresses", name),
+                f"'{address}' is told to others, who cannot reach it.",
+                "Write the host's own IP number.",
+            )
+    for name, address in (
+        ("configuration", options.platform.configuration),
+        ("membership", options.platform.membership),
+    ):
+        if address in seen:
+            yield Contradiction(
+                ("platform", name),
+                f"'{address}' is this daemon's own address for '{seen[address]}'.",
+                "Write the address of the platform's service.",
+            )
+
+
+def _seeds(options: Options) -> Iterator[Contradiction]:
+    counts = Counter(options.fleet.seeds)
+    for number, seed in enumerate(options.fleet.seeds):
+        if seed == options.addresses.peers:
+            yield Contradiction(
+                ("fleet", "seeds", number),
+                f"'{seed}' is this daemon's own address.",
+                "Name only other daemons; three are enough.",
+            )
+        elif counts[seed] > 1:
+            yield Contradiction(
+                ("fleet", "seeds", number),
+                f"'{seed}' stands {counts[seed]} times.",
+                "Name each seed once.",
+            )
+
+
+def _lease(options: Options) -> Iterator[Contradiction]:
+    fleet = options.fleet
+    if fleet.lease_s < HEARTBEATS_PER_LEASE * fleet.heartbeat_s:
+        yield Contradiction(
+            ("fleet", "lease_s"),
+            f"A lease of {fleet.lease_s:g} s is shorter than two heartbeats of "
+            f"{fleet.heartbeat_s:g} s; one lost heartbeat would end it.",
+            "Raise lease_s or lower heartbeat_s.",
+        )
+
+
+def _query_bounds(options: Options) -> Iterator[Contradiction]:
+    queries = options.queries
+    ordered = (
+        ("reply_max_bytes", queries.reply_max_bytes),
+        ("query_max_bytes", queries.query_max_bytes),
+        ("results_max_bytes", queries.results_max_bytes),
+    )
+    for (lower, low), (upper, high) in itertools.pairwise(ordered):
+        if low > high:
+            yield Contradiction(
+                ("queries", upper),
+                f"{upper} is {high}, less than the {low} of {lower}.",
+                f"Raise {upper} or lower {lower}.",
+            )
+    hedging = options.policies.hedging
+    if not isinstance(hedging, BudgetedHedge):
+        return
+    if hedging.delay_min_ms >= queries.deadline_max_ms:
+        yield Contradiction(
+            ("policies", "hedging", "delay_min_ms"),
+            f"Hedges start after {hedging.delay_min_ms:g} ms at the earliest, but the "
+            f"longest deadline is {queries.deadline_max_ms} ms.",
+            "Lower delay_min_ms, or choose the policy 'never'.",
+        )
+
+
+def _ticket_bounds(options: Options) -> Iterator[Contradiction]:
+    tickets = options.tickets
+    if tickets.kept_per_plan_max > tickets.kept_max:
+        yield Contradiction(
+            ("tickets", "kept_per_plan_max"),
+            f"One plan may keep {tickets.kept_per_plan_max} tickets, more than the "
+            f"{tickets.kept_max} of the process.",
+            "Lower kept_per_plan_max or raise kept_max.",
+        )
+    if tickets.lifetime_s * 1000 < options.queries.deadline_max_ms:
+        yield Contradiction(
+            ("tickets", "lifetime_s"),
+            f"A ticket lives {tickets.lifetime_s:g} s, less than the longest deadline "
+            f"of {options.queries.deadline_max_ms} ms.",
+            "Raise lifetime_s or lower queries.deadline_max_ms.",
+        )
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -277,5 +277,8 @@
         },
         "addresses": {"callers": callers, "peers": peers, "admin": admin},
         "platform": {"configuration": platform[0], "membership": platform[1]},
-        "fleet": {"key": "not-a-secret-example-key", "seeds": seeds},
+        "fleet": {
+            "key": "not-a-secret-example-key",
+            "seeds": [seed for seed in seeds if seed != peers],
+        },
     }
