--- a/lavendertide/configuration/confirmation.py
+++ b/lavendertide/configuration/confirmation.py
@@ -2,34 +2,33 @@
 
 A daemon that starts, or wakes from a pause, may hold an old publication, and the
 service may be stale as well. So the peers are asked first. Their answers suffice once
-one of them, which has itself been confirmed, knows nothing greater, or all seeds have
-answered. A bounded wait ends the asking, so that a daemon without peers starts as well.
+one of them, which has itself been confirmed, knows nothing greater, or as many as the
+settings name seeds have answered. A bounded wait ends the asking, so that a daemon
+without peers starts as well.
 """
 
 from typing import Final
 
-from lavendertide.ids import Address
+from lavendertide.ids import DaemonId
 from lavendertide.messages import ConfigurationOffer, ConfigurationStamp
 
 CONFIRM_WAIT_S: Final = 3.0
 PEERS_FIRST_S: Final = 0.5
-PAUSE_S: Final = 3.5
 
 
 class Confirmation:
     """What peers have answered since they were last asked.
 
     Args:
-        seeds: Peers whose answers together suffice.
+        seeds: How many peers suffice that have not been confirmed themselves.
         now_s: When the asking begins, monotonic.
     """
 
-    def __init__(self, seeds: frozenset[Address], now_s: float) -> None:
+    def __init__(self, seeds: int, now_s: float) -> None:
         self._seeds = seeds
-        self._noticed_at_s = now_s
         self._asked_at_s = now_s
         self._ask = 1
-        self._answered: set[Address] = set()
+        self._answered: set[DaemonId] = set()
         self._greatest: ConfigurationStamp | None = None
         self._by_peer = False
         self._given = False
@@ -42,7 +41,7 @@
         """
         return self._ask
 
-    def take_answer(self, peer: Address, offer: ConfigurationOffer) -> None:
+    def take_answer(self, peer: DaemonId, offer: ConfigurationOffer) -> None:
         """Takes in which publication is in force on a peer, if it was asked."""
         if self._given or offer.ask != self._ask:
             return
@@ -58,8 +57,6 @@
             own: What is in force on this daemon.
             now_s: Present time, monotonic.
         """
-        if now_s - self._noticed_at_s > PAUSE_S:
-            return False
         if not self._given:
             self._given = own.version > 0 and self._suffices(own, now_s)
         return self._given
@@ -67,19 +64,10 @@
     def peers_had_their_turn(self, now_s: float) -> bool:
         """Returns whether the service may be asked."""
         waited = now_s - self._asked_at_s >= PEERS_FIRST_S
-        return self._given or waited or self._answered >= self._seeds
-
-    def notice_time(self, now_s: float) -> bool:
-        """Notes that the process runs; returns whether it was paused before."""
-        paused = now_s - self._noticed_at_s > PAUSE_S
-        self._noticed_at_s = now_s
-        if paused:
-            self.ask_anew(now_s)
-        return paused
+        return self._given or waited or len(self._answered) >= self._seeds
 
     def ask_anew(self, now_s: float) -> None:
         """Forgets all answers."""
-        self._noticed_at_s = now_s
         self._asked_at_s = now_s
         self._ask += 1
         self._answered = set()
@@ -92,4 +80,4 @@
             return True
         if self._greatest is not None and own < self._greatest:
             return False
-        return self._by_peer or self._answered >= self._seeds
+        return self._by_peer or len(self._answered) >= self._seeds
--- a/lavendertide/configuration/spreading.py
+++ b/lavendertide/configuration/spreading.py
@@ -7,7 +7,6 @@
 time has passed.
 """
 
-import logging
 import random
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
@@ -21,7 +20,7 @@
 )
 from lavendertide.configuration.confirmation import Confirmation
 from lavendertide.configuration.entries import WHOLE_DIGEST_BYTES
-from lavendertide.ids import Address, ConfigurationDigest, ConfigurationVersion
+from lavendertide.ids import ConfigurationDigest, ConfigurationVersion, DaemonId
 from lavendertide.messages import (
     ConfigurationDelta,
     ConfigurationFrame,
@@ -41,8 +40,6 @@
 UNASKED: Final = 0
 GREATEST_DIGEST: Final = ConfigurationDigest(b"\xff" * (WHOLE_DIGEST_BYTES + 1))
 
-_log = logging.getLogger(__name__)
-
 
 class Link(Protocol):
     """This daemon's way to one peer."""
@@ -73,7 +70,7 @@
 
     Args:
         configuration: What is in force here.
-        seeds: Peers that are asked at the start, without this daemon itself.
+        seeds: How many other daemons the settings name to ask at the start.
         on_adopted: Called after a publication of a peer has been adopted.
         now_s: When the daemon starts, monotonic.
     """
@@ -81,13 +78,13 @@
     def __init__(
         self,
         configuration: Configuration,
-        seeds: Sequence[Address],
+        seeds: int,
         on_adopted: Callable[[], None],
         now_s: float,
     ) -> None:
         self._configuration = configuration
         self._on_adopted = on_adopted
-        self._confirmation = Confirmation(frozenset(seeds), now_s)
+        self._confirmation = Confirmation(seeds, now_s)
         self._counts = SpreadCounts()
         self._adoptions: tasks.Mailbox[bool] = tasks.Mailbox(1)
         self._pulled = NO_STAMP
@@ -125,8 +122,6 @@
         """Offers, compares and asks for as long as the daemon lives."""
         while True:
             now_s = clock.monotonic_s()
-            if self._confirmation.notice_time(now_s):
-                _log.warning("paused; asking peers for the configuration")
             asking = self.needs_refresh(now_s)
             wait_s = ASK_S if asking else random.uniform(COMPARE_MIN_S, COMPARE_MAX_S)
             adopted = self._adoptions.receive(wait_s)
@@ -148,13 +143,13 @@
         return self._pull(ConfigurationStamp(version, GREATEST_DIGEST), now_s)
 
     def take(
-        self, frame: ConfigurationFrame, peer: Address | None, now_s: float
+        self, frame: ConfigurationFrame, peer: DaemonId, now_s: float
     ) -> ConfigurationFrame | None:
         """Takes in a peer's frame.
 
         Args:
             frame: What the peer has sent.
-            peer: The peer's address if this daemon has dialled it.
+            peer: The peer.
             now_s: Present time, monotonic.
 
         Returns:
@@ -172,13 +167,12 @@
         return None
 
     def _take_offer(
-        self, offer: ConfigurationOffer, peer: Address | None, now_s: float
+        self, offer: ConfigurationOffer, peer: DaemonId, now_s: float
     ) -> ConfigurationFrame | None:
         self._configuration.hear_stamp(offer.stamp, now_s)
         if offer.refusal is not None:
             self._configuration.hear_refusal(offer.refusal, now_s)
-        if peer is not None:
-            self._confirmation.take_answer(peer, offer)
+        self._confirmation.take_answer(peer, offer)
         own = self._configuration.stamp
         if offer.stamp > own:
             return self._pull(offer.stamp, now_s)
--- a/lavendertide/daemon/admin_front.py
+++ b/lavendertide/daemon/admin_front.py
@@ -8,6 +8,7 @@
 
 from lavendertide.configuration.adoption import Configuration
 from lavendertide.configuration.status import ConfigurationStatus, to_document
+from lavendertide.fleet.readiness import Readiness
 from lavendertide.fleet.roster import SILENCE_S, Roster
 from lavendertide.ids import DaemonId
 from lavendertide.runtime import clock
@@ -19,10 +20,12 @@
     def __init__(
         self,
         roster: Roster,
+        readiness: Readiness,
         configuration: Configuration,
         configuration_status: Callable[[float], ConfigurationStatus],
     ) -> None:
         self._roster = roster
+        self._readiness = readiness
         self._configuration = configuration
         self._configuration_status = configuration_status
 
@@ -53,11 +56,10 @@
 
     def _status(self) -> bytes:
         refused = self._configuration.refused
-        status = self._configuration_status(clock.monotonic_s())
         return json.dumps(
             {
                 "daemon": self._roster.own.daemon,
-                "ready": not status.needs_refresh,
+                "readiness": self._readiness.state.value,
                 "configuration": self._configuration.version,
                 "refused": str(refused.refusal) if refused else None,
                 "members": [
--- a/lavendertide/daemon/daemon.py
+++ b/lavendertide/daemon/daemon.py
@@ -2,9 +2,12 @@
 
 import logging
 import signal
+import socket
+from functools import partial
+from pathlib import Path
 from typing import Final
 
-from returns.result import Failure, Success
+from returns.result import Success
 
 from lavendertide.configuration.adoption import Configuration
 from lavendertide.configuration.service_watch import ServiceWatch
@@ -14,6 +17,9 @@
 from lavendertide.daemon.admin_front import AdminFront
 from lavendertide.daemon.caller_front import CallerFront
 from lavendertide.daemon.dispatcher import Dispatcher
+from lavendertide.daemon.drain import Drain
+from lavendertide.daemon.in_flight import InFlight
+from lavendertide.daemon.minter import Minter
 from lavendertide.daemon.peer_front import PeerFront
 from lavendertide.daemon.query_service import QueryService
 from lavendertide.daemon.ticket_service import TicketService
@@ -24,8 +30,13 @@
 from lavendertide.encodings.target_http import HttpTargetExchange
 from lavendertide.executions.execution import Executor
 from lavendertide.executions.ledger import Ledger
+from lavendertide.fleet.addresses import AddressBook
+from lavendertide.fleet.link_faults import LinkFaults
+from lavendertide.fleet.membership import Membership
 from lavendertide.fleet.news import FleetNews
+from lavendertide.fleet.peer_connection import PeerEdge
 from lavendertide.fleet.peers import Peers
+from lavendertide.fleet.readiness import Readiness
 from lavendertide.fleet.roster import SILENCE_S, Roster
 from lavendertide.ids import (
     Address,
@@ -38,14 +49,18 @@
 from lavendertide.messages import MemberRecord, MemberState
 from lavendertide.options import Options
 from lavendertide.plans.admission import Allowances
-from lavendertide.queries.fan_out import FanOutParts, HedgeBudgets
+from lavendertide.queries.gate import Gate
+from lavendertide.queries.hedging import Budgets
+from lavendertide.queries.parts import FanOutParts
 from lavendertide.queries.replicas import ReplicaChoice
+from lavendertide.queries.results_memory import ResultsMemory
 from lavendertide.queries.snapshot import Holdings
+from lavendertide.queries.target_reports import TargetReports
+from lavendertide.queries.timing import Timings
 from lavendertide.runtime import clock, sockets, tasks
+from lavendertide.runtime.pauses import Pauses, keep_ticking
 from lavendertide.targets.target_pool import TargetPool
 
-MEMBERSHIP_READ_S: Final = 2.0
-READY_CHECK_S: Final = 0.05
 CONNECTIONS_MAX: Final = 1_024
 KEEP_ALIVE_S: Final = 60.0
 
@@ -57,16 +72,21 @@
 
     def __init__(self, options: Options) -> None:
         self._options = options
-        self._stopping = tasks.Signal()
+        now_s = clock.monotonic_s()
+        fleet = options.fleet
+        self._pauses = Pauses(now_s)
         self._configuration = Configuration()
         self._allowances = Allowances()
         self._roster = Roster(_own_record(options))
-        seeds = [Address(seed) for seed in options.fleet.seeds]
+        self._readiness = Readiness(fleet.lease_s, now_s)
+        self._in_flight = InFlight()
+        self._faults = LinkFaults()
+        self._edge = PeerEdge(fleet.key, self._roster, self._faults)
         self._spreading = Spreading(
             self._configuration,
-            [seed for seed in seeds if seed != options.addresses.peers],
+            sum(seed != options.addresses.peers for seed in fleet.seeds),
             self._on_change,
-            clock.monotonic_s(),
+            now_s,
         )
         self._service_watch = ServiceWatch(
             HttpConfigurationReader(Address(options.platform.configuration)),
@@ -75,112 +95,150 @@
             self._on_service_change,
         )
         self._news = FleetNews(
-            options.fleet.key,
-            self._roster,
-            self._configuration,
-            self._spreading,
-            self._on_change,
+            self._roster, self._configuration, self._spreading, self._on_change
         )
         self._peers = Peers(
             self._roster,
+            self._edge,
+            self._news,
+            tuple(Address(seed) for seed in fleet.seeds),
+            fleet.heartbeat_s,
+        )
+        self._membership = Membership(
+            self._roster,
+            self._peers,
             self._news,
-            tuple(seeds),
-            options.fleet.heartbeat_s,
+            self._readiness,
+            fleet.heartbeat_s,
+            fleet.removal_s,
+        )
+        self._pool = TargetPool(
+            partial(HttpTargetExchange, reply_max_bytes=options.queries.reply_max_bytes)
         )
-        self._pool = TargetPool(HttpTargetExchange)
         self._dispatcher = Dispatcher(
-            self._configuration, self._roster, self._peers, self._pool
+            self._configuration,
+            self._roster,
+            self._peers,
+            self._readiness,
+            self._pool,
         )
         parts = self._fan_out_parts()
+        gate = Gate(options.queries.in_flight_max, parts.memory)
         self._queries = QueryService(
-            options.queries, self._configuration, self._allowances, parts
+            options.queries,
+            self._configuration,
+            self._allowances,
+            parts,
+            gate,
+            self._pauses,
         )
-        ledger = Ledger()
         self._tickets = TicketService(
             options.fleet.key,
+            options.queries.deadline_max_ms,
             self._configuration,
             self._allowances,
             self._roster,
             self._peers,
-            ledger,
-            Executor(ledger, parts),
+            self._minter(parts),
+            gate,
         )
 
     def run(self) -> None:
         """Serves until SIGTERM, then finishes what is in flight."""
-        signal.signal(signal.SIGTERM, lambda *_: self._stopping.set())
         addresses = self._options.addresses
         peer_listener = sockets.listen(Address(addresses.peers))
+        caller_listener = sockets.listen(Address(addresses.callers))
         admin_listener = sockets.listen(Address(addresses.admin))
-        peer_front = PeerFront(self._news, self._dispatcher, self._tickets)
-        tasks.spawn(peer_front.serve, peer_listener)
-        self._peers.follow_roster()
+        tasks.spawn(self._peer_front().serve, peer_listener)
+        tasks.spawn(self._membership.keep)
+        tasks.spawn(keep_ticking, self._pauses)
         self._watch_platform()
-        caller_front = CallerFront(
-            self._options.queries.body_max_bytes,
+        caller_server = _serve(caller_listener, self._caller_front())
+        _serve(
+            admin_listener,
+            AdminFront(
+                self._roster,
+                self._readiness,
+                self._configuration,
+                self._configuration_status,
+            ),
+        )
+        if self._options.faults:
+            tasks.spawn(self._faults.follow, Path(self._options.faults.rules))
+        _log.info("listening", extra={"callers": addresses.callers})
+        drain = Drain(
             self._roster,
-            self._queries,
+            self._peers,
+            self._readiness,
+            self._in_flight,
+            self._options.fleet.address_lifetime_s,
+            self._options.fleet.drain_bound_s,
+            lambda: _close(caller_listener, caller_server),
+        )
+        signal.signal(signal.SIGTERM, lambda *_: drain.request())
+        drain.run()
+        _log.info("stopped")
+
+    def _peer_front(self) -> PeerFront:
+        return PeerFront(
+            self._edge,
+            self._roster,
+            self._peers,
+            self._news,
+            self._readiness,
+            self._dispatcher,
             self._tickets,
+            self._in_flight,
         )
-        admin_front = AdminFront(
-            self._roster, self._configuration, self._configuration_status
+
+    def _caller_front(self) -> CallerFront:
+        lifetime_s = self._options.fleet.address_lifetime_s
+        return CallerFront(
+            self._options.queries.body_max_bytes,
+            self._roster.own,
+            AddressBook(self._roster, self._configuration, lifetime_s),
+            self._readiness,
+            self._queries,
+            self._tickets,
+            self._in_flight,
         )
-        tasks.spawn(
-            sockets.serve_wsgi,
-            admin_listener,
-            admin_front,
-            CONNECTIONS_MAX,
-            KEEP_ALIVE_S,
+
+    def _minter(self, parts: FanOutParts) -> Minter:
+        ledger = Ledger(self._options.tickets)
+        return Minter(
+            self._options.fleet.key,
+            self._configuration,
+            self._roster,
+            ledger,
+            Executor(ledger, parts),
+            self._pauses,
         )
-        self._wait_for_configuration()
-        caller_listener = sockets.listen(Address(addresses.callers))
-        tasks.spawn(
-            sockets.serve_wsgi,
-            caller_listener,
-            caller_front,
-            CONNECTIONS_MAX,
-            KEEP_ALIVE_S,
-        )
-        _log.info("serving", extra={"callers": addresses.callers})
-        self._stopping.wait()
-        _log.info("stopped")
 
     def _fan_out_parts(self) -> FanOutParts:
         own = self._roster.own
-        holdings = Holdings()
+        policies, queries = self._options.policies, self._options.queries
+        holdings, reports = Holdings(), TargetReports()
         return FanOutParts(
             dispatch=self._dispatcher,
-            replica_choice=ReplicaChoice(own.region, own.failure_domain, holdings),
+            configuration=self._configuration,
+            policies=policies,
+            replica_choice=ReplicaChoice(
+                policies.replicas, own.region, own.failure_domain, holdings, reports
+            ),
             holdings=holdings,
-            hedge_policy=self._options.policies.hedging,
-            hedge_budgets=HedgeBudgets(),
+            reports=reports,
+            timings=Timings(),
+            memory=ResultsMemory(queries.results_max_bytes, queries.query_max_bytes),
+            hedge_budgets=Budgets(),
+            retry_budgets=Budgets(),
         )
 
     def _watch_platform(self) -> None:
         platform = self._options.platform
         tasks.spawn(self._service_watch.run)
         tasks.spawn(self._spreading.run, lambda: self._peers.links)
-        tasks.spawn(
-            self._read_membership, HttpMembershipReader(Address(platform.membership))
-        )
-
-    def _read_membership(self, reader: HttpMembershipReader) -> None:
-        reachable = True
-        while True:
-            match reader.read():
-                case Success(_):
-                    reachable = True
-                case Failure(refusal):
-                    if reachable:
-                        _log.warning("membership list lost: %s", refusal)
-                    reachable = False
-            tasks.sleep(MEMBERSHIP_READ_S)
-
-    def _wait_for_configuration(self) -> None:
-        """Waits until peers have confirmed what is in force, or the bounded time."""
-        while self._spreading.needs_refresh(clock.monotonic_s()):
-            if self._stopping.wait(READY_CHECK_S):
-                return
+        membership = HttpMembershipReader(Address(platform.membership))
+        tasks.spawn(self._membership.read_list, membership.read)
 
     def _configuration_status(self, now_s: float) -> ConfigurationStatus:
         return status_of(
@@ -188,22 +246,20 @@
         )
 
     def _watches_service(self, now_s: float) -> bool:
+        if not self._spreading.asks_service(now_s):
+            return False
         reachable = [
             member
             for member in self._roster.serving
             if self._roster.is_reachable(member.daemon, SILENCE_S, now_s)
         ]
-        version = self._configuration.version
-        return self._spreading.asks_service(now_s) and is_watcher(
-            self._roster.own, reachable, version
-        )
+        return is_watcher(self._roster.own, reachable, self._configuration.version)
 
     def _on_service_change(self) -> None:
         self._on_change()
         self._spreading.announce()
 
     def _on_change(self) -> None:
-        self._peers.follow_roster()
         match self._configuration.catalog:
             case Success(catalog):
                 self._allowances.apply(dict(catalog.plans_by_id))
@@ -218,5 +274,16 @@
         peer_address=Address(options.addresses.peers),
         caller_address=Address(options.addresses.callers),
         incarnation=Incarnation(int(clock.wall_s() * 1000)),
-        state=MemberState.SERVING,
+        state=MemberState.JOINING,
     )
+
+
+def _serve(listener: socket.socket, front: sockets.Application) -> tasks.Task:
+    return tasks.spawn(
+        sockets.serve_wsgi, listener, front, CONNECTIONS_MAX, KEEP_ALIVE_S
+    )
+
+
+def _close(listener: socket.socket, server: tasks.Task) -> None:
+    sockets.close_listener(listener)
+    server.stop()
--- a/lavendertide/encodings/peer_protocol.thrift
+++ b/lavendertide/encodings/peer_protocol.thrift
@@ -10,6 +10,7 @@
   6: string caller_address,
   7: i64 incarnation,
   8: string state,
+  20: i32 refutation,
 }
 
 struct SubRequest {
@@ -25,6 +26,7 @@
   10: i32 remaining_ms,
   11: string fingerprint,
   40: string plan_class,
+  50: i32 page_size,
 }
 
 struct Row {
@@ -48,21 +50,49 @@
 
 struct Hello {
   1: MemberRecord member,
-  2: string proof,
+  20: string nonce,
+}
+
+struct Challenge {
+  20: MemberRecord member,
+  21: string nonce,
+  22: string proof,
+}
+
+struct ChallengeAnswer {
+  20: string proof,
 }
 
 struct Heartbeat {
   1: i64 sequence,
-  2: MemberRecord sender,
   3: list<MemberRecord> news,
   4: i64 configuration_version,
+  20: i64 digest,
 }
 
 struct HeartbeatAck {
   1: i64 sequence,
-  2: MemberRecord sender,
   3: list<MemberRecord> news,
   4: i64 configuration_version,
+  20: i64 digest,
+}
+
+struct RosterPull {
+  20: list<i64> digests,
+}
+
+struct RosterPush {
+  20: list<MemberRecord> records,
+}
+
+struct ReachRequest {
+  20: string exchange,
+  21: string daemon,
+}
+
+struct ReachReply {
+  20: string exchange,
+  21: bool is_reached,
 }
 
 struct SubRequests {
@@ -123,12 +153,16 @@
   5: string operation,
   6: string body,
   7: i32 remaining_ms,
+  50: bool is_inquiry,
 }
 
 struct TicketReply {
   1: string exchange,
   2: string outcome,
   3: string detail,
+  50: string refusal_kind,
+  51: string refusal_remedy,
+  52: string refusal_fault,
 }
 
 struct Verdict {
@@ -183,6 +217,12 @@
   10: TicketReply ticket_reply,
   30: ConfigurationOffer configuration_offer,
   31: ConfigurationDelta configuration_delta,
+  20: Challenge challenge,
+  21: ChallengeAnswer challenge_answer,
+  22: RosterPull roster_pull,
+  23: RosterPush roster_push,
+  24: ReachRequest reach_request,
+  25: ReachReply reach_reply,
   40: Verdicts verdicts,
   41: TrialClaim trial_claim,
   42: TrialGrant trial_grant,
--- a/lavendertide/messages.py
+++ b/lavendertide/messages.py
@@ -9,6 +9,7 @@
 from enum import Enum
 from typing import Final
 
+from lavendertide.errors import Refusal
 from lavendertide.ids import (
     Address,
     AttemptId,
@@ -33,7 +34,7 @@
     TicketId,
 )
 
-NO_PLAN_CLASS: Final = PlanClass("")
+NO_CLASS: Final = PlanClass("")
 
 
 class Operation(Enum):
@@ -88,6 +89,7 @@
     TARGET_CLOSED = "target_closed"
     TIMED_OUT = "timed_out"
     PEER_LOST = "peer_lost"
+    REPLY_TOO_LARGE = "reply_too_large"
     MISMATCHED_REPLY = "mismatched_reply"
 
 
@@ -101,7 +103,12 @@
 
 @dataclass(frozen=True, slots=True)
 class MemberRecord:
-    """One daemon as the fleet sees it; a higher incarnation overrides a lower one."""
+    """One daemon as the fleet sees it; a higher incarnation overrides a lower one.
+
+    Attributes:
+        incarnation: Names one run of the daemon.
+        refutation: Rises within a run when the daemon refutes a suspicion.
+    """
 
     daemon: DaemonId
     host: HostId
@@ -111,6 +118,7 @@
     caller_address: Address
     incarnation: Incarnation
     state: MemberState
+    refutation: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -131,6 +139,7 @@
         remaining_ms: What was left of the deadline when it was sent.
         fingerprint: Digest that is equal for equal requests of one owner.
         plan_class: Class of the caller's plan; classes share an owner's slots.
+        page_size: Rows of the shard that the answer can use.
     """
 
     attempt: AttemptId
@@ -144,7 +153,8 @@
     body: str
     remaining_ms: int
     fingerprint: Fingerprint
-    plan_class: PlanClass = NO_PLAN_CLASS
+    plan_class: PlanClass = NO_CLASS
+    page_size: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -194,20 +204,41 @@
 
 @dataclass(frozen=True, slots=True)
 class Hello:
-    """Opens a peer connection and proves knowledge of the fleet's key."""
+    """Opens a peer connection; the nonce is to be signed by the acceptor."""
 
     member: MemberRecord
+    nonce: str
+
+
+@dataclass(frozen=True, slots=True)
+class Challenge:
+    """Answers a hello: signs its nonce and sets one for the dialling side."""
+
+    member: MemberRecord
+    nonce: str
+    proof: str
+
+
+@dataclass(frozen=True, slots=True)
+class ChallengeAnswer:
+    """Signs the acceptor's nonce; other frames follow only after it."""
+
     proof: str
 
 
 @dataclass(frozen=True, slots=True)
 class Heartbeat:
-    """Tells a peer that the sender lives, and what it has learned."""
+    """Tells a peer that the sender lives, and what it has learned.
+
+    Attributes:
+        news: Changed records, a bounded number.
+        digest: Equal for equal rosters.
+    """
 
     sequence: int
-    sender: MemberRecord
     news: tuple[MemberRecord, ...]
     configuration_version: ConfigurationVersion
+    digest: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -215,9 +246,43 @@
     """Answers a heartbeat; the receiver's lease runs from the heartbeat's sending."""
 
     sequence: int
-    sender: MemberRecord
     news: tuple[MemberRecord, ...]
     configuration_version: ConfigurationVersion
+    digest: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class RosterPull:
+    """Asks for the records of all buckets whose digest differs.
+
+    Attributes:
+        digests: Digest of each bucket of the sender's roster, by bucket number.
+    """
+
+    digests: tuple[int, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class RosterPush:
+    """Records of the buckets that differ, removed members among them."""
+
+    records: tuple[MemberRecord, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class ReachRequest:
+    """Asks a peer whether it can reach a member that the sender can't."""
+
+    exchange: ExchangeId
+    daemon: DaemonId
+
+
+@dataclass(frozen=True, slots=True)
+class ReachReply:
+    """Says whether the member has answered the peer."""
+
+    exchange: ExchangeId
+    is_reached: bool
 
 
 @dataclass(frozen=True, slots=True)
@@ -413,7 +478,11 @@
 
 @dataclass(frozen=True, slots=True)
 class TicketRequest:
-    """A non-idempotent request on its way to the daemon that minted its ticket."""
+    """A non-idempotent request on its way to the daemon that minted its ticket.
+
+    Attributes:
+        is_inquiry: Whether it only asks what is known and runs nothing.
+    """
 
     exchange: ExchangeId
     ticket: TicketId
@@ -422,21 +491,33 @@
     operation: Operation
     body: str
     remaining_ms: int
+    is_inquiry: bool = False
 
 
 @dataclass(frozen=True, slots=True)
 class TicketReply:
-    """What the minting daemon knows of a ticket's execution."""
+    """What the minting daemon knows of a ticket's execution.
+
+    Attributes:
+        refusal: Why this try was refused, none if it was not.
+    """
 
     exchange: ExchangeId
     outcome: Outcome
     detail: str
+    refusal: Refusal | None = None
 
 
 Frame = (
     Hello
+    | Challenge
+    | ChallengeAnswer
     | Heartbeat
     | HeartbeatAck
+    | RosterPull
+    | RosterPush
+    | ReachRequest
+    | ReachReply
     | SubRequests
     | SubReplies
     | Cancels
--- a/lavendertide/queries/query.py
+++ b/lavendertide/queries/query.py
@@ -10,6 +10,7 @@
     IndexName,
     IndexVersion,
     OwnerId,
+    PlanId,
     QueryId,
     ShardNumber,
 )
@@ -40,19 +41,19 @@
 
 @dataclass(frozen=True, slots=True)
 class Query:
-    """An admitted search."""
+    """An admitted search.
+
+    Attributes:
+        deadline_ms: The budget in force, at most what the caller asked for.
+        fingerprint: Digest that is equal when the same owner's callers ask the same.
+    """
 
     query: QueryId
     plan: Plan
     question: Question
     deadline: Deadline
-
-    @property
-    def fingerprint(self) -> Fingerprint:
-        """Digest that is equal when the same owner's callers ask the same again."""
-        return fingerprint_of(
-            self.plan.owner, self.question.index, Operation.SEARCH, self.question.body
-        )
+    deadline_ms: int
+    fingerprint: Fingerprint
 
 
 @dataclass(frozen=True, slots=True)
@@ -63,6 +64,7 @@
         covered: Shards of the version that the page reflects.
         gaps: All other shards of the version, with reasons.
         attempts: Sub-requests that were sent.
+        deadline_ms: The budget that was in force.
     """
 
     query: QueryId
@@ -72,12 +74,13 @@
     covered: tuple[ShardNumber, ...]
     gaps: tuple[Gap, ...]
     attempts: int
+    deadline_ms: int
 
 
 def fingerprint_of(
-    owner: OwnerId, index: IndexName, operation: Operation, body: str
+    asker: OwnerId | PlanId, index: IndexName, operation: Operation, body: str
 ) -> Fingerprint:
-    """Returns the digest by which equal requests of one owner are recognised."""
-    text = "\n".join((owner, index, operation.value, body))
+    """Returns the digest by which equal requests of one owner or plan are known."""
+    text = "\n".join((asker, index, operation.value, body))
     digest = hashlib.blake2b(text.encode(), digest_size=FINGERPRINT_BYTES)
     return Fingerprint(digest.hexdigest())
--- a/lavendertide/settings_reference.py
+++ b/lavendertide/settings_reference.py
@@ -8,7 +8,7 @@
 import types
 import typing
 from collections.abc import Iterator
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any, Final
 
 from pydantic import BaseModel
@@ -33,6 +33,7 @@
         default: What holds without the key, as YAML; `required` if there is none.
         bounds: Which values are good, in words.
         meaning: One sentence.
+        is_optional: Whether the whole section may be left out.
     """
 
     path: str
@@ -41,6 +42,7 @@
     default: str
     bounds: str
     meaning: str
+    is_optional: bool = False
 
 
 def setting_rows() -> list[SettingRow]:
@@ -54,7 +56,9 @@
         path = f"{prefix}{name}"
         sections = _sections(field.annotation)
         if len(sections) == 1:
-            yield from _rows_of(sections[0], f"{path}.", variant)
+            rows = _rows_of(sections[0], f"{path}.", variant)
+            is_optional = not field.is_required() and field.default is None
+            yield from (replace(row, is_optional=is_optional) for row in rows)
         elif sections:
             yield _policy_row(path, sections, field)
             for section in sections:
--- a/standins/examples.py
+++ b/standins/examples.py
@@ -103,12 +103,13 @@
     open_sections: list[str] = []
     for row in setting_rows():
         *sections, key = row.path.split(".")
-        lines.extend(_headers(open_sections, sections))
+        headers = _headers(open_sections, sections)
+        lines.extend(f"# {h}" if h and row.is_optional else h for h in headers)
         open_sections = sections
         indent = "  " * len(sections)
         lines.extend(_comment(row, indent))
         value = values.get(row.path, row.default)
-        is_used = row.variant in ("", _default_policy(sections))
+        is_used = row.variant in ("", _default_policy(sections)) and not row.is_optional
         mark = "" if is_used else "# "
         lines.append(f"{indent}{mark}{key}: {value}")
     return "\n".join(lines) + "\n"
