--- /dev/null
+++ b/tests/configuration/test_adoption.py
@@ -0,0 +1,191 @@
+"""Tests of `lavendertide.configuration.adoption`."""
+
+import itertools
+import unittest
+
+from lavendertide.configuration.adoption import Adoption, Configuration, Source
+from lavendertide.ids import CallerKey
+from lavendertide.messages import ConfigurationDelta
+from tests.configuration.published import (
+    bad_publication,
+    configured,
+    published,
+    text_of,
+    todays_lists,
+)
+
+
+def rate_of(configuration: Configuration) -> float:
+    """Returns the rate of the plan that tests change."""
+    catalog = configuration.catalog.unwrap()
+    return catalog.plan_of(CallerKey("stall-clerk")).unwrap().rate_per_s
+
+
+def delta_between(before: bytes, after: bytes) -> ConfigurationDelta:
+    """Returns what a peer with the later text sends to one with the earlier."""
+    peer = configured(before, after)
+    delta = peer.delta_since(configured(before).stamp)
+    assert delta is not None
+    return delta
+
+
+class OnlyHigherTest(unittest.TestCase):
+    """What was accepted never reverts."""
+
+    def test_a_higher_version_is_adopted(self) -> None:
+        configuration = configured(published(1, 10), published(2, 20))
+        self.assertEqual((configuration.version, rate_of(configuration)), (2, 20))
+
+    def test_a_lower_version_is_not_adopted(self) -> None:
+        configuration = configured(published(2, 20))
+        self.assertIs(configuration.offer(published(1, 10), 1.0), Adoption.NOT_NEWER)
+        self.assertEqual((configuration.version, rate_of(configuration)), (2, 20))
+
+    def test_formatting_makes_no_difference(self) -> None:
+        spaced = todays_lists()
+        spaced["plans"] = dict(reversed(spaced["plans"].items()))
+        self.assertEqual(
+            configured(text_of(spaced)).stamp, configured(text_of(todays_lists())).stamp
+        )
+
+    def test_the_text_in_force_is_the_same_publication(self) -> None:
+        configuration = configured(published(3, 30))
+        self.assertEqual(configured(configuration.text).stamp, configuration.stamp)
+
+    def test_a_pinned_catalog_stays_as_it_was(self) -> None:
+        configuration = configured(published(1, 10))
+        pinned = configuration.catalog.unwrap()
+        configuration.offer(published(2, 20), 1.0)
+        plan = pinned.plan_of(CallerKey("stall-clerk")).unwrap()
+        self.assertEqual((pinned.version, plan.rate_per_s), (1, 10))
+
+
+class RefusedPublicationTest(unittest.TestCase):
+    """A bad publication changes nothing but what operators see."""
+
+    def test_the_last_good_one_stays(self) -> None:
+        configuration = configured(published(1, 10))
+        self.assertIs(configuration.offer(bad_publication(2), 5.0), Adoption.REFUSED)
+        self.assertEqual(rate_of(configuration), 10)
+        refused = configuration.refused
+        assert refused is not None
+        self.assertEqual((refused.notice.stamp.version, refused.refused_at_s), (2, 5.0))
+        self.assertIn("may not use index", str(refused.refusal))
+
+    def test_it_is_told_to_peers_with_the_same_words(self) -> None:
+        reader = configured(published(1), bad_publication(2))
+        listener = configured(published(1))
+        assert reader.refused is not None
+        listener.hear_refusal(reader.refused.notice, 6.0)
+        assert listener.refused is not None
+        self.assertEqual(listener.refused.notice, reader.refused.notice)
+        self.assertFalse(listener.refused.is_own)
+
+    def test_a_good_one_after_it_clears_it(self) -> None:
+        configuration = configured(published(1), bad_publication(2), published(3))
+        self.assertIsNone(configuration.refused)
+
+    def test_an_old_notice_is_not_taken(self) -> None:
+        reader = configured(published(1), bad_publication(2))
+        assert reader.refused is not None
+        ahead = configured(published(1), published(3))
+        ahead.hear_refusal(reader.refused.notice, 6.0)
+        self.assertIsNone(ahead.refused)
+
+    def test_an_old_bad_one_is_not_shown(self) -> None:
+        configuration = configured(published(3), bad_publication(2))
+        self.assertIsNone(configuration.refused)
+
+
+class RacingOperatorsTest(unittest.TestCase):
+    """Two publications of one version end in the same one everywhere."""
+
+    def test_the_order_makes_no_difference(self) -> None:
+        one, other = published(2, 10), published(2, 20)
+        results = {
+            configured(published(1), *order).stamp
+            for order in itertools.permutations((one, other))
+        }
+        self.assertEqual(len(results), 1)
+
+    def test_the_conflict_is_shown_whichever_came_first(self) -> None:
+        one, other = published(2, 10), published(2, 20)
+        notices = set()
+        for order in itertools.permutations((one, other)):
+            refused = configured(published(1), *order).refused
+            assert refused is not None
+            notices.add(refused.notice)
+        self.assertEqual(len(notices), 1)
+        self.assertIn("was published twice", notices.pop().message)
+
+    def test_the_next_version_ends_it(self) -> None:
+        configuration = configured(published(2, 10), published(2, 20), published(3, 30))
+        self.assertEqual(rate_of(configuration), 30)
+        self.assertIsNone(configuration.refused)
+
+
+class DeltaTest(unittest.TestCase):
+    """A delta leads to the very publication that the whole text leads to."""
+
+    def test_one_changed_plan(self) -> None:
+        delta = delta_between(published(1, 10), published(2, 20))
+        configuration = configured(published(1, 10))
+        self.assertIs(configuration.apply(delta, 1.0), Adoption.ADOPTED)
+        self.assertEqual(configuration.stamp, configured(published(2, 20)).stamp)
+        self.assertEqual(rate_of(configuration), 20)
+        self.assertIs(configuration.source, Source.PEER)
+        self.assertEqual(len(delta.changed), 1)
+
+    def test_a_removed_plan_and_its_keys(self) -> None:
+        without = todays_lists(2)
+        removed = without["plans"]["plans"].pop(0)["plan"]
+        uses = without["uses"]["uses"]
+        without["uses"]["uses"] = [use for use in uses if use["plan"] != removed]
+        delta = delta_between(published(1), text_of(without))
+        configuration = configured(published(1))
+        configuration.apply(delta, 1.0)
+        catalog = configuration.catalog.unwrap()
+        self.assertEqual(configuration.stamp, configured(text_of(without)).stamp)
+        self.assertNotIn("stall-clerk", catalog.plans)
+        self.assertNotIn("stall-clerk", catalog.plans_by_id)
+
+    def test_a_key_that_moves_to_another_plan(self) -> None:
+        moved = todays_lists(2)
+        first, second = moved["plans"]["plans"][:2]
+        first["keys"], second["keys"] = second["keys"], first["keys"]
+        configuration = configured(published(1))
+        configuration.apply(delta_between(published(1), text_of(moved)), 1.0)
+        catalog = configuration.catalog.unwrap()
+        self.assertEqual(
+            catalog.plan_of(CallerKey("stall-clerk")).unwrap().plan, "promoter"
+        )
+        self.assertEqual(
+            catalog.plan_of(CallerKey("promoter")).unwrap().plan, "stall-clerk"
+        )
+
+    def test_several_versions_in_one(self) -> None:
+        texts = [published(version, 10 * version) for version in range(1, 6)]
+        peer = configured(*texts)
+        for text in texts[:-1]:
+            behind = configured(text)
+            delta = peer.delta_since(behind.stamp)
+            assert delta is not None
+            self.assertIs(behind.apply(delta, 1.0), Adoption.ADOPTED)
+            self.assertEqual(behind.stamp, peer.stamp)
+
+    def test_an_unknown_base_needs_the_whole(self) -> None:
+        peer = configured(published(4), published(5))
+        self.assertIsNone(peer.delta_since(configured(published(1)).stamp))
+
+    def test_another_base_is_a_mismatch(self) -> None:
+        delta = delta_between(published(1, 10), published(3, 30))
+        configuration = configured(published(2, 20))
+        self.assertIs(configuration.apply(delta, 1.0), Adoption.MISMATCHED)
+        self.assertEqual(rate_of(configuration), 20)
+
+    def test_a_wrong_digest_is_a_mismatch(self) -> None:
+        delta = delta_between(published(1, 10), published(2, 20))
+        cut = ConfigurationDelta(delta.base, delta.stamp, (), ())
+        configuration = configured(published(1, 10))
+        self.assertIs(configuration.apply(cut, 1.0), Adoption.MISMATCHED)
+        self.assertEqual(rate_of(configuration), 10)
--- /dev/null
+++ b/tests/configuration/test_spreading.py
@@ -0,0 +1,180 @@
+"""Tests of `lavendertide.configuration.spreading`."""
+
+import random
+import unittest
+
+from lavendertide.configuration.adoption import Configuration, Source
+from lavendertide.configuration.spreading import Spreading
+from lavendertide.encodings.peer_frames import LENGTH, decode_frame, encode_frame
+from lavendertide.ids import DaemonId
+from lavendertide.messages import (
+    ConfigurationDelta,
+    ConfigurationFrame,
+    ConfigurationOffer,
+    ConfigurationPull,
+    ConfigurationPush,
+    ConfigurationStamp,
+)
+from tests.configuration.published import bad_publication, configured, published
+
+PEER = DaemonId("peer")
+SEED = 7
+
+
+class Daemon:
+    """A daemon's configuration without its sockets."""
+
+    def __init__(self, *texts: bytes) -> None:
+        self.configuration = configured(*texts)
+        self.spreading = Spreading(self.configuration, 0, lambda: None, 0.0)
+
+    @property
+    def stamp(self) -> ConfigurationStamp:
+        """What is in force."""
+        return self.configuration.stamp
+
+    def offer(self) -> ConfigurationOffer:
+        """Returns what the daemon offers to peers."""
+        refused = self.configuration.refused
+        notice = refused.notice if refused is not None else None
+        return ConfigurationOffer(0, self.stamp, True, notice)
+
+
+def carry(frame: ConfigurationFrame) -> ConfigurationFrame:
+    """Sends a frame through its encoding."""
+    decoded = decode_frame(encode_frame(frame)[LENGTH.size :]).unwrap()
+    assert isinstance(
+        decoded,
+        ConfigurationOffer | ConfigurationPull | ConfigurationPush | ConfigurationDelta,
+    )
+    return decoded
+
+
+def talk(sender: Daemon, receiver: Daemon, now_s: float) -> list[ConfigurationFrame]:
+    """Has a daemon offer its stamp to another; returns the frames of the exchange."""
+    frames: list[ConfigurationFrame] = []
+    pair = (sender, receiver)
+    frame: ConfigurationFrame | None = sender.offer()
+    while frame is not None:
+        frames.append(frame)
+        taker = pair[len(frames) % 2]
+        frame = taker.spreading.take(carry(frame), PEER, now_s)
+    return frames
+
+
+class ExchangeTest(unittest.TestCase):
+    """An offer ends with both sides at the greater stamp."""
+
+    def test_one_version_behind_is_sent_the_changed_entries(self) -> None:
+        ahead = Daemon(published(1, 10), published(2, 20))
+        behind = Daemon(published(1, 10))
+        frames = talk(ahead, behind, 1.0)
+        self.assertIsInstance(frames[-1], ConfigurationDelta)
+        self.assertEqual(behind.stamp, ahead.stamp)
+        self.assertIs(behind.configuration.source, Source.PEER)
+
+    def test_an_unknown_version_is_sent_the_whole(self) -> None:
+        ahead, behind = Daemon(published(5)), Daemon(published(1))
+        frames = talk(ahead, behind, 1.0)
+        self.assertIsInstance(frames[-1], ConfigurationPush)
+        self.assertEqual(behind.stamp, ahead.stamp)
+
+    def test_an_offer_of_the_one_behind_brings_it_forward(self) -> None:
+        ahead, behind = Daemon(published(2)), Daemon(published(1))
+        talk(behind, ahead, 1.0)
+        self.assertEqual(behind.stamp, ahead.stamp)
+
+    def test_equal_stamps_end_the_exchange(self) -> None:
+        one, other = Daemon(published(1)), Daemon(published(1))
+        self.assertEqual(len(talk(one, other, 1.0)), 1)
+
+    def test_two_publications_of_one_version_end_in_one(self) -> None:
+        one, other = Daemon(published(2, 10)), Daemon(published(2, 20))
+        talk(one, other, 1.0)
+        self.assertEqual(one.stamp, other.stamp)
+        for daemon in (one, other):
+            assert daemon.configuration.refused is not None
+            self.assertIn("twice", daemon.configuration.refused.notice.message)
+
+    def test_a_refusal_is_passed_on(self) -> None:
+        reader = Daemon(published(1), bad_publication(2))
+        listener = Daemon(published(1))
+        talk(reader, listener, 1.0)
+        assert reader.configuration.refused and listener.configuration.refused
+        self.assertEqual(
+            reader.configuration.refused.notice, listener.configuration.refused.notice
+        )
+
+    def test_several_offers_at_once_cause_one_pull(self) -> None:
+        ahead, behind = Daemon(published(2)), Daemon(published(1))
+        first = behind.spreading.take(ahead.offer(), PEER, 1.0)
+        second = behind.spreading.take(ahead.offer(), PEER, 1.1)
+        self.assertIsInstance(first, ConfigurationPull)
+        self.assertIsNone(second)
+
+    def test_a_lost_answer_is_asked_for_again(self) -> None:
+        ahead, behind = Daemon(published(2)), Daemon(published(1))
+        behind.spreading.take(ahead.offer(), PEER, 1.0)
+        self.assertIsNotNone(behind.spreading.take(ahead.offer(), PEER, 5.0))
+
+    def test_a_heartbeat_of_a_newer_version_causes_a_pull(self) -> None:
+        ahead, behind = Daemon(published(2)), Daemon(published(1))
+        version = ahead.stamp.version
+        self.assertIsNotNone(behind.spreading.hear_version(version, 1.0))
+        self.assertIsNone(ahead.spreading.hear_version(version, 1.0))
+
+    def test_a_delta_that_does_not_fit_is_followed_by_the_whole(self) -> None:
+        ahead = Daemon(published(1, 10), published(2, 20))
+        behind = Daemon(published(1, 10))
+        delta = ahead.configuration.delta_since(behind.stamp)
+        assert delta is not None
+        broken = ConfigurationDelta(delta.base, delta.stamp, (), ())
+        pull = behind.spreading.take(broken, PEER, 1.0)
+        assert pull is not None
+        whole = ahead.spreading.take(pull, PEER, 1.0)
+        self.assertIsInstance(whole, ConfigurationPush)
+        assert whole is not None
+        behind.spreading.take(whole, PEER, 1.0)
+        self.assertEqual(behind.stamp, ahead.stamp)
+
+
+class LossyFleetTest(unittest.TestCase):
+    """Random exchanges bring a whole fleet to one publication."""
+
+    def settle(self, daemons: list[Daemon], rounds: int) -> set[ConfigurationStamp]:
+        """Lets each daemon offer to one other per round; half are lost."""
+        numbers = random.Random(SEED)
+        for step in range(rounds):
+            for daemon in daemons:
+                if numbers.random() < 0.5:
+                    talk(daemon, numbers.choice(daemons), float(step))
+        return {daemon.stamp for daemon in daemons}
+
+    def test_one_reader_reaches_all(self) -> None:
+        daemons = [Daemon(published(1)) for _ in range(24)]
+        daemons[0].configuration.offer(published(2, 20), 0.0)
+        stamps = self.settle(daemons, 30)
+        self.assertEqual(stamps, {configured(published(2, 20)).stamp})
+
+    def test_readers_of_different_publications_agree(self) -> None:
+        daemons = [Daemon(published(1)) for _ in range(24)]
+        for number, daemon in enumerate(daemons[:6]):
+            daemon.configuration.offer(published(2, 20 + number % 3), 0.0)
+        self.assertEqual(len(self.settle(daemons, 30)), 1)
+
+    def test_a_newcomer_with_a_stale_publication_changes_nothing(self) -> None:
+        daemons = [Daemon(published(3, 30)) for _ in range(6)]
+        daemons.append(Daemon(published(1, 10)))
+        stamps = self.settle(daemons, 30)
+        self.assertEqual(stamps, {configured(published(3, 30)).stamp})
+
+
+class FirstPublicationTest(unittest.TestCase):
+    """A daemon without any configuration is sent the whole."""
+
+    def test_from_nothing(self) -> None:
+        ahead, empty = Daemon(published(1), published(2)), Daemon()
+        self.assertTrue(empty.spreading.needs_refresh(0.1))
+        talk(ahead, empty, 1.0)
+        self.assertEqual(empty.stamp, ahead.stamp)
+        self.assertIsInstance(empty.configuration, Configuration)
