--- a/lavendertide/command_line/main.py
+++ b/lavendertide/command_line/main.py
@@ -8,7 +8,7 @@
 import click
 
 from lavendertide.command_line import callers, operators, output
-from lavendertide.command_line.check import check
+from lavendertide.command_line.check import check, settings
 from lavendertide.command_line.completion import completion
 from lavendertide.command_line.reports import report
 
@@ -18,8 +18,8 @@
 def commands() -> None:
     """Queries and operates a lavendertide fleet.
 
-    Exit codes: 0 good; 1 refused, partial or not known to have run; 2 wrong usage or
-    bad settings; 3 nobody could be reached.
+    Exit codes: 0 good; 1 refused, partial or not known to have run; 2 wrong usage or a
+    missing library; 3 nobody could be reached.
     """
 
 
@@ -36,6 +36,7 @@
     operators.drain,
     report,
     check,
+    settings,
     completion,
 ):
     commands.add_command(command)
--- a/lavendertide/command_line/output.py
+++ b/lavendertide/command_line/output.py
@@ -1,7 +1,7 @@
 """How commands end and how they print.
 
-Exit codes: 0 good; 1 refused, partial, or not known to have run; 2 wrong usage or bad
-settings; 3 nobody could be reached. An error is one line on standard error.
+Exit codes: 0 good; 1 refused, partial, or not known to have run; 2 wrong usage or a
+missing library; 3 nobody could be reached. An error is one line on standard error.
 """
 
 import json
@@ -20,7 +20,6 @@
 EXIT_USAGE: Final = 2
 EXIT_UNREACHABLE: Final = 3
 _EXIT_OF_KIND: Final = {
-    RefusalKind.BAD_SETTINGS: EXIT_USAGE,
     RefusalKind.LIBRARY_MISSING: EXIT_USAGE,
     RefusalKind.UNREACHABLE: EXIT_UNREACHABLE,
 }
--- a/lavendertide/configuration/catalog.py
+++ b/lavendertide/configuration/catalog.py
@@ -67,19 +67,36 @@
     versions: Mapping[IndexVersion, tuple[tuple[TargetId, ...], ...]]
 
 
+@dataclass(frozen=True, slots=True)
+class _BuiltIndex:
+    entry: IndexEntry
+    index: Index
+    places: tuple[TargetPlace, ...]
+
+
 class Catalog:
-    """One version of the configuration, ready for look-ups."""
+    """One version of the configuration, ready for look-ups.
 
-    def __init__(self, publication: Publication) -> None:
+    Args:
+        publication: Checked lists.
+        earlier: The catalog before this one; what was built from entries that are
+            still the same is taken over from it.
+    """
+
+    def __init__(
+        self, publication: Publication, earlier: "Catalog | None" = None
+    ) -> None:
         self._version = ConfigurationVersion(publication.plans.version)
-        self._plans_by_key = _plans_by_key(publication)
-        self._indexes = {
-            IndexName(entry.index): _index(entry) for entry in publication.uses.indexes
+        self._plan_entries = {
+            PlanId(entry.plan): entry for entry in publication.plans.plans
         }
+        self._plans_by_id, self._plans_by_key = _plans(self._plan_entries, earlier)
+        self._built = _build_indexes(publication, earlier)
+        self._indexes = {name: built.index for name, built in self._built.items()}
         self._targets = {
             place.target: place
-            for entry in publication.uses.indexes
-            for place in _places(entry)
+            for built in self._built.values()
+            for place in built.places
         }
         self._uses = {
             (PlanId(use.plan), IndexName(use.index)): frozenset(use.operations)
@@ -106,6 +123,11 @@
         """All plans by caller key."""
         return self._plans_by_key
 
+    @property
+    def plans_by_id(self) -> Mapping[PlanId, Plan]:
+        """All plans by id."""
+        return self._plans_by_id
+
     def plan_of(self, key: CallerKey) -> Result[Plan, Refusal]:
         """Returns the plan that a caller's key belongs to."""
         plan = self._plans_by_key.get(key)
@@ -144,12 +166,38 @@
         }
 
 
-def _plans_by_key(publication: Publication) -> dict[CallerKey, Plan]:
-    return {
-        CallerKey(key): _plan(entry)
-        for entry in publication.plans.plans
-        for key in entry.keys
-    }
+def _plans(
+    entries: Mapping[PlanId, PlanEntry], earlier: Catalog | None
+) -> tuple[dict[PlanId, Plan], dict[CallerKey, Plan]]:
+    """Returns the plans by id and by key; only changed entries cost time."""
+    before = earlier._plan_entries if earlier is not None else {}
+    by_id = dict(earlier.plans_by_id) if earlier is not None else {}
+    by_key = dict(earlier.plans) if earlier is not None else {}
+    for plan_id, entry in before.items():
+        if entries.get(plan_id) is not entry:
+            del by_id[plan_id]
+            for key in entry.keys:
+                del by_key[CallerKey(key)]
+    for plan_id, entry in entries.items():
+        if before.get(plan_id) is not entry:
+            plan = _plan(entry)
+            by_id[plan_id] = plan
+            by_key.update((CallerKey(key), plan) for key in entry.keys)
+    return by_id, by_key
+
+
+def _build_indexes(
+    publication: Publication, earlier: Catalog | None
+) -> dict[IndexName, _BuiltIndex]:
+    before = earlier._built if earlier is not None else {}
+    built: dict[IndexName, _BuiltIndex] = {}
+    for entry in publication.uses.indexes:
+        name = IndexName(entry.index)
+        known = before.get(name)
+        if known is None or known.entry is not entry:
+            known = _BuiltIndex(entry, _index(entry), tuple(_places(entry)))
+        built[name] = known
+    return built
 
 
 def _plan(entry: PlanEntry) -> Plan:
--- a/lavendertide/daemon/daemon.py
+++ b/lavendertide/daemon/daemon.py
@@ -12,7 +12,10 @@
 
 from lavendertide.configuration.adoption import Configuration
 from lavendertide.configuration.catalog import Plan
-from lavendertide.configuration.service_watch import watch_service
+from lavendertide.configuration.service_watch import ServiceWatch
+from lavendertide.configuration.spreading import Spreading
+from lavendertide.configuration.status import ConfigurationStatus, status_of
+from lavendertide.configuration.watchers import is_watcher
 from lavendertide.daemon.admin_service import AdminParts
 from lavendertide.daemon.administration import Administration
 from lavendertide.daemon.caller_front import CallerFront
@@ -91,7 +94,21 @@
         self._in_flight = InFlight()
         self._faults = LinkFaults()
         self._edge = PeerEdge(fleet.key, self._roster, self._faults)
-        self._news = FleetNews(self._roster, self._configuration, self._on_change)
+        self._spreading = Spreading(
+            self._configuration,
+            sum(seed != options.addresses.peers for seed in fleet.seeds),
+            self._on_change,
+            now_s,
+        )
+        self._service_watch = ServiceWatch(
+            HttpConfigurationReader(Address(options.platform.configuration)),
+            self._configuration,
+            self._watches_service,
+            self._on_service_change,
+        )
+        self._news = FleetNews(
+            self._roster, self._configuration, self._spreading, self._on_change
+        )
         self._peers = Peers(
             self._roster,
             self._edge,
@@ -120,6 +137,9 @@
             self._pool,
         )
         parts = self._fan_out_parts()
+        self._metrics.follow_budgets(
+            lambda: parts.hedge_budgets.spent, lambda: parts.retry_budgets.spent
+        )
         gate = Gate(options.queries.in_flight_max, parts.memory)
         self._queries = QueryService(
             options.queries,
@@ -200,6 +220,7 @@
             self._roster,
             self._readiness,
             self._configuration,
+            self._configuration_status,
             self._allowances,
             self._shares,
             self._books,
@@ -257,20 +278,34 @@
 
     def _watch_platform(self) -> None:
         platform = self._options.platform
-        tasks.spawn(
-            watch_service,
-            HttpConfigurationReader(Address(platform.configuration)),
-            self._configuration,
-            lambda: True,
-            self._on_change,
-        )
+        tasks.spawn(self._service_watch.run)
+        tasks.spawn(self._spreading.run, lambda: self._peers.links)
         membership = HttpMembershipReader(Address(platform.membership))
         tasks.spawn(self._membership.read_list, membership.read)
 
+    def _configuration_status(self, now_s: float) -> ConfigurationStatus:
+        return status_of(
+            self._configuration, self._service_watch, self._spreading, now_s
+        )
+
+    def _watches_service(self, now_s: float) -> bool:
+        if not self._spreading.asks_service(now_s):
+            return False
+        reachable = [
+            member
+            for member in self._roster.serving
+            if self._roster.is_reachable(member.daemon, SILENCE_S, now_s)
+        ]
+        return is_watcher(self._roster.own, reachable, self._configuration.version)
+
+    def _on_service_change(self) -> None:
+        self._on_change()
+        self._spreading.announce()
+
     def _on_change(self) -> None:
         match self._configuration.catalog:
             case Success(catalog):
-                self._plans = {plan.plan: plan for plan in catalog.plans.values()}
+                self._plans = dict(catalog.plans_by_id)
                 self._allowances.apply(self._plans)
                 self._books.keep_only({plan.owner for plan in self._plans.values()})
 
--- a/lavendertide/fleet/membership.py
+++ b/lavendertide/fleet/membership.py
@@ -88,7 +88,7 @@
         if self._readiness.tick(now_s):
             _log.warning("woke late: the view of the fleet is refreshed first")
             self._roster.contacts.restart_clocks(now_s)
-            self._news.sync_again()
+            self._news.sync_again(now_s)
             self._peers.poke_all()
         self._refresh(now_s)
         self._peers.follow_roster()
@@ -98,9 +98,9 @@
 
     def _refresh(self, now_s: float) -> None:
         since_s = self._readiness.stale_since_s
-        if since_s is None:
+        if since_s is None or not self._news.has_configuration:
             return
-        is_current = self._news.is_current_since(since_s)
+        is_current = self._news.is_current_since(since_s, now_s)
         if self._readiness.refreshed(is_current, now_s):
             _log.info("serving")
             if self._roster.own.state is MemberState.JOINING:
--- a/lavendertide/options.py
+++ b/lavendertide/options.py
@@ -1,14 +1,23 @@
 """The daemon's settings: one typed options object.
 
 `lavendertide.encodings.settings_yaml` reads it from a YAML file. Every key is checked
-here; unknown keys are refused.
+here by itself, and unknown keys are refused; `lavendertide.settings_rules` holds the
+rules between keys. docs/SETTINGS.md is made from the doc comments below.
 """
 
-from typing import Annotated, Literal, Self
+from typing import Annotated, Literal
 
-from pydantic import BaseModel, ConfigDict, Field, StringConstraints, model_validator
+from pydantic import (
+    AfterValidator,
+    BaseModel,
+    ConfigDict,
+    Field,
+    StringConstraints,
+)
 
-IpPort = Annotated[str, StringConstraints(pattern=r"^[0-9.]+:[0-9]{1,5}$")]
+from lavendertide.addressing import check_ip_port
+
+IpPort = Annotated[str, AfterValidator(check_ip_port)]
 AdminKey = Annotated[str, StringConstraints(min_length=16)]
 Name = Annotated[str, StringConstraints(pattern=r"^[a-z0-9][a-z0-9-]{0,62}$")]
 
@@ -16,7 +25,9 @@
 class _Section(BaseModel):
     """A section of the settings; unknown keys are refused."""
 
-    model_config = ConfigDict(extra="forbid", frozen=True)
+    model_config = ConfigDict(
+        extra="forbid", frozen=True, strict=True, allow_inf_nan=False
+    )
 
 
 class PlaceOptions(_Section):
@@ -25,6 +36,8 @@
     Attributes:
         daemon: Name of the process, unique in the fleet.
         host: Name of the host that it shares with other daemons.
+        region: Name of the region, as the list of uses names it.
+        failure_domain: Name of the failure domain, as the list of uses names it.
     """
 
     daemon: Name
@@ -48,7 +61,12 @@
 
 
 class PlatformOptions(_Section):
-    """Where the platform's services are, as base addresses."""
+    """Where the platform's services are.
+
+    Attributes:
+        configuration: The configuration service.
+        membership: The membership list.
+    """
 
     configuration: IpPort
     membership: IpPort
@@ -282,12 +300,3 @@
     tickets: TicketOptions = TicketOptions()
     admin: AdminOptions = AdminOptions()
     logs: LogOptions = LogOptions()
-
-    @model_validator(mode="after")
-    def _guard_administration(self) -> Self:
-        is_local = self.addresses.admin.startswith("127.")
-        if not is_local and not self.admin.operator_keys:
-            raise ValueError(
-                "admin.operator_keys: name a key, or put addresses.admin on 127.0.0.1"
-            )
-        return self
--- a/tests/metrics/test_metrics.py
+++ b/tests/metrics/test_metrics.py
@@ -35,6 +35,14 @@
             )
             self.assertIn(line, text)
 
+    def test_budgets_are_read_when_asked_for(self) -> None:
+        metrics = Metrics()
+        spent = {OwnerId("association"): 3}
+        metrics.follow_budgets(lambda: spent, dict)
+        spent[OwnerId("association")] = 4
+        line = 'lavendertide_hedges_total{owner="association"} 4.0'
+        self.assertIn(line, metrics.exposition().decode())
+
     def test_many_owners_make_a_bounded_number_of_series(self) -> None:
         metrics = Metrics()
         for number in range(1_000):
