--- a/lavendertide/plans/allocation.py
+++ b/lavendertide/plans/allocation.py
@@ -7,7 +7,8 @@
 share counts only once its holder has confirmed it, and the share of a silent holder
 stays its own until the roster drops it. A holder that reaches only half of the plan's
 allocators is given from one half of the plan, and one that reaches fewer from
-`NEWCOMERS_PART`, so that the sides of a split do not each give out the whole. The
+`NEWCOMERS_PART`, so that the sides of a split do not each give out the whole. A new
+holder cannot tell yet whom it reaches and is given from `NEWCOMERS_PART` as well. The
 daemons that an allocator reaches can always have `NEWCOMERS_PART` between them.
 """
 
@@ -22,6 +23,7 @@
 NEWCOMERS_PART: Final = 0.25
 HALF: Final = 0.5
 SETTLING_S: Final = 3.0
+NEWCOMER_S: Final = 0.75  # longer than a holder waits for any allocator's answer
 STALE_CLAIM_S: Final = 30.0
 RECOMPUTE_S: Final = 0.2
 HOLDERS_MAX: Final = 2_048
@@ -65,14 +67,14 @@
     incarnation: Incarnation
     demand_per_s: float
     share: float
+    since_s: float
     heard_at_s: float
 
 
 class PlanAllocation:
     """One plan's holders on a daemon that allocates it."""
 
-    def __init__(self, now_s: float) -> None:
-        self._created_at_s = now_s
+    def __init__(self) -> None:
         self._holders: dict[DaemonId, _Holder] = {}
         self._targets: dict[DaemonId, float] = {}
         self._computed_at_s = float("-inf")
@@ -131,17 +133,23 @@
             return 0.0
         if known is None and len(self._holders) >= HOLDERS_MAX:
             return claim.share
+        is_same = known is not None and known.incarnation == incarnation
+        since_s = known.since_s if known is not None and is_same else now_s
         self._holders[daemon] = _Holder(
-            incarnation, claim.demand_per_s, claim.share, now_s
+            incarnation, claim.demand_per_s, claim.share, since_s, now_s
         )
         target = self._target(daemon, rate_per_s, known is None, now_s)
-        most = min(most, self._most(now_s))
+        if now_s - since_s < NEWCOMER_S:
+            left = NEWCOMERS_PART - self._granted_to_newcomers(daemon, now_s)
+            target = min(target, max(claim.share, left))
         return self._grant(daemon, target, most, presence)
 
-    def _most(self, now_s: float) -> float:
-        """Returns the bound until all holders have had time to claim here."""
-        is_settled = now_s - self._created_at_s >= SETTLING_S
-        return 1.0 + NEWCOMERS_PART if is_settled else NEWCOMERS_PART
+    def _granted_to_newcomers(self, besides: DaemonId, now_s: float) -> float:
+        return sum(
+            holder.share
+            for daemon, holder in self._holders.items()
+            if daemon != besides and now_s - holder.since_s < NEWCOMER_S
+        )
 
     def _grant(
         self,
@@ -229,7 +237,7 @@
     ) -> float:
         allocation = self._allocations.get(claim.plan)
         if allocation is None:
-            allocation = PlanAllocation(now_s)
+            allocation = PlanAllocation()
             self._allocations[claim.plan] = allocation
         return allocation.claim(
             message.daemon,
--- a/tests/processes/test_plans_over_hosts.py
+++ b/tests/processes/test_plans_over_hosts.py
@@ -1,5 +1,6 @@
 """Tests of plan limits over separate processes."""
 
+import signal
 import threading
 import time
 import unittest
@@ -53,8 +54,8 @@
                     counts[refusal.failure().kind.value] += 1
             time.sleep(PAUSE_S)
 
-    def test_callers_on_all_hosts_get_the_plan_once(self) -> None:
-        counts: Counter[str] = Counter()
+    def admitted_within(self, counts: Counter[str]) -> None:
+        """Sends from all hosts for a while and asserts the plan's bound."""
         hosts = list(self.launcher.callers.values())
         started_s = time.monotonic()
         threads = [
@@ -63,6 +64,7 @@
         ]
         for thread in threads:
             thread.start()
+        self.disturb()
         for thread in threads:
             thread.join()
         span_s = time.monotonic() - started_s
@@ -70,5 +72,23 @@
         most = BOUND * (RATE_PER_S * span_s + BURST) + len(hosts)
         self.assertLessEqual(admitted, most, counts)
         self.assertGreater(counts["over_plan_rate"], 0)
-        for host in hosts:
+
+    def disturb(self) -> None:
+        """Does nothing while the callers send."""
+
+    def test_callers_on_all_hosts_get_the_plan_once(self) -> None:
+        counts: Counter[str] = Counter()
+        self.admitted_within(counts)
+        for host in self.launcher.callers.values():
             self.assertGreater(counts[host], 0, counts)
+
+
+class PlanWhileHostsGoTest(PlanOverHostsTest):
+    """A host that dies and comes back brings no share of its own."""
+
+    def disturb(self) -> None:
+        """Kills a daemon, then starts it again under its name."""
+        name = "association-2"
+        self.launcher.signal_daemon(name, signal.SIGKILL)
+        self.launcher.wait_for_exit(name)
+        self.launcher.start_daemon(name)
