--- /dev/null
+++ b/tests/encodings/test_platform_http.py
@@ -0,0 +1,76 @@
+"""Tests of `lavendertide.encodings.platform_http`."""
+
+import threading
+import time
+import unittest
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+
+from lavendertide.caller_client import CallerClient
+from lavendertide.encodings.platform_http import (
+    CONNECT_TIMEOUT_S,
+    HttpConfigurationReader,
+    HttpMembershipReader,
+)
+from lavendertide.ids import Address, ConfigurationVersion, HostId
+
+SLOW_S = CONNECT_TIMEOUT_S + 0.3
+LONG_S = 20.0
+
+
+class SlowHandler(BaseHTTPRequestHandler):
+    """Answers each request later than a connection may take to open."""
+
+    protocol_version = "HTTP/1.1"
+    body = b'{"hosts": [{"host": "h", "state": "live"}], "addresses": ["%s"]}'
+
+    def do_GET(self) -> None:
+        time.sleep(SLOW_S)
+        self.send_response(200)
+        self.send_header("Content-Length", str(len(self.body)))
+        self.end_headers()
+        self.wfile.write(self.body)
+
+    def do_POST(self) -> None:
+        self.rfile.read(int(self.headers["Content-Length"]))
+        self.do_GET()
+
+    def log_message(self, format: str, *arguments: object) -> None:
+        """Prints nothing."""
+
+
+class SlowServiceTestCase(unittest.TestCase):
+    """Serves slow answers on a loopback address."""
+
+    def setUp(self) -> None:
+        self.server = ThreadingHTTPServer(("127.0.0.1", 0), SlowHandler)
+        self.address = Address(f"127.0.0.1:{self.server.server_port}")
+        self.addCleanup(self.server.server_close)
+        self.addCleanup(self.server.shutdown)
+        threading.Thread(target=self.server.serve_forever, daemon=True).start()
+
+
+class HttpConfigurationReaderTest(SlowServiceTestCase):
+    """A watch waits for as long as it says and not only for a connection."""
+
+    def test_a_slow_answer_is_waited_for(self) -> None:
+        reader = HttpConfigurationReader(self.address)
+        answer = reader.watch(ConfigurationVersion(1), LONG_S)
+        self.assertEqual(answer.unwrap(), SlowHandler.body)
+
+
+class HttpMembershipReaderTest(SlowServiceTestCase):
+    """A list that takes a while is still read."""
+
+    def test_a_slow_list_is_read(self) -> None:
+        answer = HttpMembershipReader(self.address).read()
+        self.assertEqual(answer.unwrap(), {HostId("h"): "live"})
+
+
+class CallerClientTest(SlowServiceTestCase):
+    """A caller waits for its deadline and not only for a connection."""
+
+    def test_a_slow_answer_is_waited_for(self) -> None:
+        client = CallerClient([self.address], "key")
+        client._addresses, client._kept_until_s = [self.address], float("inf")
+        answer = client.search("index", "body", 5_000, 1, 0.0)
+        self.assertIn("hosts", answer.unwrap())
