Test the fleet's processes under cuts, loss, pauses, kills and a wrong key

The test of the wrong key failed first with '2 != 1': a refusal was logged once for the dialled address and once for the accepted one. It is now logged once for each IP.

--- a/lavendertide/fleet/peer_connection.py
+++ b/lavendertide/fleet/peer_connection.py
@@ -104,27 +104,28 @@
             connection = sockets.connect(address, CONNECT_TIMEOUT_S)
         except OSError:
             return None
-        return self._guard(connection, address, self._open)
+        ip, _ = sockets.split_address(address)
+        return self._guard(connection, ip, self._open)
 
     def accept(self, connection: socket.socket) -> PeerConnection | None:
         """Takes a connection that a peer has dialled; none if it proves nothing."""
         connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         try:
-            address = Address(connection.getpeername()[0])
+            ip = str(connection.getpeername()[0])
         except OSError:
             return None
-        return self._guard(connection, address, self._admit)
+        return self._guard(connection, ip, self._admit)
 
     def _guard(
         self,
         connection: socket.socket,
-        address: Address,
-        shake: Callable[[PeerSocket, Address], MemberRecord | None],
+        ip: str,
+        shake: Callable[[PeerSocket, str], MemberRecord | None],
     ) -> PeerConnection | None:
         stream = PeerSocket(connection)
         try:
             connection.settimeout(HANDSHAKE_TIMEOUT_S)
-            member = shake(stream, address)
+            member = shake(stream, ip)
             connection.settimeout(None)
         except OSError:
             member = None
@@ -135,7 +136,7 @@
         PEER_BYTES.labels("control", "received").inc(stream.bytes_received)
         return PeerConnection(stream, member, self._faults)
 
-    def _open(self, stream: PeerSocket, address: Address) -> MemberRecord | None:
+    def _open(self, stream: PeerSocket, ip: str) -> MemberRecord | None:
         own, nonce = self._roster.own, new_nonce()
         stream.send(Hello(own, nonce))
         match stream.receive():
@@ -145,10 +146,10 @@
                 acceptor = Role.ACCEPTOR
                 if self._key.verifies(proof, acceptor, member, nonce, theirs):
                     return member
-                self._refuse(address)
+                self._refuse(ip)
         return None
 
-    def _admit(self, stream: PeerSocket, address: Address) -> MemberRecord | None:
+    def _admit(self, stream: PeerSocket, ip: str) -> MemberRecord | None:
         hello = stream.receive()
         if not isinstance(hello, Hello):
             return None
@@ -164,15 +165,15 @@
                     answer, Role.DIALLER, dialler, nonce, hello.nonce
                 ):
                     return dialler
-                self._refuse(address)
+                self._refuse(ip)
         return None
 
-    def _refuse(self, address: Address) -> None:
+    def _refuse(self, ip: str) -> None:
         PEERS_REFUSED.inc()
-        if address in self._refused or len(self._refused) >= REFUSED_LOGGED_MAX:
+        if ip in self._refused or len(self._refused) >= REFUSED_LOGGED_MAX:
             return
-        self._refused.add(address)
-        _log.warning("peer at %s refused: it does not prove the fleet's key", address)
+        self._refused.add(ip)
+        _log.warning("peer at %s refused: it does not prove the fleet's key", ip)
 
 
 def _kind(frame: Frame) -> str:
--- a/standins/launcher.py
+++ b/standins/launcher.py
@@ -52,6 +52,7 @@
         target_processes: int = 2,
         median_ms: float = 5.0,
         overrides: dict[str, Any] | None = None,
+        has_link_faults: bool = False,
     ) -> None:
         self.owners = owners
         self.placed = place_targets(owners, _free_addresses(count_targets(owners)))
@@ -64,6 +65,7 @@
         self._target_processes = target_processes
         self._median_ms = median_ms
         self._overrides = overrides or {}
+        self._has_link_faults = has_link_faults
         self._folder = tempfile.TemporaryDirectory()
         self._processes: dict[str, subprocess.Popen[bytes]] = {}
         self._settings: dict[str, Path] = {}
@@ -76,6 +78,7 @@
         self._start_targets()
         self.publish()
         self._write_settings()
+        self.list_hosts(list(self._settings))
         for name in self._settings:
             self.start_daemon(name)
         for name in self._settings:
@@ -108,6 +111,37 @@
         self.post(self.configuration, "/v1/publish", lists)
         return self._version
 
+    def list_hosts(self, live: list[str], leaving: tuple[str, ...] = ()) -> None:
+        """Puts the hosts of daemons on the published membership list."""
+        states = dict.fromkeys(live, "live") | dict.fromkeys(leaving, "leaving")
+        hosts = [{"host": f"{n}-host", "state": state} for n, state in states.items()]
+        self.post(self.membership, "/v1/list", {"hosts": hosts})
+
+    def set_link_faults(
+        self,
+        name: str,
+        drop_to: tuple[str, ...] = (),
+        drop_from: tuple[str, ...] = (),
+        loss: float = 0.0,
+        delay_s: float = 0.0,
+    ) -> None:
+        """Changes which frames a daemon loses; peers are given by daemon."""
+        rules = {
+            "drop_to": [self.peers[peer] for peer in drop_to],
+            "drop_from": [self.peers[peer] for peer in drop_from],
+            "loss": loss,
+            "delay_s": delay_s,
+        }
+        written = self._faults_of(name).with_suffix(".new")
+        written.write_text(json.dumps(rules))
+        written.replace(self._faults_of(name))
+
+    def change_settings(self, name: str, section: str, **values: Any) -> None:
+        """Changes a daemon's settings file, which it reads at its next start."""
+        settings = yaml.safe_load(self._settings[name].read_text())
+        settings.setdefault(section, {}).update(values)
+        self._settings[name].write_text(yaml.safe_dump(settings))
+
     def start_daemon(self, name: str) -> None:
         """Starts a daemon, or starts it again."""
         self._spawn(name, "lavendertide", str(self._settings[name]))
@@ -154,6 +188,18 @@
             counts.update(self.get(control, "/v1/counts"))
         return counts
 
+    def status(self, name: str) -> dict[str, Any]:
+        """Returns what a daemon says of itself and of the other members."""
+        status: dict[str, Any] = self.get(self.admins[name], "/v1/status")
+        return status
+
+    def metric(self, name: str, metric: str) -> float:
+        """Returns the sum of a daemon's metric over all its labels."""
+        url = f"http://{self.admins[name]}/metrics"
+        lines = self._http.request("GET", url).data.decode().splitlines()
+        found = [line for line in lines if line.split("{")[0].split(" ")[0] == metric]
+        return sum(float(line.rsplit(" ", 1)[1]) for line in found)
+
     def get(self, address: str, path: str) -> Any:
         """Reads JSON from one of the processes."""
         return self._http.request("GET", f"http://{address}{path}").json()
@@ -205,10 +251,15 @@
                 settings.setdefault(section, {}).update(values)
             name = settings["place"]["daemon"]
             self.callers[name], self.peers[name], self.admins[name] = own
+            if self._has_link_faults:
+                settings["faults"] = {"rules": str(self._faults_of(name))}
             path = Path(self._folder.name) / f"{name}.yaml"
             path.write_text(yaml.safe_dump(settings))
             self._settings[name] = path
 
+    def _faults_of(self, name: str) -> Path:
+        return Path(self._folder.name) / f"{name}-faults.json"
+
     def _spawn(self, name: str, module: str, *arguments: str) -> None:
         log = (Path(self._folder.name) / f"{name}.log").open("ab")
         self._processes[name] = subprocess.Popen(
--- /dev/null
+++ b/tests/processes/test_fleet_faults.py
@@ -0,0 +1,207 @@
+"""Tests of the fleet on separate processes that die, freeze and are cut off."""
+
+import signal
+import threading
+import time
+import unittest
+from dataclasses import replace
+from typing import Any, Final
+
+from returns.result import Failure, Success
+
+from lavendertide.caller_client import CallerClient
+from standins.deployment import ASSOCIATION, smaller
+from standins.launcher import Launcher
+from tests.processes.waiting import eventually, members, reachable
+
+SHARDS: Final = 4
+DAEMONS: Final = tuple(f"association-{number}" for number in range(4))
+OWNERS: Final = (replace(smaller(ASSOCIATION, SHARDS, len(DAEMONS))),)
+FAST: Final[dict[str, Any]] = {
+    "fleet": {
+        "heartbeat_s": 0.25,
+        "lease_s": 1.0,
+        "removal_s": 1.0,
+        "address_lifetime_s": 0.5,
+    }
+}
+
+
+class FleetTestCase(unittest.TestCase):
+    """A fleet of four that each test leaves as it was."""
+
+    launcher: Launcher
+
+    @classmethod
+    def setUpClass(cls) -> None:
+        cls.launcher = Launcher(OWNERS, overrides=FAST, has_link_faults=True)
+        cls.addClassCleanup(cls.launcher.stop)
+        cls.launcher.start()
+
+    def search(self, name: str) -> dict[str, Any] | None:
+        """Searches through one daemon; none if it did not answer with a result."""
+        client = CallerClient([], "stall-clerk")
+        client._addresses = [self.launcher.callers[name]]
+        client._kept_until_s = time.monotonic() + 60
+        match client.search("venue-desk", "order", 500, 5, time.monotonic()):
+            case Success(answer):
+                told = set(answer["covered"]) | {g["shard"] for g in answer["gaps"]}
+                self.assertEqual(told, set(range(SHARDS)))
+                return dict(answer)
+        return None
+
+    def is_whole(self, name: str) -> bool:
+        """Returns whether a search through one daemon covers every shard."""
+        answer = self.search(name)
+        return answer is not None and bool(answer["whole"])
+
+    def total(self, metric: str) -> float:
+        """Returns the sum of a metric over all daemons."""
+        return sum(self.launcher.metric(name, metric) for name in DAEMONS)
+
+    def heal(self) -> None:
+        """Takes all link faults away and waits until everyone reaches everyone."""
+        for name in DAEMONS:
+            self.launcher.set_link_faults(name)
+        for name in DAEMONS:
+            eventually(self.sees_all_well, name)
+
+    def sees_all_well(self, name: str) -> bool:
+        """Returns whether one daemon reaches everyone and suspects nobody."""
+        seen = members(self.launcher, name)
+        everyone = dict.fromkeys(DAEMONS, "serving")
+        return seen == everyone and self.reaches(name, set(DAEMONS))
+
+    def reaches(self, name: str, others: set[str]) -> bool:
+        """Returns whether one daemon reaches exactly these."""
+        return reachable(self.launcher, name) == others
+
+    def sees_as(self, name: str, other: str, state: str | None) -> bool:
+        """Returns whether one daemon sees another in a state, none for removed."""
+        return members(self.launcher, name).get(other) == state
+
+
+class CutLinksTest(FleetTestCase):
+    """Links that are cut or lossy neither remove members nor stop the service."""
+
+    def test_both_sides_of_a_split_serve_and_heal(self) -> None:
+        sides = DAEMONS[:2], DAEMONS[2:]
+        for side, other in (sides, sides[::-1]):
+            for name in side:
+                self.launcher.set_link_faults(name, drop_to=other, drop_from=other)
+        for side in sides:
+            for name in side:
+                eventually(self.reaches, name, set(side))
+        for name in DAEMONS:
+            eventually(self.is_whole, name)
+        self.heal()
+        for name in DAEMONS:
+            eventually(self.is_whole, name)
+        self.assertEqual(self.total("lavendertide_removals_total"), 0)
+
+    def test_a_one_way_cut_is_seen_by_its_ends_and_suspects_nobody(self) -> None:
+        before = self.total("lavendertide_suspicions_total")
+        first, second = DAEMONS[:2]
+        self.launcher.set_link_faults(first, drop_to=(second,))
+        eventually(self.reaches, first, set(DAEMONS) - {second})
+        eventually(self.reaches, second, set(DAEMONS) - {first})
+        for name in DAEMONS[2:]:
+            self.assertEqual(reachable(self.launcher, name), set(DAEMONS))
+        for name in DAEMONS:
+            eventually(self.is_whole, name)
+        self.heal()
+        self.assertEqual(self.total("lavendertide_suspicions_total"), before)
+
+    def test_lossy_links_remove_nobody_and_answers_stay_true(self) -> None:
+        for name in DAEMONS:
+            self.launcher.set_link_faults(name, loss=0.1, delay_s=0.002)
+        for _ in range(5):
+            for name in DAEMONS:
+                self.search(name)
+        self.heal()
+        self.assertEqual(self.total("lavendertide_removals_total"), 0)
+
+
+class FrozenDaemonTest(FleetTestCase):
+    """A daemon that was frozen acts on nothing before it has asked its peers anew."""
+
+    def test_a_request_that_waited_through_the_pause_is_refused(self) -> None:
+        frozen, others = DAEMONS[0], DAEMONS[1:]
+        self.launcher.set_link_faults(frozen, drop_to=others, drop_from=others)
+        eventually(self.reaches, frozen, {frozen})
+        before = self.launcher.metric(frozen, "lavendertide_late_wakes_total")
+        self.launcher.signal_daemon(frozen, signal.SIGSTOP)
+        for name in others:
+            eventually(self.sees_as, name, frozen, "suspect")
+        kinds: list[str] = []
+        asker = threading.Thread(target=lambda: kinds.append(self.kind_of(frozen)))
+        asker.start()
+        eventually(asker.is_alive)
+        time.sleep(0.2)
+        self.launcher.signal_daemon(frozen, signal.SIGCONT)
+        asker.join()
+        self.assertEqual(kinds, ["not_ready"])
+        after = self.launcher.metric(frozen, "lavendertide_late_wakes_total")
+        self.assertEqual(after, before + 1)
+        self.heal()
+        eventually(self.is_whole, frozen)
+        self.assertEqual(self.total("lavendertide_removals_total"), 0)
+
+    def kind_of(self, name: str) -> str:
+        """Returns with what kind of refusal one daemon answers a search."""
+        client = CallerClient([], "stall-clerk")
+        client._addresses = [self.launcher.callers[name]]
+        client._kept_until_s = time.monotonic() + 60
+        match client.search("venue-desk", "order", 10_000, 5, time.monotonic()):
+            case Failure(refusal):
+                return str(refusal.kind.value)
+        return "answered"
+
+
+class KilledDaemonTest(FleetTestCase):
+    """A killed daemon is passed over at once and removed only with the list."""
+
+    def test_a_kill_is_survived_and_removal_waits_for_the_list(self) -> None:
+        killed, others = DAEMONS[1], DAEMONS[:1] + DAEMONS[2:]
+        self.launcher.signal_daemon(killed, signal.SIGKILL)
+        self.launcher.wait_for_exit(killed)
+        for name in others:
+            eventually(self.is_whole, name)
+            eventually(self.sees_as, name, killed, "suspect")
+        time.sleep(2 * FAST["fleet"]["removal_s"])
+        for name in others:
+            self.assertEqual(members(self.launcher, name)[killed], "suspect")
+        self.launcher.list_hosts(list(others))
+        for name in others:
+            eventually(self.sees_as, name, killed, None)
+        self.launcher.list_hosts(list(DAEMONS))
+        self.launcher.start_daemon(killed)
+        self.launcher.wait_until_ready(killed)
+        self.heal()
+
+
+class FleetKeyTest(FleetTestCase):
+    """A daemon with another key joins nothing."""
+
+    def test_a_wrong_key_is_refused_counted_and_logged_once(self) -> None:
+        stranger, others = DAEMONS[3], DAEMONS[:3]
+        self.launcher.signal_daemon(stranger, signal.SIGKILL)
+        self.launcher.wait_for_exit(stranger)
+        self.launcher.change_settings(
+            stranger, "fleet", key="another-key-than-the-fleets"
+        )
+        self.launcher.start_daemon(stranger)
+        for name in others:
+            eventually(self.refuses, name)
+            eventually(self.sees_as, name, stranger, "suspect")
+            lines = self.launcher.log_of(name).count("does not prove the fleet's key")
+            self.assertEqual(lines, 1)
+        self.assertEqual(set(members(self.launcher, stranger)), {stranger})
+
+    def refuses(self, name: str) -> bool:
+        """Returns whether one daemon has refused connections several times."""
+        return self.launcher.metric(name, "lavendertide_peers_refused_total") > 2
+
+
+if __name__ == "__main__":
+    unittest.main()
