--- a/lavendertide/daemon/daemon.py
+++ b/lavendertide/daemon/daemon.py
@@ -3,6 +3,7 @@
 import logging
 import signal
 import socket
+from functools import partial
 from pathlib import Path
 from typing import Final
 
@@ -15,6 +16,7 @@
 from lavendertide.daemon.dispatcher import Dispatcher
 from lavendertide.daemon.drain import Drain
 from lavendertide.daemon.in_flight import InFlight
+from lavendertide.daemon.minter import Minter
 from lavendertide.daemon.peer_front import PeerFront
 from lavendertide.daemon.query_service import QueryService
 from lavendertide.daemon.ticket_service import TicketService
@@ -44,10 +46,16 @@
 from lavendertide.messages import MemberRecord, MemberState
 from lavendertide.options import Options
 from lavendertide.plans.admission import Allowances
-from lavendertide.queries.fan_out import FanOutParts, HedgeBudgets
+from lavendertide.queries.gate import Gate
+from lavendertide.queries.hedging import Budgets
+from lavendertide.queries.parts import FanOutParts
 from lavendertide.queries.replicas import ReplicaChoice
+from lavendertide.queries.results_memory import ResultsMemory
 from lavendertide.queries.snapshot import Holdings
+from lavendertide.queries.target_reports import TargetReports
+from lavendertide.queries.timing import Timings
 from lavendertide.runtime import clock, sockets, tasks
+from lavendertide.runtime.pauses import Pauses, keep_ticking
 from lavendertide.targets.target_pool import TargetPool
 
 CONNECTIONS_MAX: Final = 1_024
@@ -63,6 +71,7 @@
         self._options = options
         now_s = clock.monotonic_s()
         fleet = options.fleet
+        self._pauses = Pauses(now_s)
         self._configuration = Configuration()
         self._allowances = Allowances()
         self._roster = Roster(_own_record(options))
@@ -86,7 +95,9 @@
             fleet.heartbeat_s,
             fleet.removal_s,
         )
-        self._pool = TargetPool(HttpTargetExchange)
+        self._pool = TargetPool(
+            partial(HttpTargetExchange, reply_max_bytes=options.queries.reply_max_bytes)
+        )
         self._dispatcher = Dispatcher(
             self._configuration,
             self._roster,
@@ -95,18 +106,24 @@
             self._pool,
         )
         parts = self._fan_out_parts()
+        gate = Gate(options.queries.in_flight_max, parts.memory)
         self._queries = QueryService(
-            options.queries, self._configuration, self._allowances, parts
+            options.queries,
+            self._configuration,
+            self._allowances,
+            parts,
+            gate,
+            self._pauses,
         )
-        ledger = Ledger()
         self._tickets = TicketService(
             options.fleet.key,
+            options.queries.deadline_max_ms,
             self._configuration,
             self._allowances,
             self._roster,
             self._peers,
-            ledger,
-            Executor(ledger, parts),
+            self._minter(parts),
+            gate,
         )
 
     def run(self) -> None:
@@ -117,6 +134,7 @@
         admin_listener = sockets.listen(Address(addresses.admin))
         tasks.spawn(self._peer_front().serve, peer_listener)
         tasks.spawn(self._membership.keep)
+        tasks.spawn(keep_ticking, self._pauses)
         self._watch_platform()
         caller_server = _serve(caller_listener, self._caller_front())
         _serve(
@@ -163,15 +181,34 @@
             self._in_flight,
         )
 
+    def _minter(self, parts: FanOutParts) -> Minter:
+        ledger = Ledger(self._options.tickets)
+        return Minter(
+            self._options.fleet.key,
+            self._configuration,
+            self._roster,
+            ledger,
+            Executor(ledger, parts),
+            self._pauses,
+        )
+
     def _fan_out_parts(self) -> FanOutParts:
         own = self._roster.own
-        holdings = Holdings()
+        policies, queries = self._options.policies, self._options.queries
+        holdings, reports = Holdings(), TargetReports()
         return FanOutParts(
             dispatch=self._dispatcher,
-            replica_choice=ReplicaChoice(own.region, own.failure_domain, holdings),
+            configuration=self._configuration,
+            policies=policies,
+            replica_choice=ReplicaChoice(
+                policies.replicas, own.region, own.failure_domain, holdings, reports
+            ),
             holdings=holdings,
-            hedge_policy=self._options.policies.hedging,
-            hedge_budgets=HedgeBudgets(),
+            reports=reports,
+            timings=Timings(),
+            memory=ResultsMemory(queries.results_max_bytes, queries.query_max_bytes),
+            hedge_budgets=Budgets(),
+            retry_budgets=Budgets(),
         )
 
     def _watch_platform(self) -> None:
--- a/lavendertide/messages.py
+++ b/lavendertide/messages.py
@@ -9,6 +9,7 @@
 from enum import Enum
 from typing import Final
 
+from lavendertide.errors import Refusal
 from lavendertide.ids import (
     Address,
     AttemptId,
@@ -86,6 +87,7 @@
     TARGET_CLOSED = "target_closed"
     TIMED_OUT = "timed_out"
     PEER_LOST = "peer_lost"
+    REPLY_TOO_LARGE = "reply_too_large"
     MISMATCHED_REPLY = "mismatched_reply"
 
 
@@ -135,6 +137,7 @@
         remaining_ms: What was left of the deadline when it was sent.
         fingerprint: Digest that is equal for equal requests of one owner.
         plan_class: Class of the caller's plan; classes share an owner's slots.
+        page_size: Rows of the shard that the answer can use.
     """
 
     attempt: AttemptId
@@ -149,6 +152,7 @@
     remaining_ms: int
     fingerprint: Fingerprint
     plan_class: PlanClass = NO_CLASS
+    page_size: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -387,7 +391,11 @@
 
 @dataclass(frozen=True, slots=True)
 class TicketRequest:
-    """A non-idempotent request on its way to the daemon that minted its ticket."""
+    """A non-idempotent request on its way to the daemon that minted its ticket.
+
+    Attributes:
+        is_inquiry: Whether it only asks what is known and runs nothing.
+    """
 
     exchange: ExchangeId
     ticket: TicketId
@@ -396,15 +404,21 @@
     operation: Operation
     body: str
     remaining_ms: int
+    is_inquiry: bool = False
 
 
 @dataclass(frozen=True, slots=True)
 class TicketReply:
-    """What the minting daemon knows of a ticket's execution."""
+    """What the minting daemon knows of a ticket's execution.
+
+    Attributes:
+        refusal: Why this try was refused, none if it was not.
+    """
 
     exchange: ExchangeId
     outcome: Outcome
     detail: str
+    refusal: Refusal | None = None
 
 
 Frame = (
