Give urllib3 its timeouts by name: the first positional one is the total

Cause: urllib3.Timeout(connect, read) was meant, but its first argument is the total, so every watch of the configuration service ended after 0.5 s and every caller gave up after 0.5 s. Ruled out: a jump of the clock, and a reused file descriptor.

--- a/lavendertide/encodings/platform_http.py
+++ b/lavendertide/encodings/platform_http.py
@@ -31,7 +31,9 @@
     ) -> Result[bytes | None, Refusal]:
         """Waits for a version above the known one; none if there was none."""
         path = f"{LISTS_PATH}?after={known}&wait_s={wait_s:g}"
-        timeout = urllib3.Timeout(CONNECT_TIMEOUT_S, wait_s + ANSWER_MARGIN_S)
+        timeout = urllib3.Timeout(
+            connect=CONNECT_TIMEOUT_S, read=wait_s + ANSWER_MARGIN_S
+        )
         try:
             response = self._pool.request("GET", path, timeout=timeout, retries=False)
         except urllib3.exceptions.HTTPError as error:
@@ -58,7 +60,9 @@
             response = self._pool.request(
                 "GET",
                 HOSTS_PATH,
-                timeout=urllib3.Timeout(CONNECT_TIMEOUT_S, ANSWER_MARGIN_S),
+                timeout=urllib3.Timeout(
+                    connect=CONNECT_TIMEOUT_S, read=ANSWER_MARGIN_S
+                ),
                 retries=False,
             )
             listed = json.loads(response.data)["hosts"]
--- /dev/null
+++ b/tests/processes/test_fleet_drain.py
@@ -0,0 +1,126 @@
+"""Tests of daemons that leave, on separate processes."""
+
+import signal
+import threading
+import time
+import unittest
+from collections import Counter
+from typing import Any, Final
+
+from returns.result import Failure, Success
+
+from lavendertide.caller_client import CallerClient
+from standins.deployment import ASSOCIATION, smaller
+from standins.launcher import Launcher
+from tests.processes.waiting import eventually, members
+
+DAEMONS: Final = tuple(f"association-{number}" for number in range(3))
+OWNERS: Final = (smaller(ASSOCIATION, 4, len(DAEMONS)),)
+FLEET: Final[dict[str, Any]] = {
+    "fleet": {"heartbeat_s": 0.25, "lease_s": 1.0, "address_lifetime_s": 1.0}
+}
+CALLERS: Final = 3
+
+
+class DrainTest(unittest.TestCase):
+    """A daemon that leaves finishes what it has taken."""
+
+    launcher: Launcher
+
+    @classmethod
+    def setUpClass(cls) -> None:
+        cls.launcher = Launcher(OWNERS, overrides=FLEET, median_ms=600.0)
+        cls.addClassCleanup(cls.launcher.stop)
+        cls.launcher.start()
+
+    def addresses_from(self, name: str) -> set[str]:
+        """Returns the addresses that one daemon gives to a caller."""
+        answer = self.launcher.get(self.launcher.callers[name], "/v1/addresses")
+        return set(answer["addresses"])
+
+    def is_forgotten_by(self, name: str, other: str) -> bool:
+        """Returns whether one daemon no longer gives out another's address."""
+        return self.launcher.callers[other] not in self.addresses_from(name)
+
+    def test_a_request_in_flight_is_answered_and_the_address_vanishes(self) -> None:
+        leaver, others = DAEMONS[0], DAEMONS[1:]
+        self.assertIn(self.launcher.callers[leaver], self.addresses_from(others[0]))
+        client = CallerClient([], "stall-clerk")
+        client._addresses = [self.launcher.callers[leaver]]
+        client._kept_until_s = time.monotonic() + 60
+        answers: list[object] = []
+
+        def ask() -> None:
+            now_s = time.monotonic()
+            answers.append(client.search("venue-desk", "order", 2_000, 5, now_s))
+
+        askers = [threading.Thread(target=ask) for _ in range(2)]
+        self.launcher.signal_daemon(leaver, signal.SIGTERM)
+        for asker in askers:
+            asker.start()
+        for name in others:
+            eventually(self.is_forgotten_by, name, leaver)
+        for asker in askers:
+            asker.join()
+        self.assertEqual([type(answer) for answer in answers], [Success] * 2, answers)
+        self.assertEqual(self.launcher.wait_for_exit(leaver), 0)
+        for name in others:
+            eventually(self.is_removed_from, name, leaver)
+
+    def is_removed_from(self, name: str, other: str) -> bool:
+        """Returns whether one daemon no longer counts another as a member."""
+        return other not in members(self.launcher, name)
+
+    def test_a_second_signal_ends_it_at_once(self) -> None:
+        leaver = DAEMONS[1]
+        self.launcher.signal_daemon(leaver, signal.SIGTERM)
+        eventually(self.is_leaving, leaver)
+        self.launcher.signal_daemon(leaver, signal.SIGTERM)
+        self.assertEqual(self.launcher.wait_for_exit(leaver), 0)
+
+    def is_leaving(self, name: str) -> bool:
+        """Returns whether a daemon says that it leaves."""
+        return bool(self.launcher.status(name)["readiness"] == "leaving")
+
+
+class RollingReplacementTest(unittest.TestCase):
+    """Every daemon is replaced in turn while callers go on asking."""
+
+    def setUp(self) -> None:
+        self.launcher = Launcher(OWNERS, overrides=FLEET)
+        self.addCleanup(self.launcher.stop)
+        self.launcher.start()
+        self.stopped = threading.Event()
+        self.outcomes: Counter[str] = Counter()
+
+    def ask_until_stopped(self) -> None:
+        """Searches again and again, as a caller would."""
+        client = CallerClient(list(self.launcher.callers.values()), "stall-clerk")
+        while not self.stopped.is_set():
+            match client.search("venue-desk", "order", 1_000, 5, time.monotonic()):
+                case Success(answer):
+                    self.outcomes["whole" if answer["whole"] else "partial"] += 1
+                case Failure(refusal):
+                    self.outcomes[refusal.kind.value] += 1
+
+    def test_no_query_fails_while_every_host_is_replaced(self) -> None:
+        callers: list[threading.Thread] = []
+        for _ in range(CALLERS):
+            callers.append(threading.Thread(target=self.ask_until_stopped))
+            callers[-1].start()
+        try:
+            for name in DAEMONS:
+                self.launcher.signal_daemon(name, signal.SIGTERM)
+                self.assertEqual(self.launcher.wait_for_exit(name), 0)
+                self.launcher.start_daemon(name)
+                self.launcher.wait_until_ready(name)
+        finally:
+            self.stopped.set()
+            for caller in callers:
+                caller.join()
+        self.assertGreater(self.outcomes["whole"], 0)
+        self.assertEqual(set(self.outcomes), {"whole"}, self.outcomes)
+
+
+if __name__ == "__main__":
+    unittest.main()
