--- /dev/null
+++ b/bench/fleet_slopes.py
@@ -0,0 +1,239 @@
+"""Measures how a daemon's control cost grows with the fleet.
+
+`python -m bench.fleet_slopes [SIZE ...]` starts idle fleets of growing size on one
+machine, with as many targets for each daemon as at the target size, prints a table
+and one line of JSON, and extends the fitted lines to the target size. Returns 1 if an
+extension misses the budget of a node.
+"""
+
+import json
+import signal
+import statistics
+import sys
+import time
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import asdict, dataclass
+from typing import Any, Final
+
+from bench.process_stats import read_process_stats
+from bench.revision import revision
+from standins.deployment import IndexSpec, OwnerSpec, PlanSpec
+from standins.launcher import Launcher
+
+SIZES: Final = (4, 8, 16, 32, 64)
+SEED: Final = 1
+SETTLE_S: Final = 5.0
+WINDOW_S: Final = 20.0
+CHANGES: Final = 3
+POLL_S: Final = 0.02
+GIVE_UP_S: Final = 30.0
+DAEMONS_PER_NODE: Final = 3
+TARGET_NODES: Final = 510
+TARGET_DAEMONS: Final = TARGET_NODES * DAEMONS_PER_NODE
+TARGETS: Final = 2_200
+REPLICAS: Final = 2
+CPU_BUDGET_PERCENT: Final = 1.9
+BYTES_BUDGET: Final = 12_000
+CHANGE_BUDGET_S: Final = 6.0
+WATCH_ALL_MAX: Final = 10
+
+
+@dataclass(frozen=True)
+class Sample:
+    """What one fleet size has shown, for each daemon unless it says otherwise.
+
+    Attributes:
+        cpu_percent: Median processor time of a daemon, in percent of a core.
+        bytes_per_s: Mean control bytes of a daemon, sent and received together.
+        death_median_s: Time until the median daemon knew of a killed one.
+        change_max_s: Longest time until a change was in force everywhere.
+        reads_per_s: Reads of the whole fleet at the configuration service.
+    """
+
+    daemons: int
+    cpu_percent: float
+    cpu_max_percent: float
+    rss_mb: float
+    bytes_per_s: float
+    death_median_s: float
+    death_max_s: float
+    change_median_s: float
+    change_max_s: float
+    reads_per_s: float
+    suspicions: int
+    removals: int
+
+
+def main() -> int:
+    """Measures all sizes; returns the exit code."""
+    sizes = [int(argument) for argument in sys.argv[1:]] or list(SIZES)
+    samples = []
+    for size in sizes:
+        samples.append(_measure(size))
+        _print_row(asdict(samples[-1]), has_header=len(samples) == 1)
+    extended = _extend(samples)
+    result = {
+        "bench": "fleet_slopes",
+        "commit": revision(),
+        "seed": SEED,
+        "samples": [asdict(sample) for sample in samples],
+        "at_target": extended,
+    }
+    print(json.dumps(result))
+    return 0 if extended.get("fits", True) else 1
+
+
+def _owner(size: int) -> OwnerSpec:
+    shards = max(1, round(size * TARGETS / TARGET_DAEMONS / REPLICAS))
+    uses = (("index", ("search",)),)
+    return OwnerSpec(
+        owner="owner",
+        region="north",
+        failure_domains=tuple(f"north-{letter}" for letter in "abcdefg"),
+        indexes=(IndexSpec("index", shards, REPLICAS, 2, 25, 0.0),),
+        plans=(PlanSpec("plan", "counter", 100.0, 100, 64, uses),),
+        hosts=size,
+    )
+
+
+def _measure(size: int) -> Sample:
+    launcher = Launcher((_owner(size),), SEED, target_processes=1)
+    with launcher.running(), ThreadPoolExecutor(8) as pool:
+        names = list(launcher.admins)
+        time.sleep(SETTLE_S)
+        idle = _idle(launcher, names)
+        changes = [_change(launcher, names, pool) for _ in range(CHANGES)]
+        suspicions = _total(launcher, names, "lavendertide_suspicions_total")
+        removals = _total(launcher, names, "lavendertide_removals_total")
+        deaths = _death(launcher, names, pool)
+    return Sample(
+        daemons=size,
+        **idle,
+        death_median_s=round(statistics.median(deaths), 2),
+        death_max_s=round(max(deaths), 2),
+        change_median_s=round(statistics.median(changes), 2),
+        change_max_s=round(max(changes), 2),
+        suspicions=round(suspicions),
+        removals=round(removals),
+    )
+
+
+def _idle(launcher: Launcher, names: list[str]) -> dict[str, float]:
+    pids = [launcher.pid_of(name) for name in names]
+    bytes_before = _total(launcher, names, "lavendertide_peer_bytes_total")
+    reads_before = launcher.get(launcher.configuration, "/v1/counts")["reads"]
+    before = [read_process_stats(pid).cpu_s for pid in pids]
+    started_s = time.monotonic()
+    time.sleep(WINDOW_S)
+    after = [read_process_stats(pid) for pid in pids]
+    took_s = time.monotonic() - started_s
+    reads = launcher.get(launcher.configuration, "/v1/counts")["reads"]
+    sent = _total(launcher, names, "lavendertide_peer_bytes_total") - bytes_before
+    bytes_s = time.monotonic() - started_s
+    shares = [
+        100 * (now.cpu_s - then) / took_s
+        for now, then in zip(after, before, strict=True)
+    ]
+    return {
+        "cpu_percent": round(statistics.median(shares), 3),
+        "cpu_max_percent": round(max(shares), 3),
+        "rss_mb": round(statistics.median(now.rss_mb for now in after), 1),
+        "bytes_per_s": round(sent / bytes_s / len(names), 1),
+        "reads_per_s": round((reads - reads_before) / took_s, 2),
+    }
+
+
+def _change(launcher: Launcher, names: list[str], pool: ThreadPoolExecutor) -> float:
+    version = launcher.publish()
+
+    def has_it(name: str) -> bool:
+        return bool(launcher.status(name)["configuration"] >= version)
+
+    return max(_times_until(has_it, names, pool))
+
+
+def _death(
+    launcher: Launcher, names: list[str], pool: ThreadPoolExecutor
+) -> list[float]:
+    victim, others = names[-1], names[:-1]
+    launcher.signal_daemon(victim, signal.SIGKILL)
+
+    def knows(name: str) -> bool:
+        members = launcher.status(name)["members"]
+        return not any(m["daemon"] == victim and m["reachable"] for m in members)
+
+    return _times_until(knows, others, pool)
+
+
+def _times_until(
+    condition: Any, names: list[str], pool: ThreadPoolExecutor
+) -> list[float]:
+    """Returns for each daemon how long it took until a condition held."""
+    started_s = time.monotonic()
+    times: dict[str, float] = {}
+    while len(times) < len(names):
+        waiting = [name for name in names if name not in times]
+        for name, holds in zip(waiting, pool.map(condition, waiting), strict=True):
+            if holds:
+                times[name] = time.monotonic() - started_s
+        if time.monotonic() - started_s > GIVE_UP_S:
+            return [*times.values(), GIVE_UP_S]
+        time.sleep(POLL_S)
+    return list(times.values())
+
+
+def _total(launcher: Launcher, names: list[str], metric: str) -> float:
+    return sum(launcher.metric(name, metric) for name in names)
+
+
+def _extend(samples: list[Sample]) -> dict[str, Any]:
+    """Extends the figures of fleets too large to watch everyone.
+
+    The mechanisms are constant or logarithmic in the fleet's size; a straight line in
+    the size is printed beside as the pessimist's figure.
+    """
+    large = [sample for sample in samples if sample.daemons > WATCH_ALL_MAX]
+    if len(large) < 2:
+        return {}
+    cpu = _at_target(large, [s.cpu_percent for s in large])
+    volume = _at_target(large, [s.bytes_per_s for s in large])
+    change = _at_target(large, [s.change_max_s for s in large])
+    death = _at_target(large, [s.death_max_s for s in large])
+    node_cpu = DAEMONS_PER_NODE * max(cpu)
+    node_bytes = DAEMONS_PER_NODE * max(volume)
+    return {
+        "daemons": TARGET_DAEMONS,
+        "node_cpu_percent": round(node_cpu, 3),
+        "node_bytes_per_s": round(node_bytes),
+        "cpu_percent_log_linear": cpu,
+        "bytes_per_s_log_linear": volume,
+        "change_s_log_linear": change,
+        "death_s_log_linear": death,
+        "fits": node_cpu <= CPU_BUDGET_PERCENT
+        and node_bytes <= BYTES_BUDGET
+        and change[0] <= CHANGE_BUDGET_S,
+    }
+
+
+def _at_target(samples: list[Sample], values: list[float]) -> tuple[float, float]:
+    """Returns the fit in log2 of the size and the one in the size, at the target."""
+    sizes = [float(sample.daemons) for sample in samples]
+    logs = [size.bit_length() - 1.0 for size in (s.daemons for s in samples)]
+    by_log = statistics.linear_regression(logs, values)
+    by_size = statistics.linear_regression(sizes, values)
+    log_target = TARGET_DAEMONS.bit_length() - 0.5
+    return (
+        round(by_log.intercept + by_log.slope * log_target, 3),
+        round(by_size.intercept + by_size.slope * TARGET_DAEMONS, 3),
+    )
+
+
+def _print_row(row: dict[str, Any], has_header: bool) -> None:
+    if has_header:
+        print("| " + " | ".join(row) + " |")
+        print("|" + " --- |" * len(row))
+    print("| " + " | ".join(str(value) for value in row.values()) + " |", flush=True)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
