--- a/lavendertide/runtime/pauses.py
+++ b/lavendertide/runtime/pauses.py
@@ -9,7 +9,7 @@
 
 from lavendertide.runtime import clock, tasks
 
-TICK_S: Final = 0.05
+TICK_S: Final = 0.2
 PAUSE_MIN_S: Final = 0.25
 # Everything that arrived during a pause has been read this long after it.
 DRAIN_S: Final = 1.0
--- /dev/null
+++ b/tests/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the fleet: roster, watching, removal, readiness, addresses."""
--- /dev/null
+++ b/tests/fleet/test_overlay.py
@@ -0,0 +1,44 @@
+"""Tests of `lavendertide.fleet.overlay`."""
+
+import unittest
+
+from lavendertide.fleet.overlay import RINGS, watched_by
+from tests.fleet.members import member
+
+
+class OverlayTest(unittest.TestCase):
+    """Everyone is watched by a few, and news crosses the fleet in few hops."""
+
+    def test_a_small_fleet_watches_everyone(self) -> None:
+        members = [member(number) for number in range(9)]
+        watched = watched_by(members[0].daemon, members)
+        self.assertEqual(watched, {m.daemon for m in members[1:]})
+
+    def test_each_member_is_watched_by_as_many_as_there_are_rings(self) -> None:
+        members = [member(number) for number in range(200)]
+        watching = {m.daemon: watched_by(m.daemon, members) for m in members}
+        for each in members:
+            self.assertLessEqual(len(watching[each.daemon]), RINGS)
+            watchers = sum(each.daemon in watched for watched in watching.values())
+            self.assertTrue(1 <= watchers <= RINGS)
+
+    def test_news_reaches_everyone_within_a_few_hops(self) -> None:
+        members = [member(number) for number in range(200)]
+        watching = {m.daemon: watched_by(m.daemon, members) for m in members}
+        reached = {members[0].daemon}
+        hops = 0
+        while len(reached) < len(members):
+            told = {other for daemon in reached for other in watching[daemon]}
+            tellers = {d for d, watched in watching.items() if watched & reached}
+            reached |= told | tellers
+            hops += 1
+        self.assertLessEqual(hops, 6)
+
+    def test_one_that_goes_changes_only_who_watched_it(self) -> None:
+        members = [member(number) for number in range(200)]
+        gone = members[7].daemon
+        rest = [m for m in members if m.daemon != gone]
+        for each in rest:
+            before = watched_by(each.daemon, members)
+            if gone not in before:
+                self.assertEqual(watched_by(each.daemon, rest), before)
--- /dev/null
+++ b/tests/fleet/test_ranking.py
@@ -0,0 +1,70 @@
+"""Tests of `lavendertide.fleet.ranking`."""
+
+import random
+import unittest
+
+from lavendertide.configuration.catalog import TargetPlace
+from lavendertide.fleet.ranking import KEPT_PER_TARGET, TargetRanks, rank_for_target
+from lavendertide.ids import (
+    Address,
+    FailureDomain,
+    IndexName,
+    OwnerId,
+    Region,
+    TargetId,
+)
+from lavendertide.messages import MemberState
+from tests.fleet.members import DOMAINS, later_run, member, roster_of
+
+
+def place(number: int) -> TargetPlace:
+    """Returns a target's place."""
+    return TargetPlace(
+        target=TargetId(f"target-{number}"),
+        owner=OwnerId("owner"),
+        index=IndexName("index"),
+        address=Address("127.0.0.1:1"),
+        region=Region("north"),
+        failure_domain=FailureDomain(DOMAINS[number % len(DOMAINS)]),
+        slots=2,
+        connections=25,
+    )
+
+
+class RankForTargetTest(unittest.TestCase):
+    """Members of the target's domain come first, and those that leave last."""
+
+    def test_a_leaving_member_ranks_behind_all_others(self) -> None:
+        roster = roster_of(9)
+        primary = rank_for_target(place(0), roster.members)[0]
+        number = int(primary.daemon.split("-")[1])
+        roster.learn((member(number, MemberState.LEAVING),), 1.0)
+        ranked = rank_for_target(place(0), roster.members)
+        self.assertEqual(ranked[-1].daemon, primary.daemon)
+        self.assertEqual(ranked[0].failure_domain, place(0).failure_domain)
+
+
+class TargetRanksTest(unittest.TestCase):
+    """What is kept equals what would be computed anew."""
+
+    def test_kept_ranks_follow_every_change(self) -> None:
+        rng = random.Random(1)
+        roster = roster_of(30)
+        ranks = TargetRanks(roster)
+        for step in range(300):
+            number = rng.randrange(1, 40)
+            record = roster.find(member(number).daemon) or member(number)
+            match rng.randrange(4):
+                case 0:
+                    roster.learn((later_run(record),), step)
+                case 1 if roster.find(record.daemon):
+                    roster.remove(record.daemon, step)
+                case 2 if roster.find(record.daemon):
+                    roster.suspect(record.daemon, step)
+                case _:
+                    roster.learn((member(number, MemberState.LEAVING),), step)
+            for target in range(6):
+                fresh = rank_for_target(place(target), roster.members)
+                self.assertEqual(
+                    ranks.of(place(target)), fresh[:KEPT_PER_TARGET], f"step {step}"
+                )
