--- a/tests/encodings/test_platform_http.py
+++ b/tests/encodings/test_platform_http.py
@@ -4,6 +4,9 @@
 import time
 import unittest
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from typing import Any
+
+import urllib3
 
 from lavendertide.caller_client import CallerClient
 from lavendertide.encodings.platform_http import (
@@ -38,6 +41,17 @@
         """Prints nothing."""
 
 
+class RecordingPool:
+    """Keeps the timeout that a request was made with."""
+
+    def __init__(self) -> None:
+        self.timeout: urllib3.Timeout | None = None
+
+    def request(self, method: str, path: str, **arguments: Any) -> Any:
+        self.timeout = arguments["timeout"]
+        raise urllib3.exceptions.HTTPError("recorded")
+
+
 class SlowServiceTestCase(unittest.TestCase):
     """Serves slow answers on a loopback address."""
 
@@ -57,6 +71,16 @@
         answer = reader.watch(ConfigurationVersion(1), LONG_S)
         self.assertEqual(answer.unwrap(), SlowHandler.body)
 
+    def test_a_watch_outlasts_its_wait(self) -> None:
+        reader = HttpConfigurationReader(self.address)
+        pool = RecordingPool()
+        reader._pool = pool  # type: ignore[assignment]
+        reader.watch(ConfigurationVersion(0), LONG_S)
+        assert pool.timeout is not None
+        self.assertIsNone(pool.timeout.total)
+        self.assertEqual(pool.timeout.connect_timeout, CONNECT_TIMEOUT_S)
+        self.assertGreater(pool.timeout.read_timeout or 0, LONG_S)
+
 
 class HttpMembershipReaderTest(SlowServiceTestCase):
     """A list that takes a while is still read."""
