--- a/lavendertide/daemon/daemon.py
+++ b/lavendertide/daemon/daemon.py
@@ -137,6 +137,9 @@
             self._pool,
         )
         parts = self._fan_out_parts()
+        self._metrics.follow_budgets(
+            lambda: parts.hedge_budgets.spent, lambda: parts.retry_budgets.spent
+        )
         gate = Gate(options.queries.in_flight_max, parts.memory)
         self._queries = QueryService(
             options.queries,
--- a/tests/configuration/test_settings.py
+++ b/tests/configuration/test_settings.py
@@ -11,7 +11,7 @@
 from hypothesis import strategies as st
 from returns.result import Failure, Result
 
-from lavendertide.command_line.main import main
+from lavendertide.command_line.main import commands
 from lavendertide.encodings.settings_yaml import parse_options, read_options
 from lavendertide.settings_reference import REQUIRED, setting_rows
 from standins.examples import ROOT, example_files
@@ -245,7 +245,7 @@
 
     def run_check(self, *files: str) -> tuple[int, str]:
         """Runs the command; returns its exit code and all that it printed."""
-        result = CliRunner().invoke(main, ["check", *files])
+        result = CliRunner().invoke(commands, ["check", *files])
         return result.exit_code, result.output
 
     def test_the_examples_are_good(self) -> None:
@@ -262,6 +262,6 @@
         self.assertIn("nowhere.json", printed)
 
     def test_the_list_of_settings(self) -> None:
-        result = CliRunner().invoke(main, ["settings"])
+        result = CliRunner().invoke(commands, ["settings"])
         self.assertEqual(result.exit_code, 0)
         self.assertIn("fleet.lease_s: 2.0 s", result.output)
