--- a/standins/launcher.py
+++ b/standins/launcher.py
@@ -103,11 +103,15 @@
 
     def publish(self, index_versions: tuple[int, ...] = (1,)) -> int:
         """Publishes both lists under the next version, which is returned."""
-        self._version += 1
-        lists = publication(self.owners, self.placed, self._version, index_versions)
+        lists = self.next_lists(index_versions)
         self.post(self.configuration, "/v1/publish", lists)
         return self._version
 
+    def next_lists(self, index_versions: tuple[int, ...] = (1,)) -> dict[str, Any]:
+        """Returns both lists under the next version without publishing them."""
+        self._version += 1
+        return publication(self.owners, self.placed, self._version, index_versions)
+
     def start_daemon(self, name: str) -> None:
         """Starts a daemon, or starts it again."""
         self._spawn(name, "lavendertide", str(self._settings[name]))
--- a/standins/platform_services.py
+++ b/standins/platform_services.py
@@ -2,7 +2,8 @@
 
 `python -m standins.platform_services CONFIGURATION MEMBERSHIP` listens on the two
 addresses. Tests publish with `POST /v1/publish`, list hosts with `POST /v1/list`,
-and put a service out of order with `POST /v1/mode`.
+and put a service out of order with `POST /v1/mode`. Lists sent to `POST /v1/rival`
+are handed out in turn with the published ones, as when two operators race.
 """
 
 import lavendertide.runtime.patching  # noqa: F401, I001  (has to come first)
@@ -27,6 +28,7 @@
         self._reads = 0
         self._is_down = False
         self._stale: dict[str, Any] | None = None
+        self._rival: dict[str, Any] | None = None
 
     def handle(self, method: str, path: str, query: str, body: Any) -> Reply:
         """Answers one request."""
@@ -39,6 +41,9 @@
                 waiting, self._published = self._published, event.Event()
                 waiting.send(None)
                 return 200, {}
+            case "/v1/rival":
+                self._rival = body or None
+                return 200, {}
             case "/v1/mode":
                 self._is_down = body.get("mode") == "down"
                 self._stale = self._lists if body.get("mode") == "stale" else None
@@ -56,12 +61,20 @@
                 return 503, {}
             lists = self._stale or self._lists
             if lists is not None and lists["plans"]["version"] > after:
-                return 200, lists
+                return 200, self._next_of_racing(lists)
             left_s = until_s - time.monotonic()
             if left_s <= 0:
                 return 204, None
             self._published.wait(timeout=left_s)
 
+    def _next_of_racing(self, lists: dict[str, Any]) -> dict[str, Any]:
+        """Returns the lists and their rival in turn, if there is one."""
+        if self._rival is None:
+            return lists
+        if self._lists is not None:
+            self._lists, self._rival = self._rival, self._lists
+        return lists
+
 
 class MembershipList:
     """A list of live and leaving hosts that lags behind the truth."""
--- /dev/null
+++ b/tests/processes/test_configuration_spread.py
@@ -0,0 +1,199 @@
+"""Tests of the configuration on separate processes: spread, refusals and races."""
+
+import signal
+import threading
+import time
+import unittest
+from collections.abc import Callable
+from typing import Any
+
+from returns.result import Failure, Success
+
+from lavendertide.caller_client import CallerClient
+from standins.deployment import ASSOCIATION, smaller
+from standins.launcher import Launcher
+
+OWNERS = (smaller(ASSOCIATION, 2, 9),)
+TIMEOUT_S = 30.0
+POLL_S = 0.05
+DEADLINE_MS = 1_000
+
+
+class FleetTestCase(unittest.TestCase):
+    """Nine daemons, three in each failure domain."""
+
+    launcher: Launcher
+
+    @classmethod
+    def setUpClass(cls) -> None:
+        cls.launcher = Launcher(OWNERS, target_processes=1)
+        cls.addClassCleanup(cls.launcher.stop)
+        cls.launcher.start()
+
+    def publish(self, lists: dict[str, Any]) -> int:
+        """Publishes lists; returns their version."""
+        self.launcher.post(self.launcher.configuration, "/v1/publish", lists)
+        return int(lists["plans"]["version"])
+
+    def status(self, name: str) -> dict[str, Any]:
+        """Returns what a daemon says of its configuration."""
+        status: dict[str, Any] = self.launcher.get(
+            self.launcher.admins[name], "/v1/configuration"
+        )
+        return status
+
+    def statuses(self, names: list[str] | None = None) -> list[dict[str, Any]]:
+        """Returns what daemons say of their configuration."""
+        return [self.status(name) for name in names or list(self.launcher.admins)]
+
+    def wait_until(self, holds: Callable[[], bool]) -> None:
+        """Waits for a condition."""
+        ends_at_s = time.monotonic() + TIMEOUT_S
+        while not holds():
+            if time.monotonic() > ends_at_s:
+                self.fail(f"still not so: {self.statuses()}")
+            time.sleep(POLL_S)
+
+    def wait_for_version(self, version: int, names: list[str] | None = None) -> None:
+        """Waits until a version is in force on daemons."""
+        self.wait_until(
+            lambda: all(s["version"] == version for s in self.statuses(names))
+        )
+
+
+class ChangeUnderLoadTest(FleetTestCase):
+    """A change is in force everywhere and harms no query."""
+
+    def test_every_search_during_changes_is_answered_whole(self) -> None:
+        stopping = threading.Event()
+        answers: list[dict[str, Any]] = []
+        failures: list[str] = []
+
+        def search(host: str) -> None:
+            client = CallerClient([host], "stall-clerk")
+            while not stopping.is_set():
+                result = client.search(
+                    "venue-desk", "o", DEADLINE_MS, 5, time.monotonic()
+                )
+                match result:
+                    case Success(answer):
+                        answers.append(answer)
+                    case Failure(refusal):
+                        failures.append(str(refusal))
+
+        hosts = list(self.launcher.callers.values())[:3]
+        threads = [threading.Thread(target=search, args=(host,)) for host in hosts]
+        for thread in threads:
+            thread.start()
+        try:
+            for _ in range(5):
+                lists = self.launcher.next_lists()
+                lists["plans"]["plans"][0]["rate_per_s"] += lists["plans"]["version"]
+                self.wait_for_version(self.publish(lists))
+        finally:
+            stopping.set()
+            for thread in threads:
+                thread.join()
+        self.assertEqual(failures, [])
+        self.assertTrue(answers)
+        self.assertEqual([a for a in answers if a["covered"] != [0, 1]], [])
+
+    def test_a_use_that_is_taken_away_is_gone_on_every_host(self) -> None:
+        lists = self.launcher.next_lists()
+        lists["uses"]["uses"] = [
+            use for use in lists["uses"]["uses"] if use["plan"] != "promoter"
+        ]
+        self.wait_for_version(self.publish(lists))
+        for host in self.launcher.callers.values():
+            client = CallerClient([host], "promoter")
+            client._addresses, client._kept_until_s = [host], time.monotonic() + 60
+            result = client.search(
+                "promoter-view", "o", DEADLINE_MS, 5, time.monotonic()
+            )
+            self.assertEqual(result.failure().kind.value, "not_entitled")
+
+    def test_most_daemons_are_sent_only_what_has_changed(self) -> None:
+        before = [status["spreading"] for status in self.statuses()]
+        self.wait_for_version(self.publish(self.launcher.next_lists()))
+        after = [status["spreading"] for status in self.statuses()]
+        wholes = [
+            late["wholes_adopted"] - early["wholes_adopted"]
+            for early, late in zip(before, after, strict=True)
+        ]
+        self.assertEqual(sum(wholes), 0)
+
+
+class RefusedPublicationTest(FleetTestCase):
+    """A bad publication is refused with the same words everywhere."""
+
+    def test_it_is_shown_on_every_daemon_and_ended_by_a_good_one(self) -> None:
+        good = self.launcher.publish()
+        self.wait_for_version(good)
+        bad = self.launcher.next_lists()
+        bad["uses"]["uses"][0]["plan"] = "nobody"
+        version = self.publish(bad)
+        self.wait_until(lambda: all(s["refusal"] for s in self.statuses()))
+        refusals = [status["refusal"] for status in self.statuses()]
+        self.assertEqual({r["version"] for r in refusals}, {version})
+        self.assertEqual(len({r["problem"] for r in refusals}), 1)
+        self.assertIn("plan 'nobody' is not in the list", refusals[0]["problem"])
+        self.assertEqual({s["version"] for s in self.statuses()}, {good})
+        self.wait_for_version(self.launcher.publish())
+        self.wait_until(lambda: not any(s["refusal"] for s in self.statuses()))
+
+    def test_what_is_no_list_at_all_is_refused_as_well(self) -> None:
+        good = self.launcher.publish()
+        self.wait_for_version(good)
+        broken = self.launcher.next_lists()
+        broken["uses"] = {"version": broken["plans"]["version"]}
+        self.publish(broken)
+        self.wait_until(lambda: all(s["refusal"] for s in self.statuses()))
+        self.assertEqual({s["version"] for s in self.statuses()}, {good})
+        self.wait_for_version(self.launcher.publish())
+
+
+class RacingOperatorsTest(FleetTestCase):
+    """Two publications of one version end in the same one on every daemon."""
+
+    def test_all_agree_and_show_the_conflict(self) -> None:
+        one = self.launcher.next_lists()
+        other = {**one, "plans": {**one["plans"], "plans": list(one["plans"]["plans"])}}
+        other["plans"]["plans"][0] = {**other["plans"]["plans"][0], "rate_per_s": 7.0}
+        self.launcher.post(self.launcher.configuration, "/v1/rival", other)
+        version = self.publish(one)
+        self.wait_until(
+            lambda: (
+                len({s["digest"] for s in self.statuses()}) == 1
+                and all(
+                    s["version"] == version and s["refusal"] for s in self.statuses()
+                )
+            )
+        )
+        problems = {status["refusal"]["problem"] for status in self.statuses()}
+        self.assertEqual(len(problems), 1)
+        self.assertIn("was published twice", problems.pop())
+        self.launcher.post(self.launcher.configuration, "/v1/rival", {})
+        self.wait_for_version(self.launcher.publish())
+        self.wait_until(lambda: not any(s["refusal"] for s in self.statuses()))
+
+
+class KilledWatchersTest(FleetTestCase):
+    """Others watch when all watchers of a failure domain are killed at once."""
+
+    def test_the_next_version_reaches_everybody_left(self) -> None:
+        domain = [
+            name for name in self.launcher.admins if name.endswith(("0", "3", "6"))
+        ]
+        self.wait_until(lambda: len(self.watching(domain)) == 2)
+        killed = self.watching(domain)
+        for name in killed:
+            self.launcher.signal_daemon(name, signal.SIGKILL)
+        left = [name for name in self.launcher.admins if name not in killed]
+        survivor = [name for name in domain if name not in killed]
+        self.wait_for_version(self.launcher.publish(), left)
+        self.wait_until(lambda: self.watching(survivor) == survivor)
+        self.wait_for_version(self.launcher.publish(), left)
+
+    def watching(self, names: list[str]) -> list[str]:
+        """Returns which of the daemons watch the service."""
+        return [name for name in names if self.status(name)["service"]["watching"]]
