--- a/standins/launcher.py
+++ b/standins/launcher.py
@@ -117,8 +117,7 @@
             index_versions: Versions of every index, all with the same shard map.
             edit: Changes the lists before they are published.
         """
-        self._version += 1
-        lists = publication(self.owners, self.placed, self._version, index_versions)
+        lists = self.next_lists(index_versions)
         if edit is not None:
             edit(lists)
         self.post(self.configuration, "/v1/publish", lists)
@@ -159,6 +158,11 @@
         """Returns a daemon's settings file."""
         return self._settings[name]
 
+    def next_lists(self, index_versions: tuple[int, ...] = (1,)) -> dict[str, Any]:
+        """Returns both lists under the next version without publishing them."""
+        self._version += 1
+        return publication(self.owners, self.placed, self._version, index_versions)
+
     def start_daemon(self, name: str) -> None:
         """Starts a daemon, or starts it again."""
         self._spawn(name, "lavendertide", str(self._settings[name]))
