Choose at random among equally near replicas

Cause: replicas were rotated by one counter over all shards, so with an even number of shards each shard kept the same first replica for ever. The new test failed first with 'AssertionError: 1 != 2' replicas asked first in 64 queries; now both are.

--- a/lavendertide/queries/replicas.py
+++ b/lavendertide/queries/replicas.py
@@ -30,7 +30,6 @@
         self._failure_domain = failure_domain
         self._holdings = holdings
         self._reports = reports
-        self._rotation = 0
 
     @property
     def at_once(self) -> int:
@@ -68,8 +67,7 @@
         return HOP_S[self._distance(place)]
 
     def _near_first(self, known: list[TargetPlace], now_s: float) -> list[TargetPlace]:
-        self._rotation += 1
-        turn = self._rotation % len(known)
+        turn = int(random.random() * len(known))
         rotated = known[turn:] + known[:turn]
         rotated.sort(key=self._distance)
         if any(self._reports.is_avoided(place.target, now_s) for place in rotated):
--- /dev/null
+++ b/tests/queries/test_replicas.py
@@ -0,0 +1,65 @@
+"""Tests of `lavendertide.queries.replicas`."""
+
+import random
+import unittest
+from collections import Counter
+
+from lavendertide.ids import FailureDomain, IndexVersion, TargetId
+from lavendertide.messages import DeclineReason
+from lavendertide.options import AnyReplica, NearFirst, ReplicaPolicy
+from lavendertide.queries.replicas import ReplicaChoice
+from lavendertide.queries.snapshot import Holdings
+from lavendertide.queries.target_reports import TargetReports
+from tests.queries.fakes import DOMAINS, REGION, FakeCatalog, index_of
+
+VERSION = IndexVersion(1)
+NOW_S = 100.0
+QUERIES = 64
+
+
+class ReplicaChoiceTest(unittest.TestCase):
+    """The nearest replica is asked first, equally near ones in turn."""
+
+    def setUp(self) -> None:
+        random.seed(1)
+        self.holdings = Holdings()
+        self.reports = TargetReports()
+        self.index = index_of(4)
+
+    def first_asked(
+        self, domain: FailureDomain, policy: ReplicaPolicy
+    ) -> Counter[TargetId]:
+        """Returns who was asked first for shard 0, over many queries."""
+        choice = ReplicaChoice(policy, REGION, domain, self.holdings, self.reports)
+        targets = FakeCatalog(self.index).targets
+        first: Counter[TargetId] = Counter()
+        for _ in range(QUERIES):
+            for shard, replicas in enumerate(self.index.versions[VERSION]):
+                order = choice.order(replicas, VERSION, targets, NOW_S)
+                if shard == 0:
+                    first[order[0].target] += 1
+        return first
+
+    def test_the_near_replica_comes_first(self) -> None:
+        first = self.first_asked(DOMAINS[1], NearFirst())
+        self.assertEqual(first, {TargetId("t0-1"): QUERIES})
+
+    def test_equally_near_replicas_share_the_load(self) -> None:
+        first = self.first_asked(FailureDomain("elsewhere"), NearFirst())
+        self.assertEqual(len(first), 2)
+        self.assertGreater(min(first.values()), QUERIES // 4)
+
+    def test_any_replica_may_come_first(self) -> None:
+        first = self.first_asked(DOMAINS[0], AnyReplica())
+        self.assertEqual(len(first), 2)
+
+    def test_an_avoided_replica_comes_last(self) -> None:
+        near = TargetId("t0-0")
+        self.reports.hear_decline(near, DeclineReason.UNREACHABLE, 0, NOW_S)
+        first = self.first_asked(DOMAINS[0], NearFirst())
+        self.assertEqual(first, {TargetId("t0-1"): QUERIES})
+
+    def test_a_replica_that_denied_the_version_is_not_asked(self) -> None:
+        self.holdings.deny(TargetId("t0-0"), VERSION, NOW_S)
+        first = self.first_asked(DOMAINS[0], NearFirst())
+        self.assertEqual(first, {TargetId("t0-1"): QUERIES})
