Give a connected target and a caller's try all of their time

Cause: a kept-alive connection to a target had the connect timeout of 250 ms on each wait, since the library sets its own timeout before it reads; a flat cap that a slower target never meets. A caller's try ended after 0.5 s, since the timeout was passed as the total. The new test, with replies of 700 ms within a deadline of 1 s, failed first at either fault with no shard covered; now it is covered.

--- a/lavendertide/caller_client.py
+++ b/lavendertide/caller_client.py
@@ -166,7 +166,7 @@
                 f"http://{address}{path}",
                 headers=self._headers,
                 body=None if body is None else json.dumps(body).encode(),
-                timeout=urllib3.Timeout(CONNECT_TIMEOUT_S, timeout_s),
+                timeout=urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=timeout_s),
             )
             return Success((response.status, response.json()))
         except (urllib3.exceptions.HTTPError, ValueError) as error:
--- a/lavendertide/encodings/target_http.py
+++ b/lavendertide/encodings/target_http.py
@@ -83,7 +83,8 @@
         if self._connection.sock is None:
             self._connection.timeout = min(CONNECT_TIMEOUT_S, timeout_s)
             self._connection.connect()
-        self._connection.sock.settimeout(timeout_s)
+        # The library sets this timeout on the socket before each wait.
+        self._connection.timeout = timeout_s
 
     def _exchange(self, request: SubRequest) -> SubReply:
         self._connection.request(
--- a/tests/processes/callers.py
+++ b/tests/processes/callers.py
@@ -10,6 +10,7 @@
 from standins.launcher import Launcher
 
 WAIT_S = 20.0
+BACK_OFF_S = 0.1
 
 
 def client_of(launcher: Launcher, key: str, daemon: str) -> CallerClient:
@@ -65,6 +66,7 @@
                     self.answers.append(answer)
                 case Failure(refusal):
                     self.refusals.append(refusal.kind.value)
+                    time.sleep(BACK_OFF_S)
 
 
 def wait_until(condition: Any) -> None:
