--- a/lavendertide/encodings/caller_json.py
+++ b/lavendertide/encodings/caller_json.py
@@ -135,6 +135,8 @@
             "amount": answer.page.amount,
             "rows": [[r.key, r.score, r.document] for r in answer.page.rows],
             "attempts": answer.attempts,
+            "hedges": answer.hedges,
+            "retries": answer.retries,
             "deadline_ms": answer.deadline_ms,
         }
     )
--- a/lavendertide/queries/asking.py
+++ b/lavendertide/queries/asking.py
@@ -83,6 +83,7 @@
         if tries.next_place is None:
             return False
         if not self._is_stopped and self._retries.spend():
+            self._attempts.note_retry()
             self._ask_next(shard, now_s)
         return True
 
@@ -100,6 +101,7 @@
         self._rounds_due -= 1
         if self._is_stopped or not self._retries.spend():
             return
+        self._attempts.note_retry()
         self._tries[shard].begin_round(self._replicas(shard, now_s))
         self._ask_next(shard, now_s)
 
@@ -113,6 +115,7 @@
             return
         if self._parts.reports.may_hedge(place.target, now_s) and self._hedges.spend():
             self._parts.reports.note_hedge(place.target, now_s)
+            self._attempts.note_hedge()
             self._ask_next(straggler.shard, now_s)
         else:
             self._schedule.add(now_s + self._hedge_delay_s, HedgeDue(attempt))
--- a/lavendertide/queries/attempts.py
+++ b/lavendertide/queries/attempts.py
@@ -61,6 +61,8 @@
         self._numbers = itertools.count(1)
         self._open: dict[AttemptId, Attempt] = {}
         self._sent = 0
+        self._hedges = 0
+        self._retries = 0
         self._restarts = 0
         self._may_have_run = False
 
@@ -69,6 +71,16 @@
         """How many were sent."""
         return self._sent
 
+    @property
+    def hedges(self) -> int:
+        """How many of them were hedges."""
+        return self._hedges
+
+    @property
+    def retries(self) -> int:
+        """How many of them followed a failed one."""
+        return self._retries
+
     @property
     def restarts(self) -> int:
         """How often the query had to start again with another version."""
@@ -116,6 +128,14 @@
         """Remembers that an attempt was lost and may have run."""
         self._may_have_run = True
 
+    def note_hedge(self) -> None:
+        """Counts the attempt that is sent next as a hedge."""
+        self._hedges += 1
+
+    def note_retry(self) -> None:
+        """Counts the attempt that is sent next as a retry."""
+        self._retries += 1
+
     def note_restart(self) -> None:
         """Counts one more start with another version."""
         self._restarts += 1
--- a/lavendertide/queries/fan_out.py
+++ b/lavendertide/queries/fan_out.py
@@ -126,6 +126,8 @@
             covered=tuple(self._coverage.covered),
             gaps=tuple(self._coverage.gaps),
             attempts=self._attempts.sent,
+            hedges=self._attempts.hedges,
+            retries=self._attempts.retries,
             deadline_ms=self._query.deadline_ms,
         )
 
--- a/lavendertide/queries/query.py
+++ b/lavendertide/queries/query.py
@@ -64,6 +64,8 @@
         covered: Shards of the version that the page reflects.
         gaps: All other shards of the version, with reasons.
         attempts: Sub-requests that were sent.
+        hedges: Those of them that were sent while another was open.
+        retries: Those of them that followed a failed one.
         deadline_ms: The budget that was in force.
     """
 
@@ -74,6 +76,8 @@
     covered: tuple[ShardNumber, ...]
     gaps: tuple[Gap, ...]
     attempts: int
+    hedges: int
+    retries: int
     deadline_ms: int
 
 
