--- a/lavendertide/daemon/ticket_service.py
+++ b/lavendertide/daemon/ticket_service.py
@@ -88,7 +88,7 @@
             case Failure(refusal):
                 return Failure(self._refused(ticket, refusal))
         allowance = self._allowances.of(plan, now_s)
-        match allowance.enter(1.0, now_s):
+        match allowance.enter(self._allowances.share_of(plan, now_s), now_s):
             case Failure(refusal):
                 return Failure(self._refused(ticket, refusal))
         try:
--- a/lavendertide/fleet/peer_link.py
+++ b/lavendertide/fleet/peer_link.py
@@ -22,6 +22,8 @@
     Frame,
     LossReason,
     Lost,
+    PlanClaims,
+    PlanGrants,
     ReachReply,
     ReachRequest,
     SubReplies,
@@ -59,7 +61,7 @@
 
 
 _Item = SubRequest | Frame | _Poke
-_Exchanged = TicketReply | ReachReply
+_Exchanged = TicketReply | ReachReply | PlanGrants
 
 
 class PeerLink:
@@ -141,6 +143,11 @@
         reply = self._ask(request, request.exchange, timeout_s)
         return reply if isinstance(reply, TicketReply) else None
 
+    def claim(self, request: PlanClaims, timeout_s: float) -> PlanGrants | None:
+        """Claims shares of plans; none if the peer did not answer in time."""
+        reply = self._ask(request, request.exchange, timeout_s)
+        return reply if isinstance(reply, PlanGrants) else None
+
     def ask_reach(self, daemon: DaemonId, timeout_s: float) -> bool:
         """Returns whether the peer says in time that it reaches a member."""
         exchange = ExchangeId(uuid.uuid4().hex)
@@ -157,7 +164,10 @@
         self._lose_everything()
 
     def _ask(
-        self, request: TicketRequest | ReachRequest, name: ExchangeId, timeout_s: float
+        self,
+        request: TicketRequest | ReachRequest | PlanClaims,
+        name: ExchangeId,
+        timeout_s: float,
     ) -> _Exchanged | None:
         inbox: tasks.Mailbox[_Exchanged] = tasks.Mailbox()
         self._exchanges[name] = inbox
@@ -254,7 +264,7 @@
                 case SubReplies(items):
                     for reply in items:
                         self._hand_over(reply)
-                case TicketReply() | ReachReply():
+                case TicketReply() | ReachReply() | PlanGrants():
                     waiter = self._exchanges.get(frame.exchange)
                     if waiter is not None:
                         waiter.send(frame)
