--- a/lavendertide/queries/replicas.py
+++ b/lavendertide/queries/replicas.py
@@ -70,7 +70,7 @@
         turn = int(random.random() * len(known))
         rotated = known[turn:] + known[:turn]
         rotated.sort(key=self._distance)
-        if any(self._reports.is_avoided(place.target, now_s) for place in rotated):
+        if self._reports.avoids_any(now_s):
             rotated.sort(key=lambda p: self._reports.is_avoided(p.target, now_s))
         return rotated
 
--- a/lavendertide/queries/target_reports.py
+++ b/lavendertide/queries/target_reports.py
@@ -31,6 +31,7 @@
 
     def __init__(self) -> None:
         self._by_target: dict[TargetId, _Report] = {}
+        self._avoids_until_s = 0.0
 
     def hear(self, target: TargetId, spare_slots: int, now_s: float) -> None:
         """Takes in how many slots were free when a target replied."""
@@ -50,10 +51,15 @@
                 | DeclineReason.SHED
                 | DeclineReason.NO_LEASE
             ):
+                self._avoids_until_s = now_s + AVOID_S
                 self._by_target[target].avoided_until_s = now_s + AVOID_S
             case _:
                 pass
 
+    def avoids_any(self, now_s: float) -> bool:
+        """Returns whether any target is avoided, which is quick to tell."""
+        return now_s < self._avoids_until_s
+
     def is_avoided(self, target: TargetId, now_s: float) -> bool:
         """Returns whether another replica is worth asking first."""
         report = self._by_target.get(target)
