--- a/lavendertide/encodings/peer_frames.py
+++ b/lavendertide/encodings/peer_frames.py
@@ -13,7 +13,12 @@
 from thrift.transport.TTransport import TMemoryBuffer
 
 from lavendertide import messages
-from lavendertide.encodings import fleet_frames, holder_frames, plan_frames
+from lavendertide.encodings import (
+    configuration_frames,
+    fleet_frames,
+    holder_frames,
+    plan_frames,
+)
 from lavendertide.encodings.fleet_frames import pack_member, unpack_member
 from lavendertide.encodings.generated.peer_protocol import ttypes
 from lavendertide.errors import Fault, Refusal, RefusalKind
@@ -94,11 +99,13 @@
             return ttypes.Frame(heartbeat=ttypes.Heartbeat(*_pack_beat(frame)))
         case messages.HeartbeatAck():
             return ttypes.Frame(heartbeat_ack=ttypes.HeartbeatAck(*_pack_beat(frame)))
-        case messages.ConfigurationPull(known):
-            return ttypes.Frame(configuration_pull=ttypes.ConfigurationPull(known))
-        case messages.ConfigurationPush(version, lists):
-            push = ttypes.ConfigurationPush(version, lists)
-            return ttypes.Frame(configuration_push=push)
+        case (
+            messages.ConfigurationOffer()
+            | messages.ConfigurationPull()
+            | messages.ConfigurationPush()
+            | messages.ConfigurationDelta()
+        ):
+            return configuration_frames.to_union(frame)
         case _:
             return fleet_frames.to_union(frame) or holder_frames.to_union(frame)
 
@@ -127,15 +134,11 @@
         return messages.Heartbeat(*_unpack_beat(union.heartbeat))
     if union.heartbeat_ack is not None:
         return messages.HeartbeatAck(*_unpack_beat(union.heartbeat_ack))
-    if union.configuration_pull is not None:
-        known = ConfigurationVersion(union.configuration_pull.known_version)
-        return messages.ConfigurationPull(known)
-    if union.configuration_push is not None:
-        push = union.configuration_push
-        return messages.ConfigurationPush(
-            ConfigurationVersion(push.version), push.lists
-        )
-    return fleet_frames.from_union(union) or holder_frames.from_union(union)
+    return (
+        configuration_frames.from_union(union)
+        or fleet_frames.from_union(union)
+        or holder_frames.from_union(union)
+    )
 
 
 def _pack_beat(beat: messages.Heartbeat | messages.HeartbeatAck) -> tuple[Any, ...]:
--- a/lavendertide/metrics/names.py
+++ b/lavendertide/metrics/names.py
@@ -15,12 +15,10 @@
 HEDGES: Final = "lavendertide_hedges"
 RETRIES: Final = "lavendertide_retries"
 BREACHES: Final = "lavendertide_limit_breaches"
-CONTROL_BYTES: Final = "lavendertide_control_bytes"
 CONFIGURATION_VERSION: Final = "lavendertide_configuration_version"
 MEMBERS: Final = "lavendertide_members"
 TARGETS_QUEUED: Final = "lavendertide_target_queue_length"
 TARGET_SLOTS_IN_USE: Final = "lavendertide_target_slots_in_use"
-PLAN_SHARE: Final = "lavendertide_plan_share_ratio"
 
 LATENCY_BUCKETS_S: Final = (
     0.002,
--- /dev/null
+++ b/tests/configuration/test_watchers.py
@@ -0,0 +1,152 @@
+"""Tests of `lavendertide.configuration.watchers` and `service_watch`."""
+
+import unittest
+from collections import Counter
+from dataclasses import replace
+
+from returns.result import Failure, Result, Success
+
+from lavendertide.configuration import service_watch
+from lavendertide.configuration.adoption import Configuration
+from lavendertide.configuration.service_watch import ServiceWatch
+from lavendertide.configuration.watchers import WATCHERS_PER_DOMAIN, is_watcher
+from lavendertide.errors import Fault, Refusal, RefusalKind
+from lavendertide.ids import (
+    Address,
+    ConfigurationVersion,
+    DaemonId,
+    FailureDomain,
+    HostId,
+    Incarnation,
+    Region,
+)
+from lavendertide.messages import MemberRecord, MemberState
+from lavendertide.runtime import clock
+from tests.configuration.published import bad_publication, published
+
+MEMBER = MemberRecord(
+    DaemonId("d"),
+    HostId("h"),
+    Region("r"),
+    FailureDomain("a"),
+    Address("10.0.0.1:1"),
+    Address("10.0.0.1:2"),
+    Incarnation(1),
+    MemberState.SERVING,
+)
+
+
+def members(count: int, domain: str) -> list[MemberRecord]:
+    """Returns members of one failure domain."""
+    return [
+        replace(
+            MEMBER,
+            daemon=DaemonId(f"{domain}-{number}"),
+            failure_domain=FailureDomain(domain),
+        )
+        for number in range(count)
+    ]
+
+
+def watchers(fleet: list[MemberRecord], version: int) -> list[MemberRecord]:
+    """Returns who watches."""
+    known = ConfigurationVersion(version)
+    return [member for member in fleet if is_watcher(member, fleet, known)]
+
+
+class WatcherRoleTest(unittest.TestCase):
+    """A few daemons of each failure domain watch, without being asked."""
+
+    def test_two_per_failure_domain_however_large(self) -> None:
+        for size in (2, 10, 200):
+            fleet = members(size, "a") + members(size, "b")
+            counts = Counter(member.failure_domain for member in watchers(fleet, 1))
+            self.assertEqual(
+                counts, {"a": WATCHERS_PER_DOMAIN, "b": WATCHERS_PER_DOMAIN}
+            )
+
+    def test_others_take_over_from_watchers_that_are_gone(self) -> None:
+        fleet = members(10, "a")
+        gone = watchers(fleet, 1)
+        left = [member for member in fleet if member not in gone]
+        self.assertEqual(len(watchers(left, 1)), WATCHERS_PER_DOMAIN)
+
+    def test_the_role_moves_with_each_version(self) -> None:
+        fleet = members(10, "a")
+        turns = Counter(
+            member.daemon
+            for version in range(100)
+            for member in watchers(fleet, version)
+        )
+        self.assertEqual(len(turns), len(fleet))
+
+    def test_a_daemon_alone_watches(self) -> None:
+        self.assertTrue(is_watcher(MEMBER, [], ConfigurationVersion(0)))
+
+
+class FakeReader:
+    """A configuration service that answers from a script."""
+
+    def __init__(self, *answers: Result[bytes | None, Refusal]) -> None:
+        self.answers = list(answers)
+        self.asked: list[int] = []
+
+    def watch(
+        self, known: ConfigurationVersion, wait_s: float
+    ) -> Result[bytes | None, Refusal]:
+        """Answers the next call."""
+        self.asked.append(known)
+        return self.answers.pop(0)
+
+
+def refusal() -> Refusal:
+    """Returns what a reader says of a service that is down."""
+    return Refusal(RefusalKind.UNREACHABLE, "It is down.", "Start it.", Fault.SYSTEM)
+
+
+class ServiceWatchTest(unittest.TestCase):
+    """The last good publication stays, whatever the service does."""
+
+    def watch(
+        self, reader: FakeReader, calls: int
+    ) -> tuple[Configuration, list[float]]:
+        """Makes calls; returns the configuration and the pauses after them."""
+        configuration = Configuration()
+        watch = ServiceWatch(reader, configuration, lambda _: True, lambda: None)
+        pauses = [watch._watch_once(clock.monotonic_s()) for _ in range(calls)]
+        return configuration, pauses
+
+    def test_a_publication_is_adopted_and_the_next_awaited_at_once(self) -> None:
+        reader = FakeReader(Success(published(3)))
+        configuration, pauses = self.watch(reader, 1)
+        self.assertEqual((configuration.version, pauses), (3, [0.0]))
+
+    def test_a_service_that_is_down_is_asked_again_later(self) -> None:
+        reader = FakeReader(Success(published(3)), Failure(refusal()))
+        configuration, pauses = self.watch(reader, 2)
+        self.assertEqual(configuration.version, 3)
+        self.assertGreaterEqual(pauses[1], service_watch.RETRY_MIN_S)
+
+    def test_an_older_version_is_not_adopted_and_not_read_in_a_loop(self) -> None:
+        reader = FakeReader(Success(published(3)), Success(published(2)))
+        configuration, pauses = self.watch(reader, 2)
+        self.assertEqual(configuration.version, 3)
+        self.assertGreaterEqual(pauses[1], service_watch.USELESS_MIN_S)
+
+    def test_a_refused_version_is_not_read_in_a_loop(self) -> None:
+        bad = bad_publication(4)
+        reader = FakeReader(Success(published(3)), Success(bad), Success(None))
+        configuration, pauses = self.watch(reader, 3)
+        self.assertEqual(configuration.version, 3)
+        self.assertEqual(reader.asked, [0, 3, 4])
+        self.assertGreater(min(pauses[1:]), 0.0)
+
+    def test_a_good_version_after_a_refused_one_is_adopted(self) -> None:
+        bad = bad_publication(4)
+        reader = FakeReader(Success(bad), Success(published(5)))
+        configuration, _ = self.watch(reader, 2)
+        self.assertEqual(configuration.version, 5)
+
+    def test_an_empty_answer_without_a_wait_is_followed_by_a_pause(self) -> None:
+        _, pauses = self.watch(FakeReader(Success(None)), 1)
+        self.assertGreater(pauses[0], 0.0)
