--- a/lavendertide/daemon/admin_service.py
+++ b/lavendertide/daemon/admin_service.py
@@ -8,6 +8,7 @@
 
 from lavendertide.configuration.adoption import Configuration
 from lavendertide.configuration.catalog import Catalog, Plan
+from lavendertide.configuration.status import ConfigurationStatus, to_document
 from lavendertide.daemon.access import (
     Access,
     OperatorAccess,
@@ -47,6 +48,7 @@
     roster: Roster
     readiness: Readiness
     configuration: Configuration
+    configuration_status: Callable[[float], ConfigurationStatus]
     allowances: Allowances
     shares: ShareExchange
     books: Books
@@ -165,9 +167,11 @@
         refused = configuration.refused
         catalog = configuration.catalog.value_or(None)
         to_wall_s = clock.wall_s() - clock.monotonic_s()
+        now_s = clock.monotonic_s()
+        status = self._parts.configuration_status(now_s)
         return admin_json.ConfigurationDocument(
-            version=configuration.version,
-            adopted_at_s=None,
+            **to_document(status),
+            adopted_at_s=clock.wall_s() - status.adopted_ago_s if catalog else None,
             plans=len(_plans(catalog)) if catalog else 0,
             indexes=len(catalog.indexes) if catalog else 0,
             targets=len(catalog.targets) if catalog else 0,
@@ -259,7 +263,7 @@
 
 
 def _plans(catalog: Catalog) -> dict[PlanId, Plan]:
-    return {plan.plan: plan for plan in catalog.plans.values()}
+    return dict(catalog.plans_by_id)
 
 
 def _may_see(access: Access, owner: OwnerId) -> bool:
--- a/lavendertide/fleet/news.py
+++ b/lavendertide/fleet/news.py
@@ -4,10 +4,13 @@
 from collections.abc import Callable
 from typing import Final
 
-from lavendertide.configuration.adoption import Configuration
+from lavendertide.configuration.adoption import NO_VERSION, Configuration
+from lavendertide.configuration.spreading import Spreading
 from lavendertide.fleet.roster import Roster
 from lavendertide.ids import ConfigurationVersion, DaemonId
 from lavendertide.messages import (
+    ConfigurationDelta,
+    ConfigurationOffer,
     ConfigurationPull,
     ConfigurationPush,
     Frame,
@@ -29,14 +32,15 @@
         self,
         roster: Roster,
         configuration: Configuration,
+        spreading: Spreading,
         on_change: Callable[[], None],
     ) -> None:
         self._roster = roster
         self._configuration = configuration
+        self._spreading = spreading
         self._on_change = on_change
         self._sequence = itertools.count(1)
         self._sent_at_s: dict[int, float] = {}
-        self._newest_version = configuration.version
         self._pulled_at_s: float | None = None
         self._synced_at_s: float | None = None
 
@@ -60,10 +64,13 @@
                 self._learn(news, now_s)
                 self._roster.contacts.note_promise(peer, now_s)
                 return HeartbeatAck(sequence, *self._facts(peer))
-            case ConfigurationPull(known) if known < self._configuration.version:
-                return ConfigurationPush(
-                    self._configuration.version, self._configuration.text
-                )
+            case (
+                ConfigurationOffer()
+                | ConfigurationPull()
+                | ConfigurationPush()
+                | ConfigurationDelta()
+            ):
+                return self._spreading.take(frame, peer, now_s)
             case RosterPull(digests):
                 return RosterPush(self._roster.differing(digests))
             case _:
@@ -75,31 +82,37 @@
             case HeartbeatAck(sequence, news, version, digest):
                 self._note_answer(peer, sequence, now_s)
                 self._learn(news, now_s)
-                self._newest_version = max(self._newest_version, version)
-                return self._next_question(version, digest, now_s)
-            case ConfigurationPush(lists=lists):
-                if self._configuration.offer(lists, now_s):
-                    self._on_change()
+                pull = self._spreading.hear_version(version, now_s)
+                return pull or self._next_question(digest, now_s)
+            case (
+                ConfigurationOffer()
+                | ConfigurationPull()
+                | ConfigurationPush()
+                | ConfigurationDelta()
+            ):
+                return self._spreading.take(frame, peer, now_s)
             case RosterPush(records):
                 self._learn(records, now_s)
                 self._synced_at_s = self._pulled_at_s
         return None
 
-    def is_current_since(self, since_s: float) -> bool:
+    @property
+    def has_configuration(self) -> bool:
+        """Whether any configuration is in force."""
+        return self._configuration.version > NO_VERSION
+
+    def is_current_since(self, since_s: float, now_s: float) -> bool:
         """Returns whether peers have told everything anew since a time."""
         has_synced = self._synced_at_s is not None and self._synced_at_s >= since_s
-        return has_synced and self._configuration.version >= self._newest_version
+        return has_synced and not self._spreading.needs_refresh(now_s)
 
-    def sync_again(self) -> None:
-        """Asks the next peer that answers for the whole roster."""
+    def sync_again(self, now_s: float) -> None:
+        """Asks the next peers that answer for the whole roster and configuration."""
         self._pulled_at_s = None
         self._synced_at_s = None
+        self._spreading.refresh(now_s)
 
-    def _next_question(
-        self, version: ConfigurationVersion, digest: int, now_s: float
-    ) -> Frame | None:
-        if version > self._configuration.version:
-            return ConfigurationPull(self._configuration.version)
+    def _next_question(self, digest: int, now_s: float) -> Frame | None:
         if self._pulled_at_s is not None:
             differs = digest != self._roster.digests.whole
             if not differs or now_s - self._pulled_at_s < SYNC_MIN_S:
--- a/lavendertide/metrics/metrics.py
+++ b/lavendertide/metrics/metrics.py
@@ -4,6 +4,8 @@
 are kept, which makes counting a look-up and an addition.
 """
 
+from collections.abc import Callable
+
 from prometheus_client import REGISTRY, CollectorRegistry, Counter, Gauge, Histogram
 from prometheus_client.exposition import generate_latest
 
@@ -18,6 +20,7 @@
     SubReply,
 )
 from lavendertide.metrics import names
+from lavendertide.metrics.budgets import SpentCollector
 from lavendertide.metrics.labels import (
     CLASSES_MAX,
     OWNERS_MAX,
@@ -82,12 +85,6 @@
             "Sub-requests beyond one for each shard: hedges and retries.",
             ("owner",),
         )
-        self._hedges = self._counter(
-            names.HEDGES, "Second attempts while the first is open.", ("owner",)
-        )
-        self._retries = self._counter(
-            names.RETRIES, "Attempts after one that failed.", ("owner",)
-        )
 
     def _make_target_metrics(self) -> None:
         self._queueing = Children(
@@ -118,11 +115,6 @@
         )
 
     def _make_fleet_metrics(self) -> None:
-        self._control_bytes = self._counter(
-            names.CONTROL_BYTES,
-            "Bytes between daemons that carry no sub-request.",
-            ("direction",),
-        )
         self._version = Gauge(
             names.CONFIGURATION_VERSION,
             "Version of both lists in force.",
@@ -169,14 +161,6 @@
         self._attempts.of(label).inc(attempts)
         self._extra_attempts.of(label).inc(max(0, attempts - shards))
 
-    def count_hedge(self, owner: OwnerId) -> None:
-        """Counts a second attempt while the first is open."""
-        self._hedges.of(self._owners.value(owner)).inc()
-
-    def count_retry(self, owner: OwnerId) -> None:
-        """Counts an attempt after one that failed."""
-        self._retries.of(self._owners.value(owner)).inc()
-
     def observe_queueing(
         self, owner: OwnerId, plan_class: PlanClass, waited_s: float
     ) -> None:
@@ -198,11 +182,6 @@
         """Counts a noticed breach of a target's `slots` or `connections`."""
         self._breaches.of(limit).inc()
 
-    def count_control_bytes(self, sent: int, received: int) -> None:
-        """Counts bytes to and from peers that carry no sub-request."""
-        self._control_bytes.of("sent").inc(sent)
-        self._control_bytes.of("received").inc(received)
-
     def set_fleet(self, version: int, members: dict[MemberState, int]) -> None:
         """Sets what is known of the fleet at the time of reading."""
         self._version.set(version)
@@ -214,6 +193,17 @@
         self._queued.set(queued)
         self._slots_in_use.set(slots_in_use)
 
+    def follow_budgets(
+        self,
+        hedges: Callable[[], dict[OwnerId, int]],
+        retries: Callable[[], dict[OwnerId, int]],
+    ) -> None:
+        """Exports what owners have spent of their budgets, read when asked for."""
+        collector = SpentCollector(
+            {names.HEDGES: hedges, names.RETRIES: retries}, self._owners
+        )
+        self._registry.register(collector)
+
     def exposition(self) -> bytes:
         """Returns all metrics in the text format of Prometheus."""
         return generate_latest(self._registry) + generate_latest(REGISTRY)
--- a/lavendertide/queries/hedging.py
+++ b/lavendertide/queries/hedging.py
@@ -19,6 +19,12 @@
 
     def __init__(self) -> None:
         self._tokens = TOKENS_MAX
+        self._spent = 0
+
+    @property
+    def spent(self) -> int:
+        """Extra attempts that were sent since the daemon's start."""
+        return self._spent
 
     def earn(self, attempts: int, extra_load: float) -> None:
         """Earns a part of an extra attempt for each first attempt."""
@@ -29,6 +35,7 @@
         if self._tokens < 1.0:
             return False
         self._tokens -= 1.0
+        self._spent += 1
         return True
 
 
@@ -38,6 +45,11 @@
     def __init__(self) -> None:
         self._by_owner: dict[OwnerId, Budget] = {}
 
+    @property
+    def spent(self) -> dict[OwnerId, int]:
+        """Extra attempts of each owner since the daemon's start."""
+        return {owner: budget.spent for owner, budget in self._by_owner.items()}
+
     def of(self, owner: OwnerId) -> Budget:
         """Returns the budget of one owner."""
         budget = self._by_owner.get(owner)
