Keep the callers of the configuration test within their plan

Cause: three callers without a pause asked for more than a plan that is new on a fleet grants in its first 0.75 s, a quarter; 140 of 177 searches were refused as over the plan's rate, in the first versions as in the last. Ruled out: the changes themselves (refusals come before the first one, too). Change: 50 ms between the searches of a caller. The assertion stays: no search fails.

--- a/tests/processes/test_configuration_spread.py
+++ b/tests/processes/test_configuration_spread.py
@@ -17,6 +17,8 @@
 TIMEOUT_S = 30.0
 POLL_S = 0.05
 DEADLINE_MS = 1_000
+# Callers keep well within their plan, so that only a change could harm them.
+PACE_S = 0.05
 
 
 class FleetTestCase(unittest.TestCase):
@@ -80,6 +82,7 @@
                         answers.append(answer)
                     case Failure(refusal):
                         failures.append(str(refusal))
+                time.sleep(PACE_S)
 
         hosts = list(self.launcher.callers.values())[:3]
         threads = [threading.Thread(target=search, args=(host,)) for host in hosts]
