Wake periodic tasks together and don't retell a joiner's first full exchange

An idle daemon's cost is its wake-ups, about 0.2 ms of processor time each. Membership, heartbeats, pause ticks and shares now share a grid with a phase of its own in each process, and membership runs once a watch interval (0.1 s while stale). Ruled out: digests that differ for good. A joiner no longer retells what it learned in its first full exchange.

--- a/bench/fleet_slopes.py
+++ b/bench/fleet_slopes.py
@@ -22,7 +22,8 @@
 
 SIZES: Final = (4, 8, 16, 32, 64)
 SEED: Final = 1
-SETTLE_S: Final = 5.0
+SETTLE_MIN_S: Final = 5.0
+SETTLE_PER_DAEMON_S: Final = 0.25  # until the news of the common start has been told
 WINDOW_S: Final = 20.0
 CHANGES: Final = 3
 POLL_S: Final = 0.02
@@ -100,7 +101,7 @@
     launcher = Launcher((_owner(size),), SEED, target_processes=1)
     with launcher.running(), ThreadPoolExecutor(8) as pool:
         names = list(launcher.admins)
-        time.sleep(SETTLE_S)
+        time.sleep(SETTLE_MIN_S + size * SETTLE_PER_DAEMON_S)
         idle = _idle(launcher, names)
         changes = [_change(launcher, names, pool) for _ in range(CHANGES)]
         suspicions = _total(launcher, names, "lavendertide_suspicions_total")
--- a/lavendertide/daemon/daemon.py
+++ b/lavendertide/daemon/daemon.py
@@ -39,7 +39,7 @@
 from lavendertide.fleet.membership import Membership
 from lavendertide.fleet.news import FleetNews
 from lavendertide.fleet.peer_connection import PeerEdge
-from lavendertide.fleet.peers import Peers
+from lavendertide.fleet.peers import WATCH_BEATS, Peers
 from lavendertide.fleet.readiness import Readiness
 from lavendertide.fleet.roster import SILENCE_S, Roster
 from lavendertide.ids import (
@@ -121,7 +121,7 @@
             self._peers,
             self._news,
             self._readiness,
-            fleet.heartbeat_s,
+            WATCH_BEATS * fleet.heartbeat_s,
             fleet.removal_s,
         )
         self._shares = self._make_shares()
--- a/lavendertide/fleet/membership.py
+++ b/lavendertide/fleet/membership.py
@@ -26,6 +26,7 @@
 
 REACH_TIMEOUT_S: Final = 0.7
 HELPERS: Final = 3
+STALE_PERIOD_S: Final = 0.1
 LIST_READ_MIN_S: Final = 2.0
 LIST_READ_PER_MEMBER_S: Final = 0.02
 
@@ -64,7 +65,10 @@
         """Runs a round each period for as long as the daemon lives."""
         while True:
             self.run_round(clock.monotonic_s())
-            tasks.sleep(self._period_s)
+            is_stale = self._readiness.stale_since_s is not None
+            period_s = STALE_PERIOD_S if is_stale else self._period_s
+            now_s = clock.monotonic_s()
+            tasks.sleep(clock.next_tick_s(now_s, period_s) - now_s)
 
     def read_list(self, read: ListReader) -> None:
         """Reads the published list again and again, more rarely in a large fleet."""
@@ -81,7 +85,9 @@
                     is_answering = False
             members = len(self._roster.members)
             pause_s = max(LIST_READ_MIN_S, members * LIST_READ_PER_MEMBER_S)
-            tasks.sleep(random.uniform(0.5, 1.5) * pause_s)
+            now_s = clock.monotonic_s()
+            wanted_s = now_s + random.uniform(0.5, 1.5) * pause_s
+            tasks.sleep(clock.next_tick_s(wanted_s, self._period_s) - now_s)
 
     def run_round(self, now_s: float) -> None:
         """Does what is due now."""
--- a/lavendertide/fleet/news.py
+++ b/lavendertide/fleet/news.py
@@ -92,7 +92,8 @@
             ):
                 return self._spreading.take(frame, peer, now_s)
             case RosterPush(records):
-                self._learn(records, now_s)
+                is_joining = self._synced_at_s is None
+                self._learn(records, now_s, is_retold=not is_joining)
                 self._synced_at_s = self._pulled_at_s
         return None
 
@@ -125,8 +126,10 @@
         if sent_at_s is not None:
             self._roster.contacts.note_answer(peer, sent_at_s, now_s)
 
-    def _learn(self, records: tuple[MemberRecord, ...], now_s: float) -> None:
-        if self._roster.learn(records, now_s):
+    def _learn(
+        self, records: tuple[MemberRecord, ...], now_s: float, is_retold: bool = True
+    ) -> None:
+        if self._roster.learn(records, now_s, is_retold):
             self._on_change()
 
     def _facts(
--- a/lavendertide/fleet/peer_link.py
+++ b/lavendertide/fleet/peer_link.py
@@ -217,7 +217,7 @@
             _log.info("peer lost", extra={"peer": self._address})
 
     def _write(self, peer: PeerConnection, first: _Item | None) -> None:
-        beat_at_s = used_at_s = clock.monotonic_s()
+        beaten_at_s = used_at_s = clock.monotonic_s()
         item: _Item | None = first or _Poke.BEAT
         while self._state is LinkState.CONNECTED:
             now_s = clock.monotonic_s()
@@ -226,13 +226,17 @@
                 used_at_s = now_s
                 must_beat |= self._write_batch(peer, item)
             interval_s = self._interval_s()
-            if must_beat or (interval_s and now_s >= beat_at_s + interval_s):
+            if must_beat or (
+                interval_s and now_s >= clock.next_tick_s(beaten_at_s, interval_s)
+            ):
                 peer.send(self._news.heartbeat(peer.daemon, now_s))
-                beat_at_s = now_s
+                beaten_at_s = now_s
             if interval_s is None and now_s - used_at_s >= IDLE_S:
                 self._state = LinkState.IDLE
                 return
-            ends_at_s = beat_at_s + interval_s if interval_s else used_at_s + IDLE_S
+            ends_at_s = used_at_s + IDLE_S
+            if interval_s:
+                ends_at_s = clock.next_tick_s(beaten_at_s, interval_s)
             item = self._outbox.receive(max(0.0, ends_at_s - now_s))
 
     def _interval_s(self) -> float | None:
--- a/lavendertide/fleet/roster.py
+++ b/lavendertide/fleet/roster.py
@@ -80,9 +80,20 @@
         """Returns a member by name."""
         return self._records.get(daemon)
 
-    def learn(self, records: Iterable[MemberRecord], now_s: float) -> bool:
-        """Takes in what peers say; returns whether anything was new."""
-        changed = [self._take(record, now_s) for record in records]
+    def learn(
+        self,
+        records: Iterable[MemberRecord],
+        now_s: float,
+        is_retold: bool = True,
+    ) -> bool:
+        """Takes in what peers say; returns whether anything was new.
+
+        Args:
+            records: What they say.
+            now_s: Present time, monotonic.
+            is_retold: Whether this daemon passes on what is new to it.
+        """
+        changed = [self._take(record, now_s, is_retold) for record in records]
         return any(changed)
 
     def announce(self, state: MemberState, now_s: float) -> None:
@@ -163,7 +174,7 @@
                 del self._changed_at_s[daemon]
                 self._contacts.forget(daemon)
 
-    def _take(self, record: MemberRecord, now_s: float) -> bool:
+    def _take(self, record: MemberRecord, now_s: float, is_retold: bool) -> bool:
         if record.daemon == self._own_name:
             return self._refute(record, now_s)
         known = self._records.get(record.daemon)
@@ -171,7 +182,7 @@
             return False
         if known is not None and record.incarnation > known.incarnation:
             self._contacts.forget(record.daemon)
-        self._put(record, now_s)
+        self._put(record, now_s, is_retold)
         return True
 
     def _refute(self, claim: MemberRecord, now_s: float) -> bool:
@@ -186,11 +197,12 @@
         self._put(replace(own, refutation=claim.refutation + 1), now_s)
         return True
 
-    def _put(self, record: MemberRecord, now_s: float) -> None:
+    def _put(self, record: MemberRecord, now_s: float, is_retold: bool = True) -> None:
         self._digests.replace(self._records.get(record.daemon), record)
         self._records[record.daemon] = record
         self._changed_at_s[record.daemon] = now_s
-        self._rumours.add(record.daemon)
+        if is_retold:
+            self._rumours.add(record.daemon)
         self._generation += 1
         self._members = None
 
--- a/lavendertide/plans/share_exchange.py
+++ b/lavendertide/plans/share_exchange.py
@@ -91,7 +91,7 @@
             now_s = clock.monotonic_s()
             if now_s >= round_at_s:
                 self._begin_round(now_s)
-                round_at_s = now_s + ROUND_S
+                round_at_s = clock.next_tick_s(now_s, ROUND_S)
             self._claim_all(now_s)
             tasks.sleep(BATCH_S)
             self._wake_ups.receive(max(0.0, round_at_s - clock.monotonic_s()))
--- a/lavendertide/runtime/clock.py
+++ b/lavendertide/runtime/clock.py
@@ -4,7 +4,12 @@
 read it here.
 """
 
+import math
+import random
 import time
+from typing import Final
+
+_PHASE_S: Final = random.random()
 
 
 def monotonic_s() -> float:
@@ -15,3 +20,13 @@
 def wall_s() -> float:
     """Returns seconds since the epoch, for logs and for what callers see."""
     return time.time()
+
+
+def next_tick_s(now_s: float, interval_s: float) -> float:
+    """Returns the next moment of a grid that all periodic tasks of the process share.
+
+    Tasks that wake together cost one wake-up. Each process has a phase of its own, so
+    that those of one host don't all wake at the same moment.
+    """
+    ticks = math.floor((now_s - _PHASE_S) / interval_s) + 1
+    return ticks * interval_s + _PHASE_S
--- a/lavendertide/runtime/pauses.py
+++ b/lavendertide/runtime/pauses.py
@@ -45,4 +45,5 @@
     """Ticks for as long as the process lives."""
     while True:
         pauses.tick(clock.monotonic_s())
-        tasks.sleep(TICK_S)
+        now_s = clock.monotonic_s()
+        tasks.sleep(clock.next_tick_s(now_s, TICK_S) - now_s)
