--- /dev/null
+++ b/bench/fleet_state.py
@@ -0,0 +1,144 @@
+"""Measures what the fleet's state costs one daemon at the target size.
+
+`python -m bench.fleet_state` builds the roster of the target size in this process and
+prints one line of JSON: its memory, the size of frames, and the time that one change
+of a member takes in the roster, the choice of watched members and the ranks.
+"""
+
+import json
+import sys
+import time
+import tracemalloc
+from collections.abc import Callable
+from typing import Any, Final
+
+from bench.revision import revision
+from lavendertide.configuration.catalog import TargetPlace
+from lavendertide.encodings.peer_frames import encode_frame
+from lavendertide.fleet.overlay import watched_by
+from lavendertide.fleet.ranking import TargetRanks
+from lavendertide.fleet.roster import Roster
+from lavendertide.fleet.rumours import repeats
+from lavendertide.ids import (
+    Address,
+    ConfigurationVersion,
+    DaemonId,
+    FailureDomain,
+    HostId,
+    Incarnation,
+    IndexName,
+    OwnerId,
+    Region,
+    TargetId,
+)
+from lavendertide.messages import Heartbeat, MemberRecord, MemberState, RosterPush
+
+DAEMONS: Final = 1_530
+TARGETS: Final = 2_200
+REGIONS: Final = ("north", "south")
+DOMAINS: Final = (3, 4)
+CHANGES: Final = 50
+CHANGES_A_DAY: Final = 340 * 3 * 4  # leaving, gone, joining, serving of each daemon
+DAY_S: Final = 86_400
+_BYTES_PER_MB: Final = 1_000_000
+
+
+def main() -> int:
+    """Prints the figures; returns the exit code."""
+    tracemalloc.start()
+    roster = Roster(_member(0))
+    roster.learn((_member(number) for number in range(DAEMONS)), 0.0)
+    roster_mb = tracemalloc.get_traced_memory()[0] / _BYTES_PER_MB
+    ranks = TargetRanks(roster)
+    places = [_place(number) for number in range(TARGETS)]
+    for place in places:
+        ranks.of(place)
+    state_mb = tracemalloc.get_traced_memory()[0] / _BYTES_PER_MB
+    tracemalloc.stop()
+    result = {
+        "bench": "fleet_state",
+        "commit": revision(),
+        "daemons": DAEMONS,
+        "roster_mb": round(roster_mb, 2),
+        "roster_and_ranks_mb": round(state_mb, 2),
+        **_frame_sizes(roster),
+        "follow_change_ms": _follow_change_ms(roster, ranks, places),
+        "watched_by_ms": _time_ms(
+            lambda: watched_by(roster.own.daemon, roster.members)
+        ),
+    }
+    print(json.dumps(result))
+    return 0
+
+
+def _frame_sizes(roster: Roster) -> dict[str, Any]:
+    version = ConfigurationVersion(100_000)
+    idle = len(encode_frame(Heartbeat(1, (), version, 2**31)))
+    telling = len(encode_frame(Heartbeat(1, (roster.own,), version, 2**31)))
+    told = repeats(DAEMONS)
+    per_change = 2 * told * (telling - idle)
+    return {
+        "heartbeat_bytes": idle,
+        "record_bytes": telling - idle,
+        "tells_per_change": told,
+        "change_bytes_per_daemon": per_change,
+        "change_bytes_per_s": round(per_change * CHANGES_A_DAY / DAY_S, 1),
+        "join_bytes": len(encode_frame(RosterPush(roster.members))),
+    }
+
+
+def _follow_change_ms(
+    roster: Roster, ranks: TargetRanks, places: list[TargetPlace]
+) -> float:
+    started_s = time.process_time()
+    for number in range(1, CHANGES + 1):
+        roster.learn((_member(number, MemberState.LEAVING),), 1.0)
+        ranks.of(places[0])
+    took_s = time.process_time() - started_s
+    return round(1_000 * took_s / CHANGES, 2)
+
+
+def _time_ms(action: Callable[[], object]) -> float:
+    started_s = time.process_time()
+    for _ in range(CHANGES):
+        action()
+    return round(1_000 * (time.process_time() - started_s) / CHANGES, 2)
+
+
+def _place_of(number: int) -> tuple[Region, FailureDomain]:
+    region = number % len(REGIONS)
+    domain = number // len(REGIONS) % DOMAINS[region]
+    name = REGIONS[region]
+    return Region(name), FailureDomain(f"{name}-{domain}")
+
+
+def _member(number: int, state: MemberState = MemberState.SERVING) -> MemberRecord:
+    region, failure_domain = _place_of(number)
+    return MemberRecord(
+        daemon=DaemonId(f"owner-{number}"),
+        host=HostId(f"owner-{number // 3}-host"),
+        region=region,
+        failure_domain=failure_domain,
+        peer_address=Address(f"10.0.{number // 250}.{number % 250}:7001"),
+        caller_address=Address(f"10.0.{number // 250}.{number % 250}:7000"),
+        incarnation=Incarnation(1_790_000_000_000 + number),
+        state=state,
+    )
+
+
+def _place(number: int) -> TargetPlace:
+    region, failure_domain = _place_of(number)
+    return TargetPlace(
+        target=TargetId(f"index-{number}"),
+        owner=OwnerId("owner"),
+        index=IndexName("index"),
+        address=Address("10.1.0.1:8000"),
+        region=region,
+        failure_domain=failure_domain,
+        slots=2,
+        connections=25,
+    )
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/lavendertide/fleet/ranking.py
+++ b/lavendertide/fleet/ranking.py
@@ -4,8 +4,10 @@
 a member that comes or goes moves only what it holds itself.
 """
 
+import bisect
 import hashlib
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping, Sequence
+from dataclasses import dataclass
 from typing import Final
 
 from lavendertide.configuration.catalog import TargetPlace
@@ -15,6 +17,7 @@
 
 SCORE_BYTES: Final = 8
 KEPT_PER_TARGET: Final = 8
+KEPT_MIN: Final = 4
 
 _Key = tuple[bool, bool, int]
 
@@ -45,57 +48,99 @@
     )
 
 
+@dataclass(slots=True)
+class _Rank:
+    """The first members for a target, with the keys that order them.
+
+    Attributes:
+        is_whole: Whether no other member may hold the target.
+    """
+
+    place: TargetPlace
+    keys: list[_Key]
+    members: list[MemberRecord]
+    is_whole: bool
+
+
 class TargetRanks:
     """Keeps the first members for each target in use.
 
-    A change of one member costs one hash for each target, instead of one for each
-    target and member.
+    A change of one member costs one hash for each target of its region, instead of one
+    for each target and member.
     """
 
     def __init__(self, roster: Roster) -> None:
         self._roster = roster
         self._generation = -1
         self._placed: dict[DaemonId, MemberRecord] = {}
-        self._ranks: dict[TargetId, tuple[TargetPlace, list[MemberRecord]]] = {}
+        self._ranks: dict[TargetId, _Rank] = {}
 
     def of(self, place: TargetPlace) -> list[MemberRecord]:
         """Returns the first members that may hold a target's slots."""
         if self._generation != self._roster.generation:
             self._follow()
-        kept = self._ranks.get(place.target)
-        if kept is None or kept[0] != place:
-            ranked = rank_for_target(place, self._roster.members)[:KEPT_PER_TARGET]
-            self._ranks[place.target] = place, ranked
-            return ranked
-        return kept[1]
+        rank = self._ranks.get(place.target)
+        if rank is None or rank.place != place:
+            rank = _make_rank(place, self._roster.members)
+            self._ranks[place.target] = rank
+        return rank.members
 
     def _follow(self) -> None:
         self._generation = self._roster.generation
         members = {member.daemon: member for member in self._roster.members}
-        gone = [m for d, m in self._placed.items() if members.get(d) != m]
+        gone = {d: m for d, m in self._placed.items() if members.get(d) != m}
         come = [m for d, m in members.items() if self._placed.get(d) != m]
         self._placed = members
-        for target, (place, ranked) in list(self._ranks.items()):
-            changed = _changed(place, ranked, gone, come)
-            if changed is None:
+        regions = {m.region for m in (*gone.values(), *come)}
+        for target, rank in list(self._ranks.items()):
+            if rank.place.region in regions and not _follow(rank, gone, come):
                 del self._ranks[target]
-            else:
-                self._ranks[target] = place, changed
-
-
-def _changed(
-    place: TargetPlace,
-    ranked: list[MemberRecord],
-    gone: list[MemberRecord],
-    come: list[MemberRecord],
-) -> list[MemberRecord] | None:
-    """Returns a rank after a change, none if it has to be made anew."""
-    near = [member for member in come if member.region == place.region]
-    lost = [member for member in gone if member in ranked]
-    if lost and len(ranked) == KEPT_PER_TARGET:
-        return None
-    kept = [member for member in ranked if member not in lost]
-    if not near:
-        return kept
-    merged = sorted(kept + near, key=lambda member: _key(place, member))
-    return merged[:KEPT_PER_TARGET]
+
+
+def _make_rank(place: TargetPlace, members: Sequence[MemberRecord]) -> _Rank:
+    near = [
+        member
+        for member in members
+        if member.failure_domain == place.failure_domain
+        and member.region == place.region
+        and member.state is not MemberState.LEAVING
+    ]
+    ranked = rank_for_target(place, near if len(near) > KEPT_PER_TARGET else members)
+    kept = ranked[:KEPT_PER_TARGET]
+    keys = [_key(place, member) for member in kept]
+    return _Rank(place, keys, kept, len(ranked) == len(kept))
+
+
+def _follow(
+    rank: _Rank,
+    gone: Mapping[DaemonId, MemberRecord],
+    come: Iterable[MemberRecord],
+) -> bool:
+    """Changes a rank after members; returns whether enough of it is left."""
+    if any(member.daemon in gone for member in rank.members):
+        kept = [
+            (key, member)
+            for key, member in zip(rank.keys, rank.members, strict=True)
+            if member.daemon not in gone
+        ]
+        rank.keys = [key for key, _ in kept]
+        rank.members = [member for _, member in kept]
+        if len(kept) < KEPT_MIN and not rank.is_whole:
+            return False
+    for member in come:
+        if member.region == rank.place.region:
+            _insert(rank, member)
+    return True
+
+
+def _insert(rank: _Rank, member: MemberRecord) -> None:
+    key = _key(rank.place, member)
+    if not rank.is_whole and key > rank.keys[-1]:
+        return
+    position = bisect.bisect(rank.keys, key)
+    rank.keys.insert(position, key)
+    rank.members.insert(position, member)
+    if len(rank.members) > KEPT_PER_TARGET:
+        rank.keys.pop()
+        rank.members.pop()
+        rank.is_whole = False
