Know in a round trip whom a new holder reaches, and prefer settled allocators

Under load right after a start, and while hosts are replaced, a plan stayed at a quarter: test_every_search_during_changes_is_answered_whole had 200 queries refused over the rate. A holder now claims again as soon as allocators have answered, an allocator that does not know the holders yet goes behind those that do, and a lower share is taken at any time.

--- a/lavendertide/encodings/peer_protocol.thrift
+++ b/lavendertide/encodings/peer_protocol.thrift
@@ -183,6 +183,7 @@
 struct PlanGrant {
   60: string plan,
   61: double share,
+  62: bool is_settled,
 }
 
 struct PlanGrants {
--- a/lavendertide/encodings/plan_frames.py
+++ b/lavendertide/encodings/plan_frames.py
@@ -24,7 +24,10 @@
             message = ttypes.PlanClaims(exchange, daemon, incarnation, packed)
             return ttypes.Frame(plan_claims=message)
         case PlanGrants(exchange, grants):
-            packed = [ttypes.PlanGrant(grant.plan, grant.share) for grant in grants]
+            packed = [
+                ttypes.PlanGrant(grant.plan, grant.share, grant.is_settled)
+                for grant in grants
+            ]
             return ttypes.Frame(plan_grants=ttypes.PlanGrants(exchange, packed))
 
 
@@ -35,7 +38,7 @@
     return PlanGrants(
         ExchangeId(union.plan_grants.exchange),
         tuple(
-            PlanGrant(PlanId(grant.plan), grant.share)
+            PlanGrant(PlanId(grant.plan), grant.share, grant.is_settled)
             for grant in union.plan_grants.grants
         ),
     )
--- a/lavendertide/messages.py
+++ b/lavendertide/messages.py
@@ -538,10 +538,15 @@
 
 @dataclass(frozen=True, slots=True)
 class PlanGrant:
-    """The part of a plan that a daemon may grant from now on."""
+    """The part of a plan that a daemon may grant from now on.
+
+    Attributes:
+        is_settled: Whether the allocator has known the plan's holders for a while.
+    """
 
     plan: PlanId
     share: float
+    is_settled: bool
 
 
 @dataclass(frozen=True, slots=True)
--- a/lavendertide/plans/allocation.py
+++ b/lavendertide/plans/allocation.py
@@ -8,7 +8,7 @@
 stays its own until the roster drops it. A holder that reaches only half of the plan's
 allocators is given from one half of the plan, and one that reaches fewer from
 `NEWCOMERS_PART`, so that the sides of a split do not each give out the whole. A new
-holder cannot tell yet whom it reaches and is given from `NEWCOMERS_PART` as well. The
+holder cannot tell yet whom it reaches; all new holders are given `NEWCOMERS_PART`. The
 daemons that an allocator reaches can always have `NEWCOMERS_PART` between them.
 """
 
@@ -22,8 +22,7 @@
 
 NEWCOMERS_PART: Final = 0.25
 HALF: Final = 0.5
-SETTLING_S: Final = 3.0
-NEWCOMER_S: Final = 0.75  # longer than a holder waits for any allocator's answer
+SETTLING_S: Final = 2.5
 STALE_CLAIM_S: Final = 30.0
 RECOMPUTE_S: Final = 0.2
 HOLDERS_MAX: Final = 2_048
@@ -67,14 +66,19 @@
     incarnation: Incarnation
     demand_per_s: float
     share: float
-    since_s: float
+    is_new: bool
     heard_at_s: float
 
 
 class PlanAllocation:
-    """One plan's holders on a daemon that allocates it."""
+    """One plan's holders on a daemon that allocates it.
 
-    def __init__(self) -> None:
+    Args:
+        settled_at_s: From when on all holders have had time to claim here.
+    """
+
+    def __init__(self, settled_at_s: float) -> None:
+        self._settled_at_s = settled_at_s
         self._holders: dict[DaemonId, _Holder] = {}
         self._targets: dict[DaemonId, float] = {}
         self._computed_at_s = float("-inf")
@@ -94,6 +98,10 @@
         """Queries a second that reach the fleet, as far as known here."""
         return sum(holder.demand_per_s for holder in self._holders.values())
 
+    def is_settled(self, now_s: float) -> bool:
+        """Returns whether all holders have had time to claim here."""
+        return now_s >= self._settled_at_s
+
     def drop_absent(
         self, presence: Callable[[DaemonId], Presence], now_s: float
     ) -> None:
@@ -133,22 +141,21 @@
             return 0.0
         if known is None and len(self._holders) >= HOLDERS_MAX:
             return claim.share
-        is_same = known is not None and known.incarnation == incarnation
-        since_s = known.since_s if known is not None and is_same else now_s
+        is_new = claim.reached == 0
         self._holders[daemon] = _Holder(
-            incarnation, claim.demand_per_s, claim.share, since_s, now_s
+            incarnation, claim.demand_per_s, claim.share, is_new, now_s
         )
         target = self._target(daemon, rate_per_s, known is None, now_s)
-        if now_s - since_s < NEWCOMER_S:
-            left = NEWCOMERS_PART - self._granted_to_newcomers(daemon, now_s)
+        if is_new:
+            left = NEWCOMERS_PART - self._granted_to_newcomers(daemon)
             target = min(target, max(claim.share, left))
         return self._grant(daemon, target, most, presence)
 
-    def _granted_to_newcomers(self, besides: DaemonId, now_s: float) -> float:
+    def _granted_to_newcomers(self, besides: DaemonId) -> float:
         return sum(
             holder.share
             for daemon, holder in self._holders.items()
-            if daemon != besides and now_s - holder.since_s < NEWCOMER_S
+            if daemon != besides and holder.is_new
         )
 
     def _grant(
@@ -160,7 +167,7 @@
     ) -> float:
         held = self._holders[daemon].share
         if target <= held:
-            return target if most > NEWCOMERS_PART else held
+            return target
         free = most - (self.granted - held)
         if free < target:
             silent = self._silent(presence)
@@ -212,7 +219,7 @@
         return self._allocations.get(plan)
 
     def note_members_changed(self, now_s: float) -> None:
-        """Grants with care until the holders have had time to claim here."""
+        """Notes that plans may come here that others allocated before."""
         self._changed_at_s = now_s
 
     def forget_absent(self, now_s: float) -> None:
@@ -228,31 +235,40 @@
         for claim in message.claims:
             rate_per_s = self._rate_of(claim.plan)
             if rate_per_s is not None:
-                share = self._claim(message, claim, rate_per_s, now_s)
-                grants.append(PlanGrant(claim.plan, share))
+                grants.append(self._claim(message, claim, rate_per_s, now_s))
         return PlanGrants(message.exchange, tuple(grants))
 
     def _claim(
         self, message: PlanClaims, claim: PlanClaim, rate_per_s: float, now_s: float
-    ) -> float:
+    ) -> PlanGrant:
         allocation = self._allocations.get(claim.plan)
         if allocation is None:
-            allocation = PlanAllocation()
+            allocation = PlanAllocation(self._settled_at_s(now_s))
             self._allocations[claim.plan] = allocation
-        return allocation.claim(
+        is_settled = allocation.is_settled(now_s)
+        share = allocation.claim(
             message.daemon,
             message.incarnation,
             claim,
             rate_per_s,
-            self._most(claim, now_s),
+            _most(claim),
             self._presence,
             now_s,
         )
+        return PlanGrant(claim.plan, share, is_settled)
+
+    def _settled_at_s(self, now_s: float) -> float:
+        """Returns when a plan that was not known here until now has settled.
+
+        A daemon whose fellow members have just changed may be asked about a plan that
+        others allocated before, whose holders still have to claim here.
+        """
+        has_changed = now_s - self._changed_at_s < 2 * SETTLING_S
+        return now_s + SETTLING_S if has_changed else now_s
+
 
-    def _most(self, claim: PlanClaim, now_s: float) -> float:
-        """Returns what may be divided, by whom the sender of a claim reaches."""
-        if now_s - self._changed_at_s < SETTLING_S:
-            return NEWCOMERS_PART
-        if 2 * claim.reached > claim.allocators:
-            return 1.0 + NEWCOMERS_PART
-        return HALF if 2 * claim.reached == claim.allocators else NEWCOMERS_PART
+def _most(claim: PlanClaim) -> float:
+    """Returns what may be divided, by whom the sender of a claim reaches."""
+    if claim.reached == 0 or 2 * claim.reached > claim.allocators:
+        return 1.0 + NEWCOMERS_PART
+    return HALF if 2 * claim.reached == claim.allocators else NEWCOMERS_PART
--- a/lavendertide/plans/allocators.py
+++ b/lavendertide/plans/allocators.py
@@ -5,7 +5,7 @@
 """
 
 from collections import Counter
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from dataclasses import dataclass
 from typing import Final
 
@@ -30,7 +30,7 @@
     def __init__(self) -> None:
         self._members: dict[DaemonId, MemberRecord] = {}
         self._ranked: dict[PlanId, list[MemberRecord]] = {}
-        self._reached: set[DaemonId] = set()
+        self._answered: dict[PlanId, dict[DaemonId, bool]] = {}
 
     @property
     def member_count(self) -> int:
@@ -43,7 +43,8 @@
         if by_name.keys() == self._members.keys():
             return False
         self._members = by_name
-        self._reached &= by_name.keys()
+        for daemon in {d for a in self._answered.values() for d in a} - by_name.keys():
+            self.note_silence(daemon)
         self._ranked.clear()
         return True
 
@@ -55,28 +56,38 @@
             self._ranked[plan] = ranked
         return ranked
 
-    def note_answer(self, daemon: DaemonId) -> None:
-        """Notes that an allocator has answered the last claim."""
-        self._reached.add(daemon)
-
     def note_silence(self, daemon: DaemonId) -> None:
         """Notes that an allocator has not answered the last claim."""
-        self._reached.discard(daemon)
+        for answered in self._answered.values():
+            answered.pop(daemon, None)
+
+    def note_grant(self, daemon: DaemonId, plan: PlanId, is_settled: bool) -> bool:
+        """Takes in who has granted a share; returns whether the grant counts.
+
+        It counts if no allocator that goes before answers. One that does not yet know
+        the plan's holders goes behind those that do.
+        """
+        answered = self._answered.setdefault(plan, {})
+        answered[daemon] = is_settled
+        has_settled = any(answered.values())
+        for member in self.of(plan):
+            if member.daemon in answered and answered[member.daemon] >= has_settled:
+                return member.daemon == daemon
+        return False
 
     def reach_of(self, plan: PlanId) -> Reach:
-        """Returns how many of a plan's allocators answer."""
+        """Returns how many of a plan's allocators have answered about it."""
         allocators = self.of(plan)
-        reached = sum(member.daemon in self._reached for member in allocators)
+        answered = self._answered.get(plan, {})
+        reached = sum(member.daemon in answered for member in allocators)
         return Reach(reached, len(allocators))
 
-    def counts(self, daemon: DaemonId, plan: PlanId) -> bool:
-        """Returns whether no allocator that goes before this one answers."""
-        for member in self.of(plan):
-            if member.daemon == daemon:
-                return True
-            if member.daemon in self._reached:
-                return False
-        return False
+    def forget_plans(self, kept: Collection[PlanId]) -> None:
+        """Drops what was noted about plans that are no longer used here."""
+        for plan in set(self._answered) - set(kept):
+            del self._answered[plan]
+        for plan in set(self._ranked) - set(kept):
+            del self._ranked[plan]
 
 
 def _rank(plan: PlanId, members: Iterable[MemberRecord]) -> list[MemberRecord]:
--- a/lavendertide/plans/share_exchange.py
+++ b/lavendertide/plans/share_exchange.py
@@ -100,6 +100,7 @@
         self._held.count_demand(now_s)
         self._held.forget_idle(now_s)
         self._allocator.forget_absent(now_s)
+        self._allocators.forget_plans(self._held.plans)
         if self._allocators.follow(self._roster.members):
             self._allocator.note_members_changed(now_s)
             self._held.claim_all_again()
@@ -138,13 +139,14 @@
             self._take(daemon, grants)
 
     def _take(self, daemon: DaemonId, grants: PlanGrants) -> None:
-        self._allocators.note_answer(daemon)
-        has_lowered = False
+        must_claim = False
         for grant in grants.grants:
-            if self._allocators.counts(daemon, grant.plan):
-                has_lowered |= self._held.take_grant(grant.plan, grant.share)
-                first_grant = self._first_grants.get(grant.plan)
-                if first_grant is not None:
+            if self._allocators.note_grant(daemon, grant.plan, grant.is_settled):
+                must_claim |= self._held.take_grant(grant.plan, grant.share)
+            first_grant = self._first_grants.get(grant.plan)
+            if first_grant is not None:
+                must_claim = True
+                if self._held.has_claimed_with_reach(grant.plan):
                     first_grant.set()
-        if has_lowered:
+        if must_claim:
             self._wake_ups.send(None)
--- a/lavendertide/plans/shares.py
+++ b/lavendertide/plans/shares.py
@@ -118,6 +118,11 @@
         for held in self._plans.values():
             held.claimed = None
 
+    def has_claimed_with_reach(self, plan: PlanId) -> bool:
+        """Returns whether a plan was claimed after an allocator had answered."""
+        held = self._plans.get(plan)
+        return held is not None and bool(held.claimed and held.claimed.reached)
+
     def claim_again(self, claims: Iterable[PlanClaim]) -> None:
         """Says that an allocator has not answered these claims."""
         for claim in claims:
