Let a query that comes early wait for its token

Cause: while hosts are replaced a caller's next host has a small share for a second or two, and callers in a closed loop at half of the plan's rate were refused. Rate over time is unchanged, since the token is taken.

--- a/lavendertide/daemon/admin_service.py
+++ b/lavendertide/daemon/admin_service.py
@@ -217,7 +217,7 @@
         return admin_json.PlanHereDocument(
             daemon=self._parts.roster.own.daemon,
             share=share,
-            tokens=allowance.tokens_at(share, now_s)
+            tokens=max(0.0, allowance.tokens_at(share, now_s))
             if allowance
             else plan.burst * share,
             in_flight=allowance.in_flight if allowance else 0,
--- a/lavendertide/daemon/query_service.py
+++ b/lavendertide/daemon/query_service.py
@@ -2,7 +2,7 @@
 
 import uuid
 
-from returns.result import Failure, Result
+from returns.result import Failure, Result, Success
 
 from lavendertide.configuration.adoption import Configuration
 from lavendertide.configuration.catalog import Catalog, Index, Plan
@@ -18,7 +18,7 @@
 from lavendertide.queries.parts import FanOutParts
 from lavendertide.queries.query import Answer, Query, Question, fingerprint_of
 from lavendertide.queries.timing import Estimate
-from lavendertide.runtime import clock
+from lavendertide.runtime import clock, tasks
 from lavendertide.runtime.pauses import Pauses
 
 
@@ -59,6 +59,8 @@
         now_s = clock.monotonic_s()
         allowance = self._allowances.of(plan, now_s)
         match allowance.enter(self._allowances.share_of(plan, now_s), now_s):
+            case Success(wait_s):
+                tasks.sleep(wait_s)
             case Failure(refusal):
                 return Failure(refusal)
         try:
--- a/lavendertide/daemon/ticket_service.py
+++ b/lavendertide/daemon/ticket_service.py
@@ -26,7 +26,7 @@
 from lavendertide.plans.admission import Allowances
 from lavendertide.queries.deadline import Deadline, deadline_for
 from lavendertide.queries.gate import Gate
-from lavendertide.runtime import clock
+from lavendertide.runtime import clock, tasks
 
 RELAY_S: Final = 0.005
 INQUIRY_MS: Final = 500
@@ -89,6 +89,8 @@
                 return Failure(self._refused(ticket, refusal))
         allowance = self._allowances.of(plan, now_s)
         match allowance.enter(self._allowances.share_of(plan, now_s), now_s):
+            case Success(wait_s):
+                tasks.sleep(wait_s)
             case Failure(refusal):
                 return Failure(self._refused(ticket, refusal))
         try:
--- a/lavendertide/plans/admission.py
+++ b/lavendertide/plans/admission.py
@@ -4,6 +4,8 @@
 here has not run, and the refusal says so.
 """
 
+from typing import Final
+
 from returns.result import Failure, Result, Success
 
 from lavendertide.configuration.catalog import Plan
@@ -11,11 +13,15 @@
 from lavendertide.ids import PlanId
 from lavendertide.plans.shares import ShareSource, WholeShares
 
+WAIT_MAX_S: Final = 0.1
+
 
 class Allowance:
     """What one plan may use on this daemon.
 
-    A token bucket bounds the rate, a counter the concurrency.
+    A token bucket bounds the rate, a counter the concurrency. A query that comes a
+    little too early waits for its token, so that callers that wait for their answers
+    are slowed down and not refused.
     """
 
     def __init__(self, plan: Plan, now_s: float) -> None:
@@ -34,21 +40,25 @@
         self._plan = plan
         self._tokens = min(self._tokens, float(plan.burst))
 
-    def enter(self, share: float, now_s: float) -> Result[None, Refusal]:
+    def enter(self, share: float, now_s: float) -> Result[float, Refusal]:
         """Lets a query in, or says why not.
 
         Args:
             share: This daemon's part of the plan, above zero and at most one.
             now_s: Present time.
+
+        Returns:
+            Seconds to wait before the query starts, so that the rate is kept.
         """
         self._refill(share, now_s)
         if self._in_flight >= max(1.0, self._plan.concurrency * share):
             return Failure(self._over_concurrency())
-        if self._tokens < 1.0:
+        wait_s = max(0.0, 1.0 - self._tokens) / (self._plan.rate_per_s * share)
+        if wait_s > WAIT_MAX_S:
             return Failure(self._over_rate())
         self._tokens -= 1.0
         self._in_flight += 1
-        return Success(None)
+        return Success(wait_s)
 
     def tokens_at(self, share: float, now_s: float) -> float:
         """Returns how many queries may start at once."""
--- a/tests/plans/test_shares.py
+++ b/tests/plans/test_shares.py
@@ -17,7 +17,7 @@
     PlanId,
 )
 from lavendertide.messages import PlanClaims
-from lavendertide.plans.admission import Allowance
+from lavendertide.plans.admission import WAIT_MAX_S, Allowance
 from lavendertide.plans.allocation import (
     NEWCOMERS_PART,
     SETTLING_S,
@@ -239,9 +239,9 @@
     """A daemon grants its share and never a burst for the time it slept."""
 
     def admitted(self, allowance: Allowance, share: float, now_s: float) -> int:
-        """Returns how many queries are let in at one moment."""
+        """Returns how many queries start at one moment, none of them waiting."""
         count = 0
-        while isinstance(allowance.enter(share, now_s), Success):
+        while allowance.enter(share, now_s).value_or(1.0) == 0.0:
             allowance.leave()
             count += 1
         return count
@@ -259,6 +259,17 @@
         entered = [allowance.enter(0.25, 0.0) for _ in range(10)]
         self.assertEqual(sum(isinstance(e, Success) for e in entered), 4)
 
+    def test_a_query_that_comes_early_waits_for_its_token(self) -> None:
+        allowance = Allowance(PLAN, 0.0)
+        self.admitted(allowance, 1.0, 0.0)
+        waits = []
+        while (wait_s := allowance.enter(1.0, 0.0).value_or(None)) is not None:
+            allowance.leave()
+            waits.append(wait_s)
+        self.assertEqual(waits, sorted(waits))
+        self.assertLessEqual(len(waits), WAIT_MAX_S * PLAN.rate_per_s)
+        self.assertLessEqual(max(waits), WAIT_MAX_S)
+
     def test_a_raised_share_gives_no_burst_at_once(self) -> None:
         allowance = Allowance(PLAN, 0.0)
         self.admitted(allowance, 0.1, 0.0)
