--- /dev/null
+++ b/bench/configuration_spread.py
@@ -0,0 +1,352 @@
+"""What a change of configuration costs, and how soon it is in force everywhere.
+
+`python -m bench.configuration_spread` times adoptions of lists of the target size in
+this process, then publishes changes to a fleet of separate daemons. It prints tables
+and one line of JSON. The bounds come from the stated target: in force everywhere
+within 6 s, and of a node's 1.9% of a core and 12 KB a second no more than a quarter.
+"""
+
+import copy
+import json
+import statistics
+import sys
+import time
+import tracemalloc
+from collections.abc import Callable
+from dataclasses import asdict, dataclass
+from typing import Any, Final
+
+from bench.configuration_lists import (
+    Lists,
+    change_index,
+    change_plan,
+    encode,
+    large_lists,
+)
+from bench.process_stats import read_process_stats
+from bench.revision import revision
+from lavendertide.configuration.adoption import Adoption, Configuration
+from lavendertide.encodings.peer_frames import LENGTH, decode_frame, encode_frame
+from lavendertide.messages import (
+    ConfigurationDelta,
+    ConfigurationOffer,
+    ConfigurationPull,
+    ConfigurationPush,
+)
+from standins.deployment import ASSOCIATION, smaller
+from standins.launcher import Launcher
+
+SEED: Final = 1
+ROUNDS: Final = 20
+DAEMONS: Final = 12
+CHANGES: Final = 30
+CHANGE_PAUSE_S: Final = 0.5
+IDLE_S: Final = 5.0
+SETTLE_S: Final = 3.0
+GIVE_UP_S: Final = 30.0
+CHANGES_A_DAY: Final = 1_500
+DAY_S: Final = 86_400
+DAEMONS_A_NODE: Final = 3
+IN_FORCE_BOUND_S: Final = 6.0
+CORE_SHARE_BOUND: Final = 0.019 / 4
+BYTES_BOUND_PER_S: Final = 12_000 / 4
+PACKET_OVERHEAD_BYTES: Final = 66
+
+Change = Callable[[Lists, int], None]
+
+
+@dataclass(frozen=True, slots=True)
+class Cost:
+    """What one kind of adoption costs.
+
+    Attributes:
+        median_ms: Processor time from received bytes to look-ups.
+        wire_bytes: Bytes of the frame or answer that carries it.
+    """
+
+    kind: str
+    median_ms: float
+    max_ms: float
+    wire_bytes: int
+
+
+@dataclass(frozen=True, slots=True)
+class Spread:
+    """What a fleet did with a number of changes.
+
+    Attributes:
+        in_force_ms: Time from publishing to in force on the last daemon.
+        cpu_ms: Processor time of one daemon for one change.
+        bytes_per_change: Bytes that one daemon sent for one change.
+        idle_bytes_per_s: Bytes that one daemon sends to compare stamps.
+    """
+
+    daemons: int
+    changes: int
+    in_force_median_ms: float
+    in_force_max_ms: float
+    cpu_ms: float
+    bytes_per_change: float
+    idle_bytes_per_s: float
+    rss_growth_mb: float
+
+
+def main() -> int:
+    """Runs everything; returns 1 if a bound is missed."""
+    costs = [
+        _measure("first whole, joining", _first_whole),
+        _measure("whole after a plan changed, watcher", _whole_after_plan),
+        _measure("whole after an index changed, watcher", _whole_after_index),
+        _measure("delta of a plan", _delta_of_plan),
+        _measure("delta of an index", _delta_of_index),
+    ]
+    catalog_mb = _catalog_mb()
+    print(f"lists of {len(encode(large_lists(SEED)))} bytes, {ROUNDS} rounds")
+    for cost in costs:
+        print(
+            f"{cost.kind:40} {cost.median_ms:7.1f} ms median {cost.max_ms:7.1f} ms max"
+            f" {cost.wire_bytes:8} bytes"
+        )
+    print(f"one configuration holds {catalog_mb:.1f} MB")
+    spread = _spread()
+    _print_spread(spread)
+    summary = {
+        "commit": revision(),
+        "seed": SEED,
+        "costs": [asdict(cost) for cost in costs],
+        "catalog_mb": round(catalog_mb, 2),
+        "spread": asdict(spread),
+        "node_at_target": _node_at_target(spread),
+    }
+    print(json.dumps(summary))
+    return 0 if _within_bounds(spread) else 1
+
+
+Prepared = tuple[Callable[[], Adoption], int]
+
+
+def _measure(kind: str, prepare: Callable[[int], Prepared]) -> Cost:
+    times_ms = []
+    wire_bytes = 0
+    for number in range(ROUNDS):
+        adopt, wire_bytes = prepare(number)
+        started_s = time.process_time()
+        adoption = adopt()
+        times_ms.append((time.process_time() - started_s) * 1000)
+        if adoption is not Adoption.ADOPTED:
+            raise RuntimeError(f"{kind}: {adoption}")
+    return Cost(kind, statistics.median(times_ms), max(times_ms), wire_bytes)
+
+
+def _first_whole(number: int) -> Prepared:
+    source = Configuration()
+    source.offer(encode(large_lists(SEED + number)), 0.0)
+    data = encode_frame(ConfigurationPush(source.stamp, source.text))
+    return lambda: _take(Configuration(), data), len(data)
+
+
+def _whole_after_plan(number: int) -> Prepared:
+    return _whole_after(change_plan, number)
+
+
+def _whole_after_index(number: int) -> Prepared:
+    return _whole_after(change_index, number)
+
+
+def _delta_of_plan(number: int) -> Prepared:
+    return _delta_after(change_plan, number)
+
+
+def _delta_of_index(number: int) -> Prepared:
+    return _delta_after(change_index, number)
+
+
+def _whole_after(change: Change, number: int) -> Prepared:
+    lists = large_lists(SEED)
+    watcher = Configuration()
+    watcher.offer(encode(lists), 0.0)
+    change(lists, number)
+    text = encode(lists)
+    return lambda: watcher.offer(text, 1.0), len(text)
+
+
+def _delta_after(change: Change, number: int) -> Prepared:
+    lists = large_lists(SEED)
+    source, receiver = Configuration(), Configuration()
+    for configuration in (source, receiver):
+        configuration.offer(encode(lists), 0.0)
+    change(lists, number)
+    source.offer(encode(lists), 1.0)
+    delta = source.delta_since(receiver.stamp)
+    assert delta is not None
+    data = encode_frame(delta)
+    return lambda: _take(receiver, data), len(data)
+
+
+def _take(configuration: Configuration, data: bytes) -> Adoption:
+    match decode_frame(data[LENGTH.size :]).unwrap():
+        case ConfigurationPush(lists=lists):
+            return configuration.offer(lists, 1.0)
+        case ConfigurationDelta() as delta:
+            return configuration.apply(delta, 1.0)
+    raise RuntimeError("neither a whole nor a delta")
+
+
+def _catalog_mb() -> float:
+    text = encode(large_lists(SEED))
+    tracemalloc.start()
+    configuration = Configuration()
+    configuration.offer(text, 0.0)
+    held, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    return held / 1e6
+
+
+def _spread() -> Spread:
+    launcher = Launcher((smaller(ASSOCIATION, 1, DAEMONS),), target_processes=1)
+    with launcher.running():
+        return _measure_fleet(launcher)
+
+
+def _measure_fleet(launcher: Launcher) -> Spread:
+    lists = large_lists(SEED, version=10)
+    _publish(launcher, lists)
+    time.sleep(SETTLE_S)
+    idle = _observe(launcher, lambda: time.sleep(IDLE_S))
+    in_force_ms: list[float] = []
+    busy = _observe(launcher, lambda: in_force_ms.extend(_changes(launcher, lists)))
+    idle_cpu_s = idle.cpu_s / idle.elapsed_s * busy.elapsed_s
+    idle_bytes = idle.sent_bytes / idle.elapsed_s * busy.elapsed_s
+    per_change = DAEMONS * CHANGES
+    return Spread(
+        daemons=DAEMONS,
+        changes=CHANGES,
+        in_force_median_ms=round(statistics.median(in_force_ms), 1),
+        in_force_max_ms=round(max(in_force_ms), 1),
+        cpu_ms=round((busy.cpu_s - idle_cpu_s) / per_change * 1000, 2),
+        bytes_per_change=round((busy.sent_bytes - idle_bytes) / per_change, 1),
+        idle_bytes_per_s=round(idle.sent_bytes / idle.elapsed_s / DAEMONS, 1),
+        rss_growth_mb=round(busy.rss_growth_mb / DAEMONS, 2),
+    )
+
+
+def _changes(launcher: Launcher, lists: Lists) -> list[float]:
+    times_ms = []
+    for number in range(CHANGES):
+        change = change_plan if number % 2 else change_index
+        change(lists, number)
+        times_ms.append(_publish(launcher, lists))
+        time.sleep(CHANGE_PAUSE_S)
+    return times_ms
+
+
+def _publish(launcher: Launcher, lists: Lists) -> float:
+    """Publishes lists; returns the time until the last daemon had adopted them."""
+    version = lists["plans"]["version"]
+    started_s = time.monotonic()
+    launcher.post(launcher.configuration, "/v1/publish", copy.deepcopy(lists))
+    adopted_at_s: list[float] = []
+    for name in launcher.admins:
+        status = _status(launcher, name)
+        while status["version"] < version:
+            if time.monotonic() - started_s > GIVE_UP_S:
+                raise TimeoutError(f"{name} has not adopted {version}: {status}")
+            time.sleep(0.02)
+            status = _status(launcher, name)
+        adopted_at_s.append(time.monotonic() - status["adopted_ago_s"])
+    return (max(adopted_at_s) - started_s) * 1000
+
+
+def _status(launcher: Launcher, name: str) -> dict[str, Any]:
+    status: dict[str, Any] = launcher.get(launcher.admins[name], "/v1/configuration")
+    return status
+
+
+@dataclass(frozen=True, slots=True)
+class _Observed:
+    elapsed_s: float
+    cpu_s: float
+    sent_bytes: float
+    rss_growth_mb: float
+
+
+def _observe(launcher: Launcher, act: Callable[[], None]) -> _Observed:
+    stats = [read_process_stats(launcher.pid_of(name)) for name in launcher.admins]
+    sent_bytes = _sent_bytes(launcher)
+    started_s = time.monotonic()
+    act()
+    elapsed_s = time.monotonic() - started_s
+    later = [read_process_stats(launcher.pid_of(name)) for name in launcher.admins]
+    return _Observed(
+        elapsed_s,
+        sum(s.cpu_s for s in later) - sum(s.cpu_s for s in stats),
+        _sent_bytes(launcher) - sent_bytes,
+        sum(s.rss_mb for s in later) - sum(s.rss_mb for s in stats),
+    )
+
+
+def _sent_bytes(launcher: Launcher) -> float:
+    """Returns the bytes of the frames that the fleet has counted, with packet heads."""
+    lists = large_lists(SEED)
+    configuration = Configuration()
+    configuration.offer(encode(lists), 0.0)
+    base = configuration.stamp
+    change_index(lists, 0)
+    configuration.offer(encode(lists), 1.0)
+    delta = configuration.delta_since(base)
+    assert delta is not None
+    stamp = configuration.stamp
+    sizes = {
+        "offers_sent": len(encode_frame(ConfigurationOffer(0, stamp, True, None))),
+        "pulls_sent": len(encode_frame(ConfigurationPull(stamp, 1))),
+        "deltas_sent": len(encode_frame(delta)),
+        "wholes_sent": len(encode_frame(ConfigurationPush(stamp, configuration.text))),
+    }
+    counts = [_status(launcher, name)["spreading"] for name in launcher.admins]
+    return sum(
+        float(count[kind]) * (size + PACKET_OVERHEAD_BYTES)
+        for count in counts
+        for kind, size in sizes.items()
+    )
+
+
+def _node_at_target(spread: Spread) -> dict[str, float]:
+    changes_per_s = CHANGES_A_DAY / DAY_S
+    core_share = DAEMONS_A_NODE * spread.cpu_ms / 1000 * changes_per_s
+    bytes_per_s = DAEMONS_A_NODE * (
+        spread.idle_bytes_per_s + spread.bytes_per_change * changes_per_s
+    )
+    return {
+        "core_percent": round(core_share * 100, 4),
+        "bytes_per_s": round(bytes_per_s, 1),
+    }
+
+
+def _print_spread(spread: Spread) -> None:
+    node = _node_at_target(spread)
+    print(f"{spread.daemons} daemons, {spread.changes} changes")
+    print(
+        f"in force everywhere: {spread.in_force_median_ms} ms median, "
+        f"{spread.in_force_max_ms} ms max"
+    )
+    print(
+        f"a daemon: {spread.cpu_ms} ms of processor and {spread.bytes_per_change} "
+        f"bytes sent per change, {spread.idle_bytes_per_s} bytes/s without changes"
+    )
+    print(
+        f"a node with {DAEMONS_A_NODE} daemons at {CHANGES_A_DAY} changes a day: "
+        f"{node['core_percent']}% of a core, {node['bytes_per_s']} bytes/s"
+    )
+
+
+def _within_bounds(spread: Spread) -> bool:
+    node = _node_at_target(spread)
+    return (
+        spread.in_force_max_ms <= IN_FORCE_BOUND_S * 1000
+        and node["core_percent"] <= CORE_SHARE_BOUND * 100
+        and node["bytes_per_s"] <= BYTES_BOUND_PER_S
+    )
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/lavendertide/configuration/status.py
+++ b/lavendertide/configuration/status.py
@@ -85,7 +85,7 @@
     return {
         "version": status.version,
         "digest": status.digest,
-        "adopted_ago_s": round(status.adopted_ago_s, 1),
+        "adopted_ago_s": round(status.adopted_ago_s, 3),
         "source": status.source.value,
         "needs_refresh": status.needs_refresh,
         "refusal": None if refusal is None else _refusal_document(refusal),
