--- a/lavendertide/daemon/peer_front.py
+++ b/lavendertide/daemon/peer_front.py
@@ -19,6 +19,7 @@
     DeclineReason,
     Frame,
     Lost,
+    PlanClaims,
     ReachReply,
     ReachRequest,
     SubReplies,
@@ -27,6 +28,7 @@
     SubRequests,
     TicketRequest,
 )
+from lavendertide.plans.allocation import PlanAllocator
 from lavendertide.runtime import clock, tasks
 
 REPLIES_PER_FRAME_MAX = 128
@@ -47,6 +49,7 @@
         readiness: Readiness,
         dispatcher: Dispatcher,
         tickets: TicketService,
+        allocator: PlanAllocator,
         in_flight: InFlight,
     ) -> None:
         self._edge = edge
@@ -56,6 +59,7 @@
         self._readiness = readiness
         self._dispatcher = dispatcher
         self._tickets = tickets
+        self._allocator = allocator
         self._in_flight = in_flight
 
     def serve(self, listener: socket.socket) -> None:
@@ -82,6 +86,8 @@
                 self._take_sub_requests(items, outbox)
             case Cancels(attempts):
                 self._dispatcher.cancel(list(attempts))
+            case PlanClaims():
+                outbox.send(self._allocator.answer(frame, clock.monotonic_s()))
             case TicketRequest():
                 tasks.spawn(self._answer_ticket, frame, outbox)
             case ReachRequest():
--- a/lavendertide/encodings/caller_json.py
+++ b/lavendertide/encodings/caller_json.py
@@ -135,6 +135,8 @@
             "amount": answer.page.amount,
             "rows": [[r.key, r.score, r.document] for r in answer.page.rows],
             "attempts": answer.attempts,
+            "hedges": answer.hedges,
+            "retries": answer.retries,
             "deadline_ms": answer.deadline_ms,
         }
     )
@@ -165,6 +167,7 @@
             "fault": refusal.fault.value,
             "message": refusal.message,
             "remedy": refusal.remedy,
+            "retry_after_s": retry_after_s(refusal.kind),
         }
     )
 
--- a/lavendertide/encodings/peer_protocol.thrift
+++ b/lavendertide/encodings/peer_protocol.thrift
@@ -165,6 +165,31 @@
   52: string refusal_fault,
 }
 
+struct PlanClaim {
+  60: string plan,
+  61: double demand_per_s,
+  62: double share,
+  63: i32 reached,
+  64: i32 allocators,
+}
+
+struct PlanClaims {
+  60: string exchange,
+  61: string daemon,
+  62: i64 incarnation,
+  63: list<PlanClaim> claims,
+}
+
+struct PlanGrant {
+  60: string plan,
+  61: double share,
+}
+
+struct PlanGrants {
+  60: string exchange,
+  61: list<PlanGrant> grants,
+}
+
 struct Verdict {
   40: string fingerprint,
   41: i32 shard,
@@ -215,6 +240,8 @@
   8: ConfigurationPush configuration_push,
   9: TicketRequest ticket_request,
   10: TicketReply ticket_reply,
+  60: PlanClaims plan_claims,
+  61: PlanGrants plan_grants,
   30: ConfigurationOffer configuration_offer,
   31: ConfigurationDelta configuration_delta,
   20: Challenge challenge,
--- a/lavendertide/fleet/peers.py
+++ b/lavendertide/fleet/peers.py
@@ -12,7 +12,7 @@
 from lavendertide.fleet.peer_link import PeerLink
 from lavendertide.fleet.roster import Roster
 from lavendertide.ids import Address, AttemptId, DaemonId
-from lavendertide.messages import MemberRecord
+from lavendertide.messages import MemberRecord, PlanClaims, PlanGrants
 
 WATCH_BEATS: Final = 2
 RETRIES_PER_TICK: Final = 4
@@ -60,6 +60,12 @@
         link.lead_to(member.daemon)
         return link
 
+    def claim(
+        self, member: MemberRecord, claims: PlanClaims, timeout_s: float
+    ) -> PlanGrants | None:
+        """Claims shares of plans from a member; none if it did not answer in time."""
+        return self.link_to(member).claim(claims, timeout_s)
+
     def keep_beating(self, daemons: set[DaemonId]) -> None:
         """Names the peers whose answered heartbeats this daemon's leases rest on."""
         partners = frozenset(daemons) - {self._roster.own.daemon}
--- a/lavendertide/options.py
+++ b/lavendertide/options.py
@@ -7,11 +7,18 @@
 
 from typing import Annotated, Literal
 
-from pydantic import AfterValidator, BaseModel, ConfigDict, Field, StringConstraints
+from pydantic import (
+    AfterValidator,
+    BaseModel,
+    ConfigDict,
+    Field,
+    StringConstraints,
+)
 
 from lavendertide.addressing import check_ip_port
 
 IpPort = Annotated[str, AfterValidator(check_ip_port)]
+AdminKey = Annotated[str, StringConstraints(min_length=16)]
 Name = Annotated[str, StringConstraints(pattern=r"^[a-z0-9][a-z0-9-]{0,62}$")]
 
 
@@ -252,6 +259,34 @@
     kept_per_plan_max: Annotated[int, Field(ge=1)] = 5_000
 
 
+class AdminOptions(_Section):
+    """Who may use the administration API.
+
+    Without operator keys everybody is an operator, which is allowed on the loopback
+    address only.
+
+    Attributes:
+        operator_keys: Keys that see and drain everything.
+        owner_keys: For each owner the keys that see this owner's plans, books and
+            targets.
+    """
+
+    operator_keys: tuple[AdminKey, ...] = ()
+    owner_keys: dict[Name, tuple[AdminKey, ...]] = {}
+
+
+class LogOptions(_Section):
+    """What the daemon logs to standard error.
+
+    Attributes:
+        level: The least level that is written.
+        form: One JSON object a line, or plain text.
+    """
+
+    level: Literal["debug", "info", "warning", "error"] = "info"
+    form: Literal["json", "text"] = "json"
+
+
 class Options(_Section):
     """All settings of one daemon."""
 
@@ -263,3 +298,5 @@
     faults: FaultOptions | None = None
     policies: PolicyOptions = PolicyOptions()
     tickets: TicketOptions = TicketOptions()
+    admin: AdminOptions = AdminOptions()
+    logs: LogOptions = LogOptions()
--- a/lavendertide/settings_rules.py
+++ b/lavendertide/settings_rules.py
@@ -14,6 +14,7 @@
 
 HEARTBEATS_PER_LEASE: Final = 2
 ANY_ADDRESS: Final = "0.0.0.0:"
+LOOPBACK_NET: Final = "127."
 
 KeyPath = tuple[str | int, ...]
 
@@ -40,6 +41,7 @@
     yield from _lease(options)
     yield from _query_bounds(options)
     yield from _ticket_bounds(options)
+    yield from _administration(options)
 
 
 def _addresses(options: Options) -> Iterator[Contradiction]:
@@ -142,3 +144,13 @@
             f"of {options.queries.deadline_max_ms} ms.",
             "Raise lifetime_s or lower queries.deadline_max_ms.",
         )
+
+
+def _administration(options: Options) -> Iterator[Contradiction]:
+    is_local = options.addresses.admin.startswith(LOOPBACK_NET)
+    if not is_local and not options.admin.operator_keys:
+        yield Contradiction(
+            ("addresses", "admin"),
+            f"'{options.addresses.admin}' is open to everybody without operator keys.",
+            "Name a key in admin.operator_keys, or put addresses.admin on 127.0.0.1.",
+        )
--- a/standins/examples.py
+++ b/standins/examples.py
@@ -46,6 +46,8 @@
 
 - `addresses`: the three addresses differ, and those for callers and peers are not
   `0.0.0.0`, since others are told them.
+- `admin.operator_keys`: at least one, unless `addresses.admin` is on the loopback
+  address, where everybody is an operator without keys.
 - `platform`: no service has an address of the daemon itself.
 - `fleet.seeds`: each other daemon once, never the daemon itself.
 - `fleet.lease_s`: at least two heartbeats.
@@ -86,7 +88,7 @@
         "place.failure_domain": owner.failure_domains[0],
         "addresses.callers": f'"{net}.1.1:7100"',
         "addresses.peers": f'"{net}.1.1:7101"',
-        "addresses.admin": f'"{net}.1.1:7102"',
+        "addresses.admin": '"127.0.0.1:7102"',
         "platform.configuration": '"10.1.0.1:8000"',
         "platform.membership": '"10.1.0.2:8000"',
         "fleet.key": "replace-by-a-secret-of-the-fleet",
--- a/tests/configuration/test_settings.py
+++ b/tests/configuration/test_settings.py
@@ -11,7 +11,7 @@
 from hypothesis import strategies as st
 from returns.result import Failure, Result
 
-from lavendertide.command_line.main import main
+from lavendertide.command_line.main import commands
 from lavendertide.encodings.settings_yaml import parse_options, read_options
 from lavendertide.settings_reference import REQUIRED, setting_rows
 from standins.examples import ROOT, example_files
@@ -35,6 +35,8 @@
   seeds: [10.0.0.2:7101]
   heartbeat_s: 0.5
   lease_s: 2.0
+admin:
+  operator_keys: [a-key-of-the-operators]
 """
 
 yaml_values = st.recursive(
@@ -135,6 +137,11 @@
             "lease_s: 2.0", "lease_s: 0.9", "a.yaml:17: fleet.lease_s", "two heartbeats"
         )
 
+    def test_an_open_administration_address_without_keys(self) -> None:
+        self.assert_refused(
+            "[a-key-of-the-operators]", "[]", "a.yaml:9: addresses.admin", "Name a key"
+        )
+
     def test_a_seed_that_is_the_daemon_itself(self) -> None:
         self.assert_refused(
             "[10.0.0.2:7101]", "[10.0.0.1:7101]", "a.yaml:15", "own address"
@@ -238,7 +245,7 @@
 
     def run_check(self, *files: str) -> tuple[int, str]:
         """Runs the command; returns its exit code and all that it printed."""
-        result = CliRunner().invoke(main, ["check", *files])
+        result = CliRunner().invoke(commands, ["check", *files])
         return result.exit_code, result.output
 
     def test_the_examples_are_good(self) -> None:
@@ -255,6 +262,6 @@
         self.assertIn("nowhere.json", printed)
 
     def test_the_list_of_settings(self) -> None:
-        result = CliRunner().invoke(main, ["settings"])
+        result = CliRunner().invoke(commands, ["settings"])
         self.assertEqual(result.exit_code, 0)
         self.assertIn("fleet.lease_s: 2.0 s", result.output)
--- a/tests/encodings/test_peer_frames.py
+++ b/tests/encodings/test_peer_frames.py
@@ -42,6 +42,10 @@
     MemberState,
     Operation,
     Outcome,
+    PlanClaim,
+    PlanClaims,
+    PlanGrant,
+    PlanGrants,
     ReachReply,
     ReachRequest,
     RosterPull,
@@ -100,6 +104,13 @@
         100,
     ),
     TicketReply(ExchangeId("x"), Outcome.UNKNOWN, "minter is gone"),
+    PlanClaims(
+        ExchangeId("7"),
+        DaemonId("a-0"),
+        Incarnation(3),
+        (PlanClaim(PlanId("stall-clerk"), 12.5, 0.25, 3, 6),),
+    ),
+    PlanGrants(ExchangeId("7"), (PlanGrant(PlanId("stall-clerk"), 0.5),)),
 )
 
 
