--- a/lavendertide/messages.py
+++ b/lavendertide/messages.py
@@ -7,6 +7,7 @@
 
 from dataclasses import dataclass
 from enum import Enum
+from typing import Final
 
 from lavendertide.errors import Refusal
 from lavendertide.ids import (
@@ -31,6 +32,8 @@
     TicketId,
 )
 
+NO_PLAN_CLASS: Final = PlanClass("")
+
 
 class Operation(Enum):
     """What a caller may ask of an index."""
@@ -83,6 +86,7 @@
 
     TARGET_CLOSED = "target_closed"
     TIMED_OUT = "timed_out"
+    CANCELLED = "cancelled"
     PEER_LOST = "peer_lost"
     REPLY_TOO_LARGE = "reply_too_large"
     MISMATCHED_REPLY = "mismatched_reply"
@@ -142,7 +146,7 @@
     body: str
     remaining_ms: int
     fingerprint: Fingerprint
-    plan_class: PlanClass = PlanClass("")
+    plan_class: PlanClass = NO_PLAN_CLASS
     page_size: int = 0
 
 
