Judge requests that were in flight when a target crashed

A suspect at a shard may run there only alone; answered alone it is cleared, and a crash that nothing else can have caused condemns it at all shards for a time.

--- /dev/null
+++ b/lavendertide/poison/quarantine.py
@@ -0,0 +1,172 @@
+"""Which requests may run, may run only alone, or may not run at all.
+
+A request that was in flight when its target closed the connection is a suspect at that
+shard: whether it or its neighbour was to blame is not known. A suspect runs only alone.
+If it is answered, it is cleared; if the target crashes again, it is condemned at all
+shards for a time. So a request is condemned only after a crash that nothing else can
+have caused, and innocents that were in flight beside it are not.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+from enum import Enum
+from itertools import islice
+from typing import Final
+
+from lavendertide.ids import Fingerprint, ShardNumber
+from lavendertide.messages import Verdict, VerdictKind
+
+SUSPECT_S: Final = 600.0
+CLEARED_S: Final = 120.0
+CONDEMNED_S: Final = 600.0
+CONDEMNED_MAX_S: Final = 3_600.0
+VERDICTS_MAX: Final = 4_096
+VERDICTS_PER_FRAME: Final = 512
+
+_ORDER: Final = {
+    VerdictKind.SUSPECT: 0,
+    VerdictKind.CLEARED: 1,
+    VerdictKind.CONDEMNED: 2,
+}
+
+
+class Permission(Enum):
+    """How a request may run."""
+
+    FREELY = "freely"
+    ALONE = "alone"
+    NEVER = "never"
+
+
+@dataclass(frozen=True, slots=True)
+class _Entry:
+    kind: VerdictKind
+    crashes: int
+    until_s: float
+
+
+class Quarantine:
+    """The verdicts that this daemon knows, its own and those of its peers."""
+
+    def __init__(self) -> None:
+        self._entries: dict[tuple[Fingerprint, ShardNumber], _Entry] = {}
+        self._condemned: dict[Fingerprint, float] = {}
+
+    @property
+    def is_empty(self) -> bool:
+        """Whether there is no verdict at all."""
+        return not self._entries
+
+    def is_condemned(self, fingerprint: Fingerprint, now_s: float) -> bool:
+        """Returns whether a request may not run at all now."""
+        return now_s < self._condemned.get(fingerprint, 0.0)
+
+    def permission(
+        self, fingerprint: Fingerprint, shard: ShardNumber, now_s: float
+    ) -> Permission:
+        """Returns how a request may run now."""
+        if not self._entries:
+            return Permission.FREELY
+        condemned_until_s = self._condemned.get(fingerprint)
+        if condemned_until_s is not None and now_s < condemned_until_s:
+            return Permission.NEVER
+        entry = self._entries.get((fingerprint, shard))
+        if entry is None:
+            was_condemned = condemned_until_s is not None
+            return Permission.ALONE if was_condemned else Permission.FREELY
+        match entry.kind:
+            case VerdictKind.CLEARED:
+                return Permission.FREELY
+            case VerdictKind.SUSPECT if now_s >= entry.until_s:
+                return Permission.FREELY
+            case _:
+                return Permission.ALONE
+
+    def note_crash(
+        self,
+        fingerprint: Fingerprint,
+        shard: ShardNumber,
+        was_alone: bool,
+        now_s: float,
+    ) -> Verdict:
+        """Takes in that a target crashed with a request in flight."""
+        entry = self._entries.get((fingerprint, shard))
+        crashes = 1 + (entry.crashes if entry is not None else 0)
+        if was_alone:
+            verdict = _verdict(
+                fingerprint, shard, VerdictKind.CONDEMNED, crashes, _sentence_s(crashes)
+            )
+        else:
+            verdict = _verdict(
+                fingerprint, shard, VerdictKind.SUSPECT, crashes, SUSPECT_S
+            )
+        self.learn((verdict,), now_s)
+        return verdict
+
+    def clear(
+        self, fingerprint: Fingerprint, shard: ShardNumber, now_s: float
+    ) -> Verdict | None:
+        """Takes in that a suspect was answered alone; none if it was no suspect."""
+        entry = self._entries.get((fingerprint, shard))
+        if entry is None and fingerprint not in self._condemned:
+            return None
+        crashes = entry.crashes if entry is not None else 1
+        verdict = _verdict(fingerprint, shard, VerdictKind.CLEARED, crashes, CLEARED_S)
+        self.learn((verdict,), now_s)
+        return verdict
+
+    def learn(self, verdicts: Iterable[Verdict], now_s: float) -> list[Verdict]:
+        """Takes in verdicts; returns those that were news."""
+        return [verdict for verdict in verdicts if self._take(verdict, now_s)]
+
+    def verdicts(self, now_s: float) -> tuple[Verdict, ...]:
+        """Returns what a daemon that joins has to know, the newest first."""
+        valid = (
+            _verdict(key[0], key[1], entry.kind, entry.crashes, entry.until_s - now_s)
+            for key, entry in reversed(self._entries.items())
+            if entry.until_s > now_s and entry.kind is not VerdictKind.CLEARED
+        )
+        return tuple(islice(valid, VERDICTS_PER_FRAME))
+
+    def _take(self, verdict: Verdict, now_s: float) -> bool:
+        key = verdict.fingerprint, verdict.shard
+        until_s = now_s + min(verdict.valid_ms / 1000, CONDEMNED_MAX_S)
+        known = self._entries.get(key)
+        if known is not None:
+            is_old = now_s >= known.until_s and known.kind is VerdictKind.CLEARED
+            if not is_old and _rank(verdict) <= (known.crashes, _ORDER[known.kind]):
+                return False
+            del self._entries[key]
+        self._entries[key] = _Entry(verdict.kind, verdict.crashes, until_s)
+        if verdict.kind is VerdictKind.CONDEMNED:
+            earlier_s = self._condemned.get(verdict.fingerprint, 0.0)
+            self._condemned[verdict.fingerprint] = max(earlier_s, until_s)
+        self._forget_oldest(now_s)
+        return True
+
+    def _forget_oldest(self, now_s: float) -> None:
+        while len(self._entries) > VERDICTS_MAX:
+            fingerprint, shard = next(iter(self._entries))
+            del self._entries[fingerprint, shard]
+            if now_s >= self._condemned.get(fingerprint, 0.0):
+                self._condemned.pop(fingerprint, None)
+        while len(self._condemned) > VERDICTS_MAX:
+            del self._condemned[next(iter(self._condemned))]
+
+
+def _rank(verdict: Verdict) -> tuple[int, int]:
+    return verdict.crashes, _ORDER[verdict.kind]
+
+
+def _sentence_s(crashes: int) -> float:
+    return min(CONDEMNED_MAX_S, CONDEMNED_S * 2.0 ** max(0, crashes - 2))
+
+
+def _verdict(
+    fingerprint: Fingerprint,
+    shard: ShardNumber,
+    kind: VerdictKind,
+    crashes: int,
+    valid_s: float,
+) -> Verdict:
+    return Verdict(fingerprint, shard, kind, crashes, int(valid_s * 1000))
