Make stand-in targets truer: crash, deadline, cancel, cold start, cap

A crash ends all work without answers; a cancellation is answered once the attempt has ended; connections above the cap are refused and counted; health may say other than the truth.

--- a/standins/target.py
+++ b/standins/target.py
@@ -1,23 +1,27 @@
 """A stand-in target: slots, a connection cap, delays with a tail, versions, drain.
 
 It counts what a real target could not tell: requests above its slots, connections
-above its cap, and non-idempotent requests that ran more than once.
+above its cap, and non-idempotent requests that ran more than once. Work goes on and is
+counted after its caller has closed the connection.
 """
 
 import random
-from collections import Counter
+import time
+from collections import Counter, OrderedDict
 from dataclasses import dataclass, field
 from enum import Enum
 from hashlib import blake2b
 from typing import Any
 
 import eventlet
-from eventlet import wsgi
+from eventlet import event, wsgi
 
 from standins.http_json import Reply, application
 
 ROWS_PER_SHARD = 3
 POISON_MARK = "poison"
+STEP_S = 0.005
+CANCELLED_KEPT = 1_024
 
 
 class TargetState(Enum):
@@ -39,6 +43,9 @@
         tail_share: Part of the requests that take `tail_ms` instead.
         versions: For each held version the held shards; a missing one is refused.
         restart_ms: How long a crash lasts.
+        cold_ms: How long it is slow after a crash.
+        cold_factor: How many times slower it is meanwhile.
+        health_says: What the health endpoint says in place of the truth.
     """
 
     slots: int
@@ -50,13 +57,23 @@
     state: TargetState = TargetState.SERVING
     versions: dict[int, list[int]] = field(default_factory=dict)
     restart_ms: float = 1_000.0
+    cold_ms: float = 0.0
+    cold_factor: float = 1.0
+    health_says: TargetState | None = None
 
 
 @dataclass
 class TargetCounts:
-    """What a target has seen."""
+    """What a target has seen.
+
+    Attributes:
+        requests: Requests that came, refused ones among them.
+        requests_draining: Requests that came while it was draining.
+        late: Requests that were given up at their deadline.
+    """
 
     requests: int = 0
+    requests_draining: int = 0
     ran: int = 0
     cancelled: int = 0
     slot_breaches: int = 0
@@ -67,6 +84,24 @@
     late: int = 0
 
 
+class WorkEnd(Enum):
+    """How a request ended."""
+
+    DONE = 200
+    CANCELLED = 499
+    CRASHED = 500
+    OVERDUE = 504
+
+
+@dataclass
+class Work:
+    """A request that runs."""
+
+    epoch: int
+    ended: event.Event = field(default_factory=event.Event)
+    is_cancelled: bool = False
+
+
 class StandInTarget:
     """One target on its own address."""
 
@@ -79,11 +114,18 @@
         self.executions: Counter[str] = Counter()
         self._address = address
         self._random = random.Random(f"{seed}-{name}")
-        self._running = 0
+        self._epoch = 0
+        self._cold_until_s = 0.0
+        self._works: dict[str, Work] = {}
         self._open: set[Any] = set()
-        self._cancelled: set[str] = set()
+        self._cancelled: OrderedDict[str, None] = OrderedDict()
         self._listener: Any = None
 
+    @property
+    def is_cold(self) -> bool:
+        """Whether the target is slow, since it has lately restarted."""
+        return time.monotonic() < self._cold_until_s
+
     def serve(self) -> None:
         """Listens until the process ends, again after each crash."""
         while True:
@@ -98,10 +140,13 @@
                 max_size=4 * self.behaviour.connections,
             )
             eventlet.sleep(self.behaviour.restart_ms / 1000)
+            self._cold_until_s = time.monotonic() + self.behaviour.cold_ms / 1000
 
     def crash(self) -> None:
-        """Drops all connections and stops listening for a while."""
+        """Drops all connections and all work, and stops listening for a while."""
         self.counts.crashes += 1
+        self._epoch += 1
+        self._works.clear()
         listener, self._listener = self._listener, None
         if listener is not None:
             listener.close()
@@ -116,10 +161,14 @@
 
             def setup(self) -> None:
                 target._open.add(self)
-                target._count_connections()
+                self.is_refused = target._is_above_cap()
                 eventlet.sleep(target.behaviour.connect_ms / 1000)
                 super().setup()
 
+            def handle(self) -> None:
+                if not self.is_refused:
+                    super().handle()
+
             def finish(self) -> None:
                 target._open.discard(self)
                 super().finish()
@@ -129,82 +178,114 @@
 
         return CountedProtocol
 
-    def _count_connections(self) -> None:
+    def _is_above_cap(self) -> bool:
         count = len(self._open)
         self.counts.most_connections = max(self.counts.most_connections, count)
-        if count > self.behaviour.connections:
-            self.counts.connection_breaches += 1
+        is_above = count > self.behaviour.connections
+        self.counts.connection_breaches += is_above
+        return is_above
 
     def _handle(self, method: str, path: str, query: str, body: Any) -> Reply:
         match path:
             case "/v1/run":
                 return self._run(body)
             case "/v1/cancel":
-                self._cancelled.add(body["attempt"])
-                return 200, {}
+                return self._cancel(body["attempt"])
             case "/v1/health":
                 return 200, self._health()
         return 404, {}
 
     def _health(self) -> dict[str, Any]:
+        said = self.behaviour.health_says or self.behaviour.state
         return {
-            "state": self.behaviour.state.value,
-            "running": self._running,
+            "state": said.value,
+            "running": len(self._works),
             "versions": sorted(self.behaviour.versions),
         }
 
+    def _cancel(self, attempt: str) -> Reply:
+        self._cancelled[attempt] = None
+        while len(self._cancelled) > CANCELLED_KEPT:
+            self._cancelled.popitem(last=False)
+        work = self._works.get(attempt)
+        if work is not None:
+            work.is_cancelled = True
+            work.ended.wait()
+        return 200, {}
+
     def _run(self, request: dict[str, Any]) -> Reply:
         self.counts.requests += 1
+        refusal = self._refusal(request)
+        if refusal is not None:
+            return refusal, {}
+        work = self._works[request["attempt"]] = Work(self._epoch)
+        self._count_slots()
+        end = self._work(request, work)
+        if work.epoch == self._epoch:
+            del self._works[request["attempt"]]
+        work.ended.send(None)
+        if end is not WorkEnd.DONE:
+            return end.value, {}
+        return 200, answer_of(request)
+
+    def _refusal(self, request: dict[str, Any]) -> int | None:
+        overdue_s = time.monotonic() + request["deadline_ms"] / 1000
+        while self.behaviour.state is TargetState.FROZEN:
+            eventlet.sleep(STEP_S)
         match self.behaviour.state:
             case TargetState.DRAINING:
-                return 410, {}
+                self.counts.requests_draining += 1
+                return 410
             case TargetState.SHEDDING:
-                return 429, {}
-        shards = self.behaviour.versions.get(request["version"], [])
-        if request["shard"] not in shards:
-            return 409, {}
-        self._running += 1
-        self._count_slots()
-        try:
-            return self._work(request)
-        finally:
-            self._running -= 1
+                return 429
+        if request["shard"] not in self.behaviour.versions.get(request["version"], []):
+            return 409
+        if request["attempt"] in self._cancelled:
+            return WorkEnd.CANCELLED.value
+        return WorkEnd.OVERDUE.value if time.monotonic() >= overdue_s else None
 
     def _count_slots(self) -> None:
-        self.counts.most_running = max(self.counts.most_running, self._running)
-        if self._running > self.behaviour.slots:
+        running = len(self._works)
+        self.counts.most_running = max(self.counts.most_running, running)
+        if running > self.behaviour.slots:
             self.counts.slot_breaches += 1
 
-    def _work(self, request: dict[str, Any]) -> Reply:
+    def _work(self, request: dict[str, Any], work: Work) -> WorkEnd:
         if POISON_MARK in request["body"]:
             self.crash()
-            eventlet.sleep(self.behaviour.restart_ms / 1000)
-            return 500, {}
-        delay_s = self._delay_s()
-        if delay_s * 1000 > request["deadline_ms"]:
-            self.counts.late += 1
-        if not self._wait(delay_s, request["attempt"]):
-            self.counts.cancelled += 1
-            return 499, {}
-        self.counts.ran += 1
-        if request["operation"] != "search":
-            self.executions[request["body"]] += 1
-        return 200, answer_of(request)
-
-    def _wait(self, delay_s: float, attempt: str) -> bool:
-        step_s = 0.005
-        while delay_s > 0:
-            eventlet.sleep(min(step_s, delay_s))
-            delay_s -= step_s
-            if attempt in self._cancelled:
-                self._cancelled.discard(attempt)
-                return False
-        return True
+            return WorkEnd.CRASHED
+        end = self._wait(self._delay_s(), request["deadline_ms"] / 1000, work)
+        match end:
+            case WorkEnd.CANCELLED:
+                self.counts.cancelled += 1
+            case WorkEnd.OVERDUE:
+                self.counts.late += 1
+            case WorkEnd.DONE:
+                self.counts.ran += 1
+                if request["operation"] != "search":
+                    self.executions[request["body"]] += 1
+        return end
+
+    def _wait(self, delay_s: float, deadline_s: float, work: Work) -> WorkEnd:
+        now_s = time.monotonic()
+        done_s, overdue_s = now_s + delay_s, now_s + deadline_s
+        while now_s < done_s:
+            eventlet.sleep(min(STEP_S, done_s - now_s))
+            now_s = time.monotonic()
+            if work.epoch != self._epoch:
+                return WorkEnd.CRASHED
+            if work.is_cancelled:
+                return WorkEnd.CANCELLED
+            if now_s >= overdue_s:
+                return WorkEnd.OVERDUE
+        return WorkEnd.DONE
 
     def _delay_s(self) -> float:
+        cold = self.behaviour.cold_factor if self.is_cold else 1.0
         if self._random.random() < self.behaviour.tail_share:
-            return self.behaviour.tail_ms / 1000
-        return self.behaviour.median_ms * self._random.lognormvariate(0.0, 0.2) / 1000
+            return cold * self.behaviour.tail_ms / 1000
+        spread = self._random.lognormvariate(0.0, 0.2)
+        return cold * self.behaviour.median_ms * spread / 1000
 
 
 def answer_of(request: dict[str, Any]) -> dict[str, Any]:
--- a/standins/targets.py
+++ b/standins/targets.py
@@ -24,8 +24,9 @@
 def behaviour_of(document: dict[str, Any]) -> dict[str, Any]:
     """Returns the fields of a behaviour as read from JSON."""
     fields = dict(document)
-    if "state" in fields:
-        fields["state"] = TargetState(fields["state"])
+    for name in ("state", "health_says"):
+        if fields.get(name) is not None:
+            fields[name] = TargetState(fields[name])
     if "versions" in fields:
         held = fields["versions"].items()
         fields["versions"] = {int(version): shards for version, shards in held}
