--- a/bench/query_path.py
+++ b/bench/query_path.py
@@ -46,9 +46,9 @@
 
 POLICIES: dict[str, dict[str, Any]] = {
     "chosen": {},
-    "no hedging": {"policies": {"hedging": {"kind": "never"}}},
-    "static share": {"policies": {"routing": {"kind": "static_share"}}},
-    "any replica": {"policies": {"replicas": {"kind": "any"}}},
+    "no hedging": {"policies": {"hedging": {"policy": "never"}}},
+    "static share": {"policies": {"routing": {"policy": "static_share"}}},
+    "any replica": {"policies": {"replicas": {"policy": "any"}}},
 }
 SCENARIOS: tuple[Scenario, ...] = (
     Calm(),
--- a/lavendertide/daemon/daemon.py
+++ b/lavendertide/daemon/daemon.py
@@ -2,7 +2,6 @@
 
 import logging
 import signal
-from functools import partial
 from typing import Final
 
 from returns.result import Failure, Success
@@ -11,7 +10,7 @@
 from lavendertide.configuration.service_watch import watch_service
 from lavendertide.daemon.admin_front import AdminFront
 from lavendertide.daemon.caller_front import CallerFront
-from lavendertide.daemon.dispatcher import Dispatcher
+from lavendertide.daemon.holding import HoldingParts
 from lavendertide.daemon.peer_front import PeerFront
 from lavendertide.daemon.query_service import QueryService
 from lavendertide.daemon.ticket_service import TicketService
@@ -19,7 +18,6 @@
     HttpConfigurationReader,
     HttpMembershipReader,
 )
-from lavendertide.encodings.target_http import HttpTargetExchange
 from lavendertide.executions.execution import Executor
 from lavendertide.executions.ledger import Ledger
 from lavendertide.fleet.news import FleetNews
@@ -45,7 +43,6 @@
 from lavendertide.queries.target_reports import TargetReports
 from lavendertide.queries.timing import Timings
 from lavendertide.runtime import clock, sockets, tasks
-from lavendertide.targets.target_pool import TargetPool
 
 MEMBERSHIP_READ_S: Final = 2.0
 CONNECTIONS_MAX: Final = 1_024
@@ -72,12 +69,11 @@
             tuple(Address(seed) for seed in options.fleet.seeds),
             options.fleet.heartbeat_s,
         )
-        self._pool = TargetPool(
-            partial(HttpTargetExchange, reply_max_bytes=options.queries.reply_max_bytes)
-        )
-        self._dispatcher = Dispatcher(
-            self._configuration, self._roster, self._peers, self._pool
+        holding = HoldingParts.make(
+            options, self._configuration, self._roster, self._peers
         )
+        self._keeper = holding.keeper
+        self._dispatcher = holding.dispatcher
         parts = self._fan_out_parts()
         gate = Gate(options.queries.in_flight_max, parts.memory)
         self._queries = QueryService(
@@ -101,9 +97,12 @@
         peer_listener = sockets.listen(Address(addresses.peers))
         caller_listener = sockets.listen(Address(addresses.callers))
         admin_listener = sockets.listen(Address(addresses.admin))
-        peer_front = PeerFront(self._news, self._dispatcher, self._tickets)
+        peer_front = PeerFront(
+            self._news, self._dispatcher, self._tickets, self._keeper
+        )
         tasks.spawn(peer_front.serve, peer_listener)
         self._peers.follow_roster()
+        tasks.spawn(self._keeper.run)
         self._watch_platform()
         caller_front = CallerFront(
             self._options.queries.body_max_bytes,
@@ -169,6 +168,7 @@
 
     def _on_change(self) -> None:
         self._peers.follow_roster()
+        self._keeper.follow()
         match self._configuration.catalog:
             case Success(catalog):
                 plans = {plan.plan: plan for plan in catalog.plans.values()}
--- a/lavendertide/daemon/peer_front.py
+++ b/lavendertide/daemon/peer_front.py
@@ -4,6 +4,7 @@
 import socket
 
 from lavendertide.daemon.dispatcher import Dispatcher
+from lavendertide.daemon.slot_keeper import SlotKeeper
 from lavendertide.daemon.ticket_service import TicketService
 from lavendertide.encodings.peer_socket import PeerSocket
 from lavendertide.fleet.news import FleetNews
@@ -30,11 +31,16 @@
     """Serves the connections that peers open."""
 
     def __init__(
-        self, news: FleetNews, dispatcher: Dispatcher, tickets: TicketService
+        self,
+        news: FleetNews,
+        dispatcher: Dispatcher,
+        tickets: TicketService,
+        keeper: SlotKeeper,
     ) -> None:
         self._news = news
         self._dispatcher = dispatcher
         self._tickets = tickets
+        self._keeper = keeper
 
     def serve(self, listener: socket.socket) -> None:
         """Accepts connections for as long as the listener is open."""
@@ -62,9 +68,11 @@
                 for item in items:
                     self._dispatcher.accept(item, outbox)  # type: ignore[arg-type]
             case Cancels(attempts):
-                self._dispatcher.cancel(list(attempts))
+                self._dispatcher.cancel_for_peer(list(attempts))
             case TicketRequest():
                 tasks.spawn(self._answer_ticket, frame, outbox)
+            case _ if self._keeper.take(frame):
+                pass
             case _:
                 answer = self._news.answer(frame, clock.monotonic_s())
                 if answer is not None:
--- /dev/null
+++ b/lavendertide/daemon/quarantine_service.py
@@ -0,0 +1,182 @@
+"""Keeps requests that crash targets from spreading through the fleet.
+
+Verdicts go to all linked peers at once and are passed on by each daemon that they are
+news to. A suspect is run alone once its home daemon has granted the region's one trial.
+"""
+
+import logging
+import random
+import uuid
+from typing import Final
+
+from lavendertide.fleet.holders import HolderTable
+from lavendertide.fleet.peers import Peers
+from lavendertide.fleet.ranking import score
+from lavendertide.ids import DaemonId, ExchangeId, Fingerprint, Incarnation
+from lavendertide.messages import (
+    MemberRecord,
+    MemberState,
+    SubRequest,
+    TrialClaim,
+    TrialGrant,
+    Verdict,
+    VerdictKind,
+    Verdicts,
+)
+from lavendertide.poison.quarantine import Permission, Quarantine
+from lavendertide.poison.trials import Trials
+from lavendertide.queries.deadline import Deadline
+from lavendertide.runtime import clock, tasks
+
+GRANT_TIMEOUT_S: Final = 0.25
+CLAIM_PAUSE_S: Final = 0.02
+TRIAL_MARGIN_S: Final = 0.25
+PASSED_ON_TO: Final = 3
+GREETERS: Final = 3
+
+_log = logging.getLogger(__name__)
+
+
+class QuarantineService:
+    """The quarantine of one daemon, tied to those of its peers."""
+
+    def __init__(self, own: MemberRecord, table: HolderTable, peers: Peers) -> None:
+        self._own = own
+        self._table = table
+        self._peers = peers
+        self._quarantine = Quarantine()
+        self._trials = Trials()
+        self._claims: dict[ExchangeId, tasks.Mailbox[TrialGrant]] = {}
+        self._greeted: set[tuple[DaemonId, Incarnation]] = set()
+
+    def permission(self, request: SubRequest, now_s: float) -> Permission:
+        """Returns how a request may run now."""
+        return self._quarantine.permission(request.fingerprint, request.shard, now_s)
+
+    def note_crash(self, request: SubRequest, was_alone: bool) -> None:
+        """Takes in that a target closed the connection that carried a request."""
+        verdict = self._quarantine.note_crash(
+            request.fingerprint, request.shard, was_alone, clock.monotonic_s()
+        )
+        if verdict.kind is VerdictKind.CONDEMNED:
+            _log.warning(
+                "request condemned: a target crashed with nothing else in flight",
+                extra={
+                    "fingerprint": request.fingerprint,
+                    "owner": request.owner,
+                    "target": request.target,
+                },
+            )
+        self._spread(verdict)
+
+    def note_answer(self, request: SubRequest) -> None:
+        """Takes in that a request that ran alone was answered."""
+        verdict = self._quarantine.clear(
+            request.fingerprint, request.shard, clock.monotonic_s()
+        )
+        if verdict is not None:
+            self._spread(verdict)
+
+    def wait_for_trial(
+        self, request: SubRequest, deadline: Deadline
+    ) -> Permission | None:
+        """Waits for the home's grant.
+
+        Returns:
+            `ALONE` with the grant, another permission if there has been a verdict
+            meanwhile, none if neither came in time.
+        """
+        while deadline.allows_attempt(now_s := clock.monotonic_s()):
+            permission = self.permission(request, now_s)
+            if permission is not Permission.ALONE:
+                return permission
+            duration_s = deadline.remaining_s(now_s) + TRIAL_MARGIN_S
+            if self._is_granted(request.fingerprint, duration_s):
+                return Permission.ALONE
+            tasks.sleep(CLAIM_PAUSE_S)
+        return None
+
+    def take_verdicts(self, verdicts: Verdicts) -> None:
+        """Takes in a peer's verdicts and passes on what is news."""
+        self._end_trials(verdicts.items)
+        news = self._quarantine.learn(verdicts.items, clock.monotonic_s())
+        if news:
+            links = self._peers.links
+            for link in random.sample(links, min(PASSED_ON_TO, len(links))):
+                link.send(Verdicts(tuple(news)))
+
+    def take_claim(self, claim: TrialClaim) -> None:
+        """Answers another holder's claim, if this daemon is the request's home."""
+        claimant = self._table.find(claim.sender)
+        if claimant is not None:
+            is_granted = self._grant(claim.fingerprint, claim.duration_ms / 1000)
+            grant = TrialGrant(claim.exchange, is_granted)
+            self._peers.link_to(claimant).send(grant)
+
+    def take_grant(self, grant: TrialGrant) -> None:
+        """Hands a grant to the task that waits for it."""
+        inbox = self._claims.get(grant.exchange)
+        if inbox is not None:
+            inbox.send(grant)
+
+    def greet_joiners(self) -> None:
+        """Sends the verdicts to members that are new; has to be called often."""
+        present = {(m.daemon, m.incarnation) for m in self._table.members}
+        self._greeted &= present
+        for member in self._table.members:
+            name = member.daemon, member.incarnation
+            if name not in self._greeted and self._greet(member):
+                self._greeted.add(name)
+
+    def _greet(self, member: MemberRecord) -> bool:
+        others = (m.daemon for m in self._table.members if m != member)
+        first = sorted(others, key=lambda daemon: -score(member.daemon, daemon))
+        if self._own.daemon not in first[:GREETERS]:
+            return True
+        verdicts = self._quarantine.verdicts(clock.monotonic_s())
+        return not verdicts or self._peers.link_to(member).send(Verdicts(verdicts))
+
+    def _spread(self, verdict: Verdict) -> None:
+        self._end_trials((verdict,))
+        for link in self._peers.links:
+            link.send(Verdicts((verdict,)))
+
+    def _end_trials(self, verdicts: tuple[Verdict, ...]) -> None:
+        for verdict in verdicts:
+            if verdict.kind is not VerdictKind.SUSPECT:
+                self._trials.end(verdict.fingerprint)
+
+    def _is_granted(self, fingerprint: Fingerprint, duration_s: float) -> bool:
+        home = self._home_of(fingerprint)
+        if home.daemon == self._own.daemon:
+            return self._grant(fingerprint, duration_s)
+        exchange = ExchangeId(uuid.uuid4().hex)
+        duration_ms = int(duration_s * 1000)
+        claim = TrialClaim(exchange, self._own.daemon, fingerprint, duration_ms)
+        inbox: tasks.Mailbox[TrialGrant] = tasks.Mailbox()
+        self._claims[exchange] = inbox
+        try:
+            if not self._peers.link_to(home).send(claim):
+                return False
+            grant = inbox.receive(GRANT_TIMEOUT_S)
+            return grant is not None and grant.is_granted
+        finally:
+            del self._claims[exchange]
+
+    def _grant(self, fingerprint: Fingerprint, duration_s: float) -> bool:
+        now_s = clock.monotonic_s()
+        if self._quarantine.is_condemned(fingerprint, now_s):
+            return False
+        return self._trials.grant(fingerprint, duration_s, now_s)
+
+    def _home_of(self, fingerprint: Fingerprint) -> MemberRecord:
+        serving = [
+            member
+            for member in self._table.members
+            if member.region == self._own.region and member.state is MemberState.SERVING
+        ]
+        return max(
+            serving,
+            key=lambda member: score(fingerprint, member.daemon),
+            default=self._own,
+        )
--- /dev/null
+++ b/lavendertide/daemon/slot_keeper.py
@@ -0,0 +1,116 @@
+"""The task that keeps this daemon's leases, lanes and quarantine up to date."""
+
+from collections.abc import Callable
+from typing import Final
+
+from prometheus_client import Gauge
+from returns.result import Success
+
+from lavendertide.configuration.adoption import Configuration
+from lavendertide.configuration.catalog import TargetPlace
+from lavendertide.daemon.quarantine_service import QuarantineService
+from lavendertide.fleet.holders import HolderTable
+from lavendertide.fleet.lease_book import LeaseBook
+from lavendertide.fleet.peers import Peers
+from lavendertide.ids import ConfigurationVersion
+from lavendertide.messages import (
+    Frame,
+    SlotClaims,
+    SlotReleases,
+    TrialClaim,
+    TrialGrant,
+    Verdicts,
+)
+from lavendertide.runtime import clock, tasks
+from lavendertide.targets.target_pool import TargetPool
+
+TICK_S: Final = 0.1
+
+_leases_waiting = Gauge(
+    "lavendertide_leases_waiting",
+    "Targets whose primary this daemon is but whose slots it may not use yet.",
+)
+_leases_held = Gauge(
+    "lavendertide_leases_held",
+    "Targets for which this daemon is the primary or the backup.",
+)
+
+
+class SlotKeeper:
+    """Hands slots over with peers, and opens and closes lanes."""
+
+    def __init__(
+        self,
+        configuration: Configuration,
+        table: HolderTable,
+        book: LeaseBook,
+        pool: TargetPool,
+        peers: Peers,
+        quarantine: QuarantineService,
+        holds: Callable[[TargetPlace], bool],
+    ) -> None:
+        self._configuration = configuration
+        self._table = table
+        self._book = book
+        self._pool = pool
+        self._peers = peers
+        self._quarantine = quarantine
+        self._holds = holds
+        self._followed = ConfigurationVersion(0)
+        _leases_waiting.set_function(lambda: self._book.waiting)
+        _leases_held.set_function(lambda: self._book.held)
+
+    def run(self) -> None:
+        """Runs until the daemon stops."""
+        while True:
+            now_s = clock.monotonic_s()
+            self._book.look(now_s)
+            self.follow()
+            for former, claims in self._book.claims(now_s).items():
+                member = self._table.find(former)
+                if member is not None:
+                    self._peers.link_to(member).send(claims)
+            self._pool.wake(now_s)
+            self._quarantine.greet_joiners()
+            tasks.sleep(TICK_S)
+
+    def follow(self) -> None:
+        """Takes over a change of the members or of the published targets."""
+        has_new_members = self._table.refresh()
+        version = self._configuration.version
+        if not has_new_members and version == self._followed:
+            self._pool.reopen()
+            return
+        match self._configuration.catalog:
+            case Success(catalog):
+                self._followed = version
+                places = list(catalog.targets.values())
+                self._book.follow(places, clock.monotonic_s())
+                self._peers.keep_beating(self._book.partners)
+                self._pool.follow([place for place in places if self._holds(place)])
+
+    def take(self, frame: Frame) -> bool:
+        """Takes in a frame of a peer; returns whether it was one for holders."""
+        match frame:
+            case SlotClaims():
+                self._answer_claims(frame)
+            case SlotReleases():
+                self._book.take_releases(frame)
+            case Verdicts():
+                self._quarantine.take_verdicts(frame)
+            case TrialClaim():
+                self._quarantine.take_claim(frame)
+            case TrialGrant():
+                self._quarantine.take_grant(frame)
+            case _:
+                return False
+        return True
+
+    def _answer_claims(self, claims: SlotClaims) -> None:
+        self.follow()
+        claimant = self._table.find(claims.sender)
+        releases = self._book.answer(
+            claims, self._pool.slots_in_use, clock.monotonic_s()
+        )
+        if claimant is not None and releases.items:
+            self._peers.link_to(claimant).send(releases)
--- /dev/null
+++ b/lavendertide/encodings/target_connection.py
@@ -0,0 +1,106 @@
+"""One kept-alive HTTP connection to a target, by `urllib3`.
+
+It is used without a pool, since the number of connections to a target is the business
+of its lane, and since it has to be known whether a request has been handed over.
+"""
+
+import contextlib
+from dataclasses import dataclass
+from enum import Enum
+from http.client import HTTPException
+from typing import Final
+
+from urllib3.connection import HTTPConnection
+from urllib3.exceptions import HTTPError, ReadTimeoutError
+
+from lavendertide.ids import Address
+from lavendertide.runtime.sockets import has_ended, split_address
+
+CONNECT_TIMEOUT_S: Final = 0.25
+HEADERS: Final = {"Content-Type": "application/json", "User-Agent": "lavendertide"}
+
+
+class Failure(Enum):
+    """Why an exchange brought no reply."""
+
+    NOT_CONNECTED = "not_connected"
+    TIMED_OUT = "timed_out"
+    CLOSED = "closed"
+    TOO_LARGE = "too_large"
+
+
+@dataclass(frozen=True, slots=True)
+class HttpReply:
+    """A target's reply as it came."""
+
+    status: int
+    data: bytes
+
+
+class TargetConnection:
+    """A connection that is opened when it is needed and kept.
+
+    Args:
+        reply_max_bytes: A larger reply is not read to its end.
+    """
+
+    def __init__(self, address: Address, reply_max_bytes: int) -> None:
+        host, port = split_address(address)
+        self._connection = HTTPConnection(host, port, timeout=CONNECT_TIMEOUT_S)
+        self._reply_max_bytes = reply_max_bytes
+
+    @property
+    def is_open(self) -> bool:
+        """Whether the target has not closed the connection, as far as is known."""
+        sock = self._connection.sock
+        return sock is not None and not has_ended(sock)
+
+    def open(self) -> bool:
+        """Opens the connection anew; returns whether the target accepted it."""
+        self.close()
+        self._connection.timeout = CONNECT_TIMEOUT_S
+        try:
+            self._connection.connect()
+        except (OSError, HTTPError):
+            self.close()
+            return False
+        return True
+
+    def exchange(
+        self, method: str, path: str, body: bytes | None, timeout_s: float
+    ) -> HttpReply | Failure:
+        """Sends a request and waits for its reply.
+
+        After a failure the connection is closed; only if it could not be opened is it
+        certain that nothing has reached the target.
+        """
+        if not self.is_open and not self.open():
+            return Failure.NOT_CONNECTED
+        try:
+            return self._exchange(method, path, body, timeout_s)
+        except (TimeoutError, ReadTimeoutError):
+            self.close()
+            return Failure.TIMED_OUT
+        except (OSError, HTTPError, HTTPException):
+            self.close()
+            return Failure.CLOSED
+
+    def close(self) -> None:
+        """Closes the connection."""
+        with contextlib.suppress(OSError):
+            self._connection.close()
+
+    def _exchange(
+        self, method: str, path: str, body: bytes | None, timeout_s: float
+    ) -> HttpReply | Failure:
+        self._connection.timeout = timeout_s
+        self._connection.sock.settimeout(timeout_s)
+        self._connection.request(
+            method, path, body=body, headers=HEADERS, preload_content=False
+        )
+        response = self._connection.getresponse()
+        data = response.read(self._reply_max_bytes + 1)
+        if len(data) > self._reply_max_bytes:
+            self.close()
+            return Failure.TOO_LARGE
+        return HttpReply(response.status, data)
--- a/lavendertide/encodings/target_http.py
+++ b/lavendertide/encodings/target_http.py
@@ -1,4 +1,4 @@
-"""Exchanges with a target over HTTP, by `urllib3`.
+"""Exchanges with a target over HTTP.
 
 docs/PROTOCOLS.md describes the protocol. A reply is checked for the attempt, shard and
 version that were asked for before anybody else sees it.
@@ -7,10 +7,9 @@
 import json
 from typing import Any, Final
 
-import urllib3
-from urllib3.exceptions import HTTPError, NewConnectionError
-
 from lavendertide.configuration.catalog import TargetPlace
+from lavendertide.encodings.target_connection import Failure, TargetConnection
+from lavendertide.ids import AttemptId
 from lavendertide.messages import (
     Answered,
     Declined,
@@ -21,11 +20,12 @@
     SubReply,
     SubRequest,
 )
-from lavendertide.runtime.sockets import split_address
 
 RUN_PATH: Final = "/v1/run"
-CONNECT_TIMEOUT_S: Final = 0.25
+CANCEL_PATH: Final = "/v1/cancel"
+HEALTH_PATH: Final = "/v1/health"
 REPLY_MAX_BYTES: Final = 262_144
+WARM_TIMEOUT_S: Final = 0.5
 STATUS_OK: Final = 200
 DECLINES: Final = {
     409: DeclineReason.VERSION_NOT_HELD,
@@ -33,10 +33,19 @@
     429: DeclineReason.SHED,
     503: DeclineReason.SHED,
 }
+LOSSES: Final = {
+    499: LossReason.CANCELLED,
+    504: LossReason.TIMED_OUT,
+}
+FAILURES: Final = {
+    Failure.TIMED_OUT: LossReason.TIMED_OUT,
+    Failure.CLOSED: LossReason.TARGET_CLOSED,
+    Failure.TOO_LARGE: LossReason.REPLY_TOO_LARGE,
+}
 
 
 class HttpTargetExchange:
-    """One kept-alive connection to a target.
+    """One working connection to a target.
 
     Args:
         place: The target.
@@ -46,56 +55,68 @@
     def __init__(
         self, place: TargetPlace, reply_max_bytes: int = REPLY_MAX_BYTES
     ) -> None:
-        self._reply_max_bytes = reply_max_bytes
-        host, port = split_address(place.address)
-        self._pool = urllib3.HTTPConnectionPool(
-            host, port, maxsize=1, block=False, retries=False
-        )
-
-    def run(
-        self, place: TargetPlace, request: SubRequest, timeout_s: float
-    ) -> SubReply:
+        self._connection = TargetConnection(place.address, reply_max_bytes)
+
+    @property
+    def is_open(self) -> bool:
+        """Whether the connection can be used now."""
+        return self._connection.is_open
+
+    def open(self) -> bool:
+        """Opens the connection anew and warms it up; returns whether it can be used.
+
+        The first exchange pays what opening costs, so that no sub-request does.
+        """
+        if not self._connection.open():
+            return False
+        reply = self._connection.exchange("GET", HEALTH_PATH, None, WARM_TIMEOUT_S)
+        return not isinstance(reply, Failure)
+
+    def run(self, request: SubRequest, timeout_s: float) -> SubReply:
         """Sends one sub-request and returns what became of it."""
-        timeout = urllib3.Timeout(
-            connect=min(CONNECT_TIMEOUT_S, timeout_s), read=timeout_s
-        )
-        try:
-            response = self._pool.urlopen(
-                "POST",
-                RUN_PATH,
-                body=encode_run(request),
-                headers={"Content-Type": "application/json"},
-                timeout=timeout,
-                retries=False,
-                preload_content=False,
-            )
-            data = self._read(response)
-        except (NewConnectionError, urllib3.exceptions.ConnectTimeoutError):
-            return Declined(request.attempt, DeclineReason.UNREACHABLE)
-        except urllib3.exceptions.TimeoutError:
-            return Lost(request.attempt, LossReason.TIMED_OUT)
-        except HTTPError:
-            return Lost(request.attempt, LossReason.TARGET_CLOSED)
-        if data is None:
-            return Lost(request.attempt, LossReason.REPLY_TOO_LARGE)
-        return decode_reply(request, response.status, data)
+        body = encode_run(request, timeout_s)
+        match self._connection.exchange("POST", RUN_PATH, body, timeout_s):
+            case Failure.NOT_CONNECTED:
+                return Declined(request.attempt, DeclineReason.UNREACHABLE)
+            case Failure() as failure:
+                return Lost(request.attempt, FAILURES[failure])
+            case reply:
+                return decode_reply(request, reply.status, reply.data)
 
     def close(self) -> None:
         """Closes the connection."""
-        self._pool.close()
+        self._connection.close()
+
+
+class HttpTargetControl:
+    """The connection on which attempts are cancelled and the health is read."""
 
-    def _read(self, response: urllib3.BaseHTTPResponse) -> bytes | None:
-        """Returns the body, none if it is larger than may be read."""
-        data = response.read(self._reply_max_bytes + 1)
-        if len(data) > self._reply_max_bytes:
-            response.close()
-            return None
-        response.release_conn()
-        return data
+    def __init__(self, place: TargetPlace) -> None:
+        self._connection = TargetConnection(place.address, REPLY_MAX_BYTES)
 
+    def cancel(self, attempt: AttemptId, timeout_s: float) -> bool:
+        """Ends an attempt; returns whether the target says that it has ended."""
+        body = json.dumps({"attempt": attempt}).encode()
+        reply = self._connection.exchange("POST", CANCEL_PATH, body, timeout_s)
+        return not isinstance(reply, Failure) and reply.status == STATUS_OK
 
-def encode_run(request: SubRequest) -> bytes:
-    """Returns the body of a run request."""
+    def is_draining(self, timeout_s: float) -> bool:
+        """Returns whether the target's health endpoint says that it is leaving."""
+        reply = self._connection.exchange("GET", HEALTH_PATH, None, timeout_s)
+        if isinstance(reply, Failure):
+            return False
+        try:
+            return bool(json.loads(reply.data)["state"] == "draining")
+        except (KeyError, TypeError, ValueError):
+            return False
+
+    def close(self) -> None:
+        """Closes the connection."""
+        self._connection.close()
+
+
+def encode_run(request: SubRequest, timeout_s: float) -> bytes:
+    """Returns the body of a run request that is given so much time."""
     return json.dumps(
         {
             "attempt": request.attempt,
@@ -105,7 +126,7 @@
             "shard": request.shard,
             "version": request.version,
             "operation": request.operation.value,
-            "deadline_ms": request.remaining_ms,
+            "deadline_ms": int(timeout_s * 1000),
             "page_size": request.page_size,
             "body": request.body,
         }
@@ -118,7 +139,8 @@
     if decline is not None:
         return Declined(request.attempt, decline)
     if status != STATUS_OK:
-        return Lost(request.attempt, LossReason.TARGET_CLOSED)
+        loss = LOSSES.get(status, LossReason.MISMATCHED_REPLY)
+        return Lost(request.attempt, loss)
     try:
         answer = _answered(request, json.loads(data))
     except (KeyError, TypeError, ValueError):
@@ -142,3 +164,22 @@
         matches=int(reply["matches"]),
         amount=int(reply["amount"]),
     )
+
+
+class HttpExchangeMaker:
+    """Makes HTTP connections to targets.
+
+    Args:
+        reply_max_bytes: A larger reply is not read to its end.
+    """
+
+    def __init__(self, reply_max_bytes: int) -> None:
+        self._reply_max_bytes = reply_max_bytes
+
+    def exchange(self, place: TargetPlace) -> HttpTargetExchange:
+        """Returns a working connection."""
+        return HttpTargetExchange(place, self._reply_max_bytes)
+
+    def control(self, place: TargetPlace) -> HttpTargetControl:
+        """Returns a connection for control."""
+        return HttpTargetControl(place)
--- a/lavendertide/runtime/sockets.py
+++ b/lavendertide/runtime/sockets.py
@@ -60,3 +60,14 @@
         log_output=False,
         debug=False,
     )
+
+
+def has_ended(connection: socket.socket) -> bool:
+    """Returns whether the other side has closed a connection; never waits."""
+    plain = getattr(connection, "fd", connection)
+    try:
+        return not plain.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+    except BlockingIOError:
+        return False
+    except OSError:
+        return True
--- /dev/null
+++ b/lavendertide/targets/concurrency.py
@@ -0,0 +1,53 @@
+"""How much of its slots a target gets while it sheds load or has just come back.
+
+Shedding halves the limit and answers raise it again, so that load is taken away from a
+target without treating it as dead. A target that was out of reach starts with one slot,
+since it may be cold.
+"""
+
+from typing import Final
+
+LIMIT_MIN: Final = 1.0
+ANSWERS_PER_SLOT: Final = 8
+LOSSES_TO_LOWEST: Final = 3
+
+
+class ConcurrencyLimit:
+    """Additive increase, multiplicative decrease between one slot and all."""
+
+    def __init__(self, slots: int) -> None:
+        self._slots = slots
+        self._limit = float(slots)
+        self._losses = 0
+
+    @property
+    def slots(self) -> int:
+        """Slots that may be used now."""
+        return int(self._limit)
+
+    def resize(self, slots: int) -> None:
+        """Takes over a published change of the target's slots."""
+        if slots != self._slots:
+            self._slots = slots
+            self._limit = float(slots)
+
+    def note_answer(self) -> None:
+        """Raises the limit a little."""
+        self._losses = 0
+        if self._limit < self._slots:
+            raised = self._limit + 1 / ANSWERS_PER_SLOT
+            self._limit = min(float(self._slots), raised)
+
+    def note_shed(self) -> None:
+        """Halves the limit."""
+        self._limit = max(LIMIT_MIN, self._limit / 2)
+
+    def note_timeout(self) -> None:
+        """Falls to one slot after several timeouts without an answer between them."""
+        self._losses += 1
+        if self._losses >= LOSSES_TO_LOWEST:
+            self._limit = LIMIT_MIN
+
+    def note_outage(self) -> None:
+        """Falls to one slot, since the target will be cold when it is back."""
+        self._limit = LIMIT_MIN
--- /dev/null
+++ b/lavendertide/targets/fair_queue.py
@@ -0,0 +1,119 @@
+"""A queue that is fair between owners, and within an owner between plan classes."""
+
+from collections import deque
+from dataclasses import dataclass
+from typing import Final
+
+from lavendertide.ids import AttemptId, OwnerId, PlanClass
+from lavendertide.messages import SubReply, SubRequest
+from lavendertide.queries.deadline import Deadline
+from lavendertide.runtime.tasks import Mailbox
+
+OWNER_QUEUE_MAX: Final = 64
+
+
+@dataclass(frozen=True, slots=True)
+class Job:
+    """A sub-request that waits for a slot.
+
+    Attributes:
+        deadline: When its answer stops being of use.
+        inbox: Where its reply goes.
+        is_alone: Whether nothing else may run on the target meanwhile.
+    """
+
+    request: SubRequest
+    deadline: Deadline
+    inbox: Mailbox[SubReply]
+    is_alone: bool = False
+
+
+class OwnerQueue:
+    """One owner's jobs, taken from its plan classes in turn."""
+
+    def __init__(self) -> None:
+        self._by_class: dict[PlanClass, deque[Job]] = {}
+        self._count = 0
+
+    def __len__(self) -> int:
+        return self._count
+
+    def put(self, job: Job) -> None:
+        """Adds a job behind those of its class."""
+        self._by_class.setdefault(job.request.plan_class, deque()).append(job)
+        self._count += 1
+
+    def take(self) -> Job:
+        """Removes the next job; its class goes behind the others."""
+        plan_class, jobs = next(iter(self._by_class.items()))
+        del self._by_class[plan_class]
+        job = jobs.popleft()
+        if jobs:
+            self._by_class[plan_class] = jobs
+        self._count -= 1
+        return job
+
+
+class FairQueue:
+    """The jobs of all owners, taken from the owners in turn."""
+
+    def __init__(self) -> None:
+        self._by_owner: dict[OwnerId, OwnerQueue] = {}
+        self._waiting: set[AttemptId] = set()
+
+    def __len__(self) -> int:
+        return len(self._waiting)
+
+    def __contains__(self, attempt: AttemptId) -> bool:
+        return attempt in self._waiting
+
+    def is_full_for(self, owner: OwnerId) -> bool:
+        """Returns whether an owner already has as much queued as it may."""
+        queue = self._by_owner.get(owner)
+        return queue is not None and len(queue) >= OWNER_QUEUE_MAX
+
+    def ahead_of(self, owner: OwnerId) -> int:
+        """Returns how many jobs are taken before a new one of this owner."""
+        queue = self._by_owner.get(owner)
+        own = len(queue) if queue is not None else 0
+        return own + sum(
+            min(own + 1, len(other))
+            for name, other in self._by_owner.items()
+            if name != owner
+        )
+
+    def put(self, job: Job) -> None:
+        """Adds a job."""
+        owner = job.request.owner
+        queue = self._by_owner.get(owner)
+        if queue is None:
+            queue = self._by_owner[owner] = OwnerQueue()
+        queue.put(job)
+        self._waiting.add(job.request.attempt)
+
+    def take(self) -> Job | None:
+        """Removes the next job; its owner goes behind the others."""
+        while self._by_owner:
+            owner, queue = next(iter(self._by_owner.items()))
+            del self._by_owner[owner]
+            job = queue.take()
+            if len(queue):
+                self._by_owner[owner] = queue
+            if job.request.attempt in self._waiting:
+                self._waiting.discard(job.request.attempt)
+                return job
+        return None
+
+    def discard(self, attempt: AttemptId) -> bool:
+        """Forgets a job that still waits; returns whether there was one."""
+        if attempt not in self._waiting:
+            return False
+        self._waiting.discard(attempt)
+        return True
+
+    def drain(self) -> list[Job]:
+        """Removes and returns all jobs."""
+        drained: list[Job] = []
+        while (job := self.take()) is not None:
+            drained.append(job)
+        return drained
--- a/lavendertide/targets/lane.py
+++ b/lavendertide/targets/lane.py
@@ -1,100 +1,269 @@
-"""One target's queue and slots on the daemon that holds them.
+"""One target's queue and slots on a daemon that may use them.
 
-All owners' sub-requests for a target wait here; a free slot goes to the owners in
-turn, so that a busy owner does not hold up a quiet one.
+All owners' sub-requests for a target wait here. A job is given a slot only if the
+lease, the target's present limit and the job's deadline allow it. A job that cannot be
+answered in time is declined at once, while its sender can still ask another replica.
 """
 
 from collections import deque
+from collections.abc import Callable
 from dataclasses import dataclass
+from enum import Enum
 from typing import Final
 
 from returns.result import Failure, Result, Success
 
 from lavendertide.configuration.catalog import TargetPlace
-from lavendertide.ids import AttemptId, OwnerId
-from lavendertide.messages import DeclineReason, SubReply, SubRequest
-from lavendertide.queries.deadline import Deadline
-from lavendertide.runtime.tasks import Mailbox
+from lavendertide.ids import AttemptId, TargetId
+from lavendertide.messages import (
+    Answered,
+    Declined,
+    DeclineReason,
+    LossReason,
+    Lost,
+    SubReply,
+)
+from lavendertide.targets.concurrency import ConcurrencyLimit
+from lavendertide.targets.condition import Reach, TargetCondition
+from lavendertide.targets.fair_queue import FairQueue, Job
+from lavendertide.targets.service_time import ServiceTime
 
-QUEUE_MAX: Final = 256
+ALONE_MAX: Final = 4
 
 
-@dataclass(frozen=True, slots=True)
-class Job:
-    """A sub-request that waits for a slot.
+LaneIndex = dict[AttemptId, TargetId]
 
-    Attributes:
-        deadline: When its answer stops being of use.
-        inbox: Where its one reply goes.
-    """
 
-    request: SubRequest
-    deadline: Deadline
-    inbox: Mailbox[SubReply]
+class CancelEffect(Enum):
+    """What a cancellation found."""
+
+    ABSENT = "absent"
+    DROPPED = "dropped"
+    RUNNING = "running"
+
+
+@dataclass(slots=True)
+class Running:
+    """A job that has a slot."""
+
+    job: Job
+    started_at_s: float
+    is_cancelled: bool = False
 
 
 class Lane:
-    """The queue in front of one target, fair between owners."""
+    """The queue in front of one target, and who has its slots.
 
-    def __init__(self, place: TargetPlace) -> None:
+    Args:
+        allowance: Returns how many slots the lease allows at a time.
+        index: Where the lane writes down which attempts it has.
+    """
+
+    def __init__(
+        self,
+        place: TargetPlace,
+        allowance: Callable[[float], int],
+        index: LaneIndex | None = None,
+    ) -> None:
         self._place = place
-        self._queues: dict[OwnerId, deque[Job]] = {}
-        self._cancelled: set[AttemptId] = set()
-        self._queued = 0
-        self._running: set[AttemptId] = set()
+        self._read_allowance = allowance
+        self._allowed = (-1.0, 0)
+        self._index = index if index is not None else {}
+        self._queue = FairQueue()
+        self._alone: deque[Job] = deque()
+        self._running: dict[AttemptId, Running] = {}
+        self._limit = ConcurrencyLimit(place.slots)
+        self._service_time = ServiceTime()
+        self._condition = TargetCondition()
 
     @property
     def place(self) -> TargetPlace:
         """The target."""
         return self._place
 
+    @property
+    def condition(self) -> TargetCondition:
+        """The target's state."""
+        return self._condition
+
     @property
     def queued(self) -> int:
         """Jobs that wait."""
-        return self._queued
+        return len(self._queue) + len(self._alone)
 
     @property
     def slots_in_use(self) -> int:
-        """Jobs that the target runs, as far as this daemon knows."""
+        """Jobs that the target may still be running."""
         return len(self._running)
 
-    def put(self, job: Job) -> Result[None, DeclineReason]:
-        """Queues a job unless the queue is full."""
-        if self._queued >= QUEUE_MAX:
-            return Failure(DeclineReason.QUEUE_FULL)
-        self._queues.setdefault(job.request.owner, deque()).append(job)
-        self._queued += 1
+    def resize(self, place: TargetPlace) -> None:
+        """Takes over a published change that leaves the address as it is."""
+        self._place = place
+        self._limit.resize(place.slots)
+
+    def spare_slots(self, now_s: float) -> int:
+        """Returns how many slots a new job would find free."""
+        return max(0, self._usable(now_s) - self.slots_in_use - self.queued)
+
+    def put(self, job: Job, now_s: float) -> Result[None, DeclineReason]:
+        """Queues a job if there is a prospect of its being answered in time."""
+        reason = self._reason_to_refuse(job, now_s)
+        if reason is not None:
+            return Failure(reason)
+        if job.is_alone:
+            self._alone.append(job)
+        else:
+            self._queue.put(job)
+        self._index[job.request.attempt] = self._place.target
         return Success(None)
 
-    def take(self) -> Job | None:
-        """Gives the next job a slot, the owners in turn."""
-        if not self._queues:
-            return None
-        owner, jobs = next(iter(self._queues.items()))
-        job = jobs.popleft()
-        del self._queues[owner]
-        if jobs:
-            self._queues[owner] = jobs
-        self._queued -= 1
-        self._running.add(job.request.attempt)
-        return job
-
-    def reason_to_drop(self, job: Job, now_s: float) -> DeclineReason | None:
-        """Returns why a job is not worth sending, none if it is."""
-        if job.request.attempt in self._cancelled:
-            return DeclineReason.CANCELLED
-        if not job.deadline.allows_attempt(now_s):
+    def take(self, now_s: float) -> Job | None:
+        """Gives the next job a slot; declines those that are too late for one."""
+        while self._has_room(now_s):
+            job = self._next()
+            if job is None:
+                return None
+            if self._is_too_late(job, now_s):
+                self._decline(job, DeclineReason.QUEUED_TOO_LONG)
+                continue
+            self._running[job.request.attempt] = Running(job, now_s)
+            return job
+        return None
+
+    def wakeable(self, now_s: float) -> int:
+        """Returns how many waiting jobs could be given a slot now."""
+        return min(self.queued, self._usable(now_s) - self.slots_in_use)
+
+    def decline_all_without_lease(self, now_s: float) -> None:
+        """Declines what waits if the lease has been lost."""
+        if self.queued and self._allowance(now_s) == 0:
+            self.decline_all(DeclineReason.NO_LEASE)
+
+    def decline_all(self, reason: DeclineReason) -> None:
+        """Declines everything that waits."""
+        waiting = [*self._queue.drain(), *self._alone]
+        self._alone.clear()
+        for job in waiting:
+            self._decline(job, reason)
+
+    def cancel(self, attempt: AttemptId) -> CancelEffect:
+        """Forgets a waiting job, or marks a running one as unwanted."""
+        running = self._running.get(attempt)
+        if running is not None:
+            running.is_cancelled = True
+            return CancelEffect.RUNNING
+        self._index.pop(attempt, None)
+        if self._queue.discard(attempt) or self._discard_alone(attempt):
+            return CancelEffect.DROPPED
+        return CancelEffect.ABSENT
+
+    def note_reply(self, job: Job, reply: SubReply, now_s: float) -> None:
+        """Learns from a reply; the slot stays taken until it is freed."""
+        running = self._running[job.request.attempt]
+        match reply:
+            case Answered():
+                self._service_time.note(now_s - running.started_at_s)
+                self._limit.note_answer()
+            case Declined(reason=DeclineReason.SHED):
+                self._limit.note_shed()
+            case Declined(reason=DeclineReason.DRAINING):
+                self.note_draining(now_s)
+            case Declined(reason=DeclineReason.UNREACHABLE):
+                self._limit.note_outage()
+            case Lost(reason=LossReason.TARGET_CLOSED):
+                self._limit.note_outage()
+            case Lost(reason=LossReason.TIMED_OUT):
+                self._limit.note_timeout()
+            case _:
+                pass
+
+    def note_draining(self, now_s: float) -> None:
+        """Declines what waits, since the target says that it is leaving."""
+        self._condition.note_draining(now_s)
+        self.decline_all(DeclineReason.DRAINING)
+
+    def note_down(self) -> None:
+        """Declines what waits, since the target cannot be reached."""
+        self._limit.note_outage()
+        self.decline_all(DeclineReason.UNREACHABLE)
+
+    def job_of(self, attempt: AttemptId) -> Job | None:
+        """Returns a running job."""
+        running = self._running.get(attempt)
+        return running.job if running is not None else None
+
+    def is_cancelled(self, attempt: AttemptId) -> bool:
+        """Returns whether nobody waits for a running attempt."""
+        running = self._running.get(attempt)
+        return running is not None and running.is_cancelled
+
+    def free(self, attempt: AttemptId) -> None:
+        """Says that the target certainly no longer runs an attempt."""
+        self._running.pop(attempt, None)
+        self._index.pop(attempt, None)
+
+    def _allowance(self, now_s: float) -> int:
+        asked_at_s, allowed = self._allowed
+        if asked_at_s != now_s:
+            allowed = self._read_allowance(now_s)
+            self._allowed = now_s, allowed
+        return allowed
+
+    def _discard_alone(self, attempt: AttemptId) -> bool:
+        for job in self._alone:
+            if job.request.attempt == attempt:
+                self._alone.remove(job)
+                return True
+        return False
+
+    def _usable(self, now_s: float) -> int:
+        return min(self._allowance(now_s), self._limit.slots)
+
+    def _has_room(self, now_s: float) -> bool:
+        in_use = len(self._running)
+        if self._alone:
+            return in_use == 0 and self._allowance(now_s) == self._place.slots
+        if in_use == 0:
+            return self._usable(now_s) > 0
+        if any(running.job.is_alone for running in self._running.values()):
+            return False
+        return in_use < self._usable(now_s)
+
+    def _next(self) -> Job | None:
+        if self._alone:
+            return self._alone.popleft()
+        return self._queue.take()
+
+    def _reason_to_refuse(self, job: Job, now_s: float) -> DeclineReason | None:
+        allowed = self._allowance(now_s)
+        if self._condition.is_draining(now_s):
+            return DeclineReason.DRAINING
+        if allowed == 0 or (job.is_alone and allowed < self._place.slots):
+            return DeclineReason.NO_LEASE
+        if self._condition.reach is Reach.DOWN:
+            return DeclineReason.UNREACHABLE
+        if self._queue.is_full_for(job.request.owner) or len(self._alone) >= ALONE_MAX:
+            return DeclineReason.QUEUE_FULL
+        if not job.deadline.allows_attempt(now_s) or self._would_wait_too_long(
+            job, now_s
+        ):
             return DeclineReason.QUEUED_TOO_LONG
         return None
 
-    def cancel(self, attempt: AttemptId) -> bool:
-        """Marks an attempt as unwanted; returns whether it is running already."""
-        if attempt in self._running:
+    def _would_wait_too_long(self, job: Job, now_s: float) -> bool:
+        ahead = self._queue.ahead_of(job.request.owner) + len(self._alone)
+        in_use, usable = len(self._running), self._usable(now_s)
+        if not ahead and in_use < usable:
+            return False
+        rounds = 1 + (ahead + 1) / usable
+        return rounds * self._service_time.median_s > job.deadline.remaining_s(now_s)
+
+    def _is_too_late(self, job: Job, now_s: float) -> bool:
+        if not job.deadline.allows_attempt(now_s):
             return True
-        self._cancelled.add(attempt)
-        return False
+        needed_s = self._service_time.median_s
+        return bool(self._running) and job.deadline.remaining_s(now_s) < needed_s
 
-    def free(self, attempt: AttemptId) -> None:
-        """Says that the target no longer runs an attempt."""
-        self._running.discard(attempt)
-        self._cancelled.discard(attempt)
+    def _decline(self, job: Job, reason: DeclineReason) -> None:
+        self._index.pop(job.request.attempt, None)
+        job.inbox.send(Declined(job.request.attempt, reason))
--- a/lavendertide/targets/target_pool.py
+++ b/lavendertide/targets/target_pool.py
@@ -1,66 +1,146 @@
-"""The lanes of all targets whose slots this daemon holds."""
+"""The lanes of all targets whose slots this daemon may use."""
 
-from collections.abc import Callable
-from dataclasses import dataclass
+from collections.abc import Iterable
+from typing import Protocol
 
-from returns.result import Failure, Success
+from returns.result import Failure
 
 from lavendertide.configuration.catalog import TargetPlace
 from lavendertide.ids import AttemptId, TargetId
-from lavendertide.messages import Declined, SubReply, SubRequest
+from lavendertide.messages import Declined, DeclineReason, SubReply, SubRequest
 from lavendertide.queries.deadline import Deadline
 from lavendertide.runtime import clock, tasks
-from lavendertide.targets.connection import TargetExchange, serve_connection
-from lavendertide.targets.lane import Job, Lane
+from lavendertide.targets.budget import connection_budget
+from lavendertide.targets.connection import (
+    Cancellation,
+    LaneTasks,
+    serve_connection,
+    serve_control,
+)
+from lavendertide.targets.exchange import CrashWitness, ExchangeMaker, ExchangeTiming
+from lavendertide.targets.fair_queue import Job
+from lavendertide.targets.lane import CancelEffect, Lane, LaneIndex
 
 
-@dataclass(frozen=True, slots=True)
-class _OpenLane:
-    lane: Lane
-    wake_ups: tasks.Mailbox[None]
-    connections: tuple[tasks.Task, ...]
+class SlotSource(Protocol):
+    """Says how many slots of each target this daemon may use."""
+
+    def allowance(self, target: TargetId, now_s: float) -> int:
+        """Returns how many slots of a target may be used now."""
 
 
 class TargetPool:
-    """Opens a lane with its connections when a target is first used."""
+    """Opens a lane with its connections for each target that is held.
+
+    Args:
+        attempt_s: The longest time that an attempt may run.
+    """
 
-    def __init__(self, make_exchange: Callable[[TargetPlace], TargetExchange]) -> None:
-        self._make_exchange = make_exchange
-        self._lanes: dict[TargetId, _OpenLane] = {}
+    def __init__(
+        self,
+        maker: ExchangeMaker,
+        slots: SlotSource,
+        witness: CrashWitness,
+        attempt_s: float,
+        timing: ExchangeTiming | None = None,
+    ) -> None:
+        self._maker = maker
+        self._slots = slots
+        self._witness = witness
+        self._attempt_s = attempt_s
+        self._timing = timing or ExchangeTiming()
+        self._lanes: dict[TargetId, LaneTasks] = {}
+        self._places: dict[TargetId, TargetPlace] = {}
+        self._closing: list[LaneTasks] = []
+        self._index: LaneIndex = {}
 
     def submit(
         self,
         place: TargetPlace,
         request: SubRequest,
         inbox: tasks.Mailbox[SubReply],
+        is_alone: bool = False,
     ) -> None:
-        """Queues a sub-request; its one reply comes to the inbox."""
-        opened = self._lane(place)
-        ends_at_s = clock.monotonic_s() + request.remaining_ms / 1000
-        match opened.lane.put(Job(request, Deadline(ends_at_s), inbox)):
-            case Success(_):
-                opened.wake_ups.send(None)
+        """Queues a sub-request; unless cancelled, its one reply comes to the inbox."""
+        shared = self._lanes.get(place.target)
+        if shared is None:
+            inbox.send(Declined(request.attempt, DeclineReason.NO_LEASE))
+            return
+        now_s = clock.monotonic_s()
+        allowed_s = min(request.remaining_ms / 1000, self._attempt_s)
+        job = Job(request, Deadline(now_s + allowed_s), inbox, is_alone)
+        match shared.lane.put(job, now_s):
             case Failure(reason):
-                inbox.send(Declined(request.attempt, reason))
-
-    def cancel(self, attempts: list[AttemptId]) -> None:
-        """Drops attempts that still wait for a slot."""
-        for opened in self._lanes.values():
-            for attempt in attempts:
-                opened.lane.cancel(attempt)
-
-    def _lane(self, place: TargetPlace) -> _OpenLane:
-        opened = self._lanes.get(place.target)
-        if opened is None:
-            opened = self._open(place)
-            self._lanes[place.target] = opened
-        return opened
-
-    def _open(self, place: TargetPlace) -> _OpenLane:
-        lane = Lane(place)
-        wake_ups: tasks.Mailbox[None] = tasks.Mailbox()
-        connections = tuple(
-            tasks.spawn(serve_connection, lane, wake_ups, self._make_exchange(place))
-            for _ in range(place.slots)
+                spare_slots = shared.lane.spare_slots(now_s)
+                inbox.send(Declined(request.attempt, reason, spare_slots))
+            case _:
+                shared.wake_ups.send(None)
+
+    def cancel(self, attempts: Iterable[AttemptId]) -> None:
+        """Drops attempts that wait and ends those that run."""
+        for attempt in attempts:
+            target = self._index.get(attempt)
+            shared = self._lanes.get(target) if target is not None else None
+            if shared is not None:
+                self._cancel_in(shared, attempt)
+
+    def slots_in_use(self, target: TargetId) -> int:
+        """Returns how many slots of a target may still be running something."""
+        lanes = [shared.lane for shared in (*self._lanes.values(), *self._closing)]
+        return sum(lane.slots_in_use for lane in lanes if lane.place.target == target)
+
+    def follow(self, held: Iterable[TargetPlace]) -> None:
+        """Opens lanes for targets that are held now and closes the others."""
+        places = {place.target: place for place in held}
+        self._places = places
+        self._closing = [shared for shared in self._closing if shared.lane.slots_in_use]
+        draining = {shared.lane.place.target for shared in self._closing}
+        for target, shared in list(self._lanes.items()):
+            place = places.get(target)
+            if place is None or place.address != shared.lane.place.address:
+                self._close(target, shared)
+            elif place is not shared.lane.place:
+                shared.lane.resize(place)
+        for target, place in places.items():
+            if target not in self._lanes and target not in draining:
+                self._lanes[target] = self._open(place)
+
+    def reopen(self) -> None:
+        """Opens the lanes that waited for their predecessors to run out."""
+        if self._closing:
+            self.follow(self._places.values())
+
+    def wake(self, now_s: float) -> None:
+        """Has to be called often, so that a change of a lease takes effect."""
+        for shared in self._lanes.values():
+            if shared.lane.queued:
+                shared.lane.decline_all_without_lease(now_s)
+                for _ in range(shared.lane.wakeable(now_s)):
+                    shared.wake_ups.send(None)
+
+    def _cancel_in(self, shared: LaneTasks, attempt: AttemptId) -> None:
+        if shared.lane.cancel(attempt) is CancelEffect.RUNNING:
+            job = shared.lane.job_of(attempt)
+            if job is not None:
+                shared.cancellations.send(Cancellation(job, tasks.Mailbox()))
+
+    def _open(self, place: TargetPlace) -> LaneTasks:
+        target = place.target
+        lane = Lane(
+            place, lambda now_s: self._slots.allowance(target, now_s), self._index
         )
-        return _OpenLane(lane, wake_ups, connections)
+        shared = LaneTasks(lane, self._witness, self._timing)
+        budget = connection_budget(place.slots, place.connections)
+        for _ in range(budget.working):
+            tasks.spawn(serve_connection, shared, self._maker.exchange(place))
+        for _ in range(budget.control):
+            tasks.spawn(serve_control, shared, self._maker.control(place))
+        return shared
+
+    def _close(self, target: TargetId, shared: LaneTasks) -> None:
+        del self._lanes[target]
+        self._closing.append(shared)
+        shared.is_closed = True
+        shared.lane.decline_all(DeclineReason.NO_LEASE)
+        for _ in range(shared.lane.place.slots):
+            shared.wake_ups.send(None)
--- a/standins/launcher.py
+++ b/standins/launcher.py
@@ -34,6 +34,7 @@
 READY_S = 20.0
 POLL_S = 0.05
 STOP_S = 10.0
+LEASES_WAITING = "lavendertide_leases_waiting"
 
 
 class Launcher:
@@ -125,18 +126,28 @@
         return self._processes[name].wait(STOP_S)
 
     def wait_until_ready(self, name: str) -> None:
-        """Waits until a daemon has the configuration and knows its peers."""
+        """Waits until a daemon has the configuration, its peers and its slots."""
         deadline_s = time.monotonic() + READY_S
         while time.monotonic() < deadline_s:
             with contextlib.suppress(urllib3.exceptions.HTTPError):
                 status = self.get(self.admins[name], "/v1/status")
                 reachable = [m for m in status["members"] if m["reachable"]]
                 known = len(reachable) >= len(self._settings)
-                if known and status["configuration"] >= self._version:
+                is_current = known and status["configuration"] >= self._version
+                if is_current and self.metric(name, LEASES_WAITING) == 0:
                     return
             time.sleep(POLL_S)
         raise TimeoutError(f"daemon {name} is not ready after {READY_S:g} s")
 
+    def metric(self, name: str, metric: str) -> float | None:
+        """Returns one metric without labels of a daemon; none if it has none."""
+        text = self._http.request("GET", f"http://{self.admins[name]}/metrics").data
+        for line in text.decode().splitlines():
+            found, _, value = line.partition(" ")
+            if found == metric:
+                return float(value)
+        return None
+
     def change_target(self, target: str, **behaviour: Any) -> None:
         """Changes how a target behaves."""
         body = {"target": target, "behaviour": behaviour}
--- /dev/null
+++ b/tests/encodings/test_peer_frames.py
@@ -0,0 +1,115 @@
+"""Tests of `lavendertide.encodings.peer_frames`."""
+
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from bench.codec import frame_of
+from lavendertide.encodings.peer_frames import LENGTH, decode_frame, encode_frame
+from lavendertide.ids import (
+    Address,
+    AttemptId,
+    ConfigurationVersion,
+    DaemonId,
+    ExchangeId,
+    FailureDomain,
+    HostId,
+    Incarnation,
+    IndexName,
+    IndexVersion,
+    PlanId,
+    QueryId,
+    Region,
+    ShardNumber,
+    TicketId,
+)
+from lavendertide.messages import (
+    Answered,
+    Cancels,
+    Declined,
+    DeclineReason,
+    Frame,
+    Heartbeat,
+    LossReason,
+    Lost,
+    MemberRecord,
+    MemberState,
+    Operation,
+    Outcome,
+    Row,
+    SubReplies,
+    TicketReply,
+    TicketRequest,
+)
+
+MEMBER = MemberRecord(
+    daemon=DaemonId("a-0"),
+    host=HostId("a-host"),
+    region=Region("north"),
+    failure_domain=FailureDomain("north-a"),
+    peer_address=Address("127.0.0.1:1"),
+    caller_address=Address("127.0.0.1:2"),
+    incarnation=Incarnation(7),
+    state=MemberState.SERVING,
+)
+ANSWERED = Answered(
+    attempt=AttemptId("q.1"),
+    query=QueryId("q"),
+    shard=ShardNumber(3),
+    version=IndexVersion(9),
+    rows=(Row("key", 1.5, "καλημέρα"),),
+    matches=1,
+    amount=-5,
+)
+FRAMES: tuple[Frame, ...] = (
+    frame_of(3),
+    SubReplies(
+        (
+            ANSWERED,
+            Declined(AttemptId("q.2"), DeclineReason.SHED),
+            Lost(AttemptId("q.3"), LossReason.TIMED_OUT),
+        )
+    ),
+    Cancels((AttemptId("q.1"),)),
+    Heartbeat(5, MEMBER, (MEMBER,), ConfigurationVersion(2)),
+    TicketRequest(
+        ExchangeId("x"),
+        TicketId("t"),
+        PlanId("p"),
+        IndexName("i"),
+        Operation.REDEEM,
+        "body",
+        100,
+    ),
+    TicketReply(ExchangeId("x"), Outcome.UNKNOWN, "minter is gone"),
+)
+
+
+class PeerFramesTest(unittest.TestCase):
+    """A frame arrives as it was sent; anything else is refused, never raised."""
+
+    def test_each_frame_arrives_as_it_was_sent(self) -> None:
+        for frame in FRAMES:
+            with self.subTest(frame=type(frame).__name__):
+                data = encode_frame(frame)
+                self.assertEqual(decode_frame(data[LENGTH.size :]).unwrap(), frame)
+
+    def test_the_length_in_front_is_that_of_the_rest(self) -> None:
+        data = encode_frame(FRAMES[0])
+        self.assertEqual(LENGTH.unpack(data[: LENGTH.size])[0], len(data) - LENGTH.size)
+
+    @settings(derandomize=True, max_examples=300)
+    @given(st.binary(max_size=200))
+    def test_noise_is_refused(self, payload: bytes) -> None:
+        decode_frame(payload)
+
+    @settings(derandomize=True, max_examples=300)
+    @given(st.sampled_from(FRAMES), st.data())
+    def test_a_damaged_frame_never_raises(
+        self, frame: Frame, data: st.DataObject
+    ) -> None:
+        payload = bytearray(encode_frame(frame)[LENGTH.size :])
+        place = data.draw(st.integers(0, len(payload) - 1))
+        payload[place] = data.draw(st.integers(0, 255))
+        decode_frame(bytes(payload[: data.draw(st.integers(0, len(payload)))]))
