--- a/lavendertide/daemon/dispatcher.py
+++ b/lavendertide/daemon/dispatcher.py
@@ -2,11 +2,14 @@
 
 from dataclasses import replace
 
+from returns.result import Failure
+
 from lavendertide.configuration.adoption import Configuration
 from lavendertide.configuration.catalog import TargetPlace
 from lavendertide.daemon.quarantine_service import QuarantineService
 from lavendertide.fleet.holders import HolderTable
 from lavendertide.fleet.peers import Peers
+from lavendertide.fleet.readiness import Readiness
 from lavendertide.fleet.roster import SILENCE_S, Roster
 from lavendertide.ids import AttemptId
 from lavendertide.messages import (
@@ -33,6 +36,7 @@
         roster: Roster,
         table: HolderTable,
         peers: Peers,
+        readiness: Readiness,
         pool: TargetPool,
         quarantine: QuarantineService,
     ) -> None:
@@ -41,16 +45,20 @@
         self._roster = roster
         self._table = table
         self._peers = peers
+        self._readiness = readiness
         self._pool = pool
         self._quarantine = quarantine
 
     def send(self, request: SubRequest, inbox: tasks.Mailbox[SubReply]) -> None:
-        """Sends a sub-request; unless cancelled, its one reply comes to the inbox."""
+        """Sends a sub-request; exactly one reply comes to the inbox."""
         place = self._place_of(request)
         if place is None:
             inbox.send(Declined(request.attempt, DeclineReason.STALE_VIEW))
             return
         now_s = clock.monotonic_s()
+        if isinstance(self._readiness.check(now_s), Failure):
+            inbox.send(Declined(request.attempt, DeclineReason.STALE_VIEW))
+            return
         if self._quarantine.permission(request, now_s) is Permission.NEVER:
             inbox.send(Declined(request.attempt, DeclineReason.POISONED))
             return
@@ -137,6 +145,4 @@
     def _can_ask(self, member: MemberRecord, now_s: float) -> bool:
         if member.daemon == self._roster.own.daemon:
             return True
-        if not self._roster.is_reachable(member.daemon, SILENCE_S, now_s):
-            return False
-        return self._peers.link_to(member).is_connected
+        return self._roster.is_reachable(member.daemon, SILENCE_S, now_s)
--- a/lavendertide/daemon/holding.py
+++ b/lavendertide/daemon/holding.py
@@ -14,6 +14,7 @@
 from lavendertide.fleet.lease import LeaseTiming
 from lavendertide.fleet.lease_book import LeaseBook
 from lavendertide.fleet.peers import Peers
+from lavendertide.fleet.readiness import Readiness
 from lavendertide.fleet.roster import Roster
 from lavendertide.fleet.static_share import StaticShare
 from lavendertide.options import Options, RouteStaticShare, RouteToPrimary
@@ -30,53 +31,55 @@
     keeper: SlotKeeper
     dispatcher: Dispatcher
 
-    @classmethod
-    def make(
-        cls,
-        options: Options,
-        configuration: Configuration,
-        roster: Roster,
-        peers: Peers,
-    ) -> "HoldingParts":
-        """Builds the parts for one daemon."""
-        table = HolderTable(lambda: roster.members)
-        book = _lease_book(options, roster, table)
-        slots, holds = _slot_source(options, configuration, roster, table, book)
-        quarantine = QuarantineService(roster.own, table, peers)
-        maker = HttpExchangeMaker(options.queries.reply_max_bytes)
-        pool = TargetPool(maker, slots, quarantine, _attempt_s(options))
-        return cls(
-            SlotKeeper(configuration, table, book, pool, peers, quarantine, holds),
-            Dispatcher(
-                options.policies.routing,
-                configuration,
-                roster,
-                table,
-                peers,
-                pool,
-                quarantine,
-            ),
-        )
+
+def make_holding(
+    options: Options,
+    configuration: Configuration,
+    roster: Roster,
+    peers: Peers,
+    readiness: Readiness,
+) -> HoldingParts:
+    """Builds the parts for one daemon."""
+    table = HolderTable(roster)
+    book = _lease_book(options, roster, table)
+    slots, holds = _slot_source(options, configuration, roster, book)
+    quarantine = QuarantineService(roster, peers)
+    maker = HttpExchangeMaker(options.queries.reply_max_bytes)
+    pool = TargetPool(maker, slots, quarantine, _attempt_s(options))
+    routing = options.policies.routing
+    return HoldingParts(
+        SlotKeeper(configuration, roster, table, book, pool, peers, quarantine, holds),
+        Dispatcher(
+            routing, configuration, roster, table, peers, readiness, pool, quarantine
+        ),
+    )
+
+
+def join_s(options: Options) -> float:
+    """Returns how long after its start a daemon can hold no slots."""
+    return _lease_timing(options).drain_s
 
 
 def _lease_book(options: Options, roster: Roster, table: HolderTable) -> LeaseBook:
-    timing = LeaseTiming(options.fleet.lease_s, _attempt_s(options), LEASE_MARGIN_S)
     own_address = options.addresses.peers
     expects_peers = any(seed != own_address for seed in options.fleet.seeds)
     now_s = clock.monotonic_s()
-    return LeaseBook(roster.own, table, roster, timing, expects_peers, now_s)
+    return LeaseBook(roster, table, _lease_timing(options), expects_peers, now_s)
+
+
+def _lease_timing(options: Options) -> LeaseTiming:
+    return LeaseTiming(options.fleet.lease_s, _attempt_s(options), LEASE_MARGIN_S)
 
 
 def _slot_source(
     options: Options,
     configuration: Configuration,
     roster: Roster,
-    table: HolderTable,
     book: LeaseBook,
 ) -> tuple[SlotSource, Callable[[TargetPlace], bool]]:
     match options.policies.routing:
         case RouteStaticShare():
-            share = StaticShare(configuration, table)
+            share = StaticShare(configuration, roster)
             return share, lambda place: place.region == roster.own.region
         case RouteToPrimary():
             return book, lambda place: book.holds(place.target)
--- a/lavendertide/daemon/quarantine_service.py
+++ b/lavendertide/daemon/quarantine_service.py
@@ -9,9 +9,9 @@
 import uuid
 from typing import Final
 
-from lavendertide.fleet.holders import HolderTable
 from lavendertide.fleet.peers import Peers
 from lavendertide.fleet.ranking import score
+from lavendertide.fleet.roster import Roster
 from lavendertide.ids import DaemonId, ExchangeId, Fingerprint, Incarnation
 from lavendertide.messages import (
     MemberRecord,
@@ -40,9 +40,9 @@
 class QuarantineService:
     """The quarantine of one daemon, tied to those of its peers."""
 
-    def __init__(self, own: MemberRecord, table: HolderTable, peers: Peers) -> None:
-        self._own = own
-        self._table = table
+    def __init__(self, roster: Roster, peers: Peers) -> None:
+        self._own = roster.own
+        self._roster = roster
         self._peers = peers
         self._quarantine = Quarantine()
         self._trials = Trials()
@@ -107,7 +107,7 @@
 
     def take_claim(self, claim: TrialClaim) -> None:
         """Answers another holder's claim, if this daemon is the request's home."""
-        claimant = self._table.find(claim.sender)
+        claimant = self._roster.find(claim.sender)
         if claimant is not None:
             is_granted = self._grant(claim.fingerprint, claim.duration_ms / 1000)
             grant = TrialGrant(claim.exchange, is_granted)
@@ -121,15 +121,15 @@
 
     def greet_joiners(self) -> None:
         """Sends the verdicts to members that are new; has to be called often."""
-        present = {(m.daemon, m.incarnation) for m in self._table.members}
+        present = {(m.daemon, m.incarnation) for m in self._roster.members}
         self._greeted &= present
-        for member in self._table.members:
+        for member in self._roster.members:
             name = member.daemon, member.incarnation
             if name not in self._greeted and self._greet(member):
                 self._greeted.add(name)
 
     def _greet(self, member: MemberRecord) -> bool:
-        others = (m.daemon for m in self._table.members if m != member)
+        others = (m.daemon for m in self._roster.members if m != member)
         first = sorted(others, key=lambda daemon: -score(member.daemon, daemon))
         if self._own.daemon not in first[:GREETERS]:
             return True
@@ -172,7 +172,7 @@
     def _home_of(self, fingerprint: Fingerprint) -> MemberRecord:
         serving = [
             member
-            for member in self._table.members
+            for member in self._roster.members
             if member.region == self._own.region and member.state is MemberState.SERVING
         ]
         return max(
--- a/lavendertide/daemon/slot_keeper.py
+++ b/lavendertide/daemon/slot_keeper.py
@@ -12,6 +12,7 @@
 from lavendertide.fleet.holders import HolderTable
 from lavendertide.fleet.lease_book import LeaseBook
 from lavendertide.fleet.peers import Peers
+from lavendertide.fleet.roster import Roster
 from lavendertide.ids import ConfigurationVersion
 from lavendertide.messages import (
     Frame,
@@ -24,7 +25,7 @@
 from lavendertide.runtime import clock, tasks
 from lavendertide.targets.target_pool import TargetPool
 
-TICK_S: Final = 0.1
+TICK_S: Final = 0.05
 
 _leases_waiting = Gauge(
     "lavendertide_leases_waiting",
@@ -42,6 +43,7 @@
     def __init__(
         self,
         configuration: Configuration,
+        roster: Roster,
         table: HolderTable,
         book: LeaseBook,
         pool: TargetPool,
@@ -50,13 +52,14 @@
         holds: Callable[[TargetPlace], bool],
     ) -> None:
         self._configuration = configuration
+        self._roster = roster
         self._table = table
         self._book = book
         self._pool = pool
         self._peers = peers
         self._quarantine = quarantine
         self._holds = holds
-        self._followed = ConfigurationVersion(0)
+        self._followed = (-1, ConfigurationVersion(0))
         _leases_waiting.set_function(lambda: self._book.waiting)
         _leases_held.set_function(lambda: self._book.held)
 
@@ -67,7 +70,7 @@
             self._book.look(now_s)
             self.follow()
             for former, claims in self._book.claims(now_s).items():
-                member = self._table.find(former)
+                member = self._roster.find(former)
                 if member is not None:
                     self._peers.link_to(member).send(claims)
             self._pool.wake(now_s)
@@ -76,14 +79,13 @@
 
     def follow(self) -> None:
         """Takes over a change of the members or of the published targets."""
-        has_new_members = self._table.refresh()
-        version = self._configuration.version
-        if not has_new_members and version == self._followed:
+        present = self._table.generation, self._configuration.version
+        if present == self._followed:
             self._pool.reopen()
             return
         match self._configuration.catalog:
             case Success(catalog):
-                self._followed = version
+                self._followed = present
                 places = list(catalog.targets.values())
                 self._book.follow(places, clock.monotonic_s())
                 self._peers.keep_beating(self._book.partners)
@@ -108,7 +110,7 @@
 
     def _answer_claims(self, claims: SlotClaims) -> None:
         self.follow()
-        claimant = self._table.find(claims.sender)
+        claimant = self._roster.find(claims.sender)
         releases = self._book.answer(
             claims, self._pool.slots_in_use, clock.monotonic_s()
         )
--- a/lavendertide/encodings/peer_frames.py
+++ b/lavendertide/encodings/peer_frames.py
@@ -13,26 +13,21 @@
 from thrift.transport.TTransport import TMemoryBuffer
 
 from lavendertide import messages
-from lavendertide.encodings import holder_frames
+from lavendertide.encodings import fleet_frames, holder_frames
+from lavendertide.encodings.fleet_frames import pack_member, unpack_member
 from lavendertide.encodings.generated.peer_protocol import ttypes
 from lavendertide.errors import Fault, Refusal, RefusalKind
 from lavendertide.ids import (
-    Address,
     AttemptId,
     ConfigurationVersion,
-    DaemonId,
     ExchangeId,
-    FailureDomain,
     Fingerprint,
-    HostId,
-    Incarnation,
     IndexName,
     IndexVersion,
     OwnerId,
     PlanClass,
     PlanId,
     QueryId,
-    Region,
     ShardNumber,
     TargetId,
     TicketId,
@@ -93,8 +88,6 @@
 
 def _control_to_union(frame: messages.Frame) -> Any:
     match frame:
-        case messages.Hello(member, proof):
-            return ttypes.Frame(hello=ttypes.Hello(_pack_member(member), proof))
         case messages.Heartbeat():
             return ttypes.Frame(heartbeat=ttypes.Heartbeat(*_pack_beat(frame)))
         case messages.HeartbeatAck():
@@ -105,7 +98,7 @@
             push = ttypes.ConfigurationPush(version, lists)
             return ttypes.Frame(configuration_push=push)
         case _:
-            return holder_frames.to_union(frame)
+            return fleet_frames.to_union(frame) or holder_frames.to_union(frame)
 
 
 def _from_union(union: Any) -> messages.Frame:
@@ -126,8 +119,6 @@
 
 
 def _control_from_union(union: Any) -> messages.Frame:
-    if union.hello is not None:
-        return messages.Hello(_unpack_member(union.hello.member), union.hello.proof)
     if union.heartbeat is not None:
         return messages.Heartbeat(*_unpack_beat(union.heartbeat))
     if union.heartbeat_ack is not None:
@@ -140,41 +131,15 @@
         return messages.ConfigurationPush(
             ConfigurationVersion(push.version), push.lists
         )
-    return holder_frames.from_union(union)
-
-
-def _pack_member(member: messages.MemberRecord) -> Any:
-    return ttypes.MemberRecord(
-        member.daemon,
-        member.host,
-        member.region,
-        member.failure_domain,
-        member.peer_address,
-        member.caller_address,
-        member.incarnation,
-        member.state.value,
-    )
-
-
-def _unpack_member(record: Any) -> messages.MemberRecord:
-    return messages.MemberRecord(
-        DaemonId(record.daemon),
-        HostId(record.host),
-        Region(record.region),
-        FailureDomain(record.failure_domain),
-        Address(record.peer_address),
-        Address(record.caller_address),
-        Incarnation(record.incarnation),
-        messages.MemberState(record.state),
-    )
+    return fleet_frames.from_union(union) or holder_frames.from_union(union)
 
 
 def _pack_beat(beat: messages.Heartbeat | messages.HeartbeatAck) -> tuple[Any, ...]:
     return (
         beat.sequence,
-        _pack_member(beat.sender),
-        [_pack_member(member) for member in beat.news],
+        [pack_member(member) for member in beat.news],
         beat.configuration_version,
+        beat.digest,
     )
 
 
@@ -182,15 +147,15 @@
     beat: Any,
 ) -> tuple[
     int,
-    messages.MemberRecord,
     tuple[messages.MemberRecord, ...],
     ConfigurationVersion,
+    int,
 ]:
     return (
         beat.sequence,
-        _unpack_member(beat.sender),
-        tuple(_unpack_member(member) for member in beat.news),
+        tuple(unpack_member(member) for member in beat.news),
         ConfigurationVersion(beat.configuration_version),
+        beat.digest or 0,
     )
 
 
--- a/lavendertide/fleet/holders.py
+++ b/lavendertide/fleet/holders.py
@@ -1,15 +1,15 @@
 """Which two members hold a target's slots in this daemon's view.
 
-The table keeps the orders that it has worked out until the members change, since it
-is asked for each sub-request.
+The table keeps what it has worked out until a member changes, since it is asked for
+each sub-request.
 """
 
-from collections.abc import Callable
 from dataclasses import dataclass
 
 from lavendertide.configuration.catalog import TargetPlace
-from lavendertide.fleet.ranking import rank_for_target
-from lavendertide.ids import DaemonId, TargetId
+from lavendertide.fleet.ranking import TargetRanks
+from lavendertide.fleet.roster import Roster
+from lavendertide.ids import TargetId
 from lavendertide.messages import MemberRecord
 
 
@@ -28,43 +28,30 @@
 
 
 class HolderTable:
-    """The holders of all targets, worked out when first asked for.
+    """The holders of all targets, worked out when first asked for."""
 
-    Args:
-        members: Returns all members that are not removed.
-    """
-
-    def __init__(self, members: Callable[[], list[MemberRecord]]) -> None:
-        self._read_members = members
-        self._members: list[MemberRecord] = []
+    def __init__(self, roster: Roster) -> None:
+        self._roster = roster
+        self._ranks = TargetRanks(roster)
+        self._generation = -1
         self._known: dict[TargetId, tuple[TargetPlace, Holders | None]] = {}
 
     @property
-    def members(self) -> list[MemberRecord]:
-        """All members as they were read last."""
-        return self._members
-
-    def refresh(self) -> bool:
-        """Reads the members anew; returns whether they have changed."""
-        members = self._read_members()
-        if members == self._members:
-            return False
-        self._members = members
-        self._known.clear()
-        return True
+    def generation(self) -> int:
+        """Rises with each change of a member."""
+        return self._roster.generation
 
     def of(self, place: TargetPlace) -> Holders | None:
         """Returns the holders of a target; none if its region has no members."""
+        if self._generation != self._roster.generation:
+            self._generation = self._roster.generation
+            self._known.clear()
         known = self._known.get(place.target)
         if known is None or known[0] is not place:
-            known = place, holders_in(rank_for_target(place, self._members))
+            known = place, holders_in(self._ranks.of(place))
             self._known[place.target] = known
         return known[1]
 
-    def find(self, daemon: DaemonId) -> MemberRecord | None:
-        """Returns a member by name."""
-        return next((m for m in self._members if m.daemon == daemon), None)
-
 
 def holders_in(order: list[MemberRecord]) -> Holders | None:
     """Returns the holders, given the members in rank order."""
--- a/lavendertide/fleet/lease_book.py
+++ b/lavendertide/fleet/lease_book.py
@@ -5,9 +5,10 @@
 from lavendertide.configuration.catalog import TargetPlace
 from lavendertide.fleet.holders import HolderTable
 from lavendertide.fleet.lease import Contacts, LeaseTiming, Role, SlotLease
+from lavendertide.fleet.roster import Roster
 from lavendertide.fleet.wake_watch import WakeWatch
 from lavendertide.ids import DaemonId, TargetId
-from lavendertide.messages import MemberRecord, SlotClaim, SlotClaims, SlotReleases
+from lavendertide.messages import SlotClaim, SlotClaims, SlotReleases
 
 
 class LeaseBook:
@@ -20,16 +21,16 @@
 
     def __init__(
         self,
-        own: MemberRecord,
+        roster: Roster,
         table: HolderTable,
-        contacts: Contacts,
         timing: LeaseTiming,
         expects_peers: bool,
         now_s: float,
     ) -> None:
-        self._own = own
+        self._own = roster.own
+        self._roster = roster
+        self._contacts: Contacts = roster
         self._table = table
-        self._contacts = contacts
         self._timing = timing
         self._started_at_s = now_s
         self._is_isolated = expects_peers
@@ -135,5 +136,5 @@
         if self._is_isolated:
             self._is_isolated = not any(
                 self._contacts.answered_sent_at_s(member.daemon) is not None
-                for member in self._table.members
+                for member in self._roster.members
             )
--- a/lavendertide/fleet/ranking.py
+++ b/lavendertide/fleet/ranking.py
@@ -6,34 +6,24 @@
 
 import hashlib
 from collections.abc import Iterable
-from functools import lru_cache
 from typing import Final
 
 from lavendertide.configuration.catalog import TargetPlace
-from lavendertide.ids import DaemonId
+from lavendertide.fleet.roster import Roster
+from lavendertide.ids import DaemonId, TargetId
 from lavendertide.messages import MemberRecord, MemberState
 
-DIGEST_BYTES: Final = 8
-DIGESTS_KEPT: Final = 8_192
-_MASK: Final = 2**64 - 1
-_MULTIPLIER: Final = 0x9E3779B97F4A7C15
-_RANKED_BEHIND: Final = frozenset({MemberState.JOINING, MemberState.LEAVING})
-
+SCORE_BYTES: Final = 8
+KEPT_PER_TARGET: Final = 8
 
-def score(name: str, daemon: DaemonId) -> int:
-    """Returns the weight of a member for a name.
+_RANKED_BEHIND: Final = frozenset({MemberState.JOINING, MemberState.LEAVING})
 
-    Only the digests of the two names are kept, not those of their pairs; mixing them
-    is cheap enough to rank all targets again when a member changes.
-    """
-    mixed = ((_digest(name) ^ _digest(daemon)) * _MULTIPLIER) & _MASK
-    mixed ^= mixed >> 32
-    return (mixed * _MULTIPLIER) & _MASK
+_Key = tuple[bool, bool, int]
 
 
-@lru_cache(maxsize=DIGESTS_KEPT)
-def _digest(name: str) -> int:
-    digest = hashlib.blake2b(name.encode(), digest_size=DIGEST_BYTES)
+def score(name: str, daemon: DaemonId) -> int:
+    """Returns the weight of a member for a name."""
+    digest = hashlib.blake2b(f"{name}\n{daemon}".encode(), digest_size=SCORE_BYTES)
     return int.from_bytes(digest.digest(), "big")
 
 
@@ -46,11 +36,68 @@
     members of other regions never hold it. Those that join or leave come last.
     """
     candidates = [member for member in members if member.region == place.region]
-    return sorted(
-        candidates,
-        key=lambda member: (
-            member.state in _RANKED_BEHIND,
-            member.failure_domain != place.failure_domain,
-            -score(place.target, member.daemon),
-        ),
+    return sorted(candidates, key=lambda member: _key(place, member))
+
+
+def _key(place: TargetPlace, member: MemberRecord) -> _Key:
+    return (
+        member.state in _RANKED_BEHIND,
+        member.failure_domain != place.failure_domain,
+        -score(place.target, member.daemon),
     )
+
+
+class TargetRanks:
+    """Keeps the first members for each target in use.
+
+    A change of one member costs one hash for each target, instead of one for each
+    target and member.
+    """
+
+    def __init__(self, roster: Roster) -> None:
+        self._roster = roster
+        self._generation = -1
+        self._placed: dict[DaemonId, MemberRecord] = {}
+        self._ranks: dict[TargetId, tuple[TargetPlace, list[MemberRecord]]] = {}
+
+    def of(self, place: TargetPlace) -> list[MemberRecord]:
+        """Returns the first members that may hold a target's slots."""
+        if self._generation != self._roster.generation:
+            self._follow()
+        kept = self._ranks.get(place.target)
+        if kept is None or kept[0] != place:
+            ranked = rank_for_target(place, self._roster.members)[:KEPT_PER_TARGET]
+            self._ranks[place.target] = place, ranked
+            return ranked
+        return kept[1]
+
+    def _follow(self) -> None:
+        self._generation = self._roster.generation
+        members = {member.daemon: member for member in self._roster.members}
+        gone = [m for d, m in self._placed.items() if members.get(d) != m]
+        come = [m for d, m in members.items() if self._placed.get(d) != m]
+        self._placed = members
+        for target, (place, ranked) in list(self._ranks.items()):
+            changed = _changed(place, ranked, gone, come)
+            if changed is None:
+                del self._ranks[target]
+            else:
+                self._ranks[target] = place, changed
+
+
+def _changed(
+    place: TargetPlace,
+    ranked: list[MemberRecord],
+    gone: list[MemberRecord],
+    come: list[MemberRecord],
+) -> list[MemberRecord] | None:
+    """Returns a rank after a change, none if it has to be made anew."""
+    near = [member for member in come if member.region == place.region]
+    lost = [member for member in gone if member in ranked]
+    if lost and len(ranked) == KEPT_PER_TARGET:
+        return None
+    kept = [member for member in ranked if member not in lost]
+    if not near:
+        return kept
+    merged = sorted(kept + near, key=lambda member: _key(place, member))
+    return merged[:KEPT_PER_TARGET]
--- a/lavendertide/targets/connection.py
+++ b/lavendertide/targets/connection.py
@@ -136,10 +136,8 @@
             _wait_for_end(shared, job)
             lane.free(job.request.attempt)
         case _:
-            is_wanted = not lane.is_cancelled(job.request.attempt)
             lane.free(job.request.attempt)
-            if is_wanted:
-                _send(lane, job, reply, now_s)
+            _send(lane, job, reply, now_s)
     if lane.queued:
         shared.wake_ups.send(None)
 
--- a/lavendertide/targets/fair_queue.py
+++ b/lavendertide/targets/fair_queue.py
@@ -59,7 +59,7 @@
 
     def __init__(self) -> None:
         self._by_owner: dict[OwnerId, OwnerQueue] = {}
-        self._waiting: set[AttemptId] = set()
+        self._waiting: dict[AttemptId, Job] = {}
 
     def __len__(self) -> int:
         return len(self._waiting)
@@ -89,7 +89,7 @@
         if queue is None:
             queue = self._by_owner[owner] = OwnerQueue()
         queue.put(job)
-        self._waiting.add(job.request.attempt)
+        self._waiting[job.request.attempt] = job
 
     def take(self) -> Job | None:
         """Removes the next job; its owner goes behind the others."""
@@ -99,17 +99,13 @@
             job = queue.take()
             if len(queue):
                 self._by_owner[owner] = queue
-            if job.request.attempt in self._waiting:
-                self._waiting.discard(job.request.attempt)
+            if self._waiting.pop(job.request.attempt, None) is not None:
                 return job
         return None
 
-    def discard(self, attempt: AttemptId) -> bool:
-        """Forgets a job that still waits; returns whether there was one."""
-        if attempt not in self._waiting:
-            return False
-        self._waiting.discard(attempt)
-        return True
+    def discard(self, attempt: AttemptId) -> Job | None:
+        """Forgets a job and returns it, if it still waits."""
+        return self._waiting.pop(attempt, None)
 
     def drain(self) -> list[Job]:
         """Removes and returns all jobs."""
--- a/lavendertide/targets/lane.py
+++ b/lavendertide/targets/lane.py
@@ -48,7 +48,6 @@
 
     job: Job
     started_at_s: float
-    is_cancelled: bool = False
 
 
 class Lane:
@@ -147,15 +146,14 @@
             self._decline(job, reason)
 
     def cancel(self, attempt: AttemptId) -> CancelEffect:
-        """Forgets a waiting job, or marks a running one as unwanted."""
-        running = self._running.get(attempt)
-        if running is not None:
-            running.is_cancelled = True
+        """Drops a waiting job; returns whether it runs already."""
+        if attempt in self._running:
             return CancelEffect.RUNNING
-        self._index.pop(attempt, None)
-        if self._queue.discard(attempt) or self._discard_alone(attempt):
-            return CancelEffect.DROPPED
-        return CancelEffect.ABSENT
+        job = self._queue.discard(attempt) or self._discard_alone(attempt)
+        if job is None:
+            return CancelEffect.ABSENT
+        self._decline(job, DeclineReason.CANCELLED)
+        return CancelEffect.DROPPED
 
     def note_reply(self, job: Job, reply: SubReply, now_s: float) -> None:
         """Learns from a reply; the slot stays taken until it is freed."""
@@ -192,11 +190,6 @@
         running = self._running.get(attempt)
         return running.job if running is not None else None
 
-    def is_cancelled(self, attempt: AttemptId) -> bool:
-        """Returns whether nobody waits for a running attempt."""
-        running = self._running.get(attempt)
-        return running is not None and running.is_cancelled
-
     def free(self, attempt: AttemptId) -> None:
         """Says that the target certainly no longer runs an attempt."""
         self._running.pop(attempt, None)
@@ -209,12 +202,12 @@
             self._allowed = now_s, allowed
         return allowed
 
-    def _discard_alone(self, attempt: AttemptId) -> bool:
+    def _discard_alone(self, attempt: AttemptId) -> Job | None:
         for job in self._alone:
             if job.request.attempt == attempt:
                 self._alone.remove(job)
-                return True
-        return False
+                return job
+        return None
 
     def _usable(self, now_s: float) -> int:
         return min(self._allowance(now_s), self._limit.slots)
--- a/lavendertide/targets/target_pool.py
+++ b/lavendertide/targets/target_pool.py
@@ -61,7 +61,7 @@
         inbox: tasks.Mailbox[SubReply],
         is_alone: bool = False,
     ) -> None:
-        """Queues a sub-request; unless cancelled, its one reply comes to the inbox."""
+        """Queues a sub-request; exactly one reply comes to the inbox."""
         shared = self._lanes.get(place.target)
         if shared is None:
             inbox.send(Declined(request.attempt, DeclineReason.NO_LEASE))
--- a/standins/launcher.py
+++ b/standins/launcher.py
@@ -133,8 +133,10 @@
                 status = self.get(self.admins[name], "/v1/status")
                 reachable = [m for m in status["members"] if m["reachable"]]
                 known = len(reachable) >= len(self._settings)
-                is_current = known and status["configuration"] >= self._version
-                if is_current and self.metric(name, LEASES_WAITING) == 0:
+                serves = status["readiness"] == "serving"
+                is_current = status["configuration"] >= self._version
+                has_slots = self.metric(name, LEASES_WAITING) == 0
+                if known and serves and is_current and has_slots:
                     return
             time.sleep(POLL_S)
         raise TimeoutError(f"daemon {name} is not ready after {READY_S:g} s")
