--- a/lavendertide/daemon/slot_keeper.py
+++ b/lavendertide/daemon/slot_keeper.py
@@ -67,7 +67,7 @@
         """Runs until the daemon stops."""
         while True:
             now_s = clock.monotonic_s()
-            self._book.look(now_s)
+            self._book.keep(now_s)
             self.follow()
             for former, claims in self._book.claims(now_s).items():
                 member = self._roster.find(former)
@@ -97,7 +97,7 @@
             case SlotClaims():
                 self._answer_claims(frame)
             case SlotReleases():
-                self._book.take_releases(frame)
+                self._book.take_releases(frame, clock.monotonic_s())
             case Verdicts():
                 self._quarantine.take_verdicts(frame)
             case TrialClaim():
--- a/lavendertide/fleet/lease.py
+++ b/lavendertide/fleet/lease.py
@@ -1,8 +1,10 @@
 """The lease on one target's slots, kept without a store.
 
 The primary may use all slots while its newest answered heartbeat to the backup was
-sent less than `lease_s` ago, and the larger half otherwise. The backup may use the
-smaller half once a whole span has passed since it last had contact with the primary.
+sent less than `lease_s` ago, and the larger half otherwise. After a gap it goes back to
+all of them only once what the backup may have begun in the gap has ended. The backup
+may use the smaller half once a whole span has passed since it last had contact with
+the primary.
 A new primary uses nothing until the former holder has released the slots or the span
 has passed. docs/DESIGN.md weighs the scheme.
 """
@@ -85,6 +87,8 @@
         self._former: DaemonId | None = None
         self._contact_at_s = started_at_s
         self._backup_since_s: float | None = None
+        self._answered_at_s = started_at_s
+        self._whole_from_s = 0.0
         self._serial = 0
 
     @property
@@ -146,6 +150,18 @@
         if self._role is Role.CLAIMING:
             self._start_claim(now_s)
 
+    def keep(self, contacts: Contacts, now_s: float) -> None:
+        """Has to be called often, so that a gap between answers is noticed."""
+        if self._role is not Role.PRIMARY or self._partner is None:
+            return
+        answered_at_s = contacts.answered_sent_at_s(self._partner) or 0.0
+        gap_s = max(now_s, answered_at_s) - self._answered_at_s
+        if answered_at_s > self._answered_at_s:
+            gap_s = answered_at_s - self._answered_at_s
+            self._answered_at_s = answered_at_s
+        if gap_s >= self._timing.lease_s:
+            self._whole_from_s = now_s + self._timing.drain_s
+
     def note_contact(self, now_s: float) -> None:
         """Notes that the primary or a claimant has been heard of just now."""
         self._contact_at_s = now_s
@@ -156,15 +172,17 @@
             return None
         return self._former
 
-    def take_release(self, sender: DaemonId, serial: int) -> None:
+    def take_release(self, sender: DaemonId, serial: int, now_s: float) -> None:
         """Takes in that the former holder runs nothing on the target."""
         is_awaited = self._role is Role.CLAIMING and sender == self._former
         if is_awaited and serial == self._serial:
             self._become_sole_primary()
+            self._answered_at_s = now_s
 
     def may_release_to(self, claimant: DaemonId, in_use: int, now_s: float) -> bool:
         """Returns whether the slots are free for a claimant, and promises it."""
-        if self._primary != claimant or in_use or now_s < self._quiet_until_s:
+        is_quiet = now_s >= max(self._quiet_until_s, self._whole_from_s)
+        if self._primary != claimant or in_use or not is_quiet:
             return False
         self.note_contact(now_s)
         return True
@@ -173,6 +191,8 @@
         self, holders: Holders | None, backup: DaemonId | None, now_s: float
     ) -> None:
         heir = holders.heir.daemon if holders and holders.heir else None
+        if backup != self._partner or self._role is not Role.PRIMARY:
+            self._answered_at_s = now_s
         self._partner = backup
         match self._role:
             case Role.PRIMARY:
@@ -213,6 +233,7 @@
     def _share_of_claimant(self, contacts: Contacts, now_s: float) -> int:
         if self._former is None or now_s >= self._role_since_s + self._timing.span_s:
             self._become_sole_primary()
+            self._whole_from_s = now_s + self._timing.drain_s
             return self._share_of_primary(contacts, now_s)
         return self._share_of_backup(self._former, contacts, now_s)
 
@@ -223,10 +244,10 @@
     def _share_of_primary(self, contacts: Contacts, now_s: float) -> int:
         if self._partner is None:
             return self._slots
-        answered_at_s = contacts.answered_sent_at_s(self._partner)
-        if self._has_just_woken(answered_at_s, now_s):
+        if self._has_just_woken(contacts.answered_sent_at_s(self._partner), now_s):
             return 0
-        if answered_at_s is None or now_s >= answered_at_s + self._timing.lease_s:
+        self.keep(contacts, now_s)
+        if now_s < self._whole_from_s:
             return (self._slots + 1) // 2
         return self._slots
 
--- a/lavendertide/fleet/lease_book.py
+++ b/lavendertide/fleet/lease_book.py
@@ -87,6 +87,12 @@
             for lease in self._leases.values():
                 lease.wake(now_s)
 
+    def keep(self, now_s: float) -> None:
+        """Has to be called often, so that a gap between answers is noticed."""
+        self.look(now_s)
+        for lease in self._leases.values():
+            lease.keep(self._contacts, now_s)
+
     def claims(self, now_s: float) -> dict[DaemonId, SlotClaims]:
         """Returns the claims that have to be sent now, by the former holder."""
         self._note_company()
@@ -115,12 +121,12 @@
         )
         return SlotReleases(self._own.daemon, released)
 
-    def take_releases(self, releases: SlotReleases) -> None:
+    def take_releases(self, releases: SlotReleases, now_s: float) -> None:
         """Takes over released slots."""
         for item in releases.items:
             lease = self._leases.get(item.target)
             if lease is not None:
-                lease.take_release(releases.sender, item.serial)
+                lease.take_release(releases.sender, item.serial, now_s)
 
     def _assign(self, place: TargetPlace, now_s: float) -> None:
         lease = self._leases.get(place.target)
