--- a/tests/targets/test_lane.py
+++ b/tests/targets/test_lane.py
@@ -220,7 +220,7 @@
     def test_a_busy_lane_declines_early_what_would_wait_too_long(self) -> None:
         self.lane = Lane(PLACE, lambda _: self.allowed)
         self.learn_slow()
-        ends_s = self.now_s + 1.5
+        ends_s = self.now_s + 1.2
         self.put(*(job(f"r{n}", deadline_s=self.now_s + 100) for n in range(2)))
         self.assertEqual([self.take(), self.take()], ["r0", "r1"])
         refused = self.lane.put(job("x", deadline_s=ends_s), self.tick())
