--- a/lavendertide/daemon/holding.py
+++ b/lavendertide/daemon/holding.py
@@ -28,6 +28,7 @@
 class HoldingParts:
     """What the rest of the daemon needs of them."""
 
+    pool: TargetPool
     keeper: SlotKeeper
     dispatcher: Dispatcher
 
@@ -48,6 +49,7 @@
     pool = TargetPool(maker, slots, quarantine, _attempt_s(options))
     routing = options.policies.routing
     return HoldingParts(
+        pool,
         SlotKeeper(configuration, roster, table, book, pool, peers, quarantine, holds),
         Dispatcher(
             routing, configuration, roster, table, peers, readiness, pool, quarantine
--- a/lavendertide/daemon/peer_front.py
+++ b/lavendertide/daemon/peer_front.py
@@ -20,6 +20,7 @@
     DeclineReason,
     Frame,
     Lost,
+    PlanClaims,
     ReachReply,
     ReachRequest,
     SubReplies,
@@ -28,6 +29,7 @@
     SubRequests,
     TicketRequest,
 )
+from lavendertide.plans.allocation import PlanAllocator
 from lavendertide.runtime import clock, tasks
 
 REPLIES_PER_FRAME_MAX = 128
@@ -48,6 +50,7 @@
         readiness: Readiness,
         dispatcher: Dispatcher,
         tickets: TicketService,
+        allocator: PlanAllocator,
         in_flight: InFlight,
         keeper: SlotKeeper,
     ) -> None:
@@ -58,6 +61,7 @@
         self._readiness = readiness
         self._dispatcher = dispatcher
         self._tickets = tickets
+        self._allocator = allocator
         self._in_flight = in_flight
         self._keeper = keeper
 
@@ -85,6 +89,8 @@
                 self._take_sub_requests(items, outbox)
             case Cancels(attempts):
                 self._dispatcher.cancel_for_peer(list(attempts))
+            case PlanClaims():
+                outbox.send(self._allocator.answer(frame, clock.monotonic_s()))
             case TicketRequest():
                 tasks.spawn(self._answer_ticket, frame, outbox)
             case ReachRequest():
--- a/lavendertide/errors.py
+++ b/lavendertide/errors.py
@@ -30,6 +30,9 @@
     POISONED = "poisoned"
     NO_SNAPSHOT = "no_snapshot"
     UNREACHABLE = "unreachable"
+    NOT_FOUND = "not_found"
+    BAD_RUN = "bad_run"
+    LIBRARY_MISSING = "library_missing"
 
 
 class Fault(Enum):
--- a/lavendertide/targets/target_pool.py
+++ b/lavendertide/targets/target_pool.py
@@ -54,6 +54,11 @@
         self._closing: list[LaneTasks] = []
         self._index: LaneIndex = {}
 
+    @property
+    def lanes(self) -> list[Lane]:
+        """The lanes that are open."""
+        return [shared.lane for shared in self._lanes.values()]
+
     def submit(
         self,
         place: TargetPlace,
--- a/standins/target.py
+++ b/standins/target.py
@@ -24,6 +24,15 @@
 CANCELLED_KEPT = 1_024
 
 
+class Misreply(Enum):
+    """What is wrong with the target's answers."""
+
+    NOTHING = "nothing"
+    ATTEMPT = "attempt"
+    SHARD = "shard"
+    VERSION = "version"
+
+
 class TargetState(Enum):
     """What the target does with new work."""
 
@@ -43,6 +52,8 @@
         tail_share: Part of the requests that take `tail_ms` instead.
         versions: For each held version the held shards; a missing one is refused.
         restart_ms: How long a crash lasts.
+        misreply: What is wrong with its answers.
+        padding_bytes: What each answer carries besides its rows.
         cold_ms: How long it is slow after a crash.
         cold_factor: How many times slower it is meanwhile.
         health_says: What the health endpoint says in place of the truth.
@@ -57,6 +68,8 @@
     state: TargetState = TargetState.SERVING
     versions: dict[int, list[int]] = field(default_factory=dict)
     restart_ms: float = 1_000.0
+    misreply: Misreply = Misreply.NOTHING
+    padding_bytes: int = 0
     cold_ms: float = 0.0
     cold_factor: float = 1.0
     health_says: TargetState | None = None
@@ -226,7 +239,25 @@
         work.ended.send(None)
         if end is not WorkEnd.DONE:
             return end.value, {}
-        return 200, answer_of(request)
+        return 200, self._reply(request)
+
+    def _reply(self, request: dict[str, Any]) -> dict[str, Any]:
+        reply = answer_of(request | self._mistake(request))
+        if self.behaviour.padding_bytes:
+            reply["padding"] = "x" * self.behaviour.padding_bytes
+        return reply
+
+    def _mistake(self, request: dict[str, Any]) -> dict[str, Any]:
+        """Returns what the target takes the request for instead."""
+        match self.behaviour.misreply:
+            case Misreply.ATTEMPT:
+                return {"attempt": request["attempt"] + "0", "body": "another"}
+            case Misreply.SHARD:
+                return {"shard": request["shard"] + 1}
+            case Misreply.VERSION:
+                return {"version": request["version"] + 1}
+            case Misreply.NOTHING:
+                return {}
 
     def _refusal(self, request: dict[str, Any]) -> int | None:
         overdue_s = time.monotonic() + request["deadline_ms"] / 1000
@@ -295,12 +326,16 @@
         "attempt": request["attempt"],
         "shard": request["shard"],
         "version": request["version"],
-        "rows": sorted(rows, key=lambda row: (-row[1], row[0])),
+        "rows": sorted(rows, key=lambda row: (-row[1], row[0]))[: _page(request)],
         "matches": ROWS_PER_SHARD,
         "amount": 100 * ROWS_PER_SHARD,
     }
 
 
+def _page(request: dict[str, Any]) -> int:
+    return int(request.get("page_size", ROWS_PER_SHARD))
+
+
 def _row(request: dict[str, Any], number: int) -> tuple[str, float, str]:
     name = f"{request['index']}/{request['version']}/{request['shard']}/{number}"
     digest = blake2b(f"{name}/{request['body']}".encode(), digest_size=4).digest()
