Prove slots, leaving targets and poison requests on separate processes

Holders are killed, stopped, replaced in turn and cut off under load, and the stand-ins count no slot or connection that was overrun. A poison request that is sent again through every host crashes no more than one replica of each shard and one for its trial.

--- /dev/null
+++ b/tests/processes/test_targets_leaving.py
@@ -0,0 +1,88 @@
+"""Tests on separate processes of targets that leave, crash or are slow to end."""
+
+import time
+import unittest
+
+from standins.deployment import ASSOCIATION, smaller
+from standins.launcher import Launcher
+from tests.processes.callers import SearchLoad, client_of, wait_until
+from tests.processes.holders import breaches_of
+
+OWNERS = (smaller(ASSOCIATION, 4, 3),)
+INDEX = "venue-desk"
+KEY = "stall-clerk"
+TARGET = "venue-desk-1-0"
+THREADS = 6
+ANSWERS = 60
+NO_BREACH = {"slots": 0, "connections": 0}
+
+
+class LeavingTargetTest(unittest.TestCase):
+    """A leaving target gets no new work, and slots are freed only when they are."""
+
+    launcher: Launcher
+
+    @classmethod
+    def setUpClass(cls) -> None:
+        cls.launcher = Launcher(OWNERS)
+        cls.addClassCleanup(cls.launcher.stop)
+        cls.launcher.start()
+
+    def tearDown(self) -> None:
+        self.assertEqual(breaches_of(self.launcher), NO_BREACH)
+
+    def requests(self) -> int:
+        """Returns how many requests have come to the target."""
+        return int(self.launcher.target_counts()[TARGET]["requests"])
+
+    def cancelled(self) -> int:
+        """Returns how many attempts were cancelled at all targets."""
+        counts = self.launcher.target_counts().values()
+        return sum(int(each["cancelled"]) for each in counts)
+
+    def test_what_its_reply_says_ends_new_work(self) -> None:
+        self.launcher.change_target(TARGET, state="draining", health_says="serving")
+        self.addCleanup(
+            self.launcher.change_target, TARGET, state="serving", health_says=None
+        )
+        with SearchLoad(self.launcher, KEY, INDEX, THREADS) as load:
+            load.wait_for(ANSWERS)
+            before = self.requests()
+            load.wait_for(5 * ANSWERS)
+            self.assertLessEqual(self.requests() - before, 2)
+        self.assertTrue(all(answer["whole"] for answer in load.answers))
+
+    def test_what_its_health_endpoint_says_ends_new_work(self) -> None:
+        with SearchLoad(self.launcher, KEY, INDEX, THREADS) as load:
+            load.wait_for(ANSWERS)
+            self.launcher.change_target(TARGET, health_says="draining")
+            self.addCleanup(self.launcher.change_target, TARGET, health_says=None)
+            wait_until(lambda: self.has_no_work(load))
+        self.assertTrue(all(answer["whole"] for answer in load.answers))
+
+    def has_no_work(self, load: SearchLoad) -> bool:
+        """Returns whether nothing comes to the target while many answers do."""
+        before = self.requests()
+        load.wait_for(ANSWERS)
+        return self.requests() == before
+
+    def test_an_attempt_that_nobody_waits_for_is_ended_at_the_target(self) -> None:
+        for replica in range(2):
+            target = f"{INDEX}-2-{replica}"
+            self.launcher.change_target(target, median_ms=1_500.0)
+            self.addCleanup(self.launcher.change_target, target, median_ms=5.0)
+        before = self.cancelled()
+        client = client_of(self.launcher, KEY, "association-0")
+        client.search(INDEX, "slow", 200, 5, time.monotonic())
+        wait_until(lambda: self.cancelled() > before)
+        for _ in range(10):
+            client.search(INDEX, "slow", 100, 5, time.monotonic())
+
+    def test_a_crashed_target_is_used_again(self) -> None:
+        self.launcher.change_target(TARGET, restart_ms=300.0)
+        with SearchLoad(self.launcher, KEY, INDEX, THREADS) as load:
+            load.wait_for(ANSWERS)
+            self.launcher.crash_target(TARGET)
+            before = self.requests()
+            wait_until(lambda: self.requests() > before + THREADS)
+        self.assertEqual(self.launcher.target_counts()[TARGET]["crashes"], 1)
--- /dev/null
+++ b/tests/processes/test_targets_poison.py
@@ -0,0 +1,89 @@
+"""Tests on separate processes of a request that crashes each target that runs it."""
+
+import time
+import unittest
+
+from lavendertide.caller_client import CallerClient
+from standins.deployment import ASSOCIATION, smaller
+from standins.launcher import Launcher
+from tests.processes.callers import SearchLoad, client_of, wait_until
+from tests.processes.holders import breaches_of
+
+SHARDS = 4
+OWNERS = (smaller(ASSOCIATION, SHARDS, 3),)
+INDEX = "venue-desk"
+KEY = "stall-clerk"
+POISON = "poison order"
+THREADS = 6
+ANSWERS = 30
+ROUNDS = 3
+# One replica of each shard at first, and one trial.
+CRASHES_MAX = SHARDS + 1
+
+
+class PoisonTest(unittest.TestCase):
+    """A poison request is stopped, and innocents beside it are not."""
+
+    def setUp(self) -> None:
+        self.launcher = Launcher(OWNERS)
+        self.addCleanup(self.launcher.stop)
+        self.launcher.start()
+        for placed in self.launcher.placed:
+            self.launcher.change_target(placed.target, restart_ms=200.0)
+
+    def crashes(self) -> int:
+        """Returns how many crashes there were at all targets."""
+        counts = self.launcher.target_counts().values()
+        return sum(int(each["crashes"]) for each in counts)
+
+    def client(self, daemon: str) -> CallerClient:
+        """Returns a caller of one daemon."""
+        return client_of(self.launcher, KEY, daemon)
+
+    def resend(self) -> None:
+        """Sends the poison through every host, again and again."""
+        for _ in range(ROUNDS):
+            for daemon in self.launcher.callers:
+                self.client(daemon).search(INDEX, POISON, 500, 5, time.monotonic())
+
+    def is_condemned(self, daemon: str) -> bool:
+        """Returns whether all shards are refused as poisoned through a daemon."""
+        answer = self.client(daemon).search(INDEX, POISON, 500, 5, time.monotonic())
+        gaps = answer.unwrap()["gaps"]
+        return [gap["reason"] for gap in gaps] == ["poisoned"] * SHARDS
+
+    def test_a_poison_sent_through_every_host_crashes_a_bounded_number(self) -> None:
+        self.resend()
+        for daemon in self.launcher.callers:
+            wait_until(lambda daemon=daemon: self.is_condemned(daemon))
+        self.resend()
+        self.assertGreater(self.crashes(), 0)
+        self.assertLessEqual(self.crashes(), CRASHES_MAX)
+
+    def test_innocents_beside_it_are_answered(self) -> None:
+        with SearchLoad(self.launcher, KEY, INDEX, THREADS) as load:
+            load.wait_for(ANSWERS)
+            self.resend()
+            wait_until(lambda: all(map(self.is_condemned, self.launcher.callers)))
+            wait_until(lambda: self.are_last_whole(load))
+        self.assertLessEqual(self.crashes(), CRASHES_MAX)
+        slots = breaches_of(self.launcher)["slots"]
+        self.assertEqual(slots, 0)
+        reasons = {gap["reason"] for answer in load.answers for gap in answer["gaps"]}
+        self.assertNotIn("poisoned", reasons)
+
+    def are_last_whole(self, load: SearchLoad) -> bool:
+        """Returns whether the next answers to innocents are all whole."""
+        load.wait_for(ANSWERS)
+        return all(answer["whole"] for answer in load.answers[-ANSWERS:])
+
+    def test_a_daemon_that_joins_knows_the_verdict(self) -> None:
+        self.resend()
+        daemon = next(iter(self.launcher.callers))
+        wait_until(lambda: self.is_condemned(daemon))
+        self.launcher.signal_daemon(daemon, 9)
+        self.launcher.wait_for_exit(daemon)
+        self.launcher.start_daemon(daemon)
+        self.launcher.wait_until_ready(daemon)
+        wait_until(lambda: self.is_condemned(daemon))
+        self.assertLessEqual(self.crashes(), CRASHES_MAX)
--- /dev/null
+++ b/tests/processes/test_targets_slots.py
@@ -0,0 +1,99 @@
+"""Tests on separate processes that slots and connections are never overrun."""
+
+import json
+import signal
+import tempfile
+import unittest
+from pathlib import Path
+
+from standins.deployment import ASSOCIATION, smaller
+from standins.launcher import Launcher
+from tests.processes.callers import SearchLoad, wait_until
+from tests.processes.holders import breaches_of, ran, targets_of
+
+OWNERS = (smaller(ASSOCIATION, 4, 3),)
+INDEX = "venue-desk"
+KEY = "stall-clerk"
+FIRST, SECOND = "association-0", "association-1"
+THREADS = 9
+ANSWERS = 30
+FLEET = {"lease_s": 1.0, "address_lifetime_s": 1.0}
+QUERIES = {"deadline_max_ms": 1_000}
+NO_BREACH = {"slots": 0, "connections": 0}
+
+
+class SlotFaultTest(unittest.TestCase):
+    """Holders that die, stop, leave or are cut off never overrun a target."""
+
+    def setUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.rules = Path(folder.name) / "faults.json"
+        self.cut()
+        overrides = {
+            "fleet": FLEET,
+            "queries": QUERIES,
+            "faults": {"rules": str(self.rules)},
+        }
+        self.launcher = Launcher(OWNERS, median_ms=20.0, overrides=overrides)
+        self.addCleanup(self.launcher.stop)
+        self.launcher.start()
+
+    def cut(self, *daemons: str) -> None:
+        """Cuts daemons off from all others; nobody is cut off without any."""
+        rules = {"drop_to": list(daemons), "drop_from": list(daemons)}
+        self.rules.write_text(json.dumps(rules))
+
+    def wait_for_run(self, daemon: str = FIRST) -> None:
+        """Waits until targets whose primary is a daemon run more requests."""
+        before = self.ran_of(daemon)
+        wait_until(lambda: self.ran_of(daemon) > before)
+
+    def ran_of(self, daemon: str) -> int:
+        """Returns how many requests the targets of a daemon have run."""
+        targets = targets_of(self.launcher, INDEX, daemon)
+        return sum(ran(self.launcher, target) for target in targets)
+
+    def test_a_killed_holder(self) -> None:
+        with SearchLoad(self.launcher, KEY, INDEX, THREADS) as load:
+            load.wait_for(ANSWERS)
+            self.launcher.signal_daemon(FIRST, signal.SIGKILL)
+            self.launcher.wait_for_exit(FIRST)
+            self.wait_for_run()
+            self.launcher.start_daemon(FIRST)
+            self.launcher.wait_until_ready(FIRST)
+            load.wait_for(ANSWERS)
+        self.assertEqual(breaches_of(self.launcher), NO_BREACH)
+
+    def test_a_holder_that_stops_and_wakes_late(self) -> None:
+        with SearchLoad(self.launcher, KEY, INDEX, THREADS) as load:
+            load.wait_for(ANSWERS)
+            self.launcher.signal_daemon(FIRST, signal.SIGSTOP)
+            self.wait_for_run()
+            self.launcher.signal_daemon(FIRST, signal.SIGCONT)
+            self.launcher.wait_until_ready(FIRST)
+            load.wait_for(3 * ANSWERS)
+        self.assertEqual(breaches_of(self.launcher), NO_BREACH)
+
+    def test_a_rolling_replacement(self) -> None:
+        with SearchLoad(self.launcher, KEY, INDEX, THREADS) as load:
+            for daemon in (FIRST, SECOND):
+                load.wait_for(ANSWERS)
+                self.launcher.signal_daemon(daemon, signal.SIGTERM)
+                self.launcher.wait_for_exit(daemon)
+                self.launcher.start_daemon(daemon)
+                self.launcher.wait_until_ready(daemon)
+            self.wait_for_run()
+        self.assertEqual(breaches_of(self.launcher), NO_BREACH)
+
+    def test_a_split_with_both_sides_serving(self) -> None:
+        with SearchLoad(self.launcher, KEY, INDEX, THREADS) as load:
+            load.wait_for(ANSWERS)
+            self.cut(FIRST)
+            load.wait_for(3 * ANSWERS)
+            self.wait_for_run(FIRST)
+            self.wait_for_run(SECOND)
+            self.cut()
+            self.launcher.wait_until_ready(FIRST)
+            load.wait_for(3 * ANSWERS)
+        self.assertEqual(breaches_of(self.launcher), NO_BREACH)
