--- a/lavendertide/fleet/peers.py
+++ b/lavendertide/fleet/peers.py
@@ -14,7 +14,7 @@
 from lavendertide.ids import Address, AttemptId, DaemonId
 from lavendertide.messages import MemberRecord, PlanClaims, PlanGrants
 
-WATCH_BEATS: Final = 2
+WATCH_BEATS: Final = 4
 RETRIES_PER_TICK: Final = 4
 
 
@@ -86,6 +86,12 @@
         for address in set(self._links) - known - set(self._seeds):
             self._links.pop(address).close()
 
+    def tell_soon(self) -> None:
+        """Lets the links to watched members beat faster while there is news."""
+        for link in self._links.values():
+            if link.is_connected:
+                link.wake()
+
     def poke_all(self) -> None:
         """Sends a heartbeat with the newest news to all connected peers at once."""
         for link in self._links.values():
--- a/lavendertide/fleet/roster.py
+++ b/lavendertide/fleet/roster.py
@@ -76,6 +76,11 @@
         """Digests of all records."""
         return self._digests
 
+    @property
+    def has_news(self) -> bool:
+        """Whether a changed record still has to be told."""
+        return len(self._rumours) > 0
+
     def find(self, daemon: DaemonId) -> MemberRecord | None:
         """Returns a member by name."""
         return self._records.get(daemon)
