--- a/lavendertide/daemon/daemon.py
+++ b/lavendertide/daemon/daemon.py
@@ -34,10 +34,10 @@
 from lavendertide.executions.ledger import Ledger
 from lavendertide.fleet.addresses import AddressBook
 from lavendertide.fleet.link_faults import LinkFaults
-from lavendertide.fleet.membership import Membership
+from lavendertide.fleet.membership import PERIOD_BEATS, Membership
 from lavendertide.fleet.news import FleetNews
 from lavendertide.fleet.peer_connection import PeerEdge
-from lavendertide.fleet.peers import WATCH_BEATS, Peers
+from lavendertide.fleet.peers import Peers
 from lavendertide.fleet.readiness import Readiness
 from lavendertide.fleet.roster import SILENCE_S, Roster
 from lavendertide.ids import (
@@ -104,7 +104,10 @@
             self._on_service_change,
         )
         self._news = FleetNews(
-            self._roster, self._configuration, self._spreading, self._on_change
+            self._roster,
+            self._configuration,
+            self._spreading,
+            lambda: self._peers.tell_soon(),
         )
         self._peers = Peers(
             self._roster,
@@ -118,7 +121,7 @@
             self._peers,
             self._news,
             self._readiness,
-            WATCH_BEATS * fleet.heartbeat_s,
+            PERIOD_BEATS * fleet.heartbeat_s,
             fleet.removal_s,
         )
         self._shares = self._make_shares()
--- a/lavendertide/fleet/membership.py
+++ b/lavendertide/fleet/membership.py
@@ -24,6 +24,7 @@
 from lavendertide.messages import MemberState
 from lavendertide.runtime import clock, tasks
 
+PERIOD_BEATS: Final = 2
 REACH_TIMEOUT_S: Final = 0.7
 HELPERS: Final = 3
 STALE_PERIOD_S: Final = 0.1
--- a/lavendertide/fleet/news.py
+++ b/lavendertide/fleet/news.py
@@ -33,12 +33,12 @@
         roster: Roster,
         configuration: Configuration,
         spreading: Spreading,
-        on_change: Callable[[], None],
+        on_news: Callable[[], None],
     ) -> None:
         self._roster = roster
         self._configuration = configuration
         self._spreading = spreading
-        self._on_change = on_change
+        self._on_news = on_news
         self._sequence = itertools.count(1)
         self._sent_at_s: dict[int, float] = {}
         self._pulled_at_s: float | None = None
@@ -130,7 +130,7 @@
         self, records: tuple[MemberRecord, ...], now_s: float, is_retold: bool = True
     ) -> None:
         if self._roster.learn(records, now_s, is_retold):
-            self._on_change()
+            self._on_news()
 
     def _facts(
         self, peer: DaemonId
