--- a/lavendertide/encodings/admin_json.py
+++ b/lavendertide/encodings/admin_json.py
@@ -55,16 +55,67 @@
     members: tuple[MemberDocument, ...]
 
 
+class ConfigurationRefusalDocument(Document):
+    """The newest publication that was refused.
+
+    Attributes:
+        problem: The reason and the remedy, the same words on every daemon.
+        checked_here: Whether this daemon has read it or heard of it from a peer.
+    """
+
+    version: int
+    digest: str
+    problem: str
+    refused_ago_s: float
+    checked_here: bool
+
+
+class ServiceDocument(Document):
+    """How the daemon stands with the configuration service.
+
+    Attributes:
+        silence_s: Time since the service last answered, none for never.
+        problem: Why it does not answer, none if it does.
+    """
+
+    watching: bool
+    reads: int
+    silence_s: float | None
+    problem: str | None
+
+
+class SpreadingDocument(Document):
+    """What was sent to peers and taken from them since the start."""
+
+    offers_sent: int
+    pulls_sent: int
+    deltas_sent: int
+    wholes_sent: int
+    deltas_adopted: int
+    wholes_adopted: int
+    mismatches: int
+
+
 class ConfigurationDocument(Document):
     """The configuration in force.
 
     Attributes:
+        digest: Tells apart publications of one version.
+        source: Whether it came from the service or from a peer.
+        needs_refresh: Whether peers have yet to confirm that it is not old.
         adopted_at_s: When it was adopted, in seconds since the epoch.
         refused: Why the newest publication was refused, none if it was not.
         refused_at_s: When that was, in seconds since the epoch.
     """
 
     version: int
+    digest: str
+    source: str
+    needs_refresh: bool
+    adopted_ago_s: float
+    refusal: ConfigurationRefusalDocument | None
+    service: ServiceDocument
+    spreading: SpreadingDocument
     adopted_at_s: float | None
     plans: int
     indexes: int
--- a/tests/configuration/test_rules.py
+++ b/tests/configuration/test_rules.py
@@ -1,26 +1,42 @@
 """Tests of `lavendertide.configuration.rules`."""
 
-import json
 import unittest
 from typing import Any
 
+from hypothesis import given, settings
+from hypothesis import strategies as st
 from returns.result import Failure, Result
 
 from lavendertide.configuration.lists import Publication
 from lavendertide.configuration.rules import check_publication
 from lavendertide.errors import Refusal
-from standins.deployment import OWNERS, count_targets, place_targets, publication
+from tests.configuration.published import text_of, todays_lists
 
+EXAMPLES = 150
 
-def todays_lists() -> dict[str, Any]:
-    """Returns the lists of today's deployments."""
-    addresses = [f"127.0.0.1:{10_000 + n}" for n in range(count_targets(OWNERS))]
-    return publication(OWNERS, place_targets(OWNERS, addresses), 1)
+json_values = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=8),
+    lambda inner: (
+        st.lists(inner, max_size=3)
+        | st.dictionaries(st.text(max_size=8), inner, max_size=3)
+    ),
+    max_leaves=8,
+)
 
 
 def check(lists: dict[str, Any]) -> Result[Publication, Refusal]:
     """Checks lists as the configuration service would hand them out."""
-    return check_publication(json.dumps(lists).encode())
+    return check_publication(text_of(lists))
+
+
+def places_in(value: Any) -> list[tuple[Any, Any]]:
+    """Returns every container of a document with each of its keys."""
+    keys = list(value) if isinstance(value, dict) else range(len(value))
+    found = [(value, key) for key in keys]
+    for key in keys:
+        if isinstance(value[key], dict | list):
+            found.extend(places_in(value[key]))
+    return found
 
 
 class CheckPublicationTest(unittest.TestCase):
@@ -59,3 +75,100 @@
         lists = todays_lists()
         lists["uses"]["indexes"][0]["versions"][0]["shards"][0] = ["nowhere"]
         self.assert_refused(lists, "target 'nowhere' is not among the targets")
+
+    def test_an_address_of_two_targets_is_refused(self) -> None:
+        lists = todays_lists()
+        targets = lists["uses"]["indexes"][0]["targets"]
+        targets[1]["address"] = targets[0]["address"]
+        self.assert_refused(lists, "target address: '127.0.0.1:10000' stands 2 times")
+
+    def test_an_address_that_is_none_is_refused(self) -> None:
+        for address in ("10.0.0.256:7000", "10.0.0.1:0", "10.0.0.1:65536", "host:70"):
+            lists = todays_lists()
+            lists["uses"]["indexes"][0]["targets"][0]["address"] = address
+            self.assert_refused(lists, f"'{address}' is not IP:port")
+
+    def test_a_failure_domain_in_two_regions_is_refused(self) -> None:
+        lists = todays_lists()
+        lists["uses"]["indexes"][0]["targets"][0]["region"] = "attiki"
+        self.assert_refused(lists, "a failure domain has one region")
+
+    def test_too_few_connections_for_the_slots_are_refused(self) -> None:
+        lists = todays_lists()
+        lists["uses"]["indexes"][0]["connections"] = 3
+        self.assert_refused(lists, "3 connections are too few for 2 slots")
+
+    def test_a_burst_out_of_proportion_is_refused(self) -> None:
+        lists = todays_lists()
+        lists["plans"]["plans"][0].update(rate_per_s=0.01, burst=100)
+        self.assert_refused(lists, "lower burst or raise rate_per_s")
+
+    def test_a_rate_that_is_no_number_is_refused(self) -> None:
+        for rate in ("400", float("nan"), float("inf"), 0, -1, True):
+            lists = todays_lists()
+            lists["plans"]["plans"][0]["rate_per_s"] = rate
+            self.assert_refused(lists, "plans.plans.0.rate_per_s")
+
+    def test_a_replica_that_stands_twice_is_refused(self) -> None:
+        lists = todays_lists()
+        replicas = lists["uses"]["indexes"][0]["versions"][0]["shards"][0]
+        replicas.append(replicas[0])
+        self.assert_refused(lists, "version 1 shard 0: target 'venue-desk-0-0' stands")
+
+    def test_a_shard_without_a_target_is_refused(self) -> None:
+        lists = todays_lists()
+        lists["uses"]["indexes"][0]["versions"][0]["shards"][3] = []
+        self.assert_refused(lists, "shard 3: no target holds it")
+
+    def test_an_index_version_that_stands_twice_is_refused(self) -> None:
+        lists = todays_lists()
+        versions = lists["uses"]["indexes"][0]["versions"]
+        versions.append(versions[0])
+        self.assert_refused(lists, "versions of index 'venue-desk': '1' stands 2 times")
+
+    def test_a_use_that_stands_twice_is_refused(self) -> None:
+        lists = todays_lists()
+        lists["uses"]["uses"].append(lists["uses"]["uses"][0])
+        self.assert_refused(lists, "'stall-clerk on venue-desk' stands 2 times")
+
+    def test_a_version_below_one_is_refused(self) -> None:
+        self.assert_refused(todays_lists(0), "plans.version")
+
+    def test_more_than_a_megabyte_is_refused(self) -> None:
+        result = check_publication(text_of(todays_lists()) + b" " * 1024 * 1024)
+        self.assertIn("more than the 1048576", str(result.failure()))
+
+    def test_the_same_publication_gets_the_same_words(self) -> None:
+        lists = todays_lists()
+        lists["plans"]["plans"][2]["burst"] = 0
+        lists["uses"]["uses"][0]["index"] = "nowhere"
+        words = {str(check(lists).failure()) for _ in range(3)}
+        self.assertEqual(len(words), 1)
+
+    def test_every_refusal_names_a_remedy(self) -> None:
+        self.assertIn("under a higher version", check(todays_lists(0)).failure().remedy)
+
+
+class FuzzedPublicationTest(unittest.TestCase):
+    """Whatever is published, the check ends in a publication or a refusal."""
+
+    @settings(derandomize=True, max_examples=EXAMPLES, deadline=None)
+    @given(st.binary(max_size=64))
+    def test_bytes(self, text: bytes) -> None:
+        self.assertIsInstance(check_publication(text), Failure)
+
+    @settings(derandomize=True, max_examples=EXAMPLES, deadline=None)
+    @given(json_values)
+    def test_json(self, value: Any) -> None:
+        self.assertIsInstance(check_publication(text_of(value)), Failure)
+
+    @settings(derandomize=True, max_examples=EXAMPLES, deadline=None)
+    @given(st.data(), json_values)
+    def test_a_changed_place(self, data: st.DataObject, value: Any) -> None:
+        lists = todays_lists()
+        container, key = data.draw(st.sampled_from(places_in(lists)))
+        container[key] = value
+        self.assertIsInstance(check(lists), Result)
+
+    def test_deep_nesting(self) -> None:
+        self.assertIsInstance(check_publication(b"[" * 200_000), Failure)
--- a/tests/fleet/__init__.py
+++ b/tests/fleet/__init__.py
@@ -1,1 +1,1 @@
-"""The tests of `lavendertide.fleet`."""
+"""Tests of the fleet: roster, watching, removal, readiness, addresses."""
