Ask ejected targets last and leaving ones not at all

Queries tell what their attempts came to, and the choice of replicas reads it: a target that said it is leaving is left out for five seconds on this entry host, and one that lost three attempts in a row is asked last.

--- a/lavendertide/queries/fan_out.py
+++ b/lavendertide/queries/fan_out.py
@@ -163,18 +163,23 @@
         attempt = self._asker.close(reply.attempt)
         if attempt is None:
             return
-        target = attempt.place.target
+        target, index = attempt.place.target, attempt.place.index
         match reply:
             case Answered() if self._belongs(reply, attempt):
                 self._timing.observe(now_s - attempt.sent_at_s, now_s)
                 self._parts.reports.hear(target, reply.spare_slots, now_s)
+                self._parts.reports.observations.note_answer(target, index, now_s)
                 self._cover(reply)
             case Answered():
                 self._take_loss(attempt, LossReason.MISMATCHED_REPLY, now_s)
             case Declined(reason=reason, spare_slots=spare_slots):
                 self._parts.reports.hear_decline(target, reason, spare_slots, now_s)
+                if reason is DeclineReason.DRAINING:
+                    self._parts.reports.observations.note_leaving(target, index, now_s)
                 self._take_decline(attempt, reason, now_s)
             case Lost(reason=loss):
+                if loss in (LossReason.TIMED_OUT, LossReason.TARGET_CLOSED):
+                    self._parts.reports.observations.note_loss(target, index, now_s)
                 self._take_loss(attempt, loss, now_s)
 
     def _belongs(self, reply: Answered, attempt: Attempt) -> bool:
--- a/lavendertide/queries/replicas.py
+++ b/lavendertide/queries/replicas.py
@@ -9,6 +9,7 @@
 from lavendertide.options import AnyReplica, NearFirst, ReplicaPolicy
 from lavendertide.queries.snapshot import Holdings
 from lavendertide.queries.target_reports import TargetReports
+from lavendertide.targets.observations import Preference
 
 # One way, within a failure domain, within a region, between regions.
 HOP_S: Final = (0.001, 0.005, 0.020)
@@ -53,6 +54,8 @@
             for target in replicas
             if target in places and self._holdings.may_hold(target, version, now_s)
         ]
+        if self._reports.observations.has_notable:
+            known = [place for place in known if not self._is_leaving(place, now_s)]
         if len(known) < 2:
             return known
         match self._policy:
@@ -72,8 +75,18 @@
         rotated.sort(key=self._distance)
         if self._reports.avoids_any(now_s):
             rotated.sort(key=lambda p: self._reports.is_avoided(p.target, now_s))
+        observations = self._reports.observations
+        if observations.has_notable:
+            rotated.sort(
+                key=lambda p: (
+                    observations.preference(p.target, now_s) is not Preference.USABLE
+                )
+            )
         return rotated
 
+    def _is_leaving(self, place: TargetPlace, now_s: float) -> bool:
+        return self._reports.observations.is_leaving(place.target, now_s)
+
     def _distance(self, place: TargetPlace) -> int:
         if place.failure_domain == self._failure_domain:
             return 0
--- a/lavendertide/queries/target_reports.py
+++ b/lavendertide/queries/target_reports.py
@@ -9,6 +9,7 @@
 
 from lavendertide.ids import TargetId
 from lavendertide.messages import DeclineReason
+from lavendertide.targets.observations import TargetObservations
 
 REPORT_FRESH_S: Final = 1.0
 AVOID_S: Final = 0.5
@@ -32,6 +33,12 @@
     def __init__(self) -> None:
         self._by_target: dict[TargetId, _Report] = {}
         self._avoids_until_s = 0.0
+        self._observations = TargetObservations()
+
+    @property
+    def observations(self) -> TargetObservations:
+        """What the attempts at each target have come to."""
+        return self._observations
 
     def hear(self, target: TargetId, spare_slots: int, now_s: float) -> None:
         """Takes in how many slots were free when a target replied."""
--- a/lavendertide/targets/observations.py
+++ b/lavendertide/targets/observations.py
@@ -94,6 +94,11 @@
         self._observed(target, index).leaving_until_s = now_s + LEAVING_KEPT_S
         self._notable.add(target)
 
+    def is_leaving(self, target: TargetId, now_s: float) -> bool:
+        """Returns whether a target has lately said that it is leaving."""
+        observed = self._by_target.get(target)
+        return observed is not None and now_s < observed.leaving_until_s
+
     def preference(self, target: TargetId, now_s: float) -> Preference:
         """Returns whether a target is worth asking now."""
         if target not in self._notable:
