--- a/tests/encodings/test_target_http.py
+++ b/tests/encodings/test_target_http.py
@@ -87,28 +87,28 @@
 
     def test_an_answer_is_taken(self) -> None:
         self.serve(answer_once)
-        reply = self.exchange.run(self.place, REQUEST, TIMEOUT_S)
+        reply = self.exchange.run(REQUEST, TIMEOUT_S)
         self.assertIsInstance(reply, Answered)
 
     def test_a_refused_connection_means_not_run(self) -> None:
         self.listener.close()
-        reply = self.exchange.run(self.place, REQUEST, TIMEOUT_S)
+        reply = self.exchange.run(REQUEST, TIMEOUT_S)
         self.assertEqual(reply, Declined(REQUEST.attempt, DeclineReason.UNREACHABLE))
 
     def test_a_crash_during_the_request_means_unknown(self) -> None:
         self.serve(read_and_close)
-        reply = self.exchange.run(self.place, REQUEST, TIMEOUT_S)
+        reply = self.exchange.run(REQUEST, TIMEOUT_S)
         self.assertEqual(reply, Lost(REQUEST.attempt, LossReason.TARGET_CLOSED))
 
     def test_silence_means_unknown(self) -> None:
         self.serve(read_and_wait)
-        reply = self.exchange.run(self.place, REQUEST, SHORT_TIMEOUT_S)
+        reply = self.exchange.run(REQUEST, SHORT_TIMEOUT_S)
         self.assertEqual(reply, Lost(REQUEST.attempt, LossReason.TIMED_OUT))
 
     def test_a_connection_closed_while_idle_is_opened_again(self) -> None:
         first = self.serve(answer_once)
-        self.exchange.run(self.place, REQUEST, TIMEOUT_S)
+        self.exchange.run(REQUEST, TIMEOUT_S)
         first.join(TIMEOUT_S)
         self.serve(answer_once)
-        reply = self.exchange.run(self.place, REQUEST, TIMEOUT_S)
+        reply = self.exchange.run(REQUEST, TIMEOUT_S)
         self.assertIsInstance(reply, Answered)
