--- a/lavendertide/command_line/operators.py
+++ b/lavendertide/command_line/operators.py
@@ -209,7 +209,16 @@
 
 def _show_targets(document: TargetsDocument) -> None:
     output.show_table(
-        ["target", "owner", "failure domain", "state", "queued", "in use", "slots"],
+        [
+            "target",
+            "owner",
+            "failure domain",
+            "state",
+            "queued",
+            "in use",
+            "spare",
+            "slots",
+        ],
         [
             [
                 target.target,
@@ -218,6 +227,7 @@
                 target.state,
                 target.queued,
                 target.slots_in_use,
+                target.spare_slots,
                 target.slots,
             ]
             for target in document.targets
--- a/lavendertide/daemon/admin_service.py
+++ b/lavendertide/daemon/admin_service.py
@@ -286,15 +286,18 @@
 
 def _target(lane: Lane) -> admin_json.TargetDocument:
     place = lane.place
+    now_s = clock.monotonic_s()
+    reach = lane.condition.reach
     return admin_json.TargetDocument(
         target=place.target,
         owner=place.owner,
         index=place.index,
         failure_domain=place.failure_domain,
         address=place.address,
-        state="open",
+        state="draining" if lane.condition.is_draining(now_s) else reach.value,
         queued=lane.queued,
         slots_in_use=lane.slots_in_use,
+        spare_slots=lane.spare_slots(now_s),
         slots=place.slots,
     )
 
--- a/lavendertide/daemon/administration.py
+++ b/lavendertide/daemon/administration.py
@@ -4,8 +4,9 @@
 
 from lavendertide.daemon.admin_front import AdminFront
 from lavendertide.daemon.admin_service import AdminParts, AdminService
-from lavendertide.metrics.metrics import Metrics
+from lavendertide.metrics.metrics import Metrics, TargetUse
 from lavendertide.options import AdminOptions
+from lavendertide.targets.lane import Lane
 
 
 class Administration:
@@ -27,8 +28,16 @@
         lanes = self._parts.targets.lanes
         states = Counter(member.state for member in self._parts.roster.members)
         self._metrics.set_fleet(self._parts.configuration.version, states)
-        self._metrics.set_targets(
-            sum(lane.queued for lane in lanes),
-            sum(lane.slots_in_use for lane in lanes),
-        )
+        self._metrics.set_targets(_use_of(lanes))
         return self._metrics.exposition()
+
+
+def _use_of(lanes: list[Lane]) -> TargetUse:
+    return TargetUse(
+        queued=sum(lane.queued for lane in lanes),
+        slots_in_use=sum(lane.slots_in_use for lane in lanes),
+        over_slots=sum(lane.slots_in_use > lane.place.slots for lane in lanes),
+        over_connections=sum(
+            lane.condition.open_connections > lane.place.connections for lane in lanes
+        ),
+    )
--- a/lavendertide/daemon/daemon.py
+++ b/lavendertide/daemon/daemon.py
@@ -124,7 +124,12 @@
         self._shares = self._make_shares()
         self._allowances = Allowances(self._shares)
         holding = make_holding(
-            options, self._configuration, self._roster, self._peers, self._readiness
+            options,
+            self._configuration,
+            self._roster,
+            self._peers,
+            self._readiness,
+            self._metrics,
         )
         self._pool = holding.pool
         self._keeper = holding.keeper
--- a/lavendertide/daemon/holding.py
+++ b/lavendertide/daemon/holding.py
@@ -6,6 +6,7 @@
 
 from lavendertide.configuration.adoption import Configuration
 from lavendertide.configuration.catalog import TargetPlace
+from lavendertide.daemon.counted_exchanges import CountedExchangeMaker
 from lavendertide.daemon.dispatcher import Dispatcher
 from lavendertide.daemon.quarantine_service import QuarantineService
 from lavendertide.daemon.slot_keeper import SlotKeeper
@@ -17,6 +18,7 @@
 from lavendertide.fleet.readiness import Readiness
 from lavendertide.fleet.roster import Roster
 from lavendertide.fleet.static_share import StaticShare
+from lavendertide.metrics.metrics import Metrics
 from lavendertide.options import Options, RouteStaticShare, RouteToPrimary
 from lavendertide.runtime import clock
 from lavendertide.targets.target_pool import SlotSource, TargetPool
@@ -39,14 +41,18 @@
     roster: Roster,
     peers: Peers,
     readiness: Readiness,
+    metrics: Metrics,
 ) -> HoldingParts:
     """Builds the parts for one daemon."""
     table = HolderTable(roster)
     book = _lease_book(options, roster, table)
     slots, holds = _slot_source(options, configuration, roster, book)
     quarantine = QuarantineService(roster, peers)
-    maker = HttpExchangeMaker(options.queries.reply_max_bytes)
-    pool = TargetPool(maker, slots, quarantine, _attempt_s(options))
+    attempt_s = _attempt_s(options)
+    maker = CountedExchangeMaker(
+        HttpExchangeMaker(options.queries.reply_max_bytes), metrics, attempt_s
+    )
+    pool = TargetPool(maker, slots, quarantine, attempt_s)
     routing = options.policies.routing
     return HoldingParts(
         pool,
--- a/lavendertide/encodings/admin_json.py
+++ b/lavendertide/encodings/admin_json.py
@@ -216,7 +216,12 @@
 
 
 class TargetDocument(Document):
-    """A target whose slots the daemon holds."""
+    """A target whose slots the daemon holds.
+
+    Attributes:
+        state: `opening`, `up`, `down` or `draining`.
+        spare_slots: What a new sub-request would find free under the lease.
+    """
 
     target: str
     owner: str
@@ -226,6 +231,7 @@
     state: str
     queued: int
     slots_in_use: int
+    spare_slots: int
     slots: int
 
 
--- a/lavendertide/metrics/metrics.py
+++ b/lavendertide/metrics/metrics.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Callable
+from dataclasses import dataclass
 
 from prometheus_client import REGISTRY, CollectorRegistry, Counter, Gauge, Histogram
 from prometheus_client.exposition import generate_latest
@@ -31,6 +32,21 @@
 _BY_CLASS = ("owner", "plan_class")
 
 
+@dataclass(frozen=True, slots=True)
+class TargetUse:
+    """Sums over the targets that a daemon holds.
+
+    Attributes:
+        over_slots: Targets that may run more than their slots.
+        over_connections: Targets with more connections than they accept.
+    """
+
+    queued: int
+    slots_in_use: int
+    over_slots: int
+    over_connections: int
+
+
 class Metrics:
     """Everything that one daemon counts."""
 
@@ -100,8 +116,11 @@
             "Sub-requests to targets held here, by result.",
             ("owner", "result"),
         )
-        self._breaches = self._counter(
-            names.BREACHES, "Noticed breaches of a target's limits.", ("limit",)
+        self._over_limit = Gauge(
+            names.TARGETS_OVER_LIMIT,
+            "Targets held here with more in use than their limit.",
+            ("limit",),
+            registry=self._registry,
         )
         self._queued = Gauge(
             names.TARGETS_QUEUED,
@@ -178,20 +197,18 @@
                 result = loss.value
         self._sub_requests.of(self._owners.value(owner), result).inc()
 
-    def count_breach(self, limit: str) -> None:
-        """Counts a noticed breach of a target's `slots` or `connections`."""
-        self._breaches.of(limit).inc()
-
     def set_fleet(self, version: int, members: dict[MemberState, int]) -> None:
         """Sets what is known of the fleet at the time of reading."""
         self._version.set(version)
         for state in MemberState:
             self._members.labels(state.value).set(members.get(state, 0))
 
-    def set_targets(self, queued: int, slots_in_use: int) -> None:
+    def set_targets(self, use: TargetUse) -> None:
         """Sets the sums over the targets held here at the time of reading."""
-        self._queued.set(queued)
-        self._slots_in_use.set(slots_in_use)
+        self._queued.set(use.queued)
+        self._slots_in_use.set(use.slots_in_use)
+        self._over_limit.labels("slots").set(use.over_slots)
+        self._over_limit.labels("connections").set(use.over_connections)
 
     def follow_budgets(
         self,
--- a/tests/processes/test_product_administration.py
+++ b/tests/processes/test_product_administration.py
@@ -69,6 +69,21 @@
             )
             self.assertIn(refusal, text)
 
+    def test_sub_requests_and_queueing_are_counted_for_each_owner(self) -> None:
+        text = ""
+        for admin in self.launcher.admins.values():
+            text += urllib3.request("GET", f"http://{admin}/metrics").data.decode()
+        for owner in OWNER_KEYS:
+            answered = (
+                f'lavendertide_sub_requests_total{{owner="{owner}",result="answered"}}'
+            )
+            self.assertIn(answered, text)
+            queueing = (
+                f'lavendertide_queueing_seconds_count{{owner="{owner}",'
+                'plan_class="counter"}'
+            )
+            self.assertIn(queueing, text)
+
     def test_an_owner_reads_its_own_book(self) -> None:
         for owner, key in OWNER_KEYS.items():
             status, book = self.get("/v1/books", key)
