--- a/bench/plan_shares.py
+++ b/bench/plan_shares.py
@@ -29,7 +29,8 @@
     PlanGrant,
     PlanGrants,
 )
-from lavendertide.plans.allocation import PlanAllocator, Presence
+from lavendertide.plans.allocation import Presence
+from lavendertide.plans.allocator import PlanAllocator
 from lavendertide.plans.allocators import Allocators
 
 MEMBERS: Final = 1_530
--- /dev/null
+++ b/lavendertide/daemon/admin_documents.py
@@ -0,0 +1,54 @@
+"""Turns books and lanes into the documents of the administration API."""
+
+from lavendertide.encodings import admin_json
+from lavendertide.ids import OwnerId
+from lavendertide.plans.books import Book
+from lavendertide.targets.lane import Lane
+
+
+def book_document(owner: OwnerId, book: Book, most: int) -> admin_json.BookDocument:
+    """Returns an owner's book with its newest entries."""
+    return admin_json.BookDocument(
+        owner=owner,
+        recorded=book.recorded,
+        tallies=tuple(
+            admin_json.TallyDocument(
+                kind=tally.kind.value,
+                reason=tally.reason,
+                fault=tally.fault.value,
+                count=count,
+            )
+            for tally, count in book.tallies.items()
+        ),
+        entries=tuple(
+            admin_json.FailureDocument(
+                at_s=entry.at_s,
+                query=entry.query,
+                plan=entry.plan,
+                index=entry.index,
+                kind=entry.kind.value,
+                reason=entry.reason,
+                fault=entry.fault.value,
+                shards=entry.shards,
+            )
+            for entry in book.entries(most)
+        ),
+    )
+
+
+def target_document(lane: Lane, now_s: float) -> admin_json.TargetDocument:
+    """Returns what is known of a target whose slots are held."""
+    place = lane.place
+    reach = lane.condition.reach
+    return admin_json.TargetDocument(
+        target=place.target,
+        owner=place.owner,
+        index=place.index,
+        failure_domain=place.failure_domain,
+        address=place.address,
+        state="draining" if lane.condition.is_draining(now_s) else reach.value,
+        queued=lane.queued,
+        slots_in_use=lane.slots_in_use,
+        spare_slots=lane.spare_slots(now_s),
+        slots=place.slots,
+    )
--- a/lavendertide/daemon/admin_service.py
+++ b/lavendertide/daemon/admin_service.py
@@ -16,6 +16,7 @@
     require_operator,
     require_owner,
 )
+from lavendertide.daemon.admin_documents import book_document, target_document
 from lavendertide.encodings import admin_json
 from lavendertide.errors import Fault, Refusal, RefusalKind
 from lavendertide.fleet.readiness import Readiness
@@ -117,10 +118,11 @@
 
     def targets(self, access: Access) -> Result[admin_json.TargetsDocument, Refusal]:
         """Returns the targets whose slots this daemon holds."""
+        now_s = clock.monotonic_s()
         return Success(
             admin_json.TargetsDocument(
                 targets=tuple(
-                    _target(lane)
+                    target_document(lane, now_s)
                     for lane in self._parts.targets.lanes
                     if _may_see(access, lane.place.owner)
                 )
@@ -227,33 +229,7 @@
         )
 
     def _book(self, owner: OwnerId, most: int) -> admin_json.BookDocument:
-        book = self._parts.books.of(owner) or Book()
-        return admin_json.BookDocument(
-            owner=owner,
-            recorded=book.recorded,
-            tallies=tuple(
-                admin_json.TallyDocument(
-                    kind=tally.kind.value,
-                    reason=tally.reason,
-                    fault=tally.fault.value,
-                    count=count,
-                )
-                for tally, count in book.tallies.items()
-            ),
-            entries=tuple(
-                admin_json.FailureDocument(
-                    at_s=entry.at_s,
-                    query=entry.query,
-                    plan=entry.plan,
-                    index=entry.index,
-                    kind=entry.kind.value,
-                    reason=entry.reason,
-                    fault=entry.fault.value,
-                    shards=entry.shards,
-                )
-                for entry in book.entries(most)
-            ),
-        )
+        return book_document(owner, self._parts.books.of(owner) or Book(), most)
 
     def _drain(self) -> admin_json.DrainDocument:
         self._parts.request_drain()
@@ -284,24 +260,6 @@
     return Success(found)
 
 
-def _target(lane: Lane) -> admin_json.TargetDocument:
-    place = lane.place
-    now_s = clock.monotonic_s()
-    reach = lane.condition.reach
-    return admin_json.TargetDocument(
-        target=place.target,
-        owner=place.owner,
-        index=place.index,
-        failure_domain=place.failure_domain,
-        address=place.address,
-        state="draining" if lane.condition.is_draining(now_s) else reach.value,
-        queued=lane.queued,
-        slots_in_use=lane.slots_in_use,
-        spare_slots=lane.spare_slots(now_s),
-        slots=place.slots,
-    )
-
-
 def _owner_missing(owners: list[OwnerId]) -> Refusal:
     known = ", ".join(owners) or "none has failures here"
     return Refusal(
--- a/lavendertide/daemon/daemon.py
+++ b/lavendertide/daemon/daemon.py
@@ -53,7 +53,8 @@
 from lavendertide.metrics.metrics import Metrics
 from lavendertide.options import Options
 from lavendertide.plans.admission import Allowances
-from lavendertide.plans.allocation import PlanAllocator, Presence
+from lavendertide.plans.allocation import Presence
+from lavendertide.plans.allocator import PlanAllocator
 from lavendertide.plans.allocators import Allocators
 from lavendertide.plans.books import Books
 from lavendertide.plans.share_exchange import ShareExchange
--- a/lavendertide/daemon/peer_front.py
+++ b/lavendertide/daemon/peer_front.py
@@ -29,7 +29,7 @@
     SubRequests,
     TicketRequest,
 )
-from lavendertide.plans.allocation import PlanAllocator
+from lavendertide.plans.allocator import PlanAllocator
 from lavendertide.runtime import clock, tasks
 
 REPLIES_PER_FRAME_MAX = 128
--- a/lavendertide/plans/allocation.py
+++ b/lavendertide/plans/allocation.py
@@ -17,12 +17,10 @@
 from enum import Enum
 from typing import Final
 
-from lavendertide.ids import DaemonId, Incarnation, PlanId
-from lavendertide.messages import PlanClaim, PlanClaims, PlanGrant, PlanGrants
+from lavendertide.ids import DaemonId, Incarnation
+from lavendertide.messages import PlanClaim
 
 NEWCOMERS_PART: Final = 0.25
-HALF: Final = 0.5
-SETTLING_S: Final = 2.5
 STALE_CLAIM_S: Final = 30.0
 RECOMPUTE_S: Final = 0.2
 HOLDERS_MAX: Final = 2_048
@@ -191,84 +189,3 @@
             self._targets = max_min_shares(demands, rate_per_s)
             self._computed_at_s = now_s
         return self._targets.get(daemon, 0.0)
-
-
-class PlanAllocator:
-    """The allocations of all plans that this daemon is asked about.
-
-    Args:
-        rate_of: Rate of a plan in the configuration in force, none if there is no
-            such plan.
-        presence: What the roster says about a daemon.
-        started_at_s: Present time.
-    """
-
-    def __init__(
-        self,
-        rate_of: Callable[[PlanId], float | None],
-        presence: Callable[[DaemonId], Presence],
-        started_at_s: float,
-    ) -> None:
-        self._rate_of = rate_of
-        self._presence = presence
-        self._changed_at_s = started_at_s
-        self._allocations: dict[PlanId, PlanAllocation] = {}
-
-    def find(self, plan: PlanId) -> PlanAllocation | None:
-        """Returns a plan's allocation if this daemon has been asked about it."""
-        return self._allocations.get(plan)
-
-    def note_members_changed(self, now_s: float) -> None:
-        """Notes that plans may come here that others allocated before."""
-        self._changed_at_s = now_s
-
-    def forget_absent(self, now_s: float) -> None:
-        """Drops holders that are gone and plans that nobody claims."""
-        for plan, allocation in list(self._allocations.items()):
-            allocation.drop_absent(self._presence, now_s)
-            if not allocation.shares:
-                del self._allocations[plan]
-
-    def answer(self, message: PlanClaims, now_s: float) -> PlanGrants:
-        """Returns what the sender of claims may grant from now on."""
-        grants = []
-        for claim in message.claims:
-            rate_per_s = self._rate_of(claim.plan)
-            if rate_per_s is not None:
-                grants.append(self._claim(message, claim, rate_per_s, now_s))
-        return PlanGrants(message.exchange, tuple(grants))
-
-    def _claim(
-        self, message: PlanClaims, claim: PlanClaim, rate_per_s: float, now_s: float
-    ) -> PlanGrant:
-        allocation = self._allocations.get(claim.plan)
-        if allocation is None:
-            allocation = PlanAllocation(self._settled_at_s(now_s))
-            self._allocations[claim.plan] = allocation
-        is_settled = allocation.is_settled(now_s)
-        share = allocation.claim(
-            message.daemon,
-            message.incarnation,
-            claim,
-            rate_per_s,
-            _most(claim),
-            self._presence,
-            now_s,
-        )
-        return PlanGrant(claim.plan, share, is_settled)
-
-    def _settled_at_s(self, now_s: float) -> float:
-        """Returns when a plan that was not known here until now has settled.
-
-        A daemon whose fellow members have just changed may be asked about a plan that
-        others allocated before, whose holders still have to claim here.
-        """
-        has_changed = now_s - self._changed_at_s < 2 * SETTLING_S
-        return now_s + SETTLING_S if has_changed else now_s
-
-
-def _most(claim: PlanClaim) -> float:
-    """Returns what may be divided, by whom the sender of a claim reaches."""
-    if claim.reached == 0 or 2 * claim.reached > claim.allocators:
-        return 1.0 + NEWCOMERS_PART
-    return HALF if 2 * claim.reached == claim.allocators else NEWCOMERS_PART
--- a/lavendertide/plans/share_exchange.py
+++ b/lavendertide/plans/share_exchange.py
@@ -12,7 +12,7 @@
 from lavendertide.fleet.roster import Roster
 from lavendertide.ids import DaemonId, ExchangeId, PlanId
 from lavendertide.messages import MemberRecord, PlanClaim, PlanClaims, PlanGrants
-from lavendertide.plans.allocation import PlanAllocator
+from lavendertide.plans.allocator import PlanAllocator
 from lavendertide.plans.allocators import Allocators
 from lavendertide.plans.shares import HeldShares
 from lavendertide.runtime import clock, tasks
--- a/tests/plans/test_allocation.py
+++ b/tests/plans/test_allocation.py
@@ -7,13 +7,8 @@
 
 from lavendertide.ids import DaemonId, ExchangeId, Incarnation, PlanId
 from lavendertide.messages import PlanClaim, PlanClaims
-from lavendertide.plans.allocation import (
-    NEWCOMERS_PART,
-    SETTLING_S,
-    PlanAllocator,
-    Presence,
-    max_min_shares,
-)
+from lavendertide.plans.allocation import NEWCOMERS_PART, Presence, max_min_shares
+from lavendertide.plans.allocator import SETTLING_S, PlanAllocator
 
 PLAN = PlanId("stall-clerk")
 RATE_PER_S = 100.0
--- a/tests/plans/test_shares.py
+++ b/tests/plans/test_shares.py
@@ -18,12 +18,8 @@
 )
 from lavendertide.messages import PlanClaims
 from lavendertide.plans.admission import WAIT_MAX_S, Allowance
-from lavendertide.plans.allocation import (
-    NEWCOMERS_PART,
-    SETTLING_S,
-    PlanAllocator,
-    Presence,
-)
+from lavendertide.plans.allocation import NEWCOMERS_PART, Presence
+from lavendertide.plans.allocator import SETTLING_S, PlanAllocator
 from lavendertide.plans.allocators import Allocators, Reach
 from lavendertide.plans.shares import FLOORS_PART, IDLE_S, HeldShares
 from tests.plans.members import record
