Give each launcher a block of ports of its own

Seen: with several launchers on one machine, two of eight deployments never became ready: the configuration service of the deployment answered that nothing had been published, though the publication had been accepted, and half of the daemons' reads never reached it. Supposed, not proved: ports were probed in the range of outgoing connections, closed, and used seconds later, so that another launcher or connection could come between. Change: ports come from a block below that range, which the launcher holds while it lives; a publication that is refused is an error. What was seen before was not brought about again, so this is watched and not closed.

--- a/standins/launcher.py
+++ b/standins/launcher.py
@@ -14,6 +14,7 @@
 import tempfile
 import time
 from collections.abc import Callable, Iterator
+from http import HTTPStatus
 from pathlib import Path
 from typing import Any
 
@@ -29,8 +30,8 @@
     publication,
     target_specification,
 )
+from standins.ports import PortBlock
 
-LOOPBACK = "127.0.0.1"
 READY_S = 20.0
 POLL_S = 0.05
 STOP_S = 10.0
@@ -57,11 +58,12 @@
         admin_key: str = "",
     ) -> None:
         self.owners = owners
-        self.placed = place_targets(owners, _free_addresses(count_targets(owners)))
+        self._ports = PortBlock()
+        self.placed = place_targets(owners, self._ports.take(count_targets(owners)))
         self.callers: dict[str, str] = {}
         self.peers: dict[str, str] = {}
         self.admins: dict[str, str] = {}
-        self.configuration, self.membership = _free_addresses(2)
+        self.configuration, self.membership = self._ports.take(2)
         self._controls: dict[str, str] = {}
         self._seed = seed
         self._target_processes = target_processes
@@ -97,6 +99,7 @@
             process.wait(STOP_S)
         self._http.clear()
         self._folder.cleanup()
+        self._ports.release()
 
     @contextlib.contextmanager
     def running(self) -> Iterator["Launcher"]:
@@ -239,8 +242,15 @@
         return self._http.request("GET", url, headers=self._headers).json()
 
     def post(self, address: str, path: str, body: Any) -> Any:
-        """Sends JSON to one of the processes."""
-        return self._http.request("POST", f"http://{address}{path}", json=body).json()
+        """Sends JSON to one of the processes.
+
+        Raises:
+            OSError: It was refused.
+        """
+        reply = self._http.request("POST", f"http://{address}{path}", json=body)
+        if reply.status != HTTPStatus.OK:
+            raise OSError(f"{address}{path} answered {reply.status}")
+        return reply.json()
 
     def _start_platform(self) -> None:
         self._spawn(
@@ -253,7 +263,7 @@
         _wait_for_listener(self.membership)
 
     def _start_targets(self) -> None:
-        controls = _free_addresses(self._target_processes)
+        controls = self._ports.take(self._target_processes)
         for number, control in enumerate(controls):
             served = self.placed[number :: self._target_processes]
             self._start_target_process(number, control, served)
@@ -274,7 +284,7 @@
 
     def _write_settings(self) -> None:
         hosts = [(owner, n) for owner in self.owners for n in range(owner.hosts)]
-        free = iter(_free_addresses(3 * len(hosts)))
+        free = iter(self._ports.take(3 * len(hosts)))
         addresses = [(next(free), next(free), next(free)) for _ in hosts]
         seeds = [peers for _, peers, _ in addresses[:3]]
         for (owner, number), own in zip(hosts, addresses, strict=True):
@@ -310,18 +320,6 @@
         return (Path(self._folder.name) / f"{name}.log").read_text()
 
 
-def _free_addresses(count: int) -> list[str]:
-    """Returns loopback addresses that nobody listens on."""
-    probes = [socket.socket() for _ in range(count)]
-    try:
-        for probe in probes:
-            probe.bind((LOOPBACK, 0))
-        return [f"{LOOPBACK}:{probe.getsockname()[1]}" for probe in probes]
-    finally:
-        for probe in probes:
-            probe.close()
-
-
 def _wait_for_listener(address: str) -> None:
     host, port = address.split(":")
     deadline_s = time.monotonic() + READY_S
--- /dev/null
+++ b/tests/standins/__init__.py
@@ -0,0 +1,1 @@
+"""The tests of the stand-ins and of their launcher."""
--- /dev/null
+++ b/tests/standins/test_ports.py
@@ -0,0 +1,22 @@
+"""Tests of `standins.ports`."""
+
+import unittest
+
+from standins.ports import BLOCK_SIZE, PortBlock
+
+
+class PortBlockTest(unittest.TestCase):
+    """Launchers that run at the same time share no port."""
+
+    def setUp(self) -> None:
+        self.blocks = [PortBlock() for _ in range(3)]
+        for block in self.blocks:
+            self.addCleanup(block.release)
+
+    def test_no_port_is_given_out_twice(self) -> None:
+        taken = [port for block in self.blocks for port in block.take(50)]
+        self.assertEqual(len(set(taken)), len(taken))
+
+    def test_a_block_that_is_used_up_says_so(self) -> None:
+        with self.assertRaises(OSError):
+            self.blocks[0].take(BLOCK_SIZE)
