--- a/lavendertide/fleet/readiness.py
+++ b/lavendertide/fleet/readiness.py
@@ -32,10 +32,12 @@
     Args:
         lease_s: A pause longer than this makes the view of the fleet stale.
         now_s: When the daemon has started.
+        join_s: How long it takes no requests after its start.
     """
 
-    def __init__(self, lease_s: float, now_s: float) -> None:
+    def __init__(self, lease_s: float, now_s: float, join_s: float = 0.0) -> None:
         self._lease_s = lease_s
+        self._joins_at_s = now_s + join_s
         self._state = ReadinessState.JOINING
         self._ticked_at_s = now_s
         self._stale_since_s: float | None = now_s
@@ -63,6 +65,8 @@
         """Takes in whether peers have answered; returns whether it now serves."""
         if self._stale_since_s is None:
             return False
+        if now_s < self._joins_at_s:
+            return False
         if not is_current and now_s - self._stale_since_s < ALONE_AFTER_S:
             return False
         self._stale_since_s = None
--- a/lavendertide/queries/fan_out.py
+++ b/lavendertide/queries/fan_out.py
@@ -12,6 +12,7 @@
 
 from lavendertide.configuration.catalog import Catalog, Index
 from lavendertide.errors import Fault, Refusal
+from lavendertide.ids import ShardNumber
 from lavendertide.messages import (
     Answered,
     Declined,
@@ -106,7 +107,7 @@
         """Runs until whole, out of time, out of replicas or out of its version."""
         now_s = self._started_at_s
         for shard in self._asker.ask_every_shard(now_s):
-            self._coverage.explain(shard, GapReason.NO_REPLICA, Fault.TARGET)
+            self._coverage.explain(shard, self._why_unasked(shard, now_s), Fault.TARGET)
         while not self._is_over(now_s):
             first = self._inbox.receive(self._wait_s(now_s))
             now_s = clock.monotonic_s()
@@ -136,6 +137,15 @@
             return Outcome.RAN
         return Outcome.UNKNOWN if self._attempts.may_have_run else Outcome.NOT_RUN
 
+    def _why_unasked(self, shard: ShardNumber, now_s: float) -> GapReason:
+        snapshot = self._pinned.snapshot
+        replicas = snapshot.replicas_of(shard)
+        if not replicas:
+            return GapReason.NO_REPLICA
+        if self._parts.holdings.may_any_hold(replicas, snapshot.version, now_s):
+            return GapReason.NO_ANSWER_IN_TIME
+        return GapReason.VERSION_NOT_HELD
+
     def _is_over(self, now_s: float) -> bool:
         if self._coverage.is_whole or self._is_condemned:
             return True
@@ -163,18 +173,23 @@
         attempt = self._asker.close(reply.attempt)
         if attempt is None:
             return
-        target = attempt.place.target
+        target, index = attempt.place.target, attempt.place.index
         match reply:
             case Answered() if self._belongs(reply, attempt):
                 self._timing.observe(now_s - attempt.sent_at_s, now_s)
                 self._parts.reports.hear(target, reply.spare_slots, now_s)
+                self._parts.reports.observations.note_answer(target, index, now_s)
                 self._cover(reply)
             case Answered():
                 self._take_loss(attempt, LossReason.MISMATCHED_REPLY, now_s)
             case Declined(reason=reason, spare_slots=spare_slots):
                 self._parts.reports.hear_decline(target, reason, spare_slots, now_s)
+                if reason is DeclineReason.DRAINING:
+                    self._parts.reports.observations.note_leaving(target, index, now_s)
                 self._take_decline(attempt, reason, now_s)
             case Lost(reason=loss):
+                if loss in (LossReason.TIMED_OUT, LossReason.TARGET_CLOSED):
+                    self._parts.reports.observations.note_loss(target, index, now_s)
                 self._take_loss(attempt, loss, now_s)
 
     def _belongs(self, reply: Answered, attempt: Attempt) -> bool:
--- a/standins/targets.py
+++ b/standins/targets.py
@@ -24,8 +24,9 @@
 def behaviour_of(document: dict[str, Any]) -> dict[str, Any]:
     """Returns the fields of a behaviour as read from JSON."""
     fields = dict(document)
-    if "state" in fields:
-        fields["state"] = TargetState(fields["state"])
+    for name in ("state", "health_says"):
+        if fields.get(name) is not None:
+            fields[name] = TargetState(fields[name])
     if "misreply" in fields:
         fields["misreply"] = Misreply(fields["misreply"])
     if "versions" in fields:
