--- a/bench/configuration_spread.py
+++ b/bench/configuration_spread.py
@@ -79,6 +79,7 @@
         cpu_ms: Processor time of one daemon for one change.
         bytes_per_change: Bytes that one daemon sent for one change.
         idle_bytes_per_s: Bytes that one daemon sends to compare stamps.
+        reads_per_change: Calls of the configuration service for one change.
     """
 
     daemons: int
@@ -88,6 +89,7 @@
     cpu_ms: float
     bytes_per_change: float
     idle_bytes_per_s: float
+    reads_per_change: float
     rss_growth_mb: float
 
 
@@ -214,6 +216,7 @@
     time.sleep(SETTLE_S)
     idle = _observe(launcher, lambda: time.sleep(IDLE_S))
     in_force_ms: list[float] = []
+    reads = _service_reads(launcher)
     busy = _observe(launcher, lambda: in_force_ms.extend(_changes(launcher, lists)))
     idle_cpu_s = idle.cpu_s / idle.elapsed_s * busy.elapsed_s
     idle_bytes = idle.sent_bytes / idle.elapsed_s * busy.elapsed_s
@@ -226,6 +229,7 @@
         cpu_ms=round((busy.cpu_s - idle_cpu_s) / per_change * 1000, 2),
         bytes_per_change=round((busy.sent_bytes - idle_bytes) / per_change, 1),
         idle_bytes_per_s=round(idle.sent_bytes / idle.elapsed_s / DAEMONS, 1),
+        reads_per_change=round((_service_reads(launcher) - reads) / CHANGES, 1),
         rss_growth_mb=round(busy.rss_growth_mb / DAEMONS, 2),
     )
 
@@ -257,6 +261,10 @@
     return (max(adopted_at_s) - started_s) * 1000
 
 
+def _service_reads(launcher: Launcher) -> int:
+    return int(launcher.get(launcher.configuration, "/v1/counts")["reads"])
+
+
 def _status(launcher: Launcher, name: str) -> dict[str, Any]:
     status: dict[str, Any] = launcher.get(launcher.admins[name], "/v1/configuration")
     return status
@@ -333,6 +341,7 @@
         f"a daemon: {spread.cpu_ms} ms of processor and {spread.bytes_per_change} "
         f"bytes sent per change, {spread.idle_bytes_per_s} bytes/s without changes"
     )
+    print(f"calls of the service per change: {spread.reads_per_change}")
     print(
         f"a node with {DAEMONS_A_NODE} daemons at {CHANGES_A_DAY} changes a day: "
         f"{node['core_percent']}% of a core, {node['bytes_per_s']} bytes/s"
