--- a/lavendertide/configuration/adoption.py
+++ b/lavendertide/configuration/adoption.py
@@ -5,8 +5,6 @@
 good one stays in force.
 """
 
-import json
-from dataclasses import dataclass
 from enum import Enum
 from hashlib import blake2b
 from typing import Final
@@ -16,7 +14,12 @@
 from lavendertide.configuration.catalog import Catalog
 from lavendertide.configuration.entries import WHOLE_DIGEST_BYTES
 from lavendertide.configuration.history import History
-from lavendertide.configuration.lists import GREATEST_VERSION
+from lavendertide.configuration.refused import (
+    NO_VERSION,
+    RefusedPublication,
+    claimed_version,
+    conflict_refusal,
+)
 from lavendertide.configuration.revision import Revision, apply_delta, read_revision
 from lavendertide.errors import Fault, Refusal, RefusalKind
 from lavendertide.ids import ConfigurationDigest, ConfigurationVersion
@@ -26,7 +29,6 @@
     ConfigurationStamp,
 )
 
-NO_VERSION: Final = ConfigurationVersion(0)
 NO_STAMP: Final = ConfigurationStamp(NO_VERSION, ConfigurationDigest(b""))
 MESSAGE_MAX: Final = 500
 
@@ -47,31 +49,6 @@
     MISMATCHED = "mismatched"
 
 
-@dataclass(frozen=True, slots=True)
-class RefusedPublication:
-    """The newest publication that was refused, and why.
-
-    Attributes:
-        notice: The refusal as peers are told of it.
-        refused_at_s: When this daemon refused it or heard of it, monotonic.
-        is_own: Whether this daemon has checked it itself.
-    """
-
-    notice: ConfigurationRefusal
-    refused_at_s: float
-    is_own: bool
-
-    @property
-    def refusal(self) -> Refusal:
-        """The reason and its remedy."""
-        return Refusal(
-            RefusalKind.BAD_PUBLICATION,
-            self.notice.message,
-            self.notice.remedy,
-            Fault.CALLER,
-        )
-
-
 class Configuration:
     """The configuration in force, and what was refused since."""
 
@@ -153,7 +130,7 @@
             case Success(revision):
                 return self._adopt(revision, now_s, source)
             case Failure(refusal):
-                stamp = ConfigurationStamp(_claimed_version(text), digest)
+                stamp = ConfigurationStamp(claimed_version(text), digest)
                 self._refuse(stamp, refusal, now_s)
         return Adoption.REFUSED
 
@@ -218,39 +195,13 @@
         self._keep_newest(RefusedPublication(notice, now_s, is_own=True))
 
     def _note_conflict(self, loser: ConfigurationStamp, now_s: float) -> None:
-        self._refuse(loser, _conflict(loser, self.stamp), now_s)
+        self._refuse(loser, conflict_refusal(loser, self.stamp), now_s)
 
     def _keep_newest(self, refused: RefusedPublication) -> None:
-        if self._refused is None or _order(refused) > _order(self._refused):
+        if self._refused is None or refused.rank > self._refused.rank:
             self._refused = refused
 
 
-def _order(
-    refused: RefusedPublication,
-) -> tuple[ConfigurationVersion, ConfigurationStamp, bool]:
-    return refused.notice.over_version, refused.notice.stamp, refused.is_own
-
-
-def _conflict(loser: ConfigurationStamp, winner: ConfigurationStamp) -> Refusal:
-    return Refusal(
-        RefusalKind.BAD_PUBLICATION,
-        f"Version {loser.version} was published twice with different content: digest "
-        f"{winner.digest.hex()} is in force everywhere, {loser.digest.hex()} is not.",
-        "Agree on one content and publish it under a higher version.",
-        Fault.CALLER,
-    )
-
-
 def _text_digest(text: bytes) -> ConfigurationDigest:
     digest = blake2b(text, digest_size=WHOLE_DIGEST_BYTES)
     return ConfigurationDigest(digest.digest())
-
-
-def _claimed_version(text: bytes) -> ConfigurationVersion:
-    """Returns the version that a refused publication bears, zero if none is legible."""
-    try:
-        document = json.loads(text)
-        versions = [int(document[part]["version"]) for part in ("plans", "uses")]
-    except (ValueError, TypeError, LookupError, OverflowError, RecursionError):
-        return NO_VERSION
-    return ConfigurationVersion(min(GREATEST_VERSION, max(0, *versions)))
--- a/lavendertide/configuration/service_watch.py
+++ b/lavendertide/configuration/service_watch.py
@@ -13,11 +13,8 @@
 
 from returns.result import Failure, Result, Success
 
-from lavendertide.configuration.adoption import (
-    NO_VERSION,
-    Adoption,
-    Configuration,
-)
+from lavendertide.configuration.adoption import Adoption, Configuration
+from lavendertide.configuration.refused import NO_VERSION
 from lavendertide.errors import Refusal
 from lavendertide.ids import ConfigurationVersion
 from lavendertide.runtime import clock, tasks
--- a/lavendertide/fleet/news.py
+++ b/lavendertide/fleet/news.py
@@ -4,7 +4,8 @@
 from collections.abc import Callable
 from typing import Final
 
-from lavendertide.configuration.adoption import NO_VERSION, Configuration
+from lavendertide.configuration.adoption import Configuration
+from lavendertide.configuration.refused import NO_VERSION
 from lavendertide.configuration.spreading import Spreading
 from lavendertide.fleet.roster import Roster
 from lavendertide.ids import ConfigurationVersion, DaemonId
