--- a/lavendertide/daemon/daemon.py
+++ b/lavendertide/daemon/daemon.py
@@ -4,7 +4,6 @@
 import signal
 import socket
 from collections.abc import Callable
-from functools import partial
 from pathlib import Path
 from typing import Final
 
@@ -19,8 +18,8 @@
 from lavendertide.daemon.admin_service import AdminParts
 from lavendertide.daemon.administration import Administration
 from lavendertide.daemon.caller_front import CallerFront
-from lavendertide.daemon.dispatcher import Dispatcher
 from lavendertide.daemon.drain import Drain
+from lavendertide.daemon.holding import join_s, make_holding
 from lavendertide.daemon.in_flight import InFlight
 from lavendertide.daemon.minter import Minter
 from lavendertide.daemon.peer_front import PeerFront
@@ -31,7 +30,6 @@
     HttpConfigurationReader,
     HttpMembershipReader,
 )
-from lavendertide.encodings.target_http import HttpTargetExchange
 from lavendertide.executions.execution import Executor
 from lavendertide.executions.ledger import Ledger
 from lavendertide.fleet.addresses import AddressBook
@@ -69,7 +67,6 @@
 from lavendertide.queries.timing import Timings
 from lavendertide.runtime import clock, sockets, tasks
 from lavendertide.runtime.pauses import Pauses, keep_ticking
-from lavendertide.targets.target_pool import TargetPool
 
 CONNECTIONS_MAX: Final = 1_024
 KEEP_ALIVE_S: Final = 60.0
@@ -90,7 +87,7 @@
         self._books = Books()
         self._plans: dict[PlanId, Plan] = {}
         self._roster = Roster(_own_record(options))
-        self._readiness = Readiness(fleet.lease_s, now_s)
+        self._readiness = Readiness(fleet.lease_s, now_s, join_s(options))
         self._in_flight = InFlight()
         self._faults = LinkFaults()
         self._edge = PeerEdge(fleet.key, self._roster, self._faults)
@@ -126,16 +123,12 @@
         )
         self._shares = self._make_shares()
         self._allowances = Allowances(self._shares)
-        self._pool = TargetPool(
-            partial(HttpTargetExchange, reply_max_bytes=options.queries.reply_max_bytes)
-        )
-        self._dispatcher = Dispatcher(
-            self._configuration,
-            self._roster,
-            self._peers,
-            self._readiness,
-            self._pool,
+        holding = make_holding(
+            options, self._configuration, self._roster, self._peers, self._readiness
         )
+        self._pool = holding.pool
+        self._keeper = holding.keeper
+        self._dispatcher = holding.dispatcher
         parts = self._fan_out_parts()
         self._metrics.follow_budgets(
             lambda: parts.hedge_budgets.spent, lambda: parts.retry_budgets.spent
@@ -169,6 +162,7 @@
         tasks.spawn(self._peer_front().serve, peer_listener)
         tasks.spawn(self._membership.keep)
         tasks.spawn(keep_ticking, self._pauses)
+        tasks.spawn(self._keeper.run)
         tasks.spawn(self._shares.keep)
         self._watch_platform()
         if self._options.faults:
@@ -200,6 +194,7 @@
             self._tickets,
             self._shares.allocator,
             self._in_flight,
+            self._keeper,
         )
 
     def _caller_front(self) -> CallerFront:
@@ -303,6 +298,7 @@
         self._spreading.announce()
 
     def _on_change(self) -> None:
+        self._keeper.follow()
         match self._configuration.catalog:
             case Success(catalog):
                 self._plans = dict(catalog.plans_by_id)
--- a/lavendertide/fleet/ranking.py
+++ b/lavendertide/fleet/ranking.py
@@ -19,6 +19,8 @@
 KEPT_PER_TARGET: Final = 8
 KEPT_MIN: Final = 4
 
+_RANKED_BEHIND: Final = frozenset({MemberState.JOINING, MemberState.LEAVING})
+
 _Key = tuple[bool, bool, int]
 
 
@@ -34,7 +36,7 @@
     """Returns who may hold a target's slots, the primary first.
 
     Members of the target's own failure domain come before the others of its region;
-    members of other regions never hold it. Those that leave come last.
+    members of other regions never hold it. Those that join or leave come last.
     """
     candidates = [member for member in members if member.region == place.region]
     return sorted(candidates, key=lambda member: _key(place, member))
@@ -42,7 +44,7 @@
 
 def _key(place: TargetPlace, member: MemberRecord) -> _Key:
     return (
-        member.state is MemberState.LEAVING,
+        member.state in _RANKED_BEHIND,
         member.failure_domain != place.failure_domain,
         -score(place.target, member.daemon),
     )
--- a/lavendertide/messages.py
+++ b/lavendertide/messages.py
@@ -88,6 +88,7 @@
 
     TARGET_CLOSED = "target_closed"
     TIMED_OUT = "timed_out"
+    CANCELLED = "cancelled"
     PEER_LOST = "peer_lost"
     REPLY_TOO_LARGE = "reply_too_large"
     MISMATCHED_REPLY = "mismatched_reply"
--- a/standins/launcher.py
+++ b/standins/launcher.py
@@ -34,6 +34,7 @@
 READY_S = 20.0
 POLL_S = 0.05
 STOP_S = 10.0
+LEASES_WAITING = "lavendertide_leases_waiting"
 
 
 class Launcher:
@@ -180,7 +181,7 @@
         return self._processes[name].wait(STOP_S)
 
     def wait_until_ready(self, name: str) -> None:
-        """Waits until a daemon has the configuration and knows its peers."""
+        """Waits until a daemon has the configuration, its peers and its slots."""
         deadline_s = time.monotonic() + READY_S
         while time.monotonic() < deadline_s:
             with contextlib.suppress(urllib3.exceptions.HTTPError):
@@ -188,7 +189,9 @@
                 reachable = [m for m in status["members"] if m["reachable"]]
                 known = len(reachable) >= len(self._settings)
                 serves = status["readiness"] == "serving"
-                if known and serves and status["configuration"] >= self._version:
+                is_current = status["configuration"] >= self._version
+                has_slots = self.metric(name, LEASES_WAITING, missing=1.0) == 0
+                if known and serves and is_current and has_slots:
                     return
             time.sleep(POLL_S)
         raise TimeoutError(f"daemon {name} is not ready after {READY_S:g} s")
@@ -214,11 +217,20 @@
         status: dict[str, Any] = self.get(self.admins[name], "/v1/status")
         return status
 
-    def metric(self, name: str, metric: str) -> float:
-        """Returns the sum of a daemon's metric over all its labels."""
+    def metric(self, name: str, metric: str, missing: float = 0.0) -> float:
+        """Returns the sum of a daemon's metric over all its labels.
+
+        Args:
+            name: The daemon.
+            metric: The metric's full name.
+            missing: What is returned for a metric that the daemon does not have.
+        """
         url = f"http://{self.admins[name]}/metrics"
-        lines = self._http.request("GET", url).data.decode().splitlines()
+        answer = self._http.request("GET", url, headers=self._headers)
+        lines = answer.data.decode().splitlines()
         found = [line for line in lines if line.split("{")[0].split(" ")[0] == metric]
+        if not found:
+            return missing
         return sum(float(line.rsplit(" ", 1)[1]) for line in found)
 
     def get(self, address: str, path: str) -> Any:
