--- a/tests/plans/test_shares.py
+++ b/tests/plans/test_shares.py
@@ -19,7 +19,7 @@
 from lavendertide.messages import PlanClaims
 from lavendertide.plans.admission import WAIT_MAX_S, Allowance
 from lavendertide.plans.allocation import NEWCOMERS_PART, Presence
-from lavendertide.plans.allocator import SETTLING_S, PlanAllocator
+from lavendertide.plans.allocator import PlanAllocator
 from lavendertide.plans.allocators import Allocators, Reach
 from lavendertide.plans.shares import FLOORS_PART, IDLE_S, HeldShares
 from tests.plans.members import record
@@ -49,6 +49,7 @@
         self.is_split = False
         self.alive = set(NAMES)
         self.listed = set(NAMES)
+        self.incarnations = dict.fromkeys(NAMES, 1)
         self.sides = {name: self._side(name) for name in NAMES}
 
     def _side(self, name: DaemonId) -> Side:
@@ -56,7 +57,7 @@
         allocator = PlanAllocator(
             lambda _: PLAN.rate_per_s,
             lambda other: self._presence(name, other),
-            self.now_s - 2 * SETTLING_S,
+            self.now_s,
         )
         return Side(allocators, allocator)
 
@@ -65,6 +66,14 @@
             return Presence.GONE
         return Presence.PRESENT if self.reaches(viewer, other) else Presence.SILENT
 
+    def start_again(self, name: DaemonId) -> None:
+        """Starts a dead daemon as a new run that knows nothing."""
+        if name not in self.alive:
+            self.incarnations[name] += 1
+            self.sides[name] = self._side(name)
+            self.alive.add(name)
+            self.listed.add(name)
+
     def reaches(self, one: DaemonId, other: DaemonId) -> bool:
         """Returns whether two daemons can talk."""
         is_cut = self.is_split and one.split("-")[0] != other.split("-")[0]
@@ -92,7 +101,8 @@
         claims = tuple(side.held.claims(side.allocators.reach_of, self.now_s))
         if not claims:
             return
-        message = PlanClaims(ExchangeId("1"), name, Incarnation(1), claims)
+        incarnation = Incarnation(self.incarnations[name])
+        message = PlanClaims(ExchangeId("1"), name, incarnation, claims)
         for member in side.allocators.of(PLAN.plan):
             if not self.reaches(name, member.daemon):
                 side.allocators.note_silence(member.daemon)
@@ -117,9 +127,7 @@
 Event = tuple[str, DaemonId, int]
 EVENTS = st.lists(
     st.tuples(
-        st.sampled_from(
-            ["arrive", "arrive", "arrive", "split", "heal", "kill", "drop"]
-        ),
+        st.sampled_from([*3 * ["arrive"], "split", "heal", "kill", "drop", "start"]),
         st.sampled_from(NAMES),
         st.integers(1, 300),
     ),
@@ -141,6 +149,8 @@
                 fleet.is_split = False
             case "kill", name, _:
                 fleet.alive.discard(name)
+            case "start", name, _:
+                fleet.start_again(name)
             case "drop", _, _:
                 if not fleet.is_split:
                     fleet.listed &= fleet.alive
