--- a/lavendertide/fleet/peer_link.py
+++ b/lavendertide/fleet/peer_link.py
@@ -115,6 +115,11 @@
         self._watch_s = interval_s
         self._outbox.send(_Poke.WAKE)
 
+    def wake(self) -> None:
+        """Lets the link see that there is news to tell."""
+        if self._watch_s is not None:
+            self._outbox.send(_Poke.WAKE)
+
     def poke(self) -> None:
         """Sends a heartbeat at once."""
         self._outbox.send(_Poke.BEAT)
@@ -242,6 +247,8 @@
     def _interval_s(self) -> float | None:
         if self._waiting or self._exchanges:
             return min(self._heartbeat_s, self._watch_s or self._heartbeat_s)
+        if self._watch_s and self._roster.has_news:
+            return min(self._heartbeat_s / 2, self._watch_s)
         return self._watch_s
 
     def _write_batch(self, peer: PeerConnection, first: _Item) -> bool:
--- a/standins/launcher.py
+++ b/standins/launcher.py
@@ -190,7 +190,7 @@
                 known = len(reachable) >= len(self._settings)
                 serves = status["readiness"] == "serving"
                 is_current = status["configuration"] >= self._version
-                has_slots = self.metric(name, LEASES_WAITING) == 0
+                has_slots = self.metric(name, LEASES_WAITING, missing=1.0) == 0
                 if known and serves and is_current and has_slots:
                     return
             time.sleep(POLL_S)
@@ -217,12 +217,20 @@
         status: dict[str, Any] = self.get(self.admins[name], "/v1/status")
         return status
 
-    def metric(self, name: str, metric: str) -> float:
-        """Returns the sum of a daemon's metric over all its labels."""
+    def metric(self, name: str, metric: str, missing: float = 0.0) -> float:
+        """Returns the sum of a daemon's metric over all its labels.
+
+        Args:
+            name: The daemon.
+            metric: The metric's full name.
+            missing: What is returned for a metric that the daemon does not have.
+        """
         url = f"http://{self.admins[name]}/metrics"
-        reply = self._http.request("GET", url, headers=self._headers)
-        lines = reply.data.decode().splitlines()
+        answer = self._http.request("GET", url, headers=self._headers)
+        lines = answer.data.decode().splitlines()
         found = [line for line in lines if line.split("{")[0].split(" ")[0] == metric]
+        if not found:
+            return missing
         return sum(float(line.rsplit(" ", 1)[1]) for line in found)
 
     def get(self, address: str, path: str) -> Any:
