--- /dev/null
+++ b/lavendertide/daemon/holding.py
@@ -0,0 +1,91 @@
+"""Builds the parts of a daemon that hold targets' slots and send to targets."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Final
+
+from lavendertide.configuration.adoption import Configuration
+from lavendertide.configuration.catalog import TargetPlace
+from lavendertide.daemon.dispatcher import Dispatcher
+from lavendertide.daemon.quarantine_service import QuarantineService
+from lavendertide.daemon.slot_keeper import SlotKeeper
+from lavendertide.encodings.target_http import HttpExchangeMaker
+from lavendertide.fleet.holders import HolderTable
+from lavendertide.fleet.lease import LeaseTiming
+from lavendertide.fleet.lease_book import LeaseBook
+from lavendertide.fleet.peers import Peers
+from lavendertide.fleet.readiness import Readiness
+from lavendertide.fleet.roster import Roster
+from lavendertide.fleet.static_share import StaticShare
+from lavendertide.options import Options, RouteStaticShare, RouteToPrimary
+from lavendertide.runtime import clock
+from lavendertide.targets.target_pool import SlotSource, TargetPool
+
+LEASE_MARGIN_S: Final = 0.5
+
+
+@dataclass(frozen=True, slots=True)
+class HoldingParts:
+    """What the rest of the daemon needs of them."""
+
+    pool: TargetPool
+    keeper: SlotKeeper
+    dispatcher: Dispatcher
+
+
+def make_holding(
+    options: Options,
+    configuration: Configuration,
+    roster: Roster,
+    peers: Peers,
+    readiness: Readiness,
+) -> HoldingParts:
+    """Builds the parts for one daemon."""
+    table = HolderTable(roster)
+    book = _lease_book(options, roster, table)
+    slots, holds = _slot_source(options, configuration, roster, book)
+    quarantine = QuarantineService(roster, peers)
+    maker = HttpExchangeMaker(options.queries.reply_max_bytes)
+    pool = TargetPool(maker, slots, quarantine, _attempt_s(options))
+    routing = options.policies.routing
+    return HoldingParts(
+        pool,
+        SlotKeeper(configuration, roster, table, book, pool, peers, quarantine, holds),
+        Dispatcher(
+            routing, configuration, roster, table, peers, readiness, pool, quarantine
+        ),
+    )
+
+
+def join_s(options: Options) -> float:
+    """Returns how long after its start a daemon can hold no slots."""
+    return _lease_timing(options).drain_s
+
+
+def _lease_book(options: Options, roster: Roster, table: HolderTable) -> LeaseBook:
+    own_address = options.addresses.peers
+    expects_peers = any(seed != own_address for seed in options.fleet.seeds)
+    now_s = clock.monotonic_s()
+    return LeaseBook(roster, table, _lease_timing(options), expects_peers, now_s)
+
+
+def _lease_timing(options: Options) -> LeaseTiming:
+    return LeaseTiming(options.fleet.lease_s, _attempt_s(options), LEASE_MARGIN_S)
+
+
+def _slot_source(
+    options: Options,
+    configuration: Configuration,
+    roster: Roster,
+    book: LeaseBook,
+) -> tuple[SlotSource, Callable[[TargetPlace], bool]]:
+    match options.policies.routing:
+        case RouteStaticShare():
+            share = StaticShare(configuration, roster)
+            return share, lambda place: place.region == roster.own.region
+        case RouteToPrimary():
+            return book, lambda place: book.holds(place.target)
+
+
+def _attempt_s(options: Options) -> float:
+    return options.queries.deadline_max_ms / 1000
--- a/lavendertide/daemon/peer_front.py
+++ b/lavendertide/daemon/peer_front.py
@@ -6,6 +6,7 @@
 
 from lavendertide.daemon.dispatcher import Dispatcher
 from lavendertide.daemon.in_flight import InFlight
+from lavendertide.daemon.slot_keeper import SlotKeeper
 from lavendertide.daemon.ticket_service import TicketService
 from lavendertide.fleet.news import FleetNews
 from lavendertide.fleet.peer_connection import PeerConnection, PeerEdge
@@ -51,6 +52,7 @@
         tickets: TicketService,
         allocator: PlanAllocator,
         in_flight: InFlight,
+        keeper: SlotKeeper,
     ) -> None:
         self._edge = edge
         self._roster = roster
@@ -61,6 +63,7 @@
         self._tickets = tickets
         self._allocator = allocator
         self._in_flight = in_flight
+        self._keeper = keeper
 
     def serve(self, listener: socket.socket) -> None:
         """Accepts connections for as long as the listener is open."""
@@ -85,13 +88,15 @@
             case SubRequests(items):
                 self._take_sub_requests(items, outbox)
             case Cancels(attempts):
-                self._dispatcher.cancel(list(attempts))
+                self._dispatcher.cancel_for_peer(list(attempts))
             case PlanClaims():
                 outbox.send(self._allocator.answer(frame, clock.monotonic_s()))
             case TicketRequest():
                 tasks.spawn(self._answer_ticket, frame, outbox)
             case ReachRequest():
                 tasks.spawn(self._answer_reach, frame, outbox)
+            case _ if self._keeper.take(frame):
+                pass
             case _:
                 now_s = clock.monotonic_s()
                 answer = self._news.answer(peer.daemon, frame, now_s)
