--- a/tests/processes/test_targets_slots.py
+++ b/tests/processes/test_targets_slots.py
@@ -1,10 +1,7 @@
 """Tests on separate processes that slots and connections are never overrun."""
 
-import json
 import signal
-import tempfile
 import unittest
-from pathlib import Path
 
 from standins.deployment import ASSOCIATION, smaller
 from standins.launcher import Launcher
@@ -15,7 +12,7 @@
 INDEX = "venue-desk"
 KEY = "stall-clerk"
 FIRST, SECOND = "association-0", "association-1"
-THREADS = 9
+THREADS = 24
 ANSWERS = 30
 FLEET = {"lease_s": 1.0, "address_lifetime_s": 1.0}
 QUERIES = {"deadline_max_ms": 1_000}
@@ -26,23 +23,18 @@
     """Holders that die, stop, leave or are cut off never overrun a target."""
 
     def setUp(self) -> None:
-        folder = tempfile.TemporaryDirectory()
-        self.addCleanup(folder.cleanup)
-        self.rules = Path(folder.name) / "faults.json"
-        self.cut()
-        overrides = {
-            "fleet": FLEET,
-            "queries": QUERIES,
-            "faults": {"rules": str(self.rules)},
-        }
-        self.launcher = Launcher(OWNERS, median_ms=20.0, overrides=overrides)
+        overrides = {"fleet": FLEET, "queries": QUERIES}
+        self.launcher = Launcher(
+            OWNERS, median_ms=60.0, overrides=overrides, has_link_faults=True
+        )
         self.addCleanup(self.launcher.stop)
         self.launcher.start()
 
-    def cut(self, *daemons: str) -> None:
+    def cut(self, *cut_off: str) -> None:
         """Cuts daemons off from all others; nobody is cut off without any."""
-        rules = {"drop_to": list(daemons), "drop_from": list(daemons)}
-        self.rules.write_text(json.dumps(rules))
+        for name in self.launcher.peers:
+            if name not in cut_off:
+                self.launcher.set_link_faults(name, drop_to=cut_off, drop_from=cut_off)
 
     def wait_for_run(self, daemon: str = FIRST) -> None:
         """Waits until targets whose primary is a daemon run more requests."""
@@ -54,6 +46,16 @@
         targets = targets_of(self.launcher, INDEX, daemon)
         return sum(ran(self.launcher, target) for target in targets)
 
+    def is_backed_up(self) -> bool:
+        """Returns whether another daemon runs something on the first one's targets."""
+        own = set(targets_of(self.launcher, INDEX, FIRST))
+        return any(
+            lane["target"] in own and lane["slots_in_use"]
+            for daemon, address in self.launcher.admins.items()
+            if daemon != FIRST
+            for lane in self.launcher.get(address, "/v1/targets")["targets"]
+        )
+
     def test_a_killed_holder(self) -> None:
         with SearchLoad(self.launcher, KEY, INDEX, THREADS) as load:
             load.wait_for(ANSWERS)
@@ -90,7 +92,8 @@
         with SearchLoad(self.launcher, KEY, INDEX, THREADS) as load:
             load.wait_for(ANSWERS)
             self.cut(FIRST)
-            load.wait_for(3 * ANSWERS)
+            wait_until(self.is_backed_up)
+            load.wait_for(5 * ANSWERS)
             self.wait_for_run(FIRST)
             self.wait_for_run(SECOND)
             self.cut()
