--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -3,7 +3,16 @@
 import subprocess
 import sys
 
-BENCHMARKS = ("bench.query_path",)
+BENCHMARKS = (
+    "bench.query_path",
+    "bench.query_policies",
+    "bench.data_path_slopes",
+    "bench.fleet_slopes",
+    "bench.fleet_state",
+    "bench.configuration_spread",
+    "bench.plan_shares",
+    "bench.codec",
+)
 
 
 def main() -> int:
--- a/lavendertide/daemon/daemon.py
+++ b/lavendertide/daemon/daemon.py
@@ -26,6 +26,7 @@
 from lavendertide.daemon.query_service import QueryService
 from lavendertide.daemon.recording import RecordedSearches, RecordedTickets, Recorder
 from lavendertide.daemon.ticket_service import TicketService
+from lavendertide.encodings.peer_socket import PeerSocket
 from lavendertide.encodings.platform_http import (
     HttpConfigurationReader,
     HttpMembershipReader,
@@ -91,7 +92,7 @@
         self._readiness = Readiness(fleet.lease_s, now_s, join_s(options))
         self._in_flight = InFlight()
         self._faults = LinkFaults()
-        self._edge = PeerEdge(fleet.key, self._roster, self._faults)
+        self._edge = PeerEdge(fleet.key, self._roster, self._faults, PeerSocket)
         self._spreading = Spreading(
             self._configuration,
             sum(seed != options.addresses.peers for seed in fleet.seeds),
--- a/lavendertide/fleet/peer_connection.py
+++ b/lavendertide/fleet/peer_connection.py
@@ -10,7 +10,7 @@
 from collections.abc import Callable
 from typing import Final
 
-from lavendertide.encodings.peer_socket import PeerSocket
+from lavendertide.fleet.frame_stream import FrameStream
 from lavendertide.fleet.handshake import FleetKey, Role, new_nonce
 from lavendertide.fleet.link_faults import LinkFaults
 from lavendertide.fleet.metrics import PEER_BYTES, PEERS_REFUSED
@@ -41,7 +41,7 @@
     """Frames to and from one member."""
 
     def __init__(
-        self, stream: PeerSocket, member: MemberRecord, faults: LinkFaults
+        self, stream: FrameStream, member: MemberRecord, faults: LinkFaults
     ) -> None:
         self._stream = stream
         self._member = member
@@ -88,10 +88,24 @@
 
 
 class PeerEdge:
-    """Opens and accepts connections for this daemon."""
+    """Opens and accepts connections for this daemon.
 
-    def __init__(self, key: str, roster: Roster, faults: LinkFaults) -> None:
+    Args:
+        key: The fleet's key.
+        roster: Holds this daemon's own record.
+        faults: Which frames to lose, in tests.
+        make_stream: Turns a socket into a stream of frames.
+    """
+
+    def __init__(
+        self,
+        key: str,
+        roster: Roster,
+        faults: LinkFaults,
+        make_stream: Callable[[socket.socket], FrameStream],
+    ) -> None:
         self._key = FleetKey(key)
+        self._make_stream = make_stream
         self._roster = roster
         self._faults = faults
         self._refused: set[str] = set()
@@ -120,9 +134,9 @@
         self,
         connection: socket.socket,
         ip: str,
-        shake: Callable[[PeerSocket, str], MemberRecord | None],
+        shake: Callable[[FrameStream, str], MemberRecord | None],
     ) -> PeerConnection | None:
-        stream = PeerSocket(connection)
+        stream = self._make_stream(connection)
         try:
             connection.settimeout(HANDSHAKE_TIMEOUT_S)
             member = shake(stream, ip)
@@ -136,7 +150,7 @@
         PEER_BYTES.labels("control", "received").inc(stream.bytes_received)
         return PeerConnection(stream, member, self._faults)
 
-    def _open(self, stream: PeerSocket, ip: str) -> MemberRecord | None:
+    def _open(self, stream: FrameStream, ip: str) -> MemberRecord | None:
         own, nonce = self._roster.own, new_nonce()
         stream.send(Hello(own, nonce))
         match stream.receive():
@@ -149,7 +163,7 @@
                 self._refuse(ip)
         return None
 
-    def _admit(self, stream: PeerSocket, ip: str) -> MemberRecord | None:
+    def _admit(self, stream: FrameStream, ip: str) -> MemberRecord | None:
         hello = stream.receive()
         if not isinstance(hello, Hello):
             return None
