--- a/lavendertide/daemon/daemon.py
+++ b/lavendertide/daemon/daemon.py
@@ -10,29 +10,21 @@
 from returns.result import Success
 
 from lavendertide.configuration.adoption import Configuration
-from lavendertide.configuration.catalog import Plan
-from lavendertide.configuration.service_watch import ServiceWatch
-from lavendertide.configuration.spreading import Spreading
-from lavendertide.configuration.status import ConfigurationStatus, status_of
-from lavendertide.configuration.watchers import is_watcher
 from lavendertide.daemon.admin_service import AdminParts
 from lavendertide.daemon.administration import Administration
 from lavendertide.daemon.caller_front import CallerFront
+from lavendertide.daemon.configuring import Configuring
 from lavendertide.daemon.drain import Drain
 from lavendertide.daemon.holding import join_s, make_holding
 from lavendertide.daemon.in_flight import InFlight
-from lavendertide.daemon.minter import Minter
 from lavendertide.daemon.peer_front import PeerFront
-from lavendertide.daemon.query_service import QueryService
 from lavendertide.daemon.recording import RecordedSearches, RecordedTickets, Recorder
-from lavendertide.daemon.ticket_service import TicketService
+from lavendertide.daemon.serving import make_serving
+from lavendertide.daemon.sharing import make_shares
 from lavendertide.encodings.peer_socket import PeerSocket
 from lavendertide.encodings.platform_http import (
-    HttpConfigurationReader,
     HttpMembershipReader,
 )
-from lavendertide.executions.execution import Executor
-from lavendertide.executions.ledger import Ledger
 from lavendertide.fleet.addresses import AddressBook
 from lavendertide.fleet.link_faults import LinkFaults
 from lavendertide.fleet.membership import PERIOD_BEATS, Membership
@@ -40,33 +32,20 @@
 from lavendertide.fleet.peer_connection import PeerEdge
 from lavendertide.fleet.peers import Peers
 from lavendertide.fleet.readiness import Readiness
-from lavendertide.fleet.roster import SILENCE_S, Roster
+from lavendertide.fleet.roster import Roster
 from lavendertide.ids import (
     Address,
     DaemonId,
     FailureDomain,
     HostId,
     Incarnation,
-    PlanId,
     Region,
 )
 from lavendertide.messages import MemberRecord, MemberState
 from lavendertide.metrics.metrics import Metrics
 from lavendertide.options import Options
 from lavendertide.plans.admission import Allowances
-from lavendertide.plans.allocation import Presence
-from lavendertide.plans.allocator import PlanAllocator
-from lavendertide.plans.allocators import Allocators
 from lavendertide.plans.books import Books
-from lavendertide.plans.share_exchange import ShareExchange
-from lavendertide.queries.gate import Gate
-from lavendertide.queries.hedging import Budgets
-from lavendertide.queries.parts import FanOutParts
-from lavendertide.queries.replicas import ReplicaChoice
-from lavendertide.queries.results_memory import ResultsMemory
-from lavendertide.queries.snapshot import Holdings
-from lavendertide.queries.target_reports import TargetReports
-from lavendertide.queries.timing import Timings
 from lavendertide.runtime import clock, sockets, tasks
 from lavendertide.runtime.pauses import Pauses, keep_ticking
 
@@ -87,28 +66,18 @@
         self._configuration = Configuration()
         self._metrics = Metrics()
         self._books = Books()
-        self._plans: dict[PlanId, Plan] = {}
         self._roster = Roster(_own_record(options))
         self._readiness = Readiness(fleet.lease_s, now_s, join_s(options))
         self._in_flight = InFlight()
         self._faults = LinkFaults()
         self._edge = PeerEdge(fleet.key, self._roster, self._faults, PeerSocket)
-        self._spreading = Spreading(
-            self._configuration,
-            sum(seed != options.addresses.peers for seed in fleet.seeds),
-            self._on_change,
-            now_s,
-        )
-        self._service_watch = ServiceWatch(
-            HttpConfigurationReader(Address(options.platform.configuration)),
-            self._configuration,
-            self._watches_service,
-            self._on_service_change,
+        self._configuring = Configuring(
+            options, self._configuration, self._roster, self._on_change, now_s
         )
         self._news = FleetNews(
             self._roster,
             self._configuration,
-            self._spreading,
+            self._configuring.spreading,
             lambda: self._peers.tell_soon(),
         )
         self._peers = Peers(
@@ -126,7 +95,7 @@
             PERIOD_BEATS * fleet.heartbeat_s,
             fleet.removal_s,
         )
-        self._shares = self._make_shares()
+        self._shares = make_shares(self._configuration, self._roster, self._peers)
         self._allowances = Allowances(self._shares)
         holding = make_holding(
             options,
@@ -139,27 +108,18 @@
         self._pool = holding.pool
         self._keeper = holding.keeper
         self._dispatcher = holding.dispatcher
-        parts = self._fan_out_parts()
-        self._metrics.follow_budgets(
-            lambda: parts.hedge_budgets.spent, lambda: parts.retry_budgets.spent
-        )
-        gate = Gate(options.queries.in_flight_max, parts.memory)
-        self._queries = QueryService(
-            options.queries,
-            self._configuration,
-            self._allowances,
-            parts,
-            gate,
-        )
-        self._tickets = TicketService(
-            options.fleet.key,
-            options.queries.deadline_max_ms,
+        self._serving = make_serving(
+            options,
             self._configuration,
             self._allowances,
             self._roster,
             self._peers,
-            self._minter(parts),
-            gate,
+            self._dispatcher,
+            self._pauses,
+        )
+        self._metrics.follow_budgets(
+            lambda: self._serving.parts.hedge_budgets.spent,
+            lambda: self._serving.parts.retry_budgets.spent,
         )
 
     def run(self) -> None:
@@ -200,7 +160,7 @@
             self._news,
             self._readiness,
             self._dispatcher,
-            self._tickets,
+            self._serving.tickets,
             self._shares.allocator,
             self._in_flight,
             self._keeper,
@@ -214,8 +174,8 @@
             self._roster.own,
             AddressBook(self._roster, self._configuration, lifetime_s),
             self._readiness,
-            RecordedSearches(self._queries, recorder),
-            RecordedTickets(self._tickets, recorder),
+            RecordedSearches(self._serving.queries, recorder),
+            RecordedTickets(self._serving.tickets, recorder),
             self._in_flight,
         )
 
@@ -224,7 +184,7 @@
             self._roster,
             self._readiness,
             self._configuration,
-            self._configuration_status,
+            self._configuring.status,
             self._allowances,
             self._shares,
             self._books,
@@ -233,86 +193,18 @@
         )
         return Administration(self._options.admin, self._metrics, parts)
 
-    def _make_shares(self) -> ShareExchange:
-        allocator = PlanAllocator(self._rate_of, self._presence, clock.monotonic_s())
-        return ShareExchange(self._roster, self._peers, Allocators(), allocator)
-
-    def _rate_of(self, plan: PlanId) -> float | None:
-        found = self._plans.get(plan)
-        return found.rate_per_s if found else None
-
-    def _presence(self, daemon: DaemonId) -> Presence:
-        member = self._roster.find(daemon)
-        if member is None or member.state is MemberState.REMOVED:
-            return Presence.GONE
-        now_s = clock.monotonic_s()
-        if self._roster.is_reachable(daemon, SILENCE_S, now_s):
-            return Presence.PRESENT
-        return Presence.SILENT
-
-    def _minter(self, parts: FanOutParts) -> Minter:
-        ledger = Ledger(self._options.tickets)
-        return Minter(
-            self._options.fleet.key,
-            self._configuration,
-            self._roster,
-            ledger,
-            Executor(ledger, parts),
-            self._pauses,
-        )
-
-    def _fan_out_parts(self) -> FanOutParts:
-        own = self._roster.own
-        policies, queries = self._options.policies, self._options.queries
-        holdings, reports = Holdings(), TargetReports()
-        return FanOutParts(
-            dispatch=self._dispatcher,
-            configuration=self._configuration,
-            policies=policies,
-            replica_choice=ReplicaChoice(
-                policies.replicas, own.region, own.failure_domain, holdings, reports
-            ),
-            holdings=holdings,
-            reports=reports,
-            timings=Timings(),
-            memory=ResultsMemory(queries.results_max_bytes, queries.query_max_bytes),
-            hedge_budgets=Budgets(),
-            retry_budgets=Budgets(),
-        )
-
     def _watch_platform(self) -> None:
-        platform = self._options.platform
-        tasks.spawn(self._service_watch.run)
-        tasks.spawn(self._spreading.run, lambda: self._peers.links)
-        membership = HttpMembershipReader(Address(platform.membership))
+        self._configuring.start(lambda: self._peers.links)
+        membership = HttpMembershipReader(Address(self._options.platform.membership))
         tasks.spawn(self._membership.read_list, membership.read)
 
-    def _configuration_status(self, now_s: float) -> ConfigurationStatus:
-        return status_of(
-            self._configuration, self._service_watch, self._spreading, now_s
-        )
-
-    def _watches_service(self, now_s: float) -> bool:
-        if not self._spreading.asks_service(now_s):
-            return False
-        reachable = [
-            member
-            for member in self._roster.serving
-            if self._roster.is_reachable(member.daemon, SILENCE_S, now_s)
-        ]
-        return is_watcher(self._roster.own, reachable, self._configuration.version)
-
-    def _on_service_change(self) -> None:
-        self._on_change()
-        self._spreading.announce()
-
     def _on_change(self) -> None:
         self._keeper.follow()
         match self._configuration.catalog:
             case Success(catalog):
-                self._plans = dict(catalog.plans_by_id)
-                self._allowances.apply(self._plans)
-                self._books.keep_only({plan.owner for plan in self._plans.values()})
+                plans = catalog.plans_by_id
+                self._allowances.apply(dict(plans))
+                self._books.keep_only({plan.owner for plan in plans.values()})
 
 
 def _own_record(options: Options) -> MemberRecord:
--- /dev/null
+++ b/lavendertide/daemon/serving.py
@@ -0,0 +1,93 @@
+"""The services that answer callers, and what their queries share."""
+
+from dataclasses import dataclass
+
+from lavendertide.configuration.adoption import Configuration
+from lavendertide.daemon.minter import Minter
+from lavendertide.daemon.query_service import QueryService
+from lavendertide.daemon.ticket_service import TicketService
+from lavendertide.executions.execution import Executor
+from lavendertide.executions.ledger import Ledger
+from lavendertide.fleet.peers import Peers
+from lavendertide.fleet.roster import Roster
+from lavendertide.options import Options
+from lavendertide.plans.admission import Allowances
+from lavendertide.queries.gate import Gate
+from lavendertide.queries.hedging import Budgets
+from lavendertide.queries.parts import Dispatch, FanOutParts
+from lavendertide.queries.replicas import ReplicaChoice
+from lavendertide.queries.results_memory import ResultsMemory
+from lavendertide.queries.snapshot import Holdings
+from lavendertide.queries.target_reports import TargetReports
+from lavendertide.queries.timing import Timings
+from lavendertide.runtime.pauses import Pauses
+
+
+@dataclass(frozen=True, slots=True)
+class Serving:
+    """What answers callers.
+
+    Attributes:
+        parts: What all queries share.
+    """
+
+    queries: QueryService
+    tickets: TicketService
+    parts: FanOutParts
+
+
+def make_serving(
+    options: Options,
+    configuration: Configuration,
+    allowances: Allowances,
+    roster: Roster,
+    peers: Peers,
+    dispatch: Dispatch,
+    pauses: Pauses,
+) -> Serving:
+    """Joins the services of one daemon."""
+    parts = _fan_out_parts(options, configuration, roster, dispatch)
+    gate = Gate(options.queries.in_flight_max, parts.memory)
+    queries = QueryService(options.queries, configuration, allowances, parts, gate)
+    ledger = Ledger(options.tickets)
+    minter = Minter(
+        options.fleet.key,
+        configuration,
+        roster,
+        ledger,
+        Executor(ledger, parts),
+        pauses,
+    )
+    tickets = TicketService(
+        options.fleet.key,
+        options.queries.deadline_max_ms,
+        configuration,
+        allowances,
+        roster,
+        peers,
+        minter,
+        gate,
+    )
+    return Serving(queries, tickets, parts)
+
+
+def _fan_out_parts(
+    options: Options, configuration: Configuration, roster: Roster, dispatch: Dispatch
+) -> FanOutParts:
+    own = roster.own
+    policies, queries = options.policies, options.queries
+    holdings, reports = Holdings(), TargetReports()
+    return FanOutParts(
+        dispatch=dispatch,
+        configuration=configuration,
+        policies=policies,
+        replica_choice=ReplicaChoice(
+            policies.replicas, own.region, own.failure_domain, holdings, reports
+        ),
+        holdings=holdings,
+        reports=reports,
+        timings=Timings(),
+        memory=ResultsMemory(queries.results_max_bytes, queries.query_max_bytes),
+        hedge_budgets=Budgets(),
+        retry_budgets=Budgets(),
+    )
