Build the package in isolation, so that a fresh machine needs nothing else

Cause: without isolation the editable install needs the wheel package, which the lock does not hold; make setup failed in a fresh clone and passed only where another tool had brought it. After: the install passes in a fresh environment made from the lock.

--- a/Makefile
+++ b/Makefile
@@ -11,7 +11,7 @@
 $(VENV)/.lock-installed: requirements.lock pyproject.toml
 	test -x $(PYTHON) || python3 -m venv $(VENV)
 	$(PYTHON) -m pip install --quiet --require-hashes -r requirements.lock
-	$(PYTHON) -m pip install --quiet --no-deps --no-build-isolation -e .
+	$(PYTHON) -m pip install --quiet --no-deps -e .
 	touch $@
 
 test: setup
