Let a stand-in target crash while a connection is closing

Cause: shutting down a connection that the other side had closed raised, so that a crash ended halfway and its control request was answered with 500.

--- a/standins/target.py
+++ b/standins/target.py
@@ -5,6 +5,7 @@
 counted after its caller has closed the connection.
 """
 
+import contextlib
 import random
 import time
 from collections import Counter, OrderedDict
@@ -187,7 +188,9 @@
                 super().finish()
 
             def drop(self) -> None:
-                self.connection.shutdown(2)
+                # The other side may have closed it already.
+                with contextlib.suppress(OSError):
+                    self.connection.shutdown(2)
 
         return CountedProtocol
 
