Keep the plan bound when a daemon starts in a split, and at the moment of a cut

A daemon that starts in a split becomes an allocator that never hears the other side's holders, settles after 2.5 s and counts as reached, so the smaller side takes itself for the larger one.

Ruled out: the removal of members (the test drops none in a split) and rounding.

Change: an allocator whose members have just changed notes who of them is silent and does not settle until they are heard or gone; only settled allocators count as reached; a higher share is used once as many allocators as the claim counted have answered that very claim.

Both schedules are now examples of the test and failed before. The test called allocator and shares as ShareExchange does, so it makes the two new calls too.

On processes it is not yet shown.

--- a/lavendertide/plans/allocation.py
+++ b/lavendertide/plans/allocation.py
@@ -100,6 +100,10 @@
         """Returns whether all holders have had time to claim here."""
         return now_s >= self._settled_at_s
 
+    def put_off_settling(self, settled_at_s: float) -> None:
+        """Sets a later time from when on all holders have had time to claim here."""
+        self._settled_at_s = settled_at_s
+
     def drop_absent(
         self, presence: Callable[[DaemonId], Presence], now_s: float
     ) -> None:
--- a/lavendertide/plans/allocator.py
+++ b/lavendertide/plans/allocator.py
@@ -1,9 +1,14 @@
 """The plans that this daemon allocates for the fleet.
 
 `lavendertide.plans.allocation` divides one plan; here claims come in for all of them.
+
+A daemon that has just become a plan's allocator does not know what the others hold
+until they have claimed here. Members that it cannot hear, because it started in a
+network split, may hold shares that it never learns of. Until they are heard again or
+are gone, it says that such a plan has not settled, and its grants count for little.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Final
 
 from lavendertide.ids import DaemonId, PlanId
@@ -33,6 +38,7 @@
         self._rate_of = rate_of
         self._presence = presence
         self._changed_at_s = started_at_s
+        self._unheard: set[DaemonId] = set()
         self._allocations: dict[PlanId, PlanAllocation] = {}
 
     def find(self, plan: PlanId) -> PlanAllocation | None:
@@ -43,6 +49,25 @@
         """Notes that plans may come here that others allocated before."""
         self._changed_at_s = now_s
 
+    def note_silence(self, members: Iterable[DaemonId], now_s: float) -> None:
+        """Notes which members may hold shares that this daemon cannot learn of.
+
+        Args:
+            members: The members of the fleet.
+            now_s: Present time.
+        """
+        known = members if self._has_changed(now_s) else self._unheard
+        self._unheard = {
+            daemon for daemon in known if self._presence(daemon) is Presence.SILENT
+        }
+        if self._unheard:
+            self._put_off_settling(now_s)
+
+    def _put_off_settling(self, now_s: float) -> None:
+        for allocation in self._allocations.values():
+            if not allocation.is_settled(now_s):
+                allocation.put_off_settling(now_s + SETTLING_S)
+
     def forget_absent(self, now_s: float) -> None:
         """Drops holders that are gone and plans that nobody claims."""
         for plan, allocation in list(self._allocations.items()):
@@ -84,8 +109,11 @@
         A daemon whose fellow members have just changed may be asked about a plan that
         others allocated before, whose holders still have to claim here.
         """
-        has_changed = now_s - self._changed_at_s < 2 * SETTLING_S
-        return now_s + SETTLING_S if has_changed else now_s
+        is_unsure = self._unheard or self._has_changed(now_s)
+        return now_s + SETTLING_S if is_unsure else now_s
+
+    def _has_changed(self, now_s: float) -> bool:
+        return now_s - self._changed_at_s < 2 * SETTLING_S
 
 
 def _most(claim: PlanClaim) -> float:
--- a/lavendertide/plans/allocators.py
+++ b/lavendertide/plans/allocators.py
@@ -18,7 +18,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Reach:
-    """How many of a plan's allocators answer, out of all."""
+    """How many of a plan's allocators answer and know its holders, out of all."""
 
     reached: int
     allocators: int
@@ -76,10 +76,14 @@
         return False
 
     def reach_of(self, plan: PlanId) -> Reach:
-        """Returns how many of a plan's allocators have answered about it."""
+        """Returns how many of a plan's allocators answer and know its holders.
+
+        One that started in a network split does not know them. If it counted, both
+        sides could take themselves for the larger one.
+        """
         allocators = self.of(plan)
         answered = self._answered.get(plan, {})
-        reached = sum(member.daemon in answered for member in allocators)
+        reached = sum(answered.get(member.daemon, False) for member in allocators)
         return Reach(reached, len(allocators))
 
     def forget_plans(self, kept: Collection[PlanId]) -> None:
--- a/lavendertide/plans/share_exchange.py
+++ b/lavendertide/plans/share_exchange.py
@@ -104,6 +104,9 @@
         if self._allocators.follow(self._roster.members):
             self._allocator.note_members_changed(now_s)
             self._held.claim_all_again()
+        self._allocator.note_silence(
+            (member.daemon for member in self._roster.members), now_s
+        )
 
     def _claim_all(self, now_s: float) -> None:
         by_allocator: dict[DaemonId, list[PlanClaim]] = defaultdict(list)
@@ -119,7 +122,7 @@
                 tuple(claims),
             )
             if daemon == own.daemon:
-                self._take(daemon, self._allocator.answer(message, now_s))
+                self._take(daemon, message, self._allocator.answer(message, now_s))
             elif daemon in self._asked:
                 self._held.claim_again(claims)
             else:
@@ -136,11 +139,14 @@
             self._allocators.note_silence(daemon)
             self._held.claim_again(message.claims)
         else:
-            self._take(daemon, grants)
+            self._take(daemon, message, grants)
 
-    def _take(self, daemon: DaemonId, grants: PlanGrants) -> None:
+    def _take(self, daemon: DaemonId, message: PlanClaims, grants: PlanGrants) -> None:
         must_claim = False
+        claims = {claim.plan: claim for claim in message.claims}
         for grant in grants.grants:
+            if grant.is_settled and grant.plan in claims:
+                self._held.note_answer(claims[grant.plan], daemon)
             if self._allocators.note_grant(daemon, grant.plan, grant.is_settled):
                 must_claim |= self._held.take_grant(grant.plan, grant.share)
             first_grant = self._first_grants.get(grant.plan)
--- a/lavendertide/plans/shares.py
+++ b/lavendertide/plans/shares.py
@@ -2,15 +2,17 @@
 
 A share comes from one of the plan's allocators and is kept while none of them answers.
 Before the first one a daemon grants the floor; all floors together are `FLOORS_PART` of
-a plan.
+a plan. A higher share is used only once all allocators that the claim counted as
+reached have answered it: a network split may have cut some of them off since, and then
+both sides would raise their shares as though they were the whole fleet.
 """
 
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Final, Protocol
 
 from lavendertide.configuration.catalog import Plan
-from lavendertide.ids import PlanId
+from lavendertide.ids import DaemonId, PlanId
 from lavendertide.messages import PlanClaim
 from lavendertide.plans.allocators import Reach
 
@@ -49,8 +51,11 @@
     share: float = 0.0
     demand_per_s: float = 0.0
     arrivals: int = 1
+    offered: float = 0.0
     claimed: PlanClaim | None = None
     claimed_at_s: float = 0.0
+    must_claim: bool = True
+    answered: set[DaemonId] = field(default_factory=set)
     is_released: bool = False
 
 
@@ -108,15 +113,14 @@
         for held in self._plans.values():
             claim = _claim(held, reach_of(held.plan.plan), now_s)
             if _is_due(held, claim, now_s):
-                held.claimed = claim
-                held.claimed_at_s = now_s
+                _note_claimed(held, claim, now_s)
                 due.append(claim)
         return due
 
     def claim_all_again(self) -> None:
         """Says that the allocators may have changed."""
         for held in self._plans.values():
-            held.claimed = None
+            held.must_claim = True
 
     def has_claimed_with_reach(self, plan: PlanId) -> bool:
         """Returns whether a plan was claimed after an allocator had answered."""
@@ -128,7 +132,7 @@
         for claim in claims:
             held = self._plans.get(claim.plan)
             if held is not None:
-                held.claimed = None
+                held.must_claim = True
 
     def take_grant(self, plan: PlanId, share: float) -> bool:
         """Takes over a share; returns whether it is much lower than the one held."""
@@ -136,9 +140,22 @@
         if held is None or held.is_released:
             return False
         is_lower = share < held.share * (1.0 - CHANGE_RATIO)
-        held.share = share
+        held.offered = share
+        _take_offered(held)
         return is_lower
 
+    def note_answer(self, claim: PlanClaim, allocator: DaemonId) -> None:
+        """Notes that an allocator that knows the plan's holders has answered.
+
+        Args:
+            claim: What it has answered; an answer to an earlier claim does not count.
+            allocator: Who has answered.
+        """
+        held = self._plans.get(claim.plan)
+        if held is not None and held.claimed is claim:
+            held.answered.add(allocator)
+            _take_offered(held)
+
     def forget_idle(self, now_s: float) -> None:
         """Gives up the shares of plans that nobody has used for a while."""
         for plan, held in list(self._plans.items()):
@@ -168,9 +185,23 @@
     )
 
 
+def _note_claimed(held: _Held, claim: PlanClaim, now_s: float) -> None:
+    held.claimed = claim
+    held.claimed_at_s = now_s
+    held.must_claim = False
+    held.answered.clear()
+    held.offered = held.share
+
+
+def _take_offered(held: _Held) -> None:
+    reached = held.claimed.reached if held.claimed else 0
+    if held.offered <= held.share or len(held.answered) >= reached:
+        held.share = held.offered
+
+
 def _is_due(held: _Held, claim: PlanClaim, now_s: float) -> bool:
     last = held.claimed
-    if last is None or now_s - held.claimed_at_s >= REFRESH_S:
+    if last is None or held.must_claim or now_s - held.claimed_at_s >= REFRESH_S:
         return True
     if claim.demand_per_s > PRESSED_RATIO * held.share * held.plan.rate_per_s:
         return True
--- a/tests/plans/test_allocation.py
+++ b/tests/plans/test_allocation.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from hypothesis import given, settings
+from hypothesis import given
 from hypothesis import strategies as st
 
 from lavendertide.ids import DaemonId, ExchangeId, Incarnation, PlanId
@@ -115,15 +115,34 @@
         self.claim("a", 90.0, 0.0, 1.0, incarnation=2)
         self.assertEqual(self.claim("a", 90.0, 1.0, 2.0, incarnation=1), 0.0)
 
+    def is_settled(self, now_s: float) -> bool:
+        """Claims; returns whether the allocator says that it knows the holders."""
+        claim = PlanClaim(PLAN, 90.0, 0.0, 0, ALLOCATORS)
+        message = PlanClaims(ExchangeId("1"), DaemonId("b"), Incarnation(1), (claim,))
+        (grant,) = self.allocator.answer(message, now_s).grants
+        return grant.is_settled
+
     def test_an_allocator_says_whether_it_knows_the_holders(self) -> None:
         self.allocator.note_members_changed(10.0)
-        for now_s, is_settled in ((10.0, False), (10.0 + SETTLING_S, True)):
-            claim = PlanClaim(PLAN, 90.0, 0.0, 0, ALLOCATORS)
-            message = PlanClaims(
-                ExchangeId("1"), DaemonId("b"), Incarnation(1), (claim,)
-            )
-            (grant,) = self.allocator.answer(message, now_s).grants
-            self.assertEqual(grant.is_settled, is_settled)
+        self.assertFalse(self.is_settled(10.0))
+        self.assertTrue(self.is_settled(10.0 + SETTLING_S))
+
+    def test_one_that_starts_in_a_split_settles_after_it(self) -> None:
+        self.allocator.note_members_changed(10.0)
+        self.presences[DaemonId("cut-off")] = Presence.SILENT
+        for second in range(10, 61):
+            self.allocator.note_silence([DaemonId("cut-off")], float(second))
+            self.assertFalse(self.is_settled(float(second)))
+        del self.presences[DaemonId("cut-off")]
+        self.allocator.note_silence([DaemonId("cut-off")], 61.0)
+        self.assertFalse(self.is_settled(61.0))
+        self.assertTrue(self.is_settled(61.0 + SETTLING_S))
+
+    def test_one_that_knows_the_holders_stays_settled_in_a_split(self) -> None:
+        self.assertTrue(self.is_settled(10.0))
+        self.presences[DaemonId("cut-off")] = Presence.SILENT
+        self.allocator.note_silence([DaemonId("cut-off")], 11.0)
+        self.assertTrue(self.is_settled(11.0))
 
     def test_a_holder_that_reaches_half_is_given_from_half(self) -> None:
         self.reached = ALLOCATORS // 2
@@ -133,7 +152,6 @@
         self.reached = 1
         self.assertEqual(self.claim("a", 90.0, 0.0, 0.0), NEWCOMERS_PART)
 
-    @settings(deadline=None)
     @given(
         st.lists(
             st.tuples(
--- a/tests/plans/test_shares.py
+++ b/tests/plans/test_shares.py
@@ -3,7 +3,7 @@
 import unittest
 from dataclasses import dataclass, field
 
-from hypothesis import given, settings
+from hypothesis import example, given, settings
 from hypothesis import strategies as st
 from returns.result import Success
 
@@ -16,7 +16,7 @@
     PlanClass,
     PlanId,
 )
-from lavendertide.messages import PlanClaims
+from lavendertide.messages import PlanClaim, PlanClaims
 from lavendertide.plans.admission import WAIT_MAX_S, Allowance
 from lavendertide.plans.allocation import NEWCOMERS_PART, Presence
 from lavendertide.plans.allocator import PlanAllocator
@@ -95,6 +95,7 @@
             if side.allocators.follow(members):
                 side.allocator.note_members_changed(self.now_s)
                 side.held.claim_all_again()
+            side.allocator.note_silence(self.listed, self.now_s)
             self._claim(name, side)
 
     def _claim(self, name: DaemonId, side: Side) -> None:
@@ -110,6 +111,8 @@
                 continue
             grants = self.sides[member.daemon].allocator.answer(message, self.now_s)
             for grant in grants.grants:
+                if grant.is_settled:
+                    side.held.note_answer(claims[0], member.daemon)
                 if side.allocators.note_grant(
                     member.daemon, grant.plan, grant.is_settled
                 ):
@@ -125,6 +128,34 @@
 
 
 Event = tuple[str, DaemonId, int]
+
+
+def events_of(*described: str) -> list[Event]:
+    """Returns events that are written as `kind daemon` or `kind daemon count`."""
+    events: list[Event] = []
+    for event in described:
+        kind, name, *count = event.split()
+        events.append((kind, DaemonId(name), int(count[0]) if count else 1))
+    return events
+
+
+START_IN_A_SPLIT = events_of(
+    "arrive east-a",
+    "kill east-b",
+    "kill west-b",
+    "drop east-a",
+    "split east-a",
+    "arrive west-a",
+    "start west-b",
+    *3 * ["arrive east-a"],
+)
+FIRST_CLAIMS_AT_A_SPLIT = events_of(
+    *2 * ["arrive east-a"],
+    "arrive east-b",
+    "arrive west-a 188",
+    "split east-a",
+    *3 * ["arrive east-a"],
+)
 EVENTS = st.lists(
     st.tuples(
         st.sampled_from([*3 * ["arrive"], "split", "heal", "kill", "drop", "start"]),
@@ -156,8 +187,10 @@
                     fleet.listed &= fleet.alive
         return {}
 
-    @settings(deadline=None, max_examples=200)
+    @settings(max_examples=500)
     @given(EVENTS)
+    @example(START_IN_A_SPLIT)
+    @example(FIRST_CLAIMS_AT_A_SPLIT)
     def test_a_fleet_under_faults_keeps_the_split_bound(
         self, events: list[Event]
     ) -> None:
@@ -166,7 +199,6 @@
             fleet.round(self.apply(fleet, event))
             self.assertLessEqual(fleet.granted(), SPLIT_BOUND + 1e-9, events)
 
-    @settings(deadline=None)
     @given(st.lists(st.dictionaries(st.sampled_from(NAMES), st.integers(1, 300))))
     def test_a_calm_fleet_keeps_the_calm_bound(
         self, rounds: list[dict[DaemonId, int]]
@@ -207,9 +239,19 @@
         self.assertGreaterEqual(share, NEWCOMERS_PART - 1e-9)
 
 
+ANSWERING = (DaemonId("east-a"), DaemonId("east-b"), DaemonId("west-a"))
+
+
 def all_reached(_: PlanId) -> Reach:
     """Returns the reach of a daemon whose claims are all answered."""
-    return Reach(3, 3)
+    return Reach(len(ANSWERING), len(ANSWERING))
+
+
+def answer(held: HeldShares, claim: PlanClaim, share: float) -> None:
+    """Lets all allocators answer a claim."""
+    held.take_grant(claim.plan, share)
+    for allocator in ANSWERING:
+        held.note_answer(claim, allocator)
 
 
 class HeldSharesTest(unittest.TestCase):
@@ -221,25 +263,56 @@
         for second in range(100):
             held.arrive(PLAN, float(second))
             held.count_demand(float(second))
-            claims += len(held.claims(all_reached, float(second)))
-            held.take_grant(PLAN.plan, 1.0)
+            for claim in held.claims(all_reached, float(second)):
+                claims += 1
+                answer(held, claim, 1.0)
         self.assertLessEqual(claims, 25)
 
     def test_an_idle_plan_is_claimed_with_no_demand(self) -> None:
         held = HeldShares()
         held.arrive(PLAN, 0.0)
-        held.claims(all_reached, 0.0)
-        held.take_grant(PLAN.plan, 1.0)
+        (claim,) = held.claims(all_reached, 0.0)
+        answer(held, claim, 1.0)
         (claim,) = held.claims(all_reached, IDLE_S + 1)
         self.assertEqual((claim.demand_per_s, claim.share), (0.0, 0.0))
 
     def test_a_late_grant_does_not_revive_an_idle_plan(self) -> None:
         held = HeldShares()
         held.arrive(PLAN, 0.0)
-        held.claims(all_reached, IDLE_S + 1)
-        held.take_grant(PLAN.plan, 1.0)
+        (claim,) = held.claims(all_reached, IDLE_S + 1)
+        answer(held, claim, 1.0)
         self.assertLessEqual(held.share_of(PLAN.plan, 100), FLOORS_PART / 100)
 
+    def test_a_raise_waits_for_all_that_are_reached(self) -> None:
+        held = HeldShares()
+        held.arrive(PLAN, 0.0)
+        (claim,) = held.claims(all_reached, 0.0)
+        held.take_grant(PLAN.plan, 1.0)
+        for allocator in ANSWERING[:-1]:
+            held.note_answer(claim, allocator)
+            self.assertLess(held.share_of(PLAN.plan, 100), 1.0)
+        held.note_answer(claim, ANSWERING[-1])
+        self.assertEqual(held.share_of(PLAN.plan, 100), 1.0)
+
+    def test_an_answer_to_an_earlier_claim_does_not_count(self) -> None:
+        held = HeldShares()
+        held.arrive(PLAN, 0.0)
+        (earlier,) = held.claims(all_reached, 0.0)
+        held.claim_all_again()
+        held.claims(all_reached, 1.0)
+        answer(held, earlier, 1.0)
+        self.assertLess(held.share_of(PLAN.plan, 100), 1.0)
+
+    def test_a_lower_share_is_taken_at_once(self) -> None:
+        held = HeldShares()
+        held.arrive(PLAN, 0.0)
+        (claim,) = held.claims(all_reached, 0.0)
+        answer(held, claim, 1.0)
+        held.claim_all_again()
+        held.claims(all_reached, 1.0)
+        held.take_grant(PLAN.plan, 0.5)
+        self.assertEqual(held.share_of(PLAN.plan, 100), 0.5)
+
 
 class AllowanceTest(unittest.TestCase):
     """A daemon grants its share and never a burst for the time it slept."""
