Look a request up again before it runs, so that a queued copy crashes nothing

Cause: whether a request may run was asked when it was queued. Copies of a poison that waited behind the one that crashed the target ran as soon as the target was back: with twelve senders over three hosts, one replica crashed two to three times before the trial.

Ruled out: trials granted twice (one target at most had one more). Part of what the test saw was the stand-in's: a target that was down already counted another crash for the second slot. A process that is down cannot crash; mended there.

Change: the task of a connection asks for the permission again when it takes a job, and declines what has become a suspect or was condemned meanwhile.

Conclusion: hosts that send a poison at once crash each replica once at most.

--- a/lavendertide/targets/connection.py
+++ b/lavendertide/targets/connection.py
@@ -18,6 +18,7 @@
     Lost,
     SubReply,
 )
+from lavendertide.poison.quarantine import Permission
 from lavendertide.runtime import clock, tasks
 from lavendertide.targets.condition import Reach
 from lavendertide.targets.exchange import (
@@ -122,6 +123,11 @@
 
 def _carry(shared: LaneTasks, exchange: TargetExchange, job: Job) -> None:
     lane = shared.lane
+    refused = _reason_to_refuse(shared, job)
+    if refused is not None:
+        lane.free(job.request.attempt)
+        job.inbox.send(Declined(job.request.attempt, refused))
+        return
     if job.is_alone and not exchange.open():
         reply: SubReply = Declined(job.request.attempt, DeclineReason.UNREACHABLE)
     else:
@@ -142,6 +148,17 @@
         shared.wake_ups.send(None)
 
 
+def _reason_to_refuse(shared: LaneTasks, job: Job) -> DeclineReason | None:
+    """Returns why a job must not run that was queued before a crash, if so."""
+    match shared.witness.permission(job.request, clock.monotonic_s()):
+        case Permission.NEVER:
+            return DeclineReason.POISONED
+        case Permission.ALONE if not job.is_alone:
+            return DeclineReason.UNREACHABLE
+        case _:
+            return None
+
+
 def _send(lane: Lane, job: Job, reply: SubReply, now_s: float) -> None:
     match reply:
         case Answered() | Declined():
--- a/lavendertide/targets/exchange.py
+++ b/lavendertide/targets/exchange.py
@@ -6,6 +6,7 @@
 from lavendertide.configuration.catalog import TargetPlace
 from lavendertide.ids import AttemptId
 from lavendertide.messages import SubReply, SubRequest
+from lavendertide.poison.quarantine import Permission
 
 
 class TargetExchange(Protocol):
@@ -51,6 +52,9 @@
 class CrashWitness(Protocol):
     """Is told what was in flight when a target closed its connections."""
 
+    def permission(self, request: SubRequest, now_s: float) -> Permission:
+        """Returns how a request may run now."""
+
     def note_crash(self, request: SubRequest, was_alone: bool) -> None:
         """Notes that a target closed the connection that carried a request."""
 
--- a/standins/target.py
+++ b/standins/target.py
@@ -157,13 +157,17 @@
             self._cold_until_s = time.monotonic() + self.behaviour.cold_ms / 1000
 
     def crash(self) -> None:
-        """Drops all connections and all work, and stops listening for a while."""
+        """Drops all connections and all work, and stops listening for a while.
+
+        One that is down already does not crash again.
+        """
+        listener, self._listener = self._listener, None
+        if listener is None:
+            return
+        listener.close()
         self.counts.crashes += 1
         self._epoch += 1
         self._works.clear()
-        listener, self._listener = self._listener, None
-        if listener is not None:
-            listener.close()
         for connection in list(self._open):
             connection.drop()
 
--- a/tests/processes/test_targets_poison.py
+++ b/tests/processes/test_targets_poison.py
@@ -1,5 +1,6 @@
 """Tests on separate processes of a request that crashes each target that runs it."""
 
+import threading
 import time
 import unittest
 
@@ -21,6 +22,7 @@
 ROUNDS = 3
 # One replica of each shard at first, and one trial.
 CRASHES_MAX = SHARDS + 1
+SENDERS_PER_HOST = 4
 
 
 class PoisonTest(unittest.TestCase):
@@ -35,8 +37,12 @@
 
     def crashes(self) -> int:
         """Returns how many crashes there were at all targets."""
+        return sum(self.crashes_by_target())
+
+    def crashes_by_target(self) -> list[int]:
+        """Returns how many crashes there were at each target."""
         counts = self.launcher.target_counts().values()
-        return sum(int(each["crashes"]) for each in counts)
+        return [int(each["crashes"]) for each in counts]
 
     def client(self, daemon: str) -> CallerClient:
         """Returns a caller of one daemon."""
@@ -66,6 +72,34 @@
         self.assertGreater(self.crashes(), 0)
         self.assertLessEqual(self.crashes(), CRASHES_MAX)
 
+    def resend_at_once(self) -> None:
+        """Sends the poison through every host at the same moment."""
+        daemons = SENDERS_PER_HOST * list(self.launcher.callers)
+        together = threading.Barrier(len(daemons))
+
+        def send(daemon: str) -> None:
+            client = self.client(daemon)
+            together.wait()
+            client.search(INDEX, POISON, 500, 5, time.monotonic())
+
+        senders = [threading.Thread(target=send, args=(name,)) for name in daemons]
+        for sender in senders:
+            sender.start()
+        for sender in senders:
+            sender.join()
+
+    def test_hosts_that_send_it_at_once_crash_each_replica_once(self) -> None:
+        for _ in range(ROUNDS):
+            self.resend_at_once()
+        for daemon in self.launcher.callers:
+            wait_until(lambda daemon=daemon: self.is_condemned(daemon))
+        self.resend_at_once()
+        crashes = sorted(self.crashes_by_target())
+        self.assertGreater(crashes[-1], 0)
+        trial, others = crashes[-1], crashes[:-1]
+        self.assertLessEqual(trial, 2, crashes)
+        self.assertLessEqual(others[-1], 1, crashes)
+
     def test_innocents_beside_it_are_answered(self) -> None:
         with SearchLoad(self.launcher, KEY, INDEX, THREADS) as load:
             load.wait_for(ANSWERS)
--- /dev/null
+++ b/tests/targets/test_connection.py
@@ -0,0 +1,97 @@
+"""Tests of `lavendertide.targets.connection`."""
+
+import unittest
+
+from lavendertide.ids import AttemptId
+from lavendertide.messages import (
+    Declined,
+    DeclineReason,
+    LossReason,
+    Lost,
+    SubReply,
+    SubRequest,
+)
+from lavendertide.poison.quarantine import Permission
+from lavendertide.runtime import clock, tasks
+from lavendertide.targets.connection import LaneTasks, serve_connection
+from lavendertide.targets.exchange import ExchangeTiming
+from lavendertide.targets.lane import Lane
+from tests.targets.test_lane import PLACE, job
+
+DEADLINE_S = 0.1
+TIMING = ExchangeTiming(end_margin_s=0.0)
+GIVE_UP_S = 5.0
+
+
+class CrashingExchange:
+    """A connection to a target that closes it on each request."""
+
+    def __init__(self) -> None:
+        self.run_attempts: list[AttemptId] = []
+
+    @property
+    def is_open(self) -> bool:
+        """Whether the connection can be used, which it always can."""
+        return True
+
+    def open(self) -> bool:
+        """Opens the connection."""
+        return True
+
+    def run(self, request: SubRequest, timeout_s: float) -> SubReply:
+        """Loses a request."""
+        self.run_attempts.append(request.attempt)
+        return Lost(request.attempt, LossReason.TARGET_CLOSED)
+
+    def close(self) -> None:
+        """Closes the connection."""
+
+
+class FakeWitness:
+    """Lets requests run freely until the first crash."""
+
+    def __init__(self, after_crash: Permission) -> None:
+        self.now = Permission.FREELY
+        self._after_crash = after_crash
+
+    def permission(self, request: SubRequest, now_s: float) -> Permission:
+        """Returns how a request may run now."""
+        return self.now
+
+    def note_crash(self, request: SubRequest, was_alone: bool) -> None:
+        """Notes the crash."""
+        self.now = self._after_crash
+
+    def note_answer(self, request: SubRequest) -> None:
+        """Takes no notice of an answer."""
+
+
+class QueuedAtACrashTest(unittest.TestCase):
+    """What waits when its target crashes does not crash it again."""
+
+    def second_reply(self, after_crash: Permission) -> SubReply | None:
+        """Runs two copies of a request; returns what became of the second one."""
+        now_s = clock.monotonic_s()
+        first = job("first", deadline_s=now_s + DEADLINE_S)
+        second = job("second", deadline_s=now_s + GIVE_UP_S)
+        lane = Lane(PLACE, lambda _: 1)
+        for each in (first, second):
+            lane.put(each, now_s).unwrap()
+        shared = LaneTasks(lane, FakeWitness(after_crash), TIMING)
+        shared.wake_ups.send(None)
+        self.exchange = CrashingExchange()
+        serving = tasks.spawn(serve_connection, shared, self.exchange)
+        self.addCleanup(serving.stop)
+        return second.inbox.receive(GIVE_UP_S)
+
+    def test_a_suspect_may_be_tried_elsewhere(self) -> None:
+        reply = self.second_reply(Permission.ALONE)
+        declined = Declined(AttemptId("second"), DeclineReason.UNREACHABLE)
+        self.assertEqual(reply, declined)
+        self.assertEqual(self.exchange.run_attempts, [AttemptId("first")])
+
+    def test_a_condemned_one_is_refused(self) -> None:
+        reply = self.second_reply(Permission.NEVER)
+        declined = Declined(AttemptId("second"), DeclineReason.POISONED)
+        self.assertEqual(reply, declined)
+        self.assertEqual(self.exchange.run_attempts, [AttemptId("first")])
