Make the test of a leaving daemon notice what it is for

The requests were over before the listeners closed, and an address vanished from the answers with the process anyway.

Change: five callers use the address for the whole lifetime of the answer that they have, one after another, so that some are in flight when the listeners close; the others must hide the address while the member still counts as leaving. The callers' last moment is taken from before the signal, so a slow machine makes the test no stricter than the promise. Each test has its own fleet, since one left its daemon stopped for the other.

--- a/tests/processes/test_fleet_drain.py
+++ b/tests/processes/test_fleet_drain.py
@@ -22,9 +22,13 @@
     for plan in ASSOCIATION.plans
 )
 OWNERS: Final = (replace(ASSOCIATION_OF_THREE, plans=AMPLE_PLANS),)
+LIFETIME_S: Final = 1.5
 FLEET: Final[dict[str, Any]] = {
-    "fleet": {"heartbeat_s": 0.25, "address_lifetime_s": 1.0}
+    "fleet": {"heartbeat_s": 0.25, "address_lifetime_s": LIFETIME_S}
 }
+KEPT_S: Final = 60.0
+ASKERS: Final = 5
+STAGGER_S: Final = 0.12
 CALLERS: Final = 3
 PAUSE_S: Final = 0.03
 
@@ -32,13 +36,10 @@
 class DrainTest(unittest.TestCase):
     """A daemon that leaves finishes what it has taken."""
 
-    launcher: Launcher
-
-    @classmethod
-    def setUpClass(cls) -> None:
-        cls.launcher = Launcher(OWNERS, overrides=FLEET, median_ms=600.0)
-        cls.addClassCleanup(cls.launcher.stop)
-        cls.launcher.start()
+    def setUp(self) -> None:
+        self.launcher = Launcher(OWNERS, overrides=FLEET, median_ms=600.0)
+        self.addCleanup(self.launcher.stop)
+        self.launcher.start()
 
     def addresses_from(self, name: str) -> set[str] | None:
         """Returns the addresses that one daemon gives to a caller, none if refused."""
@@ -54,27 +55,50 @@
         """Returns whether one daemon gives out another's address."""
         return self.launcher.callers[other] in (self.addresses_from(name) or set())
 
-    def test_a_request_in_flight_is_answered_and_the_address_vanishes(self) -> None:
-        leaver, others = DAEMONS[0], DAEMONS[1:]
-        eventually(self.is_given_by, others[0], leaver)
-        client = CallerClient([], "stall-clerk")
-        client._addresses = [self.launcher.callers[leaver]]
-        client._kept_until_s = time.monotonic() + 60
-        answers: list[object] = []
-
-        def ask() -> None:
-            now_s = time.monotonic()
+    def ask_until(self, name: str, ends_at_s: float, answers: list[object]) -> None:
+        """Searches through one daemon, the last time just before a moment."""
+        while (now_s := time.monotonic()) < ends_at_s:
+            client = CallerClient([], "stall-clerk")
+            client._addresses = [self.launcher.callers[name]]
+            client._kept_until_s = now_s + KEPT_S
             answers.append(client.search("venue-desk", "order", 2_000, 5, now_s))
 
-        askers = [threading.Thread(target=ask) for _ in range(2)]
+    def leave_while_asked(self, leaver: str, answers: list[object]) -> None:
+        """Tells a daemon to leave while callers use the addresses that they have."""
+        answered_at_s = time.monotonic()
+        self.assertIn(self.launcher.callers[leaver], self.addresses_from(leaver) or ())
+        ends_at_s = answered_at_s + LIFETIME_S
+        askers = [
+            threading.Thread(target=self.ask_until, args=(leaver, ends_at_s, answers))
+            for _ in range(ASKERS)
+        ]
         self.launcher.signal_daemon(leaver, signal.SIGTERM)
         for asker in askers:
             asker.start()
-        for name in others:
-            eventually(self.is_forgotten_by, name, leaver)
+            time.sleep(STAGGER_S)
+        self.wait_until_forgotten(leaver)
         for asker in askers:
             asker.join()
-        self.assertEqual([type(answer) for answer in answers], [Success] * 2, answers)
+
+    def wait_until_forgotten(self, leaver: str) -> None:
+        """Waits until no other daemon gives a leaving one's address any more."""
+        for name in DAEMONS:
+            if name != leaver:
+                eventually(self.is_forgotten_while_leaving, name, leaver)
+
+    def is_forgotten_while_leaving(self, name: str, other: str) -> bool:
+        """Returns whether one daemon knows that another leaves, and hides it."""
+        is_leaving = members(self.launcher, name).get(other) == "leaving"
+        return is_leaving and self.is_forgotten_by(name, other)
+
+    def test_callers_that_keep_an_address_are_all_answered(self) -> None:
+        leaver, others = DAEMONS[0], DAEMONS[1:]
+        for name in others:
+            eventually(self.is_given_by, name, leaver)
+        answers: list[object] = []
+        self.leave_while_asked(leaver, answers)
+        self.assertGreaterEqual(len(answers), ASKERS)
+        self.assertEqual({type(answer) for answer in answers}, {Success}, answers)
         self.assertEqual(self.launcher.wait_for_exit(leaver), 0)
         for name in others:
             eventually(self.is_removed_from, name, leaver)
