Give the test of a leaving target's replies a target of its own

Cause: with all three rules that act on a DRAINING reply taken out on a scratch copy (lane, target reports, observations) the test passed. It used the target of the health endpoint's test, which runs before it, and the daemons kept away from that target for six seconds whatever its replies said.

Ruled out: the counter of the stand-in; run alone, the copy sent it 144 requests.

After: 143 requests for 2 allowed without them; with them passed twice. With the lane's rule alone taken out it passes, since the entry hosts' own observations keep new work away.

--- a/tests/processes/test_targets_leaving.py
+++ b/tests/processes/test_targets_leaving.py
@@ -13,6 +13,8 @@
 INDEX = "venue-desk"
 KEY = "stall-clerk"
 TARGET = "venue-desk-1-0"
+# Daemons remember for a while what its health endpoint says, so each test has its own.
+TARGET_BY_REPLY = "venue-desk-3-0"
 THREADS = 6
 ANSWERS = 60
 NO_BREACH = {"slots": 0, "connections": 0}
@@ -32,9 +34,9 @@
     def tearDown(self) -> None:
         self.assertEqual(breaches_of(self.launcher), NO_BREACH)
 
-    def requests(self) -> int:
-        """Returns how many requests have come to the target."""
-        return int(self.launcher.target_counts()[TARGET]["requests"])
+    def requests(self, target: str) -> int:
+        """Returns how many requests have come to a target."""
+        return int(self.launcher.target_counts()[target]["requests"])
 
     def cancelled(self) -> int:
         """Returns how many attempts were cancelled at all targets."""
@@ -42,17 +44,22 @@
         return sum(int(each["cancelled"]) for each in counts)
 
     def test_what_its_reply_says_ends_new_work(self) -> None:
-        self.launcher.change_target(TARGET, state="draining", health_says="serving")
+        self.launcher.change_target(
+            TARGET_BY_REPLY, state="draining", health_says="serving"
+        )
         self.addCleanup(
-            self.launcher.change_target, TARGET, state="serving", health_says=None
+            self.launcher.change_target,
+            TARGET_BY_REPLY,
+            state="serving",
+            health_says=None,
         )
         with SearchLoad(self.launcher, KEY, INDEX, THREADS) as load:
             load.wait_for(ANSWERS)
-            before, began_s = self.requests(), time.monotonic()
+            before, began_s = self.requests(TARGET_BY_REPLY), time.monotonic()
             load.wait_for(5 * ANSWERS)
             # Each of two holders looks again once what it knows has grown old.
             looks = 1 + int((time.monotonic() - began_s) / DRAINING_KEPT_S)
-            self.assertLessEqual(self.requests() - before, 2 * looks)
+            self.assertLessEqual(self.requests(TARGET_BY_REPLY) - before, 2 * looks)
         self.assertTrue(all(answer["whole"] for answer in load.answers))
 
     def test_what_its_health_endpoint_says_ends_new_work(self) -> None:
@@ -65,9 +72,9 @@
 
     def has_no_work(self, load: SearchLoad) -> bool:
         """Returns whether nothing comes to the target while many answers do."""
-        before = self.requests()
+        before = self.requests(TARGET)
         load.wait_for(ANSWERS)
-        return self.requests() == before
+        return self.requests(TARGET) == before
 
     def test_an_attempt_that_nobody_waits_for_is_ended_at_the_target(self) -> None:
         self.slow_down(f"{INDEX}-2-0")
@@ -98,6 +105,6 @@
         with SearchLoad(self.launcher, KEY, INDEX, THREADS) as load:
             load.wait_for(ANSWERS)
             self.launcher.crash_target(TARGET)
-            before = self.requests()
-            wait_until(lambda: self.requests() > before + THREADS)
+            before = self.requests(TARGET)
+            wait_until(lambda: self.requests(TARGET) > before + THREADS)
         self.assertEqual(self.launcher.target_counts()[TARGET]["crashes"], 1)
