Ask again for shards whose slots are between two holders

Cause: where a second host is replaced just after the first, both replicas of a shard can be passing to a new holder at the same time. Each holder declines at once for want of a lease, and a query that prefers latency asked each replica once only, so it left with a gap (reason no_replica, fault system) 20 ms after its start, or after its first attempt had had its time and the second replica had no lease. Ruled out: the deadline (gaps after 20 to 560 ms of 1,000), the retry budget (2 or 3 spent of 50), refused connections and lost links (no gap of those kinds was seen). Change: a shard of which no daemon could use a replica's slots is asked again, up to four times after 25 to 200 ms, within the deadline and the retry budget, under each policy. A round that would come too late is no longer waited for. Tests: RetryTest has three new ones, which failed first with the call that notes the handover taken out (() != (0,) three times, 2 != 10). The reaction that declines a few times is shared with the test of the rounds, which asserts the same as before.

--- a/lavendertide/queries/asking.py
+++ b/lavendertide/queries/asking.py
@@ -87,14 +87,20 @@
             self._ask_next(shard, now_s)
         return True
 
+    def note_handover(self, shard: ShardNumber) -> None:
+        """Notes that no daemon could use the slots of a shard's replica just now."""
+        self._tries[shard].is_handed_over = True
+
     def plan_round(self, shard: ShardNumber, now_s: float) -> None:
-        """Plans to ask all replicas of a shard again, if its owner wants that."""
-        pause_s = next_round_s(self._rounds, self._tries[shard].rounds)
+        """Plans to ask all replicas of a shard again, if that has a prospect."""
+        tries = self._tries[shard]
+        pause_s = next_round_s(self._rounds, tries.rounds, tries.is_handed_over)
         if pause_s is None or self._is_stopped:
             return
-        self._rounds_due += 1
-        pause_s *= random.uniform(1.0, 1.0 + ROUND_PAUSE_JITTER)
-        self._schedule.add(now_s + pause_s, RoundDue(shard))
+        at_s = now_s + pause_s * random.uniform(1.0, 1.0 + ROUND_PAUSE_JITTER)
+        if self._query.deadline.allows_attempt(at_s):
+            self._rounds_due += 1
+            self._schedule.add(at_s, RoundDue(shard))
 
     def begin_round(self, shard: ShardNumber, now_s: float) -> None:
         """Asks the replicas of a shard again, within the retry budget."""
--- a/lavendertide/queries/attempts.py
+++ b/lavendertide/queries/attempts.py
@@ -32,11 +32,13 @@
         places: Its replicas in the order of asking.
         asked: How many of them were asked in this round.
         rounds: How many rounds were begun.
+        is_handed_over: Whether no daemon could use a replica's slots in this round.
     """
 
     places: list[TargetPlace]
     asked: int = 0
     rounds: int = 1
+    is_handed_over: bool = False
     open: list[AttemptId] = field(default_factory=list)
 
     @property
@@ -49,6 +51,7 @@
         self.places = places
         self.asked = 0
         self.rounds += 1
+        self.is_handed_over = False
 
 
 class Attempts:
--- a/lavendertide/queries/fan_out.py
+++ b/lavendertide/queries/fan_out.py
@@ -219,6 +219,8 @@
                 self._parts.holdings.deny(attempt.place.target, version, now_s)
             case DeclineReason.QUEUED_TOO_LONG:
                 self._timing.observe(now_s - attempt.sent_at_s, now_s)
+            case DeclineReason.NO_LEASE | DeclineReason.STALE_VIEW:
+                self._asker.note_handover(attempt.shard)
             case _:
                 pass
         self._try_elsewhere(attempt, *gap_of_decline(reason), now_s)
--- a/lavendertide/queries/waiting.py
+++ b/lavendertide/queries/waiting.py
@@ -1,6 +1,7 @@
 """How long an answer waits for the last shards, as the index's owner prefers."""
 
 import math
+from typing import Final
 
 from lavendertide.configuration.catalog import Index
 from lavendertide.options import (
@@ -11,6 +12,9 @@
 )
 from lavendertide.queries.deadline import Deadline
 
+HANDOVER_ROUNDS_MAX: Final = 4
+HANDOVER_PAUSE_S: Final = 0.025
+
 
 def wait_policy(policies: PolicyOptions, index: Index) -> WaitPolicy:
     """Returns the policy that an index's owner has chosen in the list of uses."""
@@ -44,17 +48,20 @@
             return deadline.at_s
 
 
-def next_round_s(policy: WaitPolicy, rounds: int) -> float | None:
+def next_round_s(policy: WaitPolicy, rounds: int, is_handed_over: bool) -> float | None:
     """Returns the pause before a shard's replicas are asked again, none for never.
 
+    Slots that pass from one daemon to another are worth waiting for under each policy.
+
     Args:
         policy: What the owner prefers.
         rounds: How many rounds the shard has had.
+        is_handed_over: Whether no daemon could use a replica's slots in the last round.
     """
     match policy:
-        case CoverageFirst(rounds=rounds_max, pause_ms=pause_ms):
-            if rounds >= rounds_max:
-                return None
+        case CoverageFirst(rounds=most, pause_ms=pause_ms) if rounds < most:
             return math.ldexp(pause_ms / 1000, rounds - 1)
-        case LatencyFirst():
+        case _ if is_handed_over and rounds <= HANDOVER_ROUNDS_MAX:
+            return math.ldexp(HANDOVER_PAUSE_S, rounds - 1)
+        case _:
             return None
--- a/tests/queries/test_fan_out.py
+++ b/tests/queries/test_fan_out.py
@@ -15,7 +15,9 @@
 from lavendertide.options import AnyReplica, CoverageFirst, LatencyFirst, RetryOptions
 from lavendertide.queries.coverage import GapReason
 from lavendertide.queries.results_memory import ResultsMemory
+from lavendertide.queries.waiting import HANDOVER_ROUNDS_MAX
 from tests.queries.fakes import (
+    Reaction,
     Tier,
     answered,
     declines,
@@ -34,6 +36,17 @@
     return [gap.reason for gap in searched.search(deadline_s).gaps]
 
 
+def answers_after(declined: int, reason: DeclineReason) -> Reaction:
+    """Returns the reaction of targets that decline so often before they answer."""
+    left = iter(range(declined))
+
+    def react(request: SubRequest) -> SubReply | None:
+        is_declined = next(left, None) is not None
+        return (declines(reason) if is_declined else answered)(request)
+
+    return react
+
+
 class OneSnapshotTest(unittest.TestCase):
     """An answer takes in nothing but its own replies of its own version."""
 
@@ -206,19 +219,35 @@
         self.assertEqual(len(searched.dispatch.sent), 1)
 
     def test_coverage_first_asks_the_replicas_again(self) -> None:
-        calls: list[SubRequest] = []
-
-        def sheds_twice(request: SubRequest) -> SubReply | None:
-            calls.append(request)
-            if len(calls) <= 2:
-                return declines(DeclineReason.SHED)(request)
-            return answered(request)
-
+        sheds_twice = answers_after(2, DeclineReason.SHED)
         policies = with_policies(coverage_first=CoverageFirst(pause_ms=1.0))
         searched = tier(index_of(1, preference="coverage"), policies)
         searched.dispatch.reactions = {NEAR: sheds_twice, FAR: sheds_twice}
         self.assertEqual(searched.search().covered, (0,))
-        self.assertEqual(len(calls), 3)
+        self.assertEqual(len(searched.dispatch.sent), 3)
+
+    def test_slots_between_two_holders_are_waited_for(self) -> None:
+        for preference in ("latency", "coverage"):
+            with self.subTest(preference):
+                searched = tier(index_of(1, preference=preference))
+                is_handed_over = answers_after(7, DeclineReason.NO_LEASE)
+                searched.dispatch.reactions = dict.fromkeys((NEAR, FAR), is_handed_over)
+                self.assertEqual(searched.search().covered, (0,))
+
+    def test_one_replica_between_two_holders_is_waited_for(self) -> None:
+        searched = tier(index_of(1))
+        searched.dispatch.reactions = {
+            NEAR: answers_after(1, DeclineReason.NO_LEASE),
+            FAR: loses(LossReason.TIMED_OUT),
+        }
+        self.assertEqual(searched.search().covered, (0,))
+
+    def test_slots_that_nobody_holds_are_waited_for_a_few_times(self) -> None:
+        nobody = declines(DeclineReason.NO_LEASE)
+        searched = tier(index_of(1))
+        searched.dispatch.reactions = {NEAR: nobody, FAR: nobody}
+        self.assertEqual(reasons(searched, 5.0), [GapReason.NO_REPLICA])
+        self.assertEqual(len(searched.dispatch.sent), 2 * (1 + HANDOVER_ROUNDS_MAX))
 
 
 class WaitTest(unittest.TestCase):
