Run no relayed work late that has waited on a stopped holder

Cause: a holder counted the time that is left for a relayed request from when it read it. What had waited in a connection while the process was stopped for less than a lease was run for its whole time, although its entry host had given it up. The cancellations behind it in the same connection hid most of that, but none come from an entry host that is gone. Change: a connection notes when it was last found empty, and a relayed request loses the pause only as far as it can have waited since then.

--- a/lavendertide/daemon/daemon.py
+++ b/lavendertide/daemon/daemon.py
@@ -164,6 +164,7 @@
             self._shares.allocator,
             self._in_flight,
             self._keeper,
+            self._pauses,
         )
 
     def _caller_front(self) -> CallerFront:
--- a/lavendertide/daemon/peer_front.py
+++ b/lavendertide/daemon/peer_front.py
@@ -1,6 +1,7 @@
 """Connections from other daemons: one task reads each, one writes to it."""
 
 import socket
+from dataclasses import replace
 
 from returns.result import Failure
 
@@ -31,6 +32,7 @@
 )
 from lavendertide.plans.allocator import PlanAllocator
 from lavendertide.runtime import clock, tasks
+from lavendertide.runtime.pauses import Pauses
 
 REPLIES_PER_FRAME_MAX = 128
 REACH_TIMEOUT_S = 0.7
@@ -53,6 +55,7 @@
         allocator: PlanAllocator,
         in_flight: InFlight,
         keeper: SlotKeeper,
+        pauses: Pauses,
     ) -> None:
         self._edge = edge
         self._roster = roster
@@ -64,6 +67,7 @@
         self._allocator = allocator
         self._in_flight = in_flight
         self._keeper = keeper
+        self._pauses = pauses
 
     def serve(self, listener: socket.socket) -> None:
         """Accepts connections for as long as the listener is open."""
@@ -86,7 +90,7 @@
     def _take(self, peer: PeerConnection, frame: Frame, outbox: _Outbox) -> None:
         match frame:
             case SubRequests(items):
-                self._take_sub_requests(items, outbox)
+                self._take_sub_requests(peer, items, outbox)
             case Cancels(attempts):
                 self._dispatcher.cancel_for_peer(list(attempts))
             case PlanClaims():
@@ -104,15 +108,23 @@
                     outbox.send(answer)
 
     def _take_sub_requests(
-        self, items: tuple[SubRequest, ...], outbox: _Outbox
+        self, peer: PeerConnection, items: tuple[SubRequest, ...], outbox: _Outbox
     ) -> None:
         self._in_flight.enter(len(items))
-        is_refused = isinstance(self._readiness.check(clock.monotonic_s()), Failure)
+        now_s = clock.monotonic_s()
+        is_refused = isinstance(self._readiness.check(now_s), Failure)
+        waited_ms = self._waited_at_most_ms(peer, now_s)
         for item in items:
             if is_refused:
                 outbox.send(Declined(item.attempt, DeclineReason.STALE_VIEW))
             else:
-                self._dispatcher.accept(item, outbox)  # type: ignore[arg-type]
+                timely = _less(item, waited_ms)
+                self._dispatcher.accept(timely, outbox)  # type: ignore[arg-type]
+
+    def _waited_at_most_ms(self, peer: PeerConnection, now_s: float) -> int:
+        """Returns how long a frame may have waited unread because of a pause."""
+        paused_s = self._pauses.waited_at_most_s(now_s)
+        return int(min(paused_s, now_s - peer.empty_at_s) * 1000)
 
     def _answer_ticket(self, request: TicketRequest, outbox: _Outbox) -> None:
         self._in_flight.enter()
@@ -148,3 +160,9 @@
         if replies:
             self._in_flight.leave(len(replies))
             peer.send(SubReplies(tuple(replies)))
+
+
+def _less(item: SubRequest, waited_ms: int) -> SubRequest:
+    if waited_ms == 0:
+        return item
+    return replace(item, remaining_ms=max(0, item.remaining_ms - waited_ms))
--- a/lavendertide/encodings/peer_socket.py
+++ b/lavendertide/encodings/peer_socket.py
@@ -1,6 +1,7 @@
 """One connection between two daemons, as a stream of frames."""
 
 import contextlib
+import io
 import socket
 
 from lavendertide.encodings.peer_frames import (
@@ -10,6 +11,7 @@
     encode_frame,
 )
 from lavendertide.messages import Frame
+from lavendertide.runtime.sockets import WatchedReader
 
 
 class PeerSocket:
@@ -17,7 +19,8 @@
 
     def __init__(self, connection: socket.socket) -> None:
         self._connection = connection
-        self._reader = connection.makefile("rb")
+        self._watched = WatchedReader(connection)
+        self._reader = io.BufferedReader(self._watched)
         self._bytes_sent = 0
         self._bytes_received = 0
 
@@ -31,6 +34,11 @@
         """Bytes received since it was opened."""
         return self._bytes_received
 
+    @property
+    def empty_at_s(self) -> float:
+        """When there was last nothing left to read."""
+        return self._watched.empty_at_s
+
     def send(self, frame: Frame) -> None:
         """Sends a frame.
 
--- a/lavendertide/fleet/frame_stream.py
+++ b/lavendertide/fleet/frame_stream.py
@@ -20,6 +20,10 @@
     def bytes_received(self) -> int:
         """Bytes received since it was opened."""
 
+    @property
+    def empty_at_s(self) -> float:
+        """When there was last nothing left to read."""
+
     def send(self, frame: Frame) -> None:
         """Sends a frame.
 
--- a/lavendertide/fleet/peer_connection.py
+++ b/lavendertide/fleet/peer_connection.py
@@ -57,6 +57,11 @@
         """The record that the other end has sent on opening."""
         return self._member
 
+    @property
+    def empty_at_s(self) -> float:
+        """When there was last nothing left to read."""
+        return self._stream.empty_at_s
+
     def send(self, frame: Frame) -> None:
         """Sends a frame.
 
--- a/lavendertide/runtime/sockets.py
+++ b/lavendertide/runtime/sockets.py
@@ -5,6 +5,7 @@
 """
 
 import contextlib
+import io
 import socket
 from collections.abc import Callable
 from typing import Any
@@ -13,6 +14,7 @@
 from eventlet import wsgi
 
 from lavendertide.ids import Address
+from lavendertide.runtime import clock
 
 BACKLOG = 512
 
@@ -80,3 +82,42 @@
         return False
     except OSError:
         return True
+
+
+class WatchedReader(io.RawIOBase):
+    """Reads a connection and notes when nothing was left to read.
+
+    Whatever is read later has arrived after that moment.
+    """
+
+    def __init__(self, connection: socket.socket) -> None:
+        self._plain = getattr(connection, "fd", connection)
+        self._raw = connection.makefile("rb", buffering=0)
+        self._empty_at_s = clock.monotonic_s()
+
+    @property
+    def empty_at_s(self) -> float:
+        """When the connection was last found empty."""
+        return self._empty_at_s
+
+    def readable(self) -> bool:
+        """Returns whether it can be read from."""
+        return True
+
+    def readinto(self, buffer: Any) -> int | None:
+        """Reads what is there and waits only if there is nothing.
+
+        Raises:
+            OSError: The connection is broken.
+        """
+        try:
+            read: int = self._plain.recv_into(buffer, 0, socket.MSG_DONTWAIT)
+        except BlockingIOError:
+            self._empty_at_s = clock.monotonic_s()
+            return self._raw.readinto(buffer)
+        return read
+
+    def close(self) -> None:
+        """Lets go of the connection."""
+        self._raw.close()
+        super().close()
