Show that newcomers and late wakers take nothing on an old version

Cause: the two tests of a stale service and of a late wake passed with the rule taken out, since a newcomer waits for the end of older attempts in any case, and a late waker of a small fleet finds the service's answer to its own watch in its socket. Change: SlowLinksTest delays the frames of the daemon to its peers by 0.5 s. The earlier tests stay as they are, on a shared base class, with link faults allowed.

--- a/tests/processes/test_configuration_service.py
+++ b/tests/processes/test_configuration_service.py
@@ -2,25 +2,45 @@
 
 import signal
 import time
-from typing import Any
+from typing import Any, ClassVar, Final
 
-from returns.result import Success
+from returns.result import Failure, Success
 
 from lavendertide.caller_client import CallerClient
-from standins.deployment import ASSOCIATION, smaller
+from standins.deployment import ASSOCIATION, OwnerSpec, smaller
 from standins.launcher import Launcher
-from tests.processes.test_configuration_spread import DEADLINE_MS, FleetTestCase
+from tests.processes.test_configuration_spread import (
+    DEADLINE_MS,
+    HOSTS_WITH_A_SPARE,
+    TIMEOUT_S,
+    FleetTestCase,
+)
 
 OWNERS = (smaller(ASSOCIATION, 2, 4),)
 NAME = "association-3"
+NEIGHBOURS: Final = ("association-0", "association-3", "association-6")
 FREEZE_S = 3.0
+SLOW_LINKS_S: Final = 0.5
+FAULTS_READ_S: Final = 0.5
+# A newcomer takes requests once attempts of an earlier run have ended, so that short
+# ones let it begin before it can have heard its peers.
+SHORT_MS: Final = 100
+TAKES_NOTHING: Final = {"not_ready", "unreachable"}
 
 
-class ServiceOutOfOrderTest(FleetTestCase):
-    """The last good version stays, and newcomers learn it from their peers."""
+class ServiceTestCase(FleetTestCase):
+    """A fleet of its own for each test."""
+
+    overrides: ClassVar[dict[str, Any]] = {}
+    owners: tuple[OwnerSpec, ...] = OWNERS
 
     def setUp(self) -> None:
-        self.launcher = Launcher(OWNERS, target_processes=1)
+        self.launcher = Launcher(
+            self.owners,
+            target_processes=1,
+            overrides=self.overrides,
+            has_link_faults=True,
+        )
         self.addCleanup(self.launcher.stop)
         self.launcher.start()
 
@@ -39,12 +59,24 @@
         self.launcher.start_daemon(NAME)
         self.launcher.wait_until_ready(NAME)
 
-    def search(self, deadline_ms: int = DEADLINE_MS) -> Any:
+    def search(self, name: str = NAME) -> Any:
         """Searches through the daemon that the tests restart or freeze."""
-        host = self.launcher.callers[NAME]
+        host = self.launcher.callers[name]
         client = CallerClient([host], "promoter")
         client._addresses, client._kept_until_s = [host], time.monotonic() + 60
-        return client.search("promoter-view", "o", deadline_ms, 5, time.monotonic())
+        return client.search("promoter-view", "o", DEADLINE_MS, 5, time.monotonic())
+
+    def kinds_until(self, awaited: str, name: str) -> set[str]:
+        """Searches until an awaited refusal comes; returns all kinds of answers."""
+        kinds: set[str] = set()
+        ends_at_s = time.monotonic() + TIMEOUT_S
+        while awaited not in kinds and time.monotonic() < ends_at_s:
+            match self.search(name):
+                case Failure(refusal):
+                    kinds.add(refusal.kind.value)
+                case Success(_):
+                    kinds.add("answered")
+        return kinds
 
     def without_use(self) -> dict[str, Any]:
         """Returns lists in which the plan of `search` may use nothing."""
@@ -53,6 +85,10 @@
         lists["uses"]["uses"] = [use for use in uses if use["plan"] != "promoter"]
         return lists
 
+
+class ServiceOutOfOrderTest(ServiceTestCase):
+    """The last good version stays, and newcomers learn it from their peers."""
+
     def test_a_daemon_joins_while_the_service_is_down(self) -> None:
         self.mode("down")
         self.wait_until(lambda: any(s["service"]["problem"] for s in self.statuses()))
@@ -84,3 +120,47 @@
         while "not_entitled" not in kinds:
             kinds.add(self.search().failure().kind.value)
         self.assertLessEqual(kinds, {"not_entitled", "not_ready", "unreachable"})
+
+
+class SlowLinksTest(ServiceTestCase):
+    """A daemon that hears its peers late takes nothing on an old version before."""
+
+    overrides: ClassVar[dict[str, Any]] = {"queries": {"deadline_max_ms": SHORT_MS}}
+    owners = (smaller(ASSOCIATION, 2, HOSTS_WITH_A_SPARE),)
+
+    def test_a_newcomer_takes_nothing_on_what_a_stale_service_says(self) -> None:
+        stale = self.launcher.next_lists()
+        self.wait_for_version(self.publish(stale))
+        self.wait_for_version(self.publish(self.without_use()))
+        self.publish(stale)
+        self.launcher.set_link_faults(NAME, delay_s=SLOW_LINKS_S)
+        self.launcher.signal_daemon(NAME, signal.SIGKILL)
+        self.launcher.wait_for_exit(NAME)
+        self.launcher.start_daemon(NAME)
+        kinds = self.kinds_until("not_entitled", NAME)
+        self.assertLessEqual(kinds, TAKES_NOTHING | {"not_entitled"})
+        self.assertIn("not_entitled", kinds)
+
+    def test_a_late_waker_takes_nothing_on_what_it_knew(self) -> None:
+        name = self.without_a_watch()
+        self.assertIsInstance(self.search(name), Success)
+        self.launcher.set_link_faults(name, delay_s=SLOW_LINKS_S)
+        time.sleep(FAULTS_READ_S)
+        self.launcher.signal_daemon(name, signal.SIGSTOP)
+        others = [other for other in self.launcher.admins if other != name]
+        self.wait_for_version(self.publish(self.without_use()), others)
+        time.sleep(FREEZE_S)
+        self.launcher.signal_daemon(name, signal.SIGCONT)
+        kinds = self.kinds_until("not_entitled", name)
+        self.assertLessEqual(kinds, TAKES_NOTHING | {"not_entitled"})
+        self.assertIn("not_entitled", kinds)
+
+    def without_a_watch(self) -> str:
+        """Returns a daemon in whose sockets no answer of the service can wait."""
+        self.wait_until(lambda: len(self.watchers()) == len(NEIGHBOURS) - 1)
+        (name,) = set(NEIGHBOURS) - set(self.watchers())
+        return name
+
+    def watchers(self) -> list[str]:
+        """Returns which of three daemons in one failure domain watch the service."""
+        return [n for n in NEIGHBOURS if self.status(n)["service"]["watching"]]
