Measure what the leases cost a daemon at the target size

bench.fleet_state had the roster and the ranks only. It now also times the leases of one region's 1,100 targets: each tick of the slot keeper looks at all of them, although a daemon holds about three.

--- a/bench/fleet_state.py
+++ b/bench/fleet_state.py
@@ -1,8 +1,9 @@
 """Measures what the fleet's state costs one daemon at the target size.
 
 `python -m bench.fleet_state` builds the roster of the target size in this process and
-prints one line of JSON: its memory, the size of frames, and the time that one change
-of a member takes in the roster, the choice of watched members and the ranks.
+prints one line of JSON: its memory, the size of frames, the time that one change of a
+member takes in the roster, the choice of watched members, the ranks and the leases, and
+the time that the leases take on each tick.
 """
 
 import json
@@ -14,7 +15,11 @@
 
 from bench.revision import revision
 from lavendertide.configuration.catalog import TargetPlace
+from lavendertide.daemon.slot_keeper import TICK_S
 from lavendertide.encodings.peer_frames import encode_frame
+from lavendertide.fleet.holders import HolderTable
+from lavendertide.fleet.lease import LeaseTiming
+from lavendertide.fleet.lease_book import LeaseBook
 from lavendertide.fleet.overlay import watched_by
 from lavendertide.fleet.ranking import TargetRanks
 from lavendertide.fleet.roster import Roster
@@ -62,6 +67,7 @@
         "roster_mb": round(roster_mb, 2),
         "roster_and_ranks_mb": round(state_mb, 2),
         **_frame_sizes(roster),
+        **_lease_times(places),
         "follow_change_ms": _follow_change_ms(roster, ranks, places),
         "watched_by_ms": _time_ms(
             lambda: watched_by(roster.own.daemon, roster.members)
@@ -87,6 +93,34 @@
     }
 
 
+def _lease_times(places: list[TargetPlace]) -> dict[str, Any]:
+    """Returns what the leases of all targets of one region cost one daemon."""
+    roster = Roster(_member(0))
+    roster.learn((_member(number) for number in range(DAEMONS)), 0.0)
+    timing = LeaseTiming(lease_s=2.0, attempt_s=2.0, margin_s=0.5)
+    book = LeaseBook(
+        roster, HolderTable(roster), timing, expects_peers=False, now_s=0.0
+    )
+    book.follow(places, 0.0)
+
+    def tick() -> None:
+        book.keep(1.0)
+        book.claims(1.0)
+
+    tick_ms = _time_ms(tick)
+    started_s = time.process_time()
+    for number in range(1, CHANGES + 1):
+        roster.learn((_member(number, MemberState.LEAVING),), 1.0)
+        book.follow(places, 1.0)
+    follow_s = time.process_time() - started_s
+    return {
+        "leases_held": book.held,
+        "lease_tick_ms": tick_ms,
+        "lease_ticks_percent_of_core": round(tick_ms / TICK_S / 10, 2),
+        "lease_follow_change_ms": round(1_000 * follow_s / CHANGES, 2),
+    }
+
+
 def _follow_change_ms(
     roster: Roster, ranks: TargetRanks, places: list[TargetPlace]
 ) -> float:
@@ -102,7 +136,7 @@
     started_s = time.process_time()
     for _ in range(CHANGES):
         action()
-    return round(1_000 * (time.process_time() - started_s) / CHANGES, 2)
+    return round(1_000 * (time.process_time() - started_s) / CHANGES, 3)
 
 
 def _place_of(number: int) -> tuple[Region, FailureDomain]:
