Look on each tick only at the leases that a daemon holds

Cause: the slot keeper looked 20 times a second at the leases of all targets of the region, of which a daemon at the target size holds about three of 1,100. This grows with the targets, so small fleets did not show it. Change: the book keeps the leases of what is held apart, chosen when members or targets change.

--- a/lavendertide/fleet/lease_book.py
+++ b/lavendertide/fleet/lease_book.py
@@ -36,27 +36,28 @@
         self._is_isolated = expects_peers
         self._watch = WakeWatch(timing.lease_s, now_s)
         self._leases: dict[TargetId, SlotLease] = {}
+        # Looked at on each tick, unlike the leases of all targets of a region.
+        self._held: dict[TargetId, SlotLease] = {}
 
     @property
     def partners(self) -> set[DaemonId]:
         """The members whose contact the leases depend on."""
-        partners = {lease.partner for lease in self._leases.values()}
+        partners = {lease.partner for lease in self._held.values()}
         return {partner for partner in partners if partner is not None}
 
     @property
     def held(self) -> int:
         """Targets for which this daemon is the primary or the backup."""
-        return sum(lease.role is not Role.NONE for lease in self._leases.values())
+        return len(self._held)
 
     @property
     def waiting(self) -> int:
         """Targets whose primary this daemon is but whose slots it has not yet."""
-        return sum(lease.role is Role.CLAIMING for lease in self._leases.values())
+        return sum(lease.role is Role.CLAIMING for lease in self._held.values())
 
     def holds(self, target: TargetId) -> bool:
         """Returns whether this daemon is a target's primary or backup."""
-        lease = self._leases.get(target)
-        return lease is not None and lease.role is not Role.NONE
+        return target in self._held
 
     def follow(self, places: Iterable[TargetPlace], now_s: float) -> None:
         """Takes over the published targets and the present members."""
@@ -67,6 +68,11 @@
                 self._assign(place, now_s)
         for target in set(self._leases) - known:
             del self._leases[target]
+        self._held = {
+            target: lease
+            for target, lease in self._leases.items()
+            if lease.role is not Role.NONE
+        }
 
     def allowance(self, target: TargetId, now_s: float) -> int:
         """Returns how many slots of a target this daemon may use now."""
@@ -90,14 +96,14 @@
     def keep(self, now_s: float) -> None:
         """Has to be called often, so that a gap between answers is noticed."""
         self.look(now_s)
-        for lease in self._leases.values():
+        for lease in self._held.values():
             lease.keep(self._contacts, now_s)
 
     def claims(self, now_s: float) -> dict[DaemonId, SlotClaims]:
         """Returns the claims that have to be sent now, by the former holder."""
         self._note_company()
         claimed: dict[DaemonId, list[SlotClaim]] = {}
-        for target, lease in self._leases.items():
+        for target, lease in self._held.items():
             former = lease.claims_from(now_s)
             if former is not None:
                 claimed.setdefault(former, []).append(SlotClaim(target, lease.serial))
