Notice a gap of the lease before stepping back from it

Cause: a holder looks for gaps between its backup's answers on each tick, and a change of members may come between two of them. A primary whose gap had just begun stepped back without having seen it, and released the slots to the new primary at once, while the backup might already have begun its half. Change: the book looks for gaps before it follows a change. ReleaseTest failed first (1 release, not 0).

--- a/lavendertide/fleet/lease_book.py
+++ b/lavendertide/fleet/lease_book.py
@@ -61,6 +61,7 @@
 
     def follow(self, places: Iterable[TargetPlace], now_s: float) -> None:
         """Takes over the published targets and the present members."""
+        self.keep(now_s)
         known: set[TargetId] = set()
         for place in places:
             if place.region == self._own.region:
--- a/tests/fleet/test_lease_book.py
+++ b/tests/fleet/test_lease_book.py
@@ -1,5 +1,6 @@
 """Tests of `lavendertide.fleet.lease_book`."""
 
+import itertools
 import unittest
 from unittest import mock
 
@@ -16,7 +17,7 @@
     Region,
     TargetId,
 )
-from lavendertide.messages import MemberState
+from lavendertide.messages import MemberState, SlotClaim, SlotClaims, SlotReleases
 from tests.fleet.members import DOMAINS, member, roster_of
 
 TARGETS = 60
@@ -79,5 +80,39 @@
         self.assertEqual((self.book.held, self.book.partners), (0, set()))
 
 
+class ReleaseTest(unittest.TestCase):
+    """A holder that steps back after a gap waits for what others have begun in it."""
+
+    def test_a_gap_that_ends_with_a_change_of_members_holds_back_the_release(
+        self,
+    ) -> None:
+        roster = roster_of(2)
+        table = HolderTable(roster)
+        book = LeaseBook(roster, table, TIMING, True, 0.0)
+        target = place(0)
+        book.follow([target], 0.0)
+        partner, claimed_at_s = DaemonId("daemon-1"), TIMING.drain_s
+        roster.contacts.note_answer(partner, claimed_at_s, claimed_at_s)
+        claimed = book.claims(claimed_at_s)[partner]
+        book.take_releases(SlotReleases(partner, claimed.items), claimed_at_s)
+        self.assertEqual(book.allowance(target.target, claimed_at_s), target.slots)
+        back_at_s = claimed_at_s + TIMING.lease_s
+        book.keep(back_at_s - 0.1)
+        newcomers = (member(number) for number in itertools.count(3, len(DOMAINS)))
+        while (primary := _primary(table, target)) == roster.own.daemon:
+            roster.learn((next(newcomers),), back_at_s)
+        book.follow([target], back_at_s)
+        claims = SlotClaims(primary, (SlotClaim(target.target, 1),))
+        for at_s, released in ((back_at_s, 0), (back_at_s + TIMING.drain_s, 1)):
+            releases = book.answer(claims, lambda _: 0, at_s)
+            self.assertEqual(len(releases.items), released)
+
+
+def _primary(table: HolderTable, target: TargetPlace) -> DaemonId:
+    holders = table.of(target)
+    assert holders is not None
+    return holders.primary.daemon
+
+
 if __name__ == "__main__":
     unittest.main()
