Tick the slot keeper more rarely while nothing waits

Cause: an idle daemon's cost is its wake-ups, and 20 of about 45 a second were the slot keeper's, which had nothing to hand over. Ruled out: a rarer tick alone, since it delays each handover by the tick. Change: while no claim, no waiting job and no closing lane is left, the keeper sleeps until the roster changes or the next moment of the 0.2 s grid that the pause watch uses. Tests: RosterTest's new class for the call after each change; the processes' tests of slots, drains, fleet faults and leaving targets pass (18).

--- a/lavendertide/daemon/slot_keeper.py
+++ b/lavendertide/daemon/slot_keeper.py
@@ -26,6 +26,8 @@
 from lavendertide.targets.target_pool import TargetPool
 
 TICK_S: Final = 0.05
+IDLE_TICK_S: Final = 0.2
+CHANGES_BATCH_S: Final = 0.02
 
 _leases_waiting = Gauge(
     "lavendertide_leases_waiting",
@@ -60,11 +62,13 @@
         self._quarantine = quarantine
         self._holds = holds
         self._followed = (-1, ConfigurationVersion(0))
+        self._changes: tasks.Mailbox[bool] = tasks.Mailbox(1)
         _leases_waiting.set_function(lambda: self._book.waiting)
         _leases_held.set_function(lambda: self._book.held)
 
     def run(self) -> None:
-        """Runs until the daemon stops."""
+        """Runs until the daemon stops; ticks more rarely while nothing waits."""
+        self._roster.on_change(self._note_change)
         while True:
             now_s = clock.monotonic_s()
             self._book.keep(now_s)
@@ -75,7 +79,7 @@
                     self._peers.link_to(member).send(claims)
             self._pool.wake(now_s)
             self._quarantine.greet_joiners()
-            tasks.sleep(TICK_S)
+            self._rest()
 
     def follow(self) -> None:
         """Takes over a change of the members or of the published targets."""
@@ -108,6 +112,17 @@
                 return False
         return True
 
+    def _note_change(self) -> None:
+        self._changes.send(True)
+
+    def _rest(self) -> None:
+        if self._book.waiting or self._pool.has_waiting:
+            tasks.sleep(TICK_S)
+            return
+        now_s = clock.monotonic_s()
+        if self._changes.receive(clock.next_tick_s(now_s, IDLE_TICK_S) - now_s):
+            tasks.sleep(CHANGES_BATCH_S)
+
     def _answer_claims(self, claims: SlotClaims) -> None:
         self.follow()
         claimant = self._roster.find(claims.sender)
--- a/lavendertide/fleet/roster.py
+++ b/lavendertide/fleet/roster.py
@@ -5,7 +5,7 @@
 serves or leaves; others may only suspect it, and it refutes that by itself.
 """
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import replace
 from typing import Final
 
@@ -41,6 +41,7 @@
         self._generation = 0
         self._members: tuple[MemberRecord, ...] | None = None
         self._leaving_hosts: frozenset[HostId] = frozenset()
+        self._on_change: Callable[[], None] | None = None
         self._put(own, 0.0)
 
     @property
@@ -81,6 +82,10 @@
         """Whether a changed record still has to be told."""
         return len(self._rumours) > 0
 
+    def on_change(self, notify: Callable[[], None]) -> None:
+        """Has a function called after each change of a record; it must not wait."""
+        self._on_change = notify
+
     def find(self, daemon: DaemonId) -> MemberRecord | None:
         """Returns a member by name."""
         return self._records.get(daemon)
@@ -210,6 +215,8 @@
             self._rumours.add(record.daemon)
         self._generation += 1
         self._members = None
+        if self._on_change is not None:
+            self._on_change()
 
 
 def _is_removed(record: MemberRecord) -> bool:
--- a/lavendertide/targets/target_pool.py
+++ b/lavendertide/targets/target_pool.py
@@ -59,6 +59,11 @@
         """The lanes that are open."""
         return [shared.lane for shared in self._lanes.values()]
 
+    @property
+    def has_waiting(self) -> bool:
+        """Whether a job waits for a slot, or a lane for the end of its last jobs."""
+        return bool(self._closing) or any(lane.queued for lane in self.lanes)
+
     def submit(
         self,
         place: TargetPlace,
--- a/tests/fleet/test_roster.py
+++ b/tests/fleet/test_roster.py
@@ -123,3 +123,16 @@
         self.assertLess(len(sent), 50 / BUCKETS * 20)
         second.learn(sent, 2.0)
         self.assertEqual(first.digests.whole, second.digests.whole)
+
+
+class ChangeTest(unittest.TestCase):
+    """Whoever rests on the members hears of each change."""
+
+    def test_each_change_is_told_and_nothing_else(self) -> None:
+        roster, told = roster_of(3), []
+        roster.on_change(lambda: told.append(roster.generation))
+        roster.learn((OTHER,), 1.0)
+        self.assertEqual(told, [])
+        roster.suspect(OTHER.daemon, 1.0)
+        roster.announce(MemberState.LEAVING, 2.0)
+        self.assertEqual(told, [roster.generation - 1, roster.generation])
