Let a backup read no health of a target that it may send nothing to

Cause: a sampled profile of an idle daemon of twelve had 15 to 22% of its processor time in looks at targets' health, half of them by backups, which may send nothing. They also are half of the extra load that these looks put on targets. Change: the control task looks only while the lease allows it to send.

--- a/lavendertide/targets/connection.py
+++ b/lavendertide/targets/connection.py
@@ -77,7 +77,10 @@
 
 
 def serve_control(shared: LaneTasks, control: TargetControl) -> None:
-    """Cancels attempts and reads the health for as long as the lane exists."""
+    """Cancels attempts and reads the health for as long as the lane exists.
+
+    A backup reads no health while it may send nothing.
+    """
     lane = shared.lane
     timing = shared.timing
     next_look_s = clock.monotonic_s() + random.uniform(0, timing.health_poll_s)
@@ -86,7 +89,7 @@
         cancellation = shared.cancellations.receive(wait_s)
         if cancellation is not None:
             cancellation.done.send(_cancel(lane, control, cancellation))
-        elif lane.condition.reach is Reach.UP:
+        elif lane.condition.reach is Reach.UP and lane.has_slots(clock.monotonic_s()):
             _look_at_health(shared, control)
             next_look_s = clock.monotonic_s() + timing.health_poll_s
         else:
--- a/lavendertide/targets/lane.py
+++ b/lavendertide/targets/lane.py
@@ -100,6 +100,10 @@
         self._place = place
         self._limit.resize(place.slots)
 
+    def has_slots(self, now_s: float) -> bool:
+        """Returns whether the lease allows anything to be sent."""
+        return self._allowance(now_s) > 0
+
     def spare_slots(self, now_s: float) -> int:
         """Returns how many slots a new job would find free."""
         return max(0, self._usable(now_s) - self.slots_in_use - self.queued)
