--- /dev/null
+++ b/tests/fleet/test_lease_book.py
@@ -0,0 +1,118 @@
+"""Tests of `lavendertide.fleet.lease_book`."""
+
+import itertools
+import unittest
+from unittest import mock
+
+from lavendertide.configuration.catalog import TargetPlace
+from lavendertide.fleet.holders import HolderTable
+from lavendertide.fleet.lease import LeaseTiming, SlotLease
+from lavendertide.fleet.lease_book import LeaseBook
+from lavendertide.ids import (
+    Address,
+    DaemonId,
+    FailureDomain,
+    IndexName,
+    OwnerId,
+    Region,
+    TargetId,
+)
+from lavendertide.messages import MemberState, SlotClaim, SlotClaims, SlotReleases
+from tests.fleet.members import DOMAINS, member, roster_of
+
+TARGETS = 60
+MEMBERS = 30
+TIMING = LeaseTiming(lease_s=2.0, attempt_s=1.0, margin_s=0.5)
+
+
+def place(number: int) -> TargetPlace:
+    """Returns a target in one of the failure domains."""
+    return TargetPlace(
+        target=TargetId(f"target-{number}"),
+        owner=OwnerId("owner"),
+        index=IndexName("index"),
+        address=Address("127.0.0.1:1"),
+        region=Region("north"),
+        failure_domain=FailureDomain(DOMAINS[number % len(DOMAINS)]),
+        slots=2,
+        connections=25,
+    )
+
+
+class LeaseBookTest(unittest.TestCase):
+    """A daemon spends its ticks on what it holds, not on all targets."""
+
+    def setUp(self) -> None:
+        self.roster = roster_of(MEMBERS)
+        self.places = [place(number) for number in range(TARGETS)]
+        table = HolderTable(self.roster)
+        self.book = LeaseBook(self.roster, table, TIMING, True, 0.0)
+        self.book.follow(self.places, 0.0)
+
+    def held(self) -> set[TargetId]:
+        """Returns the targets that the daemon holds."""
+        return {p.target for p in self.places if self.book.holds(p.target)}
+
+    def test_a_tick_looks_at_held_targets_only(self) -> None:
+        self.assertGreater(self.book.held, 0)
+        self.assertLess(self.book.held, TARGETS / 2)
+        with mock.patch.object(SlotLease, "keep", autospec=True) as kept:
+            self.book.keep(1.0)
+        self.assertEqual(kept.call_count, self.book.held)
+
+    def test_what_it_holds_follows_the_members(self) -> None:
+        before = self.held()
+        others = [n for n in range(1, MEMBERS) if n % len(DOMAINS) == 0]
+        leaving = [member(number, MemberState.LEAVING) for number in others]
+        self.roster.learn(leaving, 1.0)
+        self.book.follow(self.places, 1.0)
+        own_domain = {p.target for p in self.places[:: len(DOMAINS)]}
+        self.assertLess(before & own_domain, own_domain)
+        self.assertLessEqual(own_domain, self.held())
+        self.assertEqual(self.book.held, len(self.held()))
+
+    def test_what_it_no_longer_holds_is_not_claimed(self) -> None:
+        claimed_at_s = 1.0 + TIMING.span_s
+        self.roster.contacts.note_answer(DaemonId("daemon-1"), 1.0, 1.0)
+        self.assertNotEqual(self.book.claims(claimed_at_s), {})
+        self.book.follow([], claimed_at_s)
+        self.assertEqual(self.book.claims(claimed_at_s), {})
+        self.assertEqual((self.book.held, self.book.partners), (0, set()))
+
+
+class ReleaseTest(unittest.TestCase):
+    """A holder that steps back after a gap waits for what others have begun in it."""
+
+    def test_a_gap_that_ends_with_a_change_of_members_holds_back_the_release(
+        self,
+    ) -> None:
+        roster = roster_of(2)
+        table = HolderTable(roster)
+        book = LeaseBook(roster, table, TIMING, True, 0.0)
+        target = place(0)
+        book.follow([target], 0.0)
+        partner, claimed_at_s = DaemonId("daemon-1"), TIMING.drain_s
+        roster.contacts.note_answer(partner, claimed_at_s, claimed_at_s)
+        claimed = book.claims(claimed_at_s)[partner]
+        book.take_releases(SlotReleases(partner, claimed.items), claimed_at_s)
+        self.assertEqual(book.allowance(target.target, claimed_at_s), target.slots)
+        back_at_s = claimed_at_s + TIMING.lease_s
+        book.keep(back_at_s - 0.1)
+        newcomers = (member(number) for number in itertools.count(3, len(DOMAINS)))
+        while (primary := _primary(table, target)) == roster.own.daemon:
+            roster.learn((next(newcomers),), back_at_s)
+        book.follow([target], back_at_s)
+        claims = SlotClaims(primary, (SlotClaim(target.target, 1),))
+        for at_s, released in ((back_at_s, 0), (back_at_s + TIMING.drain_s, 1)):
+            releases = book.answer(claims, lambda _: 0, at_s)
+            self.assertEqual(len(releases.items), released)
+
+
+def _primary(table: HolderTable, target: TargetPlace) -> DaemonId:
+    holders = table.of(target)
+    assert holders is not None
+    return holders.primary.daemon
+
+
+if __name__ == "__main__":
+    unittest.main()
