Show why hedges were not sent, and after how long one is due

The run whose hedges did not go out could not be explained from the metrics: only hedges that were sent were counted. lavendertide_hedges_withheld_total counts the due ones that were not, by owner and cause (no room at the replica, no budget), and lavendertide_straggler_seconds gives the delay of each of the first 64 indexes.

--- a/lavendertide/daemon/daemon.py
+++ b/lavendertide/daemon/daemon.py
@@ -121,6 +121,10 @@
             lambda: self._serving.parts.hedge_budgets.spent,
             lambda: self._serving.parts.retry_budgets.spent,
         )
+        self._metrics.follow_hedging(
+            lambda: self._serving.parts.hedge_budgets.withheld,
+            lambda: self._serving.parts.timings.stragglers_s,
+        )
 
     def run(self) -> None:
         """Serves until SIGTERM, then finishes what is in flight."""
--- /dev/null
+++ b/lavendertide/metrics/hedging.py
@@ -0,0 +1,66 @@
+"""Exports why hedges were not sent, and after how long one is due."""
+
+from collections import Counter
+from collections.abc import Callable, Iterator
+
+from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily
+from prometheus_client.registry import Collector
+
+from lavendertide.ids import IndexName, OwnerId
+from lavendertide.metrics import names
+from lavendertide.metrics.labels import OTHER, BoundedLabel
+from lavendertide.queries.hedging import WithheldCause
+
+
+class HedgingCollector(Collector):
+    """Reads the state of hedging when the metrics are asked for.
+
+    Args:
+        withheld: Returns each owner's hedges that were due and not sent, by cause.
+        stragglers_s: Returns after how long a reply of each index counts as late.
+        owners: The bound on the label.
+        indexes: The bound on the label; indexes above it are left out.
+    """
+
+    def __init__(
+        self,
+        withheld: Callable[[], dict[OwnerId, Counter[WithheldCause]]],
+        stragglers_s: Callable[[], dict[IndexName, float]],
+        owners: BoundedLabel,
+        indexes: BoundedLabel,
+    ) -> None:
+        self._withheld = withheld
+        self._stragglers_s = stragglers_s
+        self._owners = owners
+        self._indexes = indexes
+
+    def collect(self) -> Iterator[CounterMetricFamily | GaugeMetricFamily]:
+        """Returns both families."""
+        yield self._collect_withheld()
+        yield self._collect_stragglers()
+
+    def _collect_withheld(self) -> CounterMetricFamily:
+        counts: Counter[tuple[str, str]] = Counter()
+        for owner, by_cause in self._withheld().items():
+            for cause, count in by_cause.items():
+                counts[self._owners.value(owner), cause.value] += count
+        family = CounterMetricFamily(
+            names.HEDGES_WITHHELD,
+            "Times that a hedge was due and not sent.",
+            labels=["owner", "cause"],
+        )
+        for labels, count in counts.items():
+            family.add_metric(labels, count)
+        return family
+
+    def _collect_stragglers(self) -> GaugeMetricFamily:
+        family = GaugeMetricFamily(
+            names.STRAGGLER_SECONDS,
+            "After how long a reply of the index counts as late.",
+            labels=["index"],
+        )
+        for index, late_s in self._stragglers_s().items():
+            label = self._indexes.value(index)
+            if label != OTHER:
+                family.add_metric([label], late_s)
+        return family
--- a/lavendertide/metrics/labels.py
+++ b/lavendertide/metrics/labels.py
@@ -6,6 +6,7 @@
 OTHER: Final = "other"
 OWNERS_MAX: Final = 32
 CLASSES_MAX: Final = 64
+INDEXES_MAX: Final = 64
 
 C = TypeVar("C")
 
--- a/lavendertide/metrics/metrics.py
+++ b/lavendertide/metrics/metrics.py
@@ -4,6 +4,7 @@
 are kept, which makes counting a look-up and an addition.
 """
 
+from collections import Counter as Counts
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -11,7 +12,7 @@
 from prometheus_client.exposition import generate_latest
 
 from lavendertide.errors import Fault, RefusalKind
-from lavendertide.ids import OwnerId, PlanClass
+from lavendertide.ids import IndexName, OwnerId, PlanClass
 from lavendertide.messages import (
     Answered,
     Declined,
@@ -22,12 +23,15 @@
 )
 from lavendertide.metrics import names
 from lavendertide.metrics.budgets import SpentCollector
+from lavendertide.metrics.hedging import HedgingCollector
 from lavendertide.metrics.labels import (
     CLASSES_MAX,
+    INDEXES_MAX,
     OWNERS_MAX,
     BoundedLabel,
     Children,
 )
+from lavendertide.queries.hedging import WithheldCause
 
 _BY_CLASS = ("owner", "plan_class")
 
@@ -54,6 +58,7 @@
         self._registry = CollectorRegistry()
         self._owners = BoundedLabel(OWNERS_MAX)
         self._classes = BoundedLabel(CLASSES_MAX)
+        self._indexes = BoundedLabel(INDEXES_MAX)
         self._make_query_metrics()
         self._make_target_metrics()
         self._make_fleet_metrics()
@@ -221,6 +226,17 @@
         )
         self._registry.register(collector)
 
+    def follow_hedging(
+        self,
+        withheld: Callable[[], dict[OwnerId, Counts[WithheldCause]]],
+        stragglers_s: Callable[[], dict[IndexName, float]],
+    ) -> None:
+        """Exports why hedges were not sent and when they are due."""
+        collector = HedgingCollector(
+            withheld, stragglers_s, self._owners, self._indexes
+        )
+        self._registry.register(collector)
+
     def exposition(self) -> bytes:
         """Returns all metrics in the text format of Prometheus."""
         return generate_latest(self._registry) + generate_latest(REGISTRY)
--- a/lavendertide/queries/asking.py
+++ b/lavendertide/queries/asking.py
@@ -8,7 +8,11 @@
 from lavendertide.messages import Operation, SubReply, SubRequest
 from lavendertide.queries.attempts import Attempt, Attempts, ShardTries
 from lavendertide.queries.deadline import ATTEMPT_FLOOR_S
-from lavendertide.queries.hedging import hedge_delay_s, hedge_earning
+from lavendertide.queries.hedging import (
+    WithheldCause,
+    hedge_delay_s,
+    hedge_earning,
+)
 from lavendertide.queries.parts import FanOutParts
 from lavendertide.queries.pinning import Pinned
 from lavendertide.queries.query import Query
@@ -113,10 +117,14 @@
         place = self._tries[straggler.shard].next_place
         if place is None:
             return
-        if self._parts.reports.may_hedge(place.target, now_s) and self._hedges.spend():
-            self._ask_next(straggler.shard, now_s, is_hedge=True)
+        if not self._parts.reports.may_hedge(place.target, now_s):
+            self._hedges.note_withheld(WithheldCause.NO_ROOM)
+        elif not self._hedges.spend():
+            self._hedges.note_withheld(WithheldCause.NO_BUDGET)
         else:
-            self._schedule.add(now_s + self._hedge_delay_s, HedgeDue(attempt))
+            self._ask_next(straggler.shard, now_s, is_hedge=True)
+            return
+        self._schedule.add(now_s + self._hedge_delay_s, HedgeDue(attempt))
 
     def close(self, attempt: AttemptId) -> Attempt | None:
         """Ends an attempt that was replied to; none if nobody waits for it."""
--- a/lavendertide/queries/hedging.py
+++ b/lavendertide/queries/hedging.py
@@ -4,6 +4,8 @@
 other code. Hedges and retries each have a budget per owner, earned by first attempts.
 """
 
+from collections import Counter
+from enum import Enum
 from typing import Final
 
 from lavendertide.ids import OwnerId
@@ -14,18 +16,31 @@
 STRAGGLER_QUANTILE: Final = 0.95
 
 
+class WithheldCause(Enum):
+    """Why a hedge that was due was not sent."""
+
+    NO_ROOM = "no_room"
+    NO_BUDGET = "no_budget"
+
+
 class Budget:
     """Extra attempts that an owner may still send, earned by its first attempts."""
 
     def __init__(self) -> None:
         self._tokens = TOKENS_MAX
         self._spent = 0
+        self._withheld: Counter[WithheldCause] = Counter()
 
     @property
     def spent(self) -> int:
         """Extra attempts that were sent since the daemon's start."""
         return self._spent
 
+    @property
+    def withheld(self) -> Counter[WithheldCause]:
+        """How often a hedge was due and not sent since the daemon's start."""
+        return self._withheld
+
     def earn(self, attempts: int, extra_load: float) -> None:
         """Earns a part of an extra attempt for each first attempt."""
         self._tokens = min(TOKENS_MAX, self._tokens + attempts * extra_load)
@@ -38,6 +53,10 @@
         self._spent += 1
         return True
 
+    def note_withheld(self, cause: WithheldCause) -> None:
+        """Counts a hedge that was due and not sent."""
+        self._withheld[cause] += 1
+
 
 class Budgets:
     """One kind of budget for each owner on this daemon."""
@@ -50,6 +69,11 @@
         """Extra attempts of each owner since the daemon's start."""
         return {owner: budget.spent for owner, budget in self._by_owner.items()}
 
+    @property
+    def withheld(self) -> dict[OwnerId, Counter[WithheldCause]]:
+        """Hedges of each owner that were due and not sent, by cause."""
+        return {owner: budget.withheld for owner, budget in self._by_owner.items()}
+
     def of(self, owner: OwnerId) -> Budget:
         """Returns the budget of one owner."""
         budget = self._by_owner.get(owner)
--- a/lavendertide/queries/timing.py
+++ b/lavendertide/queries/timing.py
@@ -128,6 +128,11 @@
         self._estimate: Estimate | None = None
         self._refresh_at_s = 0.0
 
+    @property
+    def last_estimate(self) -> Estimate | None:
+        """What the last query was told."""
+        return self._estimate
+
     def observe(self, latency_s: float, now_s: float) -> None:
         """Takes in how long a reply took."""
         self._rotate(now_s)
@@ -181,6 +186,18 @@
     def __init__(self) -> None:
         self._by_index: dict[IndexName, IndexTiming] = {}
 
+    @property
+    def stragglers_s(self) -> dict[IndexName, float]:
+        """After how long a reply of each index counts as late, where that is known."""
+        estimates = {
+            index: timing.last_estimate for index, timing in self._by_index.items()
+        }
+        return {
+            index: estimate.straggler_s
+            for index, estimate in estimates.items()
+            if estimate is not None
+        }
+
     def of(self, index: IndexName, now_s: float) -> IndexTiming:
         """Returns the timing of an index that the configuration names."""
         timing = self._by_index.get(index)
--- a/tests/metrics/test_metrics.py
+++ b/tests/metrics/test_metrics.py
@@ -3,10 +3,17 @@
 import unittest
 
 from lavendertide.errors import Fault, RefusalKind
-from lavendertide.ids import OwnerId, PlanClass
+from lavendertide.ids import IndexName, OwnerId, PlanClass
 from lavendertide.messages import Outcome
-from lavendertide.metrics.labels import CLASSES_MAX, OTHER, OWNERS_MAX, BoundedLabel
+from lavendertide.metrics.labels import (
+    CLASSES_MAX,
+    INDEXES_MAX,
+    OTHER,
+    OWNERS_MAX,
+    BoundedLabel,
+)
 from lavendertide.metrics.metrics import Metrics
+from lavendertide.queries.hedging import Budgets, WithheldCause
 
 
 class BoundedLabelTest(unittest.TestCase):
@@ -43,6 +50,28 @@
         line = 'lavendertide_hedges_total{owner="association"} 4.0'
         self.assertIn(line, metrics.exposition().decode())
 
+    def test_hedging_is_read_when_asked_for(self) -> None:
+        metrics = Metrics()
+        budgets, late_s = Budgets(), {IndexName("venue-desk"): 0.02}
+        metrics.follow_hedging(lambda: budgets.withheld, lambda: late_s)
+        budget = budgets.of(OwnerId("association"))
+        budget.note_withheld(WithheldCause.NO_ROOM)
+        text = metrics.exposition().decode()
+        for line in (
+            "lavendertide_hedges_withheld_total"
+            '{cause="no_room",owner="association"} 1.0',
+            'lavendertide_straggler_seconds{index="venue-desk"} 0.02',
+        ):
+            self.assertIn(line, text)
+
+    def test_many_indexes_make_a_bounded_number_of_series(self) -> None:
+        metrics = Metrics()
+        late_s = {IndexName(f"index-{number}"): 0.02 for number in range(1_000)}
+        metrics.follow_hedging(dict, lambda: late_s)
+        lines = metrics.exposition().decode().splitlines()
+        series = [line for line in lines if "straggler_seconds{" in line]
+        self.assertEqual(len(series), INDEXES_MAX)
+
     def test_many_owners_make_a_bounded_number_of_series(self) -> None:
         metrics = Metrics()
         for number in range(1_000):
--- a/tests/queries/test_fan_out.py
+++ b/tests/queries/test_fan_out.py
@@ -14,6 +14,7 @@
 )
 from lavendertide.options import AnyReplica, CoverageFirst, LatencyFirst, RetryOptions
 from lavendertide.queries.coverage import GapReason
+from lavendertide.queries.hedging import WithheldCause
 from lavendertide.queries.results_memory import ResultsMemory
 from lavendertide.runtime import clock
 from tests.queries.fakes import (
@@ -163,6 +164,8 @@
         searched.parts.reports.hear(FAR, 0, float("inf"))
         self.assertEqual(searched.search(0.1).covered, ())
         self.assertEqual(full(FAR), [])
+        budget = searched.parts.hedge_budgets.of(searched.index.owner)
+        self.assertGreater(budget.withheld[WithheldCause.NO_ROOM], 0)
 
     def test_a_spent_budget_sends_no_hedge(self) -> None:
         searched = tier(index_of(1))
@@ -171,6 +174,7 @@
         while budget.spend():
             pass
         self.assertEqual(searched.search(0.1).attempts, 1)
+        self.assertGreater(budget.withheld[WithheldCause.NO_BUDGET], 0)
 
     def test_a_hedge_that_lost_leaves_its_room_to_the_next(self) -> None:
         searched = tier(index_of(1))
