--- a/bench/load.py
+++ b/bench/load.py
@@ -31,6 +31,7 @@
     Attributes:
         hosts: Addresses of the entry hosts, used in turn.
         starts_at_s: Monotonic time of the first arrival.
+        burst: How many searches arrive at once at the start.
     """
 
     hosts: tuple[str, ...]
@@ -42,6 +43,7 @@
     seed: int
     starts_at_s: float
     output: str
+    burst: int = 0
 
 
 @dataclass(frozen=True)
@@ -87,7 +89,8 @@
             tasks.sleep(max(0.0, arrival_s - time.monotonic()))
             tasks.spawn(self._search, number, arrival_s)
             number += 1
-            arrival_s += self._random.expovariate(self._spec.rate_per_s)
+            if number + 1 >= self._spec.burst:
+                arrival_s += self._random.expovariate(self._spec.rate_per_s)
         tasks.sleep(self._spec.deadline_ms / 1000 + GRACE_S)
 
     def _search(self, number: int, arrival_s: float) -> None:
--- a/bench/query_path.py
+++ b/bench/query_path.py
@@ -20,6 +20,7 @@
 from bench.process_stats import read_process_stats
 from bench.revision import revision
 from bench.scenarios import (
+    BurstAtStart,
     Calm,
     KilledDaemon,
     KilledReplica,
@@ -57,6 +58,7 @@
     KilledDaemon("association-1"),
     NeighbourOverload("employer", "voucher-finder", 400.0),
     VersionChange("venue-desk"),
+    BurstAtStart(40),
 )
 
 
@@ -144,6 +146,7 @@
             seed=seed,
             starts_at_s=starts_at_s,
             output=str(folder / f"{key}.jsonl"),
+            burst=scenario.searches if isinstance(scenario, BurstAtStart) else 0,
         )
         for key, rate in rates.items()
     ]
--- a/bench/scenarios.py
+++ b/bench/scenarios.py
@@ -1,6 +1,7 @@
 """The faults of the query-path benchmark, as data classes.
 
-Each is induced at a third of the run, so that the first third shows the calm before.
+Each but a burst is induced at a third of the run, so that the first third shows the
+calm before.
 """
 
 import signal
@@ -54,8 +55,21 @@
     index: str
 
 
+@dataclass(frozen=True)
+class BurstAtStart:
+    """The first searches of all callers come at once, before any is counted."""
+
+    searches: int
+
+
 Scenario = (
-    Calm | SlowTarget | KilledReplica | KilledDaemon | NeighbourOverload | VersionChange
+    Calm
+    | SlowTarget
+    | KilledReplica
+    | KilledDaemon
+    | NeighbourOverload
+    | VersionChange
+    | BurstAtStart
 )
 
 
@@ -72,7 +86,7 @@
             launcher.signal_daemon(daemon, signal.SIGKILL)
         case VersionChange(index):
             _change_version(index, launcher)
-        case Calm() | NeighbourOverload():
+        case Calm() | NeighbourOverload() | BurstAtStart():
             pass
 
 
