Give links a distance between failure domains, and measure the query path over them

The fault rules of links know distances: a delay and a loss for frames to some peers. DistantDomains sets 5 ms one way between failure domains, 20 ms between regions and 0.1 percent of loss, before the load starts. Holders stand in their targets' failure domain, so the ways to targets stay short. Not yet measured on a free machine.

--- a/bench/query_path.py
+++ b/bench/query_path.py
@@ -22,6 +22,7 @@
 from bench.scenarios import (
     BurstAtStart,
     Calm,
+    DistantDomains,
     KilledDaemon,
     KilledReplica,
     NeighbourOverload,
@@ -30,6 +31,7 @@
     VersionChange,
     induce,
     name_of,
+    set_out,
 )
 from bench.summary import Summary, read_samples, summarise
 from standins.deployment import ASSOCIATION, KOINOPRAXIA, OwnerSpec
@@ -59,6 +61,7 @@
     NeighbourOverload("employer", "voucher-finder", 400.0),
     VersionChange("venue-desk"),
     BurstAtStart(40),
+    DistantDomains(0.005, 0.020, 0.001),
 )
 
 
@@ -90,9 +93,11 @@
         seed=seed,
         target_processes=TARGET_PROCESSES,
         overrides=POLICIES[policy],
+        has_link_faults=isinstance(scenario, DistantDomains),
     )
     with launcher.running():
         _give_targets_a_tail(launcher)
+        set_out(scenario, launcher)
         specs = _load_specs(scenario, launcher, duration_s, seed, folder)
         cpu_before_s = _daemons_cpu_s(launcher)
         processes = [start_load(spec, folder) for spec in specs]
--- a/bench/scenarios.py
+++ b/bench/scenarios.py
@@ -1,13 +1,13 @@
 """The faults of the query-path benchmark, as data classes.
 
-Each but a burst is induced at a third of the run, so that the first third shows the
-calm before.
+Each is induced at a third of the run, so that the first third shows the calm before;
+a burst and distances are there from the start.
 """
 
 import signal
 from dataclasses import dataclass
 
-from standins.launcher import Launcher
+from standins.launcher import DaemonPlace, Launcher, LinkDistance
 
 NEXT_VERSION = 2
 
@@ -62,6 +62,21 @@
     searches: int
 
 
+@dataclass(frozen=True)
+class DistantDomains:
+    """Frames between failure domains take time and are lost now and then.
+
+    Attributes:
+        delay_s: One way within a region.
+        region_delay_s: One way between regions.
+        loss: Share of the frames that are lost.
+    """
+
+    delay_s: float
+    region_delay_s: float
+    loss: float
+
+
 Scenario = (
     Calm
     | SlowTarget
@@ -70,6 +85,7 @@
     | NeighbourOverload
     | VersionChange
     | BurstAtStart
+    | DistantDomains
 )
 
 
@@ -86,10 +102,38 @@
             launcher.signal_daemon(daemon, signal.SIGKILL)
         case VersionChange(index):
             _change_version(index, launcher)
-        case Calm() | NeighbourOverload() | BurstAtStart():
+        case Calm() | NeighbourOverload() | BurstAtStart() | DistantDomains():
             pass
 
 
+def set_out(scenario: Scenario, launcher: Launcher) -> None:
+    """Brings about what is there before the load."""
+    match scenario:
+        case DistantDomains():
+            places = {name: launcher.place_of(name) for name in launcher.callers}
+            for name in places:
+                distances = _distances(scenario, name, places)
+                launcher.set_link_faults(name, distances=distances)
+        case _:
+            pass
+
+
+def _distances(
+    scenario: DistantDomains, own: str, places: dict[str, DaemonPlace]
+) -> tuple[LinkDistance, ...]:
+    region, failure_domain = places[own].region, places[own].failure_domain
+    far = tuple(name for name, place in places.items() if place.region != region)
+    near = tuple(
+        name
+        for name, place in places.items()
+        if place.region == region and place.failure_domain != failure_domain
+    )
+    return (
+        LinkDistance(near, scenario.delay_s, scenario.loss),
+        LinkDistance(far, scenario.region_delay_s, scenario.loss),
+    )
+
+
 def _change_version(index: str, launcher: Launcher) -> None:
     """Publishes first and builds after, the order that is harder to serve."""
     launcher.publish(index_versions=(1, NEXT_VERSION))
--- a/lavendertide/fleet/link_faults.py
+++ b/lavendertide/fleet/link_faults.py
@@ -3,7 +3,9 @@
 Nothing here acts unless the settings have a `faults` section. The rules stand in a
 JSON file that a test rewrites while the daemon runs:
 `{"drop_to": [...], "drop_from": [...], "loss": 0.1, "delay_s": 0.05}` with peer
-addresses, the share of frames that are lost, and a delay before each frame.
+addresses, the share of frames that are lost, and a delay before each frame. With
+`"distances": [{"delay_s": 0.005, "loss": 0.001, "peers": [...]}]` frames to some peers
+are lost and delayed besides, as over a longer way.
 """
 
 import contextlib
@@ -19,6 +21,25 @@
 REREAD_S: Final = 0.1
 
 
+class Distance(BaseModel):
+    """What happens on the way to some peers.
+
+    Attributes:
+        delay_s: Time that each frame takes besides.
+        loss: Share of the frames that are lost.
+        peers: Their addresses.
+    """
+
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+    delay_s: float = 0.0
+    loss: float = 0.0
+    peers: frozenset[str] = frozenset()
+
+
+NEAR: Final = Distance()
+
+
 class FaultRules(BaseModel):
     """Which frames are lost."""
 
@@ -28,6 +49,12 @@
     drop_from: frozenset[str] = frozenset()
     loss: float = 0.0
     delay_s: float = 0.0
+    distances: tuple[Distance, ...] = ()
+
+    def distance_to(self, peer: Address) -> Distance:
+        """Returns what happens on the way to a peer besides the rules for all."""
+        found = (distance for distance in self.distances if peer in distance.peers)
+        return next(found, NEAR)
 
 
 class LinkFaults:
@@ -38,9 +65,12 @@
 
     def passes_to(self, peer: Address) -> bool:
         """Returns whether a frame to a peer gets through, after its delay."""
-        if self._rules.delay_s:
-            tasks.sleep(self._rules.delay_s)
-        return peer not in self._rules.drop_to and not self._is_lost()
+        distance = self._rules.distance_to(peer)
+        if delay_s := self._rules.delay_s + distance.delay_s:
+            tasks.sleep(delay_s)
+        if peer in self._rules.drop_to:
+            return False
+        return not _is_lost(self._rules.loss) and not _is_lost(distance.loss)
 
     def passes_from(self, peer: Address) -> bool:
         """Returns whether a frame from a peer gets through."""
@@ -57,5 +87,6 @@
                 self._rules = FaultRules.model_validate_json(path.read_bytes())
             tasks.sleep(REREAD_S)
 
-    def _is_lost(self) -> bool:
-        return self._rules.loss > 0 and random.random() < self._rules.loss
+
+def _is_lost(loss: float) -> bool:
+    return loss > 0 and random.random() < loss
--- a/standins/launcher.py
+++ b/standins/launcher.py
@@ -14,6 +14,7 @@
 import tempfile
 import time
 from collections.abc import Callable, Iterator
+from dataclasses import dataclass
 from http import HTTPStatus
 from pathlib import Path
 from typing import Any
@@ -38,6 +39,29 @@
 LEASES_WAITING = "lavendertide_leases_waiting"
 
 
+@dataclass(frozen=True)
+class DaemonPlace:
+    """Where a daemon stands."""
+
+    region: str
+    failure_domain: str
+
+
+@dataclass(frozen=True)
+class LinkDistance:
+    """How far some daemons are from another.
+
+    Attributes:
+        peers: Names of the daemons that are so far away.
+        delay_s: One way, for each frame.
+        loss: Share of the frames that are lost.
+    """
+
+    peers: tuple[str, ...]
+    delay_s: float
+    loss: float
+
+
 class Launcher:
     """A running deployment.
 
@@ -140,6 +164,7 @@
         drop_from: tuple[str, ...] = (),
         loss: float = 0.0,
         delay_s: float = 0.0,
+        distances: tuple[LinkDistance, ...] = (),
     ) -> None:
         """Changes which frames a daemon loses; peers are given by daemon."""
         rules = {
@@ -147,6 +172,14 @@
             "drop_from": [self.peers[peer] for peer in drop_from],
             "loss": loss,
             "delay_s": delay_s,
+            "distances": [
+                {
+                    "delay_s": distance.delay_s,
+                    "loss": distance.loss,
+                    "peers": [self.peers[peer] for peer in distance.peers],
+                }
+                for distance in distances
+            ],
         }
         written = self._faults_of(name).with_suffix(".new")
         written.write_text(json.dumps(rules))
@@ -162,6 +195,11 @@
         """Returns a daemon's settings file."""
         return self._settings[name]
 
+    def place_of(self, name: str) -> DaemonPlace:
+        """Returns where a daemon stands, by its settings."""
+        place = yaml.safe_load(self._settings[name].read_text())["place"]
+        return DaemonPlace(place["region"], place["failure_domain"])
+
     def next_lists(self, index_versions: tuple[int, ...] = (1,)) -> dict[str, Any]:
         """Returns both lists under the next version without publishing them."""
         self._version += 1
