--- a/bench/query_policies.py
+++ b/bench/query_policies.py
@@ -276,13 +276,16 @@
     """Prints one table for each policy."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seed", type=int, default=1)
-    seed = parser.parse_args().seed
+    parser.add_argument("--case", default="", help="only names with this in them")
+    options = parser.parse_args()
+    seed = options.seed
     print(f"commit {revision()}, seed {seed}, {QUERIES} queries of {SHARDS} shards")
     for cases in (_cap_cases(), _hedge_cases(), _wait_cases()):
         print(f"\n{HEADER}")
         print("|---" * 6 + "|")
         for case in cases:
-            print(run(case, seed), flush=True)
+            if options.case in case.name:
+                print(run(case, seed), flush=True)
     return 0
 
 
