End all attempts of a query whose task fails

Cause looked for: states that keep hedges back for as long as a daemon runs. A query that ended by an error left its hedges counted as open, so that their targets had less room for the hedges of later queries, without an end. Now the attempts are cancelled whatever ends the query.

The test failed first: the second search sent no hedge (1 request at the replica where 2 are expected).

--- a/lavendertide/queries/fan_out.py
+++ b/lavendertide/queries/fan_out.py
@@ -104,18 +104,15 @@
         return self._successor
 
     def run(self) -> None:
-        """Runs until whole, out of time, out of replicas or out of its version."""
-        now_s = self._started_at_s
-        for shard in self._asker.ask_every_shard(now_s):
-            self._coverage.explain(shard, self._why_unasked(shard, now_s), Fault.TARGET)
-        while not self._is_over(now_s):
-            first = self._inbox.receive(self._wait_s(now_s))
-            now_s = clock.monotonic_s()
-            if first is not None:
-                for reply in self._inbox.receive_ready(first, REPLIES_PER_TURN_MAX):
-                    self._take(reply, now_s)
-            self._act_on_moments(now_s)
-        self._end(now_s)
+        """Runs until whole, out of time, out of replicas or out of its version.
+
+        Whatever ends it, no attempt stays open, since an open hedge takes up the room
+        of its target for the hedges of other queries.
+        """
+        try:
+            self._run()
+        finally:
+            self._asker.cancel_all()
 
     def answer(self) -> Answer:
         """Returns what was covered, and says of every other shard why not."""
@@ -132,6 +129,19 @@
             deadline_ms=self._query.deadline_ms,
         )
 
+    def _run(self) -> None:
+        now_s = self._started_at_s
+        for shard in self._asker.ask_every_shard(now_s):
+            self._coverage.explain(shard, self._why_unasked(shard, now_s), Fault.TARGET)
+        while not self._is_over(now_s):
+            first = self._inbox.receive(self._wait_s(now_s))
+            now_s = clock.monotonic_s()
+            if first is not None:
+                for reply in self._inbox.receive_ready(first, REPLIES_PER_TURN_MAX):
+                    self._take(reply, now_s)
+            self._act_on_moments(now_s)
+        self._end(now_s)
+
     def _outcome(self) -> Outcome:
         if self._coverage.covered_count:
             return Outcome.RAN
@@ -272,7 +282,6 @@
     def _end(self, now_s: float) -> None:
         for attempt in self._attempts.open:
             self._observe_unanswered(now_s - attempt.sent_at_s, now_s)
-        self._asker.cancel_all()
         gaps = self._coverage.gaps
         if self._coverage.covered_count > len(gaps) and not any(
             gap.reason is GapReason.VERSION_NOT_HELD for gap in gaps
--- a/tests/queries/test_fan_out.py
+++ b/tests/queries/test_fan_out.py
@@ -182,6 +182,22 @@
         for _ in range(3):
             self.assertEqual(searched.search(0.1).hedges, 1)
 
+    def test_a_hedge_of_a_query_that_failed_leaves_its_room_to_the_next(self) -> None:
+        def fails(request: SubRequest) -> SubReply | None:
+            raise OSError(request.target)
+
+        searched = tier(index_of(2))
+        second = TargetId("t1-0"), TargetId("t1-1")
+        searched.dispatch.reactions = {NEAR: silent, FAR: silent}
+        searched.dispatch.reactions |= {second[0]: silent, second[1]: fails}
+        with self.assertRaises(OSError):
+            searched.search()
+        for target in second:
+            del searched.dispatch.reactions[target]
+        self.assertEqual(len(searched.dispatch.asked(FAR)), 1)
+        searched.search(0.5)
+        self.assertEqual(len(searched.dispatch.asked(FAR)), 2)
+
     def test_a_straggler_is_hedged_soon_after_a_burst_of_slow_replies(self) -> None:
         searched = tier(index_of(1))
         searched.dispatch.reactions = {NEAR: silent}
