Spend only a surplus of the hedge budget by the last seconds' replies

The first mend always took the lower of two short windows.

Change: the long windows tell a straggler as before. Only while three quarters of the budget are left do two short windows together say when a hedge is due.

Tests: the burst tests of IndexTimingTest now read the recent quantile, which is the one they are about; the test of a whole query after a burst stands unchanged. New: the surplus of a budget, and the delay with and without it. Estimates in other tests have the new field.

The metric of the delay has both windows.

--- a/lavendertide/daemon/daemon.py
+++ b/lavendertide/daemon/daemon.py
@@ -123,7 +123,7 @@
         )
         self._metrics.follow_hedging(
             lambda: self._serving.parts.hedge_budgets.withheld,
-            lambda: self._serving.parts.timings.stragglers_s,
+            lambda: self._serving.parts.timings.last_estimates,
         )
 
     def run(self) -> None:
--- a/lavendertide/metrics/hedging.py
+++ b/lavendertide/metrics/hedging.py
@@ -10,6 +10,7 @@
 from lavendertide.metrics import names
 from lavendertide.metrics.labels import OTHER, BoundedLabel
 from lavendertide.queries.hedging import WithheldCause
+from lavendertide.queries.timing import Estimate
 
 
 class HedgingCollector(Collector):
@@ -17,7 +18,7 @@
 
     Args:
         withheld: Returns each owner's hedges that were due and not sent, by cause.
-        stragglers_s: Returns after how long a reply of each index counts as late.
+        estimates: Returns what is known of the reply times of each index.
         owners: The bound on the label.
         indexes: The bound on the label; indexes above it are left out.
     """
@@ -25,12 +26,12 @@
     def __init__(
         self,
         withheld: Callable[[], dict[OwnerId, Counter[WithheldCause]]],
-        stragglers_s: Callable[[], dict[IndexName, float]],
+        estimates: Callable[[], dict[IndexName, Estimate]],
         owners: BoundedLabel,
         indexes: BoundedLabel,
     ) -> None:
         self._withheld = withheld
-        self._stragglers_s = stragglers_s
+        self._estimates = estimates
         self._owners = owners
         self._indexes = indexes
 
@@ -57,10 +58,11 @@
         family = GaugeMetricFamily(
             names.STRAGGLER_SECONDS,
             "After how long a reply of the index counts as late.",
-            labels=["index"],
+            labels=["index", "window"],
         )
-        for index, late_s in self._stragglers_s().items():
+        for index, known in self._estimates().items():
             label = self._indexes.value(index)
             if label != OTHER:
-                family.add_metric([label], late_s)
+                family.add_metric([label, "long"], known.straggler_s)
+                family.add_metric([label, "recent"], known.recent_straggler_s)
         return family
--- a/lavendertide/metrics/metrics.py
+++ b/lavendertide/metrics/metrics.py
@@ -32,6 +32,7 @@
     Children,
 )
 from lavendertide.queries.hedging import WithheldCause
+from lavendertide.queries.timing import Estimate
 
 _BY_CLASS = ("owner", "plan_class")
 
@@ -229,12 +230,10 @@
     def follow_hedging(
         self,
         withheld: Callable[[], dict[OwnerId, Counts[WithheldCause]]],
-        stragglers_s: Callable[[], dict[IndexName, float]],
+        estimates: Callable[[], dict[IndexName, Estimate]],
     ) -> None:
         """Exports why hedges were not sent and when they are due."""
-        collector = HedgingCollector(
-            withheld, stragglers_s, self._owners, self._indexes
-        )
+        collector = HedgingCollector(withheld, estimates, self._owners, self._indexes)
         self._registry.register(collector)
 
     def exposition(self) -> bytes:
--- a/lavendertide/queries/asking.py
+++ b/lavendertide/queries/asking.py
@@ -44,10 +44,12 @@
         self._inbox = inbox
         self._schedule = Schedule()
         self._tries: dict[ShardNumber, ShardTries] = {}
-        self._hedge_delay_s = hedge_delay_s(parts.policies.hedging, estimate)
         self._cap_s = estimate.cap_s if estimate else None
         self._rounds = wait_policy(parts.policies, pinned.index)
         self._hedges = parts.hedge_budgets.of(query.plan.owner)
+        self._hedge_delay_s = hedge_delay_s(
+            parts.policies.hedging, estimate, self._hedges.has_surplus
+        )
         self._retries = parts.retry_budgets.of(query.plan.owner)
         self._rounds_due = 0
         self._is_stopped = False
--- a/lavendertide/queries/hedging.py
+++ b/lavendertide/queries/hedging.py
@@ -13,6 +13,7 @@
 from lavendertide.queries.timing import Estimate
 
 TOKENS_MAX: Final = 50.0
+SURPLUS_SHARE: Final = 0.75
 STRAGGLER_QUANTILE: Final = 0.95
 
 
@@ -36,6 +37,11 @@
         """Extra attempts that were sent since the daemon's start."""
         return self._spent
 
+    @property
+    def has_surplus(self) -> bool:
+        """Whether so much is left that more could have been sent."""
+        return self._tokens >= SURPLUS_SHARE * TOKENS_MAX
+
     @property
     def withheld(self) -> Counter[WithheldCause]:
         """How often a hedge was due and not sent since the daemon's start."""
@@ -82,13 +88,29 @@
         return budget
 
 
-def hedge_delay_s(policy: HedgePolicy, estimate: Estimate | None) -> float | None:
-    """Returns how long an attempt may take before it is hedged, none for never."""
+def hedge_delay_s(
+    policy: HedgePolicy, estimate: Estimate | None, has_surplus: bool
+) -> float | None:
+    """Returns how long an attempt may take before it is hedged, none for never.
+
+    A burst of slow replies keeps the straggler quantile high for as long as it is a
+    few percent of all that is remembered. The budget is in surplus then, and the last
+    seconds are gone by. Without a surplus the longer memory keeps the hedges for the
+    worst stragglers while reply times go up and down.
+
+    Args:
+        policy: The owner's policy.
+        estimate: What is known of the index.
+        has_surplus: Whether the owner sends fewer hedges than it earns.
+    """
     match policy:
         case NeverHedge():
             return None
         case BudgetedHedge(delay_min_ms=delay_min_ms) if estimate is not None:
-            return max(delay_min_ms / 1000, estimate.straggler_s)
+            late_s = estimate.straggler_s
+            if has_surplus:
+                late_s = estimate.recent_straggler_s
+            return max(delay_min_ms / 1000, late_s)
         case BudgetedHedge(delay_cold_ms=delay_cold_ms):
             return delay_cold_ms / 1000
 
--- a/lavendertide/queries/timing.py
+++ b/lavendertide/queries/timing.py
@@ -1,9 +1,8 @@
 """How long the targets of an index usually take, learned from their replies.
 
 Each index has counts of reply times in logarithmic buckets, over two windows that
-rotate, so that an estimate forgets what is older than two windows. When a reply is late
-is told from shorter windows, since a burst has to be forgotten soon. Memory is constant
-for each index.
+rotate, so that an estimate forgets what is older than two windows. Two short windows
+say besides what the last seconds were like. Memory is constant for each index.
 """
 
 import itertools
@@ -61,13 +60,10 @@
 
 
 class ShortWindows:
-    """Two short windows, by the quicker of which a straggler is told.
+    """Two short windows, which forget a burst of slow replies within seconds.
 
-    A burst of slow replies would otherwise keep the quantile high for as long as it
-    is a few percent of all that is remembered. Taking the lower quantile forgets it
-    within a window, and still believes a slowness that lasts for two of them. A window
-    begins with its first reply, since the quickest replies of a query come first and
-    would be alone in a window that ended at once.
+    A window begins with its first reply, since the quickest replies of a query come
+    first and would be alone in a window that ended at once.
     """
 
     def __init__(self) -> None:
@@ -83,14 +79,12 @@
         self._current.add(bucket)
 
     def quantile_s(self, quantile: float, now_s: float) -> float | None:
-        """Returns the lower quantile, none while neither window has enough."""
+        """Returns a quantile of both, none while they have too few replies."""
         self._rotate(now_s)
-        known_s = [
-            counts.quantile_s(quantile)
-            for counts in (self._current, self._last)
-            if counts.total >= SHORT_SAMPLES_MIN
-        ]
-        return min(known_s, default=None)
+        both = self._current.joined(self._last)
+        if both.total < SHORT_SAMPLES_MIN:
+            return None
+        return both.quantile_s(quantile)
 
     def _rotate(self, now_s: float) -> None:
         age_s = now_s - self._began_at_s
@@ -109,11 +103,13 @@
     Attributes:
         quickest_s: Nine in ten replies take longer.
         straggler_s: The quantile after which a reply counts as late.
+        recent_straggler_s: The same of the last seconds, where that is shorter.
         cap_s: After this long an attempt is given up for another replica.
     """
 
     quickest_s: float
     straggler_s: float
+    recent_straggler_s: float
     cap_s: float
 
 
@@ -157,12 +153,12 @@
         both = self._current.joined(self._last)
         if both.total < SAMPLES_MIN:
             return None
-        straggler_s = self._short.quantile_s(quantile, now_s)
-        if straggler_s is None:
-            straggler_s = both.quantile_s(quantile)
+        straggler_s = both.quantile_s(quantile)
+        recent_s = self._short.quantile_s(quantile, now_s)
         return Estimate(
             quickest_s=both.quantile_s(QUICKEST_QUANTILE),
             straggler_s=straggler_s,
+            recent_straggler_s=min(straggler_s, recent_s or straggler_s),
             cap_s=max(CAP_FLOOR_S, CAP_FACTOR * both.quantile_s(SLOWEST_QUANTILE)),
         )
 
@@ -187,16 +183,12 @@
         self._by_index: dict[IndexName, IndexTiming] = {}
 
     @property
-    def stragglers_s(self) -> dict[IndexName, float]:
-        """After how long a reply of each index counts as late, where that is known."""
+    def last_estimates(self) -> dict[IndexName, Estimate]:
+        """What is known of each index, where anything is."""
         estimates = {
             index: timing.last_estimate for index, timing in self._by_index.items()
         }
-        return {
-            index: estimate.straggler_s
-            for index, estimate in estimates.items()
-            if estimate is not None
-        }
+        return {index: known for index, known in estimates.items() if known is not None}
 
     def of(self, index: IndexName, now_s: float) -> IndexTiming:
         """Returns the timing of an index that the configuration names."""
--- a/tests/metrics/test_metrics.py
+++ b/tests/metrics/test_metrics.py
@@ -14,6 +14,9 @@
 )
 from lavendertide.metrics.metrics import Metrics
 from lavendertide.queries.hedging import Budgets, WithheldCause
+from lavendertide.queries.timing import Estimate
+
+KNOWN = Estimate(quickest_s=0.005, straggler_s=0.02, recent_straggler_s=0.01, cap_s=0.1)
 
 
 class BoundedLabelTest(unittest.TestCase):
@@ -52,25 +55,26 @@
 
     def test_hedging_is_read_when_asked_for(self) -> None:
         metrics = Metrics()
-        budgets, late_s = Budgets(), {IndexName("venue-desk"): 0.02}
-        metrics.follow_hedging(lambda: budgets.withheld, lambda: late_s)
+        budgets, known = Budgets(), {IndexName("venue-desk"): KNOWN}
+        metrics.follow_hedging(lambda: budgets.withheld, lambda: known)
         budget = budgets.of(OwnerId("association"))
         budget.note_withheld(WithheldCause.NO_ROOM)
         text = metrics.exposition().decode()
         for line in (
             "lavendertide_hedges_withheld_total"
             '{cause="no_room",owner="association"} 1.0',
-            'lavendertide_straggler_seconds{index="venue-desk"} 0.02',
+            'lavendertide_straggler_seconds{index="venue-desk",window="long"} 0.02',
+            'lavendertide_straggler_seconds{index="venue-desk",window="recent"} 0.01',
         ):
             self.assertIn(line, text)
 
     def test_many_indexes_make_a_bounded_number_of_series(self) -> None:
         metrics = Metrics()
-        late_s = {IndexName(f"index-{number}"): 0.02 for number in range(1_000)}
-        metrics.follow_hedging(dict, lambda: late_s)
+        known = {IndexName(f"index-{number}"): KNOWN for number in range(1_000)}
+        metrics.follow_hedging(dict, lambda: known)
         lines = metrics.exposition().decode().splitlines()
         series = [line for line in lines if "straggler_seconds{" in line]
-        self.assertEqual(len(series), INDEXES_MAX)
+        self.assertEqual(len(series), 2 * INDEXES_MAX)
 
     def test_many_owners_make_a_bounded_number_of_series(self) -> None:
         metrics = Metrics()
--- a/tests/queries/test_gate.py
+++ b/tests/queries/test_gate.py
@@ -9,7 +9,7 @@
 from lavendertide.queries.results_memory import ResultsMemory
 from lavendertide.queries.timing import Estimate
 
-SLOW = Estimate(quickest_s=0.2, straggler_s=0.5, cap_s=1.0)
+SLOW = Estimate(quickest_s=0.2, straggler_s=0.5, recent_straggler_s=0.5, cap_s=1.0)
 
 
 class GateTest(unittest.TestCase):
--- a/tests/queries/test_timing.py
+++ b/tests/queries/test_timing.py
@@ -37,11 +37,11 @@
         timing.observe(latency_s, from_s + number / REPLIES_PER_S)
 
 
-def straggler_s(timing: IndexTiming, now_s: float) -> float:
-    """Returns after how long a reply counts as late."""
+def recent_straggler_s(timing: IndexTiming, now_s: float) -> float:
+    """Returns after how long a reply counts as late by the last seconds."""
     estimate = timing.estimate(0.95, now_s)
     assert estimate is not None
-    return estimate.straggler_s
+    return estimate.recent_straggler_s
 
 
 class IndexTimingTest(unittest.TestCase):
@@ -83,34 +83,34 @@
         timing = IndexTiming(0.0)
         observe_evenly(timing, SLOW_S, 0.0, 1.0)
         observe_evenly(timing, QUICK_S, 1.0, 4.0)
-        self.assertLess(straggler_s(timing, 4.0), 2 * QUICK_S)
+        self.assertLess(recent_straggler_s(timing, 4.0), 2 * QUICK_S)
 
     def test_a_burst_within_a_calm_hides_no_straggler(self) -> None:
         timing = IndexTiming(0.0)
         observe_evenly(timing, QUICK_S, 0.0, 5.0)
         observe_evenly(timing, SLOW_S, 5.0, 5.9)
         observe_evenly(timing, QUICK_S, 5.9, 8.0)
-        self.assertLess(straggler_s(timing, 8.0), 2 * QUICK_S)
+        self.assertLess(recent_straggler_s(timing, 8.0), 2 * QUICK_S)
 
     def test_an_index_that_has_become_slow_is_believed(self) -> None:
         timing = IndexTiming(0.0)
         observe_evenly(timing, QUICK_S, 0.0, 5.0)
         observe_evenly(timing, SLOW_S, 5.0, 8.0)
-        self.assertGreaterEqual(straggler_s(timing, 8.0), SLOW_S)
+        self.assertGreaterEqual(recent_straggler_s(timing, 8.0), SLOW_S)
 
     def test_a_quiet_index_has_an_estimate_from_the_long_windows(self) -> None:
         timing = IndexTiming(0.0)
         for second in range(10):
             for _ in range(5):
                 timing.observe(QUICK_S, float(second))
-        self.assertLess(straggler_s(timing, 9.5), 2 * QUICK_S)
+        self.assertLess(recent_straggler_s(timing, 9.5), 2 * QUICK_S)
 
     def test_replies_before_a_long_pause_are_forgotten(self) -> None:
         timing = IndexTiming(0.0)
         observe_evenly(timing, QUICK_S, 0.0, 2.0)
         later_s = 4 * WINDOW_S
         observe_evenly(timing, SLOW_S, later_s, later_s + 0.5)
-        self.assertGreaterEqual(straggler_s(timing, later_s + 0.5), SLOW_S)
+        self.assertGreaterEqual(recent_straggler_s(timing, later_s + 0.5), SLOW_S)
 
     def test_the_last_window_still_counts(self) -> None:
         timing = IndexTiming(0.0)
