--- a/bench/query_path.py
+++ b/bench/query_path.py
@@ -20,7 +20,9 @@
 from bench.process_stats import read_process_stats
 from bench.revision import revision
 from bench.scenarios import (
+    BurstAtStart,
     Calm,
+    DistantDomains,
     KilledDaemon,
     KilledReplica,
     NeighbourOverload,
@@ -29,6 +31,7 @@
     VersionChange,
     induce,
     name_of,
+    set_out,
 )
 from bench.summary import Summary, read_samples, summarise
 from standins.deployment import ASSOCIATION, KOINOPRAXIA, OwnerSpec
@@ -57,6 +60,8 @@
     KilledDaemon("association-1"),
     NeighbourOverload("employer", "voucher-finder", 400.0),
     VersionChange("venue-desk"),
+    BurstAtStart(40),
+    DistantDomains(0.005, 0.020, 0.001),
 )
 
 
@@ -88,9 +93,11 @@
         seed=seed,
         target_processes=TARGET_PROCESSES,
         overrides=POLICIES[policy],
+        has_link_faults=isinstance(scenario, DistantDomains),
     )
     with launcher.running():
         _give_targets_a_tail(launcher)
+        set_out(scenario, launcher)
         specs = _load_specs(scenario, launcher, duration_s, seed, folder)
         cpu_before_s = _daemons_cpu_s(launcher)
         processes = [start_load(spec, folder) for spec in specs]
@@ -144,6 +151,7 @@
             seed=seed,
             starts_at_s=starts_at_s,
             output=str(folder / f"{key}.jsonl"),
+            burst=scenario.searches if isinstance(scenario, BurstAtStart) else 0,
         )
         for key, rate in rates.items()
     ]
--- a/bench/query_policies.py
+++ b/bench/query_policies.py
@@ -163,7 +163,11 @@
 
 @dataclass(frozen=True)
 class Case:
-    """One variant under one load."""
+    """One variant under one load.
+
+    Attributes:
+        is_after_burst: Whether the queries of the warm-up all come at once.
+    """
 
     name: str
     policies: PolicyOptions
@@ -173,6 +177,7 @@
     is_heedless: bool = False
     preference: str = "latency"
     deadline_s: float = DEADLINE_S
+    is_after_burst: bool = False
 
 
 def run(case: Case, seed: int) -> str:
@@ -188,9 +193,10 @@
         answers.append(answer)
 
     draw = random.Random(seed)
-    for _ in range(QUERIES + WARM_UP):
+    for number in range(QUERIES + WARM_UP):
         tasks.spawn(search)
-        tasks.sleep(draw.expovariate(case.rate_per_s))
+        if number >= WARM_UP or not case.is_after_burst:
+            tasks.sleep(draw.expovariate(case.rate_per_s))
     while len(answers) < QUERIES + WARM_UP:
         tasks.sleep(0.01)
     return _row(case, latencies_ms[WARM_UP:], answers[WARM_UP:])
@@ -250,6 +256,7 @@
                 is_heedless=True,
             ),
         ]
+    cases.append(Case("after a burst, spare slots", budgeted, is_after_burst=True))
     return cases
 
 
@@ -269,13 +276,16 @@
     """Prints one table for each policy."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seed", type=int, default=1)
-    seed = parser.parse_args().seed
+    parser.add_argument("--case", default="", help="only names with this in them")
+    options = parser.parse_args()
+    seed = options.seed
     print(f"commit {revision()}, seed {seed}, {QUERIES} queries of {SHARDS} shards")
     for cases in (_cap_cases(), _hedge_cases(), _wait_cases()):
         print(f"\n{HEADER}")
         print("|---" * 6 + "|")
         for case in cases:
-            print(run(case, seed), flush=True)
+            if options.case in case.name:
+                print(run(case, seed), flush=True)
     return 0
 
 
--- a/tests/metrics/test_metrics.py
+++ b/tests/metrics/test_metrics.py
@@ -3,10 +3,20 @@
 import unittest
 
 from lavendertide.errors import Fault, RefusalKind
-from lavendertide.ids import OwnerId, PlanClass
+from lavendertide.ids import IndexName, OwnerId, PlanClass
 from lavendertide.messages import Outcome
-from lavendertide.metrics.labels import CLASSES_MAX, OTHER, OWNERS_MAX, BoundedLabel
+from lavendertide.metrics.labels import (
+    CLASSES_MAX,
+    INDEXES_MAX,
+    OTHER,
+    OWNERS_MAX,
+    BoundedLabel,
+)
 from lavendertide.metrics.metrics import Metrics
+from lavendertide.queries.hedging import Budgets, WithheldCause
+from lavendertide.queries.timing import Estimate
+
+KNOWN = Estimate(quickest_s=0.005, straggler_s=0.02, recent_straggler_s=0.01, cap_s=0.1)
 
 
 class BoundedLabelTest(unittest.TestCase):
@@ -43,6 +53,29 @@
         line = 'lavendertide_hedges_total{owner="association"} 4.0'
         self.assertIn(line, metrics.exposition().decode())
 
+    def test_hedging_is_read_when_asked_for(self) -> None:
+        metrics = Metrics()
+        budgets, known = Budgets(), {IndexName("venue-desk"): KNOWN}
+        metrics.follow_hedging(lambda: budgets.withheld, lambda: known)
+        budget = budgets.of(OwnerId("association"))
+        budget.note_withheld(WithheldCause.NO_ROOM)
+        text = metrics.exposition().decode()
+        for line in (
+            "lavendertide_hedges_withheld_total"
+            '{cause="no_room",owner="association"} 1.0',
+            'lavendertide_straggler_seconds{index="venue-desk",window="long"} 0.02',
+            'lavendertide_straggler_seconds{index="venue-desk",window="recent"} 0.01',
+        ):
+            self.assertIn(line, text)
+
+    def test_many_indexes_make_a_bounded_number_of_series(self) -> None:
+        metrics = Metrics()
+        known = {IndexName(f"index-{number}"): KNOWN for number in range(1_000)}
+        metrics.follow_hedging(dict, lambda: known)
+        lines = metrics.exposition().decode().splitlines()
+        series = [line for line in lines if "straggler_seconds{" in line]
+        self.assertEqual(len(series), 2 * INDEXES_MAX)
+
     def test_many_owners_make_a_bounded_number_of_series(self) -> None:
         metrics = Metrics()
         for number in range(1_000):
--- a/tests/queries/test_fan_out.py
+++ b/tests/queries/test_fan_out.py
@@ -14,9 +14,13 @@
 )
 from lavendertide.options import AnyReplica, CoverageFirst, LatencyFirst, RetryOptions
 from lavendertide.queries.coverage import GapReason
+from lavendertide.queries.hedging import WithheldCause
 from lavendertide.queries.results_memory import ResultsMemory
 from lavendertide.queries.waiting import HANDOVER_ROUNDS_MAX
+from lavendertide.runtime import clock
 from tests.queries.fakes import (
+    DEADLINE_S,
+    INDEX,
     Reaction,
     Tier,
     answered,
@@ -173,6 +177,8 @@
         searched.parts.reports.hear(FAR, 0, float("inf"))
         self.assertEqual(searched.search(0.1).covered, ())
         self.assertEqual(full(FAR), [])
+        budget = searched.parts.hedge_budgets.of(searched.index.owner)
+        self.assertGreater(budget.withheld[WithheldCause.NO_ROOM], 0)
 
     def test_a_spent_budget_sends_no_hedge(self) -> None:
         searched = tier(index_of(1))
@@ -181,6 +187,7 @@
         while budget.spend():
             pass
         self.assertEqual(searched.search(0.1).attempts, 1)
+        self.assertGreater(budget.withheld[WithheldCause.NO_BUDGET], 0)
 
     def test_a_hedge_that_lost_leaves_its_room_to_the_next(self) -> None:
         searched = tier(index_of(1))
@@ -188,6 +195,34 @@
         for _ in range(3):
             self.assertEqual(searched.search(0.1).hedges, 1)
 
+    def test_a_hedge_of_a_query_that_failed_leaves_its_room_to_the_next(self) -> None:
+        def fails(request: SubRequest) -> SubReply | None:
+            raise OSError(request.target)
+
+        searched = tier(index_of(2))
+        second = TargetId("t1-0"), TargetId("t1-1")
+        searched.dispatch.reactions = {NEAR: silent, FAR: silent}
+        searched.dispatch.reactions |= {second[0]: silent, second[1]: fails}
+        with self.assertRaises(OSError):
+            searched.search()
+        for target in second:
+            del searched.dispatch.reactions[target]
+        self.assertEqual(len(searched.dispatch.asked(FAR)), 1)
+        searched.search(0.5)
+        self.assertEqual(len(searched.dispatch.asked(FAR)), 2)
+
+    def test_a_straggler_is_hedged_soon_after_a_burst_of_slow_replies(self) -> None:
+        searched = tier(index_of(1))
+        searched.dispatch.reactions = {NEAR: silent}
+        now_s = clock.monotonic_s()
+        timing = searched.parts.timings.of(INDEX, now_s - 4.0)
+        for _ in range(200):
+            timing.observe(2 * DEADLINE_S, now_s - 4.0)
+        for number in range(300):
+            timing.observe(0.01, now_s - 3.0 + number / 100)
+        answer = searched.search()
+        self.assertEqual((answer.covered, answer.hedges), ((0,), 1))
+
     def test_any_replica_asks_all_at_once(self) -> None:
         policies = with_policies(replicas=AnyReplica(at_once=2))
         answer = tier(index_of(3), policies).search()
