Say in the query bench how early and as what searches are refused

Cause: the table counts refusals but tells neither their kind nor when they came, so the overload scenario could not be judged by its target. Bounds are added from the target: under overload refusals come within 5 ms (median) and admitted answers cover 0.99 of the shards; everybody else is refused nothing. No measurement yet.

--- a/bench/load.py
+++ b/bench/load.py
@@ -56,6 +56,7 @@
         attempts: Sub-requests that the tier sent.
         version: The version that the answer names.
         mixed: Whether a row came from another version.
+        refusal: Kind of the refusal, empty if there was none.
     """
 
     at_s: float
@@ -66,6 +67,7 @@
     attempts: int
     version: int
     mixed: bool
+    refusal: str
 
 
 class Callers:
@@ -101,6 +103,7 @@
             attempts=answer.get("attempts", 0),
             version=answer.get("version", 0),
             mixed=_is_mixed(answer),
+            refusal=answer.get("kind", ""),
         )
         self._output.write(json.dumps(asdict(sample)) + "\n")
 
--- a/bench/query_path.py
+++ b/bench/query_path.py
@@ -3,7 +3,7 @@
 `python -m bench.query_path` runs every policy through every scenario at today's sizes
 and prints a table and one line of JSON. Bounds come from the stated target: p99 within
 120 ms, no slot or connection breach, no answer that mixes versions, a neighbour's p99
-unharmed. `--quick` runs the chosen policy only.
+unharmed, no refusal but under overload, and then early. `--quick` runs the chosen policy only.
 """
 
 import argparse
@@ -35,6 +35,8 @@
 from standins.launcher import Launcher
 
 P99_BOUND_MS = 120.0
+COVERAGE_UNDER_OVERLOAD_MIN = 0.99
+REFUSAL_BOUND_MS = 5.0
 DEADLINE_MS = 120
 FULL_DURATION_S = 12.0
 START_DELAY_S = 1.5
@@ -65,6 +67,7 @@
     """One policy in one scenario.
 
     Attributes:
+        overloaded: The plan that sends too much, none in most scenarios.
         callers: What the callers of each plan saw.
         sub_requests: Sub-requests that the targets took.
         cpu_us: Processor time of all daemons for one sub-request.
@@ -72,6 +75,7 @@
 
     policy: str
     scenario: str
+    overloaded: str | None
     callers: dict[str, Summary]
     sub_requests: int
     slot_breaches: int
@@ -104,6 +108,7 @@
     return Measurement(
         policy=policy,
         scenario=name_of(scenario),
+        overloaded=scenario.key if isinstance(scenario, NeighbourOverload) else None,
         callers={
             spec.key: summarise(_after_warm_up(read_samples(Path(spec.output))))
             for spec in specs
@@ -195,6 +200,21 @@
             found.append(f"{key}: {summary.mixed} answers mix versions")
         if summary.p99_ms > P99_BOUND_MS:
             found.append(f"{key}: p99 is {summary.p99_ms:.0f} ms")
+    return found + _problems_of_load(measurement)
+
+
+def _problems_of_load(measurement: Measurement) -> list[str]:
+    """Returns which bounds on refusals a run has missed."""
+    found = []
+    for key, summary in measurement.callers.items():
+        if key != measurement.overloaded:
+            if summary.refused:
+                found.append(f"{key}: {summary.refusals} without overload")
+            continue
+        if summary.coverage < COVERAGE_UNDER_OVERLOAD_MIN:
+            found.append(f"{key}: answers cover {summary.coverage:.3f}")
+        if summary.refused_p50_ms > REFUSAL_BOUND_MS:
+            found.append(f"{key}: refused after {summary.refused_p50_ms:.1f} ms")
     return found
 
 
@@ -205,7 +225,8 @@
             f"| {measurement.scenario} | {measurement.policy} | {key} "
             f"| {summary.searches} | {summary.p50_ms:.1f} | {summary.p99_ms:.1f} "
             f"| {summary.p999_ms:.1f} | {summary.coverage:.5f} | {summary.whole:.4f} "
-            f"| {summary.refused} | {summary.broken} | {summary.extra_load:.4f} "
+            f"| {summary.refused} | {summary.refused_p50_ms:.1f} | {summary.broken} "
+            f"| {summary.extra_load:.4f} "
             f"| {measurement.slot_breaches} | {measurement.connection_breaches} "
             f"| {measurement.cpu_us:.0f} |",
             flush=True,
@@ -214,8 +235,8 @@
 
 HEADER = (
     "| scenario | policy | plan | searches | p50 ms | p99 ms | p99.9 ms | coverage "
-    "| whole | refused | broken | extra load | slot breaches | connection breaches "
-    "| CPU us/sub-request |\n" + "|---" * 15 + "|"
+    "| whole | refused | refused p50 ms | broken | extra load | slot breaches "
+    "| connection breaches | CPU us/sub-request |\n" + "|---" * 16 + "|"
 )
 
 
--- a/bench/summary.py
+++ b/bench/summary.py
@@ -1,6 +1,7 @@
 """Figures of one measured run: tail latency, coverage, extra load, breaches."""
 
 import json
+from collections import Counter
 from collections.abc import Iterable
 from dataclasses import dataclass
 from pathlib import Path
@@ -18,6 +19,8 @@
         coverage: Covered shards over all shards of answered searches.
         whole: Part of all searches that were answered whole.
         refused: Searches that were refused as not run.
+        refused_p50_ms: Median time until a refusal came.
+        refusals: Refusals by kind.
         extra_load: Sub-requests sent beyond one a shard, over the shards.
         mixed: Answers with a row of another version.
     """
@@ -29,6 +32,8 @@
     coverage: float
     whole: float
     refused: int
+    refused_p50_ms: float
+    refusals: dict[str, int]
     broken: int
     extra_load: float
     mixed: int
@@ -43,7 +48,9 @@
     """Returns the figures over all samples; refused ones have no latency."""
     kept = list(samples)
     answered = [sample for sample in kept if sample.status == STATUS_OK]
+    refused = [sample for sample in kept if sample.refusal]
     latencies = sorted(sample.latency_ms for sample in answered)
+    refused_latencies = sorted(sample.latency_ms for sample in refused)
     shards = sum(sample.shards for sample in answered)
     attempts = sum(sample.attempts for sample in answered)
     whole = sum(1 for sample in answered if sample.covered == sample.shards)
@@ -54,7 +61,9 @@
         p999_ms=percentile(latencies, 0.999),
         coverage=_ratio(sum(sample.covered for sample in answered), shards),
         whole=_ratio(whole, len(kept)),
-        refused=sum(1 for s in kept if s.status not in (0, STATUS_OK)),
+        refused=len(refused),
+        refused_p50_ms=percentile(refused_latencies, 0.50),
+        refusals=dict(Counter(sample.refusal for sample in refused)),
         broken=sum(1 for sample in kept if sample.status == 0),
         extra_load=_ratio(attempts, shards) - 1.0,
         mixed=sum(1 for sample in answered if sample.mixed),
