Refuse an owner's searches above what an index's targets can answer

Cause: nothing closed under load. queries.gate refuses by a count for the whole process (512) and once nine in ten replies of 20 s miss the deadline, which the deadline itself keeps from being seen; the plan admits its whole rate, which the targets need not carry; holders decline what is late only after the entry host has spent a search's work on it. So each search was let in and came back late with gaps.

Ruled out: queue times reported by holders (they miss the entry host's and the links' share, need a new field in every frame, and one slow target shows up as strongly as all), covered shares (known at the deadline only, when the queues are full already), refusing in proportion to the excess over a rate (needs the capacity that is not known).

Change: each daemon bounds an owner's searches in flight over an index. The measure is how long half of a search's shards take above the shortest time of the last windows; a quarter of what the deadline leaves may be queueing. Above it the bound is cut in proportion, below it raised by one a response time while searches are refused. Refusals are `over_capacity`, 429, not run, with Retry-After.

--- a/bench/query_path.py
+++ b/bench/query_path.py
@@ -3,7 +3,8 @@
 `python -m bench.query_path` runs every policy through every scenario at today's sizes
 and prints a table and one line of JSON. Bounds come from the stated target: p99 within
 120 ms, no slot or connection breach, no answer that mixes versions, a neighbour's p99
-unharmed, no refusal but under overload, and then early. `--quick` runs the chosen policy only.
+unharmed, no refusal but under overload, and then early. `--quick` runs the chosen
+policy only.
 """
 
 import argparse
--- a/lavendertide/daemon/query_service.py
+++ b/lavendertide/daemon/query_service.py
@@ -11,6 +11,13 @@
 from lavendertide.messages import Operation
 from lavendertide.options import QueryOptions
 from lavendertide.plans.admission import Allowances
+from lavendertide.queries.capacity import (
+    Capacities,
+    Inconclusive,
+    Pace,
+    Permit,
+    pace_of,
+)
 from lavendertide.queries.deadline import deadline_for
 from lavendertide.queries.fan_out import run_query
 from lavendertide.queries.gate import Gate
@@ -31,12 +38,14 @@
         allowances: Allowances,
         parts: FanOutParts,
         gate: Gate,
+        capacities: Capacities,
     ) -> None:
         self._options = options
         self._configuration = configuration
         self._allowances = allowances
         self._parts = parts
         self._gate = gate
+        self._capacities = capacities
 
     def search(self, question: Question) -> Result[Answer, Refusal]:
         """Answers a search, or refuses it before any of it ran."""
@@ -54,6 +63,28 @@
         if question.page_size > self._options.rows_max:
             return Failure(_page_too_large(self._options.rows_max))
         now_s = clock.monotonic_s()
+        query = self._query(question, plan, now_s)
+        return self._capacities.enter(plan.owner, index.index, now_s).bind(
+            lambda permit: self._run_with(permit, query, index, catalog)
+        )
+
+    def _run_with(
+        self, permit: Permit, query: Query, index: Index, catalog: Catalog
+    ) -> Result[Answer, Refusal]:
+        pace: Pace = Inconclusive()
+        try:
+            result = self._run_within_plan(query, index, catalog)
+            pace = result.map(pace_of).value_or(pace)
+            return result
+        finally:
+            budget_s = query.deadline.at_s - permit.entered_at_s
+            self._capacities.leave(permit, pace, budget_s, clock.monotonic_s())
+
+    def _run_within_plan(
+        self, query: Query, index: Index, catalog: Catalog
+    ) -> Result[Answer, Refusal]:
+        now_s = clock.monotonic_s()
+        plan = query.plan
         allowance = self._allowances.of(plan, now_s)
         match allowance.enter(self._allowances.share_of(plan, now_s), now_s):
             case Success(wait_s):
@@ -61,7 +92,7 @@
             case Failure(refusal):
                 return Failure(refusal)
         try:
-            return self._run(self._query(question, plan, now_s), index, catalog)
+            return self._run(query, index, catalog)
         finally:
             allowance.leave()
 
--- a/lavendertide/daemon/serving.py
+++ b/lavendertide/daemon/serving.py
@@ -1,5 +1,6 @@
 """The services that answer callers, and what their queries share."""
 
+import random
 from dataclasses import dataclass
 
 from lavendertide.configuration.adoption import Configuration
@@ -12,6 +13,7 @@
 from lavendertide.fleet.roster import Roster
 from lavendertide.options import Options
 from lavendertide.plans.admission import Allowances
+from lavendertide.queries.capacity import Capacities
 from lavendertide.queries.gate import Gate
 from lavendertide.queries.hedging import Budgets
 from lavendertide.queries.parts import Dispatch, FanOutParts
@@ -48,7 +50,14 @@
     """Joins the services of one daemon."""
     parts = _fan_out_parts(options, configuration, roster, dispatch)
     gate = Gate(options.queries.in_flight_max, parts.memory)
-    queries = QueryService(options.queries, configuration, allowances, parts, gate)
+    queries = QueryService(
+        options.queries,
+        configuration,
+        allowances,
+        parts,
+        gate,
+        Capacities(random.Random()),
+    )
     ledger = Ledger(options.tickets)
     minter = Minter(
         options.fleet.key,
--- a/lavendertide/encodings/caller_json.py
+++ b/lavendertide/encodings/caller_json.py
@@ -29,12 +29,14 @@
     RefusalKind.POISONED: 422,
     RefusalKind.OVER_PLAN_RATE: 429,
     RefusalKind.OVER_PLAN_CONCURRENCY: 429,
+    RefusalKind.OVER_CAPACITY: 429,
 }
 STATUS_UNAVAILABLE: Final = 503
 RETRY_AFTER_S: Final = {
     RefusalKind.OVER_PLAN_RATE: 1,
     RefusalKind.OVER_PLAN_CONCURRENCY: 1,
     RefusalKind.OVERLOADED: 1,
+    RefusalKind.OVER_CAPACITY: 1,
     RefusalKind.NOT_READY: 1,
     RefusalKind.LEAVING: 1,
     RefusalKind.NO_SNAPSHOT: 1,
--- a/lavendertide/errors.py
+++ b/lavendertide/errors.py
@@ -22,6 +22,7 @@
     OVER_PLAN_RATE = "over_plan_rate"
     OVER_PLAN_CONCURRENCY = "over_plan_concurrency"
     OVERLOADED = "overloaded"
+    OVER_CAPACITY = "over_capacity"
     NOT_READY = "not_ready"
     LEAVING = "leaving"
     UNKNOWN_TICKET = "unknown_ticket"
--- /dev/null
+++ b/tests/processes/test_queries_overload.py
@@ -0,0 +1,102 @@
+"""Tests of searches above what the targets can answer, on separate processes."""
+
+import time
+import unittest
+from dataclasses import replace
+
+from returns.result import Success
+
+from standins.deployment import KOINOPRAXIA, OwnerSpec, smaller
+from standins.launcher import Launcher
+from tests.processes.callers import SearchLoad, client_of, wait_until
+
+SHARDS = 4
+HOSTS = 2
+INDEX = "voucher-finder"
+KEY = "employer"
+CALLERS = 80
+USUAL_CALLERS = 2
+TARGET_MS = 60.0
+OTHER_INDEX = "provider-desk"
+OTHER_KEY = "provider-clerk"
+WHOLE_SHARE = 0.9
+
+
+def unlimited() -> OwnerSpec:
+    """Returns an owner whose plans bound nothing, so that the targets do."""
+    owner = smaller(KOINOPRAXIA, SHARDS, HOSTS)
+    plans = tuple(
+        replace(plan, rate_per_s=10_000.0, burst=10_000, concurrency=10_000)
+        for plan in owner.plans
+    )
+    return replace(owner, plans=plans)
+
+
+class OverloadTest(unittest.TestCase):
+    """Searches above the targets' capacity are refused, the others are whole."""
+
+    launcher: Launcher
+
+    @classmethod
+    def setUpClass(cls) -> None:
+        cls.launcher = Launcher((unlimited(),))
+        cls.addClassCleanup(cls.launcher.stop)
+        cls.launcher.start()
+        for target in cls.launcher.placed:
+            if target.index.index == INDEX:
+                cls.launcher.change_target(target.target, median_ms=TARGET_MS)
+
+    def setUp(self) -> None:
+        with self.load(USUAL_CALLERS) as usual:
+            usual.wait_for(20)
+        self.assertEqual(usual.refusals, [])
+
+    def load(self, callers: int) -> SearchLoad:
+        """Returns callers that send their next search after each answer."""
+        return SearchLoad(self.launcher, KEY, INDEX, callers)
+
+    def sub_requests(self) -> int:
+        """Returns how many sub-requests the index's targets have taken."""
+        counts = self.launcher.target_counts()
+        return sum(
+            count["requests"]
+            for target, count in counts.items()
+            if target.startswith(INDEX)
+        )
+
+    def test_the_excess_is_refused_and_the_rest_is_whole(self) -> None:
+        before = self.sub_requests()
+        with self.load(CALLERS) as load:
+            wait_until(lambda: "over_capacity" in load.refusals)
+            load.wait_for(100)
+            already = len(load.answers)
+            load.wait_for(200)
+        self.assertEqual(set(load.refusals), {"over_capacity"})
+        self.assertGreater(len(load.refusals), len(load.answers))
+        settled = load.answers[already:]
+        whole = sum(answer["whole"] for answer in settled)
+        self.assertGreaterEqual(whole, WHOLE_SHARE * len(settled))
+        sent = sum(answer["attempts"] for answer in load.answers)
+        self.assertLessEqual(self.sub_requests() - before, sent)
+
+    def test_another_index_is_not_refused_meanwhile(self) -> None:
+        with self.load(CALLERS) as load:
+            wait_until(lambda: "over_capacity" in load.refusals)
+            with SearchLoad(self.launcher, OTHER_KEY, OTHER_INDEX, 2) as other:
+                other.wait_for(20)
+        self.assertEqual(other.refusals, [])
+
+    def test_usual_load_is_answered_again_afterwards(self) -> None:
+        with self.load(CALLERS) as load:
+            wait_until(lambda: "over_capacity" in load.refusals)
+            load.wait_for(50)
+        wait_until(self.is_usual_load_answered)
+
+    def is_usual_load_answered(self) -> bool:
+        """Sends searches one after another; returns whether none is refused."""
+        client = client_of(self.launcher, KEY, sorted(self.launcher.callers)[0])
+        answers = [
+            client.search(INDEX, "order", 1_000, 50, time.monotonic())
+            for _ in range(10)
+        ]
+        return all(isinstance(answer, Success) for answer in answers)
