Let a search wait for its token a quarter of its deadline at most

Cause: a search that comes before its token waits up to 0.1 s for it, whatever its deadline. At the plan's whole rate a search of 120 ms could begin with 16 ms left and came back late with gaps, where it should have been refused.

Change: the wait is at most 0.1 s and at most a quarter of what is left of the deadline; longer ones are refused as `over_plan_rate`. Orders keep the fixed bound, since a ticket that is refused costs its caller more than a wait.

Test: test_a_wait_leaves_most_of_a_short_deadline failed before the change with a wait of 0.1 s where 0.03 s were allowed.

--- a/lavendertide/daemon/query_service.py
+++ b/lavendertide/daemon/query_service.py
@@ -86,7 +86,8 @@
         now_s = clock.monotonic_s()
         plan = query.plan
         allowance = self._allowances.of(plan, now_s)
-        match allowance.enter(self._allowances.share_of(plan, now_s), now_s):
+        share = self._allowances.share_of(plan, now_s)
+        match allowance.enter(share, now_s, query.deadline.remaining_s(now_s)):
             case Success(wait_s):
                 tasks.sleep(wait_s)
             case Failure(refusal):
--- a/lavendertide/plans/admission.py
+++ b/lavendertide/plans/admission.py
@@ -4,6 +4,7 @@
 here has not run, and the refusal says so.
 """
 
+import math
 from typing import Final
 
 from returns.result import Failure, Result, Success
@@ -14,6 +15,7 @@
 from lavendertide.plans.shares import ShareSource, WholeShares
 
 WAIT_MAX_S: Final = 0.1
+WAIT_SHARE_MAX: Final = 0.25
 
 
 class Allowance:
@@ -40,12 +42,15 @@
         self._plan = plan
         self._tokens = min(self._tokens, float(plan.burst))
 
-    def enter(self, share: float, now_s: float) -> Result[float, Refusal]:
+    def enter(
+        self, share: float, now_s: float, budget_s: float = math.inf
+    ) -> Result[float, Refusal]:
         """Lets a query in, or says why not.
 
         Args:
             share: This daemon's part of the plan, above zero and at most one.
             now_s: Present time.
+            budget_s: What is left of its deadline, of which it waits a part at most.
 
         Returns:
             Seconds to wait before the query starts, so that the rate is kept.
@@ -54,7 +59,7 @@
         if self._in_flight >= max(1.0, self._plan.concurrency * share):
             return Failure(self._over_concurrency())
         wait_s = max(0.0, 1.0 - self._tokens) / (self._plan.rate_per_s * share)
-        if wait_s > WAIT_MAX_S:
+        if wait_s > min(WAIT_MAX_S, WAIT_SHARE_MAX * budget_s):
             return Failure(self._over_rate())
         self._tokens -= 1.0
         self._in_flight += 1
--- a/tests/plans/test_shares.py
+++ b/tests/plans/test_shares.py
@@ -17,7 +17,7 @@
     PlanId,
 )
 from lavendertide.messages import PlanClaims
-from lavendertide.plans.admission import WAIT_MAX_S, Allowance
+from lavendertide.plans.admission import WAIT_MAX_S, WAIT_SHARE_MAX, Allowance
 from lavendertide.plans.allocation import NEWCOMERS_PART, Presence
 from lavendertide.plans.allocator import PlanAllocator
 from lavendertide.plans.allocators import Allocators, Reach
@@ -276,6 +276,16 @@
         self.assertLessEqual(len(waits), WAIT_MAX_S * PLAN.rate_per_s)
         self.assertLessEqual(max(waits), WAIT_MAX_S)
 
+    def test_a_wait_leaves_most_of_a_short_deadline(self) -> None:
+        allowance = Allowance(PLAN, 0.0)
+        self.admitted(allowance, 1.0, 0.0)
+        waits = []
+        while (wait := allowance.enter(1.0, 0.0, 0.12).value_or(None)) is not None:
+            allowance.leave()
+            waits.append(wait)
+        self.assertGreater(len(waits), 0)
+        self.assertLessEqual(max(waits), WAIT_SHARE_MAX * 0.12)
+
     def test_a_raised_share_gives_no_burst_at_once(self) -> None:
         allowance = Allowance(PLAN, 0.0)
         self.admitted(allowance, 0.1, 0.0)
