--- a/lavendertide/daemon/query_service.py
+++ b/lavendertide/daemon/query_service.py
@@ -13,10 +13,10 @@
 from lavendertide.plans.admission import Allowances
 from lavendertide.queries.capacity import (
     Capacities,
+    Feedback,
     Inconclusive,
-    Pace,
     Permit,
-    pace_of,
+    feedback_of,
 )
 from lavendertide.queries.deadline import deadline_for
 from lavendertide.queries.fan_out import run_query
@@ -71,14 +71,14 @@
     def _run_with(
         self, permit: Permit, query: Query, index: Index, catalog: Catalog
     ) -> Result[Answer, Refusal]:
-        pace: Pace = Inconclusive()
+        feedback: Feedback = Inconclusive()
         try:
             result = self._run_within_plan(query, index, catalog)
-            pace = result.map(pace_of).value_or(pace)
+            feedback = result.map(feedback_of).value_or(feedback)
             return result
         finally:
             budget_s = query.deadline.at_s - permit.entered_at_s
-            self._capacities.leave(permit, pace, budget_s, clock.monotonic_s())
+            self._capacities.leave(permit, feedback, budget_s, clock.monotonic_s())
 
     def _run_within_plan(
         self, query: Query, index: Index, catalog: Catalog
--- a/lavendertide/queries/capacity.py
+++ b/lavendertide/queries/capacity.py
@@ -47,10 +47,10 @@
     """The search did not run, or failed for reasons that are not load."""
 
 
-Pace = HalfCovered | Starved | Inconclusive
+Feedback = HalfCovered | Starved | Inconclusive
 
 
-def pace_of(answer: Answer) -> Pace:
+def feedback_of(answer: Answer) -> Feedback:
     """Returns what an answer says about the load."""
     if answer.half_covered_s is not None:
         return HalfCovered(answer.half_covered_s)
@@ -148,20 +148,21 @@
         return True
 
     def leave(
-        self, entered_at_s: float, pace: Pace, budget_s: float, now_s: float
+        self, entered_at_s: float, feedback: Feedback, budget_s: float, now_s: float
     ) -> None:
         """Learns from a search that has ended.
 
         Args:
             entered_at_s: When it was let in.
-            pace: What it says about the load.
+            feedback: What it says about the load.
             budget_s: How long it was allowed to take.
             now_s: Present time.
         """
         self._in_flight -= 1
-        if isinstance(pace, HalfCovered):
-            self._unloaded.note(pace.took_s, now_s)
-        pressure = self._pressure(pace, budget_s)
+        match feedback:
+            case HalfCovered(took_s):
+                self._unloaded.note(took_s, now_s)
+        pressure = self._pressure(feedback, budget_s)
         if pressure is not None and entered_at_s >= self._counts_from_s:
             self._round.pressures.append(pressure)
         if self._is_draining and self._in_flight <= self._limit:
@@ -184,11 +185,11 @@
     def _begin_round(self, now_s: float) -> None:
         self._round = Round(now_s, self._in_flight)
 
-    def _pressure(self, pace: Pace, budget_s: float) -> float | None:
+    def _pressure(self, feedback: Feedback, budget_s: float) -> float | None:
         unloaded_s = self._unloaded.shortest_s
         is_known = math.isfinite(unloaded_s)
         is_too_short = is_known and budget_s <= BUDGET_MIN_UNLOADED * unloaded_s
-        match pace:
+        match feedback:
             case Inconclusive():
                 return None
             case HalfCovered() | Starved() if is_too_short:
@@ -248,10 +249,12 @@
             return Success(Permit(owner, index, now_s))
         return Failure(_over_capacity(index))
 
-    def leave(self, permit: Permit, pace: Pace, budget_s: float, now_s: float) -> None:
+    def leave(
+        self, permit: Permit, feedback: Feedback, budget_s: float, now_s: float
+    ) -> None:
         """Gives a permit back and learns from its search."""
         capacity = self._by_use[permit.owner, permit.index]
-        capacity.leave(permit.entered_at_s, pace, budget_s, now_s)
+        capacity.leave(permit.entered_at_s, feedback, budget_s, now_s)
 
 
 def _over_capacity(index: IndexName) -> Refusal:
--- a/tests/queries/test_capacity.py
+++ b/tests/queries/test_capacity.py
@@ -16,12 +16,12 @@
     RELEASE_S,
     UNLOADED_WINDOW_S,
     Capacities,
+    Feedback,
     HalfCovered,
     Inconclusive,
-    Pace,
     Permit,
     Starved,
-    pace_of,
+    feedback_of,
 )
 from tests.queries.fakes import Tier, declines, index_of, loses, silent, tier
 
@@ -59,7 +59,7 @@
     now_s: float = 0.0
     free_at_s: float = 0.0
     generator: random.Random = field(default_factory=lambda: random.Random(SEED))
-    ends: list[tuple[float, int, Permit, Pace]] = field(default_factory=list)
+    ends: list[tuple[float, int, Permit, Feedback]] = field(default_factory=list)
     counts: Counts = field(default_factory=Counts)
 
     def run(self, rate_per_s: float, duration_s: float) -> Counts:
@@ -85,17 +85,17 @@
         if not is_hopeless:
             self.free_at_s = max(self.free_at_s, self.now_s) + 1 / self.per_s
         took_s = self.free_at_s - self.now_s + self.unloaded_s
-        pace: Pace = HalfCovered(took_s) if took_s <= BUDGET_S else Starved()
+        feedback: Feedback = HalfCovered(took_s) if took_s <= BUDGET_S else Starved()
         self.counts.timely += took_s <= BUDGET_S
         self.counts.late += took_s > BUDGET_S
         ended_at_s = self.now_s + min(took_s, BUDGET_S)
-        entry = (ended_at_s, len(self.ends), permit, pace)
+        entry = (ended_at_s, len(self.ends), permit, feedback)
         heapq.heappush(self.ends, entry)
 
     def _end_until(self, now_s: float) -> None:
         while self.ends and self.ends[0][0] <= now_s:
-            ended_at_s, _, permit, pace = heapq.heappop(self.ends)
-            self.capacities.leave(permit, pace, BUDGET_S, ended_at_s)
+            ended_at_s, _, permit, feedback = heapq.heappop(self.ends)
+            self.capacities.leave(permit, feedback, BUDGET_S, ended_at_s)
 
 
 def capacities() -> Capacities:
@@ -190,11 +190,11 @@
         self.capacities = capacities()
         self.now_s = 0.0
 
-    def search(self, pace: Pace, budget_s: float = BUDGET_S) -> None:
+    def search(self, feedback: Feedback, budget_s: float = BUDGET_S) -> None:
         """Lets one query in and out."""
         permit = self.capacities.enter(OWNER, INDEX, self.now_s).unwrap()
         self.now_s += UNLOADED_S
-        self.capacities.leave(permit, pace, budget_s, self.now_s)
+        self.capacities.leave(permit, feedback, budget_s, self.now_s)
 
     def is_limited(self) -> bool:
         """Returns whether any of a hundred queries at once is refused."""
@@ -252,25 +252,25 @@
         self.assertEqual(sum(isinstance(e, Success) for e in entered), LIMIT_MIN)
 
 
-class PaceTest(unittest.TestCase):
+class FeedbackTest(unittest.TestCase):
     """An answer tells how fast its first half of shards came, or why it did not."""
 
-    def searched(self, reactions: dict[int, object], shards: int = 4) -> Pace:
-        """Returns the pace of a search whose shards react in some way."""
+    def searched(self, reactions: dict[int, object], shards: int = 4) -> Feedback:
+        """Returns the feedback of a search whose shards react in some way."""
         found: Tier = tier(index_of(shards))
         found.dispatch.reactions = {
             target: reaction  # type: ignore[misc]
             for shard, reaction in reactions.items()
             for target in found.index.versions[max(found.index.versions)][shard]
         }
-        return pace_of(found.search(0.05))
+        return feedback_of(found.search(0.05))
 
     def test_one_slow_target_does_not_count(self) -> None:
         match self.searched({0: silent}):
             case HalfCovered(took_s):
                 self.assertLess(took_s, 0.05)
-            case pace:
-                self.fail(f"{pace}")
+            case feedback:
+                self.fail(f"{feedback}")
 
     def test_shards_that_do_not_answer_starve_it(self) -> None:
         self.assertEqual(self.searched(dict.fromkeys(range(3), silent)), Starved())
