Let the capacity of a host fall to half a search

Cause: with a least limit of two searches, six hosts together let in up to 100 searches/s that are all late at a deadline of 120 ms, so where the hosts can carry less the limit was at its floor and changed nothing.

Ruled out: costly refusals.

Change: the least limit is 0.5, that is, half of the searches that find the host idle.

--- a/lavendertide/queries/capacity.py
+++ b/lavendertide/queries/capacity.py
@@ -21,7 +21,7 @@
 
 # What is left of a budget after the unloaded time; this part of it may be queueing.
 QUEUEING_SHARE: Final = 0.25
-LIMIT_MIN: Final = 2
+LIMIT_MIN: Final = 0.5
 ROUND_MIN_S: Final = 0.1
 ROUND_MIN_SEARCHES: Final = 4
 CONGESTED_MIN_S: Final = 0.25
