Wake a target's connection only when there is a job for it

Cause: a connection looked five times for whether the target had closed it, for one sub-request, and joined two socket flags for each look. Each ended sub-request woke another connection if anything waited, although the one that ended takes the next job itself; wake-ups that nobody waited for piled up and were taken up later, for nothing.

Ruled out: the look itself (a request written to a closed connection counts as lost and casts suspicion on it, so the one just before sending stays).

Change: one loop takes the next job or waits for a wake-up, and looks once a round; a further connection is woken only for a further job; a lane keeps at most one wake-up for each connection; the flags are joined once.

Tests: tests.targets, test_whole_path, test_targets_slots and test_queries_faults pass.

--- a/lavendertide/runtime/sockets.py
+++ b/lavendertide/runtime/sockets.py
@@ -7,7 +7,7 @@
 import contextlib
 import socket
 from collections.abc import Callable
-from typing import Any
+from typing import Any, Final
 
 import eventlet
 from eventlet import wsgi
@@ -15,6 +15,8 @@
 from lavendertide.ids import Address
 
 BACKLOG = 512
+# Joined here, since joining flags takes longer than the system call that gets them.
+_PEEK: Final = int(socket.MSG_PEEK | socket.MSG_DONTWAIT)
 
 Application = Callable[..., Any]
 
@@ -75,7 +77,7 @@
     """Returns whether the other side has closed a connection; never waits."""
     plain = getattr(connection, "fd", connection)
     try:
-        return not plain.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+        return not plain.recv(1, _PEEK)
     except BlockingIOError:
         return False
     except OSError:
--- a/lavendertide/targets/connection.py
+++ b/lavendertide/targets/connection.py
@@ -50,12 +50,16 @@
 
 @dataclass(slots=True)
 class LaneTasks:
-    """What the tasks of one lane share."""
+    """What the tasks of one lane share.
+
+    Attributes:
+        wake_ups: Wakes one connection that waits for a job.
+    """
 
     lane: Lane
     witness: CrashWitness
     timing: ExchangeTiming
-    wake_ups: tasks.Mailbox[None] = field(default_factory=tasks.Mailbox)
+    wake_ups: tasks.Mailbox[None]
     cancellations: tasks.Mailbox[Cancellation] = field(default_factory=tasks.Mailbox)
     is_closed: bool = False
 
@@ -67,12 +71,14 @@
         _open(shared, exchange)
         lane.condition.note_opened()
         while not shared.is_closed and exchange.is_open:
-            shared.wake_ups.receive(IDLE_CHECK_S)
-            if exchange.is_open:
-                _carry_all(shared, exchange)
-            elif lane.queued:
-                shared.wake_ups.send(None)
+            job = lane.take(clock.monotonic_s())
+            if job is None:
+                shared.wake_ups.receive(IDLE_CHECK_S)
+            else:
+                _carry(shared, exchange, job)
         lane.condition.note_closed()
+        if lane.queued:
+            shared.wake_ups.send(None)
     exchange.close()
 
 
@@ -111,15 +117,6 @@
         pause_s = min(REOPEN_MAX_S, 2 * pause_s)
 
 
-def _carry_all(shared: LaneTasks, exchange: TargetExchange) -> None:
-    lane = shared.lane
-    while not shared.is_closed and exchange.is_open:
-        job = lane.take(clock.monotonic_s())
-        if job is None:
-            return
-        _carry(shared, exchange, job)
-
-
 def _carry(shared: LaneTasks, exchange: TargetExchange, job: Job) -> None:
     lane = shared.lane
     if job.is_alone and not exchange.open():
@@ -138,7 +135,8 @@
         case _:
             lane.free(job.request.attempt)
             _send(lane, job, reply, now_s)
-    if lane.queued:
+    # This connection takes one job itself.
+    if lane.wakeable(clock.monotonic_s()) > 1:
         shared.wake_ups.send(None)
 
 
--- a/lavendertide/targets/lane.py
+++ b/lavendertide/targets/lane.py
@@ -131,6 +131,8 @@
 
     def wakeable(self, now_s: float) -> int:
         """Returns how many waiting jobs could be given a slot now."""
+        if not self.queued:
+            return 0
         return min(self.queued, self._usable(now_s) - self.slots_in_use)
 
     def decline_all_without_lease(self, now_s: float) -> None:
--- a/lavendertide/targets/target_pool.py
+++ b/lavendertide/targets/target_pool.py
@@ -134,8 +134,10 @@
         lane = Lane(
             place, lambda now_s: self._slots.allowance(target, now_s), self._index
         )
-        shared = LaneTasks(lane, self._witness, self._timing)
         budget = connection_budget(place.slots, place.connections)
+        # Each connection needs one at most; more would only find nothing to do.
+        wake_ups: tasks.Mailbox[None] = tasks.Mailbox(budget.working)
+        shared = LaneTasks(lane, self._witness, self._timing, wake_ups)
         for _ in range(budget.working):
             tasks.spawn(serve_connection, shared, self._maker.exchange(place))
         for _ in range(budget.control):
