Let the data path's slopes be taken at another rate

On a machine where waking a process is dear, a daemon that is nearly idle pays for a wake-up with almost every frame. `--rate` takes the slopes of a busier one; the default is as before.

--- a/bench/data_path_slopes.py
+++ b/bench/data_path_slopes.py
@@ -4,7 +4,8 @@
 one holder, over growing numbers of shards, and fits a line: the slope is the cost of a
 sub-request, the intercept that of a query. Then the same shards are spread over more
 holders, so that each frame carries fewer sub-requests: that slope is the cost of a
-frame. Memory is taken with queries in flight.
+frame. Memory is taken with queries in flight. `--rate` sets the sub-requests a second:
+a process that is busy pays less for waking up.
 """
 
 import argparse
@@ -93,13 +94,15 @@
 _SEARCH = ("search",)
 
 
-def measure(shards: int, holders: int, seed: int, folder: Path) -> Point:
+def measure(
+    shards: int, holders: int, rate_per_s: float, seed: int, folder: Path
+) -> Point:
     """Measures one number of shards at a constant rate of sub-requests."""
     owners = owners_with(shards, holders)
     launcher = Launcher(owners, seed=seed, target_processes=4)
     with launcher.running():
         time.sleep(SETTLE_S)
-        spec = _load(launcher, SUB_REQUESTS_PER_S / shards, DURATION_S, seed, folder)
+        spec = _load(launcher, rate_per_s / shards, DURATION_S, seed, folder)
         before = _stats(launcher)
         process = start_load(spec, folder)
         process.wait()
@@ -186,11 +189,17 @@
     """Prints the points and the lines."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seed", type=int, default=1)
-    seed = parser.parse_args().seed
-    print(f"commit {revision()}, seed {seed}, {SUB_REQUESTS_PER_S:g} sub-requests/s")
+    parser.add_argument("--rate", type=float, default=SUB_REQUESTS_PER_S)
+    options = parser.parse_args()
+    seed, rate_per_s = options.seed, options.rate
+    print(f"commit {revision()}, seed {seed}, {rate_per_s:g} sub-requests/s")
     with tempfile.TemporaryDirectory() as folder:
-        points = [measure(shards, 1, seed, Path(folder)) for shards in SHARDS]
-        spread = [measure(SPREAD_SHARDS, n, seed, Path(folder)) for n in HOLDERS]
+        points = [
+            measure(shards, 1, rate_per_s, seed, Path(folder)) for shards in SHARDS
+        ]
+        spread = [
+            measure(SPREAD_SHARDS, n, rate_per_s, seed, Path(folder)) for n in HOLDERS
+        ]
         memory = [measure_memory(count, seed, Path(folder)) for count in IN_FLIGHT]
     print(HEADER)
     print("|---" * 7 + "|")
