--- a/tests/targets/test_connection.py
+++ b/tests/targets/test_connection.py
@@ -102,8 +102,7 @@
         lane = Lane(PLACE, lambda _: 1)
         for each in (first, second):
             lane.put(each, now_s).unwrap()
-        shared = LaneTasks(lane, FakeWitness(after_crash), TIMING)
-        shared.wake_ups.send(None)
+        shared = LaneTasks(lane, FakeWitness(after_crash), TIMING, tasks.Mailbox())
         self.exchange = CrashingExchange()
         serving = tasks.spawn(serve_connection, shared, self.exchange)
         self.addCleanup(serving.stop)
@@ -131,7 +130,9 @@
         self.control = FakeControl()
         lane = Lane(PLACE, self.allowance)
         lane.condition.note_opened()
-        shared = LaneTasks(lane, FakeWitness(Permission.FREELY), TIMING)
+        shared = LaneTasks(
+            lane, FakeWitness(Permission.FREELY), TIMING, tasks.Mailbox()
+        )
         task = tasks.spawn(serve_control, shared, self.control)
         self.addCleanup(task.stop)
 
