--- /dev/null
+++ b/tests/plans/test_division.py
@@ -0,0 +1,230 @@
+"""Tests of the division of a plan between daemons, all parts together."""
+
+import unittest
+from dataclasses import dataclass, field
+
+from hypothesis import example, given, settings
+from hypothesis import strategies as st
+
+from lavendertide.ids import (
+    DaemonId,
+    ExchangeId,
+    Incarnation,
+)
+from lavendertide.messages import PlanClaims
+from lavendertide.plans.allocation import NEWCOMERS_PART, Presence
+from lavendertide.plans.allocator import PlanAllocator
+from lavendertide.plans.allocators import Allocators
+from lavendertide.plans.shares import FLOORS_PART, HeldShares
+from tests.plans.members import PLAN, record
+
+NAMES = tuple(DaemonId(f"{region}-{n}") for region in ("east", "west") for n in "abc")
+CALM_BOUND = 1.0 + NEWCOMERS_PART + FLOORS_PART
+SPLIT_BOUND = CALM_BOUND + NEWCOMERS_PART
+
+
+@dataclass
+class Side:
+    """One daemon's part in the division of the plan."""
+
+    allocators: Allocators
+    allocator: PlanAllocator
+    held: HeldShares = field(default_factory=HeldShares)
+
+
+class FakeFleet:
+    """Daemons that exchange claims by calls; links can be cut and members vanish."""
+
+    def __init__(self) -> None:
+        self.now_s = 100.0
+        self.is_split = False
+        self.alive = set(NAMES)
+        self.listed = set(NAMES)
+        self.incarnations = dict.fromkeys(NAMES, 1)
+        self.sides = {name: self._side(name) for name in NAMES}
+
+    def _side(self, name: DaemonId) -> Side:
+        allocators = Allocators()
+        allocator = PlanAllocator(
+            lambda _: PLAN.rate_per_s,
+            lambda other: self._presence(name, other),
+            self.now_s,
+        )
+        return Side(allocators, allocator)
+
+    def _presence(self, viewer: DaemonId, other: DaemonId) -> Presence:
+        if other not in self.listed:
+            return Presence.GONE
+        return Presence.PRESENT if self.reaches(viewer, other) else Presence.SILENT
+
+    def start_again(self, name: DaemonId) -> None:
+        """Starts a dead daemon as a new run that knows nothing."""
+        if name not in self.alive:
+            self.incarnations[name] += 1
+            self.sides[name] = self._side(name)
+            self.alive.add(name)
+            self.listed.add(name)
+
+    def reaches(self, one: DaemonId, other: DaemonId) -> bool:
+        """Returns whether two daemons can talk."""
+        is_cut = self.is_split and one.split("-")[0] != other.split("-")[0]
+        return not is_cut and {one, other} <= self.alive
+
+    def round(self, arrivals: dict[DaemonId, int]) -> None:
+        """Lets a second pass: queries arrive, then all daemons claim."""
+        self.now_s += 1.0
+        members = [record(name) for name in NAMES if name in self.listed]
+        for name in NAMES:
+            side = self.sides[name]
+            if name not in self.alive:
+                continue
+            for _ in range(arrivals.get(name, 0)):
+                side.held.arrive(PLAN, self.now_s)
+            side.held.count_demand(self.now_s)
+            side.held.forget_idle(self.now_s)
+            side.allocator.forget_absent(self.now_s)
+            if side.allocators.follow(members):
+                side.allocator.note_members_changed(self.now_s)
+                side.held.claim_all_again()
+            side.allocator.note_silence(self.listed, self.now_s)
+            self._claim(name, side)
+
+    def _claim(self, name: DaemonId, side: Side) -> None:
+        claims = tuple(side.held.claims(side.allocators.reach_of, self.now_s))
+        if not claims:
+            return
+        incarnation = Incarnation(self.incarnations[name])
+        message = PlanClaims(ExchangeId("1"), name, incarnation, claims)
+        for member in side.allocators.of(PLAN.plan):
+            if not self.reaches(name, member.daemon):
+                side.allocators.note_silence(member.daemon)
+                side.held.claim_again(claims)
+                continue
+            grants = self.sides[member.daemon].allocator.answer(message, self.now_s)
+            for grant in grants.grants:
+                if grant.is_settled:
+                    side.held.note_answer(claims[0], member.daemon)
+                if side.allocators.note_grant(
+                    member.daemon, grant.plan, grant.is_settled
+                ):
+                    side.held.take_grant(grant.plan, grant.share)
+
+    def granted(self) -> float:
+        """Returns the sum of all parts that living daemons grant."""
+        return sum(
+            side.held.share_of(PLAN.plan, len(self.listed))
+            for name, side in self.sides.items()
+            if name in self.alive
+        )
+
+
+Event = tuple[str, DaemonId, int]
+
+
+def events_of(*described: str) -> list[Event]:
+    """Returns events that are written as `kind daemon` or `kind daemon count`."""
+    events: list[Event] = []
+    for event in described:
+        kind, name, *count = event.split()
+        events.append((kind, DaemonId(name), int(count[0]) if count else 1))
+    return events
+
+
+START_IN_A_SPLIT = events_of(
+    "arrive east-a",
+    "kill east-b",
+    "kill west-b",
+    "drop east-a",
+    "split east-a",
+    "arrive west-a",
+    "start west-b",
+    *3 * ["arrive east-a"],
+)
+FIRST_CLAIMS_AT_A_SPLIT = events_of(
+    *2 * ["arrive east-a"],
+    "arrive east-b",
+    "arrive west-a 188",
+    "split east-a",
+    *3 * ["arrive east-a"],
+)
+EVENTS = st.lists(
+    st.tuples(
+        st.sampled_from([*3 * ["arrive"], "split", "heal", "kill", "drop", "start"]),
+        st.sampled_from(NAMES),
+        st.integers(1, 300),
+    ),
+    max_size=40,
+)
+
+
+class DivisionTest(unittest.TestCase):
+    """All parts together keep the stated bound, whatever happens to the fleet."""
+
+    def apply(self, fleet: FakeFleet, event: Event) -> dict[DaemonId, int]:
+        """Applies one event; returns the arrivals of its round."""
+        match event:
+            case "arrive", name, count:
+                return {name: count}
+            case "split", _, _:
+                fleet.is_split = True
+            case "heal", _, _:
+                fleet.is_split = False
+            case "kill", name, _:
+                fleet.alive.discard(name)
+            case "start", name, _:
+                fleet.start_again(name)
+            case "drop", _, _:
+                if not fleet.is_split:
+                    fleet.listed &= fleet.alive
+        return {}
+
+    @settings(max_examples=500)
+    @given(EVENTS)
+    @example(START_IN_A_SPLIT)
+    @example(FIRST_CLAIMS_AT_A_SPLIT)
+    def test_a_fleet_under_faults_keeps_the_split_bound(
+        self, events: list[Event]
+    ) -> None:
+        fleet = FakeFleet()
+        for event in events:
+            fleet.round(self.apply(fleet, event))
+            self.assertLessEqual(fleet.granted(), SPLIT_BOUND + 1e-9, events)
+
+    @given(st.lists(st.dictionaries(st.sampled_from(NAMES), st.integers(1, 300))))
+    def test_a_calm_fleet_keeps_the_calm_bound(
+        self, rounds: list[dict[DaemonId, int]]
+    ) -> None:
+        fleet = FakeFleet()
+        for arrivals in rounds:
+            fleet.round(arrivals)
+            self.assertLessEqual(fleet.granted(), CALM_BOUND + 1e-9)
+
+    def test_steady_use_is_given_the_whole_plan(self) -> None:
+        fleet = FakeFleet()
+        for _ in range(12):
+            fleet.round({NAMES[0]: 80, NAMES[4]: 80})
+        for name in (NAMES[0], NAMES[4]):
+            share = fleet.sides[name].held.share_of(PLAN.plan, len(NAMES))
+            self.assertAlmostEqual(share, 0.5, places=2)
+
+    def test_both_sides_of_a_split_go_on_with_what_they_had(self) -> None:
+        fleet = FakeFleet()
+        for _ in range(12):
+            fleet.round({NAMES[0]: 80, NAMES[4]: 80})
+        fleet.is_split = True
+        for _ in range(60):
+            fleet.round({NAMES[0]: 80, NAMES[4]: 80})
+        for name in (NAMES[0], NAMES[4]):
+            share = fleet.sides[name].held.share_of(PLAN.plan, len(NAMES))
+            self.assertGreaterEqual(share, 0.49)
+        self.assertLessEqual(fleet.granted(), SPLIT_BOUND)
+
+    def test_a_side_that_never_used_the_plan_is_still_served(self) -> None:
+        fleet = FakeFleet()
+        for _ in range(12):
+            fleet.round({NAMES[0]: 200})
+        fleet.is_split = True
+        for _ in range(10):
+            fleet.round({NAMES[0]: 200, NAMES[4]: 200})
+        share = fleet.sides[NAMES[4]].held.share_of(PLAN.plan, len(NAMES))
+        self.assertGreaterEqual(share, NEWCOMERS_PART - 1e-9)
