Let a backup send its primary no heartbeats for their lease

Cause: both ends of a lease sent each other two heartbeats a second. The primary counts on the answers to its own; the backup's rule counts from what it has itself promised by answering, so its own heartbeats made no lease safer. Ruled out: merging both directions into one connection, since a daemon dials and is dialled separately and either side may go away. Change: a book names as partners only the backups of what it is primary of or claims. Figures: none measured yet; worked out from frames of 50 bytes, a partner cost a daemon 400 bytes a second in both directions together and costs 200 now. The tests with random losses and late news now draw whether the heartbeats that no lease needs are sent as well, with twice the examples, so they hold all that they held before.

--- a/lavendertide/fleet/lease_book.py
+++ b/lavendertide/fleet/lease_book.py
@@ -41,8 +41,13 @@
 
     @property
     def partners(self) -> set[DaemonId]:
-        """The members whose contact the leases depend on."""
-        partners = {lease.partner for lease in self._held.values()}
+        """The members whose answers the leases depend on.
+
+        A backup sends its primary nothing: what it has promised by its own answers
+        tells it when the primary was last there.
+        """
+        leases = (each for each in self._held.values() if each.role is not Role.BACKUP)
+        partners = {lease.partner for lease in leases}
         return {partner for partner in partners if partner is not None}
 
     @property
--- a/tests/fleet/test_lease.py
+++ b/tests/fleet/test_lease.py
@@ -64,10 +64,15 @@
 
 
 class Process:
-    """A daemon with one lease; it always uses as many slots as it may."""
+    """A daemon with one lease; it always uses as many slots as it may.
 
-    def __init__(self, own: MemberRecord, now_s: float) -> None:
+    Args:
+        beats_all: Whether it also sends heartbeats that no lease needs.
+    """
+
+    def __init__(self, own: MemberRecord, now_s: float, beats_all: bool) -> None:
         self.own = own
+        self.beats_all = beats_all
         self.contacts = Contacts()
         self.lease = SlotLease(own.daemon, SLOTS, TIMING, now_s)
         self.watch = WakeWatch(TIMING.lease_s, now_s)
@@ -88,7 +93,15 @@
     def beat(
         self, other: "Process", is_lost: bool, is_ack_lost: bool, now_s: float
     ) -> None:
-        """Sends a heartbeat, which the other answers unless something is lost."""
+        """Sends a heartbeat, which the other answers unless something is lost.
+
+        A primary or claimant needs them to its backup; others need none.
+        """
+        is_needed = self.lease.role in (Role.PRIMARY, Role.CLAIMING)
+        if not (
+            self.beats_all or (is_needed and self.lease.partner == other.own.daemon)
+        ):
+            return
         if self.is_frozen or other.is_frozen or is_lost:
             return
         other.contacts.promised[self.own.daemon] = now_s
@@ -181,7 +194,7 @@
 class TwoHoldersTest(unittest.TestCase):
     """The primary and the backup together never use more than all slots."""
 
-    @settings(max_examples=200, deadline=None, derandomize=True)
+    @settings(max_examples=400, deadline=None, derandomize=True)
     @given(
         st.lists(
             st.tuples(
@@ -191,20 +204,21 @@
                 st.booleans(),
             ),
             max_size=12,
-        )
+        ),
+        st.booleans(),
     )
     def test_losses_pauses_and_crashes_never_overrun_the_slots(
-        self, phases: list[tuple[str, int, bool, bool]]
+        self, phases: list[tuple[str, int, bool, bool]], beats_all: bool
     ) -> None:
         now_s = 0.0
-        holders = {"a": Process(A, now_s), "b": Process(B, now_s)}
+        holders = {"a": Process(A, now_s, beats_all), "b": Process(B, now_s, beats_all)}
         for process in holders.values():
             process.lease.assign(order(A, B), now_s)
         ghosts: list[float] = []
         for event, steps, is_lost, is_ack_lost in phases:
             if event == "crash a":
                 ghosts += holders["a"].running
-                holders["a"] = Process(A, now_s)
+                holders["a"] = Process(A, now_s, beats_all)
                 holders["a"].lease.assign(order(A, B), now_s)
             for name, process in holders.items():
                 process.is_frozen = event == f"freeze {name}"
@@ -233,13 +247,17 @@
 class JoiningHolderTest(unittest.TestCase):
     """A member that comes in front of two others takes the slots over whole."""
 
-    @settings(max_examples=200, deadline=None, derandomize=True)
-    @given(st.lists(st.integers(0, 12), min_size=3, max_size=3), st.booleans())
+    @settings(max_examples=400, deadline=None, derandomize=True)
+    @given(
+        st.lists(st.integers(0, 12), min_size=3, max_size=3),
+        st.booleans(),
+        st.booleans(),
+    )
     def test_members_that_learn_of_it_at_different_times_never_overrun(
-        self, learns_after: list[int], leaves_again: bool
+        self, learns_after: list[int], leaves_again: bool, beats_all: bool
     ) -> None:
         now_s = 0.0
-        processes = [Process(own, now_s) for own in (A, B, C)]
+        processes = [Process(own, now_s, beats_all) for own in (A, B, C)]
         for process in processes[:2]:
             process.lease.assign(order(A, B), now_s)
         views = [(20, order(C, A, B))]
--- a/tests/fleet/test_lease_book.py
+++ b/tests/fleet/test_lease_book.py
@@ -71,6 +71,21 @@
         self.assertLessEqual(own_domain, self.held())
         self.assertEqual(self.book.held, len(self.held()))
 
+    def test_only_a_primary_sends_heartbeats_for_its_leases(self) -> None:
+        places = [place(number) for number in range(10 * TARGETS)]
+        table = HolderTable(self.roster)
+        held = [found for p in places if (found := table.of(p)) is not None]
+        own = self.roster.own.daemon
+        backups = {
+            h.backup.daemon for h in held if h.primary.daemon == own and h.backup
+        }
+        primaries = {
+            h.primary.daemon for h in held if h.backup and h.backup.daemon == own
+        }
+        self.assertNotEqual(primaries - backups, set())
+        self.book.follow(places, 0.0)
+        self.assertEqual(self.book.partners, backups)
+
     def test_what_it_no_longer_holds_is_not_claimed(self) -> None:
         claimed_at_s = 1.0 + TIMING.span_s
         self.roster.contacts.note_answer(DaemonId("daemon-1"), 1.0, 1.0)
