Refuse a published connection cap that leaves a holder none for control

A target's cap is shared by four holders, so below 8 a holder has no control connection: it cannot cancel a lost attempt nor read the health, and keeps the slot until the deadline; below 4 it cannot connect at all. Ruled out: giving the control connection up to a holder in turn, since a cancellation has to be possible at any time. Change: a rule of the publication with the least cap in its remedy.

--- a/lavendertide/configuration/contradictions.py
+++ b/lavendertide/configuration/contradictions.py
@@ -15,6 +15,7 @@
     UseEntry,
 )
 from lavendertide.errors import Fault, Refusal, RefusalKind
+from lavendertide.targets.budget import CONNECTIONS_MIN, HOLDERS_MAX
 
 PUBLICATION_MAX_BYTES: Final = 1024 * 1024
 BURST_MAX_S: Final = 3_600.0
@@ -93,6 +94,13 @@
             f"{name}: {index.connections} connections are too few for {index.slots} "
             f"slots; primary and backup together need {needed}"
         )
+    if index.connections < CONNECTIONS_MIN:
+        yield (
+            f"{name}: {index.connections} connections leave a holder none to cancel "
+            f"attempts and read the health; {HOLDERS_MAX} holders may be connected "
+            f"while hosts are replaced, so let its targets accept {CONNECTIONS_MIN} "
+            "at least"
+        )
     for problem in _repeated([str(entry.version) for entry in index.versions]):
         yield f"versions of {name}: {problem}"
     known = {entry.target for entry in index.targets}
--- a/lavendertide/targets/budget.py
+++ b/lavendertide/targets/budget.py
@@ -10,6 +10,8 @@
 
 HOLDERS_MAX: Final = 4
 CONTROL_CONNECTIONS: Final = 1
+# Below this cap a holder has none left for control, or none at all.
+CONNECTIONS_MIN: Final = HOLDERS_MAX * (CONTROL_CONNECTIONS + 1)
 
 
 @dataclass(frozen=True, slots=True)
@@ -26,7 +28,13 @@
 
 
 def connection_budget(slots: int, connections: int) -> ConnectionBudget:
-    """Returns what one holder may open, given the published slots and cap."""
+    """Returns what one holder may open.
+
+    Args:
+        slots: Requests that the target runs at a time.
+        connections: The published cap; the rules of a publication refuse one below
+            `CONNECTIONS_MIN`.
+    """
     share = connections // HOLDERS_MAX
     if share <= CONTROL_CONNECTIONS:
         return ConnectionBudget(share, 0)
--- a/tests/configuration/test_rules.py
+++ b/tests/configuration/test_rules.py
@@ -10,6 +10,7 @@
 from lavendertide.configuration.lists import Publication
 from lavendertide.configuration.rules import check_publication
 from lavendertide.errors import Refusal
+from lavendertide.targets.budget import CONNECTIONS_MIN
 from tests.configuration.published import text_of, todays_lists
 
 EXAMPLES = 150
@@ -98,6 +99,17 @@
         lists["uses"]["indexes"][0]["connections"] = 3
         self.assert_refused(lists, "3 connections are too few for 2 slots")
 
+    def test_a_cap_without_a_connection_for_control_is_refused(self) -> None:
+        for connections in (2, 4, CONNECTIONS_MIN - 1):
+            lists = todays_lists()
+            lists["uses"]["indexes"][0].update(slots=1, connections=connections)
+            self.assert_refused(lists, "let its targets accept 8 at least")
+
+    def test_the_least_cap_with_a_connection_for_control_is_good(self) -> None:
+        lists = todays_lists()
+        lists["uses"]["indexes"][0].update(slots=1, connections=CONNECTIONS_MIN)
+        self.assertEqual(check(lists).unwrap().plans.version, 1)
+
     def test_a_burst_out_of_proportion_is_refused(self) -> None:
         lists = todays_lists()
         lists["plans"]["plans"][0].update(rate_per_s=0.01, burst=100)
