Count breaches, and log what is adopted, refused, lost and reached again

Cause: the breach of a limit was a gauge alone, which a scrape misses; nothing told of an answer after its deadline; a split, a lost configuration service and a refused publication could be seen on the status only; the log had no line when a publication was adopted or refused, or a target lost; the table of targets showed a backup's targets with no spare slot, as if they were full. Change: counters of slot and deadline breaches by owner; gauges for reachable members, held targets by state, a refused publication and the lost service; one log line for each of these changes; 'may use' in the table of targets; the configuration command says how the daemon stands with the service. Tests: test_metrics gives the budgets as OwnerCounts, since Metrics.follow replaces follow_budgets; its assertion is as it was. The new tests are of the new counters and lines.

--- a/lavendertide/command_line/operators.py
+++ b/lavendertide/command_line/operators.py
@@ -129,17 +129,27 @@
     output.show_facts(
         [
             ("version", document.version),
+            ("digest", document.digest),
             ("adopted", output.time_text(document.adopted_at_s)),
+            ("taken from", document.source),
+            ("confirmed by peers", not document.needs_refresh),
             ("plans", document.plans),
             ("indexes", document.indexes),
             ("targets", document.targets),
             ("refused", document.refused),
             ("remedy", document.remedy),
             ("refused at", output.time_text(document.refused_at_s)),
+            ("watches the service", document.service.watching),
+            ("service last answered", _ago_text(document.service.silence_s)),
+            ("service problem", document.service.problem),
         ]
     )
 
 
+def _ago_text(ago_s: float | None) -> str | None:
+    return None if ago_s is None else f"{ago_s:.0f} s ago"
+
+
 def _show_plan(document: PlanDocument) -> None:
     here = document.here
     output.show_facts(
@@ -216,7 +226,7 @@
             "state",
             "queued",
             "in use",
-            "spare",
+            "may use",
             "slots",
         ],
         [
@@ -227,7 +237,7 @@
                 target.state,
                 target.queued,
                 target.slots_in_use,
-                target.spare_slots,
+                target.usable_slots,
                 target.slots,
             ]
             for target in document.targets
--- a/lavendertide/configuration/adoption.py
+++ b/lavendertide/configuration/adoption.py
@@ -5,6 +5,7 @@
 good one stays in force.
 """
 
+import logging
 from enum import Enum
 from hashlib import blake2b
 from typing import Final
@@ -32,6 +33,8 @@
 NO_STAMP: Final = ConfigurationStamp(NO_VERSION, ConfigurationDigest(b""))
 MESSAGE_MAX: Final = 500
 
+_log = logging.getLogger(__name__)
+
 
 class Source(Enum):
     """Where a publication came from."""
@@ -174,6 +177,7 @@
         self._revision = revision
         self._adopted_at_s = now_s
         self._source = source
+        _log.info("configuration adopted", extra=_log_fields(revision.stamp))
         if before is not None:
             self._history.record(before, revision)
             self._forget_refusal(before.stamp, now_s)
@@ -198,8 +202,18 @@
         self._refuse(loser, conflict_refusal(loser, self.stamp), now_s)
 
     def _keep_newest(self, refused: RefusedPublication) -> None:
-        if self._refused is None or refused.rank > self._refused.rank:
-            self._refused = refused
+        known = self._refused
+        if known is not None and refused.rank <= known.rank:
+            return
+        self._refused = refused
+        stamp = refused.notice.stamp
+        if known is None or known.notice.stamp != stamp:
+            message = "publication refused: %s"
+            _log.warning(message, refused.refusal, extra=_log_fields(stamp))
+
+
+def _log_fields(stamp: ConfigurationStamp) -> dict[str, str | int]:
+    return {"version": stamp.version, "digest": stamp.digest.hex()}
 
 
 def _text_digest(text: bytes) -> ConfigurationDigest:
--- a/lavendertide/daemon/admin_documents.py
+++ b/lavendertide/daemon/admin_documents.py
@@ -1,10 +1,16 @@
 """Turns books and lanes into the documents of the administration API."""
 
+from typing import Final
+
 from lavendertide.encodings import admin_json
 from lavendertide.ids import OwnerId
 from lavendertide.plans.books import Book
+from lavendertide.targets.condition import Reach
 from lavendertide.targets.lane import Lane
 
+DRAINING: Final = "draining"
+STATES: Final = (*(reach.value for reach in Reach), DRAINING)
+
 
 def book_document(owner: OwnerId, book: Book, most: int) -> admin_json.BookDocument:
     """Returns an owner's book with its newest entries."""
@@ -39,16 +45,23 @@
 def target_document(lane: Lane, now_s: float) -> admin_json.TargetDocument:
     """Returns what is known of a target whose slots are held."""
     place = lane.place
-    reach = lane.condition.reach
     return admin_json.TargetDocument(
         target=place.target,
         owner=place.owner,
         index=place.index,
         failure_domain=place.failure_domain,
         address=place.address,
-        state="draining" if lane.condition.is_draining(now_s) else reach.value,
+        state=state_of(lane, now_s),
         queued=lane.queued,
         slots_in_use=lane.slots_in_use,
+        usable_slots=lane.usable_slots(now_s),
         spare_slots=lane.spare_slots(now_s),
         slots=place.slots,
     )
+
+
+def state_of(lane: Lane, now_s: float) -> str:
+    """Returns a target's state, one of `STATES`."""
+    if lane.condition.is_draining(now_s):
+        return DRAINING
+    return lane.condition.reach.value
--- a/lavendertide/daemon/administration.py
+++ b/lavendertide/daemon/administration.py
@@ -2,11 +2,18 @@
 
 from collections import Counter
 
+from lavendertide.daemon.admin_documents import STATES, state_of
 from lavendertide.daemon.admin_front import AdminFront
 from lavendertide.daemon.admin_service import AdminParts, AdminService
-from lavendertide.metrics.metrics import Metrics, TargetUse
+from lavendertide.fleet.roster import SILENCE_S
+from lavendertide.metrics import names
+from lavendertide.metrics.metrics import FleetView, Metrics, TargetUse
+from lavendertide.metrics.owner_counts import OwnerCounts
 from lavendertide.options import AdminOptions
+from lavendertide.queries.parts import FanOutParts
+from lavendertide.runtime import clock
 from lavendertide.targets.lane import Lane
+from lavendertide.targets.target_pool import TargetPool
 
 
 class Administration:
@@ -25,14 +32,50 @@
         return self._front
 
     def _exposition(self) -> bytes:
-        lanes = self._parts.targets.lanes
-        states = Counter(member.state for member in self._parts.roster.members)
-        self._metrics.set_fleet(self._parts.configuration.version, states)
-        self._metrics.set_targets(_use_of(lanes))
+        now_s = clock.monotonic_s()
+        self._metrics.set_fleet(_view_of(self._parts, now_s))
+        self._metrics.set_targets(_use_of(self._parts.targets.lanes, now_s))
         return self._metrics.exposition()
 
 
-def _use_of(lanes: list[Lane]) -> TargetUse:
+def follow_owners(metrics: Metrics, queries: FanOutParts, pool: TargetPool) -> None:
+    """Exports what the aggregates count for each owner."""
+    metrics.follow(
+        OwnerCounts(
+            names.HEDGES,
+            "Sub-requests sent while another was open, within the owner's budget.",
+            lambda: queries.hedge_budgets.spent,
+        ),
+        OwnerCounts(
+            names.RETRIES,
+            "Sub-requests sent after a failed one, within the owner's budget.",
+            lambda: queries.retry_budgets.spent,
+        ),
+        OwnerCounts(
+            names.SLOT_BREACHES,
+            "Sub-requests that began while the target's slots were all in use.",
+            lambda: pool.slot_breaches,
+        ),
+    )
+
+
+def _view_of(parts: AdminParts, now_s: float) -> FleetView:
+    roster = parts.roster
+    service = parts.configuration_status(now_s).service
+    return FleetView(
+        version=parts.configuration.version,
+        is_refused=parts.configuration.refused is not None,
+        is_service_lost=service.is_watching and service.problem is not None,
+        members=Counter(member.state for member in roster.members),
+        reachable=sum(
+            roster.is_reachable(member.daemon, SILENCE_S, now_s)
+            for member in roster.members
+        ),
+    )
+
+
+def _use_of(lanes: list[Lane], now_s: float) -> TargetUse:
+    states = Counter(state_of(lane, now_s) for lane in lanes)
     return TargetUse(
         queued=sum(lane.queued for lane in lanes),
         slots_in_use=sum(lane.slots_in_use for lane in lanes),
@@ -40,4 +83,5 @@
         over_connections=sum(
             lane.condition.open_connections > lane.place.connections for lane in lanes
         ),
+        by_state={state: states[state] for state in STATES},
     )
--- a/lavendertide/daemon/daemon.py
+++ b/lavendertide/daemon/daemon.py
@@ -11,7 +11,7 @@
 
 from lavendertide.configuration.adoption import Configuration
 from lavendertide.daemon.admin_service import AdminParts
-from lavendertide.daemon.administration import Administration
+from lavendertide.daemon.administration import Administration, follow_owners
 from lavendertide.daemon.caller_front import CallerFront
 from lavendertide.daemon.configuring import Configuring
 from lavendertide.daemon.drain import Drain
@@ -117,10 +117,7 @@
             self._dispatcher,
             self._pauses,
         )
-        self._metrics.follow_budgets(
-            lambda: self._serving.parts.hedge_budgets.spent,
-            lambda: self._serving.parts.retry_budgets.spent,
-        )
+        follow_owners(self._metrics, self._serving.parts, self._pool)
 
     def run(self) -> None:
         """Serves until SIGTERM, then finishes what is in flight."""
--- a/lavendertide/daemon/recording.py
+++ b/lavendertide/daemon/recording.py
@@ -28,6 +28,7 @@
 NO_OWNER: Final = OwnerId("none")
 NO_INDEX: Final = IndexName("")
 OTHER_DETAIL: Final = "other"
+MS_PER_S: Final = 1_000
 
 
 class Searches(Protocol):
@@ -123,8 +124,9 @@
         metrics = self._recorder.metrics
         shards = len(answer.covered) + len(answer.gaps)
         coverage = len(answer.covered) / shards if shards else 0.0
+        is_late = latency_s * MS_PER_S > answer.deadline_ms
         metrics.observe_search(
-            plan.owner, plan.plan_class, answer.outcome, latency_s, coverage
+            plan.owner, plan.plan_class, answer.outcome, latency_s, coverage, is_late
         )
         metrics.count_attempts(plan.owner, answer.attempts, shards)
         causes = Counter((gap.reason.value, gap.fault) for gap in answer.gaps)
--- a/lavendertide/encodings/admin_json.py
+++ b/lavendertide/encodings/admin_json.py
@@ -220,6 +220,7 @@
 
     Attributes:
         state: `opening`, `up`, `down` or `draining`.
+        usable_slots: Slots that the daemon may use now; zero while another holds them.
         spare_slots: What a new sub-request would find free under the lease.
     """
 
@@ -231,6 +232,7 @@
     state: str
     queued: int
     slots_in_use: int
+    usable_slots: int = 0
     spare_slots: int
     slots: int
 
--- a/lavendertide/metrics/metrics.py
+++ b/lavendertide/metrics/metrics.py
@@ -4,7 +4,7 @@
 are kept, which makes counting a look-up and an addition.
 """
 
-from collections.abc import Callable
+from collections.abc import Mapping
 from dataclasses import dataclass
 
 from prometheus_client import REGISTRY, CollectorRegistry, Counter, Gauge, Histogram
@@ -21,13 +21,13 @@
     SubReply,
 )
 from lavendertide.metrics import names
-from lavendertide.metrics.budgets import SpentCollector
 from lavendertide.metrics.labels import (
     CLASSES_MAX,
     OWNERS_MAX,
     BoundedLabel,
     Children,
 )
+from lavendertide.metrics.owner_counts import OwnerCounts, OwnerCountsCollector
 
 _BY_CLASS = ("owner", "plan_class")
 
@@ -39,12 +39,33 @@
     Attributes:
         over_slots: Targets that may run more than their slots.
         over_connections: Targets with more connections than they accept.
+        by_state: Targets by their state as the administration API names it.
     """
 
     queued: int
     slots_in_use: int
     over_slots: int
     over_connections: int
+    by_state: Mapping[str, int]
+
+
+@dataclass(frozen=True, slots=True)
+class FleetView:
+    """What a daemon knows of the fleet and of its configuration.
+
+    Attributes:
+        version: Version of both lists in force.
+        is_refused: Whether a later publication was refused.
+        is_service_lost: Whether the last call of the configuration service failed.
+        members: Daemons in the roster by state.
+        reachable: How many of them this daemon reaches.
+    """
+
+    version: int
+    is_refused: bool
+    is_service_lost: bool
+    members: Mapping[MemberState, int]
+    reachable: int
 
 
 class Metrics:
@@ -93,6 +114,11 @@
             "Shards that answers do not cover.",
             ("owner", "reason", "fault"),
         )
+        self._deadline_breaches = self._counter(
+            names.DEADLINE_BREACHES,
+            "Answers that came after the deadline in force.",
+            ("owner",),
+        )
         self._attempts = self._counter(
             names.ATTEMPTS, "Sub-requests sent for searches.", ("owner",)
         )
@@ -116,34 +142,37 @@
             "Sub-requests to targets held here, by result.",
             ("owner", "result"),
         )
-        self._over_limit = Gauge(
+        self._over_limit = self._gauge(
             names.TARGETS_OVER_LIMIT,
             "Targets held here with more in use than their limit.",
             ("limit",),
-            registry=self._registry,
         )
-        self._queued = Gauge(
-            names.TARGETS_QUEUED,
-            "Sub-requests that wait for slots held here.",
-            registry=self._registry,
+        self._queued = self._gauge(
+            names.TARGETS_QUEUED, "Sub-requests that wait for slots held here."
         )
-        self._slots_in_use = Gauge(
-            names.TARGET_SLOTS_IN_USE,
-            "Slots held here that are in use.",
-            registry=self._registry,
+        self._slots_in_use = self._gauge(
+            names.TARGET_SLOTS_IN_USE, "Slots held here that are in use."
+        )
+        self._targets = self._gauge(
+            names.TARGETS_HELD, "Targets held here by state.", ("state",)
         )
 
     def _make_fleet_metrics(self) -> None:
-        self._version = Gauge(
-            names.CONFIGURATION_VERSION,
-            "Version of both lists in force.",
-            registry=self._registry,
+        self._version = self._gauge(
+            names.CONFIGURATION_VERSION, "Version of both lists in force."
+        )
+        self._refused = self._gauge(
+            names.CONFIGURATION_REFUSED, "1 while a later publication is refused."
+        )
+        self._service_lost = self._gauge(
+            names.SERVICE_LOST,
+            "1 while the configuration service does not answer this daemon.",
         )
-        self._members = Gauge(
-            names.MEMBERS,
-            "Daemons in the roster by state.",
-            ("state",),
-            registry=self._registry,
+        self._members = self._gauge(
+            names.MEMBERS, "Daemons in the roster by state.", ("state",)
+        )
+        self._reachable = self._gauge(
+            names.MEMBERS_REACHABLE, "Daemons that this one reaches."
         )
 
     def observe_search(
@@ -153,12 +182,23 @@
         outcome: Outcome,
         latency_s: float,
         coverage: float,
+        is_late: bool = False,
     ) -> None:
-        """Counts an answered search."""
+        """Counts an answered search.
+
+        Args:
+            owner: Whose plan it used.
+            plan_class: Class of the plan.
+            outcome: How it ended.
+            latency_s: Time from its arrival to its answer.
+            coverage: Part of the shards that the answer covers.
+            is_late: Whether the answer came after the deadline in force.
+        """
         labels = self._labels(owner, plan_class)
         self._latency.of(*labels).observe(latency_s)
         self._coverage.of(*labels).observe(coverage)
         self._queries.of(*labels, outcome.value).inc()
+        self._deadline_breaches.of(labels[0]).inc(int(is_late))
 
     def count_execution(
         self, owner: OwnerId, plan_class: PlanClass, outcome: Outcome
@@ -197,29 +237,27 @@
                 result = loss.value
         self._sub_requests.of(self._owners.value(owner), result).inc()
 
-    def set_fleet(self, version: int, members: dict[MemberState, int]) -> None:
+    def set_fleet(self, view: FleetView) -> None:
         """Sets what is known of the fleet at the time of reading."""
-        self._version.set(version)
+        self._version.set(view.version)
+        self._refused.set(view.is_refused)
+        self._service_lost.set(view.is_service_lost)
+        self._reachable.set(view.reachable)
         for state in MemberState:
-            self._members.labels(state.value).set(members.get(state, 0))
+            self._members.labels(state.value).set(view.members.get(state, 0))
 
     def set_targets(self, use: TargetUse) -> None:
         """Sets the sums over the targets held here at the time of reading."""
         self._queued.set(use.queued)
         self._slots_in_use.set(use.slots_in_use)
+        for state, count in use.by_state.items():
+            self._targets.labels(state).set(count)
         self._over_limit.labels("slots").set(use.over_slots)
         self._over_limit.labels("connections").set(use.over_connections)
 
-    def follow_budgets(
-        self,
-        hedges: Callable[[], dict[OwnerId, int]],
-        retries: Callable[[], dict[OwnerId, int]],
-    ) -> None:
-        """Exports what owners have spent of their budgets, read when asked for."""
-        collector = SpentCollector(
-            {names.HEDGES: hedges, names.RETRIES: retries}, self._owners
-        )
-        self._registry.register(collector)
+    def follow(self, *sources: OwnerCounts) -> None:
+        """Exports what aggregates count by owner, read when asked for."""
+        self._registry.register(OwnerCountsCollector(sources, self._owners))
 
     def exposition(self) -> bytes:
         """Returns all metrics in the text format of Prometheus."""
@@ -237,6 +275,9 @@
     ) -> Histogram:
         return Histogram(name, text, labels, registry=self._registry, buckets=buckets)
 
+    def _gauge(self, name: str, text: str, labels: tuple[str, ...] = ()) -> Gauge:
+        return Gauge(name, text, labels, registry=self._registry)
+
     def _counter(
         self, name: str, text: str, labels: tuple[str, ...]
     ) -> Children[Counter]:
--- a/lavendertide/targets/connection.py
+++ b/lavendertide/targets/connection.py
@@ -65,7 +65,7 @@
     lane = shared.lane
     while not shared.is_closed:
         _open(shared, exchange)
-        lane.condition.note_opened()
+        lane.note_opened()
         while not shared.is_closed and exchange.is_open:
             shared.wake_ups.receive(IDLE_CHECK_S)
             if exchange.is_open:
@@ -104,9 +104,7 @@
 def _open(shared: LaneTasks, exchange: TargetExchange) -> None:
     pause_s = REOPEN_MIN_S
     while not shared.is_closed and not exchange.open():
-        shared.lane.condition.note_refused()
-        if shared.lane.condition.reach is Reach.DOWN:
-            shared.lane.note_down()
+        shared.lane.note_refused()
         tasks.sleep(pause_s * random.uniform(0.5, 1.0))
         pause_s = min(REOPEN_MAX_S, 2 * pause_s)
 
--- a/lavendertide/targets/lane.py
+++ b/lavendertide/targets/lane.py
@@ -5,6 +5,7 @@
 answered in time is declined at once, while its sender can still ask another replica.
 """
 
+import logging
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -30,6 +31,7 @@
 
 ALONE_MAX: Final = 4
 
+_log = logging.getLogger(__name__)
 
 LaneIndex = dict[AttemptId, TargetId]
 
@@ -74,6 +76,7 @@
         self._limit = ConcurrencyLimit(place.slots)
         self._service_time = ServiceTime()
         self._condition = TargetCondition()
+        self._slot_breaches = 0
 
     @property
     def place(self) -> TargetPlace:
@@ -95,6 +98,15 @@
         """Jobs that the target may still be running."""
         return len(self._running)
 
+    @property
+    def slot_breaches(self) -> int:
+        """Times that a job began while the target's slots were all in use."""
+        return self._slot_breaches
+
+    def usable_slots(self, now_s: float) -> int:
+        """Returns how many slots the lease and the target's load allow at a time."""
+        return min(self._allowance(now_s), self._limit.slots)
+
     def resize(self, place: TargetPlace) -> None:
         """Takes over a published change that leaves the address as it is."""
         self._place = place
@@ -102,7 +114,7 @@
 
     def spare_slots(self, now_s: float) -> int:
         """Returns how many slots a new job would find free."""
-        return max(0, self._usable(now_s) - self.slots_in_use - self.queued)
+        return max(0, self.usable_slots(now_s) - self.slots_in_use - self.queued)
 
     def put(self, job: Job, now_s: float) -> Result[None, DeclineReason]:
         """Queues a job if there is a prospect of its being answered in time."""
@@ -125,13 +137,14 @@
             if self._is_too_late(job, now_s):
                 self._decline(job, DeclineReason.QUEUED_TOO_LONG)
                 continue
+            self._slot_breaches += len(self._running) >= self._place.slots
             self._running[job.request.attempt] = Running(job, now_s)
             return job
         return None
 
     def wakeable(self, now_s: float) -> int:
         """Returns how many waiting jobs could be given a slot now."""
-        return min(self.queued, self._usable(now_s) - self.slots_in_use)
+        return min(self.queued, self.usable_slots(now_s) - self.slots_in_use)
 
     def decline_all_without_lease(self, now_s: float) -> None:
         """Declines what waits if the lease has been lost."""
@@ -177,11 +190,25 @@
 
     def note_draining(self, now_s: float) -> None:
         """Declines what waits, since the target says that it is leaving."""
+        if not self._condition.is_draining(now_s):
+            _log.info("target is leaving", extra=self._log_fields())
         self._condition.note_draining(now_s)
         self.decline_all(DeclineReason.DRAINING)
 
-    def note_down(self) -> None:
-        """Declines what waits, since the target cannot be reached."""
+    def note_opened(self) -> None:
+        """Notes that one more connection to the target is open."""
+        if self._condition.reach is Reach.DOWN:
+            _log.info("target reached again", extra=self._log_fields())
+        self._condition.note_opened()
+
+    def note_refused(self) -> None:
+        """Declines what waits if the target cannot be reached at all any more."""
+        before = self._condition.reach
+        self._condition.note_refused()
+        if self._condition.reach is not Reach.DOWN:
+            return
+        if before is not Reach.DOWN:
+            _log.warning("target lost", extra=self._log_fields())
         self._limit.note_outage()
         self.decline_all(DeclineReason.UNREACHABLE)
 
@@ -209,18 +236,18 @@
                 return job
         return None
 
-    def _usable(self, now_s: float) -> int:
-        return min(self._allowance(now_s), self._limit.slots)
+    def _log_fields(self) -> dict[str, str]:
+        return {"target": self._place.target, "owner": self._place.owner}
 
     def _has_room(self, now_s: float) -> bool:
         in_use = len(self._running)
         if self._alone:
             return in_use == 0 and self._allowance(now_s) == self._place.slots
         if in_use == 0:
-            return self._usable(now_s) > 0
+            return self.usable_slots(now_s) > 0
         if any(running.job.is_alone for running in self._running.values()):
             return False
-        return in_use < self._usable(now_s)
+        return in_use < self.usable_slots(now_s)
 
     def _next(self) -> Job | None:
         if self._alone:
@@ -245,7 +272,7 @@
 
     def _would_wait_too_long(self, job: Job, now_s: float) -> bool:
         ahead = self._queue.ahead_of(job.request.owner) + len(self._alone)
-        in_use, usable = len(self._running), self._usable(now_s)
+        in_use, usable = len(self._running), self.usable_slots(now_s)
         if not ahead and in_use < usable:
             return False
         rounds = 1 + (ahead + 1) / usable
--- a/lavendertide/targets/target_pool.py
+++ b/lavendertide/targets/target_pool.py
@@ -1,12 +1,13 @@
 """The lanes of all targets whose slots this daemon may use."""
 
+from collections import Counter
 from collections.abc import Iterable
 from typing import Protocol
 
 from returns.result import Failure
 
 from lavendertide.configuration.catalog import TargetPlace
-from lavendertide.ids import AttemptId, TargetId
+from lavendertide.ids import AttemptId, OwnerId, TargetId
 from lavendertide.messages import Declined, DeclineReason, SubReply, SubRequest
 from lavendertide.queries.deadline import Deadline
 from lavendertide.runtime import clock, tasks
@@ -53,12 +54,21 @@
         self._places: dict[TargetId, TargetPlace] = {}
         self._closing: list[LaneTasks] = []
         self._index: LaneIndex = {}
+        self._closed_breaches: Counter[OwnerId] = Counter()
 
     @property
     def lanes(self) -> list[Lane]:
         """The lanes that are open."""
         return [shared.lane for shared in self._lanes.values()]
 
+    @property
+    def slot_breaches(self) -> dict[OwnerId, int]:
+        """Sub-requests that began above a target's slots since the start, by owner."""
+        breaches = self._closed_breaches.copy()
+        for lane in self.lanes:
+            breaches[lane.place.owner] += lane.slot_breaches
+        return dict(breaches)
+
     def submit(
         self,
         place: TargetPlace,
@@ -145,6 +155,7 @@
     def _close(self, target: TargetId, shared: LaneTasks) -> None:
         del self._lanes[target]
         self._closing.append(shared)
+        self._closed_breaches[shared.lane.place.owner] += shared.lane.slot_breaches
         shared.is_closed = True
         shared.lane.decline_all(DeclineReason.NO_LEASE)
         for _ in range(shared.lane.place.slots):
--- a/tests/configuration/test_adoption.py
+++ b/tests/configuration/test_adoption.py
@@ -14,6 +14,9 @@
     todays_lists,
 )
 
+LOGGER = "lavendertide.configuration.adoption"
+ADOPTED = "configuration adopted"
+
 
 def rate_of(configuration: Configuration) -> float:
     """Returns the rate of the plan that tests change."""
@@ -97,6 +100,37 @@
         self.assertIsNone(configuration.refused)
 
 
+class LogTest(unittest.TestCase):
+    """The log tells of each change of what is in force, once."""
+
+    def test_an_adoption_is_one_line_with_its_version(self) -> None:
+        configuration = configured(published(1))
+        with self.assertLogs(LOGGER, "INFO") as logs:
+            configuration.offer(published(2), 1.0)
+            configuration.offer(published(2), 2.0)
+        self.assertEqual([r.getMessage() for r in logs.records], [ADOPTED])
+        self.assertEqual(vars(logs.records[0])["version"], 2)
+
+    def test_a_refusal_is_one_line_with_its_reason_and_remedy(self) -> None:
+        reader = configured(published(1))
+        with self.assertLogs(LOGGER, "INFO") as logs:
+            reader.offer(bad_publication(2), 1.0)
+            reader.offer(bad_publication(2), 2.0)
+        self.assertEqual(len(logs.output), 1)
+        self.assertIn("may not use index", logs.output[0])
+        self.assertIn("under a higher version", logs.output[0])
+
+    def test_a_refusal_is_told_once_when_a_peer_knew_it_first(self) -> None:
+        peer, reader = configured(published(1)), configured(published(1))
+        peer.offer(bad_publication(2), 1.0)
+        assert peer.refused is not None
+        with self.assertLogs(LOGGER, "INFO") as logs:
+            for now_s in (2.0, 3.0):
+                reader.hear_refusal(peer.refused.notice, now_s)
+            reader.offer(bad_publication(2), 4.0)
+        self.assertEqual(len(logs.output), 1)
+
+
 class RacingOperatorsTest(unittest.TestCase):
     """Two publications of one version end in the same one everywhere."""
 
--- a/tests/metrics/test_metrics.py
+++ b/tests/metrics/test_metrics.py
@@ -5,8 +5,10 @@
 from lavendertide.errors import Fault, RefusalKind
 from lavendertide.ids import OwnerId, PlanClass
 from lavendertide.messages import Outcome
+from lavendertide.metrics import names
 from lavendertide.metrics.labels import CLASSES_MAX, OTHER, OWNERS_MAX, BoundedLabel
 from lavendertide.metrics.metrics import Metrics
+from lavendertide.metrics.owner_counts import OwnerCounts
 
 
 class BoundedLabelTest(unittest.TestCase):
@@ -38,11 +40,25 @@
     def test_budgets_are_read_when_asked_for(self) -> None:
         metrics = Metrics()
         spent = {OwnerId("association"): 3}
-        metrics.follow_budgets(lambda: spent, dict)
+        metrics.follow(OwnerCounts(names.HEDGES, "Hedges.", lambda: spent))
         spent[OwnerId("association")] = 4
         line = 'lavendertide_hedges_total{owner="association"} 4.0'
         self.assertIn(line, metrics.exposition().decode())
 
+    def test_answers_after_their_deadline_are_counted(self) -> None:
+        metrics = Metrics()
+        for is_late in (True, False):
+            metrics.observe_search(
+                OwnerId("association"),
+                PlanClass("counter"),
+                Outcome.RAN,
+                0.2,
+                1.0,
+                is_late,
+            )
+        line = 'lavendertide_deadline_breaches_total{owner="association"} 1.0'
+        self.assertIn(line, metrics.exposition().decode())
+
     def test_many_owners_make_a_bounded_number_of_series(self) -> None:
         metrics = Metrics()
         for number in range(1_000):
--- a/tests/run.py
+++ b/tests/run.py
@@ -4,6 +4,7 @@
 `LAVENDERTIDE_TEST_SEED`, so that a failure can be run again as it was.
 """
 
+import logging
 import os
 import sys
 import unittest
@@ -28,6 +29,7 @@
     os.environ.setdefault(SEED_VARIABLE, DEFAULT_SEED)
     if len(sys.argv) > 1:
         os.environ[SEED_VARIABLE] = sys.argv[1]
+    logging.getLogger("lavendertide").addHandler(logging.NullHandler())
     red = known_red()
     suite = unittest.TestSuite(
         test
--- a/tests/targets/test_lane.py
+++ b/tests/targets/test_lane.py
@@ -194,6 +194,49 @@
         self.assertEqual(len(dropped.inbox), 1)
 
 
+class LaneBreachTest(LaneCase):
+    """Only a job that begins above the published slots is counted as a breach."""
+
+    def test_full_use_is_none(self) -> None:
+        for number in range(3):
+            self.lane.put(job(f"a-{number}"), 0.0)
+        while self.lane.take(0.0) is not None:
+            pass
+        self.assertEqual((self.lane.slots_in_use, self.lane.slot_breaches), (2, 0))
+
+    def test_a_lease_beyond_the_slots_breaks_none(self) -> None:
+        self.allowed = 5
+        for number in range(4):
+            self.lane.put(job(f"a-{number}"), 0.0)
+        while self.lane.take(0.0) is not None:
+            pass
+        self.assertEqual((self.lane.slots_in_use, self.lane.slot_breaches), (2, 0))
+
+
+class LaneLogTest(LaneCase):
+    """The log tells when a target is lost, reached again or leaving, once each."""
+
+    def messages(self, count: int) -> list[str]:
+        """Notes refused connections, then an open one; returns the lines."""
+        with self.assertLogs("lavendertide.targets.lane", "INFO") as logs:
+            self.lane.condition.note_closed()
+            for _ in range(count):
+                self.lane.note_refused()
+            self.lane.note_opened()
+            self.lane.note_opened()
+        self.assertEqual({vars(r)["target"] for r in logs.records}, {"t"})
+        return [record.getMessage() for record in logs.records]
+
+    def test_a_loss_and_its_end(self) -> None:
+        self.assertEqual(self.messages(3), ["target lost", "target reached again"])
+
+    def test_leaving(self) -> None:
+        with self.assertLogs("lavendertide.targets.lane", "INFO") as logs:
+            self.lane.note_draining(0.0)
+            self.lane.note_draining(DRAINING_KEPT_S / 2)
+        self.assertEqual(len(logs.output), 1)
+
+
 class LaneDeadlineTest(LaneCase):
     """What cannot be answered in time is not sent."""
 
