Ask a lost configuration service without a wait, so that its return is seen

Cause: after a failure a watcher made its usual long poll, so the service counted as lost for 20 s and more after it answered again. Change: the call after a failure does not wait. Test: the three waits; it failed before with 20 s in place of 0.

--- a/lavendertide/configuration/service_watch.py
+++ b/lavendertide/configuration/service_watch.py
@@ -106,7 +106,9 @@
         """Makes one call; returns the time until the next, in seconds."""
         self._reads += 1
         known = self._known(now_s)
-        result = self._reader.watch(known, WATCH_S)
+        # After a failure the answer is wanted at once, so that its end is seen.
+        wait_s = WATCH_S if self._problem is None else 0.0
+        result = self._reader.watch(known, wait_s)
         answered_at_s = clock.monotonic_s()
         match result:
             case Success(text):
--- a/tests/configuration/test_watchers.py
+++ b/tests/configuration/test_watchers.py
@@ -90,12 +90,14 @@
     def __init__(self, *answers: Result[bytes | None, Refusal]) -> None:
         self.answers = list(answers)
         self.asked: list[int] = []
+        self.waits_s: list[float] = []
 
     def watch(
         self, known: ConfigurationVersion, wait_s: float
     ) -> Result[bytes | None, Refusal]:
         """Answers the next call."""
         self.asked.append(known)
+        self.waits_s.append(wait_s)
         return self.answers.pop(0)
 
 
@@ -127,6 +129,12 @@
         self.assertEqual(configuration.version, 3)
         self.assertGreaterEqual(pauses[1], service_watch.RETRY_MIN_S)
 
+    def test_the_end_of_a_failure_is_seen_without_a_long_wait(self) -> None:
+        reader = FakeReader(Failure(refusal()), Success(None), Success(None))
+        self.watch(reader, 3)
+        watch_s = service_watch.WATCH_S
+        self.assertEqual(reader.waits_s, [watch_s, 0.0, watch_s])
+
     def test_an_older_version_is_not_adopted_and_not_read_in_a_loop(self) -> None:
         reader = FakeReader(Success(published(3)), Success(published(2)))
         configuration, pauses = self.watch(reader, 2)
