Test the operators' page under its faults, and the tool's endings and pages

Cause: redeem and addresses stood on no page; Ctrl-C ended as 'refused' and a full disk as an internal error; a ticket with a slash reached another path; a refusal to the question for addresses was lost; an answer of something else than a daemon was an internal error; a host that was not ready ended the question for an outcome though others could answer. OPERATIONS had not been tried under its faults. Change: exit code 130; refusals are read in one place, encodings.refusal_json, and so are pydantic's problems, validation; errors.unreachable serves both clients.

--- a/lavendertide/admin_client.py
+++ b/lavendertide/admin_client.py
@@ -7,10 +7,13 @@
 from returns.result import Failure, Result
 
 from lavendertide.encodings import admin_json
-from lavendertide.errors import Fault, Refusal, RefusalKind
+from lavendertide.errors import Refusal, unreachable
 
 TIMEOUT_S: Final = 3.0
 STATUS_OK: Final = 200
+UNREACHABLE_REMEDY: Final = (
+    "See whether the daemon runs and whether this is its addresses.admin."
+)
 
 D = TypeVar("D", bound=admin_json.Document)
 
@@ -71,16 +74,8 @@
                 timeout=TIMEOUT_S,
             )
         except (urllib3.exceptions.HTTPError, ValueError) as error:
-            return Failure(_unreachable(self._address, type(error).__name__))
+            problem = type(error).__name__
+            return Failure(unreachable(self._address, problem, UNREACHABLE_REMEDY))
         if response.status != STATUS_OK:
             return Failure(admin_json.decode_refusal(response.data))
         return admin_json.decode(kind, response.data)
-
-
-def _unreachable(address: str, problem: str) -> Refusal:
-    return Refusal(
-        RefusalKind.UNREACHABLE,
-        f"No answer from {address}: {problem}.",
-        "See whether the daemon runs and whether this is its addresses.admin.",
-        Fault.LINK,
-    )
--- a/lavendertide/caller_client.py
+++ b/lavendertide/caller_client.py
@@ -11,11 +11,13 @@
 import math
 import time
 from typing import Any, Final
+from urllib.parse import quote
 
 import urllib3
 from returns.result import Failure, Result, Success
 
-from lavendertide.errors import Fault, Refusal, RefusalKind
+from lavendertide.encodings.refusal_json import read_refusal, unreadable_answer
+from lavendertide.errors import Refusal, unreachable
 from lavendertide.runtime import clock
 
 TIMEOUT_MARGIN_S: Final = 0.5
@@ -24,6 +26,10 @@
 GET_TIMEOUT_S: Final = 1.5
 TRIES: Final = 3
 HTTP_OK: Final = 200
+HTTP_SERVER_ERROR: Final = 500
+UNREACHABLE_REMEDY: Final = (
+    "See whether the host runs and whether this is its addresses.callers."
+)
 
 Document = dict[str, Any]
 
@@ -59,13 +65,20 @@
         """Returns the addresses to use, asked again once the answer is too old."""
         if self._addresses and now_s < self._kept_until_s:
             return Success(self._addresses)
+        last = _no_answer("any host", "no address")
         for host in itertools.chain(self._addresses, self._hosts):
             match self._send(host, "GET", "/v1/addresses", None, CONNECT_TIMEOUT_S):
-                case Success((200, answer)) if answer["addresses"]:
+                case Success((200, answer)) if answer.get("addresses"):
                     self._addresses = answer["addresses"]
                     self._kept_until_s = now_s + answer["lifetime_s"]
                     return Success(self._addresses)
-        return Failure(_unreachable("any host", "no answer"))
+                case Success((200, _)):
+                    last = _no_answer(host, "it knows no address to use")
+                case Success((_, answer)):
+                    last = read_refusal(answer)
+                case Failure(refusal):
+                    last = refusal
+        return Failure(last)
 
     def search(
         self, index: str, body: str, deadline_ms: int, page_size: int, now_s: float
@@ -105,7 +118,7 @@
 
     def outcome(self, ticket: str, now_s: float) -> Result[Document, Refusal]:
         """Returns what is known of a ticket's request, and runs nothing."""
-        path = f"/v1/tickets/{ticket}"
+        path = f"/v1/tickets/{quote(ticket, safe='')}"
         return self.addresses(now_s).bind(
             lambda addresses: self._get_from_any(addresses, path)
         )
@@ -113,13 +126,15 @@
     def _get_from_any(
         self, addresses: list[str], path: str
     ) -> Result[Document, Refusal]:
-        last: Refusal = _unreachable("any host", "no address")
+        last = _no_answer("any host", "no address")
         for address in addresses:
             match self._send(address, "GET", path, None, GET_TIMEOUT_S):
                 case Success((200, answer)):
                     return Success(answer)
+                case Success((status, answer)) if status < HTTP_SERVER_ERROR:
+                    return Failure(read_refusal(answer))
                 case Success((_, answer)):
-                    return Failure(_refusal_of(answer))
+                    last = read_refusal(answer)
                 case Failure(refusal):
                     last = refusal
         return Failure(last)
@@ -144,7 +159,7 @@
         Sending again is safe on every path: a search may run twice, a ticket that
         nobody uses is forgotten, and an order runs once under its ticket.
         """
-        last: Refusal = _unreachable("any host", "no address")
+        last = _no_answer("any host", "no address")
         for number in range(TRIES):
             left_s = ends_at_s - clock.monotonic_s()
             if number and left_s <= 0:
@@ -156,7 +171,7 @@
                 case Success((status, answer)) if status == HTTP_OK:
                     return Success(answer)
                 case Success((status, answer)):
-                    last = _refusal_of(answer)
+                    last = read_refusal(answer)
                     is_round_over = (number + 1) % len(addresses) == 0
                     pause_s = _pause_s(status, answer, is_round_over)
                     if pause_s is None or pause_s >= left_s:
@@ -190,9 +205,12 @@
                 body=None if body is None else json.dumps(body).encode(),
                 timeout=urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=timeout_s),
             )
-            return Success((response.status, response.json()))
+            document = response.json()
         except (urllib3.exceptions.HTTPError, ValueError) as error:
-            return Failure(_unreachable(address, type(error).__name__))
+            return Failure(_no_answer(address, type(error).__name__))
+        if not isinstance(document, dict):
+            return Failure(unreadable_answer())
+        return Success((response.status, document))
 
 
 def _with_deadline(body: Document, left_s: float) -> Document:
@@ -215,19 +233,5 @@
             return None
 
 
-def _refusal_of(answer: Document) -> Refusal:
-    return Refusal(
-        RefusalKind(answer["kind"]),
-        answer["message"],
-        answer["remedy"],
-        Fault(answer["fault"]),
-    )
-
-
-def _unreachable(address: str, problem: str) -> Refusal:
-    return Refusal(
-        RefusalKind.UNREACHABLE,
-        f"No answer from {address}: {problem}.",
-        "See whether the host runs and whether the address is right.",
-        Fault.LINK,
-    )
+def _no_answer(address: str, problem: str) -> Refusal:
+    return unreachable(address, problem, UNREACHABLE_REMEDY)
--- a/lavendertide/command_line/main.py
+++ b/lavendertide/command_line/main.py
@@ -19,7 +19,7 @@
     """Queries and operates a lavendertide fleet.
 
     Exit codes: 0 good; 1 refused, partial or not known to have run; 2 wrong usage or a
-    missing library; 3 nobody could be reached.
+    missing library; 3 nobody could be reached; 130 interrupted.
     """
 
 
@@ -45,7 +45,16 @@
 def main() -> None:
     """Runs the command line; an error is one line and never a traceback."""
     try:
-        commands(prog_name="lavendertide")
+        sys.exit(commands(prog_name="lavendertide", standalone_mode=False))
+    except click.ClickException as error:
+        error.show()
+        sys.exit(error.exit_code)
+    except click.Abort:
+        click.echo("lavendertide: interrupted; what was sent may still run.", err=True)
+        sys.exit(output.EXIT_INTERRUPTED)
+    except OSError as error:
+        click.echo(f"lavendertide: cannot write the output: {error}.", err=True)
+        sys.exit(output.EXIT_REFUSED)
     except Exception as error:
         click.echo(f"lavendertide: internal error: {error!r}. Report it.", err=True)
         sys.exit(output.EXIT_REFUSED)
--- a/lavendertide/command_line/output.py
+++ b/lavendertide/command_line/output.py
@@ -1,10 +1,12 @@
 """How commands end and how they print.
 
 Exit codes: 0 good; 1 refused, partial, or not known to have run; 2 wrong usage or a
-missing library; 3 nobody could be reached. An error is one line on standard error.
+missing library; 3 nobody could be reached; 130 interrupted. An error is one line on
+standard error.
 """
 
 import json
+import signal
 import sys
 import time
 from collections.abc import Sequence
@@ -19,6 +21,7 @@
 EXIT_REFUSED: Final = 1
 EXIT_USAGE: Final = 2
 EXIT_UNREACHABLE: Final = 3
+EXIT_INTERRUPTED: Final = 128 + signal.SIGINT
 _EXIT_OF_KIND: Final = {
     RefusalKind.LIBRARY_MISSING: EXIT_USAGE,
     RefusalKind.UNREACHABLE: EXIT_UNREACHABLE,
--- a/lavendertide/configuration/entries.py
+++ b/lavendertide/configuration/entries.py
@@ -18,6 +18,7 @@
 from lavendertide.configuration.lists import IndexEntry, PlanEntry, UseEntry
 from lavendertide.ids import ConfigurationDigest, ConfigurationVersion, EntryKey
 from lavendertide.messages import ConfigurationStamp, EntryKind, EntryText
+from lavendertide.validation import Misfit, first_misfit
 
 ENTRY_DIGEST_BYTES: Final = 16
 WHOLE_DIGEST_BYTES: Final = 8
@@ -41,18 +42,6 @@
     model: EntryModel
 
 
-@dataclass(frozen=True, slots=True)
-class EntryProblem:
-    """Why an entry is refused.
-
-    Attributes:
-        place: Path inside the entry; empty for the entry itself.
-    """
-
-    place: str
-    message: str
-
-
 def canonical_text(value: Any) -> bytes:
     """Returns JSON that is equal for equal values, whatever their formatting."""
     return json.dumps(value, sort_keys=True, separators=(",", ":")).encode()
@@ -66,9 +55,7 @@
     return digest.digest()
 
 
-def read_entry(
-    entry: EntryText, known: Mapping[bytes, Entry]
-) -> Result[Entry, EntryProblem]:
+def read_entry(entry: EntryText, known: Mapping[bytes, Entry]) -> Result[Entry, Misfit]:
     """Checks an entry unless one with the same digest was checked before.
 
     Args:
@@ -82,9 +69,9 @@
     try:
         model = _validate(entry)
     except ValidationError as error:
-        return Failure(_first_problem(error))
+        return Failure(first_misfit(error))
     for message in entry_contradictions(model):
-        return Failure(EntryProblem("", message))
+        return Failure(Misfit("", message))
     return Success(Entry(entry.kind, key_of(model), entry.text, digest, model))
 
 
@@ -117,9 +104,3 @@
             return IndexEntry.model_validate_json(entry.text)
         case EntryKind.USE:
             return UseEntry.model_validate_json(entry.text)
-
-
-def _first_problem(error: ValidationError) -> EntryProblem:
-    problem = error.errors(include_url=False, include_input=False)[0]
-    place = ".".join(str(part) for part in problem["loc"])
-    return EntryProblem(place, problem["msg"])
--- a/lavendertide/configuration/revision.py
+++ b/lavendertide/configuration/revision.py
@@ -18,7 +18,6 @@
 )
 from lavendertide.configuration.entries import (
     Entry,
-    EntryProblem,
     canonical_text,
     read_entry,
     stamp_of,
@@ -40,6 +39,7 @@
     EntryKind,
     EntryText,
 )
+from lavendertide.validation import Misfit, first_misfit
 
 PLACES: Final = {
     EntryKind.PLAN: "plans.plans",
@@ -120,7 +120,8 @@
     try:
         outline = Outline.model_validate(json.loads(text.decode("utf-8")))
     except ValidationError as error:
-        return Failure(publication_refusal(_outline_problem(error)))
+        problem = first_misfit(error).text("the document")
+        return Failure(publication_refusal(f"{problem}."))
     except (ValueError, RecursionError) as error:
         return Failure(publication_refusal(f"the document: not JSON: {error}."))
     return _check(outline, known)
@@ -191,12 +192,6 @@
     )
 
 
-def _outline_problem(error: ValidationError) -> str:
-    problem = error.errors(include_url=False, include_input=False)[0]
-    place = ".".join(str(part) for part in problem["loc"]) or "the document"
-    return f"{place}: {problem['msg']}."
-
-
-def _problem(kind: EntryKind, problem: EntryProblem) -> str:
+def _problem(kind: EntryKind, problem: Misfit) -> str:
     place = f"{PLACES[kind]}.{problem.place}".rstrip(".")
     return f"{place}: {problem.message}."
--- a/lavendertide/daemon/admin_service.py
+++ b/lavendertide/daemon/admin_service.py
@@ -265,6 +265,6 @@
     return Refusal(
         RefusalKind.MALFORMED_REQUEST,
         "An operator has to say whose book to show.",
-        f"Add '?owner=NAME' ({known}).",
+        f"Add '?owner=NAME', or '--owner NAME' to the command ({known}).",
         Fault.CALLER,
     )
--- a/lavendertide/daemon/quarantine_service.py
+++ b/lavendertide/daemon/quarantine_service.py
@@ -62,6 +62,7 @@
             _log.warning(
                 "request condemned: a target crashed with nothing else in flight",
                 extra={
+                    "query": request.query,
                     "fingerprint": request.fingerprint,
                     "owner": request.owner,
                     "target": request.target,
--- a/lavendertide/encodings/admin_json.py
+++ b/lavendertide/encodings/admin_json.py
@@ -4,12 +4,14 @@
 lists the paths.
 """
 
+import json
 from typing import TypeVar
 
 from pydantic import BaseModel, ConfigDict, ValidationError
 from returns.result import Failure, Result, Success
 
-from lavendertide.errors import Fault, Refusal, RefusalKind
+from lavendertide.encodings.refusal_json import read_refusal, unreadable_answer
+from lavendertide.errors import Refusal
 
 D = TypeVar("D", bound="Document")
 
@@ -281,27 +283,12 @@
     try:
         return Success(kind.model_validate_json(data))
     except ValidationError:
-        return Failure(_unreadable())
+        return Failure(unreadable_answer())
 
 
 def decode_refusal(data: bytes) -> Refusal:
     """Reads a refusal."""
     try:
-        document = RefusalDocument.model_validate_json(data)
-        return Refusal(
-            RefusalKind(document.kind),
-            document.message,
-            document.remedy,
-            Fault(document.fault),
-        )
+        return read_refusal(json.loads(data))
     except ValueError:
-        return _unreadable()
-
-
-def _unreadable() -> Refusal:
-    return Refusal(
-        RefusalKind.MALFORMED_REQUEST,
-        "The answer is not one of the administration API.",
-        "See whether the address is the daemon's addresses.admin.",
-        Fault.CALLER,
-    )
+        return unreadable_answer()
--- a/lavendertide/encodings/caller_json.py
+++ b/lavendertide/encodings/caller_json.py
@@ -17,6 +17,7 @@
 from lavendertide.ids import CallerKey, IndexName, TicketId
 from lavendertide.messages import Operation, Outcome
 from lavendertide.queries.query import Answer, Question
+from lavendertide.validation import first_misfit
 
 STATUS_OF_KIND: Final = {
     RefusalKind.MALFORMED_REQUEST: 400,
@@ -57,7 +58,7 @@
     try:
         body = _SearchBody.model_validate_json(data)
     except ValidationError as error:
-        return Failure(malformed(_first_problem(error)))
+        return Failure(_misfit(error))
     return Success(
         Question(
             key=CallerKey(key),
@@ -86,7 +87,7 @@
     try:
         body = _OrderBody.model_validate_json(data)
     except ValidationError as error:
-        return Failure(malformed(_first_problem(error)))
+        return Failure(_misfit(error))
     if body.operation.is_idempotent:
         return Failure(malformed("operation: a search goes to /v1/search."))
     return Success(
@@ -101,12 +102,6 @@
     )
 
 
-def _first_problem(error: ValidationError) -> str:
-    problem = error.errors(include_url=False)[0]
-    place = ".".join(str(part) for part in problem["loc"]) or "the body"
-    return f"{place}: {problem['msg']}."
-
-
 def malformed(problem: str) -> Refusal:
     """Returns the refusal of a request that cannot be read."""
     return Refusal(
@@ -117,6 +112,10 @@
     )
 
 
+def _misfit(error: ValidationError) -> Refusal:
+    return malformed(f"{first_misfit(error).text('the body')}.")
+
+
 def encode_answer(answer: Answer) -> bytes:
     """Returns the body that a caller receives for a search."""
     return _json(
--- a/lavendertide/errors.py
+++ b/lavendertide/errors.py
@@ -62,3 +62,15 @@
 
     def __str__(self) -> str:
         return f"{self.message} {self.remedy}"
+
+
+def unreachable(address: str, problem: str, remedy: str) -> Refusal:
+    """Returns the refusal of whoever got no answer.
+
+    Args:
+        address: Who did not answer.
+        problem: What went wrong, such as the name of the library's error.
+        remedy: What the reader can do about it, in one sentence.
+    """
+    message = f"No answer from {address}: {problem}."
+    return Refusal(RefusalKind.UNREACHABLE, message, remedy, Fault.LINK)
--- a/lavendertide/reports/run.py
+++ b/lavendertide/reports/run.py
@@ -12,6 +12,7 @@
 from returns.result import Failure, Result, Success
 
 from lavendertide.errors import Fault, Refusal, RefusalKind
+from lavendertide.validation import first_misfit
 
 Ratio = Annotated[float, Field(ge=0, le=1)]
 
@@ -151,7 +152,8 @@
         try:
             records.append(_RECORDS.validate_json(line))
         except ValidationError as error:
-            return Failure(_refusal(f"line {number}: {_first_problem(error)}"))
+            problem = first_misfit(error).text("the record")
+            return Failure(_refusal(f"line {number}: {problem}"))
     return _to_run(records)
 
 
@@ -171,12 +173,6 @@
     )
 
 
-def _first_problem(error: ValidationError) -> str:
-    problem = error.errors(include_url=False)[0]
-    place = ".".join(str(part) for part in problem["loc"]) or "the record"
-    return f"{place}: {problem['msg']}"
-
-
 def _refusal(problem: str) -> Refusal:
     return Refusal(
         RefusalKind.BAD_RUN,
--- /dev/null
+++ b/lavendertide/validation.py
@@ -0,0 +1,32 @@
+"""What is wrong with a document that `pydantic` has refused."""
+
+from dataclasses import dataclass
+
+from pydantic import ValidationError
+
+
+@dataclass(frozen=True, slots=True)
+class Misfit:
+    """The first thing that is wrong with a document.
+
+    Attributes:
+        place: Path inside the document; empty for the document itself.
+        message: What is wrong there, without a full stop.
+    """
+
+    place: str
+    message: str
+
+    def text(self, whole: str) -> str:
+        """Returns place and message in one line.
+
+        Args:
+            whole: The place to name for the document itself.
+        """
+        return f"{self.place or whole}: {self.message}"
+
+
+def first_misfit(error: ValidationError) -> Misfit:
+    """Returns the first of the problems that `pydantic` has found."""
+    problem = error.errors(include_url=False, include_input=False)[0]
+    return Misfit(".".join(str(part) for part in problem["loc"]), problem["msg"])
--- a/standins/launcher.py
+++ b/standins/launcher.py
@@ -228,9 +228,7 @@
             metric: The metric's full name.
             missing: What is returned for a metric that the daemon does not have.
         """
-        url = f"http://{self.admins[name]}/metrics"
-        answer = self._http.request("GET", url, headers=self._headers)
-        lines = answer.data.decode().splitlines()
+        lines = self.text(self.admins[name], "/metrics").splitlines()
         found = [line for line in lines if line.split("{")[0].split(" ")[0] == metric]
         if not found:
             return missing
@@ -241,6 +239,11 @@
         url = f"http://{address}{path}"
         return self._http.request("GET", url, headers=self._headers).json()
 
+    def text(self, address: str, path: str) -> str:
+        """Reads plain text from one of the processes."""
+        url = f"http://{address}{path}"
+        return self._http.request("GET", url, headers=self._headers).data.decode()
+
     def post(self, address: str, path: str, body: Any) -> Any:
         """Sends JSON to one of the processes.
 
--- a/tests/processes/test_product_operations.py
+++ b/tests/processes/test_product_operations.py
@@ -13,19 +13,19 @@
 from lavendertide.reports.run import dump_run
 from standins.deployment import ASSOCIATION, KOINOPRAXIA, publication, smaller
 from standins.launcher import Launcher
+from tests.command_line.pages import OPERATIONS, lines_with
 from tests.reports.test_run import sample_run
 
-PAGE = Path(__file__).parents[2] / "docs" / "OPERATIONS.md"
 OWNERS = (smaller(ASSOCIATION, 2, 2), smaller(KOINOPRAXIA, 2, 1))
 OPERATOR_KEY = "operator-key-0001"
 OWNER_KEY = "association-key-1"
 ADMIN = {"operator_keys": [OPERATOR_KEY], "owner_keys": {"association": [OWNER_KEY]}}
 
 
-def commands_of_page() -> list[str]:
-    """Returns the command lines of the page; drains come last."""
-    lines = re.findall(r"^    lavendertide (.+)$", PAGE.read_text(), re.MULTILINE)
-    return sorted(lines, key=lambda line: line.startswith("drain"))
+def commands_of_page() -> list[list[str]]:
+    """Returns the words of the page's commands; drains come last."""
+    found = [words for words in lines_with("lavendertide", OPERATIONS) if words[1:]]
+    return sorted(found, key=lambda words: words[0] == "drain")
 
 
 class OperationsPageTest(unittest.TestCase):
@@ -59,6 +59,15 @@
         self.assertIn("ran", done.stdout)
         return done.stderr.split()[1]
 
+    def test_every_metric_of_the_page_is_exported(self) -> None:
+        text = self.launcher.text(self.launcher.admins["association-1"], "/metrics")
+        exported = set(re.findall(r"^# TYPE (lavendertide_\w+) ", text, re.MULTILINE))
+        named = set(re.findall(r"lavendertide_\w+", OPERATIONS.read_text()))
+        self.assertGreaterEqual(len(named), 20)
+        self.assertEqual(named - exported, set())
+        own = {name for name in exported if not name.endswith("_created")}
+        self.assertEqual(own - named, set(), "docs/OPERATIONS.md does not name them")
+
     def test_every_command_runs_as_written(self) -> None:
         host = self.launcher.callers["association-0"]
         filled = {
@@ -67,6 +76,8 @@
             "OPERATOR-KEY": OPERATOR_KEY,
             "OWNER-KEY": OWNER_KEY,
             "CALLER-KEY": "stall-clerk",
+            "REDEEMER-KEY": "refund-clerk",
+            "ORDERS": "refund-desk",
             "OWNER": "association",
             "PLAN": "stall-clerk",
             "INDEX": "venue-desk",
@@ -79,9 +90,7 @@
         lines = commands_of_page()
         self.assertGreaterEqual(len(lines), 10)
         for line in lines:
-            words = [filled.get(word, word) for word in shlex.split(line)]
-            if words[0] == "outcome":
-                words[words.index("stall-clerk")] = "refund-clerk"
+            words = [filled.get(word, word) for word in line]
             with self.subTest(line):
                 done = CliRunner().invoke(commands, words)
                 self.assertEqual(done.exit_code, 0, done.output)
--- a/tests/test_caller_client.py
+++ b/tests/test_caller_client.py
@@ -27,8 +27,9 @@
 class StubHost:
     """A host that gives one scripted answer after another, the last one for ever."""
 
-    def __init__(self, *script: tuple[int, dict[str, Any]], delay_s: float = 0) -> None:
+    def __init__(self, *script: tuple[int, Any], delay_s: float = 0) -> None:
         self.bodies: list[dict[str, Any]] = []
+        self.paths: list[str] = []
         stub, left = self, list(script)
 
         class Handler(BaseHTTPRequestHandler):
@@ -39,6 +40,14 @@
                 length = int(self.headers["Content-Length"])
                 stub.bodies.append(json.loads(self.rfile.read(length)))
                 time.sleep(delay_s)
+                self._answer()
+
+            def do_GET(self) -> None:
+                """Answers one request."""
+                stub.paths.append(self.path)
+                self._answer()
+
+            def _answer(self) -> None:
                 status, body = left.pop(0) if len(left) > 1 else left[0]
                 data = json.dumps(body).encode()
                 self.send_response(status)
@@ -116,3 +125,53 @@
         client.execute("t", "index", "redeem", "b", 1_000, time.monotonic())
         self.assertEqual({body["ticket"] for body in full.bodies}, {"t"})
         self.assertEqual(len(full.bodies), TRIES)
+
+
+class AskingTest(unittest.TestCase):
+    """What is only asked for is asked of the next host, and problems are named."""
+
+    def host(self, status: int, body: Any) -> StubHost:
+        """Returns a host that gives one answer for ever."""
+        host = StubHost((status, body))
+        self.addCleanup(host.stop)
+        return host
+
+    def client(self, *hosts: StubHost) -> CallerClient:
+        """Returns a caller that has yet to ask for addresses."""
+        return CallerClient([host.address for host in hosts], "k")
+
+    def knowing(self, *hosts: StubHost) -> CallerClient:
+        """Returns a caller that knows its addresses."""
+        client = self.client(*hosts)
+        client._addresses = [host.address for host in hosts]
+        client._kept_until_s = float("inf")
+        return client
+
+    def test_a_host_that_is_not_ready_is_followed_by_the_next(self) -> None:
+        joining = self.host(503, refusal(RefusalKind.NOT_READY, 1))
+        serving = self.host(200, OK)
+        client = self.knowing(joining, serving)
+        self.assertEqual(client.outcome("t", time.monotonic()).unwrap(), OK)
+
+    def test_a_ticket_is_no_path(self) -> None:
+        host = self.host(200, OK)
+        self.knowing(host).outcome("../addresses", time.monotonic())
+        self.assertEqual(host.paths, ["/v1/tickets/..%2Faddresses"])
+
+    def test_a_refusal_of_addresses_is_passed_on(self) -> None:
+        host = self.host(401, refusal(RefusalKind.UNKNOWN_KEY, None))
+        problem = self.client(host).addresses(time.monotonic()).failure()
+        self.assertIs(problem.kind, RefusalKind.UNKNOWN_KEY)
+
+    def test_a_host_without_an_address_to_give_is_named(self) -> None:
+        host = self.host(200, {"addresses": [], "lifetime_s": 1})
+        problem = self.client(host).addresses(time.monotonic()).failure()
+        self.assertIs(problem.kind, RefusalKind.UNREACHABLE)
+        self.assertIn(host.address, problem.message)
+
+    def test_what_is_no_daemon_is_named(self) -> None:
+        for status, body in ((200, []), (200, 7), (404, {}), (404, {"kind": "x"})):
+            with self.subTest(status=status, body=body):
+                client = self.client(self.host(status, body))
+                problem = client.addresses(time.monotonic()).failure()
+                self.assertIn("not one of a daemon", problem.message)
