Write a run of each query-path scenario, and draw its axes as they are

Cause: nothing wrote the run format, so no page with plots had been drawn from a measurement. The first one had ticks above full coverage and '2 x 10^1' on the axis of latencies. Change: bench.run_file turns samples into a run, bench.query_path writes one for each scenario, with the fault at its second; bench.query_run holds what runs a policy through a scenario. The ticks end at 100% and are plain numbers. Test: the axis test failed first with ticks above 100.

--- a/bench/data_path_slopes.py
+++ b/bench/data_path_slopes.py
@@ -18,7 +18,7 @@
 
 from bench.load import LoadSpec
 from bench.process_stats import ProcessStats, read_process_stats
-from bench.query_path import START_DELAY_S, start_load
+from bench.query_run import START_DELAY_S, start_load
 from bench.revision import revision
 from bench.summary import read_samples, summarise
 from standins.deployment import IndexSpec, OwnerSpec, PlanSpec
--- a/bench/query_path.py
+++ b/bench/query_path.py
@@ -3,22 +3,28 @@
 `python -m bench.query_path` runs every policy through every scenario at today's sizes
 and prints a table and one line of JSON. Bounds come from the stated target: p99 within
 120 ms, no slot or connection breach, no answer that mixes versions, a neighbour's p99
-unharmed. `--quick` runs the chosen policy only.
+unharmed. `--quick` runs the chosen policy only. Each scenario is also written as a
+run for `lavendertide report`.
 """
 
 import argparse
 import json
-import subprocess
 import sys
 import tempfile
-import time
-from dataclasses import asdict, dataclass
+from dataclasses import asdict
+from datetime import UTC, datetime
 from pathlib import Path
-from typing import Any
 
-from bench.load import LoadSpec, Sample
-from bench.process_stats import read_process_stats
+from bench.query_run import (
+    POLICIES,
+    TAIL_MS,
+    TAIL_SHARE,
+    Measurement,
+    fault_at_s,
+    measure,
+)
 from bench.revision import revision
+from bench.run_file import Variants, write_run
 from bench.scenarios import (
     Calm,
     KilledDaemon,
@@ -27,29 +33,14 @@
     Scenario,
     SlowTarget,
     VersionChange,
-    induce,
+    fault_of,
     name_of,
 )
-from bench.summary import Summary, read_samples, summarise
-from standins.deployment import ASSOCIATION, KOINOPRAXIA, OwnerSpec
-from standins.launcher import Launcher
+from lavendertide.reports.run import FaultRecord, RunHeader
 
 P99_BOUND_MS = 120.0
-DEADLINE_MS = 120
 FULL_DURATION_S = 12.0
-START_DELAY_S = 1.5
-TARGET_PROCESSES = 4
-OWNERS = (ASSOCIATION, KOINOPRAXIA)
-RATE_PER_S = 40.0
-TAIL_SHARE = 0.005
-TAIL_MS = 150.0
-
-POLICIES: dict[str, dict[str, Any]] = {
-    "chosen": {},
-    "no hedging": {"policies": {"hedging": {"policy": "never"}}},
-    "static share": {"policies": {"routing": {"policy": "static_share"}}},
-    "any replica": {"policies": {"replicas": {"policy": "any"}}},
-}
+RUNS = Path("build/runs")
 SCENARIOS: tuple[Scenario, ...] = (
     Calm(),
     SlowTarget("venue-desk", 80.0),
@@ -60,129 +51,6 @@
 )
 
 
-@dataclass(frozen=True)
-class Measurement:
-    """One policy in one scenario.
-
-    Attributes:
-        callers: What the callers of each plan saw.
-        sub_requests: Sub-requests that the targets took.
-        cpu_us: Processor time of all daemons for one sub-request.
-    """
-
-    policy: str
-    scenario: str
-    callers: dict[str, Summary]
-    sub_requests: int
-    slot_breaches: int
-    connection_breaches: int
-    cpu_us: float
-
-
-def measure(
-    policy: str, scenario: Scenario, duration_s: float, seed: int, folder: Path
-) -> Measurement:
-    """Runs one policy through one scenario."""
-    launcher = Launcher(
-        OWNERS,
-        seed=seed,
-        target_processes=TARGET_PROCESSES,
-        overrides=POLICIES[policy],
-    )
-    with launcher.running():
-        _give_targets_a_tail(launcher)
-        specs = _load_specs(scenario, launcher, duration_s, seed, folder)
-        cpu_before_s = _daemons_cpu_s(launcher)
-        processes = [start_load(spec, folder) for spec in specs]
-        _sleep_until(specs[0].starts_at_s + duration_s / 3)
-        induce(scenario, launcher)
-        for process in processes:
-            process.wait()
-        cpu_s = _daemons_cpu_s(launcher) - cpu_before_s
-        counts = launcher.target_counts().values()
-    sub_requests = sum(count["requests"] for count in counts)
-    return Measurement(
-        policy=policy,
-        scenario=name_of(scenario),
-        callers={
-            spec.key: summarise(_after_warm_up(read_samples(Path(spec.output))))
-            for spec in specs
-        },
-        sub_requests=sub_requests,
-        slot_breaches=sum(count["slot_breaches"] for count in counts),
-        connection_breaches=sum(count["connection_breaches"] for count in counts),
-        cpu_us=cpu_s / max(1, sub_requests) * 1e6,
-    )
-
-
-def _give_targets_a_tail(launcher: Launcher) -> None:
-    for target in launcher.placed:
-        launcher.change_target(target.target, tail_share=TAIL_SHARE, tail_ms=TAIL_MS)
-
-
-def _load_specs(
-    scenario: Scenario,
-    launcher: Launcher,
-    duration_s: float,
-    seed: int,
-    folder: Path,
-) -> list[LoadSpec]:
-    starts_at_s = time.monotonic() + START_DELAY_S
-    rates = {"stall-clerk": RATE_PER_S, "employer": RATE_PER_S}
-    if isinstance(scenario, NeighbourOverload):
-        rates[scenario.key] = scenario.rate_per_s
-    indexes = {"stall-clerk": "venue-desk", "employer": "voucher-finder"}
-    owners: dict[str, OwnerSpec] = {"stall-clerk": OWNERS[0], "employer": OWNERS[1]}
-    return [
-        LoadSpec(
-            hosts=tuple(_hosts_of(owners[key], scenario, launcher)),
-            key=key,
-            index=indexes[key],
-            rate_per_s=rate,
-            duration_s=duration_s,
-            deadline_ms=DEADLINE_MS,
-            seed=seed,
-            starts_at_s=starts_at_s,
-            output=str(folder / f"{key}.jsonl"),
-        )
-        for key, rate in rates.items()
-    ]
-
-
-def _hosts_of(owner: OwnerSpec, scenario: Scenario, launcher: Launcher) -> list[str]:
-    killed = scenario.daemon if isinstance(scenario, KilledDaemon) else None
-    return [
-        address
-        for name, address in launcher.callers.items()
-        if name.startswith(owner.owner) and name != killed
-    ]
-
-
-def start_load(spec: LoadSpec, folder: Path) -> subprocess.Popen[bytes]:
-    """Starts a process of callers."""
-    path = folder / f"{spec.key}.json"
-    path.write_text(json.dumps(asdict(spec)))
-    return subprocess.Popen([sys.executable, "-m", "bench.load", str(path)])
-
-
-def _sleep_until(moment_s: float) -> None:
-    time.sleep(max(0.0, moment_s - time.monotonic()))
-
-
-def _daemons_cpu_s(launcher: Launcher) -> float:
-    total_s = 0.0
-    for name in launcher.callers:
-        try:
-            total_s += read_process_stats(launcher.pid_of(name)).cpu_s
-        except (FileNotFoundError, IndexError):
-            continue
-    return total_s
-
-
-def _after_warm_up(samples: list[Sample]) -> list[Sample]:
-    return [sample for sample in samples if sample.at_s >= 1.0]
-
-
 def problems_of(measurement: Measurement) -> list[str]:
     """Returns which bounds of the stated target a chosen-policy run has missed."""
     found = []
@@ -219,6 +87,28 @@
 )
 
 
+def write_scenario(
+    folder: Path, scenario: Scenario, variants: Variants, duration_s: float, seed: int
+) -> Path:
+    """Writes what all policies did in one scenario; returns the file."""
+    fault = fault_of(scenario)
+    header = RunHeader(
+        title=f"Query path: {name_of(scenario)}",
+        commit=revision(),
+        seed=seed,
+        started_at=datetime.now(UTC).isoformat(timespec="seconds"),
+        latency_bound_ms=P99_BOUND_MS,
+        notes=(
+            "Today's sizes on one machine; links without delay.",
+            f"{TAIL_SHARE:.1%} of the sub-requests take {TAIL_MS:g} ms.",
+        ),
+    )
+    faults = [FaultRecord(name=fault, starts_at_s=fault_at_s(duration_s))]
+    path = folder / f"{name_of(scenario)}.jsonl"
+    write_run(path, header, variants, faults if fault is not None else ())
+    return path
+
+
 def main() -> int:
     """Runs the benchmark; the exit code tells whether the bounds were kept."""
     parser = argparse.ArgumentParser(description=__doc__)
@@ -226,27 +116,39 @@
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--duration-s", type=float, default=FULL_DURATION_S)
     parser.add_argument("--scenario", help="only this one")
+    parser.add_argument(
+        "--runs", type=Path, default=RUNS, help="where runs are written"
+    )
     options = parser.parse_args()
     policies = ["chosen"] if options.quick else list(POLICIES)
     print(f"commit {revision()}, seed {options.seed}, {options.duration_s:g} s each")
     print(HEADER)
-    measurements = []
+    measurements: list[Measurement] = []
+    written: list[Path] = []
     for scenario in SCENARIOS:
         if options.scenario and name_of(scenario) != options.scenario:
             continue
+        variants: Variants = {}
         for policy in policies:
             with tempfile.TemporaryDirectory() as folder:
-                measured = measure(
+                measured, seen = measure(
                     policy, scenario, options.duration_s, options.seed, Path(folder)
                 )
             measurements.append(measured)
             print_row(measured)
+            variants |= {f"{policy}, {key}": samples for key, samples in seen.items()}
+        path = write_scenario(
+            options.runs, scenario, variants, options.duration_s, options.seed
+        )
+        written.append(path)
     missed = [
         f"{m.scenario}: {problem}"
         for m in measurements
         if m.policy == "chosen"
         for problem in problems_of(m)
     ]
+    for path in written:
+        print(f"lavendertide report {path} -o {path.with_suffix('.html')}")
     for line in missed:
         print(f"missed: {line}")
     print(json.dumps([asdict(measured) for measured in measurements]))
--- a/bench/scenarios.py
+++ b/bench/scenarios.py
@@ -85,6 +85,21 @@
             launcher.change_target(target.target, versions=held)
 
 
+def fault_of(scenario: Scenario) -> str | None:
+    """Returns what is induced in a few words, none for what lasts the whole run."""
+    match scenario:
+        case SlowTarget(index, median_ms):
+            return f"a {index} replica slows to {median_ms:g} ms"
+        case KilledReplica(index):
+            return f"a {index} replica crashes"
+        case KilledDaemon(daemon):
+            return f"{daemon} is killed"
+        case VersionChange(index):
+            return f"{index} changes its version"
+        case Calm() | NeighbourOverload():
+            return None
+
+
 def name_of(scenario: Scenario) -> str:
     """Returns the scenario's name in tables."""
     return type(scenario).__name__
--- a/lavendertide/reports/plots.py
+++ b/lavendertide/reports/plots.py
@@ -20,6 +20,8 @@
 WIDTH_IN: Final = 9.0
 HEIGHT_IN: Final = 3.4
 HEADROOM: Final = 1.2  # room for the faults' names above the curves
+LATENCY_TICKS: Final = (1.0, 2.0, 5.0)
+ROUNDING: Final = 1e-9
 FAULT_COLOUR: Final = "#888888"
 BOUND_COLOUR: Final = "#b00020"
 COLOURS: Final = ("#0b6e99", "#d9730d", "#448361", "#9065b0", "#9f6b53", "#c14c8a")
@@ -55,7 +57,9 @@
     axes.set_yscale("log")
     axes.set_xlabel("latency in ms")
     axes.set_ylabel("part of the answers\nthat took longer")
+    axes.xaxis.set_major_locator(mpl.ticker.LogLocator(subs=LATENCY_TICKS))
     axes.xaxis.set_major_formatter("{x:g}")
+    axes.xaxis.set_minor_formatter(mpl.ticker.NullFormatter())
     _place_legend(axes, run)
     return figure
 
@@ -116,6 +120,8 @@
         low = axes.get_ylim()[0]
         low = min(low, top - 0.01)
         axes.set_ylim(low, low + (top - low) * HEADROOM)
+        ticks = [tick for tick in axes.get_yticks() if low <= tick <= top + ROUNDING]
+        axes.set_yticks(ticks)
     else:
         axes.set_ylim(0, axes.get_ylim()[1] * HEADROOM)
     axes.set_ylabel(label)
--- /dev/null
+++ b/tests/bench/__init__.py
@@ -0,0 +1,1 @@
+"""The tests of what the benchmarks compute."""
--- a/tests/reports/test_page.py
+++ b/tests/reports/test_page.py
@@ -1,8 +1,10 @@
 """Tests of `lavendertide.reports.page`."""
 
+import re
 import unittest
 from unittest import mock
 
+from lavendertide.reports import plots
 from lavendertide.reports.page import render_page
 from tests.reports.test_run import sample_run
 
@@ -24,6 +26,11 @@
     def test_the_page_is_the_same_each_time(self) -> None:
         self.assertEqual(render_page(sample_run()), render_page(sample_run()))
 
+    def test_no_axis_goes_above_full_coverage(self) -> None:
+        picture = plots.to_svg(plots.draw_coverage(sample_run()))
+        shown = [float(text) for text in re.findall(r">([0-9.]+)%<", picture)]
+        self.assertEqual(max(shown), 100.0)
+
     def test_without_matplotlib_the_remedy_is_named(self) -> None:
         with mock.patch("importlib.util.find_spec", return_value=None):
             refusal = render_page(sample_run()).failure()
