Build records of members and targets in one place

bench.fleet_state, bench.plan_shares, tests.processes.holders, tests.plans.members and test_watchers wrote them out each. Ran: test_shares, test_allocation, test_watchers, test_targets_slots, test_queries_faults.

--- a/bench/fleet_state.py
+++ b/bench/fleet_state.py
@@ -19,19 +19,9 @@
 from lavendertide.fleet.ranking import TargetRanks
 from lavendertide.fleet.roster import Roster
 from lavendertide.fleet.rumours import repeats
-from lavendertide.ids import (
-    Address,
-    ConfigurationVersion,
-    DaemonId,
-    FailureDomain,
-    HostId,
-    Incarnation,
-    IndexName,
-    OwnerId,
-    Region,
-    TargetId,
-)
+from lavendertide.ids import ConfigurationVersion
 from lavendertide.messages import Heartbeat, MemberRecord, MemberState, RosterPush
+from standins.records import member_record, target_place
 
 DAEMONS: Final = 1_530
 TARGETS: Final = 2_200
@@ -105,39 +95,27 @@
     return round(1_000 * (time.process_time() - started_s) / CHANGES, 2)
 
 
-def _place_of(number: int) -> tuple[Region, FailureDomain]:
+def _place_of(number: int) -> tuple[str, str]:
+    """Returns region and failure domain."""
     region = number % len(REGIONS)
     domain = number // len(REGIONS) % DOMAINS[region]
     name = REGIONS[region]
-    return Region(name), FailureDomain(f"{name}-{domain}")
+    return name, f"{name}-{domain}"
 
 
 def _member(number: int, state: MemberState = MemberState.SERVING) -> MemberRecord:
-    region, failure_domain = _place_of(number)
-    return MemberRecord(
-        daemon=DaemonId(f"owner-{number}"),
-        host=HostId(f"owner-{number // 3}-host"),
-        region=region,
-        failure_domain=failure_domain,
-        peer_address=Address(f"10.0.{number // 250}.{number % 250}:7001"),
-        caller_address=Address(f"10.0.{number // 250}.{number % 250}:7000"),
-        incarnation=Incarnation(1_790_000_000_000 + number),
+    return member_record(
+        f"owner-{number}",
+        *_place_of(number),
+        host=f"owner-{number // 3}-host",
+        ip_number=f"10.0.{number // 250}.{number % 250}",
+        incarnation=1_790_000_000_000 + number,
         state=state,
     )
 
 
 def _place(number: int) -> TargetPlace:
-    region, failure_domain = _place_of(number)
-    return TargetPlace(
-        target=TargetId(f"index-{number}"),
-        owner=OwnerId("owner"),
-        index=IndexName("index"),
-        address=Address("10.1.0.1:8000"),
-        region=region,
-        failure_domain=failure_domain,
-        slots=2,
-        connections=25,
-    )
+    return target_place(f"index-{number}", *_place_of(number), address="10.1.0.1:8000")
 
 
 if __name__ == "__main__":
--- a/bench/plan_shares.py
+++ b/bench/plan_shares.py
@@ -11,19 +11,9 @@
 
 from bench.revision import revision
 from lavendertide.encodings.peer_frames import encode_frame
-from lavendertide.ids import (
-    Address,
-    DaemonId,
-    ExchangeId,
-    FailureDomain,
-    HostId,
-    Incarnation,
-    PlanId,
-    Region,
-)
+from lavendertide.ids import DaemonId, ExchangeId, Incarnation, PlanId
 from lavendertide.messages import (
     MemberRecord,
-    MemberState,
     PlanClaim,
     PlanClaims,
     PlanGrant,
@@ -32,6 +22,7 @@
 from lavendertide.plans.allocation import Presence
 from lavendertide.plans.allocator import PlanAllocator
 from lavendertide.plans.allocators import Allocators
+from standins.records import member_record
 
 MEMBERS: Final = 1_530
 HOLDERS: Final = (4, 28, 112, 400)
@@ -117,15 +108,11 @@
 
 
 def _member(number: int) -> MemberRecord:
-    return MemberRecord(
-        DaemonId(f"daemon-{number}"),
-        HostId(f"host-{number // 3}"),
-        Region(f"region-{number % 2}"),
-        FailureDomain(f"domain-{number % 7}"),
-        Address("127.0.0.1:1"),
-        Address("127.0.0.1:2"),
-        Incarnation(1),
-        MemberState.SERVING,
+    return member_record(
+        f"daemon-{number}",
+        f"region-{number % 2}",
+        f"domain-{number % 7}",
+        host=f"host-{number // 3}",
     )
 
 
--- /dev/null
+++ b/standins/records.py
@@ -0,0 +1,61 @@
+"""Records of daemons and targets for tests and benchmarks that run no processes."""
+
+from lavendertide.configuration.catalog import TargetPlace
+from lavendertide.ids import (
+    Address,
+    DaemonId,
+    FailureDomain,
+    HostId,
+    Incarnation,
+    IndexName,
+    OwnerId,
+    Region,
+    TargetId,
+)
+from lavendertide.messages import MemberRecord, MemberState
+
+PEERS_PORT = 7_001
+CALLERS_PORT = 7_000
+
+
+def member_record(
+    daemon: str,
+    region: str,
+    failure_domain: str,
+    host: str = "",
+    ip_number: str = "127.0.0.1",
+    incarnation: int = 1,
+    state: MemberState = MemberState.SERVING,
+) -> MemberRecord:
+    """Returns a member; without a host's name it has a host of its own."""
+    return MemberRecord(
+        daemon=DaemonId(daemon),
+        host=HostId(host or f"{daemon}-host"),
+        region=Region(region),
+        failure_domain=FailureDomain(failure_domain),
+        peer_address=Address(f"{ip_number}:{PEERS_PORT}"),
+        caller_address=Address(f"{ip_number}:{CALLERS_PORT}"),
+        incarnation=Incarnation(incarnation),
+        state=state,
+    )
+
+
+def target_place(
+    target: str,
+    region: str,
+    failure_domain: str,
+    owner: str = "owner",
+    index: str = "index",
+    address: str = "127.0.0.1:8000",
+) -> TargetPlace:
+    """Returns a target of the smallest size of today."""
+    return TargetPlace(
+        target=TargetId(target),
+        owner=OwnerId(owner),
+        index=IndexName(index),
+        address=Address(address),
+        region=Region(region),
+        failure_domain=FailureDomain(failure_domain),
+        slots=2,
+        connections=25,
+    )
--- a/tests/configuration/test_watchers.py
+++ b/tests/configuration/test_watchers.py
@@ -2,7 +2,6 @@
 
 import unittest
 from collections import Counter
-from dataclasses import replace
 
 from returns.result import Failure, Result, Success
 
@@ -11,41 +10,18 @@
 from lavendertide.configuration.service_watch import ServiceWatch
 from lavendertide.configuration.watchers import WATCHERS_PER_DOMAIN, is_watcher
 from lavendertide.errors import Fault, Refusal, RefusalKind
-from lavendertide.ids import (
-    Address,
-    ConfigurationVersion,
-    DaemonId,
-    FailureDomain,
-    HostId,
-    Incarnation,
-    Region,
-)
-from lavendertide.messages import MemberRecord, MemberState
+from lavendertide.ids import ConfigurationVersion
+from lavendertide.messages import MemberRecord
 from lavendertide.runtime import clock
+from standins.records import member_record
 from tests.configuration.published import bad_publication, published
 
-MEMBER = MemberRecord(
-    DaemonId("d"),
-    HostId("h"),
-    Region("r"),
-    FailureDomain("a"),
-    Address("10.0.0.1:1"),
-    Address("10.0.0.1:2"),
-    Incarnation(1),
-    MemberState.SERVING,
-)
+MEMBER = member_record("d", "r", "a")
 
 
 def members(count: int, domain: str) -> list[MemberRecord]:
     """Returns members of one failure domain."""
-    return [
-        replace(
-            MEMBER,
-            daemon=DaemonId(f"{domain}-{number}"),
-            failure_domain=FailureDomain(domain),
-        )
-        for number in range(count)
-    ]
+    return [member_record(f"{domain}-{n}", "r", domain) for n in range(count)]
 
 
 def watchers(fleet: list[MemberRecord], version: int) -> list[MemberRecord]:
--- a/tests/plans/members.py
+++ b/tests/plans/members.py
@@ -1,25 +1,10 @@
 """Records of members for the tests of plans."""
 
-from lavendertide.ids import (
-    Address,
-    DaemonId,
-    FailureDomain,
-    HostId,
-    Incarnation,
-    Region,
-)
-from lavendertide.messages import MemberRecord, MemberState
+from lavendertide.ids import DaemonId
+from lavendertide.messages import MemberRecord
+from standins.records import member_record
 
 
 def record(daemon: DaemonId) -> MemberRecord:
     """Returns a member's record; its region is in its name."""
-    return MemberRecord(
-        daemon,
-        HostId(daemon),
-        Region(daemon.split("-")[0]),
-        FailureDomain(daemon),
-        Address(daemon),
-        Address(daemon),
-        Incarnation(1),
-        MemberState.SERVING,
-    )
+    return member_record(daemon, daemon.split("-")[0], daemon)
--- a/tests/processes/holders.py
+++ b/tests/processes/holders.py
@@ -1,23 +1,9 @@
 """Which daemons hold a target's slots in a launched deployment."""
 
-from dataclasses import replace
-
-from lavendertide.configuration.catalog import TargetPlace
 from lavendertide.fleet.ranking import rank_for_target
-from lavendertide.ids import (
-    Address,
-    DaemonId,
-    FailureDomain,
-    HostId,
-    Incarnation,
-    IndexName,
-    OwnerId,
-    Region,
-    TargetId,
-)
-from lavendertide.messages import MemberRecord, MemberState
 from standins.deployment import OwnerSpec
 from standins.launcher import Launcher
+from standins.records import member_record, target_place
 
 
 def targets_of(launcher: Launcher, index: str, daemon: str) -> list[str]:
@@ -45,32 +31,11 @@
 
 
 def _order(owner: OwnerSpec, target: str, failure_domain: str) -> list[str]:
-    place = TargetPlace(
-        target=TargetId(target),
-        owner=OwnerId(owner.owner),
-        index=IndexName(""),
-        address=Address(""),
-        region=Region(owner.region),
-        failure_domain=FailureDomain(failure_domain),
-        slots=1,
-        connections=2,
-    )
-    member = MemberRecord(
-        daemon=DaemonId(""),
-        host=HostId(""),
-        region=Region(owner.region),
-        failure_domain=FailureDomain(""),
-        peer_address=Address(""),
-        caller_address=Address(""),
-        incarnation=Incarnation(1),
-        state=MemberState.SERVING,
-    )
+    place = target_place(target, owner.region, failure_domain, owner.owner)
     domains = owner.failure_domains
     members = [
-        replace(
-            member,
-            daemon=DaemonId(f"{owner.owner}-{number}"),
-            failure_domain=FailureDomain(domains[number % len(domains)]),
+        member_record(
+            f"{owner.owner}-{number}", owner.region, domains[number % len(domains)]
         )
         for number in range(owner.hosts)
     ]
