Name a misspelt key before the one that is missing for it

Cause: 'plaice:' for 'place:' was refused with 'place: the key is missing', and an unknown key of the lists in the library's words. Change: an unknown key is named first, with the key that is meant; the lists, callers' bodies and runs say 'there is no such key' and 'the key is missing'. Tests: a misspelt section and key, an empty file, a missing key of the lists; they failed first with the missing key's words.

--- a/lavendertide/encodings/settings_yaml.py
+++ b/lavendertide/encodings/settings_yaml.py
@@ -64,8 +64,7 @@
     try:
         options = Options.model_validate_json(json.dumps(document, default=str))
     except ValidationError as error:
-        problem = error.errors(include_url=False, include_input=False)[0]
-        return Failure(_misfit(problem, root, name))
+        return Failure(_misfit(_plainest(error), root, name))
     except (ValueError, TypeError, RecursionError) as error:
         problem_text = f"{name}: not settings: {_one_line(error)}."
         return Failure(_refusal(problem_text, REFERENCE))
@@ -75,6 +74,13 @@
     return Success(options)
 
 
+def _plainest(error: ValidationError) -> ErrorDetails:
+    """Returns the first unknown key, since a misspelt one is missing as well."""
+    problems = error.errors(include_url=False, include_input=False)
+    unknown = [each for each in problems if each["type"] == "extra_forbidden"]
+    return (unknown or problems)[0]
+
+
 def _misfit(problem: ErrorDetails, root: yaml.Node | None, name: str) -> Refusal:
     path = problem["loc"]
     place = _place(name, root, path)
@@ -105,7 +111,9 @@
 
 
 def _remedy_for_value(path: KeyPath) -> str:
-    key = str(path[-1]) if path else ""
+    if not path:
+        return f"Write the sections of a daemon's settings; {REFERENCE}"
+    key = str(path[-1])
     unit = _unit(key)
     if unit:
         return f"Write a plain number{unit}; docs/SETTINGS.md has the bounds."
--- a/lavendertide/validation.py
+++ b/lavendertide/validation.py
@@ -1,9 +1,15 @@
 """What is wrong with a document that `pydantic` has refused."""
 
 from dataclasses import dataclass
+from typing import Final
 
 from pydantic import ValidationError
 
+PLAIN_WORDS: Final = {
+    "extra_forbidden": "there is no such key",
+    "missing": "the key is missing",
+}
+
 
 @dataclass(frozen=True, slots=True)
 class Misfit:
@@ -29,4 +35,5 @@
 def first_misfit(error: ValidationError) -> Misfit:
     """Returns the first of the problems that `pydantic` has found."""
     problem = error.errors(include_url=False, include_input=False)[0]
-    return Misfit(".".join(str(part) for part in problem["loc"]), problem["msg"])
+    place = ".".join(str(part) for part in problem["loc"])
+    return Misfit(place, PLAIN_WORDS.get(problem["type"], problem["msg"]))
--- a/tests/configuration/test_rules.py
+++ b/tests/configuration/test_rules.py
@@ -60,7 +60,12 @@
     def test_an_unknown_key_is_refused(self) -> None:
         lists = todays_lists()
         lists["plans"]["plans"][0]["rate"] = 3
-        self.assert_refused(lists, "plans.plans.0.rate")
+        self.assert_refused(lists, "plans.plans.0.rate: there is no such key")
+
+    def test_a_missing_key_is_refused(self) -> None:
+        lists = todays_lists()
+        del lists["uses"]["indexes"][0]["slots"]
+        self.assert_refused(lists, "uses.indexes.0.slots: the key is missing")
 
     def test_a_key_in_two_plans_is_refused(self) -> None:
         lists = todays_lists()
--- a/tests/configuration/test_settings.py
+++ b/tests/configuration/test_settings.py
@@ -104,6 +104,18 @@
     def test_a_missing_key(self) -> None:
         self.assert_refused("  host: a-host-1\n", "", "a.yaml:1: place.host", "Add it")
 
+    def test_a_misspelt_section(self) -> None:
+        self.assert_refused("place:", "plaice:", "a.yaml:1: plaice", "Write 'place'")
+
+    def test_a_misspelt_key(self) -> None:
+        self.assert_refused(
+            "  host: a", "  hots: a", "a.yaml:3: place.hots", "Write 'host'"
+        )
+
+    def test_an_empty_file(self) -> None:
+        refusal = parse_options(b"", "a.yaml").failure()
+        self.assertIn("Write the sections", str(refusal))
+
     def test_an_unknown_key_inside_a_policy(self) -> None:
         self.assert_refused(
             "platform:",
