Compare daemons with one command, and count both owners in the demo

Cause: the page asked an operator to look at each daemon's status in turn and compare by eye; the demo did not look at the metrics. Ruled out: a daemon that answers for the fleet (DESIGN, Operators). Change: 'lavendertide fleet' asks the daemons that it is told of and ends with 0 if all serve with one configuration; the demo's account has the answered searches of each owner from the metrics. bench.configuration_costs holds what bench.configuration_spread timed in its own process.

--- a/bench/configuration_lists.py
+++ b/bench/configuration_lists.py
@@ -4,6 +4,7 @@
 import random
 from typing import Any, Final
 
+SEED: Final = 1
 INDEXES: Final = 44
 SHARDS: Final = 25
 REPLICAS: Final = 2
--- a/bench/configuration_spread.py
+++ b/bench/configuration_spread.py
@@ -11,12 +11,13 @@
 import statistics
 import sys
 import time
-import tracemalloc
 from collections.abc import Callable
 from dataclasses import asdict, dataclass
 from typing import Any, Final
 
+from bench.configuration_costs import ROUNDS, catalog_mb, measure_costs
 from bench.configuration_lists import (
+    SEED,
     Lists,
     change_index,
     change_plan,
@@ -25,10 +26,9 @@
 )
 from bench.process_stats import read_process_stats
 from bench.revision import revision
-from lavendertide.configuration.adoption import Adoption, Configuration
-from lavendertide.encodings.peer_frames import LENGTH, decode_frame, encode_frame
+from lavendertide.configuration.adoption import Configuration
+from lavendertide.encodings.peer_frames import encode_frame
 from lavendertide.messages import (
-    ConfigurationDelta,
     ConfigurationOffer,
     ConfigurationPull,
     ConfigurationPush,
@@ -36,8 +36,6 @@
 from standins.deployment import ASSOCIATION, smaller
 from standins.launcher import Launcher
 
-SEED: Final = 1
-ROUNDS: Final = 20
 DAEMONS: Final = 12
 CHANGES: Final = 30
 CHANGE_PAUSE_S: Final = 0.5
@@ -52,23 +50,6 @@
 BYTES_BOUND_PER_S: Final = 12_000 / 4
 PACKET_OVERHEAD_BYTES: Final = 66
 
-Change = Callable[[Lists, int], None]
-
-
-@dataclass(frozen=True, slots=True)
-class Cost:
-    """What one kind of adoption costs.
-
-    Attributes:
-        median_ms: Processor time from received bytes to look-ups.
-        wire_bytes: Bytes of the frame or answer that carries it.
-    """
-
-    kind: str
-    median_ms: float
-    max_ms: float
-    wire_bytes: int
-
 
 @dataclass(frozen=True, slots=True)
 class Spread:
@@ -95,28 +76,22 @@
 
 def main() -> int:
     """Runs everything; returns 1 if a bound is missed."""
-    costs = [
-        _measure("first whole, joining", _first_whole),
-        _measure("whole after a plan changed, watcher", _whole_after_plan),
-        _measure("whole after an index changed, watcher", _whole_after_index),
-        _measure("delta of a plan", _delta_of_plan),
-        _measure("delta of an index", _delta_of_index),
-    ]
-    catalog_mb = _catalog_mb()
+    costs = measure_costs()
+    held_mb = catalog_mb()
     print(f"lists of {len(encode(large_lists(SEED)))} bytes, {ROUNDS} rounds")
     for cost in costs:
         print(
             f"{cost.kind:40} {cost.median_ms:7.1f} ms median {cost.max_ms:7.1f} ms max"
             f" {cost.wire_bytes:8} bytes"
         )
-    print(f"one configuration holds {catalog_mb:.1f} MB")
+    print(f"one configuration holds {held_mb:.1f} MB")
     spread = _spread()
     _print_spread(spread)
     summary = {
         "commit": revision(),
         "seed": SEED,
         "costs": [asdict(cost) for cost in costs],
-        "catalog_mb": round(catalog_mb, 2),
+        "catalog_mb": round(held_mb, 2),
         "spread": asdict(spread),
         "node_at_target": _node_at_target(spread),
     }
@@ -124,86 +99,6 @@
     return 0 if _within_bounds(spread) else 1
 
 
-Prepared = tuple[Callable[[], Adoption], int]
-
-
-def _measure(kind: str, prepare: Callable[[int], Prepared]) -> Cost:
-    times_ms = []
-    wire_bytes = 0
-    for number in range(ROUNDS):
-        adopt, wire_bytes = prepare(number)
-        started_s = time.process_time()
-        adoption = adopt()
-        times_ms.append((time.process_time() - started_s) * 1000)
-        if adoption is not Adoption.ADOPTED:
-            raise RuntimeError(f"{kind}: {adoption}")
-    return Cost(kind, statistics.median(times_ms), max(times_ms), wire_bytes)
-
-
-def _first_whole(number: int) -> Prepared:
-    source = Configuration()
-    source.offer(encode(large_lists(SEED + number)), 0.0)
-    data = encode_frame(ConfigurationPush(source.stamp, source.text))
-    return lambda: _take(Configuration(), data), len(data)
-
-
-def _whole_after_plan(number: int) -> Prepared:
-    return _whole_after(change_plan, number)
-
-
-def _whole_after_index(number: int) -> Prepared:
-    return _whole_after(change_index, number)
-
-
-def _delta_of_plan(number: int) -> Prepared:
-    return _delta_after(change_plan, number)
-
-
-def _delta_of_index(number: int) -> Prepared:
-    return _delta_after(change_index, number)
-
-
-def _whole_after(change: Change, number: int) -> Prepared:
-    lists = large_lists(SEED)
-    watcher = Configuration()
-    watcher.offer(encode(lists), 0.0)
-    change(lists, number)
-    text = encode(lists)
-    return lambda: watcher.offer(text, 1.0), len(text)
-
-
-def _delta_after(change: Change, number: int) -> Prepared:
-    lists = large_lists(SEED)
-    source, receiver = Configuration(), Configuration()
-    for configuration in (source, receiver):
-        configuration.offer(encode(lists), 0.0)
-    change(lists, number)
-    source.offer(encode(lists), 1.0)
-    delta = source.delta_since(receiver.stamp)
-    assert delta is not None
-    data = encode_frame(delta)
-    return lambda: _take(receiver, data), len(data)
-
-
-def _take(configuration: Configuration, data: bytes) -> Adoption:
-    match decode_frame(data[LENGTH.size :]).unwrap():
-        case ConfigurationPush(lists=lists):
-            return configuration.offer(lists, 1.0)
-        case ConfigurationDelta() as delta:
-            return configuration.apply(delta, 1.0)
-    raise RuntimeError("neither a whole nor a delta")
-
-
-def _catalog_mb() -> float:
-    text = encode(large_lists(SEED))
-    tracemalloc.start()
-    configuration = Configuration()
-    configuration.offer(text, 0.0)
-    held, _ = tracemalloc.get_traced_memory()
-    tracemalloc.stop()
-    return held / 1e6
-
-
 def _spread() -> Spread:
     launcher = Launcher((smaller(ASSOCIATION, 1, DAEMONS),), target_processes=1)
     with launcher.running():
--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+from prometheus_client.parser import text_string_to_metric_families
 from returns.result import Failure, Success
 
 from lavendertide.caller_client import CallerClient
@@ -19,6 +20,7 @@
 DEADLINE_MS = 500
 PAGE_SIZE = 10
 KILLED = "association-1"
+ANSWERED_METRIC = "lavendertide_query_latency_seconds_count"
 OWNERS = (smaller(ASSOCIATION, 8, 3), smaller(KOINOPRAXIA, 8, 2))
 
 
@@ -61,8 +63,9 @@
             if number % 5 == 0:
                 _redeem(apprentice, f"voucher-{number}", account)
         executions = _executions(launcher)
+        counted = _counted_by_owner(launcher)
     doubled = sum(1 for count in executions.values() if count > 1)
-    _print_account(account, doubled)
+    _print_account(account, doubled, counted)
     return 0 if account.whole and not doubled else 1
 
 
@@ -103,7 +106,20 @@
     return executions
 
 
-def _print_account(account: Account, doubled: int) -> None:
+def _counted_by_owner(launcher: Launcher) -> dict[str, int]:
+    """Returns the answered searches of each owner in the metrics of all daemons."""
+    counted: Counter[str] = Counter()
+    for name, admin in launcher.admins.items():
+        if name == KILLED:
+            continue
+        for family in text_string_to_metric_families(launcher.text(admin, "/metrics")):
+            for sample in family.samples:
+                if sample.name == ANSWERED_METRIC:
+                    counted[sample.labels["owner"]] += int(sample.value)
+    return dict(counted)
+
+
+def _print_account(account: Account, doubled: int, counted: dict[str, int]) -> None:
     latencies = sorted(account.latencies_ms)
     summary = {
         "queries": len(latencies) + account.failed,
@@ -111,12 +127,14 @@
         "partial": account.partial,
         "failed": account.failed,
         "doubled": doubled,
+        "counted_by_owner": counted,
         "p50_ms": round(statistics.median(latencies), 1),
         "p99_ms": round(latencies[int(len(latencies) * 0.99)], 1),
         "extra_load_ratio": round(account.attempts / account.shards - 1, 4),
     }
     print(f"searches: {account.whole} whole, {account.partial} partial")
     print(f"redemptions by outcome: {dict(account.outcomes)}")
+    print(f"searches by owner in the metrics: {counted}")
     print(f"half of the searches took {summary['p50_ms']} ms or less")
     print(json.dumps(summary))
 
--- a/lavendertide/command_line/main.py
+++ b/lavendertide/command_line/main.py
@@ -10,6 +10,7 @@
 from lavendertide.command_line import callers, operators, output
 from lavendertide.command_line.check import check, settings
 from lavendertide.command_line.completion import completion
+from lavendertide.command_line.fleet import fleet
 from lavendertide.command_line.reports import report
 
 
@@ -29,6 +30,7 @@
     callers.redeem,
     callers.outcome,
     operators.status,
+    fleet,
     operators.configuration,
     operators.plan,
     operators.books,
--- a/lavendertide/command_line/output.py
+++ b/lavendertide/command_line/output.py
@@ -41,7 +41,12 @@
     """Prints a refusal as one line and ends the command."""
     text = " ".join(str(refusal).split())
     click.echo(f"lavendertide: {text}", err=True)
-    sys.exit(_EXIT_OF_KIND.get(refusal.kind, EXIT_REFUSED))
+    sys.exit(exit_code_of(refusal))
+
+
+def exit_code_of(refusal: Refusal) -> int:
+    """Returns how a command ends that was refused."""
+    return _EXIT_OF_KIND.get(refusal.kind, EXIT_REFUSED)
 
 
 def show_json(document: BaseModel | dict[str, Any]) -> None:
--- a/lavendertide/command_line/parameters.py
+++ b/lavendertide/command_line/parameters.py
@@ -58,6 +58,16 @@
     type=AddressType(),
     help="A daemon's address for operators.",
 )
+admins = click.option(
+    "--admin",
+    "admins",
+    multiple=True,
+    required=True,
+    envvar=ADMIN_VARIABLE,
+    show_envvar=True,
+    type=AddressType(),
+    help="A daemon's address for operators; may be given more than once.",
+)
 admin_key = click.option(
     "--key",
     default="",
--- /dev/null
+++ b/tests/command_line/test_fleet.py
@@ -0,0 +1,93 @@
+"""Tests of `lavendertide.command_line.fleet`."""
+
+import json
+import unittest
+from typing import Any
+from unittest import mock
+
+from click.testing import CliRunner, Result
+from returns.result import Failure, Success
+from returns.result import Result as Answered
+
+from lavendertide.command_line.main import commands
+from lavendertide.encodings.admin_json import MemberDocument, StatusDocument
+from lavendertide.errors import Refusal, unreachable
+
+STATUS = "lavendertide.admin_client.AdminClient.status"
+
+
+def said(**changes: Any) -> Success[StatusDocument]:
+    """Returns what a daemon says that serves, with changes."""
+    member = MemberDocument(
+        daemon="a-1",
+        host="h",
+        region="r",
+        failure_domain="d",
+        state="serving",
+        incarnation=1,
+        callers="10.0.0.1:1",
+        reachable=True,
+    )
+    status = StatusDocument(
+        daemon="a-1",
+        host="h",
+        region="r",
+        failure_domain="d",
+        state="serving",
+        readiness="serving",
+        configuration=7,
+        refused=None,
+        in_flight=0,
+        members=(member, member.model_copy(update={"reachable": False})),
+    )
+    return Success(status.model_copy(update=changes))
+
+
+def silent() -> Failure[Refusal]:
+    """Returns what is known of a daemon that does not answer."""
+    return Failure(unreachable("10.0.0.2:1", "it is down", "Start it."))
+
+
+class FleetTest(unittest.TestCase):
+    """Daemons are compared, and the exit code tells whether all is well."""
+
+    def run_fleet(
+        self, *answers: Answered[StatusDocument, Refusal], as_json: bool = False
+    ) -> Result:
+        """Runs the command against daemons that give these answers."""
+        words = ["fleet", "--key", "k"]
+        for number in range(len(answers)):
+            words += ["--admin", f"10.0.0.{number + 1}:1"]
+        with mock.patch(STATUS, side_effect=list(answers)):
+            return CliRunner().invoke(commands, words + ["--json"] * as_json)
+
+    def test_daemons_that_agree_are_well(self) -> None:
+        done = self.run_fleet(said(), said(daemon="a-2"))
+        self.assertEqual(done.exit_code, 0, done.output)
+        self.assertIn("1 of 2", done.stdout)
+
+    def test_what_is_not_well_ends_with_1(self) -> None:
+        for name, other in (
+            ("another version", said(configuration=6)),
+            ("a refusal", said(refused="bad")),
+            ("not ready", said(readiness="refreshing")),
+            ("no answer", silent()),
+        ):
+            with self.subTest(name):
+                self.assertEqual(self.run_fleet(said(), other).exit_code, 1)
+
+    def test_a_daemon_without_an_answer_has_its_line(self) -> None:
+        done = self.run_fleet(said(), silent())
+        self.assertIn("No answer from 10.0.0.2:1", done.stdout)
+
+    def test_nobody_answers(self) -> None:
+        self.assertEqual(self.run_fleet(silent(), silent()).exit_code, 3)
+
+    def test_json_has_each_daemon(self) -> None:
+        done = self.run_fleet(said(), silent(), as_json=True)
+        first, second = json.loads(done.stdout)["daemons"]
+        self.assertEqual(
+            (first["status"]["configuration"], first["problem"]), (7, None)
+        )
+        self.assertIsNone(second["status"])
+        self.assertIn("it is down", second["problem"])
--- a/tests/command_line/test_pages.py
+++ b/tests/command_line/test_pages.py
@@ -10,6 +10,7 @@
 from tests.command_line.pages import DOCS, OPERATIONS, PAGES, ROOT, lines_with
 
 ADDRESS = "10.0.0.7:7000"
+ADDRESSES = ("ADMIN", "ADMIN-2", "HOST")
 
 
 def parse(words: list[str]) -> click.Context:
@@ -18,7 +19,7 @@
     Raises:
         click.ClickException: The tool would refuse it as wrongly used.
     """
-    filled = [ADDRESS if word in ("ADMIN", "HOST") else word for word in words]
+    filled = [ADDRESS if word in ADDRESSES else word for word in words]
     context = commands.make_context("lavendertide", filled)
     name, command, rest = commands.resolve_command(context, filled)
     assert command is not None
--- a/tests/processes/test_product_operations.py
+++ b/tests/processes/test_product_operations.py
@@ -72,6 +72,7 @@
         host = self.launcher.callers["association-0"]
         filled = {
             "ADMIN": self.launcher.admins["association-0"],
+            "ADMIN-2": self.launcher.admins["koinopraxia-0"],
             "HOST": host,
             "OPERATOR-KEY": OPERATOR_KEY,
             "OWNER-KEY": OWNER_KEY,
