--- a/tests/command_line/test_fleet.py
+++ b/tests/command_line/test_fleet.py
@@ -9,12 +9,11 @@
 from returns.result import Failure, Success
 from returns.result import Result as Answered
 
+from lavendertide.admin_client import AdminClient
 from lavendertide.command_line.main import commands
 from lavendertide.encodings.admin_json import MemberDocument, StatusDocument
 from lavendertide.errors import Refusal, unreachable
 
-STATUS = "lavendertide.admin_client.AdminClient.status"
-
 
 def said(**changes: Any) -> Success[StatusDocument]:
     """Returns what a daemon says that serves, with changes."""
@@ -55,10 +54,15 @@
         self, *answers: Answered[StatusDocument, Refusal], as_json: bool = False
     ) -> Result:
         """Runs the command against daemons that give these answers."""
+        by_address = {f"10.0.0.{n}:1": answer for n, answer in enumerate(answers, 1)}
         words = ["fleet", "--key", "k"]
-        for number in range(len(answers)):
-            words += ["--admin", f"10.0.0.{number + 1}:1"]
-        with mock.patch(STATUS, side_effect=list(answers)):
+        for address in by_address:
+            words += ["--admin", address]
+
+        def answer_of(client: AdminClient) -> Answered[StatusDocument, Refusal]:
+            return by_address[client._address]
+
+        with mock.patch.object(AdminClient, "status", answer_of):
             return CliRunner().invoke(commands, words + ["--json"] * as_json)
 
     def test_daemons_that_agree_are_well(self) -> None:
