--- a/lavendertide/command_line/main.py
+++ b/lavendertide/command_line/main.py
@@ -10,6 +10,7 @@
 from lavendertide.command_line import callers, operators, output
 from lavendertide.command_line.check import check, settings
 from lavendertide.command_line.completion import completion
+from lavendertide.command_line.fleet import fleet
 from lavendertide.command_line.reports import report
 
 
@@ -19,7 +20,7 @@
     """Queries and operates a lavendertide fleet.
 
     Exit codes: 0 good; 1 refused, partial or not known to have run; 2 wrong usage or a
-    missing library; 3 nobody could be reached.
+    missing library; 3 nobody could be reached; 130 interrupted.
     """
 
 
@@ -29,6 +30,7 @@
     callers.redeem,
     callers.outcome,
     operators.status,
+    fleet,
     operators.configuration,
     operators.plan,
     operators.books,
@@ -45,7 +47,16 @@
 def main() -> None:
     """Runs the command line; an error is one line and never a traceback."""
     try:
-        commands(prog_name="lavendertide")
+        sys.exit(commands(prog_name="lavendertide", standalone_mode=False))
+    except click.ClickException as error:
+        error.show()
+        sys.exit(error.exit_code)
+    except click.Abort:
+        click.echo("lavendertide: interrupted; what was sent may still run.", err=True)
+        sys.exit(output.EXIT_INTERRUPTED)
+    except OSError as error:
+        click.echo(f"lavendertide: cannot write the output: {error}.", err=True)
+        sys.exit(output.EXIT_REFUSED)
     except Exception as error:
         click.echo(f"lavendertide: internal error: {error!r}. Report it.", err=True)
         sys.exit(output.EXIT_REFUSED)
--- a/tests/configuration/test_watchers.py
+++ b/tests/configuration/test_watchers.py
@@ -2,7 +2,6 @@
 
 import unittest
 from collections import Counter
-from dataclasses import replace
 
 from returns.result import Failure, Result, Success
 
@@ -11,41 +10,18 @@
 from lavendertide.configuration.service_watch import ServiceWatch
 from lavendertide.configuration.watchers import WATCHERS_PER_DOMAIN, is_watcher
 from lavendertide.errors import Fault, Refusal, RefusalKind
-from lavendertide.ids import (
-    Address,
-    ConfigurationVersion,
-    DaemonId,
-    FailureDomain,
-    HostId,
-    Incarnation,
-    Region,
-)
-from lavendertide.messages import MemberRecord, MemberState
+from lavendertide.ids import ConfigurationVersion
+from lavendertide.messages import MemberRecord
 from lavendertide.runtime import clock
+from standins.records import member_record
 from tests.configuration.published import bad_publication, published
 
-MEMBER = MemberRecord(
-    DaemonId("d"),
-    HostId("h"),
-    Region("r"),
-    FailureDomain("a"),
-    Address("10.0.0.1:1"),
-    Address("10.0.0.1:2"),
-    Incarnation(1),
-    MemberState.SERVING,
-)
+MEMBER = member_record("d", "r", "a")
 
 
 def members(count: int, domain: str) -> list[MemberRecord]:
     """Returns members of one failure domain."""
-    return [
-        replace(
-            MEMBER,
-            daemon=DaemonId(f"{domain}-{number}"),
-            failure_domain=FailureDomain(domain),
-        )
-        for number in range(count)
-    ]
+    return [member_record(f"{domain}-{n}", "r", domain) for n in range(count)]
 
 
 def watchers(fleet: list[MemberRecord], version: int) -> list[MemberRecord]:
@@ -90,12 +66,14 @@
     def __init__(self, *answers: Result[bytes | None, Refusal]) -> None:
         self.answers = list(answers)
         self.asked: list[int] = []
+        self.waits_s: list[float] = []
 
     def watch(
         self, known: ConfigurationVersion, wait_s: float
     ) -> Result[bytes | None, Refusal]:
         """Answers the next call."""
         self.asked.append(known)
+        self.waits_s.append(wait_s)
         return self.answers.pop(0)
 
 
@@ -127,6 +105,12 @@
         self.assertEqual(configuration.version, 3)
         self.assertGreaterEqual(pauses[1], service_watch.RETRY_MIN_S)
 
+    def test_the_end_of_a_failure_is_seen_without_a_long_wait(self) -> None:
+        reader = FakeReader(Failure(refusal()), Success(None), Success(None))
+        self.watch(reader, 3)
+        watch_s = service_watch.WATCH_S
+        self.assertEqual(reader.waits_s, [watch_s, 0.0, watch_s])
+
     def test_an_older_version_is_not_adopted_and_not_read_in_a_loop(self) -> None:
         reader = FakeReader(Success(published(3)), Success(published(2)))
         configuration, pauses = self.watch(reader, 2)
--- a/tests/processes/test_configuration_service.py
+++ b/tests/processes/test_configuration_service.py
@@ -12,9 +12,9 @@
 from tests.processes.test_configuration_spread import (
     DEADLINE_MS,
     HOSTS_WITH_A_SPARE,
-    TIMEOUT_S,
     FleetTestCase,
 )
+from tests.processes.waiting import GIVE_UP_S
 
 OWNERS = (smaller(ASSOCIATION, 2, 4),)
 NAME = "association-3"
@@ -69,7 +69,7 @@
     def kinds_until(self, awaited: str, name: str) -> set[str]:
         """Searches until an awaited refusal comes; returns all kinds of answers."""
         kinds: set[str] = set()
-        ends_at_s = time.monotonic() + TIMEOUT_S
+        ends_at_s = time.monotonic() + GIVE_UP_S
         while awaited not in kinds and time.monotonic() < ends_at_s:
             match self.search(name):
                 case Failure(refusal):
--- a/tests/processes/test_queries_overload.py
+++ b/tests/processes/test_queries_overload.py
@@ -8,7 +8,8 @@
 
 from standins.deployment import KOINOPRAXIA, OwnerSpec, smaller
 from standins.launcher import Launcher
-from tests.processes.callers import SearchLoad, client_of, wait_until
+from tests.processes.callers import SearchLoad, client_of
+from tests.processes.waiting import eventually
 
 SHARDS = 4
 HOSTS = 2
@@ -67,7 +68,7 @@
     def test_the_excess_is_refused_and_the_rest_is_whole(self) -> None:
         before = self.sub_requests()
         with self.load(CALLERS) as load:
-            wait_until(lambda: "over_capacity" in load.refusals)
+            eventually(lambda: "over_capacity" in load.refusals)
             load.wait_for(100)
             already = len(load.answers)
             load.wait_for(200)
@@ -81,16 +82,16 @@
 
     def test_another_index_is_not_refused_meanwhile(self) -> None:
         with self.load(CALLERS) as load:
-            wait_until(lambda: "over_capacity" in load.refusals)
+            eventually(lambda: "over_capacity" in load.refusals)
             with SearchLoad(self.launcher, OTHER_KEY, OTHER_INDEX, 2) as other:
                 other.wait_for(20)
         self.assertEqual(other.refusals, [])
 
     def test_usual_load_is_answered_again_afterwards(self) -> None:
         with self.load(CALLERS) as load:
-            wait_until(lambda: "over_capacity" in load.refusals)
+            eventually(lambda: "over_capacity" in load.refusals)
             load.wait_for(50)
-        wait_until(self.is_usual_load_answered)
+        eventually(self.is_usual_load_answered)
 
     def is_usual_load_answered(self) -> bool:
         """Sends searches one after another; returns whether none is refused."""
--- a/tests/processes/test_relays_frozen.py
+++ b/tests/processes/test_relays_frozen.py
@@ -11,8 +11,9 @@
 
 from standins.deployment import KOINOPRAXIA, smaller
 from standins.launcher import Launcher
-from tests.processes.callers import client_of, wait_until
+from tests.processes.callers import client_of
 from tests.processes.holders import targets_of
+from tests.processes.waiting import eventually
 
 # Five hosts in four failure domains: the first and the last are neighbours.
 OWNERS: Final = (smaller(KOINOPRAXIA, 8, 5),)
@@ -94,16 +95,16 @@
         self.launcher.signal_daemon(self.holder, signal.SIGCONT)
 
     def test_searches_of_a_lost_entry_host_are_not_run_late(self) -> None:
-        wait_until(lambda: self.search(self.entry))
+        eventually(lambda: self.search(self.entry))
         asked = self.requests_of(self.entry)
         self.launcher.signal_daemon(self.holder, signal.SIGSTOP)
         before = self.requests_of(self.holder)
         senders = self.begin(lambda _: self.search(self.entry))
         # Each search asks all targets near to it at once, its own among them.
-        wait_until(lambda: self.requests_of(self.entry) >= asked + REQUESTS)
+        eventually(lambda: self.requests_of(self.entry) >= asked + REQUESTS)
         self.launcher.signal_daemon(self.entry, signal.SIGKILL)
         self.end(senders)
-        wait_until(self.runs_another_order)
+        eventually(self.runs_another_order)
         self.assertEqual(self.requests_of(self.holder), before)
 
     def test_orders_of_a_lost_entry_host_are_not_run_late(self) -> None:
@@ -112,10 +113,10 @@
         senders = self.begin(
             lambda number: self.order(self.entry, tickets[number], LATE)
         )
-        wait_until(lambda: all(self.is_begun(ticket) for ticket in tickets))
+        eventually(lambda: all(self.is_begun(ticket) for ticket in tickets))
         self.launcher.signal_daemon(self.entry, signal.SIGKILL)
         self.end(senders)
-        wait_until(self.runs_another_order)
+        eventually(self.runs_another_order)
         counts = self.launcher.target_counts().values()
         self.assertEqual(sum(each["executions"].get(LATE, 0) for each in counts), 0)
 
