Revert the measure by three quarters of the shards

A host with one search in flight is cut below one although its own load is not the cause. Next try: cut only where several searches were in flight.

--- a/lavendertide/queries/capacity.py
+++ b/lavendertide/queries/capacity.py
@@ -1,9 +1,9 @@
 """Refuses searches of an owner above what an index's targets can answer in time.
 
 Each daemon bounds how many searches of an owner run over an index at a time. The bound
-follows how long most of their shards take above what they take without load: a slow or
-lost target delays a few shards, too much load delays many. Whatever is short (slots,
-the processors of holders or of this daemon), the delay shows it.
+follows how long the first half of their shards takes above what it takes without load:
+a slow or lost target delays a few shards, too much load delays most of them. Whatever
+is short (slots, the processors of holders or of this daemon), the delay shows it.
 """
 
 import math
@@ -16,7 +16,7 @@
 
 from lavendertide.errors import Fault, Refusal, RefusalKind
 from lavendertide.ids import IndexName, OwnerId
-from lavendertide.queries.coverage import GapReason, most_of
+from lavendertide.queries.coverage import GapReason
 from lavendertide.queries.query import Answer
 
 # What is left of a budget after the unloaded time; this part of it may be queueing.
@@ -31,15 +31,15 @@
 
 
 @dataclass(frozen=True, slots=True)
-class MostlyCovered:
-    """Most shards were covered after a time."""
+class HalfCovered:
+    """Half of the shards were covered after a time."""
 
     took_s: float
 
 
 @dataclass(frozen=True, slots=True)
 class Starved:
-    """Too many shards had no answer in time or no room."""
+    """At least half of the shards had no answer in time or no room."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -47,16 +47,16 @@
     """The search did not run, or failed for reasons that are not load."""
 
 
-Feedback = MostlyCovered | Starved | Inconclusive
+Feedback = HalfCovered | Starved | Inconclusive
 
 
 def feedback_of(answer: Answer) -> Feedback:
     """Returns what an answer says about the load."""
-    if answer.mostly_covered_s is not None:
-        return MostlyCovered(answer.mostly_covered_s)
+    if answer.half_covered_s is not None:
+        return HalfCovered(answer.half_covered_s)
     starved = sum(map(_is_of_load, (gap.reason for gap in answer.gaps)))
     shards = len(answer.covered) + len(answer.gaps)
-    return Starved() if starved > shards - most_of(shards) else Inconclusive()
+    return Starved() if 2 * starved >= shards else Inconclusive()
 
 
 def _is_of_load(reason: GapReason) -> bool:
@@ -160,7 +160,7 @@
         """
         self._in_flight -= 1
         match feedback:
-            case MostlyCovered(took_s):
+            case HalfCovered(took_s):
                 self._unloaded.note(took_s, now_s)
         pressure = self._pressure(feedback, budget_s)
         if pressure is not None and entered_at_s >= self._counts_from_s:
@@ -192,10 +192,10 @@
         match feedback:
             case Inconclusive():
                 return None
-            case MostlyCovered() | Starved() if is_too_short:
+            case HalfCovered() | Starved() if is_too_short:
                 # It would be late without load, too.
                 return 0.0
-            case MostlyCovered(took_s):
+            case HalfCovered(took_s):
                 allowed_s = QUEUEING_SHARE * (budget_s - unloaded_s)
                 return (took_s - unloaded_s) / allowed_s
             case Starved():
--- a/lavendertide/queries/coverage.py
+++ b/lavendertide/queries/coverage.py
@@ -2,7 +2,6 @@
 
 from dataclasses import dataclass
 from enum import Enum
-from typing import Final
 
 from lavendertide.errors import Fault
 from lavendertide.ids import ShardNumber
@@ -21,9 +20,6 @@
     RESULT_TOO_LARGE = "result_too_large"
 
 
-MOST_SHARE: Final = 0.75
-
-
 @dataclass(frozen=True, slots=True)
 class Gap:
     """A shard that the answer does not cover."""
@@ -53,12 +49,6 @@
         """Whether every shard is covered."""
         return not self._gaps
 
-    @property
-    def has_most(self) -> bool:
-        """Whether most shards are covered."""
-        shard_count = len(self._answers) + len(self._gaps)
-        return len(self._answers) >= most_of(shard_count)
-
     @property
     def answers(self) -> list[Answered]:
         """The answers by shard number."""
@@ -97,11 +87,6 @@
             self._gaps[shard] = Gap(shard, gap, fault)
 
 
-def most_of(shard_count: int) -> int:
-    """Returns how many shards are most of them, one at least."""
-    return max(1, int(MOST_SHARE * shard_count))
-
-
 def gap_of_decline(reason: DeclineReason) -> tuple[GapReason, Fault]:
     """Returns what a gap is called when its last attempt was declined."""
     match reason:
--- a/lavendertide/queries/fan_out.py
+++ b/lavendertide/queries/fan_out.py
@@ -95,7 +95,7 @@
         self._asker = Asker(parts, query, pinned, attempts, self._estimate, self._inbox)
         self._policy = wait_policy(parts.policies, pinned.index)
         self._coverage = Coverage(pinned.snapshot.shard_count)
-        self._mostly_covered_s: float | None = None
+        self._half_covered_s: float | None = None
         self._is_condemned = False
         self._successor: Pinned | None = None
 
@@ -131,7 +131,7 @@
             hedges=self._attempts.hedges,
             retries=self._attempts.retries,
             deadline_ms=self._query.deadline_ms,
-            mostly_covered_s=self._mostly_covered_s,
+            half_covered_s=self._half_covered_s,
         )
 
     def _outcome(self) -> Outcome:
@@ -205,14 +205,15 @@
         self._asker.cancel_shard(reply.shard)
         if self._memory.hold(reply):
             self._coverage.cover(reply)
-            self._note_mostly_covered(now_s)
+            self._note_half_covered(now_s)
         else:
             too_large = GapReason.RESULT_TOO_LARGE
             self._coverage.explain(reply.shard, too_large, Fault.CALLER)
 
-    def _note_mostly_covered(self, now_s: float) -> None:
-        if self._coverage.has_most and self._mostly_covered_s is None:
-            self._mostly_covered_s = now_s - self._started_at_s
+    def _note_half_covered(self, now_s: float) -> None:
+        is_half = 2 * self._coverage.covered_count >= self._pinned.snapshot.shard_count
+        if is_half and self._half_covered_s is None:
+            self._half_covered_s = now_s - self._started_at_s
 
     def _take_decline(
         self, attempt: Attempt, reason: DeclineReason, now_s: float
--- a/lavendertide/queries/query.py
+++ b/lavendertide/queries/query.py
@@ -67,7 +67,7 @@
         hedges: Those of them that were sent while another was open.
         retries: Those of them that followed a failed one.
         deadline_ms: The budget that was in force.
-        mostly_covered_s: Time until most shards were covered, none if never.
+        half_covered_s: Time until half of the shards were covered, none if never.
     """
 
     query: QueryId
@@ -80,7 +80,7 @@
     hedges: int
     retries: int
     deadline_ms: int
-    mostly_covered_s: float | None = None
+    half_covered_s: float | None = None
 
 
 def fingerprint_of(
