Bound an owner only on hosts where it has several searches in flight

Cause: on hosts short of processor time a search is slow whoever else sends.

Ruled out: a least limit of two searches, which six hosts overran together.

Change: a limit is cut only if the round saw four searches of the owner in flight on this host, or refused some.

--- a/lavendertide/queries/capacity.py
+++ b/lavendertide/queries/capacity.py
@@ -3,7 +3,8 @@
 Each daemon bounds how many searches of an owner run over an index at a time. The bound
 follows how long the first half of their shards takes above what it takes without load:
 a slow or lost target delays a few shards, too much load delays most of them. Whatever
-is short (slots, the processors of holders or of this daemon), the delay shows it.
+is short (slots, the processors of holders or of this daemon), the delay shows it. An
+owner with a few searches in flight here is not what delays them, and is not bounded.
 """
 
 import math
@@ -26,6 +27,7 @@
 ROUND_MIN_SEARCHES: Final = 4
 CONGESTED_MIN_S: Final = 0.25
 RELEASE_S: Final = 2.0
+OWN_LOAD_MIN_SEARCHES: Final = 4
 UNLOADED_WINDOW_S: Final = 30.0
 BUDGET_MIN_UNLOADED: Final = 2.0
 
@@ -116,6 +118,11 @@
         is_long = now_s - self.began_at_s >= ROUND_MIN_S
         return is_long and len(self.pressures) >= ROUND_MIN_SEARCHES
 
+    @property
+    def is_own_load(self) -> bool:
+        """Whether the owner sends so much that its searches can delay each other."""
+        return self.refused > 0 or self.most_in_flight >= OWN_LOAD_MIN_SEARCHES
+
 
 class Capacity:
     """How many searches of one owner over one index run here at a time.
@@ -206,7 +213,7 @@
         if pressure <= 1.0:
             self._congested_since_s = math.inf
             self._raise(pressure)
-        else:
+        elif self._round.is_own_load:
             began_at_s = self._round.began_at_s
             self._congested_since_s = min(self._congested_since_s, began_at_s)
             if now_s - self._congested_since_s >= CONGESTED_MIN_S:
