--- a/bench/load.py
+++ b/bench/load.py
@@ -11,12 +11,13 @@
 import random
 import sys
 import time
-from dataclasses import asdict, dataclass
+from dataclasses import asdict
 from pathlib import Path
 from typing import Any, TextIO
 
 import urllib3
 
+from bench.samples import LoadSpec, Sample
 from lavendertide.runtime import tasks
 
 CONNECTIONS = 64
@@ -24,50 +25,6 @@
 GRACE_S = 3.0
 
 
-@dataclass(frozen=True)
-class LoadSpec:
-    """What one process of callers does.
-
-    Attributes:
-        hosts: Addresses of the entry hosts, used in turn.
-        starts_at_s: Monotonic time of the first arrival.
-    """
-
-    hosts: tuple[str, ...]
-    key: str
-    index: str
-    rate_per_s: float
-    duration_s: float
-    deadline_ms: int
-    seed: int
-    starts_at_s: float
-    output: str
-
-
-@dataclass(frozen=True)
-class Sample:
-    """What one caller saw.
-
-    Attributes:
-        at_s: Arrival, in seconds since the start.
-        status: HTTP status, zero if the connection broke.
-        covered: Shards that the answer covers.
-        shards: Shards of the version.
-        attempts: Sub-requests that the tier sent.
-        version: The version that the answer names.
-        mixed: Whether a row came from another version.
-    """
-
-    at_s: float
-    latency_ms: float
-    status: int
-    covered: int
-    shards: int
-    attempts: int
-    version: int
-    mixed: bool
-
-
 class Callers:
     """Sends the searches of one specification."""
 
@@ -87,7 +44,8 @@
             tasks.sleep(max(0.0, arrival_s - time.monotonic()))
             tasks.spawn(self._search, number, arrival_s)
             number += 1
-            arrival_s += self._random.expovariate(self._spec.rate_per_s)
+            if number + 1 >= self._spec.burst:
+                arrival_s += self._random.expovariate(self._spec.rate_per_s)
         tasks.sleep(self._spec.deadline_ms / 1000 + GRACE_S)
 
     def _search(self, number: int, arrival_s: float) -> None:
@@ -101,6 +59,7 @@
             attempts=answer.get("attempts", 0),
             version=answer.get("version", 0),
             mixed=_is_mixed(answer),
+            refusal=answer.get("kind", ""),
         )
         self._output.write(json.dumps(asdict(sample)) + "\n")
 
--- a/bench/query_path.py
+++ b/bench/query_path.py
@@ -3,8 +3,8 @@
 `python -m bench.query_path` runs every policy through every scenario at today's sizes
 and prints a table and one line of JSON. Bounds come from the stated target: p99 within
 120 ms, no slot or connection breach, no answer that mixes versions, a neighbour's p99
-unharmed. `--quick` runs the chosen policy only. Each scenario is also written as a
-run for `lavendertide report`.
+unharmed, no refusal but under overload, and then early. `--quick` runs the chosen
+policy only. Each scenario is also written as a run for `lavendertide report`.
 """
 
 import argparse
@@ -26,7 +26,9 @@
 from bench.revision import revision
 from bench.run_file import Variants, write_run
 from bench.scenarios import (
+    BurstAtStart,
     Calm,
+    DistantDomains,
     KilledDaemon,
     KilledReplica,
     NeighbourOverload,
@@ -39,6 +41,8 @@
 from lavendertide.reports.run import FaultRecord, RunHeader
 
 P99_BOUND_MS = 120.0
+COVERAGE_UNDER_OVERLOAD_MIN = 0.99
+REFUSAL_BOUND_MS = 5.0
 FULL_DURATION_S = 12.0
 RUNS = Path("build/runs")
 SCENARIOS: tuple[Scenario, ...] = (
@@ -48,6 +52,8 @@
     KilledDaemon("association-1"),
     NeighbourOverload("employer", "voucher-finder", 400.0),
     VersionChange("venue-desk"),
+    BurstAtStart(40),
+    DistantDomains(0.005, 0.020, 0.001),
 )
 
 
@@ -63,6 +69,21 @@
             found.append(f"{key}: {summary.mixed} answers mix versions")
         if summary.p99_ms > P99_BOUND_MS:
             found.append(f"{key}: p99 is {summary.p99_ms:.0f} ms")
+    return found + _problems_of_load(measurement)
+
+
+def _problems_of_load(measurement: Measurement) -> list[str]:
+    """Returns which bounds on refusals a run has missed."""
+    found = []
+    for key, summary in measurement.callers.items():
+        if key != measurement.overloaded:
+            if summary.refused:
+                found.append(f"{key}: {summary.refusals} without overload")
+            continue
+        if summary.coverage < COVERAGE_UNDER_OVERLOAD_MIN:
+            found.append(f"{key}: answers cover {summary.coverage:.3f}")
+        if summary.refused_p50_ms > REFUSAL_BOUND_MS:
+            found.append(f"{key}: refused after {summary.refused_p50_ms:.1f} ms")
     return found
 
 
@@ -73,7 +94,8 @@
             f"| {measurement.scenario} | {measurement.policy} | {key} "
             f"| {summary.searches} | {summary.p50_ms:.1f} | {summary.p99_ms:.1f} "
             f"| {summary.p999_ms:.1f} | {summary.coverage:.5f} | {summary.whole:.4f} "
-            f"| {summary.refused} | {summary.broken} | {summary.extra_load:.4f} "
+            f"| {summary.refused} | {summary.refused_p50_ms:.1f} | {summary.broken} "
+            f"| {summary.extra_load:.4f} "
             f"| {measurement.slot_breaches} | {measurement.connection_breaches} "
             f"| {measurement.cpu_us:.0f} |",
             flush=True,
@@ -82,8 +104,8 @@
 
 HEADER = (
     "| scenario | policy | plan | searches | p50 ms | p99 ms | p99.9 ms | coverage "
-    "| whole | refused | broken | extra load | slot breaches | connection breaches "
-    "| CPU us/sub-request |\n" + "|---" * 15 + "|"
+    "| whole | refused | refused p50 ms | broken | extra load | slot breaches "
+    "| connection breaches | CPU us/sub-request |\n" + "|---" * 16 + "|"
 )
 
 
--- a/bench/query_run.py
+++ b/bench/query_run.py
@@ -8,10 +8,19 @@
 from pathlib import Path
 from typing import Any
 
-from bench.load import LoadSpec, Sample
 from bench.process_stats import read_process_stats
 from bench.run_file import Variants
-from bench.scenarios import KilledDaemon, NeighbourOverload, Scenario, induce, name_of
+from bench.samples import LoadSpec, Sample
+from bench.scenarios import (
+    BurstAtStart,
+    DistantDomains,
+    KilledDaemon,
+    NeighbourOverload,
+    Scenario,
+    induce,
+    name_of,
+    set_out,
+)
 from bench.summary import Summary, read_samples, summarise
 from standins.deployment import ASSOCIATION, KOINOPRAXIA, OwnerSpec
 from standins.launcher import Launcher
@@ -37,6 +46,7 @@
     """One policy in one scenario.
 
     Attributes:
+        overloaded: The plan that sends too much, none in most scenarios.
         callers: What the callers of each plan saw.
         sub_requests: Sub-requests that the targets took.
         cpu_us: Processor time of all daemons for one sub-request.
@@ -44,6 +54,7 @@
 
     policy: str
     scenario: str
+    overloaded: str | None
     callers: dict[str, Summary]
     sub_requests: int
     slot_breaches: int
@@ -64,9 +75,11 @@
         seed=seed,
         target_processes=TARGET_PROCESSES,
         overrides=POLICIES[policy],
+        has_link_faults=isinstance(scenario, DistantDomains),
     )
     with launcher.running():
         _give_targets_a_tail(launcher)
+        set_out(scenario, launcher)
         specs = _load_specs(scenario, launcher, duration_s, seed, folder)
         cpu_before_s = _daemons_cpu_s(launcher)
         processes = [start_load(spec, folder) for spec in specs]
@@ -81,6 +94,7 @@
     measurement = Measurement(
         policy=policy,
         scenario=name_of(scenario),
+        overloaded=scenario.key if isinstance(scenario, NeighbourOverload) else None,
         callers={key: summarise(samples) for key, samples in seen.items()},
         sub_requests=sub_requests,
         slot_breaches=sum(count["slot_breaches"] for count in counts),
@@ -124,6 +138,7 @@
             seed=seed,
             starts_at_s=starts_at_s,
             output=str(folder / f"{key}.jsonl"),
+            burst=scenario.searches if isinstance(scenario, BurstAtStart) else 0,
         )
         for key, rate in rates.items()
     ]
--- a/lavendertide/daemon/daemon.py
+++ b/lavendertide/daemon/daemon.py
@@ -118,6 +118,10 @@
             self._pauses,
         )
         follow_owners(self._metrics, self._serving.parts, self._pool)
+        self._metrics.follow_hedging(
+            lambda: self._serving.parts.hedge_budgets.withheld,
+            lambda: self._serving.parts.timings.last_estimates,
+        )
 
     def run(self) -> None:
         """Serves until SIGTERM, then finishes what is in flight."""
@@ -161,6 +165,7 @@
             self._shares.allocator,
             self._in_flight,
             self._keeper,
+            self._pauses,
         )
 
     def _caller_front(self) -> CallerFront:
--- a/lavendertide/queries/asking.py
+++ b/lavendertide/queries/asking.py
@@ -8,7 +8,11 @@
 from lavendertide.messages import Operation, SubReply, SubRequest
 from lavendertide.queries.attempts import Attempt, Attempts, ShardTries
 from lavendertide.queries.deadline import ATTEMPT_FLOOR_S
-from lavendertide.queries.hedging import hedge_delay_s, hedge_earning
+from lavendertide.queries.hedging import (
+    WithheldCause,
+    hedge_delay_s,
+    hedge_earning,
+)
 from lavendertide.queries.parts import FanOutParts
 from lavendertide.queries.pinning import Pinned
 from lavendertide.queries.query import Query
@@ -40,10 +44,12 @@
         self._inbox = inbox
         self._schedule = Schedule()
         self._tries: dict[ShardNumber, ShardTries] = {}
-        self._hedge_delay_s = hedge_delay_s(parts.policies.hedging, estimate)
         self._cap_s = estimate.cap_s if estimate else None
         self._rounds = wait_policy(parts.policies, pinned.index)
         self._hedges = parts.hedge_budgets.of(query.plan.owner)
+        self._hedge_delay_s = hedge_delay_s(
+            parts.policies.hedging, estimate, self._hedges.has_surplus
+        )
         self._retries = parts.retry_budgets.of(query.plan.owner)
         self._rounds_due = 0
         self._is_stopped = False
@@ -87,14 +93,20 @@
             self._ask_next(shard, now_s)
         return True
 
+    def note_handover(self, shard: ShardNumber) -> None:
+        """Notes that no daemon could use the slots of a shard's replica just now."""
+        self._tries[shard].is_handed_over = True
+
     def plan_round(self, shard: ShardNumber, now_s: float) -> None:
-        """Plans to ask all replicas of a shard again, if its owner wants that."""
-        pause_s = next_round_s(self._rounds, self._tries[shard].rounds)
+        """Plans to ask all replicas of a shard again, if that has a prospect."""
+        tries = self._tries[shard]
+        pause_s = next_round_s(self._rounds, tries.rounds, tries.is_handed_over)
         if pause_s is None or self._is_stopped:
             return
-        self._rounds_due += 1
-        pause_s *= random.uniform(1.0, 1.0 + ROUND_PAUSE_JITTER)
-        self._schedule.add(now_s + pause_s, RoundDue(shard))
+        at_s = now_s + pause_s * random.uniform(1.0, 1.0 + ROUND_PAUSE_JITTER)
+        if self._query.deadline.allows_attempt(at_s):
+            self._rounds_due += 1
+            self._schedule.add(at_s, RoundDue(shard))
 
     def begin_round(self, shard: ShardNumber, now_s: float) -> None:
         """Asks the replicas of a shard again, within the retry budget."""
@@ -113,10 +125,14 @@
         place = self._tries[straggler.shard].next_place
         if place is None:
             return
-        if self._parts.reports.may_hedge(place.target, now_s) and self._hedges.spend():
-            self._ask_next(straggler.shard, now_s, is_hedge=True)
+        if not self._parts.reports.may_hedge(place.target, now_s):
+            self._hedges.note_withheld(WithheldCause.NO_ROOM)
+        elif not self._hedges.spend():
+            self._hedges.note_withheld(WithheldCause.NO_BUDGET)
         else:
-            self._schedule.add(now_s + self._hedge_delay_s, HedgeDue(attempt))
+            self._ask_next(straggler.shard, now_s, is_hedge=True)
+            return
+        self._schedule.add(now_s + self._hedge_delay_s, HedgeDue(attempt))
 
     def close(self, attempt: AttemptId) -> Attempt | None:
         """Ends an attempt that was replied to; none if nobody waits for it."""
--- a/lavendertide/queries/fan_out.py
+++ b/lavendertide/queries/fan_out.py
@@ -95,6 +95,7 @@
         self._asker = Asker(parts, query, pinned, attempts, self._estimate, self._inbox)
         self._policy = wait_policy(parts.policies, pinned.index)
         self._coverage = Coverage(pinned.snapshot.shard_count)
+        self._mostly_covered_s: float | None = None
         self._is_condemned = False
         self._successor: Pinned | None = None
 
@@ -104,18 +105,15 @@
         return self._successor
 
     def run(self) -> None:
-        """Runs until whole, out of time, out of replicas or out of its version."""
-        now_s = self._started_at_s
-        for shard in self._asker.ask_every_shard(now_s):
-            self._coverage.explain(shard, self._why_unasked(shard, now_s), Fault.TARGET)
-        while not self._is_over(now_s):
-            first = self._inbox.receive(self._wait_s(now_s))
-            now_s = clock.monotonic_s()
-            if first is not None:
-                for reply in self._inbox.receive_ready(first, REPLIES_PER_TURN_MAX):
-                    self._take(reply, now_s)
-            self._act_on_moments(now_s)
-        self._end(now_s)
+        """Runs until whole, out of time, out of replicas or out of its version.
+
+        Whatever ends it, no attempt stays open, since an open hedge takes up the room
+        of its target for the hedges of other queries.
+        """
+        try:
+            self._run()
+        finally:
+            self._asker.cancel_all()
 
     def answer(self) -> Answer:
         """Returns what was covered, and says of every other shard why not."""
@@ -130,8 +128,22 @@
             hedges=self._attempts.hedges,
             retries=self._attempts.retries,
             deadline_ms=self._query.deadline_ms,
+            mostly_covered_s=self._mostly_covered_s,
         )
 
+    def _run(self) -> None:
+        now_s = self._started_at_s
+        for shard in self._asker.ask_every_shard(now_s):
+            self._coverage.explain(shard, self._why_unasked(shard, now_s), Fault.TARGET)
+        while not self._is_over(now_s):
+            first = self._inbox.receive(self._wait_s(now_s))
+            now_s = clock.monotonic_s()
+            if first is not None:
+                for reply in self._inbox.receive_ready(first, REPLIES_PER_TURN_MAX):
+                    self._take(reply, now_s)
+            self._act_on_moments(now_s)
+        self._end(now_s)
+
     def _outcome(self) -> Outcome:
         if self._coverage.covered_count:
             return Outcome.RAN
@@ -179,7 +191,7 @@
                 self._timing.observe(now_s - attempt.sent_at_s, now_s)
                 self._parts.reports.hear(target, reply.spare_slots, now_s)
                 self._parts.reports.observations.note_answer(target, index, now_s)
-                self._cover(reply)
+                self._cover(reply, now_s)
             case Answered():
                 self._take_loss(attempt, LossReason.MISMATCHED_REPLY, now_s)
             case Declined(reason=reason, spare_slots=spare_slots):
@@ -199,14 +211,19 @@
             and reply.version == self._pinned.snapshot.version
         )
 
-    def _cover(self, reply: Answered) -> None:
+    def _cover(self, reply: Answered, now_s: float) -> None:
         self._asker.cancel_shard(reply.shard)
         if self._memory.hold(reply):
             self._coverage.cover(reply)
+            self._note_mostly_covered(now_s)
         else:
             too_large = GapReason.RESULT_TOO_LARGE
             self._coverage.explain(reply.shard, too_large, Fault.CALLER)
 
+    def _note_mostly_covered(self, now_s: float) -> None:
+        if self._coverage.has_most and self._mostly_covered_s is None:
+            self._mostly_covered_s = now_s - self._started_at_s
+
     def _take_decline(
         self, attempt: Attempt, reason: DeclineReason, now_s: float
     ) -> None:
@@ -219,6 +236,8 @@
                 self._parts.holdings.deny(attempt.place.target, version, now_s)
             case DeclineReason.QUEUED_TOO_LONG:
                 self._timing.observe(now_s - attempt.sent_at_s, now_s)
+            case DeclineReason.NO_LEASE | DeclineReason.STALE_VIEW:
+                self._asker.note_handover(attempt.shard)
             case _:
                 pass
         self._try_elsewhere(attempt, *gap_of_decline(reason), now_s)
@@ -272,7 +291,6 @@
     def _end(self, now_s: float) -> None:
         for attempt in self._attempts.open:
             self._observe_unanswered(now_s - attempt.sent_at_s, now_s)
-        self._asker.cancel_all()
         gaps = self._coverage.gaps
         if self._coverage.covered_count > len(gaps) and not any(
             gap.reason is GapReason.VERSION_NOT_HELD for gap in gaps
--- a/lavendertide/targets/connection.py
+++ b/lavendertide/targets/connection.py
@@ -18,6 +18,7 @@
     Lost,
     SubReply,
 )
+from lavendertide.poison.quarantine import Permission
 from lavendertide.runtime import clock, tasks
 from lavendertide.targets.condition import Reach
 from lavendertide.targets.exchange import (
@@ -50,12 +51,16 @@
 
 @dataclass(slots=True)
 class LaneTasks:
-    """What the tasks of one lane share."""
+    """What the tasks of one lane share.
+
+    Attributes:
+        wake_ups: Wakes one connection that waits for a job.
+    """
 
     lane: Lane
     witness: CrashWitness
     timing: ExchangeTiming
-    wake_ups: tasks.Mailbox[None] = field(default_factory=tasks.Mailbox)
+    wake_ups: tasks.Mailbox[None]
     cancellations: tasks.Mailbox[Cancellation] = field(default_factory=tasks.Mailbox)
     is_closed: bool = False
 
@@ -67,17 +72,22 @@
         _open(shared, exchange)
         lane.note_opened()
         while not shared.is_closed and exchange.is_open:
-            shared.wake_ups.receive(IDLE_CHECK_S)
-            if exchange.is_open:
-                _carry_all(shared, exchange)
-            elif lane.queued:
-                shared.wake_ups.send(None)
+            job = lane.take(clock.monotonic_s())
+            if job is None:
+                shared.wake_ups.receive(IDLE_CHECK_S)
+            else:
+                _carry(shared, exchange, job)
         lane.condition.note_closed()
+        if lane.queued:
+            shared.wake_ups.send(None)
     exchange.close()
 
 
 def serve_control(shared: LaneTasks, control: TargetControl) -> None:
-    """Cancels attempts and reads the health for as long as the lane exists."""
+    """Cancels attempts and reads the health for as long as the lane exists.
+
+    A backup reads no health while it may send nothing.
+    """
     lane = shared.lane
     timing = shared.timing
     next_look_s = clock.monotonic_s() + random.uniform(0, timing.health_poll_s)
@@ -86,7 +96,7 @@
         cancellation = shared.cancellations.receive(wait_s)
         if cancellation is not None:
             cancellation.done.send(_cancel(lane, control, cancellation))
-        elif lane.condition.reach is Reach.UP:
+        elif lane.condition.reach is Reach.UP and lane.has_slots(clock.monotonic_s()):
             _look_at_health(shared, control)
             next_look_s = clock.monotonic_s() + timing.health_poll_s
         else:
@@ -109,17 +119,13 @@
         pause_s = min(REOPEN_MAX_S, 2 * pause_s)
 
 
-def _carry_all(shared: LaneTasks, exchange: TargetExchange) -> None:
-    lane = shared.lane
-    while not shared.is_closed and exchange.is_open:
-        job = lane.take(clock.monotonic_s())
-        if job is None:
-            return
-        _carry(shared, exchange, job)
-
-
 def _carry(shared: LaneTasks, exchange: TargetExchange, job: Job) -> None:
     lane = shared.lane
+    refused = _reason_to_refuse(shared, job)
+    if refused is not None:
+        lane.free(job.request.attempt)
+        job.inbox.send(Declined(job.request.attempt, refused))
+        return
     if job.is_alone and not exchange.open():
         reply: SubReply = Declined(job.request.attempt, DeclineReason.UNREACHABLE)
     else:
@@ -136,10 +142,22 @@
         case _:
             lane.free(job.request.attempt)
             _send(lane, job, reply, now_s)
-    if lane.queued:
+    # This connection takes one job itself.
+    if lane.wakeable(clock.monotonic_s()) > 1:
         shared.wake_ups.send(None)
 
 
+def _reason_to_refuse(shared: LaneTasks, job: Job) -> DeclineReason | None:
+    """Returns why a job must not run that was queued before a crash, if so."""
+    match shared.witness.permission(job.request, clock.monotonic_s()):
+        case Permission.NEVER:
+            return DeclineReason.POISONED
+        case Permission.ALONE if not job.is_alone:
+            return DeclineReason.UNREACHABLE
+        case _:
+            return None
+
+
 def _send(lane: Lane, job: Job, reply: SubReply, now_s: float) -> None:
     match reply:
         case Answered() | Declined():
--- a/lavendertide/targets/lane.py
+++ b/lavendertide/targets/lane.py
@@ -112,6 +112,10 @@
         self._place = place
         self._limit.resize(place.slots)
 
+    def has_slots(self, now_s: float) -> bool:
+        """Returns whether the lease allows anything to be sent."""
+        return self._allowance(now_s) > 0
+
     def spare_slots(self, now_s: float) -> int:
         """Returns how many slots a new job would find free."""
         return max(0, self.usable_slots(now_s) - self.slots_in_use - self.queued)
@@ -144,6 +148,8 @@
 
     def wakeable(self, now_s: float) -> int:
         """Returns how many waiting jobs could be given a slot now."""
+        if not self.queued:
+            return 0
         return min(self.queued, self.usable_slots(now_s) - self.slots_in_use)
 
     def decline_all_without_lease(self, now_s: float) -> None:
--- a/lavendertide/targets/target_pool.py
+++ b/lavendertide/targets/target_pool.py
@@ -69,6 +69,11 @@
             breaches[lane.place.owner] += lane.slot_breaches
         return dict(breaches)
 
+    @property
+    def has_waiting(self) -> bool:
+        """Whether a job waits for a slot, or a lane for the end of its last jobs."""
+        return bool(self._closing) or any(lane.queued for lane in self.lanes)
+
     def submit(
         self,
         place: TargetPlace,
@@ -144,8 +149,10 @@
         lane = Lane(
             place, lambda now_s: self._slots.allowance(target, now_s), self._index
         )
-        shared = LaneTasks(lane, self._witness, self._timing)
         budget = connection_budget(place.slots, place.connections)
+        # Each connection needs one at most; more would only find nothing to do.
+        wake_ups: tasks.Mailbox[None] = tasks.Mailbox(budget.working)
+        shared = LaneTasks(lane, self._witness, self._timing, wake_ups)
         for _ in range(budget.working):
             tasks.spawn(serve_connection, shared, self._maker.exchange(place))
         for _ in range(budget.control):
--- a/tests/bench/test_run_file.py
+++ b/tests/bench/test_run_file.py
@@ -4,8 +4,8 @@
 import unittest
 from pathlib import Path
 
-from bench.load import Sample
 from bench.run_file import latency_of, seconds_of, write_run
+from bench.samples import Sample
 from bench.scenarios import Calm, KilledReplica, fault_of
 from lavendertide.reports.page import render_page
 from lavendertide.reports.run import FaultRecord, RunHeader, parse_run
@@ -26,6 +26,7 @@
         attempts=SHARDS + 1 if status == 200 else 0,
         version=1,
         mixed=False,
+        refusal="over_plan_rate" if status not in (0, 200) else "",
     )
 
 
--- /dev/null
+++ b/tests/targets/test_connection.py
@@ -0,0 +1,161 @@
+"""Tests of `lavendertide.targets.connection`."""
+
+import unittest
+
+from lavendertide.ids import AttemptId
+from lavendertide.messages import (
+    Declined,
+    DeclineReason,
+    LossReason,
+    Lost,
+    SubReply,
+    SubRequest,
+)
+from lavendertide.poison.quarantine import Permission
+from lavendertide.runtime import clock, tasks
+from lavendertide.targets.connection import LaneTasks, serve_connection, serve_control
+from lavendertide.targets.exchange import ExchangeTiming
+from lavendertide.targets.lane import Lane
+from tests.targets.test_lane import PLACE, job
+
+DEADLINE_S = 0.1
+POLLS = 5
+TIMING = ExchangeTiming(health_poll_s=0.005, end_margin_s=0.0)
+GIVE_UP_S = 20.0
+
+
+class CrashingExchange:
+    """A connection to a target that closes it on each request."""
+
+    def __init__(self) -> None:
+        self.run_attempts: list[AttemptId] = []
+
+    @property
+    def is_open(self) -> bool:
+        """Whether the connection can be used, which it always can."""
+        return True
+
+    def open(self) -> bool:
+        """Opens the connection."""
+        return True
+
+    def run(self, request: SubRequest, timeout_s: float) -> SubReply:
+        """Loses a request."""
+        del timeout_s
+        self.run_attempts.append(request.attempt)
+        return Lost(request.attempt, LossReason.TARGET_CLOSED)
+
+    def close(self) -> None:
+        """Closes the connection."""
+
+
+class FakeControl:
+    """Counts how often the health is read."""
+
+    def __init__(self) -> None:
+        self.looks = 0
+
+    def cancel(self, attempt: AttemptId, timeout_s: float) -> bool:
+        """Ends nothing."""
+        del attempt, timeout_s
+        return True
+
+    def is_draining(self, timeout_s: float) -> bool:
+        """Counts a look."""
+        del timeout_s
+        self.looks += 1
+        return False
+
+    def close(self) -> None:
+        """Closes nothing."""
+
+
+class FakeWitness:
+    """Lets requests run freely until the first crash."""
+
+    def __init__(self, after_crash: Permission) -> None:
+        self.now = Permission.FREELY
+        self._after_crash = after_crash
+
+    def permission(self, request: SubRequest, now_s: float) -> Permission:
+        """Returns how a request may run now."""
+        del request, now_s
+        return self.now
+
+    def note_crash(self, request: SubRequest, was_alone: bool) -> None:
+        """Notes the crash."""
+        del request, was_alone
+        self.now = self._after_crash
+
+    def note_answer(self, request: SubRequest) -> None:
+        """Takes no notice of an answer."""
+
+
+class QueuedAtACrashTest(unittest.TestCase):
+    """What waits when its target crashes does not crash it again."""
+
+    def second_reply(self, after_crash: Permission) -> SubReply | None:
+        """Runs two copies of a request; returns what became of the second one."""
+        now_s = clock.monotonic_s()
+        first = job("first", deadline_s=now_s + DEADLINE_S)
+        second = job("second", deadline_s=now_s + GIVE_UP_S)
+        lane = Lane(PLACE, lambda _: 1)
+        for each in (first, second):
+            lane.put(each, now_s).unwrap()
+        shared = LaneTasks(lane, FakeWitness(after_crash), TIMING, tasks.Mailbox())
+        self.exchange = CrashingExchange()
+        serving = tasks.spawn(serve_connection, shared, self.exchange)
+        self.addCleanup(serving.stop)
+        return second.inbox.receive(GIVE_UP_S)
+
+    def test_a_suspect_may_be_tried_elsewhere(self) -> None:
+        reply = self.second_reply(Permission.ALONE)
+        declined = Declined(AttemptId("second"), DeclineReason.UNREACHABLE)
+        self.assertEqual(reply, declined)
+        self.assertEqual(self.exchange.run_attempts, [AttemptId("first")])
+
+    def test_a_condemned_one_is_refused(self) -> None:
+        reply = self.second_reply(Permission.NEVER)
+        declined = Declined(AttemptId("second"), DeclineReason.POISONED)
+        self.assertEqual(reply, declined)
+        self.assertEqual(self.exchange.run_attempts, [AttemptId("first")])
+
+
+class HealthTest(unittest.TestCase):
+    """Only who may send to a target reads its health."""
+
+    def setUp(self) -> None:
+        self.allowed = 0
+        self.reads = 0
+        self.control = FakeControl()
+        lane = Lane(PLACE, self.allowance)
+        lane.condition.note_opened()
+        shared = LaneTasks(
+            lane, FakeWitness(Permission.FREELY), TIMING, tasks.Mailbox()
+        )
+        task = tasks.spawn(serve_control, shared, self.control)
+        self.addCleanup(task.stop)
+
+    def allowance(self, _: float) -> int:
+        """Returns how many slots the lease allows."""
+        self.reads += 1
+        return self.allowed
+
+    def wait_until_read(self, times: int) -> None:
+        """Waits until the lease was read so often."""
+        for _ in range(int(GIVE_UP_S / TIMING.health_poll_s)):
+            if self.reads >= times:
+                return
+            tasks.sleep(TIMING.health_poll_s)
+        self.fail("the lease was not read")
+
+    def test_a_backup_reads_nothing_until_it_may_send(self) -> None:
+        self.wait_until_read(POLLS)
+        self.assertEqual(self.control.looks, 0)
+        self.allowed = 1
+        self.wait_until_read(self.reads + POLLS)
+        self.assertGreater(self.control.looks, 0)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_shape.py
+++ b/tests/test_shape.py
@@ -60,6 +60,24 @@
         self.assertEqual(found, [])
 
 
+class PatchingTest(unittest.TestCase):
+    """What tests import leaves this process's sockets and threads as they are."""
+
+    def test_no_test_reaches_a_module_that_patches(self) -> None:
+        root = PACKAGE.parent
+        left = [str(path.relative_to(root)) for path in root.glob("tests/**/*.py")]
+        seen: set[str] = set()
+        while left:
+            name = left.pop()
+            if name in seen or not (root / name).is_file():
+                continue
+            seen.add(name)
+            for module in imports_of(root / name):
+                left.append(f"{module.replace('.', '/')}.py")
+        self.assertNotIn("lavendertide/runtime/patching.py", seen)
+        self.assertIn("lavendertide/runtime/tasks.py", seen)
+
+
 class ModulesTest(unittest.TestCase):
     """A newcomer finds in each module what it is for."""
 
