--- a/bench/data_path_slopes.py
+++ b/bench/data_path_slopes.py
@@ -17,10 +17,10 @@
 from dataclasses import asdict, dataclass
 from pathlib import Path
 
-from bench.load import LoadSpec
 from bench.process_stats import ProcessStats, read_process_stats
 from bench.query_run import START_DELAY_S, start_load
 from bench.revision import revision
+from bench.samples import LoadSpec
 from bench.summary import read_samples, summarise
 from standins.deployment import IndexSpec, OwnerSpec, PlanSpec
 from standins.launcher import Launcher
--- a/bench/query_run.py
+++ b/bench/query_run.py
@@ -8,9 +8,9 @@
 from pathlib import Path
 from typing import Any
 
-from bench.load import LoadSpec, Sample
 from bench.process_stats import read_process_stats
 from bench.run_file import Variants
+from bench.samples import LoadSpec, Sample
 from bench.scenarios import (
     BurstAtStart,
     DistantDomains,
--- a/bench/run_file.py
+++ b/bench/run_file.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterable
 from pathlib import Path
 
-from bench.load import Sample
+from bench.samples import Sample
 from bench.summary import STATUS_OK, summarise
 from lavendertide.reports.run import (
     FaultRecord,
--- a/bench/summary.py
+++ b/bench/summary.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 from pathlib import Path
 
-from bench.load import Sample
+from bench.samples import Sample
 
 STATUS_OK = 200
 
