--- a/tests/bench/test_run_file.py
+++ b/tests/bench/test_run_file.py
@@ -4,8 +4,8 @@
 import unittest
 from pathlib import Path
 
-from bench.load import Sample
 from bench.run_file import latency_of, seconds_of, write_run
+from bench.samples import Sample
 from bench.scenarios import Calm, KilledReplica, fault_of
 from lavendertide.reports.page import render_page
 from lavendertide.reports.run import FaultRecord, RunHeader, parse_run
