Build the targets of the fleet's tests in one place

The same builder stood in the tests of ranks and of leases; both now take it from the fleet's members, which call the shared records. The tests assert the same; those of the fleet pass.

--- a/tests/fleet/members.py
+++ b/tests/fleet/members.py
@@ -1,7 +1,8 @@
-"""Members for tests."""
+"""Members and targets for tests."""
 
 from dataclasses import replace
 
+from lavendertide.configuration.catalog import TargetPlace
 from lavendertide.fleet.roster import Roster
 from lavendertide.ids import (
     Address,
@@ -12,6 +13,7 @@
     Region,
 )
 from lavendertide.messages import MemberRecord, MemberState
+from standins.records import target_place
 
 DOMAINS = ("north-a", "north-b", "north-c")
 
@@ -30,6 +32,12 @@
     )
 
 
+def place(number: int) -> TargetPlace:
+    """Returns a target in one of the failure domains of the members."""
+    failure_domain = DOMAINS[number % len(DOMAINS)]
+    return target_place(f"target-{number}", "north", failure_domain)
+
+
 def roster_of(count: int, own: int = 0) -> Roster:
     """Returns one daemon's roster of a fleet, all of whose members serve."""
     roster = Roster(member(own))
--- a/tests/fleet/test_lease_book.py
+++ b/tests/fleet/test_lease_book.py
@@ -9,36 +9,17 @@
 from lavendertide.fleet.lease import LeaseTiming, SlotLease
 from lavendertide.fleet.lease_book import LeaseBook
 from lavendertide.ids import (
-    Address,
     DaemonId,
-    FailureDomain,
-    IndexName,
-    OwnerId,
-    Region,
     TargetId,
 )
 from lavendertide.messages import MemberState, SlotClaim, SlotClaims, SlotReleases
-from tests.fleet.members import DOMAINS, member, roster_of
+from tests.fleet.members import DOMAINS, member, place, roster_of
 
 TARGETS = 60
 MEMBERS = 30
 TIMING = LeaseTiming(lease_s=2.0, attempt_s=1.0, margin_s=0.5)
 
 
-def place(number: int) -> TargetPlace:
-    """Returns a target in one of the failure domains."""
-    return TargetPlace(
-        target=TargetId(f"target-{number}"),
-        owner=OwnerId("owner"),
-        index=IndexName("index"),
-        address=Address("127.0.0.1:1"),
-        region=Region("north"),
-        failure_domain=FailureDomain(DOMAINS[number % len(DOMAINS)]),
-        slots=2,
-        connections=25,
-    )
-
-
 class LeaseBookTest(unittest.TestCase):
     """A daemon spends its ticks on what it holds, not on all targets."""
 
--- a/tests/fleet/test_ranking.py
+++ b/tests/fleet/test_ranking.py
@@ -3,32 +3,9 @@
 import random
 import unittest
 
-from lavendertide.configuration.catalog import TargetPlace
 from lavendertide.fleet.ranking import KEPT_MIN, TargetRanks, rank_for_target
-from lavendertide.ids import (
-    Address,
-    FailureDomain,
-    IndexName,
-    OwnerId,
-    Region,
-    TargetId,
-)
 from lavendertide.messages import MemberState
-from tests.fleet.members import DOMAINS, later_run, member, roster_of
-
-
-def place(number: int) -> TargetPlace:
-    """Returns a target's place."""
-    return TargetPlace(
-        target=TargetId(f"target-{number}"),
-        owner=OwnerId("owner"),
-        index=IndexName("index"),
-        address=Address("127.0.0.1:1"),
-        region=Region("north"),
-        failure_domain=FailureDomain(DOMAINS[number % len(DOMAINS)]),
-        slots=2,
-        connections=25,
-    )
+from tests.fleet.members import later_run, member, place, roster_of
 
 
 class RankForTargetTest(unittest.TestCase):
