--- a/lavendertide/configuration/adoption.py
+++ b/lavendertide/configuration/adoption.py
@@ -16,14 +16,13 @@
 from lavendertide.configuration.entries import WHOLE_DIGEST_BYTES
 from lavendertide.configuration.history import History
 from lavendertide.configuration.refused import (
-    NO_VERSION,
     RefusedPublication,
     claimed_version,
     conflict_refusal,
 )
 from lavendertide.configuration.revision import Revision, apply_delta, read_revision
 from lavendertide.errors import Fault, Refusal, RefusalKind
-from lavendertide.ids import ConfigurationDigest, ConfigurationVersion
+from lavendertide.ids import NO_VERSION, ConfigurationDigest, ConfigurationVersion
 from lavendertide.messages import (
     ConfigurationDelta,
     ConfigurationRefusal,
--- a/lavendertide/configuration/refused.py
+++ b/lavendertide/configuration/refused.py
@@ -2,15 +2,12 @@
 
 import json
 from dataclasses import dataclass
-from typing import Final
 
 from lavendertide.configuration.lists import GREATEST_VERSION
 from lavendertide.errors import Fault, Refusal, RefusalKind
-from lavendertide.ids import ConfigurationVersion
+from lavendertide.ids import NO_VERSION, ConfigurationVersion
 from lavendertide.messages import ConfigurationRefusal, ConfigurationStamp
 
-NO_VERSION: Final = ConfigurationVersion(0)
-
 
 @dataclass(frozen=True, slots=True)
 class RefusedPublication:
--- a/lavendertide/configuration/service_watch.py
+++ b/lavendertide/configuration/service_watch.py
@@ -14,9 +14,8 @@
 from returns.result import Failure, Result, Success
 
 from lavendertide.configuration.adoption import Adoption, Configuration
-from lavendertide.configuration.refused import NO_VERSION
 from lavendertide.errors import Refusal
-from lavendertide.ids import ConfigurationVersion
+from lavendertide.ids import NO_VERSION, ConfigurationVersion
 from lavendertide.runtime import clock, tasks
 
 WATCH_S: Final = 20.0
--- a/lavendertide/daemon/daemon.py
+++ b/lavendertide/daemon/daemon.py
@@ -35,6 +35,7 @@
 from lavendertide.fleet.roster import Roster
 from lavendertide.ids import (
     Address,
+    CallerKey,
     DaemonId,
     FailureDomain,
     HostId,
@@ -174,13 +175,17 @@
         return CallerFront(
             self._options.queries.body_max_bytes,
             self._roster.own,
-            AddressBook(self._roster, self._configuration, lifetime_s),
+            AddressBook(self._roster, self._plan_name, lifetime_s),
             self._readiness,
             RecordedSearches(self._serving.queries, recorder),
             RecordedTickets(self._serving.tickets, recorder),
             self._in_flight,
         )
 
+    def _plan_name(self, key: CallerKey) -> str:
+        plan = self._configuration.catalog.bind(lambda catalog: catalog.plan_of(key))
+        return plan.map(lambda found: str(found.plan)).value_or(str(key))
+
     def _administration(self, request_drain: Callable[[], None]) -> Administration:
         parts = AdminParts(
             self._roster,
--- a/lavendertide/daemon/peer_front.py
+++ b/lavendertide/daemon/peer_front.py
@@ -11,6 +11,7 @@
 from lavendertide.daemon.ticket_service import TicketService
 from lavendertide.fleet.news import FleetNews
 from lavendertide.fleet.peer_connection import PeerConnection, PeerEdge
+from lavendertide.fleet.peer_server import Outbox, PeerServer, answer_reach
 from lavendertide.fleet.peers import Peers
 from lavendertide.fleet.readiness import Readiness
 from lavendertide.fleet.roster import Roster
@@ -22,7 +23,6 @@
     Frame,
     Lost,
     PlanClaims,
-    ReachReply,
     ReachRequest,
     SubReplies,
     SubReply,
@@ -35,9 +35,6 @@
 from lavendertide.runtime.pauses import Pauses
 
 REPLIES_PER_FRAME_MAX = 128
-REACH_TIMEOUT_S = 0.7
-
-_Outbox = tasks.Mailbox[SubReply | Frame]
 
 
 class PeerFront:
@@ -71,23 +68,10 @@
 
     def serve(self, listener: socket.socket) -> None:
         """Accepts connections for as long as the listener is open."""
-        while True:
-            connection, _ = listener.accept()
-            tasks.spawn(self._serve_connection, connection)
-
-    def _serve_connection(self, accepted: socket.socket) -> None:
-        peer = self._edge.accept(accepted)
-        if peer is None:
-            return
-        self._roster.learn((peer.member,), clock.monotonic_s())
-        outbox: _Outbox = tasks.Mailbox()
-        writer = tasks.spawn(self._write, peer, outbox)
-        while (frame := peer.receive()) is not None:
-            self._take(peer, frame, outbox)
-        writer.stop()
-        peer.close()
-
-    def _take(self, peer: PeerConnection, frame: Frame, outbox: _Outbox) -> None:
+        PeerServer(self._edge, self._roster, self).serve(listener)
+
+    def take(self, peer: PeerConnection, frame: Frame, outbox: Outbox) -> None:
+        """Takes in a frame of a peer."""
         match frame:
             case SubRequests(items):
                 self._take_sub_requests(peer, items, outbox)
@@ -108,7 +92,7 @@
                     outbox.send(answer)
 
     def _take_sub_requests(
-        self, peer: PeerConnection, items: tuple[SubRequest, ...], outbox: _Outbox
+        self, peer: PeerConnection, items: tuple[SubRequest, ...], outbox: Outbox
     ) -> None:
         self._in_flight.enter(len(items))
         now_s = clock.monotonic_s()
@@ -126,30 +110,20 @@
         paused_s = self._pauses.waited_at_most_s(now_s)
         return int(min(paused_s, now_s - peer.empty_at_s) * 1000)
 
-    def _answer_ticket(self, request: TicketRequest, outbox: _Outbox) -> None:
+    def _answer_ticket(self, request: TicketRequest, outbox: Outbox) -> None:
         self._in_flight.enter()
         try:
             outbox.send(self._tickets.execute_for_peer(request))
         finally:
             self._in_flight.leave()
 
-    def _answer_reach(self, request: ReachRequest, outbox: _Outbox) -> None:
-        member = self._roster.find(request.daemon)
-        is_reached = member is not None and self._peers.link_to(member).reach(
-            REACH_TIMEOUT_S
-        )
-        outbox.send(ReachReply(request.exchange, is_reached))
-
-    def _write(self, peer: PeerConnection, outbox: _Outbox) -> None:
-        try:
-            while (first := outbox.receive()) is not None:
-                self._write_batch(peer, outbox, first)
-        except OSError:
-            peer.close()
+    def _answer_reach(self, request: ReachRequest, outbox: Outbox) -> None:
+        outbox.send(answer_reach(request, self._roster, self._peers))
 
-    def _write_batch(
-        self, peer: PeerConnection, outbox: _Outbox, first: SubReply | Frame
+    def write(
+        self, peer: PeerConnection, outbox: Outbox, first: SubReply | Frame
     ) -> None:
+        """Writes what is ready for a peer, replies to sub-requests in one frame."""
         replies: list[SubReply] = []
         for item in outbox.receive_ready(first, REPLIES_PER_FRAME_MAX):
             match item:
--- a/lavendertide/encodings/holder_frames.py
+++ b/lavendertide/encodings/holder_frames.py
@@ -17,6 +17,9 @@
         case messages.Verdicts(items):
             packed = ttypes.Verdicts([_pack_verdict(item) for item in items])
             return ttypes.Frame(verdicts=packed)
+        case messages.StallNotices(targets):
+            notices = ttypes.StallNotices(list(targets))
+            return ttypes.Frame(stall_notices=notices)
         case messages.TrialClaim(exchange, sender, fingerprint, duration_ms):
             claim = ttypes.TrialClaim(exchange, sender, fingerprint, duration_ms)
             return ttypes.Frame(trial_claim=claim)
@@ -37,6 +40,9 @@
     if union.verdicts is not None:
         verdicts = union.verdicts.items
         return messages.Verdicts(tuple(_unpack_verdict(item) for item in verdicts))
+    if union.stall_notices is not None:
+        targets = union.stall_notices.targets
+        return messages.StallNotices(tuple(TargetId(target) for target in targets))
     if union.trial_claim is not None:
         claim = union.trial_claim
         return messages.TrialClaim(
--- a/lavendertide/encodings/peer_protocol.thrift
+++ b/lavendertide/encodings/peer_protocol.thrift
@@ -203,6 +203,10 @@
   40: list<Verdict> items,
 }
 
+struct StallNotices {
+  70: list<string> targets,
+}
+
 struct TrialClaim {
   40: string exchange,
   41: string sender,
@@ -256,4 +260,5 @@
   42: TrialGrant trial_grant,
   43: SlotClaims slot_claims,
   44: SlotReleases slot_releases,
+  70: StallNotices stall_notices,
 }
--- /dev/null
+++ b/lavendertide/encodings/routes_json.py
@@ -0,0 +1,110 @@
+"""The route table as hosts send it to each other: JSON in the names of the code."""
+
+import json
+from typing import Any
+
+from lavendertide.ids import ConfigurationVersion, RouteName, ServiceName
+from lavendertide.routes.route import (
+    CallerLimits,
+    Destination,
+    GatheredShards,
+    OneService,
+    RequestKind,
+    Route,
+    Service,
+    SplitServices,
+    WeightedService,
+)
+from lavendertide.routes.table import RouteTable
+
+
+def encode_table(table: RouteTable) -> bytes:
+    """Returns a table as JSON."""
+    limits = table.limits
+    document = {
+        "version": table.version,
+        "routes": [_pack_route(route) for route in table.routes],
+        "services": [[s.name, s.connections_max] for s in table.services.values()],
+        "limits": [
+            limits.header_max_bytes,
+            limits.body_max_bytes,
+            limits.header_timeout_s,
+            limits.idle_timeout_s,
+        ],
+    }
+    return json.dumps(document, separators=(",", ":")).encode()
+
+
+def decode_table(data: bytes) -> RouteTable:
+    """Returns a table from JSON.
+
+    Raises:
+        ValueError: It is no table.
+    """
+    try:
+        document = json.loads(data)
+        services = [
+            Service(ServiceName(name), connections)
+            for name, connections in document["services"]
+        ]
+        return RouteTable(
+            ConfigurationVersion(document["version"]),
+            tuple(_unpack_route(route) for route in document["routes"]),
+            {service.name: service for service in services},
+            CallerLimits(*document["limits"]),
+        )
+    except (KeyError, TypeError, IndexError) as error:
+        raise ValueError("not a route table; run one release on all hosts") from error
+
+
+def _pack_route(route: Route) -> list[Any]:
+    return [
+        route.name,
+        route.host,
+        route.prefix,
+        route.kind.value,
+        _pack_destination(route.destination),
+        route.wait_max_s,
+        route.objective_s,
+        route.attempts_max,
+        route.priority,
+    ]
+
+
+def _pack_destination(destination: Destination) -> list[Any]:
+    match destination:
+        case OneService(service):
+            return ["one", service]
+        case SplitServices(services):
+            return ["split", [[part.service, part.weight] for part in services]]
+        case GatheredShards(shards, records_max, coverage_min):
+            return ["gathered", list(shards), records_max, coverage_min]
+
+
+def _unpack_route(packed: list[Any]) -> Route:
+    name, host, prefix, kind, destination, wait_max, objective, attempts, rank = packed
+    return Route(
+        RouteName(name),
+        host,
+        prefix,
+        RequestKind(kind),
+        _unpack_destination(destination),
+        wait_max,
+        objective,
+        attempts,
+        rank,
+    )
+
+
+def _unpack_destination(packed: list[Any]) -> Destination:
+    match packed:
+        case ["one", service]:
+            return OneService(ServiceName(service))
+        case ["split", services]:
+            parts = tuple(WeightedService(ServiceName(s), w) for s, w in services)
+            return SplitServices(parts)
+        case ["gathered", shards, records_max, coverage_min]:
+            names = tuple(ServiceName(shard) for shard in shards)
+            return GatheredShards(names, records_max, coverage_min)
+        case _:
+            raise ValueError(f"unknown destination {packed[:1]!r}")
--- a/lavendertide/fleet/addresses.py
+++ b/lavendertide/fleet/addresses.py
@@ -1,10 +1,9 @@
 """Which addresses a caller should use, and for how long."""
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from typing import Final
 
-from lavendertide.configuration.adoption import Configuration
 from lavendertide.fleet.ranking import score
 from lavendertide.fleet.roster import SILENCE_S, Roster
 from lavendertide.ids import Address, CallerKey, FailureDomain, Region
@@ -29,15 +28,22 @@
     """Answers callers from the roster.
 
     Args:
+        name_of: Returns the name by which callers share hosts, such as their plan.
         lifetime_s: How long a caller may keep an answer.
+        answer_size: How many addresses an answer holds, where there are so many.
     """
 
     def __init__(
-        self, roster: Roster, configuration: Configuration, lifetime_s: float
+        self,
+        roster: Roster,
+        name_of: Callable[[CallerKey], str],
+        lifetime_s: float,
+        answer_size: int = ANSWER_SIZE,
     ) -> None:
         self._roster = roster
-        self._configuration = configuration
+        self._name_of = name_of
         self._lifetime_s = lifetime_s
+        self._answer_size = answer_size
 
     def answer(
         self,
@@ -47,19 +53,15 @@
         now_s: float,
     ) -> AddressAnswer:
         """Returns the nearest serving hosts; callers of one plan share a few."""
-        name = self._plan_name(key)
+        name = self._name_of(key)
         serving = [m for m in self._roster.serving if self._is_usable(m, now_s)]
         chosen: list[MemberRecord] = []
         for ring in _by_distance(serving, region, failure_domain):
             chosen += sorted(ring, key=lambda member: -score(name, member.daemon))
-            if len(chosen) >= ANSWER_SIZE:
+            if len(chosen) >= self._answer_size:
                 break
-        addresses = tuple(member.caller_address for member in chosen[:ANSWER_SIZE])
-        return AddressAnswer(addresses, self._lifetime_s)
-
-    def _plan_name(self, key: CallerKey) -> str:
-        plan = self._configuration.catalog.bind(lambda catalog: catalog.plan_of(key))
-        return plan.map(lambda found: str(found.plan)).value_or(str(key))
+        addresses = tuple(member.caller_address for member in chosen)
+        return AddressAnswer(addresses[: self._answer_size], self._lifetime_s)
 
     def _is_usable(self, member: MemberRecord, now_s: float) -> bool:
         if self._roster.is_hinted_leaving(member):
--- a/lavendertide/fleet/membership.py
+++ b/lavendertide/fleet/membership.py
@@ -18,7 +18,12 @@
 from lavendertide.fleet.news import FleetNews
 from lavendertide.fleet.peers import Peers
 from lavendertide.fleet.readiness import Readiness
-from lavendertide.fleet.removal import PublishedHosts, may_suspect, removals
+from lavendertide.fleet.removal import (
+    PublishedHosts,
+    UnpublishedHosts,
+    may_suspect,
+    removals,
+)
 from lavendertide.fleet.roster import SILENCE_S, Roster
 from lavendertide.ids import DaemonId, HostId
 from lavendertide.messages import MemberState
@@ -42,6 +47,7 @@
     Args:
         period_s: Time between two rounds.
         removal_s: How long a member has to be suspect before it can be removed.
+        is_listed: Whether the platform publishes a list of hosts.
     """
 
     def __init__(
@@ -52,6 +58,7 @@
         readiness: Readiness,
         period_s: float,
         removal_s: float,
+        is_listed: bool = True,
     ) -> None:
         self._roster = roster
         self._peers = peers
@@ -59,7 +66,8 @@
         self._readiness = readiness
         self._period_s = period_s
         self._removal_s = removal_s
-        self._published = PublishedHosts()
+        self._published: PublishedHosts | UnpublishedHosts
+        self._published = PublishedHosts() if is_listed else UnpublishedHosts()
         self._checked: set[DaemonId] = set()
 
     def keep(self) -> None:
@@ -74,12 +82,13 @@
     def read_list(self, read: ListReader) -> None:
         """Reads the published list again and again, more rarely in a large fleet."""
         is_answering = True
+        published = self._published = PublishedHosts()
         while True:
             match read():
                 case Success(states):
                     is_answering = True
-                    self._published.replace(states)
-                    self._roster.hint_leaving(self._published.leaving)
+                    published.replace(states)
+                    self._roster.hint_leaving(published.leaving)
                 case Failure(refusal):
                     if is_answering:
                         _log.warning("membership list lost: %s", refusal)
--- a/lavendertide/fleet/news.py
+++ b/lavendertide/fleet/news.py
@@ -2,15 +2,13 @@
 
 import itertools
 from collections.abc import Callable
-from typing import Final
+from typing import Final, Protocol
 
-from lavendertide.configuration.adoption import Configuration
-from lavendertide.configuration.refused import NO_VERSION
-from lavendertide.configuration.spreading import Spreading
 from lavendertide.fleet.roster import Roster
-from lavendertide.ids import ConfigurationVersion, DaemonId
+from lavendertide.ids import NO_VERSION, ConfigurationVersion, DaemonId
 from lavendertide.messages import (
     ConfigurationDelta,
+    ConfigurationFrame,
     ConfigurationOffer,
     ConfigurationPull,
     ConfigurationPush,
@@ -26,14 +24,42 @@
 SENT_KEPT_MAX: Final = 512
 
 
+class Versioned(Protocol):
+    """Whatever is spread as a configuration."""
+
+    @property
+    def version(self) -> ConfigurationVersion:
+        """The version in force, zero for none."""
+
+
+class Spreader(Protocol):
+    """Exchanges the configuration with peers."""
+
+    def take(
+        self, frame: ConfigurationFrame, sender: DaemonId, now_s: float
+    ) -> ConfigurationFrame | None:
+        """Takes in a frame of a peer; returns the answer to it."""
+
+    def hear_version(
+        self, version: ConfigurationVersion, now_s: float
+    ) -> ConfigurationPull | None:
+        """Takes in a peer's version; returns a question if it is news."""
+
+    def needs_refresh(self, now_s: float) -> bool:
+        """Returns whether what is in force has yet to be confirmed."""
+
+    def refresh(self, now_s: float) -> None:
+        """Has what is in force confirmed anew."""
+
+
 class FleetNews:
     """Writes this daemon's news for peers and takes in theirs."""
 
     def __init__(
         self,
         roster: Roster,
-        configuration: Configuration,
-        spreading: Spreading,
+        configuration: Versioned,
+        spreading: Spreader,
         on_news: Callable[[], None],
     ) -> None:
         self._roster = roster
--- a/lavendertide/fleet/peers.py
+++ b/lavendertide/fleet/peers.py
@@ -12,7 +12,7 @@
 from lavendertide.fleet.peer_link import PeerLink
 from lavendertide.fleet.roster import Roster
 from lavendertide.ids import Address, AttemptId, DaemonId
-from lavendertide.messages import MemberRecord, PlanClaims, PlanGrants
+from lavendertide.messages import Frame, MemberRecord, PlanClaims, PlanGrants
 
 WATCH_BEATS: Final = 4
 RETRIES_PER_TICK: Final = 4
@@ -92,6 +92,12 @@
             if link.is_connected:
                 link.wake()
 
+    def tell_all(self, frame: Frame) -> None:
+        """Sends a frame to all connected peers."""
+        for link in self._links.values():
+            if link.is_connected:
+                link.send(frame)
+
     def poke_all(self) -> None:
         """Sends a heartbeat with the newest news to all connected peers at once."""
         for link in self._links.values():
--- a/lavendertide/fleet/removal.py
+++ b/lavendertide/fleet/removal.py
@@ -3,7 +3,7 @@
 Many members that vanish together are more likely cut off than dead, so both rules
 stop at a share of the fleet. A removal needs the published list too: it must have
 been read, it must name this daemon's own host, and it must no longer name the
-suspect's.
+suspect's. Where no list is published, a longer silence has to do.
 """
 
 from collections.abc import Mapping
@@ -28,6 +28,19 @@
     held_back: int
 
 
+class UnpublishedHosts:
+    """Stands for a published list where there is none: silence alone decides."""
+
+    @property
+    def leaving(self) -> frozenset[HostId]:
+        """No host is known to leave."""
+        return frozenset()
+
+    def misses(self, host: HostId, own_host: HostId) -> bool:
+        """Returns that no list speaks for a host."""
+        return True
+
+
 class PublishedHosts:
     """The published list as it was last read: a hint that lags."""
 
@@ -60,7 +73,10 @@
 
 
 def removals(
-    roster: Roster, published: PublishedHosts, suspected_for_s: float, now_s: float
+    roster: Roster,
+    published: PublishedHosts | UnpublishedHosts,
+    suspected_for_s: float,
+    now_s: float,
 ) -> Removals:
     """Returns who has been suspect for long enough and is no longer published."""
     own_host = roster.own.host
--- /dev/null
+++ b/lavendertide/forwarding/budget.py
@@ -0,0 +1,107 @@
+"""How many extra sub-requests this host may send to a service.
+
+The fleet as a whole may send each service a share of its requests, and a fixed number
+besides, as extra ones: second attempts, hedges and retries. Each host earns the share
+from its own requests alone and has an equal part of the fixed number, so the sum holds
+without an exchange between hosts.
+"""
+
+from collections import deque
+from dataclasses import dataclass
+from typing import Final
+
+from lavendertide.ids import ServiceName
+
+# Part of the allowance that is used; the rest covers hosts that have just restarted.
+USED_SHARE: Final = 0.8
+# Slices of the window over which arrivals are counted.
+SLICES: Final = 20
+
+
+@dataclass(frozen=True, slots=True)
+class RetryAllowance:
+    """What the whole fleet may send to a service beyond one sub-request a request.
+
+    Attributes:
+        ratio: Extra sub-requests for each request.
+        fixed: Extra sub-requests in a window besides.
+        window_s: Length of the sliding window.
+    """
+
+    ratio: float
+    fixed: float
+    window_s: float
+
+
+class _SlidingCount:
+    """Counts events over a sliding window."""
+
+    def __init__(self, window_s: float) -> None:
+        self._slice_s = window_s / SLICES
+        self._slices: deque[tuple[int, int]] = deque()
+        self._total = 0
+
+    def add(self, now_s: float) -> None:
+        number = int(now_s / self._slice_s)
+        if self._slices and self._slices[-1][0] == number:
+            self._slices[-1] = (number, self._slices[-1][1] + 1)
+        else:
+            self._slices.append((number, 1))
+        self._total += 1
+
+    def total(self, now_s: float) -> int:
+        oldest = int(now_s / self._slice_s) - SLICES
+        while self._slices and self._slices[0][0] < oldest:
+            self._total -= self._slices.popleft()[1]
+        return self._total
+
+
+@dataclass(slots=True)
+class _ServiceCounts:
+    requests: _SlidingCount
+    extra: _SlidingCount
+
+
+class RetryBudgets:
+    """The budgets of all services on this host."""
+
+    def __init__(self, allowance: RetryAllowance) -> None:
+        self._allowance = allowance
+        self._by_service: dict[ServiceName, _ServiceCounts] = {}
+
+    def note_request(self, service: ServiceName, now_s: float) -> None:
+        """Counts a caller's request for a service."""
+        self._counts(service).requests.add(now_s)
+
+    def spend(self, service: ServiceName, hosts: int, now_s: float) -> bool:
+        """Takes one extra sub-request out of the budget; returns whether there was one.
+
+        Args:
+            service: Whose targets would be asked.
+            hosts: How many hosts share the fixed part.
+            now_s: Present time, monotonic.
+        """
+        if self.left(service, hosts, now_s) < 1.0:
+            return False
+        self._counts(service).extra.add(now_s)
+        return True
+
+    def left(self, service: ServiceName, hosts: int, now_s: float) -> float:
+        """Returns how many extra sub-requests may be sent now."""
+        counts = self._counts(service)
+        earned = self._allowance.ratio * counts.requests.total(now_s)
+        fixed = self._allowance.fixed / max(1, hosts)
+        return USED_SHARE * (earned + fixed) - counts.extra.total(now_s)
+
+    def keep_only(self, services: frozenset[ServiceName]) -> None:
+        """Forgets services that no route names any more."""
+        for service in [name for name in self._by_service if name not in services]:
+            del self._by_service[service]
+
+    def _counts(self, service: ServiceName) -> _ServiceCounts:
+        counts = self._by_service.get(service)
+        if counts is None:
+            window_s = self._allowance.window_s
+            counts = _ServiceCounts(_SlidingCount(window_s), _SlidingCount(window_s))
+            self._by_service[service] = counts
+        return counts
--- /dev/null
+++ b/lavendertide/forwarding/deadlines.py
@@ -0,0 +1,37 @@
+"""When a request has to be answered, and when a partial answer serves better."""
+
+from dataclasses import dataclass
+from typing import Final
+
+from lavendertide.forwarding.messages import CallerRequest
+from lavendertide.routes.route import Route
+
+# Kept for the way to the caller and back, and for joining the parts: a connection's
+# set-up and one request take two round trips of a few milliseconds.
+ANSWER_MARGIN_MAX_S: Final = 0.020
+ANSWER_MARGIN_SHARE: Final = 0.18
+# A target that is asked with less time than this cannot answer in it.
+ATTEMPT_MIN_S: Final = 0.004
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerTimes:
+    """The two moments that matter to a caller, monotonic.
+
+    Attributes:
+        objective_at_s: After it, an answer is of less use; what is there is enough.
+        ends_at_s: After it nobody waits any more.
+    """
+
+    objective_at_s: float
+    ends_at_s: float
+
+
+def answer_times(request: CallerRequest, route: Route) -> AnswerTimes:
+    """Returns when the answer to a request has to leave this host."""
+    objective_s = route.objective_s
+    margin_s = min(ANSWER_MARGIN_MAX_S, ANSWER_MARGIN_SHARE * objective_s)
+    ends_at_s = request.arrived_at_s + route.wait_max_s
+    if request.gives_up_at_s is not None:
+        ends_at_s = min(ends_at_s, request.gives_up_at_s - margin_s / 2)
+    return AnswerTimes(request.arrived_at_s + objective_s - margin_s, ends_at_s)
--- /dev/null
+++ b/lavendertide/forwarding/forwarder.py
@@ -0,0 +1,268 @@
+"""What all requests of this host share, and how each one is begun."""
+
+import itertools
+import logging
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from lavendertide.forwarding.budget import RetryBudgets
+from lavendertide.forwarding.deadlines import ATTEMPT_MIN_S, answer_times
+from lavendertide.forwarding.messages import (
+    Answer,
+    CallerRequest,
+    NotRun,
+    NotRunReason,
+    RefusalCause,
+    Refused,
+    Replied,
+    TargetReply,
+    Unknown,
+    UnknownReason,
+    Unroutable,
+)
+from lavendertide.forwarding.metrics import ForwardingMetrics
+from lavendertide.forwarding.poison import CrashEvidence
+from lavendertide.forwarding.pool import TargetCall, TargetPools
+from lavendertide.forwarding.run import CallDone, Event, RequestRun
+from lavendertide.forwarding.target_view import TargetViews
+from lavendertide.forwarding.timing import RouteTimings
+from lavendertide.ids import ServiceName, TargetId
+from lavendertide.messages import Verdict
+from lavendertide.registry.record import TargetRecord
+from lavendertide.registry.registry import TargetRegistry
+from lavendertide.routes.book import RouteBook
+from lavendertide.routes.route import (
+    GatheredShards,
+    OneService,
+    Route,
+    SplitServices,
+)
+from lavendertide.routes.split import SplitCounters
+from lavendertide.routes.table import RouteTable
+from lavendertide.runtime import clock, tasks
+
+# A host that has read no routes yet has them within a read of the platform or a peer.
+NO_ROUTES_RETRY_S = 0.3
+# Targets register within a heartbeat after their start.
+NO_TARGET_RETRY_S = 0.5
+# A target that has refused a request is asked again after about one service time.
+REFUSED_PAUSE_S = 0.05
+
+_log = logging.getLogger(__name__)
+
+
+@dataclass(frozen=True, slots=True)
+class Notices:
+    """Where this host tells its peers what it has learned.
+
+    Attributes:
+        tell_stall: Called with a target that has stopped answering.
+        tell_verdict: Called with a request that may crash targets.
+        hosts: Returns how many hosts share the fleet's budgets.
+    """
+
+    tell_stall: Callable[[TargetId], None]
+    tell_verdict: Callable[[Verdict], None]
+    hosts: Callable[[], int]
+
+
+class Forwarder:
+    """Forwards the requests of this host's callers."""
+
+    def __init__(
+        self,
+        book: RouteBook,
+        registry: TargetRegistry,
+        views: TargetViews,
+        pools: TargetPools,
+        budgets: RetryBudgets,
+        crashes: CrashEvidence,
+        notices: Notices,
+        metrics: ForwardingMetrics,
+    ) -> None:
+        self._book = book
+        self._registry = registry
+        self._views = views
+        self._pools = pools
+        self._budgets = budgets
+        self._crashes = crashes
+        self._notices = notices
+        self._metrics = metrics
+        self._timings = RouteTimings()
+        self._splits = SplitCounters()
+        self._numbers = itertools.count(1)
+        book.on_change(self._follow)
+        registry.on_gone(self._forget)
+
+    def find_route(self, host: str, path: str) -> Route | Refused | Unroutable:
+        """Returns the route of a request, or why there is none."""
+        table = self._book.table
+        if table is None:
+            return Refused(RefusalCause.NO_ROUTES_KNOWN, NO_ROUTES_RETRY_S)
+        return table.find(host, path) or Unroutable()
+
+    def forward(
+        self, request: CallerRequest, route: Route, inbox: tasks.Mailbox[Event]
+    ) -> Answer:
+        """Answers a request; waits for its targets.
+
+        Args:
+            request: The request.
+            route: Which route takes it.
+            inbox: Where replies come, and `CallerLeft` if the caller gives up.
+        """
+        now_s = clock.monotonic_s()
+        refused = self._refuse_early(request, route, now_s)
+        if refused is not None:
+            return refused
+        services = self._services(route)
+        for service in services:
+            self._budgets.note_request(service, now_s)
+        run = RequestRun(self, request, route, services, inbox)
+        return run.finish()
+
+    def targets(self, service: ServiceName, now_s: float) -> list[TargetRecord]:
+        """Returns the targets of a service in the order of asking."""
+        ready = self._registry.ready(service)
+        return self._views.ranked(ready, now_s, random.random())
+
+    def late_after_s(self, route: Route, now_s: float) -> float:
+        """Returns how long an attempt may take before another target is asked."""
+        timing = self._timings.of(route, now_s)
+        return timing.late_after_s(route.objective_s, now_s)
+
+    def may_repeat(self, service: ServiceName, now_s: float) -> bool:
+        """Takes an extra sub-request out of the budget; returns whether it may go."""
+        if self._budgets.spend(service, self._notices.hosts(), now_s):
+            return True
+        self._metrics.withheld.inc()
+        return False
+
+    def call(
+        self,
+        part: int,
+        request: CallerRequest,
+        route: Route,
+        record: TargetRecord,
+        ends_at_s: float,
+        inbox: tasks.Mailbox[Event],
+        asked: int,
+    ) -> TargetCall:
+        """Sends a request to a target; its reply comes to the inbox."""
+        now_s = clock.monotonic_s()
+
+        def done(call: TargetCall, reply: TargetReply) -> None:
+            self._note(call, route, reply, asked)
+            inbox.send(CallDone(call, reply))
+
+        call = TargetCall(next(self._numbers), part, request, record, ends_at_s, done)
+        view = self._views.of(record.target)
+        view.begin(call.number, now_s, self.late_after_s(route, now_s))
+        self._pools.submit(call, self._connections_max(record.service))
+        self._metrics.sub_requests.inc()
+        return call
+
+    def note_late(self, call: TargetCall, now_s: float) -> None:
+        """Takes in that a target has not answered in the usual time."""
+        view = self._views.of(call.record.target)
+        if now_s >= view.stalled_until_s:
+            self._notices.tell_stall(call.record.target)
+
+    def _refuse_early(
+        self, request: CallerRequest, route: Route, now_s: float
+    ) -> Refused | None:
+        if self._crashes.is_condemned(request.fingerprint, now_s):
+            return Refused(RefusalCause.POISONED)
+        if answer_times(request, route).ends_at_s - now_s < ATTEMPT_MIN_S:
+            return Refused(RefusalCause.NO_TIME)
+        match route.destination:
+            case GatheredShards(shards, _, coverage_min):
+                held = sum(1 for shard in shards if self._registry.ready(shard))
+                is_servable = held > 0 and held >= coverage_min * len(shards)
+            case _:
+                is_servable = any(self._registry.ready(s) for s in route.services)
+        if is_servable:
+            return None
+        return Refused(RefusalCause.NO_TARGET, NO_TARGET_RETRY_S)
+
+    def _services(self, route: Route) -> tuple[ServiceName, ...]:
+        match route.destination:
+            case OneService(service):
+                return (service,)
+            case SplitServices() as split:
+                return (self._splits.choose(route.name, split),)
+            case GatheredShards(shards=shards):
+                return shards
+
+    def _connections_max(self, service: ServiceName) -> int:
+        table = self._book.table
+        known = table.services.get(service) if table is not None else None
+        if known is None:
+            return 1
+        return max(1, known.connections_max // max(1, self._notices.hosts()))
+
+    def _note(
+        self, call: TargetCall, route: Route, reply: TargetReply, asked: int
+    ) -> None:
+        now_s = clock.monotonic_s()
+        view = self._views.of(call.record.target)
+        self._metrics.count_reply(reply)
+        match reply:
+            case Replied() if reply.is_success:
+                begun_s = view.open_since_s.get(call.number, (now_s, now_s))[0]
+                timing = self._timings.of(route, now_s)
+                view.note_reply(call.number, timing.mean_s, now_s)
+                timing.observe(now_s - begun_s, now_s)
+            case NotRun(reason=NotRunReason.ABANDONED):
+                view.forget_call(call.number)
+            case NotRun(reason=NotRunReason.REFUSED):
+                view.note_refusal(call.number, REFUSED_PAUSE_S, now_s)
+            case _ if call.is_withdrawn:
+                view.forget_call(call.number)
+            case _:
+                view.note_failure(call.number, now_s)
+        self._log_reply(call, reply, now_s)
+        if isinstance(reply, Unknown) and reply.reason is UnknownReason.CLOSED:
+            self._note_crash(call, asked, now_s)
+
+    def _note_crash(self, call: TargetCall, asked: int, now_s: float) -> None:
+        if call.is_withdrawn:
+            return
+        request = call.request
+        verdict = self._crashes.note_crash(
+            request.fingerprint, request.request, call.record.target, asked, now_s
+        )
+        if verdict is not None:
+            self._notices.tell_verdict(verdict)
+
+    def _log_reply(self, call: TargetCall, reply: TargetReply, now_s: float) -> None:
+        match reply:
+            case Replied() if reply.is_success:
+                return
+            case Replied(status=status):
+                outcome = f"status_{status}"
+            case NotRun(reason=NotRunReason.ABANDONED):
+                return
+            case NotRun(reason=not_run):
+                outcome = not_run.value
+            case Unknown(reason=unknown):
+                outcome = unknown.value
+        _log.info(
+            "sub-request failed",
+            extra={
+                "request": call.request.request,
+                "service": call.record.service,
+                "target": call.record.target,
+                "outcome": outcome,
+                "withdrawn": call.is_withdrawn,
+                "left_ms": round((call.ends_at_s - now_s) * 1_000),
+            },
+        )
+
+    def _follow(self, table: RouteTable) -> None:
+        self._budgets.keep_only(table.routed_services)
+
+    def _forget(self, record: TargetRecord) -> None:
+        self._views.forget(record.target)
+        self._pools.forget(record)
--- /dev/null
+++ b/lavendertide/forwarding/metrics.py
@@ -0,0 +1,67 @@
+"""What a host counts about the requests that it forwards."""
+
+from typing import Final
+
+from prometheus_client import CollectorRegistry, Counter, Histogram
+
+from lavendertide.forwarding.messages import NotRun, Replied, TargetReply, Unknown
+from lavendertide.metrics.names import LATENCY_BUCKETS_S
+
+ROUTES_MAX: Final = 200
+OTHER_ROUTE: Final = "other"
+
+
+class ForwardingMetrics:
+    """Counters and histograms of one host, in a registry of their own."""
+
+    def __init__(self, registry: CollectorRegistry) -> None:
+        self._routes: set[str] = set()
+        self._answers = Counter(
+            "lavendertide_forwarded_requests",
+            "Requests of callers by route and outcome.",
+            ("route", "outcome"),
+            registry=registry,
+        )
+        self._latency = Histogram(
+            "lavendertide_forwarded_latency_seconds",
+            "From a request's arrival to its answer.",
+            ("route",),
+            buckets=LATENCY_BUCKETS_S,
+            registry=registry,
+        )
+        self._replies = Counter(
+            "lavendertide_forwarded_replies",
+            "Replies of targets by outcome.",
+            ("outcome",),
+            registry=registry,
+        )
+        self.sub_requests = Counter(
+            "lavendertide_forwarded_sub_requests",
+            "Sub-requests handed to connections.",
+            registry=registry,
+        )
+        self.withheld = Counter(
+            "lavendertide_forwarded_repeats_withheld",
+            "Repeated sub-requests that the budget did not allow.",
+            registry=registry,
+        )
+
+    def count_answer(self, route: str, outcome: str, latency_s: float) -> None:
+        """Counts one answer to a caller."""
+        if route not in self._routes:
+            if len(self._routes) >= ROUTES_MAX:
+                route = OTHER_ROUTE
+            self._routes.add(route)
+        self._answers.labels(route, outcome).inc()
+        self._latency.labels(route).observe(latency_s)
+
+    def count_reply(self, reply: TargetReply) -> None:
+        """Counts how a sub-request ended."""
+        match reply:
+            case Replied():
+                outcome = "success" if reply.is_success else "failure"
+            case NotRun(reason=not_run):
+                outcome = not_run.value
+            case Unknown(reason=unknown):
+                outcome = unknown.value
+        self._replies.labels(outcome).inc()
--- /dev/null
+++ b/lavendertide/forwarding/parts.py
@@ -0,0 +1,56 @@
+"""How far the asking for each service of one request has come."""
+
+from dataclasses import dataclass, field
+
+from lavendertide.forwarding.messages import NotRun, Replied, TargetReply
+from lavendertide.forwarding.pool import TargetCall
+from lavendertide.ids import ServiceName, TargetId
+
+
+@dataclass(slots=True)
+class Part:
+    """One service that has to answer.
+
+    Attributes:
+        asked: Targets that the request was sent to.
+        open: Calls without a reply.
+        reply: The reply that counts, once there is one.
+        failure: The last reply that does not count.
+        may_have_run: Whether a target may have run the request without a usable reply.
+        late_at_s: When another target is asked beside the open call.
+        retry_at_s: When a target is asked again after a refusal.
+        rounds: Refusals and failures so far; each makes the next pause longer.
+    """
+
+    service: ServiceName
+    asked: list[TargetId] = field(default_factory=list)
+    open: dict[int, TargetCall] = field(default_factory=dict)
+    reply: Replied | None = None
+    failure: TargetReply | None = None
+    may_have_run: bool = False
+    late_at_s: float | None = None
+    retry_at_s: float | None = None
+    rounds: int = 0
+
+    @property
+    def is_done(self) -> bool:
+        """Whether it has its reply."""
+        return self.reply is not None
+
+    @property
+    def is_lost(self) -> bool:
+        """Whether nothing is open or planned that could still bring a reply."""
+        return self.reply is None and not self.open and self.retry_at_s is None
+
+    @property
+    def due_at_s(self) -> float | None:
+        """When something has to be done if no reply comes before."""
+        due = [at for at in (self.late_at_s, self.retry_at_s) if at is not None]
+        return min(due) if due and self.reply is None else None
+
+    def take_failure(self, reply: TargetReply) -> None:
+        """Notes a reply that does not count."""
+        self.failure = reply
+        self.rounds += 1
+        if not isinstance(reply, NotRun):
+            self.may_have_run = True
--- /dev/null
+++ b/lavendertide/forwarding/poison.py
@@ -0,0 +1,95 @@
+"""Which requests crash the targets that run them.
+
+A request that was in flight when its target closed the connection may have crashed it.
+One crash says little, since targets also crash by themselves with innocents in flight.
+The same request in flight at several crashes, over more than one attempt of its caller,
+or at most targets of one fan-out, is condemned for a time and is not sent any more.
+"""
+
+from collections import OrderedDict
+from dataclasses import dataclass, field
+from typing import Final
+
+from lavendertide.ids import CallerRequestId, Fingerprint, ShardNumber, TargetId
+from lavendertide.messages import Verdict, VerdictKind
+from lavendertide.poison.quarantine import Quarantine
+
+# Crashes that condemn a request; one more than two replicas can suffer by themselves.
+CRASHES_TO_CONDEMN: Final = 3
+CONDEMNED_S: Final = 600.0
+# Crashes that lie further apart have separate causes.
+SUSPECT_S: Final = 60.0
+SUSPECTS_MAX: Final = 1_024
+# Verdicts of forwarded requests hold for all services at once.
+ALL_SERVICES: Final = ShardNumber(0)
+
+
+@dataclass(slots=True)
+class _Evidence:
+    began_at_s: float
+    targets: set[TargetId] = field(default_factory=set)
+    requests: set[CallerRequestId] = field(default_factory=set)
+    told: int = 0
+
+
+class CrashEvidence:
+    """Counts the crashes beside which each request was in flight."""
+
+    def __init__(self, quarantine: Quarantine) -> None:
+        self._quarantine = quarantine
+        self._suspects: OrderedDict[Fingerprint, _Evidence] = OrderedDict()
+
+    def is_condemned(self, fingerprint: Fingerprint, now_s: float) -> bool:
+        """Returns whether a request must not be sent to any target."""
+        return self._quarantine.is_condemned(fingerprint, now_s)
+
+    def note_crash(
+        self,
+        fingerprint: Fingerprint,
+        request: CallerRequestId,
+        target: TargetId,
+        asked: int,
+        now_s: float,
+    ) -> Verdict | None:
+        """Takes in that a target closed the connection while it ran a request.
+
+        Args:
+            fingerprint: Equal for equal requests.
+            request: The caller's attempt.
+            target: Whose connection was closed.
+            asked: Services that the request was sent to.
+            now_s: Present time, monotonic.
+
+        Returns:
+            What peers should know, none if it is no news.
+        """
+        evidence = self._evidence(fingerprint, now_s)
+        evidence.targets.add(target)
+        evidence.requests.add(request)
+        crashes = max(len(evidence.targets), evidence.told + 1)
+        is_repeated = len(evidence.requests) > 1 or evidence.told > 0
+        is_most = 2 * len(evidence.targets) > max(asked, CRASHES_TO_CONDEMN)
+        kind = VerdictKind.SUSPECT
+        if crashes >= CRASHES_TO_CONDEMN and (is_repeated or is_most):
+            kind = VerdictKind.CONDEMNED
+        valid_s = CONDEMNED_S if kind is VerdictKind.CONDEMNED else SUSPECT_S
+        verdict = Verdict(
+            fingerprint, ALL_SERVICES, kind, crashes, int(valid_s * 1_000)
+        )
+        return verdict if self._quarantine.learn((verdict,), now_s) else None
+
+    def learn(self, verdicts: tuple[Verdict, ...], now_s: float) -> list[Verdict]:
+        """Takes in what peers have seen; returns what was news."""
+        news = self._quarantine.learn(verdicts, now_s)
+        for verdict in news:
+            evidence = self._evidence(verdict.fingerprint, now_s)
+            evidence.told = max(evidence.told, verdict.crashes)
+        return news
+
+    def _evidence(self, fingerprint: Fingerprint, now_s: float) -> _Evidence:
+        evidence = self._suspects.get(fingerprint)
+        if evidence is None or now_s - evidence.began_at_s > SUSPECT_S:
+            evidence = self._suspects[fingerprint] = _Evidence(now_s)
+            while len(self._suspects) > SUSPECTS_MAX:
+                self._suspects.popitem(last=False)
+        return evidence
--- /dev/null
+++ b/lavendertide/forwarding/run.py
@@ -0,0 +1,336 @@
+"""One request from its arrival to its answer, in the task of its caller's connection.
+
+The task sends, waits for the next reply or the next moment at which something is due,
+and goes on until the answer is complete or waiting longer would not serve the caller.
+"""
+
+import logging
+import math
+from dataclasses import dataclass
+from typing import Final, Protocol
+
+from lavendertide.forwarding.deadlines import ATTEMPT_MIN_S, answer_times
+from lavendertide.forwarding.merging import greatest_records
+from lavendertide.forwarding.messages import (
+    Abandoned,
+    Answer,
+    CallerRequest,
+    Failed,
+    Gathered,
+    NotRun,
+    NotRunReason,
+    Passed,
+    RefusalCause,
+    Refused,
+    Replied,
+    TargetReply,
+)
+from lavendertide.forwarding.parts import Part
+from lavendertide.forwarding.pool import TargetCall
+from lavendertide.ids import ServiceName
+from lavendertide.registry.record import TargetRecord
+from lavendertide.routes.route import GatheredShards, RequestKind, Route
+from lavendertide.runtime import clock, tasks
+
+# Pause before a target that has refused is asked again; doubled for each further time.
+RETRY_PAUSE_MIN_S: Final = 0.02
+RETRY_PAUSE_MAX_S: Final = 0.32
+# When a caller should come back after all targets were full: a few service times.
+FULL_RETRY_S: Final = 0.25
+
+_log = logging.getLogger(__name__)
+
+
+@dataclass(frozen=True, slots=True)
+class CallDone:
+    """A sub-request has ended."""
+
+    call: TargetCall
+    reply: TargetReply
+
+
+@dataclass(frozen=True, slots=True)
+class CallerLeft:
+    """The caller has closed its connection."""
+
+
+Event = CallDone | CallerLeft
+
+
+class Sender(Protocol):
+    """What a run needs of the forwarder."""
+
+    def targets(self, service: ServiceName, now_s: float) -> list[TargetRecord]:
+        """Returns the targets of a service in the order of asking."""
+
+    def late_after_s(self, route: Route, now_s: float) -> float:
+        """Returns how long an attempt may take before another target is asked."""
+
+    def may_repeat(self, service: ServiceName, now_s: float) -> bool:
+        """Takes an extra sub-request out of the budget."""
+
+    def call(
+        self,
+        part: int,
+        request: CallerRequest,
+        route: Route,
+        record: TargetRecord,
+        ends_at_s: float,
+        inbox: tasks.Mailbox[Event],
+        asked: int,
+    ) -> TargetCall:
+        """Sends a request to a target."""
+
+    def note_late(self, call: TargetCall, now_s: float) -> None:
+        """Takes in that a target has not answered in the usual time."""
+
+
+class RequestRun:
+    """The asking for all parts of one request."""
+
+    def __init__(
+        self,
+        sender: Sender,
+        request: CallerRequest,
+        route: Route,
+        services: tuple[ServiceName, ...],
+        inbox: tasks.Mailbox[Event],
+    ) -> None:
+        self._sender = sender
+        self._request = request
+        self._route = route
+        self._inbox = inbox
+        self._times = answer_times(request, route)
+        self._parts = [Part(service) for service in services]
+        self._extra = 0
+
+    def finish(self) -> Answer:
+        """Asks the targets and returns the answer once it is final."""
+        now_s = clock.monotonic_s()
+        for number, part in enumerate(self._parts):
+            self._ask_first(number, part, now_s)
+        while not self._is_final(now_s):
+            event = self._inbox.receive(max(0.0, self._next_due_s(now_s) - now_s))
+            now_s = clock.monotonic_s()
+            match event:
+                case CallDone(call, reply):
+                    self._take(call, reply, now_s)
+                case CallerLeft():
+                    self._withdraw_all()
+                    self._log("caller_left", now_s)
+                    return Abandoned()
+                case None:
+                    self._do_what_is_due(now_s)
+        answer = self._answer(now_s)
+        self._log(_name_of(answer), now_s)
+        return answer
+
+    def _ask_first(self, number: int, part: Part, now_s: float) -> None:
+        record = next(iter(self._sender.targets(part.service, now_s)), None)
+        if record is not None:
+            self._ask(number, part, record, now_s)
+
+    def _ask(self, number: int, part: Part, record: TargetRecord, now_s: float) -> None:
+        if record.target not in part.asked:
+            part.asked.append(record.target)
+        call = self._sender.call(
+            number,
+            self._request,
+            self._route,
+            record,
+            self._times.ends_at_s,
+            self._inbox,
+            len(self._parts),
+        )
+        part.open[call.number] = call
+        part.retry_at_s = None
+        if self._route.kind is RequestKind.IDEMPOTENT:
+            part.late_at_s = now_s + self._sender.late_after_s(self._route, now_s)
+
+    def _take(self, call: TargetCall, reply: TargetReply, now_s: float) -> None:
+        part = self._parts[call.part]
+        part.open.pop(call.number, None)
+        if part.is_done:
+            return
+        match reply:
+            case Replied() if reply.is_success:
+                part.reply = reply
+                part.late_at_s = None
+            case _:
+                part.take_failure(reply)
+                if not part.open:
+                    self._plan_retry(part, reply, now_s)
+
+    def _plan_retry(self, part: Part, reply: TargetReply, now_s: float) -> None:
+        """Decides when another target, or the same one, is asked after a failure."""
+        part.late_at_s = None
+        is_repeatable = self._route.kind is RequestKind.IDEMPOTENT
+        if not isinstance(reply, NotRun) and not is_repeatable:
+            return
+        if isinstance(reply, Replied) and self._is_final_reply(reply):
+            return
+        pause_s = 0.0
+        if self._next_target(part, now_s) is None or part.rounds > 1:
+            pause_s = RETRY_PAUSE_MIN_S * 2.0 ** max(0, part.rounds - 1)
+        at_s = now_s + min(RETRY_PAUSE_MAX_S, pause_s)
+        if at_s + ATTEMPT_MIN_S < self._times.ends_at_s:
+            part.retry_at_s = at_s
+            if pause_s == 0.0:
+                self._retry(self._parts.index(part), part, now_s)
+
+    def _is_final_reply(self, reply: Replied) -> bool:
+        """Returns whether another target would say the same."""
+        return not self._is_gathered and reply.status < 500
+
+    def _do_what_is_due(self, now_s: float) -> None:
+        for number, part in enumerate(self._parts):
+            if part.is_done:
+                continue
+            if part.retry_at_s is not None and now_s >= part.retry_at_s:
+                self._retry(number, part, now_s)
+            elif part.late_at_s is not None and now_s >= part.late_at_s:
+                self._hedge(number, part, now_s)
+
+    def _retry(self, number: int, part: Part, now_s: float) -> None:
+        part.retry_at_s = None
+        record = self._next_target(part, now_s) or self._known_target(part, now_s)
+        if record is None:
+            return
+        if self._is_first_offer(part) or self._spend(part, now_s):
+            self._ask(number, part, record, now_s)
+
+    def _hedge(self, number: int, part: Part, now_s: float) -> None:
+        part.late_at_s = None
+        for call in part.open.values():
+            self._sender.note_late(call, now_s)
+        record = self._next_target(part, now_s)
+        if record is not None and self._spend(part, now_s):
+            self._ask(number, part, record, now_s)
+
+    def _spend(self, part: Part, now_s: float) -> bool:
+        if not self._sender.may_repeat(part.service, now_s):
+            return False
+        self._extra += 1
+        return True
+
+    def _is_first_offer(self, part: Part) -> bool:
+        """Returns whether no byte of the request has reached a target yet."""
+        return (
+            isinstance(part.failure, NotRun)
+            and part.failure.reason
+            in (NotRunReason.UNREACHABLE, NotRunReason.NO_CONNECTION)
+            and not part.may_have_run
+        )
+
+    def _next_target(self, part: Part, now_s: float) -> TargetRecord | None:
+        """Returns a target that was not asked yet, if the route allows another."""
+        if len(part.asked) >= max(1, self._route.attempts_max):
+            return None
+        for record in self._sender.targets(part.service, now_s):
+            if record.target not in part.asked:
+                return record
+        return None
+
+    def _known_target(self, part: Part, now_s: float) -> TargetRecord | None:
+        for record in self._sender.targets(part.service, now_s):
+            if record.target in part.asked:
+                return record
+        return None
+
+    @property
+    def _is_gathered(self) -> bool:
+        return isinstance(self._route.destination, GatheredShards)
+
+    @property
+    def _done(self) -> list[Replied]:
+        return [part.reply for part in self._parts if part.reply is not None]
+
+    def _parts_needed(self) -> int:
+        match self._route.destination:
+            case GatheredShards(shards, _, coverage_min):
+                return max(1, math.ceil(coverage_min * len(shards) - 1e-9))
+            case _:
+                return 1
+
+    def _is_final(self, now_s: float) -> bool:
+        done = len(self._done)
+        if done == len(self._parts) or now_s >= self._times.ends_at_s:
+            return True
+        needed = self._parts_needed()
+        lost = sum(1 for part in self._parts if part.is_lost)
+        if len(self._parts) - lost < needed:
+            return True
+        is_enough = done >= needed
+        return is_enough and (
+            now_s >= self._times.objective_at_s or done + lost == len(self._parts)
+        )
+
+    def _next_due_s(self, now_s: float) -> float:
+        due = [at for part in self._parts if (at := part.due_at_s) is not None]
+        due.append(self._times.ends_at_s)
+        if now_s < self._times.objective_at_s:
+            due.append(self._times.objective_at_s)
+        return min(due)
+
+    def _withdraw_all(self) -> None:
+        for part in self._parts:
+            for call in part.open.values():
+                call.withdraw()
+
+    def _answer(self, now_s: float) -> Answer:
+        match self._route.destination:
+            case GatheredShards(records_max=records_max):
+                done = self._done
+                if len(done) >= self._parts_needed():
+                    return Gathered(
+                        tuple(reply.signature for reply in done),
+                        len(self._parts) - len(done),
+                        greatest_records((r.body for r in done), records_max),
+                    )
+            case _:
+                part = self._parts[0]
+                if part.reply is not None:
+                    return Passed(part.reply)
+                if isinstance(part.failure, Replied) and not part.open:
+                    return Passed(part.failure)
+        return self._failure(now_s)
+
+    def _failure(self, now_s: float) -> Answer:
+        is_late = now_s >= self._times.ends_at_s
+        may_have_run = any(
+            part.may_have_run or part.open or part.is_done for part in self._parts
+        )
+        if may_have_run:
+            cause = RefusalCause.TARGETS_FAILED
+            if self._is_gathered:
+                cause = RefusalCause.TOO_FEW_SHARDS
+            return Failed(RefusalCause.TIMED_OUT if is_late else cause, is_late)
+        return Refused(RefusalCause.TARGETS_FULL, FULL_RETRY_S)
+
+    def _log(self, outcome: str, now_s: float) -> None:
+        missing = [part.service for part in self._parts if not part.is_done]
+        fields: dict[str, object] = {
+            "request": self._request.request,
+            "route": self._route.name,
+            "outcome": outcome,
+            "elapsed_ms": round((now_s - self._request.arrived_at_s) * 1_000, 1),
+            "left_ms": round((self._times.ends_at_s - now_s) * 1_000, 1),
+            "parts": len(self._parts),
+            "extra": self._extra,
+        }
+        if missing:
+            fields["missing"] = missing[:8]
+            fields["missing_count"] = len(missing)
+        _log.info("request ended", extra=fields)
+
+
+def _name_of(answer: Answer) -> str:
+    match answer:
+        case Passed(reply):
+            return f"status_{reply.status}"
+        case Gathered(missing=missing):
+            return "partial" if missing else "whole"
+        case Refused(cause) | Failed(cause):
+            return cause.value
+        case _:
+            return type(answer).__name__.lower()
--- /dev/null
+++ b/lavendertide/forwarding/target_view.py
@@ -0,0 +1,150 @@
+"""What this host has seen of each target, and which one it asks next.
+
+A target is judged by its own replies, relative to how long requests of the same route
+take elsewhere, and by the age of its oldest open request: a target that has stopped
+answering shows up there long before a reply is late.
+"""
+
+from dataclasses import dataclass, field
+from typing import Final
+
+from lavendertide.ids import FailureDomain, TargetId
+from lavendertide.registry.record import TargetRecord
+
+# Weight of the newest reply in the moving average of a target's slowness.
+SLOWNESS_WEIGHT: Final = 0.25
+# Slowness that is forgotten by half after this time, so that a slow target is tried
+# again; the order of the time that a disturbance of a target takes.
+SLOWNESS_HALF_LIFE_S: Final = 2.0
+SLOWNESS_MAX: Final = 32.0
+# How long a target is avoided after an attempt failed there, doubled for each further
+# failure in a row.
+AVOIDED_MIN_S: Final = 0.25
+AVOIDED_MAX_S: Final = 4.0
+# How long peers' notice of a stall counts when they do not take it back.
+NOTICE_S: Final = 0.3
+# Times by which a score is multiplied, so that any healthy target goes first.
+AVOIDED_FACTOR: Final = 1_000.0
+STALLED_FACTOR: Final = 100.0
+# Part of a request's usual time that another failure domain costs.
+DISTANT_COST: Final = 0.25
+
+
+@dataclass(slots=True)
+class TargetView:
+    """One target as this host sees it."""
+
+    slowness: float = 1.0
+    slowness_at_s: float = 0.0
+    failures: int = 0
+    avoided_until_s: float = 0.0
+    stalled_until_s: float = 0.0
+    open_since_s: dict[int, tuple[float, float]] = field(default_factory=dict)
+
+    @property
+    def open(self) -> int:
+        """Requests that this host has sent and that are unanswered."""
+        return len(self.open_since_s)
+
+    def begin(self, call: int, now_s: float, late_after_s: float) -> None:
+        """Notes a request that is being sent."""
+        self.open_since_s[call] = (now_s, now_s + late_after_s)
+
+    def note_reply(self, call: int, usual_s: float | None, now_s: float) -> None:
+        """Notes a reply; it took `usual_s` on average elsewhere."""
+        begun = self.open_since_s.pop(call, None)
+        self.failures = 0
+        self.avoided_until_s = 0.0
+        self.stalled_until_s = 0.0
+        if begun is None or not usual_s:
+            return
+        ratio = min(SLOWNESS_MAX, (now_s - begun[0]) / usual_s)
+        current = self.current_slowness(now_s)
+        self.slowness = current + SLOWNESS_WEIGHT * (ratio - current)
+        self.slowness_at_s = now_s
+
+    def note_failure(self, call: int, now_s: float) -> None:
+        """Notes that an attempt has ended without a reply or with a failure."""
+        self.open_since_s.pop(call, None)
+        pause_s = min(AVOIDED_MAX_S, AVOIDED_MIN_S * 2.0**self.failures)
+        self.failures = min(self.failures + 1, 10)
+        self.avoided_until_s = now_s + pause_s
+
+    def note_refusal(self, call: int, pause_s: float, now_s: float) -> None:
+        """Notes that the target had no room."""
+        self.open_since_s.pop(call, None)
+        self.avoided_until_s = max(self.avoided_until_s, now_s + pause_s)
+
+    def forget_call(self, call: int) -> None:
+        """Notes that a request was given up without a verdict on the target."""
+        self.open_since_s.pop(call, None)
+
+    def note_stall(self, now_s: float) -> None:
+        """Notes that a peer waits for this target longer than usual."""
+        self.stalled_until_s = now_s + NOTICE_S
+
+    def is_stalled(self, now_s: float) -> bool:
+        """Returns whether requests wait here longer than usual."""
+        if now_s < self.stalled_until_s:
+            return True
+        return any(now_s >= late_s for _, late_s in self.open_since_s.values())
+
+    def is_avoided(self, now_s: float) -> bool:
+        """Returns whether an attempt has failed here lately."""
+        return now_s < self.avoided_until_s
+
+    def current_slowness(self, now_s: float) -> float:
+        """Returns how many times the usual time a reply takes, fading towards one."""
+        age_s = max(0.0, now_s - self.slowness_at_s)
+        fade: float = 0.5 ** (age_s / SLOWNESS_HALF_LIFE_S)
+        return 1.0 + (self.slowness - 1.0) * fade
+
+
+class TargetViews:
+    """What this host has seen of all targets."""
+
+    def __init__(self, own_domain: FailureDomain) -> None:
+        self._own_domain = own_domain
+        self._views: dict[TargetId, TargetView] = {}
+
+    def of(self, target: TargetId) -> TargetView:
+        """Returns the view of one target."""
+        view = self._views.get(target)
+        if view is None:
+            view = self._views[target] = TargetView()
+        return view
+
+    def forget(self, target: TargetId) -> None:
+        """Drops what was known of a target that is gone."""
+        self._views.pop(target, None)
+
+    def ranked(
+        self, records: tuple[TargetRecord, ...], now_s: float, jitter: float
+    ) -> list[TargetRecord]:
+        """Returns targets in the order of asking, the best one first.
+
+        Args:
+            records: Targets of one service.
+            now_s: Present time, monotonic.
+            jitter: Between 0 and 1; decides between targets that are equally good.
+        """
+        if len(records) < 2:
+            return list(records)
+        shift = int(jitter * len(records))
+        rotated = records[shift:] + records[:shift]
+        return sorted(rotated, key=lambda record: self.score(record, now_s))
+
+    def score(self, record: TargetRecord, now_s: float) -> float:
+        """Returns the expected cost of asking a target, relative to a usual one."""
+        view = self._views.get(record.target)
+        distant = record.failure_domain != self._own_domain
+        cost = DISTANT_COST if distant else 0.0
+        if view is None:
+            return 1.0 + cost
+        waiting = view.open / max(1, record.slots)
+        expected = view.current_slowness(now_s) * (1.0 + waiting) + cost
+        if view.is_avoided(now_s):
+            return expected * AVOIDED_FACTOR
+        if view.is_stalled(now_s):
+            return expected * STALLED_FACTOR
+        return expected
--- /dev/null
+++ b/lavendertide/forwarding/timing.py
@@ -0,0 +1,61 @@
+"""How long the targets of a route usually take, and when an attempt counts as late."""
+
+from typing import Final
+
+from lavendertide.ids import IndexName, RouteName
+from lavendertide.queries.timing import IndexTiming, Timings
+from lavendertide.routes.route import Route
+
+# Nine in ten replies come before an attempt counts as late: the tenth costs half of
+# what the usual retry allowance of a fifth of all requests permits.
+LATE_QUANTILE: Final = 0.9
+# Bounds of that time, as parts of the route's objective: an attempt that is repeated
+# later than half-way leaves the second one too little time.
+LATE_SHARE_MIN: Final = 0.1
+LATE_SHARE_MAX: Final = 0.4
+# Weight of the newest reply in the moving average.
+MEAN_WEIGHT: Final = 0.02
+
+
+class RouteTiming:
+    """The reply times of one route's targets."""
+
+    def __init__(self, quantiles: IndexTiming) -> None:
+        self._quantiles = quantiles
+        self._mean_s: float | None = None
+
+    @property
+    def mean_s(self) -> float | None:
+        """The moving average of the reply times, none before the first reply."""
+        return self._mean_s
+
+    def observe(self, latency_s: float, now_s: float) -> None:
+        """Takes in how long a reply took."""
+        self._quantiles.observe(latency_s, now_s)
+        mean_s = latency_s if self._mean_s is None else self._mean_s
+        self._mean_s = mean_s + MEAN_WEIGHT * (latency_s - mean_s)
+
+    def late_after_s(self, objective_s: float, now_s: float) -> float:
+        """Returns how long an attempt may take before another target is asked."""
+        longest_s = LATE_SHARE_MAX * objective_s
+        estimate = self._quantiles.estimate(LATE_QUANTILE, now_s)
+        if estimate is None:
+            return longest_s
+        learned_s = estimate.recent_straggler_s
+        return min(longest_s, max(LATE_SHARE_MIN * objective_s, learned_s))
+
+
+class RouteTimings:
+    """The reply times of all routes, as this host sees them."""
+
+    def __init__(self) -> None:
+        self._quantiles = Timings()
+        self._by_route: dict[RouteName, RouteTiming] = {}
+
+    def of(self, route: Route, now_s: float) -> RouteTiming:
+        """Returns the timing of one route."""
+        timing = self._by_route.get(route.name)
+        if timing is None:
+            quantiles = self._quantiles.of(IndexName(route.name), now_s)
+            timing = self._by_route[route.name] = RouteTiming(quantiles)
+        return timing
--- /dev/null
+++ b/lavendertide/gateway/fleet_size.py
@@ -0,0 +1,30 @@
+"""Among how many hosts the fleet's budgets are divided."""
+
+from typing import Final
+
+# Assumed by a host that knows no other yet: the entry hosts of one site.
+UNKNOWN_HOSTS: Final = 16
+# Hosts that are cut off still spend; a smaller number counts only after this time.
+KEPT_S: Final = 60.0
+
+
+class FleetSize:
+    """The largest number of hosts that was known lately."""
+
+    def __init__(self) -> None:
+        self._hosts = UNKNOWN_HOSTS
+        self._seen_at_s: float | None = None
+
+    @property
+    def hosts(self) -> int:
+        """How many hosts to divide by."""
+        return self._hosts
+
+    def see(self, members: int, now_s: float) -> None:
+        """Takes in how many hosts are known now, this one included."""
+        if members <= 1:
+            return
+        is_old = self._seen_at_s is None or now_s - self._seen_at_s >= KEPT_S
+        if members >= self._hosts or is_old:
+            self._hosts = members
+            self._seen_at_s = now_s
--- /dev/null
+++ b/lavendertide/gateway/follower.py
@@ -0,0 +1,192 @@
+"""Follows what the platform publishes: the routes, and the targets that register.
+
+It reads everything once and then waits for changes. A short pause after each change
+lets others gather, so that a rolling replacement takes few calls. While the platform is
+away, what was last read stays in force.
+"""
+
+import logging
+import random
+from dataclasses import dataclass
+from typing import Final, Protocol
+
+from returns.result import Failure, Result, Success
+
+from lavendertide.errors import Refusal
+from lavendertide.ids import TargetId
+from lavendertide.registry.record import TargetRecord
+from lavendertide.registry.registry import TargetRegistry
+from lavendertide.routes.book import RouteBook
+from lavendertide.routes.spreading import RouteSpreading
+from lavendertide.routes.table import RouteTable
+from lavendertide.runtime import clock, tasks
+
+# Pause after a change, in which further ones gather; far below the seconds within
+# which the platform wants a change in force.
+GATHER_S: Final = 0.2
+# Pause after a read that failed, drawn between half of it and the whole.
+RETRY_S: Final = 0.5
+
+_log = logging.getLogger(__name__)
+
+
+@dataclass(frozen=True, slots=True)
+class RoutesPublished:
+    """The newest routes."""
+
+    table: RouteTable
+
+
+@dataclass(frozen=True, slots=True)
+class TargetPublished:
+    """A target's newest entry."""
+
+    record: TargetRecord
+
+
+@dataclass(frozen=True, slots=True)
+class TargetWithdrawn:
+    """A target is not registered any more, or its entry names none that is usable."""
+
+    target: TargetId
+
+
+Publication = RoutesPublished | TargetPublished | TargetWithdrawn
+
+
+@dataclass(frozen=True, slots=True)
+class Reading:
+    """What was read.
+
+    Attributes:
+        publications: In the order in which they were published.
+        revision: From where to read on.
+    """
+
+    publications: tuple[Publication, ...]
+    revision: int
+
+
+class HistoryLost:
+    """The changes since a revision are not known any more; read everything."""
+
+
+class PlatformReader(Protocol):
+    """Reads the platform, as `lavendertide.platform` implements it."""
+
+    def read_all(self) -> Result[Reading, Refusal]:
+        """Returns everything that is published."""
+
+    def read_changes(self, revision: int) -> Result[Reading | HistoryLost, Refusal]:
+        """Returns what has changed since a revision; waits a little if nothing has."""
+
+
+class Follower:
+    """Keeps the routes and the registry of one host up to date."""
+
+    def __init__(
+        self,
+        reader: PlatformReader,
+        book: RouteBook,
+        spreading: RouteSpreading,
+        registry: TargetRegistry,
+        now_s: float,
+    ) -> None:
+        self._reader = reader
+        self._book = book
+        self._spreading = spreading
+        self._registry = registry
+        self._revision: int | None = None
+        self._answered_at_s = now_s
+        self._is_lost = False
+
+    @property
+    def answered_at_s(self) -> float:
+        """When the platform last answered, monotonic; the start if it never has."""
+        return self._answered_at_s
+
+    def run(self) -> None:
+        """Reads for as long as the process lives."""
+        while True:
+            is_answered = self._read()
+            self._registry.expire(clock.monotonic_s())
+            if is_answered:
+                tasks.sleep(GATHER_S)
+            else:
+                tasks.sleep(random.uniform(RETRY_S / 2, RETRY_S))
+
+    def _read(self) -> bool:
+        """Reads once; returns whether the platform answered."""
+        if self._revision is None:
+            return self._read_all()
+        result = self._reader.read_changes(self._revision)
+        now_s = clock.monotonic_s()
+        match result:
+            case Success(HistoryLost()):
+                _log.info(
+                    "platform history lost; reading everything",
+                    extra={"revision": self._revision},
+                )
+                self._note_answer(now_s)
+                self._revision = None
+                return self._read_all()
+            case Success(Reading(publications, revision)):
+                self._note_answer(now_s)
+                for publication in publications:
+                    self._apply(publication, now_s)
+                self._revision = revision
+                return True
+            case Failure(refusal):
+                self._note_failure(refusal, now_s)
+        return False
+
+    def _read_all(self) -> bool:
+        result = self._reader.read_all()
+        now_s = clock.monotonic_s()
+        match result:
+            case Success(reading):
+                self._note_answer(now_s)
+                records = []
+                for publication in reading.publications:
+                    if isinstance(publication, TargetPublished):
+                        records.append(publication.record)
+                    else:
+                        self._apply(publication, now_s)
+                self._registry.replace(records, now_s)
+                self._revision = reading.revision
+                return True
+            case Failure(refusal):
+                self._note_failure(refusal, now_s)
+        return False
+
+    def _apply(self, publication: Publication, now_s: float) -> None:
+        match publication:
+            case RoutesPublished(table):
+                self._book.adopt(table, "platform", now_s)
+            case TargetPublished(record):
+                self._registry.put(record)
+            case TargetWithdrawn(target):
+                self._registry.remove(target, now_s)
+
+    def _note_answer(self, now_s: float) -> None:
+        if self._is_lost:
+            _log.info(
+                "platform regained",
+                extra={"silence_s": round(now_s - self._answered_at_s, 3)},
+            )
+            self._registry.note_return(now_s)
+        self._is_lost = False
+        self._answered_at_s = now_s
+        self._spreading.note_confirmed(now_s)
+
+    def _note_failure(self, refusal: Refusal, now_s: float) -> None:
+        if self._is_lost:
+            return
+        self._is_lost = True
+        _log.warning(
+            "platform lost",
+            extra={
+                "problem": str(refusal),
+                "answered_ago_s": round(now_s - self._answered_at_s, 3),
+            },
+        )
--- /dev/null
+++ b/lavendertide/gateway/gateway.py
@@ -0,0 +1,218 @@
+"""One gateway: its aggregates, its listeners and its tasks."""
+
+import logging
+import signal
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Final
+
+from prometheus_client import REGISTRY
+from prometheus_client.exposition import generate_latest
+
+from lavendertide.daemon.drain import Drain
+from lavendertide.daemon.in_flight import InFlight
+from lavendertide.encodings.peer_socket import PeerSocket
+from lavendertide.encodings.routes_json import decode_table, encode_table
+from lavendertide.fleet.addresses import AddressBook
+from lavendertide.fleet.link_faults import LinkFaults
+from lavendertide.fleet.membership import Membership
+from lavendertide.fleet.news import FleetNews
+from lavendertide.fleet.peer_connection import PeerEdge
+from lavendertide.fleet.peer_server import PeerServer
+from lavendertide.fleet.peers import Peers
+from lavendertide.fleet.readiness import Readiness
+from lavendertide.fleet.roster import Roster
+from lavendertide.forwarding.budget import RetryBudgets
+from lavendertide.forwarding.forwarder import Forwarder, Notices
+from lavendertide.forwarding.metrics import ForwardingMetrics
+from lavendertide.forwarding.poison import CrashEvidence
+from lavendertide.forwarding.pool import TargetPools, TargetWire
+from lavendertide.forwarding.target_view import TargetViews
+from lavendertide.gateway.caller_front import CallerCodec, CallerFront
+from lavendertide.gateway.entry_front import EntryCodec, EntryFront
+from lavendertide.gateway.fleet_size import FleetSize
+from lavendertide.gateway.follower import Follower, PlatformReader
+from lavendertide.gateway.options import GatewayOptions
+from lavendertide.gateway.peer_news import PeerNews
+from lavendertide.ids import Address, DaemonId, Incarnation
+from lavendertide.messages import MemberRecord, MemberState
+from lavendertide.poison.quarantine import Quarantine
+from lavendertide.registry.registry import TargetRegistry
+from lavendertide.routes.book import RouteBook
+from lavendertide.routes.spreading import RouteSpreading
+from lavendertide.runtime import clock, sockets, tasks
+
+# A peer that does not answer is noticed after a few of these.
+HEARTBEAT_S: Final = 0.25
+# A process that stood still for so long asks its peers again before it goes on.
+LEASE_S: Final = 2.0
+# Without a published list of hosts, a member that is silent for so long is dropped.
+REMOVAL_S: Final = 30.0
+ROUND_S: Final = 0.25
+CONNECTIONS_MAX: Final = 2_000
+ENTRY_CONNECTIONS_MAX: Final = 200
+# Hosts that are named to a caller; enough that one can fail without all its requests.
+ADDRESSES: Final = 4
+# Part of the grace in which requests are still taken after the request to stop.
+TAKING_SHARE: Final = 0.5
+# Part of the grace after which requests in flight are not waited for any more.
+ENDING_SHARE: Final = 0.92
+
+_log = logging.getLogger(__name__)
+
+
+@dataclass(frozen=True, slots=True)
+class Translations:
+    """What `lavendertide.platform` hands in.
+
+    Attributes:
+        reader: Reads what the platform publishes.
+        make_wire: Makes a connection to a target.
+        callers: Translates callers' messages.
+        entries: Translates questions about readiness and addresses.
+    """
+
+    reader: PlatformReader
+    make_wire: Callable[[Address], TargetWire]
+    callers: CallerCodec
+    entries: EntryCodec
+
+
+class Gateway:
+    """Everything that one gateway process does."""
+
+    def __init__(self, options: GatewayOptions, translations: Translations) -> None:
+        now_s = clock.monotonic_s()
+        self._options = options
+        self._translations = translations
+        self._book = RouteBook()
+        self._registry = TargetRegistry()
+        self._size = FleetSize()
+        self._in_flight = InFlight()
+        self._readiness = Readiness(LEASE_S, now_s)
+        self._spreading = RouteSpreading(self._book, encode_table, decode_table, now_s)
+        self._make_fleet()
+        self._make_forwarding()
+        self._follower = Follower(
+            translations.reader, self._book, self._spreading, self._registry, now_s
+        )
+
+    def run(self) -> None:
+        """Serves until SIGTERM, then finishes what is in flight."""
+        options = self._options
+        peer_listener = sockets.listen(options.peers)
+        tasks.spawn(
+            PeerServer(self._edge, self._roster, self._peer_news).serve, peer_listener
+        )
+        entries = self._entry_front()
+        for address in {options.readiness, options.directory, options.metrics}:
+            listener = sockets.listen(address)
+            tasks.spawn(
+                sockets.accept_forever, listener, entries.serve, ENTRY_CONNECTIONS_MAX
+            )
+        tasks.spawn(self._membership.keep)
+        tasks.spawn(self._follower.run)
+        tasks.spawn(self._keep_size)
+        front = self._caller_front()
+        listener = sockets.listen(options.callers)
+        tasks.spawn(sockets.accept_forever, listener, front.serve, CONNECTIONS_MAX)
+        _log.info("started", extra={"callers": options.callers})
+
+        def stop_taking() -> None:
+            sockets.close_listener(listener)
+            front.close_idle()
+
+        drain = Drain(
+            self._roster,
+            self._peers,
+            self._readiness,
+            self._in_flight,
+            TAKING_SHARE * options.grace_s,
+            (ENDING_SHARE - TAKING_SHARE) * options.grace_s,
+            stop_taking,
+        )
+        signal.signal(signal.SIGTERM, lambda *_: drain.request())
+        drain.run()
+        _log.info("stopped")
+
+    def _make_fleet(self) -> None:
+        options = self._options
+        self._roster = Roster(_own_record(options))
+        self._edge = PeerEdge(options.fleet_key, self._roster, LinkFaults(), PeerSocket)
+        self._news = FleetNews(
+            self._roster, self._book, self._spreading, lambda: self._peers.tell_soon()
+        )
+        self._peers = Peers(
+            self._roster, self._edge, self._news, options.seeds, HEARTBEAT_S
+        )
+        self._membership = Membership(
+            self._roster,
+            self._peers,
+            self._news,
+            self._readiness,
+            ROUND_S,
+            REMOVAL_S,
+            is_listed=False,
+        )
+
+    def _make_forwarding(self) -> None:
+        options = self._options
+        self._metrics = ForwardingMetrics(REGISTRY)
+        self._views = TargetViews(options.failure_domain)
+        self._crashes = CrashEvidence(Quarantine())
+        self._peer_news = PeerNews(
+            self._roster, self._peers, self._news, self._views, self._crashes
+        )
+        self._forwarder = Forwarder(
+            self._book,
+            self._registry,
+            self._views,
+            TargetPools(self._translations.make_wire),
+            RetryBudgets(options.retries),
+            self._crashes,
+            Notices(
+                self._peer_news.tell_stall,
+                self._peer_news.tell_verdict,
+                lambda: self._size.hosts,
+            ),
+            self._metrics,
+        )
+
+    def _caller_front(self) -> CallerFront:
+        return CallerFront(
+            self._translations.callers,
+            self._forwarder,
+            self._book,
+            self._readiness,
+            self._in_flight,
+            self._metrics,
+        )
+
+    def _entry_front(self) -> EntryFront:
+        book = AddressBook(
+            self._roster, str, self._options.address_lifetime_s, ADDRESSES
+        )
+        return EntryFront(
+            self._translations.entries,
+            self._readiness,
+            book,
+            lambda: generate_latest(REGISTRY),
+        )
+
+    def _keep_size(self) -> None:
+        while True:
+            self._size.see(len(self._roster.members), clock.monotonic_s())
+            tasks.sleep(ROUND_S)
+
+
+def _own_record(options: GatewayOptions) -> MemberRecord:
+    return MemberRecord(
+        daemon=DaemonId(options.host),
+        host=options.host,
+        region=options.region,
+        failure_domain=options.failure_domain,
+        peer_address=options.peers,
+        caller_address=options.callers,
+        incarnation=Incarnation(int(clock.wall_s() * 1_000)),
+        state=MemberState.JOINING,
+    )
--- /dev/null
+++ b/lavendertide/gateway/options.py
@@ -0,0 +1,40 @@
+"""What a gateway process has to know before it starts."""
+
+from dataclasses import dataclass
+
+from lavendertide.forwarding.budget import RetryAllowance
+from lavendertide.ids import Address, FailureDomain, HostId, Region
+
+
+@dataclass(frozen=True, slots=True)
+class GatewayOptions:
+    """The settings of one gateway.
+
+    Attributes:
+        callers: Where it listens for requests.
+        readiness: Where it says whether it takes requests.
+        directory: Where it says which hosts callers should use.
+        peers: Where it listens for other gateways.
+        metrics: Where its metrics are read.
+        seeds: Peers to ask first; some may be down.
+        fleet_key: Shared secret of the gateways.
+        platform: Where the platform publishes routes and targets.
+        retries: Extra sub-requests that the fleet may send.
+        grace_s: Time from the request to stop to the end by force.
+        address_lifetime_s: The longest time for which callers keep an address answer.
+    """
+
+    host: HostId
+    region: Region
+    failure_domain: FailureDomain
+    callers: Address
+    readiness: Address
+    directory: Address
+    peers: Address
+    metrics: Address
+    seeds: tuple[Address, ...]
+    fleet_key: str
+    platform: Address
+    retries: RetryAllowance
+    grace_s: float
+    address_lifetime_s: float
--- /dev/null
+++ b/lavendertide/gateway/peer_news.py
@@ -0,0 +1,79 @@
+"""Exchanges with peers what requests have shown of targets and of callers' requests."""
+
+from lavendertide.fleet.news import FleetNews
+from lavendertide.fleet.peer_connection import PeerConnection
+from lavendertide.fleet.peer_server import Outbox, answer_reach
+from lavendertide.fleet.peers import Peers
+from lavendertide.fleet.roster import Roster
+from lavendertide.forwarding.poison import CrashEvidence
+from lavendertide.forwarding.target_view import TargetViews
+from lavendertide.ids import TargetId
+from lavendertide.messages import (
+    Answered,
+    Declined,
+    Frame,
+    Lost,
+    ReachRequest,
+    StallNotices,
+    SubReply,
+    Verdict,
+    Verdicts,
+)
+from lavendertide.runtime import clock, tasks
+
+
+class PeerNews:
+    """Answers the frames of peers and tells them this host's news."""
+
+    def __init__(
+        self,
+        roster: Roster,
+        peers: Peers,
+        news: FleetNews,
+        views: TargetViews,
+        crashes: CrashEvidence,
+    ) -> None:
+        self._roster = roster
+        self._peers = peers
+        self._news = news
+        self._views = views
+        self._crashes = crashes
+
+    def tell_stall(self, target: TargetId) -> None:
+        """Tells all linked peers that a target has stopped answering."""
+        self._views.of(target).note_stall(clock.monotonic_s())
+        self._peers.tell_all(StallNotices((target,)))
+
+    def tell_verdict(self, verdict: Verdict) -> None:
+        """Tells all linked peers what is known of a request."""
+        self._peers.tell_all(Verdicts((verdict,)))
+
+    def take(self, peer: PeerConnection, frame: Frame, outbox: Outbox) -> None:
+        """Takes in a frame of a peer."""
+        now_s = clock.monotonic_s()
+        match frame:
+            case StallNotices(targets):
+                for target in targets:
+                    self._views.of(target).note_stall(now_s)
+            case Verdicts(items):
+                for verdict in self._crashes.learn(items, now_s):
+                    self.tell_verdict(verdict)
+            case ReachRequest():
+                tasks.spawn(self._answer_reach, frame, outbox)
+            case _:
+                answer = self._news.answer(peer.daemon, frame, now_s)
+                if answer is not None:
+                    outbox.send(answer)
+
+    def write(
+        self, peer: PeerConnection, outbox: Outbox, first: SubReply | Frame
+    ) -> None:
+        """Writes one frame."""
+        match first:
+            case Answered() | Declined() | Lost():
+                return
+            case _:
+                peer.send(first)
+
+    def _answer_reach(self, request: ReachRequest, outbox: Outbox) -> None:
+        outbox.send(answer_reach(request, self._roster, self._peers))
--- a/lavendertide/ids.py
+++ b/lavendertide/ids.py
@@ -4,7 +4,7 @@
 host. Ids carry no behaviour.
 """
 
-from typing import NewType
+from typing import Final, NewType
 
 OwnerId = NewType("OwnerId", str)
 PlanId = NewType("PlanId", str)
@@ -28,3 +28,8 @@
 ConfigurationVersion = NewType("ConfigurationVersion", int)
 ConfigurationDigest = NewType("ConfigurationDigest", bytes)
 EntryKey = NewType("EntryKey", str)
+RouteName = NewType("RouteName", str)
+ServiceName = NewType("ServiceName", str)
+CallerRequestId = NewType("CallerRequestId", str)
+
+NO_VERSION: Final = ConfigurationVersion(0)
--- a/lavendertide/messages.py
+++ b/lavendertide/messages.py
@@ -431,6 +431,13 @@
     items: tuple[Verdict, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class StallNotices:
+    """Targets that have stopped answering the sender, told to all linked peers."""
+
+    targets: tuple[TargetId, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class TrialClaim:
     """Asks a suspect's home daemon for the one trial that may run in the region."""
@@ -580,6 +587,7 @@
     | PlanClaims
     | PlanGrants
     | Verdicts
+    | StallNotices
     | TrialClaim
     | TrialGrant
     | SlotClaims
--- /dev/null
+++ b/lavendertide/platform/caller_codec.py
@@ -0,0 +1,118 @@
+"""Translates callers' requests and the answers to them."""
+
+import hashlib
+import math
+from typing import Final
+
+from lavendertide.encodings.http1 import (
+    BadRequest,
+    Header,
+    HttpRequest,
+    HttpResponse,
+    passed_on,
+)
+from lavendertide.forwarding.messages import (
+    Abandoned,
+    Answer,
+    CallerRequest,
+    Failed,
+    Gathered,
+    Passed,
+    RefusalCause,
+    Refused,
+    Unroutable,
+)
+from lavendertide.ids import CallerRequestId, Fingerprint
+from lavendertide.platform.names import (
+    DEADLINE_MS,
+    EXPECTED_TARGET,
+    MISSING_SHARDS,
+    PART_SIGNATURES,
+    REQUEST_ID,
+    RETRY_AFTER,
+)
+
+FINGERPRINT_BYTES: Final = 8
+# Set by this host on what it sends to targets, so a caller's own are not passed on.
+OWN_HEADERS: Final = frozenset({DEADLINE_MS, EXPECTED_TARGET})
+TEXT: Final = (b"Content-Type", b"text/plain")
+
+
+class PlatformCallerCodec:
+    """Callers' HTTP messages as the platform spells them."""
+
+    def decode(self, request: HttpRequest, now_s: float) -> CallerRequest | BadRequest:
+        """Returns what a caller asks.
+
+        Args:
+            request: What was read.
+            now_s: Present time, monotonic.
+        """
+        host = request.header(b"host")
+        name = request.header(REQUEST_ID)
+        if host is None or not request.target.startswith("/"):
+            return BadRequest(400)
+        waits_s = _waits_s(request)
+        return CallerRequest(
+            request=CallerRequestId((name or b"").decode("latin-1")),
+            method=request.method,
+            host=host.decode("latin-1"),
+            path=request.target,
+            headers=tuple(passed_on(request.headers, OWN_HEADERS)),
+            body=request.body,
+            gives_up_at_s=None if waits_s is None else now_s + waits_s,
+            arrived_at_s=now_s,
+            fingerprint=_fingerprint(request, host),
+        )
+
+    def encode(self, request: CallerRequest, answer: Answer) -> HttpResponse:
+        """Returns the response that says an answer."""
+        match answer:
+            case Passed(reply):
+                return HttpResponse(reply.status, reply.headers, reply.body)
+            case Gathered(signatures, missing, body):
+                parts = ", ".join(signatures).encode("latin-1")
+                headers = (
+                    (b"Content-Type", b"application/octet-stream"),
+                    (PART_SIGNATURES, parts),
+                    (MISSING_SHARDS, b"%d" % missing),
+                )
+                return HttpResponse(200, headers, body)
+            case Refused(cause, retry_after_s):
+                return _refusal(cause, retry_after_s)
+            case Unroutable():
+                return HttpResponse(404, (TEXT,), b"no route takes this request\n")
+            case Failed(cause, is_timeout):
+                status = 504 if is_timeout else 502
+                return HttpResponse(status, (TEXT,), cause.value.encode() + b"\n")
+            case Abandoned():
+                return HttpResponse(499, (), b"")
+
+    def encode_bad(self, bad: BadRequest) -> HttpResponse:
+        """Returns the response to what is no proper request."""
+        return HttpResponse(bad.status, (TEXT,), b"malformed request\n")
+
+
+def _refusal(cause: RefusalCause, retry_after_s: float | None) -> HttpResponse:
+    headers: list[Header] = [TEXT]
+    if retry_after_s is not None:
+        headers.append((RETRY_AFTER, f"{retry_after_s:.3f}".encode()))
+    return HttpResponse(503, tuple(headers), cause.value.encode() + b"\n")
+
+
+def _waits_s(request: HttpRequest) -> float | None:
+    """Returns how long the caller waits, none if it does not say so legibly."""
+    value = request.header(DEADLINE_MS)
+    try:
+        waits_ms = float(value) if value is not None else math.nan
+    except ValueError:
+        return None
+    return waits_ms / 1_000 if math.isfinite(waits_ms) else None
+
+
+def _fingerprint(request: HttpRequest, host: bytes) -> Fingerprint:
+    digest = hashlib.blake2b(digest_size=FINGERPRINT_BYTES)
+    for part in (request.method.encode(), host, request.target.encode("latin-1")):
+        digest.update(part + b"\n")
+    digest.update(request.body)
+    return Fingerprint(digest.hexdigest())
--- /dev/null
+++ b/lavendertide/platform/entry_codec.py
@@ -0,0 +1,63 @@
+"""Translates the platform's questions whether a host is ready and which to use."""
+
+import json
+from urllib.parse import parse_qs, urlsplit
+
+from lavendertide.encodings.http1 import BadRequest, HttpRequest, HttpResponse
+from lavendertide.gateway.entry_front import (
+    AddressesAsked,
+    MetricsAsked,
+    Question,
+    ReadinessAsked,
+)
+from lavendertide.ids import FailureDomain, Region
+from lavendertide.platform.names import ADDRESSES_PATH, METRICS_PATH, READY_PATH
+
+JSON = (b"Content-Type", b"application/json")
+TEXT = (b"Content-Type", b"text/plain; version=0.0.4")
+
+
+class PlatformEntryCodec:
+    """These questions as the platform spells them."""
+
+    def decode(self, request: HttpRequest) -> Question | BadRequest:
+        """Returns what is asked."""
+        url = urlsplit(request.target)
+        match request.method, url.path:
+            case "GET", str(path) if path == READY_PATH:
+                return ReadinessAsked()
+            case "GET", str(path) if path == METRICS_PATH:
+                return MetricsAsked()
+            case "GET", str(path) if path == ADDRESSES_PATH:
+                query = parse_qs(url.query)
+                return AddressesAsked(
+                    # The host name of the caller's requests, not of a machine.
+                    _first(query, "name"),
+                    Region(_first(query, "region")),
+                    FailureDomain(_first(query, "zone")),
+                )
+            case _:
+                return BadRequest(404)
+
+    def encode_ready(self, is_ready: bool) -> HttpResponse:
+        """Returns the response to whether the host takes requests."""
+        return HttpResponse(200 if is_ready else 503, (), b"")
+
+    def encode_addresses(
+        self, addresses: tuple[str, ...], lifetime_s: float
+    ) -> HttpResponse:
+        """Returns the response that names hosts."""
+        body = json.dumps({"addrs": addresses, "ttl_s": lifetime_s}).encode()
+        return HttpResponse(200, (JSON,), body)
+
+    def encode_text(self, text: bytes) -> HttpResponse:
+        """Returns a response of plain text."""
+        return HttpResponse(200, (TEXT,), text)
+
+    def encode_bad(self, bad: BadRequest) -> HttpResponse:
+        """Returns the response to what is no proper question."""
+        return HttpResponse(bad.status, (), b"")
+
+
+def _first(query: dict[str, list[str]], name: str) -> str:
+    return query.get(name, [""])[0]
--- /dev/null
+++ b/lavendertide/platform/settings.py
@@ -0,0 +1,91 @@
+"""Reads the settings file that the platform writes: lines of `a.b=value`."""
+
+import os
+from pathlib import Path
+
+from lavendertide.forwarding.budget import RetryAllowance
+from lavendertide.gateway.options import GatewayOptions
+from lavendertide.ids import Address, FailureDomain, HostId, Region
+from lavendertide.runtime.sockets import split_address
+
+PATH_VARIABLE = "LAVENDERTIDE_SETTINGS"
+KEY_VARIABLE = "FLEET_KEY"
+METRICS_VARIABLE = "METRICS_PORT"
+DEFAULT_METRICS_PORT = "9464"
+
+
+class SettingsError(Exception):
+    """The settings cannot be used; the message says what to change."""
+
+
+def settings_path() -> Path:
+    """Returns where the settings file is.
+
+    Raises:
+        SettingsError: The environment does not say.
+    """
+    path = os.environ.get(PATH_VARIABLE)
+    if not path:
+        raise SettingsError(f"Set {PATH_VARIABLE} to the path of the settings file.")
+    return Path(path)
+
+
+def read_settings(path: Path) -> GatewayOptions:
+    """Returns the options of this process.
+
+    Raises:
+        SettingsError: The file cannot be read, or a value is missing or malformed.
+    """
+    try:
+        fields = parse_lines(path.read_text())
+    except OSError as error:
+        raise SettingsError(f"Make {path} readable: {error}.") from error
+    key = os.environ.get(KEY_VARIABLE, "")
+    if not key:
+        raise SettingsError(f"Set {KEY_VARIABLE}, the secret that all hosts share.")
+    metrics_port = os.environ.get(METRICS_VARIABLE, DEFAULT_METRICS_PORT)
+    try:
+        return _options(fields, key, metrics_port)
+    except KeyError as error:
+        raise SettingsError(f"Add {error.args[0]} to {path}.") from error
+    except ValueError as error:
+        raise SettingsError(f"Correct a value in {path}: {error}.") from error
+
+
+def parse_lines(text: str) -> dict[str, str]:
+    """Returns the values by name; lines that are no assignment are left aside."""
+    pairs = (line.partition("=") for line in text.splitlines())
+    return {name.strip(): value.strip() for name, sign, value in pairs if sign}
+
+
+def _options(fields: dict[str, str], key: str, metrics_port: str) -> GatewayOptions:
+    seeds = [seed for seed in fields.get("seeds", "").split(",") if seed]
+    return GatewayOptions(
+        host=HostId(fields["node"]),
+        region=Region(fields["region"]),
+        failure_domain=FailureDomain(fields["zone"]),
+        callers=_address(fields["listen.front"]),
+        readiness=_address(fields["listen.ready"]),
+        directory=_address(fields["listen.directory"]),
+        # The platform calls the address of the hosts' own traffic "control".
+        peers=_address(fields["listen.control"]),
+        metrics=Address(f"{fields['ip']}:{int(metrics_port)}"),
+        seeds=tuple(_address(seed) for seed in seeds),
+        fleet_key=key,
+        platform=_address(fields["platform.address"]),
+        retries=RetryAllowance(
+            ratio=float(fields["bounds.retry-budget-ratio"]),
+            fixed=float(fields["bounds.retry-slack"]),
+            window_s=float(fields["bounds.budget-window-s"]),
+        ),
+        grace_s=float(fields["bounds.grace-s"]),
+        # The only name of the platform with underscores.
+        address_lifetime_s=float(fields["bounds.ttl_max_s"]),
+    )
+
+
+def _address(text: str) -> Address:
+    ip, port = split_address(Address(text))
+    if not ip:
+        raise ValueError(f"{text!r} is not IP:port")
+    return Address(f"{ip}:{port}")
--- /dev/null
+++ b/lavendertide/platform/store_client.py
@@ -0,0 +1,187 @@
+"""The client of the platform's store: ranges, and watches that return what is there."""
+
+import base64
+import json
+import logging
+from typing import Any, Final
+from urllib.parse import urlencode
+
+from returns.result import Failure, Result, Success
+
+from lavendertide.encodings.http1 import (
+    ClientConnection,
+    ExchangeError,
+    HttpRequest,
+    HttpResponse,
+)
+from lavendertide.errors import Refusal, unreachable
+from lavendertide.gateway.follower import (
+    HistoryLost,
+    Publication,
+    Reading,
+    RoutesPublished,
+    TargetPublished,
+    TargetWithdrawn,
+)
+from lavendertide.ids import Address, TargetId
+from lavendertide.platform.names import (
+    RANGE_PATH,
+    ROUTES_KEY,
+    TARGETS_PREFIX,
+    WATCH_PATH,
+)
+from lavendertide.platform.operator_routes import decode_routes
+from lavendertide.platform.target_entries import decode_target
+
+# The store answers in milliseconds; one that takes longer is away.
+CONNECT_TIMEOUT_S: Final = 0.5
+ANSWER_TIMEOUT_S: Final = 1.0
+# How long a watch waits for a change, and how much later its answer may come. The sum
+# bounds how long a dead connection is believed; a change has to be in force, and a
+# leaving target left alone, within three seconds.
+WATCH_WAIT_S: Final = 1.5
+WATCH_MARGIN_S: Final = 0.5
+# Pages of one range; more than any deployment holds.
+PAGES_MAX: Final = 1_000
+EVERYTHING: Final = ""
+REMEDY: Final = "Check that the platform's store runs; what was last read stays."
+
+_log = logging.getLogger(__name__)
+
+
+class _StoreError(Exception):
+    """The store has refused a call or answered what cannot be read."""
+
+
+class StoreClient:
+    """Reads the store over one kept connection."""
+
+    def __init__(self, address: Address) -> None:
+        self._address = address
+        self._connection = ClientConnection(address)
+        self._refused: dict[str, str] = {}
+
+    def read_all(self) -> Result[Reading, Refusal]:
+        """Returns all routes and targets."""
+        try:
+            return Success(self._read_all())
+        except _StoreError as error:
+            return Failure(unreachable(self._address, str(error), REMEDY))
+
+    def read_changes(self, revision: int) -> Result[Reading | HistoryLost, Refusal]:
+        """Returns what has changed since a revision; waits a little if nothing has."""
+        query = {
+            "prefix": EVERYTHING,
+            # The revision up to which everything is known, not a key as in a range.
+            "after": revision,
+            "wait-ms": round(WATCH_WAIT_S * 1_000),
+        }
+        try:
+            response = self._get(WATCH_PATH, query, WATCH_WAIT_S + WATCH_MARGIN_S)
+            if response.status == 410:
+                return Success(HistoryLost())
+            document = _document(response)
+            publications = [self._decode(event) for event in document["events"]]
+            reading = Reading(
+                tuple(p for p in publications if p is not None),
+                int(document["current-rev"]),
+            )
+            return Success(reading)
+        except (_StoreError, KeyError, TypeError, ValueError) as error:
+            return Failure(unreachable(self._address, str(error), REMEDY))
+
+    def _read_all(self) -> Reading:
+        revision: int | None = None
+        publications: list[Publication] = []
+        after = ""
+        for _ in range(PAGES_MAX):
+            query = {"prefix": EVERYTHING, "after": after}
+            document = _document(self._get(RANGE_PATH, query, ANSWER_TIMEOUT_S))
+            try:
+                # Pages are read at different times; changes since the first one follow.
+                if revision is None:
+                    revision = int(document["current-rev"])
+                items = document["items"]
+                decoded = [self._decode(item) for item in items]
+                publications += [p for p in decoded if p is not None]
+                if not document["has-more"] or not items:
+                    break
+                after = items[-1]["key"]
+            except (KeyError, TypeError, ValueError) as error:
+                raise _StoreError(f"unreadable range: {error!r}") from error
+        return Reading(tuple(publications), revision or 0)
+
+    def _get(self, path: str, query: dict[str, Any], timeout_s: float) -> HttpResponse:
+        connection = self._connection
+        if not connection.is_open and not connection.open(CONNECT_TIMEOUT_S):
+            raise _StoreError("no connection")
+        request = HttpRequest(
+            "GET",
+            f"{path}?{urlencode(query)}",
+            ((b"Host", self._address.encode()),),
+            b"",
+        )
+        try:
+            return connection.exchange(request, timeout_s)
+        except ExchangeError as error:
+            kind = "timeout" if error.is_timeout else "connection closed"
+            raise _StoreError(kind) from error
+
+    def _decode(self, item: dict[str, Any]) -> Publication | None:
+        key = item["key"]
+        if key == ROUTES_KEY:
+            return self._decode_routes(item)
+        if not key.startswith(TARGETS_PREFIX):
+            return None
+        name = key.removeprefix(TARGETS_PREFIX)
+        # A field of an event that says that the key was removed.
+        if "tombstone" in item:
+            return TargetWithdrawn(TargetId(name))
+        try:
+            record = decode_target(name, _value(item))
+        except ValueError as error:
+            self._note_refused(key, str(error))
+            return TargetWithdrawn(TargetId(name))
+        self._refused.pop(key, None)
+        return TargetPublished(record)
+
+    def _decode_routes(self, item: dict[str, Any]) -> Publication | None:
+        if "tombstone" in item:
+            return None
+        try:
+            return RoutesPublished(decode_routes(_value(item)))
+        except ValueError as error:
+            self._note_refused(item["key"], str(error))
+            return None
+
+    def _note_refused(self, key: str, problem: str) -> None:
+        if self._refused.get(key) == problem:
+            return
+        if len(self._refused) >= PAGES_MAX:
+            self._refused.clear()
+        self._refused[key] = problem
+        _log.warning("entry refused", extra={"entry": key, "problem": problem})
+
+
+def _document(response: HttpResponse) -> dict[str, Any]:
+    if response.status != 200:
+        raise _StoreError(f"status {response.status}")
+    try:
+        document = json.loads(response.body)
+    except ValueError as error:
+        raise _StoreError("unreadable answer") from error
+    if not isinstance(document, dict):
+        raise _StoreError("unreadable answer")
+    return document
+
+
+def _value(item: dict[str, Any]) -> Any:
+    """Returns the JSON of an item's value, which is base64 text.
+
+    Raises:
+        ValueError: It cannot be read.
+    """
+    try:
+        return json.loads(base64.b64decode(item["value"], validate=True))
+    except (KeyError, TypeError, RecursionError) as error:
+        raise ValueError(f"unreadable value: {error!r}") from error
--- /dev/null
+++ b/lavendertide/registry/registry.py
@@ -0,0 +1,115 @@
+"""The registered targets of all services, as this host has last read them."""
+
+import logging
+from collections.abc import Callable, Iterable
+from typing import Final
+
+from lavendertide.ids import ServiceName, TargetId
+from lavendertide.registry.record import TargetRecord, TargetState
+
+# Targets that lapsed while the platform was away have registered again by then.
+REAPPEAR_S: Final = 2.0
+
+_log = logging.getLogger(__name__)
+
+
+class TargetRegistry:
+    """The targets by service; entries are kept while the platform is away."""
+
+    def __init__(self) -> None:
+        self._records: dict[TargetId, TargetRecord] = {}
+        self._by_service: dict[ServiceName, tuple[TargetRecord, ...]] = {}
+        self._missing_since_s: dict[TargetId, float] = {}
+        self._returned_at_s: float | None = None
+        self._on_gone: Callable[[TargetRecord], None] = lambda _: None
+
+    @property
+    def targets(self) -> tuple[TargetRecord, ...]:
+        """All targets, draining ones among them."""
+        return tuple(self._records.values())
+
+    def on_gone(self, listener: Callable[[TargetRecord], None]) -> None:
+        """Has a function called with each run of a target that has ended."""
+        self._on_gone = listener
+
+    def ready(self, service: ServiceName) -> tuple[TargetRecord, ...]:
+        """Returns the targets of a service that take new requests."""
+        found = self._by_service.get(service)
+        if found is None:
+            found = tuple(
+                record
+                for record in self._records.values()
+                if record.service == service and record.state is TargetState.READY
+            )
+            self._by_service[service] = found
+        return found
+
+    def put(self, record: TargetRecord) -> None:
+        """Takes in what a target says of itself."""
+        known = self._records.get(record.target)
+        self._missing_since_s.pop(record.target, None)
+        if known == record:
+            return
+        if known is None or not record.is_same_start(known):
+            _log.info("target registered", extra=_fields(record))
+        elif record.state is not known.state:
+            _log.info("target changed state", extra=_fields(record))
+        self._records[record.target] = record
+        self._by_service.clear()
+        if known is not None and not record.is_same_start(known):
+            self._on_gone(known)
+
+    def remove(self, target: TargetId, now_s: float) -> None:
+        """Takes in that a target is not registered any more.
+
+        Just after the platform's return it may only have lapsed meanwhile; it is kept
+        until it has had the time to register again.
+        """
+        if target not in self._records:
+            return
+        if self._is_returning(now_s):
+            self._missing_since_s.setdefault(target, now_s)
+            return
+        self._drop(target, "unregistered")
+
+    def replace(self, records: Iterable[TargetRecord], now_s: float) -> None:
+        """Takes in a whole list of targets."""
+        seen = set()
+        for record in records:
+            seen.add(record.target)
+            self.put(record)
+        for target in [name for name in self._records if name not in seen]:
+            self.remove(target, now_s)
+
+    def note_return(self, now_s: float) -> None:
+        """Notes that the platform answers again after it was away."""
+        self._returned_at_s = now_s
+
+    def expire(self, now_s: float) -> None:
+        """Drops the targets that have not come back after the platform's return."""
+        if not self._missing_since_s or self._is_returning(now_s):
+            return
+        for target in list(self._missing_since_s):
+            self._drop(target, "lapsed during an outage of the platform")
+
+    def _is_returning(self, now_s: float) -> bool:
+        returned_at_s = self._returned_at_s
+        return returned_at_s is not None and now_s - returned_at_s < REAPPEAR_S
+
+    def _drop(self, target: TargetId, reason: str) -> None:
+        self._missing_since_s.pop(target, None)
+        record = self._records.pop(target, None)
+        if record is None:
+            return
+        self._by_service.clear()
+        _log.info("target gone", extra={**_fields(record), "reason": reason})
+        self._on_gone(record)
+
+
+def _fields(record: TargetRecord) -> dict[str, str]:
+    return {
+        "target": record.target,
+        "service": record.service,
+        "address": record.address,
+        "state": record.state.value,
+    }
--- /dev/null
+++ b/lavendertide/routes/book.py
@@ -0,0 +1,63 @@
+"""The route table in force on this host."""
+
+import logging
+from collections.abc import Callable
+
+from lavendertide.ids import NO_VERSION, ConfigurationVersion
+from lavendertide.routes.table import RouteTable
+
+_log = logging.getLogger(__name__)
+
+
+class RouteBook:
+    """Adopts tables in the order of their versions; an older one is never put back."""
+
+    def __init__(self) -> None:
+        self._table: RouteTable | None = None
+        self._adopted_at_s = 0.0
+        self._listeners: list[Callable[[RouteTable], None]] = []
+
+    @property
+    def table(self) -> RouteTable | None:
+        """The table in force, none before the first one was read."""
+        return self._table
+
+    @property
+    def version(self) -> ConfigurationVersion:
+        """The version in force, zero for none."""
+        return self._table.version if self._table is not None else NO_VERSION
+
+    @property
+    def adopted_at_s(self) -> float:
+        """When the table came into force on this host, monotonic seconds."""
+        return self._adopted_at_s
+
+    def on_change(self, listener: Callable[[RouteTable], None]) -> None:
+        """Has a function called after each adoption; it must not wait."""
+        self._listeners.append(listener)
+
+    def adopt(self, table: RouteTable, source: str, now_s: float) -> bool:
+        """Puts a table in force if it is newer; returns whether it was.
+
+        Args:
+            table: The table that was read.
+            source: Who sent it, for the log.
+            now_s: Present time, monotonic.
+        """
+        if table.version <= self.version:
+            return False
+        _log.info(
+            "routes adopted",
+            extra={
+                "version": table.version,
+                "replaced_version": self.version,
+                "replaced_age_s": round(now_s - self._adopted_at_s, 3),
+                "routes": len(table.routes),
+                "source": source,
+            },
+        )
+        self._table = table
+        self._adopted_at_s = now_s
+        for listener in self._listeners:
+            listener(table)
+        return True
--- /dev/null
+++ b/lavendertide/routes/split.py
@@ -0,0 +1,30 @@
+"""Divides the requests of a route among services in proportion to their weights."""
+
+from lavendertide.ids import RouteName, ServiceName
+from lavendertide.routes.route import SplitServices
+
+
+class SplitCounters:
+    """Chooses the service that is furthest behind its share of the requests.
+
+    Each route has a credit for each service. A request adds the weights to the credits
+    and takes the sum of the weights off the chosen one, so that the shares are exact
+    over any few requests.
+    """
+
+    def __init__(self) -> None:
+        self._credits: dict[RouteName, tuple[SplitServices, dict[ServiceName, float]]]
+        self._credits = {}
+
+    def choose(self, route: RouteName, split: SplitServices) -> ServiceName:
+        """Returns the service of the next request."""
+        known = self._credits.get(route)
+        if known is None or known[0] != split:
+            known = (split, {part.service: 0.0 for part in split.services})
+            self._credits[route] = known
+        credits = known[1]
+        for part in split.services:
+            credits[part.service] += part.weight
+        chosen = max(credits, key=lambda service: credits[service])
+        credits[chosen] -= sum(part.weight for part in split.services)
+        return chosen
--- /dev/null
+++ b/lavendertide/routes/spreading.py
@@ -0,0 +1,118 @@
+"""Spreads the route table between hosts, so that one that cannot read it has it too.
+
+Heartbeats carry the version in force. Who hears of a higher one asks the peer for it.
+"""
+
+import itertools
+import logging
+from collections.abc import Callable
+from typing import Final
+
+from lavendertide.ids import ConfigurationDigest, ConfigurationVersion, DaemonId
+from lavendertide.messages import (
+    ConfigurationFrame,
+    ConfigurationOffer,
+    ConfigurationPull,
+    ConfigurationPush,
+    ConfigurationStamp,
+)
+from lavendertide.routes.book import RouteBook
+from lavendertide.routes.table import RouteTable
+
+# A pull that has not been answered for so long is sent again.
+PULL_AGAIN_S: Final = 1.0
+
+_log = logging.getLogger(__name__)
+
+
+class RouteSpreading:
+    """The exchange of one host's route table with its peers.
+
+    Args:
+        book: The table in force.
+        encode: Returns a table as bytes.
+        decode: Returns a table from bytes; raises `ValueError` if it is none.
+        now_s: Present time, monotonic.
+    """
+
+    def __init__(
+        self,
+        book: RouteBook,
+        encode: Callable[[RouteTable], bytes],
+        decode: Callable[[bytes], RouteTable],
+        now_s: float,
+    ) -> None:
+        self._book = book
+        self._encode = encode
+        self._decode = decode
+        self._asks = itertools.count(1)
+        self._pulled: tuple[ConfigurationVersion, float] | None = None
+        self._confirmed_at_s: float | None = None
+        self._refresh_since_s = now_s
+
+    def take(
+        self, frame: ConfigurationFrame, sender: DaemonId, now_s: float
+    ) -> ConfigurationFrame | None:
+        """Takes in a frame of a peer; returns the answer to it."""
+        match frame:
+            case ConfigurationPull(known, ask):
+                return self._answer_pull(known, ask)
+            case ConfigurationPush(lists=data):
+                self._adopt(data, sender, now_s)
+            case ConfigurationOffer(stamp=stamp):
+                return self.hear_version(stamp.version, now_s)
+        return None
+
+    def hear_version(
+        self, version: ConfigurationVersion, now_s: float
+    ) -> ConfigurationPull | None:
+        """Takes in a peer's version; returns a question if it is news."""
+        if version <= self._book.version:
+            self.note_confirmed(now_s)
+            return None
+        if self._pulled is not None:
+            pulled, at_s = self._pulled
+            if pulled >= version and now_s - at_s < PULL_AGAIN_S:
+                return None
+        self._pulled = version, now_s
+        return ConfigurationPull(_stamp(self._book.version), next(self._asks))
+
+    def needs_refresh(self, now_s: float) -> bool:
+        """Returns whether nobody has confirmed the version since the last refresh."""
+        confirmed_at_s = self._confirmed_at_s
+        return confirmed_at_s is None or confirmed_at_s < self._refresh_since_s
+
+    def refresh(self, now_s: float) -> None:
+        """Has the version confirmed anew."""
+        self._refresh_since_s = now_s
+
+    def note_confirmed(self, now_s: float) -> None:
+        """Notes that a peer or the platform knows no higher version."""
+        self._confirmed_at_s = now_s
+
+    def _answer_pull(
+        self, known: ConfigurationStamp, ask: int
+    ) -> ConfigurationFrame | None:
+        table = self._book.table
+        if table is None:
+            return None
+        stamp = _stamp(table.version)
+        if known.version >= table.version:
+            return ConfigurationOffer(ask, stamp, True, None)
+        return ConfigurationPush(stamp, self._encode(table))
+
+    def _adopt(self, data: bytes, sender: DaemonId, now_s: float) -> None:
+        try:
+            table = self._decode(data)
+        except ValueError as error:
+            _log.warning(
+                "routes of a peer refused",
+                extra={"peer": sender, "problem": str(error)},
+            )
+            return
+        self._book.adopt(table, f"peer {sender}", now_s)
+        self.note_confirmed(now_s)
+
+
+def _stamp(version: ConfigurationVersion) -> ConfigurationStamp:
+    return ConfigurationStamp(version, ConfigurationDigest(b""))
--- a/lavendertide/runtime/sockets.py
+++ b/lavendertide/runtime/sockets.py
@@ -6,12 +6,12 @@
 
 import contextlib
 import io
+import logging
 import socket
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from typing import Any, Final
 
 import eventlet
-from eventlet import wsgi
 
 from lavendertide.ids import Address
 from lavendertide.runtime import clock
@@ -22,6 +22,8 @@
 
 Application = Callable[..., Any]
 
+_log = logging.getLogger(__name__)
+
 
 def split_address(address: Address) -> tuple[str, int]:
     """Returns IP and port of an address."""
@@ -64,6 +66,9 @@
     keep_alive_s: float,
 ) -> None:
     """Serves HTTP, one task a connection, until the listener is closed."""
+    # Imported here, since only daemons with a WSGI front end need its memory.
+    from eventlet import wsgi
+
     wsgi.server(
         listener,
         application,
@@ -123,3 +128,50 @@
         """Lets go of the connection."""
         self._raw.close()
         super().close()
+
+
+def is_quiet(connection: socket.socket) -> bool:
+    """Returns whether a connection is open and has nothing to read; never waits."""
+    plain = getattr(connection, "fd", connection)
+    try:
+        plain.recv(1, _PEEK)
+    except BlockingIOError:
+        return True
+    except OSError:
+        return False
+    return False
+
+
+@contextlib.contextmanager
+def time_limit(timeout_s: float) -> Iterator[None]:
+    """Raises `TimeoutError` in the task that waits inside for longer than a time."""
+    with eventlet.Timeout(max(0.0, timeout_s), TimeoutError("time limit")):
+        yield
+
+
+def accept_forever(
+    listener: socket.socket, serve: Callable[[socket.socket], None], most: int
+) -> None:
+    """Serves each connection in a task of its own until the listener is closed.
+
+    Args:
+        listener: Where callers connect.
+        serve: Serves one connection.
+        most: Connections that are open at a time; further ones wait to be accepted.
+    """
+    pool = eventlet.GreenPool(most)
+    while True:
+        try:
+            connection, _ = listener.accept()
+        except OSError:
+            return
+        pool.spawn_n(_serve_one, serve, connection)
+
+
+def _serve_one(serve: Callable[[socket.socket], None], connection: Any) -> None:
+    try:
+        serve(connection)
+    except Exception:
+        _log.exception("connection failed")
+    finally:
+        connection.close()
--- a/tests/fleet/test_addresses.py
+++ b/tests/fleet/test_addresses.py
@@ -3,7 +3,6 @@
 import unittest
 from collections import Counter
 
-from lavendertide.configuration.adoption import Configuration
 from lavendertide.fleet.addresses import ANSWER_SIZE, AddressBook
 from lavendertide.fleet.roster import Roster
 from lavendertide.ids import CallerKey, FailureDomain, Region
@@ -15,7 +14,7 @@
 
 def ask(roster: Roster, key: str, domain: str = DOMAINS[0]) -> tuple[str, ...]:
     """Returns the addresses that a caller is given."""
-    book = AddressBook(roster, Configuration(), 10.0)
+    book = AddressBook(roster, str, 10.0)
     return book.answer(CallerKey(key), NORTH, FailureDomain(domain), 0.0).addresses
 
 
