Tell a reset connection from the end of a reply

A reply without a length that was reset on the way counted as complete, since eventlet's recv returns the same for a reset as for a close. Ruled out: the merging (the missing records were of one broken part in the trace).

--- a/lavendertide/encodings/http1.py
+++ b/lavendertide/encodings/http1.py
@@ -321,7 +321,7 @@
     def _receive(self) -> bool:
         if self._socket is None:
             raise ConnectionResetError
-        data = self._socket.recv(READ_BYTES)
+        data = sockets.receive(self._socket, READ_BYTES)
         self._framing.receive_data(data)
         return bool(data)
 
--- a/lavendertide/runtime/sockets.py
+++ b/lavendertide/runtime/sockets.py
@@ -12,6 +12,7 @@
 from typing import Any, Final
 
 import eventlet
+from eventlet import hubs
 
 from lavendertide.ids import Address
 from lavendertide.runtime import clock
@@ -130,6 +131,25 @@
         super().close()
 
 
+def receive(connection: socket.socket, most: int) -> bytes:
+    """Waits for bytes; returns none once the other side has closed in good order.
+
+    The library's own `recv` returns the same for a reset connection, so that a reply
+    which ends with its connection would look complete when it was broken off.
+
+    Raises:
+        OSError: The connection was reset.
+    """
+    plain = getattr(connection, "fd", connection)
+    while True:
+        try:
+            data: bytes = plain.recv(most)
+        except BlockingIOError:
+            hubs.trampoline(plain, read=True)
+        else:
+            return data
+
+
 def is_quiet(connection: socket.socket) -> bool:
     """Returns whether a connection is open and has nothing to read; never waits."""
     plain = getattr(connection, "fd", connection)
--- /dev/null
+++ b/tests/encodings/test_http1.py
@@ -0,0 +1,178 @@
+"""Tests of `lavendertide.encodings.http1`, over connections within the process."""
+
+import socket
+import struct
+import threading
+import unittest
+
+from lavendertide.encodings.http1 import (
+    BadRequest,
+    ClientConnection,
+    ExchangeError,
+    HttpRequest,
+    HttpResponse,
+    ServerConnection,
+    passed_on,
+)
+from lavendertide.ids import Address
+
+GET = HttpRequest("GET", "/x", ((b"Host", b"shop.example"),), b"")
+TIMEOUT_S = 2.0
+
+
+class Peer:
+    """A server that sends fixed bytes to each request and then closes."""
+
+    def __init__(self, replies: list[bytes], is_reset: bool = False) -> None:
+        self._listener = socket.create_server(("127.0.0.1", 0))
+        self._replies = replies
+        self._is_reset = is_reset
+        self.address = Address(f"127.0.0.1:{self._listener.getsockname()[1]}")
+        self.read: list[bytes] = []
+        self._thread = threading.Thread(target=self._serve, daemon=True)
+        self._thread.start()
+
+    def close(self) -> None:
+        """Waits until all was sent."""
+        self._thread.join(TIMEOUT_S)
+        self._listener.close()
+
+    def _serve(self) -> None:
+        connection, _ = self._listener.accept()
+        for sent in self._replies:
+            self.read.append(connection.recv(65_536))
+            connection.sendall(sent)
+        if self._is_reset:
+            linger = struct.pack("ii", 1, 0)
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        connection.close()
+
+
+class ClientConnectionTest(unittest.TestCase):
+    """A reply is complete, or it is none."""
+
+    def exchange(
+        self, *replies: bytes, is_reset: bool = False
+    ) -> tuple[ClientConnection, HttpResponse]:
+        """Returns the connection and the response to the last of some requests."""
+        peer = Peer(list(replies), is_reset)
+        self.addCleanup(peer.close)
+        connection = ClientConnection(peer.address)
+        self.addCleanup(connection.close)
+        self.assertTrue(connection.open(TIMEOUT_S))
+        for _ in replies:
+            response = connection.exchange(GET, TIMEOUT_S)
+        return connection, response
+
+    def test_a_reply_with_a_length(self) -> None:
+        sent = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\nX-A: b\r\n\r\nbody"
+        _, response = self.exchange(sent)
+        self.assertEqual((response.status, response.body), (200, b"body"))
+        self.assertEqual(response.header(b"x-a"), b"b")
+
+    def test_a_reply_in_chunks(self) -> None:
+        sent = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        _, response = self.exchange(sent + b"4\r\nbody\r\n0\r\n\r\n")
+        self.assertEqual(response.body, b"body")
+
+    def test_a_reply_that_ends_with_its_connection(self) -> None:
+        _, response = self.exchange(b"HTTP/1.1 200 OK\r\n\r\nbody")
+        self.assertEqual(response.body, b"body")
+
+    def test_one_that_is_reset_on_the_way_is_not_complete(self) -> None:
+        with self.assertRaises(ExchangeError) as raised:
+            self.exchange(b"HTTP/1.1 200 OK\r\n\r\nbo", is_reset=True)
+        self.assertTrue(raised.exception.is_answered)
+
+    def test_one_that_is_cut_short_is_not_complete(self) -> None:
+        with self.assertRaises(ExchangeError) as raised:
+            self.exchange(b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nbody")
+        self.assertTrue(raised.exception.is_answered)
+
+    def test_a_close_without_a_byte_is_told_apart(self) -> None:
+        with self.assertRaises(ExchangeError) as raised:
+            self.exchange(b"")
+        self.assertFalse(raised.exception.is_answered)
+        self.assertFalse(raised.exception.is_timeout)
+
+    def test_bytes_that_are_no_reply(self) -> None:
+        with self.assertRaises(ExchangeError):
+            self.exchange(b"\x00\x01\x02 garbage\r\n\r\n")
+
+    def test_bytes_after_a_reply_end_the_connection(self) -> None:
+        sent = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody"
+        connection, response = self.exchange(sent + sent)
+        self.assertEqual(response.body, b"body")
+        self.assertFalse(connection.is_open)
+
+    def test_a_connection_is_used_again(self) -> None:
+        sent = b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n"
+        _, response = self.exchange(sent + b"a", sent + b"b")
+        self.assertEqual(response.body, b"b")
+
+
+class ServerConnectionTest(unittest.TestCase):
+    """Requests are read whole, within the limits."""
+
+    def setUp(self) -> None:
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            self.caller = socket.create_connection(listener.getsockname())
+            served, _ = listener.accept()
+        self.addCleanup(self.caller.close)
+        self.connection = ServerConnection(served, 4_096)
+        self.addCleanup(self.connection.close)
+
+    def read(self, sent: bytes) -> HttpRequest | BadRequest | None:
+        """Returns what is read of some bytes."""
+        self.caller.sendall(sent)
+        return self.connection.read_request(TIMEOUT_S, TIMEOUT_S, 100)
+
+    def test_a_body_with_a_length(self) -> None:
+        read = self.read(b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nok")
+        assert isinstance(read, HttpRequest)
+        self.assertEqual((read.method, read.target, read.body), ("POST", "/a", b"ok"))
+
+    def test_a_body_in_chunks(self) -> None:
+        read = self.read(
+            b"POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+            b"2\r\nok\r\n0\r\n\r\n"
+        )
+        assert isinstance(read, HttpRequest)
+        self.assertEqual(read.body, b"ok")
+
+    def test_a_body_over_the_limit(self) -> None:
+        head = b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 101\r\n\r\n"
+        read = self.read(head + b"x" * 101)
+        self.assertEqual(read, BadRequest(413))
+
+    def test_what_is_no_request(self) -> None:
+        self.assertIsInstance(self.read(b"\x16\x03\x01 hello\r\n\r\n"), BadRequest)
+
+    def test_a_second_request_on_the_connection(self) -> None:
+        self.read(b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n")
+        written = self.connection.write(HttpResponse(200, (), b"x"), False, TIMEOUT_S)
+        self.assertTrue(written)
+        self.assertTrue(self.connection.is_reusable)
+        read = self.read(b"GET /b HTTP/1.1\r\nHost: h\r\n\r\n")
+        assert isinstance(read, HttpRequest)
+        self.assertEqual(read.target, "/b")
+
+    def test_a_caller_that_closes_is_noticed(self) -> None:
+        self.read(b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n")
+        self.caller.close()
+        self.assertTrue(self.connection.wait_for_end())
+
+
+class PassedOnTest(unittest.TestCase):
+    """Headers of a single connection stay behind."""
+
+    def test_named_and_known_ones_are_dropped(self) -> None:
+        headers = (
+            (b"connection", b"X-Hop, close"),
+            (b"x-hop", b"1"),
+            (b"transfer-encoding", b"chunked"),
+            (b"x-own", b"2"),
+            (b"x-kept", b"3"),
+        )
+        kept = passed_on(headers, frozenset({b"x-own"}))
+        self.assertEqual(kept, [(b"x-kept", b"3")])
