Ask a target no more whose address another one has

With the platform away, hosts went on sending to addresses that targets of other services had taken over; each refusal there counts as a repeat of that service. A misdirected reply bears the header of a refusal as well and was read as one.

--- a/lavendertide/forwarding/forwarder.py
+++ b/lavendertide/forwarding/forwarder.py
@@ -178,14 +178,17 @@
             return Refused(RefusalCause.NO_TIME)
         match route.destination:
             case GatheredShards(shards, _, coverage_min):
-                held = sum(1 for shard in shards if self._registry.ready(shard))
+                held = sum(1 for shard in shards if self._is_held(shard, now_s))
                 is_servable = held > 0 and held >= coverage_min * len(shards)
             case _:
-                is_servable = any(self._registry.ready(s) for s in route.services)
+                is_servable = any(self._is_held(s, now_s) for s in route.services)
         if is_servable:
             return None
         return Refused(RefusalCause.NO_TARGET, NO_TARGET_RETRY_S)
 
+    def _is_held(self, service: ServiceName, now_s: float) -> bool:
+        return bool(self._views.usable(self._registry.ready(service), now_s))
+
     def _services(self, route: Route) -> tuple[ServiceName, ...]:
         match route.destination:
             case OneService(service):
@@ -218,6 +221,8 @@
                 view.forget_call(call.number)
             case NotRun(reason=NotRunReason.REFUSED):
                 view.note_refusal(call.number, REFUSED_PAUSE_S, now_s)
+            case NotRun(reason=NotRunReason.OTHER_TARGET):
+                view.note_replaced(call.number, now_s)
             case _ if call.is_withdrawn:
                 view.forget_call(call.number)
             case _:
--- a/lavendertide/forwarding/target_view.py
+++ b/lavendertide/forwarding/target_view.py
@@ -21,6 +21,9 @@
 # failure in a row.
 AVOIDED_MIN_S: Final = 0.25
 AVOIDED_MAX_S: Final = 4.0
+# How long a target is not asked at all after another one has answered at its address:
+# until the registry has certainly said that it is gone.
+EXCLUDED_S: Final = 15.0
 # How long peers' notice of a stall counts when they do not take it back.
 NOTICE_S: Final = 0.3
 # Times by which a score is multiplied, so that any healthy target goes first.
@@ -38,6 +41,7 @@
     slowness_at_s: float = 0.0
     failures: int = 0
     avoided_until_s: float = 0.0
+    excluded_until_s: float = 0.0
     stalled_until_s: float = 0.0
     open_since_s: dict[int, tuple[float, float]] = field(default_factory=dict)
 
@@ -75,6 +79,11 @@
         self.open_since_s.pop(call, None)
         self.avoided_until_s = max(self.avoided_until_s, now_s + pause_s)
 
+    def note_replaced(self, call: int, now_s: float) -> None:
+        """Notes that another target has answered at this one's address."""
+        self.open_since_s.pop(call, None)
+        self.excluded_until_s = now_s + EXCLUDED_S
+
     def forget_call(self, call: int) -> None:
         """Notes that a request was given up without a verdict on the target."""
         self.open_since_s.pop(call, None)
@@ -118,6 +127,14 @@
         """Drops what was known of a target that is gone."""
         self._views.pop(target, None)
 
+    def usable(
+        self, records: tuple[TargetRecord, ...], now_s: float
+    ) -> tuple[TargetRecord, ...]:
+        """Returns the targets that may be asked at all."""
+        if not any(self._is_excluded(record, now_s) for record in records):
+            return records
+        return tuple(r for r in records if not self._is_excluded(r, now_s))
+
     def ranked(
         self, records: tuple[TargetRecord, ...], now_s: float, jitter: float
     ) -> list[TargetRecord]:
@@ -128,6 +145,7 @@
             now_s: Present time, monotonic.
             jitter: Between 0 and 1; decides between targets that are equally good.
         """
+        records = self.usable(records, now_s)
         if len(records) < 2:
             return list(records)
         shift = int(jitter * len(records))
@@ -148,3 +166,7 @@
         if view.is_stalled(now_s):
             return expected * STALLED_FACTOR
         return expected
+
+    def _is_excluded(self, record: TargetRecord, now_s: float) -> bool:
+        view = self._views.get(record.target)
+        return view is not None and now_s < view.excluded_until_s
--- a/lavendertide/platform/target_wire.py
+++ b/lavendertide/platform/target_wire.py
@@ -91,10 +91,11 @@
 def decode_reply(call: TargetCall, response: HttpResponse) -> TargetReply:
     """Returns what a target's response to a call means."""
     target = call.record.target
-    if response.header(NOT_RUN) is not None:
-        return NotRun(target, NotRunReason.REFUSED)
+    # Such a response bears the header of a refusal as well.
     if response.status == MISDIRECTED:
         return NotRun(target, NotRunReason.OTHER_TARGET)
+    if response.header(NOT_RUN) is not None:
+        return NotRun(target, NotRunReason.REFUSED)
     echoed = response.header(REQUEST_ID)
     if echoed is not None and echoed.decode("latin-1") != call.request.request:
         return Unknown(target, UnknownReason.OTHER_REQUEST)
--- /dev/null
+++ b/tests/forwarding/builders.py
@@ -0,0 +1,111 @@
+"""Routes, targets and requests for tests."""
+
+from lavendertide.forwarding.messages import CallerRequest, Replied
+from lavendertide.ids import (
+    Address,
+    CallerRequestId,
+    ConfigurationVersion,
+    FailureDomain,
+    Fingerprint,
+    RouteName,
+    ServiceName,
+    TargetId,
+)
+from lavendertide.registry.record import TargetRecord, TargetState
+from lavendertide.routes.route import (
+    CallerLimits,
+    Destination,
+    GatheredShards,
+    OneService,
+    RequestKind,
+    Route,
+    Service,
+)
+from lavendertide.routes.table import RouteTable
+
+HOME = FailureDomain("north-a")
+AWAY = FailureDomain("north-b")
+LIMITS = CallerLimits(16_384, 262_144, 3.0, 15.0)
+DESK = ServiceName("desk")
+
+
+def target(
+    name: str,
+    service: str = DESK,
+    failure_domain: FailureDomain = HOME,
+    state: TargetState = TargetState.READY,
+    born_ms: int = 1,
+) -> TargetRecord:
+    """Returns a registered target."""
+    return TargetRecord(
+        TargetId(name),
+        ServiceName(service),
+        Address(f"10.0.0.1:{1_000 + sum(name.encode())}"),
+        failure_domain,
+        2,
+        state,
+        born_ms,
+    )
+
+
+def route(
+    destination: Destination | None = None,
+    kind: RequestKind = RequestKind.IDEMPOTENT,
+    wait_max_s: float = 1.0,
+    objective_s: float = 0.2,
+    attempts_max: int = 2,
+) -> Route:
+    """Returns a route of all paths of one host."""
+    return Route(
+        RouteName("lookups"),
+        "shop.example",
+        "/",
+        kind,
+        destination or OneService(DESK),
+        wait_max_s,
+        objective_s,
+        attempts_max,
+        1,
+    )
+
+
+def shards(count: int, coverage_min: float = 0.75) -> GatheredShards:
+    """Returns an index of some shards."""
+    names = tuple(ServiceName(f"shard-{number}") for number in range(count))
+    return GatheredShards(names, 5, coverage_min)
+
+
+def table(version: int, *routes: Route) -> RouteTable:
+    """Returns a route table with all services that the routes name."""
+    names = {name for entry in routes for name in entry.services}
+    return RouteTable(
+        ConfigurationVersion(version),
+        routes,
+        {name: Service(name, 24) for name in names},
+        LIMITS,
+    )
+
+
+def request(
+    arrived_at_s: float = 0.0,
+    gives_up_at_s: float | None = None,
+    name: str = "r1",
+    path: str = "/x",
+) -> CallerRequest:
+    """Returns a caller's request."""
+    return CallerRequest(
+        CallerRequestId(name),
+        "GET",
+        "shop.example",
+        path,
+        (),
+        b"",
+        gives_up_at_s,
+        arrived_at_s,
+        Fingerprint(path),
+    )
+
+
+def reply(name: str, status: int = 200, body: bytes = b"", sign: str = "s") -> Replied:
+    """Returns a target's reply."""
+    return Replied(TargetId(name), status, (), body, sign)
--- /dev/null
+++ b/tests/forwarding/test_merging.py
@@ -0,0 +1,38 @@
+"""Tests of `lavendertide.forwarding.merging`."""
+
+import unittest
+
+from lavendertide.forwarding.merging import RECORD_BYTES, greatest_records, records_of
+
+
+def record(number: int) -> bytes:
+    """Returns a record that sorts by a number."""
+    return number.to_bytes(RECORD_BYTES, "big")
+
+
+class RecordsTest(unittest.TestCase):
+    """A part is cut into whole records."""
+
+    def test_a_remainder_is_no_record(self) -> None:
+        self.assertEqual(
+            records_of(record(1) + record(2) + b"rest"), [record(1), record(2)]
+        )
+
+    def test_an_empty_part_has_none(self) -> None:
+        self.assertEqual(records_of(b""), [])
+
+
+class GreatestRecordsTest(unittest.TestCase):
+    """An answer holds the greatest records of all parts, greatest first."""
+
+    def test_the_greatest_of_all_parts_come_first(self) -> None:
+        parts = [record(1) + record(9), record(5), record(7) + record(3)]
+        expected = record(9) + record(7) + record(5)
+        self.assertEqual(greatest_records(parts, 3), expected)
+
+    def test_equal_records_all_count(self) -> None:
+        parts = [record(4) + record(4), record(4)]
+        self.assertEqual(greatest_records(parts, 5), record(4) * 3)
+
+    def test_fewer_records_than_asked_are_all_returned(self) -> None:
+        self.assertEqual(greatest_records([record(2)], 10), record(2))
--- /dev/null
+++ b/tests/forwarding/test_poison.py
@@ -0,0 +1,56 @@
+"""Tests of `lavendertide.forwarding.poison`."""
+
+import unittest
+
+from lavendertide.forwarding.poison import CONDEMNED_S, CrashEvidence
+from lavendertide.ids import CallerRequestId, Fingerprint, TargetId
+from lavendertide.messages import Verdict, VerdictKind
+from lavendertide.poison.quarantine import Quarantine
+
+BAD = Fingerprint("bad")
+
+
+class CrashEvidenceTest(unittest.TestCase):
+    """A request that crashes target after target is not sent any more."""
+
+    def setUp(self) -> None:
+        self.evidence = CrashEvidence(Quarantine())
+
+    def crash(self, request: str, target: str, asked: int = 1) -> Verdict | None:
+        """Takes in one crash."""
+        return self.evidence.note_crash(
+            BAD, CallerRequestId(request), TargetId(target), asked, 0.0
+        )
+
+    def test_the_third_crash_over_two_attempts_condemns(self) -> None:
+        self.crash("r1", "t1")
+        self.crash("r1", "t2")
+        self.assertFalse(self.evidence.is_condemned(BAD, 0.0))
+        verdict = self.crash("r2", "t3")
+        assert verdict is not None
+        self.assertIs(verdict.kind, VerdictKind.CONDEMNED)
+        self.assertTrue(self.evidence.is_condemned(BAD, 1.0))
+        self.assertFalse(self.evidence.is_condemned(BAD, CONDEMNED_S + 1.0))
+
+    def test_what_a_peer_has_seen_counts_too(self) -> None:
+        peer = CrashEvidence(Quarantine())
+        verdicts = []
+        for number in range(2):
+            verdict = peer.note_crash(
+                BAD, CallerRequestId("r1"), TargetId(f"t{number}"), 1, 0.0
+            )
+            assert verdict is not None
+            verdicts.append(verdict)
+        self.assertTrue(self.evidence.learn(tuple(verdicts), 0.0))
+        self.crash("r2", "t9")
+        self.assertTrue(self.evidence.is_condemned(BAD, 0.0))
+
+    def test_a_search_that_loses_a_few_of_many_shards_is_not_condemned(self) -> None:
+        for number in range(3):
+            self.crash("r1", f"t{number}", asked=20)
+        self.assertFalse(self.evidence.is_condemned(BAD, 0.0))
+
+    def test_a_search_that_crashes_most_of_its_shards_is(self) -> None:
+        for number in range(11):
+            self.crash("r1", f"t{number}", asked=20)
+        self.assertTrue(self.evidence.is_condemned(BAD, 0.0))
--- /dev/null
+++ b/tests/forwarding/test_run.py
@@ -0,0 +1,288 @@
+"""Tests of `lavendertide.forwarding.run`, on targets without a network."""
+
+import unittest
+from collections.abc import Callable
+
+from prometheus_client import CollectorRegistry
+
+from lavendertide.forwarding.budget import RetryAllowance, RetryBudgets
+from lavendertide.forwarding.forwarder import Forwarder, Notices
+from lavendertide.forwarding.messages import (
+    Abandoned,
+    Answer,
+    Failed,
+    Gathered,
+    NotRun,
+    NotRunReason,
+    Passed,
+    RefusalCause,
+    Refused,
+    TargetReply,
+    Unknown,
+    UnknownReason,
+)
+from lavendertide.forwarding.metrics import ForwardingMetrics
+from lavendertide.forwarding.poison import CrashEvidence
+from lavendertide.forwarding.pool import TargetCall, TargetPools
+from lavendertide.forwarding.run import CallerLeft, Event
+from lavendertide.forwarding.target_view import TargetViews
+from lavendertide.ids import Address, TargetId
+from lavendertide.poison.quarantine import Quarantine
+from lavendertide.registry.registry import TargetRegistry
+from lavendertide.routes.book import RouteBook
+from lavendertide.routes.route import RequestKind, Route
+from lavendertide.runtime import clock, tasks
+from tests.forwarding.builders import HOME, reply, request, route, shards, table, target
+
+Behaviour = Callable[[TargetCall], TargetReply]
+
+
+def answers(body: bytes = b"") -> Behaviour:
+    """Returns the behaviour of a target that answers at once."""
+    return lambda call: reply(call.record.target, body=body, sign=call.record.target)
+
+
+def answers_after(delay_s: float) -> Behaviour:
+    """Returns the behaviour of a target that takes a while."""
+
+    def behave(call: TargetCall) -> TargetReply:
+        tasks.sleep(delay_s)
+        return reply(call.record.target, sign=call.record.target)
+
+    return behave
+
+
+def refuses(call: TargetCall) -> TargetReply:
+    """Behaves like a target that has no room."""
+    return NotRun(call.record.target, NotRunReason.REFUSED)
+
+
+def crashes(call: TargetCall) -> TargetReply:
+    """Behaves like a target that closes the connection."""
+    return Unknown(call.record.target, UnknownReason.CLOSED)
+
+
+def leave_after(delay_s: float, inbox: tasks.Mailbox[Event]) -> None:
+    """Behaves like a caller that closes its connection."""
+    tasks.sleep(delay_s)
+    inbox.send(CallerLeft())
+
+
+class ScriptedWire:
+    """A connection to a target whose behaviour a test has set."""
+
+    def __init__(self, world: "World") -> None:
+        self._world = world
+
+    def is_usable(self, now_s: float) -> bool:
+        """Returns that it is open."""
+        return True
+
+    def open(self, timeout_s: float) -> bool:
+        """Opens nothing."""
+        return True
+
+    def close(self) -> None:
+        """Notes that the exchange was broken off."""
+        self._world.closed += 1
+
+    def exchange(self, call: TargetCall, now_s: float) -> TargetReply:
+        """Behaves as the test has said."""
+        self._world.asked.append(call.record.target)
+        return self._world.behaviours[call.record.target](call)
+
+
+class World:
+    """A forwarder with targets that behave as a test says."""
+
+    def __init__(self, destination_route: Route, fixed: float = 800.0) -> None:
+        self.asked: list[TargetId] = []
+        self.closed = 0
+        self.behaviours: dict[TargetId, Behaviour] = {}
+        self.stalls: list[TargetId] = []
+        self.route = destination_route
+        self.registry = TargetRegistry()
+        book = RouteBook()
+        book.adopt(table(1, destination_route), "test", 0.0)
+        self.forwarder = Forwarder(
+            book,
+            self.registry,
+            TargetViews(HOME),
+            TargetPools(self._make_wire),
+            RetryBudgets(RetryAllowance(0.2, fixed, 10.0)),
+            CrashEvidence(Quarantine()),
+            Notices(self.stalls.append, lambda _: None, lambda: 8),
+            ForwardingMetrics(CollectorRegistry()),
+        )
+
+    def add(self, name: str, service: str, behaviour: Behaviour) -> None:
+        """Adds a target."""
+        self.registry.put(target(name, service))
+        self.behaviours[TargetId(name)] = behaviour
+
+    def forward(self, inbox: tasks.Mailbox[Event] | None = None) -> Answer:
+        """Forwards one request and returns its answer."""
+        arrived_s = clock.monotonic_s()
+        asked = request(arrived_s, arrived_s + 0.5)
+        return self.forwarder.forward(
+            asked, self.route, tasks.Mailbox() if inbox is None else inbox
+        )
+
+    def _make_wire(self, address: Address) -> ScriptedWire:
+        return ScriptedWire(self)
+
+
+class OneServiceTest(unittest.TestCase):
+    """One target answers, and another is asked only where that is allowed."""
+
+    def make(self, kind: RequestKind = RequestKind.IDEMPOTENT) -> World:
+        """Returns a world with one route."""
+        return World(route(kind=kind, wait_max_s=0.4, objective_s=0.1))
+
+    def test_a_reply_is_passed_on(self) -> None:
+        world = self.make()
+        world.add("a", "desk", answers(b"found"))
+        answer = world.forward()
+        assert isinstance(answer, Passed)
+        self.assertEqual(answer.reply.body, b"found")
+
+    def test_an_idempotent_request_is_repeated_after_a_crash(self) -> None:
+        world = self.make()
+        world.add("a", "desk", crashes)
+        world.add("b", "desk", answers())
+        for _ in range(6):
+            self.assertIsInstance(world.forward(), Passed)
+
+    def test_a_non_idempotent_one_is_not(self) -> None:
+        world = self.make(RequestKind.NON_IDEMPOTENT)
+        world.add("a", "desk", crashes)
+        world.add("b", "desk", crashes)
+        answer = world.forward()
+        self.assertIsInstance(answer, Failed)
+        self.assertEqual(len(world.asked), 1)
+
+    def test_a_non_idempotent_one_goes_on_after_a_refusal(self) -> None:
+        world = self.make(RequestKind.NON_IDEMPOTENT)
+        world.add("a", "desk", refuses)
+        world.add("b", "desk", answers())
+        for _ in range(6):
+            self.assertIsInstance(world.forward(), Passed)
+
+    def test_a_non_idempotent_one_is_never_sent_beside_an_open_attempt(self) -> None:
+        world = self.make(RequestKind.NON_IDEMPOTENT)
+        world.add("a", "desk", answers_after(0.2))
+        world.add("b", "desk", answers_after(0.2))
+        self.assertIsInstance(world.forward(), Passed)
+        self.assertEqual(len(world.asked), 1)
+
+    def test_full_targets_are_a_refusal_that_says_when_to_come_back(self) -> None:
+        world = self.make()
+        world.add("a", "desk", refuses)
+        answer = world.forward()
+        assert isinstance(answer, Refused)
+        self.assertIs(answer.cause, RefusalCause.TARGETS_FULL)
+        self.assertIsNotNone(answer.retry_after_s)
+
+    def test_what_may_have_run_is_never_a_refusal(self) -> None:
+        world = self.make()
+        world.add("a", "desk", crashes)
+        world.add("b", "desk", refuses)
+        for _ in range(4):
+            self.assertNotIsInstance(world.forward(), Refused)
+            tasks.sleep(0.3)
+
+    def test_without_a_target_it_is_refused_at_once(self) -> None:
+        began_s = clock.monotonic_s()
+        answer = self.make().forward()
+        assert isinstance(answer, Refused)
+        self.assertIs(answer.cause, RefusalCause.NO_TARGET)
+        self.assertLess(clock.monotonic_s() - began_s, 0.1)
+
+    def test_an_answer_comes_at_the_routes_limit(self) -> None:
+        world = self.make()
+        world.add("a", "desk", answers_after(2.0))
+        began_s = clock.monotonic_s()
+        answer = world.forward()
+        assert isinstance(answer, Failed)
+        self.assertTrue(answer.is_timeout)
+        self.assertLess(clock.monotonic_s() - began_s, 0.4 + 0.5)
+
+    def test_work_for_a_caller_that_has_left_is_broken_off(self) -> None:
+        world = self.make()
+        world.add("a", "desk", answers_after(0.3))
+        inbox: tasks.Mailbox[Event] = tasks.Mailbox()
+        tasks.spawn(leave_after, 0.02, inbox)
+        self.assertIsInstance(world.forward(inbox), Abandoned)
+        self.assertEqual(world.closed, 1)
+
+    def test_a_straggler_is_repeated_and_peers_are_told(self) -> None:
+        world = self.make()
+        world.add("a", "desk", answers_after(0.35))
+        self.assertIsInstance(world.forward(), Passed)
+        world.add("b", "desk", answers())
+        for _ in range(4):
+            self.assertIsInstance(world.forward(), Passed)
+        self.assertIn(TargetId("a"), world.stalls)
+
+    def test_nothing_is_repeated_without_a_budget(self) -> None:
+        world = World(route(wait_max_s=0.3, objective_s=0.1), fixed=0.0)
+        world.add("a", "desk", refuses)
+        world.add("b", "desk", refuses)
+        world.forward()
+        self.assertEqual(len(world.asked), 1)
+
+
+class GatheredShardsTest(unittest.TestCase):
+    """Every shard is asked; the answer says truly what it covers."""
+
+    def make(self, count: int = 4, coverage_min: float = 0.75) -> World:
+        """Returns a world with one index of some shards."""
+        destination = shards(count, coverage_min)
+        return World(route(destination, wait_max_s=0.4, objective_s=0.1))
+
+    def test_all_shards_are_in_a_whole_answer(self) -> None:
+        world = self.make()
+        for number in range(4):
+            body = bytes([number]) * 16
+            world.add(f"t{number}", f"shard-{number}", answers(body))
+        answer = world.forward()
+        assert isinstance(answer, Gathered)
+        self.assertEqual(set(answer.signatures), {f"t{n}" for n in range(4)})
+        self.assertEqual(answer.missing, 0)
+        self.assertEqual(answer.body, b"".join(bytes([n]) * 16 for n in (3, 2, 1, 0)))
+
+    def test_a_stalled_shard_is_left_out_when_the_objective_is_near(self) -> None:
+        world = self.make()
+        for number in range(3):
+            world.add(f"t{number}", f"shard-{number}", answers())
+        world.add("t3", "shard-3", answers_after(0.35))
+        began_s = clock.monotonic_s()
+        answer = world.forward()
+        assert isinstance(answer, Gathered)
+        self.assertEqual((len(answer.signatures), answer.missing), (3, 1))
+        self.assertLess(clock.monotonic_s() - began_s, 0.1)
+
+    def test_a_late_answer_is_still_delivered_once_enough_is_there(self) -> None:
+        world = self.make(2, 1.0)
+        world.add("t0", "shard-0", answers())
+        world.add("t1", "shard-1", answers_after(0.2))
+        answer = world.forward()
+        assert isinstance(answer, Gathered)
+        self.assertEqual(answer.missing, 0)
+
+    def test_too_many_lost_shards_end_it_at_once(self) -> None:
+        world = self.make(4, 1.0)
+        for number in range(3):
+            world.add(f"t{number}", f"shard-{number}", answers())
+        began_s = clock.monotonic_s()
+        self.assertIsInstance(world.forward(), Refused)
+        self.assertLess(clock.monotonic_s() - began_s, 0.05)
+        self.assertEqual(world.asked, [])
+
+    def test_a_failure_is_no_part(self) -> None:
+        world = self.make(2, 0.5)
+        world.add("t0", "shard-0", answers())
+        world.add("t1", "shard-1", lambda call: reply("t1", status=500))
+        answer = world.forward()
+        assert isinstance(answer, Gathered)
+        self.assertEqual((answer.signatures, answer.missing), (("t0",), 1))
--- /dev/null
+++ b/tests/forwarding/test_target_view.py
@@ -0,0 +1,80 @@
+"""Tests of `lavendertide.forwarding.target_view`: who is asked next."""
+
+import unittest
+
+from lavendertide.forwarding.target_view import (
+    EXCLUDED_S,
+    NOTICE_S,
+    TargetView,
+    TargetViews,
+)
+from lavendertide.ids import TargetId
+from tests.forwarding.builders import AWAY, HOME, target
+
+LATE_S = 0.05
+
+
+class TargetViewsTest(unittest.TestCase):
+    """The best target of a service is asked first."""
+
+    def setUp(self) -> None:
+        self.views = TargetViews(HOME)
+        self.near = target("near")
+        self.far = target("far", failure_domain=AWAY)
+
+    def first(self, now_s: float) -> str:
+        """Returns which of the two is asked first."""
+        return self.views.ranked((self.far, self.near), now_s, 0.0)[0].target
+
+    def of(self, name: str) -> TargetView:
+        """Returns the view of one target."""
+        return self.views.of(TargetId(name))
+
+    def test_the_nearer_of_two_equal_ones_is_asked(self) -> None:
+        self.assertEqual(self.first(0.0), "near")
+
+    def test_a_burst_on_one_replica_goes_on_to_the_other(self) -> None:
+        self.of("near").begin(1, 0.0, LATE_S)
+        self.assertEqual(self.first(0.0), "far")
+
+    def test_a_slow_replica_is_left_alone_until_its_slowness_fades(self) -> None:
+        for call in range(8):
+            self.of("near").begin(call, 0.0, 1.0)
+            self.of("near").note_reply(call, 0.02, 0.16)
+        self.assertEqual(self.first(0.2), "far")
+        self.assertEqual(self.first(30.0), "near")
+
+    def test_a_replica_that_has_stopped_answering_is_avoided(self) -> None:
+        self.of("near").begin(1, 0.0, LATE_S)
+        self.of("far").begin(2, 0.0, 1.0)
+        self.of("far").begin(3, 0.0, 1.0)
+        self.assertEqual(self.first(0.04), "near")
+        self.assertEqual(self.first(0.06), "far")
+
+    def test_it_is_asked_again_as_soon_as_it_has_answered(self) -> None:
+        self.of("near").begin(1, 0.0, LATE_S)
+        self.of("near").note_reply(1, 0.2, 0.2)
+        self.assertEqual(self.first(0.2), "near")
+
+    def test_a_stall_that_a_peer_has_seen_counts_for_a_while(self) -> None:
+        self.of("near").note_stall(0.0)
+        self.assertEqual(self.first(NOTICE_S / 2), "far")
+        self.assertEqual(self.first(NOTICE_S * 1.1), "near")
+
+    def test_failures_in_a_row_are_avoided_for_longer_each_time(self) -> None:
+        self.of("near").note_failure(1, 0.0)
+        self.assertEqual(self.first(0.2), "far")
+        self.assertEqual(self.first(0.3), "near")
+        self.of("near").note_failure(2, 0.3)
+        self.assertEqual(self.first(0.7), "far")
+
+    def test_a_failing_target_is_still_asked_if_no_other_is_left(self) -> None:
+        self.of("near").note_failure(1, 0.0)
+        ranked = self.views.ranked((self.near,), 0.1, 0.0)
+        self.assertEqual(ranked, [self.near])
+
+    def test_one_whose_address_another_has_is_not_asked_at_all(self) -> None:
+        self.of("near").note_replaced(1, 0.0)
+        self.assertEqual(self.views.ranked((self.near,), 1.0, 0.0), [])
+        ranked = self.views.ranked((self.near,), EXCLUDED_S + 1.0, 0.0)
+        self.assertEqual(ranked, [self.near])
--- /dev/null
+++ b/tests/platform/test_decoding.py
@@ -0,0 +1,256 @@
+"""Tests of what `lavendertide.platform` decodes: entries, routes, settings, replies."""
+
+import tempfile
+import unittest
+from pathlib import Path
+from typing import Any
+from unittest import mock
+
+from lavendertide.encodings.http1 import BadRequest, HttpRequest, HttpResponse
+from lavendertide.forwarding.messages import (
+    CallerRequest,
+    Failed,
+    Gathered,
+    NotRun,
+    NotRunReason,
+    RefusalCause,
+    Refused,
+    Replied,
+    Unknown,
+    UnknownReason,
+    Unroutable,
+)
+from lavendertide.forwarding.pool import TargetCall
+from lavendertide.platform.caller_codec import PlatformCallerCodec
+from lavendertide.platform.operator_routes import decode_routes
+from lavendertide.platform.settings import SettingsError, read_settings
+from lavendertide.platform.target_entries import decode_target
+from lavendertide.platform.target_wire import decode_reply
+from lavendertide.registry.record import TargetState
+from lavendertide.routes.route import GatheredShards, OneService, RequestKind
+from tests.forwarding.builders import request, target
+
+ENTRY: dict[str, Any] = {
+    "service": "desk",
+    "address": "10.0.0.1:80",
+    "zone": "a",
+    "version": "v1",
+    "slots": 2,
+    "state": "ready",
+    "cold-left-ms": 0,
+    "call-seq": 4,
+    "born": 17,
+}
+ROUTE: dict[str, Any] = {
+    "name": "r",
+    "host": "Shop.example",
+    "prefix": "/a/",
+    "route-type": "idempotent",
+    "timeout-ms": 600,
+    "target-latency-ms": 100,
+    "max-attempts": 2,
+    "priority": 1,
+    "service": "desk",
+}
+CONFIGURATION: dict[str, Any] = {
+    "version": 3,
+    "routes": [ROUTE],
+    "services": [{"name": "desk", "health-path": "/h", "max-conns": 26}],
+    "limits": {"idle-timeout-ms": 9_000},
+}
+SETTINGS = """\
+node=m1
+ip=10.0.0.1
+zone=a
+region=north
+listen.front=10.0.0.1:1
+listen.ready=10.0.0.1:2
+listen.control=10.0.0.1:3
+listen.directory=10.0.0.1:4
+seeds=10.0.0.2:3,10.0.0.3:3
+platform.address=10.9.9.9:5
+bounds.grace-s=6
+bounds.retry-budget-ratio=0.2
+bounds.retry-slack=56
+bounds.budget-window-s=10
+bounds.ttl_max_s=5
+something.new=1
+"""
+
+
+class TargetEntryTest(unittest.TestCase):
+    """An entry names a target, or none."""
+
+    def test_a_proper_entry(self) -> None:
+        record = decode_target("i-1", ENTRY)
+        self.assertEqual((record.target, record.born_ms), ("i-1", 17))
+        self.assertIs(record.state, TargetState.READY)
+
+    def test_entries_of_other_writers_name_no_target(self) -> None:
+        for change in (
+            {"slots": "2"},
+            {"slots": True},
+            {"state": "gone"},
+            {"address": 7},
+            {"address": "nowhere"},
+            {"service": None},
+            {"born": 1.5},
+        ):
+            with self.subTest(change), self.assertRaises(ValueError):
+                decode_target("i-1", ENTRY | change)
+        documents: tuple[Any, ...] = ([], "text", None, {})
+        for document in documents:
+            with self.subTest(document), self.assertRaises(ValueError):
+                decode_target("i-1", document)
+
+
+class OperatorRoutesTest(unittest.TestCase):
+    """The operator's configuration becomes a route table."""
+
+    def test_a_plain_route(self) -> None:
+        table = decode_routes(CONFIGURATION)
+        found = table.find("shop.example", "/a/x")
+        assert found is not None
+        self.assertEqual(found.destination, OneService(found.services[0]))
+        self.assertIs(found.kind, RequestKind.IDEMPOTENT)
+        self.assertEqual((found.wait_max_s, found.objective_s), (0.6, 0.1))
+        self.assertEqual(table.limits.idle_timeout_s, 9.0)
+        self.assertEqual(table.limits.body_max_bytes, 262_144)
+
+    def test_a_route_over_shards(self) -> None:
+        entry = {k: v for k, v in ROUTE.items() if k != "service"}
+        entry |= {"gather": ["s1", "s2"], "top-k": 5, "min-coverage": 0.75}
+        table = decode_routes(CONFIGURATION | {"routes": [entry]})
+        destination = table.routes[0].destination
+        assert isinstance(destination, GatheredShards)
+        self.assertEqual((destination.records_max, destination.coverage_min), (5, 0.75))
+
+    def test_what_is_no_configuration_is_refused(self) -> None:
+        documents: tuple[Any, ...] = (
+            {},
+            [],
+            None,
+            CONFIGURATION | {"version": "3"},
+            CONFIGURATION | {"routes": [ROUTE | {"route-type": "other"}]},
+            CONFIGURATION | {"routes": [ROUTE | {"timeout-ms": "x"}]},
+        )
+        for document in documents:
+            with self.subTest(document), self.assertRaises(ValueError):
+                decode_routes(document)
+
+
+class SettingsTest(unittest.TestCase):
+    """The settings file of the platform, checked."""
+
+    def read(self, text: str) -> Any:
+        """Returns the options of a settings file."""
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "boot.conf"
+            path.write_text(text)
+            with mock.patch.dict("os.environ", {"FLEET_KEY": "k"}):
+                return read_settings(path)
+
+    def test_known_values_are_read_and_new_ones_left_aside(self) -> None:
+        options = self.read(SETTINGS)
+        self.assertEqual(options.failure_domain, "a")
+        self.assertEqual(options.seeds, ("10.0.0.2:3", "10.0.0.3:3"))
+        self.assertEqual(options.retries.fixed, 56.0)
+
+    def test_a_missing_value_is_named(self) -> None:
+        with self.assertRaisesRegex(SettingsError, "Add platform.address"):
+            self.read(SETTINGS.replace("platform.address", "platform.other"))
+
+    def test_a_malformed_value_is_named(self) -> None:
+        with self.assertRaisesRegex(SettingsError, "six"):
+            self.read(SETTINGS.replace("grace-s=6", "grace-s=six"))
+
+
+class TargetReplyTest(unittest.TestCase):
+    """What a target's response says about the request."""
+
+    def decode(self, status: int, **headers: str) -> Any:
+        """Returns the meaning of a response."""
+        call = TargetCall(1, 0, request(), target("t"), 1.0, lambda *_: None)
+        pairs = tuple(
+            (name.replace("_", "-").encode(), value.encode())
+            for name, value in headers.items()
+        )
+        return decode_reply(call, HttpResponse(status, pairs, b"x"))
+
+    def test_a_signed_reply_is_passed_on(self) -> None:
+        reply = self.decode(200, lavendertide_server_stamp="s")
+        assert isinstance(reply, Replied)
+        self.assertTrue(reply.is_success)
+
+    def test_only_the_header_says_that_it_has_not_run(self) -> None:
+        refused = self.decode(503, lavendertide_not_executed="1")
+        self.assertEqual(refused, NotRun(target("t").target, NotRunReason.REFUSED))
+        for status in (408, 429, 503):
+            self.assertIsInstance(self.decode(status), Unknown)
+
+    def test_another_target_at_the_address_is_no_refusal(self) -> None:
+        reply = self.decode(421, lavendertide_not_executed="1")
+        assert isinstance(reply, NotRun)
+        self.assertIs(reply.reason, NotRunReason.OTHER_TARGET)
+
+    def test_a_late_reply_to_another_request_is_none(self) -> None:
+        reply = self.decode(
+            200, lavendertide_server_stamp="s", lavendertide_request_id="other"
+        )
+        assert isinstance(reply, Unknown)
+        self.assertIs(reply.reason, UnknownReason.OTHER_REQUEST)
+
+    def test_an_unsigned_success_or_an_encoded_body_is_none(self) -> None:
+        self.assertIsInstance(self.decode(200), Unknown)
+        encoded = self.decode(
+            200, lavendertide_server_stamp="s", content_encoding="gzip"
+        )
+        self.assertIsInstance(encoded, Unknown)
+
+
+class CallerCodecTest(unittest.TestCase):
+    """Callers' requests and the answers to them."""
+
+    def setUp(self) -> None:
+        self.codec = PlatformCallerCodec()
+
+    def decode(self, **headers: str) -> CallerRequest | BadRequest:
+        """Returns a request with some headers."""
+        pairs = [(b"host", b"shop.example")]
+        pairs += [
+            (n.replace("_", "-").encode(), v.encode()) for n, v in headers.items()
+        ]
+        return self.codec.decode(HttpRequest("GET", "/x", tuple(pairs), b""), 5.0)
+
+    def test_the_deadline_is_a_time_left(self) -> None:
+        decoded = self.decode(lavendertide_deadline_ms="300")
+        assert isinstance(decoded, CallerRequest)
+        self.assertEqual(decoded.gives_up_at_s, 5.3)
+        self.assertNotIn(b"lavendertide-deadline-ms", dict(decoded.headers))
+
+    def test_an_illegible_deadline_is_none(self) -> None:
+        for value in ("", "soon", "nan", "inf"):
+            decoded = self.decode(lavendertide_deadline_ms=value)
+            assert isinstance(decoded, CallerRequest)
+            self.assertIsNone(decoded.gives_up_at_s)
+
+    def test_the_id_is_passed_on_as_it_came(self) -> None:
+        decoded = self.decode(lavendertide_request_id="9c41")
+        assert isinstance(decoded, CallerRequest)
+        self.assertEqual(decoded.request, "9c41")
+        self.assertEqual(dict(decoded.headers)[b"lavendertide-request-id"], b"9c41")
+
+    def test_only_a_refusal_promises_that_nothing_has_run(self) -> None:
+        refused = self.codec.encode(request(), Refused(RefusalCause.TARGETS_FULL, 0.25))
+        self.assertEqual(refused.status, 503)
+        self.assertEqual(refused.header(b"retry-after"), b"0.250")
+        failed = Failed(RefusalCause.TIMED_OUT, True)
+        self.assertEqual(self.codec.encode(request(), failed).status, 504)
+        failed = Failed(RefusalCause.TARGETS_FAILED, False)
+        self.assertEqual(self.codec.encode(request(), failed).status, 502)
+        self.assertEqual(self.codec.encode(request(), Unroutable()).status, 404)
+
+    def test_a_gathered_answer_names_its_parts_and_what_is_missing(self) -> None:
+        response = self.codec.encode(request(), Gathered(("a", "b"), 1, b"r" * 16))
+        self.assertEqual(response.header(b"lavendertide-part-stamps"), b"a, b")
+        self.assertEqual(response.header(b"lavendertide-missing-parts"), b"1")
