--- a/lavendertide/gateway/gateway.py
+++ b/lavendertide/gateway/gateway.py
@@ -56,7 +56,7 @@
 # Part of the grace in which requests are still taken after the request to stop.
 TAKING_SHARE: Final = 0.5
 # Part of the grace after which requests in flight are not waited for any more.
-ENDING_SHARE: Final = 0.92
+ENDING_SHARE: Final = 0.85
 
 _log = logging.getLogger(__name__)
 
