--- /dev/null
+++ b/tests/registry/__init__.py
@@ -0,0 +1,1 @@
+"""The tests of `lavendertide.registry`."""
--- /dev/null
+++ b/tests/registry/test_registry.py
@@ -0,0 +1,55 @@
+"""Tests of `lavendertide.registry.registry`."""
+
+import unittest
+
+from lavendertide.ids import TargetId
+from lavendertide.registry.record import TargetRecord, TargetState
+from lavendertide.registry.registry import REAPPEAR_S, TargetRegistry
+from tests.forwarding.builders import DESK, target
+
+
+class TargetRegistryTest(unittest.TestCase):
+    """The registered targets, through outages and restarts."""
+
+    def setUp(self) -> None:
+        self.registry = TargetRegistry()
+        self.gone: list[TargetRecord] = []
+        self.registry.on_gone(self.gone.append)
+        self.registry.put(target("a"))
+        self.registry.put(target("b"))
+
+    def ready(self) -> set[str]:
+        """Returns the names of the targets that take requests."""
+        return {record.target for record in self.registry.ready(DESK)}
+
+    def test_a_draining_target_takes_nothing_new(self) -> None:
+        self.registry.put(target("a", state=TargetState.DRAINING))
+        self.assertEqual(self.ready(), {"b"})
+
+    def test_a_removed_target_is_gone_at_once_in_calm_times(self) -> None:
+        self.registry.remove(TargetId("a"), 100.0)
+        self.assertEqual(self.ready(), {"b"})
+        self.assertEqual([record.target for record in self.gone], ["a"])
+
+    def test_a_new_start_under_an_old_name_replaces_the_former(self) -> None:
+        self.registry.put(target("a", born_ms=2))
+        self.assertEqual([record.born_ms for record in self.gone], [1])
+        self.assertEqual(self.ready(), {"a", "b"})
+
+    def test_entries_that_lapsed_in_an_outage_are_kept_until_they_are_back(
+        self,
+    ) -> None:
+        self.registry.note_return(10.0)
+        self.registry.replace([target("b")], 10.0)
+        self.assertEqual(self.ready(), {"a", "b"})
+        self.registry.put(target("a"))
+        self.registry.expire(10.0 + REAPPEAR_S)
+        self.assertEqual(self.ready(), {"a", "b"})
+
+    def test_one_that_does_not_come_back_is_gone(self) -> None:
+        self.registry.note_return(10.0)
+        self.registry.replace([target("b")], 10.0)
+        self.registry.expire(10.0 + REAPPEAR_S - 0.1)
+        self.assertEqual(self.ready(), {"a", "b"})
+        self.registry.expire(10.0 + REAPPEAR_S)
+        self.assertEqual(self.ready(), {"b"})
--- /dev/null
+++ b/tests/routes/test_table.py
@@ -0,0 +1,154 @@
+"""Tests of `lavendertide.routes`: which route takes a request, and what is in force."""
+
+import unittest
+from collections import Counter
+from dataclasses import replace
+
+from lavendertide.encodings.routes_json import decode_table, encode_table
+from lavendertide.ids import ConfigurationVersion, DaemonId, RouteName, ServiceName
+from lavendertide.messages import (
+    ConfigurationOffer,
+    ConfigurationPull,
+    ConfigurationPush,
+)
+from lavendertide.routes.book import RouteBook
+from lavendertide.routes.route import SplitServices, WeightedService
+from lavendertide.routes.split import SplitCounters
+from lavendertide.routes.spreading import RouteSpreading
+from lavendertide.routes.table import RouteTable
+from tests.forwarding.builders import route, shards, table
+
+SPLIT = SplitServices(
+    (
+        WeightedService(ServiceName("blue"), 3.0),
+        WeightedService(ServiceName("green"), 1.0),
+    )
+)
+PEER = DaemonId("peer")
+
+
+class RouteTableTest(unittest.TestCase):
+    """The longest prefix of a path wins."""
+
+    def setUp(self) -> None:
+        base = route()
+        self.table = table(
+            1,
+            replace(base, name=RouteName("short"), prefix="/a/"),
+            replace(base, name=RouteName("long"), prefix="/a/b/"),
+        )
+
+    def name_of(self, host: str, path: str) -> str | None:
+        """Returns the name of the route of a path."""
+        found = self.table.find(host, path)
+        return found.name if found is not None else None
+
+    def test_the_longest_prefix_is_taken(self) -> None:
+        self.assertEqual(self.name_of("shop.example", "/a/b/c"), "long")
+        self.assertEqual(self.name_of("shop.example", "/a/bc"), "short")
+
+    def test_the_query_is_no_part_of_the_path(self) -> None:
+        self.assertEqual(self.name_of("shop.example", "/a/x?y=/a/b/"), "short")
+
+    def test_port_and_case_of_the_host_name_do_not_matter(self) -> None:
+        self.assertEqual(self.name_of("Shop.Example:8080", "/a/x"), "short")
+
+    def test_other_hosts_and_paths_have_no_route(self) -> None:
+        self.assertIsNone(self.name_of("other.example", "/a/x"))
+        self.assertIsNone(self.name_of("shop.example", "/b/"))
+
+
+class SplitCountersTest(unittest.TestCase):
+    """Requests are divided in proportion to the weights."""
+
+    def test_the_shares_are_exact(self) -> None:
+        counters = SplitCounters()
+        chosen = Counter(counters.choose(RouteName("r"), SPLIT) for _ in range(400))
+        self.assertEqual(chosen, {"blue": 300, "green": 100})
+
+    def test_no_service_is_starved_for_long(self) -> None:
+        counters = SplitCounters()
+        chosen = [counters.choose(RouteName("r"), SPLIT) for _ in range(8)]
+        self.assertIn("green", chosen[:4])
+        self.assertIn("green", chosen[4:])
+
+
+class RouteBookTest(unittest.TestCase):
+    """Only a higher version is adopted."""
+
+    def test_an_older_version_never_comes_back(self) -> None:
+        book = RouteBook()
+        self.assertTrue(book.adopt(table(5, route()), "platform", 0.0))
+        self.assertFalse(book.adopt(table(4, route()), "peer", 1.0))
+        self.assertFalse(book.adopt(table(5, route()), "peer", 1.0))
+        self.assertEqual(book.version, 5)
+
+
+class RouteSpreadingTest(unittest.TestCase):
+    """A host that cannot read the platform has its routes from a peer."""
+
+    def make(self, version: int) -> tuple[RouteBook, RouteSpreading]:
+        """Returns a host that knows a version, zero for none."""
+        book = RouteBook()
+        if version:
+            book.adopt(table(version, route(shards(3)), route(SPLIT)), "test", 0.0)
+        return book, RouteSpreading(book, encode_table, decode_table, 0.0)
+
+    def test_a_newer_version_is_pulled_and_adopted(self) -> None:
+        old, behind = self.make(0)
+        new, ahead = self.make(7)
+        pull = behind.hear_version(ConfigurationVersion(7), 1.0)
+        assert isinstance(pull, ConfigurationPull)
+        push = ahead.take(pull, PEER, 1.0)
+        assert isinstance(push, ConfigurationPush)
+        behind.take(push, PEER, 1.0)
+        self.assertEqual(old.version, 7)
+        assert old.table is not None and new.table is not None
+        self.assertEqual(old.table.routes, new.table.routes)
+
+    def test_who_knows_as_much_is_only_told_the_version(self) -> None:
+        _, ahead = self.make(7)
+        _, same = self.make(7)
+        self.assertIsNone(same.hear_version(ConfigurationVersion(7), 1.0))
+        _, behind = self.make(6)
+        pull = behind.hear_version(ConfigurationVersion(7), 1.0)
+        assert pull is not None
+        known = replace(
+            pull, known=replace(pull.known, version=ConfigurationVersion(7))
+        )
+        self.assertIsInstance(ahead.take(known, PEER, 1.0), ConfigurationOffer)
+
+    def test_one_pull_is_sent_for_many_heartbeats(self) -> None:
+        _, behind = self.make(0)
+        version = ConfigurationVersion(7)
+        self.assertIsNotNone(behind.hear_version(version, 1.0))
+        self.assertIsNone(behind.hear_version(version, 1.1))
+        self.assertIsNotNone(behind.hear_version(version, 3.0))
+
+    def test_what_is_no_table_is_refused(self) -> None:
+        book, behind = self.make(3)
+        _, ahead = self.make(7)
+        pull = behind.hear_version(ConfigurationVersion(7), 1.0)
+        assert pull is not None
+        push = ahead.take(pull, PEER, 1.0)
+        assert isinstance(push, ConfigurationPush)
+        with self.assertLogs("lavendertide.routes.spreading", "WARNING"):
+            behind.take(replace(push, lists=b"{}"), PEER, 1.0)
+        self.assertEqual(book.version, 3)
+
+    def test_a_host_is_unconfirmed_until_somebody_has_answered(self) -> None:
+        _, spreading = self.make(0)
+        self.assertTrue(spreading.needs_refresh(1.0))
+        spreading.note_confirmed(1.0)
+        self.assertFalse(spreading.needs_refresh(1.0))
+        spreading.refresh(2.0)
+        self.assertTrue(spreading.needs_refresh(2.0))
+
+
+class RoutesJsonTest(unittest.TestCase):
+    """A table reads back as it was written."""
+
+    def test_every_destination_reads_back(self) -> None:
+        written: RouteTable = table(3, route(), route(SPLIT), route(shards(2)))
+        read = decode_table(encode_table(written))
+        self.assertEqual(read, written)
--- a/tests/test_shape.py
+++ b/tests/test_shape.py
@@ -1,11 +1,29 @@
 """Tests of the shape of the code: who may import what."""
 
 import ast
+import re
 import unittest
 from collections.abc import Iterator
 from pathlib import Path
 
 PACKAGE = Path(__file__).parent.parent / "lavendertide"
+PLATFORM_NAME = re.compile(r"/?[A-Za-z]+([-./_][a-z_]+)+/?|servers/")
+# Names of HTTP, which product and platform both speak.
+STANDARD_NAMES = frozenset(
+    {
+        "content-type",
+        "content-encoding",
+        "keep-alive",
+        "retry-after",
+        "text/plain",
+        "application/json",
+        "application/octet-stream",
+        "latin-1",
+        "/metrics",
+        "__main__",
+        "fleet_key",
+    }
+)
 AGGREGATES = (
     "queries",
     "targets",
@@ -27,6 +45,28 @@
                 yield module
 
 
+def texts_of(path: Path) -> Iterator[str]:
+    """Returns the string and byte constants of a file, its docstrings apart."""
+    for node in ast.walk(ast.parse(path.read_text())):
+        match node:
+            case ast.Constant(value=str(text)):
+                yield text
+            case ast.Constant(value=bytes(data)):
+                yield data.decode("latin-1")
+
+
+def platform_names() -> Iterator[str]:
+    """Returns the names that only the platform's spelling explains.
+
+    Those are what has a hyphen, a slash or a dot between letters; plain words such as
+    `state` are also words of the product.
+    """
+    for path in (PACKAGE / "platform").glob("*.py"):
+        for text in texts_of(path):
+            if PLATFORM_NAME.fullmatch(text) and text.lower() not in STANDARD_NAMES:
+                yield text.lower()
+
+
 class ImportsTest(unittest.TestCase):
     """Decisions know neither green threads nor encodings."""
 
@@ -60,6 +100,45 @@
         self.assertEqual(found, [])
 
 
+class PlatformTest(unittest.TestCase):
+    """The users' platform is known in one folder only."""
+
+    def test_nothing_outside_imports_the_folder(self) -> None:
+        found = [
+            f"{path.relative_to(PACKAGE)}: {name}"
+            for path in PACKAGE.rglob("*.py")
+            if path.parent.name != "platform"
+            for name in imports_of(path)
+            if name.startswith("lavendertide.platform")
+        ]
+        self.assertEqual(found, [])
+
+    def test_nothing_outside_knows_the_platforms_names(self) -> None:
+        names = set(platform_names())
+        for known in ("lavendertide-request-id", "servers/", "min-coverage"):
+            self.assertIn(known, names)
+        found = [
+            f"{path.relative_to(PACKAGE)}: {text!r}"
+            for path in PACKAGE.rglob("*.py")
+            if path.parent.name != "platform" and "generated" not in path.parts
+            for text in texts_of(path)
+            if text.lower() in names
+        ]
+        self.assertEqual(found, [])
+
+    def test_decisions_import_no_framing(self) -> None:
+        found = [
+            f"{path.relative_to(PACKAGE)}: {name}"
+            for folder in ("forwarding", "registry", "routes")
+            for path in (PACKAGE / folder).rglob("*.py")
+            for name in imports_of(path)
+            if name.startswith(
+                ("lavendertide.encodings", "h11", "lavendertide.gateway")
+            )
+        ]
+        self.assertEqual(found, [])
+
+
 class PatchingTest(unittest.TestCase):
     """What tests import leaves this process's sockets and threads as they are."""
 
