--- a/lavendertide/routes/route.py
+++ b/lavendertide/routes/route.py
@@ -10,7 +10,7 @@
     """Whether a request may run more than once."""
 
     IDEMPOTENT = "idempotent"
-    NON_IDEMPOTENT = "non_idempotent"
+    NON_IDEMPOTENT = "at_most_once"
 
 
 @dataclass(frozen=True, slots=True)
