Prefer near targets more

Cause: a third of the parts cross between failure domains needlessly: one open request at the near target outweighed the distance.

--- a/lavendertide/forwarding/target_view.py
+++ b/lavendertide/forwarding/target_view.py
@@ -30,7 +30,7 @@
 AVOIDED_FACTOR: Final = 1_000.0
 STALLED_FACTOR: Final = 100.0
 # Part of a request's usual time that another failure domain costs.
-DISTANT_COST: Final = 0.25
+DISTANT_COST: Final = 0.6
 
 
 @dataclass(slots=True)
