--- a/lavendertide/gateway/follower.py
+++ b/lavendertide/gateway/follower.py
@@ -24,8 +24,10 @@
 # Pause after a change, in which further ones gather; far below the seconds within
 # which the platform wants a change in force.
 GATHER_S: Final = 0.2
-# Pause after a read that failed, drawn between half of it and the whole.
+# Pause after a read that failed, drawn between half of it and the whole. A host that
+# knows nothing yet serves nobody, so it asks again sooner.
 RETRY_S: Final = 0.5
+RETRY_UNKNOWING_S: Final = 0.2
 
 _log = logging.getLogger(__name__)
 
@@ -113,7 +115,9 @@
             if is_answered:
                 tasks.sleep(GATHER_S)
             else:
-                tasks.sleep(random.uniform(RETRY_S / 2, RETRY_S))
+                knows = self._revision is not None
+                longest_s = RETRY_S if knows else RETRY_UNKNOWING_S
+                tasks.sleep(random.uniform(longest_s / 2, longest_s))
 
     def _read(self) -> bool:
         """Reads once; returns whether the platform answered."""
--- a/lavendertide/platform/store_client.py
+++ b/lavendertide/platform/store_client.py
@@ -38,9 +38,9 @@
 CONNECT_TIMEOUT_S: Final = 0.5
 ANSWER_TIMEOUT_S: Final = 1.0
 # How long a watch waits for a change, and how much later its answer may come. The sum
-# bounds how long a dead connection is believed; a change has to be in force, and a
-# leaving target left alone, within three seconds.
-WATCH_WAIT_S: Final = 1.5
+# bounds how long a watch is believed whose answer was lost, and has to be shorter than
+# the few seconds after an outage in which the platform allows an old view.
+WATCH_WAIT_S: Final = 2.5
 WATCH_MARGIN_S: Final = 0.5
 # Pages of one range; more than any deployment holds.
 PAGES_MAX: Final = 1_000
