--- a/lavendertide/forwarding/forwarder.py
+++ b/lavendertide/forwarding/forwarder.py
@@ -23,7 +23,7 @@
 )
 from lavendertide.forwarding.metrics import ForwardingMetrics
 from lavendertide.forwarding.poison import CrashEvidence
-from lavendertide.forwarding.pool import TargetCall, TargetPools
+from lavendertide.forwarding.pool import TargetCall, TargetPools, connection_share
 from lavendertide.forwarding.run import CallDone, Event, RequestRun
 from lavendertide.forwarding.target_view import TargetViews
 from lavendertide.forwarding.timing import RouteTimings
@@ -159,7 +159,7 @@
         call = TargetCall(next(self._numbers), part, request, record, ends_at_s, done)
         view = self._views.of(record.target)
         view.begin(call.number, now_s, self.late_after_s(route, now_s))
-        self._pools.submit(call, self._connections_max(record.service))
+        self._pools.submit(call, self._connections_max(record))
         self._metrics.sub_requests.inc()
         return call
 
@@ -198,12 +198,14 @@
             case GatheredShards(shards=shards):
                 return shards
 
-    def _connections_max(self, service: ServiceName) -> int:
+    def _connections_max(self, record: TargetRecord) -> int:
         table = self._book.table
-        known = table.services.get(service) if table is not None else None
+        known = table.services.get(record.service) if table is not None else None
         if known is None:
             return 1
-        return max(1, known.connections_max // max(1, self._notices.hosts()))
+        return connection_share(
+            known.connections_max, record.slots, self._notices.hosts()
+        )
 
     def _note(
         self, call: TargetCall, route: Route, reply: TargetReply, asked: int
--- a/lavendertide/forwarding/pool.py
+++ b/lavendertide/forwarding/pool.py
@@ -28,9 +28,28 @@
 # answers.
 CONNECT_TIMEOUT_S: Final = 0.25
 
+# A host that loses power leaves connections that its targets still count, beside those
+# that it opens after its start.
+GENERATIONS: Final = 2
+
 _log = logging.getLogger(__name__)
 
 
+def connection_share(connections_max: int, slots: int, hosts: int) -> int:
+    """Returns how many connections one host may open to a target.
+
+    Half of the target's are left for those of an earlier start, but a host that could
+    not use the target's slots at a time would make requests wait for each other.
+
+    Args:
+        connections_max: Connections that the target takes from all hosts.
+        slots: Requests that it runs at a time.
+        hosts: How many hosts share it.
+    """
+    whole = connections_max // max(1, hosts)
+    return max(1, whole // GENERATIONS, min(slots, whole))
+
+
 @dataclass(eq=False, slots=True)
 class TargetCall:
     """One sub-request to one target.
