Name large hosts to callers first

Cause: in the grown deployments a few requests a second reach each of 76 uneven hosts, so each one opens its connections anew and knows little of the targets. Members say what processor they may use and whether they use most of it; the directory names the largest that have room. On the small sites all hosts are equal and nothing changes but three addresses in an answer instead of four.

--- a/lavendertide/encodings/fleet_frames.py
+++ b/lavendertide/encodings/fleet_frames.py
@@ -75,6 +75,8 @@
         member.incarnation,
         member.state.value,
         member.refutation,
+        member.capacity,
+        member.is_loaded,
     )
 
 
@@ -90,4 +92,6 @@
         Incarnation(record.incarnation),
         messages.MemberState(record.state),
         record.refutation or 0,
+        record.capacity or 0,
+        bool(record.is_loaded),
     )
--- a/lavendertide/encodings/peer_protocol.thrift
+++ b/lavendertide/encodings/peer_protocol.thrift
@@ -11,6 +11,8 @@
   7: i64 incarnation,
   8: string state,
   20: i32 refutation,
+  70: i32 capacity,
+  71: bool is_loaded,
 }
 
 struct SubRequest {
--- a/lavendertide/fleet/addresses.py
+++ b/lavendertide/fleet/addresses.py
@@ -10,6 +10,9 @@
 from lavendertide.messages import MemberRecord
 
 ANSWER_SIZE: Final = 4
+# A host counts as large if the largest is no more than so many times as large, and
+# most large ones have room if so many times as many as the free ones are all of them.
+LARGE_FACTOR: Final = 2
 
 
 @dataclass(frozen=True, slots=True)
@@ -55,6 +58,7 @@
         """Returns the nearest serving hosts; callers of one plan share a few."""
         name = self._name_of(key)
         serving = [m for m in self._roster.serving if self._is_usable(m, now_s)]
+        serving = with_room(serving)
         chosen: list[MemberRecord] = []
         for ring in _by_distance(serving, region, failure_domain):
             chosen += sorted(ring, key=lambda member: -score(name, member.daemon))
@@ -69,6 +73,21 @@
         return self._roster.is_reachable(member.daemon, SILENCE_S, now_s)
 
 
+def with_room(members: list[MemberRecord]) -> list[MemberRecord]:
+    """Returns the members that should take requests first.
+
+    The largest ones take all requests for as long as most of them have room: the fewer
+    hosts ask the targets, the more each one knows of them, and the fewer connections
+    have to be opened. The others are named as soon as that is not enough.
+    """
+    largest = max((member.capacity for member in members), default=0)
+    large = [m for m in members if LARGE_FACTOR * m.capacity >= largest]
+    free = [member for member in large if not member.is_loaded]
+    if LARGE_FACTOR * len(free) >= len(large):
+        return free
+    return [member for member in members if not member.is_loaded] or members
+
+
 def _by_distance(
     members: Iterable[MemberRecord], region: Region, failure_domain: FailureDomain
 ) -> tuple[list[MemberRecord], list[MemberRecord], list[MemberRecord]]:
--- a/lavendertide/fleet/roster.py
+++ b/lavendertide/fleet/roster.py
@@ -110,6 +110,13 @@
         """Changes this daemon's own state."""
         self._put(replace(self.own, state=state), now_s)
 
+    def announce_load(self, is_loaded: bool, now_s: float) -> None:
+        """Says whether this daemon uses most of its processor."""
+        own = self.own
+        if own.is_loaded is not is_loaded:
+            later = replace(own, is_loaded=is_loaded, refutation=own.refutation + 1)
+            self._put(later, now_s)
+
     def suspect(self, daemon: DaemonId, now_s: float) -> None:
         """Marks a member as suspect, which it may refute."""
         self._put(replace(self._records[daemon], state=MemberState.SUSPECT), now_s)
--- a/lavendertide/gateway/gateway.py
+++ b/lavendertide/gateway/gateway.py
@@ -32,6 +32,7 @@
 from lavendertide.gateway.entry_front import EntryCodec, EntryFront
 from lavendertide.gateway.fleet_size import FleetSize
 from lavendertide.gateway.follower import Follower, PlatformReader
+from lavendertide.gateway.load import LoadMeter
 from lavendertide.gateway.options import GatewayOptions
 from lavendertide.gateway.peer_news import PeerNews
 from lavendertide.ids import Address, DaemonId, Incarnation
@@ -49,10 +50,12 @@
 # Without a published list of hosts, a member that is silent for so long is dropped.
 REMOVAL_S: Final = 30.0
 ROUND_S: Final = 0.25
+# Over which the use of the processor is measured.
+LOAD_S: Final = 1.0
 CONNECTIONS_MAX: Final = 2_000
 ENTRY_CONNECTIONS_MAX: Final = 200
 # Hosts that are named to a caller; enough that one can fail without all its requests.
-ADDRESSES: Final = 4
+ADDRESSES: Final = 3
 # Part of the grace in which requests are still taken after the request to stop.
 TAKING_SHARE: Final = 0.5
 # Part of the grace after which requests in flight are not waited for any more.
@@ -113,6 +116,7 @@
         tasks.spawn(self._membership.keep)
         tasks.spawn(self._follower.run)
         tasks.spawn(self._keep_size)
+        tasks.spawn(self._keep_load)
         front = self._caller_front()
         listener = sockets.listen(options.callers)
         tasks.spawn(sockets.accept_forever, listener, front.serve, CONNECTIONS_MAX)
@@ -204,6 +208,15 @@
             self._size.see(len(self._roster.members), clock.monotonic_s())
             tasks.sleep(ROUND_S)
 
+    def _keep_load(self) -> None:
+        share = self._options.processor_share
+        meter = LoadMeter(share, clock.processor_s(), clock.monotonic_s())
+        while True:
+            tasks.sleep(LOAD_S)
+            now_s = clock.monotonic_s()
+            is_loaded = meter.measure(clock.processor_s(), now_s)
+            self._roster.announce_load(is_loaded, now_s)
+
 
 def _own_record(options: GatewayOptions) -> MemberRecord:
     return MemberRecord(
@@ -215,4 +228,5 @@
         caller_address=options.callers,
         incarnation=Incarnation(int(clock.wall_s() * 1_000)),
         state=MemberState.JOINING,
+        capacity=round(100 * options.processor_share),
     )
--- a/lavendertide/gateway/options.py
+++ b/lavendertide/gateway/options.py
@@ -22,6 +22,7 @@
         retries: Extra sub-requests that the fleet may send.
         grace_s: Time from the request to stop to the end by force.
         address_lifetime_s: The longest time for which callers keep an address answer.
+        processor_share: What the process may use of a processor, in cores.
     """
 
     host: HostId
@@ -38,3 +39,4 @@
     retries: RetryAllowance
     grace_s: float
     address_lifetime_s: float
+    processor_share: float
--- a/lavendertide/messages.py
+++ b/lavendertide/messages.py
@@ -108,7 +108,11 @@
 
     Attributes:
         incarnation: Names one run of the daemon.
-        refutation: Rises within a run when the daemon refutes a suspicion.
+        refutation: Rises within a run when the daemon refutes a suspicion or says
+            that its load has changed.
+        capacity: What it may use of a processor, in hundredths of a core; zero if it
+            does not say.
+        is_loaded: Whether it uses most of that.
     """
 
     daemon: DaemonId
@@ -120,6 +124,8 @@
     incarnation: Incarnation
     state: MemberState
     refutation: int = 0
+    capacity: int = 0
+    is_loaded: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/lavendertide/platform/settings.py
+++ b/lavendertide/platform/settings.py
@@ -81,6 +81,9 @@
         grace_s=float(fields["bounds.grace-s"]),
         # The only name of the platform with underscores.
         address_lifetime_s=float(fields["bounds.ttl_max_s"]),
+        # The share is of a core that is "cores" times as fast, not of several cores.
+        processor_share=float(fields["limits.cpu-share"])
+        * float(fields["limits.cores"]),
     )
 
 
--- a/lavendertide/runtime/clock.py
+++ b/lavendertide/runtime/clock.py
@@ -17,6 +17,11 @@
     return time.monotonic()
 
 
+def processor_s() -> float:
+    """Returns the processor time that the process has used."""
+    return time.process_time()
+
+
 def wall_s() -> float:
     """Returns seconds since the epoch, for logs and for what callers see."""
     return time.time()
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -74,6 +74,8 @@
 bounds.retry-slack=56
 bounds.budget-window-s=10
 bounds.ttl_max_s=5
+limits.cpu-share=0.5
+limits.cores=2
 something.new=1
 """
 
@@ -155,6 +157,7 @@
         self.assertEqual(options.failure_domain, "a")
         self.assertEqual(options.seeds, ("10.0.0.2:3", "10.0.0.3:3"))
         self.assertEqual(options.retries.fixed, 56.0)
+        self.assertEqual(options.processor_share, 1.0)
 
     def test_a_missing_value_is_named(self) -> None:
         with self.assertRaisesRegex(SettingsError, "Add platform.address"):
