Log each decision about a request, reload settings, and explain a request from logs

Each repeated sub-request and each one that the budget withheld has a line with its cause, the budget left and the time used; a request's last line names the routes' version and age; stalls and suspects have lines. Changed settings are taken in on a signal or without one. lavendertide explain joins the lines of several hosts into one story.

--- a/lavendertide/command_line/main.py
+++ b/lavendertide/command_line/main.py
@@ -10,6 +10,7 @@
 from lavendertide.command_line import callers, operators, output
 from lavendertide.command_line.check import check, settings
 from lavendertide.command_line.completion import completion
+from lavendertide.command_line.explain import explain
 from lavendertide.command_line.fleet import fleet
 from lavendertide.command_line.reports import report
 
@@ -37,6 +38,7 @@
     operators.targets,
     operators.drain,
     report,
+    explain,
     check,
     settings,
     completion,
--- a/lavendertide/fleet/peers.py
+++ b/lavendertide/fleet/peers.py
@@ -54,6 +54,11 @@
         """The members that this daemon watches as a part of the fleet."""
         return self._watched
 
+    def reseed(self, seeds: tuple[Address, ...]) -> None:
+        """Names other peers to ask while no member is known."""
+        self._seeds = seeds
+        self._watch_links()
+
     def link_to(self, member: MemberRecord) -> PeerLink:
         """Returns the link to a member, opened at its first use."""
         link = self._open(member.peer_address)
--- a/lavendertide/forwarding/budget.py
+++ b/lavendertide/forwarding/budget.py
@@ -7,7 +7,7 @@
 """
 
 from collections import deque
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Final
 
 from lavendertide.ids import ServiceName
@@ -69,6 +69,10 @@
         self._allowance = allowance
         self._by_service: dict[ServiceName, _ServiceCounts] = {}
 
+    def allow(self, allowance: RetryAllowance) -> None:
+        """Changes the allowance; the window stays as long as it was."""
+        self._allowance = replace(allowance, window_s=self._allowance.window_s)
+
     def note_request(self, service: ServiceName, now_s: float) -> None:
         """Counts a caller's request for a service."""
         self._counts(service).requests.add(now_s)
--- a/lavendertide/forwarding/forwarder.py
+++ b/lavendertide/forwarding/forwarder.py
@@ -139,6 +139,14 @@
         self._metrics.withheld.inc()
         return False
 
+    def budget_left(self, service: ServiceName, now_s: float) -> float:
+        """Returns how many extra sub-requests may be sent now."""
+        return self._budgets.left(service, self._notices.hosts(), now_s)
+
+    def table_age(self, now_s: float) -> tuple[int, float]:
+        """Returns the version of the routes in force and its age in seconds."""
+        return self._book.version, now_s - self._book.adopted_at_s
+
     def call(
         self,
         part: int,
@@ -241,6 +249,16 @@
             request.fingerprint, request.request, call.record.target, asked, now_s
         )
         if verdict is not None:
+            _log.warning(
+                "request may crash its targets",
+                extra={
+                    "request": request.request,
+                    "fingerprint": verdict.fingerprint,
+                    "target": call.record.target,
+                    "crashes": verdict.crashes,
+                    "outcome": verdict.kind.value,
+                },
+            )
             self._notices.tell_verdict(verdict)
 
     def _log_reply(self, call: TargetCall, reply: TargetReply, now_s: float) -> None:
--- a/lavendertide/forwarding/run.py
+++ b/lavendertide/forwarding/run.py
@@ -24,6 +24,7 @@
     Refused,
     Replied,
     TargetReply,
+    Unknown,
 )
 from lavendertide.forwarding.parts import Part
 from lavendertide.forwarding.pool import TargetCall
@@ -69,6 +70,12 @@
     def may_repeat(self, service: ServiceName, now_s: float) -> bool:
         """Takes an extra sub-request out of the budget."""
 
+    def budget_left(self, service: ServiceName, now_s: float) -> float:
+        """Returns how many extra sub-requests may be sent now."""
+
+    def table_age(self, now_s: float) -> tuple[int, float]:
+        """Returns the version of the routes in force and its age in seconds."""
+
     def call(
         self,
         part: int,
@@ -210,7 +217,10 @@
         record = self._next_target(part, now_s) or self._known_target(part, now_s)
         if record is None:
             return
-        if self._is_first_offer(part) or self._spend(part, now_s):
+        is_free = self._is_first_offer(part)
+        may_ask = is_free or self._spend(part, now_s)
+        self._log_repeat(part, record, _cause_of(part), may_ask, now_s)
+        if may_ask:
             self._ask(number, part, record, now_s)
 
     def _hedge(self, number: int, part: Part, now_s: float) -> None:
@@ -218,7 +228,11 @@
         for call in part.open.values():
             self._sender.note_late(call, now_s)
         record = self._next_target(part, now_s)
-        if record is not None and self._spend(part, now_s):
+        if record is None:
+            return
+        may_ask = self._spend(part, now_s)
+        self._log_repeat(part, record, "late", may_ask, now_s)
+        if may_ask:
             self._ask(number, part, record, now_s)
 
     def _spend(self, part: Part, now_s: float) -> bool:
@@ -314,11 +328,31 @@
             return Failed(RefusalCause.TIMED_OUT if is_late else cause, is_late)
         return Refused(RefusalCause.TARGETS_FULL, FULL_RETRY_S)
 
+    def _log_repeat(
+        self, part: Part, record: TargetRecord, cause: str, may_ask: bool, now_s: float
+    ) -> None:
+        elapsed_s = now_s - self._request.arrived_at_s
+        _log.info(
+            "another target asked" if may_ask else "repeat withheld by the budget",
+            extra={
+                "request": self._request.request,
+                "service": part.service,
+                "cause": cause,
+                "asked": part.asked[-1:],
+                "target": record.target,
+                "elapsed_ms": round(elapsed_s * 1_000, 1),
+                "budget_left": round(self._sender.budget_left(part.service, now_s), 1),
+            },
+        )
+
     def _log(self, outcome: str, now_s: float) -> None:
         missing = [part.service for part in self._parts if not part.is_done]
+        version, age_s = self._sender.table_age(now_s)
         fields: dict[str, object] = {
             "request": self._request.request,
             "route": self._route.name,
+            "version": version,
+            "version_age_s": round(age_s, 1),
             "outcome": outcome,
             "elapsed_ms": round((now_s - self._request.arrived_at_s) * 1_000, 1),
             "left_ms": round((self._times.ends_at_s - now_s) * 1_000, 1),
@@ -331,6 +365,18 @@
         _log.info("request ended", extra=fields)
 
 
+def _cause_of(part: Part) -> str:
+    match part.failure:
+        case Replied(status=status):
+            return f"status_{status}"
+        case NotRun(reason=not_run):
+            return not_run.value
+        case Unknown(reason=unknown):
+            return unknown.value
+        case None:
+            return "unasked"
+
+
 def _name_of(answer: Answer) -> str:
     match answer:
         case Passed(reply):
--- a/lavendertide/gateway/follower.py
+++ b/lavendertide/gateway/follower.py
@@ -110,7 +110,7 @@
     def run(self) -> None:
         """Reads for as long as the process lives."""
         while True:
-            is_answered = self._read()
+            is_answered = self.read()
             self._registry.expire(clock.monotonic_s())
             if is_answered:
                 tasks.sleep(GATHER_S)
@@ -119,7 +119,7 @@
                 longest_s = RETRY_S if knows else RETRY_UNKNOWING_S
                 tasks.sleep(random.uniform(longest_s / 2, longest_s))
 
-    def _read(self) -> bool:
+    def read(self) -> bool:
         """Reads once; returns whether the platform answered."""
         if self._revision is None:
             return self._read_all()
--- a/lavendertide/gateway/gateway.py
+++ b/lavendertide/gateway/gateway.py
@@ -139,6 +139,11 @@
         drain.run()
         _log.info("stopped")
 
+    def reload(self, options: GatewayOptions) -> None:
+        """Takes in changed settings; addresses need a restart."""
+        self._peers.reseed(options.seeds)
+        self._budgets.allow(options.retries)
+
     def _make_fleet(self) -> None:
         options = self._options
         self._roster = Roster(_own_record(options))
@@ -164,6 +169,7 @@
         self._metrics = ForwardingMetrics(REGISTRY)
         self._views = TargetViews(options.failure_domain)
         self._crashes = CrashEvidence(Quarantine())
+        self._budgets = RetryBudgets(options.retries)
         self._peer_news = PeerNews(
             self._roster, self._peers, self._news, self._views, self._crashes
         )
@@ -172,7 +178,7 @@
             self._registry,
             self._views,
             TargetPools(self._translations.make_wire),
-            RetryBudgets(options.retries),
+            self._budgets,
             self._crashes,
             Notices(
                 self._peer_news.tell_stall,
--- a/lavendertide/gateway/peer_news.py
+++ b/lavendertide/gateway/peer_news.py
@@ -1,5 +1,7 @@
 """Exchanges with peers what requests have shown of targets and of callers' requests."""
 
+import logging
+
 from lavendertide.fleet.news import FleetNews
 from lavendertide.fleet.peer_connection import PeerConnection
 from lavendertide.fleet.peer_server import Outbox, answer_reach
@@ -21,6 +23,8 @@
 )
 from lavendertide.runtime import clock, tasks
 
+_log = logging.getLogger(__name__)
+
 
 class PeerNews:
     """Answers the frames of peers and tells them this host's news."""
@@ -41,6 +45,7 @@
 
     def tell_stall(self, target: TargetId) -> None:
         """Tells all linked peers that a target has stopped answering."""
+        _log.info("target stalled", extra={"target": target})
         self._views.of(target).note_stall(clock.monotonic_s())
         self._peers.tell_all(StallNotices((target,)))
 
@@ -57,6 +62,15 @@
                     self._views.of(target).note_stall(now_s)
             case Verdicts(items):
                 for verdict in self._crashes.learn(items, now_s):
+                    _log.warning(
+                        "peer reports a request that may crash its targets",
+                        extra={
+                            "peer": peer.daemon,
+                            "fingerprint": verdict.fingerprint,
+                            "crashes": verdict.crashes,
+                            "outcome": verdict.kind.value,
+                        },
+                    )
                     self.tell_verdict(verdict)
             case ReachRequest():
                 tasks.spawn(self._answer_reach, frame, outbox)
--- a/lavendertide/platform/__main__.py
+++ b/lavendertide/platform/__main__.py
@@ -2,11 +2,15 @@
 
 from lavendertide.runtime import patching  # noqa: F401, I001
 
-import logging
 import signal
 import sys
+from pathlib import Path
+
+from returns.result import Failure, Result, Success
 
 from lavendertide.gateway.gateway import Gateway, Translations
+from lavendertide.gateway.options import GatewayOptions
+from lavendertide.gateway.reloading import Reloading
 from lavendertide.ids import DaemonId
 from lavendertide.bounded_logs import set_up_gateway_logs
 from lavendertide.platform.caller_codec import PlatformCallerCodec
@@ -14,11 +18,10 @@
 from lavendertide.platform.settings import SettingsError, read_settings, settings_path
 from lavendertide.platform.store_client import StoreClient
 from lavendertide.platform.target_wire import PlatformTargetWire
+from lavendertide.runtime import tasks
 
 EXIT_BAD_SETTINGS = 2
 
-_log = logging.getLogger(__name__)
-
 
 def main() -> int:
     """Runs one gateway until it is told to stop; returns the exit code."""
@@ -29,16 +32,26 @@
         print(f"lavendertide: {error}", file=sys.stderr)
         return EXIT_BAD_SETTINGS
     set_up_gateway_logs(DaemonId(options.host))
-    signal.signal(signal.SIGHUP, lambda *_: _log.info("settings reloaded"))
     translations = Translations(
         StoreClient(options.platform),
         PlatformTargetWire,
         PlatformCallerCodec(),
         PlatformEntryCodec(),
     )
-    Gateway(options, translations).run()
+    gateway = Gateway(options, translations)
+    reloading = Reloading(options, lambda: _read_again(path), gateway.reload)
+    signal.signal(signal.SIGHUP, lambda *_: tasks.spawn(reloading.look))
+    tasks.spawn(reloading.keep_looking)
+    gateway.run()
     return 0
 
 
+def _read_again(path: Path) -> Result[GatewayOptions, str]:
+    try:
+        return Success(read_settings(path))
+    except SettingsError as error:
+        return Failure(str(error))
+
+
 if __name__ == "__main__":
     sys.exit(main())
--- /dev/null
+++ b/tests/reports/test_timeline.py
@@ -0,0 +1,65 @@
+"""Tests of `lavendertide.reports.timeline`."""
+
+import json
+import unittest
+
+from lavendertide.reports.timeline import LogLine, describe, parse_lines, timeline
+
+
+def line(second: int, host: str, message: str, **details: object) -> str:
+    """Returns a line as a gateway writes it, with what a collector puts before it."""
+    fields = {
+        "time": f"2026-12-04 10:00:{second:02},000",
+        "level": "INFO",
+        "name": "lavendertide.x",
+        "message": message,
+        "host": host,
+    }
+    return f"{second}.0 {host} {json.dumps(fields | details)}\n"
+
+
+LOG = [
+    line(9, "a", "request ended", request="r1", outcome="partial"),
+    line(1, "a", "platform lost", problem="timeout"),
+    line(5, "a", "another target asked", request="r1", service="s1", target="t2"),
+    line(4, "a", "target stalled", target="t2"),
+    line(4, "a", "target stalled", target="t9"),
+    line(4, "b", "platform lost"),
+    line(6, "a", "request ended", request="r2"),
+    "no line of a gateway\n",
+    "{broken\n",
+]
+
+
+class TimelineTest(unittest.TestCase):
+    """A request's lines, and the beliefs of its hosts that they rest on."""
+
+    def setUp(self) -> None:
+        self.lines = parse_lines(LOG)
+
+    def test_lines_of_others_are_left_aside(self) -> None:
+        self.assertEqual(len(self.lines), 7)
+
+    def test_the_story_is_told_in_the_order_of_time(self) -> None:
+        told = [found.message for found in timeline(self.lines, "r1")]
+        self.assertEqual(
+            told,
+            [
+                "platform lost",
+                "target stalled",
+                "another target asked",
+                "request ended",
+            ],
+        )
+
+    def test_other_hosts_and_targets_do_not_matter(self) -> None:
+        found = timeline(self.lines, "r1")
+        self.assertEqual({line.host for line in found}, {"a"})
+        self.assertNotIn("t9", str(found))
+
+    def test_an_unknown_request_has_no_story(self) -> None:
+        self.assertEqual(timeline(self.lines, "r9"), [])
+
+    def test_a_line_shows_its_time_and_inputs(self) -> None:
+        text = describe(LogLine(10.5, "a", "request ended", {"outcome": "whole"}), 10.0)
+        self.assertEqual(text, "   +0.500s a: request ended outcome=whole")
