Read the platform once for a failure domain

The first serving host of each failure domain reads, others ask it, and read directly once it is silent for 1.4 s or does not hear from the platform itself.

--- a/lavendertide/encodings/peer_frames.py
+++ b/lavendertide/encodings/peer_frames.py
@@ -18,6 +18,7 @@
     fleet_frames,
     holder_frames,
     plan_frames,
+    registry_frames,
 )
 from lavendertide.encodings.fleet_frames import pack_member, unpack_member
 from lavendertide.encodings.generated.peer_protocol import ttypes
@@ -110,7 +111,11 @@
         ):
             return configuration_frames.to_union(frame)
         case _:
-            return fleet_frames.to_union(frame) or holder_frames.to_union(frame)
+            return (
+                fleet_frames.to_union(frame)
+                or registry_frames.to_union(frame)
+                or holder_frames.to_union(frame)
+            )
 
 
 def _from_union(union: Any) -> messages.Frame:
@@ -140,6 +145,7 @@
     return (
         configuration_frames.from_union(union)
         or fleet_frames.from_union(union)
+        or registry_frames.from_union(union)
         or holder_frames.from_union(union)
     )
 
--- a/lavendertide/encodings/peer_protocol.thrift
+++ b/lavendertide/encodings/peer_protocol.thrift
@@ -236,6 +236,31 @@
   41: list<SlotClaim> items,
 }
 
+struct TargetEntry {
+  70: string target,
+  71: string service_name,
+  72: string address,
+  73: string failure_domain,
+  74: i32 slots,
+  75: string state,
+  76: i64 born_ms,
+}
+
+struct RegistryPull {
+  70: string exchange,
+  71: i64 revision,
+}
+
+struct RegistryPush {
+  70: string exchange,
+  71: i64 revision,
+  72: list<TargetEntry> records,
+  73: list<string> withdrawn,
+  74: bool is_whole,
+  75: bool is_current,
+  76: i64 routes_version,
+}
+
 union Frame {
   1: Hello hello,
   2: Heartbeat heartbeat,
@@ -263,4 +288,6 @@
   43: SlotClaims slot_claims,
   44: SlotReleases slot_releases,
   70: StallNotices stall_notices,
+  71: RegistryPull registry_pull,
+  72: RegistryPush registry_push,
 }
--- /dev/null
+++ b/lavendertide/encodings/registry_frames.py
@@ -0,0 +1,78 @@
+"""The frames by which one host reads the platform for others of its failure domain."""
+
+from typing import Any
+
+from lavendertide import messages
+from lavendertide.encodings.generated.peer_protocol import ttypes
+from lavendertide.ids import (
+    Address,
+    ConfigurationVersion,
+    ExchangeId,
+    FailureDomain,
+    ServiceName,
+    TargetId,
+)
+from lavendertide.registry.record import TargetRecord, TargetState
+
+
+def to_union(frame: messages.Frame) -> Any | None:
+    """Returns the `thrift` union of a frame, none if it is another."""
+    match frame:
+        case messages.RegistryPull(exchange, revision):
+            pull = ttypes.RegistryPull(exchange, revision)
+            return ttypes.Frame(registry_pull=pull)
+        case messages.RegistryPush():
+            push = ttypes.RegistryPush(
+                frame.exchange,
+                frame.revision,
+                [_pack_record(record) for record in frame.records],
+                list(frame.withdrawn),
+                frame.is_whole,
+                frame.is_current,
+                frame.routes_version,
+            )
+            return ttypes.Frame(registry_push=push)
+    return None
+
+
+def from_union(union: Any) -> messages.Frame | None:
+    """Returns the frame of a `thrift` union, none if it is another."""
+    if union.registry_pull is not None:
+        pull = union.registry_pull
+        return messages.RegistryPull(ExchangeId(pull.exchange), pull.revision)
+    if union.registry_push is not None:
+        push = union.registry_push
+        return messages.RegistryPush(
+            ExchangeId(push.exchange),
+            push.revision,
+            tuple(_unpack_record(record) for record in push.records),
+            tuple(TargetId(target) for target in push.withdrawn),
+            push.is_whole,
+            push.is_current,
+            ConfigurationVersion(push.routes_version),
+        )
+    return None
+
+
+def _pack_record(record: TargetRecord) -> Any:
+    return ttypes.TargetEntry(
+        record.target,
+        record.service,
+        record.address,
+        record.failure_domain,
+        record.slots,
+        record.state.value,
+        record.born_ms,
+    )
+
+
+def _unpack_record(entry: Any) -> TargetRecord:
+    return TargetRecord(
+        TargetId(entry.target),
+        ServiceName(entry.service_name),
+        Address(entry.address),
+        FailureDomain(entry.failure_domain),
+        entry.slots,
+        TargetState(entry.state),
+        entry.born_ms,
+    )
--- a/lavendertide/fleet/peer_link.py
+++ b/lavendertide/fleet/peer_link.py
@@ -26,6 +26,8 @@
     PlanGrants,
     ReachReply,
     ReachRequest,
+    RegistryPull,
+    RegistryPush,
     SubReplies,
     SubReply,
     SubRequest,
@@ -61,7 +63,7 @@
 
 
 _Item = SubRequest | Frame | _Poke
-_Exchanged = TicketReply | ReachReply | PlanGrants
+_Exchanged = TicketReply | ReachReply | PlanGrants | RegistryPush
 
 
 class PeerLink:
@@ -153,6 +155,13 @@
         reply = self._ask(request, request.exchange, timeout_s)
         return reply if isinstance(reply, PlanGrants) else None
 
+    def pull_registry(
+        self, request: RegistryPull, timeout_s: float
+    ) -> RegistryPush | None:
+        """Asks for changes of the registry; none if there was no answer in time."""
+        reply = self._ask(request, request.exchange, timeout_s)
+        return reply if isinstance(reply, RegistryPush) else None
+
     def ask_reach(self, daemon: DaemonId, timeout_s: float) -> bool:
         """Returns whether the peer says in time that it reaches a member."""
         exchange = ExchangeId(uuid.uuid4().hex)
@@ -170,7 +179,7 @@
 
     def _ask(
         self,
-        request: TicketRequest | ReachRequest | PlanClaims,
+        request: TicketRequest | ReachRequest | PlanClaims | RegistryPull,
         name: ExchangeId,
         timeout_s: float,
     ) -> _Exchanged | None:
@@ -275,7 +284,7 @@
                 case SubReplies(items):
                     for reply in items:
                         self._hand_over(reply)
-                case TicketReply() | ReachReply() | PlanGrants():
+                case TicketReply() | ReachReply() | PlanGrants() | RegistryPush():
                     waiter = self._exchanges.get(frame.exchange)
                     if waiter is not None:
                         waiter.send(frame)
--- a/lavendertide/gateway/follower.py
+++ b/lavendertide/gateway/follower.py
@@ -14,6 +14,7 @@
 
 from lavendertide.errors import Refusal
 from lavendertide.ids import TargetId
+from lavendertide.registry.history import RegistryHistory
 from lavendertide.registry.record import TargetRecord
 from lavendertide.registry.registry import TargetRegistry
 from lavendertide.routes.book import RouteBook
@@ -101,6 +102,22 @@
         self._revision: int | None = None
         self._answered_at_s = now_s
         self._is_lost = False
+        self._history = RegistryHistory()
+        self._has_read = tasks.Signal()
+
+    @property
+    def history(self) -> RegistryHistory:
+        """The latest changes, for hosts that follow this one."""
+        return self._history
+
+    @property
+    def is_lost(self) -> bool:
+        """Whether the last read has failed."""
+        return self._is_lost
+
+    def wait_for_read(self, timeout_s: float) -> None:
+        """Waits until something more was read, or for a time."""
+        self._has_read.wait(timeout_s)
 
     @property
     def answered_at_s(self) -> float:
@@ -138,7 +155,7 @@
                 self._note_answer(now_s)
                 for publication in publications:
                     self._apply(publication, now_s)
-                self._revision = revision
+                self._note_changes(publications, revision)
                 return True
             case Failure(refusal):
                 self._note_failure(refusal, now_s)
@@ -157,7 +174,8 @@
                     else:
                         self._apply(publication, now_s)
                 self._registry.replace(records, now_s)
-                self._revision = reading.revision
+                self._history.begin(reading.revision)
+                self._note_read(reading.revision)
                 return True
             case Failure(refusal):
                 self._note_failure(refusal, now_s)
@@ -172,6 +190,25 @@
             case TargetWithdrawn(target):
                 self._registry.remove(target, now_s)
 
+    def _note_changes(
+        self, publications: tuple[Publication, ...], revision: int
+    ) -> None:
+        changes: list[tuple[TargetId, TargetRecord | None]] = []
+        for publication in publications:
+            match publication:
+                case TargetPublished(record):
+                    changes.append((record.target, record))
+                case TargetWithdrawn(target):
+                    changes.append((target, None))
+        self._history.add(changes, revision)
+        if revision != self._revision or changes:
+            self._note_read(revision)
+
+    def _note_read(self, revision: int) -> None:
+        self._revision = revision
+        read, self._has_read = self._has_read, tasks.Signal()
+        read.set()
+
     def _note_answer(self, now_s: float) -> None:
         if self._is_lost:
             _log.info(
--- a/lavendertide/gateway/gateway.py
+++ b/lavendertide/gateway/gateway.py
@@ -35,6 +35,7 @@
 from lavendertide.gateway.load import LoadMeter
 from lavendertide.gateway.options import GatewayOptions
 from lavendertide.gateway.peer_news import PeerNews
+from lavendertide.gateway.shared_reading import RegistrySource, SharedReader
 from lavendertide.ids import Address, DaemonId, Incarnation
 from lavendertide.messages import MemberRecord, MemberState
 from lavendertide.poison.quarantine import Quarantine
@@ -95,10 +96,13 @@
         self._readiness = Readiness(LEASE_S, now_s)
         self._spreading = RouteSpreading(self._book, encode_table, decode_table, now_s)
         self._make_fleet()
-        self._make_forwarding()
+        shared = SharedReader(
+            translations.reader, self._roster, self._peers, self._spreading, self._book
+        )
         self._follower = Follower(
-            translations.reader, self._book, self._spreading, self._registry, now_s
+            shared, self._book, self._spreading, self._registry, now_s
         )
+        self._make_forwarding()
 
     def run(self) -> None:
         """Serves until SIGTERM, then finishes what is in flight."""
@@ -171,7 +175,12 @@
         self._crashes = CrashEvidence(Quarantine())
         self._budgets = RetryBudgets(options.retries)
         self._peer_news = PeerNews(
-            self._roster, self._peers, self._news, self._views, self._crashes
+            self._roster,
+            self._peers,
+            self._news,
+            self._views,
+            self._crashes,
+            RegistrySource(self._follower, self._book).answer,
         )
         self._forwarder = Forwarder(
             self._book,
--- a/lavendertide/gateway/peer_news.py
+++ b/lavendertide/gateway/peer_news.py
@@ -1,6 +1,7 @@
 """Exchanges with peers what requests have shown of targets and of callers' requests."""
 
 import logging
+from collections.abc import Callable
 
 from lavendertide.fleet.news import FleetNews
 from lavendertide.fleet.peer_connection import PeerConnection
@@ -16,6 +17,8 @@
     Frame,
     Lost,
     ReachRequest,
+    RegistryPull,
+    RegistryPush,
     StallNotices,
     SubReply,
     Verdict,
@@ -36,12 +39,14 @@
         news: FleetNews,
         views: TargetViews,
         crashes: CrashEvidence,
+        answer_registry: Callable[[RegistryPull], RegistryPush],
     ) -> None:
         self._roster = roster
         self._peers = peers
         self._news = news
         self._views = views
         self._crashes = crashes
+        self._answer_registry = answer_registry
 
     def tell_stall(self, target: TargetId) -> None:
         """Tells all linked peers that a target has stopped answering."""
@@ -72,6 +77,8 @@
                         },
                     )
                     self.tell_verdict(verdict)
+            case RegistryPull():
+                tasks.spawn(self._answer_pull, frame, outbox)
             case ReachRequest():
                 tasks.spawn(self._answer_reach, frame, outbox)
             case _:
@@ -89,5 +96,8 @@
             case _:
                 peer.send(first)
 
+    def _answer_pull(self, pull: RegistryPull, outbox: Outbox) -> None:
+        outbox.send(self._answer_registry(pull))
+
     def _answer_reach(self, request: ReachRequest, outbox: Outbox) -> None:
         outbox.send(answer_reach(request, self._roster, self._peers))
--- /dev/null
+++ b/lavendertide/gateway/shared_reading.py
@@ -0,0 +1,147 @@
+"""One host of a failure domain reads the platform for the others.
+
+The platform counts and prices each read, and allows fewer for each host the more there
+are. So the first host of each failure domain reads, and the others ask it; one that is
+not answered in time, or whose reader does not hear from the platform itself, reads
+directly for a while.
+"""
+
+import uuid
+from typing import Final
+
+from returns.result import Result, Success
+
+from lavendertide.errors import Refusal
+from lavendertide.fleet.peers import Peers
+from lavendertide.fleet.ranking import score
+from lavendertide.fleet.roster import SILENCE_S, Roster
+from lavendertide.gateway.follower import (
+    Follower,
+    HistoryLost,
+    PlatformReader,
+    Publication,
+    Reading,
+    TargetPublished,
+    TargetWithdrawn,
+)
+from lavendertide.ids import ConfigurationVersion, ExchangeId
+from lavendertide.messages import MemberRecord, MemberState, RegistryPull, RegistryPush
+from lavendertide.routes.book import RouteBook
+from lavendertide.routes.spreading import RouteSpreading
+from lavendertide.runtime import clock
+
+# How long a reader waits for a change before it answers, and how much later its answer
+# may come. A host learns by then that its reader is gone; a leaving target has to be
+# left alone within three seconds.
+HOLD_S: Final = 1.0
+MARGIN_S: Final = 0.4
+# How long a host reads directly after its reader has failed it.
+DIRECT_S: Final = 5.0
+# A reader that has not heard from the platform for so long does not answer for it: the
+# longest wait of its own reads and a margin.
+HEARD_S: Final = 3.2
+READERS_NAME: Final = "platform-reader"
+
+
+def reader_of(roster: Roster, now_s: float) -> MemberRecord:
+    """Returns who reads for this host's failure domain, itself if there is no other."""
+    own = roster.own
+    if own.state is not MemberState.SERVING:
+        return own
+    near = [
+        member
+        for member in roster.serving
+        if member.failure_domain == own.failure_domain
+        and roster.is_reachable(member.daemon, SILENCE_S, now_s)
+    ]
+    return min(
+        near,
+        key=lambda member: (-member.capacity, -score(READERS_NAME, member.daemon)),
+        default=own,
+    )
+
+
+class SharedReader:
+    """Reads the changes of the platform from the domain's reader, or directly.
+
+    Args:
+        direct: Reads the platform itself.
+    """
+
+    def __init__(
+        self,
+        direct: PlatformReader,
+        roster: Roster,
+        peers: Peers,
+        spreading: RouteSpreading,
+        book: RouteBook,
+    ) -> None:
+        self._direct = direct
+        self._roster = roster
+        self._peers = peers
+        self._spreading = spreading
+        self._book = book
+        self._direct_until_s = 0.0
+
+    def read_all(self) -> Result[Reading, Refusal]:
+        """Returns everything that is published; always read directly."""
+        return self._direct.read_all()
+
+    def read_changes(self, revision: int) -> Result[Reading | HistoryLost, Refusal]:
+        """Returns what has changed since a revision; waits a little if nothing has."""
+        now_s = clock.monotonic_s()
+        reader = reader_of(self._roster, now_s)
+        if now_s < self._direct_until_s or reader.daemon == self._roster.own.daemon:
+            return self._direct.read_changes(revision)
+        push = self._ask(reader, revision)
+        if push is None or not push.is_current or push.is_whole:
+            self._direct_until_s = clock.monotonic_s() + DIRECT_S
+            return self._direct.read_changes(revision)
+        if push.routes_version > self._book.version:
+            self._pull_routes(reader, push.routes_version)
+        return Success(_reading(push))
+
+    def _ask(self, reader: MemberRecord, revision: int) -> RegistryPush | None:
+        pull = RegistryPull(ExchangeId(uuid.uuid4().hex), revision)
+        link = self._peers.link_to(reader)
+        return link.pull_registry(pull, HOLD_S + MARGIN_S)
+
+    def _pull_routes(self, reader: MemberRecord, version: ConfigurationVersion) -> None:
+        question = self._spreading.hear_version(version, clock.monotonic_s())
+        if question is not None:
+            self._peers.link_to(reader).send(question)
+
+
+class RegistrySource:
+    """Answers the hosts that follow this one."""
+
+    def __init__(self, follower: Follower, book: RouteBook) -> None:
+        self._follower = follower
+        self._book = book
+
+    def answer(self, pull: RegistryPull) -> RegistryPush:
+        """Returns the changes since a revision; waits a little if there are none."""
+        if self._follower.history.revision <= pull.revision:
+            self._follower.wait_for_read(HOLD_S)
+        changes = self._follower.history.since(pull.revision)
+        heard_ago_s = clock.monotonic_s() - self._follower.answered_at_s
+        is_current = not self._follower.is_lost and heard_ago_s < HEARD_S
+        if changes is None:
+            return RegistryPush(
+                pull.exchange, 0, (), (), True, is_current, self._book.version
+            )
+        return RegistryPush(
+            pull.exchange,
+            changes.revision,
+            changes.records,
+            changes.withdrawn,
+            False,
+            is_current,
+            self._book.version,
+        )
+
+
+def _reading(push: RegistryPush) -> Reading:
+    publications: list[Publication] = [TargetPublished(r) for r in push.records]
+    publications += [TargetWithdrawn(target) for target in push.withdrawn]
+    return Reading(tuple(publications), push.revision)
--- a/lavendertide/messages.py
+++ b/lavendertide/messages.py
@@ -33,6 +33,7 @@
     TargetId,
     TicketId,
 )
+from lavendertide.registry.record import TargetRecord
 
 NO_CLASS: Final = PlanClass("")
 
@@ -444,6 +445,39 @@
     targets: tuple[TargetId, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class RegistryPull:
+    """Asks a peer that reads the platform what has changed among the targets.
+
+    Attributes:
+        revision: What the sender knows already; zero for nothing.
+    """
+
+    exchange: ExchangeId
+    revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class RegistryPush:
+    """Answers a registry pull.
+
+    Attributes:
+        revision: From where to ask on.
+        is_whole: Whether the records are all there are, not only the changed ones.
+        is_current: Whether the sender itself hears from the platform; if not, the rest
+            says nothing.
+        routes_version: Version of the routes in force on the sender.
+    """
+
+    exchange: ExchangeId
+    revision: int
+    records: tuple[TargetRecord, ...]
+    withdrawn: tuple[TargetId, ...]
+    is_whole: bool
+    is_current: bool
+    routes_version: ConfigurationVersion
+
+
 @dataclass(frozen=True, slots=True)
 class TrialClaim:
     """Asks a suspect's home daemon for the one trial that may run in the region."""
@@ -594,6 +628,8 @@
     | PlanGrants
     | Verdicts
     | StallNotices
+    | RegistryPull
+    | RegistryPush
     | TrialClaim
     | TrialGrant
     | SlotClaims
