--- a/lavendertide/command_line/explain.py
+++ b/lavendertide/command_line/explain.py
@@ -1,9 +1,10 @@
 """The command that explains a request from the logs of the hosts."""
 
 import sys
-from typing import TextIO
+from pathlib import Path
 
 import click
+from returns.result import Failure, Result, Success
 
 from lavendertide.command_line import output
 from lavendertide.errors import Fault, Refusal, RefusalKind
@@ -12,15 +13,15 @@
 
 @click.command()
 @click.argument("request")
-@click.argument("logs", type=click.File("r"), nargs=-1)
-def explain(request: str, logs: tuple[TextIO, ...]) -> None:
+@click.argument("logs", type=click.Path(path_type=Path, dir_okay=False), nargs=-1)
+def explain(request: str, logs: tuple[Path, ...]) -> None:
     """Shows what the hosts decided about REQUEST and what that rested on.
 
     LOGS are files with the standard output of one or more hosts; standard input is read
     if there are none.
     """
-    files = logs or (sys.stdin,)
-    lines = parse_lines(text for file in files for text in file)
+    texts = [output.or_exit(_read(path)) for path in logs] or [sys.stdin.read()]
+    lines = parse_lines(line for text in texts for line in text.splitlines())
     found = timeline(lines, request)
     if not found:
         output.fail(_unknown(request))
@@ -31,6 +32,20 @@
         click.echo(describe(line, began_s))
 
 
+def _read(path: Path) -> Result[str, Refusal]:
+    try:
+        return Success(path.read_text(encoding="utf-8", errors="replace"))
+    except OSError as error:
+        return Failure(
+            Refusal(
+                RefusalKind.BAD_RUN,
+                f"{path} cannot be read: {error}.",
+                "Name files with the standard output of gateways.",
+                Fault.CALLER,
+            )
+        )
+
+
 def _unknown(request: str) -> Refusal:
     return Refusal(
         RefusalKind.NOT_FOUND,
--- a/lavendertide/forwarding/deadlines.py
+++ b/lavendertide/forwarding/deadlines.py
@@ -8,8 +8,8 @@
 
 # Kept for the way to the caller and back, and for joining the parts: a connection's
 # set-up and one request take two round trips of a few milliseconds.
-ANSWER_MARGIN_MAX_S: Final = 0.020
-ANSWER_MARGIN_SHARE: Final = 0.18
+ANSWER_MARGIN_MAX_S: Final = 0.025
+ANSWER_MARGIN_SHARE: Final = 0.25
 # A target that is asked with less time than this cannot answer in it.
 ATTEMPT_MIN_S: Final = 0.004
 
