--- a/lavendertide/forwarding/deadlines.py
+++ b/lavendertide/forwarding/deadlines.py
@@ -6,8 +6,8 @@
 from lavendertide.forwarding.messages import CallerRequest
 from lavendertide.routes.route import Route
 
-# Kept for the way to the caller and back, and for joining the parts: a connection's
-# set-up and one request take two round trips of a few milliseconds.
+# Kept for the way from and to the caller, and for joining the parts: setting up a
+# connection, asking and answering cross a link of a few milliseconds four times.
 ANSWER_MARGIN_MAX_S: Final = 0.025
 ANSWER_MARGIN_SHARE: Final = 0.25
 # A target that is asked with less time than this cannot answer in it.
