Learn the targets from a peer when starting in an outage, and tell busy hosts of stalls

Stalls are told to all hosts that callers use, not to the linked ones only. Ruled out: the shared reading (restarted hosts read directly). Tests: StartInAnOutageTest.

--- a/lavendertide/fleet/peers.py
+++ b/lavendertide/fleet/peers.py
@@ -4,6 +4,7 @@
 on. Any other link is opened at its first use and closes when it is idle.
 """
 
+from collections.abc import Iterable
 from typing import Final
 
 from lavendertide.fleet.news import FleetNews
@@ -103,6 +104,12 @@
             if link.is_connected:
                 link.send(frame)
 
+    def tell(self, members: Iterable[MemberRecord], frame: Frame) -> None:
+        """Sends a frame to some members; links to them are opened as needed."""
+        for member in members:
+            if member.daemon != self._roster.own.daemon:
+                self.link_to(member).send(frame)
+
     def poke_all(self) -> None:
         """Sends a heartbeat with the newest news to all connected peers at once."""
         for link in self._links.values():
--- a/lavendertide/gateway/follower.py
+++ b/lavendertide/gateway/follower.py
@@ -64,10 +64,12 @@
     Attributes:
         publications: In the order in which they were published.
         revision: From where to read on.
+        is_second_hand: Whether a peer has told it that may itself be behind.
     """
 
     publications: tuple[Publication, ...]
     revision: int
+    is_second_hand: bool = False
 
 
 class HistoryLost:
@@ -110,6 +112,11 @@
         """The latest changes, for hosts that follow this one."""
         return self._history
 
+    @property
+    def has_read(self) -> bool:
+        """Whether the targets are known, be it from a peer."""
+        return self._revision is not None
+
     @property
     def is_lost(self) -> bool:
         """Whether the last read has failed."""
@@ -166,7 +173,8 @@
         now_s = clock.monotonic_s()
         match result:
             case Success(reading):
-                self._note_answer(now_s)
+                if not reading.is_second_hand:
+                    self._note_answer(now_s)
                 records = []
                 for publication in reading.publications:
                     if isinstance(publication, TargetPublished):
--- a/lavendertide/gateway/gateway.py
+++ b/lavendertide/gateway/gateway.py
@@ -36,7 +36,13 @@
 from lavendertide.gateway.options import GatewayOptions
 from lavendertide.gateway.peer_news import PeerNews
 from lavendertide.gateway.shared_reading import RegistrySource, SharedReader
-from lavendertide.ids import Address, DaemonId, Incarnation
+from lavendertide.ids import (
+    NO_VERSION,
+    Address,
+    ConfigurationVersion,
+    DaemonId,
+    Incarnation,
+)
 from lavendertide.messages import MemberRecord, MemberState
 from lavendertide.poison.quarantine import Quarantine
 from lavendertide.registry.registry import TargetRegistry
@@ -82,6 +88,26 @@
     entries: EntryCodec
 
 
+class KnownRoutes:
+    """The version of the routes once requests can be forwarded by it.
+
+    A host that knows routes and no targets would refuse everything; it must not count
+    as serving.
+
+    Args:
+        knows_targets: Returns whether the targets were read.
+    """
+
+    def __init__(self, book: RouteBook, knows_targets: Callable[[], bool]) -> None:
+        self._book = book
+        self._knows_targets = knows_targets
+
+    @property
+    def version(self) -> ConfigurationVersion:
+        """The version in force, zero while the targets are unknown."""
+        return self._book.version if self._knows_targets() else NO_VERSION
+
+
 class Gateway:
     """Everything that one gateway process does."""
 
@@ -153,7 +179,10 @@
         self._roster = Roster(_own_record(options))
         self._edge = PeerEdge(options.fleet_key, self._roster, LinkFaults(), PeerSocket)
         self._news = FleetNews(
-            self._roster, self._book, self._spreading, lambda: self._peers.tell_soon()
+            self._roster,
+            KnownRoutes(self._book, lambda: self._follower.has_read),
+            self._spreading,
+            lambda: self._peers.tell_soon(),
         )
         self._peers = Peers(
             self._roster, self._edge, self._news, options.seeds, HEARTBEAT_S
@@ -180,7 +209,7 @@
             self._news,
             self._views,
             self._crashes,
-            RegistrySource(self._follower, self._book).answer,
+            RegistrySource(self._follower, self._registry, self._book).answer,
         )
         self._forwarder = Forwarder(
             self._book,
--- a/lavendertide/gateway/peer_news.py
+++ b/lavendertide/gateway/peer_news.py
@@ -2,7 +2,9 @@
 
 import logging
 from collections.abc import Callable
+from typing import Final
 
+from lavendertide.fleet.addresses import with_room
 from lavendertide.fleet.news import FleetNews
 from lavendertide.fleet.peer_connection import PeerConnection
 from lavendertide.fleet.peer_server import Outbox, answer_reach
@@ -26,6 +28,10 @@
 )
 from lavendertide.runtime import clock, tasks
 
+# Hosts that are all told of a stall. More of them learn of one by themselves as fast,
+# and are told over the links that are open anyway.
+BUSY_HOSTS_MAX: Final = 16
+
 _log = logging.getLogger(__name__)
 
 
@@ -49,10 +55,15 @@
         self._answer_registry = answer_registry
 
     def tell_stall(self, target: TargetId) -> None:
-        """Tells all linked peers that a target has stopped answering."""
+        """Tells the hosts that callers use that a target has stopped answering."""
         _log.info("target stalled", extra={"target": target})
         self._views.of(target).note_stall(clock.monotonic_s())
-        self._peers.tell_all(StallNotices((target,)))
+        notices = StallNotices((target,))
+        busy = with_room(list(self._roster.serving))
+        if len(busy) <= BUSY_HOSTS_MAX:
+            self._peers.tell(busy, notices)
+        else:
+            self._peers.tell_all(notices)
 
     def tell_verdict(self, verdict: Verdict) -> None:
         """Tells all linked peers what is known of a request."""
--- a/lavendertide/gateway/shared_reading.py
+++ b/lavendertide/gateway/shared_reading.py
@@ -3,10 +3,13 @@
 The platform counts and prices each read, and allows fewer for each host the more there
 are. So the first host of each failure domain reads, and the others ask it; one that is
 not answered in time, or whose reader does not hear from the platform itself, reads
-directly for a while.
+directly for a while. A host that starts while the platform is away learns the targets
+from any peer.
 """
 
+import logging
 import uuid
+from dataclasses import replace
 from typing import Final
 
 from returns.result import Result, Success
@@ -26,6 +29,7 @@
 )
 from lavendertide.ids import ConfigurationVersion, ExchangeId
 from lavendertide.messages import MemberRecord, MemberState, RegistryPull, RegistryPush
+from lavendertide.registry.registry import TargetRegistry
 from lavendertide.routes.book import RouteBook
 from lavendertide.routes.spreading import RouteSpreading
 from lavendertide.runtime import clock
@@ -40,8 +44,12 @@
 # A reader that has not heard from the platform for so long does not answer for it: the
 # longest wait of its own reads and a margin.
 HEARD_S: Final = 3.2
+# Stands for a revision of which nothing is known, in a pull.
+EVERYTHING: Final = -1
 READERS_NAME: Final = "platform-reader"
 
+_log = logging.getLogger(__name__)
+
 
 def reader_of(roster: Roster, now_s: float) -> MemberRecord:
     """Returns who reads for this host's failure domain, itself if there is no other."""
@@ -84,8 +92,24 @@
         self._direct_until_s = 0.0
 
     def read_all(self) -> Result[Reading, Refusal]:
-        """Returns everything that is published; always read directly."""
-        return self._direct.read_all()
+        """Returns everything that is published, or what a peer knows of it."""
+        direct = self._direct.read_all()
+        if isinstance(direct, Success):
+            return direct
+        now_s = clock.monotonic_s()
+        for member in self._roster.serving:
+            if member.daemon == self._roster.own.daemon:
+                continue
+            if not self._roster.is_reachable(member.daemon, SILENCE_S, now_s):
+                continue
+            push = self._ask(member, EVERYTHING)
+            if push is not None and push.is_whole and push.revision:
+                _log.info(
+                    "targets learned from a peer",
+                    extra={"peer": member.daemon, "targets": len(push.records)},
+                )
+                return Success(replace(_reading(push), is_second_hand=True))
+        return direct
 
     def read_changes(self, revision: int) -> Result[Reading | HistoryLost, Refusal]:
         """Returns what has changed since a revision; waits a little if nothing has."""
@@ -115,20 +139,31 @@
 class RegistrySource:
     """Answers the hosts that follow this one."""
 
-    def __init__(self, follower: Follower, book: RouteBook) -> None:
+    def __init__(
+        self, follower: Follower, registry: TargetRegistry, book: RouteBook
+    ) -> None:
         self._follower = follower
+        self._registry = registry
         self._book = book
 
     def answer(self, pull: RegistryPull) -> RegistryPush:
         """Returns the changes since a revision; waits a little if there are none."""
-        if self._follower.history.revision <= pull.revision:
+        if self._follower.history.revision <= pull.revision != EVERYTHING:
             self._follower.wait_for_read(HOLD_S)
-        changes = self._follower.history.since(pull.revision)
+        changes = None
+        if pull.revision != EVERYTHING:
+            changes = self._follower.history.since(pull.revision)
         heard_ago_s = clock.monotonic_s() - self._follower.answered_at_s
         is_current = not self._follower.is_lost and heard_ago_s < HEARD_S
         if changes is None:
             return RegistryPush(
-                pull.exchange, 0, (), (), True, is_current, self._book.version
+                pull.exchange,
+                self._follower.history.revision,
+                self._registry.targets,
+                (),
+                True,
+                is_current,
+                self._book.version,
             )
         return RegistryPush(
             pull.exchange,
--- a/tests/gateway/test_shared_reading.py
+++ b/tests/gateway/test_shared_reading.py
@@ -2,15 +2,34 @@
 
 import unittest
 from dataclasses import replace
+from typing import Any
+
+from returns.result import Failure, Result
 
 from lavendertide.encodings.peer_frames import LENGTH, decode_frame, encode_frame
+from lavendertide.encodings.routes_json import decode_table, encode_table
+from lavendertide.errors import Refusal, unreachable
 from lavendertide.fleet.roster import Roster
-from lavendertide.gateway.shared_reading import reader_of
+from lavendertide.gateway.follower import Follower, HistoryLost, Reading
+from lavendertide.gateway.gateway import KnownRoutes
+from lavendertide.gateway.shared_reading import (
+    RegistrySource,
+    SharedReader,
+    reader_of,
+)
 from lavendertide.ids import ConfigurationVersion, ExchangeId, TargetId
-from lavendertide.messages import MemberState, RegistryPull, RegistryPush
+from lavendertide.messages import (
+    MemberRecord,
+    MemberState,
+    RegistryPull,
+    RegistryPush,
+)
 from lavendertide.registry.history import CHANGES_MAX, RegistryHistory
+from lavendertide.registry.registry import TargetRegistry
+from lavendertide.routes.book import RouteBook
+from lavendertide.routes.spreading import RouteSpreading
 from tests.fleet.members import member
-from tests.forwarding.builders import target
+from tests.forwarding.builders import route, table, target
 
 
 def fleet(own: int, *capacities: int) -> Roster:
@@ -50,6 +69,71 @@
         self.assertEqual(reader_of(roster, 0.0), roster.own)
 
 
+class LostPlatform:
+    """A platform that does not answer."""
+
+    def read_all(self) -> Result[Reading, Refusal]:
+        """Fails."""
+        return Failure(unreachable("store", "timeout", "Wait."))
+
+    def read_changes(self, revision: int) -> Result[Reading | HistoryLost, Refusal]:
+        """Fails."""
+        return Failure(unreachable("store", "timeout", "Wait."))
+
+
+class AnsweringLink:
+    """A link to a peer that knows the targets."""
+
+    def __init__(self, source: RegistrySource) -> None:
+        self._source = source
+
+    def pull_registry(self, pull: RegistryPull, timeout_s: float) -> RegistryPush:
+        """Returns the peer's answer."""
+        return self._source.answer(pull)
+
+
+class PeersOfOne:
+    """Peers of which one answers."""
+
+    def __init__(self, source: RegistrySource) -> None:
+        self._link = AnsweringLink(source)
+
+    def link_to(self, record: MemberRecord) -> AnsweringLink:
+        """Returns the link."""
+        return self._link
+
+
+class StartInAnOutageTest(unittest.TestCase):
+    """A host that starts while the platform is away learns the targets from a peer."""
+
+    def make(self, reader: Any) -> tuple[Follower, TargetRegistry]:
+        """Returns a host that reads by a reader."""
+        book, registry = RouteBook(), TargetRegistry()
+        spreading = RouteSpreading(book, encode_table, decode_table, 0.0)
+        return Follower(reader, book, spreading, registry, 0.0), registry
+
+    def test_the_targets_of_a_peer_are_taken_in(self) -> None:
+        informed, known = self.make(LostPlatform())
+        known.put(target("a"))
+        informed.history.begin(7)
+        source = RegistrySource(informed, known, RouteBook())
+        book = RouteBook()
+        spreading = RouteSpreading(book, encode_table, decode_table, 0.0)
+        peers: Any = PeersOfOne(source)
+        reader = SharedReader(LostPlatform(), fleet(0, 1, 1), peers, spreading, book)
+        starting, registry = self.make(reader)
+        self.assertFalse(starting.has_read)
+        self.assertTrue(starting.read())
+        self.assertTrue(starting.has_read)
+        self.assertEqual(registry.targets, (target("a"),))
+
+    def test_a_host_without_targets_does_not_count_as_serving(self) -> None:
+        book = RouteBook()
+        book.adopt(table(4, route()), "peer", 0.0)
+        self.assertEqual(KnownRoutes(book, lambda: False).version, 0)
+        self.assertEqual(KnownRoutes(book, lambda: True).version, 4)
+
+
 class RegistryHistoryTest(unittest.TestCase):
     """Followers are sent the last change of each target, or everything."""
 
