Split the framing of HTTP by who is at the other end

One module had the server's side, the client's side and the messages; the run of a request had what it needs of the forwarder.

--- /dev/null
+++ b/lavendertide/encodings/http_callers.py
@@ -0,0 +1,143 @@
+"""Connections that callers have opened, framed by `h11`.
+
+A ready-made server does not tell that a caller has closed its connection while its
+request runs, so requests are read here. `h11` is strict about what it reads, so nothing
+can be smuggled inside a request.
+"""
+
+import contextlib
+import socket
+from http import HTTPStatus
+from typing import Final
+
+import h11
+
+from lavendertide.encodings.http_messages import BadRequest, HttpRequest, HttpResponse
+from lavendertide.runtime import sockets
+
+READ_BYTES: Final = 65_536
+
+
+class ServerConnection:
+    """One connection that a caller has opened."""
+
+    def __init__(self, connection: socket.socket, header_max_bytes: int) -> None:
+        connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        sockets.limit_unacknowledged(connection)
+        self._socket = connection
+        self._framing = h11.Connection(h11.SERVER, header_max_bytes)
+
+    @property
+    def is_reusable(self) -> bool:
+        """Whether a further request may come on it."""
+        return (
+            self._framing.our_state is h11.DONE
+            and self._framing.their_state is h11.DONE
+        )
+
+    def read_request(
+        self, idle_s: float, header_s: float, body_max_bytes: int
+    ) -> HttpRequest | BadRequest | None:
+        """Waits for a request; none once the connection has ended or idled.
+
+        Args:
+            idle_s: How long it may take until the request begins.
+            header_s: How long it may then take until it has been read.
+            body_max_bytes: A larger body is refused.
+        """
+        try:
+            return self._read_request(idle_s, header_s, body_max_bytes)
+        except h11.RemoteProtocolError as error:
+            return BadRequest(error.error_status_hint)
+        except OSError:
+            return None
+
+    def _read_request(
+        self, idle_s: float, header_s: float, body_max_bytes: int
+    ) -> HttpRequest | BadRequest | None:
+        if self._framing.our_state is h11.DONE:
+            self._framing.start_next_cycle()
+        self._socket.settimeout(idle_s)
+        head: h11.Request | None = None
+        chunks: list[bytes] = []
+        size = 0
+        while True:
+            event = self._framing.next_event()
+            if event is h11.NEED_DATA:
+                if self._framing.they_are_waiting_for_100_continue:
+                    proceed = h11.InformationalResponse(status_code=100, headers=[])
+                    self._socket.sendall(self._framing.send(proceed))
+                data = self._socket.recv(READ_BYTES)
+                self._framing.receive_data(data)
+                self._socket.settimeout(header_s)
+                continue
+            match event:
+                case h11.Request():
+                    head = event
+                case h11.Data():
+                    chunks.append(bytes(event.data))
+                    size += len(event.data)
+                    if size > body_max_bytes:
+                        return BadRequest(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
+                case h11.EndOfMessage() if head is not None:
+                    return HttpRequest(
+                        head.method.decode("ascii"),
+                        head.target.decode("latin-1"),
+                        tuple(head.headers),
+                        b"".join(chunks),
+                    )
+                case _:
+                    return None
+
+    def wait_for_end(self) -> bool:
+        """Waits until the caller closes; returns false if it sends more instead."""
+        self._socket.settimeout(None)
+        try:
+            data = self._socket.recv(READ_BYTES)
+        except OSError:
+            return True
+        if not data:
+            return True
+        self._framing.receive_data(data)
+        return False
+
+    def write(self, response: HttpResponse, is_last: bool, timeout_s: float) -> bool:
+        """Writes a response; returns whether the connection took it.
+
+        Args:
+            response: What to write; its length is added here.
+            is_last: Whether the caller is told that the connection closes after it.
+            timeout_s: How long the caller may take to accept it.
+        """
+        headers = list(response.headers)
+        headers.append((b"Content-Length", b"%d" % len(response.body)))
+        if is_last:
+            headers.append((b"Connection", b"close"))
+        head = h11.Response(
+            status_code=response.status,
+            headers=headers,
+            reason=_reason(response.status),
+        )
+        try:
+            data = self._framing.send(head) or b""
+            data += self._framing.send(h11.Data(data=response.body)) or b""
+            data += self._framing.send(h11.EndOfMessage()) or b""
+            self._socket.settimeout(timeout_s)
+            self._socket.sendall(data)
+        except (OSError, h11.LocalProtocolError):
+            return False
+        return True
+
+    def close(self) -> None:
+        """Ends the connection."""
+        with contextlib.suppress(OSError):
+            self._socket.shutdown(socket.SHUT_RDWR)
+        with contextlib.suppress(OSError):
+            self._socket.close()
+
+
+def _reason(status: int) -> bytes:
+    try:
+        return HTTPStatus(status).phrase.encode("ascii")
+    except ValueError:
+        return b"Unknown"
--- /dev/null
+++ b/lavendertide/encodings/http_messages.py
@@ -0,0 +1,102 @@
+"""HTTP/1.1 messages apart from how they are framed on a socket."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+from typing import Final
+
+Header = tuple[bytes, bytes]
+
+METHODS_WITH_BODY: Final = frozenset({"POST", "PUT", "PATCH"})
+# Headers that concern a single connection and are never passed on.
+CONNECTION_HEADERS: Final = frozenset(
+    {
+        b"connection",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"content-length",
+        b"expect",
+    }
+)
+
+
+@dataclass(frozen=True, slots=True)
+class HttpRequest:
+    """A request as it was read.
+
+    Attributes:
+        target: Path and query.
+        headers: All headers, names in lower case.
+    """
+
+    method: str
+    target: str
+    headers: tuple[Header, ...]
+    body: bytes
+
+    def header(self, name: bytes) -> bytes | None:
+        """Returns the first header of a name, given in lower case."""
+        return _first(self.headers, name)
+
+
+@dataclass(frozen=True, slots=True)
+class HttpResponse:
+    """A response as it was read or is to be written.
+
+    Attributes:
+        headers: All headers but those that frame the body.
+    """
+
+    status: int
+    headers: tuple[Header, ...]
+    body: bytes
+
+    def header(self, name: bytes) -> bytes | None:
+        """Returns the first header of a name, given in lower case."""
+        return _first(self.headers, name)
+
+
+@dataclass(frozen=True, slots=True)
+class BadRequest:
+    """What came is no proper request, or is larger than allowed."""
+
+    status: int
+
+
+def passed_on(headers: Iterable[Header], dropped: frozenset[bytes]) -> list[Header]:
+    """Returns the headers that do not concern a single connection.
+
+    Args:
+        headers: Headers with names in lower case.
+        dropped: Further names that are left out.
+    """
+    headers = tuple(headers)
+    named: set[bytes] = set()
+    for name, value in headers:
+        if name == b"connection":
+            named |= {token.strip().lower() for token in value.split(b",")}
+    left_out = CONNECTION_HEADERS | dropped | named
+    return [(name, value) for name, value in headers if name not in left_out]
+
+
+def render_head(method: str, target: str, headers: Iterable[Header]) -> bytes:
+    """Returns the request line and headers, without the blank line after them."""
+    lines = [f"{method} {target} HTTP/1.1\r\n".encode("latin-1")]
+    lines += [b"%b: %b\r\n" % header for header in headers]
+    return b"".join(lines)
+
+
+def render_end(method: str, body: bytes) -> bytes:
+    """Returns what follows the headers: the body and its length, where it has one."""
+    if body or method in METHODS_WITH_BODY:
+        return b"Content-Length: %d\r\n\r\n%b" % (len(body), body)
+    return b"\r\n"
+
+
+def _first(headers: Iterable[Header], name: bytes) -> bytes | None:
+    return next((value for found, value in headers if found == name), None)
--- a/lavendertide/encodings/http_replies.py
+++ b/lavendertide/encodings/http_replies.py
@@ -9,7 +9,7 @@
 
 import httptools
 
-Header = tuple[bytes, bytes]
+from lavendertide.encodings.http_messages import Header
 
 # Responses larger than this are not read to their end; a gathered part has some 100
 # bytes, a single answer some 10 kB.
--- a/lavendertide/forwarding/forwarder.py
+++ b/lavendertide/forwarding/forwarder.py
@@ -24,7 +24,8 @@
 from lavendertide.forwarding.metrics import ForwardingMetrics
 from lavendertide.forwarding.poison import CrashEvidence
 from lavendertide.forwarding.pool import TargetCall, TargetPools, connection_share
-from lavendertide.forwarding.run import CallDone, Event, RequestRun
+from lavendertide.forwarding.run import RequestRun
+from lavendertide.forwarding.sending import CallDone, Event
 from lavendertide.forwarding.target_view import TargetViews
 from lavendertide.forwarding.timing import RouteTimings
 from lavendertide.ids import ServiceName, TargetId
--- a/lavendertide/forwarding/messages.py
+++ b/lavendertide/forwarding/messages.py
@@ -36,7 +36,6 @@
     REFUSED = "refused"
     OTHER_TARGET = "other_target"
     UNREACHABLE = "unreachable"
-    NO_CONNECTION = "no_connection"
     ABANDONED = "abandoned"
 
 
@@ -94,7 +93,7 @@
 
     NO_ROUTE = "no_route"
     NO_ROUTES_KNOWN = "no_routes_known"
-    LEAVING = "leaving"
+    NOT_READY = "not_ready"
     NO_TARGET = "no_target"
     TARGETS_FULL = "targets_full"
     NO_TIME = "no_time"
--- a/lavendertide/forwarding/run.py
+++ b/lavendertide/forwarding/run.py
@@ -6,8 +6,7 @@
 
 import logging
 import math
-from dataclasses import dataclass
-from typing import Final, Protocol
+from typing import Final
 
 from lavendertide.forwarding.deadlines import ATTEMPT_MIN_S, answer_times
 from lavendertide.forwarding.merging import greatest_records
@@ -28,6 +27,7 @@
 )
 from lavendertide.forwarding.parts import Part
 from lavendertide.forwarding.pool import TargetCall
+from lavendertide.forwarding.sending import CallDone, CallerLeft, Event, Sender
 from lavendertide.ids import ServiceName
 from lavendertide.registry.record import TargetRecord
 from lavendertide.routes.route import GatheredShards, RequestKind, Route
@@ -42,56 +42,6 @@
 _log = logging.getLogger(__name__)
 
 
-@dataclass(frozen=True, slots=True)
-class CallDone:
-    """A sub-request has ended."""
-
-    call: TargetCall
-    reply: TargetReply
-
-
-@dataclass(frozen=True, slots=True)
-class CallerLeft:
-    """The caller has closed its connection."""
-
-
-Event = CallDone | CallerLeft
-
-
-class Sender(Protocol):
-    """What a run needs of the forwarder."""
-
-    def targets(self, service: ServiceName, now_s: float) -> list[TargetRecord]:
-        """Returns the targets of a service in the order of asking."""
-
-    def late_after_s(self, route: Route, now_s: float) -> float:
-        """Returns how long an attempt may take before another target is asked."""
-
-    def may_repeat(self, service: ServiceName, now_s: float) -> bool:
-        """Takes an extra sub-request out of the budget."""
-
-    def budget_left(self, service: ServiceName, now_s: float) -> float:
-        """Returns how many extra sub-requests may be sent now."""
-
-    def table_age(self, now_s: float) -> tuple[int, float]:
-        """Returns the version of the routes in force and its age in seconds."""
-
-    def call(
-        self,
-        part: int,
-        request: CallerRequest,
-        route: Route,
-        record: TargetRecord,
-        ends_at_s: float,
-        inbox: tasks.Mailbox[Event],
-        asked: int,
-    ) -> TargetCall:
-        """Sends a request to a target."""
-
-    def note_late(self, call: TargetCall, now_s: float) -> None:
-        """Takes in that a target has not answered in the usual time."""
-
-
 class RequestRun:
     """The asking for all parts of one request."""
 
@@ -245,8 +195,7 @@
         """Returns whether no byte of the request has reached a target yet."""
         return (
             isinstance(part.failure, NotRun)
-            and part.failure.reason
-            in (NotRunReason.UNREACHABLE, NotRunReason.NO_CONNECTION)
+            and part.failure.reason is NotRunReason.UNREACHABLE
             and not part.may_have_run
         )
 
--- /dev/null
+++ b/lavendertide/forwarding/sending.py
@@ -0,0 +1,61 @@
+"""What a request's run needs of the forwarder, and what it is told."""
+
+from dataclasses import dataclass
+from typing import Protocol
+
+from lavendertide.forwarding.messages import CallerRequest, TargetReply
+from lavendertide.forwarding.pool import TargetCall
+from lavendertide.ids import ServiceName
+from lavendertide.registry.record import TargetRecord
+from lavendertide.routes.route import Route
+from lavendertide.runtime import tasks
+
+
+@dataclass(frozen=True, slots=True)
+class CallDone:
+    """A sub-request has ended."""
+
+    call: TargetCall
+    reply: TargetReply
+
+
+@dataclass(frozen=True, slots=True)
+class CallerLeft:
+    """The caller has closed its connection."""
+
+
+Event = CallDone | CallerLeft
+
+
+class Sender(Protocol):
+    """What a run needs of the forwarder."""
+
+    def targets(self, service: ServiceName, now_s: float) -> list[TargetRecord]:
+        """Returns the targets of a service in the order of asking."""
+
+    def late_after_s(self, route: Route, now_s: float) -> float:
+        """Returns how long an attempt may take before another target is asked."""
+
+    def may_repeat(self, service: ServiceName, now_s: float) -> bool:
+        """Takes an extra sub-request out of the budget."""
+
+    def budget_left(self, service: ServiceName, now_s: float) -> float:
+        """Returns how many extra sub-requests may be sent now."""
+
+    def table_age(self, now_s: float) -> tuple[int, float]:
+        """Returns the version of the routes in force and its age in seconds."""
+
+    def call(
+        self,
+        part: int,
+        request: CallerRequest,
+        route: Route,
+        record: TargetRecord,
+        ends_at_s: float,
+        inbox: tasks.Mailbox[Event],
+        asked: int,
+    ) -> TargetCall:
+        """Sends a request to a target."""
+
+    def note_late(self, call: TargetCall, now_s: float) -> None:
+        """Takes in that a target has not answered in the usual time."""
--- a/lavendertide/gateway/caller_front.py
+++ b/lavendertide/gateway/caller_front.py
@@ -12,12 +12,8 @@
 from returns.result import Failure
 
 from lavendertide.daemon.in_flight import InFlight
-from lavendertide.encodings.http1 import (
-    BadRequest,
-    HttpRequest,
-    HttpResponse,
-    ServerConnection,
-)
+from lavendertide.encodings.http_callers import ServerConnection
+from lavendertide.encodings.http_messages import BadRequest, HttpRequest, HttpResponse
 from lavendertide.fleet.readiness import Readiness, ReadinessState
 from lavendertide.forwarding.forwarder import Forwarder
 from lavendertide.forwarding.messages import (
@@ -32,7 +28,7 @@
     Unroutable,
 )
 from lavendertide.forwarding.metrics import ForwardingMetrics
-from lavendertide.forwarding.run import CallerLeft, Event
+from lavendertide.forwarding.sending import CallerLeft, Event
 from lavendertide.routes.book import RouteBook
 from lavendertide.routes.route import CallerLimits, Route
 from lavendertide.runtime import clock, tasks
@@ -158,7 +154,7 @@
             self._log_refusal(request, route, now_s)
             return _Asked(request, None, route)
         if isinstance(self._readiness.check(now_s), Failure):
-            refused = Refused(RefusalCause.LEAVING, NOT_READY_RETRY_S)
+            refused = Refused(RefusalCause.NOT_READY, NOT_READY_RETRY_S)
             self._log_refusal(request, refused, now_s)
             return _Asked(request, route, refused)
         inbox: tasks.Mailbox[Event] = tasks.Mailbox()
--- a/lavendertide/gateway/entry_front.py
+++ b/lavendertide/gateway/entry_front.py
@@ -3,12 +3,8 @@
 import socket
 from typing import Final, Protocol
 
-from lavendertide.encodings.http1 import (
-    BadRequest,
-    HttpRequest,
-    HttpResponse,
-    ServerConnection,
-)
+from lavendertide.encodings.http_callers import ServerConnection
+from lavendertide.encodings.http_messages import BadRequest, HttpRequest, HttpResponse
 from lavendertide.fleet.addresses import AddressBook
 from lavendertide.fleet.readiness import Readiness, ReadinessState
 from lavendertide.ids import CallerKey, FailureDomain, Region
--- a/lavendertide/platform/caller_codec.py
+++ b/lavendertide/platform/caller_codec.py
@@ -4,14 +4,14 @@
 import math
 from typing import Final
 
-from lavendertide.encodings.http1 import (
+from lavendertide.encodings.http_messages import (
     BadRequest,
+    Header,
     HttpRequest,
     HttpResponse,
     passed_on,
     render_head,
 )
-from lavendertide.encodings.http_replies import Header
 from lavendertide.forwarding.messages import (
     Abandoned,
     Answer,
--- a/lavendertide/platform/entry_codec.py
+++ b/lavendertide/platform/entry_codec.py
@@ -3,7 +3,7 @@
 import json
 from urllib.parse import parse_qs, urlsplit
 
-from lavendertide.encodings.http1 import BadRequest, HttpRequest, HttpResponse
+from lavendertide.encodings.http_messages import BadRequest, HttpRequest, HttpResponse
 from lavendertide.gateway.entry_front import (
     AddressesAsked,
     MetricsAsked,
--- a/lavendertide/platform/target_wire.py
+++ b/lavendertide/platform/target_wire.py
@@ -2,13 +2,8 @@
 
 from typing import Final
 
-from lavendertide.encodings.http1 import (
-    ClientConnection,
-    ExchangeError,
-    HttpResponse,
-    passed_on,
-    render_end,
-)
+from lavendertide.encodings.http_messages import HttpResponse, passed_on, render_end
+from lavendertide.encodings.http_servers import ClientConnection, ExchangeError
 from lavendertide.forwarding.messages import (
     NotRun,
     NotRunReason,
--- a/lavendertide/runtime/sockets.py
+++ b/lavendertide/runtime/sockets.py
@@ -19,6 +19,9 @@
 
 BACKLOG = 512
 # Joined here, since joining flags takes longer than the system call that gets them.
+# How long a peer of a connection may leave what was sent unacknowledged.
+UNACKNOWLEDGED_MS: Final = 4_000
+
 _LATE: Final = TimeoutError("nothing came in time")
 _PEEK: Final = int(socket.MSG_PEEK | socket.MSG_DONTWAIT)
 
@@ -132,6 +135,14 @@
         super().close()
 
 
+def limit_unacknowledged(connection: socket.socket) -> None:
+    """Ends a connection whose other side acknowledges nothing for a while."""
+    with contextlib.suppress(OSError):
+        connection.setsockopt(
+            socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS
+        )
+
+
 def receive(connection: socket.socket, most: int, until_s: float) -> bytes:
     """Waits for bytes; returns none once the other side has closed in good order.
 
--- a/tests/encodings/test_http1.py
+++ b/tests/encodings/test_http_connections.py
@@ -1,21 +1,20 @@
-"""Tests of `lavendertide.encodings.http1`, over connections within the process."""
+"""Tests of connections to and from others, over sockets within the process."""
 
 import socket
 import struct
 import threading
 import unittest
 
-from lavendertide.encodings.http1 import (
+from lavendertide.encodings.http_callers import ServerConnection
+from lavendertide.encodings.http_messages import (
     BadRequest,
-    ClientConnection,
-    ExchangeError,
     HttpRequest,
     HttpResponse,
-    ServerConnection,
     passed_on,
     render_end,
     render_head,
 )
+from lavendertide.encodings.http_servers import ClientConnection, ExchangeError
 from lavendertide.ids import Address
 
 HEAD = render_head("GET", "/x", [(b"Host", b"shop.example")])
--- a/tests/forwarding/test_run.py
+++ b/tests/forwarding/test_run.py
@@ -24,7 +24,7 @@
 from lavendertide.forwarding.metrics import ForwardingMetrics
 from lavendertide.forwarding.poison import CrashEvidence
 from lavendertide.forwarding.pool import TargetCall, TargetPools
-from lavendertide.forwarding.run import CallerLeft, Event
+from lavendertide.forwarding.sending import CallerLeft, Event
 from lavendertide.forwarding.target_view import TargetViews
 from lavendertide.ids import Address, TargetId
 from lavendertide.poison.quarantine import Quarantine
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -6,7 +6,7 @@
 from typing import Any
 from unittest import mock
 
-from lavendertide.encodings.http1 import BadRequest, HttpRequest, HttpResponse
+from lavendertide.encodings.http_messages import BadRequest, HttpRequest, HttpResponse
 from lavendertide.forwarding.messages import (
     CallerRequest,
     Failed,
