--- /dev/null
+++ b/standins/platform_store.py
@@ -0,0 +1,184 @@
+"""Stands in for the platform's store and for targets that answer plain HTTP.
+
+Both follow the protocol that the users' platform publishes, as far as a gateway uses
+it: ranges and watches on one side, signed replies and the refusal of requests for
+another target on the other.
+"""
+
+import base64
+import json
+import threading
+import time
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from typing import Any, Final
+from urllib.parse import parse_qs, urlsplit
+
+# How soon a server notices that it has to end.
+POLL_S: Final = 0.02
+
+
+class _Handler(BaseHTTPRequestHandler):
+    protocol_version = "HTTP/1.1"
+
+    def log_message(self, format: str, *args: Any) -> None:
+        """Writes nothing."""
+
+    def reply(self, status: int, body: bytes, **headers: str) -> None:
+        """Writes a response."""
+        self.send_response(status)
+        for name, value in headers.items():
+            self.send_header(name.replace("_", "-"), value)
+        self.send_header("Content-Length", str(len(body)))
+        self.end_headers()
+        self.wfile.write(body)
+
+
+class _Server(ThreadingHTTPServer):
+    daemon_threads = True
+
+    def handle_error(self, request: Any, client_address: Any) -> None:
+        """Writes nothing of connections that the other side has given up."""
+
+
+def _serve(handler: type[_Handler]) -> _Server:
+    server = _Server(("127.0.0.1", 0), handler)
+    threading.Thread(
+        target=server.serve_forever, kwargs={"poll_interval": POLL_S}, daemon=True
+    ).start()
+    return server
+
+
+class PlatformStore:
+    """Items with revisions, which are listed and watched over HTTP."""
+
+    def __init__(self) -> None:
+        self._items: dict[str, dict[str, Any]] = {}
+        self._events: list[dict[str, Any]] = []
+        self._revision = 1
+        self._changed = threading.Condition()
+        self.is_away = False
+        store = self
+
+        class Handler(_Handler):
+            def do_GET(self) -> None:
+                """Answers a range or a watch."""
+                store._answer(self)
+
+        self._server = _serve(Handler)
+
+    @property
+    def address(self) -> str:
+        """Where it listens."""
+        return f"127.0.0.1:{self._server.server_address[1]}"
+
+    def put(self, key: str, document: Any) -> None:
+        """Writes an item."""
+        value = base64.b64encode(json.dumps(document).encode()).decode()
+        with self._changed:
+            self._revision += 1
+            item = {"key": key, "value": value, "rev": self._revision}
+            self._items[key] = item
+            self._events.append(item)
+            self._changed.notify_all()
+
+    def remove(self, key: str) -> None:
+        """Removes an item."""
+        with self._changed:
+            self._revision += 1
+            self._items.pop(key, None)
+            event = {"key": key, "rev": self._revision, "tombstone": True}
+            self._events.append(event)
+            self._changed.notify_all()
+
+    def close(self) -> None:
+        """Ends it."""
+        self._server.shutdown()
+        self._server.server_close()
+
+    def _answer(self, handler: _Handler) -> None:
+        url = urlsplit(handler.path)
+        query = {name: values[0] for name, values in parse_qs(url.query).items()}
+        if self.is_away:
+            handler.reply(503, b"")
+        elif url.path == "/api/kv-range":
+            with self._changed:
+                items = [self._items[key] for key in sorted(self._items)]
+                document = {"items": items, "has-more": False}
+                self._reply(handler, document)
+        else:
+            self._answer_watch(handler, int(query["after"]), int(query["wait-ms"]))
+
+    def _answer_watch(self, handler: _Handler, after: int, wait_ms: int) -> None:
+        ends_at_s = time.monotonic() + wait_ms / 1_000
+        with self._changed:
+            while self._revision <= after and time.monotonic() < ends_at_s:
+                self._changed.wait(ends_at_s - time.monotonic())
+            events = [event for event in self._events if event["rev"] > after]
+            self._reply(handler, {"events": events})
+
+    def _reply(self, handler: _Handler, document: dict[str, Any]) -> None:
+        document["current-rev"] = self._revision
+        body = json.dumps(document).encode()
+        handler.reply(200, body, Content_Type="application/json")
+
+
+class PlainTarget:
+    """A target that answers with its name after a while, and counts what it ran.
+
+    Args:
+        name: Its id, also its signature and the body of its replies.
+        service: The service that it belongs to.
+    """
+
+    def __init__(self, name: str, service: str) -> None:
+        self.name = name
+        self.service = service
+        self.delay_s = 0.0
+        self.ran: list[str] = []
+        target = self
+
+        class Handler(_Handler):
+            def do_GET(self) -> None:
+                """Runs a request."""
+                target._answer(self)
+
+            def do_POST(self) -> None:
+                """Runs a request."""
+                target._answer(self)
+
+        self._server = _serve(Handler)
+
+    def entry(self, state: str = "ready") -> dict[str, Any]:
+        """Returns what it writes of itself into the store."""
+        return {
+            "service": self.service,
+            "address": f"127.0.0.1:{self._server.server_address[1]}",
+            "zone": "a",
+            "version": "v1",
+            "slots": 2,
+            "state": state,
+            "cold-left-ms": 0,
+            "call-seq": 1,
+        }
+
+    def close(self) -> None:
+        """Ends it."""
+        self._server.shutdown()
+        self._server.server_close()
+
+    def _answer(self, handler: _Handler) -> None:
+        length = int(handler.headers.get("Content-Length") or 0)
+        handler.rfile.read(length)
+        request = handler.headers["Lavendertide-Request-Id"]
+        if handler.headers["Lavendertide-Expect-Instance"] != self.name:
+            headers = {"Lavendertide_Not_Executed": "1"}
+            handler.reply(421, b"", **headers)
+            return
+        self.ran.append(request)
+        time.sleep(self.delay_s)
+        handler.reply(
+            200,
+            self.name.encode().ljust(16, b"."),
+            Lavendertide_Request_Id=request,
+            Lavendertide_Server_Stamp=self.name,
+        )
