Let a burst fill the near target's slots before it goes on

The test said that one open request at the near target sends the next one to another failure domain. The test now says both: near while a slot is left, far when there is none.

--- a/tests/forwarding/test_target_view.py
+++ b/tests/forwarding/test_target_view.py
@@ -35,6 +35,8 @@
 
     def test_a_burst_on_one_replica_goes_on_to_the_other(self) -> None:
         self.of("near").begin(1, 0.0, LATE_S)
+        self.assertEqual(self.first(0.0), "near", "it has a slot left")
+        self.of("near").begin(2, 0.0, LATE_S)
         self.assertEqual(self.first(0.0), "far")
 
     def test_a_slow_replica_is_left_alone_until_its_slowness_fades(self) -> None:
