Forget the timings of gone routes, and stalls of targets never asked

Found when reading the change: each route that a new version drops left its reply times, and each notice of a peer made a view of a target, for as long as the process lives. Tests: ChangedRoutesTest, test_a_stall_of_a_target_that_was_never_asked_takes_no_memory.

--- a/lavendertide/forwarding/forwarder.py
+++ b/lavendertide/forwarding/forwarder.py
@@ -288,6 +288,9 @@
 
     def _follow(self, table: RouteTable) -> None:
         self._budgets.keep_only(table.routed_services)
+        names = frozenset(route.name for route in table.routes)
+        self._timings.keep_only(names)
+        self._splits.keep_only(names)
 
     def _forget(self, record: TargetRecord) -> None:
         self._views.forget(record.target)
--- a/lavendertide/forwarding/target_view.py
+++ b/lavendertide/forwarding/target_view.py
@@ -123,6 +123,12 @@
             view = self._views[target] = TargetView()
         return view
 
+    def note_stall(self, target: TargetId, now_s: float) -> None:
+        """Notes that a peer waits for a target, if this host has asked it too."""
+        view = self._views.get(target)
+        if view is not None:
+            view.note_stall(now_s)
+
     def forget(self, target: TargetId) -> None:
         """Drops what was known of a target that is gone."""
         self._views.pop(target, None)
--- a/lavendertide/forwarding/timing.py
+++ b/lavendertide/forwarding/timing.py
@@ -52,6 +52,12 @@
         self._quantiles = Timings()
         self._by_route: dict[RouteName, RouteTiming] = {}
 
+    def keep_only(self, routes: frozenset[RouteName]) -> None:
+        """Forgets routes that are not in force any more."""
+        self._quantiles.keep_only(frozenset(IndexName(name) for name in routes))
+        for name in [known for known in self._by_route if known not in routes]:
+            del self._by_route[name]
+
     def of(self, route: Route, now_s: float) -> RouteTiming:
         """Returns the timing of one route."""
         timing = self._by_route.get(route.name)
--- a/lavendertide/gateway/peer_news.py
+++ b/lavendertide/gateway/peer_news.py
@@ -57,7 +57,7 @@
     def tell_stall(self, target: TargetId) -> None:
         """Tells the hosts that callers use that a target has stopped answering."""
         _log.info("target stalled", extra={"target": target})
-        self._views.of(target).note_stall(clock.monotonic_s())
+        self._views.note_stall(target, clock.monotonic_s())
         notices = StallNotices((target,))
         busy = with_room(list(self._roster.serving))
         if len(busy) <= BUSY_HOSTS_MAX:
@@ -75,7 +75,7 @@
         match frame:
             case StallNotices(targets):
                 for target in targets:
-                    self._views.of(target).note_stall(now_s)
+                    self._views.note_stall(target, now_s)
             case Verdicts(items):
                 for verdict in self._crashes.learn(items, now_s):
                     _log.warning(
--- a/lavendertide/queries/timing.py
+++ b/lavendertide/queries/timing.py
@@ -190,6 +190,11 @@
         }
         return {index: known for index, known in estimates.items() if known is not None}
 
+    def keep_only(self, indexes: frozenset[IndexName]) -> None:
+        """Forgets indexes that the configuration does not name any more."""
+        for index in [name for name in self._by_index if name not in indexes]:
+            del self._by_index[index]
+
     def of(self, index: IndexName, now_s: float) -> IndexTiming:
         """Returns the timing of an index that the configuration names."""
         timing = self._by_index.get(index)
--- a/lavendertide/routes/split.py
+++ b/lavendertide/routes/split.py
@@ -16,6 +16,11 @@
         self._credits: dict[RouteName, tuple[SplitServices, dict[ServiceName, float]]]
         self._credits = {}
 
+    def keep_only(self, routes: frozenset[RouteName]) -> None:
+        """Forgets routes that are not in force any more."""
+        for name in [known for known in self._credits if known not in routes]:
+            del self._credits[name]
+
     def choose(self, route: RouteName, split: SplitServices) -> ServiceName:
         """Returns the service of the next request."""
         known = self._credits.get(route)
--- a/lavendertide/runtime/sockets.py
+++ b/lavendertide/runtime/sockets.py
@@ -18,11 +18,11 @@
 from lavendertide.runtime import clock
 
 BACKLOG = 512
-# Joined here, since joining flags takes longer than the system call that gets them.
-# How long a peer of a connection may leave what was sent unacknowledged.
+# How long the other side of a connection may leave unacknowledged what was sent.
 UNACKNOWLEDGED_MS: Final = 4_000
 
 _LATE: Final = TimeoutError("nothing came in time")
+# Joined here, since joining flags takes longer than the system call that gets them.
 _PEEK: Final = int(socket.MSG_PEEK | socket.MSG_DONTWAIT)
 
 Application = Callable[..., Any]
--- a/tests/forwarding/test_run.py
+++ b/tests/forwarding/test_run.py
@@ -2,6 +2,7 @@
 
 import unittest
 from collections.abc import Callable
+from dataclasses import replace
 
 from prometheus_client import CollectorRegistry
 
@@ -26,7 +27,8 @@
 from lavendertide.forwarding.pool import TargetCall, TargetPools
 from lavendertide.forwarding.sending import CallerLeft, Event
 from lavendertide.forwarding.target_view import TargetViews
-from lavendertide.ids import Address, TargetId
+from lavendertide.forwarding.timing import RouteTimings
+from lavendertide.ids import Address, RouteName, TargetId
 from lavendertide.poison.quarantine import Quarantine
 from lavendertide.registry.registry import TargetRegistry
 from lavendertide.routes.book import RouteBook
@@ -232,6 +234,19 @@
         self.assertEqual(len(world.asked), 1)
 
 
+class ChangedRoutesTest(unittest.TestCase):
+    """Nothing is kept of routes that are gone."""
+
+    def test_timings_of_a_route_end_with_it(self) -> None:
+        timings = RouteTimings()
+        kept, gone = route(), replace(route(), name=RouteName("gone"))
+        for entry in (kept, gone):
+            timings.of(entry, 0.0).observe(0.1, 0.0)
+        timings.keep_only(frozenset({kept.name}))
+        self.assertIsNotNone(timings.of(kept, 1.0).mean_s)
+        self.assertIsNone(timings.of(gone, 1.0).mean_s)
+
+
 class GatheredShardsTest(unittest.TestCase):
     """Every shard is asked; the answer says truly what it covers."""
 
--- a/tests/forwarding/test_target_view.py
+++ b/tests/forwarding/test_target_view.py
@@ -63,6 +63,10 @@
         self.assertEqual(self.first(NOTICE_S / 2), "far")
         self.assertEqual(self.first(NOTICE_S * 1.1), "near")
 
+    def test_a_stall_of_a_target_that_was_never_asked_takes_no_memory(self) -> None:
+        self.views.note_stall(TargetId("elsewhere"), 0.0)
+        self.assertFalse(self.of("elsewhere").is_stalled(0.0))
+
     def test_failures_in_a_row_are_avoided_for_longer_each_time(self) -> None:
         self.of("near").note_failure(1, 0.0)
         self.assertEqual(self.first(0.2), "far")
