Name the outcome of a reply in one place

Found when reading the change: logs, metrics and the retry each spelled the outcome of a reply; two looks at a socket were twins; a field of the reply's reader was never read and a constant stood twice. Behaviour as before.

--- a/lavendertide/encodings/http_callers.py
+++ b/lavendertide/encodings/http_callers.py
@@ -8,15 +8,17 @@
 import contextlib
 import socket
 from http import HTTPStatus
-from typing import Final
 
 import h11
 
-from lavendertide.encodings.http_messages import BadRequest, HttpRequest, HttpResponse
+from lavendertide.encodings.http_messages import (
+    READ_BYTES,
+    BadRequest,
+    HttpRequest,
+    HttpResponse,
+)
 from lavendertide.runtime import sockets
 
-READ_BYTES: Final = 65_536
-
 
 class ServerConnection:
     """One connection that a caller has opened."""
--- a/lavendertide/encodings/http_messages.py
+++ b/lavendertide/encodings/http_messages.py
@@ -6,6 +6,7 @@
 
 Header = tuple[bytes, bytes]
 
+READ_BYTES: Final = 65_536
 METHODS_WITH_BODY: Final = frozenset({"POST", "PUT", "PATCH"})
 # Headers that concern a single connection and are never passed on.
 CONNECTION_HEADERS: Final = frozenset(
--- a/lavendertide/encodings/http_replies.py
+++ b/lavendertide/encodings/http_replies.py
@@ -36,7 +36,6 @@
         self._chunks: list[bytes] = []
         self._size = 0
         self._status = 0
-        self._is_begun = False
         self._is_until_close = False
         self._is_complete = False
         self._is_kept = False
--- a/lavendertide/encodings/http_servers.py
+++ b/lavendertide/encodings/http_servers.py
@@ -8,12 +8,11 @@
 import socket
 from typing import Final
 
-from lavendertide.encodings.http_messages import HttpResponse
+from lavendertide.encodings.http_messages import READ_BYTES, HttpResponse
 from lavendertide.encodings.http_replies import MalformedReply, ReplyReader
 from lavendertide.ids import Address
 from lavendertide.runtime import clock, sockets
 
-READ_BYTES: Final = 65_536
 # How long a server may take to accept a request.
 SEND_TIMEOUT_S: Final = 4.0
 
--- a/lavendertide/forwarding/forwarder.py
+++ b/lavendertide/forwarding/forwarder.py
@@ -20,6 +20,7 @@
     Unknown,
     UnknownReason,
     Unroutable,
+    outcome_of,
 )
 from lavendertide.forwarding.metrics import ForwardingMetrics
 from lavendertide.forwarding.poison import CrashEvidence
@@ -266,21 +267,15 @@
         match reply:
             case Replied() if reply.is_success:
                 return
-            case Replied(status=status):
-                outcome = f"status_{status}"
             case NotRun(reason=NotRunReason.ABANDONED):
                 return
-            case NotRun(reason=not_run):
-                outcome = not_run.value
-            case Unknown(reason=unknown):
-                outcome = unknown.value
         _log.info(
             "sub-request failed",
             extra={
                 "request": call.request.request,
                 "service": call.record.service,
                 "target": call.record.target,
-                "outcome": outcome,
+                "outcome": outcome_of(reply),
                 "withdrawn": call.is_withdrawn,
                 "left_ms": round((call.ends_at_s - now_s) * 1_000),
             },
--- a/lavendertide/forwarding/messages.py
+++ b/lavendertide/forwarding/messages.py
@@ -88,6 +88,17 @@
 TargetReply = Replied | NotRun | Unknown
 
 
+def outcome_of(reply: TargetReply) -> str:
+    """Returns how a sub-request ended, as logs and metrics name it."""
+    match reply:
+        case Replied(status=status):
+            return f"status_{status}"
+        case NotRun(reason=not_run):
+            return not_run.value
+        case Unknown(reason=unknown):
+            return unknown.value
+
+
 class RefusalCause(Enum):
     """Why a request ended without the answer that was asked for."""
 
--- a/lavendertide/forwarding/metrics.py
+++ b/lavendertide/forwarding/metrics.py
@@ -4,7 +4,7 @@
 
 from prometheus_client import CollectorRegistry, Counter, Histogram
 
-from lavendertide.forwarding.messages import NotRun, Replied, TargetReply, Unknown
+from lavendertide.forwarding.messages import Replied, TargetReply, outcome_of
 from lavendertide.metrics.labels import BoundedLabel, Children
 from lavendertide.metrics.names import LATENCY_BUCKETS_S
 
@@ -58,8 +58,6 @@
         match reply:
             case Replied():
                 outcome = "success" if reply.is_success else "failure"
-            case NotRun(reason=not_run):
-                outcome = not_run.value
-            case Unknown(reason=unknown):
-                outcome = unknown.value
+            case _:
+                outcome = outcome_of(reply)
         self._replies.of(outcome).inc()
--- a/lavendertide/forwarding/run.py
+++ b/lavendertide/forwarding/run.py
@@ -23,7 +23,7 @@
     Refused,
     Replied,
     TargetReply,
-    Unknown,
+    outcome_of,
 )
 from lavendertide.forwarding.parts import Part
 from lavendertide.forwarding.pool import TargetCall
@@ -169,7 +169,8 @@
             return
         is_free = self._is_first_offer(part)
         may_ask = is_free or self._spend(part, now_s)
-        self._log_repeat(part, record, _cause_of(part), may_ask, now_s)
+        cause = outcome_of(part.failure) if part.failure is not None else "unasked"
+        self._log_repeat(part, record, cause, may_ask, now_s)
         if may_ask:
             self._ask(number, part, record, now_s)
 
@@ -314,18 +315,6 @@
         _log.info("request ended", extra=fields)
 
 
-def _cause_of(part: Part) -> str:
-    match part.failure:
-        case Replied(status=status):
-            return f"status_{status}"
-        case NotRun(reason=not_run):
-            return not_run.value
-        case Unknown(reason=unknown):
-            return unknown.value
-        case None:
-            return "unasked"
-
-
 def _name_of(answer: Answer) -> str:
     match answer:
         case Passed(reply):
--- a/lavendertide/runtime/sockets.py
+++ b/lavendertide/runtime/sockets.py
@@ -87,13 +87,7 @@
 
 def has_ended(connection: socket.socket) -> bool:
     """Returns whether the other side has closed a connection; never waits."""
-    plain = getattr(connection, "fd", connection)
-    try:
-        return not plain.recv(1, _PEEK)
-    except BlockingIOError:
-        return False
-    except OSError:
-        return True
+    return _peek(connection) == b""
 
 
 class WatchedReader(io.RawIOBase):
@@ -171,14 +165,19 @@
 
 def is_quiet(connection: socket.socket) -> bool:
     """Returns whether a connection is open and has nothing to read; never waits."""
+    return _peek(connection) is None
+
+
+def _peek(connection: socket.socket) -> bytes | None:
+    """Returns a byte that has come, none if none has, and `b""` after the end."""
     plain = getattr(connection, "fd", connection)
     try:
-        plain.recv(1, _PEEK)
+        data: bytes = plain.recv(1, _PEEK)
     except BlockingIOError:
-        return True
+        return None
     except OSError:
-        return False
-    return False
+        return b""
+    return data
 
 
 def accept_forever(
