Do once what each sub-request did twice, and send followers only what they use

Found when reading the change: when an attempt counts as late was worked out by the run and by the forwarder for each sub-request; the headers of every part of a search were filtered though only a single reply's are passed on; a reader sent its whole registry to a follower that was too far behind, which reads the platform itself then. Behaviour as before; the test of what is passed on is new.

--- a/lavendertide/forwarding/forwarder.py
+++ b/lavendertide/forwarding/forwarder.py
@@ -129,11 +129,6 @@
         ready = self._registry.ready(service)
         return self._views.ranked(ready, now_s, random.random())
 
-    def late_after_s(self, route: Route, now_s: float) -> float:
-        """Returns how long an attempt may take before another target is asked."""
-        timing = self._timings.of(route, now_s)
-        return timing.late_after_s(route.objective_s, now_s)
-
     def may_repeat(self, service: ServiceName, now_s: float) -> bool:
         """Takes an extra sub-request out of the budget; returns whether it may go."""
         if self._budgets.spend(service, self._notices.hosts(), now_s):
@@ -166,9 +161,14 @@
             self._note(call, route, reply, asked)
             inbox.send(CallDone(call, reply))
 
-        call = TargetCall(next(self._numbers), part, request, record, ends_at_s, done)
-        view = self._views.of(record.target)
-        view.begin(call.number, now_s, self.late_after_s(route, now_s))
+        late_after_s = self._timings.of(route, now_s).late_after_s(
+            route.objective_s, now_s
+        )
+        late_at_s = now_s + late_after_s
+        call = TargetCall(
+            next(self._numbers), part, request, record, late_at_s, ends_at_s, done
+        )
+        self._views.of(record.target).begin(call.number, now_s, late_after_s)
         self._pools.submit(call, self._connections_max(record))
         self._metrics.sub_requests.inc()
         return call
--- a/lavendertide/forwarding/messages.py
+++ b/lavendertide/forwarding/messages.py
@@ -53,7 +53,7 @@
     """A target's whole reply.
 
     Attributes:
-        headers: Headers to pass on; those of a single connection are left out.
+        headers: All headers; those of its connection are not to be passed on.
         signature: Proves which target has made the reply; empty if it has none.
     """
 
--- a/lavendertide/forwarding/pool.py
+++ b/lavendertide/forwarding/pool.py
@@ -57,6 +57,7 @@
     Attributes:
         number: Names the call on this host.
         part: Which of the request's services is asked.
+        late_at_s: When its reply counts as late, monotonic.
         ends_at_s: When nobody waits for its reply any more, monotonic.
         done: Called once with the reply.
     """
@@ -65,6 +66,7 @@
     part: int
     request: CallerRequest
     record: TargetRecord
+    late_at_s: float
     ends_at_s: float
     done: Callable[["TargetCall", TargetReply], None]
     is_withdrawn: bool = False
--- a/lavendertide/forwarding/run.py
+++ b/lavendertide/forwarding/run.py
@@ -89,11 +89,11 @@
     def _ask_first(self, number: int, part: Part, now_s: float) -> None:
         record = next(iter(self._sender.targets(part.service, now_s)), None)
         if record is not None:
-            self._ask(number, part, record, now_s)
+            self._ask(number, part, record)
         else:
             self._lost += 1
 
-    def _ask(self, number: int, part: Part, record: TargetRecord, now_s: float) -> None:
+    def _ask(self, number: int, part: Part, record: TargetRecord) -> None:
         if record.target not in part.asked:
             part.asked.append(record.target)
         call = self._sender.call(
@@ -108,8 +108,8 @@
         part.open[call.number] = call
         part.retry_at_s = None
         if self._route.kind is RequestKind.IDEMPOTENT:
-            part.late_at_s = now_s + self._sender.late_after_s(self._route, now_s)
-            self._due_at_s = min(self._due_at_s, part.late_at_s)
+            part.late_at_s = call.late_at_s
+            self._due_at_s = min(self._due_at_s, call.late_at_s)
 
     def _take(self, call: TargetCall, reply: TargetReply, now_s: float) -> None:
         part = self._parts[call.part]
@@ -172,7 +172,7 @@
         cause = outcome_of(part.failure) if part.failure is not None else "unasked"
         self._log_repeat(part, record, cause, may_ask, now_s)
         if may_ask:
-            self._ask(number, part, record, now_s)
+            self._ask(number, part, record)
 
     def _hedge(self, number: int, part: Part, now_s: float) -> None:
         part.late_at_s = None
@@ -184,7 +184,7 @@
         may_ask = self._spend(part, now_s)
         self._log_repeat(part, record, "late", may_ask, now_s)
         if may_ask:
-            self._ask(number, part, record, now_s)
+            self._ask(number, part, record)
 
     def _spend(self, part: Part, now_s: float) -> bool:
         if not self._sender.may_repeat(part.service, now_s):
--- a/lavendertide/forwarding/sending.py
+++ b/lavendertide/forwarding/sending.py
@@ -33,9 +33,6 @@
     def targets(self, service: ServiceName, now_s: float) -> list[TargetRecord]:
         """Returns the targets of a service in the order of asking."""
 
-    def late_after_s(self, route: Route, now_s: float) -> float:
-        """Returns how long an attempt may take before another target is asked."""
-
     def may_repeat(self, service: ServiceName, now_s: float) -> bool:
         """Takes an extra sub-request out of the budget."""
 
--- a/lavendertide/gateway/shared_reading.py
+++ b/lavendertide/gateway/shared_reading.py
@@ -156,10 +156,12 @@
         heard_ago_s = clock.monotonic_s() - self._follower.answered_at_s
         is_current = not self._follower.is_lost and heard_ago_s < HEARD_S
         if changes is None:
+            # A follower that is too far behind reads the platform itself.
+            is_asked = pull.revision == EVERYTHING
             return RegistryPush(
                 pull.exchange,
                 self._follower.history.revision,
-                self._registry.targets,
+                self._registry.targets if is_asked else (),
                 (),
                 True,
                 is_current,
--- a/lavendertide/platform/caller_codec.py
+++ b/lavendertide/platform/caller_codec.py
@@ -74,7 +74,8 @@
         """Returns the response that says an answer."""
         match answer:
             case Passed(reply):
-                return HttpResponse(reply.status, reply.headers, reply.body)
+                headers = tuple(passed_on(reply.headers, frozenset()))
+                return HttpResponse(reply.status, headers, reply.body)
             case Gathered(signatures, missing, body):
                 parts = ", ".join(signatures).encode("latin-1")
                 headers = (
--- a/lavendertide/platform/target_wire.py
+++ b/lavendertide/platform/target_wire.py
@@ -2,7 +2,7 @@
 
 from typing import Final
 
-from lavendertide.encodings.http_messages import HttpResponse, passed_on, render_end
+from lavendertide.encodings.http_messages import HttpResponse, render_end
 from lavendertide.encodings.http_servers import ClientConnection, ExchangeError
 from lavendertide.forwarding.messages import (
     NotRun,
@@ -99,8 +99,7 @@
     signature = (response.header(SIGNATURE) or b"").decode("latin-1")
     if response.status < 300 and not signature:
         return Unknown(target, UnknownReason.MALFORMED)
-    headers = tuple(passed_on(response.headers, frozenset()))
-    return Replied(target, response.status, headers, response.body, signature)
+    return Replied(target, response.status, response.headers, response.body, signature)
 
 
 def _render(call: TargetCall, left_s: float) -> bytes:
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -13,6 +13,7 @@
     Gathered,
     NotRun,
     NotRunReason,
+    Passed,
     RefusalCause,
     Refused,
     Replied,
@@ -173,7 +174,7 @@
 
     def decode(self, status: int, **headers: str) -> Any:
         """Returns the meaning of a response."""
-        call = TargetCall(1, 0, request(), target("t"), 1.0, lambda *_: None)
+        call = TargetCall(1, 0, request(), target("t"), 0.5, 1.0, lambda *_: None)
         pairs = tuple(
             (name.replace("_", "-").encode(), value.encode())
             for name, value in headers.items()
@@ -253,6 +254,12 @@
         self.assertEqual(self.codec.encode(request(), failed).status, 502)
         self.assertEqual(self.codec.encode(request(), Unroutable()).status, 404)
 
+    def test_a_reply_is_passed_on_without_what_concerns_its_connection(self) -> None:
+        headers = ((b"x-kept", b"1"), (b"keep-alive", b"timeout=5"))
+        answer = Passed(Replied(target("t").target, 200, headers, b"x", "s"))
+        response = self.codec.encode(request(), answer)
+        self.assertEqual(response.headers, ((b"x-kept", b"1"),))
+
     def test_a_gathered_answer_names_its_parts_and_what_is_missing(self) -> None:
         response = self.codec.encode(request(), Gathered(("a", "b"), 1, b"r" * 16))
         self.assertEqual(response.header(b"lavendertide-part-stamps"), b"a, b")
