Let go of lapsed targets on time, also while nothing is read

The registry now looks at the time whenever targets are asked for. Test that failed first: test_one_that_left_after_the_return_is_gone_without_another_read.

--- a/lavendertide/forwarding/forwarder.py
+++ b/lavendertide/forwarding/forwarder.py
@@ -126,7 +126,7 @@
 
     def targets(self, service: ServiceName, now_s: float) -> list[TargetRecord]:
         """Returns the targets of a service in the order of asking."""
-        ready = self._registry.ready(service)
+        ready = self._registry.ready(service, now_s)
         return self._views.ranked(ready, now_s, random.random())
 
     def may_repeat(self, service: ServiceName, now_s: float) -> bool:
@@ -197,7 +197,7 @@
         return Refused(RefusalCause.NO_TARGET, NO_TARGET_RETRY_S)
 
     def _is_held(self, service: ServiceName, now_s: float) -> bool:
-        return bool(self._views.usable(self._registry.ready(service), now_s))
+        return bool(self._views.usable(self._registry.ready(service, now_s), now_s))
 
     def _services(self, route: Route) -> tuple[ServiceName, ...]:
         match route.destination:
--- a/lavendertide/registry/registry.py
+++ b/lavendertide/registry/registry.py
@@ -32,8 +32,10 @@
         """Has a function called with each run of a target that has ended."""
         self._on_gone = listener
 
-    def ready(self, service: ServiceName) -> tuple[TargetRecord, ...]:
+    def ready(self, service: ServiceName, now_s: float) -> tuple[TargetRecord, ...]:
         """Returns the targets of a service that take new requests."""
+        # Nothing else may be read for seconds after the last change.
+        self.expire(now_s)
         found = self._by_service.get(service)
         if found is None:
             found = tuple(
--- a/tests/gateway/test_following.py
+++ b/tests/gateway/test_following.py
@@ -85,7 +85,7 @@
 
     def ready(self) -> set[str]:
         """Returns the names of the targets that take requests."""
-        return {record.target for record in self.registry.ready(DESK)}
+        return {record.target for record in self.registry.ready(DESK, 0.0)}
 
     def test_everything_is_read_first_and_then_the_changes(self) -> None:
         self.assertTrue(self.follower.read())
--- a/tests/registry/test_registry.py
+++ b/tests/registry/test_registry.py
@@ -18,9 +18,9 @@
         self.registry.put(target("a"))
         self.registry.put(target("b"))
 
-    def ready(self) -> set[str]:
+    def ready(self, now_s: float = 0.0) -> set[str]:
         """Returns the names of the targets that take requests."""
-        return {record.target for record in self.registry.ready(DESK)}
+        return {record.target for record in self.registry.ready(DESK, now_s)}
 
     def test_a_draining_target_takes_nothing_new(self) -> None:
         self.registry.put(target("a", state=TargetState.DRAINING))
@@ -46,6 +46,12 @@
         self.registry.expire(10.0 + REAPPEAR_S)
         self.assertEqual(self.ready(), {"a", "b"})
 
+    def test_one_that_left_after_the_return_is_gone_without_another_read(self) -> None:
+        self.registry.note_return(10.0)
+        self.registry.remove(TargetId("a"), 10.6)
+        self.assertEqual(self.ready(10.0 + REAPPEAR_S - 0.1), {"a", "b"})
+        self.assertEqual(self.ready(10.0 + REAPPEAR_S), {"b"})
+
     def test_one_that_does_not_come_back_is_gone(self) -> None:
         self.registry.note_return(10.0)
         self.registry.replace([target("b")], 10.0)
