Cut further by what the searches in flight at a cut have met

Traced by noting when each answer comes: 80 callers start at once; the first cut goes by searches that ended while the queue was still growing, so it is too small; after the burst has left, a second wave as large as that limit is let in and is late at 2.0 to 2.6 s. It takes one more deadline until the next cut.

Change: the searches that drain after a cut are measured too, and cut further.

--- a/lavendertide/queries/capacity.py
+++ b/lavendertide/queries/capacity.py
@@ -135,6 +135,8 @@
         self._random = generator
         self._in_flight = 0
         self._limit = math.inf
+        # Searches in flight at a time that the last cut went by.
+        self._used = 0.0
         self._unloaded = UnloadedTime(now_s)
         self._round = Round(now_s, 0)
         self._counts_from_s = now_s
@@ -170,11 +172,12 @@
             case HalfCovered(took_s):
                 self._unloaded.note(took_s, now_s)
         pressure = self._pressure(feedback, budget_s)
-        if pressure is not None and entered_at_s >= self._counts_from_s:
+        is_counted = self._is_draining or entered_at_s >= self._counts_from_s
+        if pressure is not None and is_counted:
             self._round.pressures.append(pressure)
-        if self._is_draining and self._in_flight <= self._limit:
-            self._counts_from_s = now_s
-            self._begin_round(now_s)
+        if self._is_draining:
+            if self._in_flight <= self._limit:
+                self._end_draining(now_s)
         elif self._round.is_over(now_s):
             self._decide(now_s)
 
@@ -221,12 +224,24 @@
         self._begin_round(now_s)
 
     def _cut(self, pressure: float, now_s: float) -> None:
-        used = min(self._limit, self._round.most_in_flight)
-        self._limit = max(LIMIT_MIN, used / pressure)
+        self._used = min(self._limit, self._round.most_in_flight)
+        self._limit = max(LIMIT_MIN, self._used / pressure)
         self._bound_at_s = now_s
         # Until the excess has left it delays the others, whatever the limit is now.
         self._counts_from_s = math.inf
 
+    def _end_draining(self, now_s: float) -> None:
+        """Cuts further by what the excess itself has met.
+
+        The searches that had ended before the cut met a queue that was still growing.
+        The ones that were in flight at the cut met the whole of it.
+        """
+        pressure = statistics.median(self._round.pressures or [0.0])
+        if pressure > 1.0:
+            self._limit = min(self._limit, max(LIMIT_MIN, self._used / pressure))
+        self._counts_from_s = now_s
+        self._begin_round(now_s)
+
     def _raise(self, pressure: float) -> None:
         """Raises the limit by one at most in the time that the searches here take."""
         if self._round.refused:
--- a/tests/queries/test_capacity.py
+++ b/tests/queries/test_capacity.py
@@ -99,6 +99,63 @@
             self.capacities.leave(permit, feedback, BUDGET_S, ended_at_s)
 
 
+@dataclass
+class WaitingCallers:
+    """Callers of two daemons that send again after each answer or refusal.
+
+    All start at the same moment, so the queue is full before any search has ended.
+    """
+
+    seed: int
+    callers: int = 80
+    per_s: float = 45.0
+    unloaded_s: float = 0.06
+    budget_s: float = 1.0
+    back_off_s: float = 0.1
+    free_at_s: float = 0.0
+
+    def late_share(self, from_s: float, until_s: float) -> float:
+        """Returns the late share of the searches that end in a stretch of time."""
+        generator = random.Random(self.seed)
+        daemons = [Capacities(random.Random(self.seed + n)) for n in range(2)]
+        for daemon in daemons:
+            self._note_one_without_load(daemon)
+        sends = [(generator.uniform(0.0, 0.05), n) for n in range(self.callers)]
+        heapq.heapify(sends)
+        ends: list[tuple[float, int, Permit, Feedback]] = []
+        late: list[bool] = []
+        now_s = 0.0
+        while now_s < until_s:
+            if ends and (not sends or ends[0][0] <= sends[0][0]):
+                now_s, caller, permit, feedback = heapq.heappop(ends)
+                daemons[caller % 2].leave(permit, feedback, self.budget_s, now_s)
+                heapq.heappush(sends, (now_s, caller))
+                if now_s >= from_s:
+                    late.append(isinstance(feedback, Starved))
+                continue
+            now_s, caller = heapq.heappop(sends)
+            match daemons[caller % 2].enter(OWNER, INDEX, now_s):
+                case Success(permit):
+                    took_s, feedback = self._serve(now_s, generator)
+                    heapq.heappush(ends, (now_s + took_s, caller, permit, feedback))
+                case Failure(_):
+                    heapq.heappush(sends, (now_s + self.back_off_s, caller))
+        return sum(late) / len(late)
+
+    def _note_one_without_load(self, daemon: Capacities) -> None:
+        permit = daemon.enter(OWNER, INDEX, 0.0).unwrap()
+        daemon.leave(permit, HalfCovered(self.unloaded_s), self.budget_s, 0.0)
+
+    def _serve(self, now_s: float, generator: random.Random) -> tuple[float, Feedback]:
+        """Returns how long one search takes, and what it says of the load."""
+        waits_s = max(0.0, self.free_at_s - now_s)
+        if waits_s + self.unloaded_s > self.budget_s:
+            return self.budget_s, Starved()
+        self.free_at_s = now_s + waits_s + generator.expovariate(self.per_s)
+        took_s = waits_s + self.unloaded_s
+        return took_s, HalfCovered(took_s)
+
+
 def capacities() -> Capacities:
     """Returns capacities of a daemon that has just started."""
     return Capacities(random.Random(SEED))
@@ -154,6 +211,20 @@
         self.assertEqual(self.queue.run(CAPACITY_PER_S / 4, 60.0).refused, 0)
 
 
+class BurstTest(unittest.TestCase):
+    """A burst of callers who wait for their answers is bounded by one cut.
+
+    The pattern: 80 callers come at once to daemons that know no limit. The searches
+    of the burst may be late; the ones that are let in after its deadline may not.
+    """
+
+    def test_what_is_let_in_after_the_burst_is_timely(self) -> None:
+        for seed in range(20):
+            with self.subTest(seed=seed):
+                callers = WaitingCallers(seed)
+                self.assertLessEqual(callers.late_share(1.5, 3.0), 0.1)
+
+
 class IsolationTest(unittest.TestCase):
     """One owner's overload of one index refuses nobody and nothing else."""
 
