Tell suspected requests in one frame a period and only up to what condemns

A search over 90 shards counted each of its crashes as news (34 on one host within 0.3 s) and told it to all links at once; each peer told it on.

Change: a count above the one that condemns is no news; verdicts wait for a period of 0.25 s and share one frame to each link.

--- a/lavendertide/forwarding/poison.py
+++ b/lavendertide/forwarding/poison.py
@@ -66,7 +66,8 @@
         evidence = self._evidence(fingerprint, now_s)
         evidence.targets.add(target)
         evidence.requests.add(request)
-        crashes = max(len(evidence.targets), evidence.told + 1)
+        # More crashes than condemn are no news: a wide search may lose dozens at once.
+        crashes = min(max(len(evidence.targets), evidence.told + 1), CRASHES_TO_CONDEMN)
         is_repeated = len(evidence.requests) > 1 or evidence.told > 0
         is_most = 2 * len(evidence.targets) > max(asked, CRASHES_TO_CONDEMN)
         kind = VerdictKind.SUSPECT
--- a/lavendertide/gateway/gateway.py
+++ b/lavendertide/gateway/gateway.py
@@ -147,6 +147,7 @@
         tasks.spawn(self._follower.run)
         tasks.spawn(self._keep_size)
         tasks.spawn(self._keep_load)
+        tasks.spawn(self._peer_news.keep_telling)
         front = self._caller_front()
         listener = sockets.listen(options.callers)
         tasks.spawn(sockets.accept_forever, listener, front.serve, CONNECTIONS_MAX)
--- a/lavendertide/gateway/peer_news.py
+++ b/lavendertide/gateway/peer_news.py
@@ -2,6 +2,7 @@
 
 import logging
 from collections.abc import Callable
+from itertools import islice
 from typing import Final
 
 from lavendertide.fleet.addresses import with_room
@@ -12,7 +13,7 @@
 from lavendertide.fleet.roster import Roster
 from lavendertide.forwarding.poison import CrashEvidence
 from lavendertide.forwarding.target_view import TargetViews
-from lavendertide.ids import TargetId
+from lavendertide.ids import Fingerprint, TargetId
 from lavendertide.messages import (
     Answered,
     Declined,
@@ -26,8 +27,12 @@
     Verdict,
     Verdicts,
 )
+from lavendertide.poison.quarantine import VERDICTS_PER_FRAME
 from lavendertide.runtime import clock, tasks
 
+# Verdicts that come up meanwhile share a frame. A verdict crosses the largest fleet in
+# five hops; condemned requests may go on for a stable window, which is 5 s.
+VERDICTS_PERIOD_S: Final = 0.25
 # Hosts that are all told of a stall. More of them learn of one by themselves as fast,
 # and are told over the links that are open anyway.
 BUSY_HOSTS_MAX: Final = 16
@@ -53,6 +58,7 @@
         self._views = views
         self._crashes = crashes
         self._answer_registry = answer_registry
+        self._untold: dict[Fingerprint, Verdict] = {}
 
     def tell_stall(self, target: TargetId) -> None:
         """Tells the hosts that callers use that a target has stopped answering."""
@@ -66,8 +72,25 @@
             self._peers.tell_all(notices)
 
     def tell_verdict(self, verdict: Verdict) -> None:
-        """Tells all linked peers what is known of a request."""
-        self._peers.tell_all(Verdicts((verdict,)))
+        """Keeps what is known of a request for the next frame to the linked peers."""
+        self._untold[verdict.fingerprint] = verdict
+
+    def tell_verdicts(self) -> None:
+        """Tells all linked peers what has come up of requests since the last time.
+
+        Peers pass on what is news to them, so each host sends every link one frame a
+        period at most, however many requests are suspected in the fleet.
+        """
+        told = list(islice(self._untold, VERDICTS_PER_FRAME))
+        if told:
+            frame = Verdicts(tuple(self._untold.pop(key) for key in told))
+            self._peers.tell_all(frame)
+
+    def keep_telling(self) -> None:
+        """Tells verdicts until the process ends."""
+        while True:
+            tasks.sleep(VERDICTS_PERIOD_S)
+            self.tell_verdicts()
 
     def take(self, peer: PeerConnection, frame: Frame, outbox: Outbox) -> None:
         """Takes in a frame of a peer."""
--- a/tests/forwarding/test_poison.py
+++ b/tests/forwarding/test_poison.py
@@ -54,3 +54,7 @@
         for number in range(11):
             self.crash("r1", f"t{number}", asked=20)
         self.assertTrue(self.evidence.is_condemned(BAD, 0.0))
+
+    def test_crashes_beyond_those_that_condemn_are_no_news(self) -> None:
+        news = [self.crash("r1", f"t{number}", asked=90) for number in range(40)]
+        self.assertEqual(sum(verdict is not None for verdict in news), 3)
