--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 export PYTHONPATH := $(CURDIR)
 export PYTHONHASHSEED := 0
 
-.PHONY: setup demo test lint format bench generate examples
+.PHONY: setup demo test soak lint format bench generate examples
 
 setup: $(VENV)/.lock-installed
 
@@ -20,13 +20,19 @@
 demo: setup
 	$(PYTHON) -m demo
 
+# Fresh seeds by hand: make soak FIRST=100 SEEDS=50
+FIRST ?= 1
+SEEDS ?= 5
+soak: setup
+	$(PYTHON) -m soak --first $(FIRST) --seeds $(SEEDS)
+
 bench: setup
 	$(PYTHON) -m bench
 
 lint: setup
 	$(VENV)/bin/ruff format --check .
 	$(VENV)/bin/ruff check .
-	$(VENV)/bin/mypy lavendertide standins demo bench tests
+	$(VENV)/bin/mypy lavendertide standins demo bench soak tests
 
 format: setup
 	$(VENV)/bin/ruff format .
--- /dev/null
+++ b/soak/promises.py
@@ -0,0 +1,75 @@
+"""Judges what callers and targets have seen against what is promised."""
+
+from collections import Counter
+from collections.abc import Iterable, Sequence
+from typing import Final
+
+from soak.callers import DEADLINE_S, Kind, Outcome
+from soak.world import Disturbance
+from standins.platform_store import PlainTarget
+
+# Statuses that promise callers that a request has not run.
+NOT_RUN: Final = frozenset({408, 429, 503})
+SHARDS: Final = 2
+# A loaded machine may wake a process so much later; the target asks for no less.
+LATE_SLACK_S: Final = 1.0
+
+
+def violations(
+    outcomes: Sequence[Outcome],
+    targets: Iterable[PlainTarget],
+    disturbances: Sequence[Disturbance],
+) -> list[str]:
+    """Returns a line for each broken promise."""
+    ran = Counter((name, target.name) for target in targets for name in target.ran)
+    runs: Counter[str] = Counter()
+    for (name, _), count in ran.items():
+        runs[name] += count
+    broken: list[str] = []
+    for outcome in outcomes:
+        broken += _of_runs(outcome, runs[outcome.name])
+        broken += _of_content(outcome, ran)
+        broken += _of_time(outcome, disturbances)
+    return broken
+
+
+def _of_runs(outcome: Outcome, runs: int) -> Iterable[str]:
+    if outcome.kind is Kind.ORDER and runs > 1:
+        yield f"once: {outcome.name} ran {runs} times"
+    if outcome.status in NOT_RUN and runs:
+        yield f"not run: {outcome.name} got {outcome.status} and ran"
+
+
+def _of_content(outcome: Outcome, ran: Counter[tuple[str, str]]) -> Iterable[str]:
+    """A response is of this request, of targets that ran it, and says what lacks."""
+    if outcome.status != 200:
+        return
+    if outcome.echoed not in ("", outcome.name):
+        yield f"mixed: {outcome.name} got the response to {outcome.echoed}"
+    for signature in outcome.signatures:
+        if not ran[outcome.name, signature]:
+            yield f"mixed: {outcome.name} names {signature}, which did not run it"
+    if outcome.kind is Kind.SEARCH:
+        if len(set(outcome.signatures)) + outcome.missing != SHARDS:
+            yield f"whole: {outcome.name} has {outcome.signatures}, {outcome.missing}"
+    elif not outcome.body.startswith(b"".join(s.encode() for s in outcome.signatures)):
+        yield f"mixed: {outcome.name} has the body {outcome.body!r}"
+
+
+def _of_time(outcome: Outcome, disturbances: Sequence[Disturbance]) -> Iterable[str]:
+    """All are answered by the deadline, unless their gateway was killed or paused."""
+    touching = [
+        each
+        for each in disturbances
+        if each.gateway == outcome.gateway
+        and each.from_s <= outcome.ended_at_s
+        and each.until_s >= outcome.sent_at_s
+    ]
+    if any(not each.is_asked for each in touching):
+        return
+    elapsed_s = outcome.ended_at_s - outcome.sent_at_s
+    if elapsed_s > DEADLINE_S + LATE_SLACK_S:
+        yield f"late: {outcome.name} took {elapsed_s:.1f} s, status {outcome.status}"
+    is_before_stop = all(each.from_s > outcome.sent_at_s for each in touching)
+    if outcome.status == 0 and is_before_stop:
+        yield f"cut off: {outcome.name} on gateway {outcome.gateway} got no response"
--- /dev/null
+++ b/soak/proxy.py
@@ -0,0 +1,120 @@
+"""A loopback proxy that delays, resets, silences or cuts connections one way."""
+
+import contextlib
+import socket
+import struct
+import threading
+import time
+from enum import Enum
+from typing import Final
+
+CHUNK_BYTES: Final = 65_536
+# Makes closing a socket send a reset instead of an orderly end.
+RESET_ON_CLOSE: Final = struct.pack("ii", 1, 0)
+
+
+class ProxyMode(Enum):
+    """What becomes of the connections."""
+
+    PASS = "pass"
+    # Bytes are held back in both directions until the mode changes.
+    SILENT = "silent"
+    # What the callers send arrives, what is answered is lost for good.
+    CUT_ANSWERS = "cut answers"
+    # Open connections are reset, new ones as well.
+    RESET = "reset"
+
+
+class FaultyProxy:
+    """Forwards connections to one address as its mode says.
+
+    Args:
+        address: Where to forward to, `host:port`.
+    """
+
+    def __init__(self, address: str) -> None:
+        host, _, port = address.rpartition(":")
+        self._origin = (host, int(port))
+        self._mode = ProxyMode.PASS
+        self._delay_s = 0.0
+        self._changed = threading.Condition()
+        self._open: set[socket.socket] = set()
+        self._listener = socket.create_server(("127.0.0.1", 0), backlog=128)
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    @property
+    def address(self) -> str:
+        """Where it listens."""
+        return f"127.0.0.1:{self._listener.getsockname()[1]}"
+
+    def turn(self, mode: ProxyMode, delay_s: float = 0.0) -> None:
+        """Changes what becomes of the connections.
+
+        Args:
+            mode: From now on.
+            delay_s: How much later answers pass.
+        """
+        with self._changed:
+            self._mode = mode
+            self._delay_s = delay_s
+            self._changed.notify_all()
+        if mode is ProxyMode.RESET:
+            for connection in list(self._open):
+                self._reset(connection)
+
+    def close(self) -> None:
+        """Ends it and its connections."""
+        self._listener.close()
+        self.turn(ProxyMode.RESET)
+
+    def _accept(self) -> None:
+        while True:
+            try:
+                caller, _ = self._listener.accept()
+            except OSError:
+                return
+            threading.Thread(target=self._connect, args=(caller,), daemon=True).start()
+
+    def _connect(self, caller: socket.socket) -> None:
+        self._open.add(caller)
+        if self._mode is ProxyMode.RESET:
+            self._reset(caller)
+            return
+        try:
+            origin = socket.create_connection(self._origin)
+        except OSError:
+            self._reset(caller)
+            return
+        self._open.add(origin)
+        threading.Thread(
+            target=self._pump, args=(origin, caller, True), daemon=True
+        ).start()
+        self._pump(caller, origin, False)
+
+    def _pump(self, source: socket.socket, sink: socket.socket, answers: bool) -> None:
+        with contextlib.suppress(OSError):
+            while data := source.recv(CHUNK_BYTES):
+                mode, delay_s = self._wait_out_silence()
+                if answers and mode is ProxyMode.CUT_ANSWERS:
+                    continue
+                if answers and delay_s:
+                    time.sleep(delay_s)
+                sink.sendall(data)
+        for connection in (source, sink):
+            self._open.discard(connection)
+            with contextlib.suppress(OSError):
+                connection.shutdown(socket.SHUT_RDWR)
+            connection.close()
+
+    def _wait_out_silence(self) -> tuple[ProxyMode, float]:
+        with self._changed:
+            while self._mode is ProxyMode.SILENT:
+                self._changed.wait()
+            return self._mode, self._delay_s
+
+    def _reset(self, connection: socket.socket) -> None:
+        self._open.discard(connection)
+        with contextlib.suppress(OSError):
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+            connection.shutdown(socket.SHUT_RD)
+        connection.close()
--- /dev/null
+++ b/soak/world.py
@@ -0,0 +1,239 @@
+"""Runs gateways, targets and the store, and brings planned faults about."""
+
+import signal
+import subprocess
+import threading
+import time
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Final
+
+from soak.faults import (
+    Fault,
+    GatewayFault,
+    GatewayKilled,
+    GatewayPaused,
+    GatewayStopped,
+    PlannedFault,
+    RoutesChanged,
+    StoreAway,
+    StoreSilent,
+    TargetCut,
+    TargetDelayed,
+    TargetFault,
+    TargetReplaced,
+    TargetReset,
+    TargetSilent,
+)
+from soak.proxy import FaultyProxy, ProxyMode
+from standins.gateway_process import (
+    ROUTES,
+    GatewayProcess,
+    configuration,
+    wait_until,
+)
+from standins.platform_store import PlainTarget, PlatformStore
+from standins.ports import PortBlock
+
+# Each with two targets, as many as a retry needs.
+SERVICES: Final = ("desk", "desk", "shard-0", "shard-0", "shard-1", "shard-1")
+GATEWAYS: Final = 3
+# The grace in the settings of the stand-in.
+GRACE_S: Final = 6.0
+# For the machine to notice that a process has ended.
+GRACE_SLACK_S: Final = 1.0
+# How long a target that leaves goes on answering, as the platform's page allows.
+LEAVING_S: Final = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class Disturbance:
+    """A time in which a gateway was killed, paused or stopping.
+
+    Attributes:
+        is_asked: The gateway was asked to stop, so it owes answers until its end.
+    """
+
+    gateway: int
+    from_s: float
+    until_s: float
+    is_asked: bool
+
+
+class World:
+    """Everything that runs in one soak.
+
+    Args:
+        folder: For settings and logs.
+    """
+
+    def __init__(self, folder: Path) -> None:
+        self._folder = folder
+        self._ports = PortBlock()
+        self._store = PlatformStore()
+        self._store_proxy = FaultyProxy(self._store.address)
+        self._version = 1
+        self._targets: list[PlainTarget] = []
+        self._proxies: list[FaultyProxy] = []
+        self._all_targets: list[PlainTarget] = []
+        self._locks = [threading.Lock() for _ in range(GATEWAYS)]
+        self._publishing = threading.Lock()
+        self.gateways: list[GatewayProcess] = []
+        self.disturbances: list[Disturbance] = []
+        self.violations: list[str] = []
+
+    @property
+    def targets(self) -> list[PlainTarget]:
+        """All targets that ever ran, also those that have left."""
+        return list(self._all_targets)
+
+    def start(self) -> None:
+        """Starts everything and waits until all gateways take requests."""
+        self._publish()
+        for number, service in enumerate(SERVICES):
+            target, proxy = self._new_target(f"t{number}", service)
+            self._targets.append(target)
+            self._proxies.append(proxy)
+        seeds = ""
+        for number in range(GATEWAYS):
+            gateway = GatewayProcess(
+                f"g{number}",
+                self._folder,
+                self._store_proxy.address,
+                seeds,
+                self._ports,
+            )
+            self.gateways.append(gateway)
+            seeds = ",".join(each.control for each in self.gateways)
+        for gateway in self.gateways:
+            wait_until(gateway.is_ready)
+
+    def stop(self) -> None:
+        """Ends everything that was started."""
+        for gateway in self.gateways:
+            gateway.stop()
+        self._store_proxy.close()
+        self._store.close()
+        for proxy in self._proxies:
+            proxy.close()
+        for target in self._all_targets:
+            target.close()
+        self._ports.release()
+
+    def play(self, planned: list[PlannedFault]) -> None:
+        """Brings about the faults, each in a thread, and waits until all are over."""
+        began_at_s = time.monotonic()
+        threads = [
+            threading.Thread(target=self._play_one, args=(began_at_s, each))
+            for each in planned
+        ]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+
+    def _play_one(self, began_at_s: float, planned: PlannedFault) -> None:
+        time.sleep(max(0.0, began_at_s + planned.at_s - time.monotonic()))
+        self._bring_about(planned.fault, planned.lasts_s)
+
+    def _bring_about(self, fault: Fault, lasts_s: float) -> None:
+        match fault:
+            case TargetReplaced(target):
+                self._replace(target)
+            case TargetDelayed() | TargetSilent() | TargetCut() | TargetReset():
+                self._disturb_target(fault, lasts_s)
+            case GatewayStopped() | GatewayKilled() | GatewayPaused():
+                self._disturb_gateway(fault, lasts_s)
+            case StoreAway():
+                self._store.is_away = True
+                time.sleep(lasts_s)
+                self._store.is_away = False
+            case StoreSilent():
+                self._disturb(self._store_proxy, ProxyMode.SILENT, lasts_s)
+            case RoutesChanged():
+                self._publish()
+
+    def _disturb_target(self, fault: TargetFault, lasts_s: float) -> None:
+        proxy = self._proxies[fault.target]
+        match fault:
+            case TargetDelayed(_, delay_s):
+                self._disturb(proxy, ProxyMode.PASS, lasts_s, delay_s)
+            case TargetSilent():
+                self._disturb(proxy, ProxyMode.SILENT, lasts_s)
+            case TargetCut():
+                self._disturb(proxy, ProxyMode.CUT_ANSWERS, lasts_s)
+            case TargetReset():
+                self._disturb(proxy, ProxyMode.RESET, lasts_s)
+
+    def _disturb(
+        self, proxy: FaultyProxy, mode: ProxyMode, lasts_s: float, delay_s: float = 0.0
+    ) -> None:
+        proxy.turn(mode, delay_s)
+        time.sleep(lasts_s)
+        proxy.turn(ProxyMode.PASS)
+
+    def _publish(self) -> None:
+        with self._publishing:
+            self._version += 1
+            self._store.put("op/config", configuration(self._version, *ROUTES))
+
+    def _new_target(self, name: str, service: str) -> tuple[PlainTarget, FaultyProxy]:
+        target = PlainTarget(name, service)
+        proxy = FaultyProxy(target.address)
+        self._all_targets.append(target)
+        self._store.put(f"servers/{name}", target.entry(address=proxy.address))
+        return target, proxy
+
+    def _replace(self, number: int) -> None:
+        old, old_proxy = self._targets[number], self._proxies[number]
+        name = f"{old.name}-next"
+        new, proxy = self._new_target(name, old.service)
+        self._targets[number], self._proxies[number] = new, proxy
+        entry = old.entry("draining", address=old_proxy.address)
+        self._store.put(f"servers/{old.name}", entry)
+        time.sleep(LEAVING_S)
+        self._store.remove(f"servers/{old.name}")
+        time.sleep(LEAVING_S)
+        old_proxy.close()
+
+    def _disturb_gateway(self, fault: GatewayFault, lasts_s: float) -> None:
+        """Lets one fault of a process follow the other, and notes the time of each."""
+        number = fault.gateway
+        gateway = self.gateways[number]
+        with self._locks[number]:
+            from_s = time.monotonic()
+            match fault:
+                case GatewayStopped():
+                    self._stop_gateway(gateway)
+                case GatewayKilled():
+                    self._kill_gateway(gateway, lasts_s)
+                case GatewayPaused():
+                    self._pause_gateway(gateway, lasts_s)
+            is_asked = isinstance(fault, GatewayStopped)
+            disturbance = Disturbance(number, from_s, time.monotonic(), is_asked)
+            self.disturbances.append(disturbance)
+
+    def _stop_gateway(self, gateway: GatewayProcess) -> None:
+        # One that is still starting has nothing to finish, and may end at once.
+        was_ready = gateway.is_ready()
+        gateway.process.send_signal(signal.SIGTERM)
+        try:
+            status = gateway.process.wait(GRACE_S + GRACE_SLACK_S)
+        except subprocess.TimeoutExpired:
+            self.violations.append(f"stop: {gateway.node} outlived its grace")
+            gateway.process.kill()
+            status = gateway.process.wait()
+        if status != 0 and was_ready:
+            self.violations.append(f"stop: {gateway.node} ended with {status}")
+        gateway.launch()
+
+    def _kill_gateway(self, gateway: GatewayProcess, lasts_s: float) -> None:
+        gateway.process.kill()
+        gateway.process.wait()
+        time.sleep(lasts_s)
+        gateway.launch()
+
+    def _pause_gateway(self, gateway: GatewayProcess, lasts_s: float) -> None:
+        gateway.process.send_signal(signal.SIGSTOP)
+        time.sleep(lasts_s)
+        gateway.process.send_signal(signal.SIGCONT)
--- /dev/null
+++ b/standins/gateway_process.py
@@ -0,0 +1,146 @@
+"""Starts gateways as processes, configured as the users' platform does."""
+
+import http.client
+import os
+import subprocess
+import sys
+import time
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any, Final
+
+from standins.ports import PortBlock
+
+# Ample for a process to import everything beside a busy machine.
+START_S: Final = 20.0
+SETTINGS = """\
+node={node}
+ip=127.0.0.1
+zone=a
+region=north
+listen.front=127.0.0.1:{0}
+listen.ready=127.0.0.1:{1}
+listen.control=127.0.0.1:{2}
+listen.directory=127.0.0.1:{3}
+seeds={seeds}
+platform.address={store}
+limits.cpu-share=1.0
+limits.cores=1
+bounds.grace-s=6
+bounds.retry-budget-ratio=0.2
+bounds.retry-slack=56
+bounds.budget-window-s=10
+bounds.ttl_max_s=2
+"""
+
+
+def route(name: str, kind: str = "idempotent", **destination: Any) -> dict[str, Any]:
+    """Returns a route as the operator writes it."""
+    return {
+        "name": name,
+        "host": "shop.example",
+        "prefix": f"/{name}/",
+        "route-type": kind,
+        "timeout-ms": 3_000,
+        "target-latency-ms": 1_000,
+        "max-attempts": 2,
+        "priority": 1,
+        **destination,
+    }
+
+
+def configuration(version: int, *routes: dict[str, Any]) -> dict[str, Any]:
+    """Returns a configuration as the operator writes it."""
+    names = {"desk", "shard-0", "shard-1", "other"}
+    services = [{"name": name, "max-conns": 50} for name in sorted(names)]
+    return {"version": version, "routes": list(routes), "services": services}
+
+
+SHARDS: dict[str, Any] = {
+    "gather": ["shard-0", "shard-1"],
+    "top-k": 5,
+    "min-coverage": 0.5,
+}
+ROUTES = (
+    route("lookups", service="desk"),
+    route("orders", "non_idempotent", service="desk"),
+    route("searches", **SHARDS),
+)
+
+
+class GatewayProcess:
+    """One gateway that runs as a process of its own."""
+
+    def __init__(
+        self, node: str, folder: Path, store: str, seeds: str, ports: PortBlock
+    ) -> None:
+        self.node = node
+        addresses = ports.take(5)
+        self.ports = [int(address.rpartition(":")[2]) for address in addresses]
+        path = folder / f"{node}.conf"
+        text = SETTINGS.format(*self.ports, node=node, store=store, seeds=seeds)
+        path.write_text(text)
+        self._log = (folder / f"{node}.log").open("ab")
+        self._environment = os.environ | {
+            "LAVENDERTIDE_SETTINGS": str(path),
+            "FLEET_KEY": "a key of stand-ins",
+            "METRICS_PORT": str(self.ports[4]),
+        }
+        self.launch()
+
+    def launch(self) -> None:
+        """Starts its process, also anew once the one before has ended."""
+        self.process = subprocess.Popen(
+            [sys.executable, "-m", "lavendertide.platform"],
+            env=self._environment,
+            stdout=self._log,
+            stderr=subprocess.STDOUT,
+        )
+
+    @property
+    def control(self) -> str:
+        """Its address for peers."""
+        return f"127.0.0.1:{self.ports[2]}"
+
+    def get(
+        self, path: str, port: int = 0, method: str = "GET", name: str = "r1"
+    ) -> http.client.HTTPResponse:
+        """Returns the response to a request, its body read into `body`."""
+        connection = http.client.HTTPConnection("127.0.0.1", self.ports[port], 10)
+        headers = {
+            "Host": "shop.example",
+            "Lavendertide-Request-Id": name,
+            "Lavendertide-Deadline-Ms": "5000",
+        }
+        connection.request(method, path, headers=headers)
+        response = connection.getresponse()
+        response.body = response.read()  # type: ignore[attr-defined]
+        connection.close()
+        return response
+
+    def is_ready(self) -> bool:
+        """Returns whether it says that it takes requests."""
+        try:
+            return self.get("/api/ready", 1).status == 200
+        except OSError:
+            return False
+
+    def stop(self) -> None:
+        """Ends it if it still runs."""
+        if self.process.poll() is None:
+            self.process.kill()
+        self.process.wait()
+        self._log.close()
+
+
+def wait_until(is_true: Callable[[], bool], timeout_s: float = START_S) -> None:
+    """Waits until something is so.
+
+    Raises:
+        AssertionError: It is not in time.
+    """
+    ends_at_s = time.monotonic() + timeout_s
+    while not is_true():
+        if time.monotonic() >= ends_at_s:
+            raise AssertionError("not in time")
+        time.sleep(0.05)
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -148,11 +148,21 @@
 
         self._server = _serve(Handler)
 
-    def entry(self, state: str = "ready") -> dict[str, Any]:
-        """Returns what it writes of itself into the store."""
+    @property
+    def address(self) -> str:
+        """Where it listens."""
+        return f"127.0.0.1:{self._server.server_address[1]}"
+
+    def entry(self, state: str = "ready", address: str = "") -> dict[str, Any]:
+        """Returns what it writes of itself into the store.
+
+        Args:
+            state: Its state in the platform's words.
+            address: Where gateways reach it, if not where it listens.
+        """
         return {
             "service": self.service,
-            "address": f"127.0.0.1:{self._server.server_address[1]}",
+            "address": address or self.address,
             "zone": "a",
             "version": "v1",
             "slots": 2,
