Leave aside a late answer to another request, and read on for the own one

Ruled out: a lost connection (outcome other_request in the log of that id).

Change: the reader takes a test by headers; a response to another request is left aside.

Test: an answer to another request before the own one, failed first.

--- a/lavendertide/encodings/http_replies.py
+++ b/lavendertide/encodings/http_replies.py
@@ -5,6 +5,7 @@
 tell when a response without a length is complete, so that is decided here.
 """
 
+from collections.abc import Callable
 from typing import Final
 
 import httptools
@@ -18,6 +19,15 @@
 NO_BODY_STATUSES: Final = frozenset({204, 304})
 
 
+# Whether a response with these headers answers the request that was sent.
+IsOwn = Callable[[tuple[Header, ...]], bool]
+
+
+def any_is_own(headers: tuple[Header, ...]) -> bool:
+    """Takes whatever comes for the answer."""
+    return True
+
+
 class MalformedReply(Exception):
     """What came is no response; use another connection and look at the server."""
 
@@ -27,10 +37,13 @@
 
     Args:
         method: The method of the request; a response to `HEAD` has no body.
+        is_own: Tells by the headers whether a response answers the request. Others are
+            left aside: a server may send an earlier answer once more.
     """
 
-    def __init__(self, method: str) -> None:
+    def __init__(self, method: str, is_own: IsOwn = any_is_own) -> None:
         self._is_head = method == "HEAD"
+        self._is_own = is_own
         self._parser = httptools.HttpResponseParser(self)
         self._headers: list[Header] = []
         self._chunks: list[bytes] = []
@@ -117,9 +130,10 @@
         """Called by the parser at the end of a response whose length is known."""
         if self._is_complete:
             return
-        if self._status < 200:
+        if self._status < 200 or not self._is_own(self.headers):
             self._headers.clear()
             self._chunks.clear()
+            self._size = 0
             return
         self._is_complete = True
         # The parser knows it only here.
--- a/lavendertide/encodings/http_servers.py
+++ b/lavendertide/encodings/http_servers.py
@@ -9,7 +9,12 @@
 from typing import Final
 
 from lavendertide.encodings.http_messages import READ_BYTES, HttpResponse
-from lavendertide.encodings.http_replies import MalformedReply, ReplyReader
+from lavendertide.encodings.http_replies import (
+    IsOwn,
+    MalformedReply,
+    ReplyReader,
+    any_is_own,
+)
 from lavendertide.ids import Address
 from lavendertide.runtime import clock, sockets
 
@@ -55,18 +60,25 @@
         self._socket = connection
         return True
 
-    def exchange(self, method: str, request: bytes, timeout_s: float) -> HttpResponse:
+    def exchange(
+        self,
+        method: str,
+        request: bytes,
+        timeout_s: float,
+        is_own: IsOwn = any_is_own,
+    ) -> HttpResponse:
         """Sends a request and waits for its response.
 
         Args:
             method: The method of the request.
             request: The whole request as `render` writes it.
             timeout_s: How long to wait for the response.
+            is_own: Tells by the headers whether a response answers this request.
 
         Raises:
             ExchangeError: No complete response came; the connection is closed.
         """
-        reader = ReplyReader(method)
+        reader = ReplyReader(method, is_own)
         is_answered = False
         ends_at_s = clock.monotonic_s() + timeout_s
         try:
--- a/lavendertide/platform/target_wire.py
+++ b/lavendertide/platform/target_wire.py
@@ -2,7 +2,7 @@
 
 from typing import Final
 
-from lavendertide.encodings.http_messages import HttpResponse, render_end
+from lavendertide.encodings.http_messages import Header, HttpResponse, render_end
 from lavendertide.encodings.http_servers import ClientConnection, ExchangeError
 from lavendertide.forwarding.messages import (
     NotRun,
@@ -63,7 +63,10 @@
         left_s = call.ends_at_s - now_s
         try:
             response = self._connection.exchange(
-                call.request.method, _render(call, left_s), left_s + DEADLINE_REPLY_S
+                call.request.method,
+                _render(call, left_s),
+                left_s + DEADLINE_REPLY_S,
+                lambda headers: not is_of_another(call, headers),
             )
         except ExchangeError as error:
             return Unknown(target, _reason_of(error))
@@ -82,6 +85,14 @@
                 self._usable_until_s = now_s + max(0.0, idle_s)
 
 
+def is_of_another(call: TargetCall, headers: tuple[Header, ...]) -> bool:
+    """Returns whether a response names another request than the one of a call."""
+    for name, value in headers:
+        if name == REQUEST_ID:
+            return value.decode("latin-1") != call.request.request
+    return False
+
+
 def decode_reply(call: TargetCall, response: HttpResponse) -> TargetReply:
     """Returns what a target's response to a call means."""
     target = call.record.target
@@ -90,8 +101,8 @@
         return NotRun(target, NotRunReason.OTHER_TARGET)
     if response.header(NOT_RUN) is not None:
         return NotRun(target, NotRunReason.REFUSED)
-    echoed = response.header(REQUEST_ID)
-    if echoed is not None and echoed.decode("latin-1") != call.request.request:
+    # Only one whose end is that of the connection comes here, as nothing can follow.
+    if is_of_another(call, response.headers):
         return Unknown(target, UnknownReason.OTHER_REQUEST)
     is_encoded = response.header(CONTENT_ENCODING) is not None
     if is_encoded or response.status in PROMISES:
--- a/tests/encodings/test_http_connections.py
+++ b/tests/encodings/test_http_connections.py
@@ -112,6 +112,19 @@
         _, response = self.exchange(b"HTTP/1.1 103 Early Hints\r\n\r\n" + sent)
         self.assertEqual((response.status, response.body), (200, b"body"))
 
+    def test_an_answer_to_another_request_is_left_aside(self) -> None:
+        sent = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\nX-Of: "
+        other, own = sent + b"r1\r\n\r\nlate", sent + b"r2\r\n\r\nbody"
+        peer = Peer([other + own])
+        self.addCleanup(peer.close)
+        connection = ClientConnection(peer.address)
+        self.addCleanup(connection.close)
+        self.assertTrue(connection.open(TIMEOUT_S))
+        response = connection.exchange(
+            "GET", GET, TIMEOUT_S, lambda headers: (b"x-of", b"r2") in headers
+        )
+        self.assertEqual(response.body, b"body")
+
     def test_a_length_beside_chunks_is_refused(self) -> None:
         sent = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n"
         with self.assertRaises(ExchangeError):
