Wait for the budget with a failed request instead of giving it up

The budget is a sliding window and comes back with time.

Change: a part that may have run looks at the budget again after the usual growing pause. One that no target has run is refused at once as before, so that its caller can turn elsewhere; nothing is held untried.

Test: two requests in a row whose first target crashes and a budget for one repeat in 0.2 s; the second failed first.

--- a/lavendertide/forwarding/parts.py
+++ b/lavendertide/forwarding/parts.py
@@ -20,6 +20,7 @@
         late_at_s: When another target is asked beside the open call.
         retry_at_s: When a target is asked again after a refusal.
         rounds: Refusals and failures so far; each makes the next pause longer.
+        is_withheld: Whether the budget did not allow the last repeat.
     """
 
     service: ServiceName
@@ -31,6 +32,7 @@
     late_at_s: float | None = None
     retry_at_s: float | None = None
     rounds: int = 0
+    is_withheld: bool = False
 
     @property
     def is_done(self) -> bool:
--- a/lavendertide/forwarding/run.py
+++ b/lavendertide/forwarding/run.py
@@ -134,15 +134,19 @@
             return
         if isinstance(reply, Replied) and self._is_final_reply(reply):
             return
-        pause_s = 0.0
-        if self._next_target(part, now_s) is None or part.rounds > 1:
-            pause_s = RETRY_PAUSE_MIN_S * 2.0 ** max(0, part.rounds - 1)
+        if self._next_target(part, now_s) is not None and part.rounds == 1:
+            if now_s + ATTEMPT_MIN_S < self._times.ends_at_s:
+                self._retry(self._parts.index(part), part, now_s)
+        else:
+            self._pause(part, now_s)
+
+    def _pause(self, part: Part, now_s: float) -> None:
+        """Plans the next try after a pause that doubles, if there is time for it."""
+        pause_s = RETRY_PAUSE_MIN_S * 2.0 ** max(0, part.rounds - 1)
         at_s = now_s + min(RETRY_PAUSE_MAX_S, pause_s)
         if at_s + ATTEMPT_MIN_S < self._times.ends_at_s:
             part.retry_at_s = at_s
             self._due_at_s = min(self._due_at_s, at_s)
-            if pause_s == 0.0:
-                self._retry(self._parts.index(part), part, now_s)
 
     def _is_final_reply(self, reply: Replied) -> bool:
         """Returns whether another target would say the same."""
@@ -170,9 +174,16 @@
         is_free = self._is_first_offer(part)
         may_ask = is_free or self._spend(part, now_s)
         cause = outcome_of(part.failure) if part.failure is not None else "unasked"
-        self._log_repeat(part, record, cause, may_ask, now_s)
+        if may_ask or not part.is_withheld:
+            self._log_repeat(part, record, cause, may_ask, now_s)
+        part.is_withheld = not may_ask
         if may_ask:
             self._ask(number, part, record)
+        elif part.may_have_run:
+            # The budget is earned again with time. What no target has run is refused
+            # instead, so that its caller can turn elsewhere at once.
+            part.rounds += 1
+            self._pause(part, now_s)
 
     def _hedge(self, number: int, part: Part, now_s: float) -> None:
         part.late_at_s = None
--- a/tests/forwarding/test_run.py
+++ b/tests/forwarding/test_run.py
@@ -64,6 +64,16 @@
     return Unknown(call.record.target, UnknownReason.CLOSED)
 
 
+def crashes_first(times: int) -> Behaviour:
+    """Returns the behaviour of a target that answers after some crashes."""
+    left = iter(range(times))
+
+    def behave(call: TargetCall) -> TargetReply:
+        return answers()(call) if next(left, None) is None else crashes(call)
+
+    return behave
+
+
 def leave_after(delay_s: float, inbox: tasks.Mailbox[Event]) -> None:
     """Behaves like a caller that closes its connection."""
     tasks.sleep(delay_s)
@@ -97,7 +107,9 @@
 class World:
     """A forwarder with targets that behave as a test says."""
 
-    def __init__(self, destination_route: Route, fixed: float = 800.0) -> None:
+    def __init__(
+        self, destination_route: Route, fixed: float = 800.0, window_s: float = 10.0
+    ) -> None:
         self.asked: list[TargetId] = []
         self.closed = 0
         self.behaviours: dict[TargetId, Behaviour] = {}
@@ -111,7 +123,7 @@
             self.registry,
             TargetViews(HOME),
             TargetPools(self._make_wire),
-            RetryBudgets(RetryAllowance(0.2, fixed, 10.0)),
+            RetryBudgets(RetryAllowance(0.2, fixed, window_s)),
             CrashEvidence(Quarantine()),
             Notices(self.stalls.append, lambda _: None, lambda: 8),
             ForwardingMetrics(CollectorRegistry()),
@@ -233,6 +245,23 @@
         world.forward()
         self.assertEqual(len(world.asked), 1)
 
+    def test_a_failed_request_waits_for_its_budget(self) -> None:
+        """The pattern: many targets fail at once, more than the budget repeats."""
+        world = World(route(wait_max_s=0.45, objective_s=0.1), 10.0, window_s=0.2)
+        for _ in range(2):
+            one_crash = crashes_first(1)
+            world.add("a", "desk", one_crash)
+            world.add("b", "desk", one_crash)
+            self.assertIsInstance(world.forward(), Passed)
+
+    def test_a_refused_request_does_not(self) -> None:
+        world = World(route(wait_max_s=0.45, objective_s=0.1), 0.0, window_s=0.2)
+        world.add("a", "desk", refuses)
+        world.add("b", "desk", refuses)
+        began_s = clock.monotonic_s()
+        self.assertIsInstance(world.forward(), Refused)
+        self.assertLess(clock.monotonic_s() - began_s, 0.1)
+
 
 class ChangedRoutesTest(unittest.TestCase):
     """Nothing is kept of routes that are gone."""
