Give the hosts that callers are told to use most of the fleet's repeats

Ruled out: hosts telling each other what they spend (an exchange for every repeat), and shares by traffic seen (probes reach all hosts; need shows only once it is too late).

Change: half of the fixed part is shared by the hosts that the directory names, which each host computes from its roster; the other half evenly by all. A host that is named anew waits for a window, so a move of the naming does not spend twice.

Tests: nine of 90 named hosts have more than five even shares (one before); no window exceeds the fixed part while the naming moves three times; small fleets, where all are named, keep even shares.

--- a/lavendertide/fleet/addresses.py
+++ b/lavendertide/fleet/addresses.py
@@ -6,7 +6,7 @@
 
 from lavendertide.fleet.ranking import score
 from lavendertide.fleet.roster import SILENCE_S, Roster
-from lavendertide.ids import Address, CallerKey, FailureDomain, Region
+from lavendertide.ids import Address, CallerKey, DaemonId, FailureDomain, Region
 from lavendertide.messages import MemberRecord
 
 ANSWER_SIZE: Final = 4
@@ -56,16 +56,40 @@
         now_s: float,
     ) -> AddressAnswer:
         """Returns the nearest serving hosts; callers of one plan share a few."""
-        name = self._name_of(key)
+        serving = self._usable(now_s)
+        chosen = self._choose(key, region, failure_domain, serving)
+        addresses = tuple(member.caller_address for member in chosen)
+        return AddressAnswer(addresses, self._lifetime_s)
+
+    def named(self, keys: Iterable[CallerKey], now_s: float) -> frozenset[DaemonId]:
+        """Returns all members that answers to callers of any place name now."""
+        serving = self._usable(now_s)
+        places = {(m.region, m.failure_domain) for m in self._roster.members}
+        return frozenset(
+            member.daemon
+            for key in keys
+            for region, failure_domain in places
+            for member in self._choose(key, region, failure_domain, serving)
+        )
+
+    def _usable(self, now_s: float) -> list[MemberRecord]:
         serving = [m for m in self._roster.serving if self._is_usable(m, now_s)]
-        serving = with_room(serving)
+        return with_room(serving)
+
+    def _choose(
+        self,
+        key: CallerKey,
+        region: Region,
+        failure_domain: FailureDomain,
+        serving: list[MemberRecord],
+    ) -> list[MemberRecord]:
+        name = self._name_of(key)
         chosen: list[MemberRecord] = []
         for ring in _by_distance(serving, region, failure_domain):
             chosen += sorted(ring, key=lambda member: -score(name, member.daemon))
             if len(chosen) >= self._answer_size:
                 break
-        addresses = tuple(member.caller_address for member in chosen)
-        return AddressAnswer(addresses[: self._answer_size], self._lifetime_s)
+        return chosen[: self._answer_size]
 
     def _is_usable(self, member: MemberRecord, now_s: float) -> bool:
         if self._roster.is_hinted_leaving(member):
--- a/lavendertide/forwarding/budget.py
+++ b/lavendertide/forwarding/budget.py
@@ -2,7 +2,7 @@
 
 The fleet as a whole may send each service a share of its requests, and a fixed number
 besides, as extra ones: second attempts, hedges and retries. Each host earns the share
-from its own requests alone and has an equal part of the fixed number, so the sum holds
+from its own requests alone and has a part of the fixed number, so the sum holds
 without an exchange between hosts.
 """
 
@@ -77,24 +77,24 @@
         """Counts a caller's request for a service."""
         self._counts(service).requests.add(now_s)
 
-    def spend(self, service: ServiceName, hosts: int, now_s: float) -> bool:
+    def spend(self, service: ServiceName, share: float, now_s: float) -> bool:
         """Takes one extra sub-request out of the budget; returns whether there was one.
 
         Args:
             service: Whose targets would be asked.
-            hosts: How many hosts share the fixed part.
+            share: This host's part of the fixed number.
             now_s: Present time, monotonic.
         """
-        if self.left(service, hosts, now_s) < 1.0:
+        if self.left(service, share, now_s) < 1.0:
             return False
         self._counts(service).extra.add(now_s)
         return True
 
-    def left(self, service: ServiceName, hosts: int, now_s: float) -> float:
+    def left(self, service: ServiceName, share: float, now_s: float) -> float:
         """Returns how many extra sub-requests may be sent now."""
         counts = self._counts(service)
         earned = self._allowance.ratio * counts.requests.total(now_s)
-        fixed = self._allowance.fixed / max(1, hosts)
+        fixed = self._allowance.fixed * share
         return USED_SHARE * (earned + fixed) - counts.extra.total(now_s)
 
     def keep_only(self, services: frozenset[ServiceName]) -> None:
--- a/lavendertide/forwarding/forwarder.py
+++ b/lavendertide/forwarding/forwarder.py
@@ -61,12 +61,14 @@
     Attributes:
         tell_stall: Called with a target that has stopped answering.
         tell_verdict: Called with a request that may crash targets.
-        hosts: Returns how many hosts share the fleet's budgets.
+        hosts: Returns how many hosts share the targets' connections.
+        budget_share: Returns this host's part of what the fleet may repeat.
     """
 
     tell_stall: Callable[[TargetId], None]
     tell_verdict: Callable[[Verdict], None]
     hosts: Callable[[], int]
+    budget_share: Callable[[float], float]
 
 
 class Forwarder:
@@ -131,14 +133,14 @@
 
     def may_repeat(self, service: ServiceName, now_s: float) -> bool:
         """Takes an extra sub-request out of the budget; returns whether it may go."""
-        if self._budgets.spend(service, self._notices.hosts(), now_s):
+        if self._budgets.spend(service, self._notices.budget_share(now_s), now_s):
             return True
         self._metrics.withheld.inc()
         return False
 
     def budget_left(self, service: ServiceName, now_s: float) -> float:
         """Returns how many extra sub-requests may be sent now."""
-        return self._budgets.left(service, self._notices.hosts(), now_s)
+        return self._budgets.left(service, self._notices.budget_share(now_s), now_s)
 
     def table_age(self, now_s: float) -> tuple[int, float]:
         """Returns the version of the routes in force and its age in seconds."""
--- /dev/null
+++ b/lavendertide/gateway/budget_share.py
@@ -0,0 +1,60 @@
+"""Which part of what the fleet may repeat belongs to this host."""
+
+from typing import Final
+
+from lavendertide.gateway.fleet_size import FleetSize
+
+# Part that all hosts share evenly; the hosts that callers are told to use share the
+# rest. Half covers callers that still use other hosts, while in a large fleet, where
+# few hosts are named, those have many times an even share.
+EVEN_SHARE: Final = 0.5
+
+
+class BudgetShare:
+    """This host's share, by what the roster says of all.
+
+    No host asks another: each computes from the roster which hosts are named. The
+    shares add up to one while rosters agree. When the naming moves, a host that is
+    named anew waits until what the others have spent has left the window.
+
+    Args:
+        window_s: Over which the fleet's repeats are counted.
+    """
+
+    def __init__(self, window_s: float) -> None:
+        self._window_s = window_s
+        self._size = FleetSize()
+        self._named = FleetSize()
+        self._is_first = True
+        self._named_from_s: float | None = None
+
+    @property
+    def hosts(self) -> int:
+        """How many hosts the fleet has had lately."""
+        return self._size.hosts
+
+    def see(self, members: int, named: int, is_named: bool, now_s: float) -> None:
+        """Takes in what the roster says now.
+
+        Args:
+            members: Hosts that are known, this one included.
+            named: Hosts that callers are told to use.
+            is_named: Whether this host is one of them.
+            now_s: Present time, monotonic.
+        """
+        self._size.see(members, now_s)
+        self._named.see(named, now_s)
+        if not is_named:
+            self._named_from_s = None
+        elif self._named_from_s is None:
+            # A host that starts takes the place of its earlier self.
+            waits_s = 0.0 if self._is_first else self._window_s
+            self._named_from_s = now_s + waits_s
+        self._is_first = False
+
+    def share(self, now_s: float) -> float:
+        """Returns the part of the fleet's repeats that this host may send."""
+        even = EVEN_SHARE / self._size.hosts
+        if self._named_from_s is None or now_s < self._named_from_s:
+            return even
+        return even + (1.0 - EVEN_SHARE) / self._named.hosts
--- a/lavendertide/gateway/gateway.py
+++ b/lavendertide/gateway/gateway.py
@@ -20,7 +20,7 @@
 from lavendertide.fleet.peer_connection import PeerEdge
 from lavendertide.fleet.peer_server import PeerServer
 from lavendertide.fleet.peers import Peers
-from lavendertide.fleet.readiness import Readiness
+from lavendertide.fleet.readiness import Readiness, ReadinessState
 from lavendertide.fleet.roster import Roster
 from lavendertide.forwarding.budget import RetryBudgets
 from lavendertide.forwarding.forwarder import Forwarder, Notices
@@ -28,9 +28,9 @@
 from lavendertide.forwarding.poison import CrashEvidence
 from lavendertide.forwarding.pool import TargetPools, TargetWire
 from lavendertide.forwarding.target_view import TargetViews
+from lavendertide.gateway.budget_share import BudgetShare
 from lavendertide.gateway.caller_front import CallerCodec, CallerFront
 from lavendertide.gateway.entry_front import EntryCodec, EntryFront
-from lavendertide.gateway.fleet_size import FleetSize
 from lavendertide.gateway.follower import Follower, PlatformReader
 from lavendertide.gateway.load import LoadMeter
 from lavendertide.gateway.options import GatewayOptions
@@ -39,6 +39,7 @@
 from lavendertide.ids import (
     NO_VERSION,
     Address,
+    CallerKey,
     ConfigurationVersion,
     DaemonId,
     Incarnation,
@@ -57,6 +58,10 @@
 # Without a published list of hosts, a member that is silent for so long is dropped.
 REMOVAL_S: Final = 30.0
 ROUND_S: Final = 0.25
+# How often it is looked who is named to callers; a part of the budgets' window.
+SHARE_S: Final = 1.0
+# With more names that callers ask for, nearly all hosts are named for one of them.
+NAMES_MAX: Final = 16
 # Over which the use of the processor is measured.
 LOAD_S: Final = 1.0
 CONNECTIONS_MAX: Final = 2_000
@@ -117,7 +122,7 @@
         self._translations = translations
         self._book = RouteBook()
         self._registry = TargetRegistry()
-        self._size = FleetSize()
+        self._share = BudgetShare(options.retries.window_s)
         self._in_flight = InFlight()
         self._readiness = Readiness(LEASE_S, now_s)
         self._spreading = RouteSpreading(self._book, encode_table, decode_table, now_s)
@@ -145,7 +150,7 @@
             )
         tasks.spawn(self._membership.keep)
         tasks.spawn(self._follower.run)
-        tasks.spawn(self._keep_size)
+        tasks.spawn(self._keep_share)
         tasks.spawn(self._keep_load)
         tasks.spawn(self._peer_news.keep_telling)
         front = self._caller_front()
@@ -200,6 +205,9 @@
 
     def _make_forwarding(self) -> None:
         options = self._options
+        self._addresses = AddressBook(
+            self._roster, str, options.address_lifetime_s, ADDRESSES
+        )
         self._metrics = ForwardingMetrics(REGISTRY)
         self._views = TargetViews(options.failure_domain)
         self._crashes = CrashEvidence(Quarantine())
@@ -222,7 +230,8 @@
             Notices(
                 self._peer_news.tell_stall,
                 self._peer_news.tell_verdict,
-                lambda: self._size.hosts,
+                lambda: self._share.hosts,
+                self._share.share,
             ),
             self._metrics,
         )
@@ -238,20 +247,28 @@
         )
 
     def _entry_front(self) -> EntryFront:
-        book = AddressBook(
-            self._roster, str, self._options.address_lifetime_s, ADDRESSES
-        )
         return EntryFront(
             self._translations.entries,
             self._readiness,
-            book,
+            self._addresses,
             lambda: generate_latest(REGISTRY),
         )
 
-    def _keep_size(self) -> None:
+    def _keep_share(self) -> None:
         while True:
-            self._size.see(len(self._roster.members), clock.monotonic_s())
-            tasks.sleep(ROUND_S)
+            if self._readiness.state is ReadinessState.SERVING:
+                now_s = clock.monotonic_s()
+                named = self._named_hosts(now_s)
+                is_named = self._roster.own.daemon in named
+                self._share.see(len(self._roster.members), len(named), is_named, now_s)
+            tasks.sleep(SHARE_S)
+
+    def _named_hosts(self, now_s: float) -> frozenset[DaemonId]:
+        """Returns the hosts that callers of the routes are told to use."""
+        keys = self._book.table.caller_hosts if self._book.table is not None else ()
+        if len(keys) > NAMES_MAX:
+            return frozenset(member.daemon for member in self._roster.members)
+        return self._addresses.named(map(CallerKey, keys), now_s)
 
     def _keep_load(self) -> None:
         share = self._options.processor_share
--- a/lavendertide/routes/table.py
+++ b/lavendertide/routes/table.py
@@ -31,6 +31,11 @@
         """The services that some route may send requests to."""
         return frozenset(name for route in self.routes for name in route.services)
 
+    @property
+    def caller_hosts(self) -> tuple[str, ...]:
+        """The host names that callers' requests bear."""
+        return tuple(self._by_host)
+
     def find(self, host: str, path: str) -> Route | None:
         """Returns the route with the longest prefix of a path, none if there is none.
 
--- a/tests/fleet/test_addresses.py
+++ b/tests/fleet/test_addresses.py
@@ -55,3 +55,13 @@
         roster.hint_leaving(frozenset({member(4).host}))
         left = {member(0).caller_address, member(5).caller_address}
         self.assertEqual(set(ask(roster, "key")), left)
+
+    def test_all_hosts_agree_on_who_is_named_to_callers_anywhere(self) -> None:
+        keys = [CallerKey("shop"), CallerKey("desk")]
+        roster = roster_of(60)
+        named = AddressBook(roster, str, 10.0).named(keys, 0.0)
+        addresses = {m.caller_address for m in roster.members if m.daemon in named}
+        told = {each for k in keys for d in DOMAINS for each in ask(roster, k, d)}
+        self.assertEqual(addresses, told)
+        other = AddressBook(roster_of(60, 7), str, 10.0).named(keys, 0.0)
+        self.assertEqual(other, named)
--- a/tests/forwarding/test_run.py
+++ b/tests/forwarding/test_run.py
@@ -125,7 +125,7 @@
             TargetPools(self._make_wire),
             RetryBudgets(RetryAllowance(0.2, fixed, window_s)),
             CrashEvidence(Quarantine()),
-            Notices(self.stalls.append, lambda _: None, lambda: 8),
+            Notices(self.stalls.append, lambda _: None, lambda: 8, lambda _: 1 / 8),
             ForwardingMetrics(CollectorRegistry()),
         )
 
--- /dev/null
+++ b/tests/gateway/test_budget_share.py
@@ -0,0 +1,68 @@
+"""Tests of `lavendertide.gateway.budget_share`."""
+
+import unittest
+from collections import deque
+
+from lavendertide.forwarding.budget import RetryAllowance, RetryBudgets
+from lavendertide.gateway.budget_share import BudgetShare
+from tests.forwarding.builders import DESK
+
+WINDOW_S = 10.0
+FIXED = 192.0
+HOSTS = 90
+NAMED = 9
+
+
+class Host:
+    """One host that repeats as much as it may."""
+
+    def __init__(self) -> None:
+        self.share = BudgetShare(WINDOW_S)
+        self.budgets = RetryBudgets(RetryAllowance(0.0, FIXED, WINDOW_S))
+
+    def spend_all(self, is_named: bool, now_s: float) -> int:
+        """Returns how many repeats it sends now."""
+        self.share.see(HOSTS, NAMED, is_named, now_s)
+        spent = 0
+        while self.budgets.spend(DESK, self.share.share(now_s), now_s):
+            spent += 1
+        return spent
+
+
+class BudgetShareTest(unittest.TestCase):
+    """The hosts that callers use may repeat more, all together no more than before.
+
+    The pattern: few of many hosts take all requests, and many targets fail at once.
+    """
+
+    def test_a_named_host_has_many_times_an_even_share(self) -> None:
+        share = BudgetShare(WINDOW_S)
+        share.see(HOSTS, NAMED, True, 0.0)
+        self.assertGreater(share.share(0.0), 5 / HOSTS)
+
+    def test_where_all_are_named_the_shares_are_even(self) -> None:
+        share = BudgetShare(WINDOW_S)
+        share.see(12, 12, True, 0.0)
+        self.assertAlmostEqual(share.share(0.0), 1 / 12)
+
+    def test_no_window_sees_more_than_all_may_while_the_naming_moves(self) -> None:
+        hosts = [Host() for _ in range(HOSTS)]
+        window: deque[tuple[float, int]] = deque()
+        for second in range(60):
+            first = second // 15 * NAMED
+            spent = sum(
+                host.spend_all(first <= number < first + NAMED, float(second))
+                for number, host in enumerate(hosts)
+            )
+            window.append((second, spent))
+            while window[0][0] <= second - WINDOW_S:
+                window.popleft()
+            self.assertLessEqual(sum(count for _, count in window), FIXED)
+
+    def test_a_host_named_anew_waits_for_the_window(self) -> None:
+        share = BudgetShare(WINDOW_S)
+        share.see(HOSTS, NAMED, False, 0.0)
+        share.see(HOSTS, NAMED, True, 1.0)
+        early_s, later_s = WINDOW_S, 1.0 + WINDOW_S
+        self.assertLess(share.share(early_s), 1 / HOSTS)
+        self.assertGreater(share.share(later_s), 5 / HOSTS)
