Tell stalls of one moment in one frame

Change: stalls wait 20 ms for others of the same moment and share a frame.

Tests: 30 stalls of one search are one frame (30 before), a later one comes later.

--- a/lavendertide/gateway/peer_news.py
+++ b/lavendertide/gateway/peer_news.py
@@ -33,6 +33,9 @@
 # Verdicts that come up meanwhile share a frame. A verdict crosses the largest fleet in
 # five hops; condemned requests may go on for a stable window, which is 5 s.
 VERDICTS_PERIOD_S: Final = 0.25
+# Stalls that show up meanwhile share a frame; a small part of how long a notice holds,
+# and enough for the shards of one search that are late at the same moment.
+STALLS_PERIOD_S: Final = 0.02
 # Hosts that are all told of a stall. More of them learn of one by themselves as fast,
 # and are told over the links that are open anyway.
 BUSY_HOSTS_MAX: Final = 16
@@ -59,17 +62,15 @@
         self._crashes = crashes
         self._answer_registry = answer_registry
         self._untold: dict[Fingerprint, Verdict] = {}
+        self._stalled: dict[TargetId, None] = {}
 
     def tell_stall(self, target: TargetId) -> None:
         """Tells the hosts that callers use that a target has stopped answering."""
         _log.info("target stalled", extra={"target": target})
         self._views.note_stall(target, clock.monotonic_s())
-        notices = StallNotices((target,))
-        busy = with_room(list(self._roster.serving))
-        if len(busy) <= BUSY_HOSTS_MAX:
-            self._peers.tell(busy, notices)
-        else:
-            self._peers.tell_all(notices)
+        if not self._stalled:
+            tasks.spawn(self._tell_stalls_soon)
+        self._stalled[target] = None
 
     def tell_verdict(self, verdict: Verdict) -> None:
         """Keeps what is known of a request for the next frame to the linked peers."""
@@ -130,6 +131,16 @@
             case _:
                 peer.send(first)
 
+    def _tell_stalls_soon(self) -> None:
+        tasks.sleep(STALLS_PERIOD_S)
+        notices = StallNotices(tuple(self._stalled))
+        self._stalled.clear()
+        busy = with_room(list(self._roster.serving))
+        if len(busy) <= BUSY_HOSTS_MAX:
+            self._peers.tell(busy, notices)
+        else:
+            self._peers.tell_all(notices)
+
     def _answer_pull(self, pull: RegistryPull, outbox: Outbox) -> None:
         outbox.send(self._answer_registry(pull))
 
--- a/tests/gateway/test_peer_news.py
+++ b/tests/gateway/test_peer_news.py
@@ -1,26 +1,30 @@
 """Tests of `lavendertide.gateway.peer_news`."""
 
 import unittest
+from collections.abc import Iterable
 from typing import cast
 
 from lavendertide.fleet.news import FleetNews
 from lavendertide.fleet.peer_connection import PeerConnection
 from lavendertide.fleet.peer_server import Outbox
 from lavendertide.fleet.peers import Peers
-from lavendertide.fleet.roster import Roster
 from lavendertide.forwarding.poison import CrashEvidence
 from lavendertide.forwarding.target_view import TargetViews
-from lavendertide.gateway.peer_news import PeerNews
-from lavendertide.ids import DaemonId, FailureDomain, Fingerprint, ShardNumber
+from lavendertide.gateway.peer_news import STALLS_PERIOD_S, PeerNews
+from lavendertide.ids import DaemonId, FailureDomain, Fingerprint, ShardNumber, TargetId
 from lavendertide.messages import (
     Frame,
+    MemberRecord,
     RegistryPull,
     RegistryPush,
+    StallNotices,
     Verdict,
     VerdictKind,
     Verdicts,
 )
 from lavendertide.poison.quarantine import Quarantine
+from lavendertide.runtime import tasks
+from tests.fleet.members import roster_of
 
 
 class NotedPeers:
@@ -29,6 +33,10 @@
     def __init__(self) -> None:
         self.told: list[Frame] = []
 
+    def tell(self, members: Iterable[MemberRecord], frame: Frame) -> None:
+        """Notes a frame to some members."""
+        self.told.append(frame)
+
     def tell_all(self, frame: Frame) -> None:
         """Notes a frame."""
         self.told.append(frame)
@@ -52,17 +60,13 @@
     raise AssertionError(pull)
 
 
-class VerdictsTest(unittest.TestCase):
-    """Suspected requests cost a link one frame a period, however many they are.
-
-    The pattern: the targets of many shards close connections at once, so that all
-    searches in flight become suspects on all hosts, dozens of times.
-    """
+class PeerNewsTest(unittest.TestCase):
+    """News without a network."""
 
     def setUp(self) -> None:
         self.peers = NotedPeers()
         self.news = PeerNews(
-            cast(Roster, None),
+            roster_of(3),
             cast(Peers, self.peers),
             cast(FleetNews, None),
             TargetViews(FailureDomain("zone")),
@@ -70,6 +74,35 @@
             no_registry,
         )
 
+
+class StallsTest(PeerNewsTest):
+    """Targets that stall together cost a peer one frame.
+
+    The pattern: a fault slows many targets at once, and a search over all shards finds
+    dozens of them late in the same moment.
+    """
+
+    def test_stalls_of_one_moment_share_a_frame(self) -> None:
+        targets = tuple(TargetId(f"t{number}") for number in range(30))
+        for target in targets:
+            self.news.tell_stall(target)
+        tasks.sleep(3 * STALLS_PERIOD_S)
+        self.assertEqual(self.peers.told, [StallNotices(targets)])
+
+    def test_a_later_stall_is_told_later(self) -> None:
+        for name in ("t1", "t2"):
+            self.news.tell_stall(TargetId(name))
+            tasks.sleep(3 * STALLS_PERIOD_S)
+        self.assertEqual(len(self.peers.told), 2)
+
+
+class VerdictsTest(PeerNewsTest):
+    """Suspected requests cost a link one frame a period, however many they are.
+
+    The pattern: the targets of many shards close connections at once, so that all
+    searches in flight become suspects on all hosts, dozens of times.
+    """
+
     def hear(self, *verdicts: Verdict) -> None:
         """Takes in a frame of a peer."""
         peer = cast(PeerConnection, FakePeer())
