Clear requests that a target has answered of crashing targets

Ruled out: a higher count (a search loses any number of shards in such a fault) and counting by shard (of 90 shards some have all three targets in the fault).

Change: what crashes targets crashes all that begin to run it, so one answer clears a request for a minute; peers are told, and a crash beside an answered request is no evidence. A request that crashes all that run it is condemned as before.

Tests: an answered request with 60 crashes over two attempts is not condemned, neither here nor at a peer that was told; failed first (no such notice).

--- a/lavendertide/forwarding/forwarder.py
+++ b/lavendertide/forwarding/forwarder.py
@@ -231,6 +231,7 @@
                 timing = self._timings.of(route, now_s)
                 view.note_reply(call.number, timing.mean_s, now_s)
                 timing.observe(now_s - begun_s, now_s)
+                self._note_answer(call, now_s)
             case NotRun(reason=NotRunReason.ABANDONED):
                 view.forget_call(call.number)
             case NotRun(reason=NotRunReason.REFUSED):
@@ -245,6 +246,11 @@
         if isinstance(reply, Unknown) and reply.reason is UnknownReason.CLOSED:
             self._note_crash(call, asked, now_s)
 
+    def _note_answer(self, call: TargetCall, now_s: float) -> None:
+        verdict = self._crashes.note_answer(call.request.fingerprint, now_s)
+        if verdict is not None:
+            self._tell_verdict(call, verdict)
+
     def _note_crash(self, call: TargetCall, asked: int, now_s: float) -> None:
         if call.is_withdrawn:
             return
@@ -253,17 +259,20 @@
             request.fingerprint, request.request, call.record.target, asked, now_s
         )
         if verdict is not None:
-            _log.warning(
-                "request may crash its targets",
-                extra={
-                    "request": request.request,
-                    "fingerprint": verdict.fingerprint,
-                    "target": call.record.target,
-                    "crashes": verdict.crashes,
-                    "outcome": verdict.kind.value,
-                },
-            )
-            self._notices.tell_verdict(verdict)
+            self._tell_verdict(call, verdict)
+
+    def _tell_verdict(self, call: TargetCall, verdict: Verdict) -> None:
+        _log.warning(
+            "request judged by whether it crashes its targets",
+            extra={
+                "request": call.request.request,
+                "fingerprint": verdict.fingerprint,
+                "target": call.record.target,
+                "crashes": verdict.crashes,
+                "outcome": verdict.kind.value,
+            },
+        )
+        self._notices.tell_verdict(verdict)
 
     def _log_reply(self, call: TargetCall, reply: TargetReply, now_s: float) -> None:
         match reply:
--- a/lavendertide/forwarding/poison.py
+++ b/lavendertide/forwarding/poison.py
@@ -3,7 +3,8 @@
 A request that was in flight when its target closed the connection may have crashed it.
 One crash says little, since targets also crash by themselves with innocents in flight.
 The same request in flight at several crashes, over more than one attempt of its caller,
-or at most targets of one fan-out, is condemned for a time and is not sent any more.
+or at most targets of one fan-out, is condemned for a time and is not sent any more. One
+that a target has answered is innocent: what crashes targets crashes all that run it.
 """
 
 from collections import OrderedDict
@@ -17,6 +18,8 @@
 # Crashes that condemn a request; one more than two replicas can suffer by themselves.
 CRASHES_TO_CONDEMN: Final = 3
 CONDEMNED_S: Final = 600.0
+# As long as a caller may go on sending a request again.
+CLEARED_S: Final = 60.0
 # Crashes that lie further apart have separate causes.
 SUSPECT_S: Final = 60.0
 SUSPECTS_MAX: Final = 1_024
@@ -30,6 +33,7 @@
     targets: set[TargetId] = field(default_factory=set)
     requests: set[CallerRequestId] = field(default_factory=set)
     told: int = 0
+    is_answered: bool = False
 
 
 class CrashEvidence:
@@ -64,6 +68,8 @@
             What peers should know, none if it is no news.
         """
         evidence = self._evidence(fingerprint, now_s)
+        if evidence.is_answered:
+            return None
         evidence.targets.add(target)
         evidence.requests.add(request)
         # More crashes than condemn are no news: a wide search may lose dozens at once.
@@ -74,10 +80,21 @@
         if crashes >= CRASHES_TO_CONDEMN and (is_repeated or is_most):
             kind = VerdictKind.CONDEMNED
         valid_s = CONDEMNED_S if kind is VerdictKind.CONDEMNED else SUSPECT_S
-        verdict = Verdict(
-            fingerprint, ALL_SERVICES, kind, crashes, int(valid_s * 1_000)
+        return self._news(fingerprint, kind, crashes, valid_s, now_s)
+
+    def note_answer(self, fingerprint: Fingerprint, now_s: float) -> Verdict | None:
+        """Takes in that a target has answered a request.
+
+        Returns:
+            What peers should know, none unless the request was a suspect.
+        """
+        evidence = self._suspects.get(fingerprint)
+        if evidence is None or evidence.is_answered:
+            return None
+        evidence.is_answered = True
+        return self._news(
+            fingerprint, VerdictKind.CLEARED, CRASHES_TO_CONDEMN, CLEARED_S, now_s
         )
-        return verdict if self._quarantine.learn((verdict,), now_s) else None
 
     def learn(self, verdicts: tuple[Verdict, ...], now_s: float) -> list[Verdict]:
         """Takes in what peers have seen; returns what was news."""
@@ -85,8 +102,22 @@
         for verdict in news:
             evidence = self._evidence(verdict.fingerprint, now_s)
             evidence.told = max(evidence.told, verdict.crashes)
+            evidence.is_answered |= verdict.kind is VerdictKind.CLEARED
         return news
 
+    def _news(
+        self,
+        fingerprint: Fingerprint,
+        kind: VerdictKind,
+        crashes: int,
+        valid_s: float,
+        now_s: float,
+    ) -> Verdict | None:
+        verdict = Verdict(
+            fingerprint, ALL_SERVICES, kind, crashes, int(valid_s * 1_000)
+        )
+        return verdict if self._quarantine.learn((verdict,), now_s) else None
+
     def _evidence(self, fingerprint: Fingerprint, now_s: float) -> _Evidence:
         evidence = self._suspects.get(fingerprint)
         if evidence is None or now_s - evidence.began_at_s > SUSPECT_S:
--- a/lavendertide/gateway/peer_news.py
+++ b/lavendertide/gateway/peer_news.py
@@ -103,7 +103,7 @@
             case Verdicts(items):
                 for verdict in self._crashes.learn(items, now_s):
                     _log.warning(
-                        "peer reports a request that may crash its targets",
+                        "peer judged a request by whether it crashes its targets",
                         extra={
                             "peer": peer.daemon,
                             "fingerprint": verdict.fingerprint,
--- a/tests/forwarding/test_poison.py
+++ b/tests/forwarding/test_poison.py
@@ -58,3 +58,22 @@
     def test_crashes_beyond_those_that_condemn_are_no_news(self) -> None:
         news = [self.crash("r1", f"t{number}", asked=90) for number in range(40)]
         self.assertEqual(sum(verdict is not None for verdict in news), 3)
+
+    def test_a_request_that_a_target_has_answered_is_innocent(self) -> None:
+        """The pattern: a third of all targets lose their answers for some seconds."""
+        self.crash("r1", "t1", asked=90)
+        cleared = self.evidence.note_answer(BAD, 0.0)
+        assert cleared is not None
+        self.assertIs(cleared.kind, VerdictKind.CLEARED)
+        for number in range(30):
+            self.crash("r1", f"t{number}", asked=90)
+            self.crash("r2", f"t{number}", asked=90)
+        self.assertFalse(self.evidence.is_condemned(BAD, 0.0))
+        peer = CrashEvidence(Quarantine())
+        peer.learn((cleared,), 0.0)
+        for number in range(3):
+            peer.note_crash(BAD, CallerRequestId("r3"), TargetId(f"p{number}"), 1, 0.0)
+        self.assertFalse(peer.is_condemned(BAD, 0.0))
+
+    def test_an_answer_to_a_request_that_nobody_suspects_is_no_news(self) -> None:
+        self.assertIsNone(self.evidence.note_answer(BAD, 0.0))
