--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -12,6 +12,7 @@
     "bench.configuration_spread",
     "bench.plan_shares",
     "bench.codec",
+    "bench.forwarding_days",
 )
 
 
--- /dev/null
+++ b/bench/forwarding_days.py
@@ -0,0 +1,77 @@
+"""Plays many days of callers and faults on the forwarding code, on a virtual clock.
+
+`python -m bench.forwarding_days --days 100` prints one line of JSON for each day that
+stands out, and one for all: how many requests were answered within their objective, the
+worst seeds, and the broken promises. The same seed gives the same day, so two states of
+the code can be compared by it: an experiment is a run before and one after a change.
+"""
+
+import json
+import os
+import statistics
+import sys
+from dataclasses import asdict
+from typing import Final
+
+import click
+
+from bench.revision import revision
+from standins.model_day import PER_S, DayResult, play, troubles
+from standins.model_fleet import Size
+
+# Days that are named one by one, the worst first.
+NAMED: Final = 5
+USUAL: Final = Size()
+
+
+@click.command()
+@click.option("--days", default=50, show_default=True, help="How many days.")
+@click.option("--first", default=1, show_default=True, help="The first seed.")
+@click.option("--hosts", default=USUAL.hosts, show_default=True)
+@click.option("--shards", default=USUAL.shards, show_default=True)
+@click.option("--per-s", default=PER_S, show_default=True, help="Requests a second.")
+def main(days: int, first: int, hosts: int, shards: int, per_s: float) -> None:
+    """Prints the figures; fails if a promise was broken."""
+    size = Size(hosts, shards)
+    played = {
+        seed: play(seed, size, per_s=per_s) for seed in range(first, first + days)
+    }
+    worst = sorted(played, key=lambda seed: played[seed].in_time_share)
+    for seed in worst[:NAMED]:
+        click.echo(json.dumps(_line(seed, played[seed])))
+    shares = [result.in_time_share for result in played.values()]
+    broken = sum(len(result.broken) for result in played.values())
+    summary = {
+        "bench": "forwarding_days",
+        "commit": revision(),
+        "days": days,
+        "first": first,
+        "size": asdict(size),
+        "in_time_mean": round(statistics.fmean(shares), 4),
+        "in_time_worst": round(min(shares), 4),
+        "extra_most": round(max(r.most_extra for r in played.values()), 3),
+        "broken": broken,
+    }
+    click.echo(json.dumps(summary))
+    sys.exit(1 if broken else 0)
+
+
+def _line(seed: int, result: DayResult) -> dict[str, object]:
+    return {
+        "seed": seed,
+        "requests": result.requests,
+        "in_time": round(result.in_time_share, 4),
+        "whole": result.whole,
+        "outcomes": dict(result.outcomes),
+        "extra": round(result.most_extra, 3),
+        "broken": result.broken,
+        "troubles": [f"{t.fault.value} {t.share:.2f}" for t in troubles(seed)],
+    }
+
+
+if __name__ == "__main__":
+    # Hashing decides the order of sets, and with it the draws of a seed.
+    if os.environ.get("PYTHONHASHSEED") != "0":
+        os.environ["PYTHONHASHSEED"] = "0"
+        os.execv(sys.executable, [sys.executable, "-m", __spec__.name, *sys.argv[1:]])
+    main()
--- a/tests/forwarding/builders.py
+++ b/standins/forwarding_records.py
@@ -1,4 +1,4 @@
-"""Routes, targets and requests for tests."""
+"""Routes, targets and requests for tests and models."""
 
 from lavendertide.forwarding.messages import CallerRequest, Replied
 from lavendertide.ids import (
--- /dev/null
+++ b/standins/model_fleet.py
@@ -0,0 +1,130 @@
+"""Hosts with the product's own forwarding, on model targets and without a network."""
+
+import random
+from dataclasses import dataclass, replace
+from typing import Final
+
+from prometheus_client import CollectorRegistry
+
+from lavendertide.forwarding.budget import RetryAllowance, RetryBudgets
+from lavendertide.forwarding.forwarder import Forwarder, Notices
+from lavendertide.forwarding.messages import Answer
+from lavendertide.forwarding.metrics import ForwardingMetrics
+from lavendertide.forwarding.poison import CrashEvidence
+from lavendertide.forwarding.pool import TargetPools
+from lavendertide.forwarding.target_view import TargetViews
+from lavendertide.ids import Address, RouteName, ServiceName, TargetId
+from lavendertide.messages import Verdict
+from lavendertide.poison.quarantine import Quarantine
+from lavendertide.registry.registry import TargetRegistry
+from lavendertide.routes.book import RouteBook
+from lavendertide.routes.route import GatheredShards, RequestKind, Route
+from lavendertide.runtime import clock, tasks
+from standins.forwarding_records import HOME, request, route, shards, table, target
+from standins.model_targets import ModelTarget, ModelWire
+
+REPLICAS: Final = 3
+WORK_S: Final = 0.020
+OBJECTIVE_S: Final = 0.150
+WAIT_MAX_S: Final = 1.0
+# Between two hosts of neighbouring failure domains.
+NEWS_TAKES_S: Final = 0.005
+ALLOWANCE: Final = RetryAllowance(ratio=0.2, fixed=56.0, window_s=10.0)
+
+
+@dataclass(frozen=True, slots=True)
+class Size:
+    """How large a model is."""
+
+    hosts: int = 4
+    shards: int = 10
+
+    @property
+    def routes(self) -> tuple[Route, ...]:
+        """A search over all shards, a look-up and an order of one service."""
+        search = route(shards(self.shards, 0.9), RequestKind.IDEMPOTENT, WAIT_MAX_S)
+        look_up = replace(route(wait_max_s=WAIT_MAX_S), prefix="/look-up/")
+        order = replace(look_up, prefix="/order/", kind=RequestKind.NON_IDEMPOTENT)
+        routes = {"search": search, "look-up": look_up, "order": order}
+        return tuple(
+            replace(each, name=RouteName(name), objective_s=OBJECTIVE_S)
+            for name, each in routes.items()
+        )
+
+
+class ModelHost:
+    """One host's forwarding; peers are told at once, after the way to them."""
+
+    def __init__(self, fleet: "ModelFleet") -> None:
+        self._fleet = fleet
+        self.views = TargetViews(HOME)
+        self.crashes = CrashEvidence(Quarantine())
+        self._forwarder = Forwarder(
+            fleet.book,
+            fleet.registry,
+            self.views,
+            TargetPools(fleet.make_wire),
+            RetryBudgets(ALLOWANCE),
+            self.crashes,
+            Notices(
+                fleet.tell_stall,
+                fleet.tell_verdict,
+                lambda: fleet.size.hosts,
+                lambda _: 1 / fleet.size.hosts,
+            ),
+            ForwardingMetrics(CollectorRegistry()),
+        )
+
+    def forward(self, name: str, path: str, waits_s: float) -> Answer:
+        """Forwards one request and returns its answer."""
+        now_s = clock.monotonic_s()
+        asked = request(now_s, now_s + waits_s, name, path)
+        found = self._forwarder.find_route(asked.host, asked.path)
+        assert isinstance(found, Route)
+        return self._forwarder.forward(asked, found, tasks.Mailbox())
+
+
+class ModelFleet:
+    """All hosts and targets of one day."""
+
+    def __init__(self, size: Size, generator: random.Random) -> None:
+        self.size = size
+        self.registry = TargetRegistry()
+        self.book = RouteBook()
+        now_s = clock.monotonic_s()
+        self.book.adopt(table(1, *size.routes), "model", now_s)
+        self.targets: dict[Address, ModelTarget] = {}
+        for number, service in enumerate(REPLICAS * self._services()):
+            record = target(f"t{number}", service)
+            record = replace(record, address=Address(f"10.0.0.1:{number + 1}"))
+            self.registry.put(record)
+            model = ModelTarget(record, WORK_S, random.Random(generator.random()))
+            self.targets[record.address] = model
+        self.hosts = [ModelHost(self) for _ in range(size.hosts)]
+
+    def make_wire(self, address: Address) -> ModelWire:
+        """Returns a connection to a target."""
+        return ModelWire(self.targets[address])
+
+    def tell_stall(self, stalled: TargetId) -> None:
+        """Tells all hosts of a stall."""
+        tasks.spawn(self._hear_stall, stalled)
+
+    def tell_verdict(self, verdict: Verdict) -> None:
+        """Tells all hosts what is known of a request."""
+        tasks.spawn(self._hear_verdict, verdict)
+
+    def _services(self) -> list[ServiceName]:
+        gathered = self.size.routes[0].destination
+        assert isinstance(gathered, GatheredShards)
+        return [*gathered.shards, *self.size.routes[1].services]
+
+    def _hear_stall(self, stalled: TargetId) -> None:
+        tasks.sleep(NEWS_TAKES_S)
+        for host in self.hosts:
+            host.views.note_stall(stalled, clock.monotonic_s())
+
+    def _hear_verdict(self, verdict: Verdict) -> None:
+        tasks.sleep(NEWS_TAKES_S)
+        for host in self.hosts:
+            host.crashes.learn((verdict,), clock.monotonic_s())
--- a/tests/forwarding/test_budget.py
+++ b/tests/forwarding/test_budget.py
@@ -4,7 +4,7 @@
 
 from lavendertide.forwarding.budget import RetryAllowance, RetryBudgets
 from lavendertide.ids import ServiceName
-from tests.forwarding.builders import DESK
+from standins.forwarding_records import DESK
 
 ALLOWANCE = RetryAllowance(ratio=0.2, fixed=56.0, window_s=10.0)
 OTHER = ServiceName("other")
--- a/tests/forwarding/test_deadlines.py
+++ b/tests/forwarding/test_deadlines.py
@@ -7,7 +7,7 @@
     ANSWER_MARGIN_SHARE,
     answer_times,
 )
-from tests.forwarding.builders import request, route
+from standins.forwarding_records import request, route
 
 
 class AnswerTimesTest(unittest.TestCase):
--- /dev/null
+++ b/tests/forwarding/test_model_days.py
@@ -0,0 +1,43 @@
+"""Plays the forwarding code on model targets, under the loads that it was built for."""
+
+import unittest
+
+from standins.model_day import DayResult, Trouble, play
+from standins.model_targets import Fault
+
+# A day without trouble has to answer 99 in 100 in time; a third of the targets in
+# trouble for 8 of its 20 seconds may cost one in twenty of the requests.
+USUAL_SHARE = 0.99
+TROUBLED_SHARE = 0.95
+SEEDS = (1, 2)
+
+
+class ModelDayTest(unittest.TestCase):
+    """Each class of fault on a third of the targets, a burst, and drawn mixtures."""
+
+    def check(self, result: DayResult, in_time_min: float) -> None:
+        """Checks a day against its bound and all promises."""
+        self.assertEqual(result.broken, [])
+        self.assertGreaterEqual(result.in_time_share, in_time_min)
+
+    def test_the_same_seed_gives_the_same_day(self) -> None:
+        self.assertEqual(play(1), play(1))
+        self.assertNotEqual(play(1).requests, play(2).requests)
+
+    def test_a_calm_day_and_a_burst_of_four_times_the_load(self) -> None:
+        for per_s in (40.0, 160.0):
+            with self.subTest(per_s=per_s):
+                self.check(play(1, planned=(), per_s=per_s), USUAL_SHARE)
+
+    def test_a_third_of_the_targets_in_trouble(self) -> None:
+        for seed in SEEDS:
+            for fault in (Fault.SLOW, Fault.RESETS, Fault.GONE):
+                with self.subTest(seed=seed, fault=fault):
+                    result = play(seed, planned=(Trouble(fault, 4.0, 8.0, 0.33),))
+                    self.check(result, TROUBLED_SHARE)
+                    self.assertEqual(result.outcomes["refused"], 0)
+
+    def test_troubles_that_overlap_break_no_promise(self) -> None:
+        for seed in range(3, 7):
+            with self.subTest(seed=seed):
+                self.assertEqual(play(seed).broken, [])
--- a/tests/forwarding/test_run.py
+++ b/tests/forwarding/test_run.py
@@ -34,7 +34,15 @@
 from lavendertide.routes.book import RouteBook
 from lavendertide.routes.route import RequestKind, Route
 from lavendertide.runtime import clock, tasks
-from tests.forwarding.builders import HOME, reply, request, route, shards, table, target
+from standins.forwarding_records import (
+    HOME,
+    reply,
+    request,
+    route,
+    shards,
+    table,
+    target,
+)
 
 Behaviour = Callable[[TargetCall], TargetReply]
 
--- a/tests/forwarding/test_target_view.py
+++ b/tests/forwarding/test_target_view.py
@@ -9,7 +9,7 @@
     TargetViews,
 )
 from lavendertide.ids import TargetId
-from tests.forwarding.builders import AWAY, HOME, target
+from standins.forwarding_records import AWAY, HOME, target
 
 LATE_S = 0.05
 
--- a/tests/gateway/test_budget_share.py
+++ b/tests/gateway/test_budget_share.py
@@ -5,7 +5,7 @@
 
 from lavendertide.forwarding.budget import RetryAllowance, RetryBudgets
 from lavendertide.gateway.budget_share import BudgetShare
-from tests.forwarding.builders import DESK
+from standins.forwarding_records import DESK
 
 WINDOW_S = 10.0
 FIXED = 192.0
--- a/tests/gateway/test_following.py
+++ b/tests/gateway/test_following.py
@@ -30,7 +30,7 @@
 from lavendertide.routes.book import RouteBook
 from lavendertide.routes.spreading import RouteSpreading
 from lavendertide.runtime import output
-from tests.forwarding.builders import DESK, route, table, target
+from standins.forwarding_records import DESK, route, table, target
 
 LOST = Failure(unreachable("store", "timeout", "Wait."))
 SOMEWHERE = Address("10.0.0.1:1")
--- a/tests/gateway/test_shared_reading.py
+++ b/tests/gateway/test_shared_reading.py
@@ -28,8 +28,8 @@
 from lavendertide.registry.registry import TargetRegistry
 from lavendertide.routes.book import RouteBook
 from lavendertide.routes.spreading import RouteSpreading
+from standins.forwarding_records import route, table, target
 from tests.fleet.members import member
-from tests.forwarding.builders import route, table, target
 
 
 def fleet(own: int, *capacities: int) -> Roster:
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -29,7 +29,7 @@
 from lavendertide.platform.target_wire import decode_reply
 from lavendertide.registry.record import TargetState
 from lavendertide.routes.route import GatheredShards, OneService, RequestKind
-from tests.forwarding.builders import request, target
+from standins.forwarding_records import request, target
 
 ENTRY: dict[str, Any] = {
     "service": "desk",
--- a/tests/registry/test_registry.py
+++ b/tests/registry/test_registry.py
@@ -5,7 +5,7 @@
 from lavendertide.ids import TargetId
 from lavendertide.registry.record import TargetRecord, TargetState
 from lavendertide.registry.registry import REAPPEAR_S, TargetRegistry
-from tests.forwarding.builders import DESK, target
+from standins.forwarding_records import DESK, target
 
 
 class TargetRegistryTest(unittest.TestCase):
--- a/tests/routes/test_table.py
+++ b/tests/routes/test_table.py
@@ -16,7 +16,7 @@
 from lavendertide.routes.split import SplitCounters
 from lavendertide.routes.spreading import RouteSpreading
 from lavendertide.routes.table import RouteTable
-from tests.forwarding.builders import route, shards, table
+from standins.forwarding_records import route, shards, table
 
 SPLIT = SplitServices(
     (
