Let the soak's targets work for a while, so that faults catch requests in flight

A hidden gap was found; a non-idempotent request that is repeated after a lost answer, and a stop that cuts requests off, were not: the targets answered at once, so nearly no request was in flight at a reset or a stop.

Change: a request runs for 50 ms.

--- a/soak/world.py
+++ b/soak/world.py
@@ -38,6 +38,8 @@
 # Each with two targets, as many as a retry needs.
 SERVICES: Final = ("desk", "desk", "shard-0", "shard-0", "shard-1", "shard-1")
 GATEWAYS: Final = 3
+# How long a request runs, so that there are always some that a fault can catch.
+WORK_S: Final = 0.05
 # The grace in the settings of the stand-in.
 GRACE_S: Final = 6.0
 # For the machine to notice that a process has ended.
@@ -179,6 +181,7 @@
 
     def _new_target(self, name: str, service: str) -> tuple[PlainTarget, FaultyProxy]:
         target = PlainTarget(name, service)
+        target.delay_s = WORK_S
         proxy = FaultyProxy(target.address)
         self._all_targets.append(target)
         self._store.put(f"servers/{name}", target.entry(address=proxy.address))
