--- a/lavendertide/fleet/rumours.py
+++ b/lavendertide/fleet/rumours.py
@@ -12,7 +12,10 @@
 
 from lavendertide.ids import DaemonId
 
+# Records; so many of some 143 bytes fit one packet (`bench.fleet_state`).
 PER_FRAME_MAX: Final = 8
+# Times the logarithm of the fleet's size. A member has eight peers in a large fleet and
+# all others in one of nine, so each has its frame before that.
 REPEAT_FACTOR: Final = 3
 
 
--- a/soak/run.py
+++ b/soak/run.py
@@ -12,6 +12,7 @@
 from soak.faults import plan
 from soak.world import GATEWAYS, SERVICES, World
 
+# Two for each gateway; together some 80 requests a second.
 CALLERS: Final = 6
 # All must be served again so long after the last fault; the users' sites name it.
 RECOVERY_S: Final = 15.0
--- a/soak/world.py
+++ b/soak/world.py
@@ -37,6 +37,7 @@
 
 # Each with two targets, as many as a retry needs.
 SERVICES: Final = ("desk", "desk", "shard-0", "shard-0", "shard-1", "shard-1")
+# One can be stopped and another killed while a third serves.
 GATEWAYS: Final = 3
 # How long a request runs, so that there are always some that a fault can catch.
 WORK_S: Final = 0.05
