--- a/tests/encodings/test_http_connections.py
+++ b/tests/encodings/test_http_connections.py
@@ -1,8 +1,6 @@
 """Tests of connections to and from others, over sockets within the process."""
 
 import socket
-import struct
-import threading
 import unittest
 
 from lavendertide.encodings.http_callers import ServerConnection
@@ -15,39 +13,10 @@
     render_head,
 )
 from lavendertide.encodings.http_servers import ClientConnection, ExchangeError
-from lavendertide.ids import Address
+from tests.encodings.fixed_peer import TIMEOUT_S, Peer
 
 HEAD = render_head("GET", "/x", [(b"Host", b"shop.example")])
 GET = HEAD + render_end("GET", b"")
-TIMEOUT_S = 2.0
-
-
-class Peer:
-    """A server that sends fixed bytes to each request and then closes."""
-
-    def __init__(self, replies: list[bytes], is_reset: bool = False) -> None:
-        self._listener = socket.create_server(("127.0.0.1", 0))
-        self._replies = replies
-        self._is_reset = is_reset
-        self.address = Address(f"127.0.0.1:{self._listener.getsockname()[1]}")
-        self.read: list[bytes] = []
-        self._thread = threading.Thread(target=self._serve, daemon=True)
-        self._thread.start()
-
-    def close(self) -> None:
-        """Waits until all was sent."""
-        self._thread.join(TIMEOUT_S)
-        self._listener.close()
-
-    def _serve(self) -> None:
-        connection, _ = self._listener.accept()
-        for sent in self._replies:
-            self.read.append(connection.recv(65_536))
-            connection.sendall(sent)
-        if self._is_reset:
-            linger = struct.pack("ii", 1, 0)
-            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
-        connection.close()
 
 
 class ClientConnectionTest(unittest.TestCase):
--- a/tests/platform/test_target_wire.py
+++ b/tests/platform/test_target_wire.py
@@ -1,54 +1,28 @@
 """Tests of `lavendertide.platform.target_wire`, over a socket within the process."""
 
-import socket
-import threading
 import unittest
 from dataclasses import replace
 
 from lavendertide.encodings.http_messages import render_head
 from lavendertide.forwarding.messages import Replied, TargetReply
 from lavendertide.forwarding.pool import TargetCall
-from lavendertide.ids import Address
 from lavendertide.platform.target_wire import PlatformTargetWire
 from lavendertide.runtime import clock
 from standins.forwarding_records import request, target
+from tests.encodings.fixed_peer import TIMEOUT_S, Peer
 
 REPLY = (
     b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\nLavendertide-Server-Stamp: s\r\n"
     b"Lavendertide-Request-Id: %b\r\n\r\n%b"
 )
-TIMEOUT_S = 2.0
-
-
-class OneTarget:
-    """A target that answers one request with fixed bytes, and keeps what it read."""
-
-    def __init__(self, reply: bytes) -> None:
-        self._listener = socket.create_server(("127.0.0.1", 0))
-        self._reply = reply
-        self.address = Address(f"127.0.0.1:{self._listener.getsockname()[1]}")
-        self.read = b""
-        self._thread = threading.Thread(target=self._serve, daemon=True)
-        self._thread.start()
-
-    def close(self) -> None:
-        """Waits until all was sent."""
-        self._thread.join(TIMEOUT_S)
-        self._listener.close()
-
-    def _serve(self) -> None:
-        connection, _ = self._listener.accept()
-        self.read = connection.recv(65_536)
-        connection.sendall(self._reply)
-        connection.close()
 
 
 class PlatformTargetWireTest(unittest.TestCase):
     """A request goes out with the target's name and the time that is left."""
 
-    def exchange(self, reply: bytes, left_s: float) -> tuple[OneTarget, TargetReply]:
+    def exchange(self, reply: bytes, left_s: float) -> tuple[Peer, TargetReply]:
         """Sends a request with some time left; returns the target and its reply."""
-        model = OneTarget(reply)
+        model = Peer([reply])
         self.addCleanup(model.close)
         wire = PlatformTargetWire(model.address)
         self.addCleanup(wire.close)
@@ -60,9 +34,9 @@
         )
         return model, wire.exchange(call, now_s)
 
-    def headers(self, model: OneTarget) -> dict[bytes, bytes]:
+    def headers(self, model: Peer) -> dict[bytes, bytes]:
         """Returns the headers that a target has read."""
-        lines = model.read.partition(b"\r\n\r\n")[0].split(b"\r\n")[1:]
+        lines = model.read[0].partition(b"\r\n\r\n")[0].split(b"\r\n")[1:]
         pairs = (line.partition(b":") for line in lines)
         return {name.strip().lower(): value.strip() for name, _, value in pairs}
 
