Heed what targets say about leaving and about being full

Cause: a target that leaves says so in its replies, and one that turns a request away may say how long this host has to stay away. Neither was read, so a host went on sending to a leaving target for as long as its entry said "ready", for example in an outage of the platform, and to a full one after 50 ms.

Change: replies carry a notice. The registry keeps, for each run of a target, that it is leaving and until when it pauses; both outlive an entry that lapses and returns, and end with a new run. If all targets of a service leave, they are used as a last resort for half of the drain time, since they still serve. A service whose targets pause is refused at once, with the time of the first pause's end, spread. Requests that wait for a connection to such a target go elsewhere. Peers are told of a leaving target only if the platform still lists it as ready a second later; they pass on what is new, and hosts that start later are sent what is in force. The frame is an optional field of the stall notices, which earlier releases skip.

--- a/lavendertide/encodings/holder_frames.py
+++ b/lavendertide/encodings/holder_frames.py
@@ -8,6 +8,7 @@
 from lavendertide import messages
 from lavendertide.encodings.generated.peer_protocol import ttypes
 from lavendertide.ids import DaemonId, ExchangeId, Fingerprint, ShardNumber, TargetId
+from lavendertide.registry.record import TargetRun
 
 
 def to_union(frame: messages.Frame) -> Any:
@@ -19,6 +20,11 @@
         case messages.StallNotices(targets):
             notices = ttypes.StallNotices(list(targets))
             return ttypes.Frame(stall_notices=notices)
+        case messages.LeavingNotices(runs):
+            packed_runs = [ttypes.TargetRun(r.target, r.started_at_ms) for r in runs]
+            # An earlier release skips the field and reads a frame without stalls.
+            leaving = ttypes.StallNotices([], packed_runs)
+            return ttypes.Frame(stall_notices=leaving)
         case messages.TrialClaim(exchange, sender, fingerprint, duration_ms):
             claim = ttypes.TrialClaim(exchange, sender, fingerprint, duration_ms)
             return ttypes.Frame(trial_claim=claim)
@@ -44,8 +50,7 @@
         verdicts = union.verdicts.items
         return messages.Verdicts(tuple(_unpack_verdict(item) for item in verdicts))
     if union.stall_notices is not None:
-        targets = union.stall_notices.targets
-        return messages.StallNotices(tuple(TargetId(target) for target in targets))
+        return _unpack_target_notices(union.stall_notices)
     if union.trial_claim is not None:
         claim = union.trial_claim
         return messages.TrialClaim(
@@ -70,6 +75,16 @@
     raise ValueError("frame without a known message")
 
 
+def _unpack_target_notices(
+    notices: Any,
+) -> messages.StallNotices | messages.LeavingNotices:
+    if notices.leaving:
+        return messages.LeavingNotices(
+            tuple(TargetRun(TargetId(r.target), r.born_ms) for r in notices.leaving)
+        )
+    return messages.StallNotices(tuple(TargetId(name) for name in notices.targets))
+
+
 def _pack_verdict(verdict: messages.Verdict) -> Any:
     return ttypes.Verdict(
         verdict.fingerprint,
--- a/lavendertide/encodings/peer_protocol.thrift
+++ b/lavendertide/encodings/peer_protocol.thrift
@@ -207,8 +207,14 @@
   40: list<Verdict> items,
 }
 
+struct TargetRun {
+  70: string target,
+  71: i64 born_ms,
+}
+
 struct StallNotices {
   70: list<string> targets,
+  71: list<TargetRun> leaving,
 }
 
 struct TrialClaim {
--- a/lavendertide/forwarding/forwarder.py
+++ b/lavendertide/forwarding/forwarder.py
@@ -6,8 +6,9 @@
 
 import itertools
 import logging
+import math
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
 from lavendertide.forwarding.budget import RetryBudgets
@@ -21,6 +22,7 @@
     Refused,
     Replied,
     Response,
+    TargetNotice,
     TargetReply,
     Unknown,
     UnknownReason,
@@ -30,14 +32,14 @@
 from lavendertide.forwarding.metrics import ForwardingMetrics
 from lavendertide.forwarding.poison import CrashEvidence
 from lavendertide.forwarding.pool import TargetCall, TargetPools, connection_share
-from lavendertide.forwarding.request_log import log_target_change
+from lavendertide.forwarding.request_log import log_pause, log_target_change
 from lavendertide.forwarding.run import RequestRun
 from lavendertide.forwarding.sender import CallDone, Event
 from lavendertide.forwarding.target_view import TargetView, TargetViews
 from lavendertide.forwarding.timing import RouteTimings
 from lavendertide.ids import ServiceName, TargetId
 from lavendertide.messages import Verdict
-from lavendertide.registry.record import TargetRecord
+from lavendertide.registry.record import TargetRecord, TargetRun
 from lavendertide.registry.registry import TargetRegistry
 from lavendertide.routes.active_routes import ActiveRoutes, RoutesAge
 from lavendertide.routes.route import (
@@ -56,6 +58,11 @@
 NO_TARGET_RETRY_S = 0.5
 # A target that has refused a request is avoided for about one service time.
 REFUSED_PAUSE_S = 0.05
+# Retry time for callers when all targets were full: a few service times.
+FULL_RETRY_S = 0.25
+# Callers that were refused because of a pause return over this share of it, so that
+# they don't fill the targets again all at once.
+RETRY_SPREAD_SHARE = 0.5
 
 _log = logging.getLogger(__name__)
 
@@ -66,6 +73,8 @@
 
     Attributes:
         broadcast_stall: Sends peers the name of a target that has stopped replying.
+        record_leaving: Records that a run of a target is leaving, and sends it to
+            peers that may not notice it.
         broadcast_verdict: Sends peers a verdict on a request that may crash targets.
         count_hosts: Returns how many hosts share the targets' connections.
         budget_share: Returns this host's share, from 0 to 1, of the fleet's fixed
@@ -75,6 +84,7 @@
     """
 
     broadcast_stall: Callable[[TargetId], None]
+    record_leaving: Callable[[TargetRun, float], None]
     broadcast_verdict: Callable[[Verdict], None]
     count_hosts: Callable[[], int]
     budget_share: Callable[[float], float]
@@ -161,6 +171,27 @@
         """Returns how many extra sub-requests this host may send now."""
         return self._budgets.remaining(service, self._fleet.budget_share(now_s), now_s)
 
+    def retry_after_s(
+        self, services: Iterable[ServiceName], required: int, now_s: float
+    ) -> float:
+        """Returns when a caller should retry a request that targets are too full for.
+
+        That is when enough services have a target whose pause has ended.
+
+        Args:
+            services: The services that the request is sent to.
+            required: How many of them have to reply.
+            now_s: Present time, monotonic.
+        """
+        waits_s = sorted(self._time_to_target_s(name, now_s) for name in services)
+        wait_s = waits_s[required - 1] if required <= len(waits_s) else 0.0
+        if math.isinf(wait_s):
+            wait_s = 0.0
+        if not wait_s:
+            return FULL_RETRY_S
+        spread_s = max(FULL_RETRY_S, RETRY_SPREAD_SHARE * wait_s)
+        return wait_s + random.uniform(0.0, spread_s)
+
     def routes_age(self, now_s: float) -> RoutesAge:
         """Returns the version of the routes in force and their age."""
         return self._active_routes.age(now_s)
@@ -223,23 +254,31 @@
             return Refused(RefusalCause.POISONED)
         if response_deadlines(request, route).ends_at_s - now_s < ATTEMPT_MIN_S:
             return Refused(RefusalCause.NO_TIME)
+        services, required = tuple(route.services), 1
         match route.destination:
-            case GatheredShards(shards, _, coverage_min):
-                available_shards = sum(
-                    1 for shard in shards if self._has_usable_target(shard, now_s)
-                )
-                is_servable = (
-                    available_shards > 0
-                    and available_shards >= coverage_min * len(shards)
-                )
-            case _:
-                is_servable = any(
-                    self._has_usable_target(s, now_s) for s in route.services
-                )
-        if is_servable:
+            case GatheredShards() as gathered:
+                services, required = gathered.shards, gathered.shards_min
+        available = sum(1 for name in services if self._has_usable_target(name, now_s))
+        if available >= required:
             return None
+        returning = sum(
+            1 for name in services if math.isfinite(self._time_to_target_s(name, now_s))
+        )
+        if returning >= required:
+            retry_after_s = self.retry_after_s(services, required, now_s)
+            return Refused(RefusalCause.TARGETS_FULL, retry_after_s)
         return Refused(RefusalCause.NO_TARGET, NO_TARGET_RETRY_S)
 
+    def _time_to_target_s(self, service: ServiceName, now_s: float) -> float:
+        """Returns the seconds until a service has a usable target, or infinity.
+
+        A pause is the only reason whose end is known.
+        """
+        if self._has_usable_target(service, now_s):
+            return 0.0
+        pause_end_s = self._registry.pause_end_s(service, now_s)
+        return math.inf if pause_end_s is None else pause_end_s - now_s
+
     def _has_usable_target(self, service: ServiceName, now_s: float) -> bool:
         return bool(
             self._views.select_usable(
@@ -276,6 +315,7 @@
         now_s = clock.monotonic_s()
         view = self._views.view_of(call.record.target)
         self._metrics.record_reply(reply)
+        self._apply_notice(call, reply.notice, now_s)
         match reply:
             case Replied() if reply.is_success:
                 took_s = view.open_duration_s(call.number, now_s)
@@ -285,7 +325,7 @@
                 view.record_reply(call.number, timing.mean_s, now_s)
                 timing.observe(took_s, now_s)
                 self._record_success(call, now_s)
-            case NotRun(reason=NotRunReason.ABANDONED):
+            case NotRun(reason=NotRunReason.ABANDONED | NotRunReason.PAUSED):
                 view.discard_call(call.number)
             case NotRun(reason=NotRunReason.REFUSED):
                 view.record_refusal(call.number, REFUSED_PAUSE_S, now_s)
@@ -306,6 +346,17 @@
         if isinstance(reply, Unknown) and reply.reason is UnknownReason.CLOSED:
             self._record_crash(call, service_count, now_s)
 
+    def _apply_notice(
+        self, call: TargetCall, notice: TargetNotice, now_s: float
+    ) -> None:
+        run = call.record.run
+        if notice.is_leaving:
+            self._fleet.record_leaving(run, now_s)
+        if notice.pause_s is not None:
+            self._registry.record_pause(run, now_s + notice.pause_s, now_s)
+            self._metrics.pauses.inc()
+            log_pause(call, notice.pause_s)
+
     def _record_failure(self, call: TargetCall, view: TargetView, now_s: float) -> None:
         was_down = view.is_down
         view.record_failure(call.number, now_s)
@@ -346,7 +397,7 @@
         match reply:
             case Replied() if reply.is_success:
                 return
-            case NotRun(reason=NotRunReason.ABANDONED):
+            case NotRun(reason=NotRunReason.ABANDONED | NotRunReason.PAUSED):
                 return
         _log.info(
             "sub-request failed",
--- a/lavendertide/forwarding/messages.py
+++ b/lavendertide/forwarding/messages.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 from enum import Enum
+from typing import Final
 
 from lavendertide.ids import CallerRequestId, Fingerprint, TargetId
 
@@ -40,6 +41,8 @@
     OTHER_TARGET = "other_target"
     UNREACHABLE = "unreachable"
     ABANDONED = "abandoned"
+    # The target turned away another request meanwhile and wants no more for a time.
+    PAUSED = "paused"
 
 
 class UnknownReason(Enum):
@@ -53,6 +56,23 @@
     CANCELLED = "broken_off"
 
 
+@dataclass(frozen=True, slots=True)
+class TargetNotice:
+    """What a target says about itself in a reply.
+
+    Attributes:
+        is_leaving: Whether the target is about to end and wants nothing new.
+        pause_s: Seconds for which it wants no requests of this host; none if it is not
+            full.
+    """
+
+    is_leaving: bool = False
+    pause_s: float | None = None
+
+
+NO_NOTICE: Final = TargetNotice()
+
+
 @dataclass(frozen=True, slots=True)
 class Replied:
     """A target's complete reply.
@@ -60,6 +80,7 @@
     Attributes:
         headers: All headers, including hop-by-hop ones, which must not be passed on.
         signature: Proves which target produced the reply; empty if there is none.
+        notice: What the target says about itself.
     """
 
     target: TargetId
@@ -67,6 +88,7 @@
     headers: tuple[Header, ...]
     body: bytes
     signature: str
+    notice: TargetNotice = NO_NOTICE
 
     @property
     def is_success(self) -> bool:
@@ -80,6 +102,7 @@
 
     target: TargetId
     reason: NotRunReason
+    notice: TargetNotice = NO_NOTICE
 
 
 @dataclass(frozen=True, slots=True)
@@ -88,6 +111,7 @@
 
     target: TargetId
     reason: UnknownReason
+    notice: TargetNotice = NO_NOTICE
 
 
 TargetReply = Replied | NotRun | Unknown
--- a/lavendertide/forwarding/metrics.py
+++ b/lavendertide/forwarding/metrics.py
@@ -17,6 +17,7 @@
     Attributes:
         sub_requests: Sub-requests that were handed to connections.
         withheld: Repeated sub-requests that the budget did not allow.
+        pauses: Refusals that told this host how long to leave a target alone.
     """
 
     def __init__(self, registry: CollectorRegistry) -> None:
@@ -52,6 +53,12 @@
             registry=registry,
         )
 
+        self.pauses = Counter(
+            "lavendertide_forwarded_target_pauses",
+            "Refusals by which a full target told how long to leave it alone.",
+            registry=registry,
+        )
+
     def record_response(self, route: str, outcome: str, latency_s: float) -> None:
         """Records the outcome and the latency of one response to a caller."""
         route = self._routes.value(route)
--- a/lavendertide/forwarding/parts.py
+++ b/lavendertide/forwarding/parts.py
@@ -69,7 +69,7 @@
         match self.failure:
             case None:
                 return bool(self.open_calls)
-            case NotRun(reason=NotRunReason.REFUSED):
+            case NotRun(reason=NotRunReason.REFUSED | NotRunReason.PAUSED):
                 return True
             case Unknown(reason=UnknownReason.TIMED_OUT):
                 return True
@@ -81,10 +81,10 @@
         self.failure = reply
         self.failed_rounds += 1
         match reply:
-            case NotRun(reason=NotRunReason.UNREACHABLE | NotRunReason.ABANDONED):
-                pass
-            case NotRun():
+            case NotRun(reason=NotRunReason.REFUSED | NotRunReason.OTHER_TARGET):
                 self.has_reached_target = True
+            case NotRun():
+                pass
             case _:
                 self.has_reached_target = self.may_have_run = True
 
--- a/lavendertide/forwarding/pool.py
+++ b/lavendertide/forwarding/pool.py
@@ -120,6 +120,7 @@
     Args:
         record: The target.
         make_channel: Creates a connection that is not open yet.
+        is_paused: Returns whether the target wants no requests at present.
         connections_max: Maximum number of open connections.
     """
 
@@ -127,10 +128,12 @@
         self,
         record: TargetRecord,
         make_channel: Callable[[Address], TargetChannel],
+        is_paused: Callable[[TargetRecord, float], bool],
         connections_max: int,
     ) -> None:
         self._record = record
         self._make_channel = make_channel
+        self._is_paused = is_paused
         self._connections_max = connections_max
         self._calls: tasks.Mailbox[TargetCall] = tasks.Mailbox()
         self._connections = 0
@@ -195,6 +198,8 @@
         now_s = clock.monotonic_s()
         if call.is_cancelled or now_s >= call.ends_at_s:
             return NotRun(target, NotRunReason.ABANDONED)
+        if self._is_paused(self._record, now_s):
+            return NotRun(target, NotRunReason.PAUSED)
         if not channel.is_usable(now_s) and not self._try_open(channel, call, now_s):
             return NotRun(target, NotRunReason.UNREACHABLE)
         if call.is_cancelled:
@@ -221,10 +226,16 @@
 
     Args:
         make_channel: Creates a connection that is not open yet.
+        is_paused: Returns whether a target wants no requests at a time.
     """
 
-    def __init__(self, make_channel: Callable[[Address], TargetChannel]) -> None:
+    def __init__(
+        self,
+        make_channel: Callable[[Address], TargetChannel],
+        is_paused: Callable[[TargetRecord, float], bool],
+    ) -> None:
         self._make_channel = make_channel
+        self._is_paused = is_paused
         self._pools: dict[str, TargetPool] = {}
 
     def submit(self, call: TargetCall, connections_max: int) -> None:
@@ -238,7 +249,9 @@
             pool.close()
             pool = None
         if pool is None:
-            pool = TargetPool(record, self._make_channel, connections_max)
+            pool = TargetPool(
+                record, self._make_channel, self._is_paused, connections_max
+            )
             self._pools[record.target] = pool
         pool.resize(connections_max)
         pool.submit(call)
--- a/lavendertide/forwarding/request_log.py
+++ b/lavendertide/forwarding/request_log.py
@@ -82,6 +82,19 @@
     )
 
 
+def log_pause(call: TargetCall, pause_s: float) -> None:
+    """Logs that a target is full and for how long it wants no requests of this host."""
+    _log.info(
+        "target is full",
+        extra={
+            "attempt_of": call.request.request,
+            "target": call.record.target,
+            "service": call.record.service,
+            "pause_s": round(pause_s, 3),
+        },
+    )
+
+
 def log_end(
     request: CallerRequest,
     route: Route,
--- a/lavendertide/forwarding/run.py
+++ b/lavendertide/forwarding/run.py
@@ -42,8 +42,6 @@
 # Pause before a retry, doubled for each further failure.
 RETRY_PAUSE_MIN_S: Final = 0.02
 RETRY_PAUSE_MAX_S: Final = 0.32
-# Retry time for callers when all targets were full: a few service times.
-FULL_RETRY_S: Final = 0.25
 
 
 class RequestRun:
@@ -168,10 +166,11 @@
             return
         if isinstance(reply, Replied) and self._is_final_reply(reply):
             return
-        if self._untried_target(part, now_s) is not None and part.failed_rounds == 1:
+        is_other_untried = self._untried_target(part, now_s) is not None
+        if is_other_untried and part.failed_rounds == 1:
             if now_s + ATTEMPT_MIN_S < self._deadlines.ends_at_s:
                 self._retry_part(self._parts.index(part), part, now_s)
-        else:
+        elif is_other_untried or self._tried_target(part, now_s) is not None:
             self._schedule_retry_with_backoff(part, now_s)
 
     def _schedule_retry_with_backoff(self, part: Part, now_s: float) -> None:
@@ -275,8 +274,8 @@
 
     def _required_parts(self) -> int:
         match self._route.destination:
-            case GatheredShards(shards, _, coverage_min):
-                return max(1, math.ceil(coverage_min * len(shards) - 1e-9))
+            case GatheredShards() as gathered:
+                return gathered.shards_min
             case _:
                 return 1
 
@@ -332,7 +331,11 @@
             if self._is_gathered:
                 cause = RefusalCause.TOO_FEW_SHARDS
             return Failed(RefusalCause.TIMED_OUT if is_late else cause, is_late)
-        return Refused(RefusalCause.TARGETS_FULL, FULL_RETRY_S)
+        services = [part.service for part in self._parts]
+        retry_after_s = self._sender.retry_after_s(
+            services, self._required_parts(), now_s
+        )
+        return Refused(RefusalCause.TARGETS_FULL, retry_after_s)
 
     def _log_repeat(
         self, part: Part, record: TargetRecord, cause: str, may_send: bool, now_s: float
--- a/lavendertide/forwarding/sender.py
+++ b/lavendertide/forwarding/sender.py
@@ -1,5 +1,6 @@
 """The interface through which a request run uses the forwarder, and its events."""
 
+from collections.abc import Iterable
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -40,6 +41,20 @@
     def remaining_budget(self, service: ServiceName, now_s: float) -> float:
         """Returns how many extra sub-requests this host may send now."""
 
+    def retry_after_s(
+        self, services: Iterable[ServiceName], required: int, now_s: float
+    ) -> float:
+        """Returns when a caller should retry a request that targets are too full for.
+
+        Args:
+            services: The services that the request is sent to.
+            required: How many of them have to reply.
+            now_s: Present time, monotonic.
+
+        Returns:
+            Seconds from now, different for each caller.
+        """
+
     def routes_age(self, now_s: float) -> RoutesAge:
         """Returns the version of the routes in force and their age."""
 
--- a/lavendertide/gateway/gateway.py
+++ b/lavendertide/gateway/gateway.py
@@ -36,6 +36,7 @@
 from lavendertide.gateway.caller_front import CallerCodec, CallerFront
 from lavendertide.gateway.entry_front import EntryCodec, EntryFront
 from lavendertide.gateway.follower import Follower, PlatformReader
+from lavendertide.gateway.leaving_broadcast import LeavingBroadcast
 from lavendertide.gateway.load import LoadMeter
 from lavendertide.gateway.options import GatewayOptions
 from lavendertide.gateway.peer_exchange import PeerExchange
@@ -73,6 +74,9 @@
 RANKED_NAMES_MAX: Final = 16
 # Interval over which the CPU utilization is measured.
 LOAD_INTERVAL_S: Final = 1.0
+# Fraction of the bound on noticing a leaving target for which it still gets requests
+# that no other target can serve. The rest covers callers that send shortly before.
+LAST_RESORT_SHARE: Final = 0.5
 CONNECTIONS_MAX: Final = 2_000
 ENTRY_CONNECTIONS_MAX: Final = 200
 # Hosts that are named to a caller; enough that the failure of one host doesn't fail all
@@ -138,7 +142,7 @@
         self._options = options
         self._adapters = adapters
         self._active_routes = ActiveRoutes()
-        self._registry = TargetRegistry()
+        self._registry = TargetRegistry(LAST_RESORT_SHARE * options.reading.leaving_s)
         self._budget_share = BudgetShare(options.retries.window_s)
         self._in_flight = InFlightCounter()
         self._readiness = Readiness(LEASE_S, now_s)
@@ -244,12 +248,14 @@
         self._target_views = TargetViews(options.failure_domain)
         self._crash_evidence = CrashEvidence(Quarantine())
         self._budgets = RetryBudgets(options.retries)
+        leaving = LeavingBroadcast(self._registry, self._roster, self._peers)
         self._peer_exchange = PeerExchange(
             self._roster,
             self._peers,
             self._gossip,
             self._target_views,
             self._crash_evidence,
+            leaving,
             RegistrySource(
                 options.reading, self._follower, self._registry, self._active_routes
             ).reply_to,
@@ -258,11 +264,12 @@
             self._active_routes,
             self._registry,
             self._target_views,
-            TargetPools(self._adapters.make_channel),
+            TargetPools(self._adapters.make_channel, self._registry.is_paused),
             self._budgets,
             self._crash_evidence,
             FleetCallbacks(
                 self._peer_exchange.broadcast_stall,
+                leaving.record_leaving,
                 self._peer_exchange.queue_verdict,
                 lambda: self._budget_share.hosts,
                 self._budget_share.share,
--- a/lavendertide/gateway/peer_exchange.py
+++ b/lavendertide/gateway/peer_exchange.py
@@ -1,7 +1,7 @@
-"""Exchanges stall notices and verdicts on suspect requests with peer gateways.
+"""Exchanges notices about targets and verdicts on suspect requests with peer gateways.
 
-A stall notice names targets that have stopped replying. A verdict says whether a
-caller's request crashes its targets.
+A stall notice names targets that have stopped replying, a leaving notice those that are
+about to end. A verdict says whether a caller's request crashes its targets.
 """
 
 import logging
@@ -18,11 +18,13 @@
 from lavendertide.fleet.roster import Roster
 from lavendertide.forwarding.poison import CrashEvidence
 from lavendertide.forwarding.target_view import TargetViews
+from lavendertide.gateway.leaving_broadcast import LeavingBroadcast
 from lavendertide.ids import Fingerprint, TargetId
 from lavendertide.messages import (
     Answered,
     Declined,
     Frame,
+    LeavingNotices,
     Lost,
     ReachRequest,
     RegistryPull,
@@ -52,6 +54,7 @@
     """Handles the frames of peers, and broadcasts this host's stalls and verdicts.
 
     Args:
+        leaving: Knows and broadcasts which targets are leaving.
         build_registry_push: Returns the reply to a pull of the target registry.
     """
 
@@ -62,6 +65,7 @@
         gossip: Gossip,
         views: TargetViews,
         crashes: CrashEvidence,
+        leaving: LeavingBroadcast,
         build_registry_push: Callable[[RegistryPull], RegistryPush],
     ) -> None:
         self._roster = roster
@@ -69,6 +73,7 @@
         self._gossip = gossip
         self._target_views = views
         self._crash_evidence = crashes
+        self._leaving = leaving
         self._build_registry_push = build_registry_push
         self._pending_verdicts: dict[Fingerprint, Verdict] = {}
         self._pending_stalls: dict[TargetId, None] = {}
@@ -103,15 +108,18 @@
             self._peers.broadcast(frame)
 
     def run(self) -> None:
-        """Broadcasts verdicts and updates new members until the process ends."""
+        """Broadcasts what is pending and updates new members until the process ends."""
         while True:
             tasks.sleep(VERDICTS_PERIOD_S)
             self.broadcast_verdicts()
+            self._leaving.broadcast_due(clock.monotonic_s())
             self.send_to_new_members()
 
     def send_to_new_members(self) -> None:
-        """Sends the verdicts in force to members that are new since the last call."""
-        self._new_member_sync.send_to_new_members(clock.monotonic_s())
+        """Sends what is in force to members that are new since the last call."""
+        now_s = clock.monotonic_s()
+        self._new_member_sync.send_to_new_members(now_s)
+        self._leaving.send_to_new_members(now_s)
 
     def handle(self, peer: PeerConnection, frame: Frame, outbox: Outbox) -> None:
         """Handles a frame of a peer; a reply goes to the outbox.
@@ -123,6 +131,8 @@
             case StallNotices(targets):
                 for target in targets:
                     self._target_views.record_stall(target, now_s)
+            case LeavingNotices(runs):
+                self._leaving.apply_notices(runs, peer.daemon, now_s)
             case Verdicts(items):
                 for verdict in self._crash_evidence.apply_verdicts(items, now_s):
                     _log.warning(
--- a/lavendertide/messages/__init__.py
+++ b/lavendertide/messages/__init__.py
@@ -58,6 +58,7 @@
     SubRequests as SubRequests,
 )
 from lavendertide.messages.targets import (
+    LeavingNotices as LeavingNotices,
     RegistryPull as RegistryPull,
     RegistryPush as RegistryPush,
     SlotClaim as SlotClaim,
@@ -94,6 +95,7 @@
     | PlanGrants
     | Verdicts
     | StallNotices
+    | LeavingNotices
     | RegistryPull
     | RegistryPush
     | TrialClaim
--- a/lavendertide/messages/targets.py
+++ b/lavendertide/messages/targets.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 
 from lavendertide.ids import ConfigurationVersion, DaemonId, ExchangeId, TargetId
-from lavendertide.registry.record import TargetRecord
+from lavendertide.registry.record import TargetRecord, TargetRun
 
 
 @dataclass(frozen=True, slots=True)
@@ -16,6 +16,16 @@
     targets: tuple[TargetId, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class LeavingNotices:
+    """Broadcast of targets that are leaving although they are published as ready.
+
+    Sent to all connected peers, which pass on what is new to them.
+    """
+
+    runs: tuple[TargetRun, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class RegistryPull:
     """Requests changed target records from a peer that reads the platform.
--- a/lavendertide/platform/names.py
+++ b/lavendertide/platform/names.py
@@ -13,6 +13,8 @@
 SIGNATURE: Final = b"lavendertide-server-stamp"
 # Present if the target has not run the request; its value has no meaning.
 NOT_RUN: Final = b"lavendertide-not-executed"
+# "1" if the target is leaving; other values have no meaning.
+LEAVING_HEADERS: Final = frozenset({b"server-leaving", b"lavendertide-server-leaving"})
 PART_SIGNATURES: Final = b"lavendertide-part-stamps"
 # The number of missing shards, not their names.
 MISSING_SHARDS: Final = b"lavendertide-missing-parts"
--- a/lavendertide/platform/target_channel.py
+++ b/lavendertide/platform/target_channel.py
@@ -1,5 +1,6 @@
 """Connection to a target that uses the platform's headers."""
 
+import re
 from typing import Final
 
 from lavendertide.encodings.http_client_connection import (
@@ -8,9 +9,11 @@
 )
 from lavendertide.encodings.http_messages import Header, HttpResponse, render_body
 from lavendertide.forwarding.messages import (
+    NO_NOTICE,
     NotRun,
     NotRunReason,
     Replied,
+    TargetNotice,
     TargetReply,
     Unknown,
     UnknownReason,
@@ -22,8 +25,10 @@
     DEADLINE_MS,
     EXPECTED_TARGET,
     KEEP_ALIVE,
+    LEAVING_HEADERS,
     NOT_RUN,
     REQUEST_ID,
+    RETRY_AFTER,
     SIGNATURE,
 )
 
@@ -36,6 +41,18 @@
 # a header; without the header such a status must not be forwarded.
 NOT_RUN_STATUSES: Final = frozenset({408, 429, 503})
 MISDIRECTED_STATUS: Final = 421
+UNAVAILABLE_STATUS: Final = 503
+# Seconds, with a fraction or without one; bounded, since converting a number of
+# thousands of digits takes long or fails.
+SECONDS: Final = re.compile(rb"(\d+)(\.\d+)?")
+SECONDS_DIGITS_MAX: Final = 9
+# Longest pause that a target may demand; then it is tried again.
+PAUSE_MAX_S: Final = 300.0
+# Pause if the value is no number of seconds, as for a date. The target wants some
+# pause, and dates can't be compared: the clocks of the hosts differ by seconds.
+UNREADABLE_PAUSE_S: Final = 1.0
+# Longest idle time of a connection that a target may promise.
+IDLE_MAX_S: Final = 3_600.0
 
 
 class PlatformTargetChannel:
@@ -86,9 +103,10 @@
         keep_alive = response.header(KEEP_ALIVE) or b""
         for parameter in keep_alive.split(b","):
             name, _, value = parameter.strip().partition(b"=")
-            if name.lower() == b"timeout" and value.strip().isdigit():
-                idle_s = int(value) - IDLE_MARGIN_S
-                self._usable_until_s = now_s + max(0.0, idle_s)
+            if name.lower() == b"timeout":
+                idle_s = parse_seconds(value.strip(), IDLE_MAX_S)
+                if idle_s is not None:
+                    self._usable_until_s = now_s + max(0.0, idle_s - IDLE_MARGIN_S)
 
 
 def has_other_request_id(call: TargetCall, headers: tuple[Header, ...]) -> bool:
@@ -102,22 +120,56 @@
 def decode_reply(call: TargetCall, response: HttpResponse) -> TargetReply:
     """Classifies a target's response to a call."""
     target = call.record.target
-    # Checked first, since such a response also has the header of a refusal.
+    # Checked first, since such a response also has the header of a refusal. Whatever
+    # else it says concerns the other target at the address.
     if response.status == MISDIRECTED_STATUS:
         return NotRun(target, NotRunReason.OTHER_TARGET)
+    notice = decode_notice(response)
     if response.header(NOT_RUN) is not None:
-        return NotRun(target, NotRunReason.REFUSED)
+        return NotRun(target, NotRunReason.REFUSED, notice)
     # Others were skipped while reading. Only one that ends with its connection gets
     # here, since no other response can follow it.
     if has_other_request_id(call, response.headers):
-        return Unknown(target, UnknownReason.OTHER_REQUEST)
+        return Unknown(target, UnknownReason.OTHER_REQUEST, notice)
     is_encoded = response.header(CONTENT_ENCODING) is not None
     if is_encoded or response.status in NOT_RUN_STATUSES:
-        return Unknown(target, UnknownReason.MALFORMED)
+        return Unknown(target, UnknownReason.MALFORMED, notice)
     signature = (response.header(SIGNATURE) or b"").decode("latin-1")
     if response.status < 300 and not signature:
-        return Unknown(target, UnknownReason.MALFORMED)
-    return Replied(target, response.status, response.headers, response.body, signature)
+        return Unknown(target, UnknownReason.MALFORMED, notice)
+    return Replied(
+        target, response.status, response.headers, response.body, signature, notice
+    )
+
+
+def decode_notice(response: HttpResponse) -> TargetNotice:
+    """Returns what a target says about itself in a response.
+
+    Only a 503 tells how long to leave the target alone. With another status the header
+    means something else, such as the rate that one caller may use.
+    """
+    is_leaving, pause_s = False, None
+    for name, value in response.headers:
+        if name in LEAVING_HEADERS and value.strip() == b"1":
+            is_leaving = True
+        elif name == RETRY_AFTER and response.status == UNAVAILABLE_STATUS:
+            pause_s = parse_seconds(value.strip(), PAUSE_MAX_S)
+            if pause_s is None:
+                pause_s = UNREADABLE_PAUSE_S
+    if not is_leaving and pause_s is None:
+        return NO_NOTICE
+    return TargetNotice(is_leaving, pause_s)
+
+
+def parse_seconds(value: bytes, max_s: float) -> float | None:
+    """Returns a number of seconds, at most `max_s`; none if it is no such number."""
+    match = SECONDS.fullmatch(value)
+    if match is None:
+        return None
+    if len(match[1].lstrip(b"0")) > SECONDS_DIGITS_MAX:
+        return max_s
+    fraction = (match[2] or b"")[: SECONDS_DIGITS_MAX + 1]
+    return min(max_s, float(match[1][-SECONDS_DIGITS_MAX:] + fraction))
 
 
 def _render(call: TargetCall, remaining_s: float) -> bytes:
--- a/lavendertide/registry/record.py
+++ b/lavendertide/registry/record.py
@@ -13,6 +13,23 @@
     DRAINING = "draining"
 
 
+@dataclass(frozen=True, slots=True)
+class TargetRun:
+    """One run of a target's process.
+
+    Attributes:
+        started_at_ms: Start time in Unix milliseconds; zero if it isn't published.
+    """
+
+    target: TargetId
+    started_at_ms: int
+
+    @property
+    def is_dated(self) -> bool:
+        """Whether the run can be told from another one under the same name."""
+        return self.started_at_ms != 0
+
+
 @dataclass(frozen=True, slots=True)
 class TargetRecord:
     """One registered target.
@@ -31,6 +48,11 @@
     state: TargetState
     started_at_ms: int
 
+    @property
+    def run(self) -> TargetRun:
+        """The run of the target that the entry describes."""
+        return TargetRun(self.target, self.started_at_ms)
+
     def is_same_start(self, other: "TargetRecord") -> bool:
         """Returns whether both records describe the same run of a process."""
         return (
--- a/lavendertide/registry/registry.py
+++ b/lavendertide/registry/registry.py
@@ -5,7 +5,8 @@
 from typing import Final
 
 from lavendertide.ids import ServiceName, TargetId
-from lavendertide.registry.record import TargetRecord, TargetState
+from lavendertide.registry.announcements import Announcements
+from lavendertide.registry.record import TargetRecord, TargetRun, TargetState
 
 # Time after a platform outage within which targets register again whose entries lapsed
 # during it.
@@ -17,9 +18,15 @@
 
 
 class TargetRegistry:
-    """The targets by service; entries are kept while the platform is unreachable."""
+    """The targets by service; entries are kept while the platform is unreachable.
 
-    def __init__(self) -> None:
+    Args:
+        last_resort_s: How long after a target has announced that it is leaving it may
+            still get requests that no other target can serve.
+    """
+
+    def __init__(self, last_resort_s: float = 0.0) -> None:
+        self._announcements = Announcements(last_resort_s)
         self._records: dict[TargetId, TargetRecord] = {}
         self._by_service: dict[ServiceName, tuple[TargetRecord, ...]] = {}
         self._missing_since_s: dict[TargetId, float] = {}
@@ -41,6 +48,56 @@
         """Returns the targets of a service that accept new requests."""
         # The next read, which also expires targets, may be seconds away.
         self.expire(now_s)
+        return self._announcements.select_available(self._listed_ready(service), now_s)
+
+    def record_leaving(self, run: TargetRun, now_s: float) -> bool:
+        """Records that a run of a target is leaving, whatever its entry says.
+
+        Returns:
+            Whether this was not known yet.
+        """
+        return self._announcements.record_leaving(run, now_s)
+
+    def record_pause(self, run: TargetRun, until_s: float, now_s: float) -> None:
+        """Records until when a run of a target wants no requests of this host."""
+        self._announcements.record_pause(run, until_s, now_s)
+
+    def is_paused(self, record: TargetRecord, now_s: float) -> bool:
+        """Returns whether a target wants no requests of this host at present."""
+        return self._announcements.pause_end_s(record.run, now_s) is not None
+
+    def pause_end_s(self, service: ServiceName, now_s: float) -> float | None:
+        """Returns when the first pause of a service's targets ends, monotonic.
+
+        Returns none if no target of the service pauses.
+        """
+        ends_s = (
+            self._announcements.pause_end_s(record.run, now_s)
+            for record in self._listed_ready(service)
+            if not self._announcements.is_leaving(record.run, now_s)
+        )
+        return min((end_s for end_s in ends_s if end_s is not None), default=None)
+
+    def unlisted_leaving(self, now_s: float) -> tuple[TargetRun, ...]:
+        """Returns the runs that are leaving although they are published as ready."""
+        return tuple(
+            record.run
+            for record in self._records.values()
+            if record.state is TargetState.READY
+            and self._announcements.is_leaving(record.run, now_s)
+        )
+
+    def is_listed_ready(self, run: TargetRun) -> bool:
+        """Returns whether a run is published as accepting requests."""
+        record = self._records.get(run.target)
+        return (
+            record is not None
+            and record.run == run
+            and record.state is TargetState.READY
+        )
+
+    def _listed_ready(self, service: ServiceName) -> tuple[TargetRecord, ...]:
+        """Returns the targets of a service whose entries say that they are ready."""
         ready_targets = self._by_service.get(service)
         if ready_targets is None:
             ready_targets = tuple(
--- a/lavendertide/routes/route.py
+++ b/lavendertide/routes/route.py
@@ -1,5 +1,6 @@
 """The types of a route: the requests it matches, their destination and its limits."""
 
+import math
 from dataclasses import dataclass
 from enum import Enum
 
@@ -50,6 +51,12 @@
     records_max: int
     coverage_min: float
 
+    @property
+    def shards_min(self) -> int:
+        """The number of shards that the response must contain."""
+        # The share may be a rounded fraction of the number of shards.
+        return max(1, math.ceil(self.coverage_min * len(self.shards) - 1e-9))
+
 
 Destination = OneService | SplitServices | GatheredShards
 
--- a/standins/forwarding_records.py
+++ b/standins/forwarding_records.py
@@ -1,6 +1,11 @@
 """Builds routes, targets, requests and replies for tests and simulations."""
 
-from lavendertide.forwarding.messages import CallerRequest, Replied
+from lavendertide.forwarding.messages import (
+    NO_NOTICE,
+    CallerRequest,
+    Replied,
+    TargetNotice,
+)
 from lavendertide.ids import (
     Address,
     CallerRequestId,
@@ -107,7 +112,11 @@
 
 
 def reply(
-    name: str, status: int = 200, body: bytes = b"", signature: str = "s"
+    name: str,
+    status: int = 200,
+    body: bytes = b"",
+    signature: str = "s",
+    notice: TargetNotice = NO_NOTICE,
 ) -> Replied:
     """Builds a target's reply without headers."""
-    return Replied(TargetId(name), status, (), body, signature)
+    return Replied(TargetId(name), status, (), body, signature, notice)
--- a/standins/model_targets.py
+++ b/standins/model_targets.py
@@ -2,7 +2,7 @@
 
 import heapq
 import random
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from enum import Enum
 from typing import Final
 from zlib import crc32
@@ -11,6 +11,7 @@
     NotRun,
     NotRunReason,
     Replied,
+    TargetNotice,
     TargetReply,
     Unknown,
     UnknownReason,
@@ -18,6 +19,7 @@
 from lavendertide.forwarding.pool import TargetCall
 from lavendertide.registry.record import TargetRecord
 from lavendertide.runtime import clock, tasks
+from standins.model_notices import PAUSE_S as PAUSE_DEMANDED_S, NoticeChecker
 
 # From the deployment's data sheets: a target has two slots and a short queue, and
 # pauses for 200 ms every 4.5 s.
@@ -45,6 +47,10 @@
     HANGS = "hangs"
     # No connection can be opened.
     GONE = "gone"
+    # Each request is turned away, and its host is told how long to stay away.
+    FULL = "full"
+    # Requests run, and each reply says that the target is leaving.
+    LEAVING = "leaving"
 
 
 @dataclass
@@ -57,6 +63,8 @@
         generator: Source of the service times and of lost replies.
         fault: The present fault.
         executed_requests: Ids of the requests in the order in which they began to run.
+        notices: Checks that hosts respect what this run has told them.
+        ended_violations: What the checks of earlier runs have found.
     """
 
     record: TargetRecord
@@ -64,19 +72,42 @@
     generator: random.Random
     fault: Fault = Fault.NONE
     executed_requests: list[str] = field(default_factory=list)
+    notices: NoticeChecker = field(default_factory=NoticeChecker)
+    ended_violations: list[str] = field(default_factory=list)
     _free_at_s: list[float] = field(default_factory=lambda: [0.0] * SLOTS)
     _queued_starts_s: list[float] = field(default_factory=list)
 
     def serve(
-        self, call: TargetCall, closed: tasks.Signal, now_s: float
+        self, host: int, call: TargetCall, closed: tasks.Signal, now_s: float
     ) -> TargetReply:
         """Runs a request once a slot is free and blocks until it has ended.
 
         Args:
+            host: Number of the host that has sent the request.
             call: The request.
             closed: Set when the gateway closes the connection.
             now_s: Present time, monotonic.
         """
+        self.notices.record_arrival(host, now_s)
+        if self.fault is Fault.FULL:
+            self.notices.record_pause(host, now_s)
+            notice = TargetNotice(pause_s=PAUSE_DEMANDED_S)
+            return NotRun(self.record.target, NotRunReason.REFUSED, notice)
+        reply = self._run(call, closed, now_s)
+        if self.fault is Fault.LEAVING and isinstance(reply, Replied):
+            self.notices.record_leaving(host, clock.monotonic_s())
+            return replace(reply, notice=TargetNotice(is_leaving=True))
+        return reply
+
+    def restart(self) -> None:
+        """Starts a new run under the same name, without faults."""
+        started_at_ms = self.record.started_at_ms + 1
+        self.record = replace(self.record, started_at_ms=started_at_ms)
+        self.fault = Fault.NONE
+        self.ended_violations += self.notices.violations
+        self.notices = NoticeChecker()
+
+    def _run(self, call: TargetCall, closed: tasks.Signal, now_s: float) -> TargetReply:
         target = self.record.target
         if self._count_queued(now_s) >= QUEUE_MAX:
             return NotRun(target, NotRunReason.REFUSED)
@@ -132,7 +163,8 @@
 class ModelChannel:
     """A connection to a model target."""
 
-    def __init__(self, target: ModelTarget) -> None:
+    def __init__(self, host: int, target: ModelTarget) -> None:
+        self._host = host
         self._target = target
         self._closed = tasks.Signal()
         self._is_open = False
@@ -157,7 +189,7 @@
 
         The connection is closed if the outcome of the request is unknown.
         """
-        reply = self._target.serve(call, self._closed, now_s)
+        reply = self._target.serve(self._host, call, self._closed, now_s)
         if isinstance(reply, Unknown):
             self._is_open = False
         return reply
--- a/tests/encodings/test_peer_frames.py
+++ b/tests/encodings/test_peer_frames.py
@@ -14,6 +14,7 @@
     DaemonId,
     ExchangeId,
     FailureDomain,
+    Fingerprint,
     HostId,
     Incarnation,
     IndexName,
@@ -22,6 +23,7 @@
     QueryId,
     Region,
     ShardNumber,
+    TargetId,
     TicketId,
 )
 from lavendertide.messages import (
@@ -35,6 +37,7 @@
     Heartbeat,
     HeartbeatAck,
     Hello,
+    LeavingNotices,
     LossReason,
     Lost,
     MemberRecord,
@@ -47,13 +50,21 @@
     PlanGrants,
     ReachReply,
     ReachRequest,
+    RegistryPull,
+    RegistryPush,
     RosterPull,
     RosterPush,
     Row,
+    StallNotices,
     SubReplies,
     TicketReply,
     TicketRequest,
+    Verdict,
+    VerdictKind,
+    Verdicts,
 )
+from lavendertide.registry.record import TargetRun
+from standins.forwarding_records import target
 
 MEMBER = MemberRecord(
     daemon=DaemonId("a-0"),
@@ -110,6 +121,19 @@
         (PlanClaim(PlanId("stall-clerk"), 12.5, 0.25, 3, 6),),
     ),
     PlanGrants(ExchangeId("7"), (PlanGrant(PlanId("stall-clerk"), 0.5, True),)),
+    StallNotices((TargetId("t1"), TargetId("t2"))),
+    LeavingNotices((TargetRun(TargetId("t1"), 17), TargetRun(TargetId("t2"), 0))),
+    RegistryPull(ExchangeId("8"), 41),
+    RegistryPush(
+        ExchangeId("8"),
+        42,
+        (target("t1"), target("t2")),
+        (TargetId("t3"),),
+        False,
+        True,
+        ConfigurationVersion(3),
+    ),
+    Verdicts((Verdict(Fingerprint("f"), ShardNumber(1), VerdictKind.SUSPECT, 2, 900),)),
 )
 
 
--- a/tests/gateway/test_peer_exchange.py
+++ b/tests/gateway/test_peer_exchange.py
@@ -9,6 +9,7 @@
 from lavendertide.fleet.peers import Peers
 from lavendertide.forwarding.poison import CrashEvidence
 from lavendertide.forwarding.target_view import TargetViews
+from lavendertide.gateway.leaving_broadcast import LeavingBroadcast
 from lavendertide.gateway.peer_exchange import STALLS_PERIOD_S, PeerExchange
 from lavendertide.ids import (
     CallerRequestId,
@@ -29,6 +30,7 @@
     Verdicts,
 )
 from lavendertide.poison.quarantine import Quarantine
+from lavendertide.registry.registry import TargetRegistry
 from lavendertide.runtime import clock, tasks
 from tests.fleet.members import later_run, member, roster_of
 from tests.virtual_time import VirtualTimeTestCase
@@ -94,12 +96,17 @@
         self.peers = RecordingPeers()
         self.roster = roster_of(3)
         self.crashes = CrashEvidence(Quarantine())
+        self.registry = TargetRegistry()
+        self.leaving = LeavingBroadcast(
+            self.registry, self.roster, cast(Peers, self.peers)
+        )
         self.exchange = PeerExchange(
             self.roster,
             cast(Peers, self.peers),
             cast(Gossip, None),
             TargetViews(FailureDomain("zone")),
             self.crashes,
+            self.leaving,
             fail_on_pull,
         )
 
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -11,6 +11,7 @@
 
 from lavendertide.encodings.http_messages import BadRequest, HttpRequest, HttpResponse
 from lavendertide.forwarding.messages import (
+    NO_NOTICE,
     CallerRequest,
     Failed,
     Gathered,
@@ -20,6 +21,7 @@
     RefusalCause,
     Refused,
     Replied,
+    TargetNotice,
     Unknown,
     UnknownReason,
     Unroutable,
@@ -28,7 +30,11 @@
 from lavendertide.platform.caller_codec import PlatformCallerCodec
 from lavendertide.platform.operator_routes import decode_routes
 from lavendertide.platform.settings import SettingsError, read_settings
-from lavendertide.platform.target_channel import decode_reply
+from lavendertide.platform.target_channel import (
+    PAUSE_MAX_S,
+    UNREADABLE_PAUSE_S,
+    decode_reply,
+)
 from lavendertide.platform.target_entries import decode_target
 from lavendertide.registry.record import TargetState
 from lavendertide.routes.route import GatheredShards, OneService, RequestKind
@@ -223,6 +229,65 @@
         self.assertIsInstance(encoded, Unknown)
 
 
+class TargetNoticeTest(unittest.TestCase):
+    """Any response may say that its target is leaving, and a 503 for how long to wait.
+
+    A value that can't be read must neither fail the exchange nor cause an endless
+    pause.
+    """
+
+    def decode(self, status: int, *headers: tuple[str, str]) -> TargetNotice:
+        """Returns the notice of a response to a call."""
+        call = TargetCall(1, 0, request(), target("t"), 0.5, 1.0, lambda *_: None)
+        pairs = tuple((name.encode(), value.encode()) for name, value in headers)
+        return decode_reply(call, HttpResponse(status, pairs, b"x")).notice
+
+    def pause_s(self, value: str) -> float | None:
+        """Returns the pause that a 503 with a value of `Retry-After` demands."""
+        headers = (("lavendertide-not-executed", "1"), ("retry-after", value))
+        return self.decode(503, *headers).pause_s
+
+    def test_success_refusal_and_failure_may_say_that_the_target_leaves(self) -> None:
+        signed = ("lavendertide-server-stamp", "s")
+        refused = ("lavendertide-not-executed", "1")
+        cases = ((200, signed), (500, signed), (503, refused), (200, ("a", "b")))
+        for status, extra in cases:
+            for name in ("server-leaving", "lavendertide-server-leaving"):
+                with self.subTest(status=status, name=name):
+                    self.assertTrue(self.decode(status, extra, (name, "1")).is_leaving)
+                    self.assertFalse(self.decode(status, extra, (name, "0")).is_leaving)
+                    self.assertFalse(self.decode(status, extra).is_leaving)
+
+    def test_another_target_at_the_address_says_nothing_about_this_one(self) -> None:
+        headers = (("server-leaving", "1"), ("lavendertide-not-executed", "1"))
+        self.assertEqual(self.decode(421, *headers), NO_NOTICE)
+
+    def test_seconds_may_have_a_fraction(self) -> None:
+        for value, pause_s in (("2", 2.0), ("0.25", 0.25), ("007.50", 7.5), ("0", 0.0)):
+            with self.subTest(value=value):
+                self.assertEqual(self.pause_s(value), pause_s)
+
+    def test_a_huge_value_is_bounded(self) -> None:
+        for value in ("301", "9" * 9, "9" * 10_000):
+            with self.subTest(digits=len(value)):
+                self.assertEqual(self.pause_s(value), PAUSE_MAX_S)
+        self.assertEqual(self.pause_s("1." + "3" * 10_000), 1.333333333)
+
+    def test_a_value_that_is_no_number_causes_a_short_pause(self) -> None:
+        date = "Wed, 21 Oct 2026 07:28:00 GMT"
+        for value in ("", "-5", "1e3", "nan", "inf", "soon", "1,5", date, "\u0661"):
+            with self.subTest(value=value):
+                self.assertEqual(self.pause_s(value), UNREADABLE_PAUSE_S)
+
+    def test_only_a_503_demands_a_pause(self) -> None:
+        for status in (200, 429, 500):
+            with self.subTest(status=status):
+                self.assertIsNone(self.decode(status, ("retry-after", "2")).pause_s)
+        self.assertIsNone(self.decode(503).pause_s)
+        # It may have run, but the target wants a pause all the same.
+        self.assertEqual(self.decode(503, ("retry-after", "2")).pause_s, 2.0)
+
+
 class CallerCodecTest(unittest.TestCase):
     """Callers' requests are decoded and the responses to them encoded."""
 
