Count the objective from the caller's first moment

Cause: every response left a quarter of the objective early. A caller with an open connection needs a third of that, one that has looked up an address and connected has used up to twice as much before its request arrives.

Change: callers say how long they will still wait. What is missing from the usual time of their route is what they have used; the way comes from the connection's shortest round trip. Where either is unknown the share stays. The estimate is in the line at the end of a request and in a histogram.

--- a/lavendertide/encodings/http_server_connection.py
+++ b/lavendertide/encodings/http_server_connection.py
@@ -42,6 +42,11 @@
             and self._framing.their_state is h11.DONE
         )
 
+    @property
+    def round_trip_s(self) -> float | None:
+        """Shortest round trip to the caller in seconds; none if it is unknown."""
+        return sockets.round_trip_s(self._socket)
+
     def read_request(
         self, idle_s: float, header_s: float, body_max_bytes: int
     ) -> HttpRequest | BadRequest | None:
--- a/lavendertide/forwarding/forwarder.py
+++ b/lavendertide/forwarding/forwarder.py
@@ -12,8 +12,13 @@
 from dataclasses import dataclass
 
 from lavendertide.forwarding.budget import RetryBudgets
+from lavendertide.forwarding.caller_times import CallerTimes
 from lavendertide.forwarding.capacity import RouteCapacities
-from lavendertide.forwarding.deadlines import ATTEMPT_MIN_S, response_deadlines
+from lavendertide.forwarding.deadlines import (
+    ATTEMPT_MIN_S,
+    ResponseDeadlines,
+    response_deadlines,
+)
 from lavendertide.forwarding.messages import (
     CallerRequest,
     NotRun,
@@ -114,6 +119,7 @@
         self._fleet = fleet
         self._metrics = metrics
         self._timings = RouteTimings()
+        self._caller_times = CallerTimes()
         self._splits = SplitCounters()
         # Seeded by the module's generator, so that a test with a seed is reproducible.
         self._capacities = RouteCapacities(random.Random(random.getrandbits(64)))
@@ -139,7 +145,8 @@
             inbox: Receives the replies, and `CallerLeft` if the caller disconnects.
         """
         now_s = clock.monotonic_s()
-        refused = self._refuse_early(request, route, now_s)
+        deadlines = response_deadlines(request, route, self._used_s(request, route))
+        refused = self._refuse_early(request, route, deadlines, now_s)
         if refused is not None:
             return refused
         permit = self._capacities.try_acquire(request, route, now_s)
@@ -148,7 +155,7 @@
         services = self._select_services(route)
         for service in services:
             self._budgets.record_request(service, now_s)
-        run = RequestRun(self, request, route, services, inbox)
+        run = RequestRun(self, request, route, services, deadlines, inbox)
         try:
             return run.complete()
         finally:
@@ -247,12 +254,27 @@
         if now_s >= view.stalled_until_s:
             self._fleet.broadcast_stall(call.record.target)
 
+    def _used_s(self, request: CallerRequest, route: Route) -> float | None:
+        """Returns what a caller had used of its time before; none if it is unknown."""
+        if request.remaining_s is None:
+            return None
+        used_s = self._caller_times.observe(
+            route.name, request.remaining_s, route.objective_s
+        )
+        if used_s is not None:
+            self._metrics.record_caller_time(route.name, used_s)
+        return used_s
+
     def _refuse_early(
-        self, request: CallerRequest, route: Route, now_s: float
+        self,
+        request: CallerRequest,
+        route: Route,
+        deadlines: ResponseDeadlines,
+        now_s: float,
     ) -> Refused | None:
         if self._crashes.is_quarantined(request.fingerprint, now_s):
             return Refused(RefusalCause.POISONED)
-        if response_deadlines(request, route).ends_at_s - now_s < ATTEMPT_MIN_S:
+        if deadlines.ends_at_s - now_s < ATTEMPT_MIN_S:
             return Refused(RefusalCause.NO_TIME)
         services, required = tuple(route.services), 1
         match route.destination:
@@ -414,6 +436,7 @@
         self._budgets.retain_only(table.routed_services)
         names = frozenset(route.name for route in table.routes)
         self._timings.retain_only(names)
+        self._caller_times.retain_only(names)
         self._splits.retain_only(names)
         self._capacities.retain_only(names)
 
--- a/lavendertide/forwarding/messages.py
+++ b/lavendertide/forwarding/messages.py
@@ -21,6 +21,8 @@
             caller did not specify one.
         arrived_at_s: Time at which the request was read, monotonic.
         fingerprint: Equal for requests of equal content.
+        round_trip_s: Shortest round trip to the caller on its connection; none if it is
+            unknown.
     """
 
     request: CallerRequestId
@@ -32,6 +34,14 @@
     gives_up_at_s: float | None
     arrived_at_s: float
     fingerprint: Fingerprint
+    round_trip_s: float | None = None
+
+    @property
+    def remaining_s(self) -> float | None:
+        """How long the caller would still wait when it sent the request, if it said."""
+        if self.gives_up_at_s is None:
+            return None
+        return self.gives_up_at_s - self.arrived_at_s
 
 
 class NotRunReason(Enum):
--- a/lavendertide/forwarding/metrics.py
+++ b/lavendertide/forwarding/metrics.py
@@ -35,6 +35,13 @@
             buckets=LATENCY_BUCKETS_S,
             registry=registry,
         )
+        self._caller_time = Histogram(
+            "lavendertide_forwarded_caller_time_seconds",
+            "What callers had used of their time when they sent their requests.",
+            ("route",),
+            buckets=LATENCY_BUCKETS_S,
+            registry=registry,
+        )
         replies = Counter(
             "lavendertide_forwarded_replies",
             "Replies of targets by outcome.",
@@ -65,6 +72,10 @@
         self._responses.labels(route, outcome).inc()
         self._latency.labels(route).observe(latency_s)
 
+    def record_caller_time(self, route: str, used_s: float) -> None:
+        """Records what a caller had used of its time when it sent its request."""
+        self._caller_time.labels(self._routes.value(route)).observe(used_s)
+
     def record_reply(self, reply: TargetReply) -> None:
         """Records the outcome of one sub-request."""
         match reply:
--- a/lavendertide/forwarding/request_log.py
+++ b/lavendertide/forwarding/request_log.py
@@ -9,6 +9,7 @@
 from typing import Final
 
 from lavendertide.bounded_logs import ENDED_REQUESTS
+from lavendertide.forwarding.deadlines import ResponseDeadlines
 from lavendertide.forwarding.messages import (
     Abandoned,
     CallerRequest,
@@ -102,7 +103,7 @@
     outcome: str,
     parts: list[Part],
     extra: int,
-    left_s: float,
+    deadlines: ResponseDeadlines,
     now_s: float,
 ) -> None:
     """Logs the end of a request that was forwarded to targets.
@@ -114,7 +115,7 @@
         outcome: The outcome of the response.
         parts: The parts of the request, one for each service.
         extra: Number of sub-requests beyond the first of each part.
-        left_s: Remaining time of the request.
+        deadlines: When the response has to leave this host.
         now_s: Present time, monotonic.
     """
     missing = [part.service for part in parts if not part.is_done]
@@ -125,10 +126,13 @@
         "version_age_s": round(routes.age_s, 1),
         "outcome": outcome,
         "elapsed_ms": round((now_s - request.arrived_at_s) * 1_000, 1),
-        "left_ms": round(left_s * 1_000, 1),
+        "left_ms": round((deadlines.ends_at_s - now_s) * 1_000, 1),
+        "objective_left_ms": round((deadlines.objective_at_s - now_s) * 1_000, 1),
         "parts": len(parts),
         "extra": extra,
     }
+    if deadlines.used_s is not None:
+        fields["caller_used_ms"] = round(deadlines.used_s * 1_000)
     if missing:
         fields["missing"] = missing[:NAMED_SHARDS_MAX]
         fields["missing_count"] = len(missing)
--- a/lavendertide/forwarding/run.py
+++ b/lavendertide/forwarding/run.py
@@ -8,7 +8,7 @@
 import math
 from typing import Final
 
-from lavendertide.forwarding.deadlines import ATTEMPT_MIN_S, response_deadlines
+from lavendertide.forwarding.deadlines import ATTEMPT_MIN_S, ResponseDeadlines
 from lavendertide.forwarding.merging import merge_greatest_records
 from lavendertide.forwarding.messages import (
     Abandoned,
@@ -56,13 +56,14 @@
         request: CallerRequest,
         route: Route,
         services: tuple[ServiceName, ...],
+        deadlines: ResponseDeadlines,
         inbox: tasks.Mailbox[Event],
     ) -> None:
         self._sender = sender
         self._request = request
         self._route = route
         self._inbox = inbox
-        self._deadlines = response_deadlines(request, route)
+        self._deadlines = deadlines
         self._parts = [Part(service) for service in services]
         self._replies: list[Replied] = []
         self._lost_count = 0
@@ -360,6 +361,6 @@
             outcome,
             self._parts,
             self._extra_count,
-            self._deadlines.ends_at_s - now_s,
+            self._deadlines,
             now_s,
         )
--- a/lavendertide/gateway/caller_front.py
+++ b/lavendertide/gateway/caller_front.py
@@ -6,7 +6,7 @@
 
 import logging
 import socket
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Final, Protocol
 
 from returns.result import Failure
@@ -132,6 +132,8 @@
         match received:
             case HttpRequest():
                 request = self._codec.decode(received, clock.monotonic_s())
+                if isinstance(request, CallerRequest):
+                    request = replace(request, round_trip_s=connection.round_trip_s)
             case BadRequest():
                 request = received
         if isinstance(request, CallerRequest):
--- a/lavendertide/runtime/sockets.py
+++ b/lavendertide/runtime/sockets.py
@@ -9,6 +9,7 @@
 import io
 import logging
 import socket
+import struct
 from collections.abc import Callable
 from typing import Any, Final
 
@@ -27,6 +28,13 @@
 # Pause after another error of `accept`, such as too many open files.
 ACCEPT_RETRY_S: Final = 0.05
 
+# Place of `tcpi_min_rtt`, in microseconds, in Linux's `struct tcp_info`.
+MIN_ROUND_TRIP: Final = struct.Struct("=I")
+MIN_ROUND_TRIP_OFFSET: Final = 148
+TCP_INFO_BYTES: Final = MIN_ROUND_TRIP_OFFSET + MIN_ROUND_TRIP.size
+# Round trips as long as this are no measurements.
+ROUND_TRIP_MAX_US: Final = 10_000_000
+
 _TIMEOUT: Final = TimeoutError("no data arrived in time")
 # Combined once, since combining flags takes longer than the system call itself.
 _PEEK: Final = int(socket.MSG_PEEK | socket.MSG_DONTWAIT)
@@ -143,6 +151,27 @@
         )
 
 
+def round_trip_s(connection: socket.socket) -> float | None:
+    """Returns the shortest round trip seen on a connection; none if it is unknown.
+
+    The mean would include the time for which the other side delays acknowledgements.
+    """
+    plain_socket = getattr(connection, "fd", connection)
+    try:
+        info = plain_socket.getsockopt(
+            socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_BYTES
+        )
+    except OSError:
+        return None
+    if len(info) < TCP_INFO_BYTES:
+        return None
+    (round_trip_us,) = MIN_ROUND_TRIP.unpack_from(info, MIN_ROUND_TRIP_OFFSET)
+    # Without a measurement it is zero or the greatest number.
+    if not 0 < round_trip_us < ROUND_TRIP_MAX_US:
+        return None
+    return float(round_trip_us) / 1e6
+
+
 def receive(connection: socket.socket, bytes_max: int, until_s: float) -> bytes:
     """Waits for data; returns `b""` once the other side has closed the connection.
 
--- a/tests/fleet/test_peer_link.py
+++ b/tests/fleet/test_peer_link.py
@@ -91,3 +91,81 @@
         self.assertGreaterEqual(
             self.heartbeat_count(), math.floor(REPLY_TIMEOUT_S / HEARTBEAT_S) - 1
         )
+
+
+class UnsendableFrame:
+    """A frame that can't be encoded."""
+
+
+class BrokenConnection(SilentConnection):
+    """A connection on which one frame can't be encoded and one can't be handled."""
+
+    def __init__(self, received: list[Frame]) -> None:
+        super().__init__()
+        self._received = received
+
+    def send(self, frame: Frame) -> None:
+        """Raises for a frame that can't be encoded, and records the others."""
+        if isinstance(frame, UnsendableFrame):
+            raise UnicodeEncodeError("utf-8", "\ud800", 0, 1, "surrogates not allowed")
+        super().send(frame)
+
+    def receive(self) -> Frame | None:
+        """Returns the prepared frames, then waits."""
+        return self._received.pop() if self._received else super().receive()
+
+
+class CountingConnector:
+    """Returns a new connection from every dial."""
+
+    def __init__(self, received: list[Frame]) -> None:
+        self._received = received
+        self.connections: list[BrokenConnection] = []
+
+    def dial(self, address: Address) -> BrokenConnection:
+        """Returns a connection."""
+        self.connections.append(BrokenConnection(self._received))
+        return self.connections[-1]
+
+
+class UnexpectedErrorTest(VirtualTimeTestCase):
+    """An unexpected error ends one connection and not the link.
+
+    Otherwise one odd frame would leave the peer unreachable for good.
+    """
+
+    def make(self, *received: Frame) -> tuple[PeerLink, CountingConnector]:
+        """Returns a link to a peer that sends these frames."""
+        roster, connector = roster_of(2), CountingConnector(list(received))
+        link = PeerLink(
+            Address("127.0.0.1:1"),
+            cast(PeerConnector, connector),
+            roster,
+            cast(Gossip, EmptyGossip()),
+            HEARTBEAT_S,
+        )
+        self.addCleanup(link.close)
+        return link, connector
+
+    def check_dials_again(self, link: PeerLink, connector: CountingConnector) -> None:
+        """Checks that a frame goes out on a second connection."""
+        tasks.sleep(5.0)
+        link.request_reach(member(0).daemon, REPLY_TIMEOUT_S)
+        sent = [frame for each in connector.connections for frame in each.sent]
+        self.assertTrue(any(isinstance(frame, ReachRequest) for frame in sent))
+        self.assertGreater(len(connector.connections), 1)
+
+    def test_a_frame_that_cannot_be_encoded(self) -> None:
+        link, connector = self.make()
+        with self.assertLogs("lavendertide.fleet.peer_link", "ERROR"):
+            link.send(cast(Frame, UnsendableFrame()))
+            tasks.sleep(0.1)
+        self.check_dials_again(link, connector)
+
+    def test_a_frame_that_cannot_be_handled(self) -> None:
+        # This gossip handles no replies.
+        link, connector = self.make(Heartbeat(1, (), cast(Any, 1)))
+        with self.assertLogs("lavendertide.fleet.peer_link", "ERROR"):
+            link.send(ReachRequest(ExchangeId("x"), member(0).daemon))
+            tasks.sleep(0.1)
+        self.check_dials_again(link, connector)
--- a/tests/forwarding/test_late_attempts.py
+++ b/tests/forwarding/test_late_attempts.py
@@ -5,6 +5,7 @@
 from lavendertide.forwarding.messages import (
     Failed,
     Passed,
+    Response,
 )
 from lavendertide.forwarding.timing import LATE_SHARE_MAX
 from lavendertide.ids import TargetId
@@ -117,3 +118,42 @@
         scripted.add("a", "desk", in_turn(refuses, replies_after(0.02)))
         self.assertIsInstance(scripted.forward(), Passed)
         self.assertEqual(len(scripted.called_targets), 2)
+
+
+class WithheldHedgeTest(VirtualTimeTestCase):
+    """A hedge that the budget did not allow is sent once the budget allows it.
+
+    Guards against a request that waits for a silent target to its time limit, since at
+    the moment at which it became late the budget was spent.
+    """
+
+    def make(self, fixed: float) -> ScriptedForwarder:
+        """Returns a forwarder with a silent target and a sound one."""
+        scripted = ScriptedForwarder(
+            route(wait_max_s=3.0, objective_s=0.1), fixed=fixed, window_s=0.2
+        )
+        for name in ("a", "b"):
+            scripted.add(name, "desk", in_turn(replies_after(5.0), replies()))
+        return scripted
+
+    def test_it_is_sent_when_other_requests_have_earned_it(self) -> None:
+        scripted = self.make(fixed=0.0)
+        responses: list[Response] = []
+        began_s = clock.monotonic_s()
+        tasks.spawn(lambda: responses.append(scripted.forward()))
+        tasks.sleep(0.06)
+        self.assertEqual(len(scripted.called_targets), 1)
+        for name in ("a", "b"):
+            scripted.behaviours[TargetId(name)] = replies()
+        for _ in range(8):
+            scripted.forward()
+        while not responses and clock.monotonic_s() < began_s + 0.2:
+            tasks.sleep(0.01)
+        self.assertIsInstance(responses[0], Passed)
+
+    def test_it_is_logged_once_as_withheld(self) -> None:
+        scripted = self.make(fixed=0.0)
+        with self.assertLogs("lavendertide.forwarding.request_log", "INFO") as logs:
+            self.assertIsInstance(scripted.forward(), Failed)
+        withheld = [r for r in logs.records if "withheld" in r.getMessage()]
+        self.assertEqual(len(withheld), 1)
--- a/tests/forwarding/test_run.py
+++ b/tests/forwarding/test_run.py
@@ -2,6 +2,7 @@
 
 from dataclasses import replace
 
+from lavendertide.forwarding.deadlines import response_deadlines
 from lavendertide.forwarding.messages import (
     Abandoned,
     Failed,
@@ -217,11 +218,13 @@
         for number, behaviour in enumerate(behaviours):
             scripted.add(f"t{number}", f"shard-{number}", behaviour)
         now_s = clock.monotonic_s()
+        caller_request = request(now_s, now_s + 0.3)
         run = RequestRun(
             scripted.forwarder,
-            request(now_s, now_s + 0.3),
+            caller_request,
             found,
             found.services,
+            response_deadlines(caller_request, found, None),
             tasks.Mailbox() if inbox is None else inbox,
         )
         run.complete()
--- a/tests/runtime/test_sockets.py
+++ b/tests/runtime/test_sockets.py
@@ -1,13 +1,21 @@
 """Tests of `lavendertide.runtime.sockets`."""
 
+import errno
 import socket
 import threading
 import time
 import unittest
+from typing import cast
 
 from lavendertide.ids import Address
 from lavendertide.runtime import clock
-from lavendertide.runtime.sockets import ArrivalTrackingReader, listen
+from lavendertide.runtime.sockets import (
+    ArrivalTrackingReader,
+    accept,
+    close_listener,
+    listen,
+)
+from tests.virtual_time import VirtualTimeTestCase
 
 
 class ListenTest(unittest.TestCase):
@@ -21,6 +29,54 @@
             listen(Address(f"127.0.0.1:{port}"))
 
 
+class FailingListener:
+    """A listener whose `accept` raises the given errors, then is closed."""
+
+    def __init__(self, *errors: int) -> None:
+        self._errors = [*errors, errno.EINVAL]
+        self.accepted = 0
+
+    def accept(self) -> tuple[socket.socket, str]:
+        """Returns a connection for zero and raises any other error."""
+        error = self._errors.pop(0)
+        if error:
+            raise OSError(error, "accept failed")
+        self.accepted += 1
+        return socket.socket(), ""
+
+
+class AcceptTest(VirtualTimeTestCase):
+    """Only closing a listener ends it.
+
+    A process that stopped accepting because it was out of descriptors for a moment
+    would look alive and serve nobody.
+    """
+
+    def accept_all(self, listener: FailingListener) -> int:
+        """Accepts until the listener is closed; returns the number of connections."""
+        count = 0
+        while (connection := accept(cast(socket.socket, listener))) is not None:
+            connection.close()
+            count += 1
+        return count
+
+    def test_errors_of_single_connections_do_not_end_the_listener(self) -> None:
+        listener = FailingListener(0, errno.ECONNABORTED, errno.EMFILE, errno.EMFILE, 0)
+        with self.assertLogs("lavendertide.runtime.sockets") as logs:
+            self.assertEqual(self.accept_all(listener), 2)
+        self.assertEqual(len(logs.records), 3)
+
+    def test_closing_ends_the_listener(self) -> None:
+        for error in (errno.EBADF, errno.EINVAL):
+            with self.subTest(error=error):
+                self.assertEqual(self.accept_all(FailingListener(error, 0)), 0)
+
+    def test_a_listener_that_was_closed_while_it_waits(self) -> None:
+        listener = listen(Address("127.0.0.1:0"))
+        close_listener(listener)
+        self.assertIsNone(accept(listener))
+
+
 class ArrivalTrackingReaderTest(unittest.TestCase):
     """Data that is read arrived after the receive buffer was last empty."""
 
