Check settings and the time that callers take for their headers

Cause: a settings file with a port out of range, a number that is not finite or bytes that are no text raised past the named error, and ended the reloading of settings. A caller that sent its headers byte by byte held a connection for ever, since each piece had the full time-out.

Change: addresses and numbers of the settings are checked; the rest of the headers has one time limit.

--- a/lavendertide/encodings/http_server_connection.py
+++ b/lavendertide/encodings/http_server_connection.py
@@ -8,6 +8,7 @@
 import contextlib
 import socket
 from http import HTTPStatus
+from typing import Final
 
 import h11
 
@@ -17,7 +18,10 @@
     HttpRequest,
     HttpResponse,
 )
-from lavendertide.runtime import sockets
+from lavendertide.runtime import clock, sockets
+
+# A time-out of zero would make the socket non-blocking.
+SHORTEST_WAIT_S: Final = 0.001
 
 
 class ServerConnection:
@@ -54,7 +58,8 @@
 
         Args:
             idle_s: Time limit for the first bytes of the request.
-            header_s: Time limit for each further piece of the request.
+            header_s: Time limit for the rest of the headers, and then for each further
+                piece of the body.
             body_max_bytes: A larger body is refused.
         """
         try:
@@ -71,6 +76,7 @@
             self._framing.start_next_cycle()
         self._socket.settimeout(idle_s)
         head: h11.Request | None = None
+        head_until_s: float | None = None
         chunks: list[bytes] = []
         size = 0
         while True:
@@ -81,7 +87,12 @@
                     self._socket.sendall(self._framing.send(proceed))
                 data = self._socket.recv(READ_BYTES)
                 self._framing.receive_data(data)
-                self._socket.settimeout(header_s)
+                now_s = clock.monotonic_s()
+                if head_until_s is None:
+                    head_until_s = now_s + header_s
+                # Headers that arrive byte by byte must not hold the connection.
+                left_s = header_s if head is not None else head_until_s - now_s
+                self._socket.settimeout(max(SHORTEST_WAIT_S, left_s))
                 continue
             match event:
                 case h11.Request():
--- a/lavendertide/platform/settings.py
+++ b/lavendertide/platform/settings.py
@@ -1,13 +1,14 @@
 """Reads the settings file that the platform writes, with lines like `a.b=value`."""
 
+import math
 import os
 from pathlib import Path
 
+from lavendertide.addressing import check_ip_port
 from lavendertide.forwarding.budget import RetryAllowance
 from lavendertide.gateway.options import GatewayOptions
 from lavendertide.gateway.reading_times import ReadingTimes
 from lavendertide.ids import Address, FailureDomain, HostId, Region
-from lavendertide.runtime.sockets import split_address
 
 PATH_VARIABLE = "LAVENDERTIDE_SETTINGS"
 KEY_VARIABLE = "FLEET_KEY"
@@ -16,6 +17,9 @@
 # Used if the platform does not set how long a leaving target accepts requests.
 DEFAULT_LEAVING_MS = "3000"
 
+# Shortest window over which repeats are counted.
+WINDOW_MIN_S = 0.1
+
 
 class SettingsError(Exception):
     """The settings are invalid; the message says what to change."""
@@ -41,7 +45,7 @@
     """
     try:
         fields = parse_lines(path.read_text())
-    except OSError as error:
+    except (OSError, UnicodeError) as error:
         raise SettingsError(f"Make {path} readable: {error}.") from error
     key = os.environ.get(KEY_VARIABLE, "")
     if not key:
@@ -80,24 +84,32 @@
         platform=_parse_address(fields["platform.address"]),
         # From the store's acknowledgement that a target leaves to its last request.
         reading=ReadingTimes(
-            float(fields.get("bounds.drain-ms", DEFAULT_LEAVING_MS)) / 1_000
+            _number(fields, "bounds.drain-ms", DEFAULT_LEAVING_MS) / 1_000
         ),
         retries=RetryAllowance(
-            ratio=float(fields["bounds.retry-budget-ratio"]),
-            fixed=float(fields["bounds.retry-slack"]),
-            window_s=float(fields["bounds.budget-window-s"]),
+            ratio=_number(fields, "bounds.retry-budget-ratio"),
+            fixed=_number(fields, "bounds.retry-slack"),
+            window_s=_number(fields, "bounds.budget-window-s", least=WINDOW_MIN_S),
         ),
-        grace_s=float(fields["bounds.grace-s"]),
+        grace_s=_number(fields, "bounds.grace-s"),
         # The only one of the platform's names with underscores.
-        address_lifetime_s=float(fields["bounds.ttl_max_s"]),
+        address_lifetime_s=_number(fields, "bounds.ttl_max_s"),
         # The share refers to one core that is "cores" times as fast, not to several.
-        processor_share=float(fields["limits.cpu-share"])
-        * float(fields["limits.cores"]),
+        processor_share=_number(fields, "limits.cpu-share")
+        * _number(fields, "limits.cores"),
     )
 
 
 def _parse_address(text: str) -> Address:
-    ip, port = split_address(Address(text))
-    if not ip:
-        raise ValueError(f"{text!r} is not IP:port")
-    return Address(f"{ip}:{port}")
+    return Address(check_ip_port(text))
+
+
+def _number(
+    fields: dict[str, str], name: str, default: str | None = None, least: float = 0.0
+) -> float:
+    """Returns a value that is a finite number and not less than `least`."""
+    text = fields[name] if default is None else fields.get(name, default)
+    value = float(text)
+    if not math.isfinite(value) or value < least:
+        raise ValueError(f"{name} is {text}, not a number from {least:g}")
+    return value
--- a/lavendertide/registry/record.py
+++ b/lavendertide/registry/record.py
@@ -1,19 +1,17 @@
 """The registry entry that a target publishes."""
 
-import ipaddress
 import re
 from dataclasses import dataclass
 from enum import Enum
 from typing import Final
 
+from lavendertide.addressing import check_ip_port
 from lavendertide.ids import Address, FailureDomain, ServiceName, TargetId
 
 # Longest name of a target, a service or a failure domain.
 NAME_MAX_CHARACTERS: Final = 200
 # A target's name is sent to it in a header, so it is visible ASCII.
 TARGET_NAME: Final = re.compile(r"[!-~]+")
-PORT: Final = re.compile(r"[0-9]{1,5}")
-PORT_MAX: Final = 65_535
 SLOTS_MAX: Final = 1_000_000
 # The last millisecond of the year 9999.
 STARTED_AT_MAX_MS: Final = 253_402_300_799_999
@@ -86,7 +84,8 @@
         raise ValueError("target is not visible ASCII")
     _check_name(record.service, "service")
     _check_name(record.failure_domain, "failure domain")
-    _check_address(record.address)
+    _check_name(record.address, "address")
+    check_ip_port(record.address)
     _check_whole(record.slots, "slots", 1, SLOTS_MAX)
     _check_whole(record.started_at_ms, "start time", 0, STARTED_AT_MAX_MS)
 
@@ -99,18 +98,6 @@
         raise ValueError(f"{field} has more than {NAME_MAX_CHARACTERS} characters")
 
 
-def _check_address(value: object) -> None:
-    ip, _, port = value.rpartition(":") if isinstance(value, str) else ("", "", "")
-    try:
-        address = ipaddress.IPv4Address(ip)
-    except ValueError:
-        raise ValueError("address is not IP:port") from None
-    if address.is_unspecified or address.is_multicast:
-        raise ValueError("address is not that of one host")
-    if not PORT.fullmatch(port) or not 1 <= int(port) <= PORT_MAX:
-        raise ValueError(f"address has no port from 1 to {PORT_MAX}")
-
-
 def _check_whole(value: object, field: str, least: int, greatest: int) -> None:
     if isinstance(value, bool) or not isinstance(value, int):
         raise ValueError(f"{field} is not a whole number")
--- a/tests/encodings/test_http_connections.py
+++ b/tests/encodings/test_http_connections.py
@@ -1,6 +1,9 @@
 """Tests of HTTP connections on both sides, over sockets within the process."""
 
+import contextlib
 import socket
+import threading
+import time
 import unittest
 
 from lavendertide.encodings.http_client_connection import (
@@ -146,6 +149,24 @@
         read = self.read(head + b"x" * 101)
         self.assertEqual(read, BadRequest(413))
 
+    def test_headers_that_arrive_byte_by_byte_have_one_time_limit(self) -> None:
+        """A limit for each piece would let a caller hold a connection for ever."""
+        ended = threading.Event()
+
+        def trickle() -> None:
+            with contextlib.suppress(OSError):
+                self.caller.sendall(b"GET / HTTP/1.1\r\nX-Slow: ")
+                while not ended.wait(0.05):
+                    self.caller.sendall(b"x")
+
+        trickling = threading.Thread(target=trickle)
+        trickling.start()
+        self.addCleanup(trickling.join)
+        self.addCleanup(ended.set)
+        began_s = time.monotonic()
+        self.assertIsNone(self.connection.read_request(TIMEOUT_S, 0.3, 100))
+        self.assertLess(time.monotonic() - began_s, TIMEOUT_S)
+
     def test_bytes_that_are_not_a_request_are_refused(self) -> None:
         self.assertIsInstance(self.read(b"\x16\x03\x01 hello\r\n\r\n"), BadRequest)
 
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -112,9 +112,23 @@
             {"address": "nowhere"},
             {"service": None},
             {"born": 1.5},
+            {"born": -1},
+            {"born": 2**63},
+            {"slots": 2**31},
+            {"address": "10.0.0.1:0"},
+            {"address": "10.0.0.1:65536"},
+            {"address": "10.0.0.1:-1"},
+            {"address": "10.0.0.1:\u0661"},
+            {"address": "10.0.0.1:8_0"},
+            {"zone": "\ud800"},
+            {"service": "a\r\nb"},
+            {"service": "x" * 201},
         ):
             with self.subTest(change), self.assertRaises(ValueError):
                 decode_target("i-1", ENTRY | change)
+        for name in ("", "a b", "a\r\nX: y", "\u00e9", "x" * 201):
+            with self.subTest(name), self.assertRaises(ValueError):
+                decode_target(name, ENTRY)
         documents: tuple[Any, ...] = ([], "text", None, {})
         for document in documents:
             with self.subTest(document), self.assertRaises(ValueError):
@@ -150,6 +164,12 @@
             CONFIGURATION | {"version": "3"},
             CONFIGURATION | {"routes": [ROUTE | {"route-type": "other"}]},
             CONFIGURATION | {"routes": [ROUTE | {"timeout-ms": "x"}]},
+            CONFIGURATION | {"routes": [ROUTE | {"timeout-ms": float("inf")}]},
+            CONFIGURATION | {"routes": [ROUTE | {"timeout-ms": float("nan")}]},
+            CONFIGURATION | {"routes": [ROUTE | {"max-attempts": 10**30}]},
+            CONFIGURATION | {"routes": [ROUTE | {"gather": "desk", "top-k": 1}]},
+            CONFIGURATION | {"routes": {"r": ROUTE}},
+            CONFIGURATION | {"limits": {"idle-timeout-ms": 1e999}},
         )
         for document in documents:
             with self.subTest(document), self.assertRaises(ValueError):
@@ -174,6 +194,29 @@
         self.assertEqual(options.retries.fixed, 56.0)
         self.assertEqual(options.processor_share, 1.0)
 
+    def test_values_out_of_range_are_refused(self) -> None:
+        for valid, invalid in (
+            ("listen.front=10.0.0.1:1", "listen.front=10.0.0.1:70000"),
+            ("listen.front=10.0.0.1:1", "listen.front=front:80"),
+            ("seeds=10.0.0.2:3", "seeds=10.0.0.2:0"),
+            ("bounds.grace-s=6", "bounds.grace-s=nan"),
+            ("bounds.retry-slack=56", "bounds.retry-slack=inf"),
+            ("bounds.retry-slack=56", "bounds.retry-slack=-1"),
+            ("bounds.budget-window-s=10", "bounds.budget-window-s=0"),
+        ):
+            with (
+                self.subTest(invalid),
+                self.assertRaisesRegex(SettingsError, "Correct"),
+            ):
+                self.read(SETTINGS.replace(valid, invalid))
+
+    def test_a_file_that_is_no_text_is_refused(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "boot.conf"
+            path.write_bytes(b"node=\xff\xfe")
+            with self.assertRaises(SettingsError):
+                read_settings(path)
+
     def test_a_missing_value_is_named(self) -> None:
         with self.assertRaisesRegex(SettingsError, "Add platform.address"):
             self.read(SETTINGS.replace("platform.address", "platform.other"))
