Bound the time of an exchange with a target and refuse odd documents

Cause: in lavendertided the time limit of an exchange started again with each piece of a reply, so a target that sends byte by byte held its slot without end. A document that is nested too deeply, or a number too large, raised past the handlers of a reply, a health check and the membership list, and ended their tasks.

Change: one time limit for the whole exchange; these documents are mismatched replies or unreadable lists.

--- a/lavendertide/encodings/platform_http.py
+++ b/lavendertide/encodings/platform_http.py
@@ -17,6 +17,8 @@
 HOSTS_PATH: Final = "/v1/hosts"
 CONNECT_TIMEOUT_S: Final = 0.5
 RESPONSE_MARGIN_S: Final = 2.0
+# Raised for a document with fields missing, of another type or nested too deeply.
+UNREADABLE: Final = (AttributeError, LookupError, RecursionError, TypeError, ValueError)
 
 
 class HttpConfigurationReader:
@@ -74,7 +76,7 @@
             )
             listed = json.loads(response.data)["hosts"]
             return Success({HostId(h["host"]): str(h["state"]) for h in listed})
-        except (urllib3.exceptions.HTTPError, KeyError, TypeError, ValueError) as error:
+        except (urllib3.exceptions.HTTPError, *UNREADABLE) as error:
             return Failure(
                 _service_unreachable("membership list", self._address, error)
             )
--- a/lavendertide/encodings/target_connection.py
+++ b/lavendertide/encodings/target_connection.py
@@ -14,6 +14,7 @@
 from urllib3.exceptions import HTTPError
 
 from lavendertide.ids import Address
+from lavendertide.runtime import tasks
 from lavendertide.runtime.sockets import is_closed_by_peer, split_address
 
 CONNECT_TIMEOUT_S: Final = 0.25
@@ -115,7 +116,9 @@
         if not self.is_open and not self.open():
             return ExchangeFailure.NOT_CONNECTED
         try:
-            return self._exchange(method, path, body, timeout_s)
+            # The socket's own time limit starts again with each piece that it receives.
+            with tasks.time_limit(timeout_s):
+                return self._exchange(method, path, body, timeout_s)
         except TimeoutError:
             self.close()
             return ExchangeFailure.TIMED_OUT
--- a/lavendertide/encodings/target_http.py
+++ b/lavendertide/encodings/target_http.py
@@ -27,6 +27,16 @@
 REPLY_MAX_BYTES: Final = 262_144
 WARM_TIMEOUT_S: Final = 0.5
 STATUS_OK: Final = 200
+# Raised for a document with fields missing, of another type, too large or nested too
+# deeply.
+UNREADABLE: Final = (
+    ArithmeticError,
+    AttributeError,
+    LookupError,
+    RecursionError,
+    TypeError,
+    ValueError,
+)
 REASON_OF_DECLINED_STATUS: Final = {
     409: DeclineReason.VERSION_NOT_HELD,
     410: DeclineReason.DRAINING,
@@ -108,7 +118,7 @@
             return False
         try:
             return bool(json.loads(reply.data)["state"] == "draining")
-        except (KeyError, TypeError, ValueError):
+        except UNREADABLE:
             return False
 
     def close(self) -> None:
@@ -144,7 +154,7 @@
         return Lost(request.attempt, loss)
     try:
         answered = _decode_answered(request, json.loads(data))
-    except (KeyError, TypeError, ValueError):
+    except UNREADABLE:
         return Lost(request.attempt, LossReason.MISMATCHED_REPLY)
     return answered or Lost(request.attempt, LossReason.MISMATCHED_REPLY)
 
--- a/lavendertide/runtime/tasks.py
+++ b/lavendertide/runtime/tasks.py
@@ -4,8 +4,9 @@
 processor time.
 """
 
+import contextlib
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from typing import Any, Final, Generic, TypeVar
 
 import eventlet
@@ -74,6 +75,17 @@
     eventlet.sleep(duration_s)
 
 
+@contextlib.contextmanager
+def time_limit(duration_s: float) -> Iterator[None]:
+    """Ends the waits of this task within the block after a duration.
+
+    Raises:
+        TimeoutError: The time has passed.
+    """
+    with eventlet.Timeout(duration_s, TimeoutError("time limit exceeded")):
+        yield
+
+
 class Mailbox(Generic[T]):
     """A queue between tasks; sending never waits.
 
--- a/tests/encodings/test_platform_http.py
+++ b/tests/encodings/test_platform_http.py
@@ -5,8 +5,10 @@
 import unittest
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from typing import Any
+from unittest import mock
 
 import urllib3
+from returns.result import Failure
 
 from lavendertide.caller_client import CallerClient
 from lavendertide.encodings.platform_http import (
@@ -101,3 +103,20 @@
         client._addresses, client._addresses_expire_at_s = [self.address], float("inf")
         response = client.search("index", "body", 5_000, 1, 0.0)
         self.assertIn("hosts", response.unwrap())
+
+
+class OddListTest(unittest.TestCase):
+    """A membership list that can't be read is a failure, whatever is wrong with it.
+
+    Another exception would end the task that follows the list.
+    """
+
+    def test_odd_lists_are_failures(self) -> None:
+        for odd in (b"[" * 100_000, b"[]", b"null", b'{"hosts": 7}', b'{"hosts": [7]}'):
+            with self.subTest(odd[:40]):
+                reader = HttpMembershipReader(Address("127.0.0.1:1"))
+                response = mock.Mock(status=200, data=odd)
+                with mock.patch.object(
+                    urllib3.HTTPConnectionPool, "request", return_value=response
+                ):
+                    self.assertIsInstance(reader.read(), Failure)
--- a/tests/encodings/test_target_http.py
+++ b/tests/encodings/test_target_http.py
@@ -5,10 +5,16 @@
 import threading
 import unittest
 from collections.abc import Callable
+from dataclasses import replace
 from unittest import mock
 
 from bench.codec import build_frame
-from lavendertide.encodings.target_http import HttpTargetExchange
+from lavendertide.encodings.target_connection import ExchangeFailure, TargetConnection
+from lavendertide.encodings.target_http import (
+    HttpTargetControl,
+    HttpTargetExchange,
+    decode_reply,
+)
 from lavendertide.ids import (
     Address,
     FailureDomain,
@@ -18,12 +24,24 @@
     TargetId,
 )
 from lavendertide.messages import Answered, Declined, DeclineReason, LossReason, Lost
+from lavendertide.runtime import clock, tasks
 from lavendertide.targets.place import TargetPlace
 from standins.target import expected_reply
+from tests.virtual_time import VirtualTimeTestCase
 
 TIMEOUT_S = 5.0
 SHORT_TIMEOUT_S = 0.05
 REQUEST = build_frame(1).items[0]
+PLACE = TargetPlace(
+    target=TargetId("t"),
+    owner=OwnerId("o"),
+    index=IndexName("i"),
+    address=Address("127.0.0.1:1"),
+    region=Region("r"),
+    failure_domain=FailureDomain("d"),
+    slots=1,
+    connections=2,
+)
 Behaviour = Callable[[socket.socket], None]
 
 
@@ -59,6 +77,82 @@
     connection.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\n{")
 
 
+def send_json(document: bytes) -> Behaviour:
+    """Returns the behaviour of a target that replies with a JSON document."""
+
+    def behave(connection: socket.socket) -> None:
+        connection.recv(65_536)
+        length = f"Content-Length: {len(document)}".encode()
+        connection.sendall(b"HTTP/1.1 200 OK\r\n" + length + b"\r\n\r\n" + document)
+
+    return behave
+
+
+class OddReplyTest(unittest.TestCase):
+    """A reply that can't be read is a lost one, whatever is wrong with it.
+
+    Another exception would end the task of the connection and lose the target's slot.
+    """
+
+    def test_odd_documents_are_mismatched_replies(self) -> None:
+        valid = {"attempt": REQUEST.attempt, "shard": REQUEST.shard}
+        valid |= {"version": REQUEST.version, "rows": [], "matches": 0, "amount": 0}
+        for odd in (
+            b"[" * 100_000,
+            b"[]",
+            b"null",
+            json.dumps(valid | {"matches": 1e999}).encode(),
+            json.dumps(valid | {"rows": [["a", 1]]}).encode(),
+            json.dumps(valid | {"amount": "9" * 5_000}).encode(),
+        ):
+            with self.subTest(odd[:40]):
+                reply = decode_reply(REQUEST, 200, odd)
+                lost = Lost(REQUEST.attempt, LossReason.MISMATCHED_REPLY)
+                self.assertEqual(reply, lost)
+
+    def test_an_odd_health_document_does_not_mean_draining(self) -> None:
+        for odd in (b"[" * 100_000, b"[]", b"null", b"7", b'{"state": ["draining"]}'):
+            with self.subTest(odd[:40]):
+                listener = socket.create_server(("127.0.0.1", 0))
+                self.addCleanup(listener.close)
+
+                def serve(listener: socket.socket, odd: bytes) -> None:
+                    connection, _ = listener.accept()
+                    with connection:
+                        send_json(odd)(connection)
+
+                threading.Thread(
+                    target=serve, args=(listener, odd), daemon=True
+                ).start()
+                host, port = listener.getsockname()
+                place = replace(PLACE, address=Address(f"{host}:{port}"))
+                control = HttpTargetControl(place)
+                self.addCleanup(control.close)
+                self.assertFalse(control.is_draining(TIMEOUT_S))
+
+
+class TrickledReplyTest(VirtualTimeTestCase):
+    """A reply that arrives byte by byte has one time limit.
+
+    A limit for each byte would let a target in trouble hold its slot without end.
+    """
+
+    def test_the_exchange_ends_at_its_time_limit(self) -> None:
+        def trickle(*_: object) -> None:
+            while True:
+                tasks.sleep(0.1)
+
+        connection = TargetConnection(PLACE.address, 100)
+        began_s = clock.monotonic_s()
+        with (
+            mock.patch.object(TargetConnection, "open", return_value=True),
+            mock.patch.object(TargetConnection, "_exchange", trickle),
+        ):
+            failure = connection.exchange("GET", "/", None, 0.45)
+        self.assertIs(failure, ExchangeFailure.TIMED_OUT)
+        self.assertAlmostEqual(clock.monotonic_s() - began_s, 0.45, places=2)
+
+
 class HttpTargetExchangeTest(unittest.TestCase):
     """An exchange reports whether a sub-request ran, did not run, or may have run.
 
@@ -69,16 +163,7 @@
         self.listener = socket.create_server(("127.0.0.1", 0))
         self.addCleanup(self.listener.close)
         host, port = self.listener.getsockname()
-        self.place = TargetPlace(
-            target=TargetId("t"),
-            owner=OwnerId("o"),
-            index=IndexName("i"),
-            address=Address(f"{host}:{port}"),
-            region=Region("r"),
-            failure_domain=FailureDomain("d"),
-            slots=1,
-            connections=2,
-        )
+        self.place = replace(PLACE, address=Address(f"{host}:{port}"))
         self.exchange = HttpTargetExchange(self.place)
         self.addCleanup(self.exchange.close)
 
