--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,13 +1,21 @@
-"""Large entries of another writer end the reading of the store for twenty seconds."""
+"""A request that crashes its backends comes again and is never held back.
 
-import os
+The service has two backends, which start again under the ids that they had.
+"""
+
+import socket
+import threading
 import time
+from collections import Counter
+from dataclasses import dataclass, field
 from typing import Final
 
 from common import (
     Backend,
     Client,
     Deployment,
+    Request,
+    Store,
     configuration,
     is_troubled,
     route,
@@ -15,72 +23,129 @@
 )
 
 GATEWAYS: Final = 2
-# The limit "value-bytes" of the settings.
-VALUE_BYTES: Final = 1_048_576
-ENTRIES: Final = 12
-# Between two writes; the store takes 400 a second.
-WRITE_PAUSE_S: Final = 0.0025
-CONFIG_APPLY_S: Final = 3.0
-DRAIN_S: Final = 3.0
-PLAY_S: Final = 24.0
-PAUSE_S: Final = 0.1
+BACKENDS: Final = 2
+MAX_CONNS: Final = 110
+BACK_AFTER_S: Final = 2.0
+# The store has a backend's new entry this long after its start.
+ENTRY_LAG_S: Final = 0.8
+STABLE_S: Final = 4.0
+PLAY_S: Final = 60.0
+POISON_EVERY_S: Final = 4.0
+ORDERS_PER_S: Final = 5.0
+ORDER_WORK_S: Final = 0.2
 DEADLINE_MS: Final = 3_000
+# The rule counts from the third crash and allows three retries.
+CRASHES_TO_KNOW: Final = 3
+RETRIES_MAX: Final = 3
+POISON: Final = "/desk/poison"
+
+
+@dataclass
+class CrashingBackend(Backend):
+    """A backend that crashes when it begins to run one request, and comes back.
+
+    Attributes:
+        store: Where it registers again.
+        crashes: Ids of the requests that have crashed it, with the time.
+    """
+
+    store: Store | None = None
+    crashes: list[tuple[str, float]] = field(default_factory=list)
+
+    def handle_arrival(self, connection: socket.socket, request: Request) -> None:
+        """Crashes if the request is the poisonous one."""
+        is_own = request.headers.get("lavendertide-expect-instance") == self.name
+        if request.path != POISON or not is_own:
+            return
+        self.record.write(f"{self.name}: {request.name} CRASHES it")
+        self.crashes.append((request.name, time.monotonic()))
+        self.end()
+        threading.Thread(target=self._come_back, daemon=True).start()
+        raise ConnectionResetError
+
+    def _come_back(self) -> None:
+        time.sleep(BACK_AFTER_S)
+        self.start_again()
+        self.record.write(f"{self.name}: starts again")
+        time.sleep(ENTRY_LAG_S)
+        if self.store is not None:
+            self.store.put(f"servers/{self.name}", self.entry())
 
 
 def play(deployment: Deployment) -> bool:
-    """Moves a route to another service just after the odd entries were written."""
+    """Repeats a request that crashes backends, beside orders that run once at most."""
     record = deployment.record
-    old, new = (Backend(f"i-{name}", name, record, slots=6) for name in ("old", "new"))
-    for backend in (old, new):
+    backends = [
+        CrashingBackend(f"i-desk-{number}", "desk", record, work_s=ORDER_WORK_S)
+        for number in range(BACKENDS)
+    ]
+    for backend in backends:
+        backend.store = deployment.store
         deployment.add(backend)
-    services = {"old": 110, "new": 110}
-    deployment.store.put(
-        "op/config",
-        configuration(1, [route("desk", "old", "idempotent", 3_000, 702)], services),
-    )
+    routes = [
+        route("desk", "desk", "idempotent", DEADLINE_MS, 702),
+        route("order", "desk", "non_idempotent", DEADLINE_MS, 702),
+    ]
+    deployment.store.put("op/config", configuration(1, routes, {"desk": MAX_CONNS}))
     deployment.start_gateways(GATEWAYS)
-    _send(deployment, "before")
-    if is_troubled():
-        for number in range(ENTRIES):
-            value = os.urandom(VALUE_BYTES)
-            deployment.store.put_bytes({f"servers/odd-{number}": value})
-            time.sleep(WRITE_PAUSE_S)
-    time.sleep(0.5)
-    moved = [route("desk", "new", "idempotent", 3_000, 702)]
-    applied_at_s = deployment.store.put("op/config", configuration(2, moved, services))
-    drained_at_s = deployment.store.put("servers/i-old", old.entry("draining"))
-    record.write("configuration 2 and the draining of i-old are acknowledged")
-    late_by_old = 0
+    orders: Counter[str] = Counter()
+    stop = threading.Event()
+    sender = threading.Thread(target=_send_orders, args=(deployment, orders, stop))
+    sender.start()
+    # One caller, which keeps its connection to one machine.
+    caller = Client(deployment.gateways[0].port, record)
+    ends_at_s = time.monotonic() + PLAY_S
     number = 0
-    while time.monotonic() < applied_at_s + PLAY_S:
+    while time.monotonic() < ends_at_s:
         number += 1
-        sent_at_s = time.monotonic()
-        served_by = _send(deployment, str(number))
-        if sent_at_s > applied_at_s + CONFIG_APPLY_S and "old" in served_by:
-            late_by_old += 1
-        time.sleep(PAUSE_S)
-    late_arrivals = [s for _, s in old.arrivals if s > drained_at_s + DRAIN_S]
-    last_s = max([s for _, s in old.arrivals], default=drained_at_s) - drained_at_s
+        if is_troubled():
+            caller.send("GET", POISON, f"poison-{number}", DEADLINE_MS)
+        time.sleep(POISON_EVERY_S)
+    caller.close()
+    stop.set()
+    sender.join()
+    crashes = sorted(
+        (crash for each in backends for crash in each.crashes),
+        key=lambda crash: crash[1],
+    )
+    late: set[str] = set()
+    if len(crashes) >= CRASHES_TO_KNOW:
+        known_at_s = crashes[CRASHES_TO_KNOW - 1][1] + STABLE_S
+        late = {name for name, at_s in crashes if at_s > known_at_s}
     summary = (
-        f"CONFIG: {late_by_old} requests sent over 3 s after the acknowledgement of "
-        f"configuration 2 were run by the old service; DRAIN: {len(late_arrivals)} "
-        f"requests reached the draining backend over 3 s after its acknowledgement, "
-        f"the last one {last_s:.1f} s after it"
+        f"crashes {len(crashes)}; BUDGET: {len(late)} retries reached backends over "
+        f"4 s after the third crash; orders beside it: {dict(orders)}"
     )
     record.write(summary)
     print(summary)
-    return not late_by_old and not late_arrivals
-
-
-def _send(deployment: Deployment, name: str) -> list[str]:
-    """Sends a request to each gateway; returns which backends served them."""
-    served_by = []
-    for number, gateway in enumerate(deployment.gateways):
-        client = Client(gateway.port, deployment.record)
-        answer = client.send("GET", "/desk/x", f"r{name}-{number}", DEADLINE_MS)
-        served_by.append(answer.body.decode("latin-1").strip(".").removeprefix("i-"))
-        client.close()
-    return served_by
+    return len(late) <= RETRIES_MAX
+
+
+def _send_orders(
+    deployment: Deployment, orders: Counter[str], stop: threading.Event
+) -> None:
+    senders = []
+    number = 0
+    while not stop.wait(1 / ORDERS_PER_S):
+        number += 1
+        gateway = deployment.gateways[number % len(deployment.gateways)]
+        sender = threading.Thread(
+            target=_send_order,
+            args=(deployment, gateway.port, f"order-{number}", orders),
+        )
+        sender.start()
+        senders.append(sender)
+    for sender in senders:
+        sender.join()
+
+
+def _send_order(
+    deployment: Deployment, port: int, name: str, orders: Counter[str]
+) -> None:
+    client = Client(port, deployment.record)
+    answer = client.send("POST", "/order/x", name, DEADLINE_MS, body=b"order")
+    orders[str(answer.status)] += 1
+    client.close()
 
 
 if __name__ == "__main__":
--- a/review/common.py
+++ b/review/common.py
@@ -9,6 +9,7 @@
 import http.client
 import json
 import os
+import random
 import select
 import shutil
 import signal
@@ -39,6 +40,7 @@
 PAGE_ITEMS: Final = 500
 PAGE_BYTES: Final = 1_000_000
 START_TIMEOUT_S: Final = 20.0
+PORTS: Final = range(12_000, 31_000)
 
 SETTINGS: Final = """\
 node={node}
@@ -103,11 +105,22 @@
 
 
 def free_ports(count: int) -> list[int]:
-    """Returns ports on which nothing listens."""
-    sockets = [socket.socket() for _ in range(count)]
+    """Returns ports on which nothing listens.
+
+    They lie below the range from which the system takes ports of outgoing connections.
+    """
+    sockets: list[socket.socket] = []
     try:
-        for each in sockets:
-            each.bind((LOOPBACK, 0))
+        for port in random.SystemRandom().sample(PORTS, len(PORTS)):
+            if len(sockets) == count:
+                break
+            each = socket.socket()
+            try:
+                each.bind((LOOPBACK, port))
+            except OSError:
+                each.close()
+                continue
+            sockets.append(each)
         return [int(each.getsockname()[1]) for each in sockets]
     finally:
         for each in sockets:
