Never send a request twice on one connection

Callers saw an order run twice, or answered 503 although it had run (TWICE, REFUSED).

Cause: a target refused a request and sent a second copy of the refusal late, where the next reply is expected. A copy is told from a reply by the request's id, but the same request had been sent again on the same connection, so the copy passed for its reply; the target ran the request meanwhile and the gateway sent it once more.

Change: a pooled connection remembers the requests that ended on it without success, since only these are repeated, and is replaced before one of them is sent again. Each id is then waited for once a connection, so that the id tells copy and reply apart. Second tries, hedges and parts of a search use the same pool.

--- a/lavendertide/forwarding/pool.py
+++ b/lavendertide/forwarding/pool.py
@@ -14,11 +14,12 @@
     CallerRequest,
     NotRun,
     NotRunReason,
+    Replied,
     TargetReply,
     Unknown,
     UnknownReason,
 )
-from lavendertide.ids import Address
+from lavendertide.ids import Address, CallerRequestId
 from lavendertide.registry.record import TargetRecord
 from lavendertide.runtime import clock, tasks
 
@@ -34,6 +35,9 @@
 # How long after its start a host assumes such connections: as long as idle ones are
 # kept.
 PREVIOUS_CONNECTIONS_S: Final = IDLE_S
+# Requests that a connection remembers to have carried without success. With more it is
+# replaced by a new one.
+UNSUCCESSFUL_MAX: Final = 256
 
 _log = logging.getLogger(__name__)
 
@@ -114,6 +118,54 @@
         """Closes the connection, which ends an exchange that waits for its reply."""
 
 
+class PooledConnection:
+    """A connection of a pool, and the requests that must not be sent on it again.
+
+    A target may send a second copy of a reply late, where it should send the next one.
+    The copy bears the id of its request, so it is skipped, unless the same request is
+    waiting on the connection once more: then the copy can't be told from the reply to
+    the second attempt. So a request that has ended without success, and may therefore
+    be repeated, is never sent twice on one connection.
+    """
+
+    def __init__(self, channel: TargetChannel) -> None:
+        self._channel = channel
+        self._unsuccessful: set[CallerRequestId] = set()
+
+    def make_usable(self, call: TargetCall, now_s: float) -> bool:
+        """Opens a new connection if the open one can't carry a call.
+
+        Returns:
+            Whether the call may be sent; if not, the target accepts no connection.
+        """
+        is_fresh = (
+            call.request.request not in self._unsuccessful
+            and len(self._unsuccessful) < UNSUCCESSFUL_MAX
+        )
+        if is_fresh and self._channel.is_usable(now_s):
+            return True
+        self._unsuccessful.clear()
+        return self._channel.open(min(CONNECT_TIMEOUT_S, call.ends_at_s - now_s))
+
+    def exchange(self, call: TargetCall, now_s: float) -> TargetReply:
+        """Sends a request and waits for its reply."""
+        call.channel = self._channel
+        try:
+            reply = self._channel.exchange(call, now_s)
+        finally:
+            call.channel = None
+        match reply:
+            case Replied() if reply.is_success:
+                pass
+            case _:
+                self._unsuccessful.add(call.request.request)
+        return reply
+
+    def close(self) -> None:
+        """Closes the connection."""
+        self._channel.close()
+
+
 class TargetPool:
     """The connections of this host to one run of one target.
 
@@ -170,12 +222,12 @@
         self._is_closed = True
 
     def _run_connection(self) -> None:
-        channel = self._make_channel(self._record.address)
+        connection = PooledConnection(self._make_channel(self._record.address))
         try:
             while (call := self._next_call()) is not None:
-                call.done(call, self._execute(call, channel))
+                call.done(call, self._execute(call, connection))
         finally:
-            channel.close()
+            connection.close()
             self._connections -= 1
 
     def _next_call(self) -> TargetCall | None:
@@ -193,7 +245,7 @@
             if not len(self._calls):
                 return None
 
-    def _execute(self, call: TargetCall, channel: TargetChannel) -> TargetReply:
+    def _execute(self, call: TargetCall, connection: PooledConnection) -> TargetReply:
         target = self._record.target
         now_s = clock.monotonic_s()
         if call.is_cancelled or now_s >= call.ends_at_s:
@@ -201,7 +253,7 @@
         if self._is_paused(self._record, now_s):
             return NotRun(target, NotRunReason.PAUSED)
         try:
-            is_usable = channel.is_usable(now_s) or self._try_open(channel, call, now_s)
+            is_usable = connection.make_usable(call, now_s)
         except Exception:
             _log.exception("connection failed", extra={"target": target})
             is_usable = False
@@ -209,22 +261,16 @@
             return NotRun(target, NotRunReason.UNREACHABLE)
         if call.is_cancelled:
             return NotRun(target, NotRunReason.ABANDONED)
-        call.channel = channel
         try:
-            reply = channel.exchange(call, clock.monotonic_s())
+            reply = connection.exchange(call, clock.monotonic_s())
         except Exception:
             _log.exception("exchange failed", extra={"target": target})
-            channel.close()
+            connection.close()
             return Unknown(target, UnknownReason.MALFORMED)
-        finally:
-            call.channel = None
         if call.is_cancelled and isinstance(reply, Unknown):
             return Unknown(target, UnknownReason.CANCELLED)
         return reply
 
-    def _try_open(self, channel: TargetChannel, call: TargetCall, now_s: float) -> bool:
-        return channel.open(min(CONNECT_TIMEOUT_S, call.ends_at_s - now_s))
-
 
 class TargetPools:
     """The connection pools of this host, one for each target.
