Tell late copies of refusals apart at the targets of lavendertided

Data that arrived on an idle connection was read as the next reply, and every later reply on that connection was one behind.

Change: refusals, losses and confirmed cancellations name their attempt; one of another attempt is an unknown outcome. A connection with unread data, or whose last reply named no attempt, isn't used again.

--- a/lavendertide/encodings/target_connection.py
+++ b/lavendertide/encodings/target_connection.py
@@ -15,7 +15,7 @@
 
 from lavendertide.ids import Address
 from lavendertide.runtime import tasks
-from lavendertide.runtime.sockets import is_closed_by_peer, split_address
+from lavendertide.runtime.sockets import is_idle, split_address
 
 CONNECT_TIMEOUT_S: Final = 0.25
 HEADERS: Final = {"Content-Type": "application/json", "User-Agent": "lavendertide"}
@@ -90,9 +90,9 @@
 
     @property
     def is_open(self) -> bool:
-        """Whether the connection is open and the target has not closed it so far."""
+        """Whether the connection is open and has no unexpected data to read."""
         sock = self._connection.sock
-        return sock is not None and not is_closed_by_peer(sock)
+        return sock is not None and is_idle(sock)
 
     def open(self) -> bool:
         """Opens a new connection; returns whether the target accepted it."""
--- a/lavendertide/encodings/target_http.py
+++ b/lavendertide/encodings/target_http.py
@@ -1,7 +1,9 @@
 """HTTP protocol between hosts and targets.
 
 docs/PROTOCOLS.md describes the protocol. A reply is accepted only if its attempt, shard
-and version are those of the sub-request.
+and version are those of the sub-request. A target may send a second copy of a reply
+late, where the next one is expected, so a connection is kept only after replies that
+name their attempt.
 """
 
 import json
@@ -92,7 +94,13 @@
             case ExchangeFailure() as failure:
                 return Lost(request.attempt, REASON_OF_FAILURE[failure])
             case reply:
-                return decode_reply(request, reply.status, reply.data)
+                outcome = decode_reply(request, reply.status, reply.data)
+                is_own = isinstance(outcome, Answered) or (
+                    _named_attempt(reply.data) == request.attempt
+                )
+                if not is_own:
+                    self.close()
+                return outcome
 
     def close(self) -> None:
         """Closes the connection."""
@@ -109,7 +117,12 @@
         """Cancels an attempt; returns whether the target confirms that it has ended."""
         body = json.dumps({"attempt": attempt}).encode()
         reply = self._connection.exchange("POST", CANCEL_PATH, body, timeout_s)
-        return not isinstance(reply, ExchangeFailure) and reply.status == STATUS_OK
+        if isinstance(reply, ExchangeFailure):
+            return False
+        if _names_other_attempt(attempt, reply.data):
+            self.close()
+            return False
+        return reply.status == STATUS_OK
 
     def is_draining(self, timeout_s: float) -> bool:
         """Returns whether the target's health endpoint reports that it is draining."""
@@ -145,7 +158,12 @@
 
 
 def decode_reply(request: SubRequest, status: int, data: bytes) -> SubReply:
-    """Returns the outcome of a sub-request that a target's HTTP reply reports."""
+    """Returns the outcome of a sub-request that a target's HTTP reply reports.
+
+    A reply that names another attempt says nothing about this one, which may have run.
+    """
+    if status != STATUS_OK and _names_other_attempt(request.attempt, data):
+        return Lost(request.attempt, LossReason.MISMATCHED_REPLY)
     decline = REASON_OF_DECLINED_STATUS.get(status)
     if decline is not None:
         return Declined(request.attempt, decline)
@@ -159,6 +177,18 @@
     return answered or Lost(request.attempt, LossReason.MISMATCHED_REPLY)
 
 
+def _names_other_attempt(attempt: AttemptId, data: bytes) -> bool:
+    return _named_attempt(data) not in (None, attempt)
+
+
+def _named_attempt(data: bytes) -> str | None:
+    """Returns the attempt that a reply belongs to; none if it names none."""
+    try:
+        return str(json.loads(data)["attempt"])
+    except UNREADABLE:
+        return None
+
+
 def _decode_answered(request: SubRequest, reply: dict[str, Any]) -> Answered | None:
     expected = (request.attempt, request.shard, request.version)
     if (reply["attempt"], reply["shard"], reply["version"]) != expected:
--- a/lavendertide/runtime/sockets.py
+++ b/lavendertide/runtime/sockets.py
@@ -99,11 +99,6 @@
     )
 
 
-def is_closed_by_peer(connection: socket.socket) -> bool:
-    """Returns whether the other side has closed or reset a connection; never waits."""
-    return _peek(connection) == b""
-
-
 class ArrivalTrackingReader(io.RawIOBase):
     """Reads a connection and records when its receive buffer was last empty.
 
@@ -210,12 +205,19 @@
 def _peek(connection: socket.socket) -> bytes | None:
     """Returns the next byte, none if there is no data, `b""` once it is closed."""
     plain_socket = getattr(connection, "fd", connection)
+    timeout_s = plain_socket.gettimeout()
     try:
+        # A socket that isn't one of eventlet's would wait for data.
+        if timeout_s != 0.0:
+            plain_socket.settimeout(0.0)
         data: bytes = plain_socket.recv(1, _PEEK)
     except BlockingIOError:
         return None
     except OSError:
         return b""
+    finally:
+        if timeout_s != 0.0:
+            plain_socket.settimeout(timeout_s)
     return data
 
 
--- a/standins/target.py
+++ b/standins/target.py
@@ -251,13 +251,13 @@
         if running_request is not None:
             running_request.is_cancelled = True
             running_request.ended.wait()
-        return 200, {}
+        return 200, {"attempt": attempt}
 
     def _run(self, request: dict[str, Any]) -> Reply:
         self.counts.requests += 1
         refusal = self._refusal_status(request)
         if refusal is not None:
-            return refusal, {}
+            return refusal, {"attempt": request["attempt"]}
         running_request = self._running_requests[request["attempt"]] = RunningRequest(
             self._epoch
         )
@@ -267,7 +267,7 @@
             del self._running_requests[request["attempt"]]
         running_request.ended.send(None)
         if end is not RequestEnd.DONE:
-            return end.value, {}
+            return end.value, {"attempt": request["attempt"]}
         return 200, self._reply(request)
 
     def _reply(self, request: dict[str, Any]) -> dict[str, Any]:
--- a/tests/encodings/test_target_http.py
+++ b/tests/encodings/test_target_http.py
@@ -1,8 +1,10 @@
 """Tests of `lavendertide.encodings.target_http`."""
 
+import contextlib
 import json
 import socket
 import threading
+import time
 import unittest
 from collections.abc import Callable
 from dataclasses import replace
@@ -14,9 +16,11 @@
     HttpTargetControl,
     HttpTargetExchange,
     decode_reply,
+    encode_run,
 )
 from lavendertide.ids import (
     Address,
+    AttemptId,
     FailureDomain,
     IndexName,
     OwnerId,
@@ -131,6 +135,27 @@
                 self.assertFalse(control.is_draining(TIMEOUT_S))
 
 
+def send_replies(*batches: list[tuple[int, object]]) -> Behaviour:
+    """Returns the behaviour of a target that sends a batch of replies per request.
+
+    Args:
+        batches: For each request, the statuses and documents to send.
+    """
+
+    def behave(connection: socket.socket) -> None:
+        for batch in batches:
+            connection.recv(65_536)
+            for status, document in batch:
+                body = json.dumps(document).encode()
+                head = f"HTTP/1.1 {status} Any\r\nContent-Length: {len(body)}\r\n\r\n"
+                connection.sendall(head.encode() + body)
+                time.sleep(0.05)
+        with contextlib.suppress(ConnectionResetError):
+            connection.recv(65_536)
+
+    return behave
+
+
 class TrickledReplyTest(VirtualTimeTestCase):
     """A reply that arrives byte by byte has one time limit.
 
@@ -225,3 +250,55 @@
         self.serve(reply_once)
         reply = self.exchange.run(REQUEST, TIMEOUT_S)
         self.assertIsInstance(reply, Answered)
+
+    def test_a_late_copy_of_a_refusal_says_nothing_about_the_next_attempt(self) -> None:
+        """Guards against a request that runs twice since it was reported as not run."""
+        for status in (429, 503, 410, 409):
+            with self.subTest(status=status):
+                refusal = (status, {"attempt": REQUEST.attempt})
+                other = replace(REQUEST, attempt=AttemptId("other"))
+                ran = (200, expected_reply(json.loads(encode_run(other, 1.0))))
+                self.serve(send_replies([refusal], [refusal, ran]), reply_once)
+                reply = self.exchange.run(REQUEST, TIMEOUT_S)
+                self.assertIsInstance(reply, Declined)
+                reply = self.exchange.run(other, TIMEOUT_S)
+                self.assertEqual(
+                    reply, Lost(other.attempt, LossReason.MISMATCHED_REPLY)
+                )
+                # The reply that is still to be read belongs to no later attempt.
+                self.assertIsInstance(self.exchange.run(REQUEST, TIMEOUT_S), Answered)
+                self.exchange.close()
+
+    def test_a_refusal_that_names_no_attempt_ends_its_connection(self) -> None:
+        self.serve(send_replies([(429, {})]))
+        self.assertIsInstance(self.exchange.run(REQUEST, TIMEOUT_S), Declined)
+        self.assertFalse(self.exchange.is_open)
+
+    def test_a_refusal_that_names_its_attempt_leaves_the_connection_open(self) -> None:
+        self.serve(send_replies([(429, {"attempt": REQUEST.attempt})]))
+        self.assertIsInstance(self.exchange.run(REQUEST, TIMEOUT_S), Declined)
+        self.assertTrue(self.exchange.is_open)
+
+    def test_a_copy_that_arrives_on_an_idle_connection_ends_it(self) -> None:
+        valid = (200, expected_reply(json.loads(encode_run(REQUEST, 1.0))))
+        self.serve(send_replies([valid, valid]))
+        self.assertIsInstance(self.exchange.run(REQUEST, TIMEOUT_S), Answered)
+        self.assertTrue(_becomes_true(lambda: not self.exchange.is_open))
+
+    def test_a_late_copy_does_not_confirm_another_cancellation(self) -> None:
+        first, second = AttemptId("a"), AttemptId("b")
+        copy = (200, {"attempt": first})
+        self.serve(send_replies([copy], [copy]))
+        control = HttpTargetControl(self.place)
+        self.addCleanup(control.close)
+        self.assertTrue(control.cancel(first, TIMEOUT_S))
+        self.assertFalse(control.cancel(second, TIMEOUT_S))
+
+
+def _becomes_true(condition: Callable[[], bool]) -> bool:
+    ends_at_s = time.monotonic() + TIMEOUT_S
+    while not condition():
+        if time.monotonic() >= ends_at_s:
+            return False
+        time.sleep(0.01)
+    return True
