Count the crashes of a request by process, not by target

Callers saw one repeated request crash both targets of a service for as long as it came, and the orders beside it end with 502 or 503 (BUDGET).

Cause: a request is held back after three crashes, counted as the number of different targets. A target that starts again under its name was not counted again, so a service with two targets stayed at two for good. Beside it: the evidence ended 60 s after the first crash, however often more came, and the retries and hedges of a running attempt were sent after the verdict.

Change: a crash is that of a process, told by the published start of the run and by how often the target had stopped accepting connections. Connections that one process closes stay one crash, so a target that resets connections above its limit condemns nobody.

--- a/lavendertide/forwarding/forwarder.py
+++ b/lavendertide/forwarding/forwarder.py
@@ -35,7 +35,7 @@
     outcome_of,
 )
 from lavendertide.forwarding.metrics import ForwardingMetrics
-from lavendertide.forwarding.poison import CrashEvidence
+from lavendertide.forwarding.poison import CrashEvidence, TargetProcess
 from lavendertide.forwarding.pool import TargetCall, TargetPools, connection_share
 from lavendertide.forwarding.request_log import log_pause, log_target_change
 from lavendertide.forwarding.run import RequestRun
@@ -178,6 +178,10 @@
         """Returns how many extra sub-requests this host may send now."""
         return self._budgets.remaining(service, self._fleet.budget_share(now_s), now_s)
 
+    def is_quarantined(self, request: CallerRequest, now_s: float) -> bool:
+        """Returns whether a request must not be sent, as it crashes its targets."""
+        return self._crashes.is_quarantined(request.fingerprint, now_s)
+
     def retry_after_s(
         self, services: Iterable[ServiceName], required: int, now_s: float
     ) -> float:
@@ -234,6 +238,7 @@
             route.objective_s, now_s
         )
         late_at_s = now_s + late_after_s
+        view = self._views.view_of(record.target)
         call = TargetCall(
             next(self._call_numbers),
             part,
@@ -242,8 +247,9 @@
             late_at_s,
             ends_at_s,
             handle_done,
+            view.outages,
         )
-        self._views.view_of(record.target).record_sent(call.number, now_s, late_after_s)
+        view.record_sent(call.number, now_s, late_after_s)
         self._pools.submit(call, self._connections_max(record, now_s))
         self._metrics.sub_requests.inc()
         return call
@@ -272,7 +278,7 @@
         deadlines: ResponseDeadlines,
         now_s: float,
     ) -> Refused | None:
-        if self._crashes.is_quarantined(request.fingerprint, now_s):
+        if self.is_quarantined(request, now_s):
             return Refused(RefusalCause.POISONED)
         if deadlines.ends_at_s - now_s < ATTEMPT_MIN_S:
             return Refused(RefusalCause.NO_TIME)
@@ -359,11 +365,11 @@
                 # calls are late, and each repeat would make the next one earlier.
                 took_s = view.open_duration_s(call.number, now_s)
                 self._timings.timing_of(route, now_s).observe(took_s, now_s)
-                self._record_failure(call, view, now_s)
+                self._record_failure(call, view, reply, now_s)
             case Unknown(reason=UnknownReason.CANCELLED):
                 view.discard_call(call.number)
             case _:
-                self._record_failure(call, view, now_s)
+                self._record_failure(call, view, reply, now_s)
         self._log_reply(call, reply, now_s)
         if isinstance(reply, Unknown) and reply.reason is UnknownReason.CLOSED:
             self._record_crash(call, service_count, now_s)
@@ -379,9 +385,15 @@
             self._metrics.pauses.inc()
             log_pause(call, notice.pause_s)
 
-    def _record_failure(self, call: TargetCall, view: TargetView, now_s: float) -> None:
+    def _record_failure(
+        self, call: TargetCall, view: TargetView, reply: TargetReply, now_s: float
+    ) -> None:
         was_down = view.is_down
-        view.record_failure(call.number, now_s)
+        match reply:
+            case NotRun(reason=NotRunReason.UNREACHABLE):
+                view.record_unreachable(call.number, now_s)
+            case _:
+                view.record_failure(call.number, now_s)
         if view.is_down and not was_down:
             log_target_change(call, view, "target considered down", now_s)
 
@@ -395,7 +407,7 @@
         verdict = self._crashes.record_crash(
             request.fingerprint,
             request.request,
-            call.record.target,
+            TargetProcess(call.record.run, call.outages),
             service_count,
             now_s,
         )
--- a/lavendertide/forwarding/poison.py
+++ b/lavendertide/forwarding/poison.py
@@ -6,15 +6,19 @@
 caller or at most targets of one fan-out, is quarantined: for a time it is not sent to
 any target. A request with a successful reply is cleared, because a request that crashes
 targets crashes every target that runs it.
+
+A target that starts again can be crashed again, so crashes are counted by process and
+not by target. Several connections that one process closes are one crash.
 """
 
 from collections import OrderedDict
 from dataclasses import dataclass, field
 from typing import Final
 
-from lavendertide.ids import CallerRequestId, Fingerprint, ShardNumber, TargetId
+from lavendertide.ids import CallerRequestId, Fingerprint, ShardNumber
 from lavendertide.messages import Verdict, VerdictKind, Verdicts
 from lavendertide.poison.quarantine import Quarantine
+from lavendertide.registry.record import TargetRun
 
 # Crashes after which a request is quarantined: one more than two replicas can have for
 # reasons of their own.
@@ -29,10 +33,25 @@
 ALL_SERVICES: Final = ShardNumber(0)
 
 
+@dataclass(frozen=True, slots=True)
+class TargetProcess:
+    """One process of a target, as far as this host can tell it from others.
+
+    Attributes:
+        run: The run that the target's entry describes.
+        outages: How often the target had stopped accepting connections before. The
+            entry of a new run is published some time after its start, and not while
+            the platform is away.
+    """
+
+    run: TargetRun
+    outages: int = 0
+
+
 @dataclass(slots=True)
 class _Evidence:
-    first_crash_at_s: float
-    targets: set[TargetId] = field(default_factory=set)
+    last_crash_at_s: float
+    processes: set[TargetProcess] = field(default_factory=set)
     requests: set[CallerRequestId] = field(default_factory=set)
     reported_crashes: int = 0
     has_succeeded: bool = False
@@ -56,7 +75,7 @@
         self,
         fingerprint: Fingerprint,
         request: CallerRequestId,
-        target: TargetId,
+        process: TargetProcess,
         service_count: int,
         now_s: float,
     ) -> Verdict | None:
@@ -65,7 +84,7 @@
         Args:
             fingerprint: Equal for requests of equal content.
             request: Identifies the caller's attempt.
-            target: The target that closed the connection.
+            process: The process that closed the connection.
             service_count: Number of services that the request was sent to.
             now_s: Present time, monotonic.
 
@@ -75,18 +94,18 @@
         evidence = self._evidence(fingerprint, now_s)
         if evidence.has_succeeded:
             return None
-        evidence.targets.add(target)
+        evidence.last_crash_at_s = now_s
+        evidence.processes.add(process)
         evidence.requests.add(request)
         # Crashes beyond the threshold change nothing and aren't broadcast: a fan-out
         # over many shards may see dozens of them at once.
         crashes = min(
-            max(len(evidence.targets), evidence.reported_crashes + 1),
+            max(len(evidence.processes), evidence.reported_crashes + 1),
             CRASHES_TO_QUARANTINE,
         )
         has_repeated = len(evidence.requests) > 1 or evidence.reported_crashes > 0
-        hit_most_services = 2 * len(evidence.targets) > max(
-            service_count, CRASHES_TO_QUARANTINE
-        )
+        targets = {crashed.run.target for crashed in evidence.processes}
+        hit_most_services = 2 * len(targets) > max(service_count, CRASHES_TO_QUARANTINE)
         kind = VerdictKind.SUSPECT
         if crashes >= CRASHES_TO_QUARANTINE and (has_repeated or hit_most_services):
             kind = VerdictKind.QUARANTINED
@@ -115,7 +134,10 @@
         for verdict in new_verdicts:
             evidence = self._evidence(verdict.fingerprint, now_s)
             evidence.reported_crashes = max(evidence.reported_crashes, verdict.crashes)
-            evidence.has_succeeded |= verdict.kind is VerdictKind.CLEARED
+            if verdict.kind is VerdictKind.CLEARED:
+                evidence.has_succeeded = True
+            else:
+                evidence.last_crash_at_s = now_s
         return new_verdicts
 
     def verdicts_for_new_member(self, now_s: float) -> Verdicts | None:
@@ -137,7 +159,7 @@
 
     def _evidence(self, fingerprint: Fingerprint, now_s: float) -> _Evidence:
         evidence = self._suspects.get(fingerprint)
-        if evidence is None or now_s - evidence.first_crash_at_s > SUSPECT_S:
+        if evidence is None or now_s - evidence.last_crash_at_s > SUSPECT_S:
             evidence = self._suspects[fingerprint] = _Evidence(now_s)
             while len(self._suspects) > SUSPECTS_MAX:
                 self._suspects.popitem(last=False)
--- a/lavendertide/forwarding/pool.py
+++ b/lavendertide/forwarding/pool.py
@@ -77,6 +77,7 @@
         late_at_s: Time from which the reply is late, monotonic.
         ends_at_s: Time from which nobody waits for the reply, monotonic.
         done: Called once with the call and its reply.
+        outages: How often the target had stopped accepting connections before.
         is_cancelled: Whether nobody waits for the reply any more.
         channel: The connection while the exchange runs.
     """
@@ -88,6 +89,7 @@
     late_at_s: float
     ends_at_s: float
     done: Callable[["TargetCall", TargetReply], None]
+    outages: int = 0
     is_cancelled: bool = False
     channel: "TargetChannel | None" = field(default=None, repr=False)
 
--- a/lavendertide/forwarding/run.py
+++ b/lavendertide/forwarding/run.py
@@ -206,7 +206,7 @@
     def _retry_part(self, number: int, part: Part, now_s: float) -> None:
         part.retry_at_s = None
         record = self._untried_target(part, now_s) or self._tried_target(part, now_s)
-        if record is None:
+        if record is None or self._sender.is_quarantined(self._request, now_s):
             return
         needs_no_budget = self._has_reached_no_target(part)
         may_send = needs_no_budget or self._try_spend(part, now_s)
@@ -228,7 +228,7 @@
         for call in part.open_calls.values():
             self._sender.report_late_call(call, now_s)
         record = self._untried_target(part, now_s)
-        if record is None:
+        if record is None or self._sender.is_quarantined(self._request, now_s):
             return
         may_send = self._try_spend(part, now_s)
         if may_send or not part.is_withheld:
--- a/lavendertide/forwarding/sender.py
+++ b/lavendertide/forwarding/sender.py
@@ -41,6 +41,9 @@
     def remaining_budget(self, service: ServiceName, now_s: float) -> float:
         """Returns how many extra sub-requests this host may send now."""
 
+    def is_quarantined(self, request: CallerRequest, now_s: float) -> bool:
+        """Returns whether a request must not be sent, as it crashes its targets."""
+
     def retry_after_s(
         self, services: Iterable[ServiceName], required: int, now_s: float
     ) -> float:
--- a/lavendertide/forwarding/target_view.py
+++ b/lavendertide/forwarding/target_view.py
@@ -54,6 +54,8 @@
         failure_rate: Moving average of the share of failed attempts, as of
             `failure_rate_at_s`.
         failures: Failed attempts in a row.
+        outages: How often the target has stopped accepting connections.
+        is_unreachable: Whether it accepted none at the last attempt.
         avoided_until_s: End of the time in which the target is ranked last, because it
             is down or full.
         excluded_until_s: End of the time in which the target receives no requests,
@@ -68,6 +70,8 @@
     failure_rate: float = 0.0
     failure_rate_at_s: float = 0.0
     failures: int = 0
+    outages: int = 0
+    is_unreachable: bool = False
     avoided_until_s: float = 0.0
     excluded_until_s: float = 0.0
     stalled_until_s: float = 0.0
@@ -121,6 +125,13 @@
             pause_s = min(AVOIDED_MAX_S, AVOIDED_MIN_S * 2.0**doublings)
             self.avoided_until_s = now_s + pause_s
 
+    def record_unreachable(self, call: int, now_s: float) -> None:
+        """Records that the target accepted no connection, which is a failed attempt."""
+        was_unreachable = self.is_unreachable
+        self.record_failure(call, now_s)
+        self.outages += not was_unreachable
+        self.is_unreachable = True
+
     def record_refusal(self, call: int, pause_s: float, now_s: float) -> None:
         """Records that the target was full; it is avoided for `pause_s` seconds."""
         self.open_calls.pop(call, None)
@@ -162,6 +173,7 @@
         current = self.current_failure_rate(now_s)
         self.failure_rate = current + FAILURE_RATE_WEIGHT * (failed - current)
         self.failure_rate_at_s = now_s
+        self.is_unreachable = False
 
 
 class TargetViews:
--- a/tests/forwarding/scripted_targets.py
+++ b/tests/forwarding/scripted_targets.py
@@ -180,10 +180,15 @@
         self.registry.put(target(name, service))
         self.behaviours[TargetId(name)] = behaviour
 
-    def forward(self, inbox: tasks.Mailbox[Event] | None = None) -> Response:
-        """Forwards one request and returns its response."""
+    def forward(
+        self,
+        inbox: tasks.Mailbox[Event] | None = None,
+        name: str = "r1",
+        wait_s: float = 0.5,
+    ) -> Response:
+        """Forwards one request, by its id, and returns its response."""
         arrived_s = clock.monotonic_s()
-        caller_request = request(arrived_s, arrived_s + 0.5)
+        caller_request = request(arrived_s, arrived_s + wait_s, name)
         return self.forwarder.forward(
             caller_request, self.route, tasks.Mailbox() if inbox is None else inbox
         )
--- a/tests/gateway/test_peer_exchange.py
+++ b/tests/gateway/test_peer_exchange.py
@@ -7,7 +7,7 @@
 from lavendertide.fleet.peer_connection import PeerConnection
 from lavendertide.fleet.peer_server import Outbox
 from lavendertide.fleet.peers import Peers
-from lavendertide.forwarding.poison import CrashEvidence
+from lavendertide.forwarding.poison import CrashEvidence, TargetProcess
 from lavendertide.forwarding.target_view import TargetViews
 from lavendertide.gateway.leaving_broadcast import LeavingBroadcast
 from lavendertide.gateway.peer_exchange import STALLS_PERIOD_S, PeerExchange
@@ -30,6 +30,7 @@
     Verdicts,
 )
 from lavendertide.poison.quarantine import Quarantine
+from lavendertide.registry.record import TargetRun
 from lavendertide.registry.registry import TargetRegistry
 from lavendertide.runtime import clock, tasks
 from tests.fleet.members import later_run, member, roster_of
@@ -180,8 +181,8 @@
         poison = Fingerprint("poison")
         for number in range(3):
             request = CallerRequestId(f"r{number}")
-            target, now_s = TargetId(f"t{number}"), clock.monotonic_s()
-            self.crashes.record_crash(poison, request, target, 1, now_s)
+            run, now_s = TargetRun(TargetId(f"t{number}"), 1), clock.monotonic_s()
+            self.crashes.record_crash(poison, request, TargetProcess(run), 1, now_s)
         return poison
 
     def test_a_host_that_has_restarted_does_not_send_it_again(self) -> None:
