Check a call again before it is sent, and move those that wait

Callers saw orders end with 504 or 503 at a target that had drained seconds before, while other targets had nothing to run (DRAIN).

Cause: a target is chosen when a request is submitted. A call that waits in the pool for a busy connection was sent when its turn came, at any time until its deadline, and only a pause of the target was checked then. A closed pool sent what was queued as well.

When a target drains, leaves, is removed, starts anew, pauses or loses its address, the calls that wait for it end at once as not sent and their requests are sent elsewhere; the target doesn't count as tried.

--- a/lavendertide/forwarding/forwarder.py
+++ b/lavendertide/forwarding/forwarder.py
@@ -20,6 +20,7 @@
     response_deadlines,
 )
 from lavendertide.forwarding.messages import (
+    UNSENT_REASONS,
     CallerRequest,
     NotRun,
     NotRunReason,
@@ -126,6 +127,7 @@
         self._call_numbers = itertools.count(1)
         active_routes.on_change(self._apply_table)
         registry.set_removal_listener(self._remove_target)
+        registry.set_closing_listener(self._withdraw_calls)
 
     def find_route(self, host: str, path: str) -> Route | Refused | Unroutable:
         """Returns the route of a request, or the reason why there is none."""
@@ -353,12 +355,13 @@
                 view.record_reply(call.number, timing.mean_s, now_s)
                 timing.observe(took_s, now_s)
                 self._record_success(call, now_s)
-            case NotRun(reason=NotRunReason.ABANDONED | NotRunReason.PAUSED):
+            case NotRun(reason=reason) if reason in UNSENT_REASONS:
                 view.discard_call(call.number)
             case NotRun(reason=NotRunReason.REFUSED):
                 view.record_refusal(call.number, REFUSED_PAUSE_S, now_s)
             case NotRun(reason=NotRunReason.OTHER_TARGET):
                 view.record_replaced(call.number, now_s)
+                self._withdraw_calls(call.record)
             case Unknown(reason=UnknownReason.CANCELLED) if call.is_late(now_s):
                 # The reply would have taken longer still. Without this time, slow
                 # replies would be missing in the distribution that decides which
@@ -452,6 +455,9 @@
         self._splits.retain_only(names)
         self._capacities.retain_only(names)
 
+    def _withdraw_calls(self, record: TargetRecord) -> None:
+        self._pools.withdraw_waiting(record, clock.monotonic_s())
+
     def _remove_target(self, record: TargetRecord) -> None:
         self._views.remove(record.target)
         self._pools.remove(record)
--- a/lavendertide/forwarding/messages.py
+++ b/lavendertide/forwarding/messages.py
@@ -53,6 +53,22 @@
     ABANDONED = "abandoned"
     # The target turned away another request meanwhile and wants no more for a time.
     PAUSED = "paused"
+    # The target drains, leaves or has ended since it was chosen.
+    WITHDRAWN = "withdrawn"
+    # The request has crashed several targets since the target was chosen.
+    QUARANTINED = "quarantined"
+
+
+# Reasons of this host not to use the target that it had chosen. They don't show whether
+# the target works.
+UNSENT_REASONS: Final = frozenset(
+    {
+        NotRunReason.ABANDONED,
+        NotRunReason.PAUSED,
+        NotRunReason.WITHDRAWN,
+        NotRunReason.QUARANTINED,
+    }
+)
 
 
 class UnknownReason(Enum):
--- a/lavendertide/forwarding/parts.py
+++ b/lavendertide/forwarding/parts.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 
 from lavendertide.forwarding.messages import (
+    UNSENT_REASONS,
     NotRun,
     NotRunReason,
     Replied,
@@ -79,6 +80,12 @@
     def record_failure(self, reply: TargetReply) -> None:
         """Records an unsuccessful reply and whether the request may have run."""
         self.failure = reply
+        match reply:
+            case NotRun(target=target, reason=reason) if reason in UNSENT_REASONS:
+                # The target doesn't count among those that the request may be sent to.
+                if target in self.tried_targets and not self._has_open_call(target):
+                    self.tried_targets.remove(target)
+                return
         self.failed_rounds += 1
         match reply:
             case NotRun(reason=NotRunReason.REFUSED | NotRunReason.OTHER_TARGET):
@@ -88,6 +95,9 @@
             case _:
                 self.has_reached_target = self.may_have_run = True
 
+    def _has_open_call(self, target: TargetId) -> bool:
+        return any(call.record.target == target for call in self.open_calls.values())
+
     def has_late_call(self, now_s: float) -> bool:
         """Returns whether the reply to any open call is late."""
         return any(call.is_late(now_s) for call in self.open_calls.values())
--- a/lavendertide/forwarding/pool.py
+++ b/lavendertide/forwarding/pool.py
@@ -2,7 +2,8 @@
 
 A target accepts a bounded number of connections from all hosts together, so each host
 opens at most its share of them. Further calls wait in the pool, where they can still
-be cancelled.
+be cancelled. A call is checked again before it is sent, and the calls that wait for a
+target which wants no more requests end at once, so that they can be sent elsewhere.
 """
 
 import logging
@@ -104,6 +105,10 @@
         self.is_cancelled = True
 
 
+# Returns the reason why a call must not be sent at a time; none if it may be.
+FindObjection = Callable[[TargetCall, float], NotRunReason | None]
+
+
 class TargetChannel(Protocol):
     """One connection to a target; implemented in `lavendertide.platform`."""
 
@@ -174,7 +179,7 @@
     Args:
         record: The target.
         make_channel: Creates a connection that is not open yet.
-        is_paused: Returns whether the target wants no requests at present.
+        find_objection: Returns the reason why a call must not be sent now, if any.
         connections_max: Maximum number of open connections.
     """
 
@@ -182,12 +187,12 @@
         self,
         record: TargetRecord,
         make_channel: Callable[[Address], TargetChannel],
-        is_paused: Callable[[TargetRecord, float], bool],
+        find_objection: FindObjection,
         connections_max: int,
     ) -> None:
         self._record = record
         self._make_channel = make_channel
-        self._is_paused = is_paused
+        self._find_objection = find_objection
         self._connections_max = connections_max
         self._calls: tasks.Mailbox[TargetCall] = tasks.Mailbox()
         self._connections = 0
@@ -219,9 +224,23 @@
             self._connections += 1
             tasks.spawn(self._run_connection)
 
+    def withdraw_waiting(self, now_s: float) -> None:
+        """Ends the calls that wait for a connection and must not be sent any more."""
+        for call in self._calls.take_all():
+            objection = self._find_objection(call, now_s)
+            if objection is None:
+                self._calls.send(call)
+            else:
+                call.done(call, NotRun(self._record.target, objection))
+
     def close(self) -> None:
-        """Closes the pool: queued and running calls end, then the connections close."""
+        """Closes the pool of a run that has ended.
+
+        Waiting calls end at once, running ones as usual; then the connections close.
+        """
         self._is_closed = True
+        for call in self._calls.take_all():
+            call.done(call, NotRun(self._record.target, NotRunReason.WITHDRAWN))
 
     def _run_connection(self) -> None:
         connection = PooledConnection(self._make_channel(self._record.address))
@@ -250,10 +269,9 @@
     def _execute(self, call: TargetCall, connection: PooledConnection) -> TargetReply:
         target = self._record.target
         now_s = clock.monotonic_s()
-        if call.is_cancelled or now_s >= call.ends_at_s:
-            return NotRun(target, NotRunReason.ABANDONED)
-        if self._is_paused(self._record, now_s):
-            return NotRun(target, NotRunReason.PAUSED)
+        objection = self._find_objection(call, now_s)
+        if objection is not None:
+            return NotRun(target, objection)
         try:
             is_usable = connection.make_usable(call, now_s)
         except Exception:
@@ -261,10 +279,13 @@
             is_usable = False
         if not is_usable:
             return NotRun(target, NotRunReason.UNREACHABLE)
-        if call.is_cancelled:
-            return NotRun(target, NotRunReason.ABANDONED)
+        opened_at_s = clock.monotonic_s()
+        # It may have taken some time to open the connection.
+        objection = self._find_objection(call, opened_at_s)
+        if objection is not None:
+            return NotRun(target, objection)
         try:
-            reply = connection.exchange(call, clock.monotonic_s())
+            reply = connection.exchange(call, opened_at_s)
         except Exception:
             _log.exception("exchange failed", extra={"target": target})
             connection.close()
@@ -279,16 +300,16 @@
 
     Args:
         make_channel: Creates a connection that is not open yet.
-        is_paused: Returns whether a target wants no requests at a time.
+        find_objection: Returns the reason why a call must not be sent now, if any.
     """
 
     def __init__(
         self,
         make_channel: Callable[[Address], TargetChannel],
-        is_paused: Callable[[TargetRecord, float], bool],
+        find_objection: FindObjection,
     ) -> None:
         self._make_channel = make_channel
-        self._is_paused = is_paused
+        self._find_objection = find_objection
         self._pools: dict[str, TargetPool] = {}
 
     def submit(self, call: TargetCall, connections_max: int) -> None:
@@ -303,12 +324,18 @@
             pool = None
         if pool is None:
             pool = TargetPool(
-                record, self._make_channel, self._is_paused, connections_max
+                record, self._make_channel, self._find_objection, connections_max
             )
             self._pools[record.target] = pool
         pool.resize(connections_max)
         pool.submit(call)
 
+    def withdraw_waiting(self, record: TargetRecord, now_s: float) -> None:
+        """Ends the waiting calls to a target that must not be sent to it any more."""
+        pool = self._pools.get(record.target)
+        if pool is not None:
+            pool.withdraw_waiting(now_s)
+
     def remove(self, record: TargetRecord) -> None:
         """Closes and removes the pool of a target that has left."""
         pool = self._pools.get(record.target)
--- a/lavendertide/forwarding/run.py
+++ b/lavendertide/forwarding/run.py
@@ -11,6 +11,7 @@
 from lavendertide.forwarding.deadlines import ATTEMPT_MIN_S, ResponseDeadlines
 from lavendertide.forwarding.merging import merge_greatest_records
 from lavendertide.forwarding.messages import (
+    UNSENT_REASONS,
     Abandoned,
     CallerRequest,
     Failed,
@@ -159,9 +160,9 @@
     def _plan_retry(self, part: Part, reply: TargetReply, now_s: float) -> None:
         """Retries a failed part at once at another target, or plans a retry.
 
-        The first failure is retried at once. Later ones, and those without another
-        target, are retried after a pause. A non-idempotent request is retried only if
-        no target has run it.
+        The first failure is retried at once, and so is a call that was never sent.
+        Later failures, and those without another target, are retried after a pause. A
+        non-idempotent request is retried only if no target has run it.
         """
         part.late_at_s = None
         part.retry_at_s = None
@@ -171,7 +172,8 @@
         if isinstance(reply, Replied) and self._is_final_reply(reply):
             return
         is_other_untried = self._untried_target(part, now_s) is not None
-        if is_other_untried and part.failed_rounds == 1:
+        is_unsent = isinstance(reply, NotRun) and reply.reason in UNSENT_REASONS
+        if is_other_untried and (is_unsent or part.failed_rounds <= 1):
             if now_s + ATTEMPT_MIN_S < self._deadlines.ends_at_s:
                 self._retry_part(self._parts.index(part), part, now_s)
         elif is_other_untried or self._tried_target(part, now_s) is not None:
--- a/lavendertide/gateway/gateway.py
+++ b/lavendertide/gateway/gateway.py
@@ -31,6 +31,7 @@
     TargetChannel,
     TargetPools,
 )
+from lavendertide.forwarding.send_check import SendCheck
 from lavendertide.forwarding.target_view import TargetViews
 from lavendertide.gateway.budget_share import BudgetShare
 from lavendertide.gateway.caller_front import CallerCodec, CallerFront
@@ -262,11 +263,12 @@
                 options.reading, self._follower, self._registry, self._active_routes
             ).reply_to,
         )
+        send_check = SendCheck(self._registry, self._target_views, self._crash_evidence)
         self._forwarder = Forwarder(
             self._active_routes,
             self._registry,
             self._target_views,
-            TargetPools(self._adapters.make_channel, self._registry.is_paused),
+            TargetPools(self._adapters.make_channel, send_check.objection),
             self._budgets,
             self._crash_evidence,
             FleetCallbacks(
--- a/lavendertide/registry/registry.py
+++ b/lavendertide/registry/registry.py
@@ -32,6 +32,7 @@
         self._missing_since_s: dict[TargetId, float] = {}
         self._platform_returned_at_s: float | None = None
         self._removal_listener: Callable[[TargetRecord], None] = lambda _: None
+        self._closing_listener: Callable[[TargetRecord], None] = lambda _: None
 
     @property
     def targets(self) -> tuple[TargetRecord, ...]:
@@ -42,6 +43,13 @@
         """Sets the function that is called with each run of a target that has ended."""
         self._removal_listener = listener
 
+    def set_closing_listener(self, listener: Callable[[TargetRecord], None]) -> None:
+        """Sets the function that is called with each run that wants no new requests.
+
+        It is called when the run starts to drain or announces that it leaves or pauses.
+        """
+        self._closing_listener = listener
+
     def ready_targets(
         self, service: ServiceName, now_s: float
     ) -> tuple[TargetRecord, ...]:
@@ -56,11 +64,22 @@
         Returns:
             Whether this was not known yet.
         """
-        return self._announcements.record_leaving(run, now_s)
+        is_new = self._announcements.record_leaving(run, now_s)
+        if is_new:
+            self._notify_closing(run)
+        return is_new
 
     def record_pause(self, run: TargetRun, until_s: float, now_s: float) -> None:
         """Records until when a run of a target wants no requests of this host."""
         self._announcements.record_pause(run, until_s, now_s)
+        self._notify_closing(run)
+
+    def is_accepting(self, record: TargetRecord, now_s: float) -> bool:
+        """Returns whether the run that a record describes accepts new requests."""
+        return any(
+            listed.target == record.target and listed.is_same_start(record)
+            for listed in self.ready_targets(record.service, now_s)
+        )
 
     def is_paused(self, record: TargetRecord, now_s: float) -> bool:
         """Returns whether a target wants no requests of this host at present."""
@@ -122,6 +141,8 @@
                 started.append(record)
             elif record.state is not previous.state:
                 _log.info("target changed state", extra=_log_fields(record))
+                if record.state is not TargetState.READY:
+                    self._closing_listener(record)
             if previous is not None and not record.is_same_start(previous):
                 self._removal_listener(previous)
         if started:
@@ -159,6 +180,11 @@
         for target in list(self._missing_since_s):
             self._discard(target, "lapsed during an outage of the platform")
 
+    def _notify_closing(self, run: TargetRun) -> None:
+        record = self._records.get(run.target)
+        if record is not None and record.run == run:
+            self._closing_listener(record)
+
     def _is_reregistration_period(self, now_s: float) -> bool:
         platform_returned_at_s = self._platform_returned_at_s
         return (
--- a/lavendertide/runtime/tasks.py
+++ b/lavendertide/runtime/tasks.py
@@ -122,6 +122,13 @@
             items.append(self._items.get_nowait())
         return items
 
+    def take_all(self) -> list[T]:
+        """Removes and returns the items that are ready."""
+        items: list[T] = []
+        while not self._items.empty():
+            items.append(self._items.get_nowait())
+        return items
+
 
 class Signal:
     """A flag that is set once and that tasks can wait for."""
--- a/standins/model_fleet.py
+++ b/standins/model_fleet.py
@@ -12,6 +12,7 @@
 from lavendertide.forwarding.metrics import ForwardingMetrics
 from lavendertide.forwarding.poison import CrashEvidence
 from lavendertide.forwarding.pool import TargetPools
+from lavendertide.forwarding.send_check import SendCheck
 from lavendertide.forwarding.target_view import TargetViews
 from lavendertide.ids import Address, RouteName, ServiceName, TargetId
 from lavendertide.messages import Verdict
@@ -86,13 +87,14 @@
         self.registry = TargetRegistry(LAST_RESORT_S)
         self.views = TargetViews(LOCAL_DOMAIN)
         self.crashes = CrashEvidence(Quarantine())
+        send_check = SendCheck(self.registry, self.views, self.crashes)
         self._forwarder = Forwarder(
             fleet.active_routes,
             self.registry,
             self.views,
             TargetPools(
                 lambda address: fleet.make_channel(number, address),
-                self.registry.is_paused,
+                send_check.objection,
             ),
             RetryBudgets(RETRY_ALLOWANCE),
             self.crashes,
--- a/tests/forwarding/scripted_targets.py
+++ b/tests/forwarding/scripted_targets.py
@@ -17,6 +17,7 @@
 from lavendertide.forwarding.metrics import ForwardingMetrics
 from lavendertide.forwarding.poison import CrashEvidence
 from lavendertide.forwarding.pool import TargetCall, TargetPools
+from lavendertide.forwarding.send_check import SendCheck
 from lavendertide.forwarding.sender import CallerLeft, Event
 from lavendertide.forwarding.target_view import TargetViews
 from lavendertide.ids import Address, TargetId
@@ -136,6 +137,7 @@
         behaviours: The scripted behaviour of each target.
         stalls: Targets whose stall was broadcast to peers, in order.
         leaving: Targets that were recorded as leaving, in order.
+        crashes: What is known of requests that crash targets.
         route: The route of all requests.
     """
 
@@ -157,13 +159,15 @@
         self.views = TargetViews(LOCAL_DOMAIN)
         active_routes = ActiveRoutes()
         active_routes.adopt(table(1, destination_route), "test", 0.0)
+        self.crashes = CrashEvidence(Quarantine())
+        send_check = SendCheck(self.registry, self.views, self.crashes)
         self.forwarder = Forwarder(
             active_routes,
             self.registry,
             self.views,
-            TargetPools(self._make_channel, self.registry.is_paused),
+            TargetPools(self._make_channel, send_check.objection),
             RetryBudgets(RetryAllowance(0.2, fixed, window_s)),
-            CrashEvidence(Quarantine()),
+            self.crashes,
             FleetCallbacks(
                 self.stalls.append,
                 self._record_leaving,
