Take a refusal that may have broken off as unknown

A report of other operators: a target stopped in the middle of a reply's head and closed, and what had arrived passed for a whole reply.

Half a 409, 429 or 503 was a refusal, which promises that the request has not run, and half a 200 confirmed a cancellation. Half a reply to a sub-request was no answer before, as its document was missing.

Change: refusals and confirmations count only if their head says where they end.

--- a/lavendertide/encodings/target_connection.py
+++ b/lavendertide/encodings/target_connection.py
@@ -32,10 +32,16 @@
 
 @dataclass(frozen=True, slots=True)
 class HttpReply:
-    """A target's reply, not decoded."""
+    """A target's reply, not decoded.
+
+    Attributes:
+        is_delimited: Whether the head says where the reply ends. A reply that ends with
+            its connection can't be told from one that broke off, even in its head.
+    """
 
     status: int
     data: bytes
+    is_delimited: bool = True
 
 
 class SingleWriteConnection(HTTPConnection):
@@ -139,10 +145,11 @@
         self._connection.request(method, path, body=body, headers=HEADERS)
         self._connection.flush()
         response = self._connection.receive()
+        is_delimited = response.chunked or response.length is not None
         data = response.read(self._reply_max_bytes + 1)
         if len(data) > self._reply_max_bytes:
             self.close()
             return ExchangeFailure.TOO_LARGE
         if response.length:
             raise client.IncompleteRead(data, response.length)
-        return HttpReply(response.status, data)
+        return HttpReply(response.status, data, is_delimited)
--- a/lavendertide/encodings/target_http.py
+++ b/lavendertide/encodings/target_http.py
@@ -9,7 +9,11 @@
 import json
 from typing import Any, Final
 
-from lavendertide.encodings.target_connection import ExchangeFailure, TargetConnection
+from lavendertide.encodings.target_connection import (
+    ExchangeFailure,
+    HttpReply,
+    TargetConnection,
+)
 from lavendertide.ids import AttemptId
 from lavendertide.messages import (
     Answered,
@@ -94,7 +98,7 @@
             case ExchangeFailure() as failure:
                 return Lost(request.attempt, REASON_OF_FAILURE[failure])
             case reply:
-                outcome = decode_reply(request, reply.status, reply.data)
+                outcome = decode_reply(request, reply)
                 is_own = isinstance(outcome, Answered) or (
                     _named_attempt(reply.data) == request.attempt
                 )
@@ -122,7 +126,7 @@
         if _names_other_attempt(attempt, reply.data):
             self.close()
             return False
-        return reply.status == STATUS_OK
+        return reply.status == STATUS_OK and reply.is_delimited
 
     def is_draining(self, timeout_s: float) -> bool:
         """Returns whether the target's health endpoint reports that it is draining."""
@@ -157,19 +161,26 @@
     ).encode()
 
 
-def decode_reply(request: SubRequest, status: int, data: bytes) -> SubReply:
+def decode_reply(request: SubRequest, reply: HttpReply) -> SubReply:
     """Returns the outcome of a sub-request that a target's HTTP reply reports.
 
     A reply that names another attempt says nothing about this one, which may have run.
+    Nor does a refusal that may have broken off.
     """
-    if status != STATUS_OK and _names_other_attempt(request.attempt, data):
+    if reply.status == STATUS_OK:
+        return _decode_success(request, reply.data)
+    if not reply.is_delimited:
+        return Lost(request.attempt, LossReason.TARGET_CLOSED)
+    if _names_other_attempt(request.attempt, reply.data):
         return Lost(request.attempt, LossReason.MISMATCHED_REPLY)
-    decline = REASON_OF_DECLINED_STATUS.get(status)
+    decline = REASON_OF_DECLINED_STATUS.get(reply.status)
     if decline is not None:
         return Declined(request.attempt, decline)
-    if status != STATUS_OK:
-        loss = REASON_OF_LOST_STATUS.get(status, LossReason.MISMATCHED_REPLY)
-        return Lost(request.attempt, loss)
+    loss = REASON_OF_LOST_STATUS.get(reply.status, LossReason.MISMATCHED_REPLY)
+    return Lost(request.attempt, loss)
+
+
+def _decode_success(request: SubRequest, data: bytes) -> SubReply:
     try:
         answered = _decode_answered(request, json.loads(data))
     except UNREADABLE:
--- a/tests/encodings/test_target_http.py
+++ b/tests/encodings/test_target_http.py
@@ -11,7 +11,11 @@
 from unittest import mock
 
 from bench.codec import build_frame
-from lavendertide.encodings.target_connection import ExchangeFailure, TargetConnection
+from lavendertide.encodings.target_connection import (
+    ExchangeFailure,
+    HttpReply,
+    TargetConnection,
+)
 from lavendertide.encodings.target_http import (
     HttpTargetControl,
     HttpTargetExchange,
@@ -81,6 +85,16 @@
     connection.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\n{")
 
 
+def read_and_send(sent: bytes) -> Behaviour:
+    """Returns the behaviour of a target that sends some bytes and closes."""
+
+    def behave(connection: socket.socket) -> None:
+        connection.recv(65_536)
+        connection.sendall(sent)
+
+    return behave
+
+
 def send_json(document: bytes) -> Behaviour:
     """Returns the behaviour of a target that replies with a JSON document."""
 
@@ -110,7 +124,7 @@
             json.dumps(valid | {"amount": "9" * 5_000}).encode(),
         ):
             with self.subTest(odd[:40]):
-                reply = decode_reply(REQUEST, 200, odd)
+                reply = decode_reply(REQUEST, HttpReply(200, odd))
                 lost = Lost(REQUEST.attempt, LossReason.MISMATCHED_REPLY)
                 self.assertEqual(reply, lost)
 
@@ -294,6 +308,22 @@
         self.assertTrue(control.cancel(first, TIMEOUT_S))
         self.assertFalse(control.cancel(second, TIMEOUT_S))
 
+    def test_a_reply_that_breaks_off_in_its_head_means_unknown(self) -> None:
+        """Guards against half a refusal that promises that nothing has run."""
+        for status in (200, 409, 429, 503):
+            head = f"HTTP/1.1 {status} Any\r\nContent-Type: application/json\r\n"
+            for sent in (head, head[:-10], head + "Content-Length: 7\r\n"):
+                with self.subTest(sent=sent):
+                    self.serve(read_and_send(sent.encode()))
+                    reply = self.exchange.run(REQUEST, TIMEOUT_S)
+                    self.assertIsInstance(reply, Lost)
+
+    def test_a_confirmation_that_breaks_off_in_its_head_confirms_nothing(self) -> None:
+        self.serve(read_and_send(b"HTTP/1.1 200 OK\r\nContent-Type: a"))
+        control = HttpTargetControl(self.place)
+        self.addCleanup(control.close)
+        self.assertFalse(control.cancel(AttemptId("a"), TIMEOUT_S))
+
 
 def _becomes_true(condition: Callable[[], bool]) -> bool:
     ends_at_s = time.monotonic() + TIMEOUT_S
