Free responses at once and bound them together

Cause: the reader of a response and its parser refer to each other, so a response that was given up after 8 MiB stayed in memory until a full garbage collection. Beside it nothing bounded the responses that are read at the same time, and a body in chunks of one byte was a list with an entry for each.

Change: a reader lets go of its parser and its body at the end of its exchange. All responses being read hold 64 MiB together, and each 256 KiB beyond that, so the usual ones are always read.

--- a/lavendertide/encodings/http_client_connection.py
+++ b/lavendertide/encodings/http_client_connection.py
@@ -11,8 +11,11 @@
 
 from lavendertide.encodings.http_messages import READ_BYTES, HttpResponse
 from lavendertide.encodings.http_replies import (
+    PROCESS_MEMORY,
     MalformedReply,
+    OversizedReply,
     ReplyMatcher,
+    ReplyMemory,
     ReplyReader,
     match_any_reply,
 )
@@ -29,19 +32,29 @@
     Attributes:
         has_received_data: Whether any byte of a response had arrived.
         is_timeout: Whether the time limit had passed.
+        is_oversized: Whether the response was too large to be read.
     """
 
-    def __init__(self, has_received_data: bool, is_timeout: bool) -> None:
+    def __init__(
+        self, has_received_data: bool, is_timeout: bool, is_oversized: bool = False
+    ) -> None:
         super().__init__("Check that the other side runs; try another address.")
         self.has_received_data = has_received_data
         self.is_timeout = is_timeout
+        self.is_oversized = is_oversized
 
 
 class ClientConnection:
-    """One persistent connection to a server."""
+    """One persistent connection to a server.
 
-    def __init__(self, address: Address) -> None:
+    Args:
+        address: The server's address.
+        memory: Bounds the responses that are being read on this and other connections.
+    """
+
+    def __init__(self, address: Address, memory: ReplyMemory = PROCESS_MEMORY) -> None:
         self._address = address
+        self._memory = memory
         self._socket: socket.socket | None = None
 
     @property
@@ -80,7 +93,7 @@
         Raises:
             ExchangeError: No complete response arrived; the connection is closed.
         """
-        reader = ReplyReader(method, is_matching)
+        reader = ReplyReader(method, is_matching, self._memory)
         has_received_data = False
         ends_at_s = clock.monotonic_s() + timeout_s
         try:
@@ -91,13 +104,17 @@
                 data = sockets.receive(self._socket, READ_BYTES, ends_at_s)
                 has_received_data = has_received_data or bool(data)
                 reader.feed(data)
+            return HttpResponse(reader.status, reader.headers, reader.body)
         except (OSError, MalformedReply) as error:
-            self.close()
-            is_timeout = isinstance(error, TimeoutError)
-            raise ExchangeError(has_received_data, is_timeout) from error
-        if not reader.is_reusable:
-            self.close()
-        return HttpResponse(reader.status, reader.headers, reader.body)
+            raise ExchangeError(
+                has_received_data,
+                isinstance(error, TimeoutError),
+                isinstance(error, OversizedReply),
+            ) from error
+        finally:
+            if not reader.is_reusable:
+                self.close()
+            reader.close()
 
     def abort(self) -> None:
         """Shuts the connection down; an exchange in another task fails at once."""
--- a/lavendertide/encodings/http_replies.py
+++ b/lavendertide/encodings/http_replies.py
@@ -15,6 +15,10 @@
 # Larger responses are not read to their end. One shard's part of a gathered response
 # has about 100 bytes, a single response about 10 kB.
 BODY_MAX_BYTES: Final = 8_388_608
+# Bytes that all responses which are being read may hold together. Each one may hold a
+# share beyond it, so that large ones don't displace the usual ones.
+SHARE_BYTES: Final = 262_144
+ALL_BODIES_MAX_BYTES: Final = 67_108_864
 HEADERS_MAX: Final = 128
 # Bytes of a response beside its body: status line, headers, the lengths of chunks,
 # trailers and interim responses. A server that has lost its way may send them without
@@ -38,6 +42,40 @@
     """The data is not a valid response; the connection cannot be used any more."""
 
 
+class OversizedReply(MalformedReply):
+    """The response has more bytes than are read of one."""
+
+
+class ReplyMemory:
+    """Bounds the memory of all responses that are being read at the same time.
+
+    Args:
+        bytes_max: Bytes that they may hold together; shares are granted beyond it.
+    """
+
+    def __init__(self, bytes_max: int = ALL_BODIES_MAX_BYTES) -> None:
+        self._bytes_max = bytes_max
+        self._held = 0
+
+    @property
+    def held(self) -> int:
+        """Bytes that are held at present."""
+        return self._held
+
+    def try_hold(self, growth: int, size: int) -> bool:
+        """Adds received bytes to those held; returns whether the response may go on.
+
+        Args:
+            growth: Number of bytes; negative if bytes were released.
+            size: Bytes that the response holds with them.
+        """
+        self._held += growth
+        return size <= SHARE_BYTES or self._held <= self._bytes_max
+
+
+PROCESS_MEMORY: Final = ReplyMemory()
+
+
 class ReplyReader:
     """Parses one response incrementally.
 
@@ -45,17 +83,23 @@
         method: The method of the request; a response to `HEAD` has no body.
         is_matching: Decides by the headers whether a response belongs to the request.
             Other responses are skipped, since a server may repeat an earlier one.
+        memory: Shared by all responses that are being read.
     """
 
     def __init__(
-        self, method: str, is_matching: ReplyMatcher = match_any_reply
+        self,
+        method: str,
+        is_matching: ReplyMatcher = match_any_reply,
+        memory: ReplyMemory = PROCESS_MEMORY,
     ) -> None:
         self._is_head_request = method == "HEAD"
         self._is_matching = is_matching
+        self._parser: httptools.HttpResponseParser | None
         self._parser = httptools.HttpResponseParser(self)
         self._headers: list[Header] = []
-        self._chunks: list[bytes] = []
-        self._size = 0
+        self._memory = memory
+        self._held = 0
+        self._body = bytearray()
         self._overhead = 0
         self._status = 0
         self._ends_at_close = False
@@ -86,7 +130,17 @@
     @property
     def body(self) -> bytes:
         """The part of the body that has been received."""
-        return b"".join(self._chunks)
+        return bytes(self._body)
+
+    def close(self) -> None:
+        """Releases the parser and the body, after which nothing more can be parsed.
+
+        The parser refers to this object. Without this call both, and the bytes of the
+        response, stay in memory until the next full garbage collection.
+        """
+        self._parser = None
+        self._body = bytearray()
+        self._hold_body()
 
     def feed(self, data: bytes) -> None:
         """Parses received bytes; empty `data` means that the connection has ended.
@@ -95,10 +149,10 @@
             MalformedReply: The data is not a response, or ends before it is complete,
                 or the response is too large.
         """
-        if not data:
+        if not data or self._parser is None:
             self._handle_close()
             return
-        size_before = self._size
+        size_before = len(self._body)
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
@@ -106,11 +160,17 @@
             if not self._is_complete:
                 raise MalformedReply(str(error)) from error
             self._has_extra_data = True
-        self._overhead += len(data) - (self._size - size_before)
-        overhead_max = OVERHEAD_MAX_BYTES + CHUNK_OVERHEAD_BYTES * self._size
-        is_too_large = self._size > BODY_MAX_BYTES or len(self._headers) > HEADERS_MAX
+        size = len(self._body)
+        is_within_memory = self._hold_body()
+        self._overhead += len(data) - (size - size_before)
+        overhead_max = OVERHEAD_MAX_BYTES + CHUNK_OVERHEAD_BYTES * size
+        is_too_large = (
+            not is_within_memory
+            or size > BODY_MAX_BYTES
+            or len(self._headers) > HEADERS_MAX
+        )
         if not self._is_complete and (is_too_large or self._overhead > overhead_max):
-            raise MalformedReply("response is too large")
+            raise OversizedReply("response is too large")
 
     def on_message_begin(self) -> None:
         """Called by the parser at the first byte of a response."""
@@ -124,7 +184,7 @@
 
     def on_headers_complete(self) -> None:
         """Called by the parser after the last header."""
-        if self._is_complete:
+        if self._is_complete or self._parser is None:
             return
         self._status = self._parser.get_status_code()
         names = {name for name, _ in self._headers}
@@ -137,22 +197,25 @@
     def on_body(self, data: bytes) -> None:
         """Called by the parser with each piece of the body."""
         if not self._is_complete:
-            self._chunks.append(data)
-            self._size += len(data)
+            self._body += data
 
     def on_message_complete(self) -> None:
         """Called by the parser at the end of a response whose length is known."""
-        if self._is_complete:
+        if self._is_complete or self._parser is None:
             return
         if self._status < 200 or not self._is_matching(self.headers):
             self._headers.clear()
-            self._chunks.clear()
-            self._size = 0
+            self._body.clear()
             return
         self._is_complete = True
         # The parser can report this only now, at the end of the message.
         self._is_kept_alive = self._parser.should_keep_alive()
 
+    def _hold_body(self) -> bool:
+        """Accounts for the body; returns whether there is memory for it."""
+        growth, self._held = len(self._body) - self._held, len(self._body)
+        return self._memory.try_hold(growth, self._held)
+
     def _handle_close(self) -> None:
         if self._ends_at_close:
             self._is_complete = True
--- a/tests/encodings/fixed_peer.py
+++ b/tests/encodings/fixed_peer.py
@@ -1,5 +1,6 @@
 """Server for tests that sends fixed bytes instead of computed responses."""
 
+import contextlib
 import socket
 import struct
 import threading
@@ -37,9 +38,11 @@
 
     def _serve(self) -> None:
         connection, _ = self._listener.accept()
-        for sent in self._replies:
-            self.read.append(connection.recv(65_536))
-            connection.sendall(sent)
+        # A reader that has read enough of a reply closes the connection.
+        with contextlib.suppress(ConnectionError):
+            for sent in self._replies:
+                self.read.append(connection.recv(65_536))
+                connection.sendall(sent)
         if self._is_reset:
             linger = struct.pack("ii", 1, 0)
             connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
--- /dev/null
+++ b/tests/encodings/test_http_replies.py
@@ -0,0 +1,182 @@
+"""Tests of `lavendertide.encodings.http_replies`."""
+
+import contextlib
+import gc
+import unittest
+import weakref
+
+from lavendertide.encodings.http_client_connection import (
+    ClientConnection,
+    ExchangeError,
+)
+from lavendertide.encodings.http_messages import render_body, render_head
+from lavendertide.encodings.http_replies import (
+    BODY_MAX_BYTES,
+    SHARE_BYTES,
+    MalformedReply,
+    OversizedReply,
+    ReplyMemory,
+    ReplyReader,
+)
+from tests.encodings.fixed_peer import TIMEOUT_S, Peer
+
+OK = b"HTTP/1.1 200 OK\r\n"
+STAMP = b"Lavendertide-Server-Stamp: s\r\n"
+GET = render_head("GET", "/x", [(b"Host", b"shop.example")]) + render_body("GET", b"")
+
+
+class ReplyMemoryTest(unittest.TestCase):
+    """Guards against memory that grows by each response that was given up.
+
+    A reader that is in a reference cycle with its parser stays in memory, with all that
+    it has read, until a full garbage collection, and these are rare.
+    """
+
+    def setUp(self) -> None:
+        gc.collect()
+        gc.disable()
+        self.addCleanup(gc.enable)
+
+    def count_readers(self) -> int:
+        """Returns the number of readers in memory."""
+        return sum(isinstance(each, ReplyReader) for each in gc.get_objects())
+
+    def exchange(self, reply: bytes) -> None:
+        """Sends a request to a target that sends fixed bytes and closes."""
+        peer = Peer([reply])
+        self.addCleanup(peer.close)
+        connection = ClientConnection(peer.address)
+        self.addCleanup(connection.close)
+        self.assertTrue(connection.open(TIMEOUT_S))
+        connection.exchange("GET", GET, TIMEOUT_S)
+
+    def test_a_complete_response_leaves_nothing_behind(self) -> None:
+        self.exchange(OK + b"Content-Length: 4\r\n\r\nbody")
+        self.assertEqual(self.count_readers(), 0)
+
+    def test_a_response_that_was_given_up_leaves_nothing_behind(self) -> None:
+        for reply in (
+            OK + b"Content-Length: 9\r\n\r\nbody",
+            b"no answer",
+            OK + b"\r\n" + b"x" * (BODY_MAX_BYTES + 1),
+            OK + b"X-Long: " + b"x" * 100_000,
+        ):
+            with self.subTest(reply=reply[:40]):
+                with self.assertRaises(ExchangeError):
+                    self.exchange(reply)
+                self.assertEqual(self.count_readers(), 0)
+
+    def test_a_closed_reader_is_freed_without_a_collection(self) -> None:
+        reader = ReplyReader("GET")
+        reader.feed(OK + b"\r\n" + b"x" * 100_000)
+        freed = weakref.ref(reader)
+        reader.close()
+        del reader
+        self.assertIsNone(freed())
+
+
+class SharedMemoryTest(unittest.TestCase):
+    """Guards against bodies without end that each stay below the limit of one.
+
+    Many of them at once would still drive the process over its memory.
+    """
+
+    PIECE = b"x" * 65_536
+    BYTES_MAX = 4 * SHARE_BYTES
+
+    def setUp(self) -> None:
+        self.memory = ReplyMemory(self.BYTES_MAX)
+
+    def start(self) -> ReplyReader:
+        """Returns a reader that has read the head of a response without a length."""
+        reader = ReplyReader("GET", memory=self.memory)
+        reader.feed(OK + b"\r\n")
+        return reader
+
+    def read_endlessly(self, reader: ReplyReader) -> bool:
+        """Reads one more piece; returns whether the response goes on."""
+        try:
+            reader.feed(self.PIECE)
+        except OversizedReply:
+            reader.close()
+            return False
+        return True
+
+    def test_bodies_without_end_hold_a_bounded_number_of_bytes(self) -> None:
+        readers = [self.start() for _ in range(20)]
+        held_max = 0
+        while readers:
+            readers = [reader for reader in readers if self.read_endlessly(reader)]
+            held_max = max(held_max, self.memory.held)
+        shares = 20 * (SHARE_BYTES + len(self.PIECE))
+        self.assertLessEqual(held_max, self.BYTES_MAX + shares)
+        self.assertEqual(self.memory.held, 0)
+
+    def test_a_usual_response_is_read_while_others_hold_all(self) -> None:
+        hogs = [self.start() for _ in range(8)]
+        while self.memory.held < self.BYTES_MAX:
+            hogs = [hog for hog in hogs if self.read_endlessly(hog)]
+        reader = ReplyReader("GET", memory=self.memory)
+        reader.feed(OK + b"Content-Length: 65536\r\n\r\n" + self.PIECE)
+        self.assertTrue(reader.is_complete)
+        self.assertEqual(reader.body, self.PIECE)
+
+    def test_all_is_released_however_a_response_ends(self) -> None:
+        for sent in (
+            b"Content-Length: 4\r\n\r\nbody",
+            b"Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\nno chunk\r\n",
+            b"Content-Length: 9\r\n\r\nbody",
+        ):
+            with self.subTest(sent=sent):
+                reader = ReplyReader("GET", memory=self.memory)
+                with contextlib.suppress(MalformedReply):
+                    reader.feed(OK + sent)
+                    reader.feed(b"")
+                reader.close()
+                self.assertEqual(self.memory.held, 0)
+
+
+class BrokenOffReplyTest(unittest.TestCase):
+    """Guards against a response that broke off and looks complete to the caller.
+
+    A response without a length ends with its connection, but only after its head.
+    """
+
+    def test_a_head_that_breaks_off_anywhere_is_no_response(self) -> None:
+        for framing in (b"", b"Content-Length: 4\r\n", b"Connection: close\r\n"):
+            head = OK + STAMP + framing + b"\r\n"
+            for end in range(len(head)):
+                reader = ReplyReader("GET")
+                if end:
+                    reader.feed(head[:end])
+                with self.subTest(end=head[:end]), self.assertRaises(MalformedReply):
+                    reader.feed(b"")
+
+    def test_the_head_after_interim_and_skipped_responses_counts(self) -> None:
+        """Neither lets the end of the connection pass for the end of a response."""
+        skipped = OK + b"X-Id: other\r\nContent-Length: 1\r\n\r\nx"
+        interim = b"HTTP/1.1 103 Early Hints\r\nX-A: 1\r\n\r\n"
+        head = OK + STAMP + b"X-Id: own\r\n\r\n"
+        for before in (interim, skipped, interim + skipped):
+            for end in range(len(head)):
+                reader = ReplyReader("GET", lambda h: (b"x-id", b"other") not in h)
+                reader.feed(before + head[:end])
+                with self.subTest(end=head[:end]), self.assertRaises(MalformedReply):
+                    reader.feed(b"")
+
+    def test_a_framed_body_that_breaks_off_anywhere_is_no_response(self) -> None:
+        chunked = b"Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n"
+        for sent in (
+            OK + STAMP + b"Content-Length: 4\r\n\r\nbody",
+            OK + STAMP + chunked,
+        ):
+            for end in range(1, len(sent)):
+                reader = ReplyReader("GET")
+                reader.feed(sent[:end])
+                with self.subTest(end=sent[:end]), self.assertRaises(MalformedReply):
+                    reader.feed(b"")
+
+    def test_a_response_that_is_too_large_says_so(self) -> None:
+        reader = ReplyReader("GET")
+        with self.assertRaises(OversizedReply):
+            reader.feed(OK + b"\r\n" + b"x" * (BODY_MAX_BYTES + 1))
