Read everything anew when the store's changes are too large

Cause: a watch is answered with all changes since a revision. Above 8 MiB the answer counted as malformed, the store as lost, and the same changes were asked for again until the store had forgotten them.

Change: such changes are treated like forgotten ones. Everything is read anew by pages, which the store bounds. The store's responses have a memory bound apart from the targets'. The stand-in of the store divides ranges into pages, as the platform's does.

--- a/lavendertide/gateway/follower.py
+++ b/lavendertide/gateway/follower.py
@@ -74,7 +74,10 @@
 
 
 class HistoryLost:
-    """The changes since a revision are no longer available; everything must be read."""
+    """The changes since a revision can't be read any more; everything must be read.
+
+    The platform has discarded them, or they are too many for one read.
+    """
 
 
 class PlatformReader(Protocol):
--- a/lavendertide/platform/store_client.py
+++ b/lavendertide/platform/store_client.py
@@ -13,6 +13,7 @@
     ExchangeError,
 )
 from lavendertide.encodings.http_messages import HttpResponse, render_body, render_head
+from lavendertide.encodings.http_replies import ReplyMemory
 from lavendertide.errors import Refusal, unreachable
 from lavendertide.gateway.follower import (
     HistoryLost,
@@ -54,6 +55,10 @@
     """A call to the store failed, or its response cannot be read."""
 
 
+class _OversizedResponse(_StoreError):
+    """The store's response has more bytes than are read of one."""
+
+
 class StoreClient:
     """Reads the store over one persistent connection.
 
@@ -66,7 +71,8 @@
     def __init__(self, address: Address, times: ReadingTimes) -> None:
         self._address = address
         self._times = times
-        self._connection = ClientConnection(address)
+        # Not shared with targets, whose responses may use up the memory for all.
+        self._connection = ClientConnection(address, ReplyMemory())
         self._refused: dict[str, str] = {}
 
     def read_all(self) -> Result[PublicationBatch, Refusal]:
@@ -88,8 +94,14 @@
         }
         try:
             response = self._get(WATCH_PATH, query, self._times.watch_timeout_s)
-            if response.status == 410:
-                return Success(HistoryLost())
+        except _OversizedResponse:
+            # The store doesn't divide the changes into pages, as it does a range.
+            return Success(HistoryLost())
+        except _StoreError as error:
+            return Failure(unreachable(self._address, str(error), REMEDY))
+        if response.status == 410:
+            return Success(HistoryLost())
+        try:
             document = _parse_document(response)
             publications = [self._decode(event) for event in document["events"]]
             batch = PublicationBatch(
@@ -131,6 +143,8 @@
         try:
             return connection.exchange("GET", head + render_body("GET", b""), timeout_s)
         except ExchangeError as error:
+            if error.is_oversized:
+                raise _OversizedResponse("response too large") from error
             kind = "timeout" if error.is_timeout else "connection closed"
             raise _StoreError(kind) from error
 
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -15,6 +15,9 @@
 
 # Interval at which a server checks whether it has to shut down.
 POLL_S: Final = 0.02
+# A page of a range holds at most so many items and bytes, but always one item.
+PAGE_ITEMS: Final = 500
+PAGE_BYTES: Final = 1_000_000
 
 
 class _Handler(BaseHTTPRequestHandler):
@@ -110,12 +113,22 @@
             handler.reply(503, b"")
         elif url.path == "/api/kv-range":
             with self._changed:
-                items = [self._items[key] for key in sorted(self._items)]
-                document = {"items": items, "has-more": False}
-                self._reply(handler, document)
+                self._reply(handler, self._page(query.get("after", "")))
         else:
             self._handle_watch(handler, int(query["after"]), int(query["wait-ms"]))
 
+    def _page(self, after: str) -> dict[str, Any]:
+        """Returns the items after a key, as many as fit into one page."""
+        keys = [key for key in sorted(self._items) if key > after]
+        items: list[dict[str, Any]] = []
+        size = 0
+        for key in keys[:PAGE_ITEMS]:
+            size += len(self._items[key]["value"])
+            if items and size > PAGE_BYTES:
+                break
+            items.append(self._items[key])
+        return {"items": items, "has-more": len(items) < len(keys)}
+
     def _handle_watch(self, handler: _Handler, after: int, wait_ms: int) -> None:
         ends_at_s = time.monotonic() + wait_ms / 1_000
         with self._changed:
--- a/tests/processes/test_odd_entries.py
+++ b/tests/processes/test_odd_entries.py
@@ -13,6 +13,8 @@
 
 # Bound of the users' sites on noticing that a target leaves.
 DRAIN_S: Final = 3.0
+# Largest value that the platform's store accepts, before it is encoded.
+VALUE_MAX_BYTES: Final = 1_048_576
 SOUND: Final = (("t1", "desk"), ("t2", "desk"), ("s0", "shard-0"), ("s1", "shard-1"))
 
 
@@ -136,6 +138,19 @@
         self.check_following()
         self.check_processes()
 
+    def test_odd_targets_of_the_largest_size_do_not_end_the_following(self) -> None:
+        """Their events are more than a gateway reads of one response."""
+        value = "!" * (4 * VALUE_MAX_BYTES // 3)
+        for number in range(12):
+            self.store.put_raw(f"servers/large-{number}", value)
+        self.check_following()
+        self.store.put("op/config", configuration(11, *ROUTES[:1]))
+        wait_until(
+            lambda: all(g.get("/orders/x").status == 404 for g in self.gateways),
+            DRAIN_S,
+        )
+        self.check_processes()
+
     def test_an_odd_configuration_leaves_the_former_in_force(self) -> None:
         sound = configuration(9, *ROUTES)
         self.store.put_raw("op/config", base64.b64encode(nested(100_000)).decode())
