Answer what is still in flight when a planned stop ends

A report of other operators: requests that came late in the grace were taken, and cut off without an answer at its end.

A request counted as in flight only once it was read whole, and the end of accepting closed connections on which one had begun to arrive.

Change: at the end of the wait each request is answered with what there is: enough parts of a search, a refusal as not run if nothing was sent, else a failure. After SIGTERM requests get no more time than the host has left, and those whose targets usually take longer are refused at once. A request counts as in flight from its first byte. At the deadline a request whose calls still wait for a connection is refused as not run too, after its calls were cancelled. The limit on bodies is now that in force when a request arrives, not when its connection became idle.

--- a/lavendertide/daemon/daemon.py
+++ b/lavendertide/daemon/daemon.py
@@ -15,7 +15,7 @@
 from lavendertide.daemon.caller_front import CallerFront
 from lavendertide.daemon.caller_services import make_caller_services
 from lavendertide.daemon.configuration_tasks import ConfigurationTasks
-from lavendertide.daemon.drain import Drain
+from lavendertide.daemon.drain import Drain, DrainedFront
 from lavendertide.daemon.in_flight import InFlightCounter
 from lavendertide.daemon.peer_front import PeerFront
 from lavendertide.daemon.plan_shares import make_share_exchange
@@ -153,7 +153,7 @@
             self._in_flight,
             self._options.fleet.address_lifetime_s,
             self._options.fleet.drain_bound_s,
-            lambda: _close(caller_listener, caller_server),
+            DrainedFront(lambda: _close(caller_listener, caller_server)),
         )
         _serve(admin_listener, self._administration(drain.request).front)
         signal.signal(signal.SIGTERM, lambda *_: drain.request())
--- a/lavendertide/daemon/drain.py
+++ b/lavendertide/daemon/drain.py
@@ -3,11 +3,13 @@
 The daemon announces that it is leaving. It accepts requests for as long as callers may
 cache an address list that still names it, then closes its listeners, finishes the
 requests in flight and announces its removal. A second signal ends the process at once,
-and a time bound limits the wait for requests in flight.
+and a time bound limits the wait for requests in flight. What is still in flight then is
+told to end with what it has, since an answer says more than a closed connection.
 """
 
 import logging
 from collections.abc import Callable
+from dataclasses import dataclass
 from typing import Final
 
 from lavendertide.daemon.in_flight import InFlightCounter
@@ -23,13 +25,33 @@
 _log = logging.getLogger(__name__)
 
 
+def _ignore(*_: object) -> None:
+    pass
+
+
+@dataclass(frozen=True, slots=True)
+class DrainedFront:
+    """What a drain needs of the part that serves callers.
+
+    Attributes:
+        close_listeners: Stops accepting connections and requests.
+        announce_end: Called at the start with the monotonic time at which requests in
+            flight are no longer awaited.
+        end_requests: Has the requests in flight answered at once.
+    """
+
+    close_listeners: Callable[[], None]
+    announce_end: Callable[[float], None] = _ignore
+    end_requests: Callable[[], None] = _ignore
+
+
 class Drain:
     """Shuts the daemon down and removes it from the fleet.
 
     Args:
         lifetime_s: How long callers may cache an address list.
         bound_s: How long to wait for requests in flight after that.
-        close_listeners: Stops accepting connections.
+        front: Serves callers until the drain stops it.
     """
 
     def __init__(
@@ -40,7 +62,7 @@
         in_flight: InFlightCounter,
         lifetime_s: float,
         bound_s: float,
-        close_listeners: Callable[[], None],
+        front: DrainedFront,
     ) -> None:
         self._roster = roster
         self._peers = peers
@@ -48,7 +70,7 @@
         self._in_flight = in_flight
         self._lifetime_s = lifetime_s
         self._bound_s = bound_s
-        self._close_listeners = close_listeners
+        self._front = front
         self._requested = tasks.Signal()
         self._ended = tasks.Signal()
 
@@ -68,14 +90,17 @@
     def _leave(self) -> None:
         now_s = clock.monotonic_s()
         _log.info("leaving")
+        self._front.announce_end(now_s + self._lifetime_s + self._bound_s)
         self._readiness.leave(now_s + self._lifetime_s)
         self._announce(MemberState.LEAVING)
         tasks.sleep(self._lifetime_s)
-        self._close_listeners()
+        self._front.close_listeners()
         until_s = clock.monotonic_s() + self._bound_s
         if not self._in_flight.wait_until_idle(until_s):
             _log.warning("ended with %d requests in flight", self._in_flight.count)
+            self._front.end_requests()
         self._announce(MemberState.REMOVED)
+        # The last responses are written in this time, too.
         tasks.sleep(FINAL_HEARTBEAT_S)
         self._ended.set()
 
--- a/lavendertide/encodings/http_server_connection.py
+++ b/lavendertide/encodings/http_server_connection.py
@@ -37,6 +37,12 @@
         sockets.set_unacknowledged_timeout(connection)
         self._socket = connection
         self._framing = h11.Connection(h11.SERVER, header_max_bytes)
+        self._has_begun = False
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether no byte of the next request has arrived."""
+        return not self._has_begun and sockets.is_idle(self._socket)
 
     @property
     def is_reusable(self) -> bool:
@@ -51,32 +57,54 @@
         """Shortest round trip to the caller in seconds; none if it is unknown."""
         return sockets.round_trip_s(self._socket)
 
+    def wait_for_request(self, idle_s: float) -> bool:
+        """Waits for the first bytes of a request.
+
+        Args:
+            idle_s: Time limit.
+
+        Returns:
+            Whether any have arrived; if not, the connection has closed or timed out.
+        """
+        if self._framing.our_state is h11.DONE:
+            self._framing.start_next_cycle()
+        self._has_begun = bool(self._framing.trailing_data[0])
+        if self._has_begun:
+            return True
+        try:
+            self._socket.settimeout(idle_s)
+            data = self._socket.recv(READ_BYTES)
+        except OSError:
+            return False
+        self._framing.receive_data(data)
+        self._has_begun = bool(data)
+        return self._has_begun
+
     def read_request(
-        self, idle_s: float, header_s: float, body_max_bytes: int
+        self, header_s: float, body_max_bytes: int
     ) -> HttpRequest | BadRequest | None:
-        """Waits for a request; returns none if the connection has closed or timed out.
+        """Reads the request whose first bytes have arrived.
 
         Args:
-            idle_s: Time limit for the first bytes of the request.
             header_s: Time limit for the rest of the headers, and then for each further
                 piece of the body.
             body_max_bytes: A larger body is refused.
+
+        Returns:
+            The request; none if the connection has closed or timed out.
         """
         try:
-            return self._read_request(idle_s, header_s, body_max_bytes)
+            return self._read_request(header_s, body_max_bytes)
         except h11.RemoteProtocolError as error:
             return BadRequest(error.error_status_hint)
         except OSError:
             return None
 
     def _read_request(
-        self, idle_s: float, header_s: float, body_max_bytes: int
+        self, header_s: float, body_max_bytes: int
     ) -> HttpRequest | BadRequest | None:
-        if self._framing.our_state is h11.DONE:
-            self._framing.start_next_cycle()
-        self._socket.settimeout(idle_s)
         head: h11.Request | None = None
-        head_until_s: float | None = None
+        head_until_s = clock.monotonic_s() + header_s
         chunks: list[bytes] = []
         size = 0
         while True:
@@ -85,14 +113,12 @@
                 if self._framing.they_are_waiting_for_100_continue:
                     proceed = h11.InformationalResponse(status_code=100, headers=[])
                     self._socket.sendall(self._framing.send(proceed))
-                data = self._socket.recv(READ_BYTES)
-                self._framing.receive_data(data)
-                now_s = clock.monotonic_s()
-                if head_until_s is None:
-                    head_until_s = now_s + header_s
                 # Headers that arrive byte by byte must not hold the connection.
-                left_s = header_s if head is not None else head_until_s - now_s
+                left_s = head_until_s - clock.monotonic_s()
+                if head is not None:
+                    left_s = header_s
                 self._socket.settimeout(max(SHORTEST_WAIT_S, left_s))
+                self._framing.receive_data(self._socket.recv(READ_BYTES))
                 continue
             match event:
                 case h11.Request():
--- a/lavendertide/forwarding/forwarder.py
+++ b/lavendertide/forwarding/forwarder.py
@@ -9,7 +9,7 @@
 import math
 import random
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from lavendertide.forwarding.budget import RetryBudgets
 from lavendertide.forwarding.caller_times import CallerTimes
@@ -60,6 +60,8 @@
 
 # A host without routes receives them with its next read of the platform or a peer.
 NO_ROUTES_RETRY_S = 0.3
+# Another host can be tried at once; the pause lets callers read new addresses.
+OTHER_HOST_RETRY_S = 0.05
 # Targets register within a heartbeat after they start.
 NO_TARGET_RETRY_S = 0.5
 # A target that has refused a request is avoided for about one service time.
@@ -125,10 +127,19 @@
         # Seeded by the module's generator, so that a test with a seed is reproducible.
         self._capacities = RouteCapacities(random.Random(random.getrandbits(64)))
         self._call_numbers = itertools.count(1)
+        self._host_ends_at_s: float | None = None
         active_routes.on_change(self._apply_table)
         registry.set_removal_listener(self._remove_target)
         registry.set_closing_listener(self._withdraw_calls)
 
+    def announce_end(self, at_s: float) -> None:
+        """Announces that this host ends at a monotonic time.
+
+        From now on requests get no more time than that, and those that usually take
+        longer are refused, so that their callers use another host at once.
+        """
+        self._host_ends_at_s = at_s
+
     def find_route(self, host: str, path: str) -> Route | Refused | Unroutable:
         """Returns the route of a request, or the reason why there is none."""
         table = self._active_routes.table
@@ -148,6 +159,9 @@
         """
         now_s = clock.monotonic_s()
         deadlines = response_deadlines(request, route, self._used_s(request, route))
+        if self._host_ends_at_s is not None:
+            ends_at_s = min(deadlines.ends_at_s, self._host_ends_at_s)
+            deadlines = replace(deadlines, ends_at_s=ends_at_s)
         refused = self._refuse_early(request, route, deadlines, now_s)
         if refused is not None:
             return refused
@@ -284,6 +298,8 @@
             return Refused(RefusalCause.POISONED)
         if deadlines.ends_at_s - now_s < ATTEMPT_MIN_S:
             return Refused(RefusalCause.NO_TIME)
+        if self._usually_outlives_host(route, now_s):
+            return Refused(RefusalCause.LEAVING, OTHER_HOST_RETRY_S)
         services, required = tuple(route.services), 1
         match route.destination:
             case GatheredShards() as gathered:
@@ -299,6 +315,13 @@
             return Refused(RefusalCause.TARGETS_FULL, retry_after_s)
         return Refused(RefusalCause.NO_TARGET, NO_TARGET_RETRY_S)
 
+    def _usually_outlives_host(self, route: Route, now_s: float) -> bool:
+        """Returns whether this host ends before a route's targets usually reply."""
+        if self._host_ends_at_s is None:
+            return False
+        usual_s = self._timings.timing_of(route, now_s).usual_max_s(now_s)
+        return usual_s is not None and now_s + usual_s > self._host_ends_at_s
+
     def _time_to_target_s(self, service: ServiceName, now_s: float) -> float:
         """Returns the seconds until a service has a usable target, or infinity.
 
--- a/lavendertide/forwarding/messages.py
+++ b/lavendertide/forwarding/messages.py
@@ -160,6 +160,7 @@
     NO_ROUTE = "no_route"
     NO_ROUTES_KNOWN = "no_routes_known"
     NOT_READY = "not_ready"
+    LEAVING = "leaving"
     NO_TARGET = "no_target"
     TARGETS_FULL = "targets_full"
     OVER_CAPACITY = "over_capacity"
--- a/lavendertide/forwarding/parts.py
+++ b/lavendertide/forwarding/parts.py
@@ -53,6 +53,11 @@
         """Whether there is a successful reply."""
         return self.reply is not None
 
+    @property
+    def has_sent_call(self) -> bool:
+        """Whether an open call has been sent, and doesn't wait for a connection."""
+        return any(call.is_sent for call in self.open_calls.values())
+
     @property
     def is_lost(self) -> bool:
         """Whether there is no reply and no open call or planned retry."""
--- a/lavendertide/forwarding/pool.py
+++ b/lavendertide/forwarding/pool.py
@@ -79,6 +79,7 @@
         ends_at_s: Time from which nobody waits for the reply, monotonic.
         done: Called once with the call and its reply.
         outages: How often the target had stopped accepting connections before.
+        is_sent: Whether a byte of the request may have reached the target.
         is_cancelled: Whether nobody waits for the reply any more.
         channel: The connection while the exchange runs.
     """
@@ -91,6 +92,7 @@
     ends_at_s: float
     done: Callable[["TargetCall", TargetReply], None]
     outages: int = 0
+    is_sent: bool = False
     is_cancelled: bool = False
     channel: "TargetChannel | None" = field(default=None, repr=False)
 
@@ -156,6 +158,7 @@
 
     def exchange(self, call: TargetCall, now_s: float) -> TargetReply:
         """Sends a request and waits for its reply."""
+        call.is_sent = True
         call.channel = self._channel
         try:
             reply = self._channel.exchange(call, now_s)
--- a/lavendertide/forwarding/run.py
+++ b/lavendertide/forwarding/run.py
@@ -28,7 +28,13 @@
 from lavendertide.forwarding.parts import Part
 from lavendertide.forwarding.pool import TargetCall
 from lavendertide.forwarding.request_log import log_end, log_repeat, response_outcome
-from lavendertide.forwarding.sender import CallDone, CallerLeft, Event, SubRequestSender
+from lavendertide.forwarding.sender import (
+    CallDone,
+    CallerLeft,
+    Event,
+    HostEnds,
+    SubRequestSender,
+)
 from lavendertide.ids import ServiceName
 from lavendertide.overload.capacity import (
     Feedback,
@@ -99,6 +105,8 @@
                     self._cancel_all()
                     self._log_end(response_outcome(Abandoned()), now_s)
                     return Abandoned()
+                case HostEnds():
+                    break
                 case None:
                     pass
             self._handle_due_parts(now_s)
@@ -334,8 +342,12 @@
     def _build_failure(self, now_s: float) -> Response:
         is_late = now_s >= self._deadlines.ends_at_s
         may_have_run = any(
-            part.may_have_run or part.open_calls or part.is_done for part in self._parts
+            part.may_have_run or part.has_sent_call or part.is_done
+            for part in self._parts
         )
+        if not may_have_run:
+            # They would otherwise be sent once a connection is free.
+            self._cancel_all()
         if may_have_run:
             cause = RefusalCause.TARGETS_FAILED
             if self._is_gathered:
--- a/lavendertide/forwarding/sender.py
+++ b/lavendertide/forwarding/sender.py
@@ -26,7 +26,12 @@
     """Event: the caller has closed its connection."""
 
 
-Event = CallDone | CallerLeft
+@dataclass(frozen=True, slots=True)
+class HostEnds:
+    """Event: this host ends, so the request has to be answered now."""
+
+
+Event = CallDone | CallerLeft | HostEnds
 
 
 class SubRequestSender(Protocol):
--- a/lavendertide/forwarding/timing.py
+++ b/lavendertide/forwarding/timing.py
@@ -35,6 +35,11 @@
         mean_s = latency_s if self._mean_s is None else self._mean_s
         self._mean_s = mean_s + MEAN_WEIGHT * (latency_s - mean_s)
 
+    def usual_max_s(self, now_s: float) -> float | None:
+        """Returns the seconds that all but the slowest replies take, if known."""
+        estimate = self._quantiles.estimate(LATE_QUANTILE, now_s)
+        return self._mean_s if estimate is None else estimate.recent_straggler_s
+
     def late_after_s(self, objective_s: float, now_s: float) -> float:
         """Returns the seconds after which a call is late and may be hedged."""
         upper_bound_s = LATE_SHARE_MAX * objective_s
--- a/lavendertide/gateway/caller_front.py
+++ b/lavendertide/gateway/caller_front.py
@@ -27,7 +27,7 @@
 )
 from lavendertide.forwarding.metrics import ForwardingMetrics
 from lavendertide.forwarding.request_log import log_refusal, response_outcome
-from lavendertide.forwarding.sender import CallerLeft, Event
+from lavendertide.forwarding.sender import CallerLeft, Event, HostEnds
 from lavendertide.routes.active_routes import ActiveRoutes
 from lavendertide.routes.route import CallerLimits, Route
 from lavendertide.runtime import clock, tasks
@@ -87,6 +87,7 @@
         self._in_flight = in_flight
         self._metrics = metrics
         self._idle: set[ServerConnection] = set()
+        self._inboxes: set[tasks.Mailbox[Event]] = set()
 
     def serve(self, accepted: socket.socket) -> None:
         """Serves the requests of one connection until it closes."""
@@ -99,9 +100,19 @@
             connection.close()
 
     def close_idle(self) -> None:
-        """Closes the connections that have no request in progress."""
+        """Closes the connections on which no request has begun to arrive.
+
+        A request that has arrived in part, or was not read yet, is read and refused
+        instead: a closed connection wouldn't tell its caller whether it has run.
+        """
         for connection in list(self._idle):
-            connection.close()
+            if connection.is_idle:
+                connection.close()
+
+    def end_requests(self) -> None:
+        """Has all requests in flight answered at once."""
+        for inbox in list(self._inboxes):
+            inbox.send(HostEnds())
 
     @property
     def _limits(self) -> CallerLimits:
@@ -110,17 +121,18 @@
 
     def _serve_request(self, connection: ServerConnection) -> bool:
         """Serves one request; returns whether the connection can serve another."""
-        limits = self._limits
         self._idle.add(connection)
-        received = connection.read_request(
-            limits.idle_timeout_s, limits.header_timeout_s, limits.body_max_bytes
-        )
+        has_begun = connection.wait_for_request(self._limits.idle_timeout_s)
         self._idle.discard(connection)
-        if received is None:
+        if not has_begun:
             return False
         self._in_flight.record_accepted()
         try:
-            return self._respond(connection, received)
+            limits = self._limits
+            received = connection.read_request(
+                limits.header_timeout_s, limits.body_max_bytes
+            )
+            return received is not None and self._respond(connection, received)
         finally:
             self._in_flight.record_finished()
 
@@ -169,9 +181,11 @@
             return _Exchange(request, route, refused)
         inbox: tasks.Mailbox[Event] = tasks.Mailbox()
         watcher = tasks.spawn(_notify_when_closed, connection, inbox)
+        self._inboxes.add(inbox)
         try:
             response = self._forwarder.forward(request, route, inbox)
         finally:
+            self._inboxes.discard(inbox)
             watcher.stop()
         if isinstance(response, Refused):
             self._log_refusal(request, response, now_s)
--- a/lavendertide/gateway/entry_front.py
+++ b/lavendertide/gateway/entry_front.py
@@ -99,9 +99,10 @@
     def serve(self, accepted: socket.socket) -> None:
         """Serves the requests of one connection until it closes."""
         connection = ServerConnection(accepted, HEADER_MAX_BYTES)
-        while (
-            received := connection.read_request(IDLE_TIMEOUT_S, IO_TIMEOUT_S, 0)
-        ) is not None:
+        while connection.wait_for_request(IDLE_TIMEOUT_S):
+            received = connection.read_request(IO_TIMEOUT_S, 0)
+            if received is None:
+                return
             response = self._respond(received)
             is_last = isinstance(received, BadRequest)
             is_written = connection.write(response, is_last, IO_TIMEOUT_S)
--- a/lavendertide/gateway/gateway.py
+++ b/lavendertide/gateway/gateway.py
@@ -9,7 +9,7 @@
 from prometheus_client import REGISTRY
 from prometheus_client.exposition import generate_latest
 
-from lavendertide.daemon.drain import Drain
+from lavendertide.daemon.drain import Drain, DrainedFront
 from lavendertide.daemon.in_flight import InFlightCounter
 from lavendertide.encodings.peer_socket import PeerSocket
 from lavendertide.encodings.routes_json import decode_table, encode_table
@@ -202,7 +202,9 @@
             self._in_flight,
             ACCEPTING_SHARE * options.grace_s,
             (DRAINED_BY_SHARE - ACCEPTING_SHARE) * options.grace_s,
-            stop_accepting,
+            DrainedFront(
+                stop_accepting, self._forwarder.announce_end, front.end_requests
+            ),
         )
         signal.signal(signal.SIGTERM, lambda *_: drain.request())
         drain.run()
--- a/standins/gateway_process.py
+++ b/standins/gateway_process.py
@@ -123,7 +123,13 @@
         return f"127.0.0.1:{self.ports[2]}"
 
     def get(
-        self, path: str, port: int = 0, method: str = "GET", name: str = "r1"
+        self,
+        path: str,
+        port: int = 0,
+        method: str = "GET",
+        name: str = "r1",
+        deadline_ms: int = 5_000,
+        timeout_s: float = 10.0,
     ) -> http.client.HTTPResponse:
         """Sends an HTTP request to the gateway and reads the whole response.
 
@@ -132,15 +138,19 @@
             port: Index into `ports` of the listener that the request is sent to.
             method: HTTP method.
             name: Id of the request.
+            deadline_ms: How long the caller says that it waits, in milliseconds.
+            timeout_s: How long it waits for each piece of the response.
 
         Returns:
             The response; its attribute `body` holds the body.
         """
-        connection = http.client.HTTPConnection("127.0.0.1", self.ports[port], 10)
+        connection = http.client.HTTPConnection(
+            "127.0.0.1", self.ports[port], timeout_s
+        )
         headers = {
             "Host": "shop.example",
             "Lavendertide-Request-Id": name,
-            "Lavendertide-Deadline-Ms": "5000",
+            "Lavendertide-Deadline-Ms": str(deadline_ms),
         }
         connection.request(method, path, headers=headers)
         response = connection.getresponse()
--- a/tests/encodings/test_http_connections.py
+++ b/tests/encodings/test_http_connections.py
@@ -19,6 +19,7 @@
     render_head,
 )
 from lavendertide.encodings.http_server_connection import ServerConnection
+from standins.gateway_process import wait_until
 from tests.encodings.fixed_peer import TIMEOUT_S, Peer
 
 HEAD = render_head("GET", "/x", [(b"Host", b"shop.example")])
@@ -129,7 +130,8 @@
     def read(self, sent: bytes) -> HttpRequest | BadRequest | None:
         """Sends bytes as the caller; returns what the server reads from them."""
         self.caller.sendall(sent)
-        return self.connection.read_request(TIMEOUT_S, TIMEOUT_S, 100)
+        self.assertTrue(self.connection.wait_for_request(TIMEOUT_S))
+        return self.connection.read_request(TIMEOUT_S, 100)
 
     def test_a_body_with_a_length(self) -> None:
         read = self.read(b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nok")
@@ -164,9 +166,23 @@
         self.addCleanup(trickling.join)
         self.addCleanup(ended.set)
         began_s = time.monotonic()
-        self.assertIsNone(self.connection.read_request(TIMEOUT_S, 0.3, 100))
+        self.assertTrue(self.connection.wait_for_request(TIMEOUT_S))
+        self.assertIsNone(self.connection.read_request(0.3, 100))
         self.assertLess(time.monotonic() - began_s, TIMEOUT_S)
 
+    def test_a_connection_is_idle_until_bytes_of_a_request_arrive(self) -> None:
+        """A stop closes idle connections, and only these."""
+        self.assertTrue(self.connection.is_idle)
+        self.caller.sendall(b"GET /a HT")
+        wait_until(lambda: not self.connection.is_idle, TIMEOUT_S)
+        self.assertTrue(self.connection.wait_for_request(TIMEOUT_S))
+        self.assertFalse(self.connection.is_idle)
+
+    def test_a_connection_that_closes_or_stays_silent_brings_no_request(self) -> None:
+        self.assertFalse(self.connection.wait_for_request(0.05))
+        self.caller.close()
+        self.assertFalse(self.connection.wait_for_request(TIMEOUT_S))
+
     def test_bytes_that_are_not_a_request_are_refused(self) -> None:
         self.assertIsInstance(self.read(b"\x16\x03\x01 hello\r\n\r\n"), BadRequest)
 
--- a/tests/processes/test_gateway.py
+++ b/tests/processes/test_gateway.py
@@ -2,11 +2,14 @@
 
 import json
 import signal
+import socket
 import tempfile
 import threading
+import time
 import unittest
 from pathlib import Path
 
+from lavendertide.gateway.gateway import ACCEPTING_SHARE
 from standins.gateway_process import (
     ROUTES,
     GatewayProcess,
@@ -17,6 +20,8 @@
 from standins.platform_store import PlainTarget, PlatformStore
 from standins.ports import PortBlock
 
+# Time between SIGTERM and SIGKILL on the users' sites.
+GRACE_S = 6.0
 # Time limit of the users' sites for serving all requests again.
 RECOVERY_S = 12.0
 
@@ -106,6 +111,57 @@
         self.assertFalse(gateway.is_ready())
         self.assertEqual(gateway.process.wait(6.0), 0)
 
+    def test_a_stop_answers_also_what_outlives_the_grace(self) -> None:
+        """Guards against requests that are cut off when the grace is over.
+
+        A closed connection tells a caller less than a status, and later.
+        """
+        patient = {"timeout-ms": 30_000}
+        self.store.put("op/config", configuration(5, *(r | patient for r in ROUTES)))
+        gateway = self.start_ready("m1")
+        for target in self.targets.values():
+            target.delay_s = 20.0
+        statuses: list[int] = []
+
+        def send(name: str, path: str, method: str) -> None:
+            statuses.append(gateway.get(path, 0, method, name, 30_000, 60.0).status)
+
+        callers = [
+            threading.Thread(target=send, args=(f"r{number}", path, method))
+            for number, (path, method) in enumerate(
+                [("/orders/x", "POST")] * 6 + [("/searches/x", "GET")] * 2
+            )
+        ]
+        for caller in callers:
+            caller.start()
+        wait_until(lambda: bool(self.targets["t1"].executed_requests))
+        wait_until(lambda: bool(self.targets["t2"].executed_requests))
+        gateway.process.send_signal(signal.SIGTERM)
+        self.assertEqual(gateway.process.wait(GRACE_S), 0)
+        for caller in callers:
+            caller.join()
+        self.assertEqual(len(statuses), len(callers))
+        ran = len({r for t in self.targets.values() for r in t.executed_requests})
+        # What waited for a connection is refused, which promises that it has not run.
+        self.assertEqual(statuses.count(503), len(callers) - ran)
+        self.assertTrue(set(statuses) <= {502, 503, 504}, statuses)
+
+    def test_a_request_that_arrives_while_the_host_stops_accepting_is_answered(
+        self,
+    ) -> None:
+        gateway = self.start_ready("m1")
+        head = b"GET /lookups/x HTTP/1.1\r\nHost: shop.example\r\n"
+        head += b"Lavendertide-Request-Id: r1\r\n\r\n"
+        address = ("127.0.0.1", gateway.ports[0])
+        with socket.create_connection(address, GRACE_S) as caller:
+            gateway.process.send_signal(signal.SIGTERM)
+            time.sleep(ACCEPTING_SHARE * GRACE_S - 0.5)
+            caller.sendall(head[:40])
+            time.sleep(1.5)
+            caller.sendall(head[40:])
+            self.assertIn(b" 503 ", caller.recv(65_536))
+        self.assertEqual(gateway.process.wait(GRACE_S), 0)
+
     def test_a_draining_target_and_a_new_version_take_effect(self) -> None:
         gateway = self.start_ready("m1")
         self.add_target("o1", "other")
