Answer also where a target's header can't be written

From the review: a client's connection was closed without an answer when a header of its target's response ended with a space.

Cause: the parser of responses keeps white space at the end of a value and lets some bytes pass that the stricter writer of responses refuses, and the head was built outside the block that handles this.

Change: white space around a value isn't read as a part of it. A response that still can't be written becomes a 502, with a line in the log.

Measured: three odd headers are answered 502 on a connection that stays usable; a value with white space is read without it. Both tests are new.

--- a/lavendertide/encodings/http_replies.py
+++ b/lavendertide/encodings/http_replies.py
@@ -180,7 +180,8 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         """Called by the parser with each header."""
         if not self._is_complete:
-            self._headers.append((name.lower(), value))
+            # The parser keeps white space at the end, which isn't part of the value.
+            self._headers.append((name.lower(), value.strip(b" \t")))
 
     def on_headers_complete(self) -> None:
         """Called by the parser after the last header."""
--- a/lavendertide/encodings/http_server_connection.py
+++ b/lavendertide/encodings/http_server_connection.py
@@ -6,6 +6,7 @@
 """
 
 import contextlib
+import logging
 import socket
 from http import HTTPStatus
 from typing import Final
@@ -23,6 +24,8 @@
 # A time-out of zero would make the socket non-blocking.
 SHORTEST_WAIT_S: Final = 0.001
 
+_log = logging.getLogger(__name__)
+
 
 class ServerConnection:
     """One connection that a caller has opened.
@@ -159,15 +162,13 @@
                 this response.
             timeout_s: Time limit for the caller to accept the response.
         """
-        headers = list(response.headers)
-        headers.append((b"Content-Length", b"%d" % len(response.body)))
-        if is_last:
-            headers.append((b"Connection", b"close"))
-        head = h11.Response(
-            status_code=response.status,
-            headers=headers,
-            reason=_reason_phrase(response.status),
-        )
+        try:
+            head = _render_head(response, is_last)
+        except h11.LocalProtocolError as error:
+            # Targets' responses are parsed less strictly than they are written.
+            _log.warning("response can't be written", extra={"problem": str(error)})
+            response = HttpResponse(HTTPStatus.BAD_GATEWAY, (), b"")
+            head = _render_head(response, is_last)
         try:
             data = self._framing.send(head) or b""
             data += self._framing.send(h11.Data(data=response.body)) or b""
@@ -186,6 +187,23 @@
             self._socket.close()
 
 
+def _render_head(response: HttpResponse, is_last: bool) -> h11.Response:
+    """Returns the head of a response.
+
+    Raises:
+        h11.LocalProtocolError: A header or the status is not valid in HTTP.
+    """
+    headers = list(response.headers)
+    headers.append((b"Content-Length", b"%d" % len(response.body)))
+    if is_last:
+        headers.append((b"Connection", b"close"))
+    return h11.Response(
+        status_code=response.status,
+        headers=headers,
+        reason=_reason_phrase(response.status),
+    )
+
+
 def _reason_phrase(status: int) -> bytes:
     try:
         return HTTPStatus(status).phrase.encode("ascii")
--- a/tests/encodings/test_http_connections.py
+++ b/tests/encodings/test_http_connections.py
@@ -52,6 +52,11 @@
         self.assertEqual((response.status, response.body), (200, b"body"))
         self.assertEqual(response.header(b"x-a"), b"b")
 
+    def test_white_space_around_a_header_is_not_part_of_it(self) -> None:
+        sent = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\nX-A: \t b c \t \r\n\r\n"
+        _, response = self.exchange(sent)
+        self.assertEqual(response.header(b"x-a"), b"b c")
+
     def test_a_reply_in_chunks(self) -> None:
         sent = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
         _, response = self.exchange(sent + b"4\r\nbody\r\n0\r\n\r\n")
@@ -195,6 +200,18 @@
         assert isinstance(read, HttpRequest)
         self.assertEqual(read.target, "/b")
 
+    def test_a_response_that_cannot_be_written_becomes_a_failure(self) -> None:
+        """Guards against a connection that is closed without an answer."""
+        for odd in ((b"X-Odd", b"a\x00b"), (b"X Odd", b"a"), (b"X-Odd", b"a ")):
+            with self.subTest(odd=odd):
+                self.read(b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n")
+                response = HttpResponse(200, (odd,), b"body")
+                self.assertTrue(self.connection.write(response, False, TIMEOUT_S))
+                answer = self.caller.recv(65_536)
+                self.assertTrue(answer.startswith(b"HTTP/1.1 502 "), answer)
+                self.assertNotIn(b"body", answer)
+                self.assertTrue(self.connection.is_reusable)
+
     def test_a_close_by_the_caller_is_detected(self) -> None:
         self.read(b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n")
         self.caller.close()
