Have the system close links between hosts that have gone silent

From the review, by reading: a link whose connection goes silent for good stays so; heartbeats on it go unanswered while the peer is well, and nothing closes it.

Change: links have a limit for unacknowledged data and keep-alive probes, on both sides. The peer's system answers them, so a process that is only paused or slow keeps its links and the work on them.

Measured: the options are set on both sides (DeadConnectionTest).

--- a/lavendertide/encodings/peer_socket.py
+++ b/lavendertide/encodings/peer_socket.py
@@ -16,15 +16,25 @@
     encode_frame,
 )
 from lavendertide.messages import Frame
-from lavendertide.runtime.sockets import ArrivalTrackingReader
+from lavendertide.runtime.sockets import (
+    ArrivalTrackingReader,
+    set_keep_alive,
+    set_unacknowledged_timeout,
+)
 
 _log = logging.getLogger(__name__)
 
 
 class PeerSocket:
-    """Sends and receives frames on a socket and counts the bytes in both directions."""
+    """Sends and receives frames on a socket and counts the bytes in both directions.
+
+    A connection that goes silent for good is closed in bounded time, so that the link is
+    dialled anew. A process that is only paused keeps its connections.
+    """
 
     def __init__(self, connection: socket.socket) -> None:
+        set_unacknowledged_timeout(connection)
+        set_keep_alive(connection)
         self._connection = connection
         self._tracking_reader = ArrivalTrackingReader(connection)
         self._reader = io.BufferedReader(self._tracking_reader)
--- a/lavendertide/runtime/sockets.py
+++ b/lavendertide/runtime/sockets.py
@@ -22,6 +22,10 @@
 BACKLOG = 512
 # How long sent data may stay unacknowledged before its connection is closed.
 UNACKNOWLEDGED_MS: Final = 4_000
+# When an idle connection is probed, and how often without an answer before it is closed.
+KEEP_ALIVE_IDLE_S: Final = 4
+KEEP_ALIVE_INTERVAL_S: Final = 2
+KEEP_ALIVE_PROBES: Final = 2
 
 # Errors of `accept` on a listener that was closed or shut down.
 CLOSED_LISTENER_ERRORS: Final = frozenset({errno.EBADF, errno.EINVAL, errno.ENOTSOCK})
@@ -146,6 +150,21 @@
         )
 
 
+def set_keep_alive(connection: socket.socket) -> None:
+    """Makes the system probe a connection that is idle, and close one that is dead.
+
+    The system of the other side answers, also while its process is paused.
+    """
+    with contextlib.suppress(OSError):
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+        for option, value in (
+            (socket.TCP_KEEPIDLE, KEEP_ALIVE_IDLE_S),
+            (socket.TCP_KEEPINTVL, KEEP_ALIVE_INTERVAL_S),
+            (socket.TCP_KEEPCNT, KEEP_ALIVE_PROBES),
+        ):
+            connection.setsockopt(socket.IPPROTO_TCP, option, value)
+
+
 def round_trip_s(connection: socket.socket) -> float | None:
     """Returns the shortest round trip seen on a connection; none if it is unknown.
 
--- a/tests/fleet/test_peer_connection.py
+++ b/tests/fleet/test_peer_connection.py
@@ -1,5 +1,6 @@
 """Tests of `lavendertide.fleet.peer_connection`, over loopback."""
 
+import socket
 import unittest
 from dataclasses import replace
 
@@ -19,6 +20,7 @@
 from tests.fleet.members import member, roster_of
 
 KEY = "fleet-key"
+NOTICED_WITHIN_S = 10
 RECORDS = RosterPush(tuple(member(number) for number in range(50)))
 
 
@@ -33,6 +35,34 @@
         super().send(frame, is_compressed)
 
 
+class DeadConnectionTest(unittest.TestCase):
+    """Guards against a link that goes silent for good and is never dialled again.
+
+    Heartbeats on it would stay unanswered while the peer is well. The options are
+    checked, as a connection on loopback can't be made to go silent.
+    """
+
+    def test_the_system_notices_it_on_both_sides_in_bounded_time(self) -> None:
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            dialled = socket.create_connection(listener.getsockname())
+            accepted, _ = listener.accept()
+        for connection in (dialled, accepted):
+            self.addCleanup(PeerSocket(connection).close)
+            keeps_alive = connection.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE)
+            self.assertTrue(keeps_alive)
+            idle_s, interval_s, probes, unacknowledged_ms = (
+                connection.getsockopt(socket.IPPROTO_TCP, option)
+                for option in (
+                    socket.TCP_KEEPIDLE,
+                    socket.TCP_KEEPINTVL,
+                    socket.TCP_KEEPCNT,
+                    socket.TCP_USER_TIMEOUT,
+                )
+            )
+            self.assertLessEqual(idle_s + interval_s * probes, NOTICED_WITHIN_S)
+            self.assertLessEqual(unacknowledged_ms, 1_000 * NOTICED_WITHIN_S)
+
+
 class PeerConnectionTest(unittest.TestCase):
     """Control frames are compressed if the peer can read that; data never is."""
 
