Keep restarts within the fleet's budget of repeats

Targets that were losing answers got more repeats than the fleet may send (BUDGET), since what a host has spent is lost with its process and a new one spent its whole share at once.

Change: for one window after a restart a host's share of the fixed number grows from nothing to a quarter, the part that all hosts leave unspent; then it is whole. This holds for any number of restarts, also of all hosts at once. What requests earn is not affected, nor is the first start of the whole system (`bootstrap`).

--- a/lavendertide/gateway/budget_share.py
+++ b/lavendertide/gateway/budget_share.py
@@ -7,6 +7,7 @@
 from typing import Final
 
 from lavendertide.fleet.readiness import ALONE_AFTER_S
+from lavendertide.forwarding.budget import SPENDABLE_SHARE
 from lavendertide.gateway.fleet_size import FleetSize
 
 # Fraction of the budget that is split evenly among all hosts; the hosts that are named
@@ -14,6 +15,10 @@
 # hosts. In a large fleet, where few hosts are named, a named host still has many times
 # an even share.
 EVENLY_SHARED_FRACTION: Final = 0.5
+# Fraction of its share that a host may have spent one window after a restart. Together
+# with what its previous run may have spent it fills the allowance, of which all runs
+# leave the rest unspent.
+RESTARTED_FRACTION: Final = 1.0 / SPENDABLE_SHARE - 1.0
 
 
 class BudgetShare:
@@ -24,12 +29,19 @@
     only after one window, when the extra sub-requests of the hosts that were named
     before no longer count.
 
+    A host that has restarted doesn't know what its previous runs have spent within the
+    last window, so for one window its share grows from nothing to a small part. Any
+    number of restarts, of any number of hosts, stays within the budget.
+
     Args:
         window_s: Window over which extra sub-requests are counted.
+        restarted_at_s: Start of the process, monotonic; none if no earlier process can
+            have spent anything.
     """
 
-    def __init__(self, window_s: float) -> None:
+    def __init__(self, window_s: float, restarted_at_s: float | None = None) -> None:
         self._window_s = window_s
+        self._restarted_at_s = restarted_at_s
         self._fleet_size = FleetSize()
         self._named_size = FleetSize()
         self._is_first = True
@@ -62,8 +74,8 @@
         if not is_named:
             self._named_share_from_s = None
         elif self._named_share_from_s is None:
-            # After a restart the host takes over the share of its previous run, so
-            # there is nothing to wait for.
+            # After a restart the host takes over the share of its previous run. What
+            # that has spent is accounted for apart.
             delay_s = 0.0 if self._is_first else self._window_s
             self._named_share_from_s = now_s + delay_s
         self._is_first = False
@@ -77,11 +89,21 @@
         """
         if not self._fleet_size.is_known and not self._is_alone(now_s):
             return 0.0
+        return self._restart_factor(now_s) * self._full_share(now_s)
+
+    def _full_share(self, now_s: float) -> float:
         even_share = EVENLY_SHARED_FRACTION / self._fleet_size.hosts
         if self._named_share_from_s is None or now_s < self._named_share_from_s:
             return even_share
         return even_share + (1.0 - EVENLY_SHARED_FRACTION) / self._named_size.hosts
 
+    def _restart_factor(self, now_s: float) -> float:
+        """Returns the part of the share that is not left to previous runs."""
+        if self._restarted_at_s is None:
+            return 1.0
+        age = (now_s - self._restarted_at_s) / self._window_s
+        return 1.0 if age >= 1.0 else RESTARTED_FRACTION * max(0.0, age)
+
     def _is_alone(self, now_s: float) -> bool:
         alone_since_s = self._alone_since_s
         return alone_since_s is not None and now_s - alone_since_s >= ALONE_AFTER_S
--- a/lavendertide/gateway/gateway.py
+++ b/lavendertide/gateway/gateway.py
@@ -144,7 +144,9 @@
         self._adapters = adapters
         self._active_routes = ActiveRoutes()
         self._registry = TargetRegistry(LAST_RESORT_SHARE * options.reading.leaving_s)
-        self._budget_share = BudgetShare(options.retries.window_s)
+        self._budget_share = BudgetShare(
+            options.retries.window_s, None if options.is_first_start else now_s
+        )
         self._in_flight = InFlightCounter()
         self._readiness = Readiness(LEASE_S, now_s)
         self._route_replication = RouteReplication(
--- a/lavendertide/gateway/options.py
+++ b/lavendertide/gateway/options.py
@@ -25,6 +25,8 @@
         grace_s: Time between SIGTERM and the forced end of the process.
         address_lifetime_s: Longest time for which callers may cache an address answer.
         processor_share: CPU allotment of the process, in cores.
+        is_first_start: Whether the whole system starts for the first time, so that no
+            earlier process of it has sent anything.
     """
 
     host: HostId
@@ -43,3 +45,4 @@
     grace_s: float
     address_lifetime_s: float
     processor_share: float
+    is_first_start: bool = False
--- a/lavendertide/platform/settings.py
+++ b/lavendertide/platform/settings.py
@@ -97,6 +97,7 @@
         # The share refers to one core that is "cores" times as fast, not to several.
         processor_share=_number(fields, "limits.cpu-share")
         * _number(fields, "limits.cores"),
+        is_first_start=fields.get("bootstrap") == "true",
     )
 
 
--- a/standins/gateway_process.py
+++ b/standins/gateway_process.py
@@ -2,6 +2,7 @@
 
 import http.client
 import os
+import signal
 import subprocess
 import sys
 import time
@@ -79,25 +80,36 @@
     """
 
     def __init__(
-        self, node: str, folder: Path, store: str, seeds: str, ports: PortBlock
+        self,
+        node: str,
+        folder: Path,
+        store: str,
+        seeds: str,
+        ports: PortBlock,
     ) -> None:
         self.node = node
         addresses = ports.allocate(5)
         self.ports = [int(address.rpartition(":")[2]) for address in addresses]
-        path = folder / f"{node}.conf"
-        text = SETTINGS.format(*self.ports, node=node, store=store, seeds=seeds)
-        path.write_text(text)
+        self._path = folder / f"{node}.conf"
+        self._settings = SETTINGS.format(
+            *self.ports, node=node, store=store, seeds=seeds
+        )
         self._log_path = folder / f"{node}.log"
         self._log = self._log_path.open("ab")
         self._environment = os.environ | {
-            "LAVENDERTIDE_SETTINGS": str(path),
+            "LAVENDERTIDE_SETTINGS": str(self._path),
             "FLEET_KEY": "a key of stand-ins",
             "METRICS_PORT": str(self.ports[4]),
         }
-        self.launch()
+        self._launch(is_first_start=True)
 
     def launch(self) -> None:
-        """Starts the process, or restarts it after the previous one has ended."""
+        """Restarts the process after the previous one has ended."""
+        self._launch(is_first_start=False)
+
+    def _launch(self, is_first_start: bool) -> None:
+        bootstrap = f"bootstrap={str(is_first_start).lower()}\n"
+        self._path.write_text(self._settings + bootstrap)
         self.process = subprocess.Popen(
             [sys.executable, "-m", "lavendertide.platform"],
             env=self._environment,
@@ -158,6 +170,16 @@
         connection.close()
         return response
 
+    def ignores(self, number: signal.Signals) -> bool:
+        """Returns whether the process ignores or handles a signal."""
+        status = Path(f"/proc/{self.process.pid}/status").read_text()
+        masks = [
+            int(line.split()[1], 16)
+            for line in status.splitlines()
+            if line.startswith(("SigIgn", "SigCgt"))
+        ]
+        return any(mask >> (number - 1) & 1 for mask in masks)
+
     def is_ready(self) -> bool:
         """Returns whether the readiness endpoint reports that requests are accepted."""
         try:
--- a/tests/gateway/test_budget_share.py
+++ b/tests/gateway/test_budget_share.py
@@ -1,5 +1,6 @@
 """Tests of `lavendertide.gateway.budget_share`."""
 
+import random
 import unittest
 from collections import deque
 
@@ -18,7 +19,11 @@
     """A host that sends as many extra sub-requests as its share allows."""
 
     def __init__(self) -> None:
-        self.share = BudgetShare(WINDOW_S)
+        self.start(None)
+
+    def start(self, restarted_at_s: float | None) -> None:
+        """Starts a process, which knows nothing of the one before."""
+        self.share = BudgetShare(WINDOW_S, restarted_at_s)
         self.budgets = RetryBudgets(RetryAllowance(0.0, FIXED, WINDOW_S))
 
     def spend_all(self, is_named: bool, now_s: float) -> int:
@@ -84,3 +89,68 @@
         early_s, later_s = WINDOW_S, 1.0 + WINDOW_S
         self.assertLess(share.share(early_s), 1 / HOSTS)
         self.assertGreater(share.share(later_s), 5 / HOSTS)
+
+
+class RestartedHostsTest(unittest.TestCase):
+    """Guards against restarts that spend the budget more than once.
+
+    The counts of what a process has spent are lost with it.
+    """
+
+    def play(self, restart_odds: float, seed: int) -> int:
+        """Returns the most extra sub-requests in a window of hosts that spend all.
+
+        Args:
+            restart_odds: How likely each host is to restart in each half second.
+            seed: Seed of the restarts.
+        """
+        generator = random.Random(seed)
+        hosts = [Host() for _ in range(HOSTS)]
+        window: deque[tuple[float, int]] = deque()
+        most = 0
+        for step in range(160):
+            now_s = step / 2
+            for host in hosts:
+                if generator.random() < restart_odds:
+                    host.start(now_s)
+            spent = sum(
+                host.spend_all(number < NAMED, now_s)
+                for number, host in enumerate(hosts)
+            )
+            window.append((now_s, spent))
+            while window[0][0] <= now_s - WINDOW_S:
+                window.popleft()
+            most = max(most, sum(count for _, count in window))
+        return most
+
+    def test_no_window_exceeds_the_budget_whatever_restarts(self) -> None:
+        for odds in (0.0, 0.01, 0.1, 0.5, 0.95):
+            for seed in range(3):
+                with self.subTest(odds=odds, seed=seed):
+                    self.assertLessEqual(self.play(odds, seed), FIXED)
+
+    def test_all_hosts_restart_again_and_again(self) -> None:
+        for every in (2, 3, 7, 19):
+            hosts = [Host() for _ in range(HOSTS)]
+            window: deque[int] = deque(maxlen=int(2 * WINDOW_S))
+            for step in range(120):
+                if step >= 20 and step % every == 0:
+                    for host in hosts:
+                        host.start(step / 2)
+                window.append(
+                    sum(
+                        host.spend_all(number < NAMED, step / 2)
+                        for number, host in enumerate(hosts)
+                    )
+                )
+                with self.subTest(every=every, step=step):
+                    self.assertLessEqual(sum(window), FIXED)
+
+    def test_a_window_after_its_restart_a_host_has_its_share_again(self) -> None:
+        fresh, restarted = BudgetShare(WINDOW_S), BudgetShare(WINDOW_S, 5.0)
+        for share in (fresh, restarted):
+            share.update(HOSTS, NAMED, True, 5.0)
+        self.assertEqual(restarted.share(5.0), 0.0)
+        early_s, later_s = 4.9 + WINDOW_S, 5.1 + WINDOW_S
+        self.assertLess(restarted.share(early_s), 0.3 * fresh.share(early_s))
+        self.assertEqual(restarted.share(later_s), fresh.share(later_s))
