Let further signals cut off no request, and SIGHUP no start

From the review: a second SIGTERM ended the process at once, and with it all requests in flight; SIGHUP in the first tenths of a second ended a process that was loading its code.

Change: a second SIGTERM ends the time in which requests are accepted, in both daemons; those in flight are finished as usual. An idle daemon still ends at once. SIGHUP is ignored from the first import on; a gateway handles it once it can.

--- a/lavendertide/__main__.py
+++ b/lavendertide/__main__.py
@@ -1,6 +1,7 @@
 """Starts the daemon: `lavendertided SETTINGS`."""
 
-import lavendertide.runtime.patching  # noqa: F401  (patches before other imports)
+# Both have to precede other imports.
+from lavendertide.runtime import early_signals, patching  # noqa: F401, I001
 from lavendertide.daemon.main import main
 
 if __name__ == "__main__":
--- a/lavendertide/daemon/drain.py
+++ b/lavendertide/daemon/drain.py
@@ -2,9 +2,10 @@
 
 The daemon announces that it is leaving. It accepts requests for as long as callers may
 cache an address list that still names it, then closes its listeners, finishes the
-requests in flight and announces its removal. A second signal ends the process at once,
-and a time bound limits the wait for requests in flight. What is still in flight then is
-told to end with what it has, since an answer says more than a closed connection.
+requests in flight and announces its removal. A second signal ends the acceptance at
+once, but cuts off no request. A time bound limits the wait for requests in flight. What
+is still in flight then is told to end with what it has, since an answer says more than
+a closed connection.
 """
 
 import logging
@@ -72,28 +73,23 @@
         self._bound_s = bound_s
         self._front = front
         self._requested = tasks.Signal()
-        self._ended = tasks.Signal()
+        self._hurried = tasks.Signal()
 
     def request(self) -> None:
-        """Starts the shutdown; a second request ends the process at once."""
+        """Starts the shutdown; a second request ends the acceptance of requests."""
         if self._requested.is_set:
-            self._ended.set()
+            self._hurried.set()
         self._requested.set()
 
     def run(self) -> None:
         """Waits for a shutdown request and returns when the process may end."""
         self._requested.wait()
-        leave_task = tasks.spawn(self._leave)
-        self._ended.wait()
-        leave_task.stop()
-
-    def _leave(self) -> None:
         now_s = clock.monotonic_s()
         _log.info("leaving")
         self._front.announce_end(now_s + self._lifetime_s + self._bound_s)
         self._readiness.leave(now_s + self._lifetime_s)
         self._announce(MemberState.LEAVING)
-        tasks.sleep(self._lifetime_s)
+        self._hurried.wait(self._lifetime_s)
         self._front.close_listeners()
         until_s = clock.monotonic_s() + self._bound_s
         if not self._in_flight.wait_until_idle(until_s):
@@ -102,7 +98,6 @@
         self._announce(MemberState.REMOVED)
         # The last responses are written in this time, too.
         tasks.sleep(FINAL_HEARTBEAT_S)
-        self._ended.set()
 
     def _announce(self, state: MemberState) -> None:
         self._roster.announce(state, clock.monotonic_s())
--- a/lavendertide/platform/__main__.py
+++ b/lavendertide/platform/__main__.py
@@ -1,6 +1,6 @@
 """Starts a gateway on the users' platform: `python -m lavendertide.platform`."""
 
-from lavendertide.runtime import patching  # noqa: F401, I001
+from lavendertide.runtime import early_signals, patching  # noqa: F401, I001
 
 import signal
 import sys
--- a/tests/processes/test_gateway.py
+++ b/tests/processes/test_gateway.py
@@ -111,6 +111,43 @@
         self.assertFalse(gateway.is_ready())
         self.assertEqual(gateway.process.wait(6.0), 0)
 
+    def test_further_signals_during_a_stop_cut_off_no_request(self) -> None:
+        """Guards against a second SIGTERM that ends the process with work in flight."""
+        gateway = self.start_ready("m1")
+        for target in self.targets.values():
+            target.delay_s = 1.5
+        statuses: list[int] = []
+
+        def order(name: str) -> None:
+            statuses.append(gateway.get("/orders/x", 0, "POST", name).status)
+
+        callers = [
+            threading.Thread(target=order, args=(f"r{number}",)) for number in range(4)
+        ]
+        for caller in callers:
+            caller.start()
+        wait_until(
+            lambda: sum(len(t.executed_requests) for t in self.targets.values()) == 4
+        )
+        for sent in (signal.SIGTERM, signal.SIGTERM, signal.SIGHUP, signal.SIGTERM):
+            gateway.process.send_signal(sent)
+            time.sleep(0.1)
+        for caller in callers:
+            caller.join()
+        self.assertEqual(statuses, [200] * 4)
+        # The second signal has ended the time in which new requests are accepted.
+        self.assertEqual(gateway.process.wait(ACCEPTING_SHARE * GRACE_S), 0)
+
+    def test_a_signal_while_the_process_starts_does_not_end_it(self) -> None:
+        """The platform reports changed settings at any moment."""
+        gateway = self.start("m1")
+        wait_until(lambda: gateway.ignores(signal.SIGHUP))
+        for _ in range(20):
+            gateway.process.send_signal(signal.SIGHUP)
+            time.sleep(0.02)
+        wait_until(gateway.is_ready)
+        self.assertIsNone(gateway.process.poll())
+
     def test_a_stop_answers_also_what_outlives_the_grace(self) -> None:
         """Guards against requests that are cut off when the grace is over.
 
