Name the check of waiting calls by what it returns

Renames from reading the changes once more; wording of comments. A call that was not sent no longer replaces an earlier failure of its part, so that a target's failure is passed on although the retry was withdrawn. What was received of a request is let go once it is parsed.

--- a/lavendertide/daemon/drain.py
+++ b/lavendertide/daemon/drain.py
@@ -3,9 +3,9 @@
 The daemon announces that it is leaving. It accepts requests for as long as callers may
 cache an address list that still names it, then closes its listeners, finishes the
 requests in flight and announces its removal. A second signal ends the acceptance at
-once, but cuts off no request. A time bound limits the wait for requests in flight. What
-is still in flight then is told to end with what it has, since an answer says more than
-a closed connection.
+once, but cuts off no request. A time bound limits the wait for requests in flight.
+Those that are still in flight then are answered with what has arrived, since an answer
+says more than a closed connection.
 """
 
 import logging
@@ -73,12 +73,12 @@
         self._bound_s = bound_s
         self._front = front
         self._requested = tasks.Signal()
-        self._hurried = tasks.Signal()
+        self._acceptance_ended = tasks.Signal()
 
     def request(self) -> None:
         """Starts the shutdown; a second request ends the acceptance of requests."""
         if self._requested.is_set:
-            self._hurried.set()
+            self._acceptance_ended.set()
         self._requested.set()
 
     def run(self) -> None:
@@ -89,7 +89,7 @@
         self._front.announce_end(now_s + self._lifetime_s + self._bound_s)
         self._readiness.leave(now_s + self._lifetime_s)
         self._announce(MemberState.LEAVING)
-        self._hurried.wait(self._lifetime_s)
+        self._acceptance_ended.wait(self._lifetime_s)
         self._front.close_listeners()
         until_s = clock.monotonic_s() + self._bound_s
         if not self._in_flight.wait_until_idle(until_s):
--- a/lavendertide/encodings/http_server_connection.py
+++ b/lavendertide/encodings/http_server_connection.py
@@ -97,6 +97,7 @@
         self._framing = h11.Connection(h11.SERVER, header_max_bytes)
         try:
             self._framing.receive_data(self._received)
+            self._received = b""
             return self._read_request(header_s, body_max_bytes)
         except h11.RemoteProtocolError as error:
             return BadRequest(error.error_status_hint)
--- a/lavendertide/encodings/target_connection.py
+++ b/lavendertide/encodings/target_connection.py
@@ -36,7 +36,7 @@
 
     Attributes:
         is_delimited: Whether the head says where the reply ends. A reply that ends with
-            its connection can't be told from one that broke off, even in its head.
+            its connection can't be distinguished from one that broke off.
     """
 
     status: int
--- a/lavendertide/forwarding/parts.py
+++ b/lavendertide/forwarding/parts.py
@@ -84,13 +84,15 @@
 
     def record_failure(self, reply: TargetReply) -> None:
         """Records an unsuccessful reply and whether the request may have run."""
-        self.failure = reply
         match reply:
             case NotRun(target=target, reason=reason) if reason in UNSENT_REASONS:
-                # The target doesn't count among those that the request may be sent to.
+                # It says nothing about the part, so an earlier failure stands. The
+                # target doesn't count among those that the request may be sent to.
+                self.failure = self.failure or reply
                 if target in self.tried_targets and not self._has_open_call(target):
                     self.tried_targets.remove(target)
                 return
+        self.failure = reply
         self.failed_rounds += 1
         match reply:
             case NotRun(reason=NotRunReason.REFUSED | NotRunReason.OTHER_TARGET):
--- a/lavendertide/forwarding/poison.py
+++ b/lavendertide/forwarding/poison.py
@@ -35,7 +35,7 @@
 
 @dataclass(frozen=True, slots=True)
 class TargetProcess:
-    """One process of a target, as far as this host can tell it from others.
+    """One process of a target, as far as this host can distinguish it from others.
 
     Attributes:
         run: The run that the target's entry describes.
--- a/lavendertide/forwarding/pool.py
+++ b/lavendertide/forwarding/pool.py
@@ -108,7 +108,7 @@
 
 
 # Returns the reason why a call must not be sent at a time; none if it may be.
-FindObjection = Callable[[TargetCall, float], NotRunReason | None]
+FindBlockingReason = Callable[[TargetCall, float], NotRunReason | None]
 
 
 class TargetChannel(Protocol):
@@ -132,9 +132,9 @@
 
     A target may send a second copy of a reply late, where it should send the next one.
     The copy bears the id of its request, so it is skipped, unless the same request is
-    waiting on the connection once more: then the copy can't be told from the reply to
-    the second attempt. So a request that has ended without success, and may therefore
-    be repeated, is never sent twice on one connection.
+    waiting on the connection once more: then the copy looks like the reply to the
+    second attempt. So a request that has ended without success, and may therefore be
+    repeated, is never sent twice on one connection.
     """
 
     def __init__(self, channel: TargetChannel) -> None:
@@ -182,7 +182,7 @@
     Args:
         record: The target.
         make_channel: Creates a connection that is not open yet.
-        find_objection: Returns the reason why a call must not be sent now, if any.
+        find_blocking_reason: Returns the reason why a call must not be sent, if any.
         connections_max: Maximum number of open connections.
     """
 
@@ -190,12 +190,12 @@
         self,
         record: TargetRecord,
         make_channel: Callable[[Address], TargetChannel],
-        find_objection: FindObjection,
+        find_blocking_reason: FindBlockingReason,
         connections_max: int,
     ) -> None:
         self._record = record
         self._make_channel = make_channel
-        self._find_objection = find_objection
+        self._find_blocking_reason = find_blocking_reason
         self._connections_max = connections_max
         self._calls: tasks.Mailbox[TargetCall] = tasks.Mailbox()
         self._connections = 0
@@ -230,11 +230,11 @@
     def withdraw_waiting(self, now_s: float) -> None:
         """Ends the calls that wait for a connection and must not be sent any more."""
         for call in self._calls.take_all():
-            objection = self._find_objection(call, now_s)
-            if objection is None:
+            reason = self._find_blocking_reason(call, now_s)
+            if reason is None:
                 self._calls.send(call)
             else:
-                call.done(call, NotRun(self._record.target, objection))
+                call.done(call, NotRun(self._record.target, reason))
 
     def close(self) -> None:
         """Closes the pool of a run that has ended.
@@ -272,9 +272,9 @@
     def _execute(self, call: TargetCall, connection: PooledConnection) -> TargetReply:
         target = self._record.target
         now_s = clock.monotonic_s()
-        objection = self._find_objection(call, now_s)
-        if objection is not None:
-            return NotRun(target, objection)
+        reason = self._find_blocking_reason(call, now_s)
+        if reason is not None:
+            return NotRun(target, reason)
         try:
             is_usable = connection.make_usable(call, now_s)
         except Exception:
@@ -284,9 +284,9 @@
             return NotRun(target, NotRunReason.UNREACHABLE)
         opened_at_s = clock.monotonic_s()
         # It may have taken some time to open the connection.
-        objection = self._find_objection(call, opened_at_s)
-        if objection is not None:
-            return NotRun(target, objection)
+        reason = self._find_blocking_reason(call, opened_at_s)
+        if reason is not None:
+            return NotRun(target, reason)
         try:
             reply = connection.exchange(call, opened_at_s)
         except Exception:
@@ -303,16 +303,16 @@
 
     Args:
         make_channel: Creates a connection that is not open yet.
-        find_objection: Returns the reason why a call must not be sent now, if any.
+        find_blocking_reason: Returns the reason why a call must not be sent, if any.
     """
 
     def __init__(
         self,
         make_channel: Callable[[Address], TargetChannel],
-        find_objection: FindObjection,
+        find_blocking_reason: FindBlockingReason,
     ) -> None:
         self._make_channel = make_channel
-        self._find_objection = find_objection
+        self._find_blocking_reason = find_blocking_reason
         self._pools: dict[str, TargetPool] = {}
 
     def submit(self, call: TargetCall, connections_max: int) -> None:
@@ -327,7 +327,7 @@
             pool = None
         if pool is None:
             pool = TargetPool(
-                record, self._make_channel, self._find_objection, connections_max
+                record, self._make_channel, self._find_blocking_reason, connections_max
             )
             self._pools[record.target] = pool
         pool.resize(connections_max)
--- a/lavendertide/forwarding/send_check.py
+++ b/lavendertide/forwarding/send_check.py
@@ -22,7 +22,7 @@
         self._views = views
         self._crashes = crashes
 
-    def objection(self, call: TargetCall, now_s: float) -> NotRunReason | None:
+    def blocking_reason(self, call: TargetCall, now_s: float) -> NotRunReason | None:
         """Returns the reason why a call must not be sent; none if it may be."""
         record = call.record
         if call.is_cancelled or now_s >= call.ends_at_s:
--- a/lavendertide/gateway/caller_front.py
+++ b/lavendertide/gateway/caller_front.py
@@ -103,7 +103,7 @@
         """Closes the connections on which no request has begun to arrive.
 
         A request that has arrived in part, or was not read yet, is read and refused
-        instead: a closed connection wouldn't tell its caller whether it has run.
+        instead, since a closed connection doesn't say whether the request has run.
         """
         for connection in list(self._idle):
             if connection.is_idle:
--- a/lavendertide/gateway/gateway.py
+++ b/lavendertide/gateway/gateway.py
@@ -272,7 +272,7 @@
             self._active_routes,
             self._registry,
             self._target_views,
-            TargetPools(self._adapters.make_channel, send_check.objection),
+            TargetPools(self._adapters.make_channel, send_check.blocking_reason),
             self._budgets,
             self._crash_evidence,
             FleetCallbacks(
--- a/standins/model_fleet.py
+++ b/standins/model_fleet.py
@@ -94,7 +94,7 @@
             self.views,
             TargetPools(
                 lambda address: fleet.make_channel(number, address),
-                send_check.objection,
+                send_check.blocking_reason,
             ),
             RetryBudgets(RETRY_ALLOWANCE),
             self.crashes,
--- a/tests/forwarding/scripted_targets.py
+++ b/tests/forwarding/scripted_targets.py
@@ -165,7 +165,7 @@
             active_routes,
             self.registry,
             self.views,
-            TargetPools(self._make_channel, send_check.objection),
+            TargetPools(self._make_channel, send_check.blocking_reason),
             RetryBudgets(RetryAllowance(0.2, fixed, window_s)),
             self.crashes,
             FleetCallbacks(
