--- a/lavendertide/forwarding/forwarder.py
+++ b/lavendertide/forwarding/forwarder.py
@@ -6,46 +6,35 @@
 
 import itertools
 import logging
-import math
 import random
-from collections.abc import Callable, Iterable
-from dataclasses import dataclass, replace
+from collections.abc import Iterable
+from dataclasses import replace
 
 from lavendertide.forwarding.budget import RetryBudgets
 from lavendertide.forwarding.caller_times import CallerTimes
 from lavendertide.forwarding.capacity import RouteCapacities
-from lavendertide.forwarding.deadlines import (
-    ATTEMPT_MIN_S,
-    ResponseDeadlines,
-    response_deadlines,
-)
+from lavendertide.forwarding.deadlines import response_deadlines
+from lavendertide.forwarding.early_refusal import EarlyRefusals
+from lavendertide.forwarding.fleet_callbacks import FleetCallbacks
 from lavendertide.forwarding.messages import (
-    UNSENT_REASONS,
     CallerRequest,
-    NotRun,
-    NotRunReason,
     RefusalCause,
     Refused,
-    Replied,
     Response,
-    TargetNotice,
     TargetReply,
-    Unknown,
-    UnknownReason,
     Unroutable,
-    outcome_of,
 )
 from lavendertide.forwarding.metrics import ForwardingMetrics
-from lavendertide.forwarding.poison import CrashEvidence, TargetProcess
+from lavendertide.forwarding.poison import CrashEvidence
 from lavendertide.forwarding.pool import TargetCall, TargetPools, connection_share
-from lavendertide.forwarding.request_log import log_pause, log_target_change
+from lavendertide.forwarding.reply_recorder import ReplyRecorder
 from lavendertide.forwarding.run import RequestRun
 from lavendertide.forwarding.sender import CallDone, Event
-from lavendertide.forwarding.target_view import TargetView, TargetViews
+from lavendertide.forwarding.target_choice import TargetChoice
+from lavendertide.forwarding.target_view import TargetViews
 from lavendertide.forwarding.timing import RouteTimings
-from lavendertide.ids import ServiceName, TargetId
-from lavendertide.messages import Verdict
-from lavendertide.registry.record import TargetRecord, TargetRun
+from lavendertide.ids import ServiceName
+from lavendertide.registry.record import TargetRecord
 from lavendertide.registry.registry import TargetRegistry
 from lavendertide.routes.active_routes import ActiveRoutes, RoutesAge
 from lavendertide.routes.route import (
@@ -60,45 +49,10 @@
 
 # A host without routes receives them with its next read of the platform or a peer.
 NO_ROUTES_RETRY_S = 0.3
-# Another host can be tried at once; the pause lets callers read new addresses.
-OTHER_HOST_RETRY_S = 0.05
-# Targets register within a heartbeat after they start.
-NO_TARGET_RETRY_S = 0.5
-# A target that has refused a request is avoided for about one service time.
-REFUSED_PAUSE_S = 0.05
-# Retry time for callers when all targets were full: a few service times.
-FULL_RETRY_S = 0.25
-# Callers that were refused because of a pause return over this share of it, so that
-# they don't fill the targets again all at once.
-RETRY_SPREAD_SHARE = 0.5
 
 _log = logging.getLogger(__name__)
 
 
-@dataclass(frozen=True, slots=True)
-class FleetCallbacks:
-    """The forwarder's callbacks to the rest of the fleet.
-
-    Attributes:
-        broadcast_stall: Sends peers the name of a target that has stopped replying.
-        record_leaving: Records that a run of a target is leaving, and sends it to
-            peers that may not notice it.
-        broadcast_verdict: Sends peers a verdict on a request that may crash targets.
-        count_hosts: Returns how many hosts share the targets' connections.
-        budget_share: Returns this host's share, from 0 to 1, of the fleet's fixed
-            number of extra sub-requests.
-        has_previous_connections: Returns whether targets may still count connections
-            that this host opened before its last start.
-    """
-
-    broadcast_stall: Callable[[TargetId], None]
-    record_leaving: Callable[[TargetRun, float], None]
-    broadcast_verdict: Callable[[Verdict], None]
-    count_hosts: Callable[[], int]
-    budget_share: Callable[[float], float]
-    has_previous_connections: Callable[[float], bool]
-
-
 class Forwarder:
     """Forwards the requests of this host's callers."""
 
@@ -122,6 +76,11 @@
         self._fleet = fleet
         self._metrics = metrics
         self._timings = RouteTimings()
+        self._choice = TargetChoice(registry, views)
+        self._early_refusals = EarlyRefusals(self._choice, crashes, self._timings)
+        self._reply_recorder = ReplyRecorder(
+            registry, views, pools, crashes, self._timings, fleet, metrics
+        )
         self._caller_times = CallerTimes()
         self._splits = SplitCounters()
         # Seeded by the module's generator, so that a test with a seed is reproducible.
@@ -162,7 +121,9 @@
         if self._host_ends_at_s is not None:
             ends_at_s = min(deadlines.ends_at_s, self._host_ends_at_s)
             deadlines = replace(deadlines, ends_at_s=ends_at_s)
-        refused = self._refuse_early(request, route, deadlines, now_s)
+        refused = self._early_refusals.refusal_of(
+            request, route, deadlines, self._host_ends_at_s, now_s
+        )
         if refused is not None:
             return refused
         permit = self._capacities.try_acquire(request, route, now_s)
@@ -180,8 +141,7 @@
 
     def rank_targets(self, service: ServiceName, now_s: float) -> list[TargetRecord]:
         """Returns the usable targets of a service, the best one first."""
-        ready_targets = self._registry.ready_targets(service, now_s)
-        return self._views.rank_targets(ready_targets, now_s, random.random())
+        return self._choice.rank_targets(service, now_s)
 
     def try_spend_repeat(self, service: ServiceName, now_s: float) -> bool:
         """Spends one extra sub-request; returns whether the budget had one left."""
@@ -210,14 +170,7 @@
             required: How many of them have to reply.
             now_s: Present time, monotonic.
         """
-        waits_s = sorted(self._time_to_target_s(name, now_s) for name in services)
-        wait_s = waits_s[required - 1] if required <= len(waits_s) else 0.0
-        if math.isinf(wait_s):
-            wait_s = 0.0
-        if not wait_s:
-            return FULL_RETRY_S
-        spread_s = max(FULL_RETRY_S, RETRY_SPREAD_SHARE * wait_s)
-        return wait_s + random.uniform(0.0, spread_s)
+        return self._choice.retry_after_s(services, required, now_s)
 
     def routes_age(self, now_s: float) -> RoutesAge:
         """Returns the version of the routes in force and their age."""
@@ -247,7 +200,9 @@
         now_s = clock.monotonic_s()
 
         def handle_done(call: TargetCall, reply: TargetReply) -> None:
-            self._handle_reply(call, route, reply, service_count)
+            self._reply_recorder.record(
+                call, route, reply, service_count, clock.monotonic_s()
+            )
             inbox.send(CallDone(call, reply))
 
         late_after_s = self._timings.timing_of(route, now_s).late_after_s(
@@ -287,58 +242,6 @@
             self._metrics.record_caller_time(route.name, used_s)
         return used_s
 
-    def _refuse_early(
-        self,
-        request: CallerRequest,
-        route: Route,
-        deadlines: ResponseDeadlines,
-        now_s: float,
-    ) -> Refused | None:
-        if self.is_quarantined(request, now_s):
-            return Refused(RefusalCause.POISONED)
-        if deadlines.ends_at_s - now_s < ATTEMPT_MIN_S:
-            return Refused(RefusalCause.NO_TIME)
-        if self._usually_outlives_host(route, now_s):
-            return Refused(RefusalCause.LEAVING, OTHER_HOST_RETRY_S)
-        services, required = tuple(route.services), 1
-        match route.destination:
-            case GatheredShards() as gathered:
-                services, required = gathered.shards, gathered.shards_min
-        available = sum(1 for name in services if self._has_usable_target(name, now_s))
-        if available >= required:
-            return None
-        returning = sum(
-            1 for name in services if math.isfinite(self._time_to_target_s(name, now_s))
-        )
-        if returning >= required:
-            retry_after_s = self.retry_after_s(services, required, now_s)
-            return Refused(RefusalCause.TARGETS_FULL, retry_after_s)
-        return Refused(RefusalCause.NO_TARGET, NO_TARGET_RETRY_S)
-
-    def _usually_outlives_host(self, route: Route, now_s: float) -> bool:
-        """Returns whether this host ends before a route's targets usually reply."""
-        if self._host_ends_at_s is None:
-            return False
-        usual_s = self._timings.timing_of(route, now_s).usual_max_s(now_s)
-        return usual_s is not None and now_s + usual_s > self._host_ends_at_s
-
-    def _time_to_target_s(self, service: ServiceName, now_s: float) -> float:
-        """Returns the seconds until a service has a usable target, or infinity.
-
-        A pause is the only reason whose end is known.
-        """
-        if self._has_usable_target(service, now_s):
-            return 0.0
-        pause_end_s = self._registry.pause_end_s(service, now_s)
-        return math.inf if pause_end_s is None else pause_end_s - now_s
-
-    def _has_usable_target(self, service: ServiceName, now_s: float) -> bool:
-        return bool(
-            self._views.select_usable(
-                self._registry.ready_targets(service, now_s), now_s
-            )
-        )
-
     def _select_services(self, route: Route) -> tuple[ServiceName, ...]:
         match route.destination:
             case OneService(service):
@@ -362,114 +265,6 @@
             self._fleet.has_previous_connections(now_s),
         )
 
-    def _handle_reply(
-        self, call: TargetCall, route: Route, reply: TargetReply, service_count: int
-    ) -> None:
-        now_s = clock.monotonic_s()
-        view = self._views.view_of(call.record.target)
-        self._metrics.record_reply(reply)
-        self._apply_notice(call, reply.notice, now_s)
-        match reply:
-            case Replied() if reply.is_success:
-                took_s = view.open_duration_s(call.number, now_s)
-                timing = self._timings.timing_of(route, now_s)
-                if view.is_down:
-                    log_target_change(call, view, "target replies again", now_s)
-                view.record_reply(call.number, timing.mean_s, now_s)
-                timing.observe(took_s, now_s)
-                self._record_success(call, now_s)
-            case NotRun(reason=reason) if reason in UNSENT_REASONS:
-                view.discard_call(call.number)
-            case NotRun(reason=NotRunReason.REFUSED):
-                view.record_refusal(call.number, REFUSED_PAUSE_S, now_s)
-            case NotRun(reason=NotRunReason.OTHER_TARGET):
-                view.record_replaced(call.number, now_s)
-                self._withdraw_calls(call.record)
-            case Unknown(reason=UnknownReason.CANCELLED) if call.is_late(now_s):
-                # The reply would have taken longer still. Without this time, slow
-                # replies would be missing in the distribution that decides which
-                # calls are late, and each repeat would make the next one earlier.
-                took_s = view.open_duration_s(call.number, now_s)
-                self._timings.timing_of(route, now_s).observe(took_s, now_s)
-                self._record_failure(call, view, reply, now_s)
-            case Unknown(reason=UnknownReason.CANCELLED):
-                view.discard_call(call.number)
-            case _:
-                self._record_failure(call, view, reply, now_s)
-        self._log_reply(call, reply, now_s)
-        if isinstance(reply, Unknown) and reply.reason is UnknownReason.CLOSED:
-            self._record_crash(call, service_count, now_s)
-
-    def _apply_notice(
-        self, call: TargetCall, notice: TargetNotice, now_s: float
-    ) -> None:
-        run = call.record.run
-        if notice.is_leaving:
-            self._fleet.record_leaving(run, now_s)
-        if notice.pause_s is not None:
-            self._registry.record_pause(run, now_s + notice.pause_s, now_s)
-            self._metrics.pauses.inc()
-            log_pause(call, notice.pause_s)
-
-    def _record_failure(
-        self, call: TargetCall, view: TargetView, reply: TargetReply, now_s: float
-    ) -> None:
-        was_down = view.is_down
-        match reply:
-            case NotRun(reason=NotRunReason.UNREACHABLE):
-                view.record_unreachable(call.number, now_s)
-            case _:
-                view.record_failure(call.number, now_s)
-        if view.is_down and not was_down:
-            log_target_change(call, view, "target considered down", now_s)
-
-    def _record_success(self, call: TargetCall, now_s: float) -> None:
-        verdict = self._crashes.record_reply(call.request.fingerprint, now_s)
-        if verdict is not None:
-            self._broadcast_verdict(call, verdict)
-
-    def _record_crash(self, call: TargetCall, service_count: int, now_s: float) -> None:
-        request = call.request
-        verdict = self._crashes.record_crash(
-            request.fingerprint,
-            request.request,
-            TargetProcess(call.record.run, call.outages),
-            service_count,
-            now_s,
-        )
-        if verdict is not None:
-            self._broadcast_verdict(call, verdict)
-
-    def _broadcast_verdict(self, call: TargetCall, verdict: Verdict) -> None:
-        _log.warning(
-            "verdict on whether a request crashes its targets",
-            extra={
-                "request": call.request.request,
-                "fingerprint": verdict.fingerprint,
-                "target": call.record.target,
-                "crashes": verdict.crashes,
-                "outcome": verdict.kind.value,
-            },
-        )
-        self._fleet.broadcast_verdict(verdict)
-
-    def _log_reply(self, call: TargetCall, reply: TargetReply, now_s: float) -> None:
-        match reply:
-            case Replied() if reply.is_success:
-                return
-            case NotRun(reason=NotRunReason.ABANDONED | NotRunReason.PAUSED):
-                return
-        _log.info(
-            "sub-request failed",
-            extra={
-                "request": call.request.request,
-                "service": call.record.service,
-                "target": call.record.target,
-                "outcome": outcome_of(reply),
-                "left_ms": round((call.ends_at_s - now_s) * 1_000),
-            },
-        )
-
     def _apply_table(self, table: RouteTable) -> None:
         self._budgets.retain_only(table.routed_services)
         names = frozenset(route.name for route in table.routes)
--- /dev/null
+++ b/lavendertide/forwarding/target_choice.py
@@ -0,0 +1,70 @@
+"""Decides which targets of a service a request may be sent to now, and in which order.
+
+All paths choose here: first attempts, hedges, retries and early refusals. A call that
+has waited for a connection is checked again by `lavendertide.forwarding.send_check`.
+"""
+
+import math
+import random
+from collections.abc import Iterable
+from typing import Final
+
+from lavendertide.forwarding.target_view import TargetViews
+from lavendertide.ids import ServiceName
+from lavendertide.registry.record import TargetRecord
+from lavendertide.registry.registry import TargetRegistry
+
+# Retry time for callers when all targets were full: a few service times.
+FULL_RETRY_S: Final = 0.25
+# Callers that were refused because of a pause return over this share of it, so that
+# they don't fill the targets again all at once.
+RETRY_SPREAD_SHARE: Final = 0.5
+
+
+class TargetChoice:
+    """Chooses among the registered targets by this host's statistics of them."""
+
+    def __init__(self, registry: TargetRegistry, views: TargetViews) -> None:
+        self._registry = registry
+        self._views = views
+
+    def rank_targets(self, service: ServiceName, now_s: float) -> list[TargetRecord]:
+        """Returns the usable targets of a service, the best one first."""
+        ready_targets = self._registry.ready_targets(service, now_s)
+        return self._views.rank_targets(ready_targets, now_s, random.random())
+
+    def has_usable_target(self, service: ServiceName, now_s: float) -> bool:
+        """Returns whether a service has a target that takes requests now."""
+        ready_targets = self._registry.ready_targets(service, now_s)
+        return bool(self._views.select_usable(ready_targets, now_s))
+
+    def time_to_target_s(self, service: ServiceName, now_s: float) -> float:
+        """Returns the seconds until a service has a usable target, or infinity.
+
+        A pause is the only reason whose end is known.
+        """
+        if self.has_usable_target(service, now_s):
+            return 0.0
+        pause_end_s = self._registry.pause_end_s(service, now_s)
+        return math.inf if pause_end_s is None else pause_end_s - now_s
+
+    def retry_after_s(
+        self, services: Iterable[ServiceName], required: int, now_s: float
+    ) -> float:
+        """Returns when a caller should retry a request that targets are too full for.
+
+        That is when enough services have a target whose pause has ended.
+
+        Args:
+            services: The services that the request is sent to.
+            required: How many of them have to reply.
+            now_s: Present time, monotonic.
+        """
+        waits_s = sorted(self.time_to_target_s(name, now_s) for name in services)
+        wait_s = waits_s[required - 1] if required <= len(waits_s) else 0.0
+        if math.isinf(wait_s):
+            wait_s = 0.0
+        if not wait_s:
+            return FULL_RETRY_S
+        spread_s = max(FULL_RETRY_S, RETRY_SPREAD_SHARE * wait_s)
+        return wait_s + random.uniform(0.0, spread_s)
--- a/lavendertide/gateway/gateway.py
+++ b/lavendertide/gateway/gateway.py
@@ -23,7 +23,8 @@
 from lavendertide.fleet.readiness import Readiness, ReadinessState
 from lavendertide.fleet.roster import Roster
 from lavendertide.forwarding.budget import RetryBudgets
-from lavendertide.forwarding.forwarder import FleetCallbacks, Forwarder
+from lavendertide.forwarding.fleet_callbacks import FleetCallbacks
+from lavendertide.forwarding.forwarder import Forwarder
 from lavendertide.forwarding.metrics import ForwardingMetrics
 from lavendertide.forwarding.poison import CrashEvidence
 from lavendertide.forwarding.pool import (
--- a/standins/model_fleet.py
+++ b/standins/model_fleet.py
@@ -7,7 +7,8 @@
 from prometheus_client import CollectorRegistry
 
 from lavendertide.forwarding.budget import RetryAllowance, RetryBudgets
-from lavendertide.forwarding.forwarder import FleetCallbacks, Forwarder
+from lavendertide.forwarding.fleet_callbacks import FleetCallbacks
+from lavendertide.forwarding.forwarder import Forwarder
 from lavendertide.forwarding.messages import Response
 from lavendertide.forwarding.metrics import ForwardingMetrics
 from lavendertide.forwarding.poison import CrashEvidence
--- a/tests/forwarding/scripted_targets.py
+++ b/tests/forwarding/scripted_targets.py
@@ -5,7 +5,8 @@
 from prometheus_client import CollectorRegistry
 
 from lavendertide.forwarding.budget import RetryAllowance, RetryBudgets
-from lavendertide.forwarding.forwarder import FleetCallbacks, Forwarder
+from lavendertide.forwarding.fleet_callbacks import FleetCallbacks
+from lavendertide.forwarding.forwarder import Forwarder
 from lavendertide.forwarding.messages import (
     NotRun,
     NotRunReason,
--- a/tests/forwarding/test_late_attempts.py
+++ b/tests/forwarding/test_late_attempts.py
@@ -80,7 +80,7 @@
         behaviour = in_turn(closes_after(0.2), replies())
         scripted.add("a", "desk", behaviour)
         scripted.add("b", "desk", behaviour)
-        with self.assertLogs("lavendertide.forwarding.forwarder", "INFO") as logs:
+        with self.assertLogs("lavendertide.forwarding.reply_recorder", "INFO") as logs:
             scripted.forward()
             tasks.sleep(0.3)
         outcomes = [getattr(record, "outcome", None) for record in logs.records]
--- a/tests/forwarding/test_target_notices.py
+++ b/tests/forwarding/test_target_notices.py
@@ -4,7 +4,6 @@
 targets are full one after the other.
 """
 
-from lavendertide.forwarding.forwarder import FULL_RETRY_S, RETRY_SPREAD_SHARE
 from lavendertide.forwarding.messages import (
     Gathered,
     NotRun,
@@ -17,6 +16,7 @@
     TargetReply,
 )
 from lavendertide.forwarding.pool import TargetCall
+from lavendertide.forwarding.target_choice import FULL_RETRY_S, RETRY_SPREAD_SHARE
 from lavendertide.ids import TargetId
 from lavendertide.routes.route import RequestKind
 from lavendertide.runtime import clock, tasks
