Send nothing to failure domains that the operator has evacuated

Cause: the platform's orders to evacuate a domain were read and dropped, so requests went on to its targets.

Change: EvacuatedDomains keeps the newest state of each domain by the platform's revision, from reads, complete lists of the reading host, and notices of peers. The registry leaves the domain's targets out, so that every path follows, and calls that wait for them are sent elsewhere. Services without any other target are refused at once.

--- a/lavendertide/encodings/holder_frames.py
+++ b/lavendertide/encodings/holder_frames.py
@@ -7,6 +7,7 @@
 
 from lavendertide import messages
 from lavendertide.encodings.generated.peer_protocol import ttypes
+from lavendertide.encodings.registry_frames import pack_evacuations, unpack_evacuations
 from lavendertide.ids import DaemonId, ExchangeId, Fingerprint, ShardNumber, TargetId
 from lavendertide.registry.record import TargetRun
 
@@ -25,6 +26,12 @@
             # An earlier release skips the field and reads a frame without stalls.
             leaving = ttypes.StallNotices([], packed_runs)
             return ttypes.Frame(stall_notices=leaving)
+        case messages.EvacuationNotices(states):
+            # In the same struct, since an earlier release closes a link on which it
+            # receives a frame that it doesn't know.
+            packed_states = pack_evacuations(states)
+            evacuations = ttypes.StallNotices([], [], packed_states)
+            return ttypes.Frame(stall_notices=evacuations)
         case messages.TrialClaim(exchange, sender, fingerprint, duration_ms):
             claim = ttypes.TrialClaim(exchange, sender, fingerprint, duration_ms)
             return ttypes.Frame(trial_claim=claim)
@@ -77,7 +84,10 @@
 
 def _unpack_target_notices(
     notices: Any,
-) -> messages.StallNotices | messages.LeavingNotices:
+) -> messages.StallNotices | messages.LeavingNotices | messages.EvacuationNotices:
+    states = unpack_evacuations(notices.evacuations)
+    if states is not None:
+        return messages.EvacuationNotices(states)
     if notices.leaving:
         return messages.LeavingNotices(
             tuple(TargetRun(TargetId(r.target), r.born_ms) for r in notices.leaving)
--- a/lavendertide/encodings/peer_protocol.thrift
+++ b/lavendertide/encodings/peer_protocol.thrift
@@ -212,9 +212,23 @@
   71: i64 born_ms,
 }
 
+struct Evacuation {
+  70: string failure_domain,
+  71: i64 revision,
+  72: bool is_evacuated,
+}
+
+struct CapacityNotice {
+  70: string target,
+  71: i32 slowness_percent,
+  72: i32 age_ms,
+}
+
 struct StallNotices {
   70: list<string> targets,
   71: list<TargetRun> leaving,
+  72: optional list<Evacuation> evacuations,
+  73: optional list<CapacityNotice> capacities,
 }
 
 struct TrialClaim {
@@ -252,6 +266,7 @@
   74: i32 slots,
   75: string state,
   76: i64 born_ms,
+  77: optional i32 cold_left_ms,
 }
 
 struct RegistryPull {
@@ -267,6 +282,7 @@
   74: bool is_whole,
   75: bool is_current,
   76: i64 routes_version,
+  77: optional list<Evacuation> evacuations,
 }
 
 union Frame {
--- a/lavendertide/encodings/registry_frames.py
+++ b/lavendertide/encodings/registry_frames.py
@@ -4,10 +4,12 @@
 """
 
 import logging
+from collections.abc import Iterable
 from typing import Any, Final
 
 from lavendertide import messages
 from lavendertide.encodings.generated.peer_protocol import ttypes
+from lavendertide.evacuation.evacuated_domains import Evacuation
 from lavendertide.ids import (
     Address,
     ConfigurationVersion,
@@ -39,6 +41,7 @@
                 frame.is_full,
                 frame.is_current,
                 frame.routes_version,
+                pack_evacuations(frame.evacuations),
             )
             return ttypes.Frame(registry_push=push)
     return None
@@ -59,10 +62,31 @@
             push.is_whole,
             push.is_current,
             ConfigurationVersion(push.routes_version),
+            unpack_evacuations(push.evacuations),
         )
     return None
 
 
+def pack_evacuations(states: Iterable[Evacuation] | None) -> list[Any] | None:
+    """Returns the generated structs of evacuations; none if there is no list."""
+    if states is None:
+        return None
+    return [
+        ttypes.Evacuation(state.domain, state.revision, state.is_evacuated)
+        for state in states
+    ]
+
+
+def unpack_evacuations(items: list[Any] | None) -> tuple[Evacuation, ...] | None:
+    """Returns the evacuations in generated structs; none if there is no list."""
+    if items is None:
+        return None
+    return tuple(
+        Evacuation(FailureDomain(item.failure_domain), item.revision, item.is_evacuated)
+        for item in items
+    )
+
+
 def _pack_record(record: TargetRecord) -> Any:
     return ttypes.TargetEntry(
         record.target,
--- a/lavendertide/forwarding/early_refusal.py
+++ b/lavendertide/forwarding/early_refusal.py
@@ -5,6 +5,7 @@
 """
 
 import math
+import random
 from typing import Final
 
 from lavendertide.forwarding.deadlines import ATTEMPT_MIN_S, ResponseDeadlines
@@ -18,6 +19,9 @@
 OTHER_HOST_RETRY_S: Final = 0.05
 # Targets register within a heartbeat after they start.
 NO_TARGET_RETRY_S: Final = 0.5
+# The end of an evacuation isn't known. Its callers return after one to two of these
+# times, so that they don't come together once the domain's targets are used again.
+EVACUATED_RETRY_S: Final = 1.0
 
 
 class EarlyRefusals:
@@ -68,6 +72,9 @@
         if sum(map(math.isfinite, waits_s)) >= required:
             retry_after_s = choice.retry_after_s(services, required, now_s)
             return Refused(RefusalCause.TARGETS_FULL, retry_after_s)
+        if any(map(choice.is_evacuated, services)):
+            retry_after_s = EVACUATED_RETRY_S * (1.0 + random.random())
+            return Refused(RefusalCause.EVACUATED, retry_after_s)
         return Refused(RefusalCause.NO_TARGET, NO_TARGET_RETRY_S)
 
     def _usually_outlives_host(
--- a/lavendertide/forwarding/messages.py
+++ b/lavendertide/forwarding/messages.py
@@ -162,6 +162,8 @@
     NOT_READY = "not_ready"
     LEAVING = "leaving"
     NO_TARGET = "no_target"
+    # All targets are in failure domains that the operator has evacuated.
+    EVACUATED = "evacuated"
     TARGETS_FULL = "targets_full"
     OVER_CAPACITY = "over_capacity"
     NO_TIME = "no_time"
--- a/lavendertide/forwarding/target_choice.py
+++ b/lavendertide/forwarding/target_choice.py
@@ -38,6 +38,10 @@
         ready_targets = self._registry.ready_targets(service, now_s)
         return bool(self._views.select_usable(ready_targets, now_s))
 
+    def is_evacuated(self, service: ServiceName) -> bool:
+        """Returns whether a service has ready targets in evacuated domains only."""
+        return self._registry.is_evacuated(service)
+
     def time_to_target_s(self, service: ServiceName, now_s: float) -> float:
         """Returns the seconds until a service has a usable target, or infinity.
 
--- a/lavendertide/gateway/follower.py
+++ b/lavendertide/gateway/follower.py
@@ -14,6 +14,7 @@
 from returns.result import Failure, Result, Success
 
 from lavendertide.errors import Refusal
+from lavendertide.evacuation.evacuated_domains import EvacuatedDomains, Evacuation
 from lavendertide.ids import TargetId
 from lavendertide.registry.history import RegistryHistory
 from lavendertide.registry.record import TargetRecord
@@ -55,7 +56,14 @@
     target: TargetId
 
 
-Publication = RoutesPublished | TargetPublished | TargetWithdrawn
+@dataclass(frozen=True, slots=True)
+class EvacuationPublished:
+    """The operator has ordered or ended the evacuation of a failure domain."""
+
+    state: Evacuation
+
+
+Publication = RoutesPublished | TargetPublished | TargetWithdrawn | EvacuationPublished
 
 
 @dataclass(frozen=True, slots=True)
@@ -66,11 +74,14 @@
         publications: In the order in which they were published.
         revision: Revision after which the next read continues.
         is_from_peer: Whether a peer sent it, which may itself be behind.
+        evacuations: All known evacuations, complete as of `revision`; none if the batch
+            has at most changes of them.
     """
 
     publications: tuple[Publication, ...]
     revision: int
     is_from_peer: bool = False
+    evacuations: tuple[Evacuation, ...] | None = None
 
 
 class HistoryLost:
@@ -107,9 +118,11 @@
         active_routes: ActiveRoutes,
         route_replication: RouteReplication,
         registry: TargetRegistry,
+        evacuated: EvacuatedDomains,
         now_s: float,
     ) -> None:
         self._reader = reader
+        self._evacuated = evacuated
         self._active_routes = active_routes
         self._route_replication = route_replication
         self._registry = registry
@@ -175,8 +188,9 @@
                 self._record_answer(now_s)
                 self._revision = None
                 return self._read_all()
-            case Success(PublicationBatch(publications, revision)):
+            case Success(PublicationBatch(publications, revision) as batch):
                 self._record_answer(now_s)
+                self._apply_evacuations(batch, now_s)
                 self._apply(publications, now_s)
                 self._record_changes(publications, revision)
                 return True
@@ -191,6 +205,7 @@
             case Success(batch):
                 if not batch.is_from_peer:
                     self._record_answer(now_s)
+                self._apply_evacuations(batch, now_s)
                 self._apply_all(batch.publications, now_s)
                 self._history.reset(batch.revision)
                 self._record_revision(batch.revision)
@@ -201,6 +216,11 @@
                 self._record_failure(refusal, now_s)
         return False
 
+    def _apply_evacuations(self, batch: PublicationBatch, now_s: float) -> None:
+        """Applies a complete list, before targets of its domains become usable."""
+        if batch.evacuations is not None:
+            self._evacuated.apply_complete(batch.evacuations, batch.revision, now_s)
+
     def _apply_all(self, publications: Iterable[Publication], now_s: float) -> None:
         """Applies a complete list of publications; unlisted targets are removed."""
         records: list[TargetRecord] = []
@@ -219,6 +239,8 @@
             match publication:
                 case RoutesPublished(table):
                     self._active_routes.adopt(table, "platform", now_s)
+                case EvacuationPublished(state):
+                    self._evacuated.apply((state,), now_s)
                 case TargetPublished(record):
                     records.append(record)
                 case TargetWithdrawn(target):
--- a/lavendertide/gateway/gateway.py
+++ b/lavendertide/gateway/gateway.py
@@ -13,6 +13,7 @@
 from lavendertide.daemon.in_flight import InFlightCounter
 from lavendertide.encodings.peer_socket import PeerSocket
 from lavendertide.encodings.routes_json import decode_table, encode_table
+from lavendertide.evacuation.evacuated_domains import EvacuatedDomains
 from lavendertide.fleet.addresses import AddressBook
 from lavendertide.fleet.gossip import Gossip
 from lavendertide.fleet.link_faults import LinkFaults
@@ -37,6 +38,7 @@
 from lavendertide.gateway.budget_share import BudgetShare
 from lavendertide.gateway.caller_front import CallerCodec, CallerFront
 from lavendertide.gateway.entry_front import EntryCodec, EntryFront
+from lavendertide.gateway.evacuation_broadcast import EvacuationBroadcast
 from lavendertide.gateway.follower import Follower, PlatformReader
 from lavendertide.gateway.leaving_broadcast import LeavingBroadcast
 from lavendertide.gateway.load import LoadMeter
@@ -144,7 +146,10 @@
         self._options = options
         self._adapters = adapters
         self._active_routes = ActiveRoutes()
-        self._registry = TargetRegistry(LAST_RESORT_SHARE * options.reading.leaving_s)
+        self._evacuated = EvacuatedDomains()
+        self._registry = TargetRegistry(
+            LAST_RESORT_SHARE * options.reading.leaving_s, self._evacuated
+        )
         self._budget_share = BudgetShare(
             options.retries.window_s, None if options.is_first_start else now_s
         )
@@ -163,7 +168,12 @@
             self._active_routes,
         )
         self._follower = Follower(
-            shared, self._active_routes, self._route_replication, self._registry, now_s
+            shared,
+            self._active_routes,
+            self._route_replication,
+            self._registry,
+            self._evacuated,
+            now_s,
         )
         self._make_forwarding()
 
@@ -264,8 +274,13 @@
             self._target_views,
             self._crash_evidence,
             leaving,
+            EvacuationBroadcast(self._evacuated, self._roster, self._peers),
             RegistrySource(
-                options.reading, self._follower, self._registry, self._active_routes
+                options.reading,
+                self._follower,
+                self._registry,
+                self._active_routes,
+                self._evacuated,
             ).reply_to,
         )
         send_check = SendCheck(self._registry, self._target_views, self._crash_evidence)
--- a/lavendertide/gateway/peer_exchange.py
+++ b/lavendertide/gateway/peer_exchange.py
@@ -18,11 +18,13 @@
 from lavendertide.fleet.roster import Roster
 from lavendertide.forwarding.poison import CrashEvidence
 from lavendertide.forwarding.target_view import TargetViews
+from lavendertide.gateway.evacuation_broadcast import EvacuationBroadcast
 from lavendertide.gateway.leaving_broadcast import LeavingBroadcast
 from lavendertide.ids import Fingerprint, TargetId
 from lavendertide.messages import (
     Answered,
     Declined,
+    EvacuationNotices,
     Frame,
     LeavingNotices,
     Lost,
@@ -55,6 +57,7 @@
 
     Args:
         leaving: Knows and broadcasts which targets are leaving.
+        evacuations: Broadcasts which failure domains are evacuated.
         build_registry_push: Returns the reply to a pull of the target registry.
     """
 
@@ -66,6 +69,7 @@
         views: TargetViews,
         crashes: CrashEvidence,
         leaving: LeavingBroadcast,
+        evacuations: EvacuationBroadcast,
         build_registry_push: Callable[[RegistryPull], RegistryPush],
     ) -> None:
         self._roster = roster
@@ -74,6 +78,7 @@
         self._target_views = views
         self._crash_evidence = crashes
         self._leaving = leaving
+        self._evacuations = evacuations
         self._build_registry_push = build_registry_push
         self._pending_verdicts: dict[Fingerprint, Verdict] = {}
         self._pending_stalls: dict[TargetId, None] = {}
@@ -120,6 +125,7 @@
         now_s = clock.monotonic_s()
         self._new_member_sync.send_to_new_members(now_s)
         self._leaving.send_to_new_members(now_s)
+        self._evacuations.send_to_new_members(now_s)
 
     def handle(self, peer: PeerConnection, frame: Frame, outbox: Outbox) -> None:
         """Handles a frame of a peer; a reply goes to the outbox.
@@ -133,6 +139,8 @@
                     self._target_views.record_stall(target, now_s)
             case LeavingNotices(runs):
                 self._leaving.apply_notices(runs, peer.daemon, now_s)
+            case EvacuationNotices(states):
+                self._evacuations.apply_notices(states, now_s)
             case Verdicts(items):
                 for verdict in self._crash_evidence.apply_verdicts(items, now_s):
                     _log.warning(
--- a/lavendertide/gateway/shared_reading.py
+++ b/lavendertide/gateway/shared_reading.py
@@ -17,6 +17,7 @@
 from returns.result import Result, Success
 
 from lavendertide.errors import Refusal
+from lavendertide.evacuation.evacuated_domains import EvacuatedDomains
 from lavendertide.fleet.peers import Peers
 from lavendertide.fleet.ranking import score
 from lavendertide.fleet.roster import SILENCE_S, Roster
@@ -181,8 +182,10 @@
         follower: Follower,
         registry: TargetRegistry,
         active_routes: ActiveRoutes,
+        evacuated: EvacuatedDomains,
     ) -> None:
         self._times = times
+        self._evacuated = evacuated
         self._follower = follower
         self._registry = registry
         self._active_routes = active_routes
@@ -215,6 +218,7 @@
                 True,
                 is_current,
                 self._active_routes.version,
+                self._evacuated.known,
             )
         return RegistryPush(
             pull.exchange,
@@ -224,6 +228,7 @@
             False,
             is_current,
             self._active_routes.version,
+            self._evacuated.known,
         )
 
 
@@ -243,4 +248,6 @@
 def _to_batch(push: RegistryPush) -> PublicationBatch:
     publications: list[Publication] = [TargetPublished(r) for r in push.records]
     publications += [TargetWithdrawn(target) for target in push.withdrawn]
-    return PublicationBatch(tuple(publications), push.revision)
+    return PublicationBatch(
+        tuple(publications), push.revision, evacuations=push.evacuations
+    )
--- a/lavendertide/messages/__init__.py
+++ b/lavendertide/messages/__init__.py
@@ -58,6 +58,7 @@
     SubRequests as SubRequests,
 )
 from lavendertide.messages.targets import (
+    EvacuationNotices as EvacuationNotices,
     LeavingNotices as LeavingNotices,
     RegistryPull as RegistryPull,
     RegistryPush as RegistryPush,
@@ -96,6 +97,7 @@
     | Verdicts
     | StallNotices
     | LeavingNotices
+    | EvacuationNotices
     | RegistryPull
     | RegistryPush
     | TrialClaim
--- a/lavendertide/messages/targets.py
+++ b/lavendertide/messages/targets.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 
+from lavendertide.evacuation.evacuated_domains import Evacuation
 from lavendertide.ids import ConfigurationVersion, DaemonId, ExchangeId, TargetId
 from lavendertide.registry.record import TargetRecord, TargetRun
 
@@ -26,6 +27,16 @@
     runs: tuple[TargetRun, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class EvacuationNotices:
+    """Broadcast of failure domains whose evacuation has begun or ended.
+
+    Sent to all connected peers, which pass on what is new to them.
+    """
+
+    states: tuple[Evacuation, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class RegistryPull:
     """Requests changed target records from a peer that reads the platform.
@@ -49,6 +60,8 @@
         is_current: Whether the sender's own reads from the platform succeed; if not,
             the other fields carry no information.
         routes_version: Version of the routes in force on the sender.
+        evacuations: All failure domains whose evacuation the sender knows, complete as
+            of `revision`; none if it runs a release without evacuations.
     """
 
     exchange: ExchangeId
@@ -58,6 +71,7 @@
     is_full: bool
     is_current: bool
     routes_version: ConfigurationVersion
+    evacuations: tuple[Evacuation, ...] | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/lavendertide/platform/names.py
+++ b/lavendertide/platform/names.py
@@ -29,4 +29,6 @@
 WATCH_PATH: Final = "/api/kv-watch"
 
 ROUTES_KEY: Final = "op/config"
+# Followed by the name of a failure domain whose targets must get no requests.
+EVACUATIONS_PREFIX: Final = "op/evacuate/"
 TARGETS_PREFIX: Final = "servers/"
--- a/lavendertide/platform/store_client.py
+++ b/lavendertide/platform/store_client.py
@@ -15,7 +15,9 @@
 from lavendertide.encodings.http_messages import HttpResponse, render_body, render_head
 from lavendertide.encodings.http_replies import ReplyMemory
 from lavendertide.errors import Refusal, unreachable
+from lavendertide.evacuation.evacuated_domains import Evacuation
 from lavendertide.gateway.follower import (
+    EvacuationPublished,
     HistoryLost,
     Publication,
     PublicationBatch,
@@ -24,8 +26,9 @@
     TargetWithdrawn,
 )
 from lavendertide.gateway.reading_times import ReadingTimes
-from lavendertide.ids import Address, TargetId
+from lavendertide.ids import Address, FailureDomain, TargetId
 from lavendertide.platform.names import (
+    EVACUATIONS_PREFIX,
     RANGE_PATH,
     ROUTES_KEY,
     TARGETS_PREFIX,
@@ -33,7 +36,7 @@
 )
 from lavendertide.platform.operator_routes import decode_routes
 from lavendertide.platform.target_entries import decode_target
-from lavendertide.registry.record import TARGET_NAME
+from lavendertide.registry.record import NAME_MAX_CHARACTERS, TARGET_NAME
 
 # The store responds within milliseconds; one that takes longer counts as lost.
 CONNECT_TIMEOUT_S: Final = 0.5
@@ -132,7 +135,14 @@
                 after = items[-1]["key"]
             except _UNREADABLE as error:
                 raise _StoreError(f"unreadable range: {error!r}") from error
-        return PublicationBatch(tuple(publications), revision or 0)
+        evacuations = tuple(
+            publication.state
+            for publication in publications
+            if isinstance(publication, EvacuationPublished)
+        )
+        return PublicationBatch(
+            tuple(publications), revision or 0, evacuations=evacuations
+        )
 
     def _get(self, path: str, query: dict[str, Any], timeout_s: float) -> HttpResponse:
         connection = self._connection
@@ -152,6 +162,8 @@
         key = item["key"]
         if key == ROUTES_KEY:
             return self._decode_routes(item)
+        if key.startswith(EVACUATIONS_PREFIX):
+            return self._decode_evacuation(item)
         if not key.startswith(TARGETS_PREFIX):
             return None
         name = key.removeprefix(TARGETS_PREFIX)
@@ -170,6 +182,18 @@
         self._refused.pop(key, None)
         return TargetPublished(record)
 
+    def _decode_evacuation(self, item: dict[str, Any]) -> Publication | None:
+        """Decodes the order to evacuate a domain; the key alone says which one."""
+        domain = item["key"].removeprefix(EVACUATIONS_PREFIX)
+        is_name = domain.isprintable() and 0 < len(domain) <= NAME_MAX_CHARACTERS
+        if not is_name:
+            self._record_refused(item["key"], "the key names no failure domain")
+            return None
+        state = Evacuation(
+            FailureDomain(domain), int(item["rev"]), "tombstone" not in item
+        )
+        return EvacuationPublished(state)
+
     def _decode_routes(self, item: dict[str, Any]) -> Publication | None:
         if "tombstone" in item:
             return None
--- a/lavendertide/registry/registry.py
+++ b/lavendertide/registry/registry.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable, Iterable
 from typing import Final
 
+from lavendertide.evacuation.evacuated_domains import EvacuatedDomains, Evacuation
 from lavendertide.ids import ServiceName, TargetId
 from lavendertide.registry.announcements import Announcements
 from lavendertide.registry.record import TargetRecord, TargetRun, TargetState
@@ -23,9 +24,14 @@
     Args:
         last_resort_s: How long after a target has announced that it is leaving it may
             still get requests that no other target can serve.
+        evacuated: The failure domains whose targets get no requests.
     """
 
-    def __init__(self, last_resort_s: float = 0.0) -> None:
+    def __init__(
+        self, last_resort_s: float = 0.0, evacuated: EvacuatedDomains | None = None
+    ) -> None:
+        self._evacuated = evacuated or EvacuatedDomains()
+        self._evacuated.on_change(self._apply_evacuation)
         self._announcements = Announcements(last_resort_s)
         self._records: dict[TargetId, TargetRecord] = {}
         self._by_service: dict[ServiceName, tuple[TargetRecord, ...]] = {}
@@ -58,6 +64,17 @@
         self.expire(now_s)
         return self._announcements.select_available(self._listed_ready(service), now_s)
 
+    def is_evacuated(self, service: ServiceName) -> bool:
+        """Returns whether a service has ready targets in evacuated domains only."""
+        return (
+            self._evacuated.has_any
+            and not self._listed_ready(service)
+            and any(
+                record.service == service and record.state is TargetState.READY
+                for record in self._records.values()
+            )
+        )
+
     def record_leaving(self, run: TargetRun, now_s: float) -> bool:
         """Records that a run of a target is leaving, whatever its entry says.
 
@@ -116,13 +133,18 @@
         )
 
     def _listed_ready(self, service: ServiceName) -> tuple[TargetRecord, ...]:
-        """Returns the targets of a service whose entries say that they are ready."""
+        """Returns the targets of a service whose entries say that they are ready.
+
+        Those in evacuated failure domains are left out.
+        """
         ready_targets = self._by_service.get(service)
         if ready_targets is None:
             ready_targets = tuple(
                 record
                 for record in self._records.values()
-                if record.service == service and record.state is TargetState.READY
+                if record.service == service
+                and record.state is TargetState.READY
+                and not self._evacuated.is_evacuated(record.failure_domain)
             )
             self._by_service[service] = ready_targets
         return ready_targets
@@ -180,6 +202,15 @@
         for target in list(self._missing_since_s):
             self._discard(target, "lapsed during an outage of the platform")
 
+    def _apply_evacuation(self, state: Evacuation, now_s: float) -> None:
+        """Has the calls that wait for targets of an evacuated domain sent elsewhere."""
+        self._by_service.clear()
+        if not state.is_evacuated:
+            return
+        for record in self.targets:
+            if record.failure_domain == state.domain:
+                self._closing_listener(record)
+
     def _notify_closing(self, run: TargetRun) -> None:
         record = self._records.get(run.target)
         if record is not None and record.run == run:
--- a/tests/encodings/test_peer_frames.py
+++ b/tests/encodings/test_peer_frames.py
@@ -7,6 +7,7 @@
 
 from bench.codec import build_frame
 from lavendertide.encodings.peer_frames import LENGTH, decode_frame, encode_frame
+from lavendertide.evacuation.evacuated_domains import Evacuation
 from lavendertide.ids import (
     Address,
     AttemptId,
@@ -33,6 +34,7 @@
     ChallengeAnswer,
     Declined,
     DeclineReason,
+    EvacuationNotices,
     Frame,
     Heartbeat,
     HeartbeatAck,
@@ -122,6 +124,7 @@
     ),
     PlanGrants(ExchangeId("7"), (PlanGrant(PlanId("stall-clerk"), 0.5, True),)),
     StallNotices((TargetId("t1"), TargetId("t2"))),
+    EvacuationNotices((Evacuation(FailureDomain("north-a"), 412, True),)),
     LeavingNotices((TargetRun(TargetId("t1"), 17), TargetRun(TargetId("t2"), 0))),
     RegistryPull(ExchangeId("8"), 41),
     RegistryPush(
--- a/tests/encodings/test_registry_frames.py
+++ b/tests/encodings/test_registry_frames.py
@@ -1,9 +1,16 @@
 """Tests of `lavendertide.encodings.registry_frames`."""
 
 import unittest
+from dataclasses import replace
 
 from lavendertide.encodings.peer_frames import LENGTH, decode_frame, encode_frame
-from lavendertide.ids import ConfigurationVersion, ExchangeId, TargetId
+from lavendertide.evacuation.evacuated_domains import Evacuation
+from lavendertide.ids import (
+    ConfigurationVersion,
+    ExchangeId,
+    FailureDomain,
+    TargetId,
+)
 from lavendertide.messages import RegistryPull, RegistryPush
 from standins.forwarding_records import target
 
@@ -21,7 +28,9 @@
             False,
             True,
             ConfigurationVersion(3),
+            (Evacuation(FailureDomain("north-a"), 12, True),),
         )
-        for frame in (RegistryPull(exchange, 10), push):
+        earlier_release = replace(push, evacuations=None)
+        for frame in (RegistryPull(exchange, 10), push, earlier_release):
             read = decode_frame(encode_frame(frame)[LENGTH.size :])
             self.assertEqual(read.unwrap(), frame)
--- /dev/null
+++ b/tests/evacuation/test_evacuated_domains.py
@@ -0,0 +1,132 @@
+"""Tests of `lavendertide.evacuation.evacuated_domains`."""
+
+import unittest
+from dataclasses import dataclass
+
+from hypothesis import given, settings, strategies as st
+
+from lavendertide.evacuation.evacuated_domains import (
+    DOMAINS_MAX,
+    EvacuatedDomains,
+    Evacuation,
+)
+from lavendertide.ids import FailureDomain
+
+A, B = FailureDomain("a"), FailureDomain("b")
+
+
+class ConflictTest(unittest.TestCase):
+    """Guards against copies that arrive late and undo a newer order."""
+
+    def setUp(self) -> None:
+        self.domains = EvacuatedDomains()
+
+    def test_an_order_counts_until_it_is_taken_back(self) -> None:
+        self.domains.apply((Evacuation(A, 5, True),), 1.0)
+        self.assertTrue(self.domains.is_evacuated(A))
+        self.assertFalse(self.domains.is_evacuated(B))
+        self.domains.apply((Evacuation(A, 9, False),), 2.0)
+        self.assertFalse(self.domains.has_any)
+
+    def test_an_older_copy_changes_nothing(self) -> None:
+        self.domains.apply((Evacuation(A, 9, False), Evacuation(A, 5, True)), 1.0)
+        self.assertFalse(self.domains.is_evacuated(A))
+
+    def test_of_two_copies_of_one_revision_evacuated_counts(self) -> None:
+        self.domains.apply((Evacuation(A, 5, True), Evacuation(A, 5, False)), 1.0)
+        self.assertTrue(self.domains.is_evacuated(A))
+
+    def test_an_order_that_is_repeated_is_no_change(self) -> None:
+        changes: list[Evacuation] = []
+        self.domains.on_change(lambda state, _: changes.append(state))
+        self.domains.apply((Evacuation(A, 5, True), Evacuation(A, 6, True)), 1.0)
+        self.assertEqual(changes, [Evacuation(A, 5, True)])
+        self.assertEqual([d.since_s for d in self.domains.evacuated], [1.0])
+
+    def test_the_state_does_not_end_by_time(self) -> None:
+        self.domains.apply((Evacuation(A, 5, True),), 0.0)
+        self.domains.apply_complete((Evacuation(A, 5, True),), 7, 1e9)
+        self.assertTrue(self.domains.is_evacuated(A))
+
+
+class CompleteListTest(unittest.TestCase):
+    """Guards against a domain that stays evacuated since its removal was missed."""
+
+    def setUp(self) -> None:
+        self.domains = EvacuatedDomains()
+        self.domains.apply((Evacuation(A, 5, True),), 0.0)
+
+    def test_what_it_does_not_list_has_ended(self) -> None:
+        self.domains.apply_complete((), 8, 1.0)
+        self.assertFalse(self.domains.is_evacuated(A))
+
+    def test_it_says_nothing_about_later_orders(self) -> None:
+        self.domains.apply_complete((), 4, 1.0)
+        self.assertTrue(self.domains.is_evacuated(A))
+
+    def test_a_stale_copy_does_not_evacuate_the_domain_again(self) -> None:
+        self.domains.apply_complete((), 8, 1.0)
+        self.domains.apply((Evacuation(A, 5, True),), 2.0)
+        self.assertFalse(self.domains.is_evacuated(A))
+
+
+class BoundTest(unittest.TestCase):
+    """Guards against memory without end by names that no domain has."""
+
+    def test_ended_evacuations_are_dropped_first(self) -> None:
+        domains = EvacuatedDomains()
+        domains.apply((Evacuation(A, 1, True),), 0.0)
+        for number in range(2 * DOMAINS_MAX):
+            name = FailureDomain(f"d{number}")
+            states = (
+                Evacuation(name, 2 * number + 2, True),
+                Evacuation(name, 2 * number + 3, False),
+            )
+            domains.apply(states, 0.0)
+        self.assertEqual(len(domains.known), DOMAINS_MAX)
+        self.assertTrue(domains.is_evacuated(A))
+
+
+@dataclass(frozen=True)
+class Change:
+    """A change of the store, at a revision that is its place in the history."""
+
+    domain: FailureDomain
+    is_evacuated: bool
+
+
+CHANGES = st.lists(
+    st.builds(Change, st.sampled_from((A, B)), st.booleans()), min_size=1, max_size=8
+)
+
+
+class DisagreementTest(unittest.TestCase):
+    """All hosts end in the newest state, whatever reaches them and in which order."""
+
+    @given(CHANGES, st.data())
+    @settings(deadline=None, max_examples=300)
+    def test_any_order_of_reads_and_notices_ends_in_the_newest_state(
+        self, changes: list[Change], data: st.DataObject
+    ) -> None:
+        history = [
+            Evacuation(change.domain, revision, change.is_evacuated)
+            for revision, change in enumerate(changes, 1)
+        ]
+        newest = {state.domain: state for state in history}
+        host = EvacuatedDomains()
+        for state in data.draw(st.permutations(history * 2)):
+            is_read = data.draw(st.booleans())
+            if is_read:
+                read_at = state.revision
+                seen = {s.domain: s for s in history[:read_at] if s.is_evacuated}
+                for ended in history[:read_at]:
+                    if not ended.is_evacuated:
+                        last = seen.get(ended.domain)
+                        if last is not None and last.revision < ended.revision:
+                            del seen[ended.domain]
+                host.apply_complete(tuple(seen.values()), read_at, 0.0)
+            else:
+                host.apply((state,), 0.0)
+        host.apply(tuple(newest.values()), 0.0)
+        for domain, state in newest.items():
+            self.assertEqual(host.is_evacuated(domain), state.is_evacuated)
--- a/tests/forwarding/scripted_targets.py
+++ b/tests/forwarding/scripted_targets.py
@@ -4,6 +4,7 @@
 
 from prometheus_client import CollectorRegistry
 
+from lavendertide.evacuation.evacuated_domains import EvacuatedDomains
 from lavendertide.forwarding.budget import RetryAllowance, RetryBudgets
 from lavendertide.forwarding.fleet_callbacks import FleetCallbacks
 from lavendertide.forwarding.forwarder import Forwarder
@@ -140,6 +141,7 @@
         leaving: Targets that were recorded as leaving, in order.
         crashes: What is known of requests that crash targets.
         route: The route of all requests.
+        evacuated: The failure domains that the operator has evacuated.
     """
 
     def __init__(
@@ -156,7 +158,8 @@
         self.stalls: list[TargetId] = []
         self.leaving: list[TargetRun] = []
         self.route = destination_route
-        self.registry = TargetRegistry(last_resort_s)
+        self.evacuated = EvacuatedDomains()
+        self.registry = TargetRegistry(last_resort_s, self.evacuated)
         self.views = TargetViews(LOCAL_DOMAIN)
         active_routes = ActiveRoutes()
         active_routes.adopt(table(1, destination_route), "test", 0.0)
--- a/tests/gateway/test_following.py
+++ b/tests/gateway/test_following.py
@@ -8,6 +8,7 @@
 
 from lavendertide.encodings.routes_json import decode_table, encode_table
 from lavendertide.errors import Refusal, unreachable
+from lavendertide.evacuation.evacuated_domains import EvacuatedDomains
 from lavendertide.forwarding.budget import RetryAllowance
 from lavendertide.gateway.follower import (
     Follower,
@@ -80,7 +81,12 @@
             self.active_routes, encode_table, decode_table, 0.0
         )
         self.follower = Follower(
-            self.reader, self.active_routes, route_replication, self.registry, 0.0
+            self.reader,
+            self.active_routes,
+            route_replication,
+            self.registry,
+            EvacuatedDomains(),
+            0.0,
         )
         published = (RoutesPublished(table(3, route())), TargetPublished(target("a")))
         self.reader.everything = Success(PublicationBatch(published, 7))
--- a/tests/gateway/test_peer_exchange.py
+++ b/tests/gateway/test_peer_exchange.py
@@ -3,12 +3,14 @@
 from collections.abc import Iterable
 from typing import cast
 
+from lavendertide.evacuation.evacuated_domains import EvacuatedDomains
 from lavendertide.fleet.gossip import Gossip
 from lavendertide.fleet.peer_connection import PeerConnection
 from lavendertide.fleet.peer_server import Outbox
 from lavendertide.fleet.peers import Peers
 from lavendertide.forwarding.poison import CrashEvidence, TargetProcess
 from lavendertide.forwarding.target_view import TargetViews
+from lavendertide.gateway.evacuation_broadcast import EvacuationBroadcast
 from lavendertide.gateway.leaving_broadcast import LeavingBroadcast
 from lavendertide.gateway.peer_exchange import STALLS_PERIOD_S, PeerExchange
 from lavendertide.ids import (
@@ -108,6 +110,9 @@
             TargetViews(FailureDomain("zone")),
             self.crashes,
             self.leaving,
+            EvacuationBroadcast(
+                EvacuatedDomains(), self.roster, cast(Peers, self.peers)
+            ),
             fail_on_pull,
         )
 
--- a/tests/gateway/test_shared_reading.py
+++ b/tests/gateway/test_shared_reading.py
@@ -10,6 +10,7 @@
 
 from lavendertide.encodings.routes_json import decode_table, encode_table
 from lavendertide.errors import Refusal, unreachable
+from lavendertide.evacuation.evacuated_domains import EvacuatedDomains, Evacuation
 from lavendertide.fleet.roster import Roster
 from lavendertide.gateway.follower import (
     Follower,
@@ -37,7 +38,7 @@
 from lavendertide.routes.active_routes import ActiveRoutes
 from lavendertide.routes.replication import RouteReplication
 from lavendertide.runtime import clock, tasks
-from standins.forwarding_records import route, table, target
+from standins.forwarding_records import LOCAL_DOMAIN, route, table, target
 from tests.fleet.members import member
 from tests.virtual_time import VirtualTimeTestCase
 
@@ -174,14 +175,16 @@
             active_routes, encode_table, decode_table, 0.0
         )
         return Follower(
-            reader, active_routes, route_replication, registry, 0.0
+            reader, active_routes, route_replication, registry, EvacuatedDomains(), 0.0
         ), registry
 
     def test_the_targets_of_a_peer_are_adopted(self) -> None:
         source_host, source_registry = self.make(LostPlatform())
         source_registry.put(target("a"))
         source_host.history.reset(7)
-        source = RegistrySource(TIMES, source_host, source_registry, ActiveRoutes())
+        source = RegistrySource(
+            TIMES, source_host, source_registry, ActiveRoutes(), EvacuatedDomains()
+        )
         active_routes = ActiveRoutes()
         route_replication = RouteReplication(
             active_routes, encode_table, decode_table, 0.0
@@ -208,6 +211,51 @@
         self.assertEqual(ServableRoutes(active_routes, lambda: True).version, 4)
 
 
+class EvacuationsOfASourceTest(unittest.TestCase):
+    """Each push has all evacuations, so a change that was missed is made good."""
+
+    def setUp(self) -> None:
+        self.source_evacuated = EvacuatedDomains()
+        self.evacuated = EvacuatedDomains()
+        source_host, registry = StartInAnOutageTest().make(LostPlatform())
+        source_host.history.reset(7)
+        peers: Any = PeersOfOne(
+            RegistrySource(
+                TIMES, source_host, registry, ActiveRoutes(), self.source_evacuated
+            )
+        )
+        active_routes = ActiveRoutes()
+        route_replication = RouteReplication(
+            active_routes, encode_table, decode_table, 0.0
+        )
+        reader = SharedReader(
+            LostPlatform(),
+            TIMES,
+            fleet(0, 1, 1),
+            peers,
+            route_replication,
+            active_routes,
+        )
+        self.follower = Follower(
+            reader,
+            active_routes,
+            route_replication,
+            TargetRegistry(),
+            self.evacuated,
+            0.0,
+        )
+
+    def test_a_host_that_starts_knows_them_before_it_knows_targets(self) -> None:
+        self.source_evacuated.apply((Evacuation(LOCAL_DOMAIN, 3, True),), 0.0)
+        self.assertTrue(self.follower.read())
+        self.assertTrue(self.evacuated.is_evacuated(LOCAL_DOMAIN))
+
+    def test_a_removal_that_was_missed_is_made_good(self) -> None:
+        self.evacuated.apply((Evacuation(LOCAL_DOMAIN, 3, True),), 0.0)
+        self.assertTrue(self.follower.read())
+        self.assertFalse(self.evacuated.is_evacuated(LOCAL_DOMAIN))
+
+
 class CuttablePlatform:
     """The platform as seen by one host, whose connection can be cut.
 
@@ -254,7 +302,12 @@
             active_routes, encode_table, decode_table, clock.monotonic_s()
         )
         host = Follower(
-            reader, active_routes, route_replication, registry, clock.monotonic_s()
+            reader,
+            active_routes,
+            route_replication,
+            registry,
+            EvacuatedDomains(),
+            clock.monotonic_s(),
         )
         return host, registry
 
@@ -287,7 +340,9 @@
         host, registry = self.make(cut)
         self.addCleanup(tasks.spawn(host.run).stop)
         for _ in range(LEVELS):
-            source = RegistrySource(times, host, registry, ActiveRoutes())
+            source = RegistrySource(
+                times, host, registry, ActiveRoutes(), EvacuatedDomains()
+            )
             direct = CuttablePlatform(times, changes)
             host, registry = self.make_follower(times, direct, source)
             self.addCleanup(tasks.spawn(host.run).stop)
--- a/tests/platform/test_store_client.py
+++ b/tests/platform/test_store_client.py
@@ -5,9 +5,16 @@
 from returns.result import Success
 
 from lavendertide.encodings.http_replies import BODY_MAX_BYTES
-from lavendertide.gateway.follower import HistoryLost
+from lavendertide.evacuation.evacuated_domains import Evacuation
+from lavendertide.gateway.follower import (
+    EvacuationPublished,
+    HistoryLost,
+    PublicationBatch,
+)
 from lavendertide.gateway.reading_times import ReadingTimes
+from lavendertide.ids import Address, FailureDomain
 from lavendertide.platform.store_client import StoreClient
+from standins.platform_store import PlatformStore
 from tests.encodings.fixed_peer import Peer
 
 
@@ -26,3 +33,44 @@
         result = client.read_changes(1)
         assert isinstance(result, Success)
         self.assertIsInstance(result.unwrap(), HistoryLost)
+
+
+class EvacuationsTest(unittest.TestCase):
+    """Orders to evacuate a failure domain are read from the key alone."""
+
+    def setUp(self) -> None:
+        self.store = PlatformStore()
+        self.addCleanup(self.store.close)
+        self.client = StoreClient(Address(self.store.address), ReadingTimes(3.0))
+
+    def read_all(self) -> PublicationBatch:
+        """Returns everything that the store publishes."""
+        return self.client.read_all().unwrap()
+
+    def test_a_full_read_lists_all_of_them(self) -> None:
+        self.store.put("op/evacuate/north-a", {})
+        self.store.put_raw("op/evacuate/north-b", "no base64")
+        states = self.read_all().evacuations
+        assert states is not None
+        self.assertEqual([s.domain for s in states], ["north-a", "north-b"])
+        self.assertTrue(all(state.is_evacuated for state in states))
+
+    def test_a_removal_has_a_greater_revision(self) -> None:
+        self.store.put("op/evacuate/north-a", {})
+        revision = self.read_all().revision
+        self.store.remove("op/evacuate/north-a")
+        changes = self.client.read_changes(revision).unwrap()
+        assert isinstance(changes, PublicationBatch)
+        state = Evacuation(FailureDomain("north-a"), revision + 1, False)
+        self.assertEqual(changes.publications, (EvacuationPublished(state),))
+        self.assertIsNone(changes.evacuations)
+
+    def test_odd_names_are_refused_by_themselves(self) -> None:
+        """Guards against one odd key that ends the reading of all others."""
+        for name in ("", "\n", "x" * 201):
+            self.store.put(f"op/evacuate/{name}", {})
+        self.store.put("op/evacuate/north-a", {})
+        with self.assertLogs("lavendertide.platform.store_client", "WARNING"):
+            states = self.read_all().evacuations
+        assert states is not None
+        self.assertEqual([state.domain for state in states], ["north-a"])
