Log why each shard of a search is missing, and count the causes over logs

A partial response named the missing shards but not the cause, which had to be pieced together from the lines of each sub-request.

forwarding/missing.py determines the cause when the search ends, from the state of its parts: no target, waiting for a connection, failed, refused, late without a hedge (not due, withheld, no other target, waiting, unfinished), all late, or replies that had arrived and were not handled. The line "request ended" has `missing_why` and `missing_causes`, `lavendertide_forwarded_missing_shards_total` counts by cause, and `lavendertide missing FILE...` adds up log files. Calls are cancelled after the cause is determined.

--- a/lavendertide/command_line/main.py
+++ b/lavendertide/command_line/main.py
@@ -13,6 +13,7 @@
 from lavendertide.command_line.completion import completion
 from lavendertide.command_line.explain import explain
 from lavendertide.command_line.fleet import fleet
+from lavendertide.command_line.missing import missing
 from lavendertide.command_line.reports import report
 
 
@@ -40,6 +41,7 @@
     operators.drain,
     report,
     explain,
+    missing,
     check,
     settings,
     completion,
--- a/lavendertide/encodings/http_client_connection.py
+++ b/lavendertide/encodings/http_client_connection.py
@@ -62,6 +62,11 @@
         """Whether the connection is open and has no unexpected data to read."""
         return self._socket is not None and sockets.is_idle(self._socket)
 
+    @property
+    def has_data(self) -> bool:
+        """Whether data has arrived that was not read yet."""
+        return self._socket is not None and sockets.has_data(self._socket)
+
     def open(self, timeout_s: float) -> bool:
         """Opens a new connection; returns whether the server accepted it."""
         self.close()
--- a/lavendertide/forwarding/deadlines.py
+++ b/lavendertide/forwarding/deadlines.py
@@ -43,6 +43,12 @@
     ends_at_s: float
     used_s: float | None
 
+    def next_after(self, now_s: float) -> float:
+        """Returns the next deadline after a time; the end if both have passed."""
+        if now_s < self.objective_at_s:
+            return min(self.objective_at_s, self.ends_at_s)
+        return self.ends_at_s
+
 
 def response_deadlines(
     request: CallerRequest, route: Route, used_s: float | None
--- a/lavendertide/forwarding/forwarder.py
+++ b/lavendertide/forwarding/forwarder.py
@@ -25,6 +25,7 @@
     Unroutable,
 )
 from lavendertide.forwarding.metrics import ForwardingMetrics
+from lavendertide.forwarding.missing import MissingPart
 from lavendertide.forwarding.poison import CrashEvidence
 from lavendertide.forwarding.pool import TargetCall, TargetPools, connection_share
 from lavendertide.forwarding.reply_recorder import ReplyRecorder
@@ -225,6 +226,11 @@
         self._metrics.sub_requests.inc()
         return call
 
+    def record_missing(self, missing: Iterable[MissingPart]) -> None:
+        """Counts the shards that the response to a search leaves out."""
+        for part in missing:
+            self._metrics.record_missing(part.cause)
+
     def report_late_call(self, call: TargetCall, now_s: float) -> None:
         """Notifies peers of a late call, unless its target is known to be stalled."""
         view = self._views.view_of(call.record.target)
--- a/lavendertide/forwarding/metrics.py
+++ b/lavendertide/forwarding/metrics.py
@@ -5,6 +5,7 @@
 from prometheus_client import CollectorRegistry, Counter, Histogram
 
 from lavendertide.forwarding.messages import Replied, TargetReply, outcome_of
+from lavendertide.forwarding.missing import MissingCause
 from lavendertide.metrics.labels import BoundedLabel, Children
 from lavendertide.metrics.names import LATENCY_BUCKETS_S
 
@@ -49,6 +50,13 @@
             registry=registry,
         )
         self._replies = Children(replies.labels)
+        missing = Counter(
+            "lavendertide_forwarded_missing_shards",
+            "Shards that responses to searches leave out, by cause.",
+            ("cause",),
+            registry=registry,
+        )
+        self._missing = Children(missing.labels)
         self.sub_requests = Counter(
             "lavendertide_forwarded_sub_requests",
             "Sub-requests handed to connections.",
@@ -76,6 +84,10 @@
         """Records what a caller had used of its time when it sent its request."""
         self._caller_time.labels(self._routes.value(route)).observe(used_s)
 
+    def record_missing(self, cause: MissingCause) -> None:
+        """Records one shard that the response to a search leaves out."""
+        self._missing.child_of(cause.value).inc()
+
     def record_reply(self, reply: TargetReply) -> None:
         """Records the outcome of one sub-request."""
         match reply:
--- a/lavendertide/forwarding/parts.py
+++ b/lavendertide/forwarding/parts.py
@@ -1,6 +1,7 @@
 """The state of a request at each of the services that have to reply to it."""
 
 from dataclasses import dataclass, field
+from typing import Final
 
 from lavendertide.forwarding.messages import (
     UNSENT_REASONS,
@@ -14,6 +15,10 @@
 from lavendertide.forwarding.pool import TargetCall
 from lavendertide.ids import ServiceName, TargetId
 
+# Pause before a retry, doubled for each further failure.
+RETRY_PAUSE_MIN_S: Final = 0.02
+RETRY_PAUSE_MAX_S: Final = 0.32
+
 
 @dataclass(slots=True)
 class Part:
@@ -58,11 +63,34 @@
         """Whether an open call has been sent, and doesn't wait for a connection."""
         return any(call.is_sent for call in self.open_calls.values())
 
+    @property
+    def has_failed_unsent(self) -> bool:
+        """Whether attempts have failed before a byte reached any target.
+
+        The next attempt is then not an extra one, so it needs no budget.
+        """
+        return (
+            self.failure is not None
+            and not self.has_reached_target
+            and not self.open_calls
+        )
+
     @property
     def is_lost(self) -> bool:
         """Whether there is no reply and no open call or planned retry."""
         return self.reply is None and not self.open_calls and self.retry_at_s is None
 
+    @property
+    def has_run_or_may_run(self) -> bool:
+        """Whether a target has run the request, may have, or may still do so."""
+        return self.may_have_run or self.has_sent_call or self.is_done
+
+    @property
+    def retry_pause_s(self) -> float:
+        """Seconds before the next retry, doubled for each further failure."""
+        pause_s = RETRY_PAUSE_MIN_S * 2.0 ** max(0, self.failed_rounds - 1)
+        return min(RETRY_PAUSE_MAX_S, pause_s)
+
     @property
     def due_at_s(self) -> float | None:
         """Time of the next hedge or retry; none if neither is planned."""
@@ -89,7 +117,7 @@
                 # It says nothing about the part, so an earlier failure stands. The
                 # target doesn't count among those that the request may be sent to.
                 self.failure = self.failure or reply
-                if target in self.tried_targets and not self._has_open_call(target):
+                if target in self.tried_targets and not self.has_open_call(target):
                     self.tried_targets.remove(target)
                 return
         self.failure = reply
@@ -102,7 +130,8 @@
             case _:
                 self.has_reached_target = self.may_have_run = True
 
-    def _has_open_call(self, target: TargetId) -> bool:
+    def has_open_call(self, target: TargetId) -> bool:
+        """Returns whether a call to a target has no reply yet."""
         return any(call.record.target == target for call in self.open_calls.values())
 
     def has_late_call(self, now_s: float) -> bool:
--- a/lavendertide/forwarding/pool.py
+++ b/lavendertide/forwarding/pool.py
@@ -123,6 +123,9 @@
     def exchange(self, call: TargetCall, now_s: float) -> TargetReply:
         """Sends a request and waits for its reply."""
 
+    def has_data(self) -> bool:
+        """Returns whether data has arrived that was not read yet; never waits."""
+
     def close(self) -> None:
         """Closes the connection, which ends an exchange that waits for its reply."""
 
--- a/lavendertide/forwarding/request_log.py
+++ b/lavendertide/forwarding/request_log.py
@@ -21,6 +21,7 @@
     Response,
     Unroutable,
 )
+from lavendertide.forwarding.missing import MissingPart, count_causes
 from lavendertide.forwarding.parts import Part
 from lavendertide.forwarding.pool import TargetCall
 from lavendertide.forwarding.target_view import TargetView
@@ -102,6 +103,7 @@
     routes: RoutesAge,
     outcome: str,
     parts: list[Part],
+    missing_parts: list[MissingPart],
     extra: int,
     deadlines: ResponseDeadlines,
     now_s: float,
@@ -114,6 +116,7 @@
         routes: Version and age of the routes in force.
         outcome: The outcome of the response.
         parts: The parts of the request, one for each service.
+        missing_parts: Why shards of a search are missing.
         extra: Number of sub-requests beyond the first of each part.
         deadlines: When the response has to leave this host.
         now_s: Present time, monotonic.
@@ -136,6 +139,10 @@
     if missing:
         fields["missing"] = missing[:NAMED_SHARDS_MAX]
         fields["missing_count"] = len(missing)
+    if missing_parts:
+        named = missing_parts[:NAMED_SHARDS_MAX]
+        fields["missing_why"] = [part.cause.value for part in named]
+        fields["missing_causes"] = count_causes(missing_parts)
     _ended.info("request ended", extra=fields)
 
 
--- a/lavendertide/forwarding/run.py
+++ b/lavendertide/forwarding/run.py
@@ -25,6 +25,7 @@
     TargetReply,
     outcome_of,
 )
+from lavendertide.forwarding.missing import MissingCause, MissingPart, find_missing
 from lavendertide.forwarding.parts import Part
 from lavendertide.forwarding.pool import TargetCall
 from lavendertide.forwarding.request_log import log_end, log_repeat, response_outcome
@@ -49,9 +50,6 @@
 # Pause, as a share of the objective, after which a hedge that the budget did not allow
 # is due again: other requests and time give the budget back.
 WITHHELD_HEDGE_SHARE: Final = 0.1
-# Pause before a retry, doubled for each further failure.
-RETRY_PAUSE_MIN_S: Final = 0.02
-RETRY_PAUSE_MAX_S: Final = 0.32
 
 
 class RequestRun:
@@ -77,14 +75,14 @@
         self._due_at_s = math.inf
         self._extra_count = 0
         self._half_covered_s: float | None = None
-        self._caller_left_early = False
+        self._interruption: MissingCause | None = None
 
     @property
     def feedback(self) -> Feedback:
         """What the completed request indicates about the load of its targets."""
         if self._half_covered_s is not None:
             return HalfCovered(self._half_covered_s)
-        if self._caller_left_early:
+        if self._interruption is MissingCause.CALLER_LEFT:
             return Inconclusive()
         starved = sum(part.is_starved for part in self._parts)
         return Starved() if 2 * starved >= len(self._parts) else Inconclusive()
@@ -101,21 +99,25 @@
                 case CallDone(call, reply):
                     self._handle_reply(call, reply, now_s)
                 case CallerLeft():
-                    self._caller_left_early = now_s < self._deadlines.objective_at_s
+                    if now_s < self._deadlines.objective_at_s:
+                        self._interruption = MissingCause.CALLER_LEFT
+                    missing = self._find_missing(now_s)
                     self._cancel_all()
-                    self._log_end(response_outcome(Abandoned()), now_s)
+                    self._log_end(response_outcome(Abandoned()), missing, now_s)
                     return Abandoned()
                 case HostEnds():
+                    self._interruption = MissingCause.HOST_ENDS
                     break
                 case None:
                     pass
             self._handle_due_parts(now_s)
+        missing = self._find_missing(now_s)
         if now_s < self._deadlines.ends_at_s:
             # At the deadline, targets end the requests themselves and reply.
             for part in self._parts:
                 part.cancel_late_calls(now_s)
         response = self._build_response(now_s)
-        self._log_end(response_outcome(response), now_s)
+        self._log_end(response_outcome(response), missing, now_s)
         return response
 
     def _send_first(self, number: int, part: Part, now_s: float) -> None:
@@ -189,8 +191,7 @@
 
     def _schedule_retry_with_backoff(self, part: Part, now_s: float) -> None:
         """Plans a retry after a pause that doubles, if there is time for it."""
-        pause_s = RETRY_PAUSE_MIN_S * 2.0 ** max(0, part.failed_rounds - 1)
-        at_s = now_s + min(RETRY_PAUSE_MAX_S, pause_s)
+        at_s = now_s + part.retry_pause_s
         if at_s + ATTEMPT_MIN_S < self._deadlines.ends_at_s:
             part.retry_at_s = at_s
             self._due_at_s = min(self._due_at_s, at_s)
@@ -218,8 +219,7 @@
         record = self._untried_target(part, now_s) or self._tried_target(part, now_s)
         if record is None or self._sender.is_quarantined(self._request, now_s):
             return
-        needs_no_budget = self._has_reached_no_target(part)
-        may_send = needs_no_budget or self._try_spend(part, now_s)
+        may_send = part.has_failed_unsent or self._try_spend(part, now_s)
         cause = outcome_of(part.failure) if part.failure is not None else "unasked"
         if may_send or not part.is_withheld:
             self._log_repeat(part, record, cause, may_send, now_s)
@@ -255,17 +255,6 @@
         self._extra_count += 1
         return True
 
-    def _has_reached_no_target(self, part: Part) -> bool:
-        """Returns whether attempts have failed before a byte reached any target.
-
-        The next attempt is then not an extra one, so it needs no budget.
-        """
-        return (
-            part.failure is not None
-            and not part.has_reached_target
-            and not part.open_calls
-        )
-
     def _untried_target(self, part: Part, now_s: float) -> TargetRecord | None:
         """Returns the best untried target, if the route allows another one."""
         if len(part.tried_targets) >= max(1, self._route.attempts_max):
@@ -277,12 +266,9 @@
 
     def _tried_target(self, part: Part, now_s: float) -> TargetRecord | None:
         """Returns the best target that was tried and has no open call of this part."""
-        busy_targets = {call.record.target for call in part.open_calls.values()}
         for record in self._sender.rank_targets(part.service, now_s):
-            if (
-                record.target in part.tried_targets
-                and record.target not in busy_targets
-            ):
+            is_tried = record.target in part.tried_targets
+            if is_tried and not part.has_open_call(record.target):
                 return record
         return None
 
@@ -297,23 +283,24 @@
             case _:
                 return 1
 
+    @property
+    def _are_too_many_lost(self) -> bool:
+        return len(self._parts) - self._lost_count < self._required_parts()
+
     def _is_final(self, now_s: float) -> bool:
         done = len(self._replies)
         if done == len(self._parts) or now_s >= self._deadlines.ends_at_s:
             return True
-        required = self._required_parts()
-        if len(self._parts) - self._lost_count < required:
+        if self._are_too_many_lost:
             return True
         is_settled = done + self._lost_count == len(self._parts)
-        return done >= required and (
+        return done >= self._required_parts() and (
             now_s >= self._deadlines.objective_at_s or is_settled
         )
 
     def _time_to_next_event_s(self, now_s: float) -> float:
         """Returns the seconds until the next retry, hedge or deadline."""
-        wake_at_s = min(self._due_at_s, self._deadlines.ends_at_s)
-        if now_s < self._deadlines.objective_at_s:
-            wake_at_s = min(wake_at_s, self._deadlines.objective_at_s)
+        wake_at_s = min(self._due_at_s, self._deadlines.next_after(now_s))
         return max(0.0, wake_at_s - now_s)
 
     def _cancel_all(self) -> None:
@@ -341,10 +328,7 @@
 
     def _build_failure(self, now_s: float) -> Response:
         is_late = now_s >= self._deadlines.ends_at_s
-        may_have_run = any(
-            part.may_have_run or part.has_sent_call or part.is_done
-            for part in self._parts
-        )
+        may_have_run = any(part.has_run_or_may_run for part in self._parts)
         if not may_have_run:
             # They would otherwise be sent once a connection is free.
             self._cancel_all()
@@ -367,13 +351,29 @@
             self._request, part, record.target, cause, may_send, remaining, now_s
         )
 
-    def _log_end(self, outcome: str, now_s: float) -> None:
+    def _find_missing(self, now_s: float) -> list[MissingPart]:
+        """Returns the shards that a search leaves out, before calls are cancelled."""
+        if not self._is_gathered or len(self._replies) == len(self._parts):
+            return []
+        if now_s < self._deadlines.ends_at_s and self._are_too_many_lost:
+            self._interruption = self._interruption or MissingCause.OTHERS_LOST
+        unhandled = {
+            event.call.number
+            for event in self._inbox.take_all()
+            if isinstance(event, CallDone)
+        }
+        missing = find_missing(self._parts, unhandled, self._interruption, now_s)
+        self._sender.record_missing(missing)
+        return missing
+
+    def _log_end(self, outcome: str, missing: list[MissingPart], now_s: float) -> None:
         log_end(
             self._request,
             self._route,
             self._sender.routes_age(now_s),
             outcome,
             self._parts,
+            missing,
             self._extra_count,
             self._deadlines,
             now_s,
--- a/lavendertide/forwarding/sender.py
+++ b/lavendertide/forwarding/sender.py
@@ -5,6 +5,7 @@
 from typing import Protocol
 
 from lavendertide.forwarding.messages import CallerRequest, TargetReply
+from lavendertide.forwarding.missing import MissingPart
 from lavendertide.forwarding.pool import TargetCall
 from lavendertide.ids import ServiceName
 from lavendertide.registry.record import TargetRecord
@@ -78,5 +79,8 @@
     ) -> TargetCall:
         """Sends a sub-request to a target; its reply is put into the inbox."""
 
+    def record_missing(self, missing: Iterable[MissingPart]) -> None:
+        """Counts the shards that the response to a search leaves out."""
+
     def report_late_call(self, call: TargetCall, now_s: float) -> None:
         """Notifies peers of a late call, unless its target is known to be stalled."""
--- a/lavendertide/platform/target_channel.py
+++ b/lavendertide/platform/target_channel.py
@@ -76,6 +76,10 @@
         self._usable_until_s = None
         return self._connection.open(timeout_s)
 
+    def has_data(self) -> bool:
+        """Returns whether data has arrived that was not read yet; never waits."""
+        return self._connection.has_data
+
     def close(self) -> None:
         """Closes the connection; an exchange in another task fails at once."""
         self._connection.abort()
--- a/lavendertide/runtime/sockets.py
+++ b/lavendertide/runtime/sockets.py
@@ -221,6 +221,11 @@
     return _peek(connection) is None
 
 
+def has_data(connection: socket.socket) -> bool:
+    """Returns whether a connection has data to read; never waits."""
+    return bool(_peek(connection))
+
+
 def _peek(connection: socket.socket) -> bytes | None:
     """Returns the next byte, none if there is no data, `b""` once it is closed."""
     plain_socket = getattr(connection, "fd", connection)
--- a/standins/model_targets.py
+++ b/standins/model_targets.py
@@ -179,6 +179,10 @@
         self._is_open = self._target.fault is not Fault.GONE
         return self._is_open
 
+    def has_data(self) -> bool:
+        """Returns False: replies are returned as soon as they exist."""
+        return False
+
     def close(self) -> None:
         """Closes the connection and aborts the exchange that runs on it."""
         self._is_open = False
--- a/tests/encodings/test_http_connections.py
+++ b/tests/encodings/test_http_connections.py
@@ -19,6 +19,7 @@
     render_head,
 )
 from lavendertide.encodings.http_server_connection import ServerConnection
+from lavendertide.ids import Address
 from standins.gateway_process import wait_until
 from tests.encodings.fixed_peer import TIMEOUT_S, Peer
 
@@ -76,6 +77,21 @@
             self.exchange(b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nbody")
         self.assertTrue(raised.exception.has_received_data)
 
+    def test_unread_data_is_seen_without_reading_it(self) -> None:
+        """The cause of a missing shard depends on it; see `forwarding.missing`."""
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            host, port = listener.getsockname()
+            connection = ClientConnection(Address(f"{host}:{port}"))
+            self.addCleanup(connection.close)
+            self.assertFalse(connection.has_data)
+            self.assertTrue(connection.open(TIMEOUT_S))
+            accepted, _ = listener.accept()
+            self.assertFalse(connection.has_data)
+            accepted.sendall(b"H")
+            wait_until(lambda: connection.has_data, TIMEOUT_S)
+            self.assertTrue(connection.has_data)
+            accepted.close()
+
     def test_a_close_before_the_first_byte_is_reported(self) -> None:
         with self.assertRaises(ExchangeError) as raised:
             self.exchange(b"")
--- a/tests/forwarding/scripted_targets.py
+++ b/tests/forwarding/scripted_targets.py
@@ -118,6 +118,10 @@
         """Returns True without opening anything."""
         return True
 
+    def has_data(self) -> bool:
+        """Returns False: replies are returned as soon as they exist."""
+        return False
+
     def close(self) -> None:
         """Counts the cancelled exchange."""
         self._scripted.closed_count += 1
--- a/tests/forwarding/test_pool.py
+++ b/tests/forwarding/test_pool.py
@@ -150,6 +150,10 @@
         self.opened += 1
         return True
 
+    def has_data(self) -> bool:
+        """Returns False: replies are returned as soon as they exist."""
+        return False
+
     def close(self) -> None:
         """Does nothing."""
 
