Export gauges of evacuated domains and of the calls that they still run

An operator who has evacuated a failure domain could not see when its targets have nothing left of this fleet.

`lavendertide_evacuated_domains` and `lavendertide_evacuated_calls_in_flight` are computed when the metrics are read, from EvacuatedDomains, the registry and the open calls of each target. Calls to targets that have left the registry are not counted. Requests refused because of an evacuation are counted already, as `lavendertide_forwarded_requests_total` with the outcome `evacuated`.

--- a/lavendertide/forwarding/target_view.py
+++ b/lavendertide/forwarding/target_view.py
@@ -190,6 +190,10 @@
             view = self._views[target] = TargetView()
         return view
 
+    def find(self, target: TargetId) -> TargetView | None:
+        """Returns the view of a target; none if this host hasn't used it."""
+        return self._views.get(target)
+
     def record_stall(self, target: TargetId, now_s: float) -> None:
         """Records a peer's stall notice, unless this host hasn't used the target.
 
--- a/lavendertide/gateway/gateway.py
+++ b/lavendertide/gateway/gateway.py
@@ -14,6 +14,7 @@
 from lavendertide.encodings.peer_socket import PeerSocket
 from lavendertide.encodings.routes_json import decode_table, encode_table
 from lavendertide.evacuation.evacuated_domains import EvacuatedDomains
+from lavendertide.evacuation.metrics import EvacuationMetrics
 from lavendertide.fleet.addresses import AddressBook
 from lavendertide.fleet.gossip import Gossip
 from lavendertide.fleet.link_faults import LinkFaults
@@ -26,6 +27,7 @@
 from lavendertide.forwarding.budget import RetryBudgets
 from lavendertide.forwarding.fleet_callbacks import FleetCallbacks
 from lavendertide.forwarding.forwarder import Forwarder
+from lavendertide.forwarding.host_status import count_calls
 from lavendertide.forwarding.metrics import ForwardingMetrics
 from lavendertide.forwarding.poison import CrashEvidence
 from lavendertide.forwarding.pool import (
@@ -264,6 +266,11 @@
         )
         self._metrics = ForwardingMetrics(REGISTRY)
         self._target_views = TargetViews(options.failure_domain)
+        EvacuationMetrics(
+            REGISTRY,
+            self._evacuated,
+            lambda domain: count_calls(self._registry, self._target_views, domain),
+        )
         self._crash_evidence = CrashEvidence(Quarantine())
         self._budgets = RetryBudgets(options.retries)
         leaving = LeavingBroadcast(self._registry, self._roster, self._peers)
--- a/tests/evacuation/test_requests.py
+++ b/tests/evacuation/test_requests.py
@@ -4,8 +4,12 @@
 the failure domain of their target is evacuated.
 """
 
+from prometheus_client import CollectorRegistry
+
 from lavendertide.evacuation.evacuated_domains import Evacuation
+from lavendertide.evacuation.metrics import EvacuationMetrics
 from lavendertide.forwarding.early_refusal import EVACUATED_RETRY_S
+from lavendertide.forwarding.host_status import count_calls
 from lavendertide.forwarding.messages import Passed, RefusalCause, Refused
 from lavendertide.ids import TargetId
 from lavendertide.runtime import clock, tasks
@@ -79,6 +83,34 @@
         self.assertEqual(self.scripted.called_targets.count(NEAR), sent)
         self.assertEqual(served, [True] * 8)
 
+    def test_gauges_follow_the_calls_that_an_evacuated_domain_still_runs(self) -> None:
+        """Guards against an operator who stops a domain that still runs requests."""
+        metrics = CollectorRegistry()
+        EvacuationMetrics(
+            metrics,
+            self.scripted.evacuated,
+            lambda domain: count_calls(
+                self.scripted.registry, self.scripted.views, domain
+            ),
+        )
+
+        def gauges() -> tuple[float | None, float | None]:
+            return (
+                metrics.get_sample_value("lavendertide_evacuated_domains"),
+                metrics.get_sample_value("lavendertide_evacuated_calls_in_flight"),
+            )
+
+        self.scripted.behaviours[NEAR] = replies_after(0.3)
+        tasks.spawn(self.scripted.forward, None, "r1", 3.0)
+        tasks.sleep(0.1)
+        self.assertEqual(gauges(), (0.0, 0.0))
+        self.apply(ORDER)
+        self.assertEqual(gauges(), (1.0, 1.0))
+        tasks.sleep(0.3)
+        self.assertEqual(gauges(), (1.0, 0.0))
+        self.apply(END)
+        self.assertEqual(gauges(), (0.0, 0.0))
+
     def test_a_late_call_is_hedged_elsewhere_only(self) -> None:
         self.scripted.add("near-2", "desk", replies())
         self.scripted.behaviours[NEAR] = replies_after(2.0)
--- a/tests/processes/test_product_operations.py
+++ b/tests/processes/test_product_operations.py
@@ -13,6 +13,8 @@
 
 from lavendertide.bounded_logs import DROPPED
 from lavendertide.command_line.main import commands
+from lavendertide.evacuation.evacuated_domains import EvacuatedDomains
+from lavendertide.evacuation.metrics import EvacuationMetrics
 from lavendertide.forwarding.metrics import ForwardingMetrics
 from lavendertide.reports.run import dump_run
 from standins.deployment import ASSOCIATION, KOINOPRAXIA, build_publication, scaled_down
@@ -41,6 +43,7 @@
     """Returns the names of the metrics that only a gateway exports."""
     registry = CollectorRegistry()
     ForwardingMetrics(registry)
+    EvacuationMetrics(registry, EvacuatedDomains(), lambda _: 0)
     registry.register(DROPPED)
     text = generate_latest(registry).decode()
     return set(re.findall(TYPE_LINE, text, re.MULTILINE))
