Give the hosts that are named to callers half of a target's connections

Cause: a target's 64 connections were divided evenly over 33 hosts, so each of the few hosts that callers use had one.

Change: the named hosts divide half of the connections among themselves, by the rule and the delay that their larger part of the repeat budget has; the others divide the other half.

--- a/lavendertide/forwarding/fleet_callbacks.py
+++ b/lavendertide/forwarding/fleet_callbacks.py
@@ -17,7 +17,8 @@
         record_leaving: Records that a run of a target is leaving, and sends it to
             peers that may not notice it.
         broadcast_verdict: Sends peers a verdict on a request that may crash targets.
-        count_hosts: Returns how many hosts share the targets' connections.
+        connection_hosts: Returns by how many hosts the targets' connections are divided
+            here, at a time.
         budget_share: Returns this host's share, from 0 to 1, of the fleet's fixed
             number of extra sub-requests.
         has_previous_connections: Returns whether targets may still count connections
@@ -27,6 +28,6 @@
     broadcast_stall: Callable[[TargetId], None]
     record_leaving: Callable[[TargetRun, float], None]
     broadcast_verdict: Callable[[Verdict], None]
-    count_hosts: Callable[[], int]
+    connection_hosts: Callable[[float], int]
     budget_share: Callable[[float], float]
     has_previous_connections: Callable[[float], bool]
--- a/lavendertide/forwarding/forwarder.py
+++ b/lavendertide/forwarding/forwarder.py
@@ -271,7 +271,7 @@
         return connection_share(
             service_settings.connections_max,
             record.slots,
-            self._fleet.count_hosts(),
+            self._fleet.connection_hosts(now_s),
             self._fleet.has_previous_connections(now_s),
         )
 
--- a/lavendertide/gateway/budget_share.py
+++ b/lavendertide/gateway/budget_share.py
@@ -4,6 +4,7 @@
 share from the roster, without a message to the others.
 """
 
+import math
 from typing import Final
 
 from lavendertide.fleet.readiness import ALONE_AFTER_S
@@ -19,6 +20,9 @@
 # with what its previous run may have spent it fills the allowance, of which all runs
 # leave the rest unspent.
 RESTARTED_FRACTION: Final = 1.0 / SPENDABLE_SHARE - 1.0
+# Fraction of a target's connections that is for the hosts which are named to callers.
+# The others get few requests: those of callers that still use an earlier address.
+NAMED_CONNECTIONS_FRACTION: Final = 0.5
 
 
 class BudgetShare:
@@ -48,10 +52,19 @@
         self._alone_since_s: float | None = None
         self._named_share_from_s: float | None = None
 
-    @property
-    def hosts(self) -> int:
-        """Number of hosts by which the fleet's budgets are divided."""
-        return self._fleet_size.hosts
+    def connection_hosts(self, now_s: float) -> int:
+        """Returns by how many hosts a target's connections are divided on this host.
+
+        A named host shares half of them with the other named ones, so that its calls
+        don't wait for each other while the connections of idle hosts are unused.
+        """
+        hosts, named = self._fleet_size.hosts, self._named_size.hosts
+        if not self._fleet_size.is_known:
+            return hosts
+        if self._has_named_share(now_s):
+            return min(hosts, math.ceil(named / NAMED_CONNECTIONS_FRACTION))
+        others = max(1, hosts - named)
+        return max(hosts, math.ceil(others / (1.0 - NAMED_CONNECTIONS_FRACTION)))
 
     @property
     def has_known_peers(self) -> bool:
@@ -93,10 +106,15 @@
 
     def _full_share(self, now_s: float) -> float:
         even_share = EVENLY_SHARED_FRACTION / self._fleet_size.hosts
-        if self._named_share_from_s is None or now_s < self._named_share_from_s:
+        if not self._has_named_share(now_s):
             return even_share
         return even_share + (1.0 - EVENLY_SHARED_FRACTION) / self._named_size.hosts
 
+    def _has_named_share(self, now_s: float) -> bool:
+        """Returns whether this host has been named for at least one window."""
+        from_s = self._named_share_from_s
+        return from_s is not None and now_s >= from_s
+
     def _restart_factor(self, now_s: float) -> float:
         """Returns the part of the share that is not left to previous runs."""
         if self._restarted_at_s is None:
--- a/lavendertide/gateway/gateway.py
+++ b/lavendertide/gateway/gateway.py
@@ -302,7 +302,7 @@
                 self._peer_exchange.broadcast_stall,
                 leaving.record_leaving,
                 self._peer_exchange.queue_verdict,
-                lambda: self._budget_share.hosts,
+                self._budget_share.connection_hosts,
                 self._budget_share.share,
                 self._may_have_previous_connections,
             ),
--- a/standins/model_fleet.py
+++ b/standins/model_fleet.py
@@ -103,7 +103,7 @@
                 fleet.broadcast_stall,
                 self._record_leaving,
                 fleet.broadcast_verdict,
-                lambda: fleet.size.hosts,
+                lambda _: fleet.size.hosts,
                 lambda _: 1 / fleet.size.hosts,
                 # The day starts with a fleet that has already served for some time.
                 lambda _: False,
--- a/tests/forwarding/scripted_targets.py
+++ b/tests/forwarding/scripted_targets.py
@@ -180,7 +180,7 @@
                 self.stalls.append,
                 self._record_leaving,
                 lambda _: None,
-                lambda: 8,
+                lambda _: 8,
                 lambda _: 1 / 8,
                 lambda _: False,
             ),
--- a/tests/gateway/test_budget_share.py
+++ b/tests/gateway/test_budget_share.py
@@ -6,6 +6,7 @@
 
 from lavendertide.fleet.readiness import ALONE_AFTER_S
 from lavendertide.forwarding.budget import RetryAllowance, RetryBudgets
+from lavendertide.forwarding.pool import connection_share
 from lavendertide.gateway.budget_share import BudgetShare
 from standins.forwarding_records import DESK
 
@@ -35,6 +36,47 @@
         return spent
 
 
+class ConnectionsTest(unittest.TestCase):
+    """Guards against calls of one host that wait for its only connection to a target.
+
+    The load: a few of many hosts get all requests, while the connections of the others
+    are unused.
+    """
+
+    def hosts_for(self, members: int, named: int, is_named: bool) -> int:
+        """Returns by how many hosts a host divides the connections of a target."""
+        share = BudgetShare(WINDOW_S)
+        share.update(members, named, is_named, 0.0)
+        return share.connection_hosts(0.0)
+
+    def test_a_named_host_shares_half_of_them_with_the_named(self) -> None:
+        self.assertEqual(self.hosts_for(33, 9, True), 18)
+        self.assertEqual(connection_share(64, 2, 18, False), 2)
+
+    def test_the_others_share_the_other_half(self) -> None:
+        self.assertEqual(self.hosts_for(33, 9, False), 48)
+
+    def test_where_all_are_named_they_are_divided_by_all(self) -> None:
+        self.assertEqual(self.hosts_for(8, 8, True), 8)
+
+    def test_all_together_stay_below_what_a_target_accepts(self) -> None:
+        for members in range(2, 40):
+            for named in range(1, members + 1):
+                each_named = 400 / self.hosts_for(members, named, True)
+                each_other = 400 / self.hosts_for(members, named, False)
+                used = named * each_named + (members - named) * each_other
+                self.assertLessEqual(used, 400 + 1e-9, (members, named))
+
+    def test_a_newly_named_host_waits_until_the_former_ones_have_closed_theirs(
+        self,
+    ) -> None:
+        share = BudgetShare(WINDOW_S)
+        share.update(33, 9, False, 0.0)
+        share.update(33, 9, True, 1.0)
+        self.assertEqual(share.connection_hosts(1.0), 48)
+        self.assertEqual(share.connection_hosts(1.0 + WINDOW_S), 18)
+
+
 class BudgetShareTest(unittest.TestCase):
     """Named hosts have larger shares, and all shares together stay within the budget.
 
