Send orders on connections that have just been used, or on new ones

Cause: targets forget connections that rest for some tenths of a second. A request that can't be repeated and is sent on such a connection ends with 502, since its fate is unknown.

Change: a request that can't be repeated uses a connection only within 0.1 s of its last use, and else a new one.

--- a/lavendertide/forwarding/forwarder.py
+++ b/lavendertide/forwarding/forwarder.py
@@ -41,6 +41,7 @@
 from lavendertide.routes.route import (
     GatheredShards,
     OneService,
+    RequestKind,
     Route,
     SplitServices,
 )
@@ -224,6 +225,7 @@
             ends_at_s,
             handle_done,
             view.outages,
+            route.kind is RequestKind.IDEMPOTENT,
         )
         view.record_sent(call.number, now_s, late_after_s)
         self._pools.submit(call, self._connections_max(record, now_s))
--- a/lavendertide/forwarding/pool.py
+++ b/lavendertide/forwarding/pool.py
@@ -7,6 +7,7 @@
 """
 
 import logging
+import math
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Final, Protocol
@@ -39,6 +40,10 @@
 # Requests that a connection remembers to have carried without success. With more it is
 # replaced by a new one.
 UNSUCCESSFUL_MAX: Final = 256
+# Longest rest of a connection after which it carries a request that can't be repeated.
+# Targets may forget connections that rest for a few tenths of a second. Whether they
+# have run what is sent on such a connection is unknown.
+RESTED_MAX_S: Final = 0.1
 
 _log = logging.getLogger(__name__)
 
@@ -78,6 +83,7 @@
         late_at_s: Time from which the reply is late, monotonic.
         ends_at_s: Time from which nobody waits for the reply, monotonic.
         done: Called once with the call and its reply.
+        is_repeatable: Whether the request may be sent again if its fate is unknown.
         outages: How often the target had stopped accepting connections before.
         is_sent: Whether a byte of the request may have reached the target.
         is_cancelled: Whether nobody waits for the reply any more.
@@ -92,6 +98,7 @@
     ends_at_s: float
     done: Callable[["TargetCall", TargetReply], None]
     outages: int = 0
+    is_repeatable: bool = True
     is_sent: bool = False
     is_cancelled: bool = False
     channel: "TargetChannel | None" = field(default=None, repr=False)
@@ -143,6 +150,7 @@
     def __init__(self, channel: TargetChannel) -> None:
         self._channel = channel
         self._unsuccessful: set[CallerRequestId] = set()
+        self._used_at_s = -math.inf
 
     def make_usable(self, call: TargetCall, now_s: float) -> bool:
         """Opens a new connection if the open one can't carry a call.
@@ -153,6 +161,7 @@
         is_fresh = (
             call.request.request not in self._unsuccessful
             and len(self._unsuccessful) < UNSUCCESSFUL_MAX
+            and (call.is_repeatable or now_s - self._used_at_s <= RESTED_MAX_S)
         )
         if is_fresh and self._channel.is_usable(now_s):
             return True
@@ -167,6 +176,7 @@
             reply = self._channel.exchange(call, now_s)
         finally:
             call.channel = None
+            self._used_at_s = clock.monotonic_s()
         match reply:
             case Replied() if reply.is_success:
                 pass
--- a/tests/forwarding/test_pool.py
+++ b/tests/forwarding/test_pool.py
@@ -17,12 +17,14 @@
 )
 from lavendertide.ids import Address, CallerRequestId
 from lavendertide.routes.route import RequestKind
-from lavendertide.runtime import clock
+from lavendertide.runtime import clock, tasks
 from standins.forwarding_records import reply, request, route, target
 from tests.forwarding.scripted_targets import (
     Behaviour,
     ScriptedChannel,
     ScriptedForwarder,
+    crashes,
+    replies,
 )
 from tests.virtual_time import VirtualTimeTestCase
 
@@ -192,3 +194,46 @@
 
     def test_a_reply_is_returned_unchanged(self) -> None:
         self.assertIsInstance(self.send("y1"), Replied)
+
+
+class ForgottenChannel(ScriptedChannel):
+    """A connection that its target forgets while it rests, which shows only on use."""
+
+    FORGOTTEN_AFTER_S = 0.3
+
+    def __init__(self, scripted: ScriptedForwarder) -> None:
+        super().__init__(scripted)
+        self._used_at_s = clock.monotonic_s()
+
+    def open(self, timeout_s: float) -> bool:
+        """Opens a new connection."""
+        self._used_at_s = clock.monotonic_s()
+        return True
+
+    def exchange(self, call: TargetCall, now_s: float) -> TargetReply:
+        """Ends without a reply if the target has forgotten the connection."""
+        rested_s, self._used_at_s = now_s - self._used_at_s, now_s
+        if rested_s > self.FORGOTTEN_AFTER_S:
+            return crashes(call)
+        return super().exchange(call, now_s)
+
+
+class ForgettingForwarder(ScriptedForwarder):
+    """A forwarder whose targets forget connections that rest."""
+
+    def _make_channel(self, address: Address) -> ScriptedChannel:
+        return ForgottenChannel(self)
+
+
+class RestedConnectionTest(VirtualTimeTestCase):
+    """Guards against orders that fail since they are sent on a forgotten connection.
+
+    The load: a few orders a minute, between which connections rest.
+    """
+
+    def test_an_order_is_sent_on_a_new_connection(self) -> None:
+        scripted = ForgettingForwarder(route(kind=RequestKind.NON_IDEMPOTENT))
+        scripted.add("t", "desk", replies())
+        for number in range(4):
+            self.assertIsInstance(scripted.forward(name=f"r{number}"), Passed)
+            tasks.sleep(0.5)
