Explain where a request would be sent now, without sending it

Nothing told an operator where a gateway would send a given request, and why not to another target; it had to be inferred from log lines of past requests.

forwarding/explanation.py asks the functions that decide: TargetChoice, EarlyRefusals, RouteCapacities, SplitCounters and the registry, which names why it leaves a target out. The gateway answers `/explain` and `/status` beside its metrics, and `lavendertide route` asks one gateway or compares several. To change nothing, TargetRegistry.ready_targets leaves out lapsed targets instead of discarding them; each request discards them first.

--- a/lavendertide/command_line/main.py
+++ b/lavendertide/command_line/main.py
@@ -15,6 +15,7 @@
 from lavendertide.command_line.fleet import fleet
 from lavendertide.command_line.missing import missing
 from lavendertide.command_line.reports import report
+from lavendertide.command_line.route import route
 
 
 @click.group()
@@ -42,6 +43,7 @@
     report,
     explain,
     missing,
+    route,
     check,
     settings,
     completion,
--- a/lavendertide/command_line/parameters.py
+++ b/lavendertide/command_line/parameters.py
@@ -10,6 +10,7 @@
 
 HOST_VARIABLE: Final = "LAVENDERTIDE_HOST"
 ADMIN_VARIABLE: Final = "LAVENDERTIDE_ADMIN"
+GATEWAY_VARIABLE: Final = "LAVENDERTIDE_GATEWAY"
 KEY_VARIABLE: Final = "LAVENDERTIDE_KEY"
 DEFAULT_DEADLINE_MS: Final = 500
 _ADDRESS: Final = re.compile(r"^[0-9.]+:[0-9]{1,5}$")
@@ -82,4 +83,14 @@
     show_envvar=True,
     help="An operator's or an owner's key.",
 )
+gateways = click.option(
+    "--gateway",
+    "gateways",
+    multiple=True,
+    required=True,
+    envvar=GATEWAY_VARIABLE,
+    show_envvar=True,
+    type=AddressType(),
+    help="A gateway's metrics address; may be given more than once.",
+)
 as_json = click.option("--json", "as_json", is_flag=True, help="Print JSON.")
--- a/lavendertide/fleet/readiness.py
+++ b/lavendertide/fleet/readiness.py
@@ -93,6 +93,12 @@
         self._state = ReadinessState.LEAVING
         self._closes_at_s = closes_at_s
 
+    def accepts(self, now_s: float) -> bool:
+        """Returns whether `check` would accept a request, without any effect."""
+        has_paused = now_s - self._ticked_at_s > self._lease_s
+        is_closed = self._closes_at_s is not None and now_s >= self._closes_at_s
+        return self._stale_since_s is None and not has_paused and not is_closed
+
     def check(self, now_s: float) -> Result[None, Refusal]:
         """Returns a refusal if a request can't be accepted now."""
         self._detect_pause(now_s)
--- a/lavendertide/forwarding/capacity.py
+++ b/lavendertide/forwarding/capacity.py
@@ -9,6 +9,7 @@
 import logging
 import math
 import random
+from dataclasses import dataclass
 from typing import Final
 
 from lavendertide.forwarding.messages import CallerRequest, RefusalCause, Refused
@@ -29,6 +30,22 @@
 _log = logging.getLogger(__name__)
 
 
+@dataclass(frozen=True, slots=True)
+class RouteLimit:
+    """The limit of a route on this host.
+
+    Attributes:
+        in_flight: Requests of the route that run.
+        limit: Maximum number of them; none if there is no limit.
+        admitted_share: Probability, from 0 to 1, that a request is admitted.
+    """
+
+    route: RouteName
+    in_flight: int
+    limit: float | None
+    admitted_share: float
+
+
 class RouteCapacities:
     """Limits the concurrent requests of each route on this host."""
 
@@ -61,6 +78,24 @@
         permit.release(feedback, route.objective_s, now_s)
         _log_change(route, permit.capacity, previous_limit)
 
+    def limit_of(self, route: RouteName, now_s: float) -> RouteLimit:
+        """Returns the limit that a request meets now, without counting it."""
+        capacity = self._capacities.known.get(route)
+        if capacity is None:
+            return RouteLimit(route, 0, None, 1.0)
+        limit = capacity.limit_at(now_s)
+        return RouteLimit(
+            route,
+            capacity.in_flight,
+            None if math.isinf(limit) else limit,
+            capacity.admitted_share(now_s),
+        )
+
+    def limits(self, now_s: float) -> tuple[RouteLimit, ...]:
+        """Returns the limits in force."""
+        known = (self.limit_of(route, now_s) for route in self._capacities.known)
+        return tuple(each for each in known if each.limit is not None)
+
     def retain_only(self, routes: frozenset[RouteName]) -> None:
         """Removes the capacities of all other routes."""
         self._capacities.retain_only(routes)
--- a/lavendertide/forwarding/forwarder.py
+++ b/lavendertide/forwarding/forwarder.py
@@ -15,6 +15,7 @@
 from lavendertide.forwarding.capacity import RouteCapacities
 from lavendertide.forwarding.deadlines import response_deadlines
 from lavendertide.forwarding.early_refusal import EarlyRefusals
+from lavendertide.forwarding.explanation import Explainer
 from lavendertide.forwarding.fleet_callbacks import FleetCallbacks
 from lavendertide.forwarding.messages import (
     CallerRequest,
@@ -92,6 +93,25 @@
         registry.set_removal_listener(self._remove_target)
         registry.set_closing_listener(self._withdraw_calls)
 
+    @property
+    def explainer(self) -> Explainer:
+        """Explains where requests would be sent now, without sending them."""
+        return Explainer(
+            self.find_route,
+            self._active_routes,
+            self._registry,
+            self._views,
+            self._choice,
+            self._early_refusals,
+            self._capacities,
+            self._splits,
+        )
+
+    @property
+    def capacities(self) -> RouteCapacities:
+        """The limits of the routes on this host."""
+        return self._capacities
+
     def announce_end(self, at_s: float) -> None:
         """Announces that this host ends at a monotonic time.
 
@@ -118,6 +138,8 @@
             inbox: Receives the replies, and `CallerLeft` if the caller disconnects.
         """
         now_s = clock.monotonic_s()
+        # The next read of the platform, which also does this, may be seconds away.
+        self._registry.expire(now_s)
         deadlines = response_deadlines(request, route, self._used_s(request, route))
         if self._host_ends_at_s is not None:
             ends_at_s = min(deadlines.ends_at_s, self._host_ends_at_s)
--- a/lavendertide/forwarding/host_status.py
+++ b/lavendertide/forwarding/host_status.py
@@ -6,9 +6,11 @@
 from dataclasses import dataclass
 
 from lavendertide.evacuation.evacuated_domains import EvacuatedDomains
+from lavendertide.forwarding.capacity import RouteLimit
 from lavendertide.forwarding.target_view import TargetViews
 from lavendertide.ids import FailureDomain
 from lavendertide.registry.registry import TargetRegistry
+from lavendertide.routes.active_routes import RoutesAge
 
 
 @dataclass(frozen=True, slots=True)
@@ -27,6 +29,24 @@
     in_flight: int
 
 
+@dataclass(frozen=True, slots=True)
+class HostStatus:
+    """What is in force on one host.
+
+    Attributes:
+        state: Whether the host accepts requests.
+        routes: Version and age of its routes.
+        evacuated: The domains that are evacuated.
+        limits: The limits of routes that are in force.
+    """
+
+    host: str
+    state: str
+    routes: RoutesAge
+    evacuated: tuple[EvacuatedDomainStatus, ...]
+    limits: tuple[RouteLimit, ...]
+
+
 def evacuated_status(
     evacuated: EvacuatedDomains,
     registry: TargetRegistry,
--- a/lavendertide/gateway/entry_front.py
+++ b/lavendertide/gateway/entry_front.py
@@ -1,12 +1,15 @@
-"""Serves readiness probes, scrapes of the metrics and look-ups of host addresses."""
+"""Serves readiness probes, scrapes of metrics, look-ups of addresses and reports."""
 
 import socket
+from dataclasses import dataclass
 from typing import Final, Protocol
 
 from lavendertide.encodings.http_messages import BadRequest, HttpRequest, HttpResponse
 from lavendertide.encodings.http_server_connection import ServerConnection
 from lavendertide.fleet.addresses import AddressBook
 from lavendertide.fleet.readiness import Readiness, ReadinessState
+from lavendertide.forwarding.messages import CallerRequest
+from lavendertide.gateway.host_reports import HostReports
 from lavendertide.ids import CallerKey, FailureDomain, Region
 from lavendertide.runtime import clock
 
@@ -41,8 +44,25 @@
         self.failure_domain = failure_domain
 
 
+class StatusRequest:
+    """Asks for what is in force on this host."""
+
+
+@dataclass(frozen=True, slots=True)
+class ExplanationRequest:
+    """Asks where a request would be sent now."""
+
+    request: CallerRequest
+
+
 # A request that is answered from this host's own state and not forwarded.
-EntryRequest = ReadinessRequest | MetricsRequest | AddressesRequest
+EntryRequest = (
+    ReadinessRequest
+    | MetricsRequest
+    | AddressesRequest
+    | StatusRequest
+    | ExplanationRequest
+)
 
 
 class EntryCodec(Protocol):
@@ -70,6 +90,9 @@
     def encode_text(self, text: bytes) -> HttpResponse:
         """Returns a plain-text response."""
 
+    def encode_document(self, document: bytes) -> HttpResponse:
+        """Returns the response with a JSON document."""
+
     def encode_bad_request(self, bad: BadRequest) -> HttpResponse:
         """Returns the response to a malformed request."""
 
@@ -90,11 +113,13 @@
         readiness: Readiness,
         address_book: AddressBook,
         render_metrics: MetricsRenderer,
+        reports: HostReports,
     ) -> None:
         self._codec = codec
         self._readiness = readiness
         self._address_book = address_book
         self._render_metrics = render_metrics
+        self._reports = reports
 
     def serve(self, accepted: socket.socket) -> None:
         """Serves the requests of one connection until it closes."""
@@ -132,5 +157,10 @@
                 )
             case MetricsRequest():
                 return self._codec.encode_text(self._render_metrics())
+            case StatusRequest():
+                return self._codec.encode_document(self._reports.describe(now_s))
+            case ExplanationRequest(explained):
+                document = self._reports.explain(explained, now_s)
+                return self._codec.encode_document(document)
             case BadRequest():
                 return self._codec.encode_bad_request(request)
--- a/lavendertide/gateway/gateway.py
+++ b/lavendertide/gateway/gateway.py
@@ -42,6 +42,7 @@
 from lavendertide.gateway.entry_front import EntryCodec, EntryFront
 from lavendertide.gateway.evacuation_broadcast import EvacuationBroadcast
 from lavendertide.gateway.follower import Follower, PlatformReader
+from lavendertide.gateway.host_reports import HostReports
 from lavendertide.gateway.leaving_broadcast import LeavingBroadcast
 from lavendertide.gateway.load import LoadMeter
 from lavendertide.gateway.options import GatewayOptions
@@ -107,7 +108,7 @@
         reader: Reads what the platform publishes.
         make_channel: Makes a connection to a target.
         callers: Codec of callers' messages.
-        entries: Codec of requests for readiness, metrics and addresses.
+        entries: Codec of requests for readiness, metrics, addresses and reports.
     """
 
     reader: PlatformReader
@@ -336,6 +337,14 @@
             self._readiness,
             self._addresses,
             lambda: generate_latest(REGISTRY),
+            HostReports(
+                self._options.host,
+                self._forwarder,
+                self._readiness,
+                self._registry,
+                self._target_views,
+                self._evacuated,
+            ),
         )
 
     def _enable_serving_after_read(self) -> None:
--- a/lavendertide/overload/capacities.py
+++ b/lavendertide/overload/capacities.py
@@ -39,6 +39,11 @@
             self._by_key[key] = capacity
         return capacity
 
+    @property
+    def known(self) -> dict[Key, Capacity]:
+        """The capacities that were requested before, by key."""
+        return self._by_key.copy()
+
     def retain_only(self, retained: Collection[Key]) -> None:
         """Removes the capacities of all other keys; their permits stay valid."""
         for key in self._by_key.keys() - set(retained):
--- a/lavendertide/overload/capacity.py
+++ b/lavendertide/overload/capacity.py
@@ -142,10 +142,18 @@
         """Maximum number of concurrent searches; infinite if there is no limit."""
         return self._limit
 
+    def limit_at(self, now_s: float) -> float:
+        """Returns the limit that a search meets now; infinite if there is none."""
+        is_over = now_s - self._limited_at_s >= LIMIT_RELEASE_S
+        return math.inf if is_over else self._limit
+
+    def admitted_share(self, now_s: float) -> float:
+        """Returns the probability, from 0 to 1, that a search is admitted now."""
+        return min(1.0, max(0.0, self.limit_at(now_s) - self._in_flight))
+
     def try_acquire(self, now_s: float) -> "Permit | None":
         """Returns a permit for a search; none if the limit is reached."""
-        if now_s - self._limited_at_s >= LIMIT_RELEASE_S:
-            self._limit = math.inf
+        self._limit = self.limit_at(now_s)
         if self._in_flight >= self._rounded_limit():
             self._round.refused += 1
             self._limited_at_s = now_s
--- a/lavendertide/platform/entry_codec.py
+++ b/lavendertide/platform/entry_codec.py
@@ -1,18 +1,28 @@
-"""Codec of the platform's requests for readiness, host addresses and metrics."""
+"""Codec of requests for readiness, host addresses, metrics and reports."""
 
 import json
 from urllib.parse import parse_qs, urlsplit
 
+from lavendertide.encodings.gateway_documents import (
+    EXPLAIN_PATH,
+    HOST_PARAMETER,
+    PATH_PARAMETER,
+    STATUS_PATH,
+)
 from lavendertide.encodings.http_messages import BadRequest, HttpRequest, HttpResponse
 from lavendertide.gateway.entry_front import (
     AddressesRequest,
     EntryRequest,
+    ExplanationRequest,
     MetricsRequest,
     ReadinessRequest,
+    StatusRequest,
 )
 from lavendertide.ids import FailureDomain, Region
+from lavendertide.platform.caller_codec import PlatformCallerCodec
 from lavendertide.platform.names import ADDRESSES_PATH, METRICS_PATH, READY_PATH
 
+CALLERS = PlatformCallerCodec()
 JSON_TYPE = (b"Content-Type", b"application/json")
 TEXT_TYPE = (b"Content-Type", b"text/plain; version=0.0.4")
 
@@ -36,6 +46,10 @@
                     Region(_first_value(query, "region")),
                     FailureDomain(_first_value(query, "zone")),
                 )
+            case "GET", str(path) if path == STATUS_PATH:
+                return StatusRequest()
+            case "GET", str(path) if path == EXPLAIN_PATH:
+                return _decode_explanation(parse_qs(url.query))
             case _:
                 return BadRequest(404)
 
@@ -54,10 +68,29 @@
         """Returns a response with plain text."""
         return HttpResponse(200, (TEXT_TYPE,), text)
 
+    def encode_document(self, document: bytes) -> HttpResponse:
+        """Returns a response with a JSON document."""
+        return HttpResponse(200, (JSON_TYPE,), document)
+
     def encode_bad_request(self, bad: BadRequest) -> HttpResponse:
         """Returns the response to an unknown request."""
         return HttpResponse(bad.status, (), b"")
 
 
+def _decode_explanation(
+    query: dict[str, list[str]],
+) -> ExplanationRequest | BadRequest:
+    """Returns the request to explain, as a caller would send it without a body."""
+    host = _first_value(query, HOST_PARAMETER)
+    path = _first_value(query, PATH_PARAMETER)
+    if not host or not (host + path).isascii():
+        return BadRequest(400)
+    headers = ((b"host", host.encode()),)
+    request = CALLERS.decode(HttpRequest("GET", path, headers, b""), 0.0)
+    return (
+        ExplanationRequest(request) if not isinstance(request, BadRequest) else request
+    )
+
+
 def _first_value(query: dict[str, list[str]], name: str) -> str:
     return query.get(name, [""])[0]
--- a/lavendertide/registry/registry.py
+++ b/lavendertide/registry/registry.py
@@ -7,6 +7,7 @@
 from lavendertide.evacuation.evacuated_domains import EvacuatedDomains, Evacuation
 from lavendertide.ids import ServiceName, TargetId
 from lavendertide.registry.announcements import Announcements
+from lavendertide.registry.exclusion import Exclusion, ExclusionReason
 from lavendertide.registry.record import TargetRecord, TargetRun, TargetState
 
 # Time after a platform outage within which targets register again whose entries lapsed
@@ -60,9 +61,30 @@
         self, service: ServiceName, now_s: float
     ) -> tuple[TargetRecord, ...]:
         """Returns the targets of a service that accept new requests."""
-        # The next read, which also expires targets, may be seconds away.
-        self.expire(now_s)
-        return self._announcements.select_available(self._listed_ready(service), now_s)
+        listed = self._listed_ready(service)
+        # They are discarded by `expire`; the next call of it may be seconds away.
+        if self._missing_since_s and not self._is_reregistration_period(now_s):
+            listed = tuple(r for r in listed if r.target not in self._missing_since_s)
+        return self._announcements.select_available(listed, now_s)
+
+    def exclusion_of(self, record: TargetRecord, now_s: float) -> Exclusion | None:
+        """Returns why a target gets no new requests; none if it gets them.
+
+        A leaving target may still be the last resort of its service.
+        """
+        if record.state is not TargetState.READY:
+            return Exclusion(ExclusionReason.DRAINING)
+        if self._evacuated.is_evacuated(record.failure_domain):
+            return Exclusion(ExclusionReason.EVACUATED)
+        is_missing = record.target in self._missing_since_s
+        if is_missing and not self._is_reregistration_period(now_s):
+            return Exclusion(ExclusionReason.LAPSED)
+        pause_end_s = self._announcements.pause_end_s(record.run, now_s)
+        if pause_end_s is not None:
+            return Exclusion(ExclusionReason.PAUSED, pause_end_s)
+        if self._announcements.is_leaving(record.run, now_s):
+            return Exclusion(ExclusionReason.LEAVING)
+        return None
 
     def is_evacuated(self, service: ServiceName) -> bool:
         """Returns whether a service has ready targets in evacuated domains only."""
--- a/lavendertide/routes/split.py
+++ b/lavendertide/routes/split.py
@@ -23,13 +23,24 @@
 
     def choose(self, route: RouteName, split: SplitServices) -> ServiceName:
         """Returns the service for the next request and updates the credits."""
-        entry = self._credits.get(route)
-        if entry is None or entry[0] != split:
-            entry = (split, {weighted.service: 0.0 for weighted in split.services})
-            self._credits[route] = entry
-        credits = entry[1]
-        for weighted in split.services:
-            credits[weighted.service] += weighted.weight
+        credits = self._increased_credits(route, split)
         chosen = max(credits, key=lambda service: credits[service])
         credits[chosen] -= sum(weighted.weight for weighted in split.services)
+        self._credits[route] = (split, credits)
         return chosen
+
+    def peek(self, route: RouteName, split: SplitServices) -> ServiceName:
+        """Returns the service for the next request without updating the credits."""
+        credits = self._increased_credits(route, split)
+        return max(credits, key=lambda service: credits[service])
+
+    def _increased_credits(
+        self, route: RouteName, split: SplitServices
+    ) -> dict[ServiceName, float]:
+        known = self._credits.get(route)
+        credits = dict(known[1]) if known is not None and known[0] == split else {}
+        for weighted in split.services:
+            credits[weighted.service] = (
+                credits.get(weighted.service, 0.0) + weighted.weight
+            )
+        return credits
