--- a/lavendertide/command_line/route.py
+++ b/lavendertide/command_line/route.py
@@ -130,14 +130,14 @@
             target["failure_rate"],
             target["open_calls"],
             target["slots"],
-            target["reply_age_s"],
+            target["attempt_age_s"],
             target["reason"],
             target["ends_in_s"],
         ]
         for target in service["targets"]
     ]
     headers = ["rank", "target", "failure domain", "score", "slowness", "failing"]
-    headers += ["open", "slots", "reply age (s)", "reason", "ends in (s)"]
+    headers += ["open", "slots", "age (s)", "reason", "ends in (s)"]
     output.show_table(headers, rows)
 
 
--- a/tests/command_line/test_pages.py
+++ b/tests/command_line/test_pages.py
@@ -19,7 +19,7 @@
 )
 
 ADDRESS = "10.0.0.7:7000"
-ADDRESSES = ("ADMIN", "ADMIN-2", "HOST")
+ADDRESSES = ("ADMIN", "ADMIN-2", "HOST", "GATEWAY", "GATEWAY-2")
 
 
 def parse(words: list[str]) -> click.Context:
--- a/tests/processes/test_product_operations.py
+++ b/tests/processes/test_product_operations.py
@@ -18,7 +18,10 @@
 from lavendertide.forwarding.metrics import ForwardingMetrics
 from lavendertide.reports.run import dump_run
 from standins.deployment import ASSOCIATION, KOINOPRAXIA, build_publication, scaled_down
+from standins.gateway_process import ROUTES, GatewayProcess, configuration, wait_until
 from standins.launcher import Launcher
+from standins.platform_store import PlainTarget, PlatformStore
+from standins.ports import PortBlock
 from tests.command_line.documented_commands import OPERATIONS, find_commands
 from tests.reports.test_run import sample_run
 
@@ -57,6 +60,7 @@
 
     folder: Path
     launcher: Launcher
+    gateway: str
 
     @classmethod
     def setUpClass(cls) -> None:
@@ -68,12 +72,29 @@
         )
         cls.addClassCleanup(cls.launcher.stop)
         cls.launcher.start()
+        cls.gateway = cls.start_gateway()
         lists = build_publication(OWNERS, cls.launcher.placed_targets, 1)
         (cls.folder / "lists.json").write_text(json.dumps(lists))
         for name in ("host-a.log", "host-b.log"):
             (cls.folder / name).write_text(REQUEST_LINE)
         (cls.folder / "run.jsonl").write_text(dump_run(sample_run()))
 
+    @classmethod
+    def start_gateway(cls) -> str:
+        """Starts a gateway with one target; returns the address of its metrics."""
+        ports = PortBlock()
+        cls.addClassCleanup(ports.release)
+        store = PlatformStore()
+        cls.addClassCleanup(store.close)
+        target = PlainTarget("t1", "desk")
+        cls.addClassCleanup(target.close)
+        store.put("op/config", configuration(1, *ROUTES))
+        store.put("servers/t1", target.entry())
+        gateway = GatewayProcess("m1", cls.folder, store.address, "", ports)
+        cls.addClassCleanup(gateway.stop)
+        wait_until(gateway.is_ready)
+        return f"127.0.0.1:{gateway.ports[4]}"
+
     def run_line(self, line: str) -> Result:
         """Runs a command line of the tool in this process."""
         return CliRunner().invoke(commands, shlex.split(line))
@@ -117,6 +138,10 @@
             "SETTINGS.yaml": str(self.launcher.settings_of("association-0")),
             "page.html": str(self.folder / "page.html"),
             "REQUEST": "r1",
+            "GATEWAY": self.gateway,
+            "GATEWAY-2": self.gateway,
+            "NAME": "shop.example",
+            "PATH": "/lookups/x",
             "host-a.log": str(self.folder / "host-a.log"),
             "host-b.log": str(self.folder / "host-b.log"),
             "TICKET": self.redeem(host),
