--- a/lavendertide/forwarding/run.py
+++ b/lavendertide/forwarding/run.py
@@ -35,6 +35,7 @@
     Event,
     HostEnds,
     SubRequestSender,
+    successful_calls,
 )
 from lavendertide.ids import ServiceName
 from lavendertide.overload.capacity import (
@@ -357,11 +358,7 @@
             return []
         if now_s < self._deadlines.ends_at_s and self._are_too_many_lost:
             self._interruption = self._interruption or MissingCause.OTHERS_LOST
-        unhandled = {
-            event.call.number
-            for event in self._inbox.take_all()
-            if isinstance(event, CallDone)
-        }
+        unhandled = successful_calls(self._inbox.take_all())
         missing = find_missing(self._parts, unhandled, self._interruption, now_s)
         self._sender.record_missing(missing)
         return missing
--- a/lavendertide/forwarding/sender.py
+++ b/lavendertide/forwarding/sender.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 from typing import Protocol
 
-from lavendertide.forwarding.messages import CallerRequest, TargetReply
+from lavendertide.forwarding.messages import CallerRequest, Replied, TargetReply
 from lavendertide.forwarding.missing import MissingPart
 from lavendertide.forwarding.pool import TargetCall
 from lavendertide.ids import ServiceName
@@ -35,6 +35,17 @@
 Event = CallDone | CallerLeft | HostEnds
 
 
+def successful_calls(events: Iterable[Event]) -> frozenset[int]:
+    """Returns the numbers of the calls that have ended with a successful reply."""
+    return frozenset(
+        event.call.number
+        for event in events
+        if isinstance(event, CallDone)
+        and isinstance(event.reply, Replied)
+        and event.reply.is_success
+    )
+
+
 class SubRequestSender(Protocol):
     """Selects targets and sends sub-requests; implemented by `Forwarder`."""
 
--- a/tests/fleet/test_readiness.py
+++ b/tests/fleet/test_readiness.py
@@ -21,6 +21,11 @@
         self.assertTrue(self.readiness.finish_refresh(True, 0.5))
 
     def kind_at(self, now_s: float) -> RefusalKind | None:
+        """Returns the kind of the refusal; `accepts` has to predict whether it is."""
+        accepts = self.readiness.accepts(now_s)
+        state = self.readiness.state
+        is_accepted = isinstance(self.readiness.check(now_s), Success)
+        self.assertEqual(accepts, is_accepted, state)
         match self.readiness.check(now_s):
             case Failure(refusal):
                 kind: RefusalKind = refusal.kind
