Divide the allowance of each cold target among the hosts

Cause: targets that have just started or return from an evacuation take few requests and crash above that. Their entries and replies say that they are cold, and nothing read it.

Change: ColdTargets records the cold runs from entries, replies and the settings of the service, and counts what this host sends to each. ColdShare deals the allowance out in whole requests by rank, without messages. The choice of targets, the early refusal and the check at the moment of the send ask them; requests beyond the allowance are refused (targets_cold).

--- a/lavendertide/encodings/registry_frames.py
+++ b/lavendertide/encodings/registry_frames.py
@@ -96,6 +96,7 @@
         record.slots,
         record.state.value,
         record.started_at_ms,
+        record.cold_left_ms,
     )
 
 
@@ -125,4 +126,5 @@
         entry.slots,
         TargetState(entry.state),
         entry.born_ms,
+        entry.cold_left_ms,
     )
--- a/lavendertide/encodings/routes_json.py
+++ b/lavendertide/encodings/routes_json.py
@@ -28,6 +28,12 @@
         "version": table.version,
         "routes": [_pack_route(route) for route in table.routes],
         "services": [[s.name, s.connections_max] for s in table.services.values()],
+        # Apart from the services, whose lists an earlier release reads by their length.
+        "cold": {
+            s.name: [s.cold_start_s, s.cold_per_s]
+            for s in table.services.values()
+            if s.cold_start_s or s.cold_per_s
+        },
         "limits": [
             limits.header_max_bytes,
             limits.body_max_bytes,
@@ -46,8 +52,9 @@
     """
     try:
         document = json.loads(data)
+        cold = document.get("cold", {})
         services = [
-            Service(ServiceName(name), connections)
+            Service(ServiceName(name), connections, *map(float, cold.get(name, ())))
             for name, connections in document["services"]
         ]
         return RouteTable(
--- a/lavendertide/forwarding/early_refusal.py
+++ b/lavendertide/forwarding/early_refusal.py
@@ -68,6 +68,10 @@
         available = sum(choice.has_usable_target(name, now_s) for name in services)
         if available >= required:
             return None
+        held_back = sum(choice.is_held_back(name, now_s) for name in services)
+        if held_back and available + held_back >= required:
+            retry_after_s = choice.retry_after_s(services, required, now_s)
+            return Refused(RefusalCause.TARGETS_COLD, retry_after_s)
         waits_s = [choice.time_to_target_s(name, now_s) for name in services]
         if sum(map(math.isfinite, waits_s)) >= required:
             retry_after_s = choice.retry_after_s(services, required, now_s)
--- a/lavendertide/forwarding/forwarder.py
+++ b/lavendertide/forwarding/forwarder.py
@@ -46,6 +46,7 @@
 from lavendertide.routes.split import SplitCounters
 from lavendertide.routes.table import RouteTable
 from lavendertide.runtime import clock, tasks
+from lavendertide.warmup.cold_targets import ColdTargets
 
 # A host without routes receives them with its next read of the platform or a peer.
 NO_ROUTES_RETRY_S = 0.3
@@ -66,7 +67,9 @@
         crashes: CrashEvidence,
         fleet: FleetCallbacks,
         metrics: ForwardingMetrics,
+        cold: ColdTargets | None = None,
     ) -> None:
+        cold = cold or ColdTargets()
         self._active_routes = active_routes
         self._registry = registry
         self._views = views
@@ -76,10 +79,10 @@
         self._fleet = fleet
         self._metrics = metrics
         self._timings = RouteTimings()
-        self._choice = TargetChoice(registry, views)
+        self._choice = TargetChoice(registry, views, cold)
         self._early_refusals = EarlyRefusals(self._choice, crashes, self._timings)
         self._reply_recorder = ReplyRecorder(
-            registry, views, pools, crashes, self._timings, fleet, metrics
+            registry, views, pools, crashes, self._timings, fleet, metrics, cold
         )
         self._caller_times = CallerTimes()
         self._splits = SplitCounters()
--- a/lavendertide/forwarding/messages.py
+++ b/lavendertide/forwarding/messages.py
@@ -57,6 +57,8 @@
     WITHDRAWN = "withdrawn"
     # The request has crashed several targets since the target was chosen.
     QUARANTINED = "quarantined"
+    # The target is cold and this host's part of its allowance is used up.
+    COLD = "cold"
 
 
 # Reasons of this host not to use the target that it had chosen. They don't show whether
@@ -67,6 +69,7 @@
         NotRunReason.PAUSED,
         NotRunReason.WITHDRAWN,
         NotRunReason.QUARANTINED,
+        NotRunReason.COLD,
     }
 )
 
@@ -90,10 +93,12 @@
         is_leaving: Whether the target is about to end and wants nothing new.
         pause_s: Seconds for which it wants no requests of this host; none if it is not
             full.
+        cold_s: Seconds for which it remains cold; zero if it doesn't say so.
     """
 
     is_leaving: bool = False
     pause_s: float | None = None
+    cold_s: float = 0.0
 
 
 NO_NOTICE: Final = TargetNotice()
@@ -165,6 +170,8 @@
     # All targets are in failure domains that the operator has evacuated.
     EVACUATED = "evacuated"
     TARGETS_FULL = "targets_full"
+    # The targets are cold and this host's part of their allowance is used up.
+    TARGETS_COLD = "targets_cold"
     OVER_CAPACITY = "over_capacity"
     NO_TIME = "no_time"
     POISONED = "poisoned"
--- a/lavendertide/forwarding/pool.py
+++ b/lavendertide/forwarding/pool.py
@@ -107,8 +107,9 @@
         self.is_cancelled = True
 
 
-# Returns the reason why a call must not be sent at a time; none if it may be.
-FindBlockingReason = Callable[[TargetCall, float], NotRunReason | None]
+# Returns the reason why a call must not be sent at a time; none if it may be. The last
+# argument is whether the call is sent at once if there is none.
+FindBlockingReason = Callable[[TargetCall, float, bool], NotRunReason | None]
 
 
 class TargetChannel(Protocol):
@@ -230,7 +231,7 @@
     def withdraw_waiting(self, now_s: float) -> None:
         """Ends the calls that wait for a connection and must not be sent any more."""
         for call in self._calls.take_all():
-            reason = self._find_blocking_reason(call, now_s)
+            reason = self._find_blocking_reason(call, now_s, False)
             if reason is None:
                 self._calls.send(call)
             else:
@@ -272,7 +273,7 @@
     def _execute(self, call: TargetCall, connection: PooledConnection) -> TargetReply:
         target = self._record.target
         now_s = clock.monotonic_s()
-        reason = self._find_blocking_reason(call, now_s)
+        reason = self._find_blocking_reason(call, now_s, False)
         if reason is not None:
             return NotRun(target, reason)
         try:
@@ -284,7 +285,7 @@
             return NotRun(target, NotRunReason.UNREACHABLE)
         opened_at_s = clock.monotonic_s()
         # It may have taken some time to open the connection.
-        reason = self._find_blocking_reason(call, opened_at_s)
+        reason = self._find_blocking_reason(call, opened_at_s, True)
         if reason is not None:
             return NotRun(target, reason)
         try:
--- a/lavendertide/forwarding/reply_recorder.py
+++ b/lavendertide/forwarding/reply_recorder.py
@@ -24,6 +24,7 @@
 from lavendertide.messages import Verdict
 from lavendertide.registry.registry import TargetRegistry
 from lavendertide.routes.route import Route
+from lavendertide.warmup.cold_targets import ColdTargets
 
 # A target that has refused a request is avoided for about one service time.
 REFUSED_PAUSE_S: Final = 0.05
@@ -43,6 +44,7 @@
         timings: RouteTimings,
         fleet: FleetCallbacks,
         metrics: ForwardingMetrics,
+        cold: ColdTargets,
     ) -> None:
         self._registry = registry
         self._views = views
@@ -51,6 +53,7 @@
         self._timings = timings
         self._fleet = fleet
         self._metrics = metrics
+        self._cold = cold
 
     def record(
         self,
@@ -107,6 +110,7 @@
         self, call: TargetCall, notice: TargetNotice, now_s: float
     ) -> None:
         run = call.record.run
+        self._cold.record_notice(run, notice.cold_s, now_s)
         if notice.is_leaving:
             self._fleet.record_leaving(run, now_s)
         if notice.pause_s is not None:
@@ -160,7 +164,9 @@
         match reply:
             case Replied() if reply.is_success:
                 return
-            case NotRun(reason=NotRunReason.ABANDONED | NotRunReason.PAUSED):
+            case NotRun(
+                reason=NotRunReason.ABANDONED | NotRunReason.PAUSED | NotRunReason.COLD
+            ):
                 return
         _log.info(
             "sub-request failed",
--- a/lavendertide/forwarding/run.py
+++ b/lavendertide/forwarding/run.py
@@ -357,7 +357,11 @@
         retry_after_s = self._sender.retry_after_s(
             services, self._required_parts(), now_s
         )
-        return Refused(RefusalCause.TARGETS_FULL, retry_after_s)
+        is_held_back = any(part.is_held_back for part in self._parts)
+        return Refused(
+            RefusalCause.TARGETS_COLD if is_held_back else RefusalCause.TARGETS_FULL,
+            retry_after_s,
+        )
 
     def _log_repeat(
         self, part: Part, record: TargetRecord, cause: str, may_send: bool, now_s: float
--- a/lavendertide/forwarding/send_check.py
+++ b/lavendertide/forwarding/send_check.py
@@ -10,20 +10,35 @@
 from lavendertide.forwarding.pool import TargetCall
 from lavendertide.forwarding.target_view import TargetViews
 from lavendertide.registry.registry import TargetRegistry
+from lavendertide.warmup.cold_targets import ColdTargets
 
 
 class SendCheck:
     """Checks calls against what is known now, by the rules that choose targets."""
 
     def __init__(
-        self, registry: TargetRegistry, views: TargetViews, crashes: CrashEvidence
+        self,
+        registry: TargetRegistry,
+        views: TargetViews,
+        crashes: CrashEvidence,
+        cold: ColdTargets | None = None,
     ) -> None:
         self._registry = registry
         self._views = views
         self._crashes = crashes
+        self._cold = cold or ColdTargets()
 
-    def blocking_reason(self, call: TargetCall, now_s: float) -> NotRunReason | None:
-        """Returns the reason why a call must not be sent; none if it may be."""
+    def blocking_reason(
+        self, call: TargetCall, now_s: float, is_sending: bool = False
+    ) -> NotRunReason | None:
+        """Returns the reason why a call must not be sent; none if it may be.
+
+        Args:
+            call: The call.
+            now_s: Present time, monotonic.
+            is_sending: Whether the call is sent now unless there is a reason. Only then
+                it counts among the requests to its target.
+        """
         record = call.record
         if call.is_cancelled or now_s >= call.ends_at_s:
             return NotRunReason.ABANDONED
@@ -34,4 +49,5 @@
         is_replaced = not self._views.select_usable((record,), now_s)
         if is_replaced or not self._registry.is_accepting(record, now_s):
             return NotRunReason.WITHDRAWN
-        return None
+        may_send = self._cold.try_send if is_sending else self._cold.is_allowed
+        return None if may_send(record, now_s) else NotRunReason.COLD
--- a/lavendertide/forwarding/target_choice.py
+++ b/lavendertide/forwarding/target_choice.py
@@ -13,6 +13,7 @@
 from lavendertide.ids import ServiceName
 from lavendertide.registry.record import TargetRecord
 from lavendertide.registry.registry import TargetRegistry
+from lavendertide.warmup.cold_targets import ColdTargets
 
 # Retry time for callers when all targets were full: a few service times.
 FULL_RETRY_S: Final = 0.25
@@ -24,19 +25,28 @@
 class TargetChoice:
     """Chooses among the registered targets by this host's statistics of them."""
 
-    def __init__(self, registry: TargetRegistry, views: TargetViews) -> None:
+    def __init__(
+        self, registry: TargetRegistry, views: TargetViews, cold: ColdTargets
+    ) -> None:
         self._registry = registry
         self._views = views
+        self._cold = cold
 
     def rank_targets(self, service: ServiceName, now_s: float) -> list[TargetRecord]:
         """Returns the usable targets of a service, the best one first."""
         ready_targets = self._registry.ready_targets(service, now_s)
-        return self._views.rank_targets(ready_targets, now_s, random.random())
+        ranked = self._views.rank_targets(ready_targets, now_s, random.random())
+        return self._cold.rank(ranked, self._views.view_of, now_s)
 
     def has_usable_target(self, service: ServiceName, now_s: float) -> bool:
         """Returns whether a service has a target that takes requests now."""
-        ready_targets = self._registry.ready_targets(service, now_s)
-        return bool(self._views.select_usable(ready_targets, now_s))
+        usable = self._select_usable(service, now_s)
+        return bool(self._cold.select_allowed(usable, now_s))
+
+    def is_held_back(self, service: ServiceName, now_s: float) -> bool:
+        """Returns whether the allowances of a service's cold targets are used up."""
+        usable = self._select_usable(service, now_s)
+        return bool(usable) and not self._cold.select_allowed(usable, now_s)
 
     def is_evacuated(self, service: ServiceName) -> bool:
         """Returns whether a service has ready targets in evacuated domains only."""
@@ -45,19 +55,28 @@
     def time_to_target_s(self, service: ServiceName, now_s: float) -> float:
         """Returns the seconds until a service has a usable target, or infinity.
 
-        A pause is the only reason whose end is known.
+        The ends of pauses and the return of the allowances of cold targets are known.
         """
         if self.has_usable_target(service, now_s):
             return 0.0
+        usable = self._select_usable(service, now_s)
+        wait_s = self._cold.shortest_wait_s(usable, now_s)
         pause_end_s = self._registry.pause_end_s(service, now_s)
-        return math.inf if pause_end_s is None else pause_end_s - now_s
+        return wait_s if pause_end_s is None else min(wait_s, pause_end_s - now_s)
+
+    def _select_usable(
+        self, service: ServiceName, now_s: float
+    ) -> tuple[TargetRecord, ...]:
+        ready_targets = self._registry.ready_targets(service, now_s)
+        return self._views.select_usable(ready_targets, now_s)
 
     def retry_after_s(
         self, services: Iterable[ServiceName], required: int, now_s: float
     ) -> float:
         """Returns when a caller should retry a request that targets are too full for.
 
-        That is when enough services have a target whose pause has ended.
+        That is when enough services have a target whose pause has ended, or to which
+        this host may send again while it is cold.
 
         Args:
             services: The services that the request is sent to.
--- a/lavendertide/gateway/follower.py
+++ b/lavendertide/gateway/follower.py
@@ -23,6 +23,7 @@
 from lavendertide.routes.replication import RouteReplication
 from lavendertide.routes.table import RouteTable
 from lavendertide.runtime import clock, tasks
+from lavendertide.warmup.cold_targets import ColdTargets
 
 # Pause after a read, so that further changes share the next one. The platform allows
 # seconds until a change is in force, which is far longer.
@@ -120,7 +121,9 @@
         registry: TargetRegistry,
         evacuated: EvacuatedDomains,
         now_s: float,
+        cold: ColdTargets | None = None,
     ) -> None:
+        self._cold = cold or ColdTargets()
         self._reader = reader
         self._evacuated = evacuated
         self._active_routes = active_routes
@@ -230,6 +233,7 @@
                     records.append(record)
                 case _:
                     self._apply((publication,), now_s)
+        self._cold.record_published(records, now_s)
         self._registry.replace(records, now_s)
 
     def _apply(self, publications: Iterable[Publication], now_s: float) -> None:
@@ -242,6 +246,7 @@
                 case EvacuationPublished(state):
                     self._evacuated.apply((state,), now_s)
                 case TargetPublished(record):
+                    self._cold.record_published((record,), now_s)
                     records.append(record)
                 case TargetWithdrawn(target):
                     self._registry.put(*records)
--- a/lavendertide/gateway/gateway.py
+++ b/lavendertide/gateway/gateway.py
@@ -21,6 +21,7 @@
 from lavendertide.fleet.peer_connection import PeerConnector
 from lavendertide.fleet.peer_server import PeerServer
 from lavendertide.fleet.peers import Peers
+from lavendertide.fleet.ranking import score
 from lavendertide.fleet.readiness import Readiness, ReadinessState
 from lavendertide.fleet.roster import Roster
 from lavendertide.forwarding.budget import RetryBudgets
@@ -39,6 +40,7 @@
 from lavendertide.gateway.caller_front import CallerCodec, CallerFront
 from lavendertide.gateway.entry_front import EntryCodec, EntryFront
 from lavendertide.gateway.evacuation_broadcast import EvacuationBroadcast
+from lavendertide.gateway.fleet_view import view_fleet
 from lavendertide.gateway.follower import Follower, PlatformReader
 from lavendertide.gateway.leaving_broadcast import LeavingBroadcast
 from lavendertide.gateway.load import LoadMeter
@@ -52,13 +54,18 @@
     ConfigurationVersion,
     DaemonId,
     Incarnation,
+    ServiceName,
 )
 from lavendertide.messages import MemberRecord, MemberState
 from lavendertide.poison.quarantine import Quarantine
 from lavendertide.registry.registry import TargetRegistry
 from lavendertide.routes.active_routes import ActiveRoutes
 from lavendertide.routes.replication import RouteReplication
+from lavendertide.routes.route import Service
 from lavendertide.runtime import clock, sockets, tasks
+from lavendertide.warmup.cold_share import ColdShare
+from lavendertide.warmup.cold_targets import ColdTargets
+from lavendertide.warmup.metrics import ColdMetrics
 
 # Interval between heartbeats; a silent peer is detected after a few of them.
 HEARTBEAT_S: Final = 0.25
@@ -153,6 +160,10 @@
         self._budget_share = BudgetShare(
             options.retries.window_s, None if options.is_first_start else now_s
         )
+        self._cold_share = ColdShare(DaemonId(options.host), score)
+        self._cold = ColdTargets(
+            self._find_service, self._cold_share.requests_of, options.cold
+        )
         self._in_flight = InFlightCounter()
         self._readiness = Readiness(LEASE_S, now_s)
         self._route_replication = RouteReplication(
@@ -174,6 +185,7 @@
             self._registry,
             self._evacuated,
             now_s,
+            self._cold,
         )
         self._make_forwarding()
 
@@ -224,9 +236,13 @@
         _log.info("stopped")
 
     def reload(self, options: GatewayOptions) -> None:
-        """Applies changed seeds and retry budgets; other settings need a restart."""
+        """Applies changed seeds, retry budgets and bounds of cold targets.
+
+        Other settings need a restart.
+        """
         self._peers.update_seeds(options.seeds)
         self._budgets.set_allowance(options.retries)
+        self._cold.set_bounds(options.cold)
 
     def _make_fleet(self) -> None:
         options = self._options
@@ -263,6 +279,10 @@
             ALONE_LIFETIME_S,
         )
         self._metrics = ForwardingMetrics(REGISTRY)
+        cold_metrics = ColdMetrics(
+            REGISTRY, lambda: self._cold.count(clock.monotonic_s())
+        )
+        self._cold.set_sent_listener(cold_metrics.record)
         self._target_views = TargetViews(options.failure_domain)
         self._crash_evidence = CrashEvidence(Quarantine())
         self._budgets = RetryBudgets(options.retries)
@@ -281,9 +301,12 @@
                 self._registry,
                 self._active_routes,
                 self._evacuated,
+                self._cold,
             ).reply_to,
         )
-        send_check = SendCheck(self._registry, self._target_views, self._crash_evidence)
+        send_check = SendCheck(
+            self._registry, self._target_views, self._crash_evidence, self._cold
+        )
         self._forwarder = Forwarder(
             self._active_routes,
             self._registry,
@@ -300,8 +323,13 @@
                 self._may_have_previous_connections,
             ),
             self._metrics,
+            self._cold,
         )
 
+    def _find_service(self, name: ServiceName) -> Service | None:
+        table = self._active_routes.table
+        return None if table is None else table.services.get(name)
+
     def _may_have_previous_connections(self, now_s: float) -> bool:
         """Returns whether targets may still count connections of the previous run.
 
@@ -340,7 +368,7 @@
         self._membership.serve_if_joining(clock.monotonic_s())
 
     def _update_share_forever(self) -> None:
-        """Updates the budget share from the roster while this host is serving."""
+        """Updates this host's shares from the roster while it is serving."""
         while True:
             if self._readiness.state is ReadinessState.SERVING:
                 now_s = clock.monotonic_s()
@@ -349,6 +377,7 @@
                 self._budget_share.update(
                     len(self._roster.members), len(named), is_named, now_s
                 )
+                self._cold_share.update(view_fleet(self._roster, named, now_s), now_s)
             tasks.sleep(
                 SHARE_INTERVAL_S
                 if self._budget_share.has_known_peers
--- a/lavendertide/gateway/options.py
+++ b/lavendertide/gateway/options.py
@@ -5,6 +5,7 @@
 from lavendertide.forwarding.budget import RetryAllowance
 from lavendertide.gateway.reading_times import ReadingTimes
 from lavendertide.ids import Address, FailureDomain, HostId, Region
+from lavendertide.warmup.allowance import DEFAULT_BOUNDS, ColdBounds
 
 
 @dataclass(frozen=True, slots=True)
@@ -27,6 +28,7 @@
         processor_share: CPU allotment of the process, in cores.
         is_first_start: Whether the whole system starts for the first time, so that no
             earlier process of it has sent anything.
+        cold: How far the fleet may exceed what cold targets can take.
     """
 
     host: HostId
@@ -46,3 +48,4 @@
     address_lifetime_s: float
     processor_share: float
     is_first_start: bool = False
+    cold: ColdBounds = DEFAULT_BOUNDS
--- a/lavendertide/gateway/shared_reading.py
+++ b/lavendertide/gateway/shared_reading.py
@@ -37,6 +37,7 @@
 from lavendertide.routes.active_routes import ActiveRoutes
 from lavendertide.routes.replication import RouteReplication
 from lavendertide.runtime import clock
+from lavendertide.warmup.cold_targets import ColdTargets
 
 # How long a host reads the platform directly after its source has failed to supply
 # changes.
@@ -183,9 +184,11 @@
         registry: TargetRegistry,
         active_routes: ActiveRoutes,
         evacuated: EvacuatedDomains,
+        cold: ColdTargets | None = None,
     ) -> None:
         self._times = times
         self._evacuated = evacuated
+        self._cold = cold or ColdTargets()
         self._follower = follower
         self._registry = registry
         self._active_routes = active_routes
@@ -202,7 +205,8 @@
         changes = None
         if pull.revision != NO_REVISION:
             changes = self._follower.history.changes_since(pull.revision)
-        silence_s = clock.monotonic_s() - self._follower.answered_at_s
+        now_s = clock.monotonic_s()
+        silence_s = now_s - self._follower.answered_at_s
         is_current = (
             not self._follower.is_platform_lost
             and silence_s < self._times.silence_max_s
@@ -210,10 +214,11 @@
         if changes is None:
             # A follower that is too far behind gets no records: it reads the platform.
             is_full_request = pull.revision == NO_REVISION
+            targets = self._registry.targets if is_full_request else ()
             return RegistryPush(
                 pull.exchange,
                 self._follower.history.revision,
-                self._registry.targets if is_full_request else (),
+                self._cold.with_present_left(targets, now_s),
                 (),
                 True,
                 is_current,
@@ -223,7 +228,7 @@
         return RegistryPush(
             pull.exchange,
             changes.revision,
-            changes.records,
+            self._cold.with_present_left(changes.records, now_s),
             changes.withdrawn,
             False,
             is_current,
--- a/lavendertide/platform/names.py
+++ b/lavendertide/platform/names.py
@@ -18,6 +18,8 @@
 PART_SIGNATURES: Final = b"lavendertide-part-stamps"
 # The number of missing shards, not their names.
 MISSING_SHARDS: Final = b"lavendertide-missing-parts"
+# Whole milliseconds for which the sender remains cold.
+COLD_MS: Final = b"lavendertide-cold-ms"
 RETRY_AFTER: Final = b"retry-after"
 CONTENT_ENCODING: Final = b"content-encoding"
 KEEP_ALIVE: Final = b"keep-alive"
--- a/lavendertide/platform/operator_routes.py
+++ b/lavendertide/platform/operator_routes.py
@@ -32,6 +32,9 @@
 # Longest time-out or objective in milliseconds: a day.
 DURATION_MAX_MS: Final = 86_400_000
 WEIGHT_MAX: Final = 1e9
+# Longest cold start in seconds, and the greatest rate of a cold target.
+COLD_START_MAX_S: Final = 3_600.0
+COLD_RATE_MAX: Final = 1e6
 
 
 def decode_routes(document: Any) -> RouteTable:
@@ -63,10 +66,19 @@
 
 def _decode_service(entry: Any) -> Service:
     return Service(
-        ServiceName(text_field(entry, "name")), _count(entry["max-conns"], "max-conns")
+        ServiceName(text_field(entry, "name")),
+        _count(entry["max-conns"], "max-conns"),
+        _optional(entry, "cold-start-s", COLD_START_MAX_S),
+        _optional(entry, "cold-per-s", COLD_RATE_MAX),
     )
 
 
+def _optional(entry: Any, name: str, greatest: float) -> float:
+    """Returns a number that may be absent or null, which counts as zero."""
+    value = entry.get(name)
+    return 0.0 if value is None else number(value, name, 0.0, greatest)
+
+
 def _decode_route(entry: Any) -> Route:
     kind = KIND_OF_ROUTE_TYPE.get(text_field(entry, "route-type"))
     if kind is None:
--- a/lavendertide/platform/settings.py
+++ b/lavendertide/platform/settings.py
@@ -9,6 +9,11 @@
 from lavendertide.gateway.options import GatewayOptions
 from lavendertide.gateway.reading_times import ReadingTimes
 from lavendertide.ids import Address, FailureDomain, HostId, Region
+from lavendertide.warmup.allowance import (
+    DEFAULT_OVERSHOOT,
+    DEFAULT_SLACK,
+    ColdBounds,
+)
 
 PATH_VARIABLE = "LAVENDERTIDE_SETTINGS"
 KEY_VARIABLE = "FLEET_KEY"
@@ -98,6 +103,10 @@
         processor_share=_number(fields, "limits.cpu-share")
         * _number(fields, "limits.cores"),
         is_first_start=fields.get("bootstrap") == "true",
+        cold=ColdBounds(
+            _number(fields, "bounds.cold-overshoot", str(DEFAULT_OVERSHOOT)),
+            _number(fields, "bounds.cold-slack", str(DEFAULT_SLACK)),
+        ),
     )
 
 
--- a/lavendertide/platform/target_channel.py
+++ b/lavendertide/platform/target_channel.py
@@ -21,6 +21,7 @@
 from lavendertide.forwarding.pool import TargetCall
 from lavendertide.ids import Address
 from lavendertide.platform.names import (
+    COLD_MS,
     CONTENT_ENCODING,
     DEADLINE_MS,
     EXPECTED_TARGET,
@@ -51,6 +52,8 @@
 # Pause if the value is no number of seconds, as for a date. The target wants some
 # pause, and dates can't be compared: the clocks of the hosts differ by seconds.
 UNREADABLE_PAUSE_S: Final = 1.0
+# Longest time for which a target may say that it is cold.
+COLD_MAX_S: Final = 3_600.0
 # Longest idle time of a connection that a target may promise.
 IDLE_MAX_S: Final = 3_600.0
 
@@ -148,7 +151,7 @@
     Only a 503 tells how long to leave the target alone. With another status the header
     means something else, such as the rate that one caller may use.
     """
-    is_leaving, pause_s = False, None
+    is_leaving, pause_s, cold_s = False, None, None
     for name, value in response.headers:
         if name in LEAVING_HEADERS and value.strip() == b"1":
             is_leaving = True
@@ -156,9 +159,11 @@
             pause_s = parse_seconds(value.strip(), PAUSE_MAX_S)
             if pause_s is None:
                 pause_s = UNREADABLE_PAUSE_S
-    if not is_leaving and pause_s is None:
+        elif name == COLD_MS:
+            cold_s = parse_seconds(value.strip(), 1_000 * COLD_MAX_S)
+    if not is_leaving and pause_s is None and not cold_s:
         return NO_NOTICE
-    return TargetNotice(is_leaving, pause_s)
+    return TargetNotice(is_leaving, pause_s, (cold_s or 0.0) / 1_000)
 
 
 def parse_seconds(value: bytes, max_s: float) -> float | None:
--- a/lavendertide/platform/target_entries.py
+++ b/lavendertide/platform/target_entries.py
@@ -5,6 +5,7 @@
 from lavendertide.ids import Address, FailureDomain, ServiceName, TargetId
 from lavendertide.platform.fields import text_field, whole_number
 from lavendertide.registry.record import (
+    COLD_MAX_MS,
     SLOTS_MAX,
     STARTED_AT_MAX_MS,
     TargetRecord,
@@ -44,6 +45,17 @@
         ),
         state=state,
         started_at_ms=whole_number(started_at_ms, "born", 0, STARTED_AT_MAX_MS),
+        cold_left_ms=_cold_left_ms(document.get("cold-left-ms")),
     )
     check_record(record)
     return record
+
+
+def _cold_left_ms(value: Any) -> int | None:
+    """Returns how long a target remains cold; none if the value doesn't say.
+
+    A value that can't be read doesn't make the entry invalid: the target still serves.
+    """
+    if isinstance(value, bool) or not isinstance(value, int) or value < 0:
+        return None
+    return min(value, COLD_MAX_MS)
--- a/lavendertide/registry/record.py
+++ b/lavendertide/registry/record.py
@@ -1,7 +1,7 @@
 """The registry entry that a target publishes."""
 
 import re
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import Enum
 from typing import Final
 
@@ -15,6 +15,8 @@
 SLOTS_MAX: Final = 1_000_000
 # The last millisecond of the year 9999.
 STARTED_AT_MAX_MS: Final = 253_402_300_799_999
+# Longest time for which a target may say that it is cold.
+COLD_MAX_MS: Final = 3_600_000
 
 
 class TargetState(Enum):
@@ -49,6 +51,8 @@
         target: Identifies one run of a process, unless its owner reuses the name.
         slots: Requests that it runs concurrently.
         started_at_ms: Start time in Unix milliseconds; distinguishes runs of one name.
+        cold_left_ms: How long the target remained cold when the entry was written; none
+            if it doesn't say. Each copy differs in it, so it isn't compared.
     """
 
     target: TargetId
@@ -58,6 +62,7 @@
     slots: int
     state: TargetState
     started_at_ms: int
+    cold_left_ms: int | None = field(default=None, compare=False)
 
     @property
     def run(self) -> TargetRun:
@@ -88,6 +93,8 @@
     check_ip_port(record.address)
     _check_whole(record.slots, "slots", 1, SLOTS_MAX)
     _check_whole(record.started_at_ms, "start time", 0, STARTED_AT_MAX_MS)
+    if record.cold_left_ms is not None:
+        _check_whole(record.cold_left_ms, "cold time", 0, COLD_MAX_MS)
 
 
 def _check_name(value: object, field: str) -> None:
--- a/lavendertide/routes/route.py
+++ b/lavendertide/routes/route.py
@@ -107,10 +107,15 @@
     Attributes:
         connections_max: Connections that each target of the service accepts from all
             hosts together.
+        cold_start_s: How long a target is cold after its start.
+        cold_per_s: Requests a second that a cold target can take from all hosts
+            together; zero if that is not limited.
     """
 
     name: ServiceName
     connections_max: int
+    cold_start_s: float = 0.0
+    cold_per_s: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/forwarding/scripted_targets.py
+++ b/tests/forwarding/scripted_targets.py
@@ -29,6 +29,7 @@
 from lavendertide.routes.active_routes import ActiveRoutes
 from lavendertide.routes.route import Route
 from lavendertide.runtime import clock, tasks
+from lavendertide.warmup.cold_targets import ColdTargets
 from standins.forwarding_records import (
     LOCAL_DOMAIN,
     reply,
@@ -150,6 +151,7 @@
         fixed: float = 800.0,
         window_s: float = 10.0,
         last_resort_s: float = 0.0,
+        cold: ColdTargets | None = None,
     ) -> None:
         self.called_targets: list[TargetId] = []
         self.closed_count = 0
@@ -164,7 +166,7 @@
         active_routes = ActiveRoutes()
         active_routes.adopt(table(1, destination_route), "test", 0.0)
         self.crashes = CrashEvidence(Quarantine())
-        send_check = SendCheck(self.registry, self.views, self.crashes)
+        send_check = SendCheck(self.registry, self.views, self.crashes, cold)
         self.forwarder = Forwarder(
             active_routes,
             self.registry,
@@ -181,6 +183,7 @@
                 lambda _: False,
             ),
             ForwardingMetrics(CollectorRegistry()),
+            cold,
         )
 
     def add(self, name: str, service: str, behaviour: Behaviour) -> None:
