Test what cold targets mean for requests, entries and settings

Cause: only the division of the allowance had tests.

Two faults that they or their writing showed are mended: a target that had never replied counted as fast if it was cold since time zero, and a peer's table could bring rates that are not finite.

--- a/lavendertide/encodings/routes_json.py
+++ b/lavendertide/encodings/routes_json.py
@@ -4,6 +4,7 @@
 """
 
 import json
+import math
 from typing import Any
 
 from lavendertide.ids import ConfigurationVersion, RouteName, ServiceName
@@ -52,9 +53,10 @@
     """
     try:
         document = json.loads(data)
+        # An earlier release sends none.
         cold = document.get("cold", {})
         services = [
-            Service(ServiceName(name), connections, *map(float, cold.get(name, ())))
+            Service(ServiceName(name), connections, *map(_amount, cold.get(name, ())))
             for name, connections in document["services"]
         ]
         return RouteTable(
@@ -69,6 +71,14 @@
         raise ValueError("the route table is nested too deeply") from error
 
 
+def _amount(value: Any) -> float:
+    """Returns a number that is finite and not negative."""
+    amount = float(value)
+    if not 0.0 <= amount < math.inf:
+        raise ValueError(f"{value!r} is not a number from 0")
+    return amount
+
+
 def _pack_route(route: Route) -> list[Any]:
     return [
         route.name,
--- a/lavendertide/warmup/cold_targets.py
+++ b/lavendertide/warmup/cold_targets.py
@@ -300,5 +300,5 @@
 
 def _is_fast(speed: TargetSpeed, since_s: float, now_s: float) -> bool:
     """Returns whether the replies of a cold target show that it isn't slow."""
-    has_replied = speed.slowness_at_s >= since_s
+    has_replied = speed.slowness_at_s > since_s
     return has_replied and speed.current_slowness(now_s) < SLOW_RATIO
--- a/tests/encodings/test_registry_frames.py
+++ b/tests/encodings/test_registry_frames.py
@@ -34,3 +34,13 @@
         for frame in (RegistryPull(exchange, 10), push, earlier_release):
             read = decode_frame(encode_frame(frame)[LENGTH.size :])
             self.assertEqual(read.unwrap(), frame)
+
+    def test_the_cold_time_of_a_target_arrives(self) -> None:
+        for cold_left_ms in (None, 0, 1_500):
+            record = replace(target("b"), cold_left_ms=cold_left_ms)
+            push = RegistryPush(
+                ExchangeId("e"), 1, (record,), (), True, True, ConfigurationVersion(1)
+            )
+            read = decode_frame(encode_frame(push)[LENGTH.size :]).unwrap()
+            assert isinstance(read, RegistryPush)
+            self.assertEqual(read.records[0].cold_left_ms, cold_left_ms)
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -3,6 +3,8 @@
 They decode target entries, routes, settings, targets' replies and callers' requests.
 """
 
+import json
+import math
 import tempfile
 import unittest
 from pathlib import Path
@@ -10,6 +12,7 @@
 from unittest import mock
 
 from lavendertide.encodings.http_messages import BadRequest, HttpRequest, HttpResponse
+from lavendertide.encodings.routes_json import decode_table, encode_table
 from lavendertide.forwarding.messages import (
     NO_NOTICE,
     CallerRequest,
@@ -27,17 +30,20 @@
     Unroutable,
 )
 from lavendertide.forwarding.pool import TargetCall
+from lavendertide.ids import ServiceName
 from lavendertide.platform.caller_codec import PlatformCallerCodec
 from lavendertide.platform.operator_routes import decode_routes
 from lavendertide.platform.settings import SettingsError, read_settings
 from lavendertide.platform.target_channel import (
+    COLD_MAX_S,
     PAUSE_MAX_S,
     UNREADABLE_PAUSE_S,
     decode_reply,
 )
 from lavendertide.platform.target_entries import decode_target
-from lavendertide.registry.record import TargetState
+from lavendertide.registry.record import COLD_MAX_MS, TargetState
 from lavendertide.routes.route import GatheredShards, OneService, RequestKind
+from lavendertide.warmup.allowance import ColdBounds
 from standins.forwarding_records import request, target
 
 ENTRY: dict[str, Any] = {
@@ -135,6 +141,22 @@
                 decode_target("i-1", document)
 
 
+class ColdEntryTest(unittest.TestCase):
+    """A cold time that can't be read must not cost its target all requests."""
+
+    def cold_left_ms(self, value: Any) -> int | None:
+        """Returns the cold time of an entry with this value."""
+        return decode_target("t", {**ENTRY, "cold-left-ms": value}).cold_left_ms
+
+    def test_it_is_read_or_counts_as_not_said(self) -> None:
+        self.assertEqual(self.cold_left_ms(1_500), 1_500)
+        self.assertEqual(self.cold_left_ms(10**30), COLD_MAX_MS)
+        unreadable: tuple[Any, ...] = (None, -1, "9", True, 1.5, [], math.nan)
+        for value in unreadable:
+            with self.subTest(value=value):
+                self.assertIsNone(self.cold_left_ms(value))
+
+
 class OperatorRoutesTest(unittest.TestCase):
     """The operator's configuration becomes a route table, or is refused."""
 
@@ -156,6 +178,43 @@
         assert isinstance(destination, GatheredShards)
         self.assertEqual((destination.records_max, destination.coverage_min), (5, 0.75))
 
+    def test_the_cold_fields_of_a_service_reach_other_hosts(self) -> None:
+        entry = {"name": "desk", "max-conns": 26}
+        for fields, expected in (
+            ({}, (0.0, 0.0)),
+            ({"cold-start-s": None, "cold-per-s": 0}, (0.0, 0.0)),
+            ({"cold-start-s": 6, "cold-per-s": 20}, (6.0, 20.0)),
+        ):
+            table = decode_routes({**CONFIGURATION, "services": [{**entry, **fields}]})
+            for known in (table, decode_table(encode_table(table))):
+                service = known.services[ServiceName("desk")]
+                self.assertEqual((service.cold_start_s, service.cold_per_s), expected)
+
+    def test_a_table_without_cold_fields_is_read_from_and_by_a_release_before(
+        self,
+    ) -> None:
+        service = {"name": "desk", "max-conns": 26, "cold-per-s": 20}
+        table = decode_routes({**CONFIGURATION, "services": [service]})
+        document = json.loads(encode_table(table))
+        # That release reads pairs.
+        self.assertEqual(document["services"], [["desk", 26]])
+        del document["cold"]
+        decoded = decode_table(json.dumps(document).encode())
+        self.assertEqual(decoded.services[ServiceName("desk")].cold_per_s, 0.0)
+
+    def test_cold_fields_out_of_range_are_refused(self) -> None:
+        service = {"name": "desk", "max-conns": 26}
+        for value in (-1, "6", True, math.nan, math.inf):
+            for name in ("cold-start-s", "cold-per-s"):
+                entry = {**service, name: value}
+                with self.subTest(value=value), self.assertRaises(ValueError):
+                    decode_routes({**CONFIGURATION, "services": [entry]})
+        document = json.loads(encode_table(decode_routes(CONFIGURATION)))
+        for pair in ([math.nan, 1], [1, math.inf], [-1, 1], [1, 1, 1]):
+            document["cold"] = {"desk": pair}
+            with self.subTest(pair=pair), self.assertRaises(ValueError):
+                decode_table(json.dumps(document).encode())
+
     def test_invalid_configurations_are_refused(self) -> None:
         documents: tuple[Any, ...] = (
             {},
@@ -194,6 +253,13 @@
         self.assertEqual(options.retries.fixed, 56.0)
         self.assertEqual(options.processor_share, 1.0)
 
+    def test_the_bounds_of_cold_targets_are_optional(self) -> None:
+        self.assertEqual(self.read(SETTINGS).cold, ColdBounds(1.5, 5.0))
+        changed = SETTINGS + "bounds.cold-overshoot=1.2\nbounds.cold-slack=2\n"
+        self.assertEqual(self.read(changed).cold, ColdBounds(1.2, 2.0))
+        with self.assertRaisesRegex(SettingsError, "cold-slack"):
+            self.read(SETTINGS + "bounds.cold-slack=-1\n")
+
     def test_values_out_of_range_are_refused(self) -> None:
         for valid, invalid in (
             ("listen.front=10.0.0.1:1", "listen.front=10.0.0.1:70000"),
@@ -322,6 +388,21 @@
             with self.subTest(value=value):
                 self.assertEqual(self.pause_s(value), UNREADABLE_PAUSE_S)
 
+    def test_any_reply_may_say_that_its_target_is_cold(self) -> None:
+        for value, cold_s in (
+            ("1500", 1.5),
+            ("0", 0.0),
+            ("-5", 0.0),
+            ("soon", 0.0),
+            ("9" * 10_000, COLD_MAX_S),
+        ):
+            for status in (200, 500, 503):
+                with self.subTest(value=value[:9], status=status):
+                    notice = self.decode(status, ("lavendertide-cold-ms", value))
+                    self.assertEqual(notice.cold_s, cold_s)
+        other = self.decode(421, ("lavendertide-cold-ms", "1500"))
+        self.assertEqual(other, NO_NOTICE)
+
     def test_only_a_503_demands_a_pause(self) -> None:
         for status in (200, 429, 500):
             with self.subTest(status=status):
