Wait for all hosts that a starting process has reached

Change: hosts that it has reached count from then on, and it takes nothing before it reaches all of them. A host that was away for less than 20 s needs no such wait, since nobody who missed it has taken more. The model's rosters forget hosts that live and are cut off.

--- a/lavendertide/warmup/cold_share.py
+++ b/lavendertide/warmup/cold_share.py
@@ -13,9 +13,10 @@
   announced that they leave. So no side of a partition takes over the other's part.
 - It becomes a named host only while it sees all the hosts that it knows. Until it does
   so again, all that were or are named share with it.
-- A host that has started, or has not updated its view for `VIEW_MAX_AGE_S`, takes
-  nothing before it has reached all the hosts that it knows for `SETTLE_S`. By then the
-  others count it.
+- A host takes nothing while its view is older than `VIEW_MAX_AGE_S`.
+- A host that has started, or was away for `ABSENCE_MAX_S`, takes nothing before it has
+  reached all the hosts that it knows for `SETTLE_S`. By then the others count it. After
+  a shorter absence it goes on: nobody who has missed it has taken more meanwhile.
 """
 
 import functools
@@ -31,6 +32,12 @@
 
 # Oldest view of the fleet by which a host sends; the view is updated every second.
 VIEW_MAX_AGE_S: Final = 2.5
+# Absence after which hosts that have started meanwhile may no longer have this one in
+# their rosters, which forget a silent host after 30 s.
+ABSENCE_MAX_S: Final = 20.0
+# A host that ended just before another one started isn't silent to that one yet. One
+# that has been in its roster for longer, and isn't silent, is reached.
+REACHED_AFTER_S: Final = 2.5
 # Time in which every connected host learns of a new one and notices a lost one.
 SPREAD_S: Final = 1.5
 # After this time all hosts go by the newer view, and what they have sent by the older
@@ -106,6 +113,8 @@
         self._is_settled = False
         self._was_settled = False
         self._reaches_all_since_s: float | None = None
+        self._first_seen_s: dict[DaemonId, float] = {}
+        self._reached: set[DaemonId] = set()
         self._known: frozenset[DaemonId] = frozenset((own,))
         self._leaving: frozenset[DaemonId] = frozenset()
         self._named: frozenset[DaemonId] = frozenset()
@@ -115,16 +124,18 @@
     def update(self, view: FleetView, now_s: float) -> None:
         """Applies the present view of the fleet; called about once a second."""
         was_alone = len(self._known) <= 1
-        self._update_known(view)
+        self._update_known(view, now_s)
         is_met = was_alone and len(self._known) > 1
-        if is_met or not self._is_current(now_s):
+        absence_max_s = ABSENCE_MAX_S if self._is_settled else VIEW_MAX_AGE_S
+        if is_met or not self._is_newer_than(absence_max_s, now_s):
             self._is_settled = False
             self._reaches_all_since_s = None
         self._updated_at_s = now_s
         # A host that has announced its end sends nothing once it is silent.
-        is_missing_any = bool(view.silent - self._leaving)
+        silent = view.silent - self._leaving
+        is_missing_any = bool(silent) or not self._known <= view.members
         if not self._is_settled:
-            self._settle(view, is_missing_any, now_s)
+            self._settle(is_missing_any, now_s)
         self._divide(view, is_missing_any, now_s)
 
     def requests_of(self, target: TargetId, spendable: int, now_s: float) -> int:
@@ -135,7 +146,7 @@
             spendable: What all hosts together may send to it in one window.
             now_s: Present time, monotonic.
         """
-        if not self._is_settled or not self._is_current(now_s):
+        if not self._is_settled or not self._is_newer_than(VIEW_MAX_AGE_S, now_s):
             return 0
         return min(
             self._part_of(dated, target, spendable)
@@ -143,30 +154,43 @@
             if _counts(dated, now_s)
         )
 
-    def _is_current(self, now_s: float) -> bool:
+    def _is_newer_than(self, age_s: float, now_s: float) -> bool:
+        """Returns whether the view was updated within the last `age_s` seconds."""
         updated_at_s = self._updated_at_s
-        return updated_at_s is not None and now_s - updated_at_s <= VIEW_MAX_AGE_S
-
-    def _update_known(self, view: FleetView) -> None:
-        # Hosts that have ended before this one first settles are no part of the fleet.
-        kept = self._known - (self._leaving - view.members)
-        self._known = kept | view.members if self._was_settled else view.members
+        return updated_at_s is not None and now_s - updated_at_s <= age_s
+
+    def _update_known(self, view: FleetView, now_s: float) -> None:
+        if not self._was_settled:
+            # Those that it has never reached may have ended before this host started.
+            self._update_reached(view, now_s)
+            self._known &= self._reached
+        self._known = (self._known - (self._leaving - view.members)) | view.members
         self._leaving = (self._leaving & view.silent) | view.leaving
 
-    def _settle(self, view: FleetView, is_missing_any: bool, now_s: float) -> None:
+    def _update_reached(self, view: FleetView, now_s: float) -> None:
+        """Adds the hosts that have been heard of for longer than a silence lasts."""
+        for host in view.members - self._first_seen_s.keys():
+            self._first_seen_s[host] = now_s
+        self._reached |= {
+            host
+            for host in view.members - view.silent
+            if now_s - self._first_seen_s[host] >= REACHED_AFTER_S
+        }
+
+    def _settle(self, is_missing_any: bool, now_s: float) -> None:
         if is_missing_any:
             self._reaches_all_since_s = None
             return
         if self._reaches_all_since_s is None:
             self._reaches_all_since_s = now_s
-        wait_s = ALONE_AFTER_S if len(view.members) <= 1 else SETTLE_S
+        wait_s = ALONE_AFTER_S if len(self._known) <= 1 else SETTLE_S
         if now_s - self._reaches_all_since_s < wait_s:
             return
         self._is_settled = self._was_settled = True
 
     def _divide(self, view: FleetView, is_missing_any: bool, now_s: float) -> None:
         is_named = self._own in view.named
-        if not is_missing_any and self._known <= view.members:
+        if not is_missing_any:
             self._named, self._is_named = view.named, is_named
         else:
             # Hosts that this one can't see may still take the parts of named hosts.
--- a/tests/warmup/test_cold_share.py
+++ b/tests/warmup/test_cold_share.py
@@ -18,6 +18,7 @@
 HOSTS: Final = tuple(DaemonId(f"m{number}") for number in range(6))
 SILENCE_S: Final = 1.5
 REMOVAL_S: Final = 30.0
+REACHED_S: Final = 4.0
 STEP_S: Final = 0.5
 cached_score = functools.cache(score)
 
@@ -30,8 +31,7 @@
     share: ColdShare
     is_paused: bool = False
     leaves_at_s: float | None = None
-    together_since_s: float | None = None
-    may_forget: bool = False
+    first_heard_at_s: dict[DaemonId, float] = field(default_factory=dict)
     heard_at_s: dict[DaemonId, float] = field(default_factory=dict)
     leaving: set[DaemonId] = field(default_factory=set)
     window: SendWindow = field(default_factory=SendWindow)
@@ -43,7 +43,7 @@
     Their rosters learn of a host at once, notice its silence after 1.5 s and remove it
     after 30 s, also if it lives and is cut off. A process starts only where others in
     reach know all hosts that live, and keeps those in its roster until it has reached
-    them: no rule can bound what hosts spend of which a process can't learn.
+    them for 4 s: no rule can bound what hosts spend of which a process can't learn.
     """
 
     def __init__(self, spendable: int, named: int) -> None:
@@ -103,24 +103,17 @@
             if other.is_paused or not self.can_reach(other.name, process.name):
                 continue
             process.heard_at_s[other.name] = self.now_s
+            process.first_heard_at_s.setdefault(other.name, self.now_s)
             if other.leaves_at_s is None:
                 process.leaving.discard(other.name)
             else:
                 process.leaving.add(other.name)
         for name, heard_at_s in list(process.heard_at_s.items()):
-            may_remove = process.may_forget or name not in self.processes
+            first_s = process.first_heard_at_s.get(name, heard_at_s)
+            was_reached = heard_at_s - first_s >= REACHED_S
+            may_remove = was_reached or name not in self.processes
             if may_remove and self.now_s - heard_at_s >= REMOVAL_S:
                 del process.heard_at_s[name]
-        self.note_if_together(process)
-
-    def note_if_together(self, process: Process) -> None:
-        """Notes whether a process has long reached all that live."""
-        if any(process.heard_at_s.get(name) != self.now_s for name in self.processes):
-            process.together_since_s = None
-        elif process.together_since_s is None:
-            process.together_since_s = self.now_s
-        elif self.now_s - process.together_since_s >= SETTLE_S + 2.0:
-            process.may_forget = True
 
     def update(self, process: Process) -> None:
         """Updates a process's share from its roster; not while it leaves."""
