Test that coldness is read, and passed on with the time that is left

Cause: the reading and the pushes of cold times had no tests of their own.

Change: a test of the follower and one of the source.

Measured: tests.gateway.test_shared_reading and test_following pass (23 tests).

--- a/tests/gateway/test_following.py
+++ b/tests/gateway/test_following.py
@@ -25,7 +25,9 @@
 from lavendertide.registry.registry import TargetRegistry
 from lavendertide.routes.active_routes import ActiveRoutes
 from lavendertide.routes.replication import RouteReplication
-from lavendertide.runtime import output
+from lavendertide.routes.route import Service
+from lavendertide.runtime import clock, output
+from lavendertide.warmup.cold_targets import ColdTargets
 from standins.forwarding_records import DESK, route, table, target
 
 LOST = Failure(unreachable("store", "timeout", "Wait."))
@@ -105,6 +107,28 @@
         self.assertEqual(self.reader.requested_revisions, [7, 9])
         self.assertEqual(self.ready_names(), {"b"})
 
+    def test_the_coldness_of_published_targets_is_known(self) -> None:
+        cold = ColdTargets(lambda name: Service(name, 24, 6.0, 10.0))
+        self.follower = Follower(
+            self.reader,
+            self.active_routes,
+            RouteReplication(self.active_routes, encode_table, decode_table, 0.0),
+            self.registry,
+            EvacuatedDomains(),
+            0.0,
+            cold,
+        )
+        self.follower.read()
+        started = (
+            TargetPublished(target("b")),
+            TargetPublished(replace(target("c"), cold_left_ms=5_000)),
+        )
+        self.reader.changes = Success(PublicationBatch(started, 9))
+        self.follower.read()
+        now_s = clock.monotonic_s()
+        known = [cold.is_cold(target(name), now_s) for name in "abc"]
+        self.assertEqual(known, [False, True, True])
+
     def test_read_state_stays_in_force_while_the_platform_is_unreachable(self) -> None:
         self.follower.read()
         self.reader.changes = LOST
--- a/tests/gateway/test_shared_reading.py
+++ b/tests/gateway/test_shared_reading.py
@@ -23,11 +23,12 @@
 from lavendertide.gateway.reading_times import PAUSE_S, ReadingTimes
 from lavendertide.gateway.shared_reading import (
     FOLLOWERS_MAX,
+    NO_REVISION,
     RegistrySource,
     SharedReader,
     select_source,
 )
-from lavendertide.ids import TargetId
+from lavendertide.ids import ExchangeId, TargetId
 from lavendertide.messages import (
     MemberRecord,
     MemberState,
@@ -38,6 +39,7 @@
 from lavendertide.routes.active_routes import ActiveRoutes
 from lavendertide.routes.replication import RouteReplication
 from lavendertide.runtime import clock, tasks
+from lavendertide.warmup.cold_targets import ColdTargets
 from standins.forwarding_records import LOCAL_DOMAIN, route, table, target
 from tests.fleet.members import member
 from tests.virtual_time import VirtualTimeTestCase
@@ -256,6 +258,27 @@
         self.assertFalse(self.evacuated.is_evacuated(LOCAL_DOMAIN))
 
 
+class ColdTargetsOfASourceTest(unittest.TestCase):
+    """Guards against hosts that take a cold target of a peer for a warm one."""
+
+    def test_a_push_has_the_time_that_is_left(self) -> None:
+        cold = ColdTargets()
+        source_host, registry = StartInAnOutageTest().make(LostPlatform())
+        source_host.history.reset(7)
+        now_s = clock.monotonic_s()
+        records = tuple(replace(target(n), cold_left_ms=4_000) for n in ("a", "b"))
+        registry.put(*records)
+        cold.record_published(records[:1], now_s)
+        source = RegistrySource(
+            TIMES, source_host, registry, ActiveRoutes(), EvacuatedDomains(), cold
+        )
+        push = source.reply_to(RegistryPull(ExchangeId("e"), NO_REVISION))
+        left_ms = {record.target: record.cold_left_ms for record in push.records}
+        self.assertGreater(left_ms[TargetId("a")] or 0, 3_000)
+        # The coldness that its entry told of is over.
+        self.assertEqual(left_ms[TargetId("b")], 0)
+
+
 class CuttablePlatform:
     """The platform as seen by one host, whose connection can be cut.
 
