--- a/lavendertide/forwarding/explanation.py
+++ b/lavendertide/forwarding/explanation.py
@@ -41,6 +41,8 @@
     AVOIDED = "avoided"
     # Calls to it are late, and it is ranked behind all that are not.
     STALLED = "stalled"
+    # It is cold: it ranks behind warm targets, and its allowance may be used up.
+    COLD = "cold"
     # The functions that choose targets leave it out for a reason not listed here.
     NOT_CHOSEN = "not_chosen"
 
@@ -259,6 +261,9 @@
             return exclusion.reason, exclusion.until_s
         if now_s < view.excluded_until_s:
             return ViewReason.ADDRESS_TAKEN_OVER, view.excluded_until_s
+        cold_wait_s = self._choice.cold_wait_s(record, now_s)
+        if cold_wait_s is not None:
+            return ViewReason.COLD, now_s + cold_wait_s if cold_wait_s else None
         if not is_ranked:
             return ViewReason.NOT_CHOSEN, None
         if view.is_avoided(now_s):
--- a/lavendertide/forwarding/run.py
+++ b/lavendertide/forwarding/run.py
@@ -26,7 +26,7 @@
     outcome_of,
 )
 from lavendertide.forwarding.missing import MissingCause, MissingPart, find_missing
-from lavendertide.forwarding.parts import Part
+from lavendertide.forwarding.parts import Part, refusal_cause
 from lavendertide.forwarding.pool import TargetCall
 from lavendertide.forwarding.request_log import log_end, log_repeat, response_outcome
 from lavendertide.forwarding.sender import (
@@ -346,7 +346,7 @@
         services = [part.service for part in self._parts]
         required = self._route.replies_min
         retry_after_s = self._sender.retry_after_s(services, required, now_s)
-        return Refused(RefusalCause.TARGETS_FULL, retry_after_s)
+        return Refused(refusal_cause(self._parts), retry_after_s)
 
     def _log_repeat(
         self, part: Part, record: TargetRecord, cause: str, may_send: bool, now_s: float
--- a/lavendertide/gateway/budget_share.py
+++ b/lavendertide/gateway/budget_share.py
@@ -7,9 +7,9 @@
 import math
 from typing import Final
 
+from lavendertide.fleet.fleet_size import FleetSize
 from lavendertide.fleet.readiness import ALONE_AFTER_S
 from lavendertide.forwarding.budget import SPENDABLE_SHARE
-from lavendertide.gateway.fleet_size import FleetSize
 
 # Fraction of the budget that is split evenly among all hosts; the hosts that are named
 # to callers split the rest. Half of the budget covers callers that still use other
