--- a/lavendertide/forwarding/forwarder.py
+++ b/lavendertide/forwarding/forwarder.py
@@ -146,6 +146,10 @@
         """Returns the usable targets of a service, the best one first."""
         return self._choice.rank_targets(service, now_s)
 
+    def is_held_back(self, service: ServiceName, now_s: float) -> bool:
+        """Returns whether the allowances of a service's cold targets are used up."""
+        return self._choice.is_held_back(service, now_s)
+
     def try_spend_repeat(self, service: ServiceName, now_s: float) -> bool:
         """Spends one extra sub-request; returns whether the budget had one left."""
         if self._budgets.try_spend(service, self._fleet.budget_share(now_s), now_s):
--- a/lavendertide/forwarding/parts.py
+++ b/lavendertide/forwarding/parts.py
@@ -69,15 +69,6 @@
         due = [at for at in (self.late_at_s, self.retry_at_s) if at is not None]
         return min(due) if due and self.reply is None else None
 
-    @property
-    def is_held_back(self) -> bool:
-        """Whether a cold target was chosen, and its allowance was used up meanwhile."""
-        match self.failure:
-            case NotRun(reason=NotRunReason.COLD):
-                return True
-            case _:
-                return False
-
     @property
     def is_starved(self) -> bool:
         """Whether the targets were full or have not replied in time."""
--- a/lavendertide/forwarding/run.py
+++ b/lavendertide/forwarding/run.py
@@ -357,7 +357,9 @@
         retry_after_s = self._sender.retry_after_s(
             services, self._required_parts(), now_s
         )
-        is_held_back = any(part.is_held_back for part in self._parts)
+        is_held_back = any(
+            self._sender.is_held_back(service, now_s) for service in services
+        )
         return Refused(
             RefusalCause.TARGETS_COLD if is_held_back else RefusalCause.TARGETS_FULL,
             retry_after_s,
--- a/lavendertide/forwarding/sender.py
+++ b/lavendertide/forwarding/sender.py
@@ -40,6 +40,9 @@
     def rank_targets(self, service: ServiceName, now_s: float) -> list[TargetRecord]:
         """Returns the usable targets of a service, the best one first."""
 
+    def is_held_back(self, service: ServiceName, now_s: float) -> bool:
+        """Returns whether the allowances of a service's cold targets are used up."""
+
     def try_spend_repeat(self, service: ServiceName, now_s: float) -> bool:
         """Spends one extra sub-request; returns whether the budget had one left."""
 
--- a/lavendertide/gateway/gateway.py
+++ b/lavendertide/gateway/gateway.py
@@ -279,7 +279,9 @@
         )
         self._metrics = ForwardingMetrics(REGISTRY)
         cold_metrics = ColdMetrics(
-            REGISTRY, lambda: self._cold.count(clock.monotonic_s())
+            REGISTRY,
+            lambda: self._cold.count(clock.monotonic_s()),
+            lambda: self._cold_share.takes_part(clock.monotonic_s()),
         )
         self._cold.set_sent_listener(cold_metrics.record)
         self._target_views = TargetViews(options.failure_domain)
--- a/lavendertide/warmup/cold_share.py
+++ b/lavendertide/warmup/cold_share.py
@@ -138,6 +138,10 @@
             self._settle(is_missing_any, now_s)
         self._divide(view, is_missing_any, now_s)
 
+    def takes_part(self, now_s: float) -> bool:
+        """Returns whether this host may send to cold targets with an allowance."""
+        return self._is_settled and self._is_newer_than(VIEW_MAX_AGE_S, now_s)
+
     def requests_of(self, target: TargetId, spendable: int, now_s: float) -> int:
         """Returns the requests that this host may send to a target in one window.
 
@@ -146,7 +150,7 @@
             spendable: What all hosts together may send to it in one window.
             now_s: Present time, monotonic.
         """
-        if not self._is_settled or not self._is_newer_than(VIEW_MAX_AGE_S, now_s):
+        if not self.takes_part(now_s):
             return 0
         return min(
             self._part_of(dated, target, spendable)
--- a/lavendertide/warmup/metrics.py
+++ b/lavendertide/warmup/metrics.py
@@ -9,7 +9,10 @@
     """Gauge and counters of one host's cold targets."""
 
     def __init__(
-        self, registry: CollectorRegistry, count_targets: Callable[[], float]
+        self,
+        registry: CollectorRegistry,
+        count_targets: Callable[[], int],
+        takes_part: Callable[[], bool],
     ) -> None:
         targets = Gauge(
             "lavendertide_cold_targets",
@@ -17,6 +20,12 @@
             registry=registry,
         )
         targets.set_function(count_targets)
+        part = Gauge(
+            "lavendertide_cold_takes_part",
+            "Whether this host may send to cold targets with an allowance.",
+            registry=registry,
+        )
+        part.set_function(takes_part)
         self._sent = Counter(
             "lavendertide_cold_sent",
             "Requests sent to cold targets with an allowance.",
--- a/tests/warmup/test_requests.py
+++ b/tests/warmup/test_requests.py
@@ -13,8 +13,8 @@
     TargetReply,
 )
 from lavendertide.forwarding.pool import TargetCall
-from lavendertide.ids import TargetId
-from lavendertide.routes.route import Service
+from lavendertide.ids import ServiceName, TargetId
+from lavendertide.routes.route import Service, SplitServices, WeightedService
 from lavendertide.runtime import clock, tasks
 from lavendertide.warmup.cold_targets import ColdTargets
 from standins.forwarding_records import DESK, reply, route, shards, target
@@ -26,6 +26,7 @@
 from tests.virtual_time import VirtualTimeTestCase
 
 COLD, WARM = TargetId("cold"), TargetId("warm")
+OTHER = ServiceName("other")
 PART = 3
 
 
@@ -91,6 +92,17 @@
         self.send(8)
         self.assertLessEqual(self.scripted.called_targets.count(COLD), PART)
 
+    def test_a_service_of_a_split_is_refused_with_the_same_cause(self) -> None:
+        """The other service of the split has a target, and gets no requests."""
+        parts = (WeightedService(DESK, 1.0), WeightedService(OTHER, 0.0))
+        scripted = ScriptedForwarder(route(SplitServices(parts)), cold=self.cold)
+        scripted.add(COLD, DESK, replies())
+        scripted.add(WARM, OTHER, replies())
+        responses = [scripted.forward(name=f"r{number}") for number in range(PART + 1)]
+        self.assertEqual(scripted.called_targets, [COLD] * PART)
+        assert isinstance(responses[-1], Refused)
+        self.assertIs(responses[-1].cause, RefusalCause.TARGETS_COLD)
+
     def test_a_reply_that_says_so_makes_its_target_cold(self) -> None:
         def behave(call: TargetCall) -> TargetReply:
             notice = TargetNotice(cold_s=2.0)
