--- a/lavendertide/forwarding/parts.py
+++ b/lavendertide/forwarding/parts.py
@@ -1,6 +1,5 @@
 """The state of a request at each of the services that have to reply to it."""
 
-from collections.abc import Iterable
 from dataclasses import dataclass, field
 from typing import Final
 
@@ -8,7 +7,6 @@
     UNSENT_REASONS,
     NotRun,
     NotRunReason,
-    RefusalCause,
     Replied,
     TargetReply,
     Unknown,
@@ -150,13 +148,3 @@
         for call in self.open_calls.values():
             if call.is_late(now_s):
                 call.cancel()
-
-
-def refusal_cause(parts: Iterable[Part]) -> RefusalCause:
-    """Returns why a request is refused whose parts have reached no target."""
-    for part in parts:
-        match part.failure:
-            case NotRun(reason=NotRunReason.COLD):
-                # A cold target was chosen, and its allowance was used up meanwhile.
-                return RefusalCause.TARGETS_COLD
-    return RefusalCause.TARGETS_FULL
