--- a/standins/gateway_process.py
+++ b/standins/gateway_process.py
@@ -73,6 +73,9 @@
 class GatewayProcess:
     """Runs one gateway as a separate process.
 
+    Args:
+        settings: Further lines of the settings file, each with its end of line.
+
     Attributes:
         node: Name of the gateway.
         ports: Ports for callers, readiness, control, directory and metrics.
@@ -86,6 +89,7 @@
         store: str,
         seeds: str,
         ports: PortBlock,
+        settings: str = "",
     ) -> None:
         self.node = node
         addresses = ports.allocate(5)
@@ -94,6 +98,7 @@
         self._settings = SETTINGS.format(
             *self.ports, node=node, store=store, seeds=seeds
         )
+        self._settings += settings
         self._log_path = folder / f"{node}.log"
         self._log = self._log_path.open("ab")
         self._environment = os.environ | {
--- a/standins/target.py
+++ b/standins/target.py
@@ -60,6 +60,7 @@
         restart_ms: Time from a crash to the restart.
         misreply: The field that is wrong in its replies.
         padding_bytes: Size of the padding added to each reply.
+        document_bytes: Least size of the document in each row.
         cold_ms: How long the target is slow after a restart.
         cold_factor: Factor by which requests take longer in that time.
         health_says: State that the health endpoint reports instead of the real one.
@@ -76,6 +77,7 @@
     restart_ms: float = 1_000.0
     misreply: WrongReplyField = WrongReplyField.NOTHING
     padding_bytes: int = 0
+    document_bytes: int = 0
     cold_ms: float = 0.0
     cold_factor: float = 1.0
     health_says: TargetState | None = None
@@ -274,6 +276,11 @@
         reply = expected_reply(request | self._wrong_fields(request))
         if self.behaviour.padding_bytes:
             reply["padding"] = "x" * self.behaviour.padding_bytes
+        if self.behaviour.document_bytes:
+            reply["rows"] = [
+                [key, score, document.ljust(self.behaviour.document_bytes, ".")]
+                for key, score, document in reply["rows"]
+            ]
         return reply
 
     def _wrong_fields(self, request: dict[str, Any]) -> dict[str, Any]:
