Bound what a gateway holds for callers that don't read

Cause: sendall starts its time limit again with each byte, head and body were joined into a second copy, what callers had yet to read counted nowhere, and the system's send buffers grew to megabytes.

Change: responses are sent in pieces without a copy, within a limit that only progress extends; one account covers a body from its first byte read to the last one accepted (it replaces ReplyMemory); send buffers of callers' sockets have 64 KiB; requests that follow on a connection stay unread until the answer is written; above the bound on connections the one idle for longest is closed. A target that reads a request slowly no longer extends the 4 s that it has. limits.memory-mb and limits.max-fds are optional; without them responses that are written don't count and 2,000 connections are served.

--- a/lavendertide/encodings/http_client_connection.py
+++ b/lavendertide/encodings/http_client_connection.py
@@ -15,14 +15,14 @@
     MalformedReply,
     OversizedReply,
     ReplyMatcher,
-    ReplyMemory,
     ReplyReader,
     match_any_reply,
 )
 from lavendertide.ids import Address
+from lavendertide.overload.response_memory import ResponseMemory
 from lavendertide.runtime import clock, sockets
 
-# Time limit for the server to accept a request.
+# Time limit for the server to accept a request, however it reads.
 SEND_TIMEOUT_S: Final = 4.0
 
 
@@ -49,10 +49,12 @@
 
     Args:
         address: The server's address.
-        memory: Bounds the responses that are being read on this and other connections.
+        memory: The account of all responses that the process holds.
     """
 
-    def __init__(self, address: Address, memory: ReplyMemory = PROCESS_MEMORY) -> None:
+    def __init__(
+        self, address: Address, memory: ResponseMemory = PROCESS_MEMORY
+    ) -> None:
         self._address = address
         self._memory = memory
         self._socket: socket.socket | None = None
@@ -69,7 +71,6 @@
             connection = sockets.connect(self._address, timeout_s)
         except OSError:
             return False
-        connection.settimeout(SEND_TIMEOUT_S)
         sockets.set_unacknowledged_timeout(connection)
         self._socket = connection
         return True
@@ -95,16 +96,20 @@
         """
         reader = ReplyReader(method, is_matching, self._memory)
         has_received_data = False
-        ends_at_s = clock.monotonic_s() + timeout_s
+        now_s = clock.monotonic_s()
+        ends_at_s = now_s + timeout_s
+        sent_by_s = min(ends_at_s, now_s + SEND_TIMEOUT_S)
         try:
             if self._socket is None:
                 raise ConnectionResetError
-            self._socket.sendall(request)
+            sockets.send_pieces(self._socket, request, lambda _: sent_by_s)
             while not reader.is_complete:
                 data = sockets.receive(self._socket, READ_BYTES, ends_at_s)
                 has_received_data = has_received_data or bool(data)
                 reader.feed(data)
-            return HttpResponse(reader.status, reader.headers, reader.body)
+            return HttpResponse(
+                reader.status, reader.headers, reader.body, reader.hand_over()
+            )
         except (OSError, MalformedReply) as error:
             raise ExchangeError(
                 has_received_data,
--- a/lavendertide/encodings/http_messages.py
+++ b/lavendertide/encodings/http_messages.py
@@ -1,9 +1,11 @@
 """HTTP/1.1 messages, independent of their framing on a socket."""
 
 from collections.abc import Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Final
 
+from lavendertide.overload.response_memory import HeldResponse
+
 Header = tuple[bytes, bytes]
 
 READ_BYTES: Final = 65_536
@@ -33,12 +35,14 @@
     Attributes:
         target: Path and query.
         headers: All headers, with names in lower case.
+        held: Account of the body, for as long as the request is referred to.
     """
 
     method: str
     target: str
     headers: tuple[Header, ...]
     body: bytes
+    held: HeldResponse | None = field(default=None, compare=False, repr=False)
 
     def header(self, name: bytes) -> bytes | None:
         """Returns the first header of a name, given in lower case."""
@@ -51,11 +55,13 @@
 
     Attributes:
         headers: All headers except those that frame the body.
+        held: Account of the body, for as long as the response is referred to.
     """
 
     status: int
     headers: tuple[Header, ...]
     body: bytes
+    held: HeldResponse | None = field(default=None, compare=False, repr=False)
 
     def header(self, name: bytes) -> bytes | None:
         """Returns the first header of a name, given in lower case."""
--- a/lavendertide/encodings/http_replies.py
+++ b/lavendertide/encodings/http_replies.py
@@ -11,14 +11,16 @@
 import httptools
 
 from lavendertide.encodings.http_messages import Header
+from lavendertide.overload.response_memory import (
+    LONGEST_RESPONSE_BYTES,
+    HeldResponse,
+    ResponseMemory,
+)
+from lavendertide.runtime import clock
 
 # Larger responses are not read to their end. One shard's part of a gathered response
 # has about 100 bytes, a single response about 10 kB.
-BODY_MAX_BYTES: Final = 8_388_608
-# Bytes that all responses which are being read may hold together. Each one may hold a
-# share beyond it, so that large ones don't displace the usual ones.
-SHARE_BYTES: Final = 262_144
-ALL_BODIES_MAX_BYTES: Final = 67_108_864
+BODY_MAX_BYTES: Final = LONGEST_RESPONSE_BYTES
 HEADERS_MAX: Final = 128
 # Bytes of a response beside its body: status line, headers, the lengths of chunks,
 # trailers and interim responses. A server that has lost its way may send them without
@@ -46,34 +48,8 @@
     """The response has more bytes than are read of one."""
 
 
-class ReplyMemory:
-    """Bounds the memory of all responses that are being read at the same time.
-
-    Args:
-        bytes_max: Bytes that they may hold together; shares are granted beyond it.
-    """
-
-    def __init__(self, bytes_max: int = ALL_BODIES_MAX_BYTES) -> None:
-        self._bytes_max = bytes_max
-        self._held = 0
-
-    @property
-    def held(self) -> int:
-        """Bytes that are held at present."""
-        return self._held
-
-    def try_hold(self, growth: int, size: int) -> bool:
-        """Adds received bytes to those held; returns whether the response may go on.
-
-        Args:
-            growth: Number of bytes; negative if bytes were released.
-            size: Bytes that the response holds with them.
-        """
-        self._held += growth
-        return size <= SHARE_BYTES or self._held <= self._bytes_max
-
-
-PROCESS_MEMORY: Final = ReplyMemory()
+# Used where no other account is given.
+PROCESS_MEMORY: Final = ResponseMemory()
 
 
 class ReplyReader:
@@ -83,22 +59,22 @@
         method: The method of the request; a response to `HEAD` has no body.
         is_matching: Decides by the headers whether a response belongs to the request.
             Other responses are skipped, since a server may repeat an earlier one.
-        memory: Shared by all responses that are being read.
+        memory: The account of all responses that the process holds.
     """
 
     def __init__(
         self,
         method: str,
         is_matching: ReplyMatcher = match_any_reply,
-        memory: ReplyMemory = PROCESS_MEMORY,
+        memory: ResponseMemory = PROCESS_MEMORY,
     ) -> None:
         self._is_head_request = method == "HEAD"
         self._is_matching = is_matching
         self._parser: httptools.HttpResponseParser | None
         self._parser = httptools.HttpResponseParser(self)
         self._headers: list[Header] = []
-        self._memory = memory
-        self._held = 0
+        self._held: HeldResponse | None = memory.open()
+        self._keeps_account = memory.is_bounding_writes
         self._body = bytearray()
         self._overhead = 0
         self._status = 0
@@ -132,6 +108,16 @@
         """The part of the body that has been received."""
         return bytes(self._body)
 
+    def hand_over(self) -> HeldResponse | None:
+        """Returns the account of a complete response, which goes with its body.
+
+        Returns none where only responses that are being read count.
+        """
+        if not self._keeps_account:
+            return None
+        held, self._held = self._held, None
+        return held
+
     def close(self) -> None:
         """Releases the parser and the body, after which nothing more can be parsed.
 
@@ -140,7 +126,9 @@
         """
         self._parser = None
         self._body = bytearray()
-        self._hold_body()
+        if self._held is not None:
+            self._held.release()
+            self._held = None
 
     def feed(self, data: bytes) -> None:
         """Parses received bytes; empty `data` means that the connection has ended.
@@ -214,8 +202,9 @@
 
     def _hold_body(self) -> bool:
         """Accounts for the body; returns whether there is memory for it."""
-        growth, self._held = len(self._body) - self._held, len(self._body)
-        return self._memory.try_hold(growth, self._held)
+        if self._held is None:
+            return True
+        return self._held.try_resize(len(self._body), clock.monotonic_s())
 
     def _handle_close(self) -> None:
         if self._ends_at_close:
--- a/lavendertide/encodings/http_server_connection.py
+++ b/lavendertide/encodings/http_server_connection.py
@@ -8,6 +8,7 @@
 import contextlib
 import logging
 import socket
+from enum import Enum
 from http import HTTPStatus
 from typing import Final
 
@@ -19,14 +20,31 @@
     HttpRequest,
     HttpResponse,
 )
+from lavendertide.overload.response_memory import HeldResponse, ResponseMemory
+from lavendertide.overload.write_limit import WriteLimit
 from lavendertide.runtime import clock, sockets
 
 # A time-out of zero would make the socket non-blocking.
 SHORTEST_WAIT_S: Final = 0.001
+# A shorter response is sent in one write, as a second one costs more than the copy.
+JOINED_MAX_BYTES: Final = 16_384
+# Time limit for the body of a request, extended like that of a response. The longest
+# body has 256 KiB.
+BODY_BASE_S: Final = 10.0
 
 _log = logging.getLogger(__name__)
 
 
+class WriteFailure(Enum):
+    """Why a response could not be written completely."""
+
+    CLOSED = "closed"
+    # The caller did not accept it in time.
+    TOO_SLOW = "too_slow"
+    # Its memory was needed for others.
+    EVICTED = "evicted"
+
+
 class ServerConnection:
     """One connection that a caller has opened.
 
@@ -39,9 +57,16 @@
     def __init__(self, connection: socket.socket) -> None:
         connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         sockets.set_unacknowledged_timeout(connection)
+        sockets.bound_send_buffer(connection)
         self._socket = connection
         self._framing = h11.Connection(h11.SERVER)
         self._received = b""
+        self._write_failure: WriteFailure | None = None
+
+    @property
+    def write_failure(self) -> WriteFailure | None:
+        """Why the last response could not be written; none if it could."""
+        return self._write_failure
 
     @property
     def is_idle(self) -> bool:
@@ -81,7 +106,11 @@
         return bool(self._received)
 
     def read_request(
-        self, header_s: float, header_max_bytes: int, body_max_bytes: int
+        self,
+        header_s: float,
+        header_max_bytes: int,
+        body_max_bytes: int,
+        memory: ResponseMemory | None = None,
     ) -> HttpRequest | BadRequest | None:
         """Reads the request whose first bytes have arrived.
 
@@ -90,6 +119,8 @@
                 piece of the body.
             header_max_bytes: Larger headers are refused.
             body_max_bytes: A larger body is refused.
+            memory: The account of all that the process holds; a body that it has no
+                room for is refused.
 
         Returns:
             The request; none if the connection has closed or timed out.
@@ -98,17 +129,19 @@
         try:
             self._framing.receive_data(self._received)
             self._received = b""
-            return self._read_request(header_s, body_max_bytes)
+            held = memory.open() if memory is not None else None
+            return self._read_request(header_s, body_max_bytes, held)
         except h11.RemoteProtocolError as error:
             return BadRequest(error.error_status_hint)
         except OSError:
             return None
 
     def _read_request(
-        self, header_s: float, body_max_bytes: int
+        self, header_s: float, body_max_bytes: int, held: HeldResponse | None
     ) -> HttpRequest | BadRequest | None:
         head: h11.Request | None = None
         head_until_s = clock.monotonic_s() + header_s
+        body_limit = WriteLimit(head_until_s, BODY_BASE_S)
         chunks: list[bytes] = []
         size = 0
         while True:
@@ -117,12 +150,12 @@
                 if self._framing.they_are_waiting_for_100_continue:
                     proceed = h11.InformationalResponse(status_code=100, headers=[])
                     self._socket.sendall(self._framing.send(proceed))
-                # Headers that arrive byte by byte must not hold the connection.
+                # Headers or a body that arrive byte by byte must not hold the
+                # connection.
                 left_s = head_until_s - clock.monotonic_s()
                 if head is not None:
-                    left_s = header_s
-                self._socket.settimeout(max(SHORTEST_WAIT_S, left_s))
-                self._framing.receive_data(self._socket.recv(READ_BYTES))
+                    left_s = body_limit.ends_at_s(size) - clock.monotonic_s()
+                self._receive_within(min(header_s, left_s))
                 continue
             match event:
                 case h11.Request():
@@ -132,37 +165,60 @@
                     size += len(event.data)
                     if size > body_max_bytes:
                         return BadRequest(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
+                    if held and not held.try_resize(size, clock.monotonic_s()):
+                        return BadRequest(HTTPStatus.SERVICE_UNAVAILABLE)
                 case h11.EndOfMessage() if head is not None:
                     return HttpRequest(
                         head.method.decode("ascii"),
                         head.target.decode("latin-1"),
                         tuple(head.headers),
                         b"".join(chunks),
+                        held,
                     )
                 case _:
                     return None
 
+    def _receive_within(self, left_s: float) -> None:
+        """Receives more of a request.
+
+        Raises:
+            OSError: Nothing arrived in time.
+        """
+        if left_s <= 0.0:
+            raise TimeoutError
+        self._socket.settimeout(max(SHORTEST_WAIT_S, left_s))
+        self._framing.receive_data(self._socket.recv(READ_BYTES))
+
     def wait_for_close(self) -> bool:
-        """Waits until the caller closes; returns false if it sends data instead."""
+        """Waits until the caller closes; returns false if it sends data instead.
+
+        The data stays unread until the present request is answered.
+        """
         self._socket.settimeout(None)
         try:
-            data = self._socket.recv(READ_BYTES)
+            return not self._socket.recv(1, socket.MSG_PEEK)
         except OSError:
             return True
-        if not data:
-            return True
-        self._framing.receive_data(data)
-        return False
 
-    def write(self, response: HttpResponse, is_last: bool, timeout_s: float) -> bool:
+    def write(
+        self,
+        response: HttpResponse,
+        is_last: bool,
+        timeout_s: float,
+        memory: ResponseMemory | None = None,
+    ) -> bool:
         """Writes a response; returns whether it could be written completely.
 
         Args:
             response: The response; `Content-Length` is added here.
             is_last: Whether to announce to the caller that the connection closes after
                 this response.
-            timeout_s: Time limit for the caller to accept the response.
+            timeout_s: Time limit for the caller to accept the response, which is
+                extended by what it accepts.
+            memory: The account of all responses, in which this one counts until the
+                caller has accepted it.
         """
+        self._write_failure = None
         try:
             head = _render_head(response, is_last)
         except h11.LocalProtocolError as error:
@@ -171,19 +227,61 @@
             response = HttpResponse(HTTPStatus.BAD_GATEWAY, (), b"")
             head = _render_head(response, is_last)
         try:
-            data = self._framing.send(head) or b""
-            data += self._framing.send(h11.Data(data=response.body)) or b""
-            data += self._framing.send(h11.EndOfMessage()) or b""
-            self._socket.settimeout(timeout_s)
-            self._socket.sendall(data)
-        except (OSError, h11.LocalProtocolError):
+            parts = [self._framing.send(head) or b""]
+            for event in (h11.Data(data=response.body), h11.EndOfMessage()):
+                parts += self._framing.send_with_data_passthrough(event) or []
+        except h11.LocalProtocolError:
+            self._write_failure = WriteFailure.CLOSED
             return False
-        return True
+        held = response.held or (memory.open() if memory is not None else None)
+        self._write_failure = self._send(parts, timeout_s, held)
+        return self._write_failure is None
 
-    def close(self) -> None:
-        """Closes the connection; a pending read ends."""
+    def _send(
+        self, parts: list[bytes], timeout_s: float, held: HeldResponse | None
+    ) -> WriteFailure | None:
+        """Sends the parts of a response; returns why that failed, if it did."""
+        size = sum(map(len, parts))
+        if size <= JOINED_MAX_BYTES:
+            parts = [b"".join(parts)]
+        now_s = clock.monotonic_s()
+        limit = WriteLimit(now_s, timeout_s)
+        accepted = 0
+        try:
+            if held is not None:
+                # What the system holds of a part counts beside the whole response.
+                in_system = min(size, 2 * sockets.SEND_BUFFER_BYTES)
+                held.start_writing(size + in_system, self.reset, now_s)
+            for part in parts:
+                accepted = sockets.send_pieces(
+                    self._socket, part, limit.ends_at_s, accepted
+                )
+        except TimeoutError:
+            self.reset()
+            return WriteFailure.TOO_SLOW
+        except OSError:
+            is_evicted = held is not None and held.is_evicted
+            return WriteFailure.EVICTED if is_evicted else WriteFailure.CLOSED
+        finally:
+            if held is not None:
+                held.release()
+        return None
+
+    def reset(self) -> None:
+        """Ends the connection; a pending write fails, and what wasn't sent is lost."""
+        sockets.reset(self._socket)
+
+    def shut_down(self) -> None:
+        """Ends the connection; a pending read ends, and its task closes the socket.
+
+        What was written is still sent.
+        """
         with contextlib.suppress(OSError):
             self._socket.shutdown(socket.SHUT_RDWR)
+
+    def close(self) -> None:
+        """Closes the connection; no other task may wait for it."""
+        self.shut_down()
         with contextlib.suppress(OSError):
             self._socket.close()
 
--- a/lavendertide/forwarding/messages.py
+++ b/lavendertide/forwarding/messages.py
@@ -1,10 +1,11 @@
 """Requests, replies of targets and responses to callers, apart from any encoding."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import Enum
 from typing import Final
 
 from lavendertide.ids import CallerRequestId, Fingerprint, TargetId
+from lavendertide.overload.response_memory import HeldResponse
 
 Header = tuple[bytes, bytes]
 
@@ -107,6 +108,7 @@
         headers: All headers, including hop-by-hop ones, which must not be passed on.
         signature: Proves which target produced the reply; empty if there is none.
         notice: What the target says about itself.
+        held: Account of the body, for as long as the reply is referred to.
     """
 
     target: TargetId
@@ -115,6 +117,7 @@
     body: bytes
     signature: str
     notice: TargetNotice = NO_NOTICE
+    held: HeldResponse | None = field(default=None, compare=False, repr=False)
 
     @property
     def is_success(self) -> bool:
--- a/lavendertide/gateway/caller_front.py
+++ b/lavendertide/gateway/caller_front.py
@@ -13,7 +13,10 @@
 
 from lavendertide.daemon.in_flight import InFlightCounter
 from lavendertide.encodings.http_messages import BadRequest, HttpRequest, HttpResponse
-from lavendertide.encodings.http_server_connection import ServerConnection
+from lavendertide.encodings.http_server_connection import (
+    ServerConnection,
+    WriteFailure,
+)
 from lavendertide.fleet.readiness import Readiness, ReadinessState
 from lavendertide.forwarding.forwarder import Forwarder
 from lavendertide.forwarding.messages import (
@@ -28,13 +31,15 @@
 from lavendertide.forwarding.metrics import ForwardingMetrics
 from lavendertide.forwarding.request_log import log_refusal, response_outcome
 from lavendertide.forwarding.sender import CallerLeft, Event, HostEnds
+from lavendertide.overload.caller_bounds import CallerBounds, Cause
+from lavendertide.overload.caller_connections import Admission
 from lavendertide.routes.active_routes import ActiveRoutes
 from lavendertide.routes.route import CallerLimits, Route
 from lavendertide.runtime import clock, tasks
 
 # Limits in force until the first route table, which contains the limits, is known.
 DEFAULT_LIMITS: Final = CallerLimits(16_384, 262_144, 3.0, 15.0)
-# How long a caller may take to receive a response.
+# How long a caller may take to receive a response, beside what its progress allows.
 WRITE_TIMEOUT_S: Final = 10.0
 # A host that is not ready usually is again as soon as its peers have replied.
 NOT_READY_RETRY_S: Final = 0.2
@@ -43,6 +48,12 @@
 _log = logging.getLogger(__name__)
 
 
+_CAUSES: Final = {
+    WriteFailure.TOO_SLOW: Cause.TOO_SLOW,
+    WriteFailure.EVICTED: Cause.MEMORY,
+}
+
+
 class CallerCodec(Protocol):
     """Decodes callers' requests and encodes responses.
 
@@ -79,6 +90,7 @@
         readiness: Readiness,
         in_flight: InFlightCounter,
         metrics: ForwardingMetrics,
+        bounds: CallerBounds | None = None,
     ) -> None:
         self._codec = codec
         self._forwarder = forwarder
@@ -86,17 +98,19 @@
         self._readiness = readiness
         self._in_flight = in_flight
         self._metrics = metrics
-        self._idle: set[ServerConnection] = set()
+        self._bounds = bounds or CallerBounds()
+        self._connections = self._bounds.connections
         self._inboxes: set[tasks.Mailbox[Event]] = set()
 
     def serve(self, accepted: socket.socket) -> None:
         """Serves the requests of one connection until it closes."""
         connection = ServerConnection(accepted)
         try:
-            while self._serve_request(connection):
-                pass
+            if self._admits(connection):
+                while self._serve_request(connection):
+                    pass
         finally:
-            self._idle.discard(connection)
+            self._connections.remove(connection)
             connection.close()
 
     def close_idle(self) -> None:
@@ -105,9 +119,9 @@
         A request that has arrived in part, or was not read yet, is read and refused
         instead, since a closed connection doesn't say whether the request has run.
         """
-        for connection in list(self._idle):
+        for connection in self._connections.idle:
             if connection.is_idle:
-                connection.close()
+                connection.shut_down()
 
     def end_requests(self) -> None:
         """Has all requests in flight answered at once."""
@@ -119,11 +133,17 @@
         table = self._active_routes.table
         return table.limits if table is not None else DEFAULT_LIMITS
 
+    def _admits(self, connection: ServerConnection) -> bool:
+        admission = self._connections.add(connection)
+        if admission is not Admission.ADDED:
+            self._bounds.record(Cause.CONNECTIONS)
+        return admission is not Admission.REFUSED
+
     def _serve_request(self, connection: ServerConnection) -> bool:
         """Serves one request; returns whether the connection can serve another."""
-        self._idle.add(connection)
+        self._connections.mark_idle(connection)
         has_begun = connection.wait_for_request(self._limits.idle_timeout_s)
-        self._idle.discard(connection)
+        self._connections.mark_busy(connection)
         if not has_begun:
             return False
         self._in_flight.record_accepted()
@@ -133,6 +153,7 @@
                 limits.header_timeout_s,
                 limits.header_max_bytes,
                 limits.body_max_bytes,
+                self._bounds.memory,
             )
             return received is not None and self._respond(connection, received)
         finally:
@@ -153,7 +174,7 @@
         if isinstance(request, CallerRequest):
             return self._respond_to_request(connection, request)
         _log.info("request malformed", extra={"status": request.status})
-        connection.write(self._codec.encode_bad_request(request), True, WRITE_TIMEOUT_S)
+        self._write(connection, self._codec.encode_bad_request(request), True)
         return False
 
     def _respond_to_request(
@@ -165,9 +186,22 @@
             return False
         is_last = self._readiness.state is ReadinessState.LEAVING
         http_response = self._codec.encode(request, exchange.response)
-        is_written = connection.write(http_response, is_last, WRITE_TIMEOUT_S)
+        # The connection waits for the caller with the encoded response alone.
+        del exchange
+        is_written = self._write(connection, http_response, is_last)
         return is_written and not is_last and connection.is_reusable
 
+    def _write(
+        self, connection: ServerConnection, response: HttpResponse, is_last: bool
+    ) -> bool:
+        is_written = connection.write(
+            response, is_last, WRITE_TIMEOUT_S, self._bounds.memory
+        )
+        cause = _cause_of(connection)
+        if cause is not None:
+            self._bounds.record(cause)
+        return is_written
+
     def _forward(
         self, connection: ServerConnection, request: CallerRequest
     ) -> _Exchange:
@@ -209,6 +243,11 @@
         )
 
 
+def _cause_of(connection: ServerConnection) -> Cause | None:
+    failure = connection.write_failure
+    return _CAUSES.get(failure) if failure is not None else None
+
+
 def _notify_when_closed(
     connection: ServerConnection, inbox: tasks.Mailbox[Event]
 ) -> None:
--- a/lavendertide/gateway/gateway.py
+++ b/lavendertide/gateway/gateway.py
@@ -3,7 +3,7 @@
 import logging
 import signal
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Final
 
 from prometheus_client import REGISTRY
@@ -54,6 +54,9 @@
     Incarnation,
 )
 from lavendertide.messages import MemberRecord, MemberState
+from lavendertide.overload.caller_bounds import CallerBounds
+from lavendertide.overload.caller_connections import connections_max_of
+from lavendertide.overload.response_memory import ResponseMemory
 from lavendertide.poison.quarantine import Quarantine
 from lavendertide.registry.registry import TargetRegistry
 from lavendertide.routes.active_routes import ActiveRoutes
@@ -82,6 +85,9 @@
 # that no other target can serve. The rest covers callers that send shortly before.
 LAST_RESORT_SHARE: Final = 0.5
 CONNECTIONS_MAX: Final = 2_000
+# Connections above the bound that are accepted to be refused, or for which others are
+# just being closed.
+ACCEPTED_ABOVE_BOUND: Final = 16
 ENTRY_CONNECTIONS_MAX: Final = 200
 # Hosts that are named to a caller; enough that the failure of one host doesn't fail all
 # of its requests.
@@ -106,12 +112,14 @@
         make_channel: Makes a connection to a target.
         callers: Codec of callers' messages.
         entries: Codec of requests for readiness, metrics and addresses.
+        memory: The account of responses, also of those that channels read.
     """
 
     reader: PlatformReader
     make_channel: Callable[[Address], TargetChannel]
     callers: CallerCodec
     entries: EntryCodec
+    memory: ResponseMemory = field(default_factory=ResponseMemory)
 
 
 class ServableRoutes:
@@ -197,10 +205,17 @@
         tasks.spawn_supervised(self._update_share_forever)
         tasks.spawn_supervised(self._measure_load_forever)
         tasks.spawn_supervised(self._peer_exchange.run)
+        connections_max = _connections_max(options)
+        self._bounds = CallerBounds(self._adapters.memory, connections_max, REGISTRY)
         front = self._caller_front()
         listener = sockets.listen(options.callers)
         tasks.spawn_supervised(
-            sockets.accept_forever, listener, front.serve, CONNECTIONS_MAX
+            sockets.accept_forever,
+            listener,
+            front.serve,
+            CONNECTIONS_MAX
+            if connections_max is None
+            else connections_max + ACCEPTED_ABOVE_BOUND,
         )
         _log.info("started", extra={"callers": options.callers})
 
@@ -321,6 +336,7 @@
             self._readiness,
             self._in_flight,
             self._metrics,
+            self._bounds,
         )
 
     def _entry_front(self) -> EntryFront:
@@ -375,6 +391,13 @@
             now_s = clock.monotonic_s()
             is_loaded = meter.measure(clock.processor_s(), now_s)
             self._roster.announce_load(is_loaded, now_s)
+            self._bounds.log_changes(now_s)
+
+
+def _connections_max(options: GatewayOptions) -> int | None:
+    if options.files_max is None:
+        return None
+    return connections_max_of(options.files_max, CONNECTIONS_MAX)
 
 
 def _own_record(options: GatewayOptions) -> MemberRecord:
--- a/lavendertide/gateway/options.py
+++ b/lavendertide/gateway/options.py
@@ -25,6 +25,8 @@
         grace_s: Time between SIGTERM and the forced end of the process.
         address_lifetime_s: Longest time for which callers may cache an address answer.
         processor_share: CPU allotment of the process, in cores.
+        memory_bytes: Memory of the host; none if it isn't known.
+        files_max: Descriptors that the process may open; none if it isn't known.
         is_first_start: Whether the whole system starts for the first time, so that no
             earlier process of it has sent anything.
     """
@@ -46,3 +48,5 @@
     address_lifetime_s: float
     processor_share: float
     is_first_start: bool = False
+    memory_bytes: int | None = None
+    files_max: int | None = None
--- a/lavendertide/platform/__main__.py
+++ b/lavendertide/platform/__main__.py
@@ -13,6 +13,7 @@
 from lavendertide.gateway.settings_reloader import SettingsReloader
 from lavendertide.ids import DaemonId
 from lavendertide.bounded_logs import set_up_gateway_logs
+from lavendertide.overload.response_memory import response_memory
 from lavendertide.platform.caller_codec import PlatformCallerCodec
 from lavendertide.platform.entry_codec import PlatformEntryCodec
 from lavendertide.platform.settings import SettingsError, read_settings, settings_path
@@ -32,11 +33,13 @@
         print(f"lavendertide: {error}", file=sys.stderr)
         return EXIT_BAD_SETTINGS
     set_up_gateway_logs(DaemonId(options.host))
+    memory = response_memory(options.memory_bytes)
     adapters = PlatformAdapters(
         StoreClient(options.platform, options.reading),
-        PlatformTargetChannel,
+        lambda address: PlatformTargetChannel(address, memory),
         PlatformCallerCodec(),
         PlatformEntryCodec(),
+        memory,
     )
     gateway = Gateway(options, adapters)
     settings_reloader = SettingsReloader(
--- a/lavendertide/platform/caller_codec.py
+++ b/lavendertide/platform/caller_codec.py
@@ -75,7 +75,7 @@
         match response:
             case Passed(reply):
                 headers = tuple(forwarded_headers(reply.headers, frozenset()))
-                return HttpResponse(reply.status, headers, reply.body)
+                return HttpResponse(reply.status, headers, reply.body, reply.held)
             case Gathered(signatures, missing, body):
                 parts = ", ".join(signatures).encode("latin-1")
                 headers = (
--- a/lavendertide/platform/settings.py
+++ b/lavendertide/platform/settings.py
@@ -98,9 +98,18 @@
         processor_share=_number(fields, "limits.cpu-share")
         * _number(fields, "limits.cores"),
         is_first_start=fields.get("bootstrap") == "true",
+        memory_bytes=_optional_count(fields, "limits.memory-mb", 1_000_000),
+        files_max=_optional_count(fields, "limits.max-fds"),
     )
 
 
+def _optional_count(fields: dict[str, str], name: str, unit: int = 1) -> int | None:
+    """Returns a value above zero in whole units; none if it is not set."""
+    if name not in fields:
+        return None
+    return int(unit * _number(fields, name, least=1.0))
+
+
 def _parse_address(text: str) -> Address:
     return Address(check_ip_port(text))
 
--- a/lavendertide/platform/store_client.py
+++ b/lavendertide/platform/store_client.py
@@ -13,7 +13,6 @@
     ExchangeError,
 )
 from lavendertide.encodings.http_messages import HttpResponse, render_body, render_head
-from lavendertide.encodings.http_replies import ReplyMemory
 from lavendertide.errors import Refusal, unreachable
 from lavendertide.evacuation.evacuated_domains import Evacuation
 from lavendertide.gateway.follower import (
@@ -27,6 +26,7 @@
 )
 from lavendertide.gateway.reading_times import ReadingTimes
 from lavendertide.ids import Address, FailureDomain, TargetId
+from lavendertide.overload.response_memory import ResponseMemory
 from lavendertide.platform.names import (
     EVACUATIONS_PREFIX,
     RANGE_PATH,
@@ -75,7 +75,7 @@
         self._address = address
         self._times = times
         # Not shared with targets, whose responses may use up the memory for all.
-        self._connection = ClientConnection(address, ReplyMemory())
+        self._connection = ClientConnection(address, ResponseMemory())
         self._refused: dict[str, str] = {}
 
     def read_all(self) -> Result[PublicationBatch, Refusal]:
--- a/lavendertide/platform/target_channel.py
+++ b/lavendertide/platform/target_channel.py
@@ -8,6 +8,7 @@
     ExchangeError,
 )
 from lavendertide.encodings.http_messages import Header, HttpResponse, render_body
+from lavendertide.encodings.http_replies import PROCESS_MEMORY
 from lavendertide.forwarding.messages import (
     NO_NOTICE,
     NotRun,
@@ -20,6 +21,7 @@
 )
 from lavendertide.forwarding.pool import TargetCall
 from lavendertide.ids import Address
+from lavendertide.overload.response_memory import ResponseMemory
 from lavendertide.platform.names import (
     CONTENT_ENCODING,
     DEADLINE_MS,
@@ -58,8 +60,10 @@
 class PlatformTargetChannel:
     """Sends requests to one target and receives its replies."""
 
-    def __init__(self, address: Address) -> None:
-        self._connection = ClientConnection(address)
+    def __init__(
+        self, address: Address, memory: ResponseMemory = PROCESS_MEMORY
+    ) -> None:
+        self._connection = ClientConnection(address, memory)
         self._usable_until_s: float | None = None
 
     def is_usable(self, now_s: float) -> bool:
@@ -138,7 +142,13 @@
     if response.status < 300 and not signature:
         return Unknown(target, UnknownReason.MALFORMED, notice)
     return Replied(
-        target, response.status, response.headers, response.body, signature, notice
+        target,
+        response.status,
+        response.headers,
+        response.body,
+        signature,
+        notice,
+        response.held,
     )
 
 
--- a/lavendertide/runtime/sockets.py
+++ b/lavendertide/runtime/sockets.py
@@ -39,7 +39,17 @@
 # Round trips as long as this are no measurements.
 ROUND_TRIP_MAX_US: Final = 10_000_000
 
+# Send buffer of a caller's connection, which Linux doubles. It takes the machine's
+# memory, so it doesn't grow to the usual megabytes; with it, a caller at 20 ms still
+# gets 8 MiB within 3 s.
+SEND_BUFFER_BYTES: Final = 65_536
+# Bytes that are passed to the system at a time.
+PIECE_BYTES: Final = 262_144
+# A close discards what was not sent, instead of keeping it for the other side.
+LINGER: Final = struct.pack("ii", 1, 0)
+
 _TIMEOUT: Final = TimeoutError("no data arrived in time")
+_SEND_TIMEOUT: Final = TimeoutError("data was not accepted in time")
 # Combined once, since combining flags takes longer than the system call itself.
 _PEEK: Final = int(socket.MSG_PEEK | socket.MSG_DONTWAIT)
 
@@ -216,6 +226,60 @@
         return data
 
 
+def send_pieces(
+    connection: socket.socket,
+    data: bytes,
+    ends_at_s: Callable[[int], float],
+    accepted: int = 0,
+) -> int:
+    """Sends data without a copy of it; returns the bytes accepted so far.
+
+    Unlike with `sendall`, the time limit doesn't start again with each piece.
+
+    Args:
+        connection: The connection.
+        data: What to send.
+        ends_at_s: Returns the monotonic time until which more has to be accepted, after
+            a number of accepted bytes.
+        accepted: Bytes that were accepted before, for this limit.
+
+    Raises:
+        TimeoutError: The other side did not accept the data in time.
+        OSError: The connection is broken.
+    """
+    plain_socket = getattr(connection, "fd", connection)
+    view = memoryview(data)
+    sent = 0
+    while sent < len(view):
+        try:
+            sent += plain_socket.send(
+                view[sent : sent + PIECE_BYTES], socket.MSG_DONTWAIT
+            )
+        except BlockingIOError:
+            remaining_s = ends_at_s(accepted + sent) - clock.monotonic_s()
+            hubs.trampoline(
+                plain_socket,
+                write=True,
+                timeout=max(0.0, remaining_s),
+                timeout_exc=_SEND_TIMEOUT,
+            )
+    return accepted + sent
+
+
+def bound_send_buffer(connection: socket.socket) -> None:
+    """Bounds what the system holds for a connection that doesn't read."""
+    with contextlib.suppress(OSError):
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
+
+
+def reset(connection: socket.socket) -> None:
+    """Ends a connection and discards what was not sent; its task has to close it."""
+    with contextlib.suppress(OSError):
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER)
+    with contextlib.suppress(OSError):
+        connection.shutdown(socket.SHUT_RDWR)
+
+
 def is_idle(connection: socket.socket) -> bool:
     """Returns whether a connection is open and has no data to read; never waits."""
     return _peek(connection) is None
--- a/tests/encodings/test_http_replies.py
+++ b/tests/encodings/test_http_replies.py
@@ -12,12 +12,11 @@
 from lavendertide.encodings.http_messages import render_body, render_head
 from lavendertide.encodings.http_replies import (
     BODY_MAX_BYTES,
-    SHARE_BYTES,
     MalformedReply,
     OversizedReply,
-    ReplyMemory,
     ReplyReader,
 )
+from lavendertide.overload.response_memory import SHARE_BYTES, ResponseMemory
 from tests.encodings.fixed_peer import TIMEOUT_S, Peer
 
 OK = b"HTTP/1.1 200 OK\r\n"
@@ -85,7 +84,7 @@
     BYTES_MAX = 4 * SHARE_BYTES
 
     def setUp(self) -> None:
-        self.memory = ReplyMemory(self.BYTES_MAX)
+        self.memory = ResponseMemory(self.BYTES_MAX)
 
     def start(self) -> ReplyReader:
         """Returns a reader that has read the head of a response without a length."""
