Bound what a daemon holds for callers that don't read

Cause: the WSGI server writes through a buffered file whose time limit (60 s) starts again with each piece, what callers have yet to read counts nowhere, and its 1,024 connections stay with callers that send nothing for 60 s.

Change: runtime/wsgi.py passes each connection to a guard, which writes in pieces within the limit that progress extends, counts responses up to queries.results_max_bytes, and closes the connection that is idle for longest for a new one. The administration API has the same guard. The writing is one module for both front ends.

--- a/lavendertide/daemon/daemon.py
+++ b/lavendertide/daemon/daemon.py
@@ -7,12 +7,14 @@
 from pathlib import Path
 from typing import Final
 
+from prometheus_client import REGISTRY
 from returns.result import Success
 
 from lavendertide.configuration.adoption import Configuration
 from lavendertide.daemon.admin_service import AdminDependencies
 from lavendertide.daemon.administration import Administration, export_owner_counts
 from lavendertide.daemon.caller_front import CallerFront
+from lavendertide.daemon.caller_guard import CallerGuard
 from lavendertide.daemon.caller_services import make_caller_services
 from lavendertide.daemon.configuration_tasks import ConfigurationTasks
 from lavendertide.daemon.drain import Drain, DrainedFront
@@ -46,12 +48,19 @@
 from lavendertide.messages import MemberRecord, MemberState
 from lavendertide.metrics.metrics import Metrics
 from lavendertide.options import Options
+from lavendertide.overload.caller_bounds import CallerBounds
+from lavendertide.overload.response_memory import ResponseMemory
 from lavendertide.plans.admission import PlanLimiters
 from lavendertide.plans.failure_logs import FailureLogs
-from lavendertide.runtime import clock, sockets, tasks
+from lavendertide.runtime import clock, sockets, tasks, wsgi
 from lavendertide.runtime.pauses import PauseTracker, run_pause_ticks
 
 CONNECTIONS_MAX: Final = 1_024
+# Connections above the bound that are accepted to be refused, or for which others are
+# just being closed.
+ACCEPTED_ABOVE_BOUND: Final = 16
+# Interval between two looks at whether callers are being closed.
+BOUNDS_INTERVAL_S: Final = 1.0
 KEEP_ALIVE_S: Final = 60.0
 
 _log = logging.getLogger(__name__)
@@ -145,7 +154,10 @@
             rules = Path(self._options.faults.rules)
             tasks.spawn_supervised(self._faults.run, lambda: read_rules(rules))
         _log.info("listening", extra={"callers": addresses.callers})
-        caller_server = _serve(caller_listener, self._caller_front())
+        responses = ResponseMemory(self._options.queries.results_max_bytes, True)
+        bounds = CallerBounds(responses, CONNECTIONS_MAX, REGISTRY)
+        tasks.spawn_supervised(_log_bounds_forever, bounds)
+        caller_server = _serve(caller_listener, self._caller_front(), bounds)
         drain = Drain(
             self._roster,
             self._peers,
@@ -155,7 +167,11 @@
             self._options.fleet.drain_bound_s,
             DrainedFront(lambda: _close(caller_listener, caller_server)),
         )
-        _serve(admin_listener, self._administration(drain.request).front)
+        _serve(
+            admin_listener,
+            self._administration(drain.request).front,
+            CallerBounds(responses, CONNECTIONS_MAX),
+        )
         signal.signal(signal.SIGTERM, lambda *_: drain.request())
         drain.run()
         _log.info("stopped")
@@ -233,12 +249,25 @@
     )
 
 
-def _serve(listener: socket.socket, front: sockets.Application) -> tasks.Task:
+def _serve(
+    listener: socket.socket, front: wsgi.Application, bounds: CallerBounds
+) -> tasks.Task:
     return tasks.spawn(
-        sockets.serve_wsgi, listener, front, CONNECTIONS_MAX, KEEP_ALIVE_S
+        wsgi.serve,
+        listener,
+        front,
+        CONNECTIONS_MAX + ACCEPTED_ABOVE_BOUND,
+        KEEP_ALIVE_S,
+        CallerGuard(bounds),
     )
 
 
+def _log_bounds_forever(bounds: CallerBounds) -> None:
+    while True:
+        tasks.sleep(BOUNDS_INTERVAL_S)
+        bounds.log_changes(clock.monotonic_s())
+
+
 def _close(listener: socket.socket, server: tasks.Task) -> None:
     sockets.close_listener(listener)
     server.stop()
--- a/lavendertide/encodings/http_server_connection.py
+++ b/lavendertide/encodings/http_server_connection.py
@@ -8,7 +8,6 @@
 import contextlib
 import logging
 import socket
-from enum import Enum
 from http import HTTPStatus
 from typing import Final
 
@@ -20,14 +19,13 @@
     HttpRequest,
     HttpResponse,
 )
+from lavendertide.encodings.response_writing import WriteFailure, write_response
 from lavendertide.overload.response_memory import HeldResponse, ResponseMemory
 from lavendertide.overload.write_limit import WriteLimit
 from lavendertide.runtime import clock, sockets
 
 # A time-out of zero would make the socket non-blocking.
 SHORTEST_WAIT_S: Final = 0.001
-# A shorter response is sent in one write, as a second one costs more than the copy.
-JOINED_MAX_BYTES: Final = 16_384
 # Time limit for the body of a request, extended like that of a response. The longest
 # body has 256 KiB.
 BODY_BASE_S: Final = 10.0
@@ -35,16 +33,6 @@
 _log = logging.getLogger(__name__)
 
 
-class WriteFailure(Enum):
-    """Why a response could not be written completely."""
-
-    CLOSED = "closed"
-    # The caller did not accept it in time.
-    TOO_SLOW = "too_slow"
-    # Its memory was needed for others.
-    EVICTED = "evicted"
-
-
 class ServerConnection:
     """One connection that a caller has opened.
 
@@ -234,50 +222,15 @@
             self._write_failure = WriteFailure.CLOSED
             return False
         held = response.held or (memory.open() if memory is not None else None)
-        self._write_failure = self._send(parts, timeout_s, held)
+        self._write_failure = write_response(self._socket, parts, timeout_s, held)
         return self._write_failure is None
 
-    def _send(
-        self, parts: list[bytes], timeout_s: float, held: HeldResponse | None
-    ) -> WriteFailure | None:
-        """Sends the parts of a response; returns why that failed, if it did."""
-        size = sum(map(len, parts))
-        if size <= JOINED_MAX_BYTES:
-            parts = [b"".join(parts)]
-        now_s = clock.monotonic_s()
-        limit = WriteLimit(now_s, timeout_s)
-        accepted = 0
-        try:
-            if held is not None:
-                # What the system holds of a part counts beside the whole response.
-                in_system = min(size, 2 * sockets.SEND_BUFFER_BYTES)
-                held.start_writing(size + in_system, self.reset, now_s)
-            for part in parts:
-                accepted = sockets.send_pieces(
-                    self._socket, part, limit.ends_at_s, accepted
-                )
-        except TimeoutError:
-            self.reset()
-            return WriteFailure.TOO_SLOW
-        except OSError:
-            is_evicted = held is not None and held.is_evicted
-            return WriteFailure.EVICTED if is_evicted else WriteFailure.CLOSED
-        finally:
-            if held is not None:
-                held.release()
-        return None
-
-    def reset(self) -> None:
-        """Ends the connection; a pending write fails, and what wasn't sent is lost."""
-        sockets.reset(self._socket)
-
     def shut_down(self) -> None:
         """Ends the connection; a pending read ends, and its task closes the socket.
 
         What was written is still sent.
         """
-        with contextlib.suppress(OSError):
-            self._socket.shutdown(socket.SHUT_RDWR)
+        sockets.shut_down(self._socket)
 
     def close(self) -> None:
         """Closes the connection; no other task may wait for it."""
--- a/lavendertide/gateway/caller_front.py
+++ b/lavendertide/gateway/caller_front.py
@@ -13,10 +13,7 @@
 
 from lavendertide.daemon.in_flight import InFlightCounter
 from lavendertide.encodings.http_messages import BadRequest, HttpRequest, HttpResponse
-from lavendertide.encodings.http_server_connection import (
-    ServerConnection,
-    WriteFailure,
-)
+from lavendertide.encodings.http_server_connection import ServerConnection
 from lavendertide.fleet.readiness import Readiness, ReadinessState
 from lavendertide.forwarding.forwarder import Forwarder
 from lavendertide.forwarding.messages import (
@@ -33,14 +30,13 @@
 from lavendertide.forwarding.sender import CallerLeft, Event, HostEnds
 from lavendertide.overload.caller_bounds import CallerBounds, Cause
 from lavendertide.overload.caller_connections import Admission
+from lavendertide.overload.write_limit import BASE_S
 from lavendertide.routes.active_routes import ActiveRoutes
 from lavendertide.routes.route import CallerLimits, Route
 from lavendertide.runtime import clock, tasks
 
 # Limits in force until the first route table, which contains the limits, is known.
 DEFAULT_LIMITS: Final = CallerLimits(16_384, 262_144, 3.0, 15.0)
-# How long a caller may take to receive a response, beside what its progress allows.
-WRITE_TIMEOUT_S: Final = 10.0
 # A host that is not ready usually is again as soon as its peers have replied.
 NOT_READY_RETRY_S: Final = 0.2
 NO_ROUTE_LABEL: Final = "none"
@@ -48,12 +44,6 @@
 _log = logging.getLogger(__name__)
 
 
-_CAUSES: Final = {
-    WriteFailure.TOO_SLOW: Cause.TOO_SLOW,
-    WriteFailure.EVICTED: Cause.MEMORY,
-}
-
-
 class CallerCodec(Protocol):
     """Decodes callers' requests and encodes responses.
 
@@ -194,12 +184,10 @@
     def _write(
         self, connection: ServerConnection, response: HttpResponse, is_last: bool
     ) -> bool:
-        is_written = connection.write(
-            response, is_last, WRITE_TIMEOUT_S, self._bounds.memory
-        )
-        cause = _cause_of(connection)
-        if cause is not None:
-            self._bounds.record(cause)
+        is_written = connection.write(response, is_last, BASE_S, self._bounds.memory)
+        failure = connection.write_failure
+        if failure is not None and failure.cause is not None:
+            self._bounds.record(failure.cause)
         return is_written
 
     def _forward(
@@ -243,11 +231,6 @@
         )
 
 
-def _cause_of(connection: ServerConnection) -> Cause | None:
-    failure = connection.write_failure
-    return _CAUSES.get(failure) if failure is not None else None
-
-
 def _notify_when_closed(
     connection: ServerConnection, inbox: tasks.Mailbox[Event]
 ) -> None:
--- a/lavendertide/overload/response_memory.py
+++ b/lavendertide/overload/response_memory.py
@@ -91,27 +91,27 @@
         self._size = size
         return self._memory._change(self, growth, now_s)
 
-    def start_writing(self, size: int, close: Callable[[], None], now_s: float) -> bool:
+    def start_writing(self, size: int, close: Callable[[], None], now_s: float) -> None:
         """Counts a response that is complete and about to be written.
 
+        It is written also if it alone exceeds the bound, so that a single response
+        always is while nothing else is held.
+
         Args:
             size: Bytes that are held until the caller has accepted all of them,
                 including those in the system's buffers.
             close: Called at most once, to close the caller's connection if the memory
                 is needed. It must not wait.
             now_s: Present time, monotonic.
-
-        Returns:
-            Whether the response may be written; if not, it has to be released.
         """
         if not self._memory.is_bounding_writes:
             self.release()
-            return True
+            return
         self._phase = Phase.WRITING
         self._since_s = now_s
         self._close = close
+        self.try_resize(size, now_s)
         self._memory._add_writing(self)
-        return self.try_resize(size, now_s) and not self.is_evicted
 
     def release(self) -> None:
         """Counts the response no more; may be called repeatedly."""
--- a/lavendertide/overload/write_limit.py
+++ b/lavendertide/overload/write_limit.py
@@ -11,6 +11,8 @@
 # The longest response within the published limits has 8 MiB, which ordinary callers
 # accept in seconds. At this rate it takes 32 s.
 PROGRESS_BYTES_PER_S: Final = 262_144.0
+# Time that a caller has for any response.
+BASE_S: Final = 10.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/lavendertide/runtime/sockets.py
+++ b/lavendertide/runtime/sockets.py
@@ -1,4 +1,4 @@
-"""Sockets that listen and connect, and the WSGI server.
+"""Sockets that listen and connect, and the sending of long data.
 
 Addresses have the form `IP:port`. Host names are not resolved, since the platform uses
 IP numbers.
@@ -6,10 +6,13 @@
 
 import contextlib
 import errno
+import fcntl
 import io
 import logging
 import socket
 import struct
+import sys
+import termios
 from collections.abc import Callable
 from typing import Any, Final
 
@@ -53,8 +56,6 @@
 # Combined once, since combining flags takes longer than the system call itself.
 _PEEK: Final = int(socket.MSG_PEEK | socket.MSG_DONTWAIT)
 
-Application = Callable[..., Any]
-
 _log = logging.getLogger(__name__)
 
 
@@ -92,27 +93,6 @@
     return connection
 
 
-def serve_wsgi(
-    listener: socket.socket,
-    application: Application,
-    connections_max: int,
-    keep_alive_s: float,
-) -> None:
-    """Serves HTTP with one task for each connection until the listener is closed."""
-    # Imported here to save its memory in processes without a WSGI front end.
-    from eventlet import wsgi
-
-    wsgi.server(
-        listener,
-        application,
-        max_size=connections_max,
-        keepalive=True,
-        socket_timeout=keep_alive_s,
-        log_output=False,
-        debug=False,
-    )
-
-
 class ArrivalTrackingReader(io.RawIOBase):
     """Reads a connection and records when its receive buffer was last empty.
 
@@ -266,6 +246,16 @@
     return accepted + sent
 
 
+def unsent_bytes(connection: socket.socket) -> int:
+    """Returns what the other side's system has not acknowledged; 0 if it is closed."""
+    plain_socket = getattr(connection, "fd", connection)
+    try:
+        queued = fcntl.ioctl(plain_socket.fileno(), termios.TIOCOUTQ, bytes(4))
+    except (OSError, ValueError):
+        return 0
+    return int.from_bytes(queued, sys.byteorder)
+
+
 def bound_send_buffer(connection: socket.socket) -> None:
     """Bounds what the system holds for a connection that doesn't read."""
     with contextlib.suppress(OSError):
@@ -276,6 +266,11 @@
     """Ends a connection and discards what was not sent; its task has to close it."""
     with contextlib.suppress(OSError):
         connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER)
+    shut_down(connection)
+
+
+def shut_down(connection: socket.socket) -> None:
+    """Ends a connection; what was written is still sent, and its task closes it."""
     with contextlib.suppress(OSError):
         connection.shutdown(socket.SHUT_RDWR)
 
--- a/tests/encodings/test_http_connections.py
+++ b/tests/encodings/test_http_connections.py
@@ -5,7 +5,9 @@
 import threading
 import time
 import unittest
+from unittest import mock
 
+from lavendertide.encodings import http_server_connection
 from lavendertide.encodings.http_client_connection import (
     ClientConnection,
     ExchangeError,
@@ -19,6 +21,9 @@
     render_head,
 )
 from lavendertide.encodings.http_server_connection import ServerConnection
+from lavendertide.encodings.response_writing import WriteFailure
+from lavendertide.overload.response_memory import ResponseMemory
+from lavendertide.overload.write_limit import PROGRESS_BYTES_PER_S
 from standins.gateway_process import wait_until
 from tests.encodings.fixed_peer import TIMEOUT_S, Peer
 
@@ -236,6 +241,84 @@
                 self.assertNotIn(b"body", answer)
                 self.assertTrue(self.connection.is_reusable)
 
+    def trickle(self) -> None:
+        """Has the caller read a few bytes now and then."""
+        # What its system accepts counts as progress.
+        self.caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
+        ended = threading.Event()
+
+        def read() -> None:
+            with contextlib.suppress(OSError):
+                while not ended.wait(0.01):
+                    self.caller.recv(100)
+
+        reading = threading.Thread(target=read)
+        reading.start()
+        self.addCleanup(reading.join)
+        self.addCleanup(ended.set)
+
+    def test_a_caller_that_accepts_a_few_bytes_now_and_then_is_reset(self) -> None:
+        """Guards against a time limit that starts again with each byte."""
+        self.read(b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n")
+        self.trickle()
+        began_s = time.monotonic()
+        response = HttpResponse(200, (), b"x" * 20_000_000)
+        self.assertFalse(self.connection.write(response, False, 0.3))
+        # Both systems accept less than 1 MiB at once, and the caller little more.
+        limit_s = 0.3 + 1_048_576 / PROGRESS_BYTES_PER_S
+        self.assertLess(time.monotonic() - began_s, limit_s)
+        self.assertIs(self.connection.write_failure, WriteFailure.TOO_SLOW)
+
+    def test_a_caller_whose_memory_is_needed_is_reset(self) -> None:
+        """Guards against an eviction that leaves its task waiting."""
+        memory = ResponseMemory(1_000_000, is_bounding_writes=True)
+        self.read(b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n")
+
+        def evict() -> None:
+            wait_until(lambda: memory.writing == 1, TIMEOUT_S)
+            self.assertTrue(memory.open().try_resize(500_000, time.monotonic()))
+
+        evicting = threading.Thread(target=evict)
+        evicting.start()
+        self.addCleanup(evicting.join)
+        response = HttpResponse(200, (), b"x" * 20_000_000)
+        self.assertFalse(self.connection.write(response, False, 60.0, memory))
+        self.assertIs(self.connection.write_failure, WriteFailure.EVICTED)
+        self.assertEqual((memory.held, memory.evicted), (0, 1))
+
+    def test_what_follows_a_request_stays_unread_until_the_answer(self) -> None:
+        """Guards against requests that pile up behind an unread answer."""
+        self.read(b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n")
+        self.caller.sendall(b"GET /b HTTP/1.1\r\nHost: h\r\n\r\n")
+        self.assertFalse(self.connection.wait_for_close())
+        self.assertEqual(self.connection._framing.trailing_data[0], b"")
+        self.assertTrue(self.connection.write(HttpResponse(200, (), b""), False, 1.0))
+        read = self.read(b"")
+        assert isinstance(read, HttpRequest)
+        self.assertEqual(read.target, "/b")
+
+    def test_a_body_that_trickles_in_has_one_time_limit(self) -> None:
+        """Guards against a limit for each piece of a body."""
+        ended = threading.Event()
+
+        def trickle() -> None:
+            with contextlib.suppress(OSError):
+                self.caller.sendall(
+                    b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 99\r\n\r\n"
+                )
+                while not ended.wait(0.05):
+                    self.caller.sendall(b"x")
+
+        trickling = threading.Thread(target=trickle)
+        trickling.start()
+        self.addCleanup(trickling.join)
+        self.addCleanup(ended.set)
+        began_s = time.monotonic()
+        self.assertTrue(self.connection.wait_for_request(TIMEOUT_S))
+        with mock.patch.object(http_server_connection, "BODY_BASE_S", 0.3):
+            self.assertIsNone(self.connection.read_request(0.2, 4_096, 100))
+        self.assertLess(time.monotonic() - began_s, TIMEOUT_S)
+
     def test_a_close_by_the_caller_is_detected(self) -> None:
         self.read(b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n")
         self.caller.close()
