Bound slow peers and silent connections to the other listeners

Cause: a frame for a peer had no time limit as long as the peer read a little, replies for it had no bound in number, connections that prove no key none in number or time, and each of the three entry listeners keeps 200 silent connections, in all more than the 200 descriptors that callers' connections leave.

Change: frames have the limit of callers' responses (10 s, extended by progress at 256 KiB/s), a peer with 4,096 unread replies is closed, at most 600 connections may be without a proof, for 5 s each. With limits.max-fds the entry listeners share 100 connections, and the one idle for longest is closed.

--- a/lavendertide/encodings/peer_socket.py
+++ b/lavendertide/encodings/peer_socket.py
@@ -4,6 +4,7 @@
 import io
 import logging
 import socket
+from typing import Final
 
 from returns.result import Failure
 
@@ -16,12 +17,18 @@
     encode_frame,
 )
 from lavendertide.messages import Frame
+from lavendertide.overload.write_limit import WriteLimit
+from lavendertide.runtime import clock, sockets
 from lavendertide.runtime.sockets import (
     ArrivalTrackingReader,
     set_keep_alive,
     set_unacknowledged_timeout,
 )
 
+# Time that a peer has for a frame beside what its progress allows. A process that is
+# paused for less keeps its connections.
+WRITE_BASE_S: Final = 10.0
+
 _log = logging.getLogger(__name__)
 
 
@@ -67,12 +74,13 @@
                 that it can read compressed frames.
 
         Raises:
-            OSError: The connection is broken.
+            OSError: The connection is broken, or the peer reads too slowly.
         """
         data = encode_frame(frame)
         if is_compressed:
             data = self._compress(data[LENGTH.size :])
-        self._connection.sendall(data)
+        limit = WriteLimit(clock.monotonic_s(), WRITE_BASE_S)
+        sockets.send_pieces(self._connection, data, limit.ends_at_s)
         self._bytes_sent += len(data)
 
     def receive(self) -> Frame | None:
--- a/lavendertide/fleet/peer_server.py
+++ b/lavendertide/fleet/peer_server.py
@@ -1,5 +1,6 @@
 """Serves connections that peers open, with one reading and one writing task each."""
 
+import logging
 import socket
 from typing import Final, Protocol
 
@@ -10,6 +11,16 @@
 from lavendertide.runtime import clock, sockets, tasks
 
 REACH_TIMEOUT_S: Final = 0.7
+# Replies that may wait for a peer to read. One that sends requests without reading is
+# closed then and dials again; its link has the same bound for what it sends.
+OUTBOX_MAX: Final = 4_096
+# Connections that have yet to prove the fleet's key. A host that starts is dialled by
+# all others at once, 509 in the largest fleet.
+UNPROVEN_MAX: Final = 600
+# Time limit of a handshake, which takes milliseconds, however its bytes arrive.
+HANDSHAKE_S: Final = 5.0
+
+_log = logging.getLogger(__name__)
 
 Outbox = tasks.Mailbox[SubReply | Frame]
 
@@ -39,14 +50,26 @@
         self._connector = connector
         self._roster = roster
         self._handler = handler
+        self._unproven = 0
 
     def serve(self, listener: socket.socket) -> None:
         """Accepts connections for as long as the listener is open."""
         while (connection := sockets.accept(listener)) is not None:
+            if self._unproven >= UNPROVEN_MAX:
+                connection.close()
+                continue
+            self._unproven += 1
             tasks.spawn(self._serve_connection, connection)
 
     def _serve_connection(self, accepted: socket.socket) -> None:
-        peer = self._connector.accept(accepted)
+        peer = None
+        try:
+            with tasks.time_limit(HANDSHAKE_S):
+                peer = self._connector.accept(accepted)
+        except TimeoutError:
+            accepted.close()
+        finally:
+            self._unproven -= 1
         if peer is None:
             return
         self._roster.apply_records((peer.member,), clock.monotonic_s())
@@ -55,6 +78,12 @@
         try:
             while (frame := peer.receive()) is not None:
                 self._handler.handle(peer, frame, outbox)
+                if len(outbox) >= OUTBOX_MAX:
+                    _log.warning(
+                        "peer closed: it reads too slowly",
+                        extra={"peer": peer.member.daemon},
+                    )
+                    return
         finally:
             # Also after an unexpected exception: a peer whose frames are no longer read
             # has to dial again.
--- a/lavendertide/gateway/entry_front.py
+++ b/lavendertide/gateway/entry_front.py
@@ -8,6 +8,7 @@
 from lavendertide.fleet.addresses import AddressBook
 from lavendertide.fleet.readiness import Readiness, ReadinessState
 from lavendertide.ids import CallerKey, FailureDomain, Region
+from lavendertide.overload.caller_connections import Admission, CallerConnections
 from lavendertide.runtime import clock
 
 HEADER_MAX_BYTES: Final = 16_384
@@ -90,16 +91,28 @@
         readiness: Readiness,
         address_book: AddressBook,
         render_metrics: MetricsRenderer,
+        connections: CallerConnections | None = None,
     ) -> None:
         self._codec = codec
         self._readiness = readiness
         self._address_book = address_book
         self._render_metrics = render_metrics
+        # An empty one is false.
+        self._connections = CallerConnections() if connections is None else connections
 
     def serve(self, accepted: socket.socket) -> None:
         """Serves the requests of one connection until it closes."""
         connection = ServerConnection(accepted)
+        if self._connections.add(connection) is Admission.REFUSED:
+            return
+        try:
+            self._serve_requests(connection)
+        finally:
+            self._connections.remove(connection)
+
+    def _serve_requests(self, connection: ServerConnection) -> None:
         while connection.wait_for_request(IDLE_TIMEOUT_S):
+            self._connections.mark_busy(connection)
             received = connection.read_request(IO_TIMEOUT_S, HEADER_MAX_BYTES, 0)
             if received is None:
                 return
@@ -108,6 +121,7 @@
             is_written = connection.write(response, is_last, IO_TIMEOUT_S)
             if is_last or not is_written or not connection.is_reusable:
                 return
+            self._connections.mark_idle(connection)
 
     def _respond(self, received: HttpRequest | BadRequest) -> HttpResponse:
         request = (
--- a/lavendertide/gateway/gateway.py
+++ b/lavendertide/gateway/gateway.py
@@ -55,7 +55,10 @@
 )
 from lavendertide.messages import MemberRecord, MemberState
 from lavendertide.overload.caller_bounds import CallerBounds
-from lavendertide.overload.caller_connections import connections_max_of
+from lavendertide.overload.caller_connections import (
+    CallerConnections,
+    connections_max_of,
+)
 from lavendertide.overload.response_memory import ResponseMemory
 from lavendertide.poison.quarantine import Quarantine
 from lavendertide.registry.registry import TargetRegistry
@@ -89,6 +92,9 @@
 # just being closed.
 ACCEPTED_ABOVE_BOUND: Final = 16
 ENTRY_CONNECTIONS_MAX: Final = 200
+# The same for all entry listeners together where the host's descriptors are known; it
+# is part of those that callers' connections leave free.
+ENTRY_CONNECTIONS_BOUND: Final = 100
 # Hosts that are named to a caller; enough that the failure of one host doesn't fail all
 # of its requests.
 ADDRESSES_PER_CALLER: Final = 3
@@ -345,6 +351,9 @@
             self._readiness,
             self._addresses,
             lambda: generate_latest(REGISTRY),
+            CallerConnections(
+                None if self._options.files_max is None else ENTRY_CONNECTIONS_BOUND
+            ),
         )
 
     def _enable_serving_after_read(self) -> None:
--- a/tests/fleet/test_peer_connection.py
+++ b/tests/fleet/test_peer_connection.py
@@ -1,9 +1,12 @@
 """Tests of `lavendertide.fleet.peer_connection`, over loopback."""
 
 import socket
+import threading
 import unittest
 from dataclasses import replace
+from unittest import mock
 
+from lavendertide.encodings import peer_socket
 from lavendertide.encodings.peer_socket import PeerSocket
 from lavendertide.fleet.link_faults import LinkFaults
 from lavendertide.fleet.peer_connection import PeerConnection, PeerConnector
@@ -63,6 +66,41 @@
             self.assertLessEqual(unacknowledged_ms, 1_000 * NOTICED_WITHIN_S)
 
 
+class SlowPeerTest(unittest.TestCase):
+    """Guards against a peer that reads a few bytes now and then.
+
+    Each of them started the time limit of a write again, if there was one at all, so
+    that the frames for the peer stayed in memory.
+    """
+
+    def test_its_connection_fails_in_time(self) -> None:
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            dialled = socket.create_connection(listener.getsockname())
+            accepted, _ = listener.accept()
+        self.addCleanup(accepted.close)
+        peer = PeerSocket(dialled)
+        self.addCleanup(peer.close)
+        # What both systems accept counts as progress.
+        accepted.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
+        dialled.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4_096)
+        ended = threading.Event()
+
+        def read() -> None:
+            while not ended.wait(0.01):
+                accepted.recv(500)
+
+        reading = threading.Thread(target=read)
+        reading.start()
+        self.addCleanup(reading.join)
+        self.addCleanup(ended.set)
+        with (
+            mock.patch.object(peer_socket, "WRITE_BASE_S", 0.3),
+            self.assertRaises(TimeoutError),
+        ):
+            for _ in range(10_000):
+                peer.send(RECORDS)
+
+
 class PeerConnectionTest(unittest.TestCase):
     """Control frames are compressed if the peer can read that; data never is."""
 
--- a/tests/fleet/test_peer_server.py
+++ b/tests/fleet/test_peer_server.py
@@ -4,7 +4,14 @@
 from typing import cast
 
 from lavendertide.fleet.peer_connection import PeerConnection, PeerConnector
-from lavendertide.fleet.peer_server import FrameHandler, Outbox, PeerServer
+from lavendertide.fleet.peer_server import (
+    HANDSHAKE_S,
+    OUTBOX_MAX,
+    UNPROVEN_MAX,
+    FrameHandler,
+    Outbox,
+    PeerServer,
+)
 from lavendertide.messages import Cancels, Frame, MemberRecord, SubReply
 from lavendertide.runtime import tasks
 from tests.fleet.members import member, roster_of
@@ -78,6 +85,73 @@
         return self._connections.pop(), ""
 
 
+class SilentConnector:
+    """Accepts connections that never prove the fleet's key."""
+
+    def accept(self, connection: socket.socket) -> None:
+        """Waits for longer than the tests run."""
+        tasks.sleep(60.0)
+
+
+class ManyConnectionsListener:
+    """A listener with some connections, that is closed afterwards."""
+
+    def __init__(self, count: int) -> None:
+        self.connections = [socket.socket() for _ in range(count)]
+        self._left = list(self.connections)
+
+    def accept(self) -> tuple[socket.socket, str]:
+        """Returns the next connection; fails like a closed listener after the last."""
+        if not self._left:
+            raise OSError(22, "Invalid argument")
+        return self._left.pop(0), ""
+
+
+class StuckHandler:
+    """Replies to a frame with more than a peer may leave unread."""
+
+    def handle(self, peer: PeerConnection, frame: Frame, outbox: Outbox) -> None:
+        """Puts many replies into the outbox."""
+        for _ in range(OUTBOX_MAX):
+            outbox.send(frame)
+
+    def write(
+        self, peer: PeerConnection, outbox: Outbox, first: SubReply | Frame
+    ) -> None:
+        """Waits like a connection whose peer reads nothing."""
+        tasks.sleep(60.0)
+
+
+class SlowPeersTest(VirtualTimeTestCase):
+    """Guards against peers that take memory or descriptors without end."""
+
+    def test_a_peer_that_sends_without_reading_is_closed(self) -> None:
+        peer = OneFramePeer()
+        server = PeerServer(
+            cast(PeerConnector, OnePeerConnector(peer)),
+            roster_of(2),
+            cast(FrameHandler, StuckHandler()),
+        )
+        with self.assertLogs("lavendertide.fleet.peer_server", "WARNING"):
+            server.serve(cast(socket.socket, OneConnectionListener()))
+            tasks.sleep(0.1)
+        self.assertTrue(peer.is_closed)
+
+    def test_connections_that_prove_no_key_are_bounded_in_number_and_time(self) -> None:
+        listener = ManyConnectionsListener(UNPROVEN_MAX + 1)
+        server = PeerServer(
+            cast(PeerConnector, SilentConnector()),
+            roster_of(2),
+            cast(FrameHandler, StuckHandler()),
+        )
+        server.serve(cast(socket.socket, listener))
+        *kept, refused = listener.connections
+        self.assertEqual(refused.fileno(), -1)
+        self.assertTrue(all(each.fileno() != -1 for each in kept))
+        tasks.sleep(HANDSHAKE_S + 0.1)
+        self.assertTrue(all(each.fileno() == -1 for each in kept))
+
+
 class UnexpectedErrorTest(VirtualTimeTestCase):
     """An unexpected error closes the connection, so that the peer dials again.
 
--- a/tests/processes/test_slow_readers.py
+++ b/tests/processes/test_slow_readers.py
@@ -4,6 +4,7 @@
 ordinary request is answered while such callers stay connected.
 """
 
+import contextlib
 import socket
 import sys
 import tempfile
@@ -37,6 +38,9 @@
 CALLERS: Final = 40
 PIPELINED: Final = 50
 SILENT_CALLERS: Final = 600
+# For each of the listeners for readiness, look-ups and metrics.
+SILENT_ENTRY_CALLERS: Final = 250
+ENTRY_PORTS: Final = (1, 3, 4)
 # Pause after each caller's start and how long the crowd stays after the last one.
 PACE_S: Final = 0.05
 STAY_S: Final = 5.0
@@ -135,6 +139,21 @@
         """Guards against connections that take all descriptors."""
         self.check(b"", SILENT_CALLERS, 0.0)
 
+    def test_silent_connections_to_the_entry_listeners(self) -> None:
+        """Guards against connections to any listener that take all descriptors."""
+        pid = self.gateway.process.pid
+        with contextlib.ExitStack() as crowds:
+            footprint = crowds.enter_context(Footprint(pid, self.gateway.ports[0]))
+            for index in ENTRY_PORTS:
+                crowd = CallerCrowd(self.gateway.ports[index], b"", 0.0)
+                crowds.enter_context(crowd).join(SILENT_ENTRY_CALLERS)
+            time.sleep(1.0)
+            report(self, footprint)
+            self.assertLess(footprint.files, MAX_FDS)
+            wait_until(self.gateway.is_ready)
+            wait_until(self.is_answered)
+        self.assertNotIn("Traceback", self.gateway.log_text)
+
     def test_a_steady_reader_gets_the_longest_answer(self) -> None:
         """Guards against bounds that a caller within the published limits meets."""
         with socket.create_connection(("127.0.0.1", self.gateway.ports[0])) as caller:
