--- a/lavendertide/encodings/response_writing.py
+++ b/lavendertide/encodings/response_writing.py
@@ -103,6 +103,7 @@
         ConnectionResetError: The response was evicted.
     """
     look_s = FIRST_LOOK_S
+    has_data = False
     while accepted > UNSENT_MAX_BYTES:
         unsent = sockets.unsent_bytes(connection)
         if unsent <= UNSENT_MAX_BYTES:
@@ -111,5 +112,9 @@
             raise ConnectionResetError
         if clock.monotonic_s() > limit.ends_at_s(accepted - unsent):
             raise TimeoutError
-        tasks.sleep(look_s)
+        # A caller that sends its next request has usually read this response.
+        if has_data:
+            tasks.sleep(look_s)
+        else:
+            has_data = sockets.wait_for_data(connection, look_s)
         look_s = min(2 * look_s, LONGEST_LOOK_S)
--- a/lavendertide/gateway/gateway.py
+++ b/lavendertide/gateway/gateway.py
@@ -200,10 +200,15 @@
             peer_listener,
         )
         entries = self._entry_front()
+        entries_max = (
+            ENTRY_CONNECTIONS_MAX
+            if options.files_max is None
+            else ENTRY_CONNECTIONS_BOUND + ACCEPTED_ABOVE_BOUND
+        )
         for address in {options.readiness, options.directory, options.metrics}:
             listener = sockets.listen(address)
             tasks.spawn_supervised(
-                sockets.accept_forever, listener, entries.serve, ENTRY_CONNECTIONS_MAX
+                sockets.accept_forever, listener, entries.serve, entries_max
             )
         tasks.spawn_supervised(self._membership.run)
         tasks.spawn_supervised(self._follower.run)
--- a/lavendertide/options.py
+++ b/lavendertide/options.py
@@ -116,7 +116,7 @@
         reply_max_bytes: The largest reply that is accepted from a target.
         query_max_bytes: Maximum size of the results that one query holds.
         results_max_bytes: Maximum size of the results that all queries of one process
-            hold together.
+            hold together, and again of the responses that callers have yet to accept.
     """
 
     deadline_max_ms: Annotated[int, Field(ge=10, le=60_000)] = 2_000
--- a/lavendertide/runtime/sockets.py
+++ b/lavendertide/runtime/sockets.py
@@ -246,6 +246,20 @@
     return accepted + sent
 
 
+def wait_for_data(connection: socket.socket, timeout_s: float) -> bool:
+    """Waits for data or the end of the connection; returns false after the timeout."""
+    try:
+        hubs.trampoline(
+            getattr(connection, "fd", connection),
+            read=True,
+            timeout=timeout_s,
+            timeout_exc=_TIMEOUT,
+        )
+    except TimeoutError:
+        return False
+    return True
+
+
 def unsent_bytes(connection: socket.socket) -> int:
     """Returns what the other side's system has not acknowledged; 0 if it is closed."""
     plain_socket = getattr(connection, "fd", connection)
