Test that accounts go with bodies, and refuse a request without memory by its name

Cause: a request whose body found no memory was called malformed, and no test showed that a body counts between its target and its caller.

--- a/lavendertide/platform/caller_codec.py
+++ b/lavendertide/platform/caller_codec.py
@@ -95,8 +95,12 @@
                 return HttpResponse(499, (), b"")
 
     def encode_bad_request(self, bad: BadRequest) -> HttpResponse:
-        """Returns the HTTP response to a malformed request."""
-        return HttpResponse(bad.status, (TEXT_TYPE,), b"malformed request\n")
+        """Returns the HTTP response to a malformed request.
+
+        One that this host had no memory for has the status of a refusal.
+        """
+        text = b"out_of_memory\n" if bad.status == 503 else b"malformed request\n"
+        return HttpResponse(bad.status, (TEXT_TYPE,), text)
 
 
 def _encode_refused(cause: RefusalCause, retry_after_s: float | None) -> HttpResponse:
--- a/tests/encodings/test_http_connections.py
+++ b/tests/encodings/test_http_connections.py
@@ -7,7 +7,7 @@
 import unittest
 from unittest import mock
 
-from lavendertide.encodings import http_server_connection
+from lavendertide.encodings import http_client_connection, http_server_connection
 from lavendertide.encodings.http_client_connection import (
     ClientConnection,
     ExchangeError,
@@ -22,6 +22,7 @@
 )
 from lavendertide.encodings.http_server_connection import ServerConnection
 from lavendertide.encodings.response_writing import WriteFailure
+from lavendertide.ids import Address
 from lavendertide.overload.response_memory import ResponseMemory
 from lavendertide.overload.write_limit import PROGRESS_BYTES_PER_S
 from standins.gateway_process import wait_until
@@ -120,6 +121,49 @@
         with self.assertRaises(ExchangeError):
             self.exchange(sent + b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n")
 
+    def test_a_server_that_reads_slowly_ends_the_exchange_in_time(self) -> None:
+        """Guards against a time limit that starts again with each byte."""
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
+            address = Address(f"127.0.0.1:{listener.getsockname()[1]}")
+            connection = ClientConnection(address)
+            self.addCleanup(connection.close)
+            self.assertTrue(connection.open(TIMEOUT_S))
+            server, _ = listener.accept()
+        self.addCleanup(server.close)
+        ended = threading.Event()
+
+        def read() -> None:
+            while not ended.wait(0.01):
+                server.recv(500)
+
+        reading = threading.Thread(target=read)
+        reading.start()
+        self.addCleanup(reading.join)
+        self.addCleanup(ended.set)
+        began_s = time.monotonic()
+        with (
+            mock.patch.object(http_client_connection, "SEND_TIMEOUT_S", 0.3),
+            self.assertRaises(ExchangeError) as raised,
+        ):
+            connection.exchange("GET", b"x" * 20_000_000, 60.0)
+        self.assertTrue(raised.exception.is_timeout)
+        self.assertLess(time.monotonic() - began_s, TIMEOUT_S)
+
+    def test_the_body_counts_until_the_response_is_dropped(self) -> None:
+        """Guards against responses that count nowhere until they are written."""
+        sent = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody"
+        memory = ResponseMemory(1_000, is_bounding_writes=True)
+        peer = Peer([sent])
+        self.addCleanup(peer.close)
+        connection = ClientConnection(peer.address, memory)
+        self.addCleanup(connection.close)
+        self.assertTrue(connection.open(TIMEOUT_S))
+        response = connection.exchange("GET", GET, TIMEOUT_S)
+        self.assertEqual(memory.held, len(response.body))
+        del response
+        self.assertEqual(memory.held, 0)
+
     def test_a_connection_is_reused(self) -> None:
         sent = b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n"
         _, response = self.exchange(sent + b"a", sent + b"b")
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -27,6 +27,7 @@
     Unroutable,
 )
 from lavendertide.forwarding.pool import TargetCall
+from lavendertide.overload.response_memory import ResponseMemory
 from lavendertide.platform.caller_codec import PlatformCallerCodec
 from lavendertide.platform.operator_routes import decode_routes
 from lavendertide.platform.settings import SettingsError, read_settings
@@ -194,6 +195,21 @@
         self.assertEqual(options.retries.fixed, 56.0)
         self.assertEqual(options.processor_share, 1.0)
 
+    def test_the_limits_of_a_host_are_optional(self) -> None:
+        """Guards against bounds on callers where the platform sets no limits."""
+        options = self.read(SETTINGS)
+        self.assertEqual((options.memory_bytes, options.files_max), (None, None))
+        limits = "\nlimits.memory-mb=160\nlimits.max-fds=4100\n"
+        options = self.read(SETTINGS + limits)
+        self.assertEqual(options.memory_bytes, 160_000_000)
+        self.assertEqual(options.files_max, 4_100)
+        for odd in ("limits.memory-mb=0", "limits.max-fds=nan", "limits.max-fds="):
+            with (
+                self.subTest(odd),
+                self.assertRaisesRegex(SettingsError, "Correct"),
+            ):
+                self.read(f"{SETTINGS}\n{odd}\n")
+
     def test_values_out_of_range_are_refused(self) -> None:
         for valid, invalid in (
             ("listen.front=10.0.0.1:1", "listen.front=10.0.0.1:70000"),
@@ -379,6 +395,23 @@
         response = self.codec.encode(request(), passed)
         self.assertEqual(response.headers, ((b"x-kept", b"1"),))
 
+    def test_the_account_of_a_body_goes_with_it(self) -> None:
+        """Guards against responses that count nowhere until they are written."""
+        memory = ResponseMemory(1_000, is_bounding_writes=True)
+        held = memory.open()
+        held.try_resize(100, 0.0)
+        reply = Replied(target("t").target, 200, (), b"x" * 100, "s", held=held)
+        del held
+        response = self.codec.encode(request(), Passed(reply))
+        del reply
+        self.assertEqual(memory.held, 100)
+        del response
+        self.assertEqual(memory.held, 0)
+
+    def test_a_request_without_memory_is_refused_as_not_run(self) -> None:
+        response = self.codec.encode_bad_request(BadRequest(503))
+        self.assertEqual((response.status, response.body), (503, b"out_of_memory\n"))
+
     def test_a_gathered_response_has_signatures_and_missing_count(self) -> None:
         response = self.codec.encode(request(), Gathered(("a", "b"), 1, b"r" * 16))
         self.assertEqual(response.header(b"lavendertide-part-stamps"), b"a, b")
