Count responses that end for lack of memory as a counter

Cause: it was a gauge, while docs/OPERATIONS.md names a counter.

Change: CallerBounds counts it once a second.

--- a/lavendertide/overload/caller_bounds.py
+++ b/lavendertide/overload/caller_bounds.py
@@ -56,6 +56,12 @@
             ("cause",),
             registry=registry,
         )
+        self._ended = Counter(
+            "lavendertide_caller_responses_ended",
+            "Responses that ended while they were read, for lack of memory.",
+            registry=registry,
+        )
+        self._counted_ended = 0
         for cause in Cause:
             self._evictions.labels(cause.value)
         if registry is not None:
@@ -79,8 +85,10 @@
     def log_changes(self, now_s: float) -> None:
         """Logs that callers begin to be closed, and that none has been for a while.
 
-        Called about once a second.
+        Called about once a second; it also counts the responses that have ended.
         """
+        self._ended.inc(self._memory.refused - self._counted_ended)
+        self._counted_ended = self._memory.refused
         since = {
             cause.value: count - self._logged_counts[cause]
             for cause, count in self._counts.items()
@@ -117,10 +125,5 @@
                 "Responses that callers have yet to accept.",
                 lambda: self._memory.writing,
             ),
-            (
-                "lavendertide_caller_responses_ended",
-                "Responses that ended while they were read, for lack of memory.",
-                lambda: self._memory.refused,
-            ),
         ):
             Gauge(name, text, registry=registry).set_function(read)
--- a/tests/overload/test_caller_bounds.py
+++ b/tests/overload/test_caller_bounds.py
@@ -47,6 +47,16 @@
             value = self.registry.get_sample_value(f"lavendertide_caller_{name}")
             self.assertEqual(value, expected)
 
+    def test_responses_that_ended_for_lack_of_memory_are_counted(self) -> None:
+        held = self.memory.open()
+        self.assertFalse(held.try_resize(2_001, 0.0))
+        for _ in range(2):
+            self.bounds.log_changes(1.0)
+        value = self.registry.get_sample_value(
+            "lavendertide_caller_responses_ended_total"
+        )
+        self.assertEqual(value, 1.0)
+
     def test_without_the_setting_there_is_no_account_of_writes(self) -> None:
         self.assertIsNone(CallerBounds().memory)
         self.assertIs(self.bounds.memory, self.memory)
