--- a/lavendertide/command_line/main.py
+++ b/lavendertide/command_line/main.py
@@ -13,7 +13,9 @@
 from lavendertide.command_line.completion import completion
 from lavendertide.command_line.explain import explain
 from lavendertide.command_line.fleet import fleet
+from lavendertide.command_line.missing import missing
 from lavendertide.command_line.reports import report
+from lavendertide.command_line.route import route
 
 
 @click.group()
@@ -40,6 +42,8 @@
     operators.drain,
     report,
     explain,
+    missing,
+    route,
     check,
     settings,
     completion,
--- a/lavendertide/forwarding/forwarder.py
+++ b/lavendertide/forwarding/forwarder.py
@@ -15,6 +15,7 @@
 from lavendertide.forwarding.capacity import RouteCapacities
 from lavendertide.forwarding.deadlines import response_deadlines
 from lavendertide.forwarding.early_refusal import EarlyRefusals
+from lavendertide.forwarding.explanation import Explainer
 from lavendertide.forwarding.fleet_callbacks import FleetCallbacks
 from lavendertide.forwarding.messages import (
     CallerRequest,
@@ -25,6 +26,7 @@
     Unroutable,
 )
 from lavendertide.forwarding.metrics import ForwardingMetrics
+from lavendertide.forwarding.missing import MissingPart
 from lavendertide.forwarding.poison import CrashEvidence
 from lavendertide.forwarding.pool import TargetCall, TargetPools, connection_share
 from lavendertide.forwarding.reply_recorder import ReplyRecorder
@@ -40,6 +42,7 @@
 from lavendertide.routes.route import (
     GatheredShards,
     OneService,
+    RequestKind,
     Route,
     SplitServices,
 )
@@ -91,6 +94,26 @@
         registry.set_removal_listener(self._remove_target)
         registry.set_closing_listener(self._withdraw_calls)
 
+    @property
+    def explainer(self) -> Explainer:
+        """Explains where requests would be sent now, without sending them."""
+        return Explainer(
+            self.find_route,
+            self._active_routes,
+            self._registry,
+            self._views,
+            self._choice,
+            self._early_refusals,
+            self._capacities,
+            self._splits,
+            lambda: tasks.sleep(0.0),
+        )
+
+    @property
+    def capacities(self) -> RouteCapacities:
+        """The limits of the routes on this host."""
+        return self._capacities
+
     def announce_end(self, at_s: float) -> None:
         """Announces that this host ends at a monotonic time.
 
@@ -117,6 +140,8 @@
             inbox: Receives the replies, and `CallerLeft` if the caller disconnects.
         """
         now_s = clock.monotonic_s()
+        # The next read of the platform, which also does this, may be seconds away.
+        self._registry.expire(now_s)
         deadlines = response_deadlines(request, route, self._used_s(request, route))
         if self._host_ends_at_s is not None:
             ends_at_s = min(deadlines.ends_at_s, self._host_ends_at_s)
@@ -150,6 +175,10 @@
         self._metrics.withheld.inc()
         return False
 
+    def may_regain_repeat(self, service: ServiceName, now_s: float) -> bool:
+        """Returns whether time alone may give back an extra sub-request."""
+        return self._budgets.may_regain(service, now_s)
+
     def remaining_budget(self, service: ServiceName, now_s: float) -> float:
         """Returns how many extra sub-requests this host may send now."""
         return self._budgets.remaining(service, self._fleet.budget_share(now_s), now_s)
@@ -219,12 +248,18 @@
             ends_at_s,
             handle_done,
             view.outages,
+            route.kind is RequestKind.IDEMPOTENT,
         )
         view.record_sent(call.number, now_s, late_after_s)
         self._pools.submit(call, self._connections_max(record, now_s))
         self._metrics.sub_requests.inc()
         return call
 
+    def record_missing(self, missing: Iterable[MissingPart]) -> None:
+        """Counts the shards that the response to a search leaves out."""
+        for part in missing:
+            self._metrics.record_missing(part.cause)
+
     def report_late_call(self, call: TargetCall, now_s: float) -> None:
         """Notifies peers of a late call, unless its target is known to be stalled."""
         view = self._views.view_of(call.record.target)
@@ -261,7 +296,7 @@
         return connection_share(
             service_settings.connections_max,
             record.slots,
-            self._fleet.count_hosts(),
+            self._fleet.connection_hosts(now_s),
             self._fleet.has_previous_connections(now_s),
         )
 
--- a/lavendertide/forwarding/sender.py
+++ b/lavendertide/forwarding/sender.py
@@ -4,7 +4,8 @@
 from dataclasses import dataclass
 from typing import Protocol
 
-from lavendertide.forwarding.messages import CallerRequest, TargetReply
+from lavendertide.forwarding.messages import CallerRequest, Replied, TargetReply
+from lavendertide.forwarding.missing import MissingPart
 from lavendertide.forwarding.pool import TargetCall
 from lavendertide.ids import ServiceName
 from lavendertide.registry.record import TargetRecord
@@ -34,6 +35,17 @@
 Event = CallDone | CallerLeft | HostEnds
 
 
+def successful_calls(events: Iterable[Event]) -> frozenset[int]:
+    """Returns the numbers of the calls that have ended with a successful reply."""
+    return frozenset(
+        event.call.number
+        for event in events
+        if isinstance(event, CallDone)
+        and isinstance(event.reply, Replied)
+        and event.reply.is_success
+    )
+
+
 class SubRequestSender(Protocol):
     """Selects targets and sends sub-requests; implemented by `Forwarder`."""
 
@@ -43,6 +55,9 @@
     def try_spend_repeat(self, service: ServiceName, now_s: float) -> bool:
         """Spends one extra sub-request; returns whether the budget had one left."""
 
+    def may_regain_repeat(self, service: ServiceName, now_s: float) -> bool:
+        """Returns whether time alone may give back an extra sub-request."""
+
     def remaining_budget(self, service: ServiceName, now_s: float) -> float:
         """Returns how many extra sub-requests this host may send now."""
 
@@ -78,5 +93,8 @@
     ) -> TargetCall:
         """Sends a sub-request to a target; its reply is put into the inbox."""
 
+    def record_missing(self, missing: Iterable[MissingPart]) -> None:
+        """Counts the shards that the response to a search leaves out."""
+
     def report_late_call(self, call: TargetCall, now_s: float) -> None:
         """Notifies peers of a late call, unless its target is known to be stalled."""
--- a/lavendertide/gateway/gateway.py
+++ b/lavendertide/gateway/gateway.py
@@ -14,6 +14,7 @@
 from lavendertide.encodings.peer_socket import PeerSocket
 from lavendertide.encodings.routes_json import decode_table, encode_table
 from lavendertide.evacuation.evacuated_domains import EvacuatedDomains
+from lavendertide.evacuation.metrics import EvacuationMetrics
 from lavendertide.fleet.addresses import AddressBook
 from lavendertide.fleet.gossip import Gossip
 from lavendertide.fleet.link_faults import LinkFaults
@@ -26,6 +27,7 @@
 from lavendertide.forwarding.budget import RetryBudgets
 from lavendertide.forwarding.fleet_callbacks import FleetCallbacks
 from lavendertide.forwarding.forwarder import Forwarder
+from lavendertide.forwarding.host_status import count_calls
 from lavendertide.forwarding.metrics import ForwardingMetrics
 from lavendertide.forwarding.poison import CrashEvidence
 from lavendertide.forwarding.pool import (
@@ -40,6 +42,7 @@
 from lavendertide.gateway.entry_front import EntryCodec, EntryFront
 from lavendertide.gateway.evacuation_broadcast import EvacuationBroadcast
 from lavendertide.gateway.follower import Follower, PlatformReader
+from lavendertide.gateway.host_reports import HostReports
 from lavendertide.gateway.leaving_broadcast import LeavingBroadcast
 from lavendertide.gateway.load import LoadMeter
 from lavendertide.gateway.options import GatewayOptions
@@ -117,7 +120,7 @@
         reader: Reads what the platform publishes.
         make_channel: Makes a connection to a target.
         callers: Codec of callers' messages.
-        entries: Codec of requests for readiness, metrics and addresses.
+        entries: Codec of requests for readiness, metrics, addresses and reports.
         memory: The account of responses, also of those that channels read.
     """
 
@@ -290,6 +293,11 @@
         )
         self._metrics = ForwardingMetrics(REGISTRY)
         self._target_views = TargetViews(options.failure_domain)
+        EvacuationMetrics(
+            REGISTRY,
+            self._evacuated,
+            lambda domain: count_calls(self._registry, self._target_views, domain),
+        )
         self._crash_evidence = CrashEvidence(Quarantine())
         self._budgets = RetryBudgets(options.retries)
         leaving = LeavingBroadcast(self._registry, self._roster, self._peers)
@@ -321,7 +329,7 @@
                 self._peer_exchange.broadcast_stall,
                 leaving.record_leaving,
                 self._peer_exchange.queue_verdict,
-                lambda: self._budget_share.hosts,
+                self._budget_share.connection_hosts,
                 self._budget_share.share,
                 self._may_have_previous_connections,
             ),
@@ -356,6 +364,14 @@
             self._readiness,
             self._addresses,
             lambda: generate_latest(REGISTRY),
+            HostReports(
+                self._options.host,
+                self._forwarder,
+                self._readiness,
+                self._registry,
+                self._target_views,
+                self._evacuated,
+            ),
             CallerConnections(
                 None if self._options.files_max is None else ENTRY_CONNECTIONS_BOUND
             ),
--- a/tests/forwarding/scripted_targets.py
+++ b/tests/forwarding/scripted_targets.py
@@ -118,6 +118,10 @@
         """Returns True without opening anything."""
         return True
 
+    def has_data(self) -> bool:
+        """Returns False: replies are returned as soon as they exist."""
+        return False
+
     def close(self) -> None:
         """Counts the cancelled exchange."""
         self._scripted.closed_count += 1
@@ -176,7 +180,7 @@
                 self.stalls.append,
                 self._record_leaving,
                 lambda _: None,
-                lambda: 8,
+                lambda _: 8,
                 lambda _: 1 / 8,
                 lambda _: False,
             ),
