Read the load that targets report in their replies

Cause: targets of some services say how many requests run and wait there, and how long work takes; the header was ignored. Change: the notice of a reply carries the load; invalid figures mean nothing and long headers are read up to the fourth figure. Nothing uses it yet.

--- a/lavendertide/forwarding/messages.py
+++ b/lavendertide/forwarding/messages.py
@@ -5,6 +5,7 @@
 from typing import Final
 
 from lavendertide.ids import CallerRequestId, Fingerprint, TargetId
+from lavendertide.overload.reported_load import ReportedLoad
 
 Header = tuple[bytes, bytes]
 
@@ -90,10 +91,12 @@
         is_leaving: Whether the target is about to end and wants nothing new.
         pause_s: Seconds for which it wants no requests of this host; none if it is not
             full.
+        load: How busy it was; none if it doesn't say.
     """
 
     is_leaving: bool = False
     pause_s: float | None = None
+    load: ReportedLoad | None = None
 
 
 NO_NOTICE: Final = TargetNotice()
--- a/lavendertide/platform/names.py
+++ b/lavendertide/platform/names.py
@@ -15,6 +15,9 @@
 NOT_RUN: Final = b"lavendertide-not-executed"
 # "1" if the target is leaving; other values have no meaning.
 LEAVING_HEADERS: Final = frozenset({b"server-leaving", b"lavendertide-server-leaving"})
+# Requests running, requests waiting and slots, separated by commas, and sometimes how
+# long work takes now in percent of usual.
+SERVER_LOAD: Final = b"lavendertide-server-load"
 PART_SIGNATURES: Final = b"lavendertide-part-stamps"
 # The number of missing shards, not their names.
 MISSING_SHARDS: Final = b"lavendertide-missing-parts"
--- a/lavendertide/platform/target_channel.py
+++ b/lavendertide/platform/target_channel.py
@@ -20,6 +20,7 @@
 )
 from lavendertide.forwarding.pool import TargetCall
 from lavendertide.ids import Address
+from lavendertide.overload.reported_load import ReportedLoad
 from lavendertide.platform.names import (
     CONTENT_ENCODING,
     DEADLINE_MS,
@@ -29,6 +30,7 @@
     NOT_RUN,
     REQUEST_ID,
     RETRY_AFTER,
+    SERVER_LOAD,
     SIGNATURE,
 )
 
@@ -53,6 +55,11 @@
 UNREADABLE_PAUSE_S: Final = 1.0
 # Longest idle time of a connection that a target may promise.
 IDLE_MAX_S: Final = 3_600.0
+# A whole number; bounded, since a target with more requests or slots can't exist.
+LOAD_FIGURE: Final = re.compile(rb"[0-9]{1,6}")
+# Bounds of how long work takes in percent of usual. Others are taken for errors.
+WORK_MIN_PERCENT: Final = 10
+WORK_MAX_PERCENT: Final = 10_000
 
 
 class PlatformTargetChannel:
@@ -148,7 +155,7 @@
     Only a 503 tells how long to leave the target alone. With another status the header
     means something else, such as the rate that one caller may use.
     """
-    is_leaving, pause_s = False, None
+    is_leaving, pause_s, load = False, None, None
     for name, value in response.headers:
         if name in LEAVING_HEADERS and value.strip() == b"1":
             is_leaving = True
@@ -156,9 +163,31 @@
             pause_s = parse_seconds(value.strip(), PAUSE_MAX_S)
             if pause_s is None:
                 pause_s = UNREADABLE_PAUSE_S
-    if not is_leaving and pause_s is None:
+        elif name == SERVER_LOAD:
+            load = parse_load(value)
+    if not is_leaving and pause_s is None and load is None:
         return NO_NOTICE
-    return TargetNotice(is_leaving, pause_s)
+    return TargetNotice(is_leaving, pause_s, load)
+
+
+def parse_load(value: bytes) -> ReportedLoad | None:
+    """Returns the load in a header; none unless the first three figures are valid.
+
+    The first three are only meaningful together. An invalid fourth figure is left out,
+    and so are further ones.
+    """
+    figures = [
+        int(figure) if LOAD_FIGURE.fullmatch(figure) else None
+        for figure in map(bytes.strip, value.split(b",", 4)[:4])
+    ]
+    match figures:
+        case [int(running), int(waiting), int(slots), *rest] if slots > 0:
+            work = rest[0] if rest else None
+            if work is not None and not WORK_MIN_PERCENT <= work <= WORK_MAX_PERCENT:
+                work = None
+            return ReportedLoad(running, waiting, slots, work)
+        case _:
+            return None
 
 
 def parse_seconds(value: bytes, max_s: float) -> float | None:
--- a/tests/platform/test_target_channel.py
+++ b/tests/platform/test_target_channel.py
@@ -6,7 +6,8 @@
 from lavendertide.encodings.http_messages import render_head
 from lavendertide.forwarding.messages import Replied, TargetReply
 from lavendertide.forwarding.pool import TargetCall
-from lavendertide.platform.target_channel import PlatformTargetChannel
+from lavendertide.overload.reported_load import ReportedLoad
+from lavendertide.platform.target_channel import PlatformTargetChannel, parse_load
 from lavendertide.runtime import clock
 from standins.forwarding_records import request, target
 from tests.encodings.fixed_peer import TIMEOUT_S, Peer
@@ -60,3 +61,29 @@
         _, reply = self.exchange(sent, 0.5)
         assert isinstance(reply, Replied)
         self.assertEqual(reply.body, b"body")
+
+
+class ReportedLoadTest(unittest.TestCase):
+    """Invalid figures of a target's load must not steer requests."""
+
+    def test_three_figures_and_sometimes_a_fourth_are_read(self) -> None:
+        self.assertEqual(parse_load(b"3,0,4"), ReportedLoad(3, 0, 4))
+        self.assertEqual(parse_load(b" 4, 7 ,4, 250"), ReportedLoad(4, 7, 4, 250))
+
+    def test_invalid_figures_mean_nothing(self) -> None:
+        for value in (b"", b"1,2", b"-1,0,2", b"1,x,2", b"1,2,0", b"1,2,9999999"):
+            with self.subTest(value=value):
+                self.assertIsNone(parse_load(value))
+        for value in (
+            b"1,0,2,",
+            b"1,0,2,-5",
+            b"1,0,2,0",
+            b"1,0,2,999999",
+            b"1,0,2,1e2",
+        ):
+            with self.subTest(value=value):
+                self.assertEqual(parse_load(value), ReportedLoad(1, 0, 2))
+
+    def test_long_headers_are_read_up_to_the_fourth_figure(self) -> None:
+        self.assertIsNone(parse_load(b"1" * 65_536))
+        self.assertEqual(parse_load(b"1," * 32_768), ReportedLoad(1, 1, 1))
