Rank targets by the expected completion time learned from their replies

Cause: one moving average of reply times confused a target's speed with its queue and with the work of its route or shard, kept a recovered target slow for seconds, and ignored what targets report. Change: TargetCapacity holds the only estimate, from replies, late calls, and the reported load, relative to a usual time by route and service; the ranking takes the expected completion time from it.

--- a/lavendertide/forwarding/reply_recorder.py
+++ b/lavendertide/forwarding/reply_recorder.py
@@ -71,15 +71,19 @@
         """
         view = self._views.view_of(call.record.target)
         self._metrics.record_reply(reply)
-        self._apply_notice(call, reply.notice, now_s)
+        self._apply_notice(call, view, reply.notice, now_s)
         match reply:
             case Replied() if reply.is_success:
                 took_s = view.open_duration_s(call.number, now_s)
                 timing = self._timings.timing_of(route, now_s)
                 if view.is_down:
                     log_target_change(call, view, "target replies again", now_s)
-                view.record_reply(call.number, timing.mean_s, now_s)
+                work_s = view.open_work_s(call.number, now_s)
+                usual_s = timing.usual_times.usual_s(call.record.service)
+                view.record_reply(call.number, usual_s, now_s)
                 timing.observe(took_s, now_s)
+                if work_s:
+                    timing.usual_times.observe(call.record.service, work_s)
                 self._record_success(call, now_s)
             case NotRun(reason=reason) if reason in UNSENT_REASONS:
                 view.discard_call(call.number)
@@ -93,7 +97,10 @@
                 # replies would be missing in the distribution that decides which
                 # calls are late, and each repeat would make the next one earlier.
                 took_s = view.open_duration_s(call.number, now_s)
-                self._timings.timing_of(route, now_s).observe(took_s, now_s)
+                timing = self._timings.timing_of(route, now_s)
+                timing.observe(took_s, now_s)
+                usual_s = timing.usual_times.usual_s(call.record.service)
+                view.record_late(call.number, usual_s, now_s)
                 self._record_failure(call, view, reply, now_s)
             case Unknown(reason=UnknownReason.CANCELLED):
                 view.discard_call(call.number)
@@ -104,9 +111,12 @@
             self._record_crash(call, service_count, now_s)
 
     def _apply_notice(
-        self, call: TargetCall, notice: TargetNotice, now_s: float
+        self, call: TargetCall, view: TargetView, notice: TargetNotice, now_s: float
     ) -> None:
         run = call.record.run
+        # A new run has a view of its own, in which calls to the last one aren't open.
+        if notice.load is not None and call.number in view.open_calls:
+            view.capacity.record_load(notice.load, now_s)
         if notice.is_leaving:
             self._fleet.record_leaving(run, now_s)
         if notice.pause_s is not None:
--- a/lavendertide/forwarding/target_view.py
+++ b/lavendertide/forwarding/target_view.py
@@ -1,8 +1,9 @@
 """Per-host statistics of each target, and the ranking that selects the next target.
 
-A target's score combines its reply times relative to the mean of the route, the share
-of its attempts that failed, and whether one of its open requests is late. A late open
-request reveals a target that has stopped replying before any reply or timeout arrives.
+A target's score combines the time in which it is expected to complete a request, the
+share of its attempts that failed, and whether one of its open requests is late. A late
+open request reveals a target that has stopped replying before any reply or timeout
+arrives.
 A target that fails some attempts is ranked lower; one that fails several in a row is
 avoided.
 """
@@ -11,14 +12,12 @@
 from typing import Final
 
 from lavendertide.ids import FailureDomain, TargetId
+from lavendertide.overload.target_capacity import TargetCapacity
 from lavendertide.registry.record import TargetRecord
 
-# Weight of the newest reply in the moving average of a target's slowness.
-SLOWNESS_WEIGHT: Final = 0.25
-# Half-life of the slowness and the failure rate, so that the target is tried again.
-# Disturbances of a target last about as long.
+# Half-life of the failure rate, so that the target is tried again. Disturbances of a
+# target last about as long.
 HALF_LIFE_S: Final = 2.0
-SLOWNESS_MAX: Final = 32.0
 # Weight of the newest attempt in the moving average of the failure rate.
 FAILURE_RATE_WEIGHT: Final = 0.25
 # Cost of a failed attempt in usual request times: the attempt itself, its repeat, and
@@ -44,13 +43,27 @@
 REMOTE_DOMAIN_COST: Final = 0.6
 
 
+@dataclass(frozen=True, slots=True)
+class OpenCall:
+    """A call without a reply yet.
+
+    Attributes:
+        sent_at_s: Time at which it was sent.
+        late_at_s: Time from which it is late.
+        wait_factor: By how much the reported queue prolongs it.
+    """
+
+    sent_at_s: float
+    late_at_s: float
+    wait_factor: float
+
+
 @dataclass(slots=True)
 class TargetView:
     """This host's statistics of one target. All times are monotonic.
 
     Attributes:
-        slowness: Moving average of the reply time divided by the mean reply time of
-            the route, as of `slowness_at_s`.
+        capacity: What the target handles well.
         failure_rate: Moving average of the share of failed attempts, as of
             `failure_rate_at_s`.
         failures: Failed attempts in a row.
@@ -61,12 +74,10 @@
         excluded_until_s: End of the time in which the target receives no requests,
             because another target has its address.
         stalled_until_s: End of the time in which a peer's stall notice is in force.
-        open_calls: Maps each open call to the time it was sent and the time from which
-            it is late.
+        open_calls: The open calls by their number.
     """
 
-    slowness: float = 1.0
-    slowness_at_s: float = 0.0
+    capacity: TargetCapacity = field(default_factory=TargetCapacity)
     failure_rate: float = 0.0
     failure_rate_at_s: float = 0.0
     failures: int = 0
@@ -75,7 +86,7 @@
     avoided_until_s: float = 0.0
     excluded_until_s: float = 0.0
     stalled_until_s: float = 0.0
-    open_calls: dict[int, tuple[float, float]] = field(default_factory=dict)
+    open_calls: dict[int, OpenCall] = field(default_factory=dict)
 
     @property
     def open_count(self) -> int:
@@ -89,31 +100,44 @@
 
     def open_duration_s(self, call: int, now_s: float) -> float:
         """Returns the seconds since a call was sent; zero if it is not open."""
-        return now_s - self.open_calls.get(call, (now_s, now_s))[0]
+        opened = self.open_calls.get(call)
+        return 0.0 if opened is None else now_s - opened.sent_at_s
+
+    def open_work_s(self, call: int, now_s: float) -> float | None:
+        """Returns the same without waiting in a reported queue; none if not open."""
+        opened = self.open_calls.get(call)
+        if opened is None:
+            return None
+        return (now_s - opened.sent_at_s) / opened.wait_factor
 
     def record_sent(self, call: int, now_s: float, late_after_s: float) -> None:
         """Records that a call is sent, which is late after `late_after_s` seconds."""
-        self.open_calls[call] = (now_s, now_s + late_after_s)
+        wait_factor = self.capacity.wait_factor(now_s)
+        self.open_calls[call] = OpenCall(now_s, now_s + late_after_s, wait_factor)
+        self.capacity.record_sent()
 
     def record_reply(self, call: int, usual_s: float | None, now_s: float) -> None:
         """Records a successful reply and ends any avoidance and stall.
 
         Args:
             call: The call that the reply belongs to.
-            usual_s: Mean reply time of the route; none if there is none yet.
+            usual_s: Usual time of the route's work; none if there is none yet.
             now_s: Present time, monotonic.
         """
-        sent_and_late_s = self.open_calls.pop(call, None)
+        work_s = self.open_work_s(call, now_s)
+        self.open_calls.pop(call, None)
         self.failures = 0
         self.avoided_until_s = 0.0
         self.stalled_until_s = 0.0
         self._record_attempt(0.0, now_s)
-        if sent_and_late_s is None or not usual_s:
-            return
-        ratio = min(SLOWNESS_MAX, (now_s - sent_and_late_s[0]) / usual_s)
-        current = self.current_slowness(now_s)
-        self.slowness = current + SLOWNESS_WEIGHT * (ratio - current)
-        self.slowness_at_s = now_s
+        if work_s and usual_s:
+            self.capacity.record_work(work_s / usual_s, now_s)
+
+    def record_late(self, call: int, usual_s: float | None, now_s: float) -> None:
+        """Records that a call is given up whose reply would have taken longer still."""
+        work_s = self.open_work_s(call, now_s)
+        if work_s and usual_s:
+            self.capacity.record_late(work_s / usual_s, now_s)
 
     def record_failure(self, call: int, now_s: float) -> None:
         """Records a failed attempt; the target is avoided if it is down by now."""
@@ -155,16 +179,12 @@
         """Returns whether a peer has reported a stall or an open call is late."""
         if now_s < self.stalled_until_s:
             return True
-        return any(now_s >= late_s for _, late_s in self.open_calls.values())
+        return any(now_s >= call.late_at_s for call in self.open_calls.values())
 
     def is_avoided(self, now_s: float) -> bool:
         """Returns whether the target is considered down or full at present."""
         return now_s < self.avoided_until_s
 
-    def current_slowness(self, now_s: float) -> float:
-        """Returns the slowness, which decays towards one."""
-        return 1.0 + (self.slowness - 1.0) * _decay_factor(self.slowness_at_s, now_s)
-
     def current_failure_rate(self, now_s: float) -> float:
         """Returns the failure rate, which decays towards zero."""
         return self.failure_rate * _decay_factor(self.failure_rate_at_s, now_s)
@@ -238,8 +258,9 @@
         cost = REMOTE_DOMAIN_COST if is_remote else 0.0
         if view is None:
             return 1.0 + cost
-        load = view.open_count / max(1, record.slots)
-        cost_estimate = view.current_slowness(now_s) * (1.0 + load) + cost
+        cost_estimate = cost + view.capacity.expected_time(
+            view.open_count, record.slots, now_s
+        )
         cost_estimate += FAILURE_COST * view.current_failure_rate(now_s)
         if view.is_avoided(now_s):
             return cost_estimate * AVOIDED_FACTOR
--- a/lavendertide/forwarding/timing.py
+++ b/lavendertide/forwarding/timing.py
@@ -3,6 +3,7 @@
 from typing import Final
 
 from lavendertide.ids import IndexName, RouteName
+from lavendertide.overload.usual_times import UsualTimes
 from lavendertide.queries.timing import IndexTiming, Timings
 from lavendertide.routes.route import Route
 
@@ -18,9 +19,14 @@
 
 
 class RouteTiming:
-    """The mean and the quantiles of the reply times of one route's targets."""
+    """The mean and the quantiles of the reply times of one route's targets.
+
+    Attributes:
+        usual_times: Usual times of the route's work at each service.
+    """
 
     def __init__(self, quantiles: IndexTiming) -> None:
+        self.usual_times = UsualTimes()
         self._quantiles = quantiles
         self._mean_s: float | None = None
 
--- /dev/null
+++ b/tests/overload/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the limits of concurrency and of what targets handle well."""
