Tell a reported queue from a stall when a call is late

Cause: any late call made its target count as stalled on all hosts and as failing, also where the target had just reported a long queue. Change: a call in a reported queue shows no stall before the queue should be done; it is hedged as before, but neither broadcast nor counted as a failure. Without a report nothing changes. Late calls are counted by what was reported. Open calls move to a module of their own.

--- a/lavendertide/forwarding/forwarder.py
+++ b/lavendertide/forwarding/forwarder.py
@@ -226,9 +226,11 @@
         return call
 
     def report_late_call(self, call: TargetCall, now_s: float) -> None:
-        """Notifies peers of a late call, unless its target is known to be stalled."""
+        """Notifies peers of a stall, unless it is known or the call is only queued."""
         view = self._views.view_of(call.record.target)
-        if now_s >= view.stalled_until_s:
+        is_stalled = view.is_stalled(now_s)
+        self._metrics.record_late_call(view.capacity.fresh_load(now_s), is_stalled)
+        if is_stalled and now_s >= view.stalled_until_s:
             self._fleet.broadcast_stall(call.record.target)
 
     def _used_s(self, request: CallerRequest, route: Route) -> float | None:
--- a/lavendertide/forwarding/metrics.py
+++ b/lavendertide/forwarding/metrics.py
@@ -7,6 +7,7 @@
 from lavendertide.forwarding.messages import Replied, TargetReply, outcome_of
 from lavendertide.metrics.labels import BoundedLabel, Children
 from lavendertide.metrics.names import LATENCY_BUCKETS_S
+from lavendertide.overload.reported_load import ReportedLoad
 
 ROUTES_MAX: Final = 200
 
@@ -66,6 +67,26 @@
             registry=registry,
         )
 
+        late_calls = Counter(
+            "lavendertide_forwarded_late_calls",
+            "Calls that became late, by what their targets had reported just before.",
+            ("cause",),
+            registry=registry,
+        )
+        self._late_calls = Children(late_calls.labels)
+
+    def record_late_call(self, load: ReportedLoad | None, is_stalled: bool) -> None:
+        """Records a late call.
+
+        Args:
+            load: What its target has just reported; none if it has reported nothing.
+            is_stalled: Whether the target is taken for stalled.
+        """
+        cause = "unreported"
+        if load is not None:
+            cause = "stalled" if is_stalled else "queued"
+        self._late_calls.child_of(cause).inc()
+
     def record_response(self, route: str, outcome: str, latency_s: float) -> None:
         """Records the outcome and the latency of one response to a caller."""
         route = self._routes.value(route)
--- a/lavendertide/forwarding/reply_recorder.py
+++ b/lavendertide/forwarding/reply_recorder.py
@@ -74,11 +74,11 @@
         self._apply_notice(call, view, reply.notice, now_s)
         match reply:
             case Replied() if reply.is_success:
-                took_s = view.open_duration_s(call.number, now_s)
+                took_s = view.open_calls.duration_s(call.number, now_s)
                 timing = self._timings.timing_of(route, now_s)
                 if view.is_down:
                     log_target_change(call, view, "target replies again", now_s)
-                work_s = view.open_work_s(call.number, now_s)
+                work_s = view.open_calls.work_s(call.number, now_s)
                 usual_s = timing.usual_times.usual_s(call.record.service)
                 view.record_reply(call.number, usual_s, now_s)
                 timing.observe(took_s, now_s)
@@ -93,15 +93,7 @@
                 view.record_replaced(call.number, now_s)
                 self._pools.withdraw_waiting(call.record, now_s)
             case Unknown(reason=UnknownReason.CANCELLED) if call.is_late(now_s):
-                # The reply would have taken longer still. Without this time, slow
-                # replies would be missing in the distribution that decides which
-                # calls are late, and each repeat would make the next one earlier.
-                took_s = view.open_duration_s(call.number, now_s)
-                timing = self._timings.timing_of(route, now_s)
-                timing.observe(took_s, now_s)
-                usual_s = timing.usual_times.usual_s(call.record.service)
-                view.record_late(call.number, usual_s, now_s)
-                self._record_failure(call, view, reply, now_s)
+                self._record_late(call, view, route, reply, now_s)
             case Unknown(reason=UnknownReason.CANCELLED):
                 view.discard_call(call.number)
             case _:
@@ -124,6 +116,26 @@
             self._metrics.pauses.inc()
             log_pause(call, notice.pause_s)
 
+    def _record_late(
+        self,
+        call: TargetCall,
+        view: TargetView,
+        route: Route,
+        reply: TargetReply,
+        now_s: float,
+    ) -> None:
+        # The reply would have taken longer still. Without this time, slow replies would
+        # be missing in the distribution that decides which calls are late, and each
+        # repeat would make the next one earlier.
+        timing = self._timings.timing_of(route, now_s)
+        timing.observe(view.open_calls.duration_s(call.number, now_s), now_s)
+        usual_s = timing.usual_times.usual_s(call.record.service)
+        view.record_late(call.number, usual_s, now_s)
+        if view.is_stalled(now_s):
+            self._record_failure(call, view, reply, now_s)
+        else:
+            view.discard_call(call.number)
+
     def _record_failure(
         self, call: TargetCall, view: TargetView, reply: TargetReply, now_s: float
     ) -> None:
--- a/lavendertide/forwarding/target_view.py
+++ b/lavendertide/forwarding/target_view.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass, field
 from typing import Final
 
+from lavendertide.forwarding.open_calls import OpenCalls
 from lavendertide.ids import FailureDomain, TargetId
 from lavendertide.overload.target_capacity import TargetCapacity
 from lavendertide.registry.record import TargetRecord
@@ -43,21 +44,6 @@
 REMOTE_DOMAIN_COST: Final = 0.6
 
 
-@dataclass(frozen=True, slots=True)
-class OpenCall:
-    """A call without a reply yet.
-
-    Attributes:
-        sent_at_s: Time at which it was sent.
-        late_at_s: Time from which it is late.
-        wait_factor: By how much the reported queue prolongs it.
-    """
-
-    sent_at_s: float
-    late_at_s: float
-    wait_factor: float
-
-
 @dataclass(slots=True)
 class TargetView:
     """This host's statistics of one target. All times are monotonic.
@@ -74,7 +60,7 @@
         excluded_until_s: End of the time in which the target receives no requests,
             because another target has its address.
         stalled_until_s: End of the time in which a peer's stall notice is in force.
-        open_calls: The open calls by their number.
+        open_calls: The calls that have no reply yet.
     """
 
     capacity: TargetCapacity = field(default_factory=TargetCapacity)
@@ -86,7 +72,7 @@
     avoided_until_s: float = 0.0
     excluded_until_s: float = 0.0
     stalled_until_s: float = 0.0
-    open_calls: dict[int, OpenCall] = field(default_factory=dict)
+    open_calls: OpenCalls = field(default_factory=OpenCalls)
 
     @property
     def open_count(self) -> int:
@@ -98,22 +84,10 @@
         """Whether enough attempts in a row have failed to consider the target down."""
         return self.failures >= DOWN_AFTER_FAILURES
 
-    def open_duration_s(self, call: int, now_s: float) -> float:
-        """Returns the seconds since a call was sent; zero if it is not open."""
-        opened = self.open_calls.get(call)
-        return 0.0 if opened is None else now_s - opened.sent_at_s
-
-    def open_work_s(self, call: int, now_s: float) -> float | None:
-        """Returns the same without waiting in a reported queue; none if not open."""
-        opened = self.open_calls.get(call)
-        if opened is None:
-            return None
-        return (now_s - opened.sent_at_s) / opened.wait_factor
-
     def record_sent(self, call: int, now_s: float, late_after_s: float) -> None:
         """Records that a call is sent, which is late after `late_after_s` seconds."""
         wait_factor = self.capacity.wait_factor(now_s)
-        self.open_calls[call] = OpenCall(now_s, now_s + late_after_s, wait_factor)
+        self.open_calls.add(call, now_s, late_after_s, wait_factor)
         self.capacity.record_sent()
 
     def record_reply(self, call: int, usual_s: float | None, now_s: float) -> None:
@@ -124,8 +98,8 @@
             usual_s: Usual time of the route's work; none if there is none yet.
             now_s: Present time, monotonic.
         """
-        work_s = self.open_work_s(call, now_s)
-        self.open_calls.pop(call, None)
+        work_s = self.open_calls.work_s(call, now_s)
+        self.open_calls.remove(call)
         self.failures = 0
         self.avoided_until_s = 0.0
         self.stalled_until_s = 0.0
@@ -135,13 +109,13 @@
 
     def record_late(self, call: int, usual_s: float | None, now_s: float) -> None:
         """Records that a call is given up whose reply would have taken longer still."""
-        work_s = self.open_work_s(call, now_s)
+        work_s = self.open_calls.work_s(call, now_s)
         if work_s and usual_s:
             self.capacity.record_late(work_s / usual_s, now_s)
 
     def record_failure(self, call: int, now_s: float) -> None:
         """Records a failed attempt; the target is avoided if it is down by now."""
-        self.open_calls.pop(call, None)
+        self.open_calls.remove(call)
         self._record_attempt(1.0, now_s)
         self.failures += 1
         if self.is_down:
@@ -158,28 +132,28 @@
 
     def record_refusal(self, call: int, pause_s: float, now_s: float) -> None:
         """Records that the target was full; it is avoided for `pause_s` seconds."""
-        self.open_calls.pop(call, None)
+        self.open_calls.remove(call)
         self._record_attempt(1.0, now_s)
         self.avoided_until_s = max(self.avoided_until_s, now_s + pause_s)
 
     def record_replaced(self, call: int, now_s: float) -> None:
         """Records a reply of another target at this address; excludes this one."""
-        self.open_calls.pop(call, None)
+        self.open_calls.remove(call)
         self.excluded_until_s = now_s + REPLACED_EXCLUSION_S
 
     def discard_call(self, call: int) -> None:
         """Removes a call that ended without evidence for or against the target."""
-        self.open_calls.pop(call, None)
+        self.open_calls.remove(call)
 
     def record_stall(self, now_s: float) -> None:
         """Records a peer's notice that calls to this target are late."""
         self.stalled_until_s = now_s + STALL_NOTICE_S
 
     def is_stalled(self, now_s: float) -> bool:
-        """Returns whether a peer has reported a stall or an open call is late."""
+        """Returns whether a peer has reported a stall or an open call shows one."""
         if now_s < self.stalled_until_s:
             return True
-        return any(now_s >= call.late_at_s for call in self.open_calls.values())
+        return self.open_calls.has_stalled(self.capacity, now_s)
 
     def is_avoided(self, now_s: float) -> bool:
         """Returns whether the target is considered down or full at present."""
--- a/tests/forwarding/test_target_view.py
+++ b/tests/forwarding/test_target_view.py
@@ -12,6 +12,7 @@
     TargetViews,
 )
 from lavendertide.ids import TargetId
+from lavendertide.overload.reported_load import ReportedLoad
 from standins.forwarding_records import LOCAL_DOMAIN, OTHER_DOMAIN, target
 
 LATE_S = 0.05
@@ -126,3 +127,38 @@
         self.assertEqual(self.views.rank_targets((self.near,), 1.0, 0.0), [])
         ranked = self.views.rank_targets((self.near,), REPLACED_EXCLUSION_S + 1.0, 0.0)
         self.assertEqual(ranked, [self.near])
+
+
+class LateCallTest(unittest.TestCase):
+    """A long queue isn't taken for a stall, where the target reports its load.
+
+    All hosts would avoid a busy target at once, and its replicas would be next.
+    """
+
+    def setUp(self) -> None:
+        self.view = TargetView()
+
+    def send_at(self, load: ReportedLoad | None) -> None:
+        """Sends a call at time 0 to a target that has reported a load."""
+        if load is not None:
+            self.view.capacity.record_load(load, 0.0)
+        self.view.record_sent(1, 0.0, LATE_S)
+
+    def test_without_a_report_a_late_call_shows_a_stall(self) -> None:
+        self.send_at(None)
+        self.assertFalse(self.view.is_stalled(0.99 * LATE_S))
+        self.assertTrue(self.view.is_stalled(LATE_S))
+
+    def test_a_late_call_at_an_idle_target_shows_a_stall(self) -> None:
+        self.send_at(ReportedLoad(1, 0, 4))
+        self.assertTrue(self.view.is_stalled(LATE_S))
+
+    def test_a_late_call_in_a_reported_queue_shows_none_until_it_is_done(self) -> None:
+        self.send_at(ReportedLoad(2, 4, 2))
+        self.assertFalse(self.view.is_stalled(1.1 * LATE_S))
+        self.assertTrue(self.view.is_stalled(5.0 * LATE_S))
+
+    def test_an_old_report_explains_nothing(self) -> None:
+        self.send_at(ReportedLoad(2, 100, 2))
+        self.assertFalse(self.view.is_stalled(0.4))
+        self.assertTrue(self.view.is_stalled(0.6))
