Share with peers which targets a host has found slow or fast

Cause: at a few requests a second, each host alone needs long to notice that a target has become slower or has recovered. Change: hosts send their own recent observations of deviating targets to linked, advertised peers, at most each 250 ms and 2,000 bytes in any second; received values and ages are bounded. Enabled by the contracts pressure and places.

--- a/lavendertide/encodings/holder_frames.py
+++ b/lavendertide/encodings/holder_frames.py
@@ -9,6 +9,7 @@
 from lavendertide.encodings.generated.peer_protocol import ttypes
 from lavendertide.encodings.registry_frames import pack_evacuations, unpack_evacuations
 from lavendertide.ids import DaemonId, ExchangeId, Fingerprint, ShardNumber, TargetId
+from lavendertide.overload.capacity_sharing import CapacityObservation
 from lavendertide.registry.record import TargetRun
 
 
@@ -32,6 +33,13 @@
             packed_states = pack_evacuations(states)
             evacuations = ttypes.StallNotices([], [], packed_states)
             return ttypes.Frame(stall_notices=evacuations)
+        case messages.CapacityNotices(observed):
+            capacities = [
+                ttypes.CapacityNotice(o.target, o.slowness_percent, o.age_ms)
+                for o in observed
+            ]
+            shared = ttypes.StallNotices([], [], None, capacities)
+            return ttypes.Frame(stall_notices=shared)
         case messages.TrialClaim(exchange, sender, fingerprint, duration_ms):
             claim = ttypes.TrialClaim(exchange, sender, fingerprint, duration_ms)
             return ttypes.Frame(trial_claim=claim)
@@ -84,10 +92,23 @@
 
 def _unpack_target_notices(
     notices: Any,
-) -> messages.StallNotices | messages.LeavingNotices | messages.EvacuationNotices:
+) -> (
+    messages.StallNotices
+    | messages.LeavingNotices
+    | messages.EvacuationNotices
+    | messages.CapacityNotices
+):
     states = unpack_evacuations(notices.evacuations)
     if states is not None:
         return messages.EvacuationNotices(states)
+    if notices.capacities:
+        return messages.CapacityNotices(
+            tuple(
+                CapacityObservation(TargetId(c.target), c.slowness_percent, c.age_ms)
+                for c in notices.capacities
+                if None not in (c.target, c.slowness_percent, c.age_ms)
+            )
+        )
     if notices.leaving:
         return messages.LeavingNotices(
             tuple(TargetRun(TargetId(r.target), r.born_ms) for r in notices.leaving)
--- a/lavendertide/fleet/peers.py
+++ b/lavendertide/fleet/peers.py
@@ -71,6 +71,11 @@
         link.set_expected_daemon(member.daemon)
         return link
 
+    def is_linked(self, member: MemberRecord) -> bool:
+        """Returns whether there is a connected link to a member."""
+        link = self._links.get(member.peer_address)
+        return link is not None and link.is_connected
+
     def request_plan_grants(
         self, member: MemberRecord, claims: PlanClaims, timeout_s: float
     ) -> PlanGrants | None:
--- a/lavendertide/forwarding/metrics.py
+++ b/lavendertide/forwarding/metrics.py
@@ -18,6 +18,8 @@
     Attributes:
         sub_requests: Sub-requests that were handed to connections.
         withheld: Repeated sub-requests that the budget did not allow.
+        capacities_shared: Observations of targets that were sent to peers.
+        capacities_received: Observations of peers that were taken into account.
         pauses: Refusals that told this host how long to leave a target alone.
     """
 
@@ -67,6 +69,16 @@
             registry=registry,
         )
 
+        self.capacities_shared = Counter(
+            "lavendertide_forwarded_capacities_shared",
+            "Observations of slow or fast targets that were sent to peers.",
+            registry=registry,
+        )
+        self.capacities_received = Counter(
+            "lavendertide_forwarded_capacities_received",
+            "Observations of slow or fast targets that peers have sent.",
+            registry=registry,
+        )
         late_calls = Counter(
             "lavendertide_forwarded_late_calls",
             "Calls that became late, by what their targets had reported just before.",
--- a/lavendertide/forwarding/target_view.py
+++ b/lavendertide/forwarding/target_view.py
@@ -8,6 +8,7 @@
 avoided.
 """
 
+from collections.abc import Iterator
 from dataclasses import dataclass, field
 from typing import Final
 
@@ -177,6 +178,11 @@
         self._own_domain = own_domain
         self._views: dict[TargetId, TargetView] = {}
 
+    @property
+    def capacities(self) -> Iterator[tuple[TargetId, TargetCapacity]]:
+        """What this host has learned of each target."""
+        return ((target, view.capacity) for target, view in self._views.items())
+
     def view_of(self, target: TargetId) -> TargetView:
         """Returns the view of a target, which is created if there is none."""
         view = self._views.get(target)
--- a/lavendertide/gateway/gateway.py
+++ b/lavendertide/gateway/gateway.py
@@ -37,6 +37,7 @@
 from lavendertide.forwarding.target_view import TargetViews
 from lavendertide.gateway.budget_share import BudgetShare
 from lavendertide.gateway.caller_front import CallerCodec, CallerFront
+from lavendertide.gateway.capacity_exchange import CapacityExchange
 from lavendertide.gateway.entry_front import EntryCodec, EntryFront
 from lavendertide.gateway.evacuation_broadcast import EvacuationBroadcast
 from lavendertide.gateway.follower import Follower, PlatformReader
@@ -197,6 +198,8 @@
         tasks.spawn_supervised(self._update_share_forever)
         tasks.spawn_supervised(self._measure_load_forever)
         tasks.spawn_supervised(self._peer_exchange.run)
+        if options.shares_capacities:
+            tasks.spawn_supervised(self._capacity_exchange.run)
         front = self._caller_front()
         listener = sockets.listen(options.callers)
         tasks.spawn_supervised(
@@ -267,6 +270,14 @@
         self._crash_evidence = CrashEvidence(Quarantine())
         self._budgets = RetryBudgets(options.retries)
         leaving = LeavingBroadcast(self._registry, self._roster, self._peers)
+        self._capacity_exchange = CapacityExchange(
+            self._registry,
+            self._roster,
+            self._peers,
+            self._target_views,
+            self._metrics,
+            options.shares_capacities,
+        )
         self._peer_exchange = PeerExchange(
             self._roster,
             self._peers,
@@ -275,6 +286,7 @@
             self._crash_evidence,
             leaving,
             EvacuationBroadcast(self._evacuated, self._roster, self._peers),
+            self._capacity_exchange,
             RegistrySource(
                 options.reading,
                 self._follower,
--- a/lavendertide/gateway/options.py
+++ b/lavendertide/gateway/options.py
@@ -27,6 +27,7 @@
         processor_share: CPU allotment of the process, in cores.
         is_first_start: Whether the whole system starts for the first time, so that no
             earlier process of it has sent anything.
+        shares_capacities: Whether hosts tell each other which targets are slow or fast.
     """
 
     host: HostId
@@ -46,3 +47,4 @@
     address_lifetime_s: float
     processor_share: float
     is_first_start: bool = False
+    shares_capacities: bool = False
--- a/lavendertide/gateway/peer_exchange.py
+++ b/lavendertide/gateway/peer_exchange.py
@@ -18,11 +18,13 @@
 from lavendertide.fleet.roster import Roster
 from lavendertide.forwarding.poison import CrashEvidence
 from lavendertide.forwarding.target_view import TargetViews
+from lavendertide.gateway.capacity_exchange import CapacityExchange
 from lavendertide.gateway.evacuation_broadcast import EvacuationBroadcast
 from lavendertide.gateway.leaving_broadcast import LeavingBroadcast
 from lavendertide.ids import Fingerprint, TargetId
 from lavendertide.messages import (
     Answered,
+    CapacityNotices,
     Declined,
     EvacuationNotices,
     Frame,
@@ -58,6 +60,7 @@
     Args:
         leaving: Knows and broadcasts which targets are leaving.
         evacuations: Broadcasts which failure domains are evacuated.
+        capacities: Exchanges which targets are slow or fast.
         build_registry_push: Returns the reply to a pull of the target registry.
     """
 
@@ -70,6 +73,7 @@
         crashes: CrashEvidence,
         leaving: LeavingBroadcast,
         evacuations: EvacuationBroadcast,
+        capacities: CapacityExchange,
         build_registry_push: Callable[[RegistryPull], RegistryPush],
     ) -> None:
         self._roster = roster
@@ -79,6 +83,7 @@
         self._crash_evidence = crashes
         self._leaving = leaving
         self._evacuations = evacuations
+        self._capacities = capacities
         self._build_registry_push = build_registry_push
         self._pending_verdicts: dict[Fingerprint, Verdict] = {}
         self._pending_stalls: dict[TargetId, None] = {}
@@ -141,18 +146,10 @@
                 self._leaving.apply_notices(runs, peer.daemon, now_s)
             case EvacuationNotices(states):
                 self._evacuations.apply_notices(states, now_s)
+            case CapacityNotices(observed):
+                self._capacities.apply_notices(observed, now_s)
             case Verdicts(items):
-                for verdict in self._crash_evidence.apply_verdicts(items, now_s):
-                    _log.warning(
-                        "request verdict received from a peer",
-                        extra={
-                            "peer": peer.daemon,
-                            "fingerprint": verdict.fingerprint,
-                            "crashes": verdict.crashes,
-                            "outcome": verdict.kind.value,
-                        },
-                    )
-                    self.queue_verdict(verdict)
+                self._apply_verdicts(peer, items, now_s)
             case RegistryPull():
                 tasks.spawn(self._reply_to_pull, frame, outbox)
             case ReachRequest():
@@ -172,6 +169,21 @@
             case _:
                 peer.send(first)
 
+    def _apply_verdicts(
+        self, peer: PeerConnection, items: tuple[Verdict, ...], now_s: float
+    ) -> None:
+        for verdict in self._crash_evidence.apply_verdicts(items, now_s):
+            _log.warning(
+                "request verdict received from a peer",
+                extra={
+                    "peer": peer.daemon,
+                    "fingerprint": verdict.fingerprint,
+                    "crashes": verdict.crashes,
+                    "outcome": verdict.kind.value,
+                },
+            )
+            self.queue_verdict(verdict)
+
     def _broadcast_pending_stalls(self) -> None:
         tasks.sleep(STALLS_PERIOD_S)
         notices = StallNotices(tuple(self._pending_stalls))
--- a/lavendertide/messages/__init__.py
+++ b/lavendertide/messages/__init__.py
@@ -58,6 +58,7 @@
     SubRequests as SubRequests,
 )
 from lavendertide.messages.targets import (
+    CapacityNotices as CapacityNotices,
     EvacuationNotices as EvacuationNotices,
     LeavingNotices as LeavingNotices,
     RegistryPull as RegistryPull,
@@ -98,6 +99,7 @@
     | StallNotices
     | LeavingNotices
     | EvacuationNotices
+    | CapacityNotices
     | RegistryPull
     | RegistryPush
     | TrialClaim
--- a/lavendertide/messages/targets.py
+++ b/lavendertide/messages/targets.py
@@ -4,6 +4,7 @@
 
 from lavendertide.evacuation.evacuated_domains import Evacuation
 from lavendertide.ids import ConfigurationVersion, DaemonId, ExchangeId, TargetId
+from lavendertide.overload.capacity_sharing import CapacityObservation
 from lavendertide.registry.record import TargetRecord, TargetRun
 
 
@@ -37,6 +38,16 @@
     states: tuple[Evacuation, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class CapacityNotices:
+    """What the sender has itself observed of targets that deviate from usual.
+
+    Sent to linked peers that are advertised to callers, which don't pass it on.
+    """
+
+    items: tuple[CapacityObservation, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class RegistryPull:
     """Requests changed target records from a peer that reads the platform.
--- /dev/null
+++ b/lavendertide/overload/capacity_sharing.py
@@ -0,0 +1,148 @@
+"""Decides what a host tells its peers about targets that it finds slow or fast.
+
+The load: a target becomes several times slower, and each of many hosts sends it only a
+few requests a second, so that each one alone would need many hundred milliseconds to
+find out. Hosts share only what they have observed themselves, so no news circulates,
+and nothing has to be withdrawn: what isn't repeated loses its weight within a second.
+While hosts disagree, each one weighs its own recent replies at least as high as a
+peer's notice. A notice that names a target of which meanwhile another run has started
+misleads for a second at most.
+"""
+
+import math
+from collections import deque
+from collections.abc import Iterable
+from dataclasses import dataclass
+from typing import Final
+
+from lavendertide.ids import TargetId
+from lavendertide.overload.target_capacity import TargetCapacity
+
+# Shortest time between two notices to the same peers.
+INTERVAL_S: Final = 0.25
+ITEMS_MAX: Final = 64
+# Notices of older observations are dropped.
+AGE_MAX_S: Final = 1.0
+# Slowness, or its reciprocal, from which a target deviates by more than half.
+DEVIATION_MIN: Final = 1.5
+# Weight of own evidence from which it is shared: that of a reply 250 ms ago.
+WEIGHT_MIN: Final = 0.5
+# Bytes that a host may send in any second, to all peers together.
+BYTES_PER_S: Final = 2_000
+BUDGET_WINDOW_S: Final = 1.0
+# Bytes of a frame and of an item beside the target's name, rounded up
+# (tests/encodings/test_peer_frames.py compares them with the encoding).
+FRAME_BYTES: Final = 40
+ITEM_BYTES: Final = 24
+
+
+@dataclass(frozen=True, slots=True)
+class CapacityObservation:
+    """What one host has observed of a target.
+
+    Attributes:
+        slowness_percent: Duration of work there, in percent of usual.
+        age_ms: Time since the host's last observation, in milliseconds.
+    """
+
+    target: TargetId
+    slowness_percent: int
+    age_ms: int
+
+
+class CapacitySharing:
+    """Selects the observations to share, within a bound of bytes a second."""
+
+    def __init__(self) -> None:
+        self._sent_at_s = -math.inf
+        self._shared_at_s: dict[TargetId, float] = {}
+        self._sent_bytes: deque[tuple[float, int]] = deque()
+
+    def select(
+        self,
+        capacities: Iterable[tuple[TargetId, TargetCapacity]],
+        recipients: int,
+        now_s: float,
+    ) -> tuple[tuple[CapacityObservation, ...], int]:
+        """Returns what to send now, and to how many of the recipients.
+
+        Where the bytes don't suffice for all, the targets that were shared least
+        recently come first, then those that deviate most.
+
+        Args:
+            capacities: This host's estimates of targets.
+            recipients: Number of peers that may be sent to.
+            now_s: Present time, monotonic.
+        """
+        if recipients == 0 or now_s - self._sent_at_s < INTERVAL_S:
+            return (), 0
+        deviating = [pair for pair in capacities if _is_shared(pair[1], now_s)]
+        if not deviating:
+            self._shared_at_s.clear()
+            return (), 0
+        deviating.sort(key=lambda pair: self._urgency(pair[0], pair[1], now_s))
+        left = BYTES_PER_S - self._spent_bytes(now_s)
+        # Half of a second's bytes at most, so that later changes find some left.
+        left = min(left, BYTES_PER_S // 2)
+        first_bytes = FRAME_BYTES + _size_of(deviating[0][0])
+        reached = min(recipients, left // first_bytes)
+        if reached <= 0:
+            return (), 0
+        chosen: list[CapacityObservation] = []
+        size = FRAME_BYTES
+        for target, capacity in deviating[:ITEMS_MAX]:
+            size += _size_of(target)
+            if reached * size > left:
+                size -= _size_of(target)
+                break
+            chosen.append(_observe(target, capacity, now_s))
+            self._shared_at_s[target] = now_s
+        self._sent_at_s = now_s
+        self._sent_bytes.append((now_s, reached * size))
+        known = {target for target, _ in deviating}
+        for gone in self._shared_at_s.keys() - known:
+            del self._shared_at_s[gone]
+        return tuple(chosen), reached
+
+    def _urgency(
+        self, target: TargetId, capacity: TargetCapacity, now_s: float
+    ) -> tuple[float, float]:
+        deviation = abs(math.log(capacity.own_slowness(now_s)))
+        return self._shared_at_s.get(target, -math.inf), -deviation
+
+    def _spent_bytes(self, now_s: float) -> int:
+        while self._sent_bytes and now_s - self._sent_bytes[0][0] >= BUDGET_WINDOW_S:
+            self._sent_bytes.popleft()
+        return sum(size for _, size in self._sent_bytes)
+
+
+def record_observation(
+    capacity: TargetCapacity, observed: CapacityObservation, now_s: float
+) -> bool:
+    """Records a peer's observation, unless it is old; returns whether it counts."""
+    if not 0 <= observed.age_ms <= AGE_MAX_S * 1_000:
+        return False
+    slowness = observed.slowness_percent / 100
+    capacity.record_from_peer(slowness, observed.age_ms / 1_000, now_s)
+    return True
+
+
+def _is_shared(capacity: TargetCapacity, now_s: float) -> bool:
+    # First what is cheap: most targets have no recent evidence.
+    own = capacity.own
+    if now_s - own.at_s > AGE_MAX_S or own.weight_at(now_s) < WEIGHT_MIN:
+        return False
+    slowness = capacity.own_slowness(now_s)
+    return slowness > DEVIATION_MIN or slowness < 1.0 / DEVIATION_MIN
+
+
+def _observe(
+    target: TargetId, capacity: TargetCapacity, now_s: float
+) -> CapacityObservation:
+    percent = round(100 * capacity.own_slowness(now_s))
+    age_ms = round(1_000 * (now_s - capacity.own.at_s))
+    return CapacityObservation(target, percent, age_ms)
+
+
+def _size_of(target: TargetId) -> int:
+    return ITEM_BYTES + len(target)
--- a/lavendertide/platform/settings.py
+++ b/lavendertide/platform/settings.py
@@ -17,6 +17,9 @@
 # Used if the platform does not set how long a leaving target accepts requests.
 DEFAULT_LEAVING_MS = "3000"
 
+# Contracts of which one makes hosts share what they learn of targets.
+SHARING_CONTRACTS = frozenset({"pressure", "places"})
+
 # Shortest window over which repeats are counted.
 WINDOW_MIN_S = 0.1
 
@@ -97,6 +100,9 @@
         # The share refers to one core that is "cores" times as fast, not to several.
         processor_share=_number(fields, "limits.cpu-share")
         * _number(fields, "limits.cores"),
+        shares_capacities=not SHARING_CONTRACTS.isdisjoint(
+            name.strip() for name in fields.get("contracts", "").split(",")
+        ),
         is_first_start=fields.get("bootstrap") == "true",
     )
 
--- a/lavendertide/registry/registry.py
+++ b/lavendertide/registry/registry.py
@@ -123,6 +123,10 @@
             and self._announcements.is_leaving(record.run, now_s)
         )
 
+    def is_registered(self, target: TargetId) -> bool:
+        """Returns whether a target of this name is registered."""
+        return target in self._records
+
     def is_listed_ready(self, run: TargetRun) -> bool:
         """Returns whether a run is published as accepting requests."""
         record = self._records.get(run.target)
--- a/tests/encodings/test_peer_frames.py
+++ b/tests/encodings/test_peer_frames.py
@@ -30,6 +30,7 @@
 from lavendertide.messages import (
     Answered,
     Cancels,
+    CapacityNotices,
     Challenge,
     ChallengeAnswer,
     Declined,
@@ -65,6 +66,11 @@
     VerdictKind,
     Verdicts,
 )
+from lavendertide.overload.capacity_sharing import (
+    FRAME_BYTES,
+    ITEM_BYTES,
+    CapacityObservation,
+)
 from lavendertide.registry.record import TargetRun
 from standins.forwarding_records import target
 
@@ -125,6 +131,7 @@
     PlanGrants(ExchangeId("7"), (PlanGrant(PlanId("stall-clerk"), 0.5, True),)),
     StallNotices((TargetId("t1"), TargetId("t2"))),
     EvacuationNotices((Evacuation(FailureDomain("north-a"), 412, True),)),
+    CapacityNotices((CapacityObservation(TargetId("t1"), 400, 120),)),
     LeavingNotices((TargetRun(TargetId("t1"), 17), TargetRun(TargetId("t2"), 0))),
     RegistryPull(ExchangeId("8"), 41),
     RegistryPush(
@@ -153,6 +160,17 @@
                 data = encode_frame(frame)
                 self.assertEqual(decode_frame(data[LENGTH.size :]).unwrap(), frame)
 
+    def test_capacity_notices_are_as_small_as_the_byte_bound_assumes(self) -> None:
+        for count in (1, 64):
+            items = tuple(
+                CapacityObservation(TargetId(f"target-{number:04}"), 3_200, 1_000)
+                for number in range(count)
+            )
+            assumed = FRAME_BYTES + sum(ITEM_BYTES + len(i.target) for i in items)
+            size = len(encode_frame(CapacityNotices(items)))
+            with self.subTest(count=count, size=size, assumed=assumed):
+                self.assertLessEqual(size, assumed)
+
     def test_the_length_prefix_is_that_of_the_payload(self) -> None:
         data = encode_frame(FRAMES[0])
         self.assertEqual(LENGTH.unpack(data[: LENGTH.size])[0], len(data) - LENGTH.size)
--- a/tests/gateway/test_peer_exchange.py
+++ b/tests/gateway/test_peer_exchange.py
@@ -3,13 +3,17 @@
 from collections.abc import Iterable
 from typing import cast
 
+from prometheus_client import CollectorRegistry
+
 from lavendertide.evacuation.evacuated_domains import EvacuatedDomains
 from lavendertide.fleet.gossip import Gossip
 from lavendertide.fleet.peer_connection import PeerConnection
 from lavendertide.fleet.peer_server import Outbox
 from lavendertide.fleet.peers import Peers
+from lavendertide.forwarding.metrics import ForwardingMetrics
 from lavendertide.forwarding.poison import CrashEvidence, TargetProcess
 from lavendertide.forwarding.target_view import TargetViews
+from lavendertide.gateway.capacity_exchange import CapacityExchange
 from lavendertide.gateway.evacuation_broadcast import EvacuationBroadcast
 from lavendertide.gateway.leaving_broadcast import LeavingBroadcast
 from lavendertide.gateway.peer_exchange import STALLS_PERIOD_S, PeerExchange
@@ -54,6 +58,10 @@
         """Records a frame."""
         self.sent.append(frame)
 
+    def is_linked(self, member: MemberRecord) -> bool:
+        """Returns whether there is a link, which there is to all but the last one."""
+        return member.daemon != "c"
+
     def link_to(self, member: MemberRecord) -> "RecordingLink":
         """Returns the link to one member."""
         return RecordingLink(member, self.sent_to_member)
@@ -100,6 +108,7 @@
         self.roster = roster_of(3)
         self.crashes = CrashEvidence(Quarantine())
         self.registry = TargetRegistry()
+        self.views = TargetViews(FailureDomain("zone"))
         self.leaving = LeavingBroadcast(
             self.registry, self.roster, cast(Peers, self.peers)
         )
@@ -107,12 +116,20 @@
             self.roster,
             cast(Peers, self.peers),
             cast(Gossip, None),
-            TargetViews(FailureDomain("zone")),
+            self.views,
             self.crashes,
             self.leaving,
             EvacuationBroadcast(
                 EvacuatedDomains(), self.roster, cast(Peers, self.peers)
             ),
+            CapacityExchange(
+                self.registry,
+                self.roster,
+                cast(Peers, self.peers),
+                self.views,
+                ForwardingMetrics(CollectorRegistry()),
+                True,
+            ),
             fail_on_pull,
         )
 
--- /dev/null
+++ b/tests/overload/test_capacity_sharing.py
@@ -0,0 +1,101 @@
+"""Tests of `lavendertide.overload.capacity_sharing`: few bytes, own observations."""
+
+import unittest
+
+from lavendertide.ids import TargetId
+from lavendertide.overload.capacity_sharing import (
+    BYTES_PER_S,
+    FRAME_BYTES,
+    INTERVAL_S,
+    ITEM_BYTES,
+    ITEMS_MAX,
+    CapacityObservation,
+    CapacitySharing,
+    record_observation,
+)
+from lavendertide.overload.target_capacity import TargetCapacity
+
+
+def observed(slowness: float, count: int, at_s: float) -> TargetCapacity:
+    """Returns an estimate after some replies at one moment."""
+    capacity = TargetCapacity()
+    for _ in range(count):
+        capacity.record_work(slowness, at_s)
+    return capacity
+
+
+class CapacitySharingTest(unittest.TestCase):
+    """The bytes stay bounded at any fleet size and number of slow targets."""
+
+    def setUp(self) -> None:
+        self.sharing = CapacitySharing()
+
+    def test_nothing_is_sent_while_nothing_deviates(self) -> None:
+        usual = {TargetId(f"t{n}"): observed(1.2, 5, 1.0) for n in range(100)}
+        self.assertEqual(self.sharing.select(usual.items(), 8, 1.0), ((), 0))
+
+    def test_a_change_is_sent_at_once_and_then_at_intervals(self) -> None:
+        slow = {TargetId("a"): observed(4.0, 5, 1.0)}
+        items, reached = self.sharing.select(slow.items(), 8, 1.0)
+        self.assertEqual((items[0].target, reached), ("a", 8))
+        self.assertGreater(items[0].slowness_percent, 250)
+        again = self.sharing.select(slow.items(), 8, 1.0 + 0.9 * INTERVAL_S)
+        self.assertEqual(again, ((), 0))
+
+    def test_what_peers_have_sent_is_not_passed_on(self) -> None:
+        """Otherwise old news would circulate between hosts without end."""
+        capacity = TargetCapacity()
+        for _ in range(20):
+            capacity.record_from_peer(4.0, 0.0, 1.0)
+        pairs = [(TargetId("a"), capacity)]
+        self.assertEqual(self.sharing.select(pairs, 8, 1.0), ((), 0))
+
+    def test_the_bytes_of_any_second_are_bounded(self) -> None:
+        for recipients in (1, 8, 62, 510):
+            sharing = CapacitySharing()
+            spent: list[tuple[float, int]] = []
+            for step in range(100):
+                now_s = 0.05 * step
+                slow = {
+                    TargetId(f"target-{n:04}"): observed(4.0, 5, now_s)
+                    for n in range(200)
+                }
+                items, reached = sharing.select(slow.items(), recipients, now_s)
+                self.assertLessEqual(len(items), ITEMS_MAX)
+                self.assertLessEqual(reached, recipients)
+                size = FRAME_BYTES + sum(ITEM_BYTES + len(i.target) for i in items)
+                spent.append((now_s, reached * size if items else 0))
+                recent = sum(size for at_s, size in spent if now_s - at_s < 0.999)
+                self.assertLessEqual(recent, BYTES_PER_S)
+            with self.subTest(recipients=recipients):
+                self.assertGreater(sum(size for _, size in spent), BYTES_PER_S)
+
+    def test_many_slow_targets_take_turns(self) -> None:
+        told: set[str] = set()
+        for step in range(40):
+            now_s = INTERVAL_S * step * 1.01
+            slow = {TargetId(f"t{n}"): observed(4.0, 5, now_s) for n in range(40)}
+            items, _ = self.sharing.select(slow.items(), 8, now_s)
+            told |= {item.target for item in items}
+        self.assertEqual(len(told), 40)
+
+
+class RecordObservationTest(unittest.TestCase):
+    """False values and ages of peers are bounded."""
+
+    def test_old_and_future_observations_are_dropped(self) -> None:
+        for age_ms in (-1, 1_001, 2**31 - 1):
+            capacity = TargetCapacity()
+            item = CapacityObservation(TargetId("a"), 400, age_ms)
+            with self.subTest(age_ms=age_ms):
+                self.assertFalse(record_observation(capacity, item, 1.0))
+                self.assertEqual(capacity.slowness(1.0), 1.0)
+
+    def test_false_values_are_clamped(self) -> None:
+        for percent in (-(2**31), 0, 2**31 - 1):
+            capacity = TargetCapacity()
+            item = CapacityObservation(TargetId("a"), percent, 0)
+            with self.subTest(percent=percent):
+                self.assertTrue(record_observation(capacity, item, 1.0))
+                self.assertGreaterEqual(capacity.slowness(1.0), 0.25)
+                self.assertLessEqual(capacity.slowness(1.0), 32.0)
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -194,6 +194,19 @@
         self.assertEqual(options.retries.fixed, 56.0)
         self.assertEqual(options.processor_share, 1.0)
 
+    def test_hosts_share_capacities_only_where_a_contract_asks_for_it(self) -> None:
+        for contracts, is_shared in (
+            ("", False),
+            ("contracts=", False),
+            ("contracts=cold,evacuation", False),
+            ("contracts=cold, pressure", True),
+            ("contracts=places", True),
+            ("contracts=pressures", False),
+        ):
+            with self.subTest(contracts):
+                options = self.read(f"{SETTINGS}\n{contracts}\n")
+                self.assertEqual(options.shares_capacities, is_shared)
+
     def test_values_out_of_range_are_refused(self) -> None:
         for valid, invalid in (
             ("listen.front=10.0.0.1:1", "listen.front=10.0.0.1:70000"),
