--- a/lavendertide/forwarding/open_calls.py
+++ b/lavendertide/forwarding/open_calls.py
@@ -70,7 +70,7 @@
 
 def _is_stalled(call: OpenCall, capacity: TargetCapacity, now_s: float) -> bool:
     load = capacity.fresh_load(now_s)
-    if load is None or load.is_idle:
+    if load is None or not load.is_long_queue:
         return True
-    factor = max(call.wait_factor, capacity.wait_factor(now_s))
+    factor = 1.0 + (load.running + load.waiting) / load.slots
     return now_s - call.sent_at_s >= factor * (call.late_at_s - call.sent_at_s)
--- a/lavendertide/overload/capacity_sharing.py
+++ b/lavendertide/overload/capacity_sharing.py
@@ -139,7 +139,8 @@
 def _observe(
     target: TargetId, capacity: TargetCapacity, now_s: float
 ) -> CapacityObservation:
-    percent = round(100 * capacity.own_slowness(now_s))
+    # Unweighted, since the receiver weighs it by its age.
+    percent = round(100 * math.exp(capacity.own.mean_log))
     age_ms = round(1_000 * (now_s - capacity.own.at_s))
     return CapacityObservation(target, percent, age_ms)
 
--- a/lavendertide/overload/reported_load.py
+++ b/lavendertide/overload/reported_load.py
@@ -21,6 +21,6 @@
     work_percent: int | None = None
 
     @property
-    def is_idle(self) -> bool:
-        """Whether a slot was free and no request waited."""
-        return self.waiting == 0 and self.running < self.slots
+    def is_long_queue(self) -> bool:
+        """Whether a new request would have waited for a whole one or longer."""
+        return self.waiting >= self.slots
--- a/lavendertide/overload/target_capacity.py
+++ b/lavendertide/overload/target_capacity.py
@@ -39,6 +39,8 @@
 LASTING_HALF_LIFE_S: Final = 20.0
 # A reported load describes the target for this long.
 LOAD_LIFETIME_S: Final = 0.5
+# Half-life of a report's weight within that time: a few service times.
+LOAD_HALF_LIFE_S: Final = 0.1
 # Step by which the median time of a load level follows each observation. Medians don't
 # follow the disturbances, which affect 15% of the times and also raise the load.
 MEDIAN_STEP: Final = 0.02
@@ -140,8 +142,7 @@
         if load is None:
             return open_count
         reported = load.running + load.waiting + self._sent_since_load
-        # Until the next report the queue drains or grows unseen.
-        trust = 1.0 - (now_s - self._load_at_s) / LOAD_LIFETIME_S
+        trust = self._trust_in_load(now_s)
         return max(open_count, open_count + trust * (reported - open_count))
 
     def expected_time(self, open_count: int, slots: int, now_s: float) -> float:
@@ -162,8 +163,10 @@
         load = self.fresh_load(now_s)
         if load is None:
             return 1.0
-        ahead = load.running + load.waiting + self._sent_since_load
-        return 1.0 + max(0, ahead + 1 - load.slots) / load.slots
+        queued = max(0, load.running + load.waiting + 1 - load.slots)
+        # An old report must not explain the time of a request: a target that has become
+        # slower would seem to be as fast as before.
+        return 1.0 + self._trust_in_load(now_s) * queued / load.slots
 
     def record_sent(self) -> None:
         """Records that a request is sent, which the last report doesn't contain."""
@@ -219,6 +222,10 @@
         weight = _decay(age_s, EVIDENCE_HALF_LIFE_S)
         self.from_peers.add(math.log(_clamp(slowness)), weight, now_s)
 
+    def _trust_in_load(self, now_s: float) -> float:
+        """Returns the weight of the report: until the next, queues change unseen."""
+        return _decay(now_s - self._load_at_s, LOAD_HALF_LIFE_S)
+
     def _lasting_at(self, now_s: float) -> float:
         age_s = now_s - self._lasting_at_s
         return self._lasting_log * _decay(age_s, LASTING_HALF_LIFE_S)
--- a/standins/model_day.py
+++ b/standins/model_day.py
@@ -16,9 +16,11 @@
 from lavendertide.ids import ServiceName
 from lavendertide.runtime import clock, tasks
 from standins.model_fleet import (
+    NO_CONDITIONS,
     OBJECTIVE_S,
     RETRY_ALLOWANCE,
     WAIT_MAX_S,
+    Conditions,
     ModelFleet,
     Size,
 )
@@ -50,6 +52,23 @@
     share: float
 
 
+@dataclass(frozen=True, slots=True)
+class WorkChange:
+    """A period in which work takes longer at some targets.
+
+    Attributes:
+        factor: How many times as long it takes.
+        at_s: Start of the period, from the start of the day.
+        lasts_s: Length of the period.
+        share: Share of all targets that are affected.
+    """
+
+    factor: float
+    at_s: float
+    lasts_s: float
+    share: float
+
+
 def draw_fault_windows(seed: int) -> list[FaultWindow]:
     """Draws up to four faults, whose periods may overlap."""
     generator = random.Random(seed)
@@ -101,10 +120,17 @@
     """Simulates one day; all its tasks run on the virtual clock."""
 
     def __init__(
-        self, seed: int, size: Size, planned: Sequence[FaultWindow], per_s: float
+        self,
+        seed: int,
+        size: Size,
+        planned: Sequence[FaultWindow],
+        per_s: float,
+        conditions: Conditions = NO_CONDITIONS,
+        changes: Sequence[WorkChange] = (),
     ) -> None:
+        self._changes = changes
         self._generator = random.Random(seed)
-        self._fleet = ModelFleet(size, self._generator)
+        self._fleet = ModelFleet(size, self._generator, conditions)
         self._planned = planned
         self._per_s = per_s
         self._result = DayResult()
@@ -112,6 +138,8 @@
 
     def simulate(self) -> DayResult:
         """Sends requests until the day is over, and waits for all responses."""
+        for change in self._changes:
+            tasks.spawn(self._apply_change, change)
         for window in self._planned:
             tasks.spawn(self._apply_fault, window)
         ends_at_s = clock.monotonic_s() + DAY_S
@@ -142,6 +170,17 @@
                 self._fleet.publish(each.record)
             each.fault = Fault.NONE
 
+    def _apply_change(self, change: WorkChange) -> None:
+        tasks.sleep(change.at_s)
+        targets = list(self._fleet.targets.values())
+        count = max(1, round(change.share * len(targets)))
+        chosen: list[ModelTarget] = self._generator.sample(targets, count)
+        for each in chosen:
+            each.work_factor *= change.factor
+        tasks.sleep(change.lasts_s)
+        for each in chosen:
+            each.work_factor /= change.factor
+
     def _send_request(self, name: str) -> None:
         path = self._generator.choices(PATH_PREFIXES, PATH_WEIGHTS)[0] + name
         host = self._generator.choice(self._fleet.hosts)
@@ -202,6 +241,8 @@
     size: Size | None = None,
     planned: Sequence[FaultWindow] | None = None,
     per_s: float = REQUESTS_PER_S,
+    conditions: Conditions = NO_CONDITIONS,
+    changes: Sequence[WorkChange] = (),
 ) -> DayResult:
     """Simulates the day of a seed on a virtual clock.
 
@@ -211,11 +252,15 @@
         size: Size of the fleet.
         planned: Faults of the day; they are drawn from the seed if absent.
         per_s: Requests per second of all callers together.
+        conditions: How targets differ and what hosts learn of it.
+        changes: Periods in which work takes longer.
     """
     chosen = draw_fault_windows(seed) if planned is None else planned
 
     def run() -> DayResult:
         random.seed(seed)
-        return ModelDay(seed, size or Size(), chosen, per_s).simulate()
+        return ModelDay(
+            seed, size or Size(), chosen, per_s, conditions, changes
+        ).simulate()
 
     return run_on_virtual_clock(run)
--- a/standins/model_fleet.py
+++ b/standins/model_fleet.py
@@ -1,6 +1,7 @@
 """Runs the real forwarding code of several hosts on model targets, with no network."""
 
 import random
+from collections.abc import Callable
 from dataclasses import dataclass, replace
 from typing import Final
 
@@ -15,8 +16,13 @@
 from lavendertide.forwarding.pool import TargetPools
 from lavendertide.forwarding.send_check import SendCheck
 from lavendertide.forwarding.target_view import TargetViews
-from lavendertide.ids import Address, RouteName, ServiceName, TargetId
+from lavendertide.ids import Address, FailureDomain, RouteName, ServiceName, TargetId
 from lavendertide.messages import Verdict
+from lavendertide.overload.capacity_sharing import (
+    CapacityObservation,
+    CapacitySharing,
+    record_observation,
+)
 from lavendertide.poison.quarantine import Quarantine
 from lavendertide.registry.record import TargetRecord, TargetRun
 from lavendertide.registry.registry import TargetRegistry
@@ -41,6 +47,8 @@
 LAST_RESORT_S: Final = DRAIN_S / 2
 # Network delay between hosts of neighbouring failure domains.
 BROADCAST_DELAY_S: Final = 0.005
+# As in `lavendertide.gateway.capacity_exchange`.
+LOOK_INTERVAL_S: Final = 0.05
 RETRY_ALLOWANCE: Final = RetryAllowance(ratio=0.2, fixed=56.0, window_s=10.0)
 
 
@@ -77,6 +85,29 @@
         )
 
 
+@dataclass(frozen=True, slots=True)
+class Conditions:
+    """How the targets differ, what they report, and how hosts learn of it.
+
+    Attributes:
+        slots: Slots of each target.
+        work_factors: How many times as long work takes at the replicas of a service.
+        crowding: How many times as long it takes while more than half of the slots of a
+            target are used.
+        reports_load: Whether targets report their load.
+        links: Peers to which each host is linked and sends its observations of targets;
+            none are sent if zero.
+        make_views: Makes a host's statistics and ranking of the targets.
+    """
+
+    slots: int = SLOTS
+    work_factors: tuple[float, ...] = (1.0,)
+    crowding: float = 1.0
+    reports_load: bool = False
+    links: int = 0
+    make_views: Callable[[FailureDomain], TargetViews] = TargetViews
+
+
 class ModelHost:
     """The forwarding of one host.
 
@@ -86,7 +117,8 @@
     def __init__(self, fleet: "ModelFleet", number: int) -> None:
         self._fleet = fleet
         self.registry = TargetRegistry(LAST_RESORT_S)
-        self.views = TargetViews(LOCAL_DOMAIN)
+        self.views = fleet.conditions.make_views(LOCAL_DOMAIN)
+        self.sharing = CapacitySharing()
         self.crashes = CrashEvidence(Quarantine())
         send_check = SendCheck(self.registry, self.views, self.crashes)
         self._forwarder = Forwarder(
@@ -129,11 +161,20 @@
         self.registry.record_leaving(run, now_s)
 
 
+NO_CONDITIONS: Final = Conditions()
+
+
 class ModelFleet:
     """The hosts and targets of one simulated day."""
 
-    def __init__(self, size: Size, generator: random.Random) -> None:
+    def __init__(
+        self,
+        size: Size,
+        generator: random.Random,
+        conditions: Conditions = NO_CONDITIONS,
+    ) -> None:
         self.size = size
+        self.conditions = conditions
         self.active_routes = ActiveRoutes()
         now_s = clock.monotonic_s()
         self.active_routes.adopt(table(1, *size.routes), "model", now_s)
@@ -141,9 +182,20 @@
         for number, service in enumerate(REPLICAS * self._services()):
             record = target(f"t{number}", service)
             record = replace(record, address=Address(f"10.0.0.1:{number + 1}"))
+            record = replace(record, slots=conditions.slots)
             model = ModelTarget(record, WORK_S, random.Random(generator.random()))
+            # The replicas of one service follow each other at this distance.
+            replica = number // len(self._services())
+            factors = conditions.work_factors
+            model.work_factor = factors[replica % len(factors)]
+            model.crowding = conditions.crowding
+            model.reports_load = conditions.reports_load
             self.targets[record.address] = model
         self.hosts = [ModelHost(self, number) for number in range(size.hosts)]
+        for number in range(size.hosts if conditions.links else 0):
+            others = [host for host in self.hosts if host is not self.hosts[number]]
+            links = random.Random(number).sample(others, conditions.links)
+            tasks.spawn(self._share_forever, self.hosts[number], links)
         for model in self.targets.values():
             self.publish(model.record)
 
@@ -169,6 +221,27 @@
         assert isinstance(gathered, GatheredShards)
         return [*gathered.shards, *self.size.routes[1].services]
 
+    def _share_forever(self, host: ModelHost, links: list[ModelHost]) -> None:
+        while True:
+            tasks.sleep(LOOK_INTERVAL_S)
+            now_s = clock.monotonic_s()
+            items, reached = host.sharing.select(
+                host.views.capacities, len(links), now_s
+            )
+            if items:
+                receivers = random.sample(links, reached)
+                tasks.spawn(self._apply_observations, receivers, items)
+
+    def _apply_observations(
+        self, receivers: list[ModelHost], items: tuple[CapacityObservation, ...]
+    ) -> None:
+        tasks.sleep(BROADCAST_DELAY_S)
+        now_s = clock.monotonic_s()
+        for host in receivers:
+            for item in items:
+                view = host.views.view_of(item.target)
+                record_observation(view.capacity, item, now_s)
+
     def _apply_stall(self, stalled: TargetId) -> None:
         tasks.sleep(BROADCAST_DELAY_S)
         for host in self.hosts:
--- a/standins/model_targets.py
+++ b/standins/model_targets.py
@@ -17,6 +17,7 @@
     UnknownReason,
 )
 from lavendertide.forwarding.pool import TargetCall
+from lavendertide.overload.reported_load import ReportedLoad
 from lavendertide.registry.record import TargetRecord
 from lavendertide.runtime import clock, tasks
 from standins.model_notices import PAUSE_S as PAUSE_DEMANDED_S, NoticeChecker
@@ -62,6 +63,10 @@
         work_s: Mean time that a request takes in a slot.
         generator: Source of the service times and of lost replies.
         fault: The present fault.
+        work_factor: How many times as long work takes at present.
+        crowding: How many times as long it takes while more than half of the slots are
+            used.
+        reports_load: Whether replies report the load.
         executed_requests: Ids of the requests in the order in which they began to run.
         notices: Checks that hosts respect what this run has told them.
         ended_violations: What the checks of earlier runs have found.
@@ -71,12 +76,18 @@
     work_s: float
     generator: random.Random
     fault: Fault = Fault.NONE
+    work_factor: float = 1.0
+    crowding: float = 1.0
+    reports_load: bool = False
     executed_requests: list[str] = field(default_factory=list)
     notices: NoticeChecker = field(default_factory=NoticeChecker)
     ended_violations: list[str] = field(default_factory=list)
-    _free_at_s: list[float] = field(default_factory=lambda: [0.0] * SLOTS)
+    _free_at_s: list[float] = field(init=False)
     _queued_starts_s: list[float] = field(default_factory=list)
 
+    def __post_init__(self) -> None:
+        self._free_at_s = [0.0] * self.record.slots
+
     def serve(
         self, host: int, call: TargetCall, closed: tasks.Signal, now_s: float
     ) -> TargetReply:
@@ -94,6 +105,8 @@
             notice = TargetNotice(pause_s=PAUSE_DEMANDED_S)
             return NotRun(self.record.target, NotRunReason.REFUSED, notice)
         reply = self._run(call, closed, now_s)
+        if self.reports_load and isinstance(reply, Replied):
+            reply = replace(reply, notice=TargetNotice(load=self._load()))
         if self.fault is Fault.LEAVING and isinstance(reply, Replied):
             self.notices.record_leaving(host, clock.monotonic_s())
             return replace(reply, notice=TargetNotice(is_leaving=True))
@@ -137,6 +150,12 @@
             self._free_at_s.append(now_s)
             heapq.heapify(self._free_at_s)
 
+    def _load(self) -> ReportedLoad:
+        now_s = clock.monotonic_s()
+        waiting = self._count_queued(now_s)
+        running = sum(free_s > now_s for free_s in self._free_at_s)
+        return ReportedLoad(running, waiting, self.record.slots)
+
     def _loses_reply(self) -> bool:
         match self.fault:
             case Fault.RESETS:
@@ -152,7 +171,11 @@
         return len(self._queued_starts_s)
 
     def _compute_end_s(self, starts_s: float) -> float:
-        factor = 10.0 if self.fault is Fault.SLOW else 1.0
+        factor = 10.0 if self.fault is Fault.SLOW else self.work_factor
+        # The request itself uses a slot, too.
+        running = 1 + sum(free_s > starts_s for free_s in self._free_at_s)
+        if 2 * running > self.record.slots:
+            factor *= self.crowding
         ends_s = starts_s + factor * self.generator.gammavariate(4.0, self.work_s / 4)
         # All targets pause with the same period, each with a phase of its own.
         phase_s = crc32(self.record.target.encode()) % 1_000 / 1_000 * PAUSE_INTERVAL_S
