--- a/lavendertide/forwarding/messages.py
+++ b/lavendertide/forwarding/messages.py
@@ -5,6 +5,7 @@
 from typing import Final
 
 from lavendertide.ids import CallerRequestId, Fingerprint, TargetId
+from lavendertide.overload.reported_load import ReportedLoad
 from lavendertide.overload.response_memory import HeldResponse
 
 Header = tuple[bytes, bytes]
@@ -95,11 +96,13 @@
         pause_s: Seconds for which it wants no requests of this host; none if it is not
             full.
         cold_s: Seconds for which it remains cold; zero if it doesn't say so.
+        load: How busy it was; none if it doesn't say.
     """
 
     is_leaving: bool = False
     pause_s: float | None = None
     cold_s: float = 0.0
+    load: ReportedLoad | None = None
 
 
 NO_NOTICE: Final = TargetNotice()
--- a/lavendertide/forwarding/metrics.py
+++ b/lavendertide/forwarding/metrics.py
@@ -8,6 +8,7 @@
 from lavendertide.forwarding.missing import MissingCause
 from lavendertide.metrics.labels import BoundedLabel, Children
 from lavendertide.metrics.names import LATENCY_BUCKETS_S
+from lavendertide.overload.reported_load import ReportedLoad
 
 ROUTES_MAX: Final = 200
 
@@ -18,6 +19,8 @@
     Attributes:
         sub_requests: Sub-requests that were handed to connections.
         withheld: Repeated sub-requests that the budget did not allow.
+        capacities_shared: Observations of targets that were sent to peers.
+        capacities_received: Observations of peers that were taken into account.
         pauses: Refusals that told this host how long to leave a target alone.
     """
 
@@ -74,6 +77,36 @@
             registry=registry,
         )
 
+        self.capacities_shared = Counter(
+            "lavendertide_forwarded_capacities_shared",
+            "Observations of slow or fast targets that were sent to peers.",
+            registry=registry,
+        )
+        self.capacities_received = Counter(
+            "lavendertide_forwarded_capacities_received",
+            "Observations of slow or fast targets that peers have sent.",
+            registry=registry,
+        )
+        late_calls = Counter(
+            "lavendertide_forwarded_late_calls",
+            "Calls that became late, by what their targets had reported just before.",
+            ("cause",),
+            registry=registry,
+        )
+        self._late_calls = Children(late_calls.labels)
+
+    def record_late_call(self, load: ReportedLoad | None, is_stalled: bool) -> None:
+        """Records a late call.
+
+        Args:
+            load: What its target has just reported; none if it has reported nothing.
+            is_stalled: Whether the target is taken for stalled.
+        """
+        cause = "unreported"
+        if load is not None:
+            cause = "stalled" if is_stalled else "queued"
+        self._late_calls.child_of(cause).inc()
+
     def record_response(self, route: str, outcome: str, latency_s: float) -> None:
         """Records the outcome and the latency of one response to a caller."""
         route = self._routes.value(route)
--- a/lavendertide/gateway/options.py
+++ b/lavendertide/gateway/options.py
@@ -31,6 +31,7 @@
         is_first_start: Whether the whole system starts for the first time, so that no
             earlier process of it has sent anything.
         cold: How far the fleet may exceed what cold targets can take.
+        shares_capacities: Whether hosts tell each other which targets are slow or fast.
     """
 
     host: HostId
@@ -53,3 +54,4 @@
     cold: ColdBounds = DEFAULT_BOUNDS
     memory_bytes: int | None = None
     files_max: int | None = None
+    shares_capacities: bool = False
--- a/lavendertide/warmup/cold_targets.py
+++ b/lavendertide/warmup/cold_targets.py
@@ -39,7 +39,9 @@
 class TargetSpeed(Protocol):
     """What this host knows of a target's speed; see `TargetView`."""
 
-    slowness_at_s: float
+    @property
+    def slowness_at_s(self) -> float:
+        """When the speed was last observed, monotonic; zero if it never was."""
 
     @property
     def open_count(self) -> int:
