Admit routes that share targets by priority, and order waiting calls by it

Cause: under four to six times the load with 40% of the targets six times slower, hosts with one request in flight at a time refused nothing, since their limit counts requests.

Change: PriorityAdmission thins the least urgent routes of a group first, by the queueing delay of this host's own requests. Calls that wait for a connection are taken by priority, then age; calls that have waited for half of their time go first. Enabled by the contract 'pressure' in the platform's settings.

--- a/lavendertide/forwarding/capacity.py
+++ b/lavendertide/forwarding/capacity.py
@@ -1,5 +1,8 @@
 """Refuses requests of a route that exceed the capacity of its targets.
 
+Where a deployment enables it, routes that share targets are admitted by priority
+instead (`lavendertide.overload.priority_admission`).
+
 Capacity is the number of concurrent requests that the targets can serve within the
 route's objective. Without a limit, all requests would queue at the targets for as long
 as their callers wait, and hardly any would be served in time.
@@ -12,10 +15,14 @@
 from typing import Final
 
 from lavendertide.forwarding.messages import CallerRequest, RefusalCause, Refused
+from lavendertide.forwarding.metrics import ForwardingMetrics
 from lavendertide.ids import RouteName
 from lavendertide.overload.capacities import Capacities
 from lavendertide.overload.capacity import Capacity, Feedback, Permit
+from lavendertide.overload.priority_admission import PriorityAdmission, PriorityPermit
+from lavendertide.overload.route_groups import find_priority_groups
 from lavendertide.routes.route import Route
+from lavendertide.routes.table import RouteTable
 
 # A response after its objective is still of some use, and the faults that a route meets
 # delay responses for moments. So a limit begins only when half of the shards of most
@@ -66,6 +73,84 @@
         self._capacities.retain_only(routes)
 
 
+class RouteAdmission:
+    """Admits requests by priority in groups of routes that differ in it.
+
+    All other routes have a limit of their own, and so have all of them where the
+    deployment does not enable the admission by priority.
+    """
+
+    def __init__(
+        self,
+        generator: random.Random,
+        metrics: ForwardingMetrics,
+        admits_by_priority: bool,
+    ) -> None:
+        self._random = generator
+        self._metrics = metrics
+        self._admits_by_priority = admits_by_priority
+        self._capacities = RouteCapacities(generator)
+        self._groups: dict[RouteName, PriorityAdmission] = {}
+
+    def apply_table(self, table: RouteTable, now_s: float) -> None:
+        """Puts the groups of a route table in force; they keep what was learned."""
+        self._capacities.retain_only(frozenset(route.name for route in table.routes))
+        if not self._admits_by_priority:
+            return
+        former, self._groups = self._groups, {}
+        kept: set[PriorityAdmission] = set()
+        for routes in find_priority_groups(table.routes):
+            known = [former[route.name] for route in routes if route.name in former]
+            admission = next((each for each in known if each not in kept), None)
+            if admission is None:
+                admission = PriorityAdmission(routes, self._random, now_s)
+            else:
+                admission.update_routes(routes, now_s)
+            kept.add(admission)
+            self._groups.update((route.name, admission) for route in routes)
+
+    def try_acquire(
+        self, request: CallerRequest, route: Route, now_s: float
+    ) -> Permit | PriorityPermit | Refused:
+        """Returns a permit for a request, or a refusal with the time to retry after."""
+        group = self._groups.get(route.name)
+        if group is None:
+            return self._capacities.try_acquire(request, route, now_s)
+        was_thinned = group.is_thinned(route.name)
+        permit = group.try_acquire(route.name, now_s)
+        share = group.admitted_share(route.name, now_s)
+        self._metrics.record_admitted_share(route.name, share)
+        for ended in group.end_thinning(now_s):
+            _log.warning("thinning of a route ended", extra={"route": ended.name})
+        if permit is not None:
+            return permit
+        if not was_thinned:
+            _log.warning(
+                "requests of a route are thinned",
+                extra={"route": route.name, "admitted_share": round(share, 2)},
+            )
+        self._metrics.record_priority_refusal(route.name)
+        return Refused(RefusalCause.OVER_CAPACITY, group.retry_after_s(route.name))
+
+    def release(
+        self,
+        permit: Permit | PriorityPermit,
+        route: Route,
+        feedback: Feedback,
+        now_s: float,
+    ) -> None:
+        """Ends a request and adjusts the admission by its feedback."""
+        match permit:
+            case PriorityPermit():
+                permit.release(feedback, now_s)
+            case Permit():
+                self._capacities.release(permit, route, feedback, now_s)
+
+    def waiting_priority(self, route: Route) -> int:
+        """Returns the priority with which calls of a route wait for a connection."""
+        return route.priority if route.name in self._groups else 0
+
+
 def _log_change(route: Route, capacity: Capacity, previous_limit: float) -> None:
     """Logs that a limit began or ended.
 
--- a/lavendertide/forwarding/forwarder.py
+++ b/lavendertide/forwarding/forwarder.py
@@ -12,7 +12,7 @@
 
 from lavendertide.forwarding.budget import RetryBudgets
 from lavendertide.forwarding.caller_times import CallerTimes
-from lavendertide.forwarding.capacity import RouteCapacities
+from lavendertide.forwarding.capacity import RouteAdmission
 from lavendertide.forwarding.deadlines import response_deadlines
 from lavendertide.forwarding.early_refusal import EarlyRefusals
 from lavendertide.forwarding.fleet_callbacks import FleetCallbacks
@@ -34,6 +34,7 @@
 from lavendertide.forwarding.target_view import TargetViews
 from lavendertide.forwarding.timing import RouteTimings
 from lavendertide.ids import ServiceName
+from lavendertide.overload.priority_admission import PriorityPermit
 from lavendertide.registry.record import TargetRecord
 from lavendertide.registry.registry import TargetRegistry
 from lavendertide.routes.active_routes import ActiveRoutes, RoutesAge
@@ -66,6 +67,7 @@
         crashes: CrashEvidence,
         fleet: FleetCallbacks,
         metrics: ForwardingMetrics,
+        admits_by_priority: bool = False,
     ) -> None:
         self._active_routes = active_routes
         self._registry = registry
@@ -84,10 +86,14 @@
         self._caller_times = CallerTimes()
         self._splits = SplitCounters()
         # Seeded by the module's generator, so that a test with a seed is reproducible.
-        self._capacities = RouteCapacities(random.Random(random.getrandbits(64)))
+        self._admission = RouteAdmission(
+            random.Random(random.getrandbits(64)), metrics, admits_by_priority
+        )
         self._call_numbers = itertools.count(1)
         self._host_ends_at_s: float | None = None
         active_routes.on_change(self._apply_table)
+        if active_routes.table is not None:
+            self._admission.apply_table(active_routes.table, clock.monotonic_s())
         registry.set_removal_listener(self._remove_target)
         registry.set_closing_listener(self._withdraw_calls)
 
@@ -126,18 +132,20 @@
         )
         if refused is not None:
             return refused
-        permit = self._capacities.try_acquire(request, route, now_s)
+        permit = self._admission.try_acquire(request, route, now_s)
         if isinstance(permit, Refused):
             return permit
         services = self._select_services(route)
         for service in services:
             self._budgets.record_request(service, now_s)
         run = RequestRun(self, request, route, services, deadlines, inbox)
+        if isinstance(permit, PriorityPermit):
+            run.set_coverage_listener(permit.record_half_covered)
         try:
             return run.complete()
         finally:
             ended_at_s = clock.monotonic_s()
-            self._capacities.release(permit, route, run.feedback, ended_at_s)
+            self._admission.release(permit, route, run.feedback, ended_at_s)
 
     def rank_targets(self, service: ServiceName, now_s: float) -> list[TargetRecord]:
         """Returns the usable targets of a service, the best one first."""
@@ -219,6 +227,8 @@
             ends_at_s,
             handle_done,
             view.outages,
+            priority=self._admission.waiting_priority(route),
+            queued_at_s=now_s,
         )
         view.record_sent(call.number, now_s, late_after_s)
         self._pools.submit(call, self._connections_max(record, now_s))
@@ -271,7 +281,7 @@
         self._timings.retain_only(names)
         self._caller_times.retain_only(names)
         self._splits.retain_only(names)
-        self._capacities.retain_only(names)
+        self._admission.apply_table(table, clock.monotonic_s())
 
     def _withdraw_calls(self, record: TargetRecord) -> None:
         self._pools.withdraw_waiting(record, clock.monotonic_s())
--- a/lavendertide/forwarding/metrics.py
+++ b/lavendertide/forwarding/metrics.py
@@ -2,7 +2,7 @@
 
 from typing import Final
 
-from prometheus_client import CollectorRegistry, Counter, Histogram
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
 
 from lavendertide.forwarding.messages import Replied, TargetReply, outcome_of
 from lavendertide.metrics.labels import BoundedLabel, Children
@@ -66,6 +66,27 @@
             registry=registry,
         )
 
+        self._admitted_share = Gauge(
+            "lavendertide_forwarded_admitted_share",
+            "Admitted share of the arrivals of a route with a priority.",
+            ("route",),
+            registry=registry,
+        )
+        self._priority_refusals = Counter(
+            "lavendertide_forwarded_priority_refusals",
+            "Requests refused in favour of more urgent or earlier ones, by route.",
+            ("route",),
+            registry=registry,
+        )
+
+    def record_admitted_share(self, route: str, share: float) -> None:
+        """Records which share of a route's arrivals is admitted at present."""
+        self._admitted_share.labels(self._routes.value(route)).set(share)
+
+    def record_priority_refusal(self, route: str) -> None:
+        """Counts a request that the admission by priority has refused."""
+        self._priority_refusals.labels(self._routes.value(route)).inc()
+
     def record_response(self, route: str, outcome: str, latency_s: float) -> None:
         """Records the outcome and the latency of one response to a caller."""
         route = self._routes.value(route)
--- a/lavendertide/forwarding/pool.py
+++ b/lavendertide/forwarding/pool.py
@@ -21,6 +21,7 @@
     UnknownReason,
 )
 from lavendertide.ids import Address, CallerRequestId
+from lavendertide.overload.waiting_order import find_next
 from lavendertide.registry.record import TargetRecord
 from lavendertide.runtime import clock, tasks
 
@@ -82,6 +83,8 @@
         is_sent: Whether a byte of the request may have reached the target.
         is_cancelled: Whether nobody waits for the reply any more.
         channel: The connection while the exchange runs.
+        priority: Calls with a lower number are sent first; zero where routes have none.
+        queued_at_s: Time from which the call waits for a connection, monotonic.
     """
 
     number: int
@@ -95,6 +98,8 @@
     is_sent: bool = False
     is_cancelled: bool = False
     channel: "TargetChannel | None" = field(default=None, repr=False)
+    priority: int = 0
+    queued_at_s: float = 0.0
 
     def is_late(self, now_s: float) -> bool:
         """Returns whether the reply is late."""
@@ -176,6 +181,36 @@
         self._channel.close()
 
 
+class WaitingCalls:
+    """The calls that wait for a connection to one target, in order of arrival."""
+
+    def __init__(self) -> None:
+        self._calls: list[TargetCall] = []
+        # One entry for each waiting call, to wake a task that waits for one.
+        self._arrivals: tasks.Mailbox[None] = tasks.Mailbox()
+
+    def __len__(self) -> int:
+        return len(self._calls)
+
+    def send(self, call: TargetCall) -> None:
+        """Adds a call; never waits."""
+        self._calls.append(call)
+        self._arrivals.send(None)
+
+    def receive(self, timeout_s: float) -> TargetCall | None:
+        """Waits for a call and removes the one to send next; none after the timeout."""
+        self._arrivals.receive(timeout_s)
+        if not self._calls:
+            return None
+        return self._calls.pop(find_next(self._calls, clock.monotonic_s()))
+
+    def take_all(self) -> list[TargetCall]:
+        """Removes and returns all calls."""
+        self._arrivals.take_all()
+        calls, self._calls = self._calls, []
+        return calls
+
+
 class TargetPool:
     """The connections of this host to one run of one target.
 
@@ -197,7 +232,7 @@
         self._make_channel = make_channel
         self._find_blocking_reason = find_blocking_reason
         self._connections_max = connections_max
-        self._calls: tasks.Mailbox[TargetCall] = tasks.Mailbox()
+        self._calls = WaitingCalls()
         self._connections = 0
         self._idle = 0
         self._is_closed = False
--- a/lavendertide/forwarding/run.py
+++ b/lavendertide/forwarding/run.py
@@ -6,6 +6,7 @@
 """
 
 import math
+from collections.abc import Callable
 from typing import Final
 
 from lavendertide.forwarding.deadlines import ATTEMPT_MIN_S, ResponseDeadlines
@@ -78,6 +79,14 @@
         self._extra_count = 0
         self._half_covered_s: float | None = None
         self._caller_left_early = False
+        self._report_half_covered: Callable[[float, float], None] | None = None
+
+    def set_coverage_listener(self, listener: Callable[[float, float], None]) -> None:
+        """Sets a listener that is called once half of the shards have replied.
+
+        Its arguments are the seconds since the request's arrival and the present time.
+        """
+        self._report_half_covered = listener
 
     @property
     def feedback(self) -> Feedback:
@@ -155,6 +164,8 @@
                 self._replies.append(reply)
                 if len(self._replies) == math.ceil(len(self._parts) / 2):
                     self._half_covered_s = now_s - self._request.arrived_at_s
+                    if self._report_half_covered is not None:
+                        self._report_half_covered(self._half_covered_s, now_s)
             case _:
                 part.record_failure(reply)
                 if not part.open_calls:
--- a/lavendertide/gateway/gateway.py
+++ b/lavendertide/gateway/gateway.py
@@ -300,6 +300,7 @@
                 self._may_have_previous_connections,
             ),
             self._metrics,
+            options.admits_by_priority,
         )
 
     def _may_have_previous_connections(self, now_s: float) -> bool:
--- a/lavendertide/gateway/options.py
+++ b/lavendertide/gateway/options.py
@@ -27,6 +27,8 @@
         processor_share: CPU allotment of the process, in cores.
         is_first_start: Whether the whole system starts for the first time, so that no
             earlier process of it has sent anything.
+        admits_by_priority: Whether routes that share targets are admitted by their
+            priority under load.
     """
 
     host: HostId
@@ -46,3 +48,4 @@
     address_lifetime_s: float
     processor_share: float
     is_first_start: bool = False
+    admits_by_priority: bool = False
--- a/lavendertide/overload/capacity.py
+++ b/lavendertide/overload/capacity.py
@@ -82,6 +82,34 @@
         self._current_s = min(self._current_s, took_s)
 
 
+def compute_pressure(
+    feedback: Feedback, budget_s: float, unloaded_s: float
+) -> float | None:
+    """Returns the queueing time divided by the allowed queueing time.
+
+    Args:
+        feedback: What a search indicates about the load.
+        budget_s: Seconds that the search was allowed to take.
+        unloaded_s: Seconds that it takes without load; infinite if that is unknown.
+
+    Returns:
+        The pressure; none if the search says nothing about the load.
+    """
+    is_unloaded_known = math.isfinite(unloaded_s)
+    is_too_short = is_unloaded_known and budget_s <= BUDGET_MIN_UNLOADED * unloaded_s
+    match feedback:
+        case Inconclusive():
+            return None
+        case HalfCovered() | Starved() if is_too_short:
+            # The search would be late even without load.
+            return 0.0
+        case HalfCovered(took_s):
+            allowed_s = QUEUEING_SHARE * (budget_s - unloaded_s)
+            return (took_s - unloaded_s) / allowed_s
+        case Starved():
+            return 1 / QUEUEING_SHARE
+
+
 @dataclass(slots=True)
 class DecisionRound:
     """The searches on which one adjustment of the limit is based.
@@ -170,7 +198,7 @@
         match feedback:
             case HalfCovered(took_s):
                 self._unloaded.record(took_s, now_s)
-        pressure = self._compute_pressure(feedback, budget_s)
+        pressure = compute_pressure(feedback, budget_s, self._unloaded.shortest_s)
         is_counted = self._is_draining or acquired_at_s >= self._counted_from_s
         if pressure is not None and is_counted:
             self._round.pressures.append(pressure)
@@ -197,24 +225,6 @@
     def _start_round(self, now_s: float) -> None:
         self._round = DecisionRound(now_s, self._in_flight)
 
-    def _compute_pressure(self, feedback: Feedback, budget_s: float) -> float | None:
-        unloaded_s = self._unloaded.shortest_s
-        is_unloaded_known = math.isfinite(unloaded_s)
-        is_too_short = (
-            is_unloaded_known and budget_s <= BUDGET_MIN_UNLOADED * unloaded_s
-        )
-        match feedback:
-            case Inconclusive():
-                return None
-            case HalfCovered() | Starved() if is_too_short:
-                # The search would be late even without load.
-                return 0.0
-            case HalfCovered(took_s):
-                allowed_s = QUEUEING_SHARE * (budget_s - unloaded_s)
-                return (took_s - unloaded_s) / allowed_s
-            case Starved():
-                return 1 / QUEUEING_SHARE
-
     def _adjust_limit(self, now_s: float) -> None:
         pressure = statistics.median(self._round.pressures)
         if pressure <= 1.0:
--- a/lavendertide/platform/settings.py
+++ b/lavendertide/platform/settings.py
@@ -17,6 +17,9 @@
 # Used if the platform does not set how long a leaving target accepts requests.
 DEFAULT_LEAVING_MS = "3000"
 
+# Entry of the list of contracts that enables admission by priority.
+PRIORITY_CONTRACT = "pressure"
+
 # Shortest window over which repeats are counted.
 WINDOW_MIN_S = 0.1
 
@@ -98,9 +101,15 @@
         processor_share=_number(fields, "limits.cpu-share")
         * _number(fields, "limits.cores"),
         is_first_start=fields.get("bootstrap") == "true",
+        admits_by_priority=PRIORITY_CONTRACT in _contracts(fields),
     )
 
 
+def _contracts(fields: dict[str, str]) -> frozenset[str]:
+    """Returns the names of the platform's rules that apply to this deployment."""
+    return frozenset(name.strip() for name in fields.get("contracts", "").split(","))
+
+
 def _parse_address(text: str) -> Address:
     return Address(check_ip_port(text))
 
--- a/lavendertide/routes/route.py
+++ b/lavendertide/routes/route.py
@@ -99,6 +99,15 @@
             case GatheredShards(shards=shards):
                 return shards
 
+    @property
+    def sub_requests(self) -> int:
+        """Number of services that one request is sent to."""
+        match self.destination:
+            case GatheredShards(shards=shards):
+                return len(shards)
+            case _:
+                return 1
+
 
 @dataclass(frozen=True, slots=True)
 class Service:
--- a/standins/model_fleet.py
+++ b/standins/model_fleet.py
@@ -51,15 +51,21 @@
     Attributes:
         hosts: Hosts that forward requests.
         shards: Shards that a search gathers.
+        replicas: Targets of each service.
+        work_s: Mean time that a request takes in a slot of a target.
+        admits_by_priority: Whether hosts admit requests by their route's priority.
     """
 
     hosts: int = 4
     shards: int = 10
+    replicas: int = REPLICAS
+    work_s: float = WORK_S
+    admits_by_priority: bool = False
 
     @property
     def capacity_per_s(self) -> float:
         """Requests per second that the targets could serve if they never paused."""
-        return REPLICAS * SLOTS / WORK_S * 2
+        return self.replicas * SLOTS / self.work_s * 2
 
     @property
     def routes(self) -> tuple[Route, ...]:
@@ -109,6 +115,7 @@
                 lambda _: False,
             ),
             ForwardingMetrics(CollectorRegistry()),
+            fleet.size.admits_by_priority,
         )
 
     def forward(self, name: str, path: str, wait_max_s: float) -> Response:
@@ -138,10 +145,10 @@
         now_s = clock.monotonic_s()
         self.active_routes.adopt(table(1, *size.routes), "model", now_s)
         self.targets: dict[Address, ModelTarget] = {}
-        for number, service in enumerate(REPLICAS * self._services()):
+        for number, service in enumerate(size.replicas * self._services()):
             record = target(f"t{number}", service)
             record = replace(record, address=Address(f"10.0.0.1:{number + 1}"))
-            model = ModelTarget(record, WORK_S, random.Random(generator.random()))
+            model = ModelTarget(record, size.work_s, random.Random(generator.random()))
             self.targets[record.address] = model
         self.hosts = [ModelHost(self, number) for number in range(size.hosts)]
         for model in self.targets.values():
@@ -165,9 +172,8 @@
         tasks.spawn(self._apply_verdict, verdict)
 
     def _services(self) -> list[ServiceName]:
-        gathered = self.size.routes[0].destination
-        assert isinstance(gathered, GatheredShards)
-        return [*gathered.shards, *self.size.routes[1].services]
+        names = [name for route in self.size.routes for name in route.services]
+        return list(dict.fromkeys(names))
 
     def _apply_stall(self, stalled: TargetId) -> None:
         tasks.sleep(BROADCAST_DELAY_S)
--- a/standins/model_targets.py
+++ b/standins/model_targets.py
@@ -37,7 +37,7 @@
     """Faults of a model target."""
 
     NONE = "none"
-    # Each request takes ten times as long.
+    # Each request takes several times as long.
     SLOW = "slow"
     # Requests run, but every reply is lost because the connection breaks.
     RESETS = "resets"
@@ -62,6 +62,9 @@
         work_s: Mean time that a request takes in a slot.
         generator: Source of the service times and of lost replies.
         fault: The present fault.
+        slow_factor: How many times as long each request takes while it is slow.
+        pause_phase_s: Offset of its pauses from those of other targets; derived from
+            its name if absent.
         executed_requests: Ids of the requests in the order in which they began to run.
         notices: Checks that hosts respect what this run has told them.
         ended_violations: What the checks of earlier runs have found.
@@ -71,6 +74,8 @@
     work_s: float
     generator: random.Random
     fault: Fault = Fault.NONE
+    slow_factor: float = 10.0
+    pause_phase_s: float | None = None
     executed_requests: list[str] = field(default_factory=list)
     notices: NoticeChecker = field(default_factory=NoticeChecker)
     ended_violations: list[str] = field(default_factory=list)
@@ -152,10 +157,13 @@
         return len(self._queued_starts_s)
 
     def _compute_end_s(self, starts_s: float) -> float:
-        factor = 10.0 if self.fault is Fault.SLOW else 1.0
+        factor = self.slow_factor if self.fault is Fault.SLOW else 1.0
         ends_s = starts_s + factor * self.generator.gammavariate(4.0, self.work_s / 4)
         # All targets pause with the same period, each with a phase of its own.
-        phase_s = crc32(self.record.target.encode()) % 1_000 / 1_000 * PAUSE_INTERVAL_S
+        phase_s = self.pause_phase_s
+        if phase_s is None:
+            share = crc32(self.record.target.encode()) % 1_000 / 1_000
+            phase_s = share * PAUSE_INTERVAL_S
         since_pause_s = (ends_s + phase_s) % PAUSE_INTERVAL_S
         return ends_s + max(0.0, PAUSE_S - since_pause_s)
 
