Protect the most urgent class, and cut to half of the allowed queueing delay

Cause: a level in shares of the offered work thinned urgent requests when the mix of a host with few requests changed, a factor of it divided by zero without urgent requests, and a host's first request under load counted as the time without load.

Change: the level counts classes of priority; a class without work is skipped; the first eight requests count at most a quarter of the objective as the time without load. The level rises by requests that end within the objective, slowly after a cut.

--- a/lavendertide/overload/priority_admission.py
+++ b/lavendertide/overload/priority_admission.py
@@ -7,8 +7,9 @@
 
 The signal is that of `lavendertide.overload.capacity`: the time until half of a
 request's sub-requests are covered, compared to that time without load. One level for
-the group is the share of the offered work that is admitted. The least urgent routes are
-thinned first, down to a floor, then the next ones.
+the group says how many classes of equal priority are admitted. The least urgent routes
+are thinned first, down to a floor, then the next ones. A class and not a share of the
+work is the unit, so that a change in the mix of requests never thins the urgent ones.
 
 Each host decides by its own requests and sends no message. All hosts see the queues of
 the same targets, so while they disagree, the hosts that admit more see the delay more
@@ -35,30 +36,47 @@
 
 # Share of the arrivals of a route that is admitted at least.
 FLOOR: Final = 0.1
-# Pressure from which thinning begins. Faults of single targets delay half of the shards
-# of some requests by more than the allowed queueing time.
-ONSET_PRESSURE: Final = 2.0
-# Pressure of the most urgent requests from which they are thinned as well. Half of
-# their shards then take half of their time, so the last ones arrive too late.
+# Pressure from which thinning begins. A higher one left a third of the hosts without
+# thinning three seconds after the load had risen.
+ONSET_PRESSURE: Final = 1.0
+# Pressure to which the level is cut while requests are thinned, and below which it is
+# raised. The last shards that a search needs queue for longer than the first half, so
+# their share of the time has to stay free.
+TARGET_PRESSURE: Final = 0.5
+# Highest pressure that counts: half of the shards took the whole objective.
+PRESSURE_MAX: Final = 4.0
+# Pressure of the most urgent requests from which they are thinned as well, and the time
+# that they get to recover after all other routes have reached their floor.
 URGENT_PRESSURE: Final = 2.0
-# Smallest factor of one cut: one request alone may cause it.
-CUT_MIN: Final = 0.25
-# Growth of the level per second while there is no queue, relative to the level.
-GROWTH_PER_S: Final = 0.3
-# Longest time for which one observation raises the level. A host with few requests
-# observes the targets only once in a few seconds.
-GROWTH_MAX_S: Final = 3.0
+URGENT_DELAY_S: Final = 1.0
+# Smallest factor of one cut. A host may observe the overload only once in a second.
+CUT_MIN: Final = 0.1
+# Requests of a route from which the time without load is known. Before, it counts as a
+# share of the objective at most, since a host with few requests may see its first ones
+# during the overload.
+LEARNING_REQUESTS: Final = 8
+UNLOADED_SHARE_MAX: Final = 0.25
+# Growth of the admitted work per second while there is no queue, relative to itself. It
+# is slow after a cut, as single requests are fast during an overload, too, and becomes
+# faster by `GROWTH_GAIN` with each second since then.
+GROWTH_GAIN: Final = 0.1
+GROWTH_MAX: Final = 1.0
+# Longest time for which one request raises the level.
+GROWTH_MAX_S: Final = 1.5
+# Only requests that end within the objective raise the level; it grows at the full rate
+# if half of the objective is left.
+SPARE_SHARE: Final = 0.5
 # Two delayed requests further apart than this don't show that the delay has lasted.
-CONGESTION_GAP_S: Final = 1.0
-# Age from which an observation says nothing about the present.
-OBSERVATION_MAX_AGE_S: Final = 3.0
+CONGESTION_GAP_S: Final = 2.0
+# Longest time after a cut for which requests are taken to meet the queue before it.
+DRAINING_MAX_S: Final = 1.0
 # Half-life of the offered work by route; several requests of a host with few of them.
 DEMAND_HALF_LIFE_S: Final = 5.0
 # Time without refusals after which the level is reset and the thinning of a route has
-# ended. It has to be longer than the pauses between arrivals of a host with few.
+# ended. It is longer than the pauses between arrivals of a host with few of them.
 RELEASE_S: Final = 10.0
-# Interval between checks of the open requests, and the number of requests checked.
-# They bound the cost on a host with many requests.
+# Interval between checks of the open requests, and the number of requests checked. They
+# bound the cost on a host with many requests.
 OPEN_CHECK_INTERVAL_S: Final = 0.05
 OPEN_CHECK_MAX: Final = 16
 # Retry delays in objectives: the smallest one, to which up to as much again is added.
@@ -72,6 +90,7 @@
 
     Attributes:
         arrived_at_s: When the request was admitted, monotonic.
+        observed_at_s: When its delay was known.
         queued_s: Queueing delay until half of its sub-requests were covered.
         pressure: That delay divided by the allowed one.
         weight: Number of its sub-requests. A slow target delays a request with a single
@@ -80,6 +99,7 @@
     """
 
     arrived_at_s: float
+    observed_at_s: float
     queued_s: float
     pressure: float
     weight: int
@@ -92,6 +112,7 @@
 
     Attributes:
         unloaded: The time that half of the sub-requests take without load.
+        observed: Number of requests in that estimate, up to `LEARNING_REQUESTS`.
         credit: Fraction of the next admission that refused arrivals have earned.
         work: Offered work with older arrivals counted less, as of `work_at_s`.
         refused_at_s: When a request was last refused.
@@ -101,6 +122,7 @@
     route: Route
     unloaded: UnloadedTime
     credit: float
+    observed: int = 0
     work: float = 0.0
     work_at_s: float = 0.0
     refused_at_s: float = -math.inf
@@ -111,11 +133,23 @@
         """Number of sub-requests of one request."""
         return self.route.sub_requests
 
+    @property
+    def unloaded_s(self) -> float:
+        """Seconds that half of the sub-requests take without load."""
+        shortest_s = self.unloaded.shortest_s
+        if self.observed < LEARNING_REQUESTS:
+            return min(shortest_s, UNLOADED_SHARE_MAX * self.route.objective_s)
+        return shortest_s
+
+    def record_half_covered(self, took_s: float, now_s: float) -> None:
+        """Adds the time of one request to the estimate without load."""
+        self.unloaded.record(took_s, now_s)
+        self.observed = min(LEARNING_REQUESTS, self.observed + 1)
+
     def record_arrival(self, now_s: float) -> None:
         """Adds the work of one request, in seconds of usual target time."""
-        unloaded_s = self.unloaded.shortest_s
-        usual_s = unloaded_s if math.isfinite(unloaded_s) else self.route.objective_s
-        self.work = self.current_work(now_s) + self.sub_requests * usual_s
+        work = self.sub_requests * min(self.unloaded_s, self.route.objective_s)
+        self.work = self.current_work(now_s) + work
         self.work_at_s = now_s
 
     def current_work(self, now_s: float) -> float:
@@ -133,6 +167,7 @@
     acquired_at_s: float
     is_observed: bool = False
     is_half_covered: bool = False
+    pressure: float = 0.0
 
     def record_half_covered(self, took_s: float, now_s: float) -> None:
         """Records that half of the sub-requests have been answered."""
@@ -143,7 +178,7 @@
         """Ends the request; its feedback counts unless half was covered before."""
         if not self.is_half_covered:
             self.admission.record(self, feedback, now_s)
-        self.admission.remove(self)
+        self.admission.remove(self, now_s)
 
 
 @dataclass(slots=True)
@@ -153,7 +188,15 @@
     began_at_s: float
     observations: list[Observation] = field(default_factory=list)
 
+    def add(self, observation: Observation) -> None:
+        """Adds an observation; those of another time no longer count."""
+        oldest_s = observation.observed_at_s - CONGESTION_GAP_S
+        while self.observations and self.observations[0].observed_at_s < oldest_s:
+            self.observations.pop(0)
+        self.observations.append(observation)
+
     def is_complete(self, now_s: float) -> bool:
+        """Returns whether there are enough sub-requests and the round lasted."""
         weight = sum(each.weight for each in self.observations)
         return weight >= ROUND_MIN_SEARCHES and now_s - self.began_at_s >= ROUND_MIN_S
 
@@ -166,7 +209,7 @@
     ) -> None:
         self._random = generator
         self._states: dict[RouteName, RouteState] = {}
-        self._level = 1.0
+        self._level = math.inf
         self._round = _Round(now_s)
         self._open: dict[PriorityPermit, None] = {}
         self._open_checked_at_s = now_s
@@ -174,15 +217,23 @@
         self._refused_at_s = -math.inf
         # Requests that arrived before met the queue from before the last cut.
         self._counted_from_s = -math.inf
+        self._cut_at_s = self._lowest_since_s = -math.inf
         self._congested_since_s = math.inf
         self._congested_until_s = -math.inf
         self.update_routes(routes, now_s)
 
     @property
     def level(self) -> float:
-        """The admitted share of the offered work, up to one."""
+        """How many classes of equal priority are admitted, the most urgent first.
+
+        The fraction belongs to the class after them, the others are at their floor.
+        """
         return self._level
 
+    @property
+    def _level_max(self) -> float:
+        return float(len(self._ranks))
+
     @property
     def routes(self) -> frozenset[RouteName]:
         """The routes of the group."""
@@ -197,10 +248,12 @@
             if state is None:
                 # Hosts that start together must not admit at the same arrivals.
                 credit = self._random.random()
-                state = RouteState(route, UnloadedTime(now_s), credit, 0.0, now_s)
+                state = RouteState(route, UnloadedTime(now_s), credit, work_at_s=now_s)
             state.route = route
             self._states[route.name] = state
-        self._most_urgent = min(s.route.priority for s in self._states.values())
+        priorities = {state.route.priority for state in self._states.values()}
+        self._ranks = {priority: i for i, priority in enumerate(sorted(priorities))}
+        self._level = min(self._level, self._level_max)
 
     def try_acquire(self, name: RouteName, now_s: float) -> PriorityPermit | None:
         """Returns a permit for a request; none if it is refused.
@@ -211,7 +264,7 @@
         state.record_arrival(now_s)
         self._check_open_requests(now_s)
         if now_s - self._refused_at_s >= RELEASE_S:
-            self._level = 1.0
+            self._level = self._level_max
         share = self.admitted_share(name, now_s)
         state.credit += share
         # The floor must hold although sums of fractions are rounded.
@@ -227,25 +280,14 @@
     def retry_after_s(self, name: RouteName) -> float:
         """Returns after how many seconds the caller of a refused request may retry."""
         route = self._states[name].route
-        is_urgent = route.priority == self._most_urgent
+        is_urgent = self._ranks[route.priority] == 0
         objectives = URGENT_RETRY_OBJECTIVES if is_urgent else RETRY_OBJECTIVES
         return objectives * (1.0 + self._random.random()) * route.objective_s
 
     def admitted_share(self, name: RouteName, now_s: float) -> float:
         """Returns the share of a route's arrivals that is admitted at present."""
-        if self._level >= 1.0:
-            return 1.0
-        work = self._work_by_priority(now_s)
-        rest = (self._level - FLOOR) * sum(work.values())
-        for priority in sorted(work):
-            above_floor = (1.0 - FLOOR) * work[priority]
-            if priority == self._states[name].route.priority:
-                if above_floor <= 0.0:
-                    return 1.0
-                extra = max(0.0, min(1.0, rest / above_floor))
-                return FLOOR + (1.0 - FLOOR) * extra
-            rest -= above_floor
-        raise KeyError(name)
+        rank = self._ranks[self._states[name].route.priority]
+        return FLOOR + (1.0 - FLOOR) * max(0.0, min(1.0, self._level - rank))
 
     def end_thinning(self, now_s: float) -> tuple[Route, ...]:
         """Returns the routes whose thinning has ended since the last call."""
@@ -267,37 +309,14 @@
         state = permit.state
         match feedback:
             case HalfCovered(took_s):
-                state.unloaded.record(took_s, now_s)
-            case _:
-                took_s = now_s - permit.acquired_at_s
-        unloaded_s = state.unloaded.shortest_s
-        pressure = compute_pressure(feedback, state.route.objective_s, unloaded_s)
-        if pressure is None:
-            return
-        # Requests from before the last cut don't show its effect, neither way.
-        if permit.acquired_at_s < self._counted_from_s:
-            return
-        queued_s = took_s - unloaded_s if math.isfinite(unloaded_s) else 0.0
-        observations = self._round.observations
-        while observations and now_s - observations[0].arrived_at_s > (
-            OBSERVATION_MAX_AGE_S
-        ):
-            observations.pop(0)
-        observations.append(
-            Observation(
-                permit.acquired_at_s,
-                queued_s,
-                pressure,
-                state.sub_requests,
-                state.route.priority == self._most_urgent,
-            )
-        )
-        if self._round.is_complete(now_s):
-            self._adjust_level(now_s)
+                state.record_half_covered(took_s, now_s)
+        self._observe(permit, feedback, now_s)
 
-    def remove(self, permit: PriorityPermit) -> None:
+    def remove(self, permit: PriorityPermit, now_s: float) -> None:
         """Removes a request that has ended."""
         self._open.pop(permit, None)
+        if permit.is_half_covered:
+            self._raise_level(permit, now_s)
 
     def _check_open_requests(self, now_s: float) -> None:
         """Counts the delay of requests that still wait for half of their replies.
@@ -310,37 +329,46 @@
         for permit in list(self._open)[:OPEN_CHECK_MAX]:
             if permit.is_half_covered or permit.is_observed:
                 continue
-            waited = HalfCovered(now_s - permit.acquired_at_s)
-            unloaded_s = permit.state.unloaded.shortest_s
-            if math.isinf(unloaded_s):
-                continue
-            budget_s = permit.state.route.objective_s
-            pressure = compute_pressure(waited, budget_s, unloaded_s)
-            if pressure is not None and pressure >= ONSET_PRESSURE:
+            waited_s = now_s - permit.acquired_at_s
+            if waited_s - permit.state.unloaded_s >= CONGESTION_MIN_S:
                 permit.is_observed = True
-                self.record(permit, waited, now_s)
+                self._observe(permit, HalfCovered(waited_s), now_s)
 
-    def _work_by_priority(self, now_s: float) -> dict[int, float]:
-        work: dict[int, float] = {}
-        for state in self._states.values():
-            priority = state.route.priority
-            work[priority] = work.get(priority, 0.0) + state.current_work(now_s)
-        return work
+    def _observe(
+        self, permit: PriorityPermit, feedback: Feedback, now_s: float
+    ) -> None:
+        state = permit.state
+        unloaded_s, budget_s = state.unloaded_s, state.route.objective_s
+        pressure = compute_pressure(feedback, budget_s, unloaded_s)
+        # Requests from before the last cut don't show its effect, neither way.
+        if pressure is None or permit.acquired_at_s < self._counted_from_s:
+            return
+        permit.pressure = pressure = min(PRESSURE_MAX, max(0.0, pressure))
+        observation = Observation(
+            permit.acquired_at_s,
+            now_s,
+            max(0.0, now_s - permit.acquired_at_s - unloaded_s),
+            pressure,
+            min(ROUND_MIN_SEARCHES, state.sub_requests),
+            self._ranks[state.route.priority] == 0,
+        )
+        self._round.add(observation)
+        if self._round.is_complete(now_s):
+            self._adjust_level(now_s)
 
     def _adjust_level(self, now_s: float) -> None:
         observations = self._round.observations
-        pressure = _median_pressure(observations)
-        onset_pressure = ONSET_PRESSURE if self._level >= 1.0 else 1.0
-        if pressure <= 1.0:
-            self._congested_since_s = math.inf
-            self._raise_level(pressure, now_s)
-        elif pressure < onset_pressure:
-            self._congested_since_s = math.inf
-        elif self._has_lasted(
-            [each for each in observations if each.pressure >= onset_pressure]
-        ):
-            self._cut_level(pressure, now_s)
         self._round = _Round(now_s)
+        pressure = _mean_pressure(observations)
+        onset_pressure = (
+            ONSET_PRESSURE if self._level >= self._level_max else TARGET_PRESSURE
+        )
+        if pressure < onset_pressure:
+            self._congested_since_s = math.inf
+            return
+        delayed = [each for each in observations if each.pressure >= onset_pressure]
+        if self._has_lasted(delayed):
+            self._cut_level(pressure, observations, now_s)
 
     def _has_lasted(self, delayed: list[Observation]) -> bool:
         """Returns whether the delay is longer than a pause of all targets.
@@ -359,39 +387,64 @@
         lasted_s = max(last_s - self._congested_since_s, longest_s)
         return lasted_s >= CONGESTION_MIN_S
 
-    def _cut_level(self, pressure: float, now_s: float) -> None:
-        observations = self._round.observations
-        urgent = [each for each in observations if each.is_urgent]
-        is_urgent_late = bool(urgent) and _median_pressure(urgent) >= URGENT_PRESSURE
-        work = self._work_by_priority(now_s)
-        total = sum(work.values())
-        lower = FLOOR
-        if not is_urgent_late:
-            urgent_work = work[self._most_urgent]
-            lower += (1.0 - FLOOR) * urgent_work / total if total > 0.0 else 0.0
-            # An adjustment for less urgent requests doesn't raise the level.
-            lower = min(lower, self._level)
-        level = self._level * max(CUT_MIN, 1.0 / pressure)
-        self._level = max(lower, level)
-        self._refused_at_s = max(self._refused_at_s, now_s)
-        longest_s = max(each.queued_s for each in observations)
-        self._counted_from_s = now_s + min(longest_s, CONGESTION_GAP_S)
-        self._raised_at_s = now_s
-
-    def _raise_level(self, pressure: float, now_s: float) -> None:
+    def _cut_level(
+        self, pressure: float, counted: list[Observation], now_s: float
+    ) -> None:
+        """Admits less work, in proportion to the pressure."""
+        lower = 1.0
+        if self._level > 1.0:
+            self._lowest_since_s = now_s
+        urgent = [each for each in counted if each.is_urgent]
+        if (
+            now_s - self._lowest_since_s >= URGENT_DELAY_S
+            and urgent
+            and _mean_pressure(urgent) >= URGENT_PRESSURE
+        ):
+            lower = 0.0
+        level = self._scaled_level(max(CUT_MIN, TARGET_PRESSURE / pressure), now_s)
+        self._level = min(self._level, max(lower, level))
+        longest_s = max(each.queued_s for each in counted)
+        self._counted_from_s = now_s + min(longest_s, DRAINING_MAX_S)
+        self._cut_at_s = self._raised_at_s = self._refused_at_s = now_s
+
+    def _scaled_level(self, factor: float, now_s: float) -> float:
+        """Returns the level at which the admitted work is multiplied by a factor."""
+        work = [0.0] * len(self._ranks)
+        for state in self._states.values():
+            work[self._ranks[state.route.priority]] += state.current_work(now_s)
+        above = [(1.0 - FLOOR) * each for each in work]
+        admitted = sum(
+            each * max(0.0, min(1.0, self._level - rank))
+            for rank, each in enumerate(above)
+        )
+        rest = factor * (admitted + FLOOR * sum(work)) - FLOOR * sum(work)
+        for rank, each in enumerate(above):
+            if rest < each:
+                return rank + (rest / each if rest > 0.0 else 0.0)
+            rest -= each
+        return float(len(above))
+
+    def _raise_level(self, permit: PriorityPermit, now_s: float) -> None:
+        """Raises the level if a request has ended in good time."""
+        if (
+            self._level >= self._level_max
+            or permit.acquired_at_s < self._counted_from_s
+        ):
+            return
+        objective_s = permit.state.route.objective_s
+        took_s = now_s - permit.acquired_at_s
+        spare = min(1.0, (1.0 - took_s / objective_s) / SPARE_SHARE)
+        spare *= 1.0 - permit.pressure / TARGET_PRESSURE
+        if took_s >= objective_s or permit.pressure >= TARGET_PRESSURE:
+            return
         elapsed_s = min(GROWTH_MAX_S, now_s - self._raised_at_s)
         self._raised_at_s = now_s
-        growth = GROWTH_PER_S * (1.0 - max(0.0, pressure)) * elapsed_s
-        self._level = min(1.0, self._level * (1.0 + growth))
-
-
-def _median_pressure(observations: list[Observation]) -> float:
-    """Returns the median by weight, the lower one of two."""
-    ordered = sorted(observations, key=lambda each: each.pressure)
-    half = sum(each.weight for each in ordered) / 2
-    reached = 0.0
-    for each in ordered:
-        reached += each.weight
-        if reached >= half:
-            return each.pressure
-    raise ValueError("no observations")
+        growth = min(GROWTH_MAX, GROWTH_GAIN * (now_s - self._cut_at_s))
+        level = self._scaled_level(1.0 + growth * spare * elapsed_s, now_s)
+        self._level = max(self._level, level)
+
+
+def _mean_pressure(observations: list[Observation]) -> float:
+    """Returns the mean by weight."""
+    weight = sum(each.weight for each in observations)
+    return sum(each.weight * each.pressure for each in observations) / weight
--- a/standins/model_fleet.py
+++ b/standins/model_fleet.py
@@ -21,7 +21,7 @@
 from lavendertide.registry.record import TargetRecord, TargetRun
 from lavendertide.registry.registry import TargetRegistry
 from lavendertide.routes.active_routes import ActiveRoutes
-from lavendertide.routes.route import GatheredShards, RequestKind, Route
+from lavendertide.routes.route import RequestKind, Route
 from lavendertide.runtime import clock, tasks
 from standins.forwarding_records import (
     LOCAL_DOMAIN,
