--- a/lavendertide/forwarding/explanation.py
+++ b/lavendertide/forwarding/explanation.py
@@ -12,7 +12,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from lavendertide.forwarding.capacity import RouteCapacities, RouteLimit
+from lavendertide.forwarding.capacity import RouteAdmission, RouteLimit
 from lavendertide.forwarding.deadlines import response_deadlines
 from lavendertide.forwarding.early_refusal import EarlyRefusals
 from lavendertide.forwarding.messages import (
@@ -125,7 +125,7 @@
         views: This host's statistics of them.
         choice: Decides where requests may be sent.
         refusals: Decides which requests are refused on arrival.
-        capacities: The limits of the routes.
+        admission: The limits of the routes.
         splits: Decides to which service of a split route a request is sent.
         pause: Called after each service, so that other tasks can run meanwhile. A
             search over many shards would delay them all otherwise.
@@ -139,7 +139,7 @@
         views: TargetViews,
         choice: TargetChoice,
         refusals: EarlyRefusals,
-        capacities: RouteCapacities,
+        admission: RouteAdmission,
         splits: SplitCounters,
         pause: Callable[[], None],
     ) -> None:
@@ -149,7 +149,7 @@
         self._views = views
         self._choice = choice
         self._refusals = refusals
-        self._capacities = capacities
+        self._admission = admission
         self._splits = splits
         self._pause = pause
 
@@ -171,7 +171,7 @@
                 return Explanation(None, routes, 0, cause, None, None, ())
             case Refused(cause, retry_after_s):
                 return Explanation(None, routes, 0, cause, retry_after_s, None, ())
-        limit = self._capacities.limit_of(route.name, now_s)
+        limit = self._admission.limit_of(route.name, now_s)
         refused = self._refusal_of(request, route, is_ready, limit, now_s)
         return Explanation(
             route,
--- a/lavendertide/gateway/gateway.py
+++ b/lavendertide/gateway/gateway.py
@@ -371,6 +371,7 @@
             ),
             self._metrics,
             self._cold,
+            options.admits_by_priority,
         )
 
     def _find_service(self, name: ServiceName) -> Service | None:
--- a/lavendertide/gateway/host_reports.py
+++ b/lavendertide/gateway/host_reports.py
@@ -53,5 +53,5 @@
             self._readiness.state.value,
             self._forwarder.routes_age(now_s),
             evacuated_status(self._evacuated, self._registry, self._views, now_s),
-            self._forwarder.capacities.limits(now_s),
+            self._forwarder.admission.limits(now_s),
         )
--- a/lavendertide/gateway/options.py
+++ b/lavendertide/gateway/options.py
@@ -32,6 +32,8 @@
             earlier process of it has sent anything.
         cold: How far the fleet may exceed what cold targets can take.
         shares_capacities: Whether hosts tell each other which targets are slow or fast.
+        admits_by_priority: Whether routes that share targets are admitted by their
+            priority under load.
     """
 
     host: HostId
@@ -55,3 +57,4 @@
     memory_bytes: int | None = None
     files_max: int | None = None
     shares_capacities: bool = False
+    admits_by_priority: bool = False
--- a/lavendertide/platform/settings.py
+++ b/lavendertide/platform/settings.py
@@ -24,6 +24,8 @@
 
 # Contracts of which one makes hosts share what they learn of targets.
 SHARING_CONTRACTS = frozenset({"pressure", "places"})
+# Entry of the list of contracts that enables admission by priority.
+PRIORITY_CONTRACT = "pressure"
 
 # Shortest window over which repeats are counted.
 WINDOW_MIN_S = 0.1
@@ -105,9 +107,7 @@
         # The share refers to one core that is "cores" times as fast, not to several.
         processor_share=_number(fields, "limits.cpu-share")
         * _number(fields, "limits.cores"),
-        shares_capacities=not SHARING_CONTRACTS.isdisjoint(
-            name.strip() for name in fields.get("contracts", "").split(",")
-        ),
+        shares_capacities=not SHARING_CONTRACTS.isdisjoint(_contracts(fields)),
         is_first_start=fields.get("bootstrap") == "true",
         cold=ColdBounds(
             _number(fields, "bounds.cold-overshoot", str(DEFAULT_OVERSHOOT)),
@@ -115,9 +115,15 @@
         ),
         memory_bytes=_optional_count(fields, "limits.memory-mb", 1_000_000),
         files_max=_optional_count(fields, "limits.max-fds"),
+        admits_by_priority=PRIORITY_CONTRACT in _contracts(fields),
     )
 
 
+def _contracts(fields: dict[str, str]) -> frozenset[str]:
+    """Returns the names of the platform's rules that apply to this deployment."""
+    return frozenset(name.strip() for name in fields.get("contracts", "").split(","))
+
+
 def _optional_count(fields: dict[str, str], name: str, unit: int = 1) -> int | None:
     """Returns a value above zero in whole units; none if it is not set."""
     if name not in fields:
--- a/lavendertide/routes/route.py
+++ b/lavendertide/routes/route.py
@@ -108,6 +108,15 @@
             case _:
                 return 1
 
+    @property
+    def sub_requests(self) -> int:
+        """Number of services that one request is sent to."""
+        match self.destination:
+            case GatheredShards(shards=shards):
+                return len(shards)
+            case _:
+                return 1
+
 
 @dataclass(frozen=True, slots=True)
 class Service:
--- a/standins/model_targets.py
+++ b/standins/model_targets.py
@@ -38,7 +38,7 @@
     """Faults of a model target."""
 
     NONE = "none"
-    # Each request takes ten times as long.
+    # Each request takes several times as long.
     SLOW = "slow"
     # Requests run, but every reply is lost because the connection breaks.
     RESETS = "resets"
@@ -67,6 +67,9 @@
         crowding: How many times as long it takes while more than half of the slots are
             used.
         reports_load: Whether replies report the load.
+        slow_factor: How many times as long each request takes while it is slow.
+        pause_phase_s: Offset of its pauses from those of other targets; derived from
+            its name if absent.
         executed_requests: Ids of the requests in the order in which they began to run.
         notices: Checks that hosts respect what this run has told them.
         ended_violations: What the checks of earlier runs have found.
@@ -79,6 +82,8 @@
     work_factor: float = 1.0
     crowding: float = 1.0
     reports_load: bool = False
+    slow_factor: float = 10.0
+    pause_phase_s: float | None = None
     executed_requests: list[str] = field(default_factory=list)
     notices: NoticeChecker = field(default_factory=NoticeChecker)
     ended_violations: list[str] = field(default_factory=list)
@@ -171,14 +176,17 @@
         return len(self._queued_starts_s)
 
     def _compute_end_s(self, starts_s: float) -> float:
-        factor = 10.0 if self.fault is Fault.SLOW else self.work_factor
+        factor = self.slow_factor if self.fault is Fault.SLOW else self.work_factor
         # The request itself uses a slot, too.
         running = 1 + sum(free_s > starts_s for free_s in self._free_at_s)
         if 2 * running > self.record.slots:
             factor *= self.crowding
         ends_s = starts_s + factor * self.generator.gammavariate(4.0, self.work_s / 4)
         # All targets pause with the same period, each with a phase of its own.
-        phase_s = crc32(self.record.target.encode()) % 1_000 / 1_000 * PAUSE_INTERVAL_S
+        phase_s = self.pause_phase_s
+        if phase_s is None:
+            share = crc32(self.record.target.encode()) % 1_000 / 1_000
+            phase_s = share * PAUSE_INTERVAL_S
         since_pause_s = (ends_s + phase_s) % PAUSE_INTERVAL_S
         return ends_s + max(0.0, PAUSE_S - since_pause_s)
 
--- a/tests/forwarding/test_explanation.py
+++ b/tests/forwarding/test_explanation.py
@@ -55,7 +55,7 @@
 def state_of(scripted: ScriptedForwarder) -> str:
     """Returns all state on which decisions depend as text, to compare it."""
     forwarder = scripted.forwarder
-    capacities = forwarder.capacities._capacities.known
+    capacities = forwarder.admission._capacities._capacities.known
     registry = vars(scripted.registry)
     return repr(
         [
@@ -166,7 +166,9 @@
         scripted.add("a", DESK, replies_after(0.3))
         tasks.spawn(scripted.forward)
         tasks.sleep(0.1)
-        (capacity,) = scripted.forwarder.capacities._capacities.known.values()
+        (capacity,) = (
+            scripted.forwarder.admission._capacities._capacities.known.values()
+        )
         capacity._limit, capacity._limited_at_s = 1.25, clock.monotonic_s()
         limit = explain(scripted).limit
         assert limit is not None
--- a/tests/forwarding/test_pool.py
+++ b/tests/forwarding/test_pool.py
@@ -13,6 +13,7 @@
     UNSUCCESSFUL_MAX,
     PooledConnection,
     TargetCall,
+    WaitingCalls,
     connection_share,
 )
 from lavendertide.ids import Address, CallerRequestId
@@ -237,3 +238,27 @@
         for number in range(4):
             self.assertIsInstance(scripted.forward(name=f"r{number}"), Passed)
             tasks.sleep(0.5)
+
+
+class WaitingOrderTest(VirtualTimeTestCase):
+    """Guards against urgent calls that wait behind less urgent ones."""
+
+    def test_calls_are_taken_by_priority_and_then_by_age(self) -> None:
+        waiting = WaitingCalls()
+        now_s = clock.monotonic_s()
+        for number, priority in enumerate((2, 0, 1, 0)):
+            call = TargetCall(
+                number,
+                0,
+                request(),
+                target("t"),
+                now_s,
+                now_s + 9.0,
+                lambda *_: None,
+                priority=priority,
+                queued_at_s=now_s,
+            )
+            waiting.send(call)
+        order = [waiting.receive(1.0) for _ in range(5)]
+        numbers = [call.number if call is not None else None for call in order]
+        self.assertEqual(numbers, [1, 3, 2, 0, None])
