Part the connection pool and the request run by what they decide

Change: a call and its channel are in target_call.py, one pooled connection in pooled_connection.py, and the response that passes on replies in response.py.

--- a/lavendertide/forwarding/forwarder.py
+++ b/lavendertide/forwarding/forwarder.py
@@ -28,10 +28,11 @@
 from lavendertide.forwarding.metrics import ForwardingMetrics
 from lavendertide.forwarding.missing import MissingPart
 from lavendertide.forwarding.poison import CrashEvidence
-from lavendertide.forwarding.pool import TargetCall, TargetPools, connection_share
+from lavendertide.forwarding.pool import TargetPools, connection_share
 from lavendertide.forwarding.reply_recorder import ReplyRecorder
 from lavendertide.forwarding.run import RequestRun
 from lavendertide.forwarding.sender import CallDone, Event
+from lavendertide.forwarding.target_call import TargetCall
 from lavendertide.forwarding.target_choice import TargetChoice
 from lavendertide.forwarding.target_view import TargetViews
 from lavendertide.forwarding.timing import RouteTimings
--- a/lavendertide/forwarding/missing.py
+++ b/lavendertide/forwarding/missing.py
@@ -23,7 +23,7 @@
     UnknownReason,
 )
 from lavendertide.forwarding.parts import Part
-from lavendertide.forwarding.pool import TargetCall
+from lavendertide.forwarding.target_call import TargetCall
 from lavendertide.ids import ServiceName
 
 # Status of a target that has reached the deadline of a request.
--- a/lavendertide/forwarding/parts.py
+++ b/lavendertide/forwarding/parts.py
@@ -12,7 +12,7 @@
     Unknown,
     UnknownReason,
 )
-from lavendertide.forwarding.pool import TargetCall
+from lavendertide.forwarding.target_call import TargetCall
 from lavendertide.ids import ServiceName, TargetId
 
 # Pause before a retry, doubled for each further failure.
--- a/lavendertide/forwarding/pool.py
+++ b/lavendertide/forwarding/pool.py
@@ -7,30 +7,29 @@
 """
 
 import logging
-import math
 from collections.abc import Callable
-from dataclasses import dataclass, field
-from typing import Final, Protocol
+from typing import Final
 
 from lavendertide.forwarding.messages import (
-    CallerRequest,
     NotRun,
     NotRunReason,
-    Replied,
     TargetReply,
     Unknown,
     UnknownReason,
 )
-from lavendertide.ids import Address, CallerRequestId
+from lavendertide.forwarding.pooled_connection import PooledConnection
+from lavendertide.forwarding.target_call import (
+    FindBlockingReason,
+    TargetCall,
+    TargetChannel,
+)
+from lavendertide.ids import Address
 from lavendertide.overload.waiting_order import find_next
 from lavendertide.registry.record import TargetRecord
 from lavendertide.runtime import clock, tasks
 
 # Idle time after which a connection is closed.
 IDLE_S: Final = 20.0
-# A reachable target accepts a connection within milliseconds; an unreachable one never
-# replies.
-CONNECT_TIMEOUT_S: Final = 0.25
 
 # A host that lost power left connections open that its targets still count, in addition
 # to those that it opens after its restart.
@@ -38,13 +37,6 @@
 # How long after its start a host assumes such connections: as long as idle ones are
 # kept.
 PREVIOUS_CONNECTIONS_S: Final = IDLE_S
-# Requests that a connection remembers to have carried without success. With more it is
-# replaced by a new one.
-UNSUCCESSFUL_MAX: Final = 256
-# Longest rest of a connection after which it carries a request that can't be repeated.
-# Targets may forget connections that rest for a few tenths of a second. Whether they
-# have run what is sent on such a connection is unknown.
-RESTED_MAX_S: Final = 0.1
 
 _log = logging.getLogger(__name__)
 
@@ -72,129 +64,6 @@
     return share if has_previous_connections else max(share, min(slots, full_share))
 
 
-@dataclass(eq=False, slots=True)
-class TargetCall:
-    """One sub-request to one target.
-
-    Attributes:
-        number: Identifies the call on this host.
-        part: Number of the request's part that the call belongs to.
-        request: The caller's request.
-        record: The target.
-        late_at_s: Time from which the reply is late, monotonic.
-        ends_at_s: Time from which nobody waits for the reply, monotonic.
-        done: Called once with the call and its reply.
-        is_repeatable: Whether the request may be sent again if its fate is unknown.
-        outages: How often the target had stopped accepting connections before.
-        is_sent: Whether a byte of the request may have reached the target.
-        is_cancelled: Whether nobody waits for the reply any more.
-        channel: The connection while the exchange runs.
-        priority: Calls with a lower number are sent first; zero where routes have none.
-        queued_at_s: Time from which the call waits for a connection, monotonic.
-    """
-
-    number: int
-    part: int
-    request: CallerRequest
-    record: TargetRecord
-    late_at_s: float
-    ends_at_s: float
-    done: Callable[["TargetCall", TargetReply], None]
-    outages: int = 0
-    is_repeatable: bool = True
-    is_sent: bool = False
-    is_cancelled: bool = False
-    channel: "TargetChannel | None" = field(default=None, repr=False)
-    priority: int = 0
-    queued_at_s: float = 0.0
-
-    def is_late(self, now_s: float) -> bool:
-        """Returns whether the reply is late."""
-        return now_s >= self.late_at_s
-
-    def cancel(self) -> None:
-        """Cancels the call; a running exchange ends, since its connection is closed."""
-        if self.channel is not None and not self.is_cancelled:
-            self.channel.close()
-        self.is_cancelled = True
-
-
-# Returns the reason why a call must not be sent at a time; none if it may be. The last
-# argument is whether the call is sent at once if there is none.
-FindBlockingReason = Callable[[TargetCall, float, bool], NotRunReason | None]
-
-
-class TargetChannel(Protocol):
-    """One connection to a target; implemented in `lavendertide.platform`."""
-
-    def is_usable(self, now_s: float) -> bool:
-        """Returns whether the connection is open and may carry the next request."""
-
-    def open(self, timeout_s: float) -> bool:
-        """Opens a new connection; returns whether the target accepted it."""
-
-    def exchange(self, call: TargetCall, now_s: float) -> TargetReply:
-        """Sends a request and waits for its reply."""
-
-    def has_data(self) -> bool:
-        """Returns whether data has arrived that was not read yet; never waits."""
-
-    def close(self) -> None:
-        """Closes the connection, which ends an exchange that waits for its reply."""
-
-
-class PooledConnection:
-    """A connection of a pool, and the requests that must not be sent on it again.
-
-    A target may send a second copy of a reply late, where it should send the next one.
-    The copy bears the id of its request, so it is skipped, unless the same request is
-    waiting on the connection once more: then the copy looks like the reply to the
-    second attempt. So a request that has ended without success, and may therefore be
-    repeated, is never sent twice on one connection.
-    """
-
-    def __init__(self, channel: TargetChannel) -> None:
-        self._channel = channel
-        self._unsuccessful: set[CallerRequestId] = set()
-        self._used_at_s = -math.inf
-
-    def make_usable(self, call: TargetCall, now_s: float) -> bool:
-        """Opens a new connection if the open one can't carry a call.
-
-        Returns:
-            Whether the call may be sent; if not, the target accepts no connection.
-        """
-        is_fresh = (
-            call.request.request not in self._unsuccessful
-            and len(self._unsuccessful) < UNSUCCESSFUL_MAX
-            and (call.is_repeatable or now_s - self._used_at_s <= RESTED_MAX_S)
-        )
-        if is_fresh and self._channel.is_usable(now_s):
-            return True
-        self._unsuccessful.clear()
-        return self._channel.open(min(CONNECT_TIMEOUT_S, call.ends_at_s - now_s))
-
-    def exchange(self, call: TargetCall, now_s: float) -> TargetReply:
-        """Sends a request and waits for its reply."""
-        call.is_sent = True
-        call.channel = self._channel
-        try:
-            reply = self._channel.exchange(call, now_s)
-        finally:
-            call.channel = None
-            self._used_at_s = clock.monotonic_s()
-        match reply:
-            case Replied() if reply.is_success:
-                pass
-            case _:
-                self._unsuccessful.add(call.request.request)
-        return reply
-
-    def close(self) -> None:
-        """Closes the connection."""
-        self._channel.close()
-
-
 class WaitingCalls:
     """The calls that wait for a connection to one target, in order of arrival."""
 
--- a/lavendertide/forwarding/reply_recorder.py
+++ b/lavendertide/forwarding/reply_recorder.py
@@ -17,8 +17,9 @@
 )
 from lavendertide.forwarding.metrics import ForwardingMetrics
 from lavendertide.forwarding.poison import CrashEvidence, TargetProcess
-from lavendertide.forwarding.pool import TargetCall, TargetPools
+from lavendertide.forwarding.pool import TargetPools
 from lavendertide.forwarding.request_log import log_pause, log_target_change
+from lavendertide.forwarding.target_call import TargetCall
 from lavendertide.forwarding.target_view import TargetView, TargetViews
 from lavendertide.forwarding.timing import RouteTimings
 from lavendertide.messages import Verdict
--- a/lavendertide/forwarding/request_log.py
+++ b/lavendertide/forwarding/request_log.py
@@ -23,7 +23,7 @@
 )
 from lavendertide.forwarding.missing import MissingPart, count_causes
 from lavendertide.forwarding.parts import Part
-from lavendertide.forwarding.pool import TargetCall
+from lavendertide.forwarding.target_call import TargetCall
 from lavendertide.forwarding.target_view import TargetView
 from lavendertide.ids import TargetId
 from lavendertide.routes.active_routes import RoutesAge
--- a/lavendertide/forwarding/run.py
+++ b/lavendertide/forwarding/run.py
@@ -10,15 +10,12 @@
 from typing import Final
 
 from lavendertide.forwarding.deadlines import ATTEMPT_MIN_S, ResponseDeadlines
-from lavendertide.forwarding.merging import merge_greatest_records
 from lavendertide.forwarding.messages import (
     UNSENT_REASONS,
     Abandoned,
     CallerRequest,
     Failed,
-    Gathered,
     NotRun,
-    Passed,
     RefusalCause,
     Refused,
     Replied,
@@ -28,8 +25,8 @@
 )
 from lavendertide.forwarding.missing import MissingCause, MissingPart, find_missing
 from lavendertide.forwarding.parts import Part
-from lavendertide.forwarding.pool import TargetCall
 from lavendertide.forwarding.request_log import log_end, log_repeat, response_outcome
+from lavendertide.forwarding.response import build_success
 from lavendertide.forwarding.sender import (
     CallDone,
     CallerLeft,
@@ -38,6 +35,7 @@
     SubRequestSender,
     successful_calls,
 )
+from lavendertide.forwarding.target_call import TargetCall
 from lavendertide.ids import ServiceName
 from lavendertide.overload.capacity import (
     Feedback,
@@ -127,7 +125,8 @@
             # At the deadline, targets end the requests themselves and reply.
             for part in self._parts:
                 part.cancel_late_calls(now_s)
-        response = self._build_response(now_s)
+        success = build_success(self._route, self._parts, self._replies)
+        response = success or self._build_failure(now_s)
         self._log_end(response_outcome(response), missing, now_s)
         return response
 
@@ -326,24 +325,6 @@
             for call in part.open_calls.values():
                 call.cancel()
 
-    def _build_response(self, now_s: float) -> Response:
-        match self._route.destination:
-            case GatheredShards(records_max=records_max):
-                done = self._replies
-                if len(done) >= self._route.replies_min:
-                    return Gathered(
-                        tuple(reply.signature for reply in done),
-                        len(self._parts) - len(done),
-                        merge_greatest_records((r.body for r in done), records_max),
-                    )
-            case _:
-                part = self._parts[0]
-                if part.reply is not None:
-                    return Passed(part.reply)
-                if isinstance(part.failure, Replied) and not part.open_calls:
-                    return Passed(part.failure)
-        return self._build_failure(now_s)
-
     def _build_failure(self, now_s: float) -> Response:
         is_late = now_s >= self._deadlines.ends_at_s
         may_have_run = any(part.has_run_or_may_run for part in self._parts)
--- a/lavendertide/forwarding/send_check.py
+++ b/lavendertide/forwarding/send_check.py
@@ -7,7 +7,7 @@
 
 from lavendertide.forwarding.messages import NotRunReason
 from lavendertide.forwarding.poison import CrashEvidence
-from lavendertide.forwarding.pool import TargetCall
+from lavendertide.forwarding.target_call import TargetCall
 from lavendertide.forwarding.target_view import TargetViews
 from lavendertide.registry.registry import TargetRegistry
 from lavendertide.warmup.cold_targets import ColdTargets
--- a/lavendertide/forwarding/sender.py
+++ b/lavendertide/forwarding/sender.py
@@ -6,7 +6,7 @@
 
 from lavendertide.forwarding.messages import CallerRequest, Replied, TargetReply
 from lavendertide.forwarding.missing import MissingPart
-from lavendertide.forwarding.pool import TargetCall
+from lavendertide.forwarding.target_call import TargetCall
 from lavendertide.ids import ServiceName
 from lavendertide.registry.record import TargetRecord
 from lavendertide.routes.active_routes import RoutesAge
--- a/lavendertide/gateway/gateway.py
+++ b/lavendertide/gateway/gateway.py
@@ -30,12 +30,9 @@
 from lavendertide.forwarding.host_status import count_calls
 from lavendertide.forwarding.metrics import ForwardingMetrics
 from lavendertide.forwarding.poison import CrashEvidence
-from lavendertide.forwarding.pool import (
-    PREVIOUS_CONNECTIONS_S,
-    TargetChannel,
-    TargetPools,
-)
+from lavendertide.forwarding.pool import PREVIOUS_CONNECTIONS_S, TargetPools
 from lavendertide.forwarding.send_check import SendCheck
+from lavendertide.forwarding.target_call import TargetChannel
 from lavendertide.forwarding.target_view import TargetViews
 from lavendertide.gateway.budget_share import BudgetShare
 from lavendertide.gateway.caller_front import CallerCodec, CallerFront
--- a/lavendertide/platform/target_channel.py
+++ b/lavendertide/platform/target_channel.py
@@ -19,7 +19,7 @@
     Unknown,
     UnknownReason,
 )
-from lavendertide.forwarding.pool import TargetCall
+from lavendertide.forwarding.target_call import TargetCall
 from lavendertide.ids import Address
 from lavendertide.overload.reported_load import ReportedLoad
 from lavendertide.overload.response_memory import ResponseMemory
--- a/standins/model_targets.py
+++ b/standins/model_targets.py
@@ -16,7 +16,7 @@
     Unknown,
     UnknownReason,
 )
-from lavendertide.forwarding.pool import TargetCall
+from lavendertide.forwarding.target_call import TargetCall
 from lavendertide.overload.reported_load import ReportedLoad
 from lavendertide.registry.record import TargetRecord
 from lavendertide.runtime import clock, tasks
--- a/tests/forwarding/scripted_targets.py
+++ b/tests/forwarding/scripted_targets.py
@@ -18,9 +18,10 @@
 )
 from lavendertide.forwarding.metrics import ForwardingMetrics
 from lavendertide.forwarding.poison import CrashEvidence
-from lavendertide.forwarding.pool import TargetCall, TargetPools
+from lavendertide.forwarding.pool import TargetPools
 from lavendertide.forwarding.send_check import SendCheck
 from lavendertide.forwarding.sender import CallerLeft, Event
+from lavendertide.forwarding.target_call import TargetCall
 from lavendertide.forwarding.target_view import TargetViews
 from lavendertide.ids import Address, TargetId
 from lavendertide.poison.quarantine import Quarantine
--- a/tests/forwarding/test_missing.py
+++ b/tests/forwarding/test_missing.py
@@ -13,8 +13,8 @@
 )
 from lavendertide.forwarding.missing import MissingCause, find_missing
 from lavendertide.forwarding.parts import Part
-from lavendertide.forwarding.pool import TargetCall
 from lavendertide.forwarding.sender import CallerLeft, Event, HostEnds
+from lavendertide.forwarding.target_call import TargetCall
 from lavendertide.ids import Address, ServiceName, TargetId
 from lavendertide.runtime import clock, tasks
 from standins.forwarding_records import reply, request, route, shards, target
--- a/tests/forwarding/test_poison.py
+++ b/tests/forwarding/test_poison.py
@@ -12,7 +12,7 @@
     CrashEvidence,
     TargetProcess,
 )
-from lavendertide.forwarding.pool import TargetCall
+from lavendertide.forwarding.target_call import TargetCall
 from lavendertide.ids import CallerRequestId, Fingerprint, TargetId
 from lavendertide.messages import Verdict, VerdictKind
 from lavendertide.poison.quarantine import Quarantine
--- a/tests/forwarding/test_pool.py
+++ b/tests/forwarding/test_pool.py
@@ -9,13 +9,9 @@
     Replied,
     TargetReply,
 )
-from lavendertide.forwarding.pool import (
-    UNSUCCESSFUL_MAX,
-    PooledConnection,
-    TargetCall,
-    WaitingCalls,
-    connection_share,
-)
+from lavendertide.forwarding.pool import WaitingCalls, connection_share
+from lavendertide.forwarding.pooled_connection import UNSUCCESSFUL_MAX, PooledConnection
+from lavendertide.forwarding.target_call import TargetCall
 from lavendertide.ids import Address, CallerRequestId
 from lavendertide.routes.route import RequestKind
 from lavendertide.runtime import clock, tasks
--- a/tests/forwarding/test_target_notices.py
+++ b/tests/forwarding/test_target_notices.py
@@ -15,7 +15,7 @@
     TargetNotice,
     TargetReply,
 )
-from lavendertide.forwarding.pool import TargetCall
+from lavendertide.forwarding.target_call import TargetCall
 from lavendertide.forwarding.target_choice import FULL_RETRY_S, RETRY_SPREAD_SHARE
 from lavendertide.ids import TargetId
 from lavendertide.routes.route import RequestKind
--- a/tests/forwarding/test_waiting_calls.py
+++ b/tests/forwarding/test_waiting_calls.py
@@ -15,7 +15,7 @@
     TargetReply,
 )
 from lavendertide.forwarding.poison import ALL_SERVICES, CRASHES_TO_QUARANTINE
-from lavendertide.forwarding.pool import TargetCall
+from lavendertide.forwarding.target_call import TargetCall
 from lavendertide.ids import Address, CallerRequestId, Fingerprint, TargetId
 from lavendertide.messages import Verdict, VerdictKind
 from lavendertide.registry.record import TargetState
--- a/tests/platform/test_decoder_properties.py
+++ b/tests/platform/test_decoder_properties.py
@@ -18,7 +18,7 @@
 from lavendertide.encodings.peer_frames import LENGTH, decode_frame, encode_frame
 from lavendertide.encodings.routes_json import decode_table, encode_table
 from lavendertide.forwarding.messages import CallerRequest
-from lavendertide.forwarding.pool import TargetCall
+from lavendertide.forwarding.target_call import TargetCall
 from lavendertide.ids import ConfigurationVersion, ExchangeId
 from lavendertide.messages import RegistryPush
 from lavendertide.platform.caller_codec import PlatformCallerCodec
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -29,7 +29,7 @@
     UnknownReason,
     Unroutable,
 )
-from lavendertide.forwarding.pool import TargetCall
+from lavendertide.forwarding.target_call import TargetCall
 from lavendertide.ids import ServiceName
 from lavendertide.overload.response_memory import ResponseMemory
 from lavendertide.platform.caller_codec import PlatformCallerCodec
--- a/tests/platform/test_target_channel.py
+++ b/tests/platform/test_target_channel.py
@@ -5,7 +5,7 @@
 
 from lavendertide.encodings.http_messages import render_head
 from lavendertide.forwarding.messages import Replied, TargetReply
-from lavendertide.forwarding.pool import TargetCall
+from lavendertide.forwarding.target_call import TargetCall
 from lavendertide.overload.reported_load import ReportedLoad
 from lavendertide.platform.target_channel import PlatformTargetChannel, parse_load
 from lavendertide.runtime import clock
--- a/tests/warmup/test_requests.py
+++ b/tests/warmup/test_requests.py
@@ -12,7 +12,7 @@
     TargetNotice,
     TargetReply,
 )
-from lavendertide.forwarding.pool import TargetCall
+from lavendertide.forwarding.target_call import TargetCall
 from lavendertide.ids import ServiceName, TargetId
 from lavendertide.routes.route import Service, SplitServices, WeightedService
 from lavendertide.runtime import clock, tasks
