Leave unreachable targets out of the attempts that a route allows

Cause: a target that accepts no connection used up one of the attempts of a request though nothing was sent to it.

Change: only targets to which something was sent, or may be, count.

--- a/lavendertide/forwarding/parts.py
+++ b/lavendertide/forwarding/parts.py
@@ -27,6 +27,8 @@
     Attributes:
         service: The service.
         tried_targets: Targets that the request was sent to.
+        unreachable_targets: Those of them that accepted no connection, so that nothing
+            was sent.
         open_calls: Calls without a reply, by their number.
         reply: The successful reply, once there is one.
         failure: The last unsuccessful reply.
@@ -43,6 +45,7 @@
 
     service: ServiceName
     tried_targets: list[TargetId] = field(default_factory=list)
+    unreachable_targets: set[TargetId] = field(default_factory=set)
     open_calls: dict[int, TargetCall] = field(default_factory=dict)
     reply: Replied | None = None
     failure: TargetReply | None = None
@@ -58,6 +61,11 @@
         """Whether there is a successful reply."""
         return self.reply is not None
 
+    @property
+    def attempts(self) -> int:
+        """Number of targets that the request was sent to, or may be."""
+        return len(self.tried_targets) - len(self.unreachable_targets)
+
     @property
     def has_sent_call(self) -> bool:
         """Whether an open call has been sent, and doesn't wait for a connection."""
@@ -125,6 +133,8 @@
         match reply:
             case NotRun(reason=NotRunReason.REFUSED | NotRunReason.OTHER_TARGET):
                 self.has_reached_target = True
+            case NotRun(target=target, reason=NotRunReason.UNREACHABLE):
+                self.unreachable_targets.add(target)
             case NotRun():
                 pass
             case _:
--- a/lavendertide/forwarding/run.py
+++ b/lavendertide/forwarding/run.py
@@ -281,7 +281,7 @@
 
     def _untried_target(self, part: Part, now_s: float) -> TargetRecord | None:
         """Returns the best untried target, if the route allows another one."""
-        if len(part.tried_targets) >= max(1, self._route.attempts_max):
+        if part.attempts >= max(1, self._route.attempts_max):
             return None
         for record in self._sender.rank_targets(part.service, now_s):
             if record.target not in part.tried_targets:
--- a/tests/forwarding/test_run.py
+++ b/tests/forwarding/test_run.py
@@ -164,6 +164,17 @@
         scripted.add("b", "desk", behaviour)
         self.assertIsInstance(scripted.forward(), Passed)
 
+    def test_unreachable_targets_are_no_attempts(self) -> None:
+        """Guards against an order that is refused though a third target is free."""
+        orders = route(kind=RequestKind.NON_IDEMPOTENT, attempts_max=1)
+        scripted = ScriptedForwarder(orders, fixed=0.0)
+        behaviour = in_turn(is_unreachable, is_unreachable, replies())
+        for name in ("a", "b", "c"):
+            scripted.add(name, "desk", behaviour)
+        began_s = clock.monotonic_s()
+        self.assertIsInstance(scripted.forward(), Passed)
+        self.assertLess(clock.monotonic_s() - began_s, 0.1)
+
     def test_nothing_is_repeated_without_a_budget(self) -> None:
         scripted = ScriptedForwarder(route(wait_max_s=0.3, objective_s=0.1), fixed=0.0)
         scripted.add("a", "desk", refuses)
