--- a/lavendertide/forwarding/explanation.py
+++ b/lavendertide/forwarding/explanation.py
@@ -102,7 +102,8 @@
         routes: Version and age of the routes in force.
         required: Number of services that have to reply.
         cause: Why the request would be refused; none if it would not.
-        retry_after_s: When its caller would be told to retry, if at all.
+        retry_after_s: Seconds after which its caller should retry; none if that
+            would not help.
         limit: The limit of the route; none without a route.
     """
 
--- a/lavendertide/gateway/capacity_exchange.py
+++ b/lavendertide/gateway/capacity_exchange.py
@@ -1,7 +1,7 @@
 """Exchanges with peers which targets are slow or fast at present.
 
-Peers that callers aren't told of send few requests, so they get no notices, and no link
-is opened for one.
+Peers that are not named to callers send few requests, so they get no notices, and no
+link is opened for one.
 """
 
 import random
@@ -58,7 +58,7 @@
             self.send_due(clock.monotonic_s())
 
     def send_due(self, now_s: float) -> None:
-        """Sends what deviates to linked peers that callers are told of."""
+        """Sends what deviates to linked peers that are named to callers."""
         recipients = [
             member
             for member in select_with_headroom(list(self._roster.serving))
--- a/lavendertide/gateway/options.py
+++ b/lavendertide/gateway/options.py
@@ -31,7 +31,7 @@
         is_first_start: Whether the whole system starts for the first time, so that no
             earlier process of it has sent anything.
         cold: How far the fleet may exceed what cold targets can take.
-        shares_capacities: Whether hosts tell each other which targets are slow or fast.
+        shares_capacities: Whether hosts share which targets are slow or fast.
         admits_by_priority: Whether routes that share targets are admitted by their
             priority under load.
     """
--- a/lavendertide/overload/capacity_sharing.py
+++ b/lavendertide/overload/capacity_sharing.py
@@ -1,8 +1,8 @@
-"""Decides what a host tells its peers about targets that it finds slow or fast.
+"""Decides what a host shares with its peers about slow and fast targets.
 
 The load: a target becomes several times slower, and each of many hosts sends it only a
 few requests a second, so that each one alone would need many hundred milliseconds to
-find out. Hosts share only what they have observed themselves, so no news circulates,
+find out. Hosts share only what they have observed themselves, so no notice circulates,
 and nothing has to be withdrawn: what isn't repeated loses its weight within a second.
 While hosts disagree, each one weighs its own recent replies at least as high as a
 peer's notice. A notice that names a target of which meanwhile another run has started
--- a/lavendertide/warmup/cold_targets.py
+++ b/lavendertide/warmup/cold_targets.py
@@ -96,9 +96,9 @@
         self._bounds = bounds
 
     def set_sent_listener(self, listener: Callable[[bool], None]) -> None:
-        """Sets the function that is told of each request to a target with an allowance.
+        """Sets the function that is called for each request to a cold target.
 
-        It gets whether the request may be sent.
+        Only targets with an allowance count. It gets whether the request may be sent.
         """
         self._sent_listener = listener
 
