--- a/lavendertide/forwarding/open_calls.py
+++ b/lavendertide/forwarding/open_calls.py
@@ -1,7 +1,7 @@
 """The calls of this host to one target that have no reply yet.
 
 The load: targets whose queue is long reply late, and so do targets that have stopped
-replying. A reported load distinguishes them: a call that waits in a reported queue is no
+replying. A reported load distinguishes them: a call in a reported queue is no
 sign of a stall before the queue should be done.
 """
 
