Take back that a failed request ends at once without a repeat

The metrics of cold targets were documented, and the test of that page didn't build them.

Change: the retry is postponed as before, the trace stays as a note, and the test registers the metrics of cold targets with the others.

--- a/lavendertide/forwarding/budget.py
+++ b/lavendertide/forwarding/budget.py
@@ -101,14 +101,6 @@
         fixed = self._allowance.fixed * share
         return SPENDABLE_SHARE * (earned + fixed) - counts.extra.total(now_s)
 
-    def may_regain(self, service: ServiceName, now_s: float) -> bool:
-        """Returns whether the budget grows as the window moves on.
-
-        It does if extra sub-requests were sent within the window. Otherwise it grows
-        only with further requests, or once this host learns of others.
-        """
-        return self._counts(service).extra.total(now_s) > 0
-
     def retain_only(self, services: frozenset[ServiceName]) -> None:
         """Removes the budgets of all other services; no route refers to them."""
         for service in [name for name in self._by_service if name not in services]:
--- a/lavendertide/forwarding/forwarder.py
+++ b/lavendertide/forwarding/forwarder.py
@@ -191,10 +191,6 @@
         self._metrics.withheld.inc()
         return False
 
-    def may_regain_repeat(self, service: ServiceName, now_s: float) -> bool:
-        """Returns whether time alone may give back an extra sub-request."""
-        return self._budgets.may_regain(service, now_s)
-
     def remaining_budget(self, service: ServiceName, now_s: float) -> float:
         """Returns how many extra sub-requests this host may send now."""
         return self._budgets.remaining(service, self._fleet.budget_share(now_s), now_s)
--- a/lavendertide/forwarding/run.py
+++ b/lavendertide/forwarding/run.py
@@ -251,9 +251,10 @@
         part.is_withheld = not may_send
         if may_send:
             self._send(number, part, record)
-        elif part.may_have_run and self._sender.may_regain_repeat(part.service, now_s):
-            # The retry is postponed. A request that no target has run is refused
-            # instead, so that its caller can try another host at once.
+        elif part.may_have_run:
+            # The budget recovers with time, so the retry is postponed. A request that
+            # no target has run is refused instead, so that its caller can try another
+            # host at once.
             part.failed_rounds += 1
             self._schedule_retry_with_backoff(part, now_s)
 
--- a/lavendertide/forwarding/sender.py
+++ b/lavendertide/forwarding/sender.py
@@ -58,9 +58,6 @@
     def try_spend_repeat(self, service: ServiceName, now_s: float) -> bool:
         """Spends one extra sub-request; returns whether the budget had one left."""
 
-    def may_regain_repeat(self, service: ServiceName, now_s: float) -> bool:
-        """Returns whether time alone may give back an extra sub-request."""
-
     def remaining_budget(self, service: ServiceName, now_s: float) -> float:
         """Returns how many extra sub-requests this host may send now."""
 
--- a/tests/processes/test_product_operations.py
+++ b/tests/processes/test_product_operations.py
@@ -17,6 +17,7 @@
 from lavendertide.evacuation.metrics import EvacuationMetrics
 from lavendertide.forwarding.metrics import ForwardingMetrics
 from lavendertide.reports.run import dump_run
+from lavendertide.warmup.metrics import ColdMetrics
 from standins.deployment import ASSOCIATION, KOINOPRAXIA, build_publication, scaled_down
 from standins.gateway_process import ROUTES, GatewayProcess, configuration, wait_until
 from standins.launcher import Launcher
@@ -47,6 +48,7 @@
     registry = CollectorRegistry()
     ForwardingMetrics(registry)
     EvacuationMetrics(registry, EvacuatedDomains(), lambda _: 0)
+    ColdMetrics(registry, lambda: 0, lambda: True)
     registry.register(DROPPED)
     text = generate_latest(registry).decode()
     return set(re.findall(TYPE_LINE, text, re.MULTILINE))
