--- a/lavendertide/encodings/peer_protocol.thrift
+++ b/lavendertide/encodings/peer_protocol.thrift
@@ -224,11 +224,28 @@
   72: i32 age_ms,
 }
 
+struct OverloadNotice {
+  70: string group,
+  71: i32 pressure_percent,
+  72: i32 weight,
+  73: i32 age_ms,
+}
+
+struct ColdGrant {
+  70: string target,
+  71: i64 born_ms,
+  72: string receiver,
+  73: i32 requests,
+  74: i32 valid_ms,
+}
+
 struct StallNotices {
   70: list<string> targets,
   71: list<TargetRun> leaving,
   72: optional list<Evacuation> evacuations,
   73: optional list<CapacityNotice> capacities,
+  74: optional list<OverloadNotice> overloads,
+  75: optional list<ColdGrant> cold_grants,
 }
 
 struct TrialClaim {
