Part the root of the gateway by fleet, shares and adapters

Change: roster, links and membership are wired in fleet_links.py, the host's shares in host_shares.py, the platform's parts are in adapters.py; no behaviour changes.

--- a/lavendertide/gateway/gateway.py
+++ b/lavendertide/gateway/gateway.py
@@ -2,8 +2,6 @@
 
 import logging
 import signal
-from collections.abc import Callable
-from dataclasses import dataclass, field
 from typing import Final
 
 from prometheus_client import REGISTRY
@@ -11,58 +9,44 @@
 
 from lavendertide.daemon.drain import Drain, DrainedFront
 from lavendertide.daemon.in_flight import InFlightCounter
-from lavendertide.encodings.peer_socket import PeerSocket
 from lavendertide.encodings.routes_json import decode_table, encode_table
 from lavendertide.evacuation.evacuated_domains import EvacuatedDomains
 from lavendertide.evacuation.metrics import EvacuationMetrics
 from lavendertide.fleet.addresses import AddressBook
-from lavendertide.fleet.gossip import Gossip
-from lavendertide.fleet.link_faults import LinkFaults
-from lavendertide.fleet.membership import Membership
-from lavendertide.fleet.peer_connection import PeerConnector
 from lavendertide.fleet.peer_server import PeerServer
-from lavendertide.fleet.peers import Peers
-from lavendertide.fleet.readiness import Readiness, ReadinessState
-from lavendertide.fleet.roster import Roster
+from lavendertide.fleet.readiness import Readiness
 from lavendertide.forwarding.budget import RetryBudgets
 from lavendertide.forwarding.fleet_callbacks import FleetCallbacks
 from lavendertide.forwarding.forwarder import Forwarder
 from lavendertide.forwarding.host_status import count_calls
 from lavendertide.forwarding.metrics import ForwardingMetrics
 from lavendertide.forwarding.poison import CrashEvidence
-from lavendertide.forwarding.pool import PREVIOUS_CONNECTIONS_S, TargetPools
+from lavendertide.forwarding.pool import TargetPools
 from lavendertide.forwarding.send_check import SendCheck
-from lavendertide.forwarding.target_call import TargetChannel
 from lavendertide.forwarding.target_view import TargetViews
-from lavendertide.gateway.budget_share import BudgetShare
-from lavendertide.gateway.caller_front import CallerCodec, CallerFront
+from lavendertide.gateway.adapters import PlatformAdapters
+from lavendertide.gateway.caller_front import CallerFront
 from lavendertide.gateway.capacity_exchange import CapacityExchange
-from lavendertide.gateway.entry_front import EntryCodec, EntryFront
+from lavendertide.gateway.entry_front import EntryFront
 from lavendertide.gateway.evacuation_broadcast import EvacuationBroadcast
-from lavendertide.gateway.fleet_view import view_fleet
-from lavendertide.gateway.follower import Follower, PlatformReader
+from lavendertide.gateway.fleet_links import FleetLinks
+from lavendertide.gateway.follower import Follower
 from lavendertide.gateway.host_reports import HostReports
+from lavendertide.gateway.host_shares import HostShares
 from lavendertide.gateway.leaving_broadcast import LeavingBroadcast
 from lavendertide.gateway.load import LoadMeter
 from lavendertide.gateway.options import GatewayOptions
 from lavendertide.gateway.peer_exchange import PeerExchange
 from lavendertide.gateway.shared_reading import RegistrySource, SharedReader
 from lavendertide.ids import (
-    NO_VERSION,
-    Address,
-    CallerKey,
-    ConfigurationVersion,
     DaemonId,
-    Incarnation,
     ServiceName,
 )
-from lavendertide.messages import MemberRecord, MemberState
 from lavendertide.overload.caller_bounds import CallerBounds
 from lavendertide.overload.caller_connections import (
     CallerConnections,
     connections_max_of,
 )
-from lavendertide.overload.response_memory import ResponseMemory
 from lavendertide.poison.quarantine import Quarantine
 from lavendertide.registry.registry import TargetRegistry
 from lavendertide.routes.active_routes import ActiveRoutes
@@ -73,22 +57,9 @@
 from lavendertide.warmup.cold_targets import ColdTargets
 from lavendertide.warmup.metrics import ColdMetrics
 
-# Interval between heartbeats; a silent peer is detected after a few of them.
-HEARTBEAT_S: Final = 0.25
 # A process that was stopped for this long refreshes its view of the fleet from its
 # peers before it goes on.
 LEASE_S: Final = 2.0
-# A member that is silent for this long is removed, as no list of hosts is published.
-REMOVAL_S: Final = 30.0
-MEMBERSHIP_ROUND_S: Final = 0.25
-# Interval between updates of the budget share; a fraction of the budgets' window.
-SHARE_INTERVAL_S: Final = 1.0
-# The same while no other host is known; a fraction of the time in which hosts that
-# start together learn of each other.
-FIRST_SHARE_INTERVAL_S: Final = 0.1
-# With more host names than this in the routes, nearly all hosts are named to callers of
-# one of them, so all count as named.
-RANKED_NAMES_MAX: Final = 16
 # Interval over which the CPU utilization is measured.
 LOAD_INTERVAL_S: Final = 1.0
 # Fraction of the bound on noticing a leaving target for which it still gets requests
@@ -116,54 +87,11 @@
 _log = logging.getLogger(__name__)
 
 
-@dataclass(frozen=True, slots=True)
-class PlatformAdapters:
-    """The parts that depend on the platform's formats, from `lavendertide.platform`.
-
-    Attributes:
-        reader: Reads what the platform publishes.
-        make_channel: Makes a connection to a target.
-        callers: Codec of callers' messages.
-        entries: Codec of requests for readiness, metrics, addresses and reports.
-        memory: The account of responses, also of those that channels read.
-    """
-
-    reader: PlatformReader
-    make_channel: Callable[[Address], TargetChannel]
-    callers: CallerCodec
-    entries: EntryCodec
-    memory: ResponseMemory = field(default_factory=ResponseMemory)
-
-
-class ServableRoutes:
-    """The version of the routes that this host is able to serve.
-
-    A host that knows the routes but no targets would refuse every request, so it must
-    not count as serving.
-
-    Args:
-        active_routes: The routes in force.
-        knows_targets: Returns whether the targets were read.
-    """
-
-    def __init__(
-        self, active_routes: ActiveRoutes, knows_targets: Callable[[], bool]
-    ) -> None:
-        self._active_routes = active_routes
-        self._knows_targets = knows_targets
-
-    @property
-    def version(self) -> ConfigurationVersion:
-        """The version in force, or zero while the targets are unknown."""
-        return self._active_routes.version if self._knows_targets() else NO_VERSION
-
-
 class Gateway:
     """Wires the parts of one gateway process together and runs its tasks."""
 
     def __init__(self, options: GatewayOptions, adapters: PlatformAdapters) -> None:
         now_s = clock.monotonic_s()
-        self._started_at_s = now_s
         self._options = options
         self._adapters = adapters
         self._active_routes = ActiveRoutes()
@@ -171,9 +99,6 @@
         self._registry = TargetRegistry(
             LAST_RESORT_SHARE * options.reading.leaving_s, self._evacuated
         )
-        self._budget_share = BudgetShare(
-            options.retries.window_s, None if options.is_first_start else now_s
-        )
         self._cold_share = ColdShare(DaemonId(options.host))
         self._cold = ColdTargets(
             self._find_service, self._cold_share.requests_of, options.cold
@@ -183,12 +108,19 @@
         self._route_replication = RouteReplication(
             self._active_routes, encode_table, decode_table, now_s
         )
-        self._make_fleet()
+        fleet = FleetLinks(
+            options,
+            self._active_routes,
+            lambda: self._follower.knows_targets,
+            self._route_replication,
+            self._readiness,
+        )
+        self._fleet = fleet
         shared = SharedReader(
             adapters.reader,
             options.reading,
-            self._roster,
-            self._peers,
+            fleet.roster,
+            fleet.peers,
             self._route_replication,
             self._active_routes,
         )
@@ -201,16 +133,32 @@
             now_s,
             self._cold,
         )
+        self._addresses = AddressBook(
+            fleet.roster,
+            str,
+            options.address_lifetime_s,
+            ADDRESSES_PER_CALLER,
+            ALONE_LIFETIME_S,
+        )
+        self._shares = HostShares(
+            options,
+            fleet.roster,
+            self._addresses,
+            self._active_routes,
+            self._readiness,
+            self._cold_share,
+            now_s,
+        )
         self._make_forwarding()
 
     def run(self) -> None:
         """Serves until SIGTERM, then drains the requests in flight and returns."""
         options = self._options
         peer_listener = sockets.listen(options.peers)
-        tasks.spawn_supervised(
-            PeerServer(self._connector, self._roster, self._peer_exchange).serve,
-            peer_listener,
+        peer_server = PeerServer(
+            self._fleet.connector, self._fleet.roster, self._peer_exchange
         )
+        tasks.spawn_supervised(peer_server.serve, peer_listener)
         entries = self._entry_front()
         entries_max = (
             ENTRY_CONNECTIONS_MAX
@@ -222,10 +170,10 @@
             tasks.spawn_supervised(
                 sockets.accept_forever, listener, entries.serve, entries_max
             )
-        tasks.spawn_supervised(self._membership.run)
+        tasks.spawn_supervised(self._fleet.membership.run)
         tasks.spawn_supervised(self._follower.run)
         tasks.spawn(self._enable_serving_after_read)
-        tasks.spawn_supervised(self._update_share_forever)
+        tasks.spawn_supervised(self._shares.run)
         tasks.spawn_supervised(self._measure_load_forever)
         tasks.spawn_supervised(self._peer_exchange.run)
         connections_max = _connections_max(options)
@@ -249,8 +197,8 @@
             front.close_idle()
 
         drain = Drain(
-            self._roster,
-            self._peers,
+            self._fleet.roster,
+            self._fleet.peers,
             self._readiness,
             self._in_flight,
             ACCEPTING_SHARE * options.grace_s,
@@ -268,44 +216,13 @@
 
         Other settings need a restart.
         """
-        self._peers.update_seeds(options.seeds)
+        self._fleet.peers.update_seeds(options.seeds)
         self._budgets.set_allowance(options.retries)
         self._cold.set_bounds(options.cold)
 
-    def _make_fleet(self) -> None:
-        options = self._options
-        self._roster = Roster(_own_record(options))
-        self._connector = PeerConnector(
-            options.fleet_key, self._roster, LinkFaults(), PeerSocket
-        )
-        self._gossip = Gossip(
-            self._roster,
-            ServableRoutes(self._active_routes, lambda: self._follower.knows_targets),
-            self._route_replication,
-            lambda: self._peers.wake_watched_links(),
-        )
-        self._peers = Peers(
-            self._roster, self._connector, self._gossip, options.seeds, HEARTBEAT_S
-        )
-        self._membership = Membership(
-            self._roster,
-            self._peers,
-            self._gossip,
-            self._readiness,
-            MEMBERSHIP_ROUND_S,
-            REMOVAL_S,
-            is_listed=False,
-        )
-
     def _make_forwarding(self) -> None:
         options = self._options
-        self._addresses = AddressBook(
-            self._roster,
-            str,
-            options.address_lifetime_s,
-            ADDRESSES_PER_CALLER,
-            ALONE_LIFETIME_S,
-        )
+        roster, peers = self._fleet.roster, self._fleet.peers
         self._metrics = ForwardingMetrics(REGISTRY)
         cold_metrics = ColdMetrics(
             REGISTRY,
@@ -321,23 +238,23 @@
         )
         self._crash_evidence = CrashEvidence(Quarantine())
         self._budgets = RetryBudgets(options.retries)
-        leaving = LeavingBroadcast(self._registry, self._roster, self._peers)
+        leaving = LeavingBroadcast(self._registry, roster, peers)
         self._capacity_exchange = CapacityExchange(
             self._registry,
-            self._roster,
-            self._peers,
+            roster,
+            peers,
             self._target_views,
             self._metrics,
             options.shares_capacities,
         )
         self._peer_exchange = PeerExchange(
-            self._roster,
-            self._peers,
-            self._gossip,
+            roster,
+            peers,
+            self._fleet.gossip,
             self._target_views,
             self._crash_evidence,
             leaving,
-            EvacuationBroadcast(self._evacuated, self._roster, self._peers),
+            EvacuationBroadcast(self._evacuated, roster, peers),
             self._capacity_exchange,
             RegistrySource(
                 options.reading,
@@ -362,9 +279,9 @@
                 self._peer_exchange.broadcast_stall,
                 leaving.record_leaving,
                 self._peer_exchange.queue_verdict,
-                self._budget_share.connection_hosts,
-                self._budget_share.share,
-                self._may_have_previous_connections,
+                self._shares.budget.connection_hosts,
+                self._shares.budget.share,
+                self._shares.may_have_previous_connections,
             ),
             self._metrics,
             self._cold,
@@ -375,17 +292,6 @@
         table = self._active_routes.table
         return None if table is None else table.services.get(name)
 
-    def _may_have_previous_connections(self, now_s: float) -> bool:
-        """Returns whether targets may still count connections of the previous run.
-
-        A host that knows no other divides the targets' connections by more hosts than
-        there are, which leaves enough room for those connections already.
-        """
-        return (
-            self._budget_share.has_known_peers
-            and now_s - self._started_at_s < PREVIOUS_CONNECTIONS_S
-        )
-
     def _caller_front(self) -> CallerFront:
         return CallerFront(
             self._adapters.callers,
@@ -422,35 +328,7 @@
         After all hosts have ended at once there is no peer that could supply them.
         """
         self._follower.wait_for_platform_read()
-        self._membership.serve_if_joining(clock.monotonic_s())
-
-    def _update_share_forever(self) -> None:
-        """Updates this host's shares from the roster while it is serving."""
-        while True:
-            if self._readiness.state is ReadinessState.SERVING:
-                now_s = clock.monotonic_s()
-                named = self._named_hosts(now_s)
-                is_named = self._roster.own.daemon in named
-                self._budget_share.update(
-                    len(self._roster.members), len(named), is_named, now_s
-                )
-                self._cold_share.update(view_fleet(self._roster, named, now_s), now_s)
-            tasks.sleep(
-                SHARE_INTERVAL_S
-                if self._budget_share.has_known_peers
-                else FIRST_SHARE_INTERVAL_S
-            )
-
-    def _named_hosts(self, now_s: float) -> frozenset[DaemonId]:
-        """Returns the hosts that are named to callers of any route."""
-        keys = (
-            self._active_routes.table.caller_hosts
-            if self._active_routes.table is not None
-            else ()
-        )
-        if len(keys) > RANKED_NAMES_MAX:
-            return frozenset(member.daemon for member in self._roster.members)
-        return self._addresses.members_listed_for(map(CallerKey, keys), now_s)
+        self._fleet.membership.serve_if_joining(clock.monotonic_s())
 
     def _measure_load_forever(self) -> None:
         """Announces to the fleet whether this host is loaded."""
@@ -460,7 +338,7 @@
             tasks.sleep(LOAD_INTERVAL_S)
             now_s = clock.monotonic_s()
             is_loaded = meter.measure(clock.processor_s(), now_s)
-            self._roster.announce_load(is_loaded, now_s)
+            self._fleet.roster.announce_load(is_loaded, now_s)
             self._bounds.log_changes(now_s)
 
 
@@ -468,17 +346,3 @@
     if options.files_max is None:
         return None
     return connections_max_of(options.files_max, CONNECTIONS_MAX)
-
-
-def _own_record(options: GatewayOptions) -> MemberRecord:
-    return MemberRecord(
-        daemon=DaemonId(options.host),
-        host=options.host,
-        region=options.region,
-        failure_domain=options.failure_domain,
-        peer_address=options.peers,
-        caller_address=options.callers,
-        incarnation=Incarnation(int(clock.wall_s() * 1_000)),
-        state=MemberState.JOINING,
-        capacity=round(100 * options.processor_share),
-    )
--- a/lavendertide/platform/__main__.py
+++ b/lavendertide/platform/__main__.py
@@ -8,7 +8,8 @@
 
 from returns.result import Failure, Result, Success
 
-from lavendertide.gateway.gateway import Gateway, PlatformAdapters
+from lavendertide.gateway.adapters import PlatformAdapters
+from lavendertide.gateway.gateway import Gateway
 from lavendertide.gateway.options import GatewayOptions
 from lavendertide.gateway.settings_reloader import SettingsReloader
 from lavendertide.ids import DaemonId
--- a/tests/gateway/test_shared_reading.py
+++ b/tests/gateway/test_shared_reading.py
@@ -12,6 +12,7 @@
 from lavendertide.errors import Refusal, unreachable
 from lavendertide.evacuation.evacuated_domains import EvacuatedDomains, Evacuation
 from lavendertide.fleet.roster import Roster
+from lavendertide.gateway.fleet_links import ServableRoutes
 from lavendertide.gateway.follower import (
     Follower,
     HistoryLost,
@@ -19,7 +20,6 @@
     TargetPublished,
     TargetWithdrawn,
 )
-from lavendertide.gateway.gateway import ServableRoutes
 from lavendertide.gateway.reading_times import PAUSE_S, ReadingTimes
 from lavendertide.gateway.shared_reading import (
     FOLLOWERS_MAX,
