--- a/standins/gateway_process.py
+++ b/standins/gateway_process.py
@@ -169,10 +169,12 @@
             "Lavendertide-Request-Id": name,
             "Lavendertide-Deadline-Ms": str(deadline_ms),
         }
-        connection.request(method, path, headers=headers)
-        response = connection.getresponse()
-        response.body = response.read()  # type: ignore[attr-defined]
-        connection.close()
+        try:
+            connection.request(method, path, headers=headers)
+            response = connection.getresponse()
+            response.body = response.read()  # type: ignore[attr-defined]
+        finally:
+            connection.close()
         return response
 
     def ignores(self, number: signal.Signals) -> bool:
--- a/standins/slow_callers.py
+++ b/standins/slow_callers.py
@@ -16,6 +16,7 @@
 CONNECT_TIMEOUT_S: Final = 5.0
 # Columns of /proc/net/tcp: the local address, and both queues of a connection.
 LOCAL_COLUMN: Final = 1
+REMOTE_COLUMN: Final = 2
 QUEUES_COLUMN: Final = 4
 
 
@@ -148,19 +149,47 @@
     )
 
 
+def queue_bytes(ports: frozenset[int], remote_ports: frozenset[int]) -> int:
+    """Returns what the system holds in both queues of a process's connections.
+
+    The system's own overhead for it is not counted.
+
+    Args:
+        ports: Ports on which the process listens.
+        remote_ports: Ports to which it connects.
+    """
+    rows = [line.split() for line in Path("/proc/net/tcp").read_text().splitlines()[1:]]
+    return sum(
+        sum(int(queue, 16) for queue in row[QUEUES_COLUMN].split(":"))
+        for row in rows
+        if int(row[LOCAL_COLUMN].rpartition(":")[2], 16) in ports
+        or int(row[REMOTE_COLUMN].rpartition(":")[2], 16) in remote_ports
+    )
+
+
 class Footprint:
     """Samples what a process holds until it is stopped, and keeps the greatest.
 
     Args:
         pid: The process.
         port: The port of its callers, whose send queues count as its memory.
+        other_ports: Further ports on which it listens, for which both queues count.
+        remote_ports: Ports to which it connects, for which both queues count.
 
     Attributes:
         memory_bytes: The greatest sum of resident memory and send queues.
         files: The greatest number of open descriptors.
     """
 
-    def __init__(self, pid: int, port: int) -> None:
+    def __init__(
+        self,
+        pid: int,
+        port: int,
+        other_ports: frozenset[int] = frozenset(),
+        remote_ports: frozenset[int] = frozenset(),
+    ) -> None:
+        self._other_ports = other_ports
+        self._remote_ports = remote_ports
         self.memory_bytes = 0
         self.files = 0
         self._pid = pid
@@ -181,5 +210,7 @@
         with contextlib.suppress(OSError, ValueError):
             while not self._ended.wait(0.05):
                 held = resident_bytes(self._pid) + send_queue_bytes(self._port)
+                if self._other_ports or self._remote_ports:
+                    held += queue_bytes(self._other_ports, self._remote_ports)
                 self.memory_bytes = max(self.memory_bytes, held)
                 self.files = max(self.files, open_files(self._pid))
