Bound the frames of peers that have proved no key

Cause: a connection that has proved no key could send frames of 8 MiB, which were held for up to 5 s on each of 600 connections; a frame of empty records took 170 bytes of memory for each of its own once decoded. The dialling side had no limit on the time of a handshake whose bytes arrive one by one, so that a link could wait at such an address for hours. Change: frames of a handshake have at most 16 KiB, also when expanded, and both sides end a handshake after 5 s. The three new tests of tests.fleet.test_peer_connection failed before. mypy passes.

--- a/lavendertide/encodings/peer_frames.py
+++ b/lavendertide/encodings/peer_frames.py
@@ -39,7 +39,6 @@
     TicketId,
 )
 
-FRAME_MAX_BYTES: Final = 8 * 1024 * 1024
 LENGTH: Final = struct.Struct("!I")
 # Bit that is set in the length of a frame whose payload is compressed.
 COMPRESSED_FLAG: Final = 1 << 31
--- a/lavendertide/encodings/peer_socket.py
+++ b/lavendertide/encodings/peer_socket.py
@@ -11,11 +11,11 @@
 from lavendertide.encodings.compression import Deflater, Inflater
 from lavendertide.encodings.peer_frames import (
     COMPRESSED_FLAG,
-    FRAME_MAX_BYTES,
     LENGTH,
     decode_frame,
     encode_frame,
 )
+from lavendertide.fleet.frame_stream import FRAME_MAX_BYTES
 from lavendertide.messages import Frame
 from lavendertide.overload.write_limit import WriteLimit
 from lavendertide.runtime import clock, sockets
@@ -83,13 +83,18 @@
         sockets.send_pieces(self._connection, data, limit.ends_at_s)
         self._bytes_sent += len(data)
 
-    def receive(self) -> Frame | None:
+    def receive(self, bytes_max: int = FRAME_MAX_BYTES) -> Frame | None:
         """Waits for the next frame.
 
-        Returns none if the connection has ended or the frame is invalid.
+        Args:
+            bytes_max: A longer frame is invalid, also one that is longer once it is
+                expanded.
+
+        Returns:
+            The frame; none if the connection has ended or the frame is invalid.
         """
         try:
-            payload = self._read_payload()
+            payload = self._read_payload(bytes_max)
         except OSError:
             return None
         except ValueError as error:
@@ -115,23 +120,23 @@
         body = self._deflater.compress(payload)
         return LENGTH.pack(len(body) | COMPRESSED_FLAG) + body
 
-    def _decompress(self, data: bytes) -> bytes:
+    def _decompress(self, data: bytes, bytes_max: int) -> bytes:
         if self._inflater is None:
             self._inflater = Inflater()
-        return self._inflater.decompress(data, FRAME_MAX_BYTES)
+        return self._inflater.decompress(data, bytes_max)
 
-    def _read_payload(self) -> bytes | None:
+    def _read_payload(self, bytes_max: int) -> bytes | None:
         header = self._reader.read(LENGTH.size)
         if len(header) < LENGTH.size:
             return None
         (flagged_length,) = LENGTH.unpack(header)
         length = flagged_length & ~COMPRESSED_FLAG
-        if length > FRAME_MAX_BYTES:
+        if length > bytes_max:
             return None
         payload = self._reader.read(length)
         if len(payload) < length:
             return None
         self._bytes_received += LENGTH.size + length
-        return (
-            self._decompress(payload) if flagged_length & COMPRESSED_FLAG else payload
-        )
+        if flagged_length & COMPRESSED_FLAG:
+            return self._decompress(payload, bytes_max)
+        return payload
--- a/lavendertide/fleet/frame_stream.py
+++ b/lavendertide/fleet/frame_stream.py
@@ -4,10 +4,13 @@
 rules depend only on this interface, not on the encoding.
 """
 
-from typing import Protocol
+from typing import Final, Protocol
 
 from lavendertide.messages import Frame
 
+# The longest frame that members send each other.
+FRAME_MAX_BYTES: Final = 8 * 1_024 * 1_024
+
 
 class FrameStream(Protocol):
     """Sends and receives frames; counts the bytes of both directions."""
@@ -35,8 +38,13 @@
             OSError: The connection is broken.
         """
 
-    def receive(self) -> Frame | None:
-        """Waits for the next frame; returns none once the connection has ended."""
+    def receive(self, bytes_max: int = FRAME_MAX_BYTES) -> Frame | None:
+        """Waits for the next frame; returns none once the connection has ended.
+
+        Args:
+            bytes_max: A longer frame is refused, also one that is longer once it is
+                expanded.
+        """
 
     def close(self) -> None:
         """Closes the connection; a `receive` that waits returns none."""
--- a/lavendertide/fleet/peer_connection.py
+++ b/lavendertide/fleet/peer_connection.py
@@ -29,10 +29,16 @@
     TicketReply,
     TicketRequest,
 )
-from lavendertide.runtime import sockets
+from lavendertide.runtime import sockets, tasks
 
 CONNECT_TIMEOUT_S: Final = 0.5
 HANDSHAKE_TIMEOUT_S: Final = 1.0
+# Time limit of a handshake, which takes milliseconds, however its bytes arrive.
+HANDSHAKE_S: Final = 5.0
+# The longest frame of a handshake; a member's record takes some hundred bytes. A peer
+# that has proved no key could otherwise have this process hold 8 MiB for each of its
+# connections, and hundreds of megabytes once a frame of empty records is decoded.
+HANDSHAKE_FRAME_MAX_BYTES: Final = 16_384
 REFUSED_LOGGED_MAX: Final = 1_024
 # Values of the label `kind` of the byte counters.
 DATA: Final = "data"
@@ -171,7 +177,8 @@
         stream = self._make_stream(connection)
         try:
             connection.settimeout(HANDSHAKE_TIMEOUT_S)
-            remote = handshake(stream, ip)
+            with tasks.time_limit(HANDSHAKE_S):
+                remote = handshake(stream, ip)
             connection.settimeout(None)
         except OSError:
             remote = None
@@ -185,7 +192,7 @@
     def _handshake_as_dialler(self, stream: FrameStream, ip: str) -> RemoteEnd | None:
         own, nonce = self._roster.own, new_nonce()
         stream.send(Hello(own, nonce, accepts_compressed=True))
-        match stream.receive():
+        match stream.receive(HANDSHAKE_FRAME_MAX_BYTES):
             case Challenge(member, their_nonce, acceptor_proof, accepts_compressed):
                 dialler_proof = self._key.sign(Role.DIALLER, own, their_nonce, nonce)
                 stream.send(ChallengeAnswer(dialler_proof))
@@ -198,7 +205,7 @@
         return None
 
     def _handshake_as_acceptor(self, stream: FrameStream, ip: str) -> RemoteEnd | None:
-        hello = stream.receive()
+        hello = stream.receive(HANDSHAKE_FRAME_MAX_BYTES)
         if not isinstance(hello, Hello):
             return None
         if not self._faults.passes_to(hello.member.peer_address):
@@ -206,7 +213,7 @@
         own, nonce = self._roster.own, new_nonce()
         acceptor_proof = self._key.sign(Role.ACCEPTOR, own, hello.nonce, nonce)
         stream.send(Challenge(own, nonce, acceptor_proof, accepts_compressed=True))
-        match stream.receive():
+        match stream.receive(HANDSHAKE_FRAME_MAX_BYTES):
             case ChallengeAnswer(dialler_proof):
                 dialler = hello.member
                 if self._key.verifies(
--- a/lavendertide/fleet/peer_server.py
+++ b/lavendertide/fleet/peer_server.py
@@ -4,7 +4,11 @@
 import socket
 from typing import Final, Protocol
 
-from lavendertide.fleet.peer_connection import PeerConnection, PeerConnector
+from lavendertide.fleet.peer_connection import (
+    HANDSHAKE_S,
+    PeerConnection,
+    PeerConnector,
+)
 from lavendertide.fleet.peers import Peers
 from lavendertide.fleet.roster import Roster
 from lavendertide.messages import Frame, ReachReply, ReachRequest, SubReply
@@ -17,8 +21,6 @@
 # Connections that have yet to prove the fleet's key. A host that starts is dialled by
 # all others at once, 509 in the largest fleet.
 UNPROVEN_MAX: Final = 600
-# Time limit of a handshake, which takes milliseconds, however its bytes arrive.
-HANDSHAKE_S: Final = 5.0
 
 _log = logging.getLogger(__name__)
 
--- a/tests/fleet/test_peer_connection.py
+++ b/tests/fleet/test_peer_connection.py
@@ -1,5 +1,6 @@
 """Tests of `lavendertide.fleet.peer_connection`, over loopback."""
 
+import contextlib
 import socket
 import threading
 import unittest
@@ -7,9 +8,16 @@
 from unittest import mock
 
 from lavendertide.encodings import peer_socket
+from lavendertide.encodings.compression import Deflater
+from lavendertide.encodings.peer_frames import COMPRESSED_FLAG, LENGTH
 from lavendertide.encodings.peer_socket import PeerSocket
+from lavendertide.fleet import peer_connection
 from lavendertide.fleet.link_faults import LinkFaults
-from lavendertide.fleet.peer_connection import PeerConnection, PeerConnector
+from lavendertide.fleet.peer_connection import (
+    HANDSHAKE_FRAME_MAX_BYTES,
+    PeerConnection,
+    PeerConnector,
+)
 from lavendertide.ids import Address, AttemptId, ExchangeId
 from lavendertide.messages import (
     Cancels,
@@ -101,6 +109,71 @@
                 peer.send(RECORDS)
 
 
+class UnprovenPeerTest(unittest.TestCase):
+    """Guards against what a peer can take before it has proved the fleet's key."""
+
+    def setUp(self) -> None:
+        self.listener = sockets.listen(Address("127.0.0.1:0"))
+        self.addCleanup(self.listener.close)
+        self.address = Address(f"127.0.0.1:{self.listener.getsockname()[1]}")
+        self.connector = PeerConnector(KEY, roster_of(2), LinkFaults(), PeerSocket)
+
+    def test_a_long_frame_is_refused_by_its_length(self) -> None:
+        """Otherwise each connection holds 8 MiB, and its decoded records far more."""
+        for flag in (0, COMPRESSED_FLAG):
+            with self.subTest(flag=flag):
+                results: tasks.Mailbox[PeerConnection | None] = tasks.Mailbox()
+
+                def accept(into: tasks.Mailbox[PeerConnection | None]) -> None:
+                    into.send(self.connector.accept(self.listener.accept()[0]))
+
+                tasks.spawn(accept, results)
+                dialled = sockets.connect(self.address, 1.0)
+                self.addCleanup(dialled.close)
+                size = HANDSHAKE_FRAME_MAX_BYTES + 1
+                dialled.sendall(LENGTH.pack(size | flag))
+                # Without a refusal it waits for the rest of the frame.
+                dialled.settimeout(0.5)
+                self.assertEqual(dialled.recv(1), b"")
+                self.assertIsNone(results.receive(1.0))
+
+    def test_a_frame_that_expands_is_refused(self) -> None:
+        """Otherwise a few compressed bytes become 8 MiB."""
+        results: tasks.Mailbox[PeerConnection | None] = tasks.Mailbox()
+        tasks.spawn(
+            lambda: results.send(self.connector.accept(self.listener.accept()[0]))
+        )
+        dialled = sockets.connect(self.address, 1.0)
+        self.addCleanup(dialled.close)
+        body = Deflater().compress(bytes(HANDSHAKE_FRAME_MAX_BYTES + 1))
+        with self.assertLogs("lavendertide.encodings.peer_socket", "WARNING") as logs:
+            dialled.sendall(LENGTH.pack(len(body) | COMPRESSED_FLAG) + body)
+            self.assertEqual(dialled.recv(1), b"")
+        self.assertIn("expands", logs.records[0].__dict__["problem"])
+        self.assertIsNone(results.receive(1.0))
+
+    def test_a_dial_ends_although_bytes_arrive_one_by_one(self) -> None:
+        """Otherwise the link to that address is never dialled again."""
+        is_dialled: tasks.Mailbox[bool] = tasks.Mailbox()
+
+        def drip(accepted: socket.socket) -> None:
+            accepted.sendall(LENGTH.pack(HANDSHAKE_FRAME_MAX_BYTES))
+            with contextlib.suppress(OSError):
+                for _ in range(400):
+                    accepted.sendall(b"x")
+                    tasks.sleep(0.02)
+
+        with mock.patch.object(peer_connection, "HANDSHAKE_S", 0.2):
+            tasks.spawn(
+                lambda: is_dialled.send(self.connector.dial(self.address) is not None)
+            )
+            accepted, _ = self.listener.accept()
+            self.addCleanup(accepted.close)
+            tasks.spawn(drip, accepted)
+            # The bytes go on for 8 s.
+            self.assertIs(is_dialled.receive(3.0), False)
+
+
 class PeerConnectionTest(unittest.TestCase):
     """Control frames are compressed if the peer can read that; data never is."""
 
--- a/tests/fleet/test_peer_server.py
+++ b/tests/fleet/test_peer_server.py
@@ -3,9 +3,12 @@
 import socket
 from typing import cast
 
-from lavendertide.fleet.peer_connection import PeerConnection, PeerConnector
-from lavendertide.fleet.peer_server import (
+from lavendertide.fleet.peer_connection import (
     HANDSHAKE_S,
+    PeerConnection,
+    PeerConnector,
+)
+from lavendertide.fleet.peer_server import (
     OUTBOX_MAX,
     UNPROVEN_MAX,
     FrameHandler,
