Keep large blocks of memory out of the heap

Cause: glibc raises the size from which it maps blocks to that of the largest mapped block that was freed. After the first body of 8 MiB, later ones grow in the heap, are copied at steps that can't be extended in place, and leave holes. Nothing is joined in test_the_sound_target_answers_within_the_objective: its two bodies are given up at 8 MiB, one after the other.

--- a/lavendertide/platform/__main__.py
+++ b/lavendertide/platform/__main__.py
@@ -21,12 +21,14 @@
 from lavendertide.platform.store_client import StoreClient
 from lavendertide.platform.target_channel import PlatformTargetChannel
 from lavendertide.runtime import tasks
+from lavendertide.runtime.large_blocks import map_large_blocks
 
 EXIT_BAD_SETTINGS = 2
 
 
 def main() -> int:
     """Runs one gateway until it is stopped; returns the exit code."""
+    map_large_blocks()
     try:
         path = settings_path()
         options = read_settings(path)
