Refuse request bodies in very many short chunks

Cause: parsing a chunk takes 16 microseconds however short it is, and a piece of a body was kept as an object of its own. 200 callers with bodies of 256 KiB in chunks of two bytes kept the processor from ordinary callers. Change: a body may have 1,024 chunks and one more for each 16 bytes, else the answer is 400; a body is collected in one buffer; other tasks run after each 256 chunks. The new test of tests.encodings.test_http_connections failed before.

--- a/lavendertide/encodings/http_server_connection.py
+++ b/lavendertide/encodings/http_server_connection.py
@@ -22,13 +22,20 @@
 from lavendertide.encodings.response_writing import WriteFailure, write_response
 from lavendertide.overload.response_memory import HeldResponse, ResponseMemory
 from lavendertide.overload.write_limit import WriteLimit
-from lavendertide.runtime import clock, sockets
+from lavendertide.runtime import clock, sockets, tasks
 
 # A time-out of zero would make the socket non-blocking.
 SHORTEST_WAIT_S: Final = 0.001
 # Time limit for the body of a request, extended like that of a response. The longest
 # body has 256 KiB.
 BODY_BASE_S: Final = 10.0
+# Chunks that a body may have, and further ones for each of its bytes. Parsing a chunk
+# takes 16 microseconds however short it is: 200 bodies of 256 KiB in chunks of two
+# bytes kept the processor from ordinary callers for minutes.
+CHUNKS_MAX: Final = 1_024
+CHUNKS_PER_BYTE: Final = 1 / 16
+# Chunks after which other tasks may run, 4 ms apart.
+CHUNKS_AT_A_TIME: Final = 256
 
 _log = logging.getLogger(__name__)
 
@@ -130,8 +137,7 @@
         head: h11.Request | None = None
         head_until_s = clock.monotonic_s() + header_s
         body_limit = WriteLimit(head_until_s, BODY_BASE_S)
-        chunks: list[bytes] = []
-        size = 0
+        body = _Body(body_max_bytes, held)
         while True:
             event = self._framing.next_event()
             if event is h11.NEED_DATA:
@@ -142,25 +148,22 @@
                 # connection.
                 left_s = head_until_s - clock.monotonic_s()
                 if head is not None:
-                    left_s = body_limit.ends_at_s(size) - clock.monotonic_s()
+                    left_s = body_limit.ends_at_s(body.size) - clock.monotonic_s()
                 self._receive_within(min(header_s, left_s))
                 continue
             match event:
                 case h11.Request():
                     head = event
                 case h11.Data():
-                    chunks.append(bytes(event.data))
-                    size += len(event.data)
-                    if size > body_max_bytes:
-                        return BadRequest(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
-                    if held and not held.try_resize(size, clock.monotonic_s()):
-                        return BadRequest(HTTPStatus.SERVICE_UNAVAILABLE)
+                    problem = body.add(event)
+                    if problem is not None:
+                        return BadRequest(problem)
                 case h11.EndOfMessage() if head is not None:
                     return HttpRequest(
                         head.method.decode("ascii"),
                         head.target.decode("latin-1"),
                         tuple(head.headers),
-                        b"".join(chunks),
+                        body.data,
                         held,
                     )
                 case _:
@@ -239,6 +242,47 @@
             self._socket.close()
 
 
+class _Body:
+    """The body of a request while it is read, within its bounds.
+
+    Args:
+        bytes_max: Its greatest length.
+        held: Its account, if there is one.
+    """
+
+    def __init__(self, bytes_max: int, held: HeldResponse | None) -> None:
+        self._bytes_max = bytes_max
+        self._held = held
+        # Pieces kept apart would take many times their length if they are short.
+        self._data = bytearray()
+        self._chunks = 0
+
+    @property
+    def size(self) -> int:
+        """Bytes that have been received."""
+        return len(self._data)
+
+    @property
+    def data(self) -> bytes:
+        """What has been received."""
+        return bytes(self._data)
+
+    def add(self, event: h11.Data) -> HTTPStatus | None:
+        """Adds a piece; returns the status of the refusal if it can't be held."""
+        self._data += event.data
+        if self.size > self._bytes_max:
+            return HTTPStatus.REQUEST_ENTITY_TOO_LARGE
+        if self._held and not self._held.try_resize(self.size, clock.monotonic_s()):
+            return HTTPStatus.SERVICE_UNAVAILABLE
+        if event.chunk_start:
+            self._chunks += 1
+            if self._chunks > CHUNKS_MAX + CHUNKS_PER_BYTE * self.size:
+                return HTTPStatus.BAD_REQUEST
+            if self._chunks % CHUNKS_AT_A_TIME == 0:
+                tasks.sleep(0.0)
+        return None
+
+
 def _render_head(response: HttpResponse, is_last: bool) -> h11.Response:
     """Returns the head of a response.
 
--- a/tests/encodings/test_http_connections.py
+++ b/tests/encodings/test_http_connections.py
@@ -20,7 +20,7 @@
     render_body,
     render_head,
 )
-from lavendertide.encodings.http_server_connection import ServerConnection
+from lavendertide.encodings.http_server_connection import CHUNKS_MAX, ServerConnection
 from lavendertide.encodings.response_writing import WriteFailure
 from lavendertide.ids import Address
 from lavendertide.overload.response_memory import ResponseMemory
@@ -197,12 +197,12 @@
         self.addCleanup(self.connection.close)
 
     def read(
-        self, sent: bytes, header_max_bytes: int = 4_096
+        self, sent: bytes, header_max_bytes: int = 4_096, body_max_bytes: int = 100
     ) -> HttpRequest | BadRequest | None:
         """Sends bytes as the caller; returns what the server reads from them."""
         self.caller.sendall(sent)
         self.assertTrue(self.connection.wait_for_request(TIMEOUT_S))
-        return self.connection.read_request(TIMEOUT_S, header_max_bytes, 100)
+        return self.connection.read_request(TIMEOUT_S, header_max_bytes, body_max_bytes)
 
     def test_a_body_with_a_length(self) -> None:
         read = self.read(b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nok")
@@ -217,6 +217,21 @@
         assert isinstance(read, HttpRequest)
         self.assertEqual(read.body, b"ok")
 
+    def test_a_body_in_many_short_chunks_is_refused(self) -> None:
+        """Otherwise parsing them takes the processor from other callers."""
+        head = b"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+        chunks = CHUNKS_MAX + 200
+        data = head + b"2\r\nxy\r\n" * chunks + b"0\r\n\r\n"
+        self.assertEqual(self.read(data, body_max_bytes=65_536), BadRequest(400))
+
+    def test_a_body_in_chunks_of_sixteen_bytes_is_read(self) -> None:
+        head = b"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+        chunks = 2 * CHUNKS_MAX
+        data = head + (b"10\r\n" + b"x" * 16 + b"\r\n") * chunks + b"0\r\n\r\n"
+        request = self.read(data, body_max_bytes=65_536)
+        assert isinstance(request, HttpRequest)
+        self.assertEqual(len(request.body), 16 * chunks)
+
     def test_a_body_over_the_limit_is_refused(self) -> None:
         head = b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 101\r\n\r\n"
         read = self.read(head + b"x" * 101)
