Bring connections to targets and peers into the bound by limits.max-fds

Cause: only callers' connections were bounded by the descriptors of a host. Change: callers may have three fifths of the descriptors without the 200 for files (2,000 at most, as before, from 4,100 descriptors on), peers two for each member and 100, but at most half of the rest, and targets what is left. A target's connection that is idle for longest is closed for a new one; without an idle one the call waits as it does for a connection of its pool. A peer above the bound is closed and dials again. Without limits.max-fds nothing changes.

--- a/lavendertide/fleet/peer_link.py
+++ b/lavendertide/fleet/peer_link.py
@@ -112,6 +112,11 @@
         """Whether frames are sent without dialling first."""
         return self._state is LinkState.CONNECTED
 
+    @property
+    def has_connection(self) -> bool:
+        """Whether a connection is open or about to be."""
+        return self._state in (LinkState.DIALLING, LinkState.CONNECTED)
+
     def set_expected_daemon(self, daemon: DaemonId) -> None:
         """Sets the member that is expected at the address."""
         self._daemon = daemon
--- a/lavendertide/fleet/peer_server.py
+++ b/lavendertide/fleet/peer_server.py
@@ -2,6 +2,7 @@
 
 import logging
 import socket
+from collections.abc import Callable
 from typing import Final, Protocol
 
 from lavendertide.fleet.peer_connection import (
@@ -44,11 +45,25 @@
 
 
 class PeerServer:
-    """Accepts connections from peers and passes their frames to a handler."""
+    """Accepts connections from peers and passes their frames to a handler.
+
+    Args:
+        connector: Proves the fleet's key.
+        roster: Learns of the peers.
+        handler: Handles their frames.
+        find_max: Returns how many accepted connections may be open; unbounded if none.
+            A peer whose connection is closed for it dials again.
+    """
 
     def __init__(
-        self, connector: PeerConnector, roster: Roster, handler: FrameHandler
+        self,
+        connector: PeerConnector,
+        roster: Roster,
+        handler: FrameHandler,
+        find_max: Callable[[], int] | None = None,
     ) -> None:
+        self._find_max = find_max
+        self._open = 0
         self._connector = connector
         self._roster = roster
         self._handler = handler
@@ -57,13 +72,23 @@
     def serve(self, listener: socket.socket) -> None:
         """Accepts connections for as long as the listener is open."""
         while (connection := sockets.accept(listener)) is not None:
-            if self._unproven >= UNPROVEN_MAX:
+            if self._unproven >= UNPROVEN_MAX or self._is_full():
                 connection.close()
                 continue
             self._unproven += 1
+            self._open += 1
             tasks.spawn(self._serve_connection, connection)
 
+    def _is_full(self) -> bool:
+        return self._find_max is not None and self._open >= self._find_max()
+
     def _serve_connection(self, accepted: socket.socket) -> None:
+        try:
+            self._serve_peer(accepted)
+        finally:
+            self._open -= 1
+
+    def _serve_peer(self, accepted: socket.socket) -> None:
         peer = None
         try:
             with tasks.time_limit(HANDSHAKE_S):
--- a/lavendertide/fleet/peers.py
+++ b/lavendertide/fleet/peers.py
@@ -55,6 +55,11 @@
         """All links, whether connected or not."""
         return list(self._links.values())
 
+    @property
+    def connections(self) -> int:
+        """Number of connections that this daemon has dialled."""
+        return sum(link.has_connection for link in self._links.values())
+
     @property
     def watched(self) -> frozenset[DaemonId]:
         """The members that this daemon watches as its part of failure detection."""
--- a/lavendertide/forwarding/pool.py
+++ b/lavendertide/forwarding/pool.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable
 from typing import Final
 
+from lavendertide.forwarding.connection_slots import ConnectionSlots
 from lavendertide.forwarding.messages import (
     NotRun,
     NotRunReason,
@@ -102,6 +103,7 @@
         make_channel: Creates a connection that is not open yet.
         find_blocking_reason: Returns the reason why a call must not be sent, if any.
         connections_max: Maximum number of open connections.
+        slots: Bounds the connections to all targets together.
     """
 
     def __init__(
@@ -110,7 +112,9 @@
         make_channel: Callable[[Address], TargetChannel],
         find_blocking_reason: FindBlockingReason,
         connections_max: int,
+        slots: ConnectionSlots,
     ) -> None:
+        self._slots = slots
         self._record = record
         self._make_channel = make_channel
         self._find_blocking_reason = find_blocking_reason
@@ -166,22 +170,25 @@
     def _run_connection(self) -> None:
         connection = PooledConnection(self._make_channel(self._record.address))
         try:
-            while (call := self._next_call()) is not None:
+            while (call := self._next_call(connection)) is not None:
                 call.done(call, self._execute(call, connection))
         finally:
-            connection.close()
+            connection.release()
+            self._slots.remove(connection)
             self._connections -= 1
 
-    def _next_call(self) -> TargetCall | None:
+    def _next_call(self, connection: PooledConnection) -> TargetCall | None:
         while True:
             is_surplus = self._connections > self._connections_max
             if (self._is_closed or is_surplus) and not len(self._calls):
                 return None
             self._idle += 1
+            self._slots.mark_idle(connection)
             try:
                 call = self._calls.receive(IDLE_S)
             finally:
                 self._idle -= 1
+                self._slots.mark_busy(connection)
             if call is not None:
                 return call
             if not len(self._calls):
@@ -193,6 +200,9 @@
         reason = self._find_blocking_reason(call, now_s, False)
         if reason is not None:
             return NotRun(target, reason)
+        if not self._slots.acquire(connection, call.ends_at_s):
+            return NotRun(target, NotRunReason.ABANDONED)
+        now_s = clock.monotonic_s()
         try:
             is_usable = connection.make_usable(call, now_s)
         except Exception:
@@ -222,13 +232,17 @@
     Args:
         make_channel: Creates a connection that is not open yet.
         find_blocking_reason: Returns the reason why a call must not be sent, if any.
+        slots: Bounds the connections of all pools together; unbounded if none.
     """
 
     def __init__(
         self,
         make_channel: Callable[[Address], TargetChannel],
         find_blocking_reason: FindBlockingReason,
+        slots: ConnectionSlots | None = None,
     ) -> None:
+        # An empty one is false.
+        self._slots = ConnectionSlots() if slots is None else slots
         self._make_channel = make_channel
         self._find_blocking_reason = find_blocking_reason
         self._pools: dict[str, TargetPool] = {}
@@ -245,7 +259,11 @@
             pool = None
         if pool is None:
             pool = TargetPool(
-                record, self._make_channel, self._find_blocking_reason, connections_max
+                record,
+                self._make_channel,
+                self._find_blocking_reason,
+                connections_max,
+                self._slots,
             )
             self._pools[record.target] = pool
         pool.resize(connections_max)
--- a/lavendertide/forwarding/pooled_connection.py
+++ b/lavendertide/forwarding/pooled_connection.py
@@ -70,3 +70,7 @@
     def close(self) -> None:
         """Closes the connection."""
         self._channel.close()
+
+    def release(self) -> None:
+        """Closes the connection and frees its descriptor; no exchange may run."""
+        self._channel.release()
--- a/lavendertide/forwarding/target_call.py
+++ b/lavendertide/forwarding/target_call.py
@@ -77,3 +77,6 @@
 
     def close(self) -> None:
         """Closes the connection, which ends an exchange that waits for its reply."""
+
+    def release(self) -> None:
+        """Closes the connection and frees its descriptor; no exchange may run."""
--- a/lavendertide/gateway/gateway.py
+++ b/lavendertide/gateway/gateway.py
@@ -27,6 +27,7 @@
 from lavendertide.gateway.adapters import PlatformAdapters
 from lavendertide.gateway.caller_front import CallerFront
 from lavendertide.gateway.capacity_exchange import CapacityExchange
+from lavendertide.gateway.descriptors import Descriptors
 from lavendertide.gateway.entry_front import EntryFront
 from lavendertide.gateway.evacuation_broadcast import EvacuationBroadcast
 from lavendertide.gateway.fleet_links import FleetLinks
@@ -43,10 +44,7 @@
     ServiceName,
 )
 from lavendertide.overload.caller_bounds import CallerBounds
-from lavendertide.overload.caller_connections import (
-    CallerConnections,
-    connections_max_of,
-)
+from lavendertide.overload.caller_connections import CallerConnections
 from lavendertide.poison.quarantine import Quarantine
 from lavendertide.registry.registry import TargetRegistry
 from lavendertide.routes.active_routes import ActiveRoutes
@@ -156,7 +154,10 @@
         options = self._options
         peer_listener = sockets.listen(options.peers)
         peer_server = PeerServer(
-            self._fleet.connector, self._fleet.roster, self._peer_exchange
+            self._fleet.connector,
+            self._fleet.roster,
+            self._peer_exchange,
+            self._descriptors.find_accepted_peers_max,
         )
         tasks.spawn_supervised(peer_server.serve, peer_listener)
         entries = self._entry_front()
@@ -176,7 +177,7 @@
         tasks.spawn_supervised(self._shares.run)
         tasks.spawn_supervised(self._measure_load_forever)
         tasks.spawn_supervised(self._peer_exchange.run)
-        connections_max = _connections_max(options)
+        connections_max = self._descriptors.callers_max
         self._bounds = CallerBounds(self._adapters.memory, connections_max, REGISTRY)
         if options.shares_capacities:
             tasks.spawn_supervised(self._capacity_exchange.run)
@@ -223,6 +224,9 @@
     def _make_forwarding(self) -> None:
         options = self._options
         roster, peers = self._fleet.roster, self._fleet.peers
+        self._descriptors = Descriptors(
+            options.files_max, CONNECTIONS_MAX, roster, peers, REGISTRY
+        )
         self._metrics = ForwardingMetrics(REGISTRY)
         cold_metrics = ColdMetrics(
             REGISTRY,
@@ -272,7 +276,11 @@
             self._active_routes,
             self._registry,
             self._target_views,
-            TargetPools(self._adapters.make_channel, send_check.blocking_reason),
+            TargetPools(
+                self._adapters.make_channel,
+                send_check.blocking_reason,
+                self._descriptors.slots,
+            ),
             self._budgets,
             self._crash_evidence,
             FleetCallbacks(
@@ -340,9 +348,3 @@
             is_loaded = meter.measure(clock.processor_s(), now_s)
             self._fleet.roster.announce_load(is_loaded, now_s)
             self._bounds.log_changes(now_s)
-
-
-def _connections_max(options: GatewayOptions) -> int | None:
-    if options.files_max is None:
-        return None
-    return connections_max_of(options.files_max, CONNECTIONS_MAX)
--- a/lavendertide/platform/target_channel.py
+++ b/lavendertide/platform/target_channel.py
@@ -98,6 +98,10 @@
         """Closes the connection; an exchange in another task fails at once."""
         self._connection.abort()
 
+    def release(self) -> None:
+        """Closes the connection and frees its descriptor; no exchange may run."""
+        self._connection.close()
+
     def exchange(self, call: TargetCall, now_s: float) -> TargetReply:
         """Sends a request and waits for its reply."""
         target = call.record.target
--- a/standins/model_targets.py
+++ b/standins/model_targets.py
@@ -219,6 +219,10 @@
         self._is_open = False
         self._closed.set()
 
+    def release(self) -> None:
+        """Closes the connection; no exchange runs on it."""
+        self.close()
+
     def exchange(self, call: TargetCall, now_s: float) -> TargetReply:
         """Sends a request to the target and returns its reply.
 
--- a/tests/fleet/test_peer_server.py
+++ b/tests/fleet/test_peer_server.py
@@ -154,6 +154,24 @@
         tasks.sleep(HANDSHAKE_S + 0.1)
         self.assertTrue(all(each.fileno() == -1 for each in kept))
 
+    def test_connections_are_accepted_up_to_the_descriptors_for_peers(self) -> None:
+        listener = ManyConnectionsListener(3)
+        server = PeerServer(
+            cast(PeerConnector, SilentConnector()),
+            roster_of(2),
+            cast(FrameHandler, StuckHandler()),
+            lambda: 2,
+        )
+        server.serve(cast(socket.socket, listener))
+        self.assertEqual(
+            [each.fileno() == -1 for each in listener.connections], [False, False, True]
+        )
+        tasks.sleep(HANDSHAKE_S + 0.1)
+        more = ManyConnectionsListener(1)
+        server.serve(cast(socket.socket, more))
+        self.assertNotEqual(more.connections[0].fileno(), -1)
+        tasks.sleep(HANDSHAKE_S + 0.1)
+
 
 class UnexpectedErrorTest(VirtualTimeTestCase):
     """An unexpected error closes the connection, so that the peer dials again.
--- a/tests/forwarding/scripted_targets.py
+++ b/tests/forwarding/scripted_targets.py
@@ -128,6 +128,9 @@
         """Counts the cancelled exchange."""
         self._scripted.closed_count += 1
 
+    def release(self) -> None:
+        """Closes the connection; no exchange runs on it."""
+
     def exchange(self, call: TargetCall, now_s: float) -> TargetReply:
         """Records the call and returns the scripted reply."""
         self._scripted.called_targets.append(call.record.target)
--- a/tests/forwarding/test_pool.py
+++ b/tests/forwarding/test_pool.py
@@ -156,6 +156,9 @@
     def close(self) -> None:
         """Does nothing."""
 
+    def release(self) -> None:
+        """Closes the connection; no exchange runs on it."""
+
     def exchange(self, call: TargetCall, now_s: float) -> TargetReply:
         """Refuses the requests whose name begins with an `n`."""
         if call.request.request.startswith("n"):
