Show how callers of a daemon end it or keep others out

Two process tests, whose crowds and bounds are fixed here. On the present code:

- one caller that sends the length of a chunk without end, 200 MB in all: the daemon holds 588 MB (160 allowed);
- 1,100 callers that send a header byte by byte: no ordinary search is answered within 20 s, since their connections count as busy.

--- a/standins/slow_callers.py
+++ b/standins/slow_callers.py
@@ -84,6 +84,12 @@
             target=self._read, args=(bytes_max, interval_s), daemon=True
         ).start()
 
+    def send_now_and_then(self, data: bytes, interval_s: float) -> None:
+        """Has each caller send data in each interval until the block ends."""
+        threading.Thread(
+            target=self._send, args=(data, interval_s), daemon=True
+        ).start()
+
     def _join(self) -> None:
         connection = socket.socket()
         self._sockets.append(connection)
@@ -95,6 +101,12 @@
             # What the other side doesn't take at once is left out.
             connection.send(self._request)
 
+    def _send(self, data: bytes, interval_s: float) -> None:
+        while not self._ended.wait(interval_s):
+            for each in list(self._sockets):
+                with contextlib.suppress(OSError):
+                    each.send(data)
+
     def _read(self, bytes_max: int, interval_s: float) -> None:
         while not self._ended.wait(interval_s):
             for each in list(self._sockets):
@@ -102,6 +114,25 @@
                     each.recv(bytes_max)
 
 
+def send_without_end(port: int, start: bytes, piece: bytes, bytes_max: int) -> int:
+    """Sends a piece again and again; returns the bytes that the other side took.
+
+    Args:
+        port: A port on the loopback address.
+        start: What is sent first.
+        piece: What is sent repeatedly.
+        bytes_max: Bytes after which it ends.
+    """
+    sent = 0
+    caller = socket.create_connection(("127.0.0.1", port), CONNECT_TIMEOUT_S)
+    with caller, contextlib.suppress(OSError):
+        caller.sendall(start)
+        while sent < bytes_max:
+            caller.sendall(piece)
+            sent += len(piece)
+    return sent
+
+
 def get_request(path: str) -> bytes:
     """Returns a request for a path of the stand-ins' host."""
     return (
--- a/tests/processes/test_slow_readers.py
+++ b/tests/processes/test_slow_readers.py
@@ -28,6 +28,7 @@
     get_request,
     resident_bytes,
     search_request,
+    send_without_end,
 )
 from tests.processes.callers import pinned_client
 
@@ -60,6 +61,7 @@
 SEARCHERS: Final = 100
 # A daemon serves 1,024 connections.
 SILENT_SEARCHERS: Final = 1_100
+ENDLESS_BYTES: Final = 200_000_000
 DAEMON_FILES_MAX: Final = 1_200
 SETTINGS: Final = f"limits.memory-mb={MEMORY_MB}\nlimits.max-fds={MAX_FDS}\n"
 
@@ -242,6 +244,26 @@
         """Guards against silent connections that leave no room for others."""
         self.check(b"", SILENT_SEARCHERS, 0.0)
 
+    def test_callers_that_send_the_heads_of_requests_byte_by_byte(self) -> None:
+        """Guards against heads that never end, whose callers count as busy."""
+        head = b"POST /v1/search HTTP/1.1\r\nHost: daemon\r\nX-Long: "
+        with CallerCrowd(self.port, head, 0.0) as crowd:
+            crowd.send_now_and_then(b"x", 1.0)
+            crowd.join(SILENT_SEARCHERS)
+            wait_until(self.is_answered)
+        self.assertGreater(resident_bytes(self.pid), 0)
+
+    def test_a_caller_that_sends_the_length_of_a_chunk_without_end(self) -> None:
+        """Guards against a line that is held until its end."""
+        with Footprint(self.pid, self.port) as footprint:
+            head = b"POST /v1/search HTTP/1.1\r\nHost: daemon\r\nX-Caller-Key: "
+            head += KEY.encode() + b"\r\nTransfer-Encoding: chunked\r\n\r\n1;"
+            send_without_end(self.port, head, b"x" * 65_536, ENDLESS_BYTES)
+            time.sleep(1.0)
+        report(self, footprint)
+        self.assertLess(footprint.memory_bytes / 1e6, MEMORY_MB)
+        wait_until(self.is_answered)
+
 
 def report(test: unittest.TestCase, footprint: Footprint) -> None:
     """Prints what a process has held at most, for the record of a run."""
