Bound how long a daemon's caller may take to send a request, and its lines

Cause: each byte of a head or body started the server's limit of 60 s again, and a connection counts as busy from its first line on, so that 1,024 callers kept all others out. The line with the length of a chunk had no bound at all. Change: a caller has 10 s to send a request, without the pause before it and the time in which it is served; a line may have 16 KiB.

--- a/lavendertide/daemon/caller_front.py
+++ b/lavendertide/daemon/caller_front.py
@@ -145,7 +145,10 @@
             return Failure(caller_json.malformed("Content-Length is not a number."))
         if length > self._body_max_bytes:
             return Failure(_body_too_large(self._body_max_bytes))
-        data: bytes = environment["wsgi.input"].read(length)
+        try:
+            data: bytes = environment["wsgi.input"].read(length)
+        except TimeoutError:
+            return Failure(caller_json.malformed("The body did not arrive in time."))
         return Success(data)
 
 
--- a/lavendertide/runtime/wsgi.py
+++ b/lavendertide/runtime/wsgi.py
@@ -2,7 +2,16 @@
 
 import socket
 from collections.abc import Callable, Iterable
-from typing import Any, Protocol
+from typing import Any, Final, Protocol
+
+from lavendertide.runtime import clock, tasks
+
+# Time that a caller may take to send one request, without the pause before it and the
+# time in which it is served. The longest request has some kilobytes.
+REQUEST_S: Final = 10.0
+# Longest line of a request, such as the length of a chunk. The server itself bounds
+# only those of the head.
+LINE_MAX_BYTES: Final = 16_384
 
 Application = Callable[..., Any]
 
@@ -56,6 +65,66 @@
         self.closed = True
 
 
+class _Reader:
+    """Takes the place of the server's file, with a time limit and bounded lines.
+
+    Otherwise each byte starts the server's own time limit again.
+    """
+
+    def __init__(self, file: Any) -> None:
+        self._file = file
+        self._left_s: float | None = None
+
+    @property
+    def closed(self) -> bool:
+        """Whether nothing more can be read."""
+        return bool(self._file.closed)
+
+    def start_waiting(self) -> None:
+        """Called when a request is awaited, for which the server has a limit."""
+        self._left_s = None
+
+    def start_request(self) -> None:
+        """Called when a request has begun to arrive."""
+        self._left_s = REQUEST_S
+
+    def read(self, size: int = -1) -> bytes:
+        """Reads a number of bytes.
+
+        Raises:
+            TimeoutError: The request did not arrive in time.
+        """
+        return self._within_limit(self._file.read, size)
+
+    def readline(self, size: int = -1) -> bytes:
+        """Reads a line.
+
+        Raises:
+            ConnectionResetError: The line is too long.
+            TimeoutError: The request did not arrive in time.
+        """
+        if size >= 0:
+            return self._within_limit(self._file.readline, size)
+        line = self._within_limit(self._file.readline, LINE_MAX_BYTES)
+        if len(line) >= LINE_MAX_BYTES:
+            raise ConnectionResetError("line of a request is too long")
+        return line
+
+    def close(self) -> None:
+        """Closes the file."""
+        self._file.close()
+
+    def _within_limit(self, read: Callable[[int], bytes], size: int) -> bytes:
+        if self._left_s is None:
+            return read(size)
+        began_s = clock.monotonic_s()
+        try:
+            with tasks.time_limit(max(0.0, self._left_s)):
+                return read(size)
+        finally:
+            self._left_s -= clock.monotonic_s() - began_s
+
+
 def serve(
     listener: socket.socket,
     application: Application,
@@ -80,6 +149,7 @@
         """Serves one connection within the bounds of its guard."""
 
         wfile: Any
+        rfile: Any
 
         def handle(self) -> None:
             guarded = guard(self.connection)
@@ -88,6 +158,7 @@
             self._guarded = guarded
             self.wfile.close()
             self.wfile = _Writer(guarded)
+            self.rfile = _Reader(self.rfile)
             try:
                 super().handle()
             finally:
@@ -95,7 +166,9 @@
 
         def _read_request_line(self) -> Any:
             self._guarded.mark_idle()
+            self.rfile.start_waiting()
             line = super()._read_request_line()
+            self.rfile.start_request()
             self._guarded.mark_busy()
             return line
 
