Ignore evacuation notices from before the last complete list

Cause: a host that starts after an evacuation has ended knows no state of the domain. A notice of a peer that is cut off from the store evacuated it, and a host that reads changes directly gets no further complete list, so the domain stayed evacuated. Change: a notice of an unknown domain that is no newer than the last complete list is ignored. Lists and changes that the host reads itself count as before. Result: tests.evacuation.test_evacuated_domains.LateNoticeTest passes; notices were applied without the check before.

--- a/lavendertide/evacuation/evacuated_domains.py
+++ b/lavendertide/evacuation/evacuated_domains.py
@@ -65,6 +65,7 @@
         self._newest: dict[FailureDomain, Evacuation] = {}
         self._since_s: dict[FailureDomain, float] = {}
         self._listeners: list[Callable[[Evacuation, float], None]] = []
+        self._complete_revision: int | None = None
 
     @property
     def has_any(self) -> bool:
@@ -100,6 +101,14 @@
         for state in states:
             self._apply_one(state, now_s)
 
+    def apply_notices(self, states: Iterable[Evacuation], now_s: float) -> None:
+        """Applies states that a peer sent unasked, and that may be long outdated.
+
+        An order for a domain that a later complete list did not have has ended. This
+        host may have started after its end, so that it knows no newer state.
+        """
+        self.apply((state for state in states if not self._has_ended(state)), now_s)
+
     def apply_complete(
         self, states: Iterable[Evacuation], revision: int, now_s: float
     ) -> None:
@@ -114,6 +123,7 @@
             now_s: Present time, monotonic.
         """
         listed = tuple(states)
+        self._complete_revision = revision
         self.apply(listed, now_s)
         names = {state.domain for state in listed}
         for domain in [name for name in self._since_s if name not in names]:
@@ -121,6 +131,14 @@
                 self._newest[domain] = Evacuation(domain, revision, False)
                 self._record_change(self._newest[domain], now_s)
 
+    def _has_ended(self, state: Evacuation) -> bool:
+        complete_revision = self._complete_revision
+        return (
+            state.domain not in self._newest
+            and complete_revision is not None
+            and state.revision <= complete_revision
+        )
+
     def _apply_one(self, state: Evacuation, now_s: float) -> None:
         known = self._newest.get(state.domain)
         if known is not None and not state.supersedes(known):
--- a/lavendertide/gateway/evacuation_broadcast.py
+++ b/lavendertide/gateway/evacuation_broadcast.py
@@ -31,7 +31,7 @@
 
     def apply_notices(self, states: tuple[Evacuation, ...], now_s: float) -> None:
         """Applies the evacuations that a peer knows; new ones are passed on."""
-        self._evacuated.apply(states, now_s)
+        self._evacuated.apply_notices(states, now_s)
 
     def send_to_new_members(self, now_s: float) -> None:
         """Sends what is known to members that are new since the last call."""
--- a/tests/evacuation/test_evacuated_domains.py
+++ b/tests/evacuation/test_evacuated_domains.py
@@ -70,6 +70,37 @@
         self.assertFalse(self.domains.is_evacuated(A))
 
 
+class LateNoticeTest(unittest.TestCase):
+    """Guards against a domain that stays evacuated by a notice from before a start.
+
+    A host that starts after an evacuation has ended knows nothing of it. A peer that is
+    cut off from the platform still sends the order, and a host that reads changes
+    directly gets no further complete list.
+    """
+
+    def setUp(self) -> None:
+        self.domains = EvacuatedDomains()
+        self.domains.apply_complete((), 8, 1.0)
+
+    def test_an_order_that_the_complete_list_no_longer_has_is_ignored(self) -> None:
+        self.domains.apply_notices((Evacuation(A, 5, True),), 2.0)
+        self.assertFalse(self.domains.is_evacuated(A))
+
+    def test_a_later_order_counts(self) -> None:
+        self.domains.apply_notices((Evacuation(A, 9, True),), 2.0)
+        self.assertTrue(self.domains.is_evacuated(A))
+
+    def test_a_host_without_a_complete_list_follows_its_peers(self) -> None:
+        domains = EvacuatedDomains()
+        domains.apply_notices((Evacuation(A, 5, True),), 0.0)
+        self.assertTrue(domains.is_evacuated(A))
+
+    def test_an_order_in_a_later_complete_list_counts(self) -> None:
+        """Guards against a store that was set up anew and counts from the start."""
+        self.domains.apply_complete((Evacuation(A, 2, True),), 3, 2.0)
+        self.assertTrue(self.domains.is_evacuated(A))
+
+
 class BoundTest(unittest.TestCase):
     """Guards against memory without end by names that no domain has."""
 
