Keep an evacuation when the source of changes has read less far

Cause: a source that has read less far than the host that pulls from it replied with the pull's revision and the evacuations as of its own. The host took the list for complete, ended a newer evacuation, and recorded the end under a revision that no later copy of the order exceeds. It happens when a source is cut off from the store just before the order and the host has read the store directly. Change: such a source sends no list of evacuations. Result: tests.gateway.test_shared_reading.SourceBehindTest failed before and passes.

--- a/lavendertide/gateway/shared_reading.py
+++ b/lavendertide/gateway/shared_reading.py
@@ -205,6 +205,10 @@
         changes = None
         if pull.revision != NO_REVISION:
             changes = self._follower.history.changes_since(pull.revision)
+        # A host that is behind the sender doesn't know of later orders, so its list is
+        # not complete as of the reply's revision, which is never below the pull's.
+        is_behind = self._follower.history.revision < pull.revision
+        evacuations = None if is_behind else self._evacuated.known
         now_s = clock.monotonic_s()
         silence_s = now_s - self._follower.answered_at_s
         is_current = (
@@ -223,7 +227,7 @@
                 True,
                 is_current,
                 self._active_routes.version,
-                self._evacuated.known,
+                evacuations,
             )
         return RegistryPush(
             pull.exchange,
@@ -233,7 +237,7 @@
             False,
             is_current,
             self._active_routes.version,
-            self._evacuated.known,
+            evacuations,
         )
 
 
--- a/lavendertide/messages/targets.py
+++ b/lavendertide/messages/targets.py
@@ -72,7 +72,8 @@
             the other fields carry no information.
         routes_version: Version of the routes in force on the sender.
         evacuations: All failure domains whose evacuation the sender knows, complete as
-            of `revision`; none if it runs a release without evacuations.
+            of `revision`; none if it has not read as far as that, or runs a release
+            without evacuations.
     """
 
     exchange: ExchangeId
--- a/tests/gateway/test_shared_reading.py
+++ b/tests/gateway/test_shared_reading.py
@@ -258,6 +258,46 @@
         self.assertFalse(self.evacuated.is_evacuated(LOCAL_DOMAIN))
 
 
+class SourceBehindTest(VirtualTimeTestCase):
+    """Guards against an evacuation that ends on a host which reads ahead of its source.
+
+    The source was cut off from the platform a moment ago, so its last answer is recent
+    enough, but it was read before the order.
+    """
+
+    def test_a_list_of_before_the_order_does_not_end_it(self) -> None:
+        order = Evacuation(LOCAL_DOMAIN, 15, True)
+        platform = LostPlatform()
+        batch = PublicationBatch((), 20, evacuations=(order,))
+        platform.read_all = lambda: Success(batch)  # type: ignore[method-assign]
+        routes, registry = ActiveRoutes(), TargetRegistry()
+        replication = RouteReplication(routes, encode_table, decode_table, 0.0)
+        source_host = Follower(
+            LostPlatform(),
+            routes,
+            replication,
+            registry,
+            EvacuatedDomains(),
+            clock.monotonic_s(),
+        )
+        source_host.history.reset(10)
+        peers: Any = PeersOfOne(
+            RegistrySource(TIMES, source_host, registry, routes, EvacuatedDomains())
+        )
+        # The other host is the larger one, so it is the source.
+        reader = SharedReader(
+            platform, TIMES, fleet(0, 1, 2), peers, replication, routes
+        )
+        evacuated = EvacuatedDomains()
+        follower = Follower(
+            reader, routes, replication, TargetRegistry(), evacuated, 0.0
+        )
+        self.assertTrue(follower.read())
+        self.assertTrue(evacuated.is_evacuated(LOCAL_DOMAIN))
+        self.assertTrue(follower.read())
+        self.assertTrue(evacuated.is_evacuated(LOCAL_DOMAIN))
+
+
 class ColdTargetsOfASourceTest(unittest.TestCase):
     """Guards against hosts that take a cold target of a peer for a warm one."""
 
