Contact named hosts while suspicions are held back

Cause: at most a quarter of a fleet is suspected at once. Change: while suspicions are held back, a host contacts the serving hosts that haven't replied to it in the last 2 s, named ones first, at most 32 a second.

--- a/lavendertide/gateway/gateway.py
+++ b/lavendertide/gateway/gateway.py
@@ -143,6 +143,7 @@
         self._shares = HostShares(
             options,
             fleet.roster,
+            fleet.peers,
             self._addresses,
             self._active_routes,
             self._readiness,
--- a/lavendertide/gateway/host_shares.py
+++ b/lavendertide/gateway/host_shares.py
@@ -8,11 +8,13 @@
 from typing import Final
 
 from lavendertide.fleet.addresses import AddressBook
+from lavendertide.fleet.peers import Peers
 from lavendertide.fleet.readiness import Readiness, ReadinessState
 from lavendertide.fleet.roster import Roster
 from lavendertide.forwarding.pool import PREVIOUS_CONNECTIONS_S
 from lavendertide.gateway.budget_share import BudgetShare
 from lavendertide.gateway.fleet_view import view_fleet
+from lavendertide.gateway.listed_check import select_unconfirmed
 from lavendertide.gateway.options import GatewayOptions
 from lavendertide.ids import CallerKey, DaemonId
 from lavendertide.routes.active_routes import ActiveRoutes
@@ -40,6 +42,7 @@
         self,
         options: GatewayOptions,
         roster: Roster,
+        peers: Peers,
         addresses: AddressBook,
         active_routes: ActiveRoutes,
         readiness: Readiness,
@@ -47,6 +50,7 @@
         started_at_s: float,
     ) -> None:
         self._roster = roster
+        self._peers = peers
         self._addresses = addresses
         self._active_routes = active_routes
         self._readiness = readiness
@@ -73,8 +77,13 @@
             )
 
     def update(self, now_s: float) -> None:
-        """Updates the shares from the present roster."""
+        """Updates the shares from the present roster.
+
+        Named hosts that nobody may suspect at present are contacted.
+        """
         named = self._named_hosts(now_s)
+        for member in select_unconfirmed(self._roster, named, now_s):
+            self._peers.link_to(member).send_heartbeat()
         is_named = self._roster.own.daemon in named
         self._budget.update(len(self._roster.members), len(named), is_named, now_s)
         self._cold.update(view_fleet(self._roster, named, now_s), now_s)
