Forget withdrawn targets before those that are listed

Cause: of the runs that a host remembers, the ones first seen were dropped above 16,384. In a process that has run for long these are targets that still run; the next update of such an entry made the host take a warm target for a cold one. Change: names of withdrawn targets are dropped first, and listed ones never. The bound is no longer computed by copying all names for each entry. Result: tests.warmup.test_cold_targets .ColdnessTest.test_targets_that_come_and_go_make_no_other_one_a_new_one failed before.

--- a/lavendertide/gateway/follower.py
+++ b/lavendertide/gateway/follower.py
@@ -233,7 +233,7 @@
                     records.append(record)
                 case _:
                     self._apply((publication,), now_s)
-        self._cold.record_published(records, now_s)
+        self._cold.record_complete(records, now_s)
         self._registry.replace(records, now_s)
 
     def _apply(self, publications: Iterable[Publication], now_s: float) -> None:
@@ -251,6 +251,7 @@
                 case TargetWithdrawn(target):
                     self._registry.put(*records)
                     records.clear()
+                    self._cold.record_withdrawn(target)
                     self._registry.remove(target, now_s)
         self._registry.put(*records)
 
--- a/lavendertide/warmup/cold_targets.py
+++ b/lavendertide/warmup/cold_targets.py
@@ -28,7 +28,8 @@
 # A target's replies are slow above this multiple of the usual time of the route.
 SLOW_RATIO: Final = 1.5
 # Runs that are remembered, so that one which returns after a lapse of its entry isn't
-# taken for a new one. A large deployment has 2,200 targets.
+# taken for a new one. A large deployment has 2,200 targets. Withdrawn ones are forgotten
+# first, and listed ones never.
 SEEN_MAX: Final = 16_384
 # Runs that one log line names; the others are only counted.
 LOGGED_NAMES_MAX: Final = 8
@@ -88,6 +89,7 @@
         self._cold: dict[TargetRun, _ColdRun] = {}
         self._last_end_s = -math.inf
         self._seen: dict[TargetId, TargetRun] = {}
+        self._withdrawn: dict[TargetId, None] = {}
         self._has_list = False
         self._sent_listener: Callable[[bool], None] = lambda _: None
 
@@ -116,6 +118,7 @@
         for record in records:
             is_new = self._seen.get(record.target) != record.run
             self._seen[record.target] = record.run
+            self._withdrawn.pop(record.target, None)
             cold_s = 0.0
             if record.cold_left_ms is not None:
                 cold_s = record.cold_left_ms / 1_000
@@ -124,10 +127,22 @@
             if cold_s > 0.0 and self._mark(record.run, cold_s, now_s):
                 started.append(record.run)
         self._has_list = True
-        for target in list(self._seen)[: max(0, len(self._seen) - SEEN_MAX)]:
-            del self._seen[target]
+        self._forget_surplus()
         self._log_started(started, now_s)
 
+    def record_complete(self, records: Sequence[TargetRecord], now_s: float) -> None:
+        """Records the entries of all targets; unlisted targets were withdrawn."""
+        self.record_published(records, now_s)
+        listed = {record.target for record in records}
+        for target in self._seen.keys() - listed:
+            self._withdrawn.setdefault(target)
+        self._forget_surplus()
+
+    def record_withdrawn(self, target: TargetId) -> None:
+        """Records that a target's entry was removed, which may be a lapse."""
+        if target in self._seen:
+            self._withdrawn.setdefault(target)
+
     def record_notice(self, run: TargetRun, cold_s: float, now_s: float) -> None:
         """Records for how many seconds a run remains cold, as its reply says."""
         if cold_s > 0.0 and self._mark(run, cold_s, now_s):
@@ -243,6 +258,11 @@
         cold.since_s, cold.until_s = now_s, until_s
         return True
 
+    def _forget_surplus(self) -> None:
+        while self._withdrawn and len(self._seen) > SEEN_MAX:
+            target = next(iter(self._withdrawn))
+            del self._withdrawn[target], self._seen[target]
+
     def _discard_warm(self, now_s: float) -> None:
         self._cold = {
             run: cold
--- a/tests/warmup/test_cold_targets.py
+++ b/tests/warmup/test_cold_targets.py
@@ -6,7 +6,7 @@
 from lavendertide.forwarding.target_view import TargetViews
 from lavendertide.registry.record import TargetRecord
 from lavendertide.routes.route import Service
-from lavendertide.warmup.cold_targets import ColdTargets
+from lavendertide.warmup.cold_targets import SEEN_MAX, ColdTargets
 from standins.forwarding_records import DESK, LOCAL_DOMAIN, target
 
 A, B = target("a"), target("b")
@@ -63,6 +63,24 @@
         self.cold.record_published((A,), 60.0)
         self.assertFalse(self.cold.is_cold(A, 60.0))
 
+    def test_targets_that_come_and_go_make_no_other_one_a_new_one(self) -> None:
+        """Guards against a target that has run for weeks and is then taken for cold."""
+        for number in range(SEEN_MAX + 1):
+            passing = cold_entry(target(f"t{number}"), 0)
+            self.cold.record_published((passing,), 1.0)
+            self.cold.record_withdrawn(passing.target)
+        self.cold.record_published((A,), 60.0)
+        self.assertFalse(self.cold.is_cold(A, 60.0))
+
+    def test_nor_do_those_that_a_later_complete_list_no_longer_has(self) -> None:
+        for number in range(SEEN_MAX + 1):
+            passing = cold_entry(target(f"t{number}"), 0)
+            self.cold.record_published((passing,), 1.0)
+            if not number % 4_096:
+                self.cold.record_complete((A,), 1.0)
+        self.cold.record_published((A,), 60.0)
+        self.assertFalse(self.cold.is_cold(A, 60.0))
+
     def test_a_run_of_a_service_without_an_allowance_is_taken_for_warm(self) -> None:
         cold = cold_targets(0.0)
         cold.record_published((), 0.0)
