--- a/lavendertide/command_line/route.py
+++ b/lavendertide/command_line/route.py
@@ -14,6 +14,15 @@
 from lavendertide.gateway_client import GatewayClient
 
 MAX_CONCURRENT_REQUESTS: Final = 16
+COLD_KEYS: Final = (
+    "target",
+    "left_s",
+    "allowance",
+    "part",
+    "sent",
+    "given",
+    "received",
+)
 DOMAIN_KEYS: Final = ("domain", "revision", "known_for_s", "in_flight")
 
 
@@ -85,6 +94,13 @@
             ["evacuated domain", "revision", "known for (s)", "in flight"],
             [[each[key] for key in DOMAIN_KEYS] for each in document["evacuated"]],
         )
+    # A gateway of an earlier release doesn't report them.
+    if cold := document.get("cold"):
+        click.echo()
+        headers = ["cold target", "left (s)", "allowance", "part", "sent", "given"]
+        output.show_table(
+            [*headers, "received"], [[each[key] for key in COLD_KEYS] for each in cold]
+        )
     services = _select(document, service)
     if len(services) > 1:
         click.echo()
--- a/lavendertide/encodings/explanation_json.py
+++ b/lavendertide/encodings/explanation_json.py
@@ -17,6 +17,7 @@
 from lavendertide.forwarding.host_status import EvacuatedDomainStatus, HostStatus
 from lavendertide.routes.active_routes import RoutesAge
 from lavendertide.routes.route import Route
+from lavendertide.warmup.cold_status import ColdTargetStatus
 
 DIGITS: Final = 4
 
@@ -44,6 +45,8 @@
                 "limit": _pack_limit(explanation.limit),
             },
             "evacuated": [_pack_domain(each) for each in status.evacuated],
+            "cold_count": status.cold_count,
+            "cold": [_pack_cold(each) for each in status.cold],
         }
     )
     services = []
@@ -61,6 +64,8 @@
             "state": status.state,
             "routes": _pack_age(status.routes),
             "evacuated": [_pack_domain(each) for each in status.evacuated],
+            "cold_count": status.cold_count,
+            "cold": [_pack_cold(each) for each in status.cold],
             "limits": [_pack_limit(each) for each in status.limits],
         }
     )
@@ -110,6 +115,19 @@
     }
 
 
+def _pack_cold(target: ColdTargetStatus) -> dict[str, Any]:
+    return {
+        "target": target.target,
+        "service": target.service,
+        "left_s": _round(target.left_s),
+        "allowance": target.allowance,
+        "part": target.part,
+        "sent": target.sent,
+        "given": target.given,
+        "received": target.received,
+    }
+
+
 def _pack_service(service: ServiceExplanation) -> dict[str, Any]:
     return {
         "service": service.service,
--- a/lavendertide/encodings/holder_frames.py
+++ b/lavendertide/encodings/holder_frames.py
@@ -11,6 +11,15 @@
 from lavendertide.ids import DaemonId, ExchangeId, Fingerprint, ShardNumber, TargetId
 from lavendertide.overload.capacity_sharing import CapacityObservation
 from lavendertide.registry.record import TargetRun
+from lavendertide.warmup.grant_requests import ColdGrant
+
+TargetNotices = (
+    messages.StallNotices
+    | messages.LeavingNotices
+    | messages.EvacuationNotices
+    | messages.CapacityNotices
+    | messages.ColdGrants
+)
 
 
 def to_union(frame: messages.Frame) -> Any:
@@ -19,27 +28,14 @@
         case messages.Verdicts(items):
             packed = ttypes.Verdicts([_pack_verdict(item) for item in items])
             return ttypes.Frame(verdicts=packed)
-        case messages.StallNotices(targets):
-            notices = ttypes.StallNotices(list(targets))
-            return ttypes.Frame(stall_notices=notices)
-        case messages.LeavingNotices(runs):
-            packed_runs = [ttypes.TargetRun(r.target, r.started_at_ms) for r in runs]
-            # An earlier release skips the field and reads a frame without stalls.
-            leaving = ttypes.StallNotices([], packed_runs)
-            return ttypes.Frame(stall_notices=leaving)
-        case messages.EvacuationNotices(states):
-            # In the same struct, since an earlier release closes a link on which it
-            # receives a frame that it doesn't know.
-            packed_states = pack_evacuations(states)
-            evacuations = ttypes.StallNotices([], [], packed_states)
-            return ttypes.Frame(stall_notices=evacuations)
-        case messages.CapacityNotices(observed):
-            capacities = [
-                ttypes.CapacityNotice(o.target, o.slowness_percent, o.age_ms)
-                for o in observed
-            ]
-            shared = ttypes.StallNotices([], [], None, capacities)
-            return ttypes.Frame(stall_notices=shared)
+        case (
+            messages.StallNotices()
+            | messages.LeavingNotices()
+            | messages.EvacuationNotices()
+            | messages.CapacityNotices()
+            | messages.ColdGrants()
+        ):
+            return ttypes.Frame(stall_notices=_pack_target_notices(frame))
         case messages.TrialClaim(exchange, sender, fingerprint, duration_ms):
             claim = ttypes.TrialClaim(exchange, sender, fingerprint, duration_ms)
             return ttypes.Frame(trial_claim=claim)
@@ -90,14 +86,33 @@
     raise ValueError("frame without a known message")
 
 
-def _unpack_target_notices(
-    notices: Any,
-) -> (
-    messages.StallNotices
-    | messages.LeavingNotices
-    | messages.EvacuationNotices
-    | messages.CapacityNotices
-):
+def _pack_target_notices(notices: TargetNotices) -> Any:
+    """Returns the generated struct of notices about targets.
+
+    All are in one struct, since an earlier release closes a link on which it receives a
+    frame that it doesn't know. It skips the fields that it doesn't know, and reads a
+    frame without stalls.
+    """
+    match notices:
+        case messages.StallNotices(targets):
+            return ttypes.StallNotices(list(targets))
+        case messages.LeavingNotices(runs):
+            packed_runs = [ttypes.TargetRun(r.target, r.started_at_ms) for r in runs]
+            return ttypes.StallNotices([], packed_runs)
+        case messages.EvacuationNotices(states):
+            return ttypes.StallNotices([], [], pack_evacuations(states))
+        case messages.CapacityNotices(observed):
+            capacities = [
+                ttypes.CapacityNotice(o.target, o.slowness_percent, o.age_ms)
+                for o in observed
+            ]
+            return ttypes.StallNotices([], [], None, capacities)
+        case messages.ColdGrants(grants):
+            packed_grants = [_pack_grant(grant) for grant in grants]
+            return ttypes.StallNotices([], [], cold_grants=packed_grants)
+
+
+def _unpack_target_notices(notices: Any) -> TargetNotices:
     states = unpack_evacuations(notices.evacuations)
     if states is not None:
         return messages.EvacuationNotices(states)
@@ -109,6 +124,9 @@
                 if None not in (c.target, c.slowness_percent, c.age_ms)
             )
         )
+    if notices.cold_grants:
+        grants = [_unpack_grant(grant) for grant in notices.cold_grants]
+        return messages.ColdGrants(tuple(g for g in grants if g is not None))
     if notices.leaving:
         return messages.LeavingNotices(
             tuple(TargetRun(TargetId(r.target), r.born_ms) for r in notices.leaving)
@@ -116,6 +134,28 @@
     return messages.StallNotices(tuple(TargetId(name) for name in notices.targets))
 
 
+def _pack_grant(grant: ColdGrant) -> Any:
+    run = grant.run
+    return ttypes.ColdGrant(
+        run.target,
+        run.started_at_ms,
+        grant.receiver,
+        grant.requests,
+        grant.valid_ms,
+        grant.serial,
+    )
+
+
+def _unpack_grant(item: Any) -> ColdGrant | None:
+    """Returns a grant; none if a field is missing."""
+    numbers = item.born_ms, item.requests, item.valid_ms, item.serial
+    if None in numbers or item.target is None or item.receiver is None:
+        return None
+    run = TargetRun(TargetId(item.target), item.born_ms)
+    receiver = DaemonId(item.receiver)
+    return ColdGrant(run, receiver, item.requests, item.valid_ms, item.serial)
+
+
 def _pack_verdict(verdict: messages.Verdict) -> Any:
     return ttypes.Verdict(
         verdict.fingerprint,
--- a/lavendertide/encodings/peer_protocol.thrift
+++ b/lavendertide/encodings/peer_protocol.thrift
@@ -237,6 +237,7 @@
   72: string receiver,
   73: i32 requests,
   74: i32 valid_ms,
+  75: i64 serial,
 }
 
 struct StallNotices {
--- a/lavendertide/forwarding/forwarder.py
+++ b/lavendertide/forwarding/forwarder.py
@@ -160,6 +160,8 @@
             request, route, deadlines, self._host_ends_at_s, now_s
         )
         if refused is not None:
+            if refused.cause is RefusalCause.TARGETS_COLD:
+                self._choice.record_held_back(route.services, now_s)
             return refused
         permit = self._admission.try_acquire(request, route, now_s)
         if isinstance(permit, Refused):
--- a/lavendertide/forwarding/host_status.py
+++ b/lavendertide/forwarding/host_status.py
@@ -1,16 +1,23 @@
-"""What is in force on this host now: evacuations, and limits of routes.
+"""What is in force on this host now: evacuations, cold targets, and limits of routes.
 
 Nothing here changes any state, so that it can be read at any time.
 """
 
+from collections.abc import Collection
 from dataclasses import dataclass
+from typing import Final
 
 from lavendertide.evacuation.evacuated_domains import EvacuatedDomains
 from lavendertide.forwarding.capacity import RouteLimit
 from lavendertide.forwarding.target_view import TargetViews
-from lavendertide.ids import FailureDomain
+from lavendertide.ids import FailureDomain, ServiceName
 from lavendertide.registry.registry import TargetRegistry
 from lavendertide.routes.active_routes import RoutesAge
+from lavendertide.warmup.cold_status import ColdTargetStatus
+from lavendertide.warmup.cold_targets import ColdTargets
+
+# Cold targets that one report lists; all are counted.
+COLD_LISTED_MAX: Final = 64
 
 
 @dataclass(frozen=True, slots=True)
@@ -38,6 +45,8 @@
         routes: Version and age of its routes.
         evacuated: The domains that are evacuated.
         limits: The limits of routes that are in force.
+        cold_count: The number of targets that are cold.
+        cold: Those of them that remain cold for longest.
     """
 
     host: str
@@ -45,6 +54,8 @@
     routes: RoutesAge
     evacuated: tuple[EvacuatedDomainStatus, ...]
     limits: tuple[RouteLimit, ...]
+    cold_count: int = 0
+    cold: tuple[ColdTargetStatus, ...] = ()
 
 
 def evacuated_status(
@@ -65,6 +76,34 @@
     )
 
 
+def cold_status(
+    cold: ColdTargets,
+    registry: TargetRegistry,
+    services: Collection[ServiceName] | None,
+    now_s: float,
+) -> tuple[ColdTargetStatus, ...]:
+    """Returns the cold targets that remain so for longest.
+
+    Args:
+        cold: What this host knows of cold targets.
+        registry: The registered targets.
+        services: The services whose targets are returned; none for all.
+        now_s: Present time, monotonic.
+    """
+    if not cold.count(now_s):
+        return ()
+    found = [
+        record
+        for record in registry.targets
+        if (services is None or record.service in services)
+        and cold.is_cold(record, now_s)
+    ]
+    described = (cold.describe(each, now_s) for each in found)
+    known = [each for each in described if each is not None]
+    known.sort(key=lambda each: (-each.left_s, each.target))
+    return tuple(known[:COLD_LISTED_MAX])
+
+
 def count_calls(
     registry: TargetRegistry, views: TargetViews, domain: FailureDomain
 ) -> int:
--- a/lavendertide/forwarding/target_choice.py
+++ b/lavendertide/forwarding/target_choice.py
@@ -48,6 +48,14 @@
         usable = self._select_usable(service, now_s)
         return bool(usable) and not self._cold.select_allowed(usable, now_s)
 
+    def record_held_back(self, services: Iterable[ServiceName], now_s: float) -> None:
+        """Records that a request was refused as allowances are used up.
+
+        Other hosts are then asked for what they don't use.
+        """
+        for service in services:
+            self._cold.record_shortage(self._select_usable(service, now_s), now_s)
+
     def is_evacuated(self, service: ServiceName) -> bool:
         """Returns whether a service has ready targets in evacuated domains only."""
         return self._registry.is_evacuated(service)
--- a/lavendertide/gateway/capacity_exchange.py
+++ b/lavendertide/gateway/capacity_exchange.py
@@ -12,6 +12,7 @@
 from lavendertide.forwarding.metrics import ForwardingMetrics
 from lavendertide.forwarding.target_view import TargetViews
 from lavendertide.messages import CapacityNotices
+from lavendertide.overload.byte_budget import ByteBudget
 from lavendertide.overload.capacity_sharing import (
     INTERVAL_S,
     ITEMS_MAX,
@@ -32,6 +33,7 @@
 
     Args:
         is_enabled: Whether this deployment shares observations.
+        budget: The bytes of all load information that this host sends.
     """
 
     def __init__(
@@ -42,6 +44,7 @@
         views: TargetViews,
         metrics: ForwardingMetrics,
         is_enabled: bool,
+        budget: ByteBudget | None = None,
     ) -> None:
         self._registry = registry
         self._roster = roster
@@ -49,7 +52,7 @@
         self._views = views
         self._metrics = metrics
         self._is_enabled = is_enabled
-        self._sharing = CapacitySharing()
+        self._sharing = CapacitySharing(budget)
 
     def run(self) -> None:
         """Sends what is due until the process ends."""
--- a/lavendertide/gateway/gateway.py
+++ b/lavendertide/gateway/gateway.py
@@ -27,6 +27,7 @@
 from lavendertide.gateway.adapters import PlatformAdapters
 from lavendertide.gateway.caller_front import CallerFront
 from lavendertide.gateway.capacity_exchange import CapacityExchange
+from lavendertide.gateway.cold_parts import ColdParts
 from lavendertide.gateway.entry_front import EntryFront
 from lavendertide.gateway.evacuation_broadcast import EvacuationBroadcast
 from lavendertide.gateway.fleet_links import FleetLinks
@@ -38,10 +39,8 @@
 from lavendertide.gateway.options import GatewayOptions
 from lavendertide.gateway.peer_exchange import PeerExchange
 from lavendertide.gateway.shared_reading import RegistrySource, SharedReader
-from lavendertide.ids import (
-    DaemonId,
-    ServiceName,
-)
+from lavendertide.ids import DaemonId, ServiceName
+from lavendertide.overload.byte_budget import ByteBudget
 from lavendertide.overload.caller_bounds import CallerBounds
 from lavendertide.overload.caller_connections import (
     CallerConnections,
@@ -53,9 +52,6 @@
 from lavendertide.routes.replication import RouteReplication
 from lavendertide.routes.route import Service
 from lavendertide.runtime import clock, sockets, tasks
-from lavendertide.warmup.cold_share import ColdShare
-from lavendertide.warmup.cold_targets import ColdTargets
-from lavendertide.warmup.metrics import ColdMetrics
 
 # A process that was stopped for this long refreshes its view of the fleet from its
 # peers before it goes on.
@@ -99,10 +95,10 @@
         self._registry = TargetRegistry(
             LAST_RESORT_SHARE * options.reading.leaving_s, self._evacuated
         )
-        self._cold_share = ColdShare(DaemonId(options.host))
-        self._cold = ColdTargets(
-            self._find_service, self._cold_share.requests_of, options.cold
+        cold = ColdParts(
+            DaemonId(options.host), self._find_service, options.cold, REGISTRY
         )
+        self._cold_parts, self._cold = cold, cold.targets
         self._in_flight = InFlightCounter()
         self._readiness = Readiness(LEASE_S, now_s)
         self._route_replication = RouteReplication(
@@ -147,7 +143,7 @@
             self._addresses,
             self._active_routes,
             self._readiness,
-            self._cold_share,
+            cold.share,
             now_s,
         )
         self._make_forwarding()
@@ -177,6 +173,7 @@
         tasks.spawn_supervised(self._shares.run)
         tasks.spawn_supervised(self._measure_load_forever)
         tasks.spawn_supervised(self._peer_exchange.run)
+        tasks.spawn_supervised(self._cold_exchange.run)
         connections_max = _connections_max(options)
         self._bounds = CallerBounds(self._adapters.memory, connections_max, REGISTRY)
         if options.shares_capacities:
@@ -225,12 +222,6 @@
         options = self._options
         roster, peers = self._fleet.roster, self._fleet.peers
         self._metrics = ForwardingMetrics(REGISTRY)
-        cold_metrics = ColdMetrics(
-            REGISTRY,
-            lambda: self._cold.count(clock.monotonic_s()),
-            lambda: self._cold_share.takes_part(clock.monotonic_s()),
-        )
-        self._cold.set_sent_listener(cold_metrics.record)
         self._target_views = TargetViews(options.failure_domain)
         EvacuationMetrics(
             REGISTRY,
@@ -240,6 +231,7 @@
         self._crash_evidence = CrashEvidence(Quarantine())
         self._budgets = RetryBudgets(options.retries)
         leaving = LeavingBroadcast(self._registry, roster, peers)
+        load_bytes = ByteBudget()
         self._capacity_exchange = CapacityExchange(
             self._registry,
             roster,
@@ -247,6 +239,10 @@
             self._target_views,
             self._metrics,
             options.shares_capacities,
+            load_bytes,
+        )
+        self._cold_exchange = self._cold_parts.make_exchange(
+            self._registry, roster, peers, load_bytes
         )
         self._peer_exchange = PeerExchange(
             roster,
@@ -257,6 +253,7 @@
             leaving,
             EvacuationBroadcast(self._evacuated, roster, peers),
             self._capacity_exchange,
+            self._cold_exchange,
             RegistrySource(
                 options.reading,
                 self._follower,
@@ -317,6 +314,7 @@
                 self._registry,
                 self._target_views,
                 self._evacuated,
+                self._cold,
             ),
             CallerConnections(
                 None if self._options.files_max is None else ENTRY_CONNECTIONS_BOUND
--- a/lavendertide/gateway/host_reports.py
+++ b/lavendertide/gateway/host_reports.py
@@ -6,12 +6,17 @@
 from lavendertide.evacuation.evacuated_domains import EvacuatedDomains
 from lavendertide.fleet.readiness import Readiness
 from lavendertide.forwarding.forwarder import Forwarder
-from lavendertide.forwarding.host_status import HostStatus, evacuated_status
+from lavendertide.forwarding.host_status import (
+    HostStatus,
+    cold_status,
+    evacuated_status,
+)
 from lavendertide.forwarding.messages import CallerRequest
 from lavendertide.forwarding.target_view import TargetViews
-from lavendertide.ids import HostId
+from lavendertide.ids import HostId, ServiceName
 from lavendertide.registry.registry import TargetRegistry
 from lavendertide.runtime import tasks
+from lavendertide.warmup.cold_targets import ColdTargets
 
 
 class HostReports:
@@ -25,6 +30,7 @@
         registry: TargetRegistry,
         views: TargetViews,
         evacuated: EvacuatedDomains,
+        cold: ColdTargets,
     ) -> None:
         self._host = host
         self._forwarder = forwarder
@@ -32,26 +38,32 @@
         self._registry = registry
         self._views = views
         self._evacuated = evacuated
+        self._cold = cold
 
     def explain(self, request: CallerRequest, now_s: float) -> bytes:
         """Returns the document that explains where a request would be sent now."""
         arriving = replace(request, arrived_at_s=now_s)
         is_ready = self._readiness.accepts(now_s)
         explanation = self._forwarder.explainer.explain(arriving, is_ready, now_s)
+        names = {each.service for each in explanation.services}
         # Other tasks run between the services, as while they were explained.
         return encode_explanation(
-            explanation, self._status(now_s), lambda: tasks.sleep(0.0)
+            explanation, self._status(now_s, names), lambda: tasks.sleep(0.0)
         )
 
     def describe(self, now_s: float) -> bytes:
         """Returns the document about what is in force on this host."""
         return encode_status(self._status(now_s))
 
-    def _status(self, now_s: float) -> HostStatus:
+    def _status(
+        self, now_s: float, services: set[ServiceName] | None = None
+    ) -> HostStatus:
         return HostStatus(
             self._host,
             self._readiness.state.value,
             self._forwarder.routes_age(now_s),
             evacuated_status(self._evacuated, self._registry, self._views, now_s),
             self._forwarder.admission.limits(now_s),
+            self._cold.count(now_s),
+            cold_status(self._cold, self._registry, services, now_s),
         )
--- a/lavendertide/gateway/listed_check.py
+++ b/lavendertide/gateway/listed_check.py
@@ -16,8 +16,8 @@
 from lavendertide.ids import DaemonId
 from lavendertide.messages import MemberRecord, MemberState
 
-# Hosts that are contacted in one check, once a second. Two checks reach all that may not
-# be suspected of 62 hosts; dialling all of 510 at once would load them.
+# Hosts that are contacted in one check, once a second. Two checks reach all of 62 hosts
+# that may not be suspected; dialling all of 510 at once would load them.
 CONTACTS_PER_CHECK: Final = 32
 # A host that has replied within this time isn't contacted again.
 CONTACT_MAX_AGE_S: Final = 2.0
--- a/lavendertide/gateway/peer_exchange.py
+++ b/lavendertide/gateway/peer_exchange.py
@@ -19,12 +19,14 @@
 from lavendertide.forwarding.poison import CrashEvidence
 from lavendertide.forwarding.target_view import TargetViews
 from lavendertide.gateway.capacity_exchange import CapacityExchange
+from lavendertide.gateway.cold_exchange import ColdExchange
 from lavendertide.gateway.evacuation_broadcast import EvacuationBroadcast
 from lavendertide.gateway.leaving_broadcast import LeavingBroadcast
 from lavendertide.ids import Fingerprint, TargetId
 from lavendertide.messages import (
     Answered,
     CapacityNotices,
+    ColdGrants,
     Declined,
     EvacuationNotices,
     Frame,
@@ -61,6 +63,7 @@
         leaving: Knows and broadcasts which targets are leaving.
         evacuations: Broadcasts which failure domains are evacuated.
         capacities: Exchanges which targets are slow or fast.
+        cold: Exchanges unused requests to cold targets.
         build_registry_push: Returns the reply to a pull of the target registry.
     """
 
@@ -74,6 +77,7 @@
         leaving: LeavingBroadcast,
         evacuations: EvacuationBroadcast,
         capacities: CapacityExchange,
+        cold: ColdExchange,
         build_registry_push: Callable[[RegistryPull], RegistryPush],
     ) -> None:
         self._roster = roster
@@ -84,6 +88,7 @@
         self._leaving = leaving
         self._evacuations = evacuations
         self._capacities = capacities
+        self._cold = cold
         self._build_registry_push = build_registry_push
         self._pending_verdicts: dict[Fingerprint, Verdict] = {}
         self._pending_stalls: dict[TargetId, None] = {}
@@ -139,15 +144,14 @@
         """
         now_s = clock.monotonic_s()
         match frame:
-            case StallNotices(targets):
-                for target in targets:
-                    self._target_views.record_stall(target, now_s)
-            case LeavingNotices(runs):
-                self._leaving.apply_notices(runs, peer.daemon, now_s)
-            case EvacuationNotices(states):
-                self._evacuations.apply_notices(states, now_s)
-            case CapacityNotices(observed):
-                self._capacities.apply_notices(observed, now_s)
+            case (
+                StallNotices()
+                | LeavingNotices()
+                | EvacuationNotices()
+                | CapacityNotices()
+                | ColdGrants()
+            ):
+                self._apply_notices(peer, frame, now_s)
             case Verdicts(items):
                 self._apply_verdicts(peer, items, now_s)
             case RegistryPull():
@@ -159,6 +163,29 @@
                 if reply is not None:
                     outbox.send(reply)
 
+    def _apply_notices(
+        self,
+        peer: PeerConnection,
+        notices: StallNotices
+        | LeavingNotices
+        | EvacuationNotices
+        | CapacityNotices
+        | ColdGrants,
+        now_s: float,
+    ) -> None:
+        match notices:
+            case StallNotices(targets):
+                for target in targets:
+                    self._target_views.record_stall(target, now_s)
+            case LeavingNotices(runs):
+                self._leaving.apply_notices(runs, peer.daemon, now_s)
+            case EvacuationNotices(states):
+                self._evacuations.apply_notices(states, now_s)
+            case CapacityNotices(observed):
+                self._capacities.apply_notices(observed, now_s)
+            case ColdGrants(grants):
+                self._cold.handle(grants, peer.daemon, now_s)
+
     def write(
         self, peer: PeerConnection, outbox: Outbox, first: SubReply | Frame
     ) -> None:
--- a/lavendertide/messages/__init__.py
+++ b/lavendertide/messages/__init__.py
@@ -59,6 +59,7 @@
 )
 from lavendertide.messages.targets import (
     CapacityNotices as CapacityNotices,
+    ColdGrants as ColdGrants,
     EvacuationNotices as EvacuationNotices,
     LeavingNotices as LeavingNotices,
     RegistryPull as RegistryPull,
@@ -100,6 +101,7 @@
     | LeavingNotices
     | EvacuationNotices
     | CapacityNotices
+    | ColdGrants
     | RegistryPull
     | RegistryPush
     | TrialClaim
--- a/lavendertide/messages/targets.py
+++ b/lavendertide/messages/targets.py
@@ -6,6 +6,7 @@
 from lavendertide.ids import ConfigurationVersion, DaemonId, ExchangeId, TargetId
 from lavendertide.overload.capacity_sharing import CapacityObservation
 from lavendertide.registry.record import TargetRecord, TargetRun
+from lavendertide.warmup.grant_requests import ColdGrant
 
 
 @dataclass(frozen=True, slots=True)
@@ -48,6 +49,13 @@
     items: tuple[CapacityObservation, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class ColdGrants:
+    """Wishes for requests to cold targets, or gifts of them, to one peer."""
+
+    items: tuple[ColdGrant, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class RegistryPull:
     """Requests changed target records from a peer that reads the platform.
--- a/lavendertide/overload/capacity_sharing.py
+++ b/lavendertide/overload/capacity_sharing.py
@@ -10,12 +10,12 @@
 """
 
 import math
-from collections import deque
 from collections.abc import Iterable
 from dataclasses import dataclass
 from typing import Final
 
 from lavendertide.ids import TargetId
+from lavendertide.overload.byte_budget import BYTES_PER_S, ByteBudget
 from lavendertide.overload.target_capacity import TargetCapacity
 
 # Shortest time between two notices to the same peers.
@@ -27,9 +27,6 @@
 DEVIATION_MIN: Final = 1.5
 # Weight of own evidence from which it is shared: that of a reply 250 ms ago.
 WEIGHT_MIN: Final = 0.5
-# Bytes that a host may send in any second, to all peers together.
-BYTES_PER_S: Final = 2_000
-BUDGET_WINDOW_S: Final = 1.0
 # Bytes of a frame and of an item beside the target's name, rounded up
 # (tests/encodings/test_peer_frames.py compares them with the encoding).
 FRAME_BYTES: Final = 40
@@ -51,12 +48,16 @@
 
 
 class CapacitySharing:
-    """Selects the observations to share, within a bound of bytes a second."""
+    """Selects the observations to share, within a bound of bytes a second.
 
-    def __init__(self) -> None:
+    Args:
+        budget: The bytes of all load information that this host sends.
+    """
+
+    def __init__(self, budget: ByteBudget | None = None) -> None:
+        self._budget = budget or ByteBudget()
         self._sent_at_s = -math.inf
         self._shared_at_s: dict[TargetId, float] = {}
-        self._sent_bytes: deque[tuple[float, int]] = deque()
 
     def select(
         self,
@@ -81,9 +82,8 @@
             self._shared_at_s.clear()
             return (), 0
         deviating.sort(key=lambda pair: self._urgency(pair[0], pair[1], now_s))
-        left = BYTES_PER_S - self._spent_bytes(now_s)
         # Half of a second's bytes at most, so that later changes find some left.
-        left = min(left, BYTES_PER_S // 2)
+        left = min(self._budget.left(now_s), BYTES_PER_S // 2)
         first_bytes = FRAME_BYTES + _size_of(deviating[0][0])
         reached = min(recipients, left // first_bytes)
         if reached <= 0:
@@ -98,7 +98,7 @@
             chosen.append(_observe(target, capacity, now_s))
             self._shared_at_s[target] = now_s
         self._sent_at_s = now_s
-        self._sent_bytes.append((now_s, reached * size))
+        self._budget.record(reached * size, now_s)
         known = {target for target, _ in deviating}
         for gone in self._shared_at_s.keys() - known:
             del self._shared_at_s[gone]
@@ -110,11 +110,6 @@
         deviation = abs(math.log(capacity.own_slowness(now_s)))
         return self._shared_at_s.get(target, -math.inf), -deviation
 
-    def _spent_bytes(self, now_s: float) -> int:
-        while self._sent_bytes and now_s - self._sent_bytes[0][0] >= BUDGET_WINDOW_S:
-            self._sent_bytes.popleft()
-        return sum(size for _, size in self._sent_bytes)
-
 
 def record_observation(
     capacity: TargetCapacity, observed: CapacityObservation, now_s: float
--- a/lavendertide/registry/registry.py
+++ b/lavendertide/registry/registry.py
@@ -145,6 +145,10 @@
             and self._announcements.is_leaving(record.run, now_s)
         )
 
+    def find(self, target: TargetId) -> TargetRecord | None:
+        """Returns the entry of a target, if it is registered."""
+        return self._records.get(target)
+
     def is_registered(self, target: TargetId) -> bool:
         """Returns whether a target of this name is registered."""
         return target in self._records
--- a/lavendertide/warmup/cold_share.py
+++ b/lavendertide/warmup/cold_share.py
@@ -21,7 +21,7 @@
 
 import functools
 import hashlib
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 from typing import Final
 
@@ -29,6 +29,7 @@
 from lavendertide.fleet.readiness import ALONE_AFTER_S
 from lavendertide.ids import DaemonId, TargetId
 from lavendertide.warmup.allowance import WINDOW_S
+from lavendertide.warmup.run_allowance import USE_S
 
 # Oldest view of the fleet by which a host sends; the view is updated every second.
 VIEW_MAX_AGE_S: Final = 2.5
@@ -45,6 +46,9 @@
 SETTLE_S: Final = SPREAD_S + VIEW_MAX_AGE_S + WINDOW_S
 # Names whose hashes are kept: more than a large deployment has hosts and targets.
 HASHES_KEPT: Final = 16_384
+# Parts that are kept for one division. Targets may have new names with each start, and
+# an undisturbed fleet keeps its division for weeks.
+PARTS_KEPT: Final = 16_384
 HASH_BYTES: Final = 8
 # An odd number spreads the lower bits of a product over the upper ones.
 MIX_FACTOR: Final = 0x9E3779B97F4A7C15
@@ -142,6 +146,33 @@
         """Returns whether this host may send to cold targets with an allowance."""
         return self._is_settled and self._is_newer_than(VIEW_MAX_AGE_S, now_s)
 
+    def may_transfer(self, now_s: float) -> bool:
+        """Returns whether this host may give up requests, or use those of others.
+
+        What it gives up is used while its own view would still count.
+        """
+        is_known = self.takes_part(now_s) and len(self._known) > 1
+        return is_known and self._is_newer_than(VIEW_MAX_AGE_S - USE_S, now_s)
+
+    def parts_of_others(
+        self, target: TargetId, spendable: int
+    ) -> Mapping[DaemonId, int]:
+        """Returns what each other known host may send to a target in one window.
+
+        Hosts without a part are left out.
+        """
+        if not self._divisions:
+            return {}
+        division = self._divisions[-1].division
+        of_named = spendable // 2
+        parts = _deal(division.hosts, target, spendable - of_named)
+        for host, requests in _deal(
+            division.named, f"named {target}", of_named
+        ).items():
+            parts[host] = parts.get(host, 0) + requests
+        parts.pop(self._own, None)
+        return parts
+
     def requests_of(self, target: TargetId, spendable: int, now_s: float) -> int:
         """Returns the requests that this host may send to a target in one window.
 
@@ -213,6 +244,8 @@
         part = dated.requests.get((target, spendable))
         if part is None:
             part = self._compute_part(dated, target, spendable)
+            if len(dated.requests) >= PARTS_KEPT:
+                dated.requests.clear()
             dated.requests[target, spendable] = part
         return part
 
@@ -236,11 +269,25 @@
         within the allowance where hosts know of different additions.
         """
         target = _hash_of(key)
-        own = (_hash_of(self._own) ^ target) * MIX_FACTOR & MIX_MASK
+        own = _mix(_hash_of(self._own), target)
         rank = sum((host ^ target) * MIX_FACTOR & MIX_MASK > own for host in hosts)
         return max(0, (requests - rank + len(hosts) - 1) // len(hosts))
 
 
+def _deal(hosts: frozenset[DaemonId], key: str, requests: int) -> dict[DaemonId, int]:
+    """Returns the parts of all hosts that get any, as `ColdShare` deals them out."""
+    target = _hash_of(key)
+    ranked = sorted(hosts, key=lambda host: -_mix(_hash_of(host), target))
+    return {
+        host: (requests - rank + len(ranked) - 1) // len(ranked)
+        for rank, host in enumerate(ranked[:requests])
+    }
+
+
+def _mix(host: int, target: int) -> int:
+    return (host ^ target) * MIX_FACTOR & MIX_MASK
+
+
 def _counts(dated: _DatedDivision, now_s: float) -> bool:
     replaced_at_s = dated.replaced_at_s
     return replaced_at_s is None or now_s - replaced_at_s < SETTLE_S
--- a/lavendertide/warmup/cold_targets.py
+++ b/lavendertide/warmup/cold_targets.py
@@ -13,23 +13,23 @@
 import math
 from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass, field, replace
-from typing import Final, Protocol
+from typing import Final
 
 from lavendertide.ids import ServiceName, TargetId
 from lavendertide.registry.record import COLD_MAX_MS, TargetRecord, TargetRun
 from lavendertide.routes.route import Service
 from lavendertide.warmup.allowance import (
     DEFAULT_BOUNDS,
-    WINDOW_S,
     ColdBounds,
-    SendWindow,
 )
+from lavendertide.warmup.cold_status import ColdTargetStatus
+from lavendertide.warmup.grant_requests import Shortage
+from lavendertide.warmup.run_allowance import HELD_S, RunAllowance
+from lavendertide.warmup.target_speed import TargetSpeed, has_capacity, is_fast
 
-# A target's replies are slow above this multiple of the usual time of the route.
-SLOW_RATIO: Final = 1.5
 # Runs that are remembered, so that one which returns after a lapse of its entry isn't
-# taken for a new one. A large deployment has 2,200 targets. Withdrawn ones are forgotten
-# first, and listed ones never.
+# taken for a new one. A large deployment has 2,200 targets. Withdrawn ones are
+# forgotten first, and listed ones never.
 SEEN_MAX: Final = 16_384
 # Runs that one log line names; the others are only counted.
 LOGGED_NAMES_MAX: Final = 8
@@ -37,34 +37,13 @@
 _log = logging.getLogger(__name__)
 
 
-class TargetSpeed(Protocol):
-    """What this host knows of a target's speed; see `TargetView`."""
-
-    @property
-    def slowness_at_s(self) -> float:
-        """When the speed was last observed, monotonic; zero if it never was."""
-
-    @property
-    def open_count(self) -> int:
-        """Requests of this host that the target has not answered yet."""
-
-    def current_slowness(self, now_s: float) -> float:
-        """Returns the reply time relative to the usual one."""
-
-    def is_avoided(self, now_s: float) -> bool:
-        """Returns whether the target is down or full."""
-
-    def is_stalled(self, now_s: float) -> bool:
-        """Returns whether replies of the target are late."""
-
-
 @dataclass(slots=True)
 class _ColdRun:
     """A run that is cold or was until recently. All times are monotonic."""
 
     since_s: float
     until_s: float
-    sent: SendWindow = field(default_factory=SendWindow)
+    allowance: RunAllowance = field(default_factory=RunAllowance)
 
 
 class ColdTargets:
@@ -90,6 +69,7 @@
         self._last_end_s = -math.inf
         self._seen: dict[TargetId, TargetRun] = {}
         self._withdrawn: dict[TargetId, None] = {}
+        self._withheld: dict[TargetRun, tuple[TargetRecord, int]] = {}
         self._has_list = False
         self._sent_listener: Callable[[bool], None] = lambda _: None
 
@@ -189,12 +169,12 @@
             cold = self._cold_run(record, now_s)
             speed = speed_of(record.target)
             if cold is None:
-                groups[0 if _has_capacity(record, speed, now_s) else 2].append(record)
+                groups[0 if has_capacity(record, speed, now_s) else 2].append(record)
             elif self._spendable(record) is not None:
                 if self.wait_s(record, now_s) <= 0.0:
                     groups[1].append(record)
-            elif _is_fast(speed, cold.since_s, now_s):
-                groups[0 if _has_capacity(record, speed, now_s) else 2].append(record)
+            elif is_fast(speed, cold.since_s, now_s):
+                groups[0 if has_capacity(record, speed, now_s) else 2].append(record)
             else:
                 groups[1].append(record)
         if not groups[1]:
@@ -214,10 +194,8 @@
         if cold is None or (spendable := self._spendable(record)) is None:
             return 0.0
         left_s = cold.until_s - now_s
-        allowed = self._requests_of(record.target, spendable, now_s)
-        if allowed <= 0:
-            return min(left_s, WINDOW_S)
-        return min(left_s, cold.sent.return_s(allowed, now_s))
+        part = self._requests_of(record.target, spendable, now_s)
+        return min(left_s, cold.allowance.wait_s(part, now_s))
 
     def is_allowed(self, record: TargetRecord, now_s: float) -> bool:
         """Returns whether this host may send a target a request now."""
@@ -237,13 +215,65 @@
         cold = self._cold_run(record, now_s)
         if cold is None or (spendable := self._spendable(record)) is None:
             return True
-        allowed = self._requests_of(record.target, spendable, now_s)
-        may_send = cold.sent.count(now_s) < allowed
-        if may_send:
-            cold.sent.record(now_s)
+        part = self._requests_of(record.target, spendable, now_s)
+        may_send = cold.allowance.try_send(part, now_s)
+        if not may_send:
+            self._record_withheld(record)
         self._sent_listener(may_send)
         return may_send
 
+    def record_shortage(self, records: Iterable[TargetRecord], now_s: float) -> None:
+        """Records that a request was refused because the allowances are used up."""
+        for record in records:
+            if self.wait_s(record, now_s) > 0.0:
+                self._record_withheld(record)
+
+    def take_shortages(self) -> tuple[Shortage, ...]:
+        """Returns the targets of which requests were withheld since the last call."""
+        withheld, self._withheld = self._withheld, {}
+        return tuple(
+            Shortage(record, requests, spendable)
+            for record, requests in withheld.values()
+            if (spendable := self._spendable(record)) is not None
+        )
+
+    def give(self, record: TargetRecord, wanted: int, now_s: float) -> int:
+        """Gives up requests of this host's part for another host; returns how many."""
+        cold, spendable = self._cold_run(record, now_s), self._spendable(record)
+        if cold is None or spendable is None:
+            return 0
+        part = self._requests_of(record.target, spendable, now_s)
+        return cold.allowance.give(part, wanted, now_s)
+
+    def receive(
+        self, run: TargetRun, requests: int, until_s: float, now_s: float
+    ) -> bool:
+        """Adds requests that another host has given up; returns whether they count."""
+        cold = self._cold.get(run)
+        if cold is None or now_s >= cold.until_s:
+            return False
+        cold.allowance.receive(requests, until_s)
+        return True
+
+    def describe(self, record: TargetRecord, now_s: float) -> ColdTargetStatus | None:
+        """Returns what this host may send to a cold target; none if it is warm."""
+        cold = self._cold_run(record, now_s)
+        if cold is None:
+            return None
+        allowance, left_s = self._spendable(record), cold.until_s - now_s
+        part = 0
+        if allowance is not None:
+            part = self._requests_of(record.target, allowance, now_s)
+        own = cold.allowance
+        counts = part, own.sent(now_s), own.given(now_s), own.received(now_s)
+        return ColdTargetStatus(
+            record.target, record.service, left_s, allowance, *counts
+        )
+
+    def _record_withheld(self, record: TargetRecord) -> None:
+        _, requests = self._withheld.get(record.run, (record, 0))
+        self._withheld[record.run] = record, requests + 1
+
     def _mark(self, run: TargetRun, cold_s: float, now_s: float) -> bool:
         """Records that a run is cold; returns whether it was not known to be."""
         until_s = now_s + min(cold_s, COLD_MAX_MS / 1_000)
@@ -253,7 +283,7 @@
             cold.until_s = max(cold.until_s, until_s)
             return False
         self._discard_warm(now_s)
-        # What was sent within the last window counts on if the run is cold again.
+        # What was sent or given up lately counts on if the run is cold again.
         cold = self._cold.setdefault(run, _ColdRun(now_s, until_s))
         cold.since_s, cold.until_s = now_s, until_s
         return True
@@ -267,7 +297,7 @@
         self._cold = {
             run: cold
             for run, cold in self._cold.items()
-            if now_s <= cold.until_s + WINDOW_S
+            if now_s <= cold.until_s + HELD_S
         }
 
     def _cold_run(self, record: TargetRecord, now_s: float) -> _ColdRun | None:
@@ -310,17 +340,3 @@
                 "longest_s": round(left_s, 3),
             },
         )
-
-
-def _has_capacity(record: TargetRecord, speed: TargetSpeed, now_s: float) -> bool:
-    return (
-        speed.open_count < record.slots
-        and not speed.is_avoided(now_s)
-        and not speed.is_stalled(now_s)
-    )
-
-
-def _is_fast(speed: TargetSpeed, since_s: float, now_s: float) -> bool:
-    """Returns whether the replies of a cold target show that it isn't slow."""
-    has_replied = speed.slowness_at_s > since_s
-    return has_replied and speed.current_slowness(now_s) < SLOW_RATIO
--- a/lavendertide/warmup/metrics.py
+++ b/lavendertide/warmup/metrics.py
@@ -31,6 +31,21 @@
             "Requests sent to cold targets with an allowance.",
             registry=registry,
         )
+        self.asked = Counter(
+            "lavendertide_cold_asked",
+            "Requests to cold targets for which other hosts were asked.",
+            registry=registry,
+        )
+        self.given = Counter(
+            "lavendertide_cold_given",
+            "Requests to cold targets that were left to other hosts.",
+            registry=registry,
+        )
+        self.received = Counter(
+            "lavendertide_cold_received",
+            "Requests to cold targets that other hosts have left to this one.",
+            registry=registry,
+        )
         self._withheld = Counter(
             "lavendertide_cold_withheld",
             "Requests not sent to the chosen cold target, as its allowance was used.",
--- a/tests/command_line/test_route.py
+++ b/tests/command_line/test_route.py
@@ -68,6 +68,15 @@
         self.assertEqual(self.run_route(DOWN, DOWN).exit_code, 3)
         self.assertEqual(self.run_route(DOWN).exit_code, 3)
 
+    def test_the_cold_targets_of_a_gateway_are_shown(self) -> None:
+        cold = {"target": "t1", "left_s": 4.5, "allowance": 28, "part": 3}
+        cold |= {"sent": 2, "given": 1, "received": 7}
+        document = {**explanation("t1").unwrap(), "cold_count": 1, "cold": [cold]}
+        document["services"] = []
+        result = self.run_route(Success(document))
+        self.assertEqual(result.exit_code, 0, result.output)
+        self.assertRegex(result.stdout, r"(?m)^t1 +4.50 +28 +3 +2 +1 +7")
+
     def test_json_has_the_documents_unchanged(self) -> None:
         result = self.run_route(explanation("t1"), DOWN, as_json=True)
         first, second = json.loads(result.stdout)["gateways"]
--- a/tests/encodings/test_peer_frames.py
+++ b/tests/encodings/test_peer_frames.py
@@ -8,6 +8,7 @@
 from bench.codec import build_frame
 from lavendertide.encodings.peer_frames import LENGTH, decode_frame, encode_frame
 from lavendertide.evacuation.evacuated_domains import Evacuation
+from lavendertide.gateway import cold_exchange
 from lavendertide.ids import (
     Address,
     AttemptId,
@@ -33,6 +34,7 @@
     CapacityNotices,
     Challenge,
     ChallengeAnswer,
+    ColdGrants,
     Declined,
     DeclineReason,
     EvacuationNotices,
@@ -72,6 +74,7 @@
     CapacityObservation,
 )
 from lavendertide.registry.record import TargetRun
+from lavendertide.warmup.grant_requests import ColdGrant
 from standins.forwarding_records import target
 
 MEMBER = MemberRecord(
@@ -131,6 +134,9 @@
     PlanGrants(ExchangeId("7"), (PlanGrant(PlanId("stall-clerk"), 0.5, True),)),
     StallNotices((TargetId("t1"), TargetId("t2"))),
     EvacuationNotices((Evacuation(FailureDomain("north-a"), 412, True),)),
+    ColdGrants(
+        (ColdGrant(TargetRun(TargetId("t1"), 17), DaemonId("m1"), 3, 500, 2**40),)
+    ),
     CapacityNotices((CapacityObservation(TargetId("t1"), 400, 120),)),
     LeavingNotices((TargetRun(TargetId("t1"), 17), TargetRun(TargetId("t2"), 0))),
     RegistryPull(ExchangeId("8"), 41),
@@ -171,6 +177,16 @@
             with self.subTest(count=count, size=size, assumed=assumed):
                 self.assertLessEqual(size, assumed)
 
+    def test_cold_grants_are_as_small_as_the_byte_bound_assumes(self) -> None:
+        run, receiver = TargetRun(TargetId("desk-17"), 1_700_000_000_000), "m-12"
+        for count in (1, 64):
+            grant = ColdGrant(run, DaemonId(receiver), 3, 500, 2**40)
+            size = len(encode_frame(ColdGrants((grant,) * count)))
+            item = cold_exchange.ITEM_BYTES + len(run.target) + len(receiver)
+            assumed = cold_exchange.FRAME_BYTES + count * item
+            with self.subTest(count=count, size=size, assumed=assumed):
+                self.assertLessEqual(size, assumed)
+
     def test_the_length_prefix_is_that_of_the_payload(self) -> None:
         data = encode_frame(FRAMES[0])
         self.assertEqual(LENGTH.unpack(data[: LENGTH.size])[0], len(data) - LENGTH.size)
--- a/tests/gateway/test_peer_exchange.py
+++ b/tests/gateway/test_peer_exchange.py
@@ -14,6 +14,7 @@
 from lavendertide.forwarding.poison import CrashEvidence, TargetProcess
 from lavendertide.forwarding.target_view import TargetViews
 from lavendertide.gateway.capacity_exchange import CapacityExchange
+from lavendertide.gateway.cold_parts import ColdParts
 from lavendertide.gateway.evacuation_broadcast import EvacuationBroadcast
 from lavendertide.gateway.leaving_broadcast import LeavingBroadcast
 from lavendertide.gateway.peer_exchange import STALLS_PERIOD_S, PeerExchange
@@ -35,10 +36,12 @@
     VerdictKind,
     Verdicts,
 )
+from lavendertide.overload.byte_budget import ByteBudget
 from lavendertide.poison.quarantine import Quarantine
 from lavendertide.registry.record import TargetRun
 from lavendertide.registry.registry import TargetRegistry
 from lavendertide.runtime import clock, tasks
+from lavendertide.warmup.allowance import ColdBounds
 from tests.fleet.members import later_run, member, roster_of
 from tests.virtual_time import VirtualTimeTestCase
 
@@ -130,6 +133,14 @@
                 ForwardingMetrics(CollectorRegistry()),
                 True,
             ),
+            ColdParts(
+                self.roster.own.daemon,
+                lambda _: None,
+                ColdBounds(),
+                CollectorRegistry(),
+            ).make_exchange(
+                self.registry, self.roster, cast(Peers, self.peers), ByteBudget()
+            ),
             fail_on_pull,
         )
 
--- a/tests/overload/test_capacity_sharing.py
+++ b/tests/overload/test_capacity_sharing.py
@@ -3,8 +3,8 @@
 import unittest
 
 from lavendertide.ids import TargetId
+from lavendertide.overload.byte_budget import BYTES_PER_S
 from lavendertide.overload.capacity_sharing import (
-    BYTES_PER_S,
     FRAME_BYTES,
     INTERVAL_S,
     ITEM_BYTES,
--- a/tests/warmup/test_cold_share.py
+++ b/tests/warmup/test_cold_share.py
@@ -1,9 +1,10 @@
 """Tests of `lavendertide.warmup.cold_share`."""
 
 import functools
+import random
 import unittest
 from collections import deque
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Final
 
 from hypothesis import given, settings, strategies as st
@@ -11,21 +12,37 @@
 from lavendertide.fleet.fleet_size import ASSUMED_HOSTS
 from lavendertide.fleet.ranking import score
 from lavendertide.ids import DaemonId, TargetId
-from lavendertide.warmup.allowance import WINDOW_S, SendWindow
+from lavendertide.registry.record import TargetRun
+from lavendertide.warmup.allowance import WINDOW_S
 from lavendertide.warmup.cold_share import SETTLE_S, ColdShare, FleetView
+from lavendertide.warmup.grant_requests import ColdGrant, GrantRequests
+from lavendertide.warmup.run_allowance import USE_S, RunAllowance
 
 TARGET: Final = TargetId("t1")
+RUN: Final = TargetRun(TARGET, 1)
 HOSTS: Final = tuple(DaemonId(f"m{number}") for number in range(6))
 SILENCE_S: Final = 1.5
 REMOVAL_S: Final = 30.0
 REACHED_S: Final = 4.0
 STEP_S: Final = 0.5
+# What becomes of a message: the delays of its copies in seconds.
+FATES: Final = (
+    (0.0,),
+    (0.0,),
+    (0.0,),
+    (0.5,),
+    (1.5,),
+    (7.0,),
+    (),
+    (0.0, 0.0),
+    (0.0, 1.0),
+)
 cached_score = functools.cache(score)
 
 
 @dataclass
 class Process:
-    """One run of a host that sends whatever it may."""
+    """One run of a host that sends whatever it may while it is not idle."""
 
     name: DaemonId
     share: ColdShare
@@ -34,7 +51,10 @@
     first_heard_at_s: dict[DaemonId, float] = field(default_factory=dict)
     heard_at_s: dict[DaemonId, float] = field(default_factory=dict)
     leaving: set[DaemonId] = field(default_factory=set)
-    window: SendWindow = field(default_factory=SendWindow)
+    allowance: RunAllowance = field(default_factory=RunAllowance)
+
+    def __post_init__(self) -> None:
+        self.wishes = GrantRequests(self.name)
 
 
 class Fleet:
@@ -44,11 +64,23 @@
     after 30 s, also if it lives and is cut off. A process starts only where others in
     reach know all hosts that live, and keeps those in its roster until it has reached
     them for 4 s: no rule can bound what hosts spend of which a process can't learn.
+
+    Args:
+        spendable: What all hosts may send in one window.
+        named: Number of hosts that are named to callers.
+        idle_share: Share of the time in which a host has no requests to send.
+        seed: Seed of the idle times, and of which messages are lost, late or repeated.
     """
 
-    def __init__(self, spendable: int, named: int) -> None:
+    def __init__(
+        self, spendable: int, named: int, idle_share: float = 0.0, seed: int = 0
+    ) -> None:
         self.spendable = spendable
         self.named = named
+        self.idle_share = idle_share
+        self.random = random.Random(seed)
+        self.messages: list[tuple[float, DaemonId, DaemonId, ColdGrant]] = []
+        self.transferred = 0
         self.now_s = 0.0
         self.processes: dict[DaemonId, Process] = {}
         self.sides = dict.fromkeys(HOSTS, 0)
@@ -78,13 +110,16 @@
         for process in list(self.processes.values()):
             if process.leaves_at_s is not None and self.now_s >= process.leaves_at_s:
                 del self.processes[process.name]
-        for process in self.processes.values():
-            if process.is_paused:
-                continue
-            allowed = process.share.requests_of(TARGET, self.spendable, self.now_s)
-            while process.window.count(self.now_s) < allowed:
-                process.window.record(self.now_s)
-                sent += 1
+        busy = [
+            process
+            for process in self.processes.values()
+            if not process.is_paused and self.is_busy(process)
+        ]
+        sent += self.send_all(busy)
+        for process in busy:
+            self.ask_others(process)
+        self.deliver()
+        sent += self.send_all(busy)
         for process in self.processes.values():
             if not process.is_paused:
                 self.hear(process)
@@ -97,6 +132,74 @@
         self.most = max(self.most, sum(count for _, count in self.window))
         self.now_s += STEP_S
 
+    def is_busy(self, process: Process) -> bool:
+        """Returns whether a process has requests to send now."""
+        return self.random.random() >= self.idle_share
+
+    def part_of(self, process: Process) -> int:
+        """Returns what a process may send in one window of its own part."""
+        return process.share.requests_of(TARGET, self.spendable, self.now_s)
+
+    def send_all(self, processes: list[Process]) -> int:
+        """Lets processes send all they may; returns how many requests that are."""
+        sent = 0
+        for process in processes:
+            part = self.part_of(process)
+            while process.allowance.try_send(part, self.now_s):
+                sent += 1
+        return sent
+
+    def ask_others(self, process: Process) -> None:
+        """Sends a process's wishes."""
+        if not process.share.may_transfer(self.now_s):
+            return
+        parts = process.share.parts_of_others(TARGET, self.spendable)
+        wishes = process.wishes.select(RUN, self.spendable, parts, self.now_s)
+        for giver, wish in wishes:
+            self.post(process.name, giver, wish)
+
+    def post(self, sender: DaemonId, receiver: DaemonId, grant: ColdGrant) -> None:
+        """Sends a message, which may be lost, late or repeated."""
+        if self.can_reach(sender, receiver):
+            for delay_s in self.random.choice(FATES):
+                self.messages.append((self.now_s + delay_s, sender, receiver, grant))
+
+    def deliver(self) -> None:
+        """Delivers the messages that are due, those of paused processes later."""
+        while True:
+            due = [
+                message
+                for message in self.messages
+                if message[0] <= self.now_s
+                and not (
+                    message[2] in self.processes
+                    and self.processes[message[2]].is_paused
+                )
+            ]
+            if not due:
+                return
+            for message in due:
+                self.messages.remove(message)
+                if (process := self.processes.get(message[2])) is not None:
+                    self.receive(process, message[1], message[3])
+
+    def receive(self, process: Process, sender: DaemonId, grant: ColdGrant) -> None:
+        """Lets a process handle a message as the product does."""
+        if not process.share.may_transfer(self.now_s):
+            return
+        if grant.is_wish:
+            part = self.part_of(process)
+            given = process.allowance.give(part, grant.requests, self.now_s)
+            if given:
+                valid_ms = round(USE_S * 1_000)
+                answer = replace(grant, requests=given, valid_ms=valid_ms)
+                self.post(process.name, sender, answer)
+            return
+        accepted = process.wishes.accept(grant, sender, self.now_s)
+        if accepted is not None:
+            process.allowance.receive(*accepted)
+            self.transferred += accepted[0]
+
     def hear(self, process: Process) -> None:
         """Brings a process's roster up to date."""
         for other in self.processes.values():
@@ -189,6 +292,8 @@
     """Guards against a cold target that all hosts together send too much.
 
     Joins, kills, restarts, announced ends, pauses and partitions come in any order.
+    Hosts that are idle give their parts to others, by messages of which some are lost,
+    late or repeated.
     """
 
     @settings(max_examples=10_000)
@@ -197,6 +302,8 @@
         st.integers(0, len(HOSTS)),
         st.sampled_from((1, 4, 9, 28)),
         st.integers(1, 3),
+        st.sampled_from((0.0, 0.4, 0.8)),
+        st.integers(0, 2**32),
     )
     def test_no_window_has_more_than_the_allowance(
         self,
@@ -204,8 +311,10 @@
         started: int,
         spendable: int,
         named: int,
+        idle_share: float,
+        seed: int,
     ) -> None:
-        fleet = Fleet(spendable, named)
+        fleet = Fleet(spendable, named, idle_share, seed)
         for name in HOSTS[:started]:
             fleet.start(name)
         fleet.run(7.0)
@@ -216,6 +325,47 @@
         self.assertLessEqual(fleet.most, spendable)
 
 
+class FleetOfFewBusyHosts(Fleet):
+    """A fleet of which callers use two hosts."""
+
+    def is_busy(self, process: Process) -> bool:
+        """Returns whether callers use a host."""
+        return process.name in HOSTS[:2]
+
+
+class TransferTest(unittest.TestCase):
+    """Guards against an allowance that is unused while few of many hosts are busy."""
+
+    def setUp(self) -> None:
+        self.fleet = FleetOfFewBusyHosts(28, 2, seed=1)
+        for name in HOSTS:
+            self.fleet.start(name)
+        self.fleet.run(SETTLE_S + 2.0)
+
+    def parts(self) -> dict[DaemonId, int]:
+        """Returns what each host may send in one window of its own part."""
+        return {p.name: self.fleet.part_of(p) for p in self.fleet.processes.values()}
+
+    def test_what_a_host_knows_of_others_is_what_they_take(self) -> None:
+        parts = self.parts()
+        for process in self.fleet.processes.values():
+            others = {name: parts[name] for name in parts if name != process.name}
+            known = process.share.parts_of_others(TARGET, 28)
+            self.assertEqual(dict(known), others)
+
+    def test_idle_hosts_leave_theirs_to_busy_ones(self) -> None:
+        parts = self.parts()
+        own = sum(parts[name] for name in HOSTS[:2])
+        sent = 0
+        for _ in range(120):
+            self.fleet.step()
+            sent += self.fleet.window[-1][1]
+        # A step is half a second, so a part is used again after three of them.
+        alone = 120 / 3 * own
+        self.assertGreater(sent, 1.3 * alone)
+        self.assertLessEqual(self.fleet.most, 28)
+
+
 class ShareTest(unittest.TestCase):
     """Guards against an allowance that is lost although all hosts run undisturbed."""
 
