Ask idle hosts for unused requests to cold targets first

Cause: hosts asked those with the largest parts first, which are the named and therefore busy ones, and all asked the same ones. Change: hosts that are not named are asked first, each by another named host. One that gave nothing three times in a row is left alone for 4 s for all targets.

--- a/lavendertide/gateway/cold_exchange.py
+++ b/lavendertide/gateway/cold_exchange.py
@@ -129,7 +129,7 @@
 
     def _reachable_parts(self, shortage: Shortage, now_s: float) -> dict[DaemonId, int]:
         target = shortage.record.target
-        parts = self._share.parts_of_others(target, shortage.spendable)
+        parts = self._share.givers_of(target, shortage.spendable)
         return {
             name: part
             for name, part in parts.items()
--- a/lavendertide/warmup/cold_share.py
+++ b/lavendertide/warmup/cold_share.py
@@ -173,6 +173,27 @@
         parts.pop(self._own, None)
         return parts
 
+    def givers_of(self, target: TargetId, spendable: int) -> dict[DaemonId, int]:
+        """Returns what other hosts may send to a target, the ones to ask first first.
+
+        Each host is asked first by one of the named hosts, so that they don't all ask
+        the same ones. Named hosts, which callers use, come last.
+        """
+        parts = self.parts_of_others(target, spendable)
+        named = self._divisions[-1].division.named if self._divisions else frozenset()
+        order = sorted(
+            parts,
+            key=lambda host: (host in named, self._is_asked_by_another(host, named)),
+        )
+        return {host: parts[host] for host in order}
+
+    def _is_asked_by_another(self, giver: DaemonId, named: frozenset[DaemonId]) -> bool:
+        if self._own not in named:
+            return True
+        key = _hash_of(giver)
+        first = max(named, key=lambda host: _mix(_hash_of(host), key))
+        return first != self._own
+
     def requests_of(self, target: TargetId, spendable: int, now_s: float) -> int:
         """Returns the requests that this host may send to a target in one window.
 
--- a/lavendertide/warmup/grant_requests.py
+++ b/lavendertide/warmup/grant_requests.py
@@ -19,6 +19,11 @@
 ASKED_MAX: Final = 4
 # A host that gave nothing isn't asked for the same target again for this long.
 REFUSED_S: Final = 4.0
+# After so many wishes in a row without a gift a host is taken for busy, and is asked
+# for no target for that long.
+REFUSALS_MAX: Final = 3
+# How long the refusals of a host count; then it is asked as if it had never refused.
+REFUSALS_KEPT_S: Final = 30.0
 # Most requests for which one message asks.
 REQUESTS_MAX: Final = 1_000
 SERIAL_BITS: Final = 40
@@ -81,34 +86,34 @@
         # No message to an earlier process of this host has such a number.
         self._serials = itertools.count(random.getrandbits(SERIAL_BITS))
         self._open: dict[int, _Wish] = {}
+        self._refusals: dict[DaemonId, tuple[int, float]] = {}
         self._ask_again_at_s: dict[tuple[TargetRun, DaemonId], float] = {}
 
     def select(
         self,
         run: TargetRun,
         wanted: int,
-        parts: Mapping[DaemonId, int],
+        givers: Mapping[DaemonId, int],
         now_s: float,
         asked_max: int = ASKED_MAX,
     ) -> list[tuple[DaemonId, ColdGrant]]:
-        """Returns the hosts to ask now, those with the largest parts first.
+        """Returns the hosts to ask now.
 
         Args:
             run: A cold run of which this host needs more.
             wanted: The requests that it has withheld.
-            parts: What each reachable host may send to the run.
+            givers: What each reachable host may send to the run; the first ones are
+                asked first.
             now_s: Present time, monotonic.
             asked_max: Most hosts to ask.
         """
         self._forget_old(now_s)
-        givers = [name for name in parts if self._may_ask(run, name, now_s)]
-        random.shuffle(givers)
-        givers.sort(key=lambda name: -parts[name])
+        asked = [name for name in givers if self._may_ask(run, name, now_s)]
         wishes: list[tuple[DaemonId, ColdGrant]] = []
-        for giver in givers[: min(asked_max, ASKED_MAX)]:
+        for giver in asked[: min(asked_max, ASKED_MAX)]:
             if wanted <= 0:
                 break
-            requests = min(wanted, parts[giver], REQUESTS_MAX)
+            requests = min(wanted, givers[giver], REQUESTS_MAX)
             wanted -= requests
             serial = next(self._serials)
             self._open[serial] = _Wish(run, giver, requests, now_s)
@@ -133,17 +138,30 @@
         if now_s > until_s:
             return None
         self._ask_again_at_s[wish.run, sender] = wish.at_s + HELD_S
+        self._refusals.pop(sender, None)
         return grant.requests, until_s
 
     def _may_ask(self, run: TargetRun, giver: DaemonId, now_s: float) -> bool:
+        refusals, last_at_s = self._refusals.get(giver, (0, 0.0))
+        if refusals >= REFUSALS_MAX and now_s < last_at_s + REFUSED_S:
+            return False
         return now_s >= self._ask_again_at_s.get((run, giver), now_s)
 
     def _forget_old(self, now_s: float) -> None:
+        for wish in self._open.values():
+            if now_s > wish.at_s + USE_S:
+                refusals, _ = self._refusals.get(wish.giver, (0, 0.0))
+                self._refusals[wish.giver] = refusals + 1, now_s
         self._open = {
             serial: wish
             for serial, wish in self._open.items()
             if now_s <= wish.at_s + USE_S
         }
+        self._refusals = {
+            giver: (refusals, at_s)
+            for giver, (refusals, at_s) in self._refusals.items()
+            if now_s < at_s + REFUSALS_KEPT_S
+        }
         self._ask_again_at_s = {
             key: at_s for key, at_s in self._ask_again_at_s.items() if at_s > now_s
         }
--- a/tests/warmup/test_cold_share.py
+++ b/tests/warmup/test_cold_share.py
@@ -153,7 +153,7 @@
         """Sends a process's wishes."""
         if not process.share.may_transfer(self.now_s):
             return
-        parts = process.share.parts_of_others(TARGET, self.spendable)
+        parts = process.share.givers_of(TARGET, self.spendable)
         wishes = process.wishes.select(RUN, self.spendable, parts, self.now_s)
         for giver, wish in wishes:
             self.post(process.name, giver, wish)
@@ -353,6 +353,17 @@
             known = process.share.parts_of_others(TARGET, 28)
             self.assertEqual(dict(known), others)
 
+    def test_each_host_is_asked_first_by_one_of_the_named_ones(self) -> None:
+        """Guards against hosts that all ask the same one, of which one gets it."""
+        named = [
+            p
+            for p in self.fleet.processes.values()
+            if p.share.requests_of(TargetId("t2"), 28, self.fleet.now_s) > 5
+        ]
+        self.assertEqual(len(named), 2)
+        first = [next(iter(p.share.givers_of(TARGET, 28))) for p in named]
+        self.assertEqual(len(set(first)), 2)
+
     def test_idle_hosts_leave_theirs_to_busy_ones(self) -> None:
         parts = self.parts()
         own = sum(parts[name] for name in HOSTS[:2])
--- a/tests/warmup/test_grant_requests.py
+++ b/tests/warmup/test_grant_requests.py
@@ -5,7 +5,12 @@
 
 from lavendertide.ids import DaemonId, TargetId
 from lavendertide.registry.record import TargetRun
-from lavendertide.warmup.grant_requests import REFUSED_S, ColdGrant, GrantRequests
+from lavendertide.warmup.grant_requests import (
+    REFUSALS_MAX,
+    REFUSED_S,
+    ColdGrant,
+    GrantRequests,
+)
 from lavendertide.warmup.run_allowance import HELD_S, USE_S
 
 RUN = TargetRun(TargetId("t1"), 7)
@@ -68,11 +73,11 @@
 
     def asked(self, wanted: int, now_s: float) -> list[DaemonId]:
         """Returns the hosts that are asked for a number of requests."""
-        parts = {GIVER: 2, OTHER: 5}
-        wishes = self.requests.select(RUN, wanted, parts, now_s)
+        givers = {OTHER: 5, GIVER: 2}
+        wishes = self.requests.select(RUN, wanted, givers, now_s)
         return [giver for giver, _ in wishes]
 
-    def test_the_largest_part_is_asked_for_first(self) -> None:
+    def test_the_first_givers_are_asked_first(self) -> None:
         self.assertEqual(self.asked(1, 0.0), [OTHER])
         self.assertEqual(self.asked(1, 0.0), [GIVER])
 
@@ -86,6 +91,14 @@
         self.requests.accept(replace(wish, valid_ms=500), GIVER, 0.1)
         self.assertEqual(self.asked(7, HELD_S), [OTHER, GIVER])
 
+    def test_a_host_that_refuses_all_is_left_alone_for_all_targets(self) -> None:
+        """Guards against bytes that are spent on hosts which are busy themselves."""
+        for number in range(REFUSALS_MAX):
+            run = TargetRun(TargetId(f"x{number}"), 1)
+            self.requests.select(run, 1, {GIVER: 2}, 0.0)
+        self.assertEqual(self.asked(7, 1.0), [OTHER])
+        self.assertEqual(self.asked(7, 1.0 + REFUSED_S), [OTHER, GIVER])
+
     def test_no_more_hosts_are_asked_than_the_bytes_allow(self) -> None:
-        wishes = self.requests.select(RUN, 7, {GIVER: 2, OTHER: 5}, 0.0, 1)
+        wishes = self.requests.select(RUN, 7, {OTHER: 5, GIVER: 2}, 0.0, 1)
         self.assertEqual(len(wishes), 1)
