--- a/tests/processes/test_targets_cold.py
+++ b/tests/processes/test_targets_cold.py
@@ -1,5 +1,7 @@
 """Process tests of cold targets, with stand-ins for the platform and its targets."""
 
+import json
+import re
 import tempfile
 import time
 import unittest
@@ -50,7 +52,8 @@
         entry: dict[str, Any] = self.target.entry()
         self.store.put("servers/t1", {**entry, "cold-left-ms": cold_left_ms})
 
-    def test_both_serve_within_the_allowance_and_refuse_the_rest(self) -> None:
+    def wait_for_parts(self) -> None:
+        """Waits until both gateways send to the target, and a window is over."""
         for gateway in self.gateways:
             wait_until(gateway.is_ready)
         for gateway in self.gateways:
@@ -59,6 +62,31 @@
                 STARTED_IN_S,
             )
         time.sleep(1.5)
+
+    def test_a_busy_gateway_gets_what_an_idle_one_has(self) -> None:
+        """Guards against transfers that real links, dialled late, do not complete."""
+        self.wait_for_parts()
+        before = len(self.target.executed_requests)
+        began_s = time.monotonic()
+        while time.monotonic() - began_s < LOAD_S:
+            self.gateways[0].get("/lookups/x")
+            time.sleep(0.02)
+        windows = int(time.monotonic() - began_s) + 1
+        executed = len(self.target.executed_requests) - before
+        self.assertLessEqual(executed, windows * ColdBounds().spendable(COLD_PER_S))
+        metrics = self.gateways[0].get("/metrics", 4).body  # type: ignore[attr-defined]
+        received = re.search(rb"(?m)^lavendertide_cold_received_total (\S+)", metrics)
+        assert received is not None
+        self.assertGreater(float(received[1]), 0.0)
+        status = json.loads(
+            self.gateways[0].get("/status", 4).body  # type: ignore[attr-defined]
+        )
+        (cold,) = status["cold"]
+        self.assertEqual((status["cold_count"], cold["target"]), (1, "t1"))
+        self.assertGreater(cold["part"], 0)
+
+    def test_both_serve_within_the_allowance_and_refuse_the_rest(self) -> None:
+        self.wait_for_parts()
         before = len(self.target.executed_requests)
         served, refused = 0, []
         began_s = time.monotonic()
