--- a/bench/evacuation_times.py
+++ b/bench/evacuation_times.py
@@ -181,7 +181,7 @@
         seed: Seed of the moments and of the ways' times.
     """
     random.seed(seed)
-    members = [_member(number) for number in range(hosts)]
+    members = [model_member(number) for number in range(hosts)]
     store, fleet = ModelStore(), dict[DaemonId, ModelHost]()
     if changes_per_s:
         tasks.spawn(store.change_others, changes_per_s)
@@ -209,7 +209,8 @@
     return [each + random.uniform(*LATENCY_S) for each in known_s]
 
 
-def _member(number: int) -> MemberRecord:
+def model_member(number: int) -> MemberRecord:
+    """Returns a host of one of the three failure domains."""
     return MemberRecord(
         daemon=DaemonId(f"m{number}"),
         host=HostId(f"m{number}"),
