Bound the time that asking for cold allowances takes

Cause: a look at 2,200 cold targets took 7 to 41 ms of processor time at 510 hosts, and a refused search looked at each target of each shard a second time. Change: four targets are drawn for a look, the givers of 256 are kept, nothing is computed once the bytes are used, and a refusal records one target of at most four services.

--- a/lavendertide/forwarding/target_choice.py
+++ b/lavendertide/forwarding/target_choice.py
@@ -17,6 +17,9 @@
 
 # Retry time for callers when all targets were full: a few service times.
 FULL_RETRY_S: Final = 0.25
+# Services of a refused request whose shortage is recorded. Looking at all targets of a
+# search over 100 shards would make a refusal take twice as long.
+HELD_BACK_RECORDED: Final = 4
 # Callers that were refused because of a pause return over this share of it, so that
 # they don't fill the targets again all at once.
 RETRY_SPREAD_SHARE: Final = 0.5
@@ -53,8 +56,11 @@
 
         Other hosts are then asked for what they don't use.
         """
-        for service in services:
-            self._cold.record_shortage(self._select_usable(service, now_s), now_s)
+        names = list(services)
+        for service in random.sample(names, min(len(names), HELD_BACK_RECORDED)):
+            usable = self._select_usable(service, now_s)
+            if usable:
+                self._cold.record_shortage((random.choice(usable),), now_s)
 
     def is_evacuated(self, service: ServiceName) -> bool:
         """Returns whether a service has ready targets in evacuated domains only."""
--- a/lavendertide/gateway/cold_exchange.py
+++ b/lavendertide/gateway/cold_exchange.py
@@ -4,7 +4,6 @@
 answer if they can give some. Nothing is sent while no request is withheld.
 """
 
-import random
 from collections import defaultdict
 from dataclasses import replace
 from typing import Final
@@ -24,6 +23,9 @@
 
 # Interval between looks at what was withheld; a fraction of the time of use.
 LOOK_INTERVAL_S: Final = 0.1
+# Targets for which hosts are asked at a look. More can't be asked for within the bytes,
+# and to find the givers among 510 hosts takes up to 1 ms for each.
+SHORTAGES_MAX: Final = 4
 # Grants of a peer's frame that are handled.
 ITEMS_MAX: Final = 64
 # Bytes of a frame and of a grant beside the names, rounded up
@@ -69,15 +71,16 @@
 
     def ask_due(self, now_s: float) -> None:
         """Asks for the requests that were withheld since the last call."""
-        shortages = list(self._cold.take_shortages())
+        # Where the bytes don't suffice, each target has its turn by chance.
+        shortages = self._cold.take_shortages(SHORTAGES_MAX)
         if not shortages or not self._share.may_transfer(now_s):
             return
-        # Where the bytes don't suffice, each target has its turn by chance.
-        random.shuffle(shortages)
         wishes: defaultdict[DaemonId, list[ColdGrant]] = defaultdict(list)
         left = self._left(now_s)
         for shortage in shortages:
             size = FRAME_BYTES + self._size_of(shortage.record.target)
+            if left < size:
+                break
             chosen = self._requests.select(
                 shortage.record.run,
                 shortage.requests,
--- a/lavendertide/warmup/cold_share.py
+++ b/lavendertide/warmup/cold_share.py
@@ -49,6 +49,8 @@
 # Parts that are kept for one division. Targets may have new names with each start, and
 # an undisturbed fleet keeps its division for weeks.
 PARTS_KEPT: Final = 16_384
+# Targets whose givers are kept; to find those of one takes 1 ms in a fleet of 510.
+GIVERS_KEPT: Final = 256
 HASH_BYTES: Final = 8
 # An odd number spreads the lower bits of a product over the upper ones.
 MIX_FACTOR: Final = 0x9E3779B97F4A7C15
@@ -95,6 +97,7 @@
         host_hashes: Hashes of the hosts' names.
         named_hashes: Hashes of the names of the named hosts.
         requests: This host's part, by target and by the allowance of all hosts.
+        givers: The other hosts' parts in the order in which they are asked.
     """
 
     division: _Division
@@ -102,6 +105,9 @@
     named_hashes: tuple[int, ...]
     replaced_at_s: float | None = None
     requests: dict[tuple[TargetId, int], int] = field(default_factory=dict)
+    givers: dict[tuple[TargetId, int], Mapping[DaemonId, int]] = field(
+        default_factory=dict
+    )
 
 
 class ColdShare:
@@ -173,19 +179,30 @@
         parts.pop(self._own, None)
         return parts
 
-    def givers_of(self, target: TargetId, spendable: int) -> dict[DaemonId, int]:
+    def givers_of(self, target: TargetId, spendable: int) -> Mapping[DaemonId, int]:
         """Returns what other hosts may send to a target, the ones to ask first first.
 
         Each host is asked first by one of the named hosts, so that they don't all ask
         the same ones. Named hosts, which callers use, come last.
         """
-        parts = self.parts_of_others(target, spendable)
-        named = self._divisions[-1].division.named if self._divisions else frozenset()
-        order = sorted(
-            parts,
-            key=lambda host: (host in named, self._is_asked_by_another(host, named)),
-        )
-        return {host: parts[host] for host in order}
+        if not self._divisions:
+            return {}
+        dated = self._divisions[-1]
+        givers = dated.givers.get((target, spendable))
+        if givers is None:
+            parts, named = self.parts_of_others(target, spendable), dated.division.named
+            order = sorted(
+                parts,
+                key=lambda host: (
+                    host in named,
+                    self._is_asked_by_another(host, named),
+                ),
+            )
+            givers = {host: parts[host] for host in order}
+            if len(dated.givers) >= GIVERS_KEPT:
+                dated.givers.clear()
+            dated.givers[target, spendable] = givers
+        return givers
 
     def _is_asked_by_another(self, giver: DaemonId, named: frozenset[DaemonId]) -> bool:
         if self._own not in named:
--- a/lavendertide/warmup/cold_targets.py
+++ b/lavendertide/warmup/cold_targets.py
@@ -11,6 +11,7 @@
 
 import logging
 import math
+import random
 from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass, field, replace
 from typing import Final
@@ -228,12 +229,16 @@
             if self.wait_s(record, now_s) > 0.0:
                 self._record_withheld(record)
 
-    def take_shortages(self) -> tuple[Shortage, ...]:
-        """Returns the targets of which requests were withheld since the last call."""
-        withheld, self._withheld = self._withheld, {}
+    def take_shortages(self, most: int) -> tuple[Shortage, ...]:
+        """Returns targets of which requests were withheld since the last call.
+
+        Of more than `most` targets, these are drawn at random.
+        """
+        withheld = list(self._withheld.values())
+        self._withheld.clear()
         return tuple(
             Shortage(record, requests, spendable)
-            for record, requests in withheld.values()
+            for record, requests in random.sample(withheld, min(most, len(withheld)))
             if (spendable := self._spendable(record)) is not None
         )
 
