--- a/lavendertide/encodings/http_server_connection.py
+++ b/lavendertide/encodings/http_server_connection.py
@@ -21,6 +21,7 @@
 )
 from lavendertide.encodings.response_writing import WriteFailure, write_response
 from lavendertide.overload.response_memory import HeldResponse, ResponseMemory
+from lavendertide.overload.short_chunks import ShortChunkBodies, is_free
 from lavendertide.overload.write_limit import WriteLimit
 from lavendertide.runtime import clock, sockets, tasks
 
@@ -29,11 +30,6 @@
 # Time limit for the body of a request, extended like that of a response. The longest
 # body has 256 KiB.
 BODY_BASE_S: Final = 10.0
-# Chunks that a body may have, and further ones for each of its bytes. Parsing a chunk
-# takes 16 microseconds however short it is: 200 bodies of 256 KiB in chunks of two
-# bytes kept the processor from ordinary callers for minutes.
-CHUNKS_MAX: Final = 1_024
-CHUNKS_PER_BYTE: Final = 1 / 16
 # Chunks after which other tasks may run, 4 ms apart.
 CHUNKS_AT_A_TIME: Final = 256
 
@@ -106,6 +102,7 @@
         header_max_bytes: int,
         body_max_bytes: int,
         memory: ResponseMemory | None = None,
+        short_chunks: ShortChunkBodies | None = None,
     ) -> HttpRequest | BadRequest | None:
         """Reads the request whose first bytes have arrived.
 
@@ -116,6 +113,8 @@
             body_max_bytes: A larger body is refused.
             memory: The account of all that the process holds; a body that it has no
                 room for is refused.
+            short_chunks: The bodies in very many chunks that the process reads; without
+                it they are refused.
 
         Returns:
             The request; none if the connection has closed or timed out.
@@ -125,19 +124,20 @@
             self._framing.receive_data(self._received)
             self._received = b""
             held = memory.open() if memory is not None else None
-            return self._read_request(header_s, body_max_bytes, held)
+            body = _Body(body_max_bytes, held, short_chunks)
+            with contextlib.closing(body):
+                return self._read_request(header_s, body)
         except h11.RemoteProtocolError as error:
             return BadRequest(error.error_status_hint)
         except OSError:
             return None
 
     def _read_request(
-        self, header_s: float, body_max_bytes: int, held: HeldResponse | None
+        self, header_s: float, body: "_Body"
     ) -> HttpRequest | BadRequest | None:
         head: h11.Request | None = None
         head_until_s = clock.monotonic_s() + header_s
         body_limit = WriteLimit(head_until_s, BODY_BASE_S)
-        body = _Body(body_max_bytes, held)
         while True:
             event = self._framing.next_event()
             if event is h11.NEED_DATA:
@@ -164,7 +164,7 @@
                         head.target.decode("latin-1"),
                         tuple(head.headers),
                         body.data,
-                        held,
+                        body.held,
                     )
                 case _:
                     return None
@@ -248,11 +248,19 @@
     Args:
         bytes_max: Its greatest length.
         held: Its account, if there is one.
+        short_chunks: The bodies in very many chunks that the process reads.
     """
 
-    def __init__(self, bytes_max: int, held: HeldResponse | None) -> None:
+    def __init__(
+        self,
+        bytes_max: int,
+        held: HeldResponse | None,
+        short_chunks: ShortChunkBodies | None,
+    ) -> None:
         self._bytes_max = bytes_max
         self._held = held
+        self._short_chunks = short_chunks
+        self._is_in_short_chunks = False
         # Pieces kept apart would take many times their length if they are short.
         self._data = bytearray()
         self._chunks = 0
@@ -262,6 +270,11 @@
         """Bytes that have been received."""
         return len(self._data)
 
+    @property
+    def held(self) -> HeldResponse | None:
+        """Its account, if there is one."""
+        return self._held
+
     @property
     def data(self) -> bytes:
         """What has been received."""
@@ -276,12 +289,26 @@
             return HTTPStatus.SERVICE_UNAVAILABLE
         if event.chunk_start:
             self._chunks += 1
-            if self._chunks > CHUNKS_MAX + CHUNKS_PER_BYTE * self.size:
-                return HTTPStatus.BAD_REQUEST
+            if not self._may_have_chunks():
+                return HTTPStatus.SERVICE_UNAVAILABLE
             if self._chunks % CHUNKS_AT_A_TIME == 0:
                 tasks.sleep(0.0)
         return None
 
+    def close(self) -> None:
+        """Ends the reading of the body."""
+        if self._is_in_short_chunks and self._short_chunks is not None:
+            self._is_in_short_chunks = False
+            self._short_chunks.end()
+
+    def _may_have_chunks(self) -> bool:
+        if self._is_in_short_chunks or is_free(self._chunks, self.size):
+            return True
+        if self._short_chunks is None or not self._short_chunks.try_begin():
+            return False
+        self._is_in_short_chunks = True
+        return True
+
 
 def _render_head(response: HttpResponse, is_last: bool) -> h11.Response:
     """Returns the head of a response.
--- a/lavendertide/forwarding/target_choice.py
+++ b/lavendertide/forwarding/target_choice.py
@@ -17,6 +17,9 @@
 
 # Retry time for callers when all targets were full: a few service times.
 FULL_RETRY_S: Final = 0.25
+# Services of a refused request whose shortage is recorded. Looking at all targets of a
+# search over 100 shards would make a refusal take twice as long.
+HELD_BACK_RECORDED: Final = 4
 # Callers that were refused because of a pause return over this share of it, so that
 # they don't fill the targets again all at once.
 RETRY_SPREAD_SHARE: Final = 0.5
@@ -48,6 +51,17 @@
         usable = self._select_usable(service, now_s)
         return bool(usable) and not self._cold.select_allowed(usable, now_s)
 
+    def record_held_back(self, services: Iterable[ServiceName], now_s: float) -> None:
+        """Records that a request was refused as allowances are used up.
+
+        Other hosts are then asked for what they don't use.
+        """
+        names = list(services)
+        for service in random.sample(names, min(len(names), HELD_BACK_RECORDED)):
+            usable = self._select_usable(service, now_s)
+            if usable:
+                self._cold.record_shortage((random.choice(usable),), now_s)
+
     def is_evacuated(self, service: ServiceName) -> bool:
         """Returns whether a service has ready targets in evacuated domains only."""
         return self._registry.is_evacuated(service)
--- a/lavendertide/gateway/caller_front.py
+++ b/lavendertide/gateway/caller_front.py
@@ -144,6 +144,7 @@
                 limits.header_max_bytes,
                 limits.body_max_bytes,
                 self._bounds.memory,
+                self._bounds.short_chunks,
             )
             return received is not None and self._respond(connection, received)
         finally:
--- a/lavendertide/overload/caller_bounds.py
+++ b/lavendertide/overload/caller_bounds.py
@@ -12,6 +12,7 @@
 
 from lavendertide.overload.caller_connections import CallerConnections
 from lavendertide.overload.response_memory import ResponseMemory
+from lavendertide.overload.short_chunks import ShortChunkBodies
 
 # Time without an eviction after which callers count as usual again.
 CALM_S: Final = 10.0
@@ -47,6 +48,7 @@
     ) -> None:
         self._memory = memory or ResponseMemory()
         self._connections = CallerConnections(connections_max)
+        self._short_chunks = ShortChunkBodies()
         self._counts = dict.fromkeys(Cause, 0)
         self._logged_counts = dict(self._counts)
         self._last_at_s: float | None = None
@@ -67,6 +69,11 @@
         if registry is not None:
             self._register(registry)
 
+    @property
+    def short_chunks(self) -> ShortChunkBodies:
+        """The bodies in very many short chunks that are being read."""
+        return self._short_chunks
+
     @property
     def memory(self) -> ResponseMemory | None:
         """The account of responses; none where only those that are read count."""
