--- a/lavendertide/overload/priority_admission.py
+++ b/lavendertide/overload/priority_admission.py
@@ -19,21 +19,26 @@
 import itertools
 import math
 import random
-import statistics
 from collections.abc import Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import Final
 
 from lavendertide.ids import RouteName
 from lavendertide.overload.capacity import (
-    CONGESTION_MIN_S,
-    ROUND_MIN_S,
     ROUND_MIN_SEARCHES,
     Feedback,
     HalfCovered,
     UnloadedTime,
     compute_pressure,
 )
+from lavendertide.overload.delay_observations import (
+    QUEUED_MIN_S,
+    DelayDuration,
+    Observation,
+    Round,
+    median_pressure,
+)
+from lavendertide.overload.route_state import RouteState
 from lavendertide.routes.route import Route
 
 # Share of the arrivals of a route that is admitted at least.
@@ -53,11 +58,6 @@
 URGENT_DELAY_S: Final = 1.0
 # Smallest factor of one cut. A host may observe the overload only once in a second.
 CUT_MIN: Final = 0.1
-# Requests of a route from which the time without load is known. Before, it counts as a
-# share of the objective at most, since a host with few requests may see its first ones
-# during the overload.
-LEARNING_REQUESTS: Final = 8
-UNLOADED_SHARE_MAX: Final = 0.25
 # Growth of the admitted work per second while there is no queue, relative to itself. It
 # is slow after a cut, as single requests are fast during an overload, too, and becomes
 # faster by `GROWTH_GAIN` with each second since then.
@@ -68,16 +68,8 @@
 # Only requests that end within the objective raise the level; it grows at the full rate
 # if half of the objective is left.
 SPARE_SHARE: Final = 0.5
-# Two delayed requests further apart than this don't show that the delay has lasted.
-CONGESTION_GAP_S: Final = 2.0
-# Queueing delay by which a single request shows that it has lasted for
-# `CONGESTION_MIN_S`. The delay is measured from the shortest time, and most requests
-# take longer; with 0.25 s, pauses of 0.2 s caused refusals.
-QUEUED_MIN_S: Final = 0.32
 # Longest time after a cut for which requests are taken to meet the queue before it.
 DRAINING_MAX_S: Final = 1.0
-# Half-life of the offered work by route; several requests of a host with few of them.
-DEMAND_HALF_LIFE_S: Final = 5.0
 # Time without refusals after which the level is reset and the thinning of a route has
 # ended. It is longer than the pauses between arrivals of a host with few of them.
 RELEASE_S: Final = 10.0
@@ -90,82 +82,6 @@
 RETRY_OBJECTIVES: Final = 1.0
 
 
-@dataclass(frozen=True, slots=True)
-class Observation:
-    """What one request shows about the queues.
-
-    Attributes:
-        arrived_at_s: When the request was admitted, monotonic.
-        due_at_s: When half of its sub-requests would have been covered without load.
-        observed_at_s: When its delay was known.
-        queued_s: Queueing delay until half of its sub-requests were covered.
-        pressure: That delay divided by the allowed one.
-        weight: Number of its sub-requests. A slow target delays a request with a single
-            one as overload does.
-        is_urgent: Whether its route is one of the most urgent of the group.
-    """
-
-    arrived_at_s: float
-    due_at_s: float
-    observed_at_s: float
-    queued_s: float
-    pressure: float
-    weight: int
-    is_urgent: bool
-
-
-@dataclass(slots=True)
-class RouteState:
-    """The arrivals of one route on this host.
-
-    Attributes:
-        unloaded: The time that half of the sub-requests take without load.
-        observed: Number of requests in that estimate, up to `LEARNING_REQUESTS`.
-        credit: Fraction of the next admission that refused arrivals have earned.
-        work: Offered work with older arrivals counted less, as of `work_at_s`.
-        refused_at_s: When a request was last refused.
-        is_thinned: Whether requests have been refused within `RELEASE_S`.
-    """
-
-    route: Route
-    unloaded: UnloadedTime
-    credit: float
-    observed: int = 0
-    work: float = 0.0
-    work_at_s: float = 0.0
-    refused_at_s: float = -math.inf
-    is_thinned: bool = False
-
-    @property
-    def sub_requests(self) -> int:
-        """Number of sub-requests of one request."""
-        return self.route.sub_requests
-
-    @property
-    def unloaded_s(self) -> float:
-        """Seconds that half of the sub-requests take without load."""
-        shortest_s = self.unloaded.shortest_s
-        if self.observed < LEARNING_REQUESTS:
-            return min(shortest_s, UNLOADED_SHARE_MAX * self.route.objective_s)
-        return shortest_s
-
-    def record_half_covered(self, took_s: float, now_s: float) -> None:
-        """Adds the time of one request to the estimate without load."""
-        self.unloaded.record(took_s, now_s)
-        self.observed = min(LEARNING_REQUESTS, self.observed + 1)
-
-    def record_arrival(self, now_s: float) -> None:
-        """Adds the work of one request, in seconds of usual target time."""
-        work = self.sub_requests * min(self.unloaded_s, self.route.objective_s)
-        self.work = self.current_work(now_s) + work
-        self.work_at_s = now_s
-
-    def current_work(self, now_s: float) -> float:
-        """Returns the offered work, which decays."""
-        decay: float = 0.5 ** ((now_s - self.work_at_s) / DEMAND_HALF_LIFE_S)
-        return self.work * decay
-
-
 @dataclass(eq=False, slots=True)
 class PriorityPermit:
     """Permission to run one request; it must be released when the request ends."""
@@ -189,26 +105,6 @@
         self.admission.remove(self, now_s)
 
 
-@dataclass(slots=True)
-class _Round:
-    """The observations on which one adjustment is based."""
-
-    began_at_s: float
-    observations: list[Observation] = field(default_factory=list)
-
-    def add(self, observation: Observation) -> None:
-        """Adds an observation; those of another time no longer count."""
-        oldest_s = observation.observed_at_s - CONGESTION_GAP_S
-        while self.observations and self.observations[0].observed_at_s < oldest_s:
-            self.observations.pop(0)
-        self.observations.append(observation)
-
-    def is_complete(self, now_s: float) -> bool:
-        """Returns whether there are enough sub-requests and the round lasted."""
-        weight = sum(each.weight for each in self.observations)
-        return weight >= ROUND_MIN_SEARCHES and now_s - self.began_at_s >= ROUND_MIN_S
-
-
 class PriorityAdmission:
     """Admits the requests of one group of routes on this host."""
 
@@ -218,7 +114,7 @@
         self._random = generator
         self._states: dict[RouteName, RouteState] = {}
         self._level = math.inf
-        self._round = _Round(now_s)
+        self._round = Round(now_s)
         self._open: dict[PriorityPermit, None] = {}
         self._open_checked_at_s = now_s
         self._raised_at_s = now_s
@@ -226,8 +122,7 @@
         # Requests that arrived before met the queue from before the last cut.
         self._counted_from_s = -math.inf
         self._cut_at_s = self._lowest_since_s = -math.inf
-        self._congested_since_s = math.inf
-        self._congested_until_s = -math.inf
+        self._delay = DelayDuration()
         self.update_routes(routes, now_s)
 
     @property
@@ -371,36 +266,18 @@
 
     def _adjust_level(self, now_s: float) -> None:
         observations = self._round.observations
-        self._round = _Round(now_s)
-        pressure = _median_pressure(observations)
+        self._round = Round(now_s)
+        pressure = median_pressure(observations)
         onset_pressure = (
             ONSET_PRESSURE if self._level >= self._level_max else TARGET_PRESSURE
         )
         if pressure < onset_pressure:
-            self._congested_since_s = math.inf
+            self._delay.end()
             return
         delayed = [each for each in observations if each.pressure >= onset_pressure]
-        if self._has_lasted(delayed):
+        if self._delay.has_lasted(delayed):
             self._cut_level(pressure, observations, now_s)
 
-    def _has_lasted(self, delayed: list[Observation]) -> bool:
-        """Returns whether the delay is longer than a pause of all targets.
-
-        The requests that run or arrive during a pause are delayed until its end. So the
-        delay has lasted from when the first one was due to the arrival of the last one,
-        or for as long as half of them have queued. The longest of many requests queues
-        for longer than the pause.
-        """
-        first_s = min(each.due_at_s for each in delayed)
-        last_s = max(each.arrived_at_s for each in delayed)
-        if first_s - self._congested_until_s > CONGESTION_GAP_S:
-            self._congested_since_s = first_s
-        self._congested_since_s = min(self._congested_since_s, first_s)
-        self._congested_until_s = max(self._congested_until_s, last_s)
-        queued_s = statistics.median_low(each.queued_s for each in delayed)
-        lasted_s = last_s - self._congested_since_s
-        return lasted_s >= CONGESTION_MIN_S or queued_s >= QUEUED_MIN_S
-
     def _cut_level(
         self, pressure: float, counted: list[Observation], now_s: float
     ) -> None:
@@ -412,7 +289,7 @@
         if (
             now_s - self._lowest_since_s >= URGENT_DELAY_S
             and urgent
-            and _median_pressure(urgent) >= URGENT_PRESSURE
+            and median_pressure(urgent) >= URGENT_PRESSURE
         ):
             lower = 0.0
         level = self._scaled_level(max(CUT_MIN, TARGET_PRESSURE / pressure), now_s)
@@ -456,17 +333,3 @@
         growth = min(GROWTH_MAX, GROWTH_GAIN * (now_s - self._cut_at_s))
         level = self._scaled_level(1.0 + growth * spare * elapsed_s, now_s)
         self._level = max(self._level, level)
-
-
-def _median_pressure(observations: list[Observation]) -> float:
-    """Returns the median by weight, the lower one of two.
-
-    The mean would take one request in five at a slow target for a queue.
-    """
-    ordered = sorted(observations, key=lambda each: each.pressure)
-    rest = sum(each.weight for each in ordered) / 2
-    for each in ordered:
-        rest -= each.weight
-        if rest <= 0.0:
-            return each.pressure
-    raise ValueError("no observations")
