Share queueing delays between hosts, and admit by what all of them see

Hosts now send single observations of their own requests to eight peers each (field 74 of StallNotices). Delays count if three hosts have seen them; a host that refuses nothing takes over the level of most peers. Hedges and retries are left to the most urgent routes while two hosts see a delay, since less urgent ones used up the budget of the services.

--- a/lavendertide/encodings/holder_frames.py
+++ b/lavendertide/encodings/holder_frames.py
@@ -3,15 +3,29 @@
 Holders hand over slots and report stalled targets and requests that crash targets.
 """
 
-from typing import Any
+from dataclasses import astuple
+from typing import Any, Final
 
 from lavendertide import messages
 from lavendertide.encodings.generated.peer_protocol import ttypes
 from lavendertide.encodings.registry_frames import pack_evacuations, unpack_evacuations
 from lavendertide.ids import DaemonId, ExchangeId, Fingerprint, ShardNumber, TargetId
 from lavendertide.overload.capacity_sharing import CapacityObservation
+from lavendertide.overload.shared_overload import OverloadObservation
 from lavendertide.registry.record import TargetRun
 
+# Greatest value of a field of 16 bits; times above it are beyond any that count.
+I16_MAX: Final = 0x7FFF
+
+# The frames that share one struct, since an earlier release skips its new fields.
+TargetNotices = (
+    messages.StallNotices
+    | messages.LeavingNotices
+    | messages.EvacuationNotices
+    | messages.CapacityNotices
+    | messages.OverloadNotices
+)
+
 
 def to_union(frame: messages.Frame) -> Any:
     """Returns the generated union for one of these frames."""
@@ -19,27 +33,14 @@
         case messages.Verdicts(items):
             packed = ttypes.Verdicts([_pack_verdict(item) for item in items])
             return ttypes.Frame(verdicts=packed)
-        case messages.StallNotices(targets):
-            notices = ttypes.StallNotices(list(targets))
-            return ttypes.Frame(stall_notices=notices)
-        case messages.LeavingNotices(runs):
-            packed_runs = [ttypes.TargetRun(r.target, r.started_at_ms) for r in runs]
-            # An earlier release skips the field and reads a frame without stalls.
-            leaving = ttypes.StallNotices([], packed_runs)
-            return ttypes.Frame(stall_notices=leaving)
-        case messages.EvacuationNotices(states):
-            # In the same struct, since an earlier release closes a link on which it
-            # receives a frame that it doesn't know.
-            packed_states = pack_evacuations(states)
-            evacuations = ttypes.StallNotices([], [], packed_states)
-            return ttypes.Frame(stall_notices=evacuations)
-        case messages.CapacityNotices(observed):
-            capacities = [
-                ttypes.CapacityNotice(o.target, o.slowness_percent, o.age_ms)
-                for o in observed
-            ]
-            shared = ttypes.StallNotices([], [], None, capacities)
-            return ttypes.Frame(stall_notices=shared)
+        case (
+            messages.StallNotices()
+            | messages.LeavingNotices()
+            | messages.EvacuationNotices()
+            | messages.CapacityNotices()
+            | messages.OverloadNotices()
+        ):
+            return ttypes.Frame(stall_notices=_pack_target_notices(frame))
         case messages.TrialClaim(exchange, sender, fingerprint, duration_ms):
             claim = ttypes.TrialClaim(exchange, sender, fingerprint, duration_ms)
             return ttypes.Frame(trial_claim=claim)
@@ -90,14 +91,36 @@
     raise ValueError("frame without a known message")
 
 
-def _unpack_target_notices(
-    notices: Any,
-) -> (
-    messages.StallNotices
-    | messages.LeavingNotices
-    | messages.EvacuationNotices
-    | messages.CapacityNotices
-):
+def _pack_target_notices(frame: TargetNotices) -> Any:
+    match frame:
+        case messages.StallNotices(targets):
+            notices = ttypes.StallNotices(list(targets))
+            return notices
+        case messages.LeavingNotices(runs):
+            packed_runs = [ttypes.TargetRun(r.target, r.started_at_ms) for r in runs]
+            # An earlier release skips the field and reads a frame without stalls.
+            leaving = ttypes.StallNotices([], packed_runs)
+            return leaving
+        case messages.EvacuationNotices(states):
+            # In the same struct, since an earlier release closes a link on which it
+            # receives a frame that it doesn't know.
+            packed_states = pack_evacuations(states)
+            evacuations = ttypes.StallNotices([], [], packed_states)
+            return evacuations
+        case messages.CapacityNotices(observed):
+            capacities = [
+                ttypes.CapacityNotice(o.target, o.slowness_percent, o.age_ms)
+                for o in observed
+            ]
+            shared = ttypes.StallNotices([], [], None, capacities)
+            return shared
+        case messages.OverloadNotices(delays):
+            overloads = [_pack_overload(each) for each in delays]
+            delayed = ttypes.StallNotices([], [], None, None, overloads)
+            return delayed
+
+
+def _unpack_target_notices(notices: Any) -> TargetNotices:
     states = unpack_evacuations(notices.evacuations)
     if states is not None:
         return messages.EvacuationNotices(states)
@@ -109,6 +132,9 @@
                 if None not in (c.target, c.slowness_percent, c.age_ms)
             )
         )
+    if notices.overloads:
+        unpacked = (_unpack_overload(each) for each in notices.overloads)
+        return messages.OverloadNotices(tuple(o for o in unpacked if o is not None))
     if notices.leaving:
         return messages.LeavingNotices(
             tuple(TargetRun(TargetId(r.target), r.born_ms) for r in notices.leaving)
@@ -116,6 +142,33 @@
     return messages.StallNotices(tuple(TargetId(name) for name in notices.targets))
 
 
+def _pack_overload(observation: OverloadObservation) -> Any:
+    return ttypes.OverloadNotice(
+        observation.group,
+        min(I16_MAX, observation.pressure_percent),
+        observation.weight,
+        min(I16_MAX, observation.age_ms),
+        min(I16_MAX, observation.took_ms),
+        min(I16_MAX, observation.queued_ms),
+        observation.is_urgent,
+        min(I16_MAX, observation.level_percent),
+    )
+
+
+def _unpack_overload(notice: Any) -> OverloadObservation | None:
+    observation = OverloadObservation(
+        notice.group,
+        notice.pressure_percent,
+        notice.weight,
+        notice.age_ms,
+        notice.took_ms,
+        notice.queued_ms,
+        notice.is_urgent,
+        notice.level_percent,
+    )
+    return None if None in astuple(observation) else observation
+
+
 def _pack_verdict(verdict: messages.Verdict) -> Any:
     return ttypes.Verdict(
         verdict.fingerprint,
--- a/lavendertide/encodings/peer_protocol.thrift
+++ b/lavendertide/encodings/peer_protocol.thrift
@@ -225,10 +225,14 @@
 }
 
 struct OverloadNotice {
-  70: string group,
-  71: i32 pressure_percent,
-  72: i32 weight,
-  73: i32 age_ms,
+  70: i32 group,
+  71: i16 pressure_percent,
+  72: i16 weight,
+  73: i16 age_ms,
+  74: i16 took_ms,
+  75: i16 queued_ms,
+  76: bool is_urgent,
+  77: i16 level_percent,
 }
 
 struct ColdGrant {
--- a/lavendertide/forwarding/capacity.py
+++ b/lavendertide/forwarding/capacity.py
@@ -12,16 +12,18 @@
 import logging
 import math
 import random
+from collections.abc import Iterator
 from dataclasses import dataclass
 from typing import Final
 
 from lavendertide.forwarding.messages import CallerRequest, RefusalCause, Refused
 from lavendertide.forwarding.metrics import ForwardingMetrics
-from lavendertide.ids import RouteName
+from lavendertide.ids import DaemonId, RouteName
 from lavendertide.overload.capacities import Capacities
 from lavendertide.overload.capacity import Capacity, Feedback, Permit
 from lavendertide.overload.priority_admission import PriorityAdmission, PriorityPermit
 from lavendertide.overload.route_groups import find_priority_groups
+from lavendertide.overload.shared_overload import OverloadObservation, SharedOverload
 from lavendertide.routes.route import Route
 from lavendertide.routes.table import RouteTable
 
@@ -181,6 +183,42 @@
             case Permit():
                 self._capacities.release(permit, route, feedback, now_s)
 
+    def allows_repeats(self, route: Route, now_s: float) -> bool:
+        """Returns whether requests of a route may be hedged and retried now."""
+        group = self._groups.get(route.name)
+        return group is None or group.allows_repeats(route.name, now_s)
+
+    def has_delays_to_share(self, now_s: float) -> bool:
+        """Returns whether there may be observations that peers need."""
+        groups = dict.fromkeys(self._groups.values())
+        return any(group.shared.is_delay_known(now_s) for group in groups)
+
+    def log_changes(self, now_s: float) -> None:
+        """Logs from when to when several hosts report a delay of a group."""
+        for group in dict.fromkeys(self._groups.values()):
+            change = group.shared.poll_change(now_s)
+            if change is not None:
+                _log.warning(
+                    "several hosts report an overload"
+                    if change
+                    else "hosts no longer report an overload",
+                    extra={"routes": sorted(group.routes)},
+                )
+
+    def shared_overloads(self) -> Iterator[tuple[int, float, SharedOverload]]:
+        """Returns the number, the level and the observations of each group."""
+        for group in dict.fromkeys(self._groups.values()):
+            yield group.number, group.level, group.shared
+
+    def record_from_peer(
+        self, peer: DaemonId, item: OverloadObservation, now_s: float
+    ) -> bool:
+        """Records what a peer has observed; returns whether it counts."""
+        for group in dict.fromkeys(self._groups.values()):
+            if group.number == item.group:
+                return group.record_from_peer(peer, item, now_s)
+        return False
+
     def limit_of(self, route: RouteName, now_s: float) -> RouteLimit:
         """Returns the limit that a request meets now, without counting it."""
         group = self._groups.get(route)
--- a/lavendertide/forwarding/forwarder.py
+++ b/lavendertide/forwarding/forwarder.py
@@ -184,9 +184,13 @@
         """Returns whether the allowances of a service's cold targets are used up."""
         return self._choice.is_held_back(service, now_s)
 
-    def try_spend_repeat(self, service: ServiceName, now_s: float) -> bool:
-        """Spends one extra sub-request; returns whether the budget had one left."""
-        if self._budgets.try_spend(service, self._fleet.budget_share(now_s), now_s):
+    def try_spend_repeat(
+        self, route: Route, service: ServiceName, now_s: float
+    ) -> bool:
+        """Spends one extra sub-request; returns whether the route may have it."""
+        share = self._fleet.budget_share(now_s)
+        may_repeat = self._admission.allows_repeats(route, now_s)
+        if may_repeat and self._budgets.try_spend(service, share, now_s):
             return True
         self._metrics.withheld.inc()
         return False
--- a/lavendertide/forwarding/metrics.py
+++ b/lavendertide/forwarding/metrics.py
@@ -21,6 +21,8 @@
         withheld: Repeated sub-requests that the budget did not allow.
         capacities_shared: Observations of targets that were sent to peers.
         capacities_received: Observations of peers that were taken into account.
+        overloads_shared: Observations of queueing delays that were sent to peers.
+        overloads_received: Observations of peers that were taken into account.
         pauses: Refusals that told this host how long to leave a target alone.
     """
 
@@ -87,6 +89,16 @@
             "Observations of slow or fast targets that peers have sent.",
             registry=registry,
         )
+        self.overloads_shared = Counter(
+            "lavendertide_forwarded_overloads_shared",
+            "Observations of queueing delays that were sent to peers.",
+            registry=registry,
+        )
+        self.overloads_received = Counter(
+            "lavendertide_forwarded_overloads_received",
+            "Observations of queueing delays of peers that were taken into account.",
+            registry=registry,
+        )
         late_calls = Counter(
             "lavendertide_forwarded_late_calls",
             "Calls that became late, by what their targets had reported just before.",
--- a/lavendertide/forwarding/parts.py
+++ b/lavendertide/forwarding/parts.py
@@ -1,5 +1,6 @@
 """The state of a request at each of the services that have to reply to it."""
 
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 from typing import Final
 
@@ -14,6 +15,7 @@
 )
 from lavendertide.forwarding.target_call import TargetCall
 from lavendertide.ids import ServiceName, TargetId
+from lavendertide.registry.record import TargetRecord
 
 # Pause before a retry, doubled for each further failure.
 RETRY_PAUSE_MIN_S: Final = 0.02
@@ -118,6 +120,18 @@
             case _:
                 return False
 
+    def find_untried(self, ranked: Iterable[TargetRecord]) -> TargetRecord | None:
+        """Returns the first target that was not tried."""
+        return next((r for r in ranked if r.target not in self.tried_targets), None)
+
+    def find_tried(self, ranked: Iterable[TargetRecord]) -> TargetRecord | None:
+        """Returns the first target that was tried and has no open call."""
+        for record in ranked:
+            is_tried = record.target in self.tried_targets
+            if is_tried and not self.has_open_call(record.target):
+                return record
+        return None
+
     def record_failure(self, reply: TargetReply) -> None:
         """Records an unsuccessful reply and whether the request may have run."""
         match reply:
--- a/lavendertide/forwarding/response.py
+++ b/lavendertide/forwarding/response.py
@@ -3,7 +3,13 @@
 from collections.abc import Sequence
 
 from lavendertide.forwarding.merging import merge_greatest_records
-from lavendertide.forwarding.messages import Gathered, Passed, Replied
+from lavendertide.forwarding.messages import (
+    Failed,
+    Gathered,
+    Passed,
+    RefusalCause,
+    Replied,
+)
 from lavendertide.forwarding.parts import Part
 from lavendertide.routes.route import GatheredShards, Route
 
@@ -34,3 +40,16 @@
             if isinstance(part.failure, Replied) and not part.open_calls:
                 return Passed(part.failure)
             return None
+
+
+def build_failure(is_gathered: bool, is_late: bool) -> Failed:
+    """Returns the response to a request that a target may have run.
+
+    Args:
+        is_gathered: Whether the request is a search over shards.
+        is_late: Whether it ran out of time.
+    """
+    if is_late:
+        return Failed(RefusalCause.TIMED_OUT, is_late)
+    cause = RefusalCause.TARGETS_FAILED
+    return Failed(RefusalCause.TOO_FEW_SHARDS if is_gathered else cause, is_late)
--- a/lavendertide/forwarding/run.py
+++ b/lavendertide/forwarding/run.py
@@ -14,7 +14,6 @@
     UNSENT_REASONS,
     Abandoned,
     CallerRequest,
-    Failed,
     NotRun,
     RefusalCause,
     Refused,
@@ -26,7 +25,7 @@
 from lavendertide.forwarding.missing import MissingCause, MissingPart, find_missing
 from lavendertide.forwarding.parts import Part
 from lavendertide.forwarding.request_log import log_end, log_repeat, response_outcome
-from lavendertide.forwarding.response import build_success
+from lavendertide.forwarding.response import build_failure, build_success
 from lavendertide.forwarding.sender import (
     CallDone,
     CallerLeft,
@@ -37,12 +36,7 @@
 )
 from lavendertide.forwarding.target_call import TargetCall
 from lavendertide.ids import ServiceName
-from lavendertide.overload.capacity import (
-    Feedback,
-    HalfCovered,
-    Inconclusive,
-    Starved,
-)
+from lavendertide.overload.capacity import Feedback, HalfCovered, Inconclusive, Starved
 from lavendertide.registry.record import TargetRecord
 from lavendertide.routes.route import GatheredShards, RequestKind, Route
 from lavendertide.runtime import clock, tasks
@@ -131,9 +125,9 @@
         return response
 
     def _send_first(self, number: int, part: Part, now_s: float) -> None:
-        record = next(iter(self._sender.rank_targets(part.service, now_s)), None)
-        if record is not None:
-            self._send(number, part, record)
+        ranked = self._sender.rank_targets(part.service, now_s)
+        if ranked:
+            self._send(number, part, ranked[0])
         else:
             self._lost_count += 1
 
@@ -275,27 +269,19 @@
             part.late_at_s = now_s + WITHHELD_HEDGE_SHARE * self._route.objective_s
 
     def _try_spend(self, part: Part, now_s: float) -> bool:
-        if not self._sender.try_spend_repeat(part.service, now_s):
-            return False
-        self._extra_count += 1
-        return True
+        is_spent = self._sender.try_spend_repeat(self._route, part.service, now_s)
+        self._extra_count += is_spent
+        return is_spent
 
     def _untried_target(self, part: Part, now_s: float) -> TargetRecord | None:
         """Returns the best untried target, if the route allows another one."""
         if part.attempts >= max(1, self._route.attempts_max):
             return None
-        for record in self._sender.rank_targets(part.service, now_s):
-            if record.target not in part.tried_targets:
-                return record
-        return None
+        return part.find_untried(self._sender.rank_targets(part.service, now_s))
 
     def _tried_target(self, part: Part, now_s: float) -> TargetRecord | None:
         """Returns the best target that was tried and has no open call of this part."""
-        for record in self._sender.rank_targets(part.service, now_s):
-            is_tried = record.target in part.tried_targets
-            if is_tried and not part.has_open_call(record.target):
-                return record
-        return None
+        return part.find_tried(self._sender.rank_targets(part.service, now_s))
 
     @property
     def _is_gathered(self) -> bool:
@@ -327,13 +313,9 @@
                 call.cancel()
 
     def _build_failure(self, now_s: float) -> Response:
-        is_late = now_s >= self._deadlines.ends_at_s
-        may_have_run = any(part.has_run_or_may_run for part in self._parts)
-        if may_have_run:
-            cause = RefusalCause.TARGETS_FAILED
-            if self._is_gathered:
-                cause = RefusalCause.TOO_FEW_SHARDS
-            return Failed(RefusalCause.TIMED_OUT if is_late else cause, is_late)
+        if any(part.has_run_or_may_run for part in self._parts):
+            is_late = now_s >= self._deadlines.ends_at_s
+            return build_failure(self._is_gathered, is_late)
         # They would otherwise be sent once a connection is free.
         self._cancel_all()
         services = [part.service for part in self._parts]
--- a/lavendertide/forwarding/sender.py
+++ b/lavendertide/forwarding/sender.py
@@ -55,8 +55,10 @@
     def is_held_back(self, service: ServiceName, now_s: float) -> bool:
         """Returns whether the allowances of a service's cold targets are used up."""
 
-    def try_spend_repeat(self, service: ServiceName, now_s: float) -> bool:
-        """Spends one extra sub-request; returns whether the budget had one left."""
+    def try_spend_repeat(
+        self, route: Route, service: ServiceName, now_s: float
+    ) -> bool:
+        """Spends one extra sub-request; returns whether the route may have it."""
 
     def remaining_budget(self, service: ServiceName, now_s: float) -> float:
         """Returns how many extra sub-requests this host may send now."""
--- a/lavendertide/gateway/capacity_exchange.py
+++ b/lavendertide/gateway/capacity_exchange.py
@@ -13,6 +13,7 @@
 from lavendertide.forwarding.target_view import TargetViews
 from lavendertide.messages import CapacityNotices
 from lavendertide.overload.capacity_sharing import (
+    BYTES_PER_S,
     INTERVAL_S,
     ITEMS_MAX,
     CapacityObservation,
@@ -32,6 +33,7 @@
 
     Args:
         is_enabled: Whether this deployment shares observations.
+        bytes_per_s: Bytes that may be sent in any second, to all peers together.
     """
 
     def __init__(
@@ -42,6 +44,7 @@
         views: TargetViews,
         metrics: ForwardingMetrics,
         is_enabled: bool,
+        bytes_per_s: int = BYTES_PER_S,
     ) -> None:
         self._registry = registry
         self._roster = roster
@@ -49,7 +52,7 @@
         self._views = views
         self._metrics = metrics
         self._is_enabled = is_enabled
-        self._sharing = CapacitySharing()
+        self._sharing = CapacitySharing(bytes_per_s)
 
     def run(self) -> None:
         """Sends what is due until the process ends."""
--- a/lavendertide/gateway/gateway.py
+++ b/lavendertide/gateway/gateway.py
@@ -36,6 +36,7 @@
 from lavendertide.gateway.leaving_broadcast import LeavingBroadcast
 from lavendertide.gateway.load import LoadMeter
 from lavendertide.gateway.options import GatewayOptions
+from lavendertide.gateway.overload_exchange import OverloadExchange
 from lavendertide.gateway.peer_exchange import PeerExchange
 from lavendertide.gateway.shared_reading import RegistrySource, SharedReader
 from lavendertide.ids import (
@@ -47,6 +48,8 @@
     CallerConnections,
     connections_max_of,
 )
+from lavendertide.overload.capacity_sharing import BYTES_PER_S
+from lavendertide.overload.shared_overload import BYTES_PER_S as OVERLOAD_BYTES_PER_S
 from lavendertide.poison.quarantine import Quarantine
 from lavendertide.registry.registry import TargetRegistry
 from lavendertide.routes.active_routes import ActiveRoutes
@@ -180,6 +183,8 @@
         self._bounds = CallerBounds(self._adapters.memory, connections_max, REGISTRY)
         if options.shares_capacities:
             tasks.spawn_supervised(self._capacity_exchange.run)
+        if options.admits_by_priority:
+            tasks.spawn_supervised(self._overload_exchange.run)
         front = self._caller_front()
         listener = sockets.listen(options.callers)
         tasks.spawn_supervised(
@@ -246,6 +251,7 @@
             self._target_views,
             self._metrics,
             options.shares_capacities,
+            BYTES_PER_S - OVERLOAD_BYTES_PER_S * options.admits_by_priority,
         )
         self._peer_exchange = PeerExchange(
             roster,
@@ -287,6 +293,10 @@
             self._cold,
             options.admits_by_priority,
         )
+        self._overload_exchange = OverloadExchange(
+            roster, peers, self._forwarder.admission, self._metrics
+        )
+        self._peer_exchange.set_overload_exchange(self._overload_exchange)
 
     def _find_service(self, name: ServiceName) -> Service | None:
         table = self._active_routes.table
--- a/lavendertide/gateway/peer_exchange.py
+++ b/lavendertide/gateway/peer_exchange.py
@@ -21,6 +21,7 @@
 from lavendertide.gateway.capacity_exchange import CapacityExchange
 from lavendertide.gateway.evacuation_broadcast import EvacuationBroadcast
 from lavendertide.gateway.leaving_broadcast import LeavingBroadcast
+from lavendertide.gateway.overload_exchange import OverloadExchange
 from lavendertide.ids import Fingerprint, TargetId
 from lavendertide.messages import (
     Answered,
@@ -30,6 +31,7 @@
     Frame,
     LeavingNotices,
     Lost,
+    OverloadNotices,
     ReachRequest,
     RegistryPull,
     RegistryPush,
@@ -84,6 +86,7 @@
         self._leaving = leaving
         self._evacuations = evacuations
         self._capacities = capacities
+        self._overloads: OverloadExchange | None = None
         self._build_registry_push = build_registry_push
         self._pending_verdicts: dict[Fingerprint, Verdict] = {}
         self._pending_stalls: dict[TargetId, None] = {}
@@ -91,6 +94,10 @@
             roster, peers, crashes.verdicts_for_new_member
         )
 
+    def set_overload_exchange(self, overloads: OverloadExchange) -> None:
+        """Sets what handles notices of overload; they are ignored without it."""
+        self._overloads = overloads
+
     def broadcast_stall(self, target: TargetId) -> None:
         """Records a stalled target and broadcasts it to the hosts that callers use."""
         _log.info("target stalled", extra={"target": target})
@@ -146,8 +153,8 @@
                 self._leaving.apply_notices(runs, peer.daemon, now_s)
             case EvacuationNotices(states):
                 self._evacuations.apply_notices(states, now_s)
-            case CapacityNotices(observed):
-                self._capacities.apply_notices(observed, now_s)
+            case CapacityNotices() | OverloadNotices():
+                self._apply_load_notices(peer, frame, now_s)
             case Verdicts(items):
                 self._apply_verdicts(peer, items, now_s)
             case RegistryPull():
@@ -169,6 +176,18 @@
             case _:
                 peer.send(first)
 
+    def _apply_load_notices(
+        self,
+        peer: PeerConnection,
+        frame: CapacityNotices | OverloadNotices,
+        now_s: float,
+    ) -> None:
+        match frame:
+            case CapacityNotices(observed):
+                self._capacities.apply_notices(observed, now_s)
+            case OverloadNotices(delays) if self._overloads is not None:
+                self._overloads.apply_notices(peer.daemon, delays, now_s)
+
     def _apply_verdicts(
         self, peer: PeerConnection, items: tuple[Verdict, ...], now_s: float
     ) -> None:
--- a/lavendertide/messages/__init__.py
+++ b/lavendertide/messages/__init__.py
@@ -61,6 +61,7 @@
     CapacityNotices as CapacityNotices,
     EvacuationNotices as EvacuationNotices,
     LeavingNotices as LeavingNotices,
+    OverloadNotices as OverloadNotices,
     RegistryPull as RegistryPull,
     RegistryPush as RegistryPush,
     SlotClaim as SlotClaim,
@@ -100,6 +101,7 @@
     | LeavingNotices
     | EvacuationNotices
     | CapacityNotices
+    | OverloadNotices
     | RegistryPull
     | RegistryPush
     | TrialClaim
--- a/lavendertide/messages/targets.py
+++ b/lavendertide/messages/targets.py
@@ -5,6 +5,7 @@
 from lavendertide.evacuation.evacuated_domains import Evacuation
 from lavendertide.ids import ConfigurationVersion, DaemonId, ExchangeId, TargetId
 from lavendertide.overload.capacity_sharing import CapacityObservation
+from lavendertide.overload.shared_overload import OverloadObservation
 from lavendertide.registry.record import TargetRecord, TargetRun
 
 
@@ -48,6 +49,16 @@
     items: tuple[CapacityObservation, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class OverloadNotices:
+    """What the sender's own requests show about the queues of their targets.
+
+    Sent to a few peers that are advertised to callers, which don't pass it on.
+    """
+
+    items: tuple[OverloadObservation, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class RegistryPull:
     """Requests changed target records from a peer that reads the platform.
--- a/lavendertide/overload/capacity_sharing.py
+++ b/lavendertide/overload/capacity_sharing.py
@@ -51,9 +51,14 @@
 
 
 class CapacitySharing:
-    """Selects the observations to share, within a bound of bytes a second."""
+    """Selects the observations to share, within a bound of bytes a second.
 
-    def __init__(self) -> None:
+    Args:
+        bytes_per_s: Bytes that a host may send in any second, to all peers together.
+    """
+
+    def __init__(self, bytes_per_s: int = BYTES_PER_S) -> None:
+        self._bytes_per_s = bytes_per_s
         self._sent_at_s = -math.inf
         self._shared_at_s: dict[TargetId, float] = {}
         self._sent_bytes: deque[tuple[float, int]] = deque()
@@ -81,9 +86,9 @@
             self._shared_at_s.clear()
             return (), 0
         deviating.sort(key=lambda pair: self._urgency(pair[0], pair[1], now_s))
-        left = BYTES_PER_S - self._spent_bytes(now_s)
+        left = self._bytes_per_s - self._spent_bytes(now_s)
         # Half of a second's bytes at most, so that later changes find some left.
-        left = min(left, BYTES_PER_S // 2)
+        left = min(left, self._bytes_per_s // 2)
         first_bytes = FRAME_BYTES + _size_of(deviating[0][0])
         reached = min(recipients, left // first_bytes)
         if reached <= 0:
--- a/lavendertide/overload/delay_observations.py
+++ b/lavendertide/overload/delay_observations.py
@@ -7,9 +7,11 @@
 
 import math
 import statistics
+from collections import deque
 from dataclasses import dataclass, field
 from typing import Final
 
+from lavendertide.ids import DaemonId
 from lavendertide.overload.capacity import (
     CONGESTION_MIN_S,
     ROUND_MIN_S,
@@ -22,6 +24,12 @@
 # `CONGESTION_MIN_S`. The delay is measured from the shortest time, and most requests
 # take longer; with 0.25 s, pauses of 0.2 s caused refusals.
 QUEUED_MIN_S: Final = 0.32
+# Urgent searches, and the time within which they are counted, whose median must show
+# that pressure.
+URGENT_SEARCHES_MIN: Final = 3
+URGENT_MEMORY_S: Final = 10.0
+# Observations of urgent requests that are kept; the newest ones decide.
+URGENT_OBSERVATIONS_MAX: Final = 64
 
 
 @dataclass(frozen=True, slots=True)
@@ -37,6 +45,7 @@
         weight: Number of its sub-requests. A slow target delays a request with a single
             one as overload does.
         is_urgent: Whether its route is one of the most urgent of the group.
+        peer: The host that has reported it; none for a request of this host.
     """
 
     arrived_at_s: float
@@ -44,8 +53,9 @@
     observed_at_s: float
     queued_s: float
     pressure: float
-    weight: int
+    weight: float
     is_urgent: bool
+    peer: DaemonId | None = None
 
 
 @dataclass(slots=True)
@@ -56,10 +66,17 @@
     observations: list[Observation] = field(default_factory=list)
 
     def add(self, observation: Observation) -> None:
-        """Adds an observation; those of another time no longer count."""
+        """Adds an observation; those of another time no longer count.
+
+        Each peer has at most the weight of one search.
+        """
         oldest_s = observation.observed_at_s - CONGESTION_GAP_S
         while self.observations and self.observations[0].observed_at_s < oldest_s:
             self.observations.pop(0)
+        if observation.peer is not None:
+            same = (o.weight for o in self.observations if o.peer == observation.peer)
+            if sum(same) >= ROUND_MIN_SEARCHES:
+                return
         self.observations.append(observation)
 
     def is_complete(self, now_s: float) -> bool:
@@ -68,6 +85,29 @@
         return weight >= ROUND_MIN_SEARCHES and now_s - self.began_at_s >= ROUND_MIN_S
 
 
+class UrgentDelay:
+    """The recent observations of the most urgent requests."""
+
+    def __init__(self) -> None:
+        self._observations: deque[Observation] = deque(maxlen=URGENT_OBSERVATIONS_MAX)
+
+    def add(self, observation: Observation) -> None:
+        """Adds an observation of one of the most urgent requests."""
+        self._observations.append(observation)
+
+    def median_pressure(self, from_s: float, now_s: float) -> float:
+        """Returns the median of the requests since a time; zero if they are too few.
+
+        One search decides nothing: some are slow whenever many targets are.
+        """
+        from_s = max(from_s, now_s - URGENT_MEMORY_S)
+        recent = [each for each in self._observations if each.arrived_at_s >= from_s]
+        weight = sum(each.weight for each in recent)
+        if weight < URGENT_SEARCHES_MIN * ROUND_MIN_SEARCHES:
+            return 0.0
+        return median_pressure(recent)
+
+
 class DelayDuration:
     """Measures for how long the rounds have shown a delay."""
 
--- a/lavendertide/overload/priority_admission.py
+++ b/lavendertide/overload/priority_admission.py
@@ -11,19 +11,25 @@
 are thinned first, down to a floor, then the next ones. A class and not a share of the
 work is the unit, so that a change in the mix of requests never thins the urgent ones.
 
-Each host decides by its own requests and sends no message. All hosts see the queues of
-the same targets, so while they disagree, the hosts that admit more see the delay more
-often and are the ones that reduce their level. A host that has just started admits all.
+Each host decides by its own requests and by what peers report of theirs
+(`lavendertide.overload.shared_overload`). All hosts see the queues of the same targets,
+so while they disagree, the hosts that admit more see the delay more often and are the
+ones that reduce their level. A host that has just started admits all until then.
 """
 
 import itertools
 import math
 import random
 from collections.abc import Iterable
-from dataclasses import dataclass
 from typing import Final
 
-from lavendertide.ids import RouteName
+from lavendertide.ids import DaemonId, RouteName
+from lavendertide.overload.admission_level import (
+    FLOOR,
+    draw_retry_delay_s,
+    growth_factor,
+    scale_level,
+)
 from lavendertide.overload.capacity import (
     ROUND_MIN_SEARCHES,
     Feedback,
@@ -36,13 +42,19 @@
     DelayDuration,
     Observation,
     Round,
+    UrgentDelay,
     median_pressure,
 )
+from lavendertide.overload.priority_permit import PriorityPermit as PriorityPermit
 from lavendertide.overload.route_state import RouteState
+from lavendertide.overload.shared_overload import (
+    PRESSURE_MAX,
+    OverloadObservation,
+    SharedOverload,
+    group_number,
+)
 from lavendertide.routes.route import Route
 
-# Share of the arrivals of a route that is admitted at least.
-FLOOR: Final = 0.1
 # Pressure from which thinning begins. A higher one left a third of the hosts without
 # thinning three seconds after the load had risen.
 ONSET_PRESSURE: Final = 1.0
@@ -50,21 +62,15 @@
 # raised. The last shards that a search needs queue for longer than the first half, so
 # their share of the time has to stay free.
 TARGET_PRESSURE: Final = 0.5
-# Highest pressure that counts: half of the shards took the whole objective.
-PRESSURE_MAX: Final = 4.0
 # Pressure of the most urgent requests from which they are thinned as well, and the time
 # that they get to recover after all other routes have reached their floor.
 URGENT_PRESSURE: Final = 2.0
 URGENT_DELAY_S: Final = 1.0
 # Smallest factor of one cut. A host may observe the overload only once in a second.
 CUT_MIN: Final = 0.1
-# Growth of the admitted work per second while there is no queue, relative to itself. It
-# is slow after a cut, as single requests are fast during an overload, too, and becomes
-# faster by `GROWTH_GAIN` with each second since then.
-GROWTH_GAIN: Final = 0.1
-GROWTH_MAX: Final = 1.0
-# Longest time for which one request raises the level.
-GROWTH_MAX_S: Final = 1.5
+# Additional factor of a cut that peers' observations support. Each host applies only a
+# few of them before the delay is over, and a host that isn't sure admits too much.
+SHARED_CUT: Final = 0.3
 # Only requests that end within the objective raise the level; it grows at the full rate
 # if half of the objective is left.
 SPARE_SHARE: Final = 0.5
@@ -77,32 +83,6 @@
 # bound the cost on a host with many requests.
 OPEN_CHECK_INTERVAL_S: Final = 0.05
 OPEN_CHECK_MAX: Final = 16
-# Retry delays in objectives: the smallest one, to which up to as much again is added.
-URGENT_RETRY_OBJECTIVES: Final = 0.5
-RETRY_OBJECTIVES: Final = 1.0
-
-
-@dataclass(eq=False, slots=True)
-class PriorityPermit:
-    """Permission to run one request; it must be released when the request ends."""
-
-    admission: "PriorityAdmission"
-    state: RouteState
-    acquired_at_s: float
-    is_observed: bool = False
-    is_half_covered: bool = False
-    pressure: float = 0.0
-
-    def record_half_covered(self, took_s: float, now_s: float) -> None:
-        """Records that half of the sub-requests have been answered."""
-        self.is_half_covered = True
-        self.admission.record(self, HalfCovered(took_s), now_s)
-
-    def release(self, feedback: Feedback, now_s: float) -> None:
-        """Ends the request; its feedback counts unless half was covered before."""
-        if not self.is_half_covered:
-            self.admission.record(self, feedback, now_s)
-        self.admission.remove(self, now_s)
 
 
 class PriorityAdmission:
@@ -113,16 +93,18 @@
     ) -> None:
         self._random = generator
         self._states: dict[RouteName, RouteState] = {}
+        self._ranks: dict[int, int] = {}
         self._level = math.inf
         self._round = Round(now_s)
         self._open: dict[PriorityPermit, None] = {}
-        self._open_checked_at_s = now_s
-        self._raised_at_s = now_s
+        self._open_checked_at_s = self._raised_at_s = now_s
         self._refused_at_s = -math.inf
         # Requests that arrived before met the queue from before the last cut.
         self._counted_from_s = -math.inf
         self._cut_at_s = self._lowest_since_s = -math.inf
         self._delay = DelayDuration()
+        self._shared = SharedOverload()
+        self._urgent = UrgentDelay()
         self.update_routes(routes, now_s)
 
     @property
@@ -137,6 +119,16 @@
     def _level_max(self) -> float:
         return float(len(self._ranks))
 
+    @property
+    def number(self) -> int:
+        """Number of the group in notices to peers."""
+        return group_number(self._states)
+
+    @property
+    def shared(self) -> SharedOverload:
+        """What this host shares of the group, and what peers have reported."""
+        return self._shared
+
     @property
     def routes(self) -> frozenset[RouteName]:
         """The routes of the group."""
@@ -144,8 +136,7 @@
 
     def update_routes(self, routes: Iterable[Route], now_s: float) -> None:
         """Replaces the routes; those that were known keep what was learned."""
-        former = self._states
-        self._states = {}
+        former, self._states = self._states, {}
         for route in routes:
             state = former.get(route.name)
             if state is None:
@@ -155,8 +146,9 @@
             state.route = route
             self._states[route.name] = state
         priorities = {state.route.priority for state in self._states.values()}
+        was_full = self._level >= self._level_max
         self._ranks = {priority: i for i, priority in enumerate(sorted(priorities))}
-        self._level = min(self._level, self._level_max)
+        self._level = self._level_max if was_full else min(self._level, self._level_max)
 
     def try_acquire(self, name: RouteName, now_s: float) -> PriorityPermit | None:
         """Returns a permit for a request; none if it is refused.
@@ -184,14 +176,24 @@
         """Returns after how many seconds the caller of a refused request may retry."""
         route = self._states[name].route
         is_urgent = self._ranks[route.priority] == 0
-        objectives = URGENT_RETRY_OBJECTIVES if is_urgent else RETRY_OBJECTIVES
-        return objectives * (1.0 + self._random.random()) * route.objective_s
+        return draw_retry_delay_s(route.objective_s, is_urgent, self._random)
 
     def admitted_share(self, name: RouteName, now_s: float) -> float:
         """Returns the share of a route's arrivals that is admitted at present."""
         rank = self._ranks[self._states[name].route.priority]
         return FLOOR + (1.0 - FLOOR) * max(0.0, min(1.0, self._level - rank))
 
+    def allows_repeats(self, name: RouteName, now_s: float) -> bool:
+        """Returns whether requests of a route may be hedged and retried now.
+
+        Under overload these are left to the most urgent routes. A service's budget of
+        them is small, and each one lengthens the queues of the targets.
+        """
+        if self._ranks[self._states[name].route.priority] == 0:
+            return True
+        is_full = self._level >= self._level_max
+        return is_full and not self._shared.withholds_repeats(now_s)
+
     def in_flight(self, name: RouteName) -> int:
         """Returns the number of requests of a route that run at present."""
         return sum(permit.state.route.name == name for permit in self._open)
@@ -219,11 +221,38 @@
                 state.record_half_covered(took_s, now_s)
         self._observe(permit, feedback, now_s)
 
+    def record_from_peer(
+        self, peer: DaemonId, item: OverloadObservation, now_s: float
+    ) -> bool:
+        """Records what a peer has observed; returns whether it counts."""
+        observation = self._shared.accept(peer, item, now_s)
+        self._join_peers(now_s)
+        if observation is None or observation.arrived_at_s < self._counted_from_s:
+            return False
+        counts = self._shared.is_corroborated(now_s)
+        if counts:
+            self._add_to_round(observation, now_s)
+        return counts
+
+    def _join_peers(self, now_s: float) -> None:
+        """Takes over the level of the peers if this host alone refuses nothing."""
+        if self._level < self._level_max:
+            return
+        level = self._shared.find_joint_level(self._level_max, now_s)
+        if level is not None:
+            self._level = max(1.0, level)
+            self._lowest_since_s = self._refused_at_s = self._cut_at_s = now_s
+
     def remove(self, permit: PriorityPermit, now_s: float) -> None:
         """Removes a request that has ended."""
         self._open.pop(permit, None)
-        if permit.is_half_covered:
-            self._raise_level(permit, now_s)
+        if not permit.is_half_covered or permit.acquired_at_s < self._counted_from_s:
+            return
+        objective_s = permit.state.route.objective_s
+        took_s = now_s - permit.acquired_at_s
+        if took_s < objective_s and permit.pressure < TARGET_PRESSURE:
+            spare = min(1.0, (1.0 - took_s / objective_s) / SPARE_SHARE)
+            self._raise_level(spare * (1.0 - permit.pressure / TARGET_PRESSURE), now_s)
 
     def _check_open_requests(self, now_s: float) -> None:
         """Counts the delay of requests that still wait for half of their replies.
@@ -260,7 +289,13 @@
             min(ROUND_MIN_SEARCHES, state.sub_requests),
             self._ranks[state.route.priority] == 0,
         )
+        self._shared.record_own(observation)
+        self._add_to_round(observation, now_s)
+
+    def _add_to_round(self, observation: Observation, now_s: float) -> None:
         self._round.add(observation)
+        if observation.is_urgent:
+            self._urgent.add(observation)
         if self._round.is_complete(now_s):
             self._adjust_level(now_s)
 
@@ -268,9 +303,11 @@
         observations = self._round.observations
         self._round = Round(now_s)
         pressure = median_pressure(observations)
-        onset_pressure = (
-            ONSET_PRESSURE if self._level >= self._level_max else TARGET_PRESSURE
-        )
+        is_onset = self._level >= self._level_max
+        if is_onset and not self._shared.is_long_delay(now_s):
+            onset_pressure = ONSET_PRESSURE
+        else:
+            onset_pressure = TARGET_PRESSURE
         if pressure < onset_pressure:
             self._delay.end()
             return
@@ -285,14 +322,13 @@
         lower = 1.0
         if self._level > 1.0:
             self._lowest_since_s = now_s
-        urgent = [each for each in counted if each.is_urgent]
-        if (
-            now_s - self._lowest_since_s >= URGENT_DELAY_S
-            and urgent
-            and median_pressure(urgent) >= URGENT_PRESSURE
-        ):
+        from_s = self._lowest_since_s + URGENT_DELAY_S
+        if self._urgent.median_pressure(from_s, now_s) >= URGENT_PRESSURE:
             lower = 0.0
-        level = self._scaled_level(max(CUT_MIN, TARGET_PRESSURE / pressure), now_s)
+        factor = max(CUT_MIN, TARGET_PRESSURE / pressure)
+        if self._shared.is_corroborated(now_s):
+            factor *= SHARED_CUT
+        level = self._scaled_level(factor, now_s)
         self._level = min(self._level, max(lower, level))
         longest_s = max(each.queued_s for each in counted)
         self._counted_from_s = now_s + min(longest_s, DRAINING_MAX_S)
@@ -303,33 +339,22 @@
         work = [0.0] * len(self._ranks)
         for state in self._states.values():
             work[self._ranks[state.route.priority]] += state.current_work(now_s)
-        above = [(1.0 - FLOOR) * each for each in work]
-        admitted = sum(
-            each * max(0.0, min(1.0, self._level - rank))
-            for rank, each in enumerate(above)
-        )
-        rest = factor * (admitted + FLOOR * sum(work)) - FLOOR * sum(work)
-        for rank, each in enumerate(above):
-            if rest < each:
-                return rank + (rest / each if rest > 0.0 else 0.0)
-            rest -= each
-        return float(len(above))
-
-    def _raise_level(self, permit: PriorityPermit, now_s: float) -> None:
-        """Raises the level if a request has ended in good time."""
-        if (
-            self._level >= self._level_max
-            or permit.acquired_at_s < self._counted_from_s
-        ):
-            return
-        objective_s = permit.state.route.objective_s
-        took_s = now_s - permit.acquired_at_s
-        spare = min(1.0, (1.0 - took_s / objective_s) / SPARE_SHARE)
-        spare *= 1.0 - permit.pressure / TARGET_PRESSURE
-        if took_s >= objective_s or permit.pressure >= TARGET_PRESSURE:
+        return scale_level(self._level, factor, work)
+
+    def _raise_level(self, spare: float, now_s: float) -> None:
+        """Raises the level after a request that was in good time.
+
+        Args:
+            spare: How much room there is, from 0 to 1.
+            now_s: Present time, monotonic.
+        """
+        if self._level >= self._level_max:
             return
-        elapsed_s = min(GROWTH_MAX_S, now_s - self._raised_at_s)
+        growth = growth_factor(
+            now_s - self._raised_at_s,
+            now_s - self._cut_at_s,
+            self._shared.is_corroborated(now_s),
+        )
         self._raised_at_s = now_s
-        growth = min(GROWTH_MAX, GROWTH_GAIN * (now_s - self._cut_at_s))
-        level = self._scaled_level(1.0 + growth * spare * elapsed_s, now_s)
+        level = self._scaled_level(1.0 + growth * spare, now_s)
         self._level = max(self._level, level)
--- a/standins/model_fleet.py
+++ b/standins/model_fleet.py
@@ -1,6 +1,7 @@
 """Runs the real forwarding code of several hosts on model targets, with no network."""
 
 import random
+from collections import defaultdict
 from collections.abc import Callable
 from dataclasses import dataclass, replace
 from typing import Final
@@ -8,6 +9,7 @@
 from prometheus_client import CollectorRegistry
 
 from lavendertide.forwarding.budget import RetryAllowance, RetryBudgets
+from lavendertide.forwarding.capacity import RouteAdmission
 from lavendertide.forwarding.fleet_callbacks import FleetCallbacks
 from lavendertide.forwarding.forwarder import Forwarder
 from lavendertide.forwarding.messages import Response
@@ -16,13 +18,21 @@
 from lavendertide.forwarding.pool import TargetPools
 from lavendertide.forwarding.send_check import SendCheck
 from lavendertide.forwarding.target_view import TargetViews
-from lavendertide.ids import Address, FailureDomain, RouteName, ServiceName, TargetId
+from lavendertide.ids import (
+    Address,
+    DaemonId,
+    FailureDomain,
+    RouteName,
+    ServiceName,
+    TargetId,
+)
 from lavendertide.messages import Verdict
 from lavendertide.overload.capacity_sharing import (
     CapacityObservation,
     CapacitySharing,
     record_observation,
 )
+from lavendertide.overload.shared_overload import OverloadObservation, OverloadSharing
 from lavendertide.poison.quarantine import Quarantine
 from lavendertide.registry.record import TargetRecord, TargetRun
 from lavendertide.registry.registry import TargetRegistry
@@ -49,6 +59,8 @@
 BROADCAST_DELAY_S: Final = 0.005
 # As in `lavendertide.gateway.capacity_exchange`.
 LOOK_INTERVAL_S: Final = 0.05
+# As in `lavendertide.gateway.overload_exchange`.
+OVERLOAD_RINGS: Final = 8
 RETRY_ALLOWANCE: Final = RetryAllowance(ratio=0.2, fixed=56.0, window_s=10.0)
 
 
@@ -124,7 +136,9 @@
         self._fleet = fleet
         self.registry = TargetRegistry(LAST_RESORT_S)
         self.views = fleet.conditions.make_views(LOCAL_DOMAIN)
+        self.number = number
         self.sharing = CapacitySharing()
+        self.overload_sharing = OverloadSharing(random.Random(number))
         self.crashes = CrashEvidence(Quarantine())
         send_check = SendCheck(self.registry, self.views, self.crashes)
         self._forwarder = Forwarder(
@@ -164,6 +178,11 @@
         assert isinstance(found, Route)
         return self._forwarder.forward(caller_request, found, tasks.Mailbox())
 
+    @property
+    def admission(self) -> RouteAdmission:
+        """The limits of the routes on this host."""
+        return self._forwarder.admission
+
     def _record_leaving(self, run: TargetRun, now_s: float) -> None:
         self.registry.record_leaving(run, now_s)
 
@@ -203,6 +222,9 @@
             others = [host for host in self.hosts if host is not self.hosts[number]]
             links = random.Random(number).sample(others, conditions.links)
             tasks.spawn(self._share_forever, self.hosts[number], links)
+        if size.admits_by_priority:
+            for host, receivers in self._overload_receivers():
+                tasks.spawn(self._share_overload_forever, host, receivers)
         for model in self.targets.values():
             self.publish(model.record)
 
@@ -238,6 +260,43 @@
                 receivers = random.sample(links, reached)
                 tasks.spawn(self._apply_observations, receivers, items)
 
+    def _overload_receivers(self) -> list[tuple[ModelHost, list[ModelHost]]]:
+        """Returns each host's successors on rings of all hosts, in random orders."""
+        successors: dict[int, dict[int, ModelHost]] = defaultdict(dict)
+        for ring in range(OVERLOAD_RINGS):
+            order = random.Random(ring).sample(self.hosts, len(self.hosts))
+            for host, successor in zip(order, [*order[1:], order[0]], strict=True):
+                if host is not successor:
+                    successors[host.number][successor.number] = successor
+        return [(host, list(successors[host.number].values())) for host in self.hosts]
+
+    def _share_overload_forever(
+        self, host: ModelHost, receivers: list[ModelHost]
+    ) -> None:
+        while True:
+            tasks.sleep(LOOK_INTERVAL_S)
+            items, reached = host.overload_sharing.select(
+                host.admission.shared_overloads(),
+                len(receivers),
+                clock.monotonic_s(),
+            )
+            if items:
+                chosen = random.sample(receivers, reached)
+                tasks.spawn(self._apply_overloads, host, chosen, items)
+
+    def _apply_overloads(
+        self,
+        sender: ModelHost,
+        receivers: list[ModelHost],
+        items: tuple[OverloadObservation, ...],
+    ) -> None:
+        tasks.sleep(BROADCAST_DELAY_S)
+        for host in receivers:
+            for item in items:
+                host.admission.record_from_peer(
+                    DaemonId(f"h{sender.number}"), item, clock.monotonic_s()
+                )
+
     def _apply_observations(
         self, receivers: list[ModelHost], items: tuple[CapacityObservation, ...]
     ) -> None:
--- a/tests/encodings/test_peer_frames.py
+++ b/tests/encodings/test_peer_frames.py
@@ -6,6 +6,8 @@
 from hypothesis import given, settings, strategies as st
 
 from bench.codec import build_frame
+from lavendertide.encodings.generated.peer_protocol import ttypes
+from lavendertide.encodings.holder_frames import from_union, to_union
 from lavendertide.encodings.peer_frames import LENGTH, decode_frame, encode_frame
 from lavendertide.evacuation.evacuated_domains import Evacuation
 from lavendertide.ids import (
@@ -47,6 +49,7 @@
     MemberState,
     Operation,
     Outcome,
+    OverloadNotices,
     PlanClaim,
     PlanClaims,
     PlanGrant,
@@ -71,6 +74,11 @@
     ITEM_BYTES,
     CapacityObservation,
 )
+from lavendertide.overload.shared_overload import (
+    FRAME_BYTES as OVERLOAD_FRAME_BYTES,
+    ITEM_BYTES as OVERLOAD_ITEM_BYTES,
+    OverloadObservation,
+)
 from lavendertide.registry.record import TargetRun
 from standins.forwarding_records import target
 
@@ -131,6 +139,7 @@
     PlanGrants(ExchangeId("7"), (PlanGrant(PlanId("stall-clerk"), 0.5, True),)),
     StallNotices((TargetId("t1"), TargetId("t2"))),
     EvacuationNotices((Evacuation(FailureDomain("north-a"), 412, True),)),
+    OverloadNotices((OverloadObservation(7, 150, 4, 20, 310, 250, True, 250),)),
     CapacityNotices((CapacityObservation(TargetId("t1"), 400, 120),)),
     LeavingNotices((TargetRun(TargetId("t1"), 17), TargetRun(TargetId("t2"), 0))),
     RegistryPull(ExchangeId("8"), 41),
@@ -171,6 +180,23 @@
             with self.subTest(count=count, size=size, assumed=assumed):
                 self.assertLessEqual(size, assumed)
 
+    def test_overload_notices_are_as_small_as_the_byte_bound_assumes(self) -> None:
+        item = OverloadObservation(2**31 - 1, 400, 4, 1_999, 30_000, 30_000, True, 300)
+        for count in (1, 4):
+            size = len(encode_frame(OverloadNotices(count * (item,))))
+            assumed = OVERLOAD_FRAME_BYTES + count * OVERLOAD_ITEM_BYTES
+            with self.subTest(count=count, size=size, assumed=assumed):
+                self.assertLessEqual(size, assumed)
+
+    def test_a_notice_of_overload_has_no_stalls_for_an_earlier_release(self) -> None:
+        """It skips field 74, and must not read anything else into the frame."""
+        item = OverloadObservation(7, 150, 4, 20, 310, 250, True, 250)
+        notices = to_union(OverloadNotices((item,))).stall_notices
+        notices.overloads = None
+        self.assertEqual(
+            from_union(ttypes.Frame(stall_notices=notices)), StallNotices(())
+        )
+
     def test_the_length_prefix_is_that_of_the_payload(self) -> None:
         data = encode_frame(FRAMES[0])
         self.assertEqual(LENGTH.unpack(data[: LENGTH.size])[0], len(data) - LENGTH.size)
--- a/tests/overload/test_priority_admission.py
+++ b/tests/overload/test_priority_admission.py
@@ -6,9 +6,9 @@
 from typing import Final
 
 from lavendertide.ids import RouteName
+from lavendertide.overload.admission_level import FLOOR
 from lavendertide.overload.capacity import Feedback, HalfCovered, Inconclusive, Starved
 from lavendertide.overload.priority_admission import (
-    FLOOR,
     RELEASE_S,
     URGENT_DELAY_S,
     PriorityAdmission,
@@ -107,6 +107,17 @@
             self.assertAlmostEqual(share, FLOOR)
         self.assertLess(self.shares()[0], 1.0)
 
+    def test_one_slow_urgent_search_thins_no_urgent_requests(self) -> None:
+        """With 40% of the targets slow, some searches are slow without a queue."""
+        for _ in range(80):
+            self.send(USUAL, OBJECTIVE_S)
+            self.send(BATCH, OBJECTIVE_S)
+        self.assertAlmostEqual(self.shares()[1], FLOOR)
+        # Requests of the first second after a cut don't count.
+        self.now_s += URGENT_DELAY_S
+        self.send(URGENT, OBJECTIVE_S)
+        self.assertEqual(self.shares()[0], 1.0)
+
     def test_one_in_ten_arrivals_is_admitted_at_least(self) -> None:
         self.overload(40)
         admitted = [self.send(BATCH, OBJECTIVE_S) for _ in range(200)]
@@ -200,6 +211,16 @@
         self.admission.update_routes(ROUTES, self.now_s)
         self.assertEqual(self.shares(), before)
 
+    def test_a_new_class_is_admitted_after_the_end_of_the_overload(self) -> None:
+        """A level that was full must not count as one of fewer classes."""
+        for _ in range(20):
+            self.send(URGENT, UNLOADED_S)
+            self.send(BATCH, UNLOADED_S)
+        fourth = replace(SEARCH, name=RouteName("fourth"), priority=3)
+        self.admission.update_routes((*ROUTES, fourth), self.now_s)
+        share = self.admission.admitted_share(fourth.name, self.now_s)
+        self.assertEqual(share, 1.0)
+
 
 class RetryTest(AdmissionTestCase):
     """Callers return after their route's time, and not all together."""
