Merge overload detection shared by all hosts

Load information shares 2,000 bytes a second: 1,000 for overloads where the deployment admits by priority, the rest for capacities and cold grants.

--- a/lavendertide/encodings/holder_frames.py
+++ b/lavendertide/encodings/holder_frames.py
@@ -3,22 +3,29 @@
 Holders hand over slots and report stalled targets and requests that crash targets.
 """
 
-from typing import Any
+from dataclasses import astuple
+from typing import Any, Final
 
 from lavendertide import messages
 from lavendertide.encodings.generated.peer_protocol import ttypes
 from lavendertide.encodings.registry_frames import pack_evacuations, unpack_evacuations
 from lavendertide.ids import DaemonId, ExchangeId, Fingerprint, ShardNumber, TargetId
 from lavendertide.overload.capacity_sharing import CapacityObservation
+from lavendertide.overload.shared_overload import OverloadObservation
 from lavendertide.registry.record import TargetRun
 from lavendertide.warmup.grant_requests import ColdGrant
 
+# Greatest value of a field of 16 bits; times above it are beyond any that count.
+I16_MAX: Final = 0x7FFF
+
+# The frames that share one struct, since an earlier release skips its new fields.
 TargetNotices = (
     messages.StallNotices
     | messages.LeavingNotices
     | messages.EvacuationNotices
     | messages.CapacityNotices
     | messages.ColdGrants
+    | messages.OverloadNotices
 )
 
 
@@ -34,6 +41,7 @@
             | messages.EvacuationNotices()
             | messages.CapacityNotices()
             | messages.ColdGrants()
+            | messages.OverloadNotices()
         ):
             return ttypes.Frame(stall_notices=_pack_target_notices(frame))
         case messages.TrialClaim(exchange, sender, fingerprint, duration_ms):
@@ -110,6 +118,9 @@
         case messages.ColdGrants(grants):
             packed_grants = [_pack_grant(grant) for grant in grants]
             return ttypes.StallNotices([], [], cold_grants=packed_grants)
+        case messages.OverloadNotices(delays):
+            overloads = [_pack_overload(each) for each in delays]
+            return ttypes.StallNotices([], [], overloads=overloads)
 
 
 def _unpack_target_notices(notices: Any) -> TargetNotices:
@@ -127,6 +138,9 @@
     if notices.cold_grants:
         grants = [_unpack_grant(grant) for grant in notices.cold_grants]
         return messages.ColdGrants(tuple(g for g in grants if g is not None))
+    if notices.overloads:
+        unpacked = (_unpack_overload(each) for each in notices.overloads)
+        return messages.OverloadNotices(tuple(o for o in unpacked if o is not None))
     if notices.leaving:
         return messages.LeavingNotices(
             tuple(TargetRun(TargetId(r.target), r.born_ms) for r in notices.leaving)
@@ -156,6 +170,33 @@
     return ColdGrant(run, receiver, item.requests, item.valid_ms, item.serial)
 
 
+def _pack_overload(observation: OverloadObservation) -> Any:
+    return ttypes.OverloadNotice(
+        observation.group,
+        min(I16_MAX, observation.pressure_percent),
+        observation.weight,
+        min(I16_MAX, observation.age_ms),
+        min(I16_MAX, observation.took_ms),
+        min(I16_MAX, observation.queued_ms),
+        observation.is_urgent,
+        min(I16_MAX, observation.level_percent),
+    )
+
+
+def _unpack_overload(notice: Any) -> OverloadObservation | None:
+    observation = OverloadObservation(
+        notice.group,
+        notice.pressure_percent,
+        notice.weight,
+        notice.age_ms,
+        notice.took_ms,
+        notice.queued_ms,
+        notice.is_urgent,
+        notice.level_percent,
+    )
+    return None if None in astuple(observation) else observation
+
+
 def _pack_verdict(verdict: messages.Verdict) -> Any:
     return ttypes.Verdict(
         verdict.fingerprint,
--- a/lavendertide/gateway/gateway.py
+++ b/lavendertide/gateway/gateway.py
@@ -38,12 +38,14 @@
 from lavendertide.gateway.leaving_broadcast import LeavingBroadcast
 from lavendertide.gateway.load import LoadMeter
 from lavendertide.gateway.options import GatewayOptions
+from lavendertide.gateway.overload_exchange import OverloadExchange
 from lavendertide.gateway.peer_exchange import PeerExchange
 from lavendertide.gateway.shared_reading import RegistrySource, SharedReader
 from lavendertide.ids import DaemonId, ServiceName
-from lavendertide.overload.byte_budget import ByteBudget
+from lavendertide.overload.byte_budget import BYTES_PER_S, ByteBudget
 from lavendertide.overload.caller_bounds import CallerBounds
 from lavendertide.overload.caller_connections import CallerConnections
+from lavendertide.overload.shared_overload import BYTES_PER_S as OVERLOAD_BYTES_PER_S
 from lavendertide.poison.quarantine import Quarantine
 from lavendertide.registry.registry import TargetRegistry
 from lavendertide.routes.active_routes import ActiveRoutes
@@ -179,6 +181,8 @@
         self._bounds = CallerBounds(self._adapters.memory, connections_max, REGISTRY)
         if options.shares_capacities:
             tasks.spawn_supervised(self._capacity_exchange.run)
+        if options.admits_by_priority:
+            tasks.spawn_supervised(self._overload_exchange.run)
         front = self._caller_front()
         listener = sockets.listen(options.callers)
         tasks.spawn_supervised(
@@ -235,7 +239,9 @@
         self._crash_evidence = CrashEvidence(Quarantine())
         self._budgets = RetryBudgets(options.retries)
         leaving = LeavingBroadcast(self._registry, roster, peers)
-        load_bytes = ByteBudget()
+        load_bytes = ByteBudget(
+            BYTES_PER_S - OVERLOAD_BYTES_PER_S * options.admits_by_priority
+        )
         self._capacity_exchange = CapacityExchange(
             self._registry,
             roster,
@@ -293,6 +299,10 @@
             self._cold,
             options.admits_by_priority,
         )
+        self._overload_exchange = OverloadExchange(
+            roster, peers, self._forwarder.admission, self._metrics
+        )
+        self._peer_exchange.set_overload_exchange(self._overload_exchange)
 
     def _find_service(self, name: ServiceName) -> Service | None:
         table = self._active_routes.table
--- a/lavendertide/gateway/peer_exchange.py
+++ b/lavendertide/gateway/peer_exchange.py
@@ -22,6 +22,7 @@
 from lavendertide.gateway.cold_exchange import ColdExchange
 from lavendertide.gateway.evacuation_broadcast import EvacuationBroadcast
 from lavendertide.gateway.leaving_broadcast import LeavingBroadcast
+from lavendertide.gateway.overload_exchange import OverloadExchange
 from lavendertide.ids import Fingerprint, TargetId
 from lavendertide.messages import (
     Answered,
@@ -32,6 +33,7 @@
     Frame,
     LeavingNotices,
     Lost,
+    OverloadNotices,
     ReachRequest,
     RegistryPull,
     RegistryPush,
@@ -89,6 +91,7 @@
         self._evacuations = evacuations
         self._capacities = capacities
         self._cold = cold
+        self._overloads: OverloadExchange | None = None
         self._build_registry_push = build_registry_push
         self._pending_verdicts: dict[Fingerprint, Verdict] = {}
         self._pending_stalls: dict[TargetId, None] = {}
@@ -96,6 +99,10 @@
             roster, peers, crashes.verdicts_for_new_member
         )
 
+    def set_overload_exchange(self, overloads: OverloadExchange) -> None:
+        """Sets what handles notices of overload; they are ignored without it."""
+        self._overloads = overloads
+
     def broadcast_stall(self, target: TargetId) -> None:
         """Records a stalled target and broadcasts it to the hosts that callers use."""
         _log.info("target stalled", extra={"target": target})
@@ -150,6 +157,7 @@
                 | EvacuationNotices()
                 | CapacityNotices()
                 | ColdGrants()
+                | OverloadNotices()
             ):
                 self._apply_notices(peer, frame, now_s)
             case Verdicts(items):
@@ -170,7 +178,8 @@
         | LeavingNotices
         | EvacuationNotices
         | CapacityNotices
-        | ColdGrants,
+        | ColdGrants
+        | OverloadNotices,
         now_s: float,
     ) -> None:
         match notices:
@@ -185,6 +194,8 @@
                 self._capacities.apply_notices(observed, now_s)
             case ColdGrants(grants):
                 self._cold.handle(grants, peer.daemon, now_s)
+            case OverloadNotices(delays) if self._overloads is not None:
+                self._overloads.apply_notices(peer.daemon, delays, now_s)
 
     def write(
         self, peer: PeerConnection, outbox: Outbox, first: SubReply | Frame
--- a/lavendertide/messages/__init__.py
+++ b/lavendertide/messages/__init__.py
@@ -62,6 +62,7 @@
     ColdGrants as ColdGrants,
     EvacuationNotices as EvacuationNotices,
     LeavingNotices as LeavingNotices,
+    OverloadNotices as OverloadNotices,
     RegistryPull as RegistryPull,
     RegistryPush as RegistryPush,
     SlotClaim as SlotClaim,
@@ -102,6 +103,7 @@
     | EvacuationNotices
     | CapacityNotices
     | ColdGrants
+    | OverloadNotices
     | RegistryPull
     | RegistryPush
     | TrialClaim
--- a/lavendertide/messages/targets.py
+++ b/lavendertide/messages/targets.py
@@ -5,6 +5,7 @@
 from lavendertide.evacuation.evacuated_domains import Evacuation
 from lavendertide.ids import ConfigurationVersion, DaemonId, ExchangeId, TargetId
 from lavendertide.overload.capacity_sharing import CapacityObservation
+from lavendertide.overload.shared_overload import OverloadObservation
 from lavendertide.registry.record import TargetRecord, TargetRun
 from lavendertide.warmup.grant_requests import ColdGrant
 
@@ -56,6 +57,16 @@
     items: tuple[ColdGrant, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class OverloadNotices:
+    """What the sender's own requests show about the queues of their targets.
+
+    Sent to a few peers that are advertised to callers, which don't pass it on.
+    """
+
+    items: tuple[OverloadObservation, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class RegistryPull:
     """Requests changed target records from a peer that reads the platform.
