--- a/tests/processes/test_babbling_targets.py
+++ b/tests/processes/test_babbling_targets.py
@@ -75,9 +75,8 @@
                 ends_at_s = time.monotonic() + ASKED_WITHIN_S
                 for number in itertools.count():
                     is_asked = self.babbling[form].connections > 0
-                    if number >= LOOKUPS and (
-                        is_asked or time.monotonic() > asked_by_s
-                    ):
+                    is_over = is_asked or time.monotonic() > ends_at_s
+                    if number >= LOOKUPS and is_over:
                         break
                     began_s = time.monotonic()
                     lookup = gateway.get(f"/{service_of(form)}/x", name=f"r{number}")
