Let a host that is slow itself cause no refusal elsewhere

Without notices they refused none. Observations of peers now have rounds of their own that need three hosts, while the rounds of own requests go on as they were.

--- a/lavendertide/overload/delay_observations.py
+++ b/lavendertide/overload/delay_observations.py
@@ -60,9 +60,16 @@
 
 @dataclass(slots=True)
 class Round:
-    """The observations on which one adjustment is based."""
+    """The observations on which one adjustment is based.
+
+    Attributes:
+        began_at_s: Start of the round.
+        hosts_min: Hosts of which there must be an observation.
+        observations: The observations, in the order of their arrival.
+    """
 
     began_at_s: float
+    hosts_min: int = 1
     observations: list[Observation] = field(default_factory=list)
 
     def add(self, observation: Observation) -> None:
@@ -82,7 +89,9 @@
     def is_complete(self, now_s: float) -> bool:
         """Returns whether there are enough sub-requests and the round lasted."""
         weight = sum(each.weight for each in self.observations)
-        return weight >= ROUND_MIN_SEARCHES and now_s - self.began_at_s >= ROUND_MIN_S
+        hosts = len({each.peer for each in self.observations})
+        is_long = now_s - self.began_at_s >= ROUND_MIN_S
+        return weight >= ROUND_MIN_SEARCHES and hosts >= self.hosts_min and is_long
 
 
 class UrgentDelay:
@@ -138,6 +147,28 @@
         return lasted_s >= CONGESTION_MIN_S or queued_s >= QUEUED_MIN_S
 
 
+class DelayRounds:
+    """The consecutive rounds of one set of hosts.
+
+    Args:
+        hosts_min: Hosts whose observations a round needs.
+        now_s: Present time, monotonic.
+    """
+
+    def __init__(self, hosts_min: int, now_s: float) -> None:
+        self.duration = DelayDuration()
+        self._round = Round(now_s, hosts_min)
+
+    def add(self, observation: Observation, now_s: float) -> list[Observation]:
+        """Adds an observation; returns those of the round if it is complete now."""
+        self._round.add(observation)
+        if not self._round.is_complete(now_s):
+            return []
+        complete = self._round
+        self._round = Round(now_s, complete.hosts_min)
+        return complete.observations
+
+
 def median_pressure(observations: list[Observation]) -> float:
     """Returns the median by weight, the lower one of two.
 
--- a/lavendertide/overload/priority_admission.py
+++ b/lavendertide/overload/priority_admission.py
@@ -40,14 +40,15 @@
 from lavendertide.overload.delay_observations import (
     QUEUED_MIN_S,
     DelayDuration,
+    DelayRounds,
     Observation,
-    Round,
     UrgentDelay,
     median_pressure,
 )
 from lavendertide.overload.priority_permit import PriorityPermit as PriorityPermit
 from lavendertide.overload.route_state import RouteState
 from lavendertide.overload.shared_overload import (
+    HOSTS_MIN,
     PRESSURE_MAX,
     OverloadObservation,
     SharedOverload,
@@ -95,14 +96,14 @@
         self._states: dict[RouteName, RouteState] = {}
         self._ranks: dict[int, int] = {}
         self._level = math.inf
-        self._round = Round(now_s)
+        self._own_rounds = DelayRounds(1, now_s)
+        self._joint_rounds = DelayRounds(HOSTS_MIN, now_s)
         self._open: dict[PriorityPermit, None] = {}
         self._open_checked_at_s = self._raised_at_s = now_s
         self._refused_at_s = -math.inf
         # Requests that arrived before met the queue from before the last cut.
         self._counted_from_s = -math.inf
         self._cut_at_s = self._lowest_since_s = -math.inf
-        self._delay = DelayDuration()
         self._shared = SharedOverload()
         self._urgent = UrgentDelay()
         self.update_routes(routes, now_s)
@@ -229,9 +230,8 @@
         self._join_peers(now_s)
         if observation is None or observation.arrived_at_s < self._counted_from_s:
             return False
-        counts = self._shared.is_corroborated(now_s)
-        if counts:
-            self._add_to_round(observation, now_s)
+        if counts := self._shared.is_corroborated(now_s):
+            self._add(self._joint_rounds, observation, now_s)
         return counts
 
     def _join_peers(self, now_s: float) -> None:
@@ -290,29 +290,29 @@
             self._ranks[state.route.priority] == 0,
         )
         self._shared.record_own(observation)
-        self._add_to_round(observation, now_s)
+        self._add(self._own_rounds, observation, now_s)
+        if self._shared.is_corroborated(now_s):
+            self._add(self._joint_rounds, observation, now_s)
 
-    def _add_to_round(self, observation: Observation, now_s: float) -> None:
-        self._round.add(observation)
+    def _add(self, rounds: DelayRounds, observation: Observation, now_s: float) -> None:
         if observation.is_urgent:
             self._urgent.add(observation)
-        if self._round.is_complete(now_s):
-            self._adjust_level(now_s)
+        observations = rounds.add(observation, now_s)
+        if observations:
+            self._adjust_level(observations, rounds.duration, now_s)
 
-    def _adjust_level(self, now_s: float) -> None:
-        observations = self._round.observations
-        self._round = Round(now_s)
+    def _adjust_level(
+        self, observations: list[Observation], duration: DelayDuration, now_s: float
+    ) -> None:
         pressure = median_pressure(observations)
         is_onset = self._level >= self._level_max
-        if is_onset and not self._shared.is_long_delay(now_s):
-            onset_pressure = ONSET_PRESSURE
-        else:
-            onset_pressure = TARGET_PRESSURE
+        is_onset = is_onset and not self._shared.is_long_delay(now_s)
+        onset_pressure = ONSET_PRESSURE if is_onset else TARGET_PRESSURE
         if pressure < onset_pressure:
-            self._delay.end()
+            duration.end()
             return
         delayed = [each for each in observations if each.pressure >= onset_pressure]
-        if self._delay.has_lasted(delayed):
+        if duration.has_lasted(delayed):
             self._cut_level(pressure, observations, now_s)
 
     def _cut_level(
--- a/standins/model_fleet.py
+++ b/standins/model_fleet.py
@@ -61,6 +61,7 @@
 LOOK_INTERVAL_S: Final = 0.05
 # As in `lavendertide.gateway.overload_exchange`.
 OVERLOAD_RINGS: Final = 8
+SLOW_HOST_DELAY_S: Final = 0.5
 RETRY_ALLOWANCE: Final = RetryAllowance(ratio=0.2, fixed=56.0, window_s=10.0)
 
 
@@ -74,6 +75,7 @@
         replicas: Targets of each service.
         work_s: Mean time that a request takes in a slot of a target.
         admits_by_priority: Whether hosts admit requests by their route's priority.
+        slow_hosts: Hosts whose own processors or links delay each reply.
     """
 
     hosts: int = 4
@@ -81,6 +83,7 @@
     replicas: int = REPLICAS
     work_s: float = WORK_S
     admits_by_priority: bool = False
+    slow_hosts: int = 0
 
     @property
     def capacity_per_s(self) -> float:
@@ -235,7 +238,8 @@
 
     def make_channel(self, host: int, address: Address) -> ModelChannel:
         """Returns a connection to the target at an address, which is not open yet."""
-        return ModelChannel(host, self.targets[address])
+        delay_s = SLOW_HOST_DELAY_S if host < self.size.slow_hosts else 0.0
+        return ModelChannel(host, self.targets[address], delay_s)
 
     def broadcast_stall(self, stalled: TargetId) -> None:
         """Reports a stalled target to all hosts."""
--- a/standins/model_overload.py
+++ b/standins/model_overload.py
@@ -146,12 +146,14 @@
         slowest_refusal_s: The longest time until a refusal for overload.
         over_capacity: Number of refusals for overload.
         ran_although_refused: Refused requests that a target ran.
+        over_capacity_by_host: Number of refusals for overload by number of the host.
     """
 
     by_route: dict[str, RouteResult]
     slowest_refusal_s: float = 0.0
     over_capacity: int = 0
     ran_although_refused: int = 0
+    over_capacity_by_host: Counter[int] = field(default_factory=Counter)
 
     @property
     def worst_window(self) -> float:
@@ -234,6 +236,9 @@
             response = host.forward(name, f"/{kind}/{name}", WAIT_MAX_S)
         finally:
             self._in_flight -= 1
+        match response:
+            case Refused(RefusalCause.OVER_CAPACITY):
+                self._result.over_capacity_by_host[host.number] += 1
         took_s = clock.monotonic_s() - started_s
         self._record(name, kind, started_s - self._began_s, response, took_s)
 
--- a/tests/forwarding/test_model_overload.py
+++ b/tests/forwarding/test_model_overload.py
@@ -121,3 +121,12 @@
             with self.subTest(seed=seed):
                 result = play(seed, (LoadPhase(6.0, 14.0, factor=2.0),))
                 self.assertEqual(result.over_capacity, 0)
+
+    def test_a_host_that_is_slow_itself(self) -> None:
+        """Its notices must not make the other hosts refuse requests."""
+        for hosts in (4, 62):
+            for seed in SEEDS:
+                with self.subTest(hosts=hosts, seed=seed):
+                    size = PrioritySize(hosts=hosts, slow_hosts=1)
+                    refused = simulate_overload(seed, (), size).over_capacity_by_host
+                    self.assertEqual(sum(refused.values()) - refused[0], 0)
