Review the sending of requests that can't be repeated

Cause: three faults in how orders were sent. (1) A reply below 500 to an order counted as a failure of its target, so two conflicts (409) in a row took a healthy target out for 0.5 s and more, also for other routes. (2) A complete reply without success that had arrived by the deadline, but was read after it, was answered as 504. (3) An order was written to a new connection that its target had already reset, as targets do above their number of connections; nobody could then say whether it had run.

Change: such replies are no evidence on the target; final replies that have arrived are handled like successful ones; a new connection is looked at once more before an order is sent on it, and a reset one counts as unreachable, so that the order goes elsewhere. The channel of test_waiting_calls said of an open connection that it isn't usable, against the protocol; now it is usable once after each opening.

--- a/lavendertide/forwarding/pooled_connection.py
+++ b/lavendertide/forwarding/pooled_connection.py
@@ -49,7 +49,11 @@
         if is_fresh and self._channel.is_usable(now_s):
             return True
         self._unsuccessful.clear()
-        return self._channel.open(min(CONNECT_TIMEOUT_S, call.ends_at_s - now_s))
+        if not self._channel.open(min(CONNECT_TIMEOUT_S, call.ends_at_s - now_s)):
+            return False
+        # A target with too many connections resets new ones. Nobody could say whether
+        # it has run what is sent after its reset.
+        return call.is_repeatable or self._channel.is_usable(clock.monotonic_s())
 
     def exchange(self, call: TargetCall, now_s: float) -> TargetReply:
         """Sends a request and waits for its reply."""
--- a/lavendertide/forwarding/reply_recorder.py
+++ b/lavendertide/forwarding/reply_recorder.py
@@ -89,7 +89,7 @@
                 if work_s:
                     timing.usual_times.observe(call.record.service, work_s)
                 self._record_success(call, now_s)
-            case NotRun(reason=reason) if reason in UNSENT_REASONS:
+            case _ if _is_no_evidence(call, reply):
                 view.discard_call(call.number)
             case NotRun(reason=NotRunReason.REFUSED):
                 view.record_refusal(call.number, REFUSED_PAUSE_S, now_s)
@@ -201,3 +201,17 @@
                 "left_ms": round((call.ends_at_s - now_s) * 1_000),
             },
         )
+
+
+def _is_no_evidence(call: TargetCall, reply: TargetReply) -> bool:
+    """Returns whether a reply without success says nothing about its target.
+
+    Orders may conflict with others for reasons that don't concern the target.
+    """
+    match reply:
+        case NotRun(reason=reason):
+            return reason in UNSENT_REASONS
+        case Replied(status=status):
+            return not call.is_repeatable and status < 500
+        case _:
+            return False
--- a/lavendertide/forwarding/run.py
+++ b/lavendertide/forwarding/run.py
@@ -67,6 +67,8 @@
         self._sender = sender
         self._request = request
         self._route = route
+        self._is_repeatable = route.kind is RequestKind.IDEMPOTENT
+        self._is_gathered = isinstance(route.destination, GatheredShards)
         self._inbox = inbox
         self._deadlines = deadlines
         self._parts = [Part(service) for service in services]
@@ -151,7 +153,7 @@
         )
         part.open_calls[call.number] = call
         part.retry_at_s = None
-        if self._route.kind is RequestKind.IDEMPOTENT:
+        if self._is_repeatable:
             part.late_at_s = call.late_at_s
             self._due_at_s = min(self._due_at_s, call.late_at_s)
 
@@ -189,7 +191,7 @@
         tasks.sleep(0.0)
         for event in self._inbox.take_all():
             match event:
-                case CallDone(call, Replied() as reply) if reply.is_success:
+                case CallDone(call, Replied() as reply) if self._is_final_reply(reply):
                     self._handle_reply(call, reply, now_s)
 
     def _plan_retry(self, part: Part, reply: TargetReply, now_s: float) -> None:
@@ -201,11 +203,10 @@
         """
         part.late_at_s = None
         part.retry_at_s = None
-        is_repeatable = self._route.kind is RequestKind.IDEMPOTENT
-        if not isinstance(reply, NotRun) and not is_repeatable:
-            return
         if isinstance(reply, Replied) and self._is_final_reply(reply):
             return
+        if not isinstance(reply, NotRun) and not self._is_repeatable:
+            return
         is_other_untried = self._untried_target(part, now_s) is not None
         is_unsent = isinstance(reply, NotRun) and reply.reason in UNSENT_REASONS
         if is_other_untried and (is_unsent or part.failed_rounds <= 1):
@@ -222,8 +223,9 @@
             self._due_at_s = min(self._due_at_s, at_s)
 
     def _is_final_reply(self, reply: Replied) -> bool:
-        """Returns whether another target would send the same reply."""
-        return not self._is_gathered and reply.status < 500
+        """Returns whether a reply succeeds, or no other target may improve on it."""
+        is_last = reply.status < 500 or not self._is_repeatable
+        return reply.is_success or (is_last and not self._is_gathered)
 
     def _handle_due_parts(self, now_s: float) -> None:
         if now_s < self._due_at_s:
@@ -297,10 +299,6 @@
                 return record
         return None
 
-    @property
-    def _is_gathered(self) -> bool:
-        return isinstance(self._route.destination, GatheredShards)
-
     @property
     def _are_too_many_lost(self) -> bool:
         return len(self._parts) - self._lost_count < self._route.replies_min
--- a/tests/forwarding/test_waiting_calls.py
+++ b/tests/forwarding/test_waiting_calls.py
@@ -42,15 +42,23 @@
 class SlowlyOpeningChannel(ScriptedChannel):
     """A connection that each call has to open, which takes some time."""
 
+    _is_open = False
+
     def is_usable(self, now_s: float) -> bool:
-        """Returns whether the connection is open, which it never is."""
-        return False
+        """Returns whether the connection was opened and has not been used since."""
+        return self._is_open
 
     def open(self, timeout_s: float) -> bool:
         """Opens the connection."""
         tasks.sleep(2 * EVENT_S)
+        self._is_open = True
         return True
 
+    def exchange(self, call: TargetCall, now_s: float) -> TargetReply:
+        """Returns the scripted reply; the next call has to open the connection."""
+        self._is_open = False
+        return super().exchange(call, now_s)
+
 
 class SlowlyOpeningForwarder(ScriptedForwarder):
     """A forwarder whose connections take some time to open."""
