--- a/standins/model_day.py
+++ b/standins/model_day.py
@@ -119,6 +119,9 @@
 class ModelDay:
     """Simulates one day; all its tasks run on the virtual clock."""
 
+    # Percentages of the kinds of requests in `PATH_PREFIXES`.
+    path_weights: tuple[int, int, int] = PATH_WEIGHTS
+
     def __init__(
         self,
         seed: int,
@@ -182,7 +185,7 @@
             each.work_factor /= change.factor
 
     def _send_request(self, name: str) -> None:
-        path = self._generator.choices(PATH_PREFIXES, PATH_WEIGHTS)[0] + name
+        path = self._generator.choices(PATH_PREFIXES, self.path_weights)[0] + name
         host = self._generator.choice(self._fleet.hosts)
         started_s = clock.monotonic_s()
         response = host.forward(name, path, WAIT_MAX_S)
--- a/standins/model_targets.py
+++ b/standins/model_targets.py
@@ -1,6 +1,7 @@
 """Models targets with slots, queues, pauses and faults by computed service times."""
 
 import heapq
+import math
 import random
 from dataclasses import dataclass, field, replace
 from enum import Enum
@@ -44,6 +45,10 @@
     RESETS = "resets"
     # Requests run, but some of the replies are lost in the same way.
     LOSSY = "lossy"
+    # Requests run, but some of the replies never come.
+    SILENT = "silent"
+    # Requests run, and some of the replies are errors.
+    ERRORS = "errors"
     # Some requests occupy a slot and never end.
     HANGS = "hangs"
     # No connection can be opened.
@@ -68,6 +73,8 @@
             used.
         reports_load: Whether replies report the load.
         slow_factor: How many times as long each request takes while it is slow.
+        lost_share: Share of the replies that a fault loses or turns into errors.
+        forgets_after_s: Rest after which it forgets a connection.
         pause_phase_s: Offset of its pauses from those of other targets; derived from
             its name if absent.
         executed_requests: Ids of the requests in the order in which they began to run.
@@ -83,12 +90,16 @@
     crowding: float = 1.0
     reports_load: bool = False
     slow_factor: float = 10.0
+    lost_share: float = LOST_SHARE
+    forgets_after_s: float = math.inf
     pause_phase_s: float | None = None
     executed_requests: list[str] = field(default_factory=list)
     notices: NoticeChecker = field(default_factory=NoticeChecker)
     ended_violations: list[str] = field(default_factory=list)
     _free_at_s: list[float] = field(init=False)
     _queued_starts_s: list[float] = field(default_factory=list)
+    # A dictionary keeps the order, on which the day of a seed depends.
+    _running: dict[tasks.Signal, None] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
         self._free_at_s = [0.0] * self.record.slots
@@ -125,6 +136,14 @@
         self.ended_violations += self.notices.violations
         self.notices = NoticeChecker()
 
+    def crash(self) -> None:
+        """Ends the process, and with it all connections and running requests."""
+        self.fault = Fault.GONE
+        for closed in tuple(self._running):
+            closed.set()
+        self._free_at_s = [0.0] * self.record.slots
+        self._queued_starts_s.clear()
+
     def _run(self, call: TargetCall, closed: tasks.Signal, now_s: float) -> TargetReply:
         target = self.record.target
         if self._count_queued(now_s) >= QUEUE_MAX:
@@ -139,13 +158,16 @@
         heapq.heapreplace(self._free_at_s, ends_s)
         heapq.heappush(self._queued_starts_s, starts_s)
         self.executed_requests.append(call.request.request)
-        if closed.wait(min(ends_s, call.ends_at_s) - now_s):
+        self._running[closed] = None
+        is_closed = closed.wait(min(ends_s, call.ends_at_s) - now_s)
+        del self._running[closed]
+        if is_closed:
             self._free(ends_s, clock.monotonic_s())
             return Unknown(target, UnknownReason.CLOSED)
         if ends_s >= call.ends_at_s:
             return Unknown(target, UnknownReason.TIMED_OUT)
         if self._loses_reply():
-            return Unknown(target, UnknownReason.CLOSED)
+            return self._lose_reply(call, closed)
         return Replied(target, 200, (), b"", target)
 
     def _free(self, ends_s: float, now_s: float) -> None:
@@ -165,11 +187,23 @@
         match self.fault:
             case Fault.RESETS:
                 return True
-            case Fault.LOSSY:
-                return self.generator.random() < LOST_SHARE
+            case Fault.LOSSY | Fault.SILENT | Fault.ERRORS:
+                return self.generator.random() < self.lost_share
             case _:
                 return False
 
+    def _lose_reply(self, call: TargetCall, closed: tasks.Signal) -> TargetReply:
+        target = self.record.target
+        match self.fault:
+            case Fault.ERRORS:
+                return Replied(target, 500, (), b"", "")
+            case Fault.SILENT:
+                is_closed = closed.wait(call.ends_at_s - clock.monotonic_s())
+                reason = UnknownReason.CLOSED if is_closed else UnknownReason.TIMED_OUT
+                return Unknown(target, reason)
+            case _:
+                return Unknown(target, UnknownReason.CLOSED)
+
     def _count_queued(self, now_s: float) -> int:
         while self._queued_starts_s and self._queued_starts_s[0] <= now_s:
             heapq.heappop(self._queued_starts_s)
@@ -199,6 +233,7 @@
         self._target = target
         self._closed = tasks.Signal()
         self._is_open = False
+        self._rests_since_s = 0.0
 
     def is_usable(self, now_s: float) -> bool:
         """Returns whether the connection is open."""
@@ -208,6 +243,7 @@
         """Opens a new connection; returns False if the target is gone."""
         self._closed = tasks.Signal()
         self._is_open = self._target.fault is not Fault.GONE
+        self._rests_since_s = clock.monotonic_s()
         return self._is_open
 
     def has_data(self) -> bool:
@@ -224,7 +260,11 @@
 
         The connection is closed if the outcome of the request is unknown.
         """
+        if now_s - self._rests_since_s > self._target.forgets_after_s:
+            self._is_open = False
+            return Unknown(call.record.target, UnknownReason.CLOSED)
         reply = self._target.serve(self._host, call, self._closed, now_s)
         if isinstance(reply, Unknown):
             self._is_open = False
+        self._rests_since_s = clock.monotonic_s()
         return reply
