Choose targets of requests that can't be repeated by their losses

Cause: such a request goes to the target that is expected to reply first, whatever that target has lost, and its caller gets an error if it is lost.

Change: lavendertide/forwarding/loss_risk.py adds the cost of a loss to the score of each target, for routes of kind non_idempotent and where contracts hold health or pool. It counts lost replies, errors, outages and restarts that this host has seen; no message is sent. lavendertide route shows the reason loses_requests; lavendertide_forwarded_unrepeatable_losses_total counts the losses by outcome.

--- a/lavendertide/forwarding/explanation.py
+++ b/lavendertide/forwarding/explanation.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum
+from typing import Final
 
 from lavendertide.forwarding.capacity import RouteAdmission, RouteLimit
 from lavendertide.forwarding.deadlines import response_deadlines
@@ -28,9 +29,12 @@
 from lavendertide.registry.record import TargetRecord
 from lavendertide.registry.registry import TargetRegistry
 from lavendertide.routes.active_routes import ActiveRoutes, RoutesAge
-from lavendertide.routes.route import Route, SplitServices
+from lavendertide.routes.route import RequestKind, Route, SplitServices
 from lavendertide.routes.split import SplitCounters
 
+# Cost of the risk of a loss, in usual request times, from which it is a reason.
+LOSS_COST_SHOWN: Final = 1.0
+
 
 class ViewReason(Enum):
     """What this host's statistics say against a target."""
@@ -41,6 +45,8 @@
     AVOIDED = "avoided"
     # Calls to it are late, and it is ranked behind all that are not.
     STALLED = "stalled"
+    # It has lost requests lately, so those that can't be repeated prefer others.
+    LOSES_REQUESTS = "loses_requests"
     # It is cold: it ranks behind warm targets, and its allowance may be used up.
     COLD = "cold"
     # The functions that choose targets leave it out for a reason not listed here.
@@ -213,38 +219,49 @@
         explained = []
         for name in route.services:
             is_next = next_service in (None, name)
-            targets = self._explain_targets(name, by_service[name], now_s)
+            targets = self._explain_targets(name, route.kind, by_service[name], now_s)
             explained.append(ServiceExplanation(name, is_next, targets))
             self._pause()
         return tuple(explained)
 
     def _explain_targets(
-        self, service: ServiceName, records: list[TargetRecord], now_s: float
+        self,
+        service: ServiceName,
+        kind: RequestKind,
+        records: list[TargetRecord],
+        now_s: float,
     ) -> tuple[TargetExplanation, ...]:
-        ranked = self._choice.rank_targets(service, now_s)
+        ranked = self._choice.rank_targets(service, kind, now_s)
         names = {record.target for record in ranked}
         excluded = [record for record in records if record.target not in names]
         candidates = [
-            self._explain_target(record, rank, now_s)
+            self._explain_target(record, kind, rank, now_s)
             for rank, record in enumerate(ranked, 1)
         ]
         return (
             *candidates,
-            *(self._explain_target(record, None, now_s) for record in excluded),
+            *(self._explain_target(record, kind, None, now_s) for record in excluded),
         )
 
     def _explain_target(
-        self, record: TargetRecord, rank: int | None, now_s: float
+        self,
+        record: TargetRecord,
+        kind: RequestKind,
+        rank: int | None,
+        now_s: float,
     ) -> TargetExplanation:
         view = self._views.find(record.target) or TargetView()
         reason, until_s = self._reason_of(record, view, rank is not None, now_s)
+        loss_cost = self._choice.loss_cost(record, kind, now_s)
+        if reason is None and loss_cost >= LOSS_COST_SHOWN:
+            reason = ViewReason.LOSES_REQUESTS
         return TargetExplanation(
             record.target,
             record.address,
             record.failure_domain,
             record.slots,
             rank,
-            self._views.score(record, now_s),
+            self._views.score(record, now_s) + loss_cost,
             view.current_slowness(now_s),
             view.current_failure_rate(now_s),
             view.open_count,
--- a/lavendertide/forwarding/forwarder.py
+++ b/lavendertide/forwarding/forwarder.py
@@ -17,6 +17,7 @@
 from lavendertide.forwarding.early_refusal import EarlyRefusals
 from lavendertide.forwarding.explanation import Explainer
 from lavendertide.forwarding.fleet_callbacks import FleetCallbacks
+from lavendertide.forwarding.loss_risk import LossRisks, is_loss
 from lavendertide.forwarding.messages import (
     CallerRequest,
     RefusalCause,
@@ -74,6 +75,7 @@
         metrics: ForwardingMetrics,
         cold: ColdTargets | None = None,
         admits_by_priority: bool = False,
+        avoids_losses: bool = False,
     ) -> None:
         cold = cold or ColdTargets()
         self._active_routes = active_routes
@@ -85,7 +87,8 @@
         self._fleet = fleet
         self._metrics = metrics
         self._timings = RouteTimings()
-        self._choice = TargetChoice(registry, views, cold)
+        self._risks = LossRisks() if avoids_losses else None
+        self._choice = TargetChoice(registry, views, cold, self._risks)
         self._early_refusals = EarlyRefusals(self._choice, crashes, self._timings)
         self._reply_recorder = ReplyRecorder(
             registry, views, pools, crashes, self._timings, fleet, metrics, cold
@@ -176,9 +179,11 @@
             ended_at_s = clock.monotonic_s()
             self._admission.release(permit, route, run.feedback, ended_at_s)
 
-    def rank_targets(self, service: ServiceName, now_s: float) -> list[TargetRecord]:
-        """Returns the usable targets of a service, the best one first."""
-        return self._choice.rank_targets(service, now_s)
+    def rank_targets(
+        self, route: Route, service: ServiceName, now_s: float
+    ) -> list[TargetRecord]:
+        """Returns the usable targets of a route's service, the best one first."""
+        return self._choice.rank_targets(service, route.kind, now_s)
 
     def is_held_back(self, service: ServiceName, now_s: float) -> bool:
         """Returns whether the allowances of a service's cold targets are used up."""
@@ -241,9 +246,12 @@
         now_s = clock.monotonic_s()
 
         def handle_done(call: TargetCall, reply: TargetReply) -> None:
-            self._reply_recorder.record(
-                call, route, reply, service_count, clock.monotonic_s()
-            )
+            now_s = clock.monotonic_s()
+            self._reply_recorder.record(call, route, reply, service_count, now_s)
+            if not call.is_repeatable and is_loss(reply):
+                self._metrics.record_loss(reply)
+            if self._risks is not None:
+                self._risks.record(call, reply, now_s)
             inbox.send(CallDone(call, reply))
 
         late_after_s = self._timings.timing_of(route, now_s).late_after_s(
@@ -329,4 +337,6 @@
 
     def _remove_target(self, record: TargetRecord) -> None:
         self._views.remove(record.target)
+        if self._risks is not None:
+            self._risks.discard_old(clock.monotonic_s())
         self._pools.remove(record)
--- a/lavendertide/forwarding/metrics.py
+++ b/lavendertide/forwarding/metrics.py
@@ -87,6 +87,13 @@
             "Observations of slow or fast targets that peers have sent.",
             registry=registry,
         )
+        losses = Counter(
+            "lavendertide_forwarded_unrepeatable_losses",
+            "Sub-requests that can't be repeated and brought no usable reply.",
+            ("outcome",),
+            registry=registry,
+        )
+        self._losses = Children(losses.labels)
         late_calls = Counter(
             "lavendertide_forwarded_late_calls",
             "Calls that became late, by what their targets had reported just before.",
@@ -137,6 +144,10 @@
         """Records what a caller had used of its time when it sent its request."""
         self._caller_time.labels(self._routes.value(route)).observe(used_s)
 
+    def record_loss(self, reply: TargetReply) -> None:
+        """Records how a sub-request was lost that can't be repeated."""
+        self._losses.child_of(outcome_of(reply)).inc()
+
     def record_missing(self, cause: MissingCause) -> None:
         """Records one shard that the response to a search leaves out."""
         self._missing.child_of(cause.value).inc()
--- a/lavendertide/forwarding/pooled_connection.py
+++ b/lavendertide/forwarding/pooled_connection.py
@@ -41,12 +41,14 @@
         Returns:
             Whether the call may be sent; if not, the target accepts no connection.
         """
+        has_rested = now_s - self._used_at_s > RESTED_MAX_S
         is_fresh = (
             call.request.request not in self._unsuccessful
             and len(self._unsuccessful) < UNSUCCESSFUL_MAX
-            and (call.is_repeatable or now_s - self._used_at_s <= RESTED_MAX_S)
+            and (call.is_repeatable or not has_rested)
         )
         if is_fresh and self._channel.is_usable(now_s):
+            call.is_on_rested = has_rested
             return True
         self._unsuccessful.clear()
         if not self._channel.open(min(CONNECT_TIMEOUT_S, call.ends_at_s - now_s)):
--- a/lavendertide/forwarding/run.py
+++ b/lavendertide/forwarding/run.py
@@ -133,9 +133,9 @@
         return response
 
     def _send_first(self, number: int, part: Part, now_s: float) -> None:
-        record = next(iter(self._sender.rank_targets(part.service, now_s)), None)
-        if record is not None:
-            self._send(number, part, record)
+        ranked = self._sender.rank_targets(self._route, part.service, now_s)
+        if ranked:
+            self._send(number, part, ranked[0])
         else:
             self._lost_count += 1
 
@@ -286,14 +286,14 @@
         """Returns the best untried target, if the route allows another one."""
         if part.attempts >= max(1, self._route.attempts_max):
             return None
-        for record in self._sender.rank_targets(part.service, now_s):
+        for record in self._sender.rank_targets(self._route, part.service, now_s):
             if record.target not in part.tried_targets:
                 return record
         return None
 
     def _tried_target(self, part: Part, now_s: float) -> TargetRecord | None:
         """Returns the best target that was tried and has no open call of this part."""
-        for record in self._sender.rank_targets(part.service, now_s):
+        for record in self._sender.rank_targets(self._route, part.service, now_s):
             is_tried = record.target in part.tried_targets
             if is_tried and not part.has_open_call(record.target):
                 return record
--- a/lavendertide/forwarding/sender.py
+++ b/lavendertide/forwarding/sender.py
@@ -49,8 +49,10 @@
 class SubRequestSender(Protocol):
     """Selects targets and sends sub-requests; implemented by `Forwarder`."""
 
-    def rank_targets(self, service: ServiceName, now_s: float) -> list[TargetRecord]:
-        """Returns the usable targets of a service, the best one first."""
+    def rank_targets(
+        self, route: Route, service: ServiceName, now_s: float
+    ) -> list[TargetRecord]:
+        """Returns the usable targets of a route's service, the best one first."""
 
     def is_held_back(self, service: ServiceName, now_s: float) -> bool:
         """Returns whether the allowances of a service's cold targets are used up."""
--- a/lavendertide/forwarding/target_call.py
+++ b/lavendertide/forwarding/target_call.py
@@ -22,6 +22,8 @@
         done: Called once with the call and its reply.
         is_repeatable: Whether the request may be sent again if its fate is unknown.
         outages: How often the target had stopped accepting connections before.
+        is_on_rested: Whether it was sent on a connection that had rested for too long
+            for calls that can't be repeated.
         is_sent: Whether a byte of the request may have reached the target.
         is_cancelled: Whether nobody waits for the reply any more.
         channel: The connection while the exchange runs.
@@ -38,6 +40,7 @@
     done: Callable[["TargetCall", TargetReply], None]
     outages: int = 0
     is_repeatable: bool = True
+    is_on_rested: bool = False
     is_sent: bool = False
     is_cancelled: bool = False
     channel: "TargetChannel | None" = field(default=None, repr=False)
--- a/lavendertide/forwarding/target_choice.py
+++ b/lavendertide/forwarding/target_choice.py
@@ -9,10 +9,12 @@
 from collections.abc import Iterable
 from typing import Final
 
+from lavendertide.forwarding.loss_risk import LossRisks
 from lavendertide.forwarding.target_view import TargetViews
 from lavendertide.ids import ServiceName
 from lavendertide.registry.record import TargetRecord
 from lavendertide.registry.registry import TargetRegistry
+from lavendertide.routes.route import RequestKind
 from lavendertide.warmup.cold_targets import ColdTargets
 
 # Retry time for callers when all targets were full: a few service times.
@@ -23,21 +25,57 @@
 
 
 class TargetChoice:
-    """Chooses among the registered targets by this host's statistics of them."""
+    """Chooses among the registered targets by this host's statistics of them.
+
+    Args:
+        registry: The registered targets.
+        views: This host's statistics of them.
+        cold: What may be sent to cold targets.
+        risks: Risks of losing requests that can't be repeated; none if these are ranked
+            like others.
+    """
 
     def __init__(
-        self, registry: TargetRegistry, views: TargetViews, cold: ColdTargets
+        self,
+        registry: TargetRegistry,
+        views: TargetViews,
+        cold: ColdTargets,
+        risks: LossRisks | None = None,
     ) -> None:
         self._registry = registry
         self._views = views
         self._cold = cold
+        self._risks = risks
+
+    def rank_targets(
+        self, service: ServiceName, kind: RequestKind, now_s: float
+    ) -> list[TargetRecord]:
+        """Returns the usable targets of a service, the best one first.
 
-    def rank_targets(self, service: ServiceName, now_s: float) -> list[TargetRecord]:
-        """Returns the usable targets of a service, the best one first."""
+        Args:
+            service: The service.
+            kind: Whether the request to be sent may be run more than once.
+            now_s: Present time, monotonic.
+        """
         ready_targets = self._registry.ready_targets(service, now_s)
         ranked = self._views.rank_targets(ready_targets, now_s, random.random())
+        if self._risks is not None and kind is RequestKind.NON_IDEMPOTENT:
+            ranked = self._risks.rank(
+                ranked,
+                lambda record: self._views.score(record, now_s),
+                now_s,
+            )
         return self._cold.rank(ranked, self._views.view_of, now_s)
 
+    def loss_cost(self, record: TargetRecord, kind: RequestKind, now_s: float) -> float:
+        """Returns what a target's risk of losing a request adds to its score.
+
+        It is zero for requests that can be repeated.
+        """
+        if self._risks is None or kind is not RequestKind.NON_IDEMPOTENT:
+            return 0.0
+        return self._risks.cost_of(record, now_s)
+
     def has_usable_target(self, service: ServiceName, now_s: float) -> bool:
         """Returns whether a service has a target that takes requests now."""
         usable = self._select_usable(service, now_s)
--- a/lavendertide/gateway/gateway.py
+++ b/lavendertide/gateway/gateway.py
@@ -286,6 +286,7 @@
             self._metrics,
             self._cold,
             options.admits_by_priority,
+            options.avoids_losses,
         )
 
     def _find_service(self, name: ServiceName) -> Service | None:
--- a/lavendertide/gateway/options.py
+++ b/lavendertide/gateway/options.py
@@ -34,6 +34,8 @@
         shares_capacities: Whether hosts share which targets are slow or fast.
         admits_by_priority: Whether routes that share targets are admitted by their
             priority under load.
+        avoids_losses: Whether requests that can't be repeated avoid targets that have
+            lost some.
     """
 
     host: HostId
@@ -58,3 +60,4 @@
     files_max: int | None = None
     shares_capacities: bool = False
     admits_by_priority: bool = False
+    avoids_losses: bool = False
--- a/lavendertide/platform/settings.py
+++ b/lavendertide/platform/settings.py
@@ -26,6 +26,9 @@
 SHARING_CONTRACTS = frozenset({"pressure", "places"})
 # Entry of the list of contracts that enables admission by priority.
 PRIORITY_CONTRACT = "pressure"
+# Contracts of which one makes requests that can't be repeated avoid targets that have
+# lost some.
+LOSS_CONTRACTS = frozenset({"health", "pool"})
 
 # Shortest window over which repeats are counted.
 WINDOW_MIN_S = 0.1
@@ -116,6 +119,7 @@
         memory_bytes=_optional_count(fields, "limits.memory-mb", 1_000_000),
         files_max=_optional_count(fields, "limits.max-fds"),
         admits_by_priority=PRIORITY_CONTRACT in _contracts(fields),
+        avoids_losses=not LOSS_CONTRACTS.isdisjoint(_contracts(fields)),
     )
 
 
--- a/standins/model_fleet.py
+++ b/standins/model_fleet.py
@@ -62,6 +62,8 @@
         replicas: Targets of each service.
         work_s: Mean time that a request takes in a slot of a target.
         admits_by_priority: Whether hosts admit requests by their route's priority.
+        avoids_losses: Whether requests that can't be repeated avoid targets that lose
+            them.
     """
 
     hosts: int = 4
@@ -69,6 +71,7 @@
     replicas: int = REPLICAS
     work_s: float = WORK_S
     admits_by_priority: bool = False
+    avoids_losses: bool = False
 
     @property
     def capacity_per_s(self) -> float:
@@ -148,6 +151,7 @@
             ),
             ForwardingMetrics(CollectorRegistry()),
             admits_by_priority=fleet.size.admits_by_priority,
+            avoids_losses=fleet.size.avoids_losses,
         )
 
     def forward(self, name: str, path: str, wait_max_s: float) -> Response:
--- a/tests/forwarding/scripted_targets.py
+++ b/tests/forwarding/scripted_targets.py
@@ -157,6 +157,7 @@
         window_s: float = 10.0,
         last_resort_s: float = 0.0,
         cold: ColdTargets | None = None,
+        avoids_losses: bool = False,
     ) -> None:
         self.called_targets: list[TargetId] = []
         self.closed_count = 0
@@ -189,6 +190,7 @@
             ),
             ForwardingMetrics(CollectorRegistry()),
             cold,
+            avoids_losses=avoids_losses,
         )
 
     def add(self, name: str, service: str, behaviour: Behaviour) -> None:
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -301,6 +301,19 @@
                 options = self.read(SETTINGS + contracts)
                 self.assertIs(options.admits_by_priority, is_enabled)
 
+    def test_contracts_enable_the_avoidance_of_losses(self) -> None:
+        """Deployments without them are served as before."""
+        for contracts, is_enabled in (
+            ("", False),
+            ("contracts=base,pressure", False),
+            ("contracts=base,pools", False),
+            ("contracts=base, health", True),
+            ("contracts=pool,drain", True),
+        ):
+            with self.subTest(contracts):
+                options = self.read(SETTINGS + contracts)
+                self.assertIs(options.avoids_losses, is_enabled)
+
     def test_values_out_of_range_are_refused(self) -> None:
         for valid, invalid in (
             ("listen.front=10.0.0.1:1", "listen.front=10.0.0.1:70000"),
