--- a/lavendertide/forwarding/run.py
+++ b/lavendertide/forwarding/run.py
@@ -61,6 +61,8 @@
         self._sender = sender
         self._request = request
         self._route = route
+        self._is_repeatable = route.kind is RequestKind.IDEMPOTENT
+        self._is_gathered = isinstance(route.destination, GatheredShards)
         self._inbox = inbox
         self._deadlines = deadlines
         self._parts = [Part(service) for service in services]
@@ -125,7 +127,7 @@
         return response
 
     def _send_first(self, number: int, part: Part, now_s: float) -> None:
-        ranked = self._sender.rank_targets(part.service, now_s)
+        ranked = self._sender.rank_targets(self._route, part.service, now_s)
         if ranked:
             self._send(number, part, ranked[0])
         else:
@@ -145,7 +147,7 @@
         )
         part.open_calls[call.number] = call
         part.retry_at_s = None
-        if self._route.kind is RequestKind.IDEMPOTENT:
+        if self._is_repeatable:
             part.late_at_s = call.late_at_s
             self._due_at_s = min(self._due_at_s, call.late_at_s)
 
@@ -183,7 +185,7 @@
         tasks.sleep(0.0)
         for event in self._inbox.take_all():
             match event:
-                case CallDone(call, Replied() as reply) if reply.is_success:
+                case CallDone(call, Replied() as reply) if self._is_final_reply(reply):
                     self._handle_reply(call, reply, now_s)
 
     def _plan_retry(self, part: Part, reply: TargetReply, now_s: float) -> None:
@@ -195,11 +197,10 @@
         """
         part.late_at_s = None
         part.retry_at_s = None
-        is_repeatable = self._route.kind is RequestKind.IDEMPOTENT
-        if not isinstance(reply, NotRun) and not is_repeatable:
-            return
         if isinstance(reply, Replied) and self._is_final_reply(reply):
             return
+        if not isinstance(reply, NotRun) and not self._is_repeatable:
+            return
         is_other_untried = self._untried_target(part, now_s) is not None
         is_unsent = isinstance(reply, NotRun) and reply.reason in UNSENT_REASONS
         if is_other_untried and (is_unsent or part.failed_rounds <= 1):
@@ -216,8 +217,9 @@
             self._due_at_s = min(self._due_at_s, at_s)
 
     def _is_final_reply(self, reply: Replied) -> bool:
-        """Returns whether another target would send the same reply."""
-        return not self._is_gathered and reply.status < 500
+        """Returns whether a reply succeeds, or no other target may improve on it."""
+        is_last = reply.status < 500 or not self._is_repeatable
+        return reply.is_success or (is_last and not self._is_gathered)
 
     def _handle_due_parts(self, now_s: float) -> None:
         if now_s < self._due_at_s:
@@ -277,15 +279,15 @@
         """Returns the best untried target, if the route allows another one."""
         if part.attempts >= max(1, self._route.attempts_max):
             return None
-        return part.find_untried(self._sender.rank_targets(part.service, now_s))
+        return part.find_untried(
+            self._sender.rank_targets(self._route, part.service, now_s)
+        )
 
     def _tried_target(self, part: Part, now_s: float) -> TargetRecord | None:
         """Returns the best target that was tried and has no open call of this part."""
-        return part.find_tried(self._sender.rank_targets(part.service, now_s))
-
-    @property
-    def _is_gathered(self) -> bool:
-        return isinstance(self._route.destination, GatheredShards)
+        return part.find_tried(
+            self._sender.rank_targets(self._route, part.service, now_s)
+        )
 
     @property
     def _are_too_many_lost(self) -> bool:
--- a/lavendertide/gateway/gateway.py
+++ b/lavendertide/gateway/gateway.py
@@ -298,6 +298,7 @@
             self._metrics,
             self._cold,
             options.admits_by_priority,
+            options.avoids_losses,
         )
         self._overload_exchange = OverloadExchange(
             roster, peers, self._forwarder.admission, self._metrics
--- a/standins/model_fleet.py
+++ b/standins/model_fleet.py
@@ -76,6 +76,8 @@
         work_s: Mean time that a request takes in a slot of a target.
         admits_by_priority: Whether hosts admit requests by their route's priority.
         slow_hosts: Hosts whose own processors or links delay each reply.
+        avoids_losses: Whether requests that can't be repeated avoid targets that lose
+            them.
     """
 
     hosts: int = 4
@@ -84,6 +86,7 @@
     work_s: float = WORK_S
     admits_by_priority: bool = False
     slow_hosts: int = 0
+    avoids_losses: bool = False
 
     @property
     def capacity_per_s(self) -> float:
@@ -165,6 +168,7 @@
             ),
             ForwardingMetrics(CollectorRegistry()),
             admits_by_priority=fleet.size.admits_by_priority,
+            avoids_losses=fleet.size.avoids_losses,
         )
 
     def forward(self, name: str, path: str, wait_max_s: float) -> Response:
