--- a/lavendertide/forwarding/forwarder.py
+++ b/lavendertide/forwarding/forwarder.py
@@ -264,8 +264,9 @@
             priority=self._admission.waiting_priority(route),
             queued_at_s=now_s,
         )
-        view.record_sent(call.number, now_s, late_after_s)
-        self._pools.submit(call, self._connections_max(record, now_s))
+        connections_max = self._connections_max(record, now_s)
+        view.record_sent(call.number, now_s, late_after_s, connections_max)
+        self._pools.submit(call, connections_max)
         self._metrics.sub_requests.inc()
         return call
 
--- a/lavendertide/forwarding/open_calls.py
+++ b/lavendertide/forwarding/open_calls.py
@@ -15,13 +15,13 @@
     """A call without a reply yet.
 
     Attributes:
-        sent_at_s: Time at which it was sent.
-        late_at_s: Time from which it is late.
+        sent_at_s: Time at which it was sent; none while it waits for a connection.
+        late_after_s: Seconds after which it is late.
         wait_factor: By how much the reported queue prolongs it.
     """
 
-    sent_at_s: float
-    late_at_s: float
+    sent_at_s: float | None
+    late_after_s: float
     wait_factor: float
 
 
@@ -40,37 +40,61 @@
         return number in self._by_number
 
     def add(
-        self, number: int, now_s: float, late_after_s: float, wait_factor: float
+        self,
+        number: int,
+        now_s: float,
+        late_after_s: float,
+        wait_factor: float,
+        is_waiting: bool = False,
     ) -> None:
-        """Adds a call that is sent now."""
-        late_at_s = now_s + late_after_s
-        self._by_number[number] = OpenCall(now_s, late_at_s, wait_factor)
+        """Adds a call that is sent now, or that waits for a connection."""
+        sent_at_s = None if is_waiting else now_s
+        self._by_number[number] = OpenCall(sent_at_s, late_after_s, wait_factor)
+
+    def mark_sent(self, number: int, now_s: float, wait_factor: float) -> bool:
+        """Records that a call is sent now; returns whether it has waited."""
+        call = self._by_number.get(number)
+        if call is None or call.sent_at_s is not None:
+            return False
+        self._by_number[number] = OpenCall(now_s, call.late_after_s, wait_factor)
+        return True
 
     def remove(self, number: int) -> None:
         """Removes a call, if it is open."""
         self._by_number.pop(number, None)
 
     def duration_s(self, number: int, now_s: float) -> float:
-        """Returns the seconds since a call was sent; zero if it is not open."""
+        """Returns the seconds since a call was sent; zero if it waits or has ended."""
         call = self._by_number.get(number)
-        return 0.0 if call is None else now_s - call.sent_at_s
+        if call is None or call.sent_at_s is None:
+            return 0.0
+        return now_s - call.sent_at_s
 
     def work_s(self, number: int, now_s: float) -> float:
         """Returns the same without the wait in a reported queue."""
         call = self._by_number.get(number)
-        return 0.0 if call is None else (now_s - call.sent_at_s) / call.wait_factor
+        if call is None or call.sent_at_s is None:
+            return 0.0
+        return (now_s - call.sent_at_s) / call.wait_factor
 
     def has_stalled(self, capacity: TargetCapacity, now_s: float) -> bool:
-        """Returns whether a late call shows that the target has stopped replying."""
+        """Returns whether a late call shows that the target has stopped replying.
+
+        A call that waits for a connection says nothing of the target.
+        """
         return any(
-            now_s >= call.late_at_s and _is_stalled(call, capacity, now_s)
+            call.sent_at_s is not None
+            and now_s >= call.sent_at_s + call.late_after_s
+            and _is_stalled(call, now_s - call.sent_at_s, capacity, now_s)
             for call in self._by_number.values()
         )
 
 
-def _is_stalled(call: OpenCall, capacity: TargetCapacity, now_s: float) -> bool:
+def _is_stalled(
+    call: OpenCall, took_s: float, capacity: TargetCapacity, now_s: float
+) -> bool:
     load = capacity.fresh_load(now_s)
     if load is None or not load.is_long_queue:
         return True
     factor = 1.0 + (load.running + load.waiting) / load.slots
-    return now_s - call.sent_at_s >= factor * (call.late_at_s - call.sent_at_s)
+    return took_s >= factor * call.late_after_s
--- a/lavendertide/forwarding/send_check.py
+++ b/lavendertide/forwarding/send_check.py
@@ -50,4 +50,9 @@
         if is_replaced or not self._registry.is_accepting(record, now_s):
             return NotRunReason.WITHDRAWN
         may_send = self._cold.try_send if is_sending else self._cold.is_allowed
-        return None if may_send(record, now_s) else NotRunReason.COLD
+        if not may_send(record, now_s):
+            return NotRunReason.COLD
+        view = self._views.find(record.target) if is_sending else None
+        if view is not None:
+            view.record_connected(call.number, now_s)
+        return None
--- a/lavendertide/forwarding/target_view.py
+++ b/lavendertide/forwarding/target_view.py
@@ -38,9 +38,11 @@
 REPLACED_EXCLUSION_S: Final = 15.0
 # How long a peer's stall notice is in force, unless a reply ends it earlier.
 STALL_NOTICE_S: Final = 0.3
-# Score multipliers that rank any healthy target before an avoided or stalled one.
+# Score multipliers. Any healthy target ranks before an avoided one. A stalled target
+# usually pauses or is busy, so one that is several times slower is no better: with a
+# factor of 100, requests for busy targets went to slow ones.
 AVOIDED_FACTOR: Final = 1_000.0
-STALLED_FACTOR: Final = 100.0
+STALLED_FACTOR: Final = 3.0
 # Extra cost of a target in another failure domain, in usual request times.
 REMOTE_DOMAIN_COST: Final = 0.6
 
@@ -62,6 +64,8 @@
             because another target has its address.
         stalled_until_s: End of the time in which a peer's stall notice is in force.
         open_calls: The calls that have no reply yet.
+        connections_max: Connections that this host may open to the target; none before
+            the first call. Further calls wait for one.
     """
 
     capacity: TargetCapacity = field(default_factory=TargetCapacity)
@@ -74,6 +78,7 @@
     excluded_until_s: float = 0.0
     stalled_until_s: float = 0.0
     open_calls: OpenCalls = field(default_factory=OpenCalls)
+    connections_max: int | None = None
 
     @property
     def open_count(self) -> int:
@@ -94,11 +99,39 @@
         """Whether enough attempts in a row have failed to consider the target down."""
         return self.failures >= DOWN_AFTER_FAILURES
 
-    def record_sent(self, call: int, now_s: float, late_after_s: float) -> None:
-        """Records that a call is sent, which is late after `late_after_s` seconds."""
+    def record_sent(
+        self,
+        call: int,
+        now_s: float,
+        late_after_s: float,
+        connections_max: int | None = None,
+    ) -> None:
+        """Records a call that is sent now, or once one of the connections is free.
+
+        Args:
+            call: Number of the call.
+            now_s: Present time, monotonic.
+            late_after_s: Seconds after its sending after which it is late.
+            connections_max: Connections that this host may open to the target; any
+                number if absent.
+        """
+        self.connections_max = connections_max
+        is_waiting = connections_max is not None and self.open_count >= connections_max
         wait_factor = self.capacity.wait_factor(now_s)
-        self.open_calls.add(call, now_s, late_after_s, wait_factor)
-        self.capacity.record_sent()
+        self.open_calls.add(call, now_s, late_after_s, wait_factor, is_waiting)
+        if not is_waiting:
+            self.capacity.record_sent()
+
+    def record_connected(self, call: int, now_s: float) -> None:
+        """Records that a call is sent which has waited for a connection."""
+        if self.open_calls.mark_sent(call, now_s, self.capacity.wait_factor(now_s)):
+            self.capacity.record_sent()
+
+    def connection_wait(self) -> float:
+        """Returns how many requests a new call waits for on this host's connections."""
+        if self.connections_max is None:
+            return 0.0
+        return self.open_count / self.connections_max
 
     def record_reply(self, call: int, usual_s: float | None, now_s: float) -> None:
         """Records a successful reply and ends any avoidance and stall.
@@ -252,7 +285,7 @@
         if view is None:
             return 1.0 + cost
         cost_estimate = cost + view.capacity.expected_time(
-            view.open_count, record.slots, now_s
+            view.open_count, record.slots, now_s, view.connection_wait()
         )
         cost_estimate += FAILURE_COST * view.current_failure_rate(now_s)
         if view.is_avoided(now_s):
--- a/lavendertide/overload/target_capacity.py
+++ b/lavendertide/overload/target_capacity.py
@@ -4,7 +4,9 @@
 hundreds of milliseconds, that become several times slower and recover, and that slow
 down before all their slots are used. Each host learns by itself, so hosts may disagree:
 one that has no recent evidence takes a target for usual and finds out with its next
-request, and what peers have observed counts like an own observation of that age.
+request. Each time it finds the target slow again, it waits longer before the next
+trial; a usual reply ends that at once. What peers have observed counts like an own
+observation of that age.
 """
 
 import math
@@ -50,17 +52,52 @@
 CROWDING_MAX: Final = 4.0
 
 
+# Ratio from which an observation confirms that a target is slow, and below which a
+# reply shows that it is slow no more.
+SLOW_RATIO: Final = 2.0
+USUAL_RATIO: Final = 1.5
+# Most weight of earlier observations with which a new one counts as a trial.
+TRIAL_WEIGHT_MAX: Final = 0.5
+# Each failed trial multiplies the half-life of the evidence, up to a bound. Otherwise
+# each host would try each slow target about once a second, and a search over many
+# shards would always contain such trials.
+TRIAL_FACTOR: Final = 4.0
+TRIAL_HALF_LIFE_MAX_S: Final = 4.0
+
+
 @dataclass(slots=True)
 class Evidence:
-    """Weighted mean of logarithms, whose weight decays with age."""
+    """Weighted mean of logarithms, whose weight decays with age.
+
+    Attributes:
+        half_life_s: Half-life of the weight. It grows while trials of a slow target
+            show that it is slow still.
+    """
 
     mean_log: float = 0.0
     weight: float = 0.0
     at_s: float = 0.0
+    half_life_s: float = EVIDENCE_HALF_LIFE_S
 
     def weight_at(self, now_s: float) -> float:
         """Returns the weight that is left at a time."""
-        return self.weight * _decay(now_s - self.at_s, EVIDENCE_HALF_LIFE_S)
+        return self.weight * _decay(now_s - self.at_s, self.half_life_s)
+
+    def observe_trial(self, log_ratio: float, now_s: float) -> None:
+        """Adjusts the half-life before an observation is added."""
+        was_slow = self.mean_log >= math.log(SLOW_RATIO)
+        if was_slow and log_ratio < math.log(USUAL_RATIO):
+            self.half_life_s = EVIDENCE_HALF_LIFE_S
+            self.weight = 0.0
+        elif (
+            was_slow
+            and log_ratio >= math.log(SLOW_RATIO)
+            and self.weight_at(now_s) < TRIAL_WEIGHT_MAX
+        ):
+            longer_s = TRIAL_FACTOR * self.half_life_s
+            self.half_life_s = max(
+                EVIDENCE_HALF_LIFE_S, min(TRIAL_HALF_LIFE_MAX_S, longer_s)
+            )
 
     def add(self, log_ratio: float, weight: float, now_s: float) -> None:
         """Adds an observation of a weight up to one."""
@@ -145,18 +182,22 @@
         trust = self._trust_in_load(now_s)
         return max(open_count, open_count + trust * (reported - open_count))
 
-    def expected_time(self, open_count: int, slots: int, now_s: float) -> float:
+    def expected_time(
+        self, open_count: int, slots: int, now_s: float, connection_wait: float = 0.0
+    ) -> float:
         """Returns when a request sent now would be done, in usual work times.
 
         Args:
             open_count: Open calls of this host to the target.
             slots: Slots by the target's entry; a reported number takes precedence.
             now_s: Present time.
+            connection_wait: Requests that it waits for on this host's connections.
         """
         load = self.fresh_load(now_s)
         usable_slots = max(1.0, (load.slots if load else slots) / self.crowding)
         ahead = self.ahead_of_next(open_count, now_s)
-        return self.slowness(now_s) * (1.0 + ahead / usable_slots)
+        wait = max(ahead / usable_slots, connection_wait)
+        return self.slowness(now_s) * (1.0 + wait)
 
     def wait_factor(self, now_s: float) -> float:
         """Returns by how much a reported queue prolongs a request that is sent now."""
@@ -196,6 +237,7 @@
             (self._heavy if is_heavy else self._light).add(log_ratio)
             if is_heavy:
                 log_ratio -= math.log(crowding)
+        self.own.observe_trial(log_ratio, now_s)
         self.own.add(log_ratio, 1.0, now_s)
         if abs(self.own.mean_log) < math.log(DISTURBED_FACTOR):
             self._follow_lasting(log_ratio, now_s)
@@ -209,6 +251,7 @@
         """
         log_ratio = math.log(_clamp(ratio))
         if log_ratio > math.log(self.slowness(now_s)):
+            self.own.observe_trial(log_ratio, now_s)
             self.own.add(log_ratio, LATE_WEIGHT, now_s)
 
     def record_from_peer(self, slowness: float, age_s: float, now_s: float) -> None:
--- a/standins/model_fleet.py
+++ b/standins/model_fleet.py
@@ -31,6 +31,7 @@
 from lavendertide.runtime import clock, tasks
 from standins.forwarding_records import (
     LOCAL_DOMAIN,
+    OTHER_DOMAIN,
     request,
     route,
     shards,
@@ -49,6 +50,13 @@
 BROADCAST_DELAY_S: Final = 0.005
 # As in `lavendertide.gateway.capacity_exchange`.
 LOOK_INTERVAL_S: Final = 0.05
+# Network delays of one way between hosts and targets of three failure domains.
+DOMAIN_DELAYS_S: Final = (
+    (0.0, 0.0014, 0.0032),
+    (0.0014, 0.0, 0.0049),
+    (0.0032, 0.0049, 0.0),
+)
+DOMAINS: Final = (LOCAL_DOMAIN, OTHER_DOMAIN, FailureDomain("north-c"))
 RETRY_ALLOWANCE: Final = RetryAllowance(ratio=0.2, fixed=56.0, window_s=10.0)
 
 
@@ -104,6 +112,9 @@
         links: Peers to which each host is linked and sends its observations of targets;
             none are sent if zero.
         make_views: Makes a host's statistics and ranking of the targets.
+        domains: Failure domains, up to three, in which the replicas of each service and
+            the hosts take turns.
+        named_hosts: Hosts that receive all requests; all of them if zero.
     """
 
     slots: int = SLOTS
@@ -112,6 +123,8 @@
     reports_load: bool = False
     links: int = 0
     make_views: Callable[[FailureDomain], TargetViews] = TargetViews
+    domains: int = 1
+    named_hosts: int = 0
 
 
 class ModelHost:
@@ -122,8 +135,9 @@
 
     def __init__(self, fleet: "ModelFleet", number: int) -> None:
         self._fleet = fleet
+        self.domain = number % fleet.conditions.domains
         self.registry = TargetRegistry(LAST_RESORT_S)
-        self.views = fleet.conditions.make_views(LOCAL_DOMAIN)
+        self.views = fleet.conditions.make_views(DOMAINS[self.domain])
         self.sharing = CapacitySharing()
         self.crashes = CrashEvidence(Quarantine())
         send_check = SendCheck(self.registry, self.views, self.crashes)
@@ -141,8 +155,8 @@
                 fleet.broadcast_stall,
                 self._record_leaving,
                 fleet.broadcast_verdict,
-                lambda _: fleet.size.hosts,
-                lambda _: 1 / fleet.size.hosts,
+                lambda _: fleet.connection_hosts,
+                lambda _: 1 / len(fleet.named_hosts),
                 # The day starts with a fleet that has already served for some time.
                 lambda _: False,
             ),
@@ -190,11 +204,15 @@
             record = target(f"t{number}", service)
             record = replace(record, address=Address(f"10.0.0.1:{number + 1}"))
             record = replace(record, slots=conditions.slots)
+            domain = DOMAINS[number // len(self._services()) % conditions.domains]
+            record = replace(record, failure_domain=domain)
             model = ModelTarget(record, size.work_s, random.Random(generator.random()))
             # The replicas of one service follow each other at this distance.
             replica = number // len(self._services())
             factors = conditions.work_factors
-            model.work_factor = factors[replica % len(factors)]
+            # In each failure domain, the replicas of the services differ in speed.
+            turn = replica + number if conditions.domains > 1 else replica
+            model.work_factor = factors[turn % len(factors)]
             model.crowding = conditions.crowding
             model.reports_load = conditions.reports_load
             self.targets[record.address] = model
@@ -206,6 +224,19 @@
         for model in self.targets.values():
             self.publish(model.record)
 
+    @property
+    def named_hosts(self) -> list[ModelHost]:
+        """The hosts that are named to callers and receive their requests."""
+        return self.hosts[: self.conditions.named_hosts or len(self.hosts)]
+
+    @property
+    def connection_hosts(self) -> int:
+        """By how many hosts a target's connections are divided.
+
+        As in `lavendertide.gateway.budget_share`, half of them are for the named hosts.
+        """
+        return min(self.size.hosts, 2 * len(self.named_hosts))
+
     def publish(self, record: TargetRecord) -> None:
         """Enters a target, or a new run of it, into the registries of all hosts."""
         for host in self.hosts:
@@ -213,7 +244,10 @@
 
     def make_channel(self, host: int, address: Address) -> ModelChannel:
         """Returns a connection to the target at an address, which is not open yet."""
-        return ModelChannel(host, self.targets[address])
+        model = self.targets[address]
+        target_domain = DOMAINS.index(model.record.failure_domain)
+        delay_s = DOMAIN_DELAYS_S[self.hosts[host].domain][target_domain]
+        return ModelChannel(host, model, delay_s)
 
     def broadcast_stall(self, stalled: TargetId) -> None:
         """Reports a stalled target to all hosts."""
--- a/standins/model_targets.py
+++ b/standins/model_targets.py
@@ -192,11 +192,18 @@
 
 
 class ModelChannel:
-    """A connection to a model target."""
+    """A connection to a model target.
 
-    def __init__(self, host: int, target: ModelTarget) -> None:
+    Args:
+        host: Number of the host that has the connection.
+        target: The target.
+        delay_s: Network delay of each way.
+    """
+
+    def __init__(self, host: int, target: ModelTarget, delay_s: float = 0.0) -> None:
         self._host = host
         self._target = target
+        self._delay_s = delay_s
         self._closed = tasks.Signal()
         self._is_open = False
 
@@ -224,7 +231,12 @@
 
         The connection is closed if the outcome of the request is unknown.
         """
+        if self._delay_s:
+            tasks.sleep(self._delay_s)
+            now_s = clock.monotonic_s()
         reply = self._target.serve(self._host, call, self._closed, now_s)
+        if self._delay_s:
+            tasks.sleep(self._delay_s)
         if isinstance(reply, Unknown):
             self._is_open = False
         return reply
--- a/tests/forwarding/test_target_view.py
+++ b/tests/forwarding/test_target_view.py
@@ -162,3 +162,43 @@
         self.send_at(ReportedLoad(2, 100, 2))
         self.assertFalse(self.view.is_stalled(0.4))
         self.assertTrue(self.view.is_stalled(0.6))
+
+
+class WaitingForConnectionTest(unittest.TestCase):
+    """Calls that wait for one of this host's connections say nothing of the target.
+
+    A host of a large fleet has one connection to each target. Calls behind another one
+    were taken for a stall of the target, which all hosts then avoided, and their
+    wait for work of the target.
+    """
+
+    def setUp(self) -> None:
+        self.views = TargetViews(LOCAL_DOMAIN)
+        self.near = target("near")
+        self.far = target("far", failure_domain=OTHER_DOMAIN)
+        self.view = self.views.view_of(self.near.target)
+        self.view.record_sent(1, 0.0, LATE_S, connections_max=1)
+        self.view.record_sent(2, 0.0, LATE_S, connections_max=1)
+
+    def test_its_wait_shows_no_stall(self) -> None:
+        self.view.record_reply(1, 0.02, 0.04)
+        self.view.record_connected(2, 0.04)
+        self.assertFalse(self.view.is_stalled(1.5 * LATE_S))
+        self.assertTrue(self.view.is_stalled(0.04 + LATE_S))
+
+    def test_its_wait_is_no_work_of_the_target(self) -> None:
+        self.view.record_reply(1, 0.02, 0.02)
+        self.view.record_connected(2, 0.02)
+        self.view.record_reply(2, 0.02, 0.04)
+        self.assertAlmostEqual(self.view.current_slowness(0.04), 1.0)
+
+    def test_a_call_that_was_never_sent_shows_nothing(self) -> None:
+        self.view.record_reply(1, 0.02, 0.02)
+        self.view.record_late(2, 0.02, 1.0)
+        self.assertAlmostEqual(self.view.current_slowness(1.0), 1.0)
+
+    def test_the_next_call_is_expected_after_those_that_wait(self) -> None:
+        """The free slots of a target don't help a host without a free connection."""
+        self.view.discard_call(2)
+        first = self.views.rank_targets((self.near, self.far), 0.0, 0.0)[0]
+        self.assertEqual(first.target, self.far.target)
--- a/tests/overload/test_target_capacity.py
+++ b/tests/overload/test_target_capacity.py
@@ -88,6 +88,50 @@
         self.assertEqual(other.own_slowness(1.0), 1.0, "it isn't passed on")
 
 
+class SlowTrialsTest(unittest.TestCase):
+    """A slow target is tried less often while trials show that it is slow still.
+
+    Each host tried every slow target about once a second, so that a search over 90
+    shards had several sub-requests at slow targets.
+    """
+
+    def trials(self, ratio: float, lasts_s: float) -> int:
+        """Returns how many requests a target gets that seems usual."""
+        capacity = TargetCapacity()
+        trials = 0
+        for step in range(round(lasts_s / 0.05)):
+            now_s = 0.05 * step
+            if capacity.slowness(now_s) < 1.4:
+                capacity.record_work(ratio, now_s)
+                trials += 1
+        return trials
+
+    def test_few_trials_show_that_a_target_is_slow(self) -> None:
+        self.assertLessEqual(self.trials(6.0, 6.0), 4)
+
+    def test_it_is_tried_for_as_long_as_it_is_slow(self) -> None:
+        """Otherwise a recovered target that nobody uses stays slow for ever."""
+        self.assertGreaterEqual(self.trials(6.0, 60.0), 6)
+
+    def test_a_usual_reply_ends_the_memory_at_once(self) -> None:
+        capacity = TargetCapacity()
+        for at_s in (0.0, 1.0, 3.0, 9.0):
+            capacity.record_work(6.0, at_s)
+        self.assertGreater(capacity.slowness(10.0), 2.0)
+        capacity.record_work(1.0, 10.0)
+        self.assertLess(capacity.slowness(10.0), 1.1)
+        capacity.record_work(6.0, 20.0)
+        self.assertLess(capacity.slowness(21.0), 1.4, "it starts again")
+
+    def test_one_slow_reply_in_an_idle_time_is_forgotten_within_a_second(self) -> None:
+        """A pause of a target delays one reply of a host that uses it seldom."""
+        capacity = TargetCapacity()
+        for number in range(20):
+            capacity.record_work(1.0, 0.5 * number)
+        capacity.record_work(10.0, 10.0)
+        self.assertLess(capacity.slowness(11.0), 1.2)
+
+
 class ReportedQueueTest(unittest.TestCase):
     """The expected completion time follows a fresh report, not an old one."""
 
