Keep the replies of an ended run of a target from its next run

Cause: the end of a call was recorded in the view of its target's name. If the target had restarted meanwhile, failures of calls to the last run counted against the new one, which was then avoided as down. If it had left, a new view was created, which was never removed.

Change: a call that isn't open in the target's view is recorded nowhere.

Measured: both tests of tests.forwarding.test_target_runs fail before the change (2 failures and a view left over) and pass after it; 134 tests of nine modules of tests/forwarding pass.

--- a/lavendertide/forwarding/reply_recorder.py
+++ b/lavendertide/forwarding/reply_recorder.py
@@ -73,7 +73,11 @@
             service_count: Number of services that the request is sent to.
             now_s: Present time, monotonic.
         """
-        view = self._views.view_of(call.record.target)
+        view = self._views.find(call.record.target)
+        if view is None or call.number not in view.open_calls:
+            # The run has ended or left since, so its view is gone. What the call shows
+            # must neither count for a new run nor leave a view of a target that left.
+            view = TargetView()
         self._metrics.record_reply(reply)
         self._apply_notice(call, view, reply.notice, now_s)
         match reply:
@@ -111,8 +115,7 @@
     ) -> None:
         run = call.record.run
         self._cold.record_notice(run, notice.cold_s, now_s)
-        # A new run has a view of its own, in which calls to the last one aren't open.
-        if notice.load is not None and call.number in view.open_calls:
+        if notice.load is not None:
             view.capacity.record_load(notice.load, now_s)
         if notice.is_leaving:
             self._fleet.record_leaving(run, now_s)
