--- a/bench/capacity_days.py
+++ b/bench/capacity_days.py
@@ -8,6 +8,9 @@
 `python -m bench.capacity_days --spread 5` measures instead how long it takes after a
 target has become four times slower, and after it has recovered, until nine in ten hosts
 of a fleet of 62 reflect it.
+
+The loads whose names begin with `domains` have targets in three failure domains, one
+replica of each shard in each, and 9 of 33 hosts receive all requests.
 """
 
 import json
@@ -18,7 +21,7 @@
 import statistics
 import sys
 from collections.abc import Callable
-from dataclasses import replace
+from dataclasses import dataclass, replace
 from typing import Final
 
 import click
@@ -30,7 +33,13 @@
 from lavendertide.overload.target_capacity import TargetCapacity
 from lavendertide.registry.record import TargetRecord
 from lavendertide.runtime import clock, tasks
-from standins.model_day import DAY_S, PATH_PREFIXES, WorkChange, simulate_day
+from standins.model_day import (
+    DAY_S,
+    PATH_PREFIXES,
+    DemandPhase,
+    WorkChange,
+    simulate_day,
+)
 from standins.model_fleet import WAIT_MAX_S, Conditions, ModelFleet, Size
 from standins.model_targets import ModelTarget
 from standins.virtual_time import run_on_virtual_clock
@@ -107,62 +116,111 @@
     "expected_time": TargetViews,
     "best_of_two_choices": RandomChoices,
 }
-LOADS: Final[dict[str, tuple[Conditions, tuple[WorkChange, ...], float]]] = {
-    "differing_speeds": (Conditions(work_factors=SPEEDS), (), 200.0),
-    "noise": (Conditions(), NOISE, 200.0),
-    "four_times_slower": (
+
+
+@dataclass(frozen=True, slots=True)
+class Load:
+    """What the days of one load have in common.
+
+    Attributes:
+        conditions: How the targets differ.
+        changes: Periods in which work takes longer.
+        per_s: Requests a second at the usual demand.
+        demand: Periods of higher demand.
+        shards: Shards that a search gathers.
+        hosts: Hosts, unless they are given on the command line.
+        coverage_min: Least share of the shards in the response to a search.
+    """
+
+    conditions: Conditions
+    changes: tuple[WorkChange, ...]
+    per_s: float
+    demand: tuple[DemandPhase, ...] = ()
+    shards: int = 10
+    hosts: int = 16
+    coverage_min: float = 0.9
+
+
+DOMAINS: Final = Conditions(work_factors=SPEEDS, domains=3, named_hosts=9)
+LOADS: Final[dict[str, Load]] = {
+    "differing_speeds": Load(Conditions(work_factors=SPEEDS), (), 200.0),
+    "noise": Load(Conditions(), NOISE, 200.0),
+    "four_times_slower": Load(
         Conditions(),
         tuple(WorkChange(4.0, at_s, 3.0, 0.2) for at_s in (2.0, 8.0, 14.0)),
         200.0,
     ),
-    "slows_before_full": (Conditions(slots=4, crowding=2.0), (), 300.0),
-    "all": (Conditions(4, SPEEDS, 2.0), NOISE, 250.0),
+    "slows_before_full": Load(Conditions(slots=4, crowding=2.0), (), 300.0),
+    "all": Load(Conditions(4, SPEEDS, 2.0), NOISE, 250.0),
+    "domains_usual": Load(DOMAINS, NOISE, 90.0, shards=12, hosts=33),
+    # Sixfold demand in one domain, then in another.
+    "domains_uneven": Load(
+        DOMAINS,
+        NOISE,
+        90.0,
+        (DemandPhase(6.0, 4.0, 5.0, 0), DemandPhase(6.0, 11.0, 5.0, 1)),
+        shards=12,
+        hosts=33,
+    ),
+    # Four times the load, while 40% of the targets, two of a service at most, are six
+    # times slower.
+    "domains_overload": Load(
+        DOMAINS,
+        (WorkChange(6.0, 6.0, 6.0, 0.4, spared=1),),
+        30.0,
+        (DemandPhase(4.0, 6.0, 4.0),),
+        shards=30,
+        hosts=33,
+        coverage_min=0.95,
+    ),
 }
 
 
 @click.command()
 @click.option("--days", default=0, help="How many days for each pair.")
 @click.option("--spread", default=0, help="How many changes to measure.")
-@click.option("--hosts", default=16, show_default=True, help="Hosts on the days.")
+@click.option("--hosts", default=0, help="Hosts on the days; by the load if absent.")
 @click.option("--per-s", default=400.0, show_default=True, help="Rate of the spread.")
 @click.option("--load", "only", multiple=True, type=click.Choice(list(LOADS)))
+@click.option("--ranking", "rankings", multiple=True, type=click.Choice(list(RANKINGS)))
+@click.option("--reports/--no-reports", default=None, help="Both if absent.")
 def main(
-    days: int, spread: int, hosts: int, per_s: float, only: tuple[str, ...]
+    days: int,
+    spread: int,
+    hosts: int,
+    per_s: float,
+    only: tuple[str, ...],
+    rankings: tuple[str, ...],
+    reports: bool | None,
 ) -> None:
     """Prints the results."""
     logging.disable(logging.CRITICAL)
-    for load, (conditions, changes, load_per_s) in LOADS.items() if days else ():
-        if only and load not in only:
+    for name, load in LOADS.items() if days else ():
+        if only and name not in only:
             continue
-        for reports in (False, True):
+        for reported in (False, True) if reports is None else (reports,):
             for ranking, make_views in RANKINGS.items():
-                if reports and make_views is AverageViews:
+                if rankings and ranking not in rankings:
                     continue
-                chosen = replace(
-                    conditions, reports_load=reports, make_views=make_views
+                if reported and make_views is AverageViews:
+                    continue
+                click.echo(
+                    json.dumps(
+                        {
+                            "load": name,
+                            "reports": reported,
+                            "ranking": ranking,
+                            **_simulate_days(load, reported, make_views, days, hosts),
+                            "day_s": DAY_S,
+                            "commit": revision(),
+                        }
+                    )
                 )
-                results = [
-                    simulate_day(seed, Size(hosts), (), load_per_s, chosen, changes)
-                    for seed in range(1, days + 1)
-                ]
-                shares = [result.in_time_share for result in results]
-                line: dict[str, object] = {
-                    "load": load,
-                    "reports": reports,
-                    "ranking": ranking,
-                    "in_time_mean": round(statistics.fmean(shares), 4),
-                    "in_time_worst": round(min(shares), 4),
-                    "days": days,
-                    "hosts": hosts,
-                    "day_s": DAY_S,
-                    "commit": revision(),
-                }
-                click.echo(json.dumps(line))
     for links, with_stalls in SPREADS if spread else ():
         pairs = [
             measure_spread(seed, links, per_s, with_stalls) for seed in range(spread)
         ]
-        line = {
+        line: dict[str, object] = {
             "links": links,
             "with_stalls": with_stalls,
             "per_s": per_s,
@@ -174,6 +232,34 @@
         click.echo(json.dumps(line))
 
 
+def _simulate_days(
+    load: Load,
+    reported: bool,
+    make_views: Callable[[FailureDomain], TargetViews],
+    days: int,
+    hosts: int,
+) -> dict[str, object]:
+    """Returns the figures of the days of one load with one ranking."""
+    conditions = replace(load.conditions, reports_load=reported, make_views=make_views)
+    size = Size(hosts or load.hosts, load.shards, coverage_min=load.coverage_min)
+    results = [
+        simulate_day(seed, size, (), load.per_s, conditions, load.changes, load.demand)
+        for seed in range(1, days + 1)
+    ]
+    shares = [result.in_time_share for result in results]
+    missing = [result.missing_shards / result.requests for result in results]
+    return {
+        "in_time_mean": round(statistics.fmean(shares), 4),
+        "in_time": [round(share, 4) for share in shares],
+        "missing_shards_mean": round(statistics.fmean(missing), 3),
+        "busiest_to_mean": [round(each.peak_load_ratio, 2) for each in results],
+        "violations": sum(len(each.violations) for each in results),
+        "days": days,
+        "hosts": size.hosts,
+        "shards": size.shards,
+    }
+
+
 def measure_spread(
     seed: int, links: int, per_s: float, with_stalls: bool
 ) -> tuple[float, float]:
--- a/standins/model_fleet.py
+++ b/standins/model_fleet.py
@@ -69,6 +69,7 @@
         shards: Shards that a search gathers.
         replicas: Targets of each service.
         work_s: Mean time that a request takes in a slot of a target.
+        coverage_min: Least share of the shards in the response to a search.
         admits_by_priority: Whether hosts admit requests by their route's priority.
     """
 
@@ -77,6 +78,7 @@
     replicas: int = REPLICAS
     work_s: float = WORK_S
     admits_by_priority: bool = False
+    coverage_min: float = 0.9
 
     @property
     def capacity_per_s(self) -> float:
@@ -89,7 +91,9 @@
 
         The look-up and the order go to the same service.
         """
-        search = route(shards(self.shards, 0.9), RequestKind.IDEMPOTENT, WAIT_MAX_S)
+        search = route(
+            shards(self.shards, self.coverage_min), RequestKind.IDEMPOTENT, WAIT_MAX_S
+        )
         look_up = replace(route(wait_max_s=WAIT_MAX_S), prefix="/look-up/")
         order = replace(look_up, prefix="/order/", kind=RequestKind.NON_IDEMPOTENT)
         routes = {"search": search, "look-up": look_up, "order": order}
