Share recoveries of targets, and bound the memory of slow ones

Peers heard of slow targets only.

Change: the half-life grows to 1 s at most, and prolonged evidence weighs at most two replies. A usual reply that ends it is shared for half a second, before what was shared already. A peer's newer recovery ends this host's memory; it passes on only its own next usual reply.

--- a/lavendertide/forwarding/reply_recorder.py
+++ b/lavendertide/forwarding/reply_recorder.py
@@ -73,11 +73,7 @@
             service_count: Number of services that the request is sent to.
             now_s: Present time, monotonic.
         """
-        view = self._views.find(call.record.target)
-        if view is None or call.number not in view.open_calls:
-            # The run has ended or left since, so its view is gone. What the call shows
-            # must neither count for a new run nor leave a view of a target that left.
-            view = TargetView()
+        view = self._view_of(call)
         self._metrics.record_reply(reply)
         self._apply_notice(call, view, reply.notice, now_s)
         match reply:
@@ -110,6 +106,14 @@
         if isinstance(reply, Unknown) and reply.reason is UnknownReason.CLOSED:
             self._record_crash(call, service_count, now_s)
 
+    def _view_of(self, call: TargetCall) -> TargetView:
+        view = self._views.find(call.record.target)
+        if view is not None and call.number in view.open_calls:
+            return view
+        # The run has ended or left since, so its view is gone. What the call shows must
+        # neither count for a new run nor leave a view of a target that has left.
+        return TargetView()
+
     def _apply_notice(
         self, call: TargetCall, view: TargetView, notice: TargetNotice, now_s: float
     ) -> None:
--- a/lavendertide/overload/capacity_sharing.py
+++ b/lavendertide/overload/capacity_sharing.py
@@ -27,6 +27,9 @@
 DEVIATION_MIN: Final = 1.5
 # Weight of own evidence from which it is shared: that of a reply 250 ms ago.
 WEIGHT_MIN: Final = 0.5
+# How long a recovery is shared: peers that remember the target as slow for seconds
+# would try it late.
+RECOVERY_SHARED_S: Final = 0.5
 # Bytes that a host may send in any second, to all peers together.
 BYTES_PER_S: Final = 2_000
 BUDGET_WINDOW_S: Final = 1.0
@@ -108,7 +111,11 @@
         self, target: TargetId, capacity: TargetCapacity, now_s: float
     ) -> tuple[float, float]:
         deviation = abs(math.log(capacity.own_slowness(now_s)))
-        return self._shared_at_s.get(target, -math.inf), -deviation
+        shared_at_s = self._shared_at_s.get(target, -math.inf)
+        if shared_at_s < capacity.own.recovered_at_s:
+            # A recovery that wasn't shared yet: only this notice ends the memory.
+            shared_at_s = -math.inf
+        return shared_at_s, -deviation
 
     def _spent_bytes(self, now_s: float) -> int:
         while self._sent_bytes and now_s - self._sent_bytes[0][0] >= BUDGET_WINDOW_S:
@@ -132,6 +139,8 @@
     own = capacity.own
     if now_s - own.at_s > AGE_MAX_S or own.weight_at(now_s) < WEIGHT_MIN:
         return False
+    if now_s - own.recovered_at_s <= RECOVERY_SHARED_S:
+        return True
     slowness = capacity.own_slowness(now_s)
     return slowness > DEVIATION_MIN or slowness < 1.0 / DEVIATION_MIN
 
--- a/lavendertide/overload/target_capacity.py
+++ b/lavendertide/overload/target_capacity.py
@@ -60,9 +60,13 @@
 TRIAL_WEIGHT_MAX: Final = 0.5
 # Each failed trial multiplies the half-life of the evidence, up to a bound. Otherwise
 # each host would try each slow target about once a second, and a search over many
-# shards would always contain such trials.
+# shards would always contain such trials. With a bound of 4 s, hosts without notices of
+# peers avoided recovered targets for 1.5 to 2.1 s, where 1 s is required.
 TRIAL_FACTOR: Final = 4.0
-TRIAL_HALF_LIFE_MAX_S: Final = 4.0
+TRIAL_HALF_LIFE_MAX_S: Final = 1.0
+# Most weight of earlier observations whose half-life is prolonged. More would prolong
+# the memory of a target that recovers.
+PROLONGED_MAX_WEIGHT: Final = 1.0
 
 
 @dataclass(slots=True)
@@ -72,12 +76,22 @@
     Attributes:
         half_life_s: Half-life of the weight. It grows while trials of a slow target
             show that it is slow still.
+        recovered_at_s: When a usual reply has last ended a prolonged half-life.
+        is_confirming: Whether a peer has seen the recovery, and the next usual reply
+            confirms it.
     """
 
     mean_log: float = 0.0
     weight: float = 0.0
     at_s: float = 0.0
     half_life_s: float = EVIDENCE_HALF_LIFE_S
+    recovered_at_s: float = -math.inf
+    is_confirming: bool = False
+
+    @property
+    def is_slow(self) -> bool:
+        """Whether the observations show a slow target, whatever their age."""
+        return self.mean_log >= math.log(SLOW_RATIO)
 
     def weight_at(self, now_s: float) -> float:
         """Returns the weight that is left at a time."""
@@ -85,13 +99,14 @@
 
     def observe_trial(self, log_ratio: float, now_s: float) -> None:
         """Adjusts the half-life before an observation is added."""
-        was_slow = self.mean_log >= math.log(SLOW_RATIO)
-        if was_slow and log_ratio < math.log(USUAL_RATIO):
-            self.half_life_s = EVIDENCE_HALF_LIFE_S
-            self.weight = 0.0
+        if not self.is_slow and not self.is_confirming:
+            return
+        if log_ratio < math.log(USUAL_RATIO):
+            if self.is_confirming or self.half_life_s > EVIDENCE_HALF_LIFE_S:
+                self.recovered_at_s = now_s
+            self.forget()
         elif (
-            was_slow
-            and log_ratio >= math.log(SLOW_RATIO)
+            log_ratio >= math.log(SLOW_RATIO)
             and self.weight_at(now_s) < TRIAL_WEIGHT_MAX
         ):
             longer_s = TRIAL_FACTOR * self.half_life_s
@@ -99,9 +114,17 @@
                 EVIDENCE_HALF_LIFE_S, min(TRIAL_HALF_LIFE_MAX_S, longer_s)
             )
 
+    def forget(self) -> None:
+        """Removes all observations."""
+        self.is_confirming = False
+        self.half_life_s = EVIDENCE_HALF_LIFE_S
+        self.mean_log = self.weight = 0.0
+
     def add(self, log_ratio: float, weight: float, now_s: float) -> None:
         """Adds an observation of a weight up to one."""
-        held = min(EVIDENCE_MAX_WEIGHT, self.weight_at(now_s))
+        is_prolonged = self.half_life_s > EVIDENCE_HALF_LIFE_S
+        max_weight = PROLONGED_MAX_WEIGHT if is_prolonged else EVIDENCE_MAX_WEIGHT
+        held = min(max_weight, self.weight_at(now_s))
         self.weight = held + weight
         self.mean_log += weight / self.weight * (log_ratio - self.mean_log)
         self.at_s = now_s
@@ -262,8 +285,18 @@
             age_s: Time since the peer's last observation, in seconds.
             now_s: Present time.
         """
+        log_ratio = math.log(_clamp(slowness))
+        is_newer = now_s - age_s > self.own.at_s
+        if log_ratio < math.log(USUAL_RATIO) and self.own.is_slow and is_newer:
+            # The target has recovered. Own later observations stand. This host passes
+            # on its own next usual reply only, so that old news can't circulate.
+            was_prolonged = self.own.half_life_s > EVIDENCE_HALF_LIFE_S
+            self.own.forget()
+            self.own.is_confirming = was_prolonged
         weight = _decay(age_s, EVIDENCE_HALF_LIFE_S)
-        self.from_peers.add(math.log(_clamp(slowness)), weight, now_s)
+        if log_ratio < math.log(USUAL_RATIO) and self.from_peers.is_slow:
+            self.from_peers.forget()
+        self.from_peers.add(log_ratio, weight, now_s)
 
     def _trust_in_load(self, now_s: float) -> float:
         """Returns the weight of the report: until the next, queues change unseen."""
--- a/tests/overload/test_capacity_sharing.py
+++ b/tests/overload/test_capacity_sharing.py
@@ -9,6 +9,7 @@
     INTERVAL_S,
     ITEM_BYTES,
     ITEMS_MAX,
+    RECOVERY_SHARED_S,
     CapacityObservation,
     CapacitySharing,
     record_observation,
@@ -99,3 +100,47 @@
                 self.assertTrue(record_observation(capacity, item, 1.0))
                 self.assertGreaterEqual(capacity.slowness(1.0), 0.25)
                 self.assertLessEqual(capacity.slowness(1.0), 32.0)
+
+
+class RecoveryTest(unittest.TestCase):
+    """A host that finds a target recovered tells peers that still avoid it.
+
+    Without it, a host avoids a target that it has found slow several times for some
+    seconds after the target has recovered.
+    """
+
+    def setUp(self) -> None:
+        self.capacity = TargetCapacity()
+        for at_s in (0.0, 1.0, 3.0):
+            self.capacity.record_work(6.0, at_s)
+
+    def test_a_recovery_is_shared_for_a_limited_time(self) -> None:
+        self.capacity.record_work(1.0, 6.0)
+        pairs = [(TargetId("a"), self.capacity)]
+        items, _ = CapacitySharing().select(pairs, 8, 6.1)
+        self.assertEqual([item.slowness_percent for item in items], [100])
+        later_s = 6.0 + 1.1 * RECOVERY_SHARED_S
+        self.assertEqual(CapacitySharing().select(pairs, 8, later_s), ((), 0))
+
+    def test_a_peers_recovery_ends_the_memory(self) -> None:
+        self.assertGreater(self.capacity.slowness(4.0), 2.0)
+        recovered = CapacityObservation(TargetId("a"), 110, 100)
+        record_observation(self.capacity, recovered, 4.0)
+        self.assertLess(self.capacity.slowness(4.0), 1.2)
+
+    def test_a_recovery_before_the_own_last_reply_does_not_count(self) -> None:
+        """While hosts disagree, a host's own recent replies weigh at least as much."""
+        before = self.capacity.slowness(3.0)
+        recovered = CapacityObservation(TargetId("a"), 110, 100)
+        record_observation(self.capacity, recovered, 3.0)
+        self.assertGreater(self.capacity.slowness(3.0), before**0.6)
+
+    def test_an_own_reply_passes_a_peers_recovery_on(self) -> None:
+        """Notices reach a few peers only, so the others have to learn it from them."""
+        recovered = CapacityObservation(TargetId("a"), 110, 0)
+        record_observation(self.capacity, recovered, 4.0)
+        pairs = [(TargetId("a"), self.capacity)]
+        self.assertEqual(CapacitySharing().select(pairs, 8, 4.1), ((), 0))
+        self.capacity.record_work(1.0, 4.2)
+        items, _ = CapacitySharing().select(pairs, 8, 4.3)
+        self.assertEqual(len(items), 1)
