Count a slow reply as a trial only when the target seemed usual again

Slow replies in quick succession counted as failed trials.

Change: a trial begins when at most a quarter of a reply's weight is left, not a half.

--- a/lavendertide/overload/target_capacity.py
+++ b/lavendertide/overload/target_capacity.py
@@ -56,8 +56,10 @@
 # reply shows that it is slow no more.
 SLOW_RATIO: Final = 2.0
 USUAL_RATIO: Final = 1.5
-# Most weight of earlier observations with which a new one counts as a trial.
-TRIAL_WEIGHT_MAX: Final = 0.5
+# Most weight of earlier observations with which a new one counts as a trial: little
+# enough that a target six times slower seems usual again. With 0.5, quick successions
+# of slow replies prolonged the memory, too.
+TRIAL_WEIGHT_MAX: Final = 0.25
 # Each failed trial multiplies the half-life of the evidence, up to a bound. Otherwise
 # each host would try each slow target about once a second, and a search over many
 # shards would always contain such trials. With a bound of 4 s, hosts without notices of
