--- a/lavendertide/overload/byte_budget.py
+++ b/lavendertide/overload/byte_budget.py
@@ -19,6 +19,11 @@
         self._bytes_per_s = bytes_per_s
         self._sent: deque[tuple[float, int]] = deque()
 
+    @property
+    def bytes_per_s(self) -> int:
+        """Bytes that may be sent in a window."""
+        return self._bytes_per_s
+
     def left(self, now_s: float) -> int:
         """Returns the bytes that may be sent now."""
         while self._sent and now_s - self._sent[0][0] >= BUDGET_WINDOW_S:
--- a/lavendertide/overload/capacity_sharing.py
+++ b/lavendertide/overload/capacity_sharing.py
@@ -15,7 +15,7 @@
 from typing import Final
 
 from lavendertide.ids import TargetId
-from lavendertide.overload.byte_budget import BYTES_PER_S, ByteBudget
+from lavendertide.overload.byte_budget import ByteBudget
 from lavendertide.overload.target_capacity import TargetCapacity
 
 # Shortest time between two notices to the same peers.
@@ -27,6 +27,12 @@
 DEVIATION_MIN: Final = 1.5
 # Weight of own evidence from which it is shared: that of a reply 250 ms ago.
 WEIGHT_MIN: Final = 0.5
+# How long a recovery is shared: peers that remember the target as slow for seconds
+# would try it late.
+RECOVERY_SHARED_S: Final = 0.5
+# Share of a second's bytes that is kept for recoveries. Usual variations use up all
+# others.
+RECOVERY_SHARE: Final = 0.4
 # Bytes of a frame and of an item beside the target's name, rounded up
 # (tests/encodings/test_peer_frames.py compares them with the encoding).
 FRAME_BYTES: Final = 40
@@ -82,8 +88,11 @@
             self._shared_at_s.clear()
             return (), 0
         deviating.sort(key=lambda pair: self._urgency(pair[0], pair[1], now_s))
+        left = self._budget.left(now_s)
+        if not self._is_new_recovery(*deviating[0], now_s):
+            left -= int(RECOVERY_SHARE * self._budget.bytes_per_s)
         # Half of a second's bytes at most, so that later changes find some left.
-        left = min(self._budget.left(now_s), BYTES_PER_S // 2)
+        left = min(left, self._budget.bytes_per_s // 2)
         first_bytes = FRAME_BYTES + _size_of(deviating[0][0])
         reached = min(recipients, left // first_bytes)
         if reached <= 0:
@@ -108,7 +117,18 @@
         self, target: TargetId, capacity: TargetCapacity, now_s: float
     ) -> tuple[float, float]:
         deviation = abs(math.log(capacity.own_slowness(now_s)))
-        return self._shared_at_s.get(target, -math.inf), -deviation
+        shared_at_s = self._shared_at_s.get(target, -math.inf)
+        if self._is_new_recovery(target, capacity, now_s):
+            return -math.inf, -math.inf
+        return shared_at_s, -deviation
+
+    def _is_new_recovery(
+        self, target: TargetId, capacity: TargetCapacity, now_s: float
+    ) -> bool:
+        """Returns whether a recovery wasn't shared yet, which alone ends a memory."""
+        recovered_at_s = capacity.own.recovered_at_s
+        is_recent = now_s - recovered_at_s <= RECOVERY_SHARED_S
+        return is_recent and self._shared_at_s.get(target, -math.inf) < recovered_at_s
 
 
 def record_observation(
@@ -127,6 +147,8 @@
     own = capacity.own
     if now_s - own.at_s > AGE_MAX_S or own.weight_at(now_s) < WEIGHT_MIN:
         return False
+    if now_s - own.recovered_at_s <= RECOVERY_SHARED_S:
+        return True
     slowness = capacity.own_slowness(now_s)
     return slowness > DEVIATION_MIN or slowness < 1.0 / DEVIATION_MIN
 
--- a/standins/model_fleet.py
+++ b/standins/model_fleet.py
@@ -41,6 +41,7 @@
 from lavendertide.runtime import clock, tasks
 from standins.forwarding_records import (
     LOCAL_DOMAIN,
+    OTHER_DOMAIN,
     request,
     route,
     shards,
@@ -62,6 +63,13 @@
 # As in `lavendertide.gateway.overload_exchange`.
 OVERLOAD_RINGS: Final = 8
 SLOW_HOST_DELAY_S: Final = 0.5
+# Network delays of one way between hosts and targets of three failure domains.
+DOMAIN_DELAYS_S: Final = (
+    (0.0, 0.0014, 0.0032),
+    (0.0014, 0.0, 0.0049),
+    (0.0032, 0.0049, 0.0),
+)
+DOMAINS: Final = (LOCAL_DOMAIN, OTHER_DOMAIN, FailureDomain("north-c"))
 RETRY_ALLOWANCE: Final = RetryAllowance(ratio=0.2, fixed=56.0, window_s=10.0)
 
 
@@ -74,6 +82,7 @@
         shards: Shards that a search gathers.
         replicas: Targets of each service.
         work_s: Mean time that a request takes in a slot of a target.
+        coverage_min: Least share of the shards in the response to a search.
         admits_by_priority: Whether hosts admit requests by their route's priority.
         slow_hosts: Hosts whose own processors or links delay each reply.
         avoids_losses: Whether requests that can't be repeated avoid targets that lose
@@ -87,6 +96,7 @@
     admits_by_priority: bool = False
     slow_hosts: int = 0
     avoids_losses: bool = False
+    coverage_min: float = 0.9
 
     @property
     def capacity_per_s(self) -> float:
@@ -99,7 +109,9 @@
 
         The look-up and the order go to the same service.
         """
-        search = route(shards(self.shards, 0.9), RequestKind.IDEMPOTENT, WAIT_MAX_S)
+        search = route(
+            shards(self.shards, self.coverage_min), RequestKind.IDEMPOTENT, WAIT_MAX_S
+        )
         look_up = replace(route(wait_max_s=WAIT_MAX_S), prefix="/look-up/")
         order = replace(look_up, prefix="/order/", kind=RequestKind.NON_IDEMPOTENT)
         routes = {"search": search, "look-up": look_up, "order": order}
@@ -122,6 +134,9 @@
         links: Peers to which each host is linked and sends its observations of targets;
             none are sent if zero.
         make_views: Makes a host's statistics and ranking of the targets.
+        domains: Failure domains, up to three, in which the replicas of each service and
+            the hosts take turns.
+        named_hosts: Hosts that receive all requests; all of them if zero.
     """
 
     slots: int = SLOTS
@@ -130,6 +145,8 @@
     reports_load: bool = False
     links: int = 0
     make_views: Callable[[FailureDomain], TargetViews] = TargetViews
+    domains: int = 1
+    named_hosts: int = 0
 
 
 class ModelHost:
@@ -140,8 +157,9 @@
 
     def __init__(self, fleet: "ModelFleet", number: int) -> None:
         self._fleet = fleet
+        self.domain = number % fleet.conditions.domains
         self.registry = TargetRegistry(LAST_RESORT_S)
-        self.views = fleet.conditions.make_views(LOCAL_DOMAIN)
+        self.views = fleet.conditions.make_views(DOMAINS[self.domain])
         self.number = number
         self.sharing = CapacitySharing()
         self.overload_sharing = OverloadSharing(random.Random(number))
@@ -161,8 +179,8 @@
                 fleet.broadcast_stall,
                 self._record_leaving,
                 fleet.broadcast_verdict,
-                lambda _: fleet.size.hosts,
-                lambda _: 1 / fleet.size.hosts,
+                lambda _: fleet.connection_hosts,
+                lambda _: 1 / len(fleet.named_hosts),
                 # The day starts with a fleet that has already served for some time.
                 lambda _: False,
             ),
@@ -216,11 +234,15 @@
             record = target(f"t{number}", service)
             record = replace(record, address=Address(f"10.0.0.1:{number + 1}"))
             record = replace(record, slots=conditions.slots)
+            domain = DOMAINS[number // len(self._services()) % conditions.domains]
+            record = replace(record, failure_domain=domain)
             model = ModelTarget(record, size.work_s, random.Random(generator.random()))
             # The replicas of one service follow each other at this distance.
             replica = number // len(self._services())
             factors = conditions.work_factors
-            model.work_factor = factors[replica % len(factors)]
+            # In each failure domain, the replicas of the services differ in speed.
+            turn = replica + number if conditions.domains > 1 else replica
+            model.work_factor = factors[turn % len(factors)]
             model.crowding = conditions.crowding
             model.reports_load = conditions.reports_load
             self.targets[record.address] = model
@@ -235,6 +257,19 @@
         for model in self.targets.values():
             self.publish(model.record)
 
+    @property
+    def named_hosts(self) -> list[ModelHost]:
+        """The hosts that are named to callers and receive their requests."""
+        return self.hosts[: self.conditions.named_hosts or len(self.hosts)]
+
+    @property
+    def connection_hosts(self) -> int:
+        """By how many hosts a target's connections are divided.
+
+        As in `lavendertide.gateway.budget_share`, half of them are for the named hosts.
+        """
+        return min(self.size.hosts, 2 * len(self.named_hosts))
+
     def publish(self, record: TargetRecord) -> None:
         """Enters a target, or a new run of it, into the registries of all hosts."""
         for host in self.hosts:
@@ -242,8 +277,11 @@
 
     def make_channel(self, host: int, address: Address) -> ModelChannel:
         """Returns a connection to the target at an address, which is not open yet."""
-        delay_s = SLOW_HOST_DELAY_S if host < self.size.slow_hosts else 0.0
-        return ModelChannel(host, self.targets[address], delay_s)
+        model = self.targets[address]
+        target_domain = DOMAINS.index(model.record.failure_domain)
+        delay_s = DOMAIN_DELAYS_S[self.hosts[host].domain][target_domain]
+        host_delay_s = SLOW_HOST_DELAY_S if host < self.size.slow_hosts else 0.0
+        return ModelChannel(host, model, delay_s, host_delay_s)
 
     def broadcast_stall(self, stalled: TargetId) -> None:
         """Reports a stalled target to all hosts."""
--- a/standins/model_targets.py
+++ b/standins/model_targets.py
@@ -229,15 +229,23 @@
     """A connection to a model target.
 
     Args:
-        host: Number of the host.
+        host: Number of the host that has the connection.
         target: The target.
-        delay_s: Seconds by which the host itself delays each reply.
+        delay_s: Network delay of each way.
+        host_delay_s: Seconds by which the host itself delays each reply.
     """
 
-    def __init__(self, host: int, target: ModelTarget, delay_s: float = 0.0) -> None:
+    def __init__(
+        self,
+        host: int,
+        target: ModelTarget,
+        delay_s: float = 0.0,
+        host_delay_s: float = 0.0,
+    ) -> None:
         self._host = host
-        self._delay_s = delay_s
         self._target = target
+        self._delay_s = delay_s
+        self._host_delay_s = host_delay_s
         self._closed = tasks.Signal()
         self._is_open = False
         self._rests_since_s = 0.0
@@ -274,9 +282,12 @@
         if now_s - self._rests_since_s > self._target.forgets_after_s:
             self._is_open = False
             return Unknown(call.record.target, UnknownReason.CLOSED)
-        reply = self._target.serve(self._host, call, self._closed, now_s)
         if self._delay_s:
             tasks.sleep(self._delay_s)
+            now_s = clock.monotonic_s()
+        reply = self._target.serve(self._host, call, self._closed, now_s)
+        if self._delay_s or self._host_delay_s:
+            tasks.sleep(self._delay_s + self._host_delay_s)
         if isinstance(reply, Unknown):
             self._is_open = False
         self._rests_since_s = clock.monotonic_s()
