Rank stalled targets of orders like those of other requests

Cause: loss_risk.py told a stalled target by a score of 100 and more, and the memory of slow targets has lowered that factor to 3. Change: the score counts as it is. Measured: the 17 tests of its two modules pass.

--- a/lavendertide/forwarding/loss_risk.py
+++ b/lavendertide/forwarding/loss_risk.py
@@ -21,7 +21,6 @@
     UnknownReason,
 )
 from lavendertide.forwarding.target_call import TargetCall
-from lavendertide.forwarding.target_view import AVOIDED_FACTOR, STALLED_FACTOR
 from lavendertide.ids import TargetId
 from lavendertide.registry.record import TargetRecord, TargetRun
 
@@ -36,9 +35,6 @@
 # Most that a target may cost for its risk. A target that is slower than this by its
 # queue isn't preferred, so that requests don't pile up at the last one without losses.
 COST_MAX: Final = 12.0
-# Cost of a stalled target, in usual request times. It is likely to pause for some of
-# them and then to reply, which is better than a target that has just lost a reply.
-STALLED_COST: Final = 8.0
 # Exchanges before a loss that count beside it: targets begin to lose replies suddenly.
 EXCHANGES_BEFORE_LOSS: Final = 4.0
 # Evidence of a target that this host no longer calls is discarded after this time.
@@ -137,10 +133,7 @@
             return list(ranked)
 
         def total_cost(record: TargetRecord) -> float:
-            cost = score_of(record)
-            if STALLED_FACTOR <= cost < AVOIDED_FACTOR:
-                cost = cost / STALLED_FACTOR + STALLED_COST
-            return cost + self.cost_of(record, now_s)
+            return score_of(record) + self.cost_of(record, now_s)
 
         return sorted(ranked, key=total_cost)
 
