Withhold repeats only where more urgent routes have requests

Change: classes count as more urgent competitors from a tenth of the group's work on. Measured: test_repeats_stay_allowed_without_more_urgent_requests failed before.

--- a/lavendertide/overload/admission_level.py
+++ b/lavendertide/overload/admission_level.py
@@ -20,6 +20,9 @@
 GROWTH_REPORTED: Final = 0.05
 # Longest time for which one request raises the level.
 GROWTH_MAX_S: Final = 1.5
+# Share of a group's work from which the more urgent classes count as present. Routes
+# without callers are tested by single requests now and then.
+PRESENT_SHARE: Final = 0.1
 # Retry delays in objectives: the smallest one, to which up to as much again is added.
 URGENT_RETRY_OBJECTIVES: Final = 0.5
 RETRY_OBJECTIVES: Final = 1.0
@@ -48,6 +51,16 @@
     return float(len(above))
 
 
+def has_more_urgent_work(rank: int, work: Sequence[float]) -> bool:
+    """Returns whether classes before `rank` compete for the targets at present.
+
+    Args:
+        rank: Number of a class, zero for the most urgent one.
+        work: Offered work of each class.
+    """
+    return sum(work[:rank]) >= PRESENT_SHARE * sum(work) > 0.0
+
+
 def growth_factor(
     since_raise_s: float, since_cut_s: float, is_delay_reported: bool
 ) -> float:
--- a/lavendertide/overload/priority_admission.py
+++ b/lavendertide/overload/priority_admission.py
@@ -28,6 +28,7 @@
     FLOOR,
     draw_retry_delay_s,
     growth_factor,
+    has_more_urgent_work,
     scale_level,
 )
 from lavendertide.overload.capacity import (
@@ -46,7 +47,7 @@
     median_pressure,
 )
 from lavendertide.overload.priority_permit import PriorityPermit as PriorityPermit
-from lavendertide.overload.route_state import RouteState
+from lavendertide.overload.route_state import RouteState, work_by_class
 from lavendertide.overload.shared_overload import (
     HOSTS_MIN,
     PRESSURE_MAX,
@@ -187,10 +188,12 @@
     def allows_repeats(self, name: RouteName, now_s: float) -> bool:
         """Returns whether requests of a route may be hedged and retried now.
 
-        Under overload these are left to the most urgent routes. A service's budget of
-        them is small, and each one lengthens the queues of the targets.
+        Under overload these are left to more urgent routes that have requests. A
+        service's budget of them is small, and each one lengthens the queues.
         """
-        if self._ranks[self._states[name].route.priority] == 0:
+        rank = self._ranks[self._states[name].route.priority]
+        work = work_by_class(self._states.values(), self._ranks, now_s)
+        if not has_more_urgent_work(rank, work):
             return True
         is_full = self._level >= self._level_max
         return is_full and not self._shared.withholds_repeats(now_s)
@@ -336,9 +339,7 @@
 
     def _scaled_level(self, factor: float, now_s: float) -> float:
         """Returns the level at which the admitted work is multiplied by a factor."""
-        work = [0.0] * len(self._ranks)
-        for state in self._states.values():
-            work[self._ranks[state.route.priority]] += state.current_work(now_s)
+        work = work_by_class(self._states.values(), self._ranks, now_s)
         return scale_level(self._level, factor, work)
 
     def _raise_level(self, spare: float, now_s: float) -> None:
--- a/lavendertide/overload/route_state.py
+++ b/lavendertide/overload/route_state.py
@@ -5,6 +5,7 @@
 """
 
 import math
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 from typing import Final
 
@@ -70,3 +71,19 @@
         """Returns the offered work, which decays."""
         decay: float = 0.5 ** ((now_s - self.work_at_s) / DEMAND_HALF_LIFE_S)
         return self.work * decay
+
+
+def work_by_class(
+    states: Iterable[RouteState], ranks: Mapping[int, int], now_s: float
+) -> list[float]:
+    """Returns the offered work of each class of equal priority.
+
+    Args:
+        states: The routes of a group.
+        ranks: Number of the class of each priority.
+        now_s: Present time, monotonic.
+    """
+    work = [0.0] * len(ranks)
+    for state in states:
+        work[ranks[state.route.priority]] += state.current_work(now_s)
+    return work
--- a/tests/overload/test_shared_overload.py
+++ b/tests/overload/test_shared_overload.py
@@ -111,6 +111,15 @@
         self.now_s += AGE_MAX_S
         self.assertTrue(self.admission.allows_repeats(BATCH, self.now_s))
 
+    def test_repeats_stay_allowed_without_more_urgent_requests(self) -> None:
+        """Otherwise a route whose urgent neighbours are idle is refused needlessly."""
+        admission = PriorityAdmission(ROUTES, random.Random(1), self.now_s)
+        for _ in range(10):
+            admission.try_acquire(BATCH, self.now_s)
+        for peer in PEERS[:2]:
+            admission.record_from_peer(peer, DELAYED, self.now_s)
+        self.assertTrue(admission.allows_repeats(BATCH, self.now_s))
+
     def test_an_old_report_weighs_less(self) -> None:
         shared = SharedOverload()
         weights = []
