Share overloads between hosts only where the settings say so

Cause: with processor time counted, hosts with half a core see delays of their own above the allowed one at usual load, and several of them confirm each other.

--- a/lavendertide/gateway/gateway.py
+++ b/lavendertide/gateway/gateway.py
@@ -181,7 +181,7 @@
         self._bounds = CallerBounds(self._adapters.memory, connections_max, REGISTRY)
         if options.shares_capacities:
             tasks.spawn_supervised(self._capacity_exchange.run)
-        if options.admits_by_priority:
+        if options.shares_overloads:
             tasks.spawn_supervised(self._overload_exchange.run)
         front = self._caller_front()
         listener = sockets.listen(options.callers)
@@ -240,7 +240,7 @@
         self._budgets = RetryBudgets(options.retries)
         leaving = LeavingBroadcast(self._registry, roster, peers)
         load_bytes = ByteBudget(
-            BYTES_PER_S - OVERLOAD_BYTES_PER_S * options.admits_by_priority
+            BYTES_PER_S - OVERLOAD_BYTES_PER_S * options.shares_overloads
         )
         self._capacity_exchange = CapacityExchange(
             self._registry,
@@ -303,7 +303,8 @@
         self._overload_exchange = OverloadExchange(
             roster, peers, self._forwarder.admission, self._metrics
         )
-        self._peer_exchange.set_overload_exchange(self._overload_exchange)
+        if options.shares_overloads:
+            self._peer_exchange.set_overload_exchange(self._overload_exchange)
 
     def _find_service(self, name: ServiceName) -> Service | None:
         table = self._active_routes.table
--- a/lavendertide/gateway/options.py
+++ b/lavendertide/gateway/options.py
@@ -34,6 +34,8 @@
         shares_capacities: Whether hosts share which targets are slow or fast.
         admits_by_priority: Whether routes that share targets are admitted by their
             priority under load.
+        shares_overloads: Whether hosts that admit by priority share the queueing delays
+            that they observe.
         avoids_losses: Whether requests that can't be repeated avoid targets that have
             lost some.
     """
@@ -60,4 +62,5 @@
     files_max: int | None = None
     shares_capacities: bool = False
     admits_by_priority: bool = False
+    shares_overloads: bool = False
     avoids_losses: bool = False
--- a/lavendertide/platform/settings.py
+++ b/lavendertide/platform/settings.py
@@ -26,6 +26,9 @@
 SHARING_CONTRACTS = frozenset({"pressure", "places"})
 # Entry of the list of contracts that enables admission by priority.
 PRIORITY_CONTRACT = "pressure"
+# Key that lets hosts share queueing delays, off by default: hosts short of processor
+# time made each other refuse at usual load (docs/design/priority-admission.md).
+SHARED_OVERLOADS_KEY = "overload.shared"
 # Contracts of which one makes requests that can't be repeated avoid targets that have
 # lost some.
 LOSS_CONTRACTS = frozenset({"health", "pool"})
@@ -119,6 +122,8 @@
         memory_bytes=_optional_count(fields, "limits.memory-mb", 1_000_000),
         files_max=_optional_count(fields, "limits.max-fds"),
         admits_by_priority=PRIORITY_CONTRACT in _contracts(fields),
+        shares_overloads=PRIORITY_CONTRACT in _contracts(fields)
+        and fields.get(SHARED_OVERLOADS_KEY) == "true",
         avoids_losses=not LOSS_CONTRACTS.isdisjoint(_contracts(fields)),
     )
 
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -301,6 +301,18 @@
                 options = self.read(SETTINGS + contracts)
                 self.assertIs(options.admits_by_priority, is_enabled)
 
+    def test_overloads_are_shared_only_where_the_settings_say_so(self) -> None:
+        """Hosts short of processor time would refuse requests at usual load."""
+        for lines, is_enabled in (
+            ("", False),
+            ("contracts=base,pressure", False),
+            ("overload.shared=true", False),
+            ("contracts=base,pressure\noverload.shared=true", True),
+        ):
+            with self.subTest(lines):
+                options = self.read(f"{SETTINGS}\n{lines}\n")
+                self.assertIs(options.shares_overloads, is_enabled)
+
     def test_contracts_enable_the_avoidance_of_losses(self) -> None:
         """Deployments without them are served as before."""
         for contracts, is_enabled in (
