--- a/tests/processes/test_product_operations.py
+++ b/tests/processes/test_product_operations.py
@@ -6,6 +6,7 @@
 import tempfile
 import unittest
 from pathlib import Path
+from unittest import mock
 
 from click.testing import CliRunner, Result
 from prometheus_client import CollectorRegistry
@@ -16,6 +17,7 @@
 from lavendertide.evacuation.evacuated_domains import EvacuatedDomains
 from lavendertide.evacuation.metrics import EvacuationMetrics
 from lavendertide.forwarding.metrics import ForwardingMetrics
+from lavendertide.gateway.descriptors import Descriptors
 from lavendertide.reports.run import dump_run
 from lavendertide.warmup.metrics import ColdMetrics
 from standins.deployment import ASSOCIATION, KOINOPRAXIA, build_publication, scaled_down
@@ -49,6 +51,8 @@
     ForwardingMetrics(registry)
     EvacuationMetrics(registry, EvacuatedDomains(), lambda _: 0)
     ColdMetrics(registry, lambda: 0, lambda: True)
+    # The bounds of a host without known descriptors ask neither roster nor links.
+    Descriptors(None, 1, mock.Mock(), mock.Mock(), registry)
     registry.register(DROPPED)
     text = generate_latest(registry).decode()
     return set(re.findall(TYPE_LINE, text, re.MULTILINE))
