Account for each request that was read whole, and for closed connections

What callers saw: a closed connection, and nothing in the logs said which request it had been. The hypotheses of the incident differ in what ends the connection, and the metrics couldn't tell a time limit from a caller that had left.

A ledger counts the requests that were read whole and the one end of each of them, names those without a complete response, and reports one that stays open for 60 s. Connections are counted by the reason for which they were closed, and whether data of the caller was left unread. The log has one end for each request: a refusal by a run had two.

--- a/lavendertide/encodings/http_server_connection.py
+++ b/lavendertide/encodings/http_server_connection.py
@@ -8,6 +8,7 @@
 import contextlib
 import logging
 import socket
+from enum import Enum
 from http import HTTPStatus
 from typing import Final
 
@@ -36,6 +37,16 @@
 _log = logging.getLogger(__name__)
 
 
+class Arrival(Enum):
+    """What has become of the wait for a request."""
+
+    # Its first bytes have arrived.
+    BEGUN = "begun"
+    # The connection is closed.
+    CLOSED = "closed"
+    TIMED_OUT = "timed_out"
+
+
 class ServerConnection:
     """One connection that a caller has opened.
 
@@ -64,6 +75,11 @@
         """Whether no byte of the next request has arrived."""
         return not self._received and sockets.is_idle(self._socket)
 
+    @property
+    def has_unread(self) -> bool:
+        """Whether data of the caller has arrived that no request was read from."""
+        return bool(self._received) or sockets.has_data(self._socket)
+
     @property
     def is_reusable(self) -> bool:
         """Whether the caller may send another request on the connection."""
@@ -77,14 +93,11 @@
         """Shortest round trip to the caller in seconds; none if it is unknown."""
         return sockets.round_trip_s(self._socket)
 
-    def wait_for_request(self, idle_s: float) -> bool:
+    def wait_for_request(self, idle_s: float) -> Arrival:
         """Waits for the first bytes of a request.
 
         Args:
             idle_s: Time limit.
-
-        Returns:
-            Whether any have arrived; if not, the connection has closed or timed out.
         """
         # A caller may have sent it together with the previous request.
         self._received = self._framing.trailing_data[0]
@@ -92,9 +105,11 @@
             try:
                 self._socket.settimeout(idle_s)
                 self._received = self._socket.recv(READ_BYTES)
+            except TimeoutError:
+                return Arrival.TIMED_OUT
             except OSError:
-                return False
-        return bool(self._received)
+                return Arrival.CLOSED
+        return Arrival.BEGUN if self._received else Arrival.CLOSED
 
     def read_request(
         self,
--- a/lavendertide/forwarding/forwarder.py
+++ b/lavendertide/forwarding/forwarder.py
@@ -31,6 +31,7 @@
 from lavendertide.forwarding.poison import CrashEvidence
 from lavendertide.forwarding.pool import TargetPools, connection_share
 from lavendertide.forwarding.reply_recorder import ReplyRecorder
+from lavendertide.forwarding.request_log import log_refusal, response_outcome
 from lavendertide.forwarding.run import RequestRun
 from lavendertide.forwarding.sender import CallDone, Event
 from lavendertide.forwarding.target_call import TargetCall
@@ -165,10 +166,10 @@
         if refused is not None:
             if refused.cause is RefusalCause.TARGETS_COLD:
                 self._choice.record_held_back(route.services, now_s)
-            return refused
+            return self._log_refused(request, refused, now_s)
         permit = self._admission.try_acquire(request, route, now_s)
         if isinstance(permit, Refused):
-            return permit
+            return self._log_refused(request, permit, now_s)
         services = self._select_services(route)
         for service in services:
             self._budgets.record_request(service, now_s)
@@ -297,6 +298,12 @@
         if is_stalled and now_s >= view.stalled_until_s:
             self._fleet.broadcast_stall(call.record.target)
 
+    def _log_refused(
+        self, request: CallerRequest, refused: Refused, now_s: float
+    ) -> Refused:
+        log_refusal(request, self.routes_age(now_s), response_outcome(refused))
+        return refused
+
     def _used_s(self, request: CallerRequest, route: Route) -> float | None:
         """Returns what a caller had used of its time before; none if it is unknown."""
         if request.remaining_s is None:
--- a/lavendertide/forwarding/request_log.py
+++ b/lavendertide/forwarding/request_log.py
@@ -147,7 +147,7 @@
 
 
 def log_refusal(
-    request: CallerRequest, routes: RoutesAge, outcome: str, state: str
+    request: CallerRequest, routes: RoutesAge, outcome: str, state: str | None = None
 ) -> None:
     """Logs that a request was refused before it was sent to any target.
 
@@ -155,19 +155,18 @@
         request: The request.
         routes: Version and age of the routes in force.
         outcome: The cause of the refusal.
-        state: The readiness of this host.
+        state: The readiness of this host, if the refusal may be due to it.
     """
-    _ended.info(
-        "request refused",
-        extra={
-            "request": request.request,
-            "path": request.path,
-            "outcome": outcome,
-            "version": routes.version,
-            "version_age_s": round(routes.age_s, 3),
-            "state": state,
-        },
-    )
+    fields: dict[str, object] = {
+        "request": request.request,
+        "path": request.path,
+        "outcome": outcome,
+        "version": routes.version,
+        "version_age_s": round(routes.age_s, 3),
+    }
+    if state is not None:
+        fields["state"] = state
+    _ended.info("request refused", extra=fields)
 
 
 def response_outcome(response: Response) -> str:
--- a/lavendertide/gateway/caller_front.py
+++ b/lavendertide/gateway/caller_front.py
@@ -13,7 +13,7 @@
 
 from lavendertide.daemon.in_flight import InFlightCounter
 from lavendertide.encodings.http_messages import BadRequest, HttpRequest, HttpResponse
-from lavendertide.encodings.http_server_connection import ServerConnection
+from lavendertide.encodings.http_server_connection import Arrival, ServerConnection
 from lavendertide.fleet.readiness import Readiness, ReadinessState
 from lavendertide.forwarding.forwarder import Forwarder
 from lavendertide.forwarding.messages import (
@@ -28,6 +28,13 @@
 from lavendertide.forwarding.metrics import ForwardingMetrics
 from lavendertide.forwarding.request_log import log_refusal, response_outcome
 from lavendertide.forwarding.sender import CallerLeft, Event, HostEnds
+from lavendertide.gateway.request_ledger import (
+    ConnectionEnd,
+    RequestAccount,
+    RequestEnd,
+    RequestLedger,
+    end_of_write,
+)
 from lavendertide.overload.caller_bounds import CallerBounds, Cause
 from lavendertide.overload.caller_connections import Admission
 from lavendertide.overload.write_limit import BASE_S
@@ -81,6 +88,7 @@
         in_flight: InFlightCounter,
         metrics: ForwardingMetrics,
         bounds: CallerBounds | None = None,
+        ledger: RequestLedger | None = None,
     ) -> None:
         self._codec = codec
         self._forwarder = forwarder
@@ -90,16 +98,17 @@
         self._metrics = metrics
         self._bounds = bounds or CallerBounds()
         self._connections = self._bounds.connections
+        self._ledger = ledger or RequestLedger()
         self._inboxes: set[tasks.Mailbox[Event]] = set()
 
     def serve(self, accepted: socket.socket) -> None:
         """Serves the requests of one connection until it closes."""
         connection = ServerConnection(accepted)
+        reason = ConnectionEnd.FAILED
         try:
-            if self._admits(connection):
-                while self._serve_request(connection):
-                    pass
+            reason = self._serve_requests(connection)
         finally:
+            self._ledger.record_connection(reason, connection.has_unread)
             self._connections.remove(connection)
             connection.close()
 
@@ -129,13 +138,24 @@
             self._bounds.record(Cause.CONNECTIONS)
         return admission is not Admission.REFUSED
 
-    def _serve_request(self, connection: ServerConnection) -> bool:
-        """Serves one request; returns whether the connection can serve another."""
+    def _serve_requests(self, connection: ServerConnection) -> ConnectionEnd:
+        """Serves the requests of a connection; returns why it can serve no more."""
+        if not self._admits(connection):
+            return ConnectionEnd.REFUSED
+        while (reason := self._serve_request(connection)) is None:
+            pass
+        return reason
+
+    def _serve_request(self, connection: ServerConnection) -> ConnectionEnd | None:
+        """Serves one request; returns why there can be no other, none if there can."""
         self._connections.mark_idle(connection)
-        has_begun = connection.wait_for_request(self._limits.idle_timeout_s)
+        arrival = connection.wait_for_request(self._limits.idle_timeout_s)
         self._connections.mark_busy(connection)
-        if not has_begun:
-            return False
+        match arrival:
+            case Arrival.CLOSED:
+                return ConnectionEnd.CLOSED
+            case Arrival.TIMED_OUT:
+                return ConnectionEnd.IDLE
         self._in_flight.record_accepted()
         try:
             limits = self._limits
@@ -146,14 +166,16 @@
                 self._bounds.memory,
                 self._bounds.short_chunks,
             )
-            return received is not None and self._respond(connection, received)
+            if received is None:
+                return ConnectionEnd.INCOMPLETE
+            return self._respond(connection, received)
         finally:
             self._in_flight.record_finished()
 
     def _respond(
         self, connection: ServerConnection, received: HttpRequest | BadRequest
-    ) -> bool:
-        """Writes a response; returns whether the connection can serve another."""
+    ) -> ConnectionEnd | None:
+        """Writes a response; returns why the connection can serve no other, if so."""
         request: CallerRequest | BadRequest
         match received:
             case HttpRequest():
@@ -163,33 +185,42 @@
             case BadRequest():
                 request = received
         if isinstance(request, CallerRequest):
-            return self._respond_to_request(connection, request)
+            now_s = clock.monotonic_s()
+            with self._ledger.open_account(request.request, now_s) as account:
+                return self._respond_to_request(connection, request, account)
         _log.info("request malformed", extra={"status": request.status})
         self._write(connection, self._codec.encode_bad_request(request), True)
-        return False
+        return ConnectionEnd.LAST
 
     def _respond_to_request(
-        self, connection: ServerConnection, request: CallerRequest
-    ) -> bool:
+        self,
+        connection: ServerConnection,
+        request: CallerRequest,
+        account: RequestAccount,
+    ) -> ConnectionEnd | None:
         exchange = self._forward(connection, request)
         self._record_metrics(exchange)
         if isinstance(exchange.response, Abandoned):
-            return False
+            account.record_end(RequestEnd.CALLER_LEFT)
+            return ConnectionEnd.UNANSWERED
         is_last = self._readiness.state is ReadinessState.LEAVING
         http_response = self._codec.encode(request, exchange.response)
         # The connection waits for the caller with the encoded response alone.
         del exchange
-        is_written = self._write(connection, http_response, is_last)
-        return is_written and not is_last and connection.is_reusable
+        self._write(connection, http_response, is_last)
+        account.record_end(end_of_write(connection.write_failure))
+        if connection.write_failure is not None:
+            return ConnectionEnd.UNANSWERED
+        is_reusable = connection.is_reusable and not is_last
+        return None if is_reusable else ConnectionEnd.LAST
 
     def _write(
         self, connection: ServerConnection, response: HttpResponse, is_last: bool
-    ) -> bool:
-        is_written = connection.write(response, is_last, BASE_S, self._bounds.memory)
+    ) -> None:
+        connection.write(response, is_last, BASE_S, self._bounds.memory)
         failure = connection.write_failure
         if failure is not None and failure.cause is not None:
             self._bounds.record(failure.cause)
-        return is_written
 
     def _forward(
         self, connection: ServerConnection, request: CallerRequest
@@ -212,8 +243,6 @@
         finally:
             self._inboxes.discard(inbox)
             watcher.stop()
-        if isinstance(response, Refused):
-            self._log_refusal(request, response, now_s)
         return _Exchange(request, route, response)
 
     def _record_metrics(self, exchange: _Exchange) -> None:
--- a/lavendertide/gateway/gateway.py
+++ b/lavendertide/gateway/gateway.py
@@ -40,6 +40,7 @@
 from lavendertide.gateway.options import GatewayOptions
 from lavendertide.gateway.overload_exchange import OverloadExchange
 from lavendertide.gateway.peer_exchange import PeerExchange
+from lavendertide.gateway.request_ledger import RequestLedger
 from lavendertide.gateway.shared_reading import RegistrySource, SharedReader
 from lavendertide.ids import DaemonId, ServiceName
 from lavendertide.overload.byte_budget import BYTES_PER_S, ByteBudget
@@ -100,6 +101,7 @@
         )
         self._cold_parts, self._cold = cold, cold.targets
         self._in_flight = InFlightCounter()
+        self._ledger = RequestLedger(REGISTRY)
         self._readiness = Readiness(LEASE_S, now_s)
         self._route_replication = RouteReplication(
             self._active_routes, encode_table, decode_table, now_s
@@ -212,7 +214,7 @@
         )
         signal.signal(signal.SIGTERM, lambda *_: drain.request())
         drain.run()
-        _log.info("stopped")
+        _log.info("stopped", extra=self._ledger.summary)
 
     def reload(self, options: GatewayOptions) -> None:
         """Applies changed seeds, retry budgets and bounds of cold targets.
@@ -319,6 +321,7 @@
             self._in_flight,
             self._metrics,
             self._bounds,
+            self._ledger,
         )
 
     def _entry_front(self) -> EntryFront:
@@ -359,3 +362,4 @@
             is_loaded = meter.measure(clock.processor_s(), now_s)
             self._fleet.roster.announce_load(is_loaded, now_s)
             self._bounds.log_changes(now_s)
+            self._ledger.report_overdue(now_s)
--- a/tests/encodings/test_http_connections.py
+++ b/tests/encodings/test_http_connections.py
@@ -20,7 +20,7 @@
     render_body,
     render_head,
 )
-from lavendertide.encodings.http_server_connection import ServerConnection
+from lavendertide.encodings.http_server_connection import Arrival, ServerConnection
 from lavendertide.encodings.response_writing import WriteFailure
 from lavendertide.ids import Address
 from lavendertide.overload.response_memory import ResponseMemory
@@ -201,12 +201,16 @@
         self.connection = ServerConnection(served)
         self.addCleanup(self.connection.close)
 
+    def wait(self, idle_s: float) -> Arrival:
+        """Waits for a request as the server."""
+        return self.connection.wait_for_request(idle_s)
+
     def read(
         self, sent: bytes, header_max_bytes: int = 4_096, body_max_bytes: int = 100
     ) -> HttpRequest | BadRequest | None:
         """Sends bytes as the caller; returns what the server reads from them."""
         self.caller.sendall(sent)
-        self.assertTrue(self.connection.wait_for_request(TIMEOUT_S))
+        self.assertIs(self.wait(TIMEOUT_S), Arrival.BEGUN)
         return self.connection.read_request(TIMEOUT_S, header_max_bytes, body_max_bytes)
 
     def test_a_body_with_a_length(self) -> None:
@@ -230,7 +234,7 @@
         sender = threading.Thread(target=self.caller.sendall, args=(data,))
         sender.start()
         self.addCleanup(sender.join)
-        self.assertTrue(self.connection.wait_for_request(TIMEOUT_S))
+        self.assertIs(self.wait(TIMEOUT_S), Arrival.BEGUN)
         return self.connection.read_request(
             TIMEOUT_S, 4_096, 65_536, None, short_chunks=bodies
         )
@@ -280,7 +284,7 @@
         self.addCleanup(trickling.join)
         self.addCleanup(ended.set)
         began_s = time.monotonic()
-        self.assertTrue(self.connection.wait_for_request(TIMEOUT_S))
+        self.assertIs(self.wait(TIMEOUT_S), Arrival.BEGUN)
         self.assertIsNone(self.connection.read_request(0.3, 4_096, 100))
         self.assertLess(time.monotonic() - began_s, TIMEOUT_S)
 
@@ -289,13 +293,13 @@
         self.assertTrue(self.connection.is_idle)
         self.caller.sendall(b"GET /a HT")
         wait_until(lambda: not self.connection.is_idle, TIMEOUT_S)
-        self.assertTrue(self.connection.wait_for_request(TIMEOUT_S))
+        self.assertIs(self.wait(TIMEOUT_S), Arrival.BEGUN)
         self.assertFalse(self.connection.is_idle)
 
     def test_a_connection_that_closes_or_stays_silent_brings_no_request(self) -> None:
-        self.assertFalse(self.connection.wait_for_request(0.05))
+        self.assertIs(self.wait(0.05), Arrival.TIMED_OUT)
         self.caller.close()
-        self.assertFalse(self.connection.wait_for_request(TIMEOUT_S))
+        self.assertIs(self.wait(TIMEOUT_S), Arrival.CLOSED)
 
     def test_bytes_that_are_not_a_request_are_refused(self) -> None:
         self.assertIsInstance(self.read(b"\x16\x03\x01 hello\r\n\r\n"), BadRequest)
@@ -324,7 +328,7 @@
         request = b"POST /%d HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nok"
         self.caller.sendall(b"".join(request % number for number in range(3)))
         for number in range(3):
-            self.assertTrue(self.connection.wait_for_request(TIMEOUT_S))
+            self.assertIs(self.wait(TIMEOUT_S), Arrival.BEGUN)
             read = self.connection.read_request(TIMEOUT_S, 4_096, 100)
             assert isinstance(read, HttpRequest)
             self.assertEqual((read.target, read.body), (f"/{number}", b"ok"))
@@ -416,7 +420,7 @@
         self.addCleanup(trickling.join)
         self.addCleanup(ended.set)
         began_s = time.monotonic()
-        self.assertTrue(self.connection.wait_for_request(TIMEOUT_S))
+        self.assertIs(self.wait(TIMEOUT_S), Arrival.BEGUN)
         with mock.patch.object(http_server_connection, "BODY_BASE_S", 0.3):
             self.assertIsNone(self.connection.read_request(0.2, 4_096, 100))
         self.assertLess(time.monotonic() - began_s, TIMEOUT_S)
--- a/tests/processes/test_product_operations.py
+++ b/tests/processes/test_product_operations.py
@@ -18,6 +18,7 @@
 from lavendertide.evacuation.metrics import EvacuationMetrics
 from lavendertide.forwarding.metrics import ForwardingMetrics
 from lavendertide.gateway.descriptors import Descriptors
+from lavendertide.gateway.request_ledger import RequestLedger
 from lavendertide.reports.run import dump_run
 from lavendertide.warmup.metrics import ColdMetrics
 from standins.deployment import ASSOCIATION, KOINOPRAXIA, build_publication, scaled_down
@@ -53,6 +54,7 @@
     ColdMetrics(registry, lambda: 0, lambda: True)
     # The bounds of a host without known descriptors ask neither roster nor links.
     Descriptors(None, 1, mock.Mock(), mock.Mock(), registry)
+    RequestLedger(registry)
     registry.register(DROPPED)
     text = generate_latest(registry).decode()
     return set(re.findall(TYPE_LINE, text, re.MULTILINE))
