Answer requests although their bookkeeping or their run fails

What callers saw: any exception in the task of a connection closed it, also after a target had run the request and its reply was there. Statistics, limits and evidence are recorded in that task, so a fault in any of them took the answer with it, and the log line named no request.

Cause: the records of a request weren't kept apart from its outcome, and the front had no answer for an exception.

Records now run isolated: their exceptions are counted and logged under the id of the request, which goes on. A run that fails is answered from the replies so far, if they suffice, with 502 if a target was sent anything, and with a refusal otherwise; calls that wait for a connection are cancelled first, so that the refusal stays true. The same holds for the front's own steps. The successful replies and the log lines of a run are classes of their own.

--- a/lavendertide/forwarding/forwarder.py
+++ b/lavendertide/forwarding/forwarder.py
@@ -5,11 +5,11 @@
 """
 
 import itertools
-import logging
 import random
 from collections.abc import Iterable
 from dataclasses import replace
 
+from lavendertide.bookkeeping import Isolated
 from lavendertide.forwarding.budget import RetryBudgets
 from lavendertide.forwarding.caller_times import CallerTimes
 from lavendertide.forwarding.capacity import RouteAdmission
@@ -17,6 +17,7 @@
 from lavendertide.forwarding.early_refusal import EarlyRefusals
 from lavendertide.forwarding.explanation import Explainer
 from lavendertide.forwarding.fleet_callbacks import FleetCallbacks
+from lavendertide.forwarding.guarded_run import complete_run
 from lavendertide.forwarding.loss_risk import LossRisks, is_loss
 from lavendertide.forwarding.messages import (
     CallerRequest,
@@ -58,8 +59,6 @@
 # A host without routes receives them with its next read of the platform or a peer.
 NO_ROUTES_RETRY_S = 0.3
 
-_log = logging.getLogger(__name__)
-
 
 class Forwarder:
     """Forwards the requests of this host's callers."""
@@ -175,12 +174,13 @@
             self._budgets.record_request(service, now_s)
         run = RequestRun(self, request, route, services, deadlines, inbox)
         if isinstance(permit, PriorityPermit):
-            run.set_coverage_listener(permit.record_half_covered)
+            run.progress.set_listener(permit.record_half_covered)
         try:
-            return run.complete()
+            return complete_run(run, request)
         finally:
-            ended_at_s = clock.monotonic_s()
-            self._admission.release(permit, route, run.feedback, ended_at_s)
+            with Isolated("admission", request.request):
+                ended_at_s = clock.monotonic_s()
+                self._admission.release(permit, route, run.feedback, ended_at_s)
 
     def rank_targets(
         self, route: Route, service: ServiceName, now_s: float
@@ -253,12 +253,13 @@
         now_s = clock.monotonic_s()
 
         def handle_done(call: TargetCall, reply: TargetReply) -> None:
-            now_s = clock.monotonic_s()
-            self._reply_recorder.record(call, route, reply, service_count, now_s)
-            if not call.is_repeatable and is_loss(reply):
-                self._metrics.record_loss(reply)
-            if self._risks is not None:
-                self._risks.record(call, reply, now_s)
+            with Isolated("reply", request.request):
+                now_s = clock.monotonic_s()
+                self._reply_recorder.record(call, route, reply, service_count, now_s)
+                if not call.is_repeatable and is_loss(reply):
+                    self._metrics.record_loss(reply)
+                if self._risks is not None:
+                    self._risks.record(call, reply, now_s)
             inbox.send(CallDone(call, reply))
 
         late_after_s = self._timings.timing_of(route, now_s).late_after_s(
--- a/lavendertide/forwarding/messages.py
+++ b/lavendertide/forwarding/messages.py
@@ -185,6 +185,8 @@
     TARGETS_FAILED = "targets_failed"
     TOO_FEW_SHARDS = "too_few_shards"
     CALLER_LEFT = "caller_left"
+    # An unexpected exception, which is a fault of this program.
+    INTERNAL_ERROR = "internal_error"
 
 
 @dataclass(frozen=True, slots=True)
--- a/lavendertide/forwarding/request_log.py
+++ b/lavendertide/forwarding/request_log.py
@@ -25,7 +25,7 @@
 from lavendertide.forwarding.parts import Part
 from lavendertide.forwarding.target_call import TargetCall
 from lavendertide.forwarding.target_view import TargetView
-from lavendertide.ids import TargetId
+from lavendertide.ids import CallerRequestId, TargetId
 from lavendertide.routes.active_routes import RoutesAge
 from lavendertide.routes.route import Route
 
@@ -169,6 +169,11 @@
     _ended.info("request refused", extra=fields)
 
 
+def log_failure(request: CallerRequestId, outcome: str) -> None:
+    """Logs that a request ended by the exception that is being handled."""
+    _ended.exception("request failed", extra={"request": request, "outcome": outcome})
+
+
 def response_outcome(response: Response) -> str:
     """Returns the outcome of a response under its name in logs and metrics."""
     match response:
--- a/lavendertide/forwarding/run.py
+++ b/lavendertide/forwarding/run.py
@@ -6,7 +6,6 @@
 """
 
 import math
-from collections.abc import Callable
 from typing import Final
 
 from lavendertide.forwarding.deadlines import ATTEMPT_MIN_S, ResponseDeadlines
@@ -14,6 +13,7 @@
     UNSENT_REASONS,
     Abandoned,
     CallerRequest,
+    Failed,
     NotRun,
     RefusalCause,
     Refused,
@@ -24,8 +24,9 @@
 )
 from lavendertide.forwarding.missing import MissingCause, MissingPart, find_missing
 from lavendertide.forwarding.parts import Part
-from lavendertide.forwarding.request_log import log_end, log_repeat, response_outcome
+from lavendertide.forwarding.reply_progress import ReplyProgress
 from lavendertide.forwarding.response import build_failure, build_success
+from lavendertide.forwarding.run_log import RunLog
 from lavendertide.forwarding.sender import (
     CallDone,
     CallerLeft,
@@ -44,6 +45,9 @@
 # Pause, as a share of the objective, after which a hedge that the budget did not allow
 # is due again: other requests and time give the budget back.
 WITHHELD_HEDGE_SHARE: Final = 0.1
+# Time after which the caller of a request may retry that ended by an unexpected
+# exception before it was sent; another host may be able to serve it.
+INTERNAL_ERROR_RETRY_S: Final = 0.2
 
 
 class RequestRun:
@@ -66,26 +70,24 @@
         self._inbox = inbox
         self._deadlines = deadlines
         self._parts = [Part(service) for service in services]
-        self._replies: list[Replied] = []
+        self._calls: list[TargetCall] = []
+        self._log = RunLog(sender, request, route, self._parts, deadlines)
+        self._progress = ReplyProgress(request, len(services))
         self._lost_count = 0
         self._due_at_s = math.inf
         self._extra_count = 0
-        self._half_covered_s: float | None = None
         self._interruption: MissingCause | None = None
-        self._report_half_covered: Callable[[float, float], None] | None = None
 
-    def set_coverage_listener(self, listener: Callable[[float, float], None]) -> None:
-        """Sets a listener that is called once half of the shards have replied.
-
-        Its arguments are the seconds since the request's arrival and the present time.
-        """
-        self._report_half_covered = listener
+    @property
+    def progress(self) -> ReplyProgress:
+        """The successful replies so far."""
+        return self._progress
 
     @property
     def feedback(self) -> Feedback:
         """What the completed request indicates about the load of its targets."""
-        if self._half_covered_s is not None:
-            return HalfCovered(self._half_covered_s)
+        if self._progress.half_covered_s is not None:
+            return HalfCovered(self._progress.half_covered_s)
         if self._interruption is MissingCause.CALLER_LEFT:
             return Inconclusive()
         starved = sum(part.is_starved for part in self._parts)
@@ -107,7 +109,7 @@
                         self._interruption = MissingCause.CALLER_LEFT
                     missing = self._find_missing(now_s)
                     self._cancel_all()
-                    self._log_end(response_outcome(Abandoned()), missing, now_s)
+                    self._log.log_end(Abandoned(), missing, self._extra_count, now_s)
                     return Abandoned()
                 case HostEnds():
                     self._interruption = MissingCause.HOST_ENDS
@@ -121,11 +123,27 @@
             # At the deadline, targets end the requests themselves and reply.
             for part in self._parts:
                 part.cancel_late_calls(now_s)
-        success = build_success(self._route, self._parts, self._replies)
+        success = build_success(self._route, self._parts, self._progress.replies)
         response = success or self._build_failure(now_s)
-        self._log_end(response_outcome(response), missing, now_s)
+        self._log.log_end(response, missing, self._extra_count, now_s)
         return response
 
+    def fail(self) -> Response:
+        """Ends the request after an unexpected exception.
+
+        Returns:
+            The response from the replies so far, if they suffice. Otherwise a refusal
+            if no target was sent anything, and a failure if one was.
+        """
+        success = build_success(self._route, self._parts, self._progress.replies)
+        for call in self._calls:
+            call.cancel()
+        if success is not None:
+            return success
+        if any(call.is_sent for call in self._calls):
+            return Failed(RefusalCause.INTERNAL_ERROR, False)
+        return Refused(RefusalCause.INTERNAL_ERROR, INTERNAL_ERROR_RETRY_S)
+
     def _send_first(self, number: int, part: Part, now_s: float) -> None:
         ranked = self._sender.rank_targets(self._route, part.service, now_s)
         if ranked:
@@ -145,6 +163,7 @@
             self._inbox,
             len(self._parts),
         )
+        self._calls.append(call)
         part.open_calls[call.number] = call
         part.retry_at_s = None
         if self._is_repeatable:
@@ -160,11 +179,7 @@
             case Replied() if reply.is_success:
                 part.reply = reply
                 part.cancel_late_calls(now_s)
-                self._replies.append(reply)
-                if len(self._replies) == math.ceil(len(self._parts) / 2):
-                    self._half_covered_s = now_s - self._request.arrived_at_s
-                    if self._report_half_covered is not None:
-                        self._report_half_covered(self._half_covered_s, now_s)
+                self._progress.add(reply, now_s)
             case _:
                 part.record_failure(reply)
                 if not part.open_calls:
@@ -180,7 +195,7 @@
 
         After a stall of this process, its timers are handled before its connections.
         """
-        if self._interruption is not None or len(self._replies) == len(self._parts):
+        if self._interruption is not None or self._progress.is_whole:
             return
         tasks.sleep(0.0)
         for event in self._inbox.take_all():
@@ -243,7 +258,7 @@
         may_send = part.has_failed_unsent or self._try_spend(part, now_s)
         cause = outcome_of(part.failure) if part.failure is not None else "unasked"
         if may_send or not part.is_withheld:
-            self._log_repeat(part, record, cause, may_send, now_s)
+            self._log.log_repeat(part, record, cause, may_send, now_s)
         part.is_withheld = not may_send
         if may_send:
             self._send(number, part, record)
@@ -263,7 +278,7 @@
             return
         may_send = self._try_spend(part, now_s)
         if may_send or not part.is_withheld:
-            self._log_repeat(part, record, "late", may_send, now_s)
+            self._log.log_repeat(part, record, "late", may_send, now_s)
         part.is_withheld = not may_send
         if may_send:
             self._send(number, part, record)
@@ -294,8 +309,8 @@
         return len(self._parts) - self._lost_count < self._route.replies_min
 
     def _is_final(self, now_s: float) -> bool:
-        done = len(self._replies)
-        if done == len(self._parts) or now_s >= self._deadlines.ends_at_s:
+        done = len(self._progress)
+        if self._progress.is_whole or now_s >= self._deadlines.ends_at_s:
             return True
         if self._are_too_many_lost:
             return True
@@ -327,17 +342,9 @@
         cause = RefusalCause.TARGETS_COLD if is_cold else RefusalCause.TARGETS_FULL
         return Refused(cause, retry_after_s)
 
-    def _log_repeat(
-        self, part: Part, record: TargetRecord, cause: str, may_send: bool, now_s: float
-    ) -> None:
-        remaining = self._sender.remaining_budget(part.service, now_s)
-        log_repeat(
-            self._request, part, record.target, cause, may_send, remaining, now_s
-        )
-
     def _find_missing(self, now_s: float) -> list[MissingPart]:
         """Returns the shards that a search leaves out, before calls are cancelled."""
-        if not self._is_gathered or len(self._replies) == len(self._parts):
+        if not self._is_gathered or self._progress.is_whole:
             return []
         if now_s < self._deadlines.ends_at_s and self._are_too_many_lost:
             self._interruption = self._interruption or MissingCause.OTHERS_LOST
@@ -345,16 +352,3 @@
         missing = find_missing(self._parts, unhandled, self._interruption, now_s)
         self._sender.record_missing(missing)
         return missing
-
-    def _log_end(self, outcome: str, missing: list[MissingPart], now_s: float) -> None:
-        log_end(
-            self._request,
-            self._route,
-            self._sender.routes_age(now_s),
-            outcome,
-            self._parts,
-            missing,
-            self._extra_count,
-            self._deadlines,
-            now_s,
-        )
--- a/lavendertide/gateway/caller_front.py
+++ b/lavendertide/gateway/caller_front.py
@@ -11,6 +11,7 @@
 
 from returns.result import Failure
 
+from lavendertide.bookkeeping import Isolated
 from lavendertide.daemon.in_flight import InFlightCounter
 from lavendertide.encodings.http_messages import BadRequest, HttpRequest, HttpResponse
 from lavendertide.encodings.http_server_connection import Arrival, ServerConnection
@@ -24,9 +25,14 @@
     RefusalCause,
     Refused,
     Response,
+    Unroutable,
 )
 from lavendertide.forwarding.metrics import ForwardingMetrics
-from lavendertide.forwarding.request_log import log_refusal, response_outcome
+from lavendertide.forwarding.request_log import (
+    log_failure,
+    log_refusal,
+    response_outcome,
+)
 from lavendertide.forwarding.sender import CallerLeft, Event, HostEnds
 from lavendertide.gateway.request_ledger import (
     ConnectionEnd,
@@ -66,6 +72,9 @@
     def encode_bad_request(self, bad: BadRequest) -> HttpResponse:
         """Returns the response to a malformed request."""
 
+    def encode_failure(self, may_have_run: bool) -> HttpResponse:
+        """Returns the response to a request that an unexpected exception has ended."""
+
 
 @dataclass(frozen=True, slots=True)
 class _Exchange:
@@ -76,6 +85,18 @@
     response: Response
 
 
+@dataclass(frozen=True, slots=True)
+class _Answer:
+    """The encoded response to a request.
+
+    Attributes:
+        is_last: Whether the connection can't be used after it.
+    """
+
+    response: HttpResponse
+    is_last: bool = False
+
+
 class CallerFront:
     """Reads requests on callers' connections, has them forwarded and responds."""
 
@@ -176,44 +197,69 @@
         self, connection: ServerConnection, received: HttpRequest | BadRequest
     ) -> ConnectionEnd | None:
         """Writes a response; returns why the connection can serve no other, if so."""
-        request: CallerRequest | BadRequest
         match received:
             case HttpRequest():
-                request = self._codec.decode(received, clock.monotonic_s())
-                if isinstance(request, CallerRequest):
-                    request = replace(request, round_trip_s=connection.round_trip_s)
+                with self._ledger.open_account(clock.monotonic_s()) as account:
+                    return self._respond_to_request(connection, received, account)
             case BadRequest():
-                request = received
-        if isinstance(request, CallerRequest):
-            now_s = clock.monotonic_s()
-            with self._ledger.open_account(request.request, now_s) as account:
-                return self._respond_to_request(connection, request, account)
-        _log.info("request malformed", extra={"status": request.status})
-        self._write(connection, self._codec.encode_bad_request(request), True)
-        return ConnectionEnd.LAST
+                self._respond_to_malformed(connection, received)
+                return ConnectionEnd.LAST
+
+    def _respond_to_malformed(
+        self, connection: ServerConnection, bad: BadRequest
+    ) -> None:
+        _log.info("request malformed", extra={"status": bad.status})
+        self._write(connection, self._codec.encode_bad_request(bad), True)
 
     def _respond_to_request(
         self,
         connection: ServerConnection,
-        request: CallerRequest,
+        received: HttpRequest,
         account: RequestAccount,
     ) -> ConnectionEnd | None:
-        exchange = self._forward(connection, request)
-        self._record_metrics(exchange)
-        if isinstance(exchange.response, Abandoned):
+        answer = self._find_answer(connection, received, account)
+        if answer is None:
             account.record_end(RequestEnd.CALLER_LEFT)
             return ConnectionEnd.UNANSWERED
-        is_last = self._readiness.state is ReadinessState.LEAVING
-        http_response = self._codec.encode(request, exchange.response)
         # The connection waits for the caller with the encoded response alone.
-        del exchange
-        self._write(connection, http_response, is_last)
+        is_last = answer.is_last or self._readiness.state is ReadinessState.LEAVING
+        self._write(connection, answer.response, is_last)
         account.record_end(end_of_write(connection.write_failure))
         if connection.write_failure is not None:
             return ConnectionEnd.UNANSWERED
         is_reusable = connection.is_reusable and not is_last
         return None if is_reusable else ConnectionEnd.LAST
 
+    def _find_answer(
+        self,
+        connection: ServerConnection,
+        received: HttpRequest,
+        account: RequestAccount,
+    ) -> _Answer | None:
+        """Returns the answer to a request; none if its caller has left.
+
+        After an unexpected exception it is a refusal, if the request was not forwarded,
+        or else a failure.
+        """
+        response: Response = Refused(RefusalCause.INTERNAL_ERROR, NOT_READY_RETRY_S)
+        try:
+            request = self._codec.decode(received, clock.monotonic_s())
+            if isinstance(request, BadRequest):
+                _log.info("request malformed", extra={"status": request.status})
+                return _Answer(self._codec.encode_bad_request(request), True)
+            account.identify(request.request)
+            request = replace(request, round_trip_s=connection.round_trip_s)
+            exchange = self._forward(connection, request)
+            response = exchange.response
+            with Isolated("response", request.request):
+                self._record_metrics(exchange)
+            if isinstance(response, Abandoned):
+                return None
+            return _Answer(self._codec.encode(request, response))
+        except Exception:
+            log_failure(account.request, RefusalCause.INTERNAL_ERROR.value)
+            return _Answer(self._codec.encode_failure(not _is_refusal(response)))
+
     def _write(
         self, connection: ServerConnection, response: HttpResponse, is_last: bool
     ) -> None:
@@ -242,7 +288,8 @@
             response = self._forwarder.forward(request, route, inbox)
         finally:
             self._inboxes.discard(inbox)
-            watcher.stop()
+            with Isolated("watcher", request.request):
+                watcher.stop()
         return _Exchange(request, route, response)
 
     def _record_metrics(self, exchange: _Exchange) -> None:
@@ -268,6 +315,11 @@
         inbox.send(CallerLeft())
 
 
+def _is_refusal(response: Response) -> bool:
+    """Returns whether a response says that no target has run the request."""
+    return isinstance(response, Refused | Unroutable)
+
+
 def _outcome_label(response: Response) -> str:
     match response:
         case Passed(reply):
--- a/lavendertide/gateway/request_ledger.py
+++ b/lavendertide/gateway/request_ledger.py
@@ -19,6 +19,7 @@
 
 # Beyond every deadline and the time limit of the longest response.
 OVERDUE_S: Final = 60.0
+UNKNOWN_REQUEST: Final = CallerRequestId("")
 
 _log = logging.getLogger(__name__)
 
@@ -78,17 +79,15 @@
     It is a context manager. A request that leaves the block without an end has failed.
     """
 
-    def __init__(
-        self, ledger: "RequestLedger", request: CallerRequestId, opened_at_s: float
-    ) -> None:
+    def __init__(self, ledger: "RequestLedger", opened_at_s: float) -> None:
         self._ledger = ledger
-        self._request = request
+        self._request = UNKNOWN_REQUEST
         self._opened_at_s = opened_at_s
         self._end: RequestEnd | None = None
 
     @property
     def request(self) -> CallerRequestId:
-        """The id of the request."""
+        """The id of the request; empty until it is known."""
         return self._request
 
     @property
@@ -108,6 +107,10 @@
         if self._end is None:
             self.record_end(RequestEnd.FAILED)
 
+    def identify(self, request: CallerRequestId) -> None:
+        """Sets the id of the request, for the log."""
+        self._request = request
+
     def is_overdue(self, now_s: float) -> bool:
         """Returns whether the request has been open for longer than any may be."""
         return now_s - self._opened_at_s >= OVERDUE_S
@@ -196,9 +199,9 @@
         ends = {end.value: count for end, count in self._ends.items()}
         return {"read": self._read, "open": self.open, "ends": ends}
 
-    def open_account(self, request: CallerRequestId, now_s: float) -> RequestAccount:
+    def open_account(self, now_s: float) -> RequestAccount:
         """Opens the account of a request that was just read whole."""
-        account = RequestAccount(self, request, now_s)
+        account = RequestAccount(self, now_s)
         self._read += 1
         self._open[account] = None
         self._read_metric.inc()
--- a/lavendertide/platform/caller_codec.py
+++ b/lavendertide/platform/caller_codec.py
@@ -102,6 +102,16 @@
         text = b"out_of_memory\n" if bad.status == 503 else b"malformed request\n"
         return HttpResponse(bad.status, (TEXT_TYPE,), text)
 
+    def encode_failure(self, may_have_run: bool) -> HttpResponse:
+        """Returns the HTTP response to a request that an exception has ended.
+
+        Args:
+            may_have_run: Whether a target may have run the request.
+        """
+        if not may_have_run:
+            return _encode_refused(RefusalCause.INTERNAL_ERROR, None)
+        return HttpResponse(502, (TEXT_TYPE,), b"internal_error\n")
+
 
 def _encode_refused(cause: RefusalCause, retry_after_s: float | None) -> HttpResponse:
     headers: list[Header] = [TEXT_TYPE]
--- /dev/null
+++ b/tests/gateway/test_caller_front.py
@@ -0,0 +1,79 @@
+"""Tests of `lavendertide.gateway.caller_front`, on connections of this machine."""
+
+import http.client
+import unittest
+from typing import Final
+from unittest import mock
+
+from lavendertide.forwarding.metrics import ForwardingMetrics
+from lavendertide.gateway.request_ledger import RequestEnd
+from standins.forwarding_records import route
+from standins.gateway_process import wait_until
+from tests.forwarding.scripted_targets import ScriptedForwarder, replies
+from tests.gateway.front_thread import FrontThread
+
+TIMEOUT_S: Final = 10.0
+
+
+class FrontTestCase(unittest.TestCase):
+    """Sends requests to a front with one target."""
+
+    def setUp(self) -> None:
+        scripted = ScriptedForwarder(route())
+        scripted.add("a", "desk", replies(b"found"))
+        self.front = self.enterContext(FrontThread(scripted))
+        self.caller = http.client.HTTPConnection(
+            "127.0.0.1", self.front.port, timeout=TIMEOUT_S
+        )
+        self.addCleanup(self.caller.close)
+
+    def get(self, path: str = "/x") -> tuple[int, bytes]:
+        """Sends a request on the kept connection; returns status and body."""
+        self.caller.request("GET", path, headers={"Host": "shop.example"})
+        response = self.caller.getresponse()
+        return response.status, response.read()
+
+    def ends(self, requests: int) -> dict[RequestEnd, int]:
+        """Returns the ends of the requests once all of them have ended."""
+        wait_until(lambda: sum(self.front.ledger.ends.values()) == requests)
+        self.assertEqual(self.front.ledger.unaccounted, 0)
+        return self.front.ledger.ends
+
+
+class FailedRequestTest(FrontTestCase):
+    """An exception in the midst of a request still leaves its caller an answer.
+
+    Guards against a connection that is closed without a word although the request was
+    read whole. The status says truly whether a target may have run the request.
+    """
+
+    def check(self, status: int) -> None:
+        """Checks the status, and that the connection serves the next request."""
+        self.assertEqual(self.get()[0], status)
+        mock.patch.stopall()
+        self.assertEqual(self.get(), (200, b"found"))
+        self.assertEqual(self.ends(2), {RequestEnd.ANSWERED: 2})
+
+    def fail(self, target: object, method: str) -> None:  # type: ignore[override]
+        """Makes a method raise an exception for the next request."""
+        patch = mock.patch.object(target, method, side_effect=KeyError(2))
+        self.addCleanup(mock.patch.stopall)
+        patch.start()
+
+    def test_a_request_that_was_not_forwarded_is_refused(self) -> None:
+        self.fail(self.front.scripted.forwarder, "forward")
+        self.check(503)
+        self.assertEqual(len(self.front.scripted.called_targets), 1)
+
+    def test_a_request_that_could_not_be_decoded_is_refused(self) -> None:
+        self.fail(self.front.codec, "decode")
+        self.check(503)
+
+    def test_a_request_that_a_target_has_run_fails(self) -> None:
+        """A refusal would promise that it has not run."""
+        self.fail(self.front.codec, "encode")
+        self.check(502)
+
+    def test_a_ready_answer_is_sent_although_it_could_not_be_counted(self) -> None:
+        self.fail(ForwardingMetrics, "record_response")
+        self.check(200)
--- a/tests/gateway/test_request_ledger.py
+++ b/tests/gateway/test_request_ledger.py
@@ -8,6 +8,7 @@
 from lavendertide.gateway.request_ledger import (
     OVERDUE_S,
     ConnectionEnd,
+    RequestAccount,
     RequestEnd,
     RequestLedger,
     end_of_write,
@@ -25,6 +26,12 @@
         self.registry = CollectorRegistry()
         self.ledger = RequestLedger(self.registry)
 
+    def open_account(self, request: CallerRequestId, now_s: float) -> RequestAccount:
+        """Opens the account of a request."""
+        account = self.ledger.open_account(now_s)
+        account.identify(request)
+        return account
+
     def sample(self, name: str, **labels: str) -> float | None:
         """Returns the value of a metric."""
         return self.registry.get_sample_value(name, labels)
@@ -34,7 +41,7 @@
     """Each request that was read whole has exactly one end."""
 
     def test_an_answered_request_has_ended_once(self) -> None:
-        with self.ledger.open_account(FIRST, 0.0) as account:
+        with self.open_account(FIRST, 0.0) as account:
             self.assertEqual(self.ledger.open, 1)
             account.record_end(RequestEnd.ANSWERED)
         self.assertEqual(self.ledger.ends, {RequestEnd.ANSWERED: 1})
@@ -43,7 +50,7 @@
 
     def test_only_the_first_end_counts(self) -> None:
         """A failure after the response must not count the request twice."""
-        account = self.ledger.open_account(FIRST, 0.0)
+        account = self.open_account(FIRST, 0.0)
         with self.assertRaises(KeyError), account:
             account.record_end(RequestEnd.EVICTED)
             raise KeyError
@@ -52,7 +59,7 @@
 
     def test_an_exception_is_the_end_of_a_request_without_another(self) -> None:
         """Guards against a connection that is closed with no word on its request."""
-        account = self.ledger.open_account(FIRST, 0.0)
+        account = self.open_account(FIRST, 0.0)
         with (
             self.assertLogs("lavendertide.gateway", "INFO") as logs,
             self.assertRaises(KeyError),
@@ -70,8 +77,8 @@
         self.assertIs(end_of_write(None), RequestEnd.ANSWERED)
 
     def test_requests_that_overlap_are_counted_apart(self) -> None:
-        first = self.ledger.open_account(FIRST, 0.0)
-        second = self.ledger.open_account(SECOND, 0.0)
+        first = self.open_account(FIRST, 0.0)
+        second = self.open_account(SECOND, 0.0)
         second.record_end(RequestEnd.CALLER_LEFT)
         self.assertEqual(self.ledger.open, 1)
         first.record_end(RequestEnd.ANSWERED)
@@ -79,8 +86,8 @@
         self.assertEqual(sum(self.ledger.ends.values()), self.ledger.read)
 
     def test_metrics_compare_the_requests_read_with_their_ends(self) -> None:
-        self.ledger.open_account(FIRST, 0.0).record_end(RequestEnd.TOO_SLOW)
-        self.ledger.open_account(SECOND, 0.0)
+        self.open_account(FIRST, 0.0).record_end(RequestEnd.TOO_SLOW)
+        self.open_account(SECOND, 0.0)
         self.assertEqual(self.sample("lavendertide_caller_requests_read_total"), 2)
         ended = "lavendertide_caller_requests_ended_total"
         self.assertEqual(self.sample(ended, end="too_slow"), 1)
@@ -93,8 +100,8 @@
     """A request whose task never ends is reported under its id, once."""
 
     def test_a_request_without_an_end_is_reported_once(self) -> None:
-        self.ledger.open_account(FIRST, 0.0)
-        self.ledger.open_account(SECOND, 1.0)
+        self.open_account(FIRST, 0.0)
+        self.open_account(SECOND, 1.0)
         self.assertEqual(self.ledger.report_overdue(OVERDUE_S - 0.1), [])
         self.assertEqual(self.ledger.report_overdue(OVERDUE_S), [FIRST])
         self.assertEqual(self.ledger.report_overdue(OVERDUE_S + 2.0), [SECOND])
--- a/tests/processes/test_product_operations.py
+++ b/tests/processes/test_product_operations.py
@@ -12,6 +12,7 @@
 from prometheus_client import CollectorRegistry
 from prometheus_client.exposition import generate_latest
 
+from lavendertide.bookkeeping import FAILURES
 from lavendertide.bounded_logs import DROPPED
 from lavendertide.command_line.main import commands
 from lavendertide.evacuation.evacuated_domains import EvacuatedDomains
@@ -56,6 +57,7 @@
     Descriptors(None, 1, mock.Mock(), mock.Mock(), registry)
     RequestLedger(registry)
     registry.register(DROPPED)
+    registry.register(FAILURES)
     text = generate_latest(registry).decode()
     return set(re.findall(TYPE_LINE, text, re.MULTILINE))
 
