Look at what has arrived before a wait times out

What callers saw: a request that had arrived within its time limit was closed unread, if the process was busy when the limit passed, for instance with the adoption of a large table. The same lost replies of targets that were there.

Cause: the event loop handles timers before connections. A wait whose limit had passed ended at once, without a look at its socket.

Waits for connections are a module of their own now. After the limit each of them reads or writes once more and times out only if that would wait; the opening of a connection checks whether it is open. A mailbox lets the tasks run whose connections have data before it gives up.

Measured: 13 tests keep a real event loop busy from a task that a socket has woken; they pass three times in a row.

--- a/lavendertide/encodings/http_client_connection.py
+++ b/lavendertide/encodings/http_client_connection.py
@@ -20,7 +20,7 @@
 )
 from lavendertide.ids import Address
 from lavendertide.overload.response_memory import ResponseMemory
-from lavendertide.runtime import clock, sockets
+from lavendertide.runtime import clock, sockets, transfers
 
 # Time limit for the server to accept a request, however it reads.
 SEND_TIMEOUT_S: Final = 4.0
@@ -107,9 +107,9 @@
         try:
             if self._socket is None:
                 raise ConnectionResetError
-            sockets.send_pieces(self._socket, request, lambda _: sent_by_s)
+            transfers.send_pieces(self._socket, request, lambda _: sent_by_s)
             while not reader.is_complete:
-                data = sockets.receive(self._socket, READ_BYTES, ends_at_s)
+                data = transfers.receive(self._socket, READ_BYTES, ends_at_s)
                 has_received_data = has_received_data or bool(data)
                 reader.feed(data)
             return HttpResponse(
--- a/lavendertide/encodings/http_server_connection.py
+++ b/lavendertide/encodings/http_server_connection.py
@@ -24,10 +24,8 @@
 from lavendertide.overload.response_memory import HeldResponse, ResponseMemory
 from lavendertide.overload.short_chunks import ShortChunkBodies, is_free
 from lavendertide.overload.write_limit import WriteLimit
-from lavendertide.runtime import clock, sockets, tasks
+from lavendertide.runtime import clock, sockets, tasks, transfers
 
-# A time-out of zero would make the socket non-blocking.
-SHORTEST_WAIT_S: Final = 0.001
 # Time limit for the body of a request, extended like that of a response. The longest
 # body has 256 KiB.
 BODY_BASE_S: Final = 10.0
@@ -102,9 +100,9 @@
         # A caller may have sent it together with the previous request.
         self._received = self._framing.trailing_data[0]
         if not self._received:
+            until_s = clock.monotonic_s() + idle_s
             try:
-                self._socket.settimeout(idle_s)
-                self._received = self._socket.recv(READ_BYTES)
+                self._received = transfers.receive(self._socket, READ_BYTES, until_s)
             except TimeoutError:
                 return Arrival.TIMED_OUT
             except OSError:
@@ -161,10 +159,12 @@
                     self._socket.sendall(self._framing.send(proceed))
                 # Headers or a body that arrive byte by byte must not hold the
                 # connection.
-                left_s = head_until_s - clock.monotonic_s()
+                until_s = head_until_s
                 if head is not None:
-                    left_s = body_limit.ends_at_s(body.size) - clock.monotonic_s()
-                self._receive_within(min(header_s, left_s))
+                    until_s = body_limit.ends_at_s(body.size)
+                until_s = min(until_s, clock.monotonic_s() + header_s)
+                data = transfers.receive(self._socket, READ_BYTES, until_s)
+                self._framing.receive_data(data)
                 continue
             match event:
                 case h11.Request():
@@ -184,17 +184,6 @@
                 case _:
                     return None
 
-    def _receive_within(self, left_s: float) -> None:
-        """Receives more of a request.
-
-        Raises:
-            OSError: Nothing arrived in time.
-        """
-        if left_s <= 0.0:
-            raise TimeoutError
-        self._socket.settimeout(max(SHORTEST_WAIT_S, left_s))
-        self._framing.receive_data(self._socket.recv(READ_BYTES))
-
     def wait_for_close(self) -> bool:
         """Waits until the caller closes; returns false if it sends data instead.
 
--- a/lavendertide/encodings/peer_socket.py
+++ b/lavendertide/encodings/peer_socket.py
@@ -18,7 +18,7 @@
 from lavendertide.fleet.frame_stream import FRAME_MAX_BYTES
 from lavendertide.messages import Frame
 from lavendertide.overload.write_limit import WriteLimit
-from lavendertide.runtime import clock, sockets
+from lavendertide.runtime import clock, transfers
 from lavendertide.runtime.sockets import (
     ArrivalTrackingReader,
     set_keep_alive,
@@ -80,7 +80,7 @@
         if is_compressed:
             data = self._compress(data[LENGTH.size :])
         limit = WriteLimit(clock.monotonic_s(), WRITE_BASE_S)
-        sockets.send_pieces(self._connection, data, limit.ends_at_s)
+        transfers.send_pieces(self._connection, data, limit.ends_at_s)
         self._bytes_sent += len(data)
 
     def receive(self, bytes_max: int = FRAME_MAX_BYTES) -> Frame | None:
--- a/lavendertide/encodings/response_writing.py
+++ b/lavendertide/encodings/response_writing.py
@@ -7,7 +7,7 @@
 from lavendertide.overload.caller_bounds import Cause
 from lavendertide.overload.response_memory import HeldResponse
 from lavendertide.overload.write_limit import WriteLimit
-from lavendertide.runtime import clock, sockets, tasks
+from lavendertide.runtime import clock, sockets, tasks, transfers
 
 # A shorter response is sent in one write, as a second one costs more than the copy.
 JOINED_MAX_BYTES: Final = 16_384
@@ -76,7 +76,9 @@
                 size + in_system, lambda: sockets.reset(connection), now_s
             )
         for part in parts:
-            accepted = sockets.send_pieces(connection, part, limit.ends_at_s, accepted)
+            accepted = transfers.send_pieces(
+                connection, part, limit.ends_at_s, accepted
+            )
         _wait_until_sent(connection, accepted, limit, held)
     except TimeoutError:
         sockets.reset(connection)
@@ -116,5 +118,5 @@
         if has_data:
             tasks.sleep(look_s)
         else:
-            has_data = sockets.wait_for_data(connection, look_s)
+            has_data = transfers.wait_for_data(connection, look_s)
         look_s = min(2 * look_s, LONGEST_LOOK_S)
--- a/lavendertide/runtime/sockets.py
+++ b/lavendertide/runtime/sockets.py
@@ -1,4 +1,4 @@
-"""Sockets that listen and connect, and the sending of long data.
+"""Sockets that listen and connect, and their options.
 
 Addresses have the form `IP:port`. Host names are not resolved, since the platform uses
 IP numbers.
@@ -9,6 +9,7 @@
 import fcntl
 import io
 import logging
+import os
 import socket
 import struct
 import sys
@@ -17,10 +18,11 @@
 from typing import Any, Final
 
 import eventlet
-from eventlet import hubs
+from eventlet.green import socket as green_socket
 
 from lavendertide.ids import Address
 from lavendertide.runtime import clock
+from lavendertide.runtime.transfers import PEEK, plain, wait_until_ready
 
 BACKLOG = 512
 # How long sent data may stay unacknowledged before its connection is closed.
@@ -46,16 +48,9 @@
 # memory, so it doesn't grow to the usual megabytes; with it, a caller at 20 ms still
 # gets 8 MiB within 3 s.
 SEND_BUFFER_BYTES: Final = 65_536
-# Bytes that are passed to the system at a time.
-PIECE_BYTES: Final = 262_144
 # A close discards what was not sent, instead of keeping it for the other side.
 LINGER: Final = struct.pack("ii", 1, 0)
 
-_TIMEOUT: Final = TimeoutError("no data arrived in time")
-_SEND_TIMEOUT: Final = TimeoutError("data was not accepted in time")
-# Combined once, since combining flags takes longer than the system call itself.
-_PEEK: Final = int(socket.MSG_PEEK | socket.MSG_DONTWAIT)
-
 _log = logging.getLogger(__name__)
 
 
@@ -87,12 +82,33 @@
     Raises:
         OSError: The connection was refused, or not accepted within the timeout.
     """
-    with eventlet.Timeout(timeout_s, TimeoutError("connect timeout")):
-        connection: socket.socket = eventlet.connect(split_address(address))
-    connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    connection: socket.socket = green_socket.socket()
+    plain_socket = plain(connection)
+    limit_s = clock.monotonic_s() + timeout_s
+    try:
+        error = plain_socket.connect_ex(split_address(address))
+        if error == errno.EINPROGRESS:
+            is_in_time = wait_until_ready(plain_socket, limit_s, is_write=True)
+            error = plain_socket.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+            if not is_in_time and not error and not _is_connected(plain_socket):
+                error = errno.ETIMEDOUT
+        if error:
+            raise OSError(error, os.strerror(error))
+        connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    except BaseException:
+        connection.close()
+        raise
     return connection
 
 
+def _is_connected(plain_socket: socket.socket) -> bool:
+    try:
+        plain_socket.getpeername()
+    except OSError:
+        return False
+    return True
+
+
 class ArrivalTrackingReader(io.RawIOBase):
     """Reads a connection and records when its receive buffer was last empty.
 
@@ -100,7 +116,7 @@
     """
 
     def __init__(self, connection: socket.socket) -> None:
-        self._plain_socket = getattr(connection, "fd", connection)
+        self._plain_socket = plain(connection)
         self._raw = connection.makefile("rb", buffering=0)
         self._empty_at_s = clock.monotonic_s()
 
@@ -160,7 +176,7 @@
 
     The mean would include the time for which the other side delays acknowledgements.
     """
-    plain_socket = getattr(connection, "fd", connection)
+    plain_socket = plain(connection)
     try:
         info = plain_socket.getsockopt(
             socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_BYTES
@@ -176,93 +192,9 @@
     return float(round_trip_us) / 1e6
 
 
-def receive(connection: socket.socket, bytes_max: int, until_s: float) -> bytes:
-    """Waits for data; returns `b""` once the other side has closed the connection.
-
-    Unlike this function, `recv` of eventlet returns `b""` for a reset connection too.
-    A truncated reply whose end is marked by the end of its connection would then look
-    complete.
-
-    Args:
-        connection: The connection to read. Data that has already arrived is better read
-            without waiting.
-        bytes_max: Upper bound on the number of bytes to return.
-        until_s: Monotonic time until which to wait.
-
-    Raises:
-        TimeoutError: No data arrived in time.
-        OSError: The connection was reset.
-    """
-    plain_socket = getattr(connection, "fd", connection)
-    while True:
-        remaining_s = max(0.0, until_s - clock.monotonic_s())
-        hubs.trampoline(
-            plain_socket, read=True, timeout=remaining_s, timeout_exc=_TIMEOUT
-        )
-        try:
-            data: bytes = plain_socket.recv(bytes_max)
-        except BlockingIOError:
-            continue
-        return data
-
-
-def send_pieces(
-    connection: socket.socket,
-    data: bytes,
-    ends_at_s: Callable[[int], float],
-    accepted: int = 0,
-) -> int:
-    """Sends data without a copy of it; returns the bytes accepted so far.
-
-    Unlike with `sendall`, the time limit doesn't start again with each piece.
-
-    Args:
-        connection: The connection.
-        data: What to send.
-        ends_at_s: Returns the monotonic time until which more has to be accepted, after
-            a number of accepted bytes.
-        accepted: Bytes that were accepted before, for this limit.
-
-    Raises:
-        TimeoutError: The other side did not accept the data in time.
-        OSError: The connection is broken.
-    """
-    plain_socket = getattr(connection, "fd", connection)
-    view = memoryview(data)
-    sent = 0
-    while sent < len(view):
-        try:
-            sent += plain_socket.send(
-                view[sent : sent + PIECE_BYTES], socket.MSG_DONTWAIT
-            )
-        except BlockingIOError:
-            remaining_s = ends_at_s(accepted + sent) - clock.monotonic_s()
-            hubs.trampoline(
-                plain_socket,
-                write=True,
-                timeout=max(0.0, remaining_s),
-                timeout_exc=_SEND_TIMEOUT,
-            )
-    return accepted + sent
-
-
-def wait_for_data(connection: socket.socket, timeout_s: float) -> bool:
-    """Waits for data or the end of the connection; returns false after the timeout."""
-    try:
-        hubs.trampoline(
-            getattr(connection, "fd", connection),
-            read=True,
-            timeout=timeout_s,
-            timeout_exc=_TIMEOUT,
-        )
-    except TimeoutError:
-        return False
-    return True
-
-
 def unsent_bytes(connection: socket.socket) -> int:
     """Returns what the other side's system has not acknowledged; 0 if it is closed."""
-    plain_socket = getattr(connection, "fd", connection)
+    plain_socket = plain(connection)
     try:
         queued = fcntl.ioctl(plain_socket.fileno(), termios.TIOCOUTQ, bytes(4))
     except (OSError, ValueError):
@@ -301,13 +233,13 @@
 
 def _peek(connection: socket.socket) -> bytes | None:
     """Returns the next byte, none if there is no data, `b""` once it is closed."""
-    plain_socket = getattr(connection, "fd", connection)
+    plain_socket = plain(connection)
     timeout_s = plain_socket.gettimeout()
     try:
         # A socket that isn't one of eventlet's would wait for data.
         if timeout_s != 0.0:
             plain_socket.settimeout(0.0)
-        data: bytes = plain_socket.recv(1, _PEEK)
+        data: bytes = plain_socket.recv(1, PEEK)
     except BlockingIOError:
         return None
     except OSError:
--- a/lavendertide/runtime/tasks.py
+++ b/lavendertide/runtime/tasks.py
@@ -108,11 +108,16 @@
         return True
 
     def receive(self, timeout_s: float | None = None) -> T | None:
-        """Waits for an item; returns none after the timeout."""
+        """Waits for an item; returns none after the timeout.
+
+        A process that was busy handles its timers before its connections. So after the
+        timeout the tasks whose connections have data run first, as they may send items.
+        """
         try:
             item: T = self._items.get(timeout=timeout_s)
         except queue.Empty:
-            return None
+            sleep(0.0)
+            return None if self._items.empty() else self._items.get_nowait()
         return item
 
     def receive_ready(self, first: T, items_max: int) -> list[T]:
--- a/tests/gateway/front_thread.py
+++ b/tests/gateway/front_thread.py
@@ -1,9 +1,5 @@
-"""Serves callers in a thread with an event loop of its own.
+"""Serves callers in a thread with an event loop of its own."""
 
-The test itself uses ordinary sockets, which would block the loop in its own thread.
-"""
-
-import threading
 from types import TracebackType
 from typing import Final
 
@@ -16,11 +12,11 @@
 from lavendertide.gateway.request_ledger import RequestLedger
 from lavendertide.ids import Address
 from lavendertide.platform.caller_codec import PlatformCallerCodec
+from lavendertide.routes.table import RouteTable
 from lavendertide.runtime import clock, sockets, tasks
 from tests.forwarding.scripted_targets import ScriptedForwarder
+from tests.runtime.loop_thread import LoopThread
 
-STOP_POLL_S: Final = 0.01
-START_TIMEOUT_S: Final = 10.0
 CONNECTIONS_MAX: Final = 100
 
 
@@ -39,14 +35,11 @@
         self.ledger = RequestLedger()
         self.codec = PlatformCallerCodec()
         self.port = 0
-        self._started = threading.Event()
-        self._stopped = threading.Event()
-        self._thread = threading.Thread(target=self._run)
+        self._loop = LoopThread()
 
     def __enter__(self) -> "FrontThread":
-        self._thread.start()
-        if not self._started.wait(START_TIMEOUT_S):
-            raise AssertionError("the front did not start")
+        self._loop.__enter__()
+        self.port = self._loop.call(self._serve)
         return self
 
     def __exit__(
@@ -55,10 +48,18 @@
         error: BaseException | None,
         trace: TracebackType | None,
     ) -> None:
-        self._stopped.set()
-        self._thread.join()
+        self._loop.__exit__(kind, error, trace)
+
+    def stall(self, duration_s: float) -> None:
+        """Keeps the process busy, as the adoption of a large table does."""
+        self._loop.stall(duration_s)
+
+    def adopt(self, table: RouteTable) -> None:
+        """Puts a table in force."""
+        routes = self.scripted.active_routes
+        self._loop.call(lambda: routes.adopt(table, "test", clock.monotonic_s()))
 
-    def _run(self) -> None:
+    def _serve(self) -> int:
         readiness = Readiness(1_000.0, clock.monotonic_s())
         readiness.finish_refresh(True, clock.monotonic_s())
         front = CallerFront(
@@ -71,9 +72,6 @@
             ledger=self.ledger,
         )
         listener = sockets.listen(Address("127.0.0.1:0"))
-        self.port = listener.getsockname()[1]
         tasks.spawn(sockets.accept_forever, listener, front.serve, CONNECTIONS_MAX)
-        self._started.set()
-        while not self._stopped.is_set():
-            tasks.sleep(STOP_POLL_S)
-        sockets.close_listener(listener)
+        port: int = listener.getsockname()[1]
+        return port
