Apply raised limits to connections that wait already

What callers saw: after the operator had raised the idle limit, a kept connection that was used as the newer limit allows was closed.

Cause: the front read the limits once, when a wait for a request began, and when the reading of one began.

The limits in force are found again whenever a time limit passes, and when more of a body arrives. A body may have the greater of the limits at its arrival and now, since its caller may know either. The listeners of entry requests compare the outcome of their wait, which is no longer a truth value.

--- a/lavendertide/encodings/http_server_connection.py
+++ b/lavendertide/encodings/http_server_connection.py
@@ -8,6 +8,7 @@
 import contextlib
 import logging
 import socket
+from collections.abc import Callable
 from enum import Enum
 from http import HTTPStatus
 from typing import Final
@@ -24,6 +25,7 @@
 from lavendertide.overload.response_memory import HeldResponse, ResponseMemory
 from lavendertide.overload.short_chunks import ShortChunkBodies, is_free
 from lavendertide.overload.write_limit import WriteLimit
+from lavendertide.routes.route import CallerLimits
 from lavendertide.runtime import clock, sockets, tasks, transfers
 
 # Time limit for the body of a request, extended like that of a response. The longest
@@ -35,6 +37,10 @@
 _log = logging.getLogger(__name__)
 
 
+# Returns the limits in force, which may change while a connection is waited for.
+FindLimits = Callable[[], CallerLimits]
+
+
 class Arrival(Enum):
     """What has become of the wait for a request."""
 
@@ -48,8 +54,6 @@
 class ServerConnection:
     """One connection that a caller has opened.
 
-    Each request is read within the limits that are in force when it arrives.
-
     Args:
         connection: The accepted socket.
     """
@@ -91,18 +95,24 @@
         """Shortest round trip to the caller in seconds; none if it is unknown."""
         return sockets.round_trip_s(self._socket)
 
-    def wait_for_request(self, idle_s: float) -> Arrival:
+    def wait_for_request(self, find_limits: FindLimits) -> Arrival:
         """Waits for the first bytes of a request.
 
         Args:
-            idle_s: Time limit.
+            find_limits: Returns the limits in force. If another idle limit has come
+                into force during the wait, the connection is kept as long as that one
+                allows.
         """
         # A caller may have sent it together with the previous request.
         self._received = self._framing.trailing_data[0]
         if not self._received:
-            until_s = clock.monotonic_s() + idle_s
+            began_s = clock.monotonic_s()
             try:
-                self._received = transfers.receive(self._socket, READ_BYTES, until_s)
+                self._received = transfers.receive_within(
+                    self._socket,
+                    READ_BYTES,
+                    lambda: began_s + find_limits().idle_timeout_s,
+                )
             except TimeoutError:
                 return Arrival.TIMED_OUT
             except OSError:
@@ -111,19 +121,18 @@
 
     def read_request(
         self,
-        header_s: float,
-        header_max_bytes: int,
-        body_max_bytes: int,
+        find_limits: FindLimits,
         memory: ResponseMemory | None = None,
         short_chunks: ShortChunkBodies | None = None,
     ) -> HttpRequest | BadRequest | None:
         """Reads the request whose first bytes have arrived.
 
+        The header limit is the time limit for the rest of the headers, and then for
+        each further piece of the body.
+
         Args:
-            header_s: Time limit for the rest of the headers, and then for each further
-                piece of the body.
-            header_max_bytes: Larger headers are refused.
-            body_max_bytes: A larger body is refused.
+            find_limits: Returns the limits in force. Its time limits, and a greater
+                limit of the body, also apply to a request that is being read.
             memory: The account of all that the process holds; a body that it has no
                 room for is refused.
             short_chunks: The bodies in very many chunks that the process reads; without
@@ -132,25 +141,27 @@
         Returns:
             The request; none if the connection has closed or timed out.
         """
-        self._framing = h11.Connection(h11.SERVER, header_max_bytes)
+        limits = find_limits()
+        self._framing = h11.Connection(h11.SERVER, limits.header_max_bytes)
         try:
             self._framing.receive_data(self._received)
             self._received = b""
             held = memory.open() if memory is not None else None
-            body = _Body(body_max_bytes, held, short_chunks)
+            body = _Body(find_limits, held, short_chunks)
             with contextlib.closing(body):
-                return self._read_request(header_s, body)
+                return self._read_request(find_limits, body)
         except h11.RemoteProtocolError as error:
             return BadRequest(error.error_status_hint)
         except OSError:
             return None
 
     def _read_request(
-        self, header_s: float, body: "_Body"
+        self, find_limits: FindLimits, body: "_Body"
     ) -> HttpRequest | BadRequest | None:
         head: h11.Request | None = None
-        head_until_s = clock.monotonic_s() + header_s
-        body_limit = WriteLimit(head_until_s, BODY_BASE_S)
+        began_s = clock.monotonic_s()
+        body_limit = WriteLimit(began_s, find_limits().header_timeout_s + BODY_BASE_S)
+
         while True:
             event = self._framing.next_event()
             if event is h11.NEED_DATA:
@@ -159,11 +170,13 @@
                     self._socket.sendall(self._framing.send(proceed))
                 # Headers or a body that arrive byte by byte must not hold the
                 # connection.
-                until_s = head_until_s
-                if head is not None:
-                    until_s = body_limit.ends_at_s(body.size)
-                until_s = min(until_s, clock.monotonic_s() + header_s)
-                data = transfers.receive(self._socket, READ_BYTES, until_s)
+                piece_at_s = began_s if head is None else clock.monotonic_s()
+                body_until_s = body_limit.ends_at_s(body.size)
+                data = transfers.receive_within(
+                    self._socket,
+                    READ_BYTES,
+                    _limit_finder(find_limits, piece_at_s, body_until_s),
+                )
                 self._framing.receive_data(data)
                 continue
             match event:
@@ -246,22 +259,36 @@
             self._socket.close()
 
 
+def _limit_finder(
+    find_limits: FindLimits, from_s: float, until_s: float
+) -> Callable[[], float]:
+    """Returns a function that finds the time until which to wait for a piece.
+
+    Args:
+        find_limits: Returns the limits in force.
+        from_s: Monotonic time from which the piece is awaited.
+        until_s: Monotonic time until which the whole request is.
+    """
+    return lambda: min(until_s, from_s + find_limits().header_timeout_s)
+
+
 class _Body:
     """The body of a request while it is read, within its bounds.
 
     Args:
-        bytes_max: Its greatest length.
+        find_limits: Returns the limits in force.
         held: Its account, if there is one.
         short_chunks: The bodies in very many chunks that the process reads.
     """
 
     def __init__(
         self,
-        bytes_max: int,
+        find_limits: FindLimits,
         held: HeldResponse | None,
         short_chunks: ShortChunkBodies | None,
     ) -> None:
-        self._bytes_max = bytes_max
+        self._find_limits = find_limits
+        self._arrival_bytes_max = find_limits().body_max_bytes
         self._held = held
         self._short_chunks = short_chunks
         self._is_in_short_chunks = False
@@ -299,6 +326,11 @@
                 tasks.sleep(0.0)
         return None
 
+    @property
+    def _bytes_max(self) -> int:
+        # A caller may rely on either limit until it knows of the change.
+        return max(self._arrival_bytes_max, self._find_limits().body_max_bytes)
+
     def close(self) -> None:
         """Ends the reading of the body."""
         if self._is_in_short_chunks and self._short_chunks is not None:
--- a/lavendertide/gateway/caller_front.py
+++ b/lavendertide/gateway/caller_front.py
@@ -148,8 +148,7 @@
         for inbox in list(self._inboxes):
             inbox.send(HostEnds())
 
-    @property
-    def _limits(self) -> CallerLimits:
+    def _find_limits(self) -> CallerLimits:
         table = self._active_routes.table
         return table.limits if table is not None else DEFAULT_LIMITS
 
@@ -170,7 +169,7 @@
     def _serve_request(self, connection: ServerConnection) -> ConnectionEnd | None:
         """Serves one request; returns why there can be no other, none if there can."""
         self._connections.mark_idle(connection)
-        arrival = connection.wait_for_request(self._limits.idle_timeout_s)
+        arrival = connection.wait_for_request(self._find_limits)
         self._connections.mark_busy(connection)
         match arrival:
             case Arrival.CLOSED:
@@ -179,13 +178,8 @@
                 return ConnectionEnd.IDLE
         self._in_flight.record_accepted()
         try:
-            limits = self._limits
             received = connection.read_request(
-                limits.header_timeout_s,
-                limits.header_max_bytes,
-                limits.body_max_bytes,
-                self._bounds.memory,
-                self._bounds.short_chunks,
+                self._find_limits, self._bounds.memory, self._bounds.short_chunks
             )
             if received is None:
                 return ConnectionEnd.INCOMPLETE
--- a/lavendertide/gateway/entry_front.py
+++ b/lavendertide/gateway/entry_front.py
@@ -5,19 +5,20 @@
 from typing import Final, Protocol
 
 from lavendertide.encodings.http_messages import BadRequest, HttpRequest, HttpResponse
-from lavendertide.encodings.http_server_connection import ServerConnection
+from lavendertide.encodings.http_server_connection import Arrival, ServerConnection
 from lavendertide.fleet.addresses import AddressBook
 from lavendertide.fleet.readiness import Readiness, ReadinessState
 from lavendertide.forwarding.messages import CallerRequest
 from lavendertide.gateway.host_reports import HostReports
 from lavendertide.ids import CallerKey, FailureDomain, Region
 from lavendertide.overload.caller_connections import Admission, CallerConnections
+from lavendertide.routes.route import CallerLimits
 from lavendertide.runtime import clock
 
-HEADER_MAX_BYTES: Final = 16_384
-# The platform probes once a second, so a live connection is idle for about a second.
-IDLE_TIMEOUT_S: Final = 15.0
 IO_TIMEOUT_S: Final = 3.0
+# The platform probes once a second, so a live connection is idle for about a second.
+# Entry requests have no body.
+LIMITS: Final = CallerLimits(16_384, 0, IO_TIMEOUT_S, 15.0)
 
 
 class ReadinessRequest:
@@ -136,9 +137,9 @@
             self._connections.remove(connection)
 
     def _serve_requests(self, connection: ServerConnection) -> None:
-        while connection.wait_for_request(IDLE_TIMEOUT_S):
+        while connection.wait_for_request(_find_limits) is Arrival.BEGUN:
             self._connections.mark_busy(connection)
-            received = connection.read_request(IO_TIMEOUT_S, HEADER_MAX_BYTES, 0)
+            received = connection.read_request(_find_limits)
             if received is None:
                 return
             response = self._respond(received)
@@ -178,3 +179,8 @@
                 return self._codec.encode_document(document)
             case BadRequest():
                 return self._codec.encode_bad_request(request)
+
+
+def _find_limits() -> CallerLimits:
+    """Returns the limits of entry requests, which never change."""
+    return LIMITS
--- a/tests/encodings/test_http_connections.py
+++ b/tests/encodings/test_http_connections.py
@@ -30,6 +30,7 @@
     ShortChunkBodies,
 )
 from lavendertide.overload.write_limit import PROGRESS_BYTES_PER_S
+from lavendertide.routes.route import CallerLimits
 from standins.gateway_process import wait_until
 from tests.encodings.fixed_peer import TIMEOUT_S, Peer
 
@@ -190,6 +191,16 @@
         self.assertEqual(response.body, b"b")
 
 
+def limits(
+    header_max_bytes: int = 4_096,
+    body_max_bytes: int = 100,
+    header_s: float = TIMEOUT_S,
+    idle_s: float = TIMEOUT_S,
+) -> CallerLimits:
+    """Returns the limits of a server's connection."""
+    return CallerLimits(header_max_bytes, body_max_bytes, header_s, idle_s)
+
+
 class ServerConnectionTest(unittest.TestCase):
     """Requests are read completely and within the limits, or refused."""
 
@@ -203,7 +214,7 @@
 
     def wait(self, idle_s: float) -> Arrival:
         """Waits for a request as the server."""
-        return self.connection.wait_for_request(idle_s)
+        return self.connection.wait_for_request(lambda: limits(idle_s=idle_s))
 
     def read(
         self, sent: bytes, header_max_bytes: int = 4_096, body_max_bytes: int = 100
@@ -211,7 +222,9 @@
         """Sends bytes as the caller; returns what the server reads from them."""
         self.caller.sendall(sent)
         self.assertIs(self.wait(TIMEOUT_S), Arrival.BEGUN)
-        return self.connection.read_request(TIMEOUT_S, header_max_bytes, body_max_bytes)
+        return self.connection.read_request(
+            lambda: limits(header_max_bytes, body_max_bytes)
+        )
 
     def test_a_body_with_a_length(self) -> None:
         read = self.read(b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nok")
@@ -236,7 +249,7 @@
         self.addCleanup(sender.join)
         self.assertIs(self.wait(TIMEOUT_S), Arrival.BEGUN)
         return self.connection.read_request(
-            TIMEOUT_S, 4_096, 65_536, None, short_chunks=bodies
+            lambda: limits(4_096, 65_536), None, short_chunks=bodies
         )
 
     def test_one_body_in_many_short_chunks_is_read(self) -> None:
@@ -285,7 +298,7 @@
         self.addCleanup(ended.set)
         began_s = time.monotonic()
         self.assertIs(self.wait(TIMEOUT_S), Arrival.BEGUN)
-        self.assertIsNone(self.connection.read_request(0.3, 4_096, 100))
+        self.assertIsNone(self.connection.read_request(lambda: limits(header_s=0.3)))
         self.assertLess(time.monotonic() - began_s, TIMEOUT_S)
 
     def test_a_connection_is_idle_until_bytes_of_a_request_arrive(self) -> None:
@@ -329,7 +342,7 @@
         self.caller.sendall(b"".join(request % number for number in range(3)))
         for number in range(3):
             self.assertIs(self.wait(TIMEOUT_S), Arrival.BEGUN)
-            read = self.connection.read_request(TIMEOUT_S, 4_096, 100)
+            read = self.connection.read_request(limits)
             assert isinstance(read, HttpRequest)
             self.assertEqual((read.target, read.body), (f"/{number}", b"ok"))
             written = self.connection.write(HttpResponse(200, (), b""), False, 1.0)
@@ -422,7 +435,9 @@
         began_s = time.monotonic()
         self.assertIs(self.wait(TIMEOUT_S), Arrival.BEGUN)
         with mock.patch.object(http_server_connection, "BODY_BASE_S", 0.3):
-            self.assertIsNone(self.connection.read_request(0.2, 4_096, 100))
+            self.assertIsNone(
+                self.connection.read_request(lambda: limits(header_s=0.2))
+            )
         self.assertLess(time.monotonic() - began_s, TIMEOUT_S)
 
     def test_a_close_by_the_caller_is_detected(self) -> None:
