Answer callers that have only ended their sending

What callers saw: a caller that shut down its sending side after its request got a closed connection instead of the response.

Cause: the end of the received data was taken for the caller's leaving. TCP shows the same for a caller that has closed its connection and for one that still reads.

The end of the sending is followed by an interim response (100), which HTTP lets every caller skip. A system whose connection is closed answers it by a reset, and only that, or an earlier reset, ends the work. Callers of HTTP/1.0, which know no interim responses, are answered in any case.

Measured: on real connections a half-closed caller gets 200, and the work for one that closes ends within the run of its target. The first of these tests fails on the former code, as its caller gets no response.

--- a/lavendertide/encodings/http_server_connection.py
+++ b/lavendertide/encodings/http_server_connection.py
@@ -31,6 +31,8 @@
 # Time limit for the body of a request, extended like that of a response. The longest
 # body has 256 KiB.
 BODY_BASE_S: Final = 10.0
+# Interval between two waits for a sign of the caller, which ends none of them.
+WATCH_S: Final = 60.0
 # Chunks after which other tasks may run, 4 ms apart.
 CHUNKS_AT_A_TIME: Final = 256
 
@@ -51,6 +53,17 @@
     TIMED_OUT = "timed_out"
 
 
+class CallerSign(Enum):
+    """What a caller's connection shows while its request runs."""
+
+    # Data that follows the request.
+    DATA = "data"
+    # The caller sends no more. It may have left, or still read.
+    SENDING_ENDED = "sending_ended"
+    # The connection was reset.
+    CLOSED = "closed"
+
+
 class ServerConnection:
     """One connection that a caller has opened.
 
@@ -197,16 +210,40 @@
                 case _:
                     return None
 
-    def wait_for_close(self) -> bool:
-        """Waits until the caller closes; returns false if it sends data instead.
+    def wait_for_sign(self) -> CallerSign:
+        """Waits for a sign of the caller while its request runs.
+
+        Data that it sends stays unread until the present request is answered.
+        """
+        while True:
+            if not transfers.wait_for_data(self._socket, WATCH_S):
+                continue
+            if sockets.has_data(self._socket):
+                return CallerSign.DATA
+            is_reset = sockets.is_closed(self._socket)
+            return CallerSign.CLOSED if is_reset else CallerSign.SENDING_ENDED
+
+    def probe(self) -> bool:
+        """Sends an interim response; returns whether the caller can be sent one.
 
-        The data stays unread until the present request is answered.
+        The system of a caller that has closed its connection for both directions
+        answers it by a reset, while one that has only ended its sending skips it.
         """
-        self._socket.settimeout(None)
+        if (self._framing.their_http_version or b"") < b"1.1":
+            return False
+        proceed = h11.InformationalResponse(status_code=100, headers=[])
         try:
-            return not self._socket.recv(1, socket.MSG_PEEK)
-        except OSError:
-            return True
+            transfers.plain(self._socket).send(
+                self._framing.send(proceed), socket.MSG_DONTWAIT
+            )
+        except (OSError, h11.LocalProtocolError):
+            return False
+        return True
+
+    @property
+    def is_closed(self) -> bool:
+        """Whether the connection is closed for both directions, as far as is known."""
+        return sockets.is_closed(self._socket)
 
     def write(
         self,
--- a/lavendertide/gateway/caller_front.py
+++ b/lavendertide/gateway/caller_front.py
@@ -33,7 +33,8 @@
     log_refusal,
     response_outcome,
 )
-from lavendertide.forwarding.sender import CallerLeft, Event, HostEnds
+from lavendertide.forwarding.sender import Event, HostEnds
+from lavendertide.gateway.caller_watch import notify_when_left
 from lavendertide.gateway.request_ledger import (
     ConnectionEnd,
     RequestAccount,
@@ -276,7 +277,7 @@
             self._log_refusal(request, refused, now_s)
             return _Exchange(request, route, refused)
         inbox: tasks.Mailbox[Event] = tasks.Mailbox()
-        watcher = tasks.spawn(_notify_when_closed, connection, inbox)
+        watcher = tasks.spawn(notify_when_left, connection, inbox)
         self._inboxes.add(inbox)
         try:
             response = self._forwarder.forward(request, route, inbox)
@@ -302,13 +303,6 @@
         )
 
 
-def _notify_when_closed(
-    connection: ServerConnection, inbox: tasks.Mailbox[Event]
-) -> None:
-    if connection.wait_for_close():
-        inbox.send(CallerLeft())
-
-
 def _is_refusal(response: Response) -> bool:
     """Returns whether a response says that no target has run the request."""
     return isinstance(response, Refused | Unroutable)
--- a/lavendertide/runtime/sockets.py
+++ b/lavendertide/runtime/sockets.py
@@ -44,6 +44,9 @@
 # Round trips as long as this are no measurements.
 ROUND_TRIP_MAX_US: Final = 10_000_000
 
+# The first byte of that structure while a connection is closed.
+TCP_CLOSED: Final = 7
+
 # Send buffer of a caller's connection, which Linux doubles. It takes the machine's
 # memory, so it doesn't grow to the usual megabytes; with it, a caller at 20 ms still
 # gets 8 MiB within 3 s.
@@ -231,6 +234,18 @@
     return bool(_peek(connection))
 
 
+def is_closed(connection: socket.socket) -> bool:
+    """Returns whether a connection is closed for both directions, or was reset."""
+    plain_socket = plain(connection)
+    try:
+        if plain_socket.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
+            return True
+        info = plain_socket.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)
+    except OSError:
+        return True
+    return bool(info) and info[0] == TCP_CLOSED
+
+
 def _peek(connection: socket.socket) -> bytes | None:
     """Returns the next byte, none if there is no data, `b""` once it is closed."""
     plain_socket = plain(connection)
--- a/tests/encodings/test_http_connections.py
+++ b/tests/encodings/test_http_connections.py
@@ -20,7 +20,11 @@
     render_body,
     render_head,
 )
-from lavendertide.encodings.http_server_connection import Arrival, ServerConnection
+from lavendertide.encodings.http_server_connection import (
+    Arrival,
+    CallerSign,
+    ServerConnection,
+)
 from lavendertide.encodings.response_writing import WriteFailure
 from lavendertide.ids import Address
 from lavendertide.overload.response_memory import ResponseMemory
@@ -31,6 +35,7 @@
 )
 from lavendertide.overload.write_limit import PROGRESS_BYTES_PER_S
 from lavendertide.routes.route import CallerLimits
+from lavendertide.runtime import sockets
 from standins.gateway_process import wait_until
 from tests.encodings.fixed_peer import TIMEOUT_S, Peer
 
@@ -409,7 +414,7 @@
         """Guards against requests that pile up behind an unread answer."""
         self.read(b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n")
         self.caller.sendall(b"GET /b HTTP/1.1\r\nHost: h\r\n\r\n")
-        self.assertFalse(self.connection.wait_for_close())
+        self.assertIs(self.connection.wait_for_sign(), CallerSign.DATA)
         self.assertEqual(self.connection._framing.trailing_data[0], b"")
         self.assertTrue(self.connection.write(HttpResponse(200, (), b""), False, 1.0))
         read = self.read(b"")
@@ -443,7 +448,37 @@
     def test_a_close_by_the_caller_is_detected(self) -> None:
         self.read(b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n")
         self.caller.close()
-        self.assertTrue(self.connection.wait_for_close())
+        self.assertIs(self.connection.wait_for_sign(), CallerSign.SENDING_ENDED)
+        self.assertTrue(self.connection.probe())
+        wait_until(lambda: self.connection.is_closed, TIMEOUT_S)
+
+    def test_a_reset_by_the_caller_is_detected(self) -> None:
+        self.read(b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n")
+        sockets.reset(self.caller)
+        self.caller.close()
+        self.assertIs(self.connection.wait_for_sign(), CallerSign.CLOSED)
+
+    def test_a_caller_that_ends_its_sending_gets_its_response(self) -> None:
+        """Guards against an end of the sending that is taken for a close."""
+        self.read(b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n")
+        self.caller.shutdown(socket.SHUT_WR)
+        self.assertIs(self.connection.wait_for_sign(), CallerSign.SENDING_ENDED)
+        self.assertTrue(self.connection.probe())
+        time.sleep(0.05)
+        self.assertFalse(self.connection.is_closed)
+        response = HttpResponse(200, (), b"ok")
+        self.assertTrue(self.connection.write(response, True, 1.0))
+        self.connection.close()
+        received = self.caller.makefile("rb").read()
+        interim, final = received.split(b"\r\n\r\n", 1)
+        self.assertEqual(interim, b"HTTP/1.1 100 ")
+        self.assertTrue(final.startswith(b"HTTP/1.1 200 "))
+
+    def test_a_caller_of_the_first_version_gets_no_interim_response(self) -> None:
+        """It wouldn't understand one."""
+        self.read(b"GET /a HTTP/1.0\r\nHost: h\r\n\r\n")
+        self.caller.shutdown(socket.SHUT_WR)
+        self.assertFalse(self.connection.probe())
 
 
 class ForwardedHeadersTest(unittest.TestCase):
--- a/tests/gateway/test_caller_front.py
+++ b/tests/gateway/test_caller_front.py
@@ -1,6 +1,8 @@
 """Tests of `lavendertide.gateway.caller_front`, on connections of this machine."""
 
 import http.client
+import socket
+import time
 import unittest
 from typing import Final
 from unittest import mock
@@ -9,10 +11,15 @@
 from lavendertide.gateway.request_ledger import RequestEnd
 from standins.forwarding_records import route
 from standins.gateway_process import wait_until
-from tests.forwarding.scripted_targets import ScriptedForwarder, replies
+from tests.forwarding.scripted_targets import (
+    ScriptedForwarder,
+    replies,
+    replies_after,
+)
 from tests.gateway.front_thread import FrontThread
 
 TIMEOUT_S: Final = 10.0
+RUN_S: Final = 1.0
 
 
 class FrontTestCase(unittest.TestCase):
@@ -77,3 +84,35 @@
     def test_a_ready_answer_is_sent_although_it_could_not_be_counted(self) -> None:
         self.fail(ForwardingMetrics, "record_response")
         self.check(200)
+
+
+class EndedSendingTest(unittest.TestCase):
+    """A caller that ends its sending gets its response; one that leaves ends the work.
+
+    Guards against half-closed connections that end without a response.
+    """
+
+    def setUp(self) -> None:
+        self.scripted = ScriptedForwarder(route(wait_max_s=5.0))
+        self.scripted.add("a", "desk", replies_after(RUN_S))
+        self.front = self.enterContext(FrontThread(self.scripted))
+        address = ("127.0.0.1", self.front.port)
+        self.caller = socket.create_connection(address, TIMEOUT_S)
+        self.addCleanup(self.caller.close)
+        self.caller.sendall(b"GET /x HTTP/1.1\r\nHost: shop.example\r\n\r\n")
+        wait_until(lambda: bool(self.scripted.called_targets))
+
+    def test_the_response_arrives_after_the_end_of_the_sending(self) -> None:
+        self.caller.shutdown(socket.SHUT_WR)
+        response = http.client.HTTPResponse(self.caller)
+        response.begin()
+        self.assertEqual(response.status, 200)
+        response.close()
+        wait_until(lambda: self.front.ledger.ends == {RequestEnd.ANSWERED: 1})
+
+    def test_work_for_a_caller_that_leaves_ends_at_once(self) -> None:
+        left_at_s = time.monotonic()
+        self.caller.close()
+        wait_until(lambda: self.front.ledger.ends == {RequestEnd.CALLER_LEFT: 1})
+        self.assertLess(time.monotonic() - left_at_s, RUN_S)
+        self.assertEqual(self.scripted.closed_count, 1)
