Answer entry requests in whose midst an exception arises

What operators saw: a probe, a scrape or an explanation that met an exception had its connection closed.

The listener now answers 500, logs the traceback and keeps the connection.

--- a/lavendertide/gateway/entry_front.py
+++ b/lavendertide/gateway/entry_front.py
@@ -1,5 +1,6 @@
 """Serves readiness probes, scrapes of metrics, look-ups of addresses and reports."""
 
+import logging
 import socket
 from dataclasses import dataclass
 from typing import Final, Protocol
@@ -19,6 +20,9 @@
 # The platform probes once a second, so a live connection is idle for about a second.
 # Entry requests have no body.
 LIMITS: Final = CallerLimits(16_384, 0, IO_TIMEOUT_S, 15.0)
+FAILED_STATUS: Final = 500
+
+_log = logging.getLogger(__name__)
 
 
 class ReadinessRequest:
@@ -142,13 +146,21 @@
             received = connection.read_request(_find_limits)
             if received is None:
                 return
-            response = self._respond(received)
+            response = self._find_response(received)
             is_last = isinstance(received, BadRequest)
             is_written = connection.write(response, is_last, IO_TIMEOUT_S)
             if is_last or not is_written or not connection.is_reusable:
                 return
             self._connections.mark_idle(connection)
 
+    def _find_response(self, received: HttpRequest | BadRequest) -> HttpResponse:
+        """Returns the response to a request, also after an unexpected exception."""
+        try:
+            return self._respond(received)
+        except Exception:
+            _log.exception("entry request failed")
+            return self._codec.encode_bad_request(BadRequest(FAILED_STATUS))
+
     def _respond(self, received: HttpRequest | BadRequest) -> HttpResponse:
         request = (
             self._codec.decode(received)
