Write a response whatever its method and its encoding

What callers saw: a HEAD request that this host answered itself (404, 502, 503, 504) had its connection closed without a byte, and so had a CONNECT request after its target had run it. The account called it closed by the caller.

Cause: the framing refuses a body after HEAD, and a body of any length after a successful CONNECT. Its error was taken for a closed connection, although nothing had been written.

The body of a response to HEAD is left out and its length stays. CONNECT is refused with 501 before it is forwarded. A response that can't be encoded is replaced by an empty 502 that ends the connection. The body of a request and the head of a response are modules of their own.

--- a/lavendertide/encodings/http_server_connection.py
+++ b/lavendertide/encodings/http_server_connection.py
@@ -21,26 +21,26 @@
     HttpRequest,
     HttpResponse,
 )
+from lavendertide.encodings.request_body import FindLimits, RequestBody
+from lavendertide.encodings.response_heads import render_response_head
 from lavendertide.encodings.response_writing import WriteFailure, write_response
-from lavendertide.overload.response_memory import HeldResponse, ResponseMemory
-from lavendertide.overload.short_chunks import ShortChunkBodies, is_free
+from lavendertide.overload.response_memory import ResponseMemory
+from lavendertide.overload.short_chunks import ShortChunkBodies
 from lavendertide.overload.write_limit import WriteLimit
-from lavendertide.routes.route import CallerLimits
-from lavendertide.runtime import clock, sockets, tasks, transfers
+from lavendertide.runtime import clock, sockets, transfers
 
 # Time limit for the body of a request, extended like that of a response. The longest
 # body has 256 KiB.
 BODY_BASE_S: Final = 10.0
 # Interval between two waits for a sign of the caller, which ends none of them.
 WATCH_S: Final = 60.0
-# Chunks after which other tasks may run, 4 ms apart.
-CHUNKS_AT_A_TIME: Final = 256
-
-_log = logging.getLogger(__name__)
 
+# Takes the place of a response that can't be written. It promises nothing.
+REPLACEMENT: Final = (
+    b"HTTP/1.1 502 Bad Gateway\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+)
 
-# Returns the limits in force, which may change while a connection is waited for.
-FindLimits = Callable[[], CallerLimits]
+_log = logging.getLogger(__name__)
 
 
 class Arrival(Enum):
@@ -77,6 +77,7 @@
         sockets.bound_send_buffer(connection)
         self._socket = connection
         self._framing = h11.Connection(h11.SERVER)
+        self._is_head_request = False
         self._received = b""
         self._write_failure: WriteFailure | None = None
 
@@ -156,11 +157,12 @@
         """
         limits = find_limits()
         self._framing = h11.Connection(h11.SERVER, limits.header_max_bytes)
+        self._is_head_request = False
         try:
             self._framing.receive_data(self._received)
             self._received = b""
             held = memory.open() if memory is not None else None
-            body = _Body(find_limits, held, short_chunks)
+            body = RequestBody(find_limits, held, short_chunks)
             with contextlib.closing(body):
                 return self._read_request(find_limits, body)
         except h11.RemoteProtocolError as error:
@@ -169,7 +171,7 @@
             return None
 
     def _read_request(
-        self, find_limits: FindLimits, body: "_Body"
+        self, find_limits: FindLimits, body: RequestBody
     ) -> HttpRequest | BadRequest | None:
         head: h11.Request | None = None
         began_s = clock.monotonic_s()
@@ -195,6 +197,7 @@
             match event:
                 case h11.Request():
                     head = event
+                    self._is_head_request = event.method == b"HEAD"
                 case h11.Data():
                     problem = body.add(event)
                     if problem is not None:
@@ -264,24 +267,38 @@
                 caller has accepted it.
         """
         self._write_failure = None
-        try:
-            head = _render_head(response, is_last)
-        except h11.LocalProtocolError as error:
-            # Targets' responses are parsed less strictly than they are written.
-            _log.warning("response can't be written", extra={"problem": str(error)})
-            response = HttpResponse(HTTPStatus.BAD_GATEWAY, (), b"")
-            head = _render_head(response, is_last)
-        try:
-            parts = [self._framing.send(head) or b""]
-            for event in (h11.Data(data=response.body), h11.EndOfMessage()):
-                parts += self._framing.send_with_data_passthrough(event) or []
-        except h11.LocalProtocolError:
+        if self._framing.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             self._write_failure = WriteFailure.CLOSED
             return False
+        try:
+            parts = self._render(response, is_last)
+        except Exception as error:
+            # Nothing of it has been written, so another one can take its place.
+            _log.warning("response can't be written", extra={"problem": str(error)})
+            parts = [REPLACEMENT]
         held = response.held or (memory.open() if memory is not None else None)
         self._write_failure = write_response(self._socket, parts, timeout_s, held)
         return self._write_failure is None
 
+    def _render(self, response: HttpResponse, is_last: bool) -> list[bytes]:
+        """Returns the parts of a response.
+
+        Raises:
+            Exception: The response is not valid in HTTP.
+        """
+        try:
+            head = render_response_head(response, is_last)
+        except h11.LocalProtocolError as error:
+            # Targets' responses are parsed less strictly than they are written.
+            _log.warning("response can't be written", extra={"problem": str(error)})
+            response = HttpResponse(HTTPStatus.BAD_GATEWAY, (), b"")
+            head = render_response_head(response, is_last)
+        parts = [self._framing.send(head) or b""]
+        body = b"" if self._is_head_request else response.body
+        for event in (h11.Data(data=body), h11.EndOfMessage()):
+            parts += self._framing.send_with_data_passthrough(event) or []
+        return parts
+
     def shut_down(self) -> None:
         """Ends the connection; a pending read ends, and its task closes the socket.
 
@@ -307,101 +324,3 @@
         until_s: Monotonic time until which the whole request is.
     """
     return lambda: min(until_s, from_s + find_limits().header_timeout_s)
-
-
-class _Body:
-    """The body of a request while it is read, within its bounds.
-
-    Args:
-        find_limits: Returns the limits in force.
-        held: Its account, if there is one.
-        short_chunks: The bodies in very many chunks that the process reads.
-    """
-
-    def __init__(
-        self,
-        find_limits: FindLimits,
-        held: HeldResponse | None,
-        short_chunks: ShortChunkBodies | None,
-    ) -> None:
-        self._find_limits = find_limits
-        self._arrival_bytes_max = find_limits().body_max_bytes
-        self._held = held
-        self._short_chunks = short_chunks
-        self._is_in_short_chunks = False
-        # Pieces kept apart would take many times their length if they are short.
-        self._data = bytearray()
-        self._chunks = 0
-
-    @property
-    def size(self) -> int:
-        """Bytes that have been received."""
-        return len(self._data)
-
-    @property
-    def held(self) -> HeldResponse | None:
-        """Its account, if there is one."""
-        return self._held
-
-    @property
-    def data(self) -> bytes:
-        """What has been received."""
-        return bytes(self._data)
-
-    def add(self, event: h11.Data) -> HTTPStatus | None:
-        """Adds a piece; returns the status of the refusal if it can't be held."""
-        self._data += event.data
-        if self.size > self._bytes_max:
-            return HTTPStatus.REQUEST_ENTITY_TOO_LARGE
-        if self._held and not self._held.try_resize(self.size, clock.monotonic_s()):
-            return HTTPStatus.SERVICE_UNAVAILABLE
-        if event.chunk_start:
-            self._chunks += 1
-            if not self._may_have_chunks():
-                return HTTPStatus.SERVICE_UNAVAILABLE
-            if self._chunks % CHUNKS_AT_A_TIME == 0:
-                tasks.sleep(0.0)
-        return None
-
-    @property
-    def _bytes_max(self) -> int:
-        # A caller may rely on either limit until it knows of the change.
-        return max(self._arrival_bytes_max, self._find_limits().body_max_bytes)
-
-    def close(self) -> None:
-        """Ends the reading of the body."""
-        if self._is_in_short_chunks and self._short_chunks is not None:
-            self._is_in_short_chunks = False
-            self._short_chunks.end()
-
-    def _may_have_chunks(self) -> bool:
-        if self._is_in_short_chunks or is_free(self._chunks, self.size):
-            return True
-        if self._short_chunks is None or not self._short_chunks.try_begin():
-            return False
-        self._is_in_short_chunks = True
-        return True
-
-
-def _render_head(response: HttpResponse, is_last: bool) -> h11.Response:
-    """Returns the head of a response.
-
-    Raises:
-        h11.LocalProtocolError: A header or the status is not valid in HTTP.
-    """
-    headers = list(response.headers)
-    headers.append((b"Content-Length", b"%d" % len(response.body)))
-    if is_last:
-        headers.append((b"Connection", b"close"))
-    return h11.Response(
-        status_code=response.status,
-        headers=headers,
-        reason=_reason_phrase(response.status),
-    )
-
-
-def _reason_phrase(status: int) -> bytes:
-    try:
-        return HTTPStatus(status).phrase.encode("ascii")
-    except ValueError:
-        return b"Unknown"
--- a/lavendertide/platform/caller_codec.py
+++ b/lavendertide/platform/caller_codec.py
@@ -53,6 +53,8 @@
         name = request.header(REQUEST_ID)
         if host is None or not request.target.startswith("/"):
             return BadRequest(400)
+        if request.method == "CONNECT":
+            return BadRequest(501)
         timeout_s = _caller_timeout_s(request)
         return CallerRequest(
             request=CallerRequestId((name or b"").decode("latin-1")),
