Let callers receive the last response although they have sent more

What callers saw: the last response of a connection was cut off if more had arrived from them, such as a pipelined request or the rest of a body that is too long. The account said answered.

Cause: a close with unread data makes the system reset the connection, which discards what the caller has yet to receive.

After a last response the sending ends, and what still arrives is dropped until the caller closes, for two seconds at most.

--- a/lavendertide/encodings/http_server_connection.py
+++ b/lavendertide/encodings/http_server_connection.py
@@ -32,6 +32,8 @@
 # Time limit for the body of a request, extended like that of a response. The longest
 # body has 256 KiB.
 BODY_BASE_S: Final = 10.0
+# How long a caller may go on sending after the last response.
+FINISH_S: Final = 2.0
 # Interval between two waits for a sign of the caller, which ends none of them.
 WATCH_S: Final = 60.0
 
@@ -299,6 +301,19 @@
             parts += self._framing.send_with_data_passthrough(event) or []
         return parts
 
+    def finish(self) -> None:
+        """Ends the sending, and drops what the caller still sends for a while.
+
+        If a connection is closed while it has unread data, the system resets it, and
+        the part of the last response that the caller has yet to receive is lost.
+        """
+        sockets.end_sending(self._socket)
+        until_s = clock.monotonic_s() + FINISH_S
+        with contextlib.suppress(OSError):
+            while clock.monotonic_s() < until_s:
+                if not transfers.receive(self._socket, READ_BYTES, until_s):
+                    return
+
     def shut_down(self) -> None:
         """Ends the connection; a pending read ends, and its task closes the socket.
 
--- a/lavendertide/gateway/caller_front.py
+++ b/lavendertide/gateway/caller_front.py
@@ -129,6 +129,8 @@
         reason = ConnectionEnd.FAILED
         try:
             reason = self._serve_requests(connection)
+            if reason is ConnectionEnd.LAST:
+                connection.finish()
         finally:
             self._ledger.record_connection(reason, connection.has_unread)
             self._connections.remove(connection)
--- a/lavendertide/runtime/sockets.py
+++ b/lavendertide/runtime/sockets.py
@@ -224,6 +224,12 @@
         connection.shutdown(socket.SHUT_RDWR)
 
 
+def end_sending(connection: socket.socket) -> None:
+    """Ends the sending side of a connection; what was written is still sent."""
+    with contextlib.suppress(OSError):
+        connection.shutdown(socket.SHUT_WR)
+
+
 def is_idle(connection: socket.socket) -> bool:
     """Returns whether a connection is open and has no data to read; never waits."""
     return _peek(connection) is None
