Notice callers that leave after they have sent more or ended their sending

What targets saw: work went on for callers that had left, by up to four seconds after a caller that had ended its sending earlier, and to its end after one that had sent an empty line or a further request.

Cause: the pauses between two probes of a half-closed connection doubled, and the first byte after a request ended the watch.

Probes follow each other every quarter of a second, with looks between them. A connection with unread data is looked at by its state.

--- a/lavendertide/encodings/http_server_connection.py
+++ b/lavendertide/encodings/http_server_connection.py
@@ -245,6 +245,11 @@
             return False
         return True
 
+    @property
+    def has_ended_sending(self) -> bool:
+        """Whether the caller sends no more, though what it has sent may be unread."""
+        return sockets.has_ended_sending(self._socket)
+
     @property
     def is_closed(self) -> bool:
         """Whether the connection is closed for both directions, as far as is known."""
--- a/lavendertide/gateway/caller_watch.py
+++ b/lavendertide/gateway/caller_watch.py
@@ -9,45 +9,47 @@
 
 from lavendertide.encodings.http_server_connection import CallerSign, ServerConnection
 from lavendertide.forwarding.sender import CallerLeft, Event
-from lavendertide.runtime import tasks
+from lavendertide.runtime import clock, tasks
 
-# A probe is answered after a round trip. Shortest time for it, and the longest time
-# between two looks at the connection.
+# Shortest and longest time between two looks at a connection. A probe is answered after
+# a round trip.
 LOOK_MIN_S: Final = 0.005
 LOOK_MAX_S: Final = 0.1
-# Looks after a probe, which take half a second, and the first pause between two probes.
-# The pause doubles, as a caller that still reads after a probe seldom leaves.
-LOOKS: Final = 9
-PROBE_PAUSE_S: Final = 0.25
+# Interval between two probes. Targets are to stop within half a second after a caller
+# has left.
+PROBE_INTERVAL_S: Final = 0.25
 
 
 def notify_when_left(connection: ServerConnection, inbox: tasks.Mailbox[Event]) -> None:
     """Puts `CallerLeft` into the inbox once the caller can't get its response."""
+    if _wait_until_left(connection):
+        inbox.send(CallerLeft())
+
+
+def _wait_until_left(connection: ServerConnection) -> bool:
+    """Waits until the caller has left; returns false if that can't be known."""
     match connection.wait_for_sign():
         case CallerSign.CLOSED:
-            inbox.send(CallerLeft())
-        case CallerSign.SENDING_ENDED:
-            if _wait_for_reset(connection):
-                inbox.send(CallerLeft())
+            return True
         case CallerSign.DATA:
+            # Data stays unread, so that only the state shows what follows it.
+            while not connection.has_ended_sending:
+                if connection.is_closed:
+                    return True
+                tasks.sleep(LOOK_MAX_S)
+        case CallerSign.SENDING_ENDED:
             pass
-
-
-def _wait_for_reset(connection: ServerConnection) -> bool:
-    """Waits for the caller to leave; returns false if that can't be known."""
-    pause_s = PROBE_PAUSE_S
     while connection.probe():
         if _is_reset_soon(connection):
             return True
-        tasks.sleep(pause_s)
-        pause_s *= 2.0
     return connection.is_closed
 
 
 def _is_reset_soon(connection: ServerConnection) -> bool:
     """Returns whether a probe that was just sent is answered by a reset."""
+    until_s = clock.monotonic_s() + PROBE_INTERVAL_S
     look_s = max(LOOK_MIN_S, connection.round_trip_s or 0.0)
-    for _ in range(LOOKS):
+    while clock.monotonic_s() < until_s:
         tasks.sleep(look_s)
         if connection.is_closed:
             return True
--- a/lavendertide/runtime/sockets.py
+++ b/lavendertide/runtime/sockets.py
@@ -44,8 +44,9 @@
 # Round trips as long as this are no measurements.
 ROUND_TRIP_MAX_US: Final = 10_000_000
 
-# The first byte of that structure while a connection is closed.
+# The first byte of that structure: closed, and open but for the other side's sending.
 TCP_CLOSED: Final = 7
+TCP_CLOSE_WAIT: Final = 8
 
 # Send buffer of a caller's connection, which Linux doubles. It takes the machine's
 # memory, so it doesn't grow to the usual megabytes; with it, a caller at 20 ms still
@@ -246,10 +247,23 @@
     try:
         if plain_socket.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
             return True
-        info = plain_socket.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)
     except OSError:
         return True
-    return bool(info) and info[0] == TCP_CLOSED
+    return _tcp_state(plain_socket) == TCP_CLOSED
+
+
+def has_ended_sending(connection: socket.socket) -> bool:
+    """Returns whether the other side has ended its sending, also behind unread data."""
+    return _tcp_state(plain(connection)) == TCP_CLOSE_WAIT
+
+
+def _tcp_state(plain_socket: socket.socket) -> int:
+    """Returns the state of a connection as Linux numbers it; zero if it is unknown."""
+    try:
+        info = plain_socket.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)
+    except OSError:
+        return TCP_CLOSED
+    return info[0] if info else 0
 
 
 def _peek(connection: socket.socket) -> bytes | None:
