Keep refusals true, and records of a run apart from its calls

Cause: a call was queued before its run knew of it, so that an exception between left it queued beside a refusal. The front took a refusal for its default until the forwarder had returned. The log lines and notices of a run ended it. A record that failed left its call open, or its permit unreleased.

A call whose queueing raises is cancelled. The default after the hand-over to the forwarder is a failure, and the forwarder itself refuses what fails before the run. The admission of a request, the records of calls and the limits of connections are aggregates of their own, whose failures are isolated; permits and open calls end in any case. A failed run takes the replies that have arrived.

--- a/lavendertide/forwarding/forwarder.py
+++ b/lavendertide/forwarding/forwarder.py
@@ -7,18 +7,18 @@
 import itertools
 import random
 from collections.abc import Iterable
-from dataclasses import replace
 
 from lavendertide.bookkeeping import Isolated
 from lavendertide.forwarding.budget import RetryBudgets
-from lavendertide.forwarding.caller_times import CallerTimes
+from lavendertide.forwarding.call_records import CallRecords
 from lavendertide.forwarding.capacity import RouteAdmission
-from lavendertide.forwarding.deadlines import response_deadlines
+from lavendertide.forwarding.connection_limits import ConnectionLimits
+from lavendertide.forwarding.deadlines import ResponseDeadlines
 from lavendertide.forwarding.early_refusal import EarlyRefusals
 from lavendertide.forwarding.explanation import Explainer
 from lavendertide.forwarding.fleet_callbacks import FleetCallbacks
-from lavendertide.forwarding.guarded_run import complete_run
-from lavendertide.forwarding.loss_risk import LossRisks, is_loss
+from lavendertide.forwarding.guarded_run import complete_run, refuse_failed
+from lavendertide.forwarding.loss_risk import LossRisks
 from lavendertide.forwarding.messages import (
     CallerRequest,
     RefusalCause,
@@ -30,8 +30,9 @@
 from lavendertide.forwarding.metrics import ForwardingMetrics
 from lavendertide.forwarding.missing import MissingPart
 from lavendertide.forwarding.poison import CrashEvidence
-from lavendertide.forwarding.pool import TargetPools, connection_share
+from lavendertide.forwarding.pool import TargetPools
 from lavendertide.forwarding.reply_recorder import ReplyRecorder
+from lavendertide.forwarding.request_admission import RequestAdmission
 from lavendertide.forwarding.request_log import log_refusal, response_outcome
 from lavendertide.forwarding.run import RequestRun
 from lavendertide.forwarding.sender import CallDone, Event
@@ -40,6 +41,7 @@
 from lavendertide.forwarding.target_view import TargetViews
 from lavendertide.forwarding.timing import RouteTimings
 from lavendertide.ids import ServiceName
+from lavendertide.overload.capacity import Feedback, Inconclusive
 from lavendertide.overload.priority_admission import PriorityPermit
 from lavendertide.registry.record import TargetRecord
 from lavendertide.registry.registry import TargetRegistry
@@ -90,22 +92,32 @@
         self._risks = LossRisks() if avoids_losses else None
         self._choice = TargetChoice(registry, views, cold, self._risks)
         self._early_refusals = EarlyRefusals(self._choice, crashes, self._timings)
-        self._reply_recorder = ReplyRecorder(
-            registry, views, pools, crashes, self._timings, fleet, metrics, cold
+        self._records = CallRecords(
+            ReplyRecorder(
+                registry, views, pools, crashes, self._timings, fleet, metrics, cold
+            ),
+            views,
+            self._risks,
+            metrics,
+            fleet.broadcast_stall,
         )
-        self._caller_times = CallerTimes()
+        self._limits = ConnectionLimits(active_routes, fleet)
         self._splits = SplitCounters()
         # Seeded by the module's generator, so that a test with a seed is reproducible.
         self._admission = RouteAdmission(
             random.Random(random.getrandbits(64)), metrics, admits_by_priority
         )
+        self._request_admission = RequestAdmission(
+            self._early_refusals, self._choice, self._admission, metrics
+        )
         self._call_numbers = itertools.count(1)
-        self._host_ends_at_s: float | None = None
         active_routes.on_change(self._apply_table)
         if active_routes.table is not None:
             self._admission.apply_table(active_routes.table, clock.monotonic_s())
         registry.set_removal_listener(self._remove_target)
-        registry.set_closing_listener(self._withdraw_calls)
+        registry.set_closing_listener(
+            lambda record: pools.withdraw_waiting(record, clock.monotonic_s())
+        )
 
     @property
     def explainer(self) -> Explainer:
@@ -133,7 +145,7 @@
         From now on requests get no more time than that, and those that usually take
         longer are refused, so that their callers use another host at once.
         """
-        self._host_ends_at_s = at_s
+        self._request_admission.announce_end(at_s)
 
     def find_route(self, host: str, path: str) -> Route | Refused | Unroutable:
         """Returns the route of a request, or the reason why there is none."""
@@ -153,34 +165,47 @@
             inbox: Receives the replies, and `CallerLeft` if the caller disconnects.
         """
         now_s = clock.monotonic_s()
-        # The next read of the platform, which also does this, may be seconds away.
-        self._registry.expire(now_s)
-        deadlines = response_deadlines(request, route, self._used_s(request, route))
-        if self._host_ends_at_s is not None:
-            ends_at_s = min(deadlines.ends_at_s, self._host_ends_at_s)
-            deadlines = replace(deadlines, ends_at_s=ends_at_s)
-        refused = self._early_refusals.refusal_of(
-            request, route, deadlines, self._host_ends_at_s, now_s
-        )
-        if refused is not None:
-            if refused.cause is RefusalCause.TARGETS_COLD:
-                self._choice.record_held_back(route.services, now_s)
-            return self._log_refused(request, refused, now_s)
-        permit = self._admission.try_acquire(request, route, now_s)
-        if isinstance(permit, Refused):
-            return self._log_refused(request, permit, now_s)
-        services = self._select_services(route)
-        for service in services:
-            self._budgets.record_request(service, now_s)
-        run = RequestRun(self, request, route, services, deadlines, inbox)
-        if isinstance(permit, PriorityPermit):
-            run.progress.set_listener(permit.record_half_covered)
         try:
-            return complete_run(run, request)
+            # The next read of the platform, which also does this, may be seconds away.
+            self._registry.expire(now_s)
+            admitted = self._request_admission.admit(request, route, now_s)
+        except Exception:
+            return refuse_failed(request)
+        if isinstance(admitted, Refused):
+            with Isolated("log", request.request):
+                outcome = response_outcome(admitted)
+                log_refusal(request, self.routes_age(now_s), outcome)
+            return admitted
+        permit = admitted.permit
+        feedback: Feedback = Inconclusive()
+        try:
+            run = self._prepare_run(request, route, admitted.deadlines, inbox, now_s)
+            if isinstance(permit, PriorityPermit):
+                run.progress.set_listener(permit.record_half_covered)
+            response = complete_run(run, request)
+            with Isolated("feedback", request.request):
+                feedback = run.feedback
+            return response
+        except Exception:
+            # It arose before the run, which raises none.
+            return refuse_failed(request)
         finally:
             with Isolated("admission", request.request):
                 ended_at_s = clock.monotonic_s()
-                self._admission.release(permit, route, run.feedback, ended_at_s)
+                self._admission.release(permit, route, feedback, ended_at_s)
+
+    def _prepare_run(
+        self,
+        request: CallerRequest,
+        route: Route,
+        deadlines: ResponseDeadlines,
+        inbox: tasks.Mailbox[Event],
+        now_s: float,
+    ) -> RequestRun:
+        services = self._select_services(route)
+        for service in services:
+            self._budgets.record_request(service, now_s)
+        return RequestRun(self, request, route, services, deadlines, inbox)
 
     def rank_targets(
         self, route: Route, service: ServiceName, now_s: float
@@ -253,13 +278,8 @@
         now_s = clock.monotonic_s()
 
         def handle_done(call: TargetCall, reply: TargetReply) -> None:
-            with Isolated("reply", request.request):
-                now_s = clock.monotonic_s()
-                self._reply_recorder.record(call, route, reply, service_count, now_s)
-                if not call.is_repeatable and is_loss(reply):
-                    self._metrics.record_loss(reply)
-                if self._risks is not None:
-                    self._risks.record(call, reply, now_s)
+            now_s = clock.monotonic_s()
+            self._records.record_end(call, route, reply, service_count, now_s)
             inbox.send(CallDone(call, reply))
 
         late_after_s = self._timings.timing_of(route, now_s).late_after_s(
@@ -280,10 +300,15 @@
             priority=self._admission.waiting_priority(route),
             queued_at_s=now_s,
         )
-        connections_max = self._connections_max(record, now_s)
+        connections_max = self._limits.connections_max(record, now_s)
         view.record_sent(call.number, now_s, late_after_s, connections_max)
-        self._pools.submit(call, connections_max)
-        self._metrics.sub_requests.inc()
+        self._records.record_sent(call)
+        try:
+            self._pools.submit(call, connections_max)
+        except Exception:
+            # It may be queued already, and the run will not know of it.
+            call.cancel()
+            raise
         return call
 
     def record_missing(self, missing: Iterable[MissingPart]) -> None:
@@ -293,28 +318,7 @@
 
     def report_late_call(self, call: TargetCall, now_s: float) -> None:
         """Notifies peers of a stall, unless it is known or the call is only queued."""
-        view = self._views.view_of(call.record.target)
-        is_stalled = view.is_stalled(now_s)
-        self._metrics.record_late_call(view.capacity.fresh_load(now_s), is_stalled)
-        if is_stalled and now_s >= view.stalled_until_s:
-            self._fleet.broadcast_stall(call.record.target)
-
-    def _log_refused(
-        self, request: CallerRequest, refused: Refused, now_s: float
-    ) -> Refused:
-        log_refusal(request, self.routes_age(now_s), response_outcome(refused))
-        return refused
-
-    def _used_s(self, request: CallerRequest, route: Route) -> float | None:
-        """Returns what a caller had used of its time before; none if it is unknown."""
-        if request.remaining_s is None:
-            return None
-        used_s = self._caller_times.observe(
-            route.name, request.remaining_s, route.objective_s
-        )
-        if used_s is not None:
-            self._metrics.record_caller_time(route.name, used_s)
-        return used_s
+        self._records.record_late(call, now_s)
 
     def _select_services(self, route: Route) -> tuple[ServiceName, ...]:
         match route.destination:
@@ -325,31 +329,14 @@
             case GatheredShards(shards=shards):
                 return shards
 
-    def _connections_max(self, record: TargetRecord, now_s: float) -> int:
-        table = self._active_routes.table
-        service_settings = (
-            table.services.get(record.service) if table is not None else None
-        )
-        if service_settings is None:
-            return 1
-        return connection_share(
-            service_settings.connections_max,
-            record.slots,
-            self._fleet.connection_hosts(now_s),
-            self._fleet.has_previous_connections(now_s),
-        )
-
     def _apply_table(self, table: RouteTable) -> None:
         self._budgets.retain_only(table.routed_services)
         names = frozenset(route.name for route in table.routes)
         self._timings.retain_only(names)
-        self._caller_times.retain_only(names)
+        self._request_admission.retain_only(names)
         self._splits.retain_only(names)
         self._admission.apply_table(table, clock.monotonic_s())
 
-    def _withdraw_calls(self, record: TargetRecord) -> None:
-        self._pools.withdraw_waiting(record, clock.monotonic_s())
-
     def _remove_target(self, record: TargetRecord) -> None:
         self._views.remove(record.target)
         if self._risks is not None:
--- a/lavendertide/forwarding/guarded_run.py
+++ b/lavendertide/forwarding/guarded_run.py
@@ -5,10 +5,11 @@
     CallerRequest,
     Failed,
     RefusalCause,
+    Refused,
     Response,
 )
 from lavendertide.forwarding.request_log import log_failure, response_outcome
-from lavendertide.forwarding.run import RequestRun
+from lavendertide.forwarding.run import INTERNAL_ERROR_RETRY_S, RequestRun
 
 
 def complete_run(run: RequestRun, request: CallerRequest) -> Response:
@@ -23,5 +24,14 @@
         response: Response = Failed(RefusalCause.INTERNAL_ERROR, False)
         with Isolated("failed run", request.request):
             response = run.fail()
-        log_failure(request.request, response_outcome(response))
+        with Isolated("log", request.request):
+            log_failure(request.request, response_outcome(response))
         return response
+
+
+def refuse_failed(request: CallerRequest) -> Refused:
+    """Refuses a request that an exception has ended before it was sent to a target."""
+    refused = Refused(RefusalCause.INTERNAL_ERROR, INTERNAL_ERROR_RETRY_S)
+    with Isolated("log", request.request):
+        log_failure(request.request, response_outcome(refused))
+    return refused
--- a/lavendertide/forwarding/run.py
+++ b/lavendertide/forwarding/run.py
@@ -8,6 +8,7 @@
 import math
 from typing import Final
 
+from lavendertide.bookkeeping import Isolated
 from lavendertide.forwarding.deadlines import ATTEMPT_MIN_S, ResponseDeadlines
 from lavendertide.forwarding.messages import (
     UNSENT_REASONS,
@@ -45,8 +46,7 @@
 # Pause, as a share of the objective, after which a hedge that the budget did not allow
 # is due again: other requests and time give the budget back.
 WITHHELD_HEDGE_SHARE: Final = 0.1
-# Time after which the caller of a request may retry that ended by an unexpected
-# exception before it was sent; another host may be able to serve it.
+# Another host may be able to serve a request that failed here before it was sent.
 INTERNAL_ERROR_RETRY_S: Final = 0.2
 
 
@@ -135,9 +135,15 @@
             The response from the replies so far, if they suffice. Otherwise a refusal
             if no target was sent anything, and a failure if one was.
         """
+        self._cancel_all()
+        for event in self._inbox.take_all():
+            match event:
+                case CallDone(call, Replied(is_success=True) as reply):
+                    part = self._parts[call.part]
+                    if not part.is_done:
+                        part.reply = reply
+                        self._progress.add(reply, clock.monotonic_s())
         success = build_success(self._route, self._parts, self._progress.replies)
-        for call in self._calls:
-            call.cancel()
         if success is not None:
             return success
         if any(call.is_sent for call in self._calls):
@@ -256,9 +262,10 @@
         if record is None or self._sender.is_quarantined(self._request, now_s):
             return
         may_send = part.has_failed_unsent or self._try_spend(part, now_s)
-        cause = outcome_of(part.failure) if part.failure is not None else "unasked"
+        cause = "unasked" if part.failure is None else outcome_of(part.failure)
         if may_send or not part.is_withheld:
-            self._log.log_repeat(part, record, cause, may_send, now_s)
+            with Isolated("log", self._request.request):
+                self._log.log_repeat(part, record, cause, may_send, now_s)
         part.is_withheld = not may_send
         if may_send:
             self._send(number, part, record)
@@ -278,7 +285,8 @@
             return
         may_send = self._try_spend(part, now_s)
         if may_send or not part.is_withheld:
-            self._log.log_repeat(part, record, "late", may_send, now_s)
+            with Isolated("log", self._request.request):
+                self._log.log_repeat(part, record, "late", may_send, now_s)
         part.is_withheld = not may_send
         if may_send:
             self._send(number, part, record)
@@ -321,18 +329,15 @@
 
     def _time_to_next_event_s(self, now_s: float) -> float:
         """Returns the seconds until the next retry, hedge or deadline."""
-        wake_at_s = min(self._due_at_s, self._deadlines.next_after(now_s))
-        return max(0.0, wake_at_s - now_s)
+        return max(0.0, min(self._due_at_s, self._deadlines.next_after(now_s)) - now_s)
 
     def _cancel_all(self) -> None:
-        for part in self._parts:
-            for call in part.open_calls.values():
-                call.cancel()
+        for call in self._calls:
+            call.cancel()
 
     def _build_failure(self, now_s: float) -> Response:
         if any(part.has_run_or_may_run for part in self._parts):
-            is_late = now_s >= self._deadlines.ends_at_s
-            return build_failure(self._is_gathered, is_late)
+            return build_failure(self._is_gathered, now_s >= self._deadlines.ends_at_s)
         # They would otherwise be sent once a connection is free.
         self._cancel_all()
         services = [part.service for part in self._parts]
@@ -350,5 +355,6 @@
             self._interruption = self._interruption or MissingCause.OTHERS_LOST
         unhandled = successful_calls(self._inbox.take_all())
         missing = find_missing(self._parts, unhandled, self._interruption, now_s)
-        self._sender.record_missing(missing)
+        with Isolated("missing", self._request.request):
+            self._sender.record_missing(missing)
         return missing
--- a/lavendertide/gateway/caller_front.py
+++ b/lavendertide/gateway/caller_front.py
@@ -20,6 +20,7 @@
 from lavendertide.forwarding.messages import (
     Abandoned,
     CallerRequest,
+    Failed,
     Gathered,
     Passed,
     RefusalCause,
@@ -246,7 +247,7 @@
                 return _Answer(self._codec.encode_bad_request(request), True)
             account.identify(request.request)
             request = replace(request, round_trip_s=connection.round_trip_s)
-            exchange = self._forward(connection, request)
+            exchange = self._exchange(connection, request)
             response = exchange.response
             with Isolated("response", request.request):
                 self._record_metrics(exchange)
@@ -265,7 +266,7 @@
         if failure is not None and failure.cause is not None:
             self._bounds.record(failure.cause)
 
-    def _forward(
+    def _exchange(
         self, connection: ServerConnection, request: CallerRequest
     ) -> _Exchange:
         """Has a request forwarded, unless it has no route or this host isn't ready."""
@@ -278,16 +279,24 @@
             refused = Refused(RefusalCause.NOT_READY, NOT_READY_RETRY_S)
             self._log_refusal(request, refused, now_s)
             return _Exchange(request, route, refused)
+        return _Exchange(request, route, self._forward(connection, request, route))
+
+    def _forward(
+        self, connection: ServerConnection, request: CallerRequest, route: Route
+    ) -> Response:
         inbox: tasks.Mailbox[Event] = tasks.Mailbox()
         watcher = tasks.spawn(notify_when_left, connection, inbox)
         self._inboxes.add(inbox)
+        # Without knowledge of what was sent, a refusal might be untrue.
+        response: Response = Failed(RefusalCause.INTERNAL_ERROR, False)
         try:
-            response = self._forwarder.forward(request, route, inbox)
+            with Isolated("forwarding", request.request):
+                response = self._forwarder.forward(request, route, inbox)
         finally:
-            self._inboxes.discard(inbox)
             with Isolated("watcher", request.request):
+                self._inboxes.discard(inbox)
                 watcher.stop()
-        return _Exchange(request, route, response)
+        return response
 
     def _record_metrics(self, exchange: _Exchange) -> None:
         name = exchange.route.name if exchange.route is not None else NO_ROUTE_LABEL
--- a/lavendertide/overload/priority_permit.py
+++ b/lavendertide/overload/priority_permit.py
@@ -47,6 +47,8 @@
 
     def release(self, feedback: Feedback, now_s: float) -> None:
         """Ends the request; its feedback counts unless half was covered before."""
-        if not self.is_half_covered:
-            self.admission.record(self, feedback, now_s)
-        self.admission.remove(self, now_s)
+        try:
+            if not self.is_half_covered:
+                self.admission.record(self, feedback, now_s)
+        finally:
+            self.admission.remove(self, now_s)
--- a/tests/forwarding/test_explanation.py
+++ b/tests/forwarding/test_explanation.py
@@ -66,7 +66,7 @@
             {name: vars(capacity) for name, capacity in capacities.items()},
             list(forwarder._timings._by_route),
             list(forwarder._budgets._by_service),
-            forwarder._caller_times._by_route,
+            forwarder._request_admission._caller_times._by_route,
         ]
     )
 
--- a/tests/gateway/test_caller_front.py
+++ b/tests/gateway/test_caller_front.py
@@ -7,6 +7,7 @@
 from typing import Final
 from unittest import mock
 
+from lavendertide.forwarding.capacity import RouteAdmission
 from lavendertide.forwarding.metrics import ForwardingMetrics
 from lavendertide.gateway.request_ledger import RequestEnd
 from standins.forwarding_records import route
@@ -68,10 +69,15 @@
         patch.start()
 
     def test_a_request_that_was_not_forwarded_is_refused(self) -> None:
-        self.fail(self.front.scripted.forwarder, "forward")
+        self.fail(RouteAdmission, "try_acquire")
         self.check(503)
         self.assertEqual(len(self.front.scripted.called_targets), 1)
 
+    def test_a_request_that_may_have_been_forwarded_fails(self) -> None:
+        """A refusal would promise that it has not run."""
+        self.fail(self.front.scripted.forwarder, "forward")
+        self.check(502)
+
     def test_a_request_that_could_not_be_decoded_is_refused(self) -> None:
         self.fail(self.front.codec, "decode")
         self.check(503)
