Answer requests although their account fails, and count the read apart

What callers could have seen, found by the review with injected failures: a request without an answer because the account of it could not be opened or closed. The gauge of unaccounted requests could not differ from zero, since both of its sides were counted in the same two methods.

The account isolates what it does in the ledger, a connection is closed before it is counted, and the requests read are counted where they are read.

--- a/lavendertide/gateway/caller_front.py
+++ b/lavendertide/gateway/caller_front.py
@@ -37,6 +37,7 @@
 from lavendertide.forwarding.sender import Event, HostEnds
 from lavendertide.gateway.caller_watch import notify_when_left
 from lavendertide.gateway.request_ledger import (
+    UNKNOWN_REQUEST,
     ConnectionEnd,
     RequestAccount,
     RequestEnd,
@@ -133,9 +134,11 @@
             if reason is ConnectionEnd.LAST:
                 connection.finish()
         finally:
-            self._ledger.record_connection(reason, connection.has_unread)
+            has_unread = connection.has_unread
             self._connections.remove(connection)
             connection.close()
+            with Isolated("connection", UNKNOWN_REQUEST):
+                self._ledger.record_connection(reason, has_unread)
 
     def close_idle(self) -> None:
         """Closes the connections on which no request has begun to arrive.
@@ -197,7 +200,9 @@
         """Writes a response; returns why the connection can serve no other, if so."""
         match received:
             case HttpRequest():
-                with self._ledger.open_account(clock.monotonic_s()) as account:
+                with Isolated("account", UNKNOWN_REQUEST):
+                    self._ledger.record_read()
+                with self._ledger.account(clock.monotonic_s()) as account:
                     return self._respond_to_request(connection, received, account)
             case BadRequest():
                 self._respond_to_malformed(connection, received)
--- a/lavendertide/gateway/request_ledger.py
+++ b/lavendertide/gateway/request_ledger.py
@@ -13,6 +13,7 @@
 
 from prometheus_client import CollectorRegistry, Counter as CounterMetric, Gauge
 
+from lavendertide.bookkeeping import Isolated
 from lavendertide.encodings.response_writing import WriteFailure
 from lavendertide.ids import CallerRequestId
 from lavendertide.metrics.labels import Children
@@ -96,6 +97,8 @@
         return self._end
 
     def __enter__(self) -> "RequestAccount":
+        with Isolated("account", self._request):
+            self._ledger.add(self)
         return self
 
     def __exit__(
@@ -120,7 +123,8 @@
         if self._end is not None:
             return
         self._end = end
-        self._ledger.close(self, end)
+        with Isolated("account", self._request):
+            self._ledger.close(self, end)
 
 
 class RequestLedger:
@@ -199,13 +203,18 @@
         ends = {end.value: count for end, count in self._ends.items()}
         return {"read": self._read, "open": self.open, "ends": ends}
 
-    def open_account(self, now_s: float) -> RequestAccount:
-        """Opens the account of a request that was just read whole."""
-        account = RequestAccount(self, now_s)
+    def record_read(self) -> None:
+        """Counts a request that was read whole."""
         self._read += 1
-        self._open[account] = None
         self._read_metric.inc()
-        return account
+
+    def account(self, now_s: float) -> RequestAccount:
+        """Returns the account of a request that was just read whole."""
+        return RequestAccount(self, now_s)
+
+    def add(self, account: RequestAccount) -> None:
+        """Adds an open account; called by the account."""
+        self._open[account] = None
 
     def close(self, account: RequestAccount, end: RequestEnd) -> None:
         """Counts the end of a request; called by its account."""
--- a/tests/gateway/test_caller_front.py
+++ b/tests/gateway/test_caller_front.py
@@ -9,7 +9,9 @@
 
 from lavendertide.forwarding.capacity import RouteAdmission
 from lavendertide.forwarding.metrics import ForwardingMetrics
-from lavendertide.gateway.request_ledger import RequestEnd
+from lavendertide.gateway import caller_front
+from lavendertide.gateway.request_ledger import RequestEnd, RequestLedger
+from lavendertide.overload.caller_bounds import CallerBounds
 from standins.forwarding_records import route
 from standins.gateway_process import wait_until
 from tests.forwarding.scripted_targets import (
@@ -122,3 +124,47 @@
         wait_until(lambda: self.front.ledger.ends == {RequestEnd.CALLER_LEFT: 1})
         self.assertLess(time.monotonic() - left_at_s, RUN_S)
         self.assertEqual(self.scripted.closed_count, 1)
+
+
+class FailingLedgerTest(unittest.TestCase):
+    """A request is answered although it can't be accounted for.
+
+    Guards against the ledger itself as the cause of a connection without an answer.
+    """
+
+    def check(self, method: str) -> None:
+        """Checks that two requests on one connection are answered."""
+        scripted = ScriptedForwarder(route())
+        scripted.add("a", "desk", replies(b"found"))
+        with FrontThread(scripted) as front:
+            caller = http.client.HTTPConnection("127.0.0.1", front.port, timeout=5)
+            self.addCleanup(caller.close)
+            caller.connect()
+            connection = caller.sock
+            with mock.patch.object(RequestLedger, method, side_effect=KeyError(2)):
+                caller.request("GET", "/x", headers={"Host": "shop.example"})
+                self.assertEqual(caller.getresponse().read(), b"found")
+            caller.request("GET", "/x", headers={"Host": "shop.example"})
+            self.assertEqual(caller.getresponse().read(), b"found")
+            self.assertIs(caller.sock, connection)
+
+    def test_the_account_is_not_opened(self) -> None:
+        self.check("add")
+
+    def test_the_request_is_not_counted(self) -> None:
+        self.check("record_read")
+
+    def test_the_end_is_not_counted(self) -> None:
+        self.check("close")
+
+    def test_the_connection_is_still_removed(self) -> None:
+        scripted = ScriptedForwarder(route())
+        bounds = CallerBounds()
+        with (
+            mock.patch.object(RequestLedger, "record_connection", side_effect=KeyError),
+            mock.patch.object(caller_front, "CallerBounds", return_value=bounds),
+            FrontThread(scripted) as front,
+        ):
+            socket.create_connection(("127.0.0.1", front.port), 5).close()
+            time.sleep(0.3)
+        self.assertEqual(len(bounds.connections), 0)
