Open added connections for calls that wait already

What callers could have seen: after a table that lets a host open more connections to a target, calls that waited for one went on waiting until a connection was free or the next call to that target came.

Cause: the maximum of a pool was found again only when a call was submitted. Found by the review of limits that are read once.

A new table resizes all pools, and a pool opens what is added for the calls that wait. The bound on the descriptors of all targets still wakes no waiter by itself.

--- a/lavendertide/forwarding/forwarder.py
+++ b/lavendertide/forwarding/forwarder.py
@@ -335,7 +335,9 @@
         self._timings.retain_only(names)
         self._request_admission.retain_only(names)
         self._splits.retain_only(names)
-        self._admission.apply_table(table, clock.monotonic_s())
+        now_s = clock.monotonic_s()
+        self._admission.apply_table(table, now_s)
+        self._pools.resize(lambda each: self._limits.connections_max(each, now_s))
 
     def _remove_target(self, record: TargetRecord) -> None:
         self._views.remove(record.target)
--- a/lavendertide/forwarding/pool.py
+++ b/lavendertide/forwarding/pool.py
@@ -136,8 +136,14 @@
         return len(self._calls)
 
     def resize(self, connections_max: int) -> None:
-        """Changes the maximum; surplus connections close once no call waits."""
+        """Changes the maximum; calls that wait get the connections that are added.
+
+        Surplus connections close once no call waits.
+        """
+        added = connections_max - max(self._connections, self._connections_max)
         self._connections_max = connections_max
+        for _ in range(min(added, len(self._calls) - self._idle)):
+            self._open_connection()
 
     def submit(self, call: TargetCall) -> None:
         """Queues a call and opens a connection if none is idle and one more may open.
@@ -147,8 +153,7 @@
         self._calls.send(call)
         may_open = self._connections < self._connections_max
         if self._idle < len(self._calls) and may_open:
-            self._connections += 1
-            tasks.spawn(self._run_connection)
+            self._open_connection()
 
     def withdraw_waiting(self, now_s: float) -> None:
         """Ends the calls that wait for a connection and must not be sent any more."""
@@ -171,6 +176,10 @@
         for call in self._calls.take_all():
             call.done(call, NotRun(self._record.target, NotRunReason.WITHDRAWN))
 
+    def _open_connection(self) -> None:
+        self._connections += 1
+        tasks.spawn(self._run_connection)
+
     def _run_connection(self) -> None:
         connection = PooledConnection(self._make_channel(self._record.address))
         try:
@@ -278,6 +287,11 @@
         pool.resize(connections_max)
         pool.submit(call)
 
+    def resize(self, find_max: Callable[[TargetRecord], int]) -> None:
+        """Changes the maxima of all pools, as after a change of the routes."""
+        for pool in list(self._pools.values()):
+            pool.resize(find_max(pool.record))
+
     def withdraw_waiting(self, record: TargetRecord, now_s: float) -> None:
         """Ends the waiting calls to a target that must not be sent to it any more."""
         pool = self._pools.get(record.target)
--- a/tests/forwarding/test_waiting_replies.py
+++ b/tests/forwarding/test_waiting_replies.py
@@ -110,3 +110,25 @@
         self.reasons.clear()
         tasks.sleep(9.0)
         self.assertEqual(len(self.replies), 3)
+
+
+class RaisedLimitTest(PoolTestCase):
+    """A raised limit applies to the calls that wait already."""
+
+    def test_more_connections_open_at_once(self) -> None:
+        pool = self.make_pool(1, ConnectionSlots())
+        for number in (1, 2, 3):
+            pool.submit(self.call(number))
+        tasks.sleep(0.1)
+        pool.resize(3)
+        tasks.sleep(1.5)
+        self.assertEqual(len(self.replies), 3)
+
+    def test_calls_wait_as_before_if_nothing_is_added(self) -> None:
+        pool = self.make_pool(1, ConnectionSlots())
+        for number in (1, 2, 3):
+            pool.submit(self.call(number))
+        tasks.sleep(0.1)
+        pool.resize(1)
+        tasks.sleep(1.5)
+        self.assertEqual(len(self.replies), 1)
