Pass each table to all listeners, although one of them fails

What callers could have seen: after one listener of the routes had raised an exception, the parts of a host behind it stayed with the former table for good, since a version is adopted once.

The exception is logged, and the other listeners get the table. The bounds of the gateway's listeners are a module of their own, since its root had grown.

--- a/lavendertide/gateway/gateway.py
+++ b/lavendertide/gateway/gateway.py
@@ -24,6 +24,7 @@
 from lavendertide.forwarding.pool import TargetPools
 from lavendertide.forwarding.send_check import SendCheck
 from lavendertide.forwarding.target_view import TargetViews
+from lavendertide.gateway import bounds
 from lavendertide.gateway.adapters import PlatformAdapters
 from lavendertide.gateway.caller_front import CallerFront
 from lavendertide.gateway.capacity_exchange import CapacityExchange
@@ -62,14 +63,6 @@
 # Fraction of the bound on noticing a leaving target for which it still gets requests
 # that no other target can serve. The rest covers callers that send shortly before.
 LAST_RESORT_SHARE: Final = 0.5
-CONNECTIONS_MAX: Final = 2_000
-# Connections above the bound that are accepted to be refused, or for which others are
-# just being closed.
-ACCEPTED_ABOVE_BOUND: Final = 16
-ENTRY_CONNECTIONS_MAX: Final = 200
-# The same for all entry listeners together where the host's descriptors are known; it
-# is part of those that callers' connections leave free.
-ENTRY_CONNECTIONS_BOUND: Final = 100
 # Hosts that are named to a caller; enough that the failure of one host doesn't fail all
 # of its requests.
 ADDRESSES_PER_CALLER: Final = 3
@@ -163,9 +156,9 @@
         tasks.spawn_supervised(peer_server.serve, peer_listener)
         entries = self._entry_front()
         entries_max = (
-            ENTRY_CONNECTIONS_MAX
+            bounds.ENTRY_CONNECTIONS_MAX
             if options.files_max is None
-            else ENTRY_CONNECTIONS_BOUND + ACCEPTED_ABOVE_BOUND
+            else bounds.ENTRY_CONNECTIONS_BOUND + bounds.ACCEPTED_ABOVE_BOUND
         )
         for address in {options.readiness, options.directory, options.metrics}:
             listener = sockets.listen(address)
@@ -191,9 +184,9 @@
             sockets.accept_forever,
             listener,
             front.serve,
-            CONNECTIONS_MAX
+            bounds.CONNECTIONS_MAX
             if connections_max is None
-            else connections_max + ACCEPTED_ABOVE_BOUND,
+            else connections_max + bounds.ACCEPTED_ABOVE_BOUND,
         )
         _log.info("started", extra={"callers": options.callers})
 
@@ -229,7 +222,7 @@
         options = self._options
         roster, peers = self._fleet.roster, self._fleet.peers
         self._descriptors = Descriptors(
-            options.files_max, CONNECTIONS_MAX, roster, peers, REGISTRY
+            options.files_max, bounds.CONNECTIONS_MAX, roster, peers, REGISTRY
         )
         self._metrics = ForwardingMetrics(REGISTRY)
         self._target_views = TargetViews(options.failure_domain)
@@ -340,7 +333,9 @@
                 self._cold,
             ),
             CallerConnections(
-                None if self._options.files_max is None else ENTRY_CONNECTIONS_BOUND
+                None
+                if self._options.files_max is None
+                else bounds.ENTRY_CONNECTIONS_BOUND
             ),
         )
 
--- a/lavendertide/routes/active_routes.py
+++ b/lavendertide/routes/active_routes.py
@@ -74,5 +74,9 @@
         self._table = table
         self._adopted_at_s = now_s
         for listener in self._listeners:
-            listener(table)
+            try:
+                listener(table)
+            except Exception:
+                # The same version is never adopted again, so the others need it now.
+                _log.exception("table not applied", extra={"version": table.version})
         return True
