Reject targets' replies whose status line is not of HTTP/1

What callers saw: a target's status of 600 to 999 was passed on as the response to a request that may run only once. A reply that says HTTP/2.0, HTTP/0.9 or RTSP/1.0 was passed on to any request, and counted as a part of a search. A status below 100 was skipped as an interim response, so that a request on a connection that stayed open waited until its deadline although another target was free.

Cause: the parser accepts any three digits as a status, the versions 0.9 and 2.0, and the responses of RTSP and ICE. The reader took what was below 200 for interim. After an interim response other than 100, 102 and 103 the parser reads a body if a header says so, which takes bytes of the response that follows.

The reader accepts a status of 100 to 599 and the versions 1.0 and 1.1; anything else is malformed, as are interim responses that the parser would read a body after. This holds for interim and skipped replies too. The first byte of each piece that begins a response shows whether it is HTTP.

--- a/lavendertide/encodings/http_replies.py
+++ b/lavendertide/encodings/http_replies.py
@@ -29,6 +29,12 @@
 # Further such bytes for each byte of the body, which may come in chunks of one byte.
 CHUNK_OVERHEAD_BYTES: Final = 6
 NO_BODY_STATUSES: Final = frozenset({204, 304})
+# Others are invalid (RFC 9110, section 15), though the parser accepts any three digits.
+VALID_STATUSES: Final = range(100, 600)
+VALID_VERSIONS: Final = frozenset({"1.0", "1.1"})
+# Interim responses whose length headers the parser ignores, as HTTP demands. After
+# others it reads a body, which would take bytes of the response that follows.
+UNFRAMED_INTERIM_STATUSES: Final = frozenset({100, 102, 103})
 
 
 # Returns whether a response with these headers belongs to the request that was sent.
@@ -79,6 +85,7 @@
         self._overhead = 0
         self._status = 0
         self._ends_at_close = False
+        self._awaits_status_line = True
         self._is_complete = False
         self._is_kept_alive = False
         self._has_extra_data = False
@@ -140,6 +147,8 @@
         if not data or self._parser is None:
             self._handle_close()
             return
+        if self._awaits_status_line:
+            _check_protocol(data)
         size_before = len(self._body)
         try:
             self._parser.feed_data(data)
@@ -162,6 +171,7 @@
 
     def on_message_begin(self) -> None:
         """Called by the parser at the first byte of a response."""
+        self._awaits_status_line = False
         if self._is_complete:
             self._has_extra_data = True
 
@@ -172,13 +182,26 @@
             self._headers.append((name.lower(), value.strip(b" \t")))
 
     def on_headers_complete(self) -> None:
-        """Called by the parser after the last header."""
+        """Called by the parser after the last header.
+
+        Raises:
+            MalformedReply: The head is not valid in HTTP/1. The parser stops and
+                raises an error of its own.
+        """
         if self._is_complete or self._parser is None:
             return
         self._status = self._parser.get_status_code()
+        if self._status not in VALID_STATUSES:
+            raise MalformedReply(f"invalid status {self._status}")
+        version = self._parser.get_http_version()
+        if version not in VALID_VERSIONS:
+            raise MalformedReply(f"invalid version {version}")
         names = {name for name, _ in self._headers}
         has_body = self._status >= 200 and self._status not in NO_BODY_STATUSES
         is_framed = b"content-length" in names or b"transfer-encoding" in names
+        is_interim = self._status < 200
+        if is_framed and is_interim and self._status not in UNFRAMED_INTERIM_STATUSES:
+            raise MalformedReply(f"interim response {self._status} with a body")
         self._ends_at_close = has_body and not is_framed and not self._is_head_request
         if self._is_head_request and self._status >= 200:
             self._is_complete = True
@@ -195,6 +218,7 @@
         if self._status < 200 or not self._is_matching(self.headers):
             self._headers.clear()
             self._body.clear()
+            self._awaits_status_line = True
             return
         self._is_complete = True
         # The parser can report this only now, at the end of the message.
@@ -211,3 +235,15 @@
             self._is_complete = True
         if not self._is_complete:
             raise MalformedReply("connection closed before the response was complete")
+
+
+def _check_protocol(data: bytes) -> None:
+    """Checks that a response begins like one of HTTP; it may follow empty lines.
+
+    The parser also accepts responses of RTSP and ICE.
+
+    Raises:
+        MalformedReply: It begins otherwise.
+    """
+    if data.lstrip(b"\r\n")[:1] not in (b"", b"H"):
+        raise MalformedReply("not a response of HTTP")
--- a/tests/encodings/fixed_peer.py
+++ b/tests/encodings/fixed_peer.py
@@ -36,6 +36,10 @@
         self._thread.join(TIMEOUT_S)
         self._listener.close()
 
+    def stop_listening(self) -> None:
+        """Closes the listener, once the connection has been accepted."""
+        self._listener.close()
+
     def _serve(self) -> None:
         connection, _ = self._listener.accept()
         # A reader that has read enough of a reply closes the connection.
--- a/tests/encodings/test_http_replies.py
+++ b/tests/encodings/test_http_replies.py
@@ -179,3 +179,143 @@
         reader = ReplyReader("GET")
         with self.assertRaises(OversizedReply):
             reader.feed(OK + b"\r\n" + b"x" * (BODY_MAX_BYTES + 1))
+
+
+class StatusLineTest(unittest.TestCase):
+    """Guards against data that is no response of HTTP/1 and reaches the caller.
+
+    A target in trouble may send any status and any version. A status below 100 must not
+    pass for an interim response either, since the request would wait for another one
+    until its deadline.
+    """
+
+    FRAMINGS = (
+        b"Content-Length: 4\r\n\r\nbody",
+        b"Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+        b"\r\nbody",
+    )
+    VALID = (
+        b"HTTP/1.1 200 OK",
+        b"HTTP/1.0 200 OK",
+        b"HTTP/1.1 200",
+        b"HTTP/1.1 200 ",
+        b"HTTP/1.1 599 Any",
+        b"HTTP/1.1 205 Any",
+    )
+    INVALID = (
+        *(b"HTTP/1.1 %03d Any" % status for status in (0, 1, 99, 600, 700, 999)),
+        *(b"HTTP/1.1 %b Any" % s for s in (b"", b"20", b"2000", b"0200", b"+200")),
+        *(b"HTTP/1.1 %b Any" % s for s in (b" 200", b"-20", b"2_00", b"2x0")),
+        *(
+            b"HTTP/%b 200 OK" % v
+            for v in (b"0.0", b"0.9", b"1.2", b"1.10", b"2", b"2.0")
+        ),
+        *(b"HTTP/%b 200 OK" % v for v in (b"3.0", b"11", b"01.1", b"1.x")),
+        b"HTTP/1.1\t200 OK",
+        b"HTTP/1.1 200OK",
+        b"HTTP 200 OK",
+        b"200 OK",
+        b"http/1.1 200 OK",
+        b"RTSP/1.0 200 OK",
+        b"ICE/1.1 200 OK",
+        b" HTTP/1.1 200 OK",
+        b"\x00HTTP/1.1 200 OK",
+        b"xHTTP/1.1 200 OK",
+        b"HTTP/1.1 101 Switching Protocols",
+    )
+
+    def read(self, sent: bytes, piece_bytes: int) -> ReplyReader:
+        """Reads a response in pieces, up to the end of its connection if need be."""
+        reader = ReplyReader("GET")
+        self.addCleanup(reader.close)
+        for start in range(0, len(sent), piece_bytes):
+            reader.feed(sent[start : start + piece_bytes])
+        if not reader.is_complete:
+            reader.feed(b"")
+        return reader
+
+    def test_valid_status_lines_are_read(self) -> None:
+        for line in self.VALID:
+            for framing in self.FRAMINGS:
+                for piece_bytes in (1, 1_000):
+                    with self.subTest(line=line, framing=framing, piece=piece_bytes):
+                        reader = self.read(line + b"\r\n" + framing, piece_bytes)
+                        self.assertEqual(reader.status, int(line[9:12]))
+                        self.assertEqual(reader.body, b"body")
+
+    def test_other_status_lines_are_malformed(self) -> None:
+        for line in self.INVALID:
+            for framing in self.FRAMINGS:
+                for piece_bytes in (1, 1_000):
+                    sent = line + b"\r\n" + framing
+                    with (
+                        self.subTest(line=line, framing=framing, piece=piece_bytes),
+                        self.assertRaises(MalformedReply),
+                    ):
+                        self.read(sent, piece_bytes)
+
+    def test_an_invalid_status_is_not_skipped_as_an_interim_one(self) -> None:
+        """The connection stays open, so that only the head tells."""
+        for status in (b"000", b"001", b"099"):
+            reader = ReplyReader("GET")
+            self.addCleanup(reader.close)
+            with self.subTest(status=status), self.assertRaises(MalformedReply):
+                reader.feed(b"HTTP/1.1 %b Any\r\nContent-Length: 0\r\n\r\n" % status)
+
+    def test_status_lines_after_skipped_responses_are_checked(self) -> None:
+        skipped = OK + b"X-Id: other\r\nContent-Length: 1\r\n\r\nx"
+        interim = b"HTTP/1.1 103 Early Hints\r\nX-A: 1\r\n\r\n"
+        for before in (interim, skipped, interim + skipped):
+            for line in (b"HTTP/1.1 600 Any", b"HTTP/1.1 000 Any", b"HTTP/2.0 200 OK"):
+                reader = ReplyReader("GET", lambda h: (b"x-id", b"other") not in h)
+                self.addCleanup(reader.close)
+                sent = before + line + b"\r\n" + self.FRAMINGS[0]
+                with self.subTest(sent=sent), self.assertRaises(MalformedReply):
+                    reader.feed(sent)
+                    reader.feed(b"")
+
+    def test_another_protocol_after_an_interim_response_is_malformed(self) -> None:
+        reader = ReplyReader("GET")
+        self.addCleanup(reader.close)
+        reader.feed(b"HTTP/1.1 103 Early Hints\r\n\r\n")
+        with self.assertRaises(MalformedReply):
+            reader.feed(b"RTSP/1.1 200 OK\r\n" + self.FRAMINGS[0])
+
+    def test_a_skipped_response_is_checked(self) -> None:
+        reader = ReplyReader("GET", lambda h: (b"x-id", b"other") not in h)
+        self.addCleanup(reader.close)
+        skipped = b"HTTP/1.1 600 Any\r\nX-Id: other\r\nContent-Length: 0\r\n\r\n"
+        with self.assertRaises(MalformedReply):
+            reader.feed(skipped + OK + self.FRAMINGS[0])
+
+    def test_interim_responses_are_skipped_in_any_pieces(self) -> None:
+        interim = b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 150 Any\r\nX-A: 1\r\n\r\n"
+        for piece_bytes in range(1, 100):
+            with self.subTest(piece_bytes=piece_bytes):
+                reader = self.read(interim + OK + self.FRAMINGS[0], piece_bytes)
+                self.assertEqual((reader.status, reader.body), (200, b"body"))
+                self.assertTrue(reader.is_reusable)
+
+    def test_an_interim_response_takes_no_bytes_of_the_next(self) -> None:
+        """The body of the first response must not pass for the response itself."""
+        inner = OK + b"Content-Length: 5\r\n\r\ninner"
+        outer = OK + b"Content-Length: %d\r\n\r\n" % len(inner)
+        for status in (100, 102, 103, 104, 150, 199):
+            head = b"HTTP/1.1 %d Any\r\nContent-Length: %d\r\n\r\n"
+            sent = head % (status, len(outer)) + outer + inner
+            with self.subTest(status=status):
+                try:
+                    body = self.read(sent, len(sent)).body
+                except MalformedReply:
+                    continue
+                self.assertEqual(body, inner)
+
+    def test_responses_without_a_body_end_with_their_head(self) -> None:
+        """What follows the head belongs to no request, so the connection is closed."""
+        for status in (204, 304):
+            for framing in self.FRAMINGS:
+                with self.subTest(status=status, framing=framing):
+                    sent = b"HTTP/1.1 %d Any\r\n" % status + framing
+                    reader = self.read(sent, len(sent))
+                    self.assertEqual((reader.status, reader.body), (status, b""))
+                    self.assertFalse(reader.is_reusable)
