Reject replies to the daemon whose status line is not of HTTP/1

What callers saw: a target's reply that says HTTP/0.9, HTTP/1.2 or HTTP/1.x, or whose status is +200, 0200, 2_00 or set off by other white space, was a part of a search. A refusal of that kind promised that nothing had run. A reply of HTTP/2.0 or with the status 000, and one without a length with the status 600 or 999, counted as a crash: the search sent the request to no other target, and the shard was missing although another one was free. A status of 600 or 999 warmed a connection up and could report that a target drains. After an interim response other than 100 the reply was lost.

Cause: `http.client` reads status lines that loosely and skips only the status 100, any number of them. All data that it doesn't accept was taken for a closed connection.

A subclass reads the status line by the grammar of RFC 9112 with a status of 100 to 599 and the versions 1.0 and 1.1, and skips up to 100 interim responses; 101 is malformed. A malformed reply is a loss of its own (`malformed_reply`). It counts against the target like a closed connection, but the search may go to another one, and the request isn't suspected of a crash. A status line that breaks off remains a crash.

--- a/lavendertide/encodings/target_connection.py
+++ b/lavendertide/encodings/target_connection.py
@@ -10,9 +10,9 @@
 from http import client
 from typing import Any, Final
 
-from urllib3.connection import HTTPConnection
 from urllib3.exceptions import HTTPError
 
+from lavendertide.encodings.checked_replies import CheckedConnection
 from lavendertide.ids import Address
 from lavendertide.runtime import tasks
 from lavendertide.runtime.sockets import is_idle, split_address
@@ -28,6 +28,8 @@
     TIMED_OUT = "timed_out"
     CLOSED = "closed"
     TOO_LARGE = "too_large"
+    # The target lives, but what it sent is no reply.
+    MALFORMED = "malformed"
 
 
 @dataclass(frozen=True, slots=True)
@@ -44,7 +46,7 @@
     is_delimited: bool = True
 
 
-class SingleWriteConnection(HTTPConnection):
+class SingleWriteConnection(CheckedConnection):
     """HTTP connection without the parts of `urllib3` that targets do not need.
 
     The library writes the head and the body of a request separately, and each write may
@@ -128,9 +130,12 @@
         except TimeoutError:
             self.close()
             return ExchangeFailure.TIMED_OUT
-        except (OSError, HTTPError, client.HTTPException):
+        except (OSError, HTTPError, client.IncompleteRead):
             self.close()
             return ExchangeFailure.CLOSED
+        except client.HTTPException:
+            self.close()
+            return ExchangeFailure.MALFORMED
 
     def close(self) -> None:
         """Closes the connection."""
--- a/lavendertide/encodings/target_http.py
+++ b/lavendertide/encodings/target_http.py
@@ -57,6 +57,7 @@
     ExchangeFailure.TIMED_OUT: LossReason.TIMED_OUT,
     ExchangeFailure.CLOSED: LossReason.TARGET_CLOSED,
     ExchangeFailure.TOO_LARGE: LossReason.REPLY_TOO_LARGE,
+    ExchangeFailure.MALFORMED: LossReason.MALFORMED_REPLY,
 }
 
 
--- a/lavendertide/messages/queries.py
+++ b/lavendertide/messages/queries.py
@@ -56,6 +56,8 @@
     PEER_LOST = "peer_lost"
     REPLY_TOO_LARGE = "reply_too_large"
     MISMATCHED_REPLY = "mismatched_reply"
+    # What the target sent is no reply of HTTP/1.
+    MALFORMED_REPLY = "malformed_reply"
 
 
 @dataclass(frozen=True, slots=True)
--- a/lavendertide/queries/fan_out.py
+++ b/lavendertide/queries/fan_out.py
@@ -43,6 +43,10 @@
 
 RESTARTS_MAX: Final = 3
 REPLIES_PER_TURN_MAX: Final = 128
+# Losses that count toward the ejection of a target.
+LOSSES_OF_TARGET: Final = frozenset(
+    {LossReason.TIMED_OUT, LossReason.TARGET_CLOSED, LossReason.MALFORMED_REPLY}
+)
 
 
 def run_query(
@@ -217,7 +221,7 @@
                     )
                 self._handle_decline(attempt, reason, now_s)
             case Lost(reason=loss):
-                if loss in (LossReason.TIMED_OUT, LossReason.TARGET_CLOSED):
+                if loss in LOSSES_OF_TARGET:
                     self._dependencies.reports.observations.record_loss(
                         target, index, now_s
                     )
--- a/lavendertide/targets/connection.py
+++ b/lavendertide/targets/connection.py
@@ -137,7 +137,11 @@
     lane.record_reply(job, reply, now_s)
     _notify_crash_observer(context, job, reply)
     match reply:
-        case Lost(reason=LossReason.TIMED_OUT | LossReason.TARGET_CLOSED):
+        case Lost(
+            reason=LossReason.TIMED_OUT
+            | LossReason.TARGET_CLOSED
+            | LossReason.MALFORMED_REPLY
+        ):
             _send_reply(lane, job, reply, now_s)
             _wait_until_ended(context, job)
             lane.release_slot(job.request.attempt)
--- a/lavendertide/targets/lane.py
+++ b/lavendertide/targets/lane.py
@@ -192,7 +192,7 @@
                 self.record_draining(now_s)
             case Declined(reason=DeclineReason.UNREACHABLE):
                 self._limit.record_outage()
-            case Lost(reason=LossReason.TARGET_CLOSED):
+            case Lost(reason=LossReason.TARGET_CLOSED | LossReason.MALFORMED_REPLY):
                 self._limit.record_outage()
             case Lost(reason=LossReason.TIMED_OUT):
                 self._limit.record_timeout()
--- a/tests/encodings/test_target_http.py
+++ b/tests/encodings/test_target_http.py
@@ -6,7 +6,7 @@
 import threading
 import time
 import unittest
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from dataclasses import replace
 from unittest import mock
 
@@ -31,7 +31,14 @@
     Region,
     TargetId,
 )
-from lavendertide.messages import Answered, Declined, DeclineReason, LossReason, Lost
+from lavendertide.messages import (
+    Answered,
+    Declined,
+    DeclineReason,
+    LossReason,
+    Lost,
+    SubReply,
+)
 from lavendertide.runtime import clock, tasks
 from lavendertide.targets.place import TargetPlace
 from standins.target import expected_reply
@@ -90,7 +97,9 @@
 
     def behave(connection: socket.socket) -> None:
         connection.recv(65_536)
-        connection.sendall(sent)
+        # A reader that has read enough of a reply closes the connection.
+        with contextlib.suppress(ConnectionError):
+            connection.sendall(sent)
 
     return behave
 
@@ -192,11 +201,8 @@
         self.assertAlmostEqual(clock.monotonic_s() - began_s, 0.45, places=2)
 
 
-class HttpTargetExchangeTest(unittest.TestCase):
-    """An exchange reports whether a sub-request ran, did not run, or may have run.
-
-    A request that may have run but is reported as not run could be executed twice.
-    """
+class TargetTestCase(unittest.TestCase):
+    """Serves one target on a loopback address."""
 
     def setUp(self) -> None:
         self.listener = socket.create_server(("127.0.0.1", 0))
@@ -219,6 +225,13 @@
         server.start()
         return server
 
+
+class HttpTargetExchangeTest(TargetTestCase):
+    """An exchange reports whether a sub-request ran, did not run, or may have run.
+
+    A request that may have run but is reported as not run could be executed twice.
+    """
+
     def test_a_valid_reply_is_decoded(self) -> None:
         self.serve(reply_once)
         reply = self.exchange.run(REQUEST, TIMEOUT_S)
@@ -325,6 +338,144 @@
         self.assertFalse(control.cancel(AttemptId("a"), TIMEOUT_S))
 
 
+class InvalidStatusLineTest(TargetTestCase):
+    """Guards against data that is no reply of HTTP/1 and is taken for one.
+
+    A refusal of this kind would promise that nothing has run, and a success would be a
+    part of a search.
+    """
+
+    INVALID = (
+        *(b"HTTP/1.1 %03d Any" % status for status in (0, 1, 99, 600, 999)),
+        *(b"HTTP/1.1 %b Any" % s for s in (b"", b"20", b"2000", b"2x0", b"-20")),
+        b"HTTP/1.1 101 Any",
+    )
+    # Formats of lines that the standard library reads like `HTTP/1.1 STATUS Any`.
+    INVALID_FORMATS = (
+        b"HTTP/1.1 0%b Any",
+        b"HTTP/1.1 +%b Any",
+        b"HTTP/1.1  %b Any",
+        b"HTTP/1.1\t%b Any",
+        b"HTTP/1.1 %b\tAny",
+        b" HTTP/1.1 %b Any",
+        b"HTTP/0.9 %b Any",
+        b"HTTP/1.2 %b Any",
+        b"HTTP/1.10 %b Any",
+        b"HTTP/1.x %b Any",
+        b"HTTP/2.0 %b Any",
+        b"HTTP/2 %b Any",
+        b"http/1.1 %b Any",
+        b"RTSP/1.0 %b Any",
+        b"%b Any",
+        b"\r\nHTTP/1.1 %b Any",
+        b"xHTTP/1.1 %b Any",
+    )
+
+    @staticmethod
+    def framed(body: bytes) -> list[bytes]:
+        """Returns the rest of a reply from its last headers on, in each framing."""
+        size = len(body)
+        return [
+            b"Content-Length: %d\r\n\r\n%b" % (size, body),
+            b"Transfer-Encoding: chunked\r\n\r\n%x\r\n%b\r\n0\r\n\r\n" % (size, body),
+            b"\r\n" + body,
+        ]
+
+    def lines(self, *statuses: bytes) -> Iterator[bytes]:
+        """Yields the invalid status lines, those of some format with each status."""
+        yield from self.INVALID
+        for status in statuses:
+            yield b"HTTP/1.1 %b_%b Any" % (status[:1], status[1:])
+            yield from (line % status for line in self.INVALID_FORMATS)
+
+    def sub_reply(self, sent: bytes) -> SubReply:
+        """Returns the outcome of a sub-request whose target sends some bytes."""
+        self.exchange.close()
+        self.serve(read_and_send(sent))
+        return self.exchange.run(REQUEST, TIMEOUT_S)
+
+    def control(self) -> HttpTargetControl:
+        """Returns a new connection for controls."""
+        control = HttpTargetControl(self.place)
+        self.addCleanup(control.close)
+        return control
+
+    def test_a_valid_status_line_is_read(self) -> None:
+        document = json.dumps(expected_reply(json.loads(encode_run(REQUEST, 1.0))))
+        for line in (b"HTTP/1.1 200 OK", b"HTTP/1.0 200 OK", b"HTTP/1.1 200"):
+            for rest in self.framed(document.encode()):
+                with self.subTest(line=line, rest=rest[:20]):
+                    outcome = self.sub_reply(line + b"\r\n" + rest)
+                    self.assertIsInstance(outcome, Answered)
+
+    def test_a_success_with_another_line_is_lost(self) -> None:
+        document = json.dumps(expected_reply(json.loads(encode_run(REQUEST, 1.0))))
+        for line in self.lines(b"200"):
+            for rest in self.framed(document.encode()):
+                with self.subTest(line=line, rest=rest[:20]):
+                    outcome = self.sub_reply(line + b"\r\n" + rest)
+                    lost = Lost(REQUEST.attempt, LossReason.MALFORMED_REPLY)
+                    self.assertEqual(outcome, lost)
+                    self.assertFalse(self.exchange.is_open)
+
+    def test_a_status_line_that_breaks_off_is_a_crash(self) -> None:
+        """Guards against sending a request that crashes its target to another one."""
+        line = b"HTTP/1.1 200 OK\r\n"
+        for end in range(len(line)):
+            with self.subTest(sent=line[:end]):
+                lost = Lost(REQUEST.attempt, LossReason.TARGET_CLOSED)
+                self.assertEqual(self.sub_reply(line[:end]), lost)
+
+    def test_a_refusal_with_another_line_promises_nothing(self) -> None:
+        document = json.dumps({"attempt": REQUEST.attempt}).encode()
+        for line in self.lines(b"409", b"410", b"429", b"503"):
+            for rest in self.framed(document)[:2]:
+                with self.subTest(line=line, rest=rest[:20]):
+                    outcome = self.sub_reply(line + b"\r\n" + rest)
+                    lost = Lost(REQUEST.attempt, LossReason.MALFORMED_REPLY)
+                    self.assertEqual(outcome, lost)
+                    self.assertFalse(self.exchange.is_open)
+
+    def test_controls_heed_no_other_line(self) -> None:
+        attempt = AttemptId("a")
+        document = json.dumps({"attempt": attempt, "state": "draining"}).encode()
+        for line in self.lines(b"200"):
+            with self.subTest(line=line):
+                sent = line + b"\r\n" + self.framed(document)[0]
+                self.serve(read_and_send(sent), read_and_send(sent))
+                is_confirmed = self.control().cancel(attempt, TIMEOUT_S)
+                is_draining = self.control().is_draining(TIMEOUT_S)
+                self.assertEqual((is_confirmed, is_draining), (False, False))
+
+    def test_a_connection_that_warms_up_with_another_line_is_not_used(self) -> None:
+        for line in self.lines(b"200"):
+            with self.subTest(line=line):
+                sent = line + b"\r\n" + self.framed(b"{}")[0]
+                self.serve(read_and_send(sent))
+                self.assertFalse(self.exchange.open())
+
+    def test_interim_responses_are_skipped(self) -> None:
+        document = json.dumps(expected_reply(json.loads(encode_run(REQUEST, 1.0))))
+        reply = b"HTTP/1.1 200 OK\r\n" + self.framed(document.encode())[0]
+        for status in (100, 102, 103, 199):
+            for headers in (b"", b"X-A: 1\r\n", b"Content-Length: 9\r\n"):
+                with self.subTest(status=status, headers=headers):
+                    interim = b"HTTP/1.1 %d Any\r\n%b\r\n" % (status, headers)
+                    outcome = self.sub_reply(2 * interim + reply)
+                    self.assertIsInstance(outcome, Answered)
+
+    def test_interim_responses_without_end_are_a_lost_reply(self) -> None:
+        """They leave no time to other tasks while they arrive fast enough."""
+        for status in (100, 103):
+            with self.subTest(status=status):
+                interim = b"HTTP/1.1 %d Any\r\n\r\n" % status
+                began_s = time.monotonic()
+                outcome = self.sub_reply(200_000 * interim)
+                lost = Lost(REQUEST.attempt, LossReason.MALFORMED_REPLY)
+                self.assertEqual(outcome, lost)
+                self.assertLess(time.monotonic() - began_s, 0.2 * TIMEOUT_S)
+
+
 def _becomes_true(condition: Callable[[], bool]) -> bool:
     ends_at_s = time.monotonic() + TIMEOUT_S
     while not condition():
--- a/tests/queries/test_fan_out.py
+++ b/tests/queries/test_fan_out.py
@@ -346,6 +346,12 @@
         self.assertEqual(gap_reasons(fake_tier), [GapReason.TARGET_FAILED])
         self.assertEqual(len(fake_tier.dispatch.sent), 1)
 
+    def test_a_malformed_reply_is_no_crash(self) -> None:
+        """The target that sent it lives, so another one may run the request."""
+        fake_tier = tier(index_of(1))
+        fake_tier.dispatch.reactions = {NEAR: loses(LossReason.MALFORMED_REPLY)}
+        self.assertEqual(fake_tier.search().covered, (0,))
+
     def test_a_crashed_target_ends_hedges_of_other_shards(self) -> None:
         fake_tier = tier(index_of(2))
         closed = loses(LossReason.TARGET_CLOSED)
