Reject replies to the other HTTP clients whose status line is not of HTTP/1

What operators saw: a reply of HTTP/0.9, HTTP/1.2 or HTTP/1.x, or with a status such as +200, 0200 or 2_00, was taken for the platform's lists, the membership list, a daemon's or a gateway's document or a list of addresses. A status of 600 or 999 was taken for the membership list, and for a daemon's refusal by the command line and by callers. An interim response other than 100 was taken for the reply.

Cause: the same as for the daemon's targets, since `urllib3` reads replies by `http.client`.

The pools of the five clients use the connections with checked replies.

--- a/lavendertide/admin_client.py
+++ b/lavendertide/admin_client.py
@@ -7,6 +7,7 @@
 from returns.result import Failure, Result
 
 from lavendertide.encodings import admin_json
+from lavendertide.encodings.checked_replies import checked_pool_manager
 from lavendertide.errors import Refusal, unreachable
 
 TIMEOUT_S: Final = 3.0
@@ -29,7 +30,7 @@
     def __init__(self, address: str, key: str) -> None:
         self._address = address
         self._headers = {"Authorization": f"Bearer {key}"} if key else {}
-        self._http = urllib3.PoolManager(retries=False)
+        self._http = checked_pool_manager()
 
     def status(self) -> Result[admin_json.StatusDocument, Refusal]:
         """Returns the daemon's state and its view of the fleet."""
--- a/lavendertide/caller_client.py
+++ b/lavendertide/caller_client.py
@@ -17,6 +17,7 @@
 import urllib3
 from returns.result import Failure, Result, Success
 
+from lavendertide.encodings.checked_replies import checked_pool_manager
 from lavendertide.encodings.refusal_json import (
     decode_refusal_document,
     unreadable_response,
@@ -29,6 +30,7 @@
 CONNECT_TIMEOUT_S: Final = 0.5
 GET_TIMEOUT_S: Final = 1.5
 ATTEMPTS_MAX: Final = 3
+CONNECTIONS_MAX: Final = 4
 HTTP_OK: Final = 200
 HTTP_SERVER_ERROR: Final = 500
 UNREACHABLE_REMEDY: Final = (
@@ -62,7 +64,7 @@
             self._headers["X-Region"] = region
         if failure_domain:
             self._headers["X-Failure-Domain"] = failure_domain
-        self._http = urllib3.PoolManager(maxsize=4, retries=False)
+        self._http = checked_pool_manager(CONNECTIONS_MAX)
         self._addresses: list[str] = []
         self._addresses_expire_at_s = 0.0
 
--- a/lavendertide/encodings/platform_http.py
+++ b/lavendertide/encodings/platform_http.py
@@ -9,6 +9,7 @@
 import urllib3
 from returns.result import Failure, Result, Success
 
+from lavendertide.encodings.checked_replies import CheckedPool
 from lavendertide.errors import Fault, Refusal, RefusalKind
 from lavendertide.ids import Address, ConfigurationVersion, HostId
 from lavendertide.runtime.sockets import split_address
@@ -84,7 +85,7 @@
 
 def _pool(address: Address) -> urllib3.HTTPConnectionPool:
     host, port = split_address(address)
-    return urllib3.HTTPConnectionPool(host, port, maxsize=1, block=False)
+    return CheckedPool(host, port, maxsize=1, block=False)
 
 
 def _service_unreachable(service: str, address: Address, error: Exception) -> Refusal:
--- a/lavendertide/gateway_client.py
+++ b/lavendertide/gateway_client.py
@@ -7,6 +7,7 @@
 from returns.result import Failure, Result
 
 from lavendertide.encodings import gateway_documents
+from lavendertide.encodings.checked_replies import checked_pool_manager
 from lavendertide.errors import Refusal, unreachable
 
 TIMEOUT_S: Final = 3.0
@@ -25,7 +26,7 @@
 
     def __init__(self, address: str) -> None:
         self._address = address
-        self._http = urllib3.PoolManager(retries=False)
+        self._http = checked_pool_manager()
 
     def explain(self, host: str, path: str) -> Result[dict[str, Any], Refusal]:
         """Returns the document that explains where a request would be sent now.
