Read the membership list only from a success

What operators would see: hosts that are listed in the body of a 404, 500 or any other status would be adopted as the members.

Cause: the reader of the membership list did not look at the status.

A status other than 200 is a failure, as for the configuration service.

Measured: 7 cases of test_a_list_in_a_failure_is_a_failure (204, 206, 301, 404, 429, 500, 503) fail without the change and pass with it.

--- a/lavendertide/encodings/platform_http.py
+++ b/lavendertide/encodings/platform_http.py
@@ -16,6 +16,7 @@
 
 LISTS_PATH: Final = "/v1/lists"
 HOSTS_PATH: Final = "/v1/hosts"
+STATUS_OK: Final = 200
 CONNECT_TIMEOUT_S: Final = 0.5
 RESPONSE_MARGIN_S: Final = 2.0
 # Raised for a document with fields missing, of another type or nested too deeply.
@@ -75,6 +76,8 @@
                 ),
                 retries=False,
             )
+            if response.status != STATUS_OK:
+                raise urllib3.exceptions.HTTPError(f"status {response.status}")
             listed = json.loads(response.data)["hosts"]
             return Success({HostId(h["host"]): str(h["state"]) for h in listed})
         except (urllib3.exceptions.HTTPError, *UNREADABLE) as error:
--- a/tests/encodings/test_platform_http.py
+++ b/tests/encodings/test_platform_http.py
@@ -120,3 +120,14 @@
                     urllib3.HTTPConnectionPool, "request", return_value=response
                 ):
                     self.assertIsInstance(reader.read(), Failure)
+
+    def test_a_list_in_a_failure_is_a_failure(self) -> None:
+        """Guards against a list that a service in trouble sends with its error."""
+        for status in (204, 206, 301, 404, 429, 500, 503):
+            with self.subTest(status=status):
+                reader = HttpMembershipReader(Address("127.0.0.1:1"))
+                response = mock.Mock(status=status, data=SlowHandler.body)
+                with mock.patch.object(
+                    urllib3.HTTPConnectionPool, "request", return_value=response
+                ):
+                    self.assertIsInstance(reader.read(), Failure)
