Write no final response with a status outside 200 to 599

What callers could see: a response whose status was 600 to 999 would be written as it is, wherever it came from.

Cause: `h11` refuses to write a final response below 200 and above 999 only.

Such a response becomes a 502 without its headers and body, as any other that can't be written.

--- a/lavendertide/encodings/http_server_connection.py
+++ b/lavendertide/encodings/http_server_connection.py
@@ -35,6 +35,8 @@
 WATCH_S: Final = 60.0
 # Chunks after which other tasks may run, 4 ms apart.
 CHUNKS_AT_A_TIME: Final = 256
+# Statuses of a final response; `h11` writes all others of three digits as well.
+FINAL_STATUSES: Final = range(200, 600)
 
 _log = logging.getLogger(__name__)
 
@@ -389,6 +391,8 @@
     Raises:
         h11.LocalProtocolError: A header or the status is not valid in HTTP.
     """
+    if response.status not in FINAL_STATUSES:
+        raise h11.LocalProtocolError(f"invalid status {response.status}")
     headers = list(response.headers)
     headers.append((b"Content-Length", b"%d" % len(response.body)))
     if is_last:
--- a/tests/encodings/test_http_connections.py
+++ b/tests/encodings/test_http_connections.py
@@ -365,6 +365,21 @@
                 self.assertNotIn(b"body", answer)
                 self.assertTrue(self.connection.is_reusable)
 
+    def test_only_final_statuses_are_written(self) -> None:
+        """Guards against callers that take a status for their own software's error."""
+        for status in (-1, 0, 1, 99, 100, 101, 199, 200, 205, 599, 600, 999, 1_000):
+            with self.subTest(status=status):
+                self.read(b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n")
+                response = HttpResponse(status, ((b"X-Odd", b"odd"),), b"body")
+                self.assertTrue(self.connection.write(response, False, TIMEOUT_S))
+                answer = self.caller.recv(65_536)
+                is_final = 200 <= status <= 599
+                expected = b"HTTP/1.1 %d " % (status if is_final else 502)
+                self.assertTrue(answer.startswith(expected), answer)
+                self.assertEqual(b"odd" in answer, is_final)
+                self.assertEqual(b"body" in answer, is_final)
+                self.assertTrue(self.connection.is_reusable)
+
     def trickle(self) -> None:
         """Has the caller read a few bytes now and then."""
         # What its system accepts counts as progress.
