Reject targets' replies in a transfer coding other than chunks

What callers saw: the body of a reply with `Transfer-Encoding: gzip, chunked` was passed on still compressed, as if it were the target's body.

Cause: the parser undoes the chunks and leaves any other coding alone.

A reply that may have a body and names another coding is malformed. No request allows one, so a server must not use it (RFC 9112, section 7.4).

--- a/lavendertide/encodings/http_replies.py
+++ b/lavendertide/encodings/http_replies.py
@@ -29,6 +29,7 @@
 # Further such bytes for each byte of the body, which may come in chunks of one byte.
 CHUNK_OVERHEAD_BYTES: Final = 6
 NO_BODY_STATUSES: Final = frozenset({204, 304})
+CHUNKED: Final = b"chunked"
 # Others are invalid (RFC 9110, section 15), though the parser accepts any three digits.
 VALID_STATUSES: Final = range(100, 600)
 VALID_VERSIONS: Final = frozenset({"1.0", "1.1"})
@@ -202,6 +203,8 @@
         is_interim = self._status < 200
         if is_framed and is_interim and self._status not in UNFRAMED_INTERIM_STATUSES:
             raise MalformedReply(f"interim response {self._status} with a body")
+        if has_body and b"transfer-encoding" in names:
+            self._check_coding()
         self._ends_at_close = has_body and not is_framed and not self._is_head_request
         if self._is_head_request and self._status >= 200:
             self._is_complete = True
@@ -224,6 +227,16 @@
         # The parser can report this only now, at the end of the message.
         self._is_kept_alive = self._parser.should_keep_alive()
 
+    def _check_coding(self) -> None:
+        """Checks that the body has no coding but chunks, which no request asks for.
+
+        Raises:
+            MalformedReply: The parser would only undo the chunks.
+        """
+        for name, value in self._headers:
+            if name == b"transfer-encoding" and value.lower() != CHUNKED:
+                raise MalformedReply("unknown transfer coding")
+
     def _hold_body(self) -> bool:
         """Accounts for the body; returns whether there is memory for it."""
         if self._held is None:
--- a/tests/encodings/test_http_replies.py
+++ b/tests/encodings/test_http_replies.py
@@ -310,6 +310,25 @@
                     continue
                 self.assertEqual(body, inner)
 
+    def test_a_body_in_an_unknown_coding_is_malformed(self) -> None:
+        """Guards against coded bytes that are passed on as the target's body."""
+        chunks = b"\r\n\r\n4\r\nbody\r\n0\r\n\r\n"
+        for coding in (b"gzip, chunked", b"gzip,chunked", b"x, chunked", b"identity"):
+            for piece_bytes in (1, 1_000):
+                sent = OK + b"Transfer-Encoding: " + coding + chunks
+                with (
+                    self.subTest(coding=coding, piece_bytes=piece_bytes),
+                    self.assertRaises(MalformedReply),
+                ):
+                    self.read(sent, piece_bytes)
+        sent = OK + b"Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked" + chunks
+        with self.assertRaises(MalformedReply):
+            self.read(sent, len(sent))
+        for coding in (b"chunked", b"Chunked", b" chunked "):
+            with self.subTest(coding=coding):
+                sent = OK + b"Transfer-Encoding: " + coding + chunks
+                self.assertEqual(self.read(sent, len(sent)).body, b"body")
+
     def test_responses_without_a_body_end_with_their_head(self) -> None:
         """What follows the head belongs to no request, so the connection is closed."""
         for status in (204, 304):
