Write responses that have no body without a length

What callers saw: a target's 204 or 304 came with `Content-Length: 0`, which HTTP forbids for 204, and which says of a 304 that the stored response is empty (RFC 9110, section 8.6).

Cause: the length of the body was added to each response.

It is left out of 204 and 304.

--- a/lavendertide/encodings/http_server_connection.py
+++ b/lavendertide/encodings/http_server_connection.py
@@ -21,6 +21,7 @@
     HttpRequest,
     HttpResponse,
 )
+from lavendertide.encodings.http_replies import NO_BODY_STATUSES
 from lavendertide.encodings.response_writing import WriteFailure, write_response
 from lavendertide.overload.response_memory import HeldResponse, ResponseMemory
 from lavendertide.overload.short_chunks import ShortChunkBodies, is_free
@@ -257,7 +258,8 @@
         """Writes a response; returns whether it could be written completely.
 
         Args:
-            response: The response; `Content-Length` is added here.
+            response: The response; `Content-Length` is added here if it may have a
+                body.
             is_last: Whether to announce to the caller that the connection closes after
                 this response.
             timeout_s: Time limit for the caller to accept the response, which is
@@ -394,7 +396,8 @@
     if response.status not in FINAL_STATUSES:
         raise h11.LocalProtocolError(f"invalid status {response.status}")
     headers = list(response.headers)
-    headers.append((b"Content-Length", b"%d" % len(response.body)))
+    if response.status not in NO_BODY_STATUSES:
+        headers.append((b"Content-Length", b"%d" % len(response.body)))
     if is_last:
         headers.append((b"Connection", b"close"))
     return h11.Response(
--- a/tests/encodings/test_http_connections.py
+++ b/tests/encodings/test_http_connections.py
@@ -380,6 +380,19 @@
                 self.assertEqual(b"body" in answer, is_final)
                 self.assertTrue(self.connection.is_reusable)
 
+    def test_responses_without_a_body_have_no_length(self) -> None:
+        """Guards against a caller that waits for a body, or takes a wrong length."""
+        for status, has_length in ((204, False), (304, False), (205, True)):
+            with self.subTest(status=status):
+                self.read(b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n")
+                response = HttpResponse(status, (), b"")
+                self.assertTrue(self.connection.write(response, False, TIMEOUT_S))
+                answer = self.caller.recv(65_536)
+                self.assertEqual(b"content-length" in answer.lower(), has_length)
+                self.assertNotIn(b"transfer-encoding", answer.lower())
+                self.assertTrue(answer.endswith(b"\r\n\r\n"), answer)
+                self.assertTrue(self.connection.is_reusable)
+
     def trickle(self) -> None:
         """Has the caller read a few bytes now and then."""
         # What its system accepts counts as progress.
