--- a/tests/platform/test_store_client.py
+++ b/tests/platform/test_store_client.py
@@ -1,8 +1,9 @@
 """Tests of `lavendertide.platform.store_client`, over a socket within the process."""
 
+import time
 import unittest
 
-from returns.result import Success
+from returns.result import Failure, Success
 
 from lavendertide.encodings.http_replies import BODY_MAX_BYTES
 from lavendertide.evacuation.evacuated_domains import Evacuation
@@ -35,6 +36,57 @@
         self.assertIsInstance(result.unwrap(), HistoryLost)
 
 
+class InvalidStatusLineTest(unittest.TestCase):
+    """Guards against routes and targets that are read from data that is no response.
+
+    A watch that skips a status below 100 would also wait for another response until its
+    end, and follow nothing meanwhile.
+    """
+
+    ITEMS = b'{"items": [], "events": [], "has-more": false, "current-rev": 7}'
+    WATCH_S = 3.0
+
+    def client(self, line: bytes, is_framed: bool) -> StoreClient:
+        """Returns a client of a store that responds with a status line.
+
+        A store whose response has a length keeps the connection open.
+        """
+        length = b"Content-Length: %d\r\n" % len(self.ITEMS) if is_framed else b""
+        sent = line + b"\r\n" + length + b"\r\n" + self.ITEMS
+        peer = Peer([sent, b""] if is_framed else [sent])
+        self.addCleanup(peer.close)
+        client = StoreClient(peer.address, ReadingTimes(self.WATCH_S))
+        self.addCleanup(client._connection.close)
+        return client
+
+    def test_a_valid_one_is_read(self) -> None:
+        for is_framed in (True, False):
+            with self.subTest(is_framed=is_framed):
+                line = b"HTTP/1.1 200 OK"
+                self.assertEqual(
+                    self.client(line, is_framed).read_all().unwrap().revision, 7
+                )
+                changes = self.client(line, is_framed).read_changes(6).unwrap()
+                assert isinstance(changes, PublicationBatch)
+                self.assertEqual(changes.revision, 7)
+
+    def test_another_one_is_a_failure_at_once(self) -> None:
+        for line in (
+            *(b"HTTP/1.1 %03d Any" % status for status in (0, 99, 101, 600, 999)),
+            *(b"HTTP/%b 200 OK" % version for version in (b"0.9", b"1.2", b"2.0")),
+            b"HTTP/2.0 410 Gone",
+            b"RTSP/1.0 200 OK",
+        ):
+            for is_framed in (True, False):
+                with self.subTest(line=line, is_framed=is_framed):
+                    began_s = time.monotonic()
+                    listed = self.client(line, is_framed).read_all()
+                    changes = self.client(line, is_framed).read_changes(6)
+                    self.assertIsInstance(listed, Failure)
+                    self.assertIsInstance(changes, Failure)
+                    self.assertLess(time.monotonic() - began_s, 0.2 * self.WATCH_S)
+
+
 class EvacuationsTest(unittest.TestCase):
     """Orders to evacuate a failure domain are read from the key alone."""
 
