--- a/lavendertide/encodings/http_server_connection.py
+++ b/lavendertide/encodings/http_server_connection.py
@@ -265,7 +265,8 @@
         """Writes a response; returns whether it could be written completely.
 
         Args:
-            response: The response; `Content-Length` is added here.
+            response: The response; `Content-Length` is added here if it may have a
+                body.
             is_last: Whether to announce to the caller that the connection closes after
                 this response.
             timeout_s: Time limit for the caller to accept the response, which is
--- a/lavendertide/encodings/platform_http.py
+++ b/lavendertide/encodings/platform_http.py
@@ -9,12 +9,14 @@
 import urllib3
 from returns.result import Failure, Result, Success
 
+from lavendertide.encodings.checked_replies import CheckedPool
 from lavendertide.errors import Fault, Refusal, RefusalKind
 from lavendertide.ids import Address, ConfigurationVersion, HostId
 from lavendertide.runtime.sockets import split_address
 
 LISTS_PATH: Final = "/v1/lists"
 HOSTS_PATH: Final = "/v1/hosts"
+STATUS_OK: Final = 200
 CONNECT_TIMEOUT_S: Final = 0.5
 RESPONSE_MARGIN_S: Final = 2.0
 # Raised for a document with fields missing, of another type or nested too deeply.
@@ -74,6 +76,8 @@
                 ),
                 retries=False,
             )
+            if response.status != STATUS_OK:
+                raise urllib3.exceptions.HTTPError(f"status {response.status}")
             listed = json.loads(response.data)["hosts"]
             return Success({HostId(h["host"]): str(h["state"]) for h in listed})
         except (urllib3.exceptions.HTTPError, *UNREADABLE) as error:
@@ -84,7 +88,7 @@
 
 def _pool(address: Address) -> urllib3.HTTPConnectionPool:
     host, port = split_address(address)
-    return urllib3.HTTPConnectionPool(host, port, maxsize=1, block=False)
+    return CheckedPool(host, port, maxsize=1, block=False)
 
 
 def _service_unreachable(service: str, address: Address, error: Exception) -> Refusal:
