Release what a time limit refers to

One shared exception was raised for each time limit that passed. Its traceback kept the frames of the last one in memory, and with them a response that was being read.

Measured: the test of responses that leave nothing behind failed after the tests of invalid replies in one process, and passes.

--- a/lavendertide/runtime/transfers.py
+++ b/lavendertide/runtime/transfers.py
@@ -19,8 +19,6 @@
 # Combined once, since combining flags takes longer than the system call itself.
 PEEK: Final = int(socket.MSG_PEEK | socket.MSG_DONTWAIT)
 
-_LIMIT_PASSED: Final = TimeoutError("time limit passed")
-
 
 def receive(connection: socket.socket, bytes_max: int, until_s: float) -> bytes:
     """Waits for data; returns `b""` once the other side has closed the connection.
@@ -136,7 +134,8 @@
             read=not is_write,
             write=is_write,
             timeout=timeout_s,
-            timeout_exc=_LIMIT_PASSED,
+            # An instance that is kept would refer to the frames of the last time limit.
+            timeout_exc=TimeoutError,
         )
     except TimeoutError:
         return False
