Read callers' requests that arrived while the daemon was busy

What callers saw: the daemon closed a connection whose whole request lay in the socket, without an answer, if the process was busy when the limit of the wait passed. The rest of a head or of a body that had arrived was lost alike.

Cause: the server's reads and the limit of a request were timers. The event loop handles timers before connections.

The file of a connection now reads through `transfers.receive`, which looks at the socket once more after the limit. A request's own limit begins with its first byte.

--- a/lavendertide/runtime/wsgi.py
+++ b/lavendertide/runtime/wsgi.py
@@ -1,10 +1,11 @@
 """The WSGI server, with bounds on the connections and on the writing of responses."""
 
+import io
 import socket
 from collections.abc import Callable, Iterable
 from typing import Any, Final, Protocol
 
-from lavendertide.runtime import clock, tasks
+from lavendertide.runtime import clock, transfers
 
 # Time that a caller may take to send one request, without the pause before it and the
 # time in which it is served. The longest request has some kilobytes.
@@ -65,28 +66,73 @@
         self.closed = True
 
 
-class _Reader:
-    """Takes the place of the server's file, with a time limit and bounded lines.
+class _RequestSource(io.RawIOBase):
+    """Reads a connection; each request has one time limit, not each of its bytes.
 
-    Otherwise each byte starts the server's own time limit again.
+    Args:
+        connection: The connection.
+        idle_s: Time limit for the first byte of a request.
     """
 
-    def __init__(self, file: Any) -> None:
-        self._file = file
+    def __init__(self, connection: socket.socket, idle_s: float) -> None:
+        self._connection = connection
+        self._idle_s = idle_s
         self._left_s: float | None = None
 
+    def start_waiting(self) -> None:
+        """Called when a request is awaited."""
+        self._left_s = None
+
+    def start_request(self) -> None:
+        """Called when a request has begun to arrive."""
+        if self._left_s is None:
+            self._left_s = REQUEST_S
+
+    def readable(self) -> bool:
+        """Returns true; `io.RawIOBase` requires it of readers."""
+        return True
+
+    def readinto(self, buffer: Any) -> int:
+        """Reads the data that has arrived, and waits if there is none.
+
+        Raises:
+            TimeoutError: Nothing arrived within the limit.
+            OSError: The connection is broken.
+        """
+        began_s = clock.monotonic_s()
+        wait_s = self._idle_s if self._left_s is None else self._left_s
+        data = transfers.receive(self._connection, len(buffer), began_s + wait_s)
+        buffer[: len(data)] = data
+        if self._left_s is None:
+            self.start_request()
+        else:
+            self._left_s -= clock.monotonic_s() - began_s
+        return len(data)
+
+
+class _Reader:
+    """Takes the place of the server's file, with time limits and bounded lines.
+
+    The server's own limit starts again with each byte. It also closes connections on
+    which a request waits, if the process was busy when the limit passed.
+    """
+
+    def __init__(self, source: _RequestSource) -> None:
+        self._source = source
+        self._file = io.BufferedReader(source)
+
     @property
     def closed(self) -> bool:
         """Whether nothing more can be read."""
-        return bool(self._file.closed)
+        return self._file.closed
 
     def start_waiting(self) -> None:
-        """Called when a request is awaited, for which the server has a limit."""
-        self._left_s = None
+        """Called when a request is awaited."""
+        self._source.start_waiting()
 
     def start_request(self) -> None:
-        """Called when a request has begun to arrive."""
-        self._left_s = REQUEST_S
+        """Called when the first line of a request was read."""
+        self._source.start_request()
 
     def read(self, size: int = -1) -> bytes:
         """Reads a number of bytes.
@@ -94,7 +140,7 @@
         Raises:
             TimeoutError: The request did not arrive in time.
         """
-        return self._within_limit(self._file.read, size)
+        return self._file.read(size)
 
     def readline(self, size: int = -1) -> bytes:
         """Reads a line.
@@ -104,8 +150,8 @@
             TimeoutError: The request did not arrive in time.
         """
         if size >= 0:
-            return self._within_limit(self._file.readline, size)
-        line = self._within_limit(self._file.readline, LINE_MAX_BYTES)
+            return self._file.readline(size)
+        line = self._file.readline(LINE_MAX_BYTES)
         if len(line) >= LINE_MAX_BYTES:
             raise ConnectionResetError("line of a request is too long")
         return line
@@ -114,16 +160,6 @@
         """Closes the file."""
         self._file.close()
 
-    def _within_limit(self, read: Callable[[int], bytes], size: int) -> bytes:
-        if self._left_s is None:
-            return read(size)
-        began_s = clock.monotonic_s()
-        try:
-            with tasks.time_limit(max(0.0, self._left_s)):
-                return read(size)
-        finally:
-            self._left_s -= clock.monotonic_s() - began_s
-
 
 def serve(
     listener: socket.socket,
@@ -139,7 +175,7 @@
         application: The WSGI application.
         connections_max: Connections that are served at the same time; others wait to be
             accepted.
-        keep_alive_s: Time limit for each read, also of the next request.
+        keep_alive_s: Time limit for the first byte of each request.
         guard: Bounds each connection.
     """
     # Imported here to save its memory in processes without a WSGI front end.
@@ -158,7 +194,8 @@
             self._guarded = guarded
             self.wfile.close()
             self.wfile = _Writer(guarded)
-            self.rfile = _Reader(self.rfile)
+            self.rfile.close()
+            self.rfile = _Reader(_RequestSource(self.connection, keep_alive_s))
             try:
                 super().handle()
             finally:
