Answer requests that have arrived when a daemon stops accepting

What callers saw: a daemon that left closed connections on which a whole request waited or had begun to arrive, without an answer or a refusal.

Cause: the server takes a connection for idle until it has read the first line of a request, and closes the idle ones when it is stopped, without a look at the socket. The bound on connections had the same view of a line that had arrived in part.

A server within bounds is a class of its own now; it closes the connections on which nothing has arrived and leaves the others to their tasks, as the gateway does. A connection counts as busy from the first byte of a request.

--- a/lavendertide/daemon/daemon.py
+++ b/lavendertide/daemon/daemon.py
@@ -2,7 +2,6 @@
 
 import logging
 import signal
-import socket
 from collections.abc import Callable
 from pathlib import Path
 from typing import Final
@@ -14,10 +13,10 @@
 from lavendertide.daemon.admin_service import AdminDependencies
 from lavendertide.daemon.administration import Administration, export_owner_counts
 from lavendertide.daemon.caller_front import CallerFront
-from lavendertide.daemon.caller_guard import CallerGuard
 from lavendertide.daemon.caller_services import make_caller_services
 from lavendertide.daemon.configuration_tasks import ConfigurationTasks
 from lavendertide.daemon.drain import Drain, DrainedFront
+from lavendertide.daemon.guarded_server import GuardedServer
 from lavendertide.daemon.in_flight import InFlightCounter
 from lavendertide.daemon.peer_front import PeerFront
 from lavendertide.daemon.plan_shares import make_share_exchange
@@ -52,16 +51,12 @@
 from lavendertide.overload.response_memory import ResponseMemory
 from lavendertide.plans.admission import PlanLimiters
 from lavendertide.plans.failure_logs import FailureLogs
-from lavendertide.runtime import clock, sockets, tasks, wsgi
+from lavendertide.runtime import clock, sockets, tasks
 from lavendertide.runtime.pauses import PauseTracker, run_pause_ticks
 
 CONNECTIONS_MAX: Final = 1_024
-# Connections above the bound that are accepted to be refused, or for which others are
-# just being closed.
-ACCEPTED_ABOVE_BOUND: Final = 16
 # Interval between two looks at whether callers are being closed.
 BOUNDS_INTERVAL_S: Final = 1.0
-KEEP_ALIVE_S: Final = 60.0
 
 _log = logging.getLogger(__name__)
 
@@ -157,7 +152,9 @@
         responses = ResponseMemory(self._options.queries.results_max_bytes, True)
         bounds = CallerBounds(responses, CONNECTIONS_MAX, REGISTRY)
         tasks.spawn_supervised(_log_bounds_forever, bounds)
-        caller_server = _serve(caller_listener, self._caller_front(), bounds)
+        callers = GuardedServer(
+            caller_listener, self._caller_front(), bounds, CONNECTIONS_MAX
+        )
         drain = Drain(
             self._roster,
             self._peers,
@@ -165,12 +162,13 @@
             self._in_flight,
             self._options.fleet.address_lifetime_s,
             self._options.fleet.drain_bound_s,
-            DrainedFront(lambda: _close(caller_listener, caller_server)),
+            DrainedFront(callers.close),
         )
-        _serve(
+        GuardedServer(
             admin_listener,
             self._administration(drain.request).front,
             CallerBounds(responses, CONNECTIONS_MAX),
+            CONNECTIONS_MAX,
         )
         signal.signal(signal.SIGTERM, lambda *_: drain.request())
         drain.run()
@@ -249,25 +247,7 @@
     )
 
 
-def _serve(
-    listener: socket.socket, front: wsgi.Application, bounds: CallerBounds
-) -> tasks.Task:
-    return tasks.spawn(
-        wsgi.serve,
-        listener,
-        front,
-        CONNECTIONS_MAX + ACCEPTED_ABOVE_BOUND,
-        KEEP_ALIVE_S,
-        CallerGuard(bounds),
-    )
-
-
 def _log_bounds_forever(bounds: CallerBounds) -> None:
     while True:
         tasks.sleep(BOUNDS_INTERVAL_S)
         bounds.log_changes(clock.monotonic_s())
-
-
-def _close(listener: socket.socket, server: tasks.Task) -> None:
-    sockets.close_listener(listener)
-    server.stop()
--- a/lavendertide/runtime/wsgi.py
+++ b/lavendertide/runtime/wsgi.py
@@ -72,21 +72,27 @@
     Args:
         connection: The connection.
         idle_s: Time limit for the first byte of a request.
+        guarded: Is told when a request is awaited and when it begins to arrive.
     """
 
-    def __init__(self, connection: socket.socket, idle_s: float) -> None:
+    def __init__(
+        self, connection: socket.socket, idle_s: float, guarded: GuardedConnection
+    ) -> None:
         self._connection = connection
         self._idle_s = idle_s
+        self._guarded = guarded
         self._left_s: float | None = None
 
     def start_waiting(self) -> None:
         """Called when a request is awaited."""
         self._left_s = None
+        self._guarded.mark_idle()
 
     def start_request(self) -> None:
         """Called when a request has begun to arrive."""
         if self._left_s is None:
             self._left_s = REQUEST_S
+            self._guarded.mark_busy()
 
     def readable(self) -> bool:
         """Returns true; `io.RawIOBase` requires it of readers."""
@@ -170,6 +176,8 @@
 ) -> None:
     """Serves HTTP with one task for each connection until the listener is closed.
 
+    Open connections are left open.
+
     Args:
         listener: The listening socket.
         application: The WSGI application.
@@ -191,22 +199,23 @@
             guarded = guard(self.connection)
             if guarded is None:
                 return
-            self._guarded = guarded
             self.wfile.close()
             self.wfile = _Writer(guarded)
             self.rfile.close()
-            self.rfile = _Reader(_RequestSource(self.connection, keep_alive_s))
+            source = _RequestSource(self.connection, keep_alive_s, guarded)
+            self.rfile = _Reader(source)
             try:
                 super().handle()
             finally:
                 guarded.end()
 
         def _read_request_line(self) -> Any:
-            self._guarded.mark_idle()
+            # A server that is stopped closes the connections that it takes for idle,
+            # also if a request waits there. Who stops it closes the idle ones.
+            self.conn_state[2] = wsgi.STATE_REQUEST
             self.rfile.start_waiting()
             line = super()._read_request_line()
             self.rfile.start_request()
-            self._guarded.mark_busy()
             return line
 
     wsgi.server(
