Observe targets that have moved to another index

What callers saw: a search that used a target which a newer configuration had moved to another index could end with an empty 500, at the target's answer.

Cause: an ejected target was looked up under the index of the running attempt, while it counts as ejected under the index with which it was first observed.

The target's own record says now where it counts.

Measured: without the change both tests end with `KeyError`; with it they pass.

--- a/lavendertide/targets/observations.py
+++ b/lavendertide/targets/observations.py
@@ -44,6 +44,12 @@
 
 @dataclass(slots=True)
 class _TargetRecord:
+    """What is known of a target.
+
+    Attributes:
+        index: The index under which it was first observed, and counts as ejected.
+    """
+
     index: IndexName
     state: EjectionState = EjectionState.NONE
     losses: int = 0
@@ -80,7 +86,8 @@
         record = self._record_of(target, index)
         record.losses = 0
         if record.state in (EjectionState.EJECTED, EjectionState.PROBED):
-            self._by_index[index].ejected.discard(target)
+            # Not `index`: a newer configuration may have moved the target.
+            self._by_index[record.index].ejected.discard(target)
             record.state = EjectionState.WARMING
             record.until_s = now_s + WARM_UP_S
 
--- a/tests/targets/test_observations.py
+++ b/tests/targets/test_observations.py
@@ -16,6 +16,7 @@
 )
 
 INDEX = IndexName("i")
+OTHER_INDEX = IndexName("j")
 FIRST, SECOND, THIRD = TargetId("1"), TargetId("2"), TargetId("3")
 
 
@@ -91,3 +92,30 @@
             self.observations.record_leaving(TargetId(f"t{number}"), INDEX, 0.0)
         found = self.observations.preference(TargetId("t0"), 0.0)
         self.assertIs(found, Preference.USABLE)
+
+
+class MovedTargetTest(unittest.TestCase):
+    """A target that a newer configuration has moved to another index is observed on.
+
+    Guards against searches that ended by an exception when the target answered.
+    """
+
+    def setUp(self) -> None:
+        self.observations = TargetObservations()
+        for target in (FIRST, SECOND, THIRD):
+            self.observations.record_answer(target, INDEX, 0.0)
+        for _ in range(LOSSES_TO_EJECT):
+            self.observations.record_loss(FIRST, INDEX, 0.0)
+
+    def test_its_answer_ends_the_ejection(self) -> None:
+        self.observations.record_answer(FIRST, OTHER_INDEX, EJECTION_MIN_S)
+        later_s = EJECTION_MIN_S + WARM_UP_S
+        found = self.observations.preference(FIRST, later_s)
+        self.assertIs(found, Preference.USABLE)
+
+    def test_its_answer_leaves_room_for_the_ejection_of_another(self) -> None:
+        self.observations.record_answer(FIRST, OTHER_INDEX, EJECTION_MIN_S)
+        for _ in range(LOSSES_TO_EJECT):
+            self.observations.record_loss(SECOND, INDEX, EJECTION_MIN_S)
+        found = self.observations.preference(SECOND, EJECTION_MIN_S)
+        self.assertIs(found, Preference.AVOID)
