Reply to sub-requests in whose midst an exception arises

What callers saw: a search waited for a shard until its deadline, and an execution was unknown only then. The target's slot and connection were lost for good, so later requests to it were slower or declined.

Cause: an exception in the task of a connection to a target, also one in a metric, in the lane's records or in the record of a crash, ended the task without a reply.

Records now run isolated, and the reply goes on. An exchange that fails is a lost one, for a fault of this process: its connection is closed, and the slot is kept until the target can't be running the request any more. If the check for poison fails, the request is declined. A metric and a log line say how often it happens.

--- a/lavendertide/bookkeeping.py
+++ b/lavendertide/bookkeeping.py
@@ -1,7 +1,7 @@
 """Keeps a failure in the records of a request from ending the request.
 
-Statistics, limits and evidence are recorded in the task of the request that they
-concern. If one of these records fails, its caller still gets the response.
+Statistics, limits and evidence are recorded in the task of the request, or of its
+attempt at a target. If one of these records fails, the caller still gets the response.
 """
 
 import logging
@@ -9,7 +9,7 @@
 
 from prometheus_client import Counter
 
-from lavendertide.ids import CallerRequestId
+from lavendertide.ids import AttemptId, CallerRequestId, QueryId, TicketId
 
 FAILURES = Counter(
     "lavendertide_bookkeeping_failures",
@@ -17,6 +17,8 @@
     ("kind",),
 )
 
+RecordedId = CallerRequestId | QueryId | TicketId | AttemptId
+
 _log = logging.getLogger(__name__)
 
 
@@ -25,12 +27,12 @@
 
     Args:
         kind: What the block records.
-        request: The request that it belongs to.
+        request: The request, or the attempt of one, that it belongs to.
     """
 
     __slots__ = ("_kind", "_request")
 
-    def __init__(self, kind: str, request: CallerRequestId) -> None:
+    def __init__(self, kind: str, request: RecordedId) -> None:
         self._kind = kind
         self._request = request
 
--- a/lavendertide/daemon/counted_exchanges.py
+++ b/lavendertide/daemon/counted_exchanges.py
@@ -1,5 +1,6 @@
 """Metrics of sub-requests to targets whose slots this daemon holds."""
 
+from lavendertide.bookkeeping import Isolated
 from lavendertide.messages import SubReply, SubRequest
 from lavendertide.metrics.metrics import Metrics
 from lavendertide.targets.exchange import (
@@ -44,9 +45,11 @@
         remaining_s = min(request.remaining_ms / 1000, self._attempt_s)
         waited_s = max(0.0, remaining_s - timeout_s)
         owner = request.owner
-        self._metrics.observe_queueing(owner, request.plan_class, waited_s)
+        with Isolated("queueing", request.attempt):
+            self._metrics.observe_queueing(owner, request.plan_class, waited_s)
         reply = self._inner.run(request, timeout_s)
-        self._metrics.count_sub_request(owner, reply)
+        with Isolated("sub-requests", request.attempt):
+            self._metrics.count_sub_request(owner, reply)
         return reply
 
     def close(self) -> None:
--- a/lavendertide/targets/connection.py
+++ b/lavendertide/targets/connection.py
@@ -6,10 +6,14 @@
 and checks the target's health.
 """
 
+import logging
 import random
 from dataclasses import dataclass, field, replace
 from typing import Final
 
+from prometheus_client import Counter
+
+from lavendertide.bookkeeping import Isolated
 from lavendertide.messages import (
     Answered,
     Declined,
@@ -35,6 +39,17 @@
 IDLE_CHECK_S: Final = 1.0
 CANCEL_TIMEOUT_S: Final = 1.0
 CANCEL_PAUSE_S: Final = 0.1
+# After these losses the target may still run the attempt. The last one stands for a
+# fault of this process.
+MAY_STILL_RUN: Final = frozenset(
+    {LossReason.TIMED_OUT, LossReason.TARGET_CLOSED, LossReason.PEER_LOST}
+)
+EXCHANGES_FAILED: Final = Counter(
+    "lavendertide_target_exchanges_failed",
+    "Sub-requests to targets held here that an unexpected exception has ended.",
+)
+
+_log = logging.getLogger(__name__)
 
 
 @dataclass(frozen=True, slots=True)
@@ -122,33 +137,52 @@
 
 
 def _run_job(context: LaneContext, exchange: TargetExchange, job: Job) -> None:
-    lane = context.lane
-    refused = _decline_reason(context, job)
+    """Runs a job; its sender gets exactly one reply, also after an exception."""
+    lane, attempt = context.lane, job.request.attempt
+    refused: DeclineReason | None = DeclineReason.UNREACHABLE
+    with Isolated("quarantine", attempt):
+        refused = _decline_reason(context, job)
     if refused is not None:
-        lane.release_slot(job.request.attempt)
-        job.inbox.send(Declined(job.request.attempt, refused))
+        lane.release_slot(attempt)
+        job.inbox.send(Declined(attempt, refused))
         return
-    if job.is_alone and not exchange.open():
-        reply: SubReply = Declined(job.request.attempt, DeclineReason.UNREACHABLE)
-    else:
-        timeout_s = job.deadline.remaining_s(clock.monotonic_s())
-        reply = exchange.run(job.request, timeout_s)
+    reply = _exchange(exchange, job)
     now_s = clock.monotonic_s()
-    lane.record_reply(job, reply, now_s)
-    _notify_crash_observer(context, job, reply)
+    with Isolated("lane", attempt):
+        lane.record_reply(job, reply, now_s)
+    with Isolated("crash", attempt):
+        _notify_crash_observer(context, job, reply)
     match reply:
-        case Lost(reason=LossReason.TIMED_OUT | LossReason.TARGET_CLOSED):
+        case Lost(reason=reason) if reason in MAY_STILL_RUN:
             _send_reply(lane, job, reply, now_s)
             _wait_until_ended(context, job)
-            lane.release_slot(job.request.attempt)
+            lane.release_slot(attempt)
         case _:
-            lane.release_slot(job.request.attempt)
+            lane.release_slot(attempt)
             _send_reply(lane, job, reply, now_s)
     # This connection starts one job itself.
     if lane.count_startable(clock.monotonic_s()) > 1:
         context.wake_ups.send(None)
 
 
+def _exchange(exchange: TargetExchange, job: Job) -> SubReply:
+    """Returns the reply of a target; after an unexpected exception it is lost.
+
+    The target may run the request then, and its reply may still arrive, so the
+    connection is closed.
+    """
+    attempt = job.request.attempt
+    try:
+        if job.is_alone and not exchange.open():
+            return Declined(attempt, DeclineReason.UNREACHABLE)
+        return exchange.run(job.request, job.deadline.remaining_s(clock.monotonic_s()))
+    except Exception:
+        _log.exception("exchange failed", extra={"attempt": attempt})
+        EXCHANGES_FAILED.inc()
+        exchange.close()
+        return Lost(attempt, LossReason.PEER_LOST)
+
+
 def _decline_reason(context: LaneContext, job: Job) -> DeclineReason | None:
     """Returns the reason to decline a job that was queued before a crash, if any."""
     match context.crash_observer.permission(job.request, clock.monotonic_s()):
@@ -161,11 +195,12 @@
 
 
 def _send_reply(lane: Lane, job: Job, reply: SubReply, now_s: float) -> None:
-    match reply:
-        case Answered() | Declined():
-            spare_slots = lane.spare_slots(now_s)
-            if spare_slots:
-                reply = replace(reply, spare_slots=spare_slots)
+    with Isolated("spare slots", job.request.attempt):
+        match reply:
+            case Answered() | Declined():
+                spare_slots = lane.spare_slots(now_s)
+                if spare_slots:
+                    reply = replace(reply, spare_slots=spare_slots)
     job.inbox.send(reply)
 
 
--- a/tests/targets/test_connection.py
+++ b/tests/targets/test_connection.py
@@ -1,6 +1,7 @@
 """Tests of `lavendertide.targets.connection`."""
 
 import unittest
+from unittest import mock
 
 from lavendertide.ids import AttemptId
 from lavendertide.messages import (
@@ -14,7 +15,7 @@
 from lavendertide.poison.quarantine import Permission
 from lavendertide.runtime import clock, tasks
 from lavendertide.targets.connection import LaneContext, serve_connection, serve_control
-from lavendertide.targets.exchange import ExchangeTiming
+from lavendertide.targets.exchange import ExchangeTiming, TargetExchange
 from lavendertide.targets.lane import Lane
 from tests.targets.test_lane import PLACE, job
 from tests.virtual_time import VirtualTimeTestCase
@@ -162,3 +163,87 @@
 
 if __name__ == "__main__":
     unittest.main()
+
+
+class FailingExchange:
+    """A connection whose first sub-request raises an exception."""
+
+    def __init__(self) -> None:
+        self.is_open = True
+        self.run_attempts: list[AttemptId] = []
+
+    def open(self) -> bool:
+        """Opens the connection."""
+        self.is_open = True
+        return True
+
+    def run(self, request: SubRequest, timeout_s: float) -> SubReply:
+        """Raises an exception for the first request, and declines the others."""
+        del timeout_s
+        self.run_attempts.append(request.attempt)
+        if len(self.run_attempts) == 1:
+            raise KeyError(request.attempt)
+        return Declined(request.attempt, DeclineReason.SHED)
+
+    def close(self) -> None:
+        """Closes the connection."""
+        self.is_open = False
+
+
+class UnexpectedExceptionTest(VirtualTimeTestCase):
+    """A sub-request in whose midst an exception arises has one reply.
+
+    Guards against queries that wait for it until their deadline, and against targets
+    whose slots and connections are lost for good.
+    """
+
+    def setUp(self) -> None:
+        now_s = clock.monotonic_s()
+        self.jobs = [
+            job(name, deadline_s=now_s + DEADLINE_S * (1 + number * 10))
+            for number, name in enumerate(("first", "second"))
+        ]
+        self.lane = Lane(PLACE, lambda _: 1)
+        self.observer = FakeCrashObserver(Permission.FREELY)
+        for each in self.jobs:
+            self.lane.put(each, now_s).unwrap()
+
+    def serve(self, exchange: TargetExchange) -> list[SubReply | None]:
+        """Serves the jobs on a connection; returns their replies."""
+        context = LaneContext(self.lane, self.observer, TIMING, tasks.Mailbox())
+        serving = tasks.spawn(serve_connection, context, exchange)
+        self.addCleanup(serving.stop)
+        return [each.inbox.receive(DEADLINE_S / 2) for each in self.jobs[:1]] + [
+            each.inbox.receive(GIVE_UP_S) for each in self.jobs[1:]
+        ]
+
+    def test_an_exchange_that_fails_is_lost_and_its_slot_is_used_again(self) -> None:
+        first, second = (each.request.attempt for each in self.jobs)
+        replies = self.serve(FailingExchange())
+        self.assertEqual(replies[0], Lost(first, LossReason.PEER_LOST))
+        self.assertEqual(replies[1], Declined(second, DeclineReason.SHED, 1))
+        self.assertEqual(self.lane.slots_in_use, 0)
+
+    def test_a_record_that_fails_leaves_the_reply(self) -> None:
+        with mock.patch.object(Lane, "record_reply", side_effect=KeyError):
+            replies = self.serve(CrashingExchange())
+        lost = [
+            Lost(each.request.attempt, LossReason.TARGET_CLOSED) for each in self.jobs
+        ]
+        self.assertEqual(replies, lost)
+
+    def test_an_observer_that_fails_leaves_the_reply(self) -> None:
+        self.observer.record_crash = mock.Mock(  # type: ignore[method-assign]
+            side_effect=KeyError
+        )
+        replies = self.serve(CrashingExchange())
+        lost = Lost(self.jobs[0].request.attempt, LossReason.TARGET_CLOSED)
+        self.assertEqual(replies[0], lost)
+
+    def test_a_check_that_fails_declines(self) -> None:
+        self.observer.permission = mock.Mock(  # type: ignore[method-assign]
+            side_effect=KeyError
+        )
+        replies = self.serve(CrashingExchange())
+        attempt = self.jobs[0].request.attempt
+        self.assertEqual(replies[0], Declined(attempt, DeclineReason.UNREACHABLE))
