Tell callers truly that a request failed in its midst

What callers saw: an exception in the midst of a request gave an empty 500 in plain text and closed the connection. It said neither whether the request may have run nor by what to find it, the traceback was in no log line, and nothing counted it.

Cause: the fronts had no answer for an exception; the server's own was sent.

Both fronts of the daemon answer in the form of their API now, with `internal_error` and an id that is logged with the traceback. `outcome` and `this_try` are `unknown`, since an execution may have run. The connection is kept.

--- a/lavendertide/daemon/admin_front.py
+++ b/lavendertide/daemon/admin_front.py
@@ -9,6 +9,7 @@
 
 from lavendertide.daemon.access import Access, access_of, require_operator
 from lavendertide.daemon.admin_service import AdminService
+from lavendertide.daemon.failed_requests import record_failure
 from lavendertide.encodings import admin_json
 from lavendertide.errors import Fault, Refusal, RefusalKind
 from lavendertide.ids import OwnerId, PlanId
@@ -23,6 +24,7 @@
     RefusalKind.UNKNOWN_KEY: "401 Unauthorized",
     RefusalKind.NOT_ENTITLED: "403 Forbidden",
     RefusalKind.NOT_FOUND: "404 Not Found",
+    RefusalKind.INTERNAL_ERROR: "500 Internal Server Error",
 }
 STATUS_UNAVAILABLE: Final = "503 Service Unavailable"
 
@@ -55,10 +57,12 @@
         start_response: Callable[[str, list[tuple[str, str]]], Any],
     ) -> Iterable[bytes]:
         """Authenticates and handles one request."""
-        header = environment.get("HTTP_AUTHORIZATION", "")
-        access = access_of(self._options, header.removeprefix(BEARER))
         content_type = JSON
-        match access.bind(lambda granted: self._handle(granted, environment)):
+        try:
+            result = self._authenticate_and_handle(environment)
+        except Exception:
+            result = Failure(record_failure(environment["PATH_INFO"]))
+        match result:
             case Success(bytes(body)):
                 status, content_type = "200 OK", CONTENT_TYPE_LATEST
             case Success(document):
@@ -70,6 +74,13 @@
         start_response(status, headers)
         return [body]
 
+    def _authenticate_and_handle(
+        self, environment: Environment
+    ) -> Result[admin_json.Document | bytes, Refusal]:
+        header = environment.get("HTTP_AUTHORIZATION", "")
+        access = access_of(self._options, header.removeprefix(BEARER))
+        return access.bind(lambda granted: self._handle(granted, environment))
+
     def _handle(
         self, access: Access, environment: Environment
     ) -> Result[admin_json.Document | bytes, Refusal]:
--- a/lavendertide/daemon/caller_front.py
+++ b/lavendertide/daemon/caller_front.py
@@ -1,10 +1,12 @@
 """The callers' HTTP API, a WSGI application with one task for each connection."""
 
 from collections.abc import Callable, Iterable
+from dataclasses import dataclass
 from typing import Any, Final
 
 from returns.result import Failure, Result, Success
 
+from lavendertide.daemon.failed_requests import record_failure
 from lavendertide.daemon.in_flight import InFlightCounter
 from lavendertide.daemon.recording import Searches, Tickets
 from lavendertide.encodings import caller_json
@@ -34,10 +36,35 @@
     413: "Content Too Large",
     422: "Unprocessable Content",
     429: "Too Many Requests",
+    500: "Internal Server Error",
     503: "Service Unavailable",
 }
 
 
+@dataclass(frozen=True, slots=True)
+class _Response:
+    """What is sent to a caller.
+
+    Attributes:
+        retry_after_s: Seconds after which a retry may succeed, if it is known.
+    """
+
+    status: int
+    body: bytes
+    retry_after_s: int | None = None
+
+    @property
+    def headers(self) -> list[tuple[str, str]]:
+        """The headers of the response."""
+        headers = [
+            ("Content-Type", "application/json"),
+            ("Content-Length", str(len(self.body))),
+        ]
+        if self.retry_after_s is not None:
+            headers.append(("Retry-After", str(self.retry_after_s)))
+        return headers
+
+
 class CallerFront:
     """The WSGI application of the callers' API."""
 
@@ -62,25 +89,41 @@
     def __call__(
         self, environment: Environment, start_response: StartResponse
     ) -> Iterable[bytes]:
-        """Handles one request; a draining daemon closes the connection after it."""
+        """Handles one request; a draining daemon closes the connection after it.
+
+        After an unexpected exception the response says that the request may have run.
+        """
         self._in_flight.record_accepted()
         hook: tuple[Callable[..., None], tuple[()], dict[str, Any]]
         hook = (self._record_finished, (), {})
         environment["eventlet.posthooks"].append(hook)
-        now_s = clock.monotonic_s()
-        ready = self._readiness.check(now_s).alt(_refusal_converter(environment))
-        match ready.bind(lambda _: self._handle(environment)):
-            case Success(body):
-                headers = _headers(body)
-                status = 200
-            case Failure(RefusedExecution(refusal, outcome)):
-                body = caller_json.encode_refusal(refusal, outcome)
-                status = caller_json.status_of(refusal.kind)
-                headers = _headers(body, caller_json.retry_after_s(refusal.kind))
+        try:
+            response = self._respond(environment)
+        except Exception:
+            refusal = record_failure(environment["PATH_INFO"])
+            response = _Response(
+                caller_json.status_of(refusal.kind), caller_json.encode_failure(refusal)
+            )
+        headers = response.headers
         if self._readiness.state is ReadinessState.LEAVING:
             headers.append(("Connection", "close"))
-        start_response(f"{status} {REASONS[status]}", headers)
-        return [body]
+        start_response(f"{response.status} {REASONS[response.status]}", headers)
+        return [response.body]
+
+    def _respond(self, environment: Environment) -> _Response:
+        ready = self._readiness.check(clock.monotonic_s())
+        result = ready.alt(_refusal_converter(environment)).bind(
+            lambda _: self._handle(environment)
+        )
+        match result:
+            case Failure(RefusedExecution(refusal, outcome)):
+                return _Response(
+                    caller_json.status_of(refusal.kind),
+                    caller_json.encode_refusal(refusal, outcome),
+                    caller_json.retry_after_s(refusal.kind),
+                )
+            case _:
+                return _Response(200, result.unwrap())
 
     def _record_finished(self, _: Environment) -> None:
         self._in_flight.record_finished()
@@ -147,21 +190,11 @@
             return Failure(_body_too_large(self._body_max_bytes))
         try:
             data: bytes = environment["wsgi.input"].read(length)
-        except TimeoutError:
+        except OSError:
             return Failure(caller_json.malformed("The body did not arrive in time."))
         return Success(data)
 
 
-def _headers(body: bytes, retry_after_s: int | None = None) -> list[tuple[str, str]]:
-    headers = [
-        ("Content-Type", "application/json"),
-        ("Content-Length", str(len(body))),
-    ]
-    if retry_after_s is not None:
-        headers.append(("Retry-After", str(retry_after_s)))
-    return headers
-
-
 def _refuse_as_not_run(refusal: Refusal) -> RefusedExecution:
     return RefusedExecution(refusal, Outcome.NOT_RUN)
 
--- a/lavendertide/encodings/caller_json.py
+++ b/lavendertide/encodings/caller_json.py
@@ -31,6 +31,7 @@
     RefusalKind.OVER_PLAN_RATE: 429,
     RefusalKind.OVER_PLAN_CONCURRENCY: 429,
     RefusalKind.OVER_CAPACITY: 429,
+    RefusalKind.INTERNAL_ERROR: 500,
 }
 STATUS_UNAVAILABLE: Final = 503
 RETRY_AFTER_S: Final = {
@@ -171,10 +172,19 @@
         refusal: Why this attempt was refused; it has not run.
         outcome: Outcome of the request over all its attempts.
     """
+    return _describe(refusal, outcome, Outcome.NOT_RUN)
+
+
+def encode_failure(refusal: Refusal) -> bytes:
+    """Returns the body of the response to a request that failed and may have run."""
+    return _describe(refusal, Outcome.UNKNOWN, Outcome.UNKNOWN)
+
+
+def _describe(refusal: Refusal, outcome: Outcome, this_try: Outcome) -> bytes:
     return _json(
         {
             "outcome": outcome.value,
-            "this_try": Outcome.NOT_RUN.value,
+            "this_try": this_try.value,
             "kind": refusal.kind.value,
             "fault": refusal.fault.value,
             "message": refusal.message,
--- a/lavendertide/errors.py
+++ b/lavendertide/errors.py
@@ -8,6 +8,8 @@
 from dataclasses import dataclass
 from enum import Enum
 
+from lavendertide.ids import FailureId
+
 
 class RefusalKind(Enum):
     """Machine-readable reason of a refusal."""
@@ -29,6 +31,7 @@
     TICKET_MISMATCH = "ticket_mismatch"
     POISONED = "poisoned"
     NO_SNAPSHOT = "no_snapshot"
+    INTERNAL_ERROR = "internal_error"
     UNREACHABLE = "unreachable"
     NOT_FOUND = "not_found"
     BAD_RUN = "bad_run"
@@ -65,6 +68,22 @@
         return f"{self.message} {self.remedy}"
 
 
+def internal_error(failure: FailureId) -> Refusal:
+    """Builds the description of a request that an unexpected exception has ended.
+
+    It isn't a refusal in the strict sense, since a part of the request may have run.
+
+    Args:
+        failure: Names the exception in the log.
+    """
+    return Refusal(
+        RefusalKind.INTERNAL_ERROR,
+        f"The host failed in the midst of the request, which may have run ({failure}).",
+        "Send it again, under the same ticket if it has one; tell the operator the id.",
+        Fault.SYSTEM,
+    )
+
+
 def unreachable(address: str, problem: str, remedy: str) -> Refusal:
     """Builds the refusal for a host or daemon that did not respond.
 
--- a/lavendertide/ids.py
+++ b/lavendertide/ids.py
@@ -31,5 +31,6 @@
 RouteName = NewType("RouteName", str)
 ServiceName = NewType("ServiceName", str)
 CallerRequestId = NewType("CallerRequestId", str)
+FailureId = NewType("FailureId", str)
 
 NO_VERSION: Final = ConfigurationVersion(0)
