Answer searches and executions although their records fail

What callers saw: an exception in a metric, in the failure log of an owner or in the statistics of a target ended the request, also after it had run. An execution that had run was answered with a failure.

Cause: these are recorded in the task of the request, between its outcome and its answer.

They run isolated now, as in the gateway: the exception is counted and logged under the id of the query or ticket. This covers the records of outcomes, the capacity's adjustment, and what a query records about its targets and their reply times.

--- a/lavendertide/daemon/query_service.py
+++ b/lavendertide/daemon/query_service.py
@@ -4,6 +4,7 @@
 
 from returns.result import Failure, Result, Success
 
+from lavendertide.bookkeeping import Isolated
 from lavendertide.configuration.adoption import Configuration
 from lavendertide.configuration.catalog import Catalog, Index, Plan
 from lavendertide.errors import Fault, Refusal, RefusalKind
@@ -78,11 +79,13 @@
         feedback: Feedback = Inconclusive()
         try:
             result = self._run_within_plan(query, index, catalog)
-            feedback = result.map(feedback_of).value_or(feedback)
+            with Isolated("capacity", query.query):
+                feedback = result.map(feedback_of).value_or(feedback)
             return result
         finally:
             budget_s = query.deadline.at_s - permit.acquired_at_s
-            permit.release(feedback, budget_s, clock.monotonic_s())
+            with Isolated("capacity", query.query):
+                permit.release(feedback, budget_s, clock.monotonic_s())
 
     def _run_within_plan(
         self, query: Query, index: Index, catalog: Catalog
--- a/lavendertide/daemon/recording.py
+++ b/lavendertide/daemon/recording.py
@@ -1,7 +1,7 @@
 """Records the outcome of each request in the metrics and the failure log of its owner.
 
 The classes wrap the services that the front end calls, so that every way in which a
-request can end is recorded.
+request can end is recorded. A record that fails leaves the outcome as it is.
 """
 
 import contextlib
@@ -11,6 +11,7 @@
 
 from returns.result import Failure, Result, Success
 
+from lavendertide.bookkeeping import Isolated
 from lavendertide.configuration.adoption import Configuration
 from lavendertide.configuration.catalog import Plan
 from lavendertide.errors import Fault, Refusal
@@ -27,6 +28,7 @@
 
 NO_OWNER: Final = OwnerId("none")
 NO_INDEX: Final = IndexName("")
+NO_TICKET: Final = TicketId("")
 OTHER_DETAIL: Final = "other"
 MS_PER_S: Final = 1_000
 
@@ -113,14 +115,23 @@
         """Runs a search and records its outcome."""
         started_at_s = clock.monotonic_s()
         result = self._inner.search(request)
+        query = result.map(lambda response: response.query)
+        with Isolated("outcome", query.value_or(failure_logs.NO_QUERY)):
+            self._record(request, result, clock.monotonic_s() - started_at_s)
+        return result
+
+    def _record(
+        self,
+        request: SearchRequest,
+        result: Result[SearchResponse, Refusal],
+        latency_s: float,
+    ) -> None:
         plan = self._recorder.plan_of(request.key)
         match result:
             case Success(response) if plan is not None:
-                latency_s = clock.monotonic_s() - started_at_s
                 self._record_response(plan, request, response, latency_s)
             case Failure(refusal):
                 self._recorder.record_refusal(plan, request.index, refusal)
-        return result
 
     def _record_response(
         self,
@@ -161,9 +172,10 @@
     def issue_ticket(self, key: CallerKey) -> Result[TicketId, Refusal]:
         """Issues a ticket, or records the refusal."""
         result = self._inner.issue_ticket(key)
-        if isinstance(result, Failure):
-            plan = self._recorder.plan_of(key)
-            self._recorder.record_refusal(plan, NO_INDEX, result.failure())
+        with Isolated("outcome", result.value_or(NO_TICKET)):
+            if isinstance(result, Failure):
+                plan = self._recorder.plan_of(key)
+                self._recorder.record_refusal(plan, NO_INDEX, result.failure())
         return result
 
     def request_status(
@@ -177,13 +189,21 @@
     ) -> Result[ExecutionResult, RefusedExecution]:
         """Executes a request and records its outcome."""
         result = self._inner.execute(execution_request)
+        with Isolated("outcome", execution_request.ticket):
+            self._record(execution_request, result)
+        return result
+
+    def _record(
+        self,
+        execution_request: ExecutionRequest,
+        result: Result[ExecutionResult, RefusedExecution],
+    ) -> None:
         plan = self._recorder.plan_of(execution_request.key)
         match result:
             case Success(execution) if plan is not None:
                 self._record_execution(plan, execution_request, execution)
             case Failure(RefusedExecution(refusal)):
                 self._recorder.record_refusal(plan, execution_request.index, refusal)
-        return result
 
     def _record_execution(
         self,
--- a/lavendertide/queries/fan_out.py
+++ b/lavendertide/queries/fan_out.py
@@ -10,6 +10,7 @@
 
 from returns.result import Failure, Result, Success
 
+from lavendertide.bookkeeping import Isolated
 from lavendertide.configuration.catalog import Catalog, Index
 from lavendertide.errors import Fault, Refusal
 from lavendertide.ids import ShardNumber
@@ -151,7 +152,8 @@
                 for reply in self._inbox.receive_ready(first, REPLIES_PER_TURN_MAX):
                     self._handle_reply(reply, now_s)
             self._handle_due_events(now_s)
-        self._finish(now_s)
+        with Isolated("observation", self._query.query):
+            self._finish(now_s)
 
     def _outcome(self) -> Outcome:
         if self._coverage.covered_count:
@@ -194,35 +196,36 @@
         attempt = self._controller.close(reply.attempt)
         if attempt is None:
             return
-        target, index = attempt.place.target, attempt.place.index
+        with Isolated("observation", self._query.query):
+            self._observe(reply, attempt, now_s)
         match reply:
             case Answered() if self._matches_attempt(reply, attempt):
-                self._timing.observe(now_s - attempt.sent_at_s, now_s)
-                self._dependencies.reports.record_spare_slots(
-                    target, reply.spare_slots, now_s
-                )
-                self._dependencies.reports.observations.record_answer(
-                    target, index, now_s
-                )
                 self._record_answer(reply, now_s)
             case Answered():
                 self._handle_loss(attempt, LossReason.MISMATCHED_REPLY, now_s)
-            case Declined(reason=reason, spare_slots=spare_slots):
-                self._dependencies.reports.record_decline(
-                    target, reason, spare_slots, now_s
-                )
-                if reason is DeclineReason.DRAINING:
-                    self._dependencies.reports.observations.record_leaving(
-                        target, index, now_s
-                    )
+            case Declined(reason=reason):
                 self._handle_decline(attempt, reason, now_s)
             case Lost(reason=loss):
-                if loss in (LossReason.TIMED_OUT, LossReason.TARGET_CLOSED):
-                    self._dependencies.reports.observations.record_loss(
-                        target, index, now_s
-                    )
                 self._handle_loss(attempt, loss, now_s)
 
+    def _observe(self, reply: SubReply, attempt: Attempt, now_s: float) -> None:
+        """Records what a reply says about its target."""
+        target, index = attempt.place.target, attempt.place.index
+        reports = self._dependencies.reports
+        match reply:
+            case Answered(spare_slots=spare_slots):
+                if not self._matches_attempt(reply, attempt):
+                    return
+                self._timing.observe(now_s - attempt.sent_at_s, now_s)
+                reports.record_spare_slots(target, spare_slots, now_s)
+                reports.observations.record_answer(target, index, now_s)
+            case Declined(reason=reason, spare_slots=spare_slots):
+                reports.record_decline(target, reason, spare_slots, now_s)
+                if reason is DeclineReason.DRAINING:
+                    reports.observations.record_leaving(target, index, now_s)
+            case Lost(reason=LossReason.TIMED_OUT | LossReason.TARGET_CLOSED):
+                reports.observations.record_loss(target, index, now_s)
+
     def _matches_attempt(self, reply: Answered, attempt: Attempt) -> bool:
         return (
             reply.query == self._query.query
@@ -257,7 +260,7 @@
                     attempt.place.target, version, now_s
                 )
             case DeclineReason.QUEUED_TOO_LONG:
-                self._timing.observe(now_s - attempt.sent_at_s, now_s)
+                self._observe_lateness(attempt, now_s)
             case DeclineReason.NO_LEASE | DeclineReason.STALE_VIEW:
                 self._controller.record_handover(attempt.shard)
             case _:
@@ -271,7 +274,7 @@
                 # The request may have crashed the target: send it to no other one.
                 self._controller.stop()
             case LossReason.TIMED_OUT:
-                self._timing.observe(now_s - attempt.sent_at_s, now_s)
+                self._observe_lateness(attempt, now_s)
             case _:
                 pass
         self._retry_elsewhere(attempt, *gap_of_loss(loss), now_s)
@@ -322,6 +325,10 @@
             index, snapshot = self._pinned.index.index, self._pinned.snapshot
             self._dependencies.holdings.record_served(index, snapshot.version)
 
+    def _observe_lateness(self, attempt: Attempt, now_s: float) -> None:
+        with Isolated("observation", self._query.query):
+            self._timing.observe(now_s - attempt.sent_at_s, now_s)
+
     def _observe_unanswered(self, latency_s: float, now_s: float) -> None:
         # An attempt cancelled before it was late says nothing about the tail.
         if self._estimate is not None and latency_s >= self._estimate.straggler_s:
--- a/tests/queries/test_fan_out.py
+++ b/tests/queries/test_fan_out.py
@@ -1,6 +1,7 @@
 """Tests of `lavendertide.queries.fan_out`."""
 
 from dataclasses import replace
+from unittest import mock
 
 from lavendertide.ids import AttemptId, IndexVersion, QueryId, ShardNumber, TargetId
 from lavendertide.messages import (
@@ -21,8 +22,12 @@
 from lavendertide.queries.coverage import GapReason
 from lavendertide.queries.hedging import WithheldCause
 from lavendertide.queries.results_memory import ResultsMemory
+from lavendertide.queries.snapshot import Holdings
+from lavendertide.queries.target_reports import TargetReports
+from lavendertide.queries.timing import IndexTiming
 from lavendertide.queries.wait_policies import HANDOVER_PAUSE_MAX_S
 from lavendertide.runtime import clock
+from lavendertide.targets.observations import TargetObservations
 from tests.queries.fakes import (
     DEADLINE_S,
     INDEX,
@@ -448,3 +453,32 @@
         response = fake_tier.search(0.003)
         self.assertEqual((response.attempts, len(response.gaps)), (0, 3))
         self.assertIs(response.outcome, Outcome.NOT_RUN)
+
+
+class FailingObservationTest(VirtualTimeTestCase):
+    """A record of a target that fails leaves the search as it is.
+
+    Guards against searches that ended by an exception although their targets replied.
+    """
+
+    def setUp(self) -> None:
+        self.tier = tier(index_of(2))
+
+    def test_the_answers_are_used(self) -> None:
+        for owner, name in (
+            (TargetObservations, "record_answer"),
+            (IndexTiming, "observe"),
+            (Holdings, "record_served"),
+        ):
+            with (
+                self.subTest(name),
+                mock.patch.object(owner, name, side_effect=KeyError),
+            ):
+                self.assertEqual(self.tier.search().covered, (0, 1))
+
+    def test_a_declined_shard_is_retried(self) -> None:
+        for shard in range(2):
+            declined = declines(DeclineReason.SHED)
+            self.tier.dispatch.reactions[TargetId(f"t{shard}-0")] = declined
+        with mock.patch.object(TargetReports, "record_decline", side_effect=KeyError):
+            self.assertEqual(self.tier.search().covered, (0, 1))
