Lose only the sub-request whose dispatch fails

What callers saw: an exception in the dispatch of one sub-request ended its whole search. At a peer it closed the peer's connection, so all other sub-requests and tickets on it were lost. One that waited for its trial, and a ticket that a peer had forwarded, got no reply, and their callers' hosts waited until the deadline.

Cause: nothing stood between one sub-request and the task that serves many, and tasks of their own had no reply to an exception.

A sub-request whose dispatch fails is lost at once, since it may have been sent, and the search asks another replica. A ticket's execution that fails at its issuer is `unknown` at once. Both are counted and logged.

--- a/lavendertide/daemon/dispatcher.py
+++ b/lavendertide/daemon/dispatcher.py
@@ -1,7 +1,12 @@
 """Routes sub-requests to the daemon that holds the slots of their target."""
 
+import contextlib
+import logging
+from collections.abc import Iterator
 from dataclasses import replace
+from typing import Final
 
+from prometheus_client import Counter
 from returns.result import Failure
 
 from lavendertide.configuration.adoption import Configuration
@@ -14,6 +19,8 @@
 from lavendertide.messages import (
     Declined,
     DeclineReason,
+    LossReason,
+    Lost,
     MemberRecord,
     SubReply,
     SubRequest,
@@ -25,6 +32,29 @@
 from lavendertide.targets.place import TargetPlace
 from lavendertide.targets.target_pool import TargetPool
 
+DISPATCH_FAILURES: Final = Counter(
+    "lavendertide_dispatch_failures",
+    "Sub-requests that an unexpected exception has ended before a target had them.",
+)
+
+_log = logging.getLogger(__name__)
+
+
+@contextlib.contextmanager
+def _lost_if_failed(
+    request: SubRequest, inbox: tasks.Mailbox[SubReply]
+) -> Iterator[None]:
+    """Replies to a sub-request in whose dispatch an exception arises.
+
+    It is lost and not declined, since it may have been sent.
+    """
+    try:
+        yield
+    except Exception:
+        DISPATCH_FAILURES.inc()
+        _log.exception("dispatch failed", extra={"attempt": request.attempt})
+        inbox.send(Lost(request.attempt, LossReason.PEER_LOST))
+
 
 class Dispatcher:
     """Submits sub-requests to this daemon's targets or relays them to the holder.
@@ -56,6 +86,10 @@
 
     def send(self, request: SubRequest, inbox: tasks.Mailbox[SubReply]) -> None:
         """Sends a sub-request; the inbox receives exactly one reply."""
+        with _lost_if_failed(request, inbox):
+            self._send(request, inbox)
+
+    def _send(self, request: SubRequest, inbox: tasks.Mailbox[SubReply]) -> None:
         place = self._place_of(request)
         if place is None:
             inbox.send(Declined(request.attempt, DeclineReason.STALE_VIEW))
@@ -76,12 +110,13 @@
             self._peers.link_to(member).relay(request, inbox)
 
     def accept(self, request: SubRequest, inbox: tasks.Mailbox[SubReply]) -> None:
-        """Submits a sub-request that a peer has relayed to this daemon."""
-        place = self._place_of(request)
-        if place is None:
-            inbox.send(Declined(request.attempt, DeclineReason.STALE_VIEW))
-            return
-        self._submit(place, request, inbox, clock.monotonic_s())
+        """Submits a peer's sub-request; the inbox receives exactly one reply."""
+        with _lost_if_failed(request, inbox):
+            place = self._place_of(request)
+            if place is None:
+                inbox.send(Declined(request.attempt, DeclineReason.STALE_VIEW))
+                return
+            self._submit(place, request, inbox, clock.monotonic_s())
 
     def cancel(self, attempts: list[AttemptId]) -> None:
         """Cancels attempts, here and at peers, whose replies are no longer needed."""
@@ -107,10 +142,20 @@
             case Permission.FREELY:
                 self._pool.submit(place, request, inbox)
             case Permission.ALONE:
-                tasks.spawn(self._submit_alone, place, request, inbox, now_s)
+                tasks.spawn(self._wait_and_submit, place, request, inbox, now_s)
             case Permission.NEVER:
                 inbox.send(Declined(request.attempt, DeclineReason.POISONED))
 
+    def _wait_and_submit(
+        self,
+        place: TargetPlace,
+        request: SubRequest,
+        inbox: tasks.Mailbox[SubReply],
+        now_s: float,
+    ) -> None:
+        with _lost_if_failed(request, inbox):
+            self._submit_alone(place, request, inbox, now_s)
+
     def _submit_alone(
         self,
         place: TargetPlace,
--- a/lavendertide/daemon/failed_requests.py
+++ b/lavendertide/daemon/failed_requests.py
@@ -1,4 +1,4 @@
-"""Records callers' and operators' requests that an unexpected exception has ended."""
+"""Records whole requests that an unexpected exception has ended."""
 
 import logging
 import uuid
@@ -11,7 +11,7 @@
 
 FAILED_REQUESTS: Final = Counter(
     "lavendertide_failed_requests",
-    "Requests of callers and operators that an unexpected exception has ended.",
+    "Requests of callers, operators and peers that an unexpected exception has ended.",
 )
 
 _log = logging.getLogger(__name__)
@@ -21,7 +21,7 @@
     """Counts and logs the exception that is being handled; returns its description.
 
     Args:
-        path: The path of the request.
+        path: The path of the request, or its kind if it came from a peer.
     """
     failure = FailureId(uuid.uuid4().hex)
     FAILED_REQUESTS.inc()
--- a/lavendertide/daemon/peer_front.py
+++ b/lavendertide/daemon/peer_front.py
@@ -2,10 +2,12 @@
 
 import socket
 from dataclasses import replace
+from typing import Final
 
 from returns.result import Failure
 
 from lavendertide.daemon.dispatcher import Dispatcher
+from lavendertide.daemon.failed_requests import record_failure
 from lavendertide.daemon.in_flight import InFlightCounter
 from lavendertide.daemon.slot_manager import SlotManager
 from lavendertide.daemon.ticket_service import TicketService
@@ -22,12 +24,14 @@
     DeclineReason,
     Frame,
     Lost,
+    Outcome,
     PlanClaims,
     ReachRequest,
     SubReplies,
     SubReply,
     SubRequest,
     SubRequests,
+    TicketReply,
     TicketRequest,
 )
 from lavendertide.plans.allocator import PlanAllocator
@@ -35,6 +39,8 @@
 from lavendertide.runtime.pauses import PauseTracker
 
 REPLIES_PER_FRAME_MAX = 128
+# Takes the place of a path in the log of failed requests.
+TICKET_REQUEST: Final = "ticket request of a peer"
 
 
 class PeerFront:
@@ -113,9 +119,12 @@
     def _reply_to_ticket_request(self, request: TicketRequest, outbox: Outbox) -> None:
         self._in_flight.record_accepted()
         try:
-            outbox.send(self._tickets.execute_for_peer(request))
-        finally:
-            self._in_flight.record_finished()
+            reply = self._tickets.execute_for_peer(request)
+        except Exception:
+            refusal = record_failure(TICKET_REQUEST)
+            reply = TicketReply(request.exchange, Outcome.UNKNOWN, str(refusal))
+        outbox.send(reply)
+        self._in_flight.record_finished()
 
     def _reply_to_reach_request(self, request: ReachRequest, outbox: Outbox) -> None:
         outbox.send(reply_to_reach_request(request, self._roster, self._peers))
