Notice signals that a connection brings at the time limit

What callers saw: a second try of an execution whose result lay in the socket was answered with `unknown`, and a peer that had replied was taken for unreachable, after the process had been busy.

Cause: like other waits, that for a signal timed out before the tasks had run whose connections had data.

The wait lets these tasks run once before it gives up, as that for a mailbox does.

Measured: the test keeps a real event loop busy; it fails without the change and passes with it, twice in a row.

--- a/lavendertide/runtime/tasks.py
+++ b/lavendertide/runtime/tasks.py
@@ -152,6 +152,11 @@
             self._event.send(None)
 
     def wait(self, timeout_s: float | None = None) -> bool:
-        """Waits until the flag is set; returns false after the timeout."""
+        """Waits until the flag is set; returns false after the timeout.
+
+        As in `Mailbox.receive`, the tasks whose connections have data run before that.
+        """
         self._event.wait(timeout=timeout_s)
+        if not self.is_set:
+            sleep(0.0)
         return self.is_set
--- a/tests/runtime/test_transfers.py
+++ b/tests/runtime/test_transfers.py
@@ -114,6 +114,19 @@
         )
         self.assertEqual(received, b"x")
 
+    def test_a_signal_that_a_connection_brings_is_noticed(self) -> None:
+        signal = tasks.Signal()
+
+        def forward() -> None:
+            transfers.receive(self.waiting, 10, clock.monotonic_s() + 10.0)
+            signal.set()
+
+        self.loop.start(forward)
+        is_set = self.run_beside_stall(
+            lambda: signal.wait(LIMIT_S), lambda: self.other.send(b"x")
+        )
+        self.assertTrue(is_set)
+
     def test_a_response_of_a_target_is_read(self) -> None:
         listener = socket.create_server(("127.0.0.1", 0))
         self.addCleanup(listener.close)
