Deliver what a peer has replied before its connection broke

What callers saw: a shard was missing, or an execution that had run was unknown, although the peer's reply lay in the socket: the peer had closed, and a write to it failed before its last frames were read.

Cause: a link whose write failed stopped its reader at once.

The reader has 50 ms now for what has arrived. It ends by itself at the end of the connection.

Measured: the new test of a reply that is read after a failed write fails without the change and passes with it; one without a reply passes both times.

--- a/lavendertide/fleet/peer_link.py
+++ b/lavendertide/fleet/peer_link.py
@@ -40,6 +40,8 @@
 REDIAL_MIN_S: Final = 0.2
 REDIAL_MAX_S: Final = 2.0
 IDLE_S: Final = 30.0
+# Time limit for reading what a broken connection still holds.
+LAST_REPLIES_S: Final = 0.05
 OUTBOX_MAX: Final = 4_096
 ITEMS_PER_FRAME_MAX: Final = 128
 
@@ -243,11 +245,14 @@
         self._daemon = peer.daemon
         self._roster.apply_records((peer.member,), clock.monotonic_s())
         self._state = LinkState.CONNECTED
-        reader = tasks.spawn(self._read_frames, peer)
+        has_read_all = tasks.Signal()
+        reader = tasks.spawn(self._read_frames, peer, has_read_all)
         try:
             self._write_frames(peer, first)
         except OSError:
             self._state = LinkState.BROKEN
+            # A peer that has closed may have replied before; a write fails first.
+            has_read_all.wait(LAST_REPLIES_S)
         except Exception:
             # Such as a frame that can't be encoded; the next ones need a connection.
             _log.exception("peer connection failed", extra={"peer": self._address})
@@ -304,13 +309,14 @@
             peer.send(SubRequests(tuple(requests)))
         return is_heartbeat_due
 
-    def _read_frames(self, peer: PeerConnection) -> None:
+    def _read_frames(self, peer: PeerConnection, has_read_all: tasks.Signal) -> None:
         try:
             while (frame := peer.receive()) is not None:
                 self._handle_frame(peer, frame, clock.monotonic_s())
         except Exception:
             _log.exception("frame of a peer failed", extra={"peer": self._address})
         self._state = LinkState.BROKEN
+        has_read_all.set()
         self._outbox.send(_WakeUp.WAKE)
 
     def _handle_frame(self, peer: PeerConnection, frame: Frame, now_s: float) -> None:
--- a/tests/fleet/test_peer_link.py
+++ b/tests/fleet/test_peer_link.py
@@ -3,15 +3,30 @@
 import math
 from typing import Any, cast
 
+from bench.codec import build_frame
 from lavendertide.fleet.gossip import Gossip
 from lavendertide.fleet.peer_connection import PeerConnector
 from lavendertide.fleet.peer_link import PeerLink
 from lavendertide.ids import Address, DaemonId, ExchangeId
-from lavendertide.messages import Frame, Heartbeat, ReachRequest, RegistryPull
+from lavendertide.messages import (
+    Cancels,
+    Declined,
+    DeclineReason,
+    Frame,
+    Heartbeat,
+    LossReason,
+    Lost,
+    ReachRequest,
+    RegistryPull,
+    SubReplies,
+    SubReply,
+    SubRequests,
+)
 from lavendertide.runtime import tasks
 from tests.fleet.members import member, roster_of
 from tests.virtual_time import VirtualTimeTestCase
 
+SUB_REQUEST = build_frame(1).items[0]
 HEARTBEAT_S = 0.02
 REPLY_TIMEOUT_S = 0.3
 
@@ -169,3 +184,62 @@
             link.send(ReachRequest(ExchangeId("x"), member(0).daemon))
             tasks.sleep(0.1)
         self.check_dials_again(link, connector)
+
+
+class ClosedConnection(SilentConnection):
+    """A connection to a peer that has replied and closed; writes fail from then on.
+
+    Its replies are read a little later than the next write fails.
+    """
+
+    def __init__(self, replies: list[Frame]) -> None:
+        super().__init__()
+        self._replies = replies
+        self._requested = tasks.Signal()
+
+    def send(self, frame: Frame) -> None:
+        """Accepts frames until a request was among them."""
+        if self._requested.is_set:
+            raise ConnectionResetError
+        super().send(frame)
+        if isinstance(frame, SubRequests):
+            self._requested.set()
+
+    def receive(self) -> Frame | None:
+        """Returns the replies, then none."""
+        if not self._replies:
+            return None
+        self._requested.wait()
+        tasks.sleep(1.5 * HEARTBEAT_S)
+        return self._replies.pop()
+
+
+class LastRepliesTest(VirtualTimeTestCase):
+    """What a peer has replied before its end is delivered.
+
+    Guards against sub-requests that are taken for lost because a write has failed
+    before their replies were read.
+    """
+
+    def reply_of(self, connection: SilentConnection) -> SubReply | None:
+        """Relays a sub-request on a connection; returns the reply."""
+        link = PeerLink(
+            Address("127.0.0.1:1"),
+            cast(PeerConnector, SingleConnectionConnector(connection)),
+            roster_of(2),
+            cast(Gossip, EmptyGossip()),
+            HEARTBEAT_S,
+        )
+        self.addCleanup(link.close)
+        inbox: tasks.Mailbox[SubReply] = tasks.Mailbox()
+        link.relay(SUB_REQUEST, inbox)
+        return inbox.receive(REPLY_TIMEOUT_S)
+
+    def test_a_reply_that_has_arrived_is_delivered(self) -> None:
+        declined = Declined(SUB_REQUEST.attempt, DeclineReason.SHED)
+        reply = self.reply_of(ClosedConnection([SubReplies((declined,))]))
+        self.assertEqual(reply, declined)
+
+    def test_without_a_reply_the_sub_request_is_lost(self) -> None:
+        reply = self.reply_of(ClosedConnection([Cancels(())]))
+        self.assertEqual(reply, Lost(SUB_REQUEST.attempt, LossReason.PEER_LOST))
