Finish handshakes whose replies arrived while the daemon was busy

What callers saw: after a stall of more than a second during a handshake its link broke, and the sub-requests that waited for it were declined, although the peer had replied.

Cause: the limit for silence was the socket's, a timer that runs before connections are read. A limit around a wait was also taken for the wait's own and swallowed, which the handshake would have met next.

A stream's limit for silence looks at the socket once more when it has passed. A wait lets a limit around it pass.

--- a/lavendertide/encodings/peer_socket.py
+++ b/lavendertide/encodings/peer_socket.py
@@ -65,6 +65,10 @@
         """Monotonic time at which the receive buffer was last found empty."""
         return self._tracking_reader.empty_at_s
 
+    def limit_waits(self, wait_s: float | None) -> None:
+        """Sets the time limit for each wait for data; none lets it wait for ever."""
+        self._tracking_reader.limit_waits(wait_s)
+
     def send(self, frame: Frame, is_compressed: bool = False) -> None:
         """Sends a frame.
 
--- a/lavendertide/fleet/frame_stream.py
+++ b/lavendertide/fleet/frame_stream.py
@@ -27,6 +27,9 @@
     def empty_at_s(self) -> float:
         """Monotonic time at which there was last nothing left to read."""
 
+    def limit_waits(self, wait_s: float | None) -> None:
+        """Sets the time limit for each wait for data; none lets it wait for ever."""
+
     def send(self, frame: Frame, is_compressed: bool = False) -> None:
         """Sends a frame.
 
--- a/lavendertide/fleet/peer_connection.py
+++ b/lavendertide/fleet/peer_connection.py
@@ -176,10 +176,10 @@
     ) -> PeerConnection | None:
         stream = self._make_stream(connection)
         try:
-            connection.settimeout(HANDSHAKE_TIMEOUT_S)
+            stream.limit_waits(HANDSHAKE_TIMEOUT_S)
             with tasks.time_limit(HANDSHAKE_S):
                 remote = handshake(stream, ip)
-            connection.settimeout(None)
+            stream.limit_waits(None)
         except OSError:
             remote = None
         if remote is None:
--- a/lavendertide/runtime/sockets.py
+++ b/lavendertide/runtime/sockets.py
@@ -22,7 +22,7 @@
 
 from lavendertide.ids import Address
 from lavendertide.runtime import clock
-from lavendertide.runtime.transfers import PEEK, plain, wait_until_ready
+from lavendertide.runtime.transfers import PEEK, plain, receive, wait_until_ready
 
 BACKLOG = 512
 # How long sent data may stay unacknowledged before its connection is closed.
@@ -122,12 +122,17 @@
         self._plain_socket = plain(connection)
         self._raw = connection.makefile("rb", buffering=0)
         self._empty_at_s = clock.monotonic_s()
+        self._wait_s: float | None = None
 
     @property
     def empty_at_s(self) -> float:
         """Monotonic time at which the receive buffer was last empty."""
         return self._empty_at_s
 
+    def limit_waits(self, wait_s: float | None) -> None:
+        """Sets the time limit for each wait; none lets it wait for ever."""
+        self._wait_s = wait_s
+
     def readable(self) -> bool:
         """Returns true; `io.RawIOBase` requires it of readers."""
         return True
@@ -136,13 +141,19 @@
         """Reads the data that has arrived, and waits only if there is none.
 
         Raises:
+            TimeoutError: Nothing arrived in time.
             OSError: The connection is broken.
         """
         try:
             read: int = self._plain_socket.recv_into(buffer, 0, socket.MSG_DONTWAIT)
         except BlockingIOError:
             self._empty_at_s = clock.monotonic_s()
-            return self._raw.readinto(buffer)
+            if self._wait_s is None:
+                return self._raw.readinto(buffer)
+            until_s = self._empty_at_s + self._wait_s
+            data = receive(self._plain_socket, len(buffer), until_s)
+            buffer[: len(data)] = data
+            return len(data)
         return read
 
     def close(self) -> None:
--- a/lavendertide/runtime/transfers.py
+++ b/lavendertide/runtime/transfers.py
@@ -138,7 +138,10 @@
             timeout=timeout_s,
             timeout_exc=_LIMIT_PASSED,
         )
-    except TimeoutError:
+    except TimeoutError as error:
+        # Not that of a `time_limit` around the wait.
+        if error is not _LIMIT_PASSED:
+            raise
         return False
     return True
 
--- a/tests/fleet/test_peer_connection.py
+++ b/tests/fleet/test_peer_connection.py
@@ -3,6 +3,7 @@
 import contextlib
 import socket
 import threading
+import time
 import unittest
 from dataclasses import replace
 from unittest import mock
@@ -29,9 +30,13 @@
 )
 from lavendertide.runtime import sockets, tasks
 from tests.fleet.members import member, roster_of
+from tests.runtime.loop_thread import LoopThread
 
 KEY = "fleet-key"
 NOTICED_WITHIN_S = 10
+LIMIT_S = 0.4
+BUSY_AFTER_S = 0.15
+BUSY_S = 0.8
 RECORDS = RosterPush(tuple(member(number) for number in range(50)))
 
 
@@ -227,3 +232,44 @@
         self.exchanged_bytes(ends, ReachReply(ExchangeId("x"), True))
         self.assertGreater(self.exchanged_bytes(ends, cancels), 300)
         self.exchanged_bytes(ends, ReachReply(ExchangeId("y"), True))
+
+
+class BusyProcessTest(unittest.TestCase):
+    """A handshake that has arrived is read, although the process was busy meanwhile.
+
+    Guards against links that break after a stall, so that the sub-requests on them are
+    declined.
+    """
+
+    def setUp(self) -> None:
+        self.loop, self.peer_loop = (self.enterContext(LoopThread()) for _ in range(2))
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.addCleanup(self.listener.close)
+        self.enterContext(
+            mock.patch.object(peer_connection, "HANDSHAKE_TIMEOUT_S", LIMIT_S)
+        )
+
+    def connector(self) -> PeerConnector:
+        """Returns a connector of a member."""
+        return PeerConnector(KEY, roster_of(2), LinkFaults(), PeerSocket)
+
+    def test_a_reply_to_a_dial(self) -> None:
+        host, port = self.listener.getsockname()
+        address = Address(f"{host}:{port}")
+        dialled = self.loop.start(lambda: self.connector().dial(address))
+        accepted, _ = self.listener.accept()
+        time.sleep(BUSY_AFTER_S)
+        self.loop.stall(BUSY_S)
+        time.sleep(BUSY_AFTER_S)
+        self.peer_loop.start(lambda: self.connector().accept(accepted))
+        connection = dialled.result(10.0)
+        assert connection is not None
+        self.addCleanup(connection.close)
+
+    def test_a_silent_peer_is_closed(self) -> None:
+        host, port = self.listener.getsockname()
+        address = Address(f"{host}:{port}")
+        dialled = self.loop.start(lambda: self.connector().dial(address))
+        began_s = time.monotonic()
+        self.assertIsNone(dialled.result(10.0))
+        self.assertLess(time.monotonic() - began_s, 10 * LIMIT_S)
