Take a reset by a caller for the end of its connection

What operators saw: a traceback in the daemon's output for a caller that reset its connection in the midst of a request's first line.

Cause: the server expects such errors only while it waits and while it responds.

A connection that ends by a reset ends quietly.

--- a/lavendertide/runtime/wsgi.py
+++ b/lavendertide/runtime/wsgi.py
@@ -206,6 +206,9 @@
             self.rfile = _Reader(source)
             try:
                 super().handle()
+            except ConnectionError:
+                # The caller has reset the connection, which is no fault to report.
+                pass
             finally:
                 guarded.end()
 
--- a/tests/runtime/test_wsgi.py
+++ b/tests/runtime/test_wsgi.py
@@ -1,5 +1,7 @@
 """Tests of `lavendertide.runtime.wsgi`, on connections of this machine."""
 
+import contextlib
+import io
 import socket
 import time
 import unittest
@@ -128,3 +130,22 @@
             time.sleep(LIMIT_S / 2)
             caller.sendall(REQUEST[6:])
             self.assertIn(b" 200 ", caller.recv(65_536))
+
+
+class ResetConnectionTest(WsgiTestCase):
+    """A caller that resets its connection in the midst of a request is no fault.
+
+    Guards against a traceback for each of them.
+    """
+
+    def test_there_is_no_traceback(self) -> None:
+        errors = io.StringIO()
+        with contextlib.redirect_stderr(errors):
+            for sent in (6, 30, len(REQUEST) - 2):
+                caller = self.connect(LONG_S)
+                caller.sendall(REQUEST[:sent])
+                time.sleep(ARRIVES_AFTER_S)
+                caller.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, sockets.LINGER)
+                caller.close()
+                time.sleep(ARRIVES_AFTER_S)
+        self.assertNotIn("Traceback", errors.getvalue())
