--- a/lavendertide/runtime/transfers.py
+++ b/lavendertide/runtime/transfers.py
@@ -20,6 +20,10 @@
 PEEK: Final = int(socket.MSG_PEEK | socket.MSG_DONTWAIT)
 
 
+class _LimitPassed(TimeoutError):
+    """The limit of a wait has passed, and not that of a `time_limit` around it."""
+
+
 def receive(connection: socket.socket, bytes_max: int, until_s: float) -> bytes:
     """Waits for data; returns `b""` once the other side has closed the connection.
 
@@ -134,10 +138,9 @@
             read=not is_write,
             write=is_write,
             timeout=timeout_s,
-            # An instance that is kept would refer to the frames of the last time limit.
-            timeout_exc=TimeoutError,
+            timeout_exc=_LimitPassed,
         )
-    except TimeoutError:
+    except _LimitPassed:
         return False
     return True
 
