Run the soak's gateways with admission by priority

What was seen: the soak test missed the requests without an answer beside a change of the configuration.

Cause: its gateways ran without admission by priority, and all of its routes had the same priority, so no group of routes had several classes.

Change: the gateways' settings hold contracts=pressure, and the routes have different priorities; two of them share the targets of one service.

--- a/soak/environment.py
+++ b/soak/environment.py
@@ -27,9 +27,10 @@
 )
 from soak.proxy import FaultyProxy, ProxyMode
 from standins.gateway_process import (
-    ROUTES,
+    SHARDS,
     GatewayProcess,
     configuration,
+    route,
     wait_until,
 )
 from standins.platform_store import PlainTarget, PlatformStore
@@ -47,6 +48,14 @@
 GRACE_SLACK_S: Final = 1.0
 # Time for which a leaving target still replies, as the platform's protocol allows.
 LEAVING_S: Final = 1.0
+# Admission by priority looks up the class of a request while the table may change.
+GATEWAY_SETTINGS: Final = "contracts=pressure\n"
+# `lookups` and `orders` share the targets of one service.
+SOAK_ROUTES: Final = (
+    route("lookups", service="desk", priority=1),
+    route("orders", "non_idempotent", service="desk", priority=0),
+    route("searches", **SHARDS, priority=2),
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -114,6 +123,7 @@
                 self._store_proxy.address,
                 seeds,
                 self._ports,
+                GATEWAY_SETTINGS,
             )
             self.gateways.append(gateway)
             seeds = ",".join(each.control for each in self.gateways)
@@ -189,7 +199,7 @@
     def _publish(self) -> None:
         with self._publishing:
             self._version += 1
-            self._store.put("op/config", configuration(self._version, *ROUTES))
+            self._store.put("op/config", configuration(self._version, *SOAK_ROUTES))
 
     def _new_target(self, name: str, service: str) -> tuple[PlainTarget, FaultyProxy]:
         target = PlainTarget(name, service)
