Change the configuration and the settings in the soak test

What was seen: the soak test missed the requests without an answer beside a change of the configuration.

Cause: its only change published the same routes under a new version, and it never reloaded the settings.

Change: a second series of disruptions, drawn apart from the faults, changes priorities, services, shards and limits, removes routes and adds them again, adds and removes hundreds of routes, publishes several versions at once, and changes settings files with one or two SIGHUP, also beside a SIGTERM. A 404, the service that ran a request, and the set of shards of a search are checked against the versions that may be in force. The configuration and the faults of gateways are modules of their own.

--- a/soak/environment.py
+++ b/soak/environment.py
@@ -1,21 +1,26 @@
 """Runs gateways, targets and the store, and injects the planned faults."""
 
-import signal
-import subprocess
+import random
 import threading
 import time
-from dataclasses import dataclass
 from pathlib import Path
 from typing import Final
 
 from soak.faults import (
+    ConfigurationChange,
+    ConfigurationGrown,
     Fault,
-    GatewayFault,
     GatewayKilled,
     GatewayPaused,
     GatewayStopped,
+    LimitsChanged,
     PlannedFault,
+    PrioritiesChanged,
+    RouteMoved,
+    RouteRemoved,
     RoutesChanged,
+    SettingsReloaded,
+    ShardsChanged,
     StoreStalled,
     StoreUnavailable,
     TargetDelayed,
@@ -24,56 +29,34 @@
     TargetRepliesLost,
     TargetReset,
     TargetStalled,
+    VersionsPublished,
+)
+from soak.gateways import GATEWAYS, FaultRecord, GatewayFaults
+from soak.operator import (
+    OperatorConfiguration,
+    Period,
+    PublishedVersion,
+    PublishedVersions,
 )
 from soak.proxy import FaultyProxy, ProxyMode
 from standins.gateway_process import (
-    SHARDS,
     GatewayProcess,
-    configuration,
-    route,
     wait_until,
 )
 from standins.platform_store import PlainTarget, PlatformStore
 from standins.ports import PortBlock
 
 # The service of each target. Every service has two, so that a retry finds another one.
-SERVICES: Final = ("desk", "desk", "shard-0", "shard-0", "shard-1", "shard-1")
-# A third one serves while one is stopped and another is killed.
-GATEWAYS: Final = 3
+SERVICES: Final = (
+    *("desk", "desk", "shard-0", "shard-0", "shard-1", "shard-1"),
+    *("other", "other"),
+)
 # Time that a request runs; long enough that a fault always hits some running ones.
 WORK_S: Final = 0.05
-# Time to stop: `bounds.grace-s` in the settings of `standins.gateway_process`.
-GRACE_S: Final = 6.0
-# Tolerance for the system to report the end of a process.
-GRACE_SLACK_S: Final = 1.0
 # Time for which a leaving target still replies, as the platform's protocol allows.
 LEAVING_S: Final = 1.0
 # Admission by priority looks up the class of a request while the table may change.
 GATEWAY_SETTINGS: Final = "contracts=pressure\n"
-# `lookups` and `orders` share the targets of one service.
-SOAK_ROUTES: Final = (
-    route("lookups", service="desk", priority=1),
-    route("orders", "non_idempotent", service="desk", priority=0),
-    route("searches", **SHARDS, priority=2),
-)
-
-
-@dataclass(frozen=True, slots=True)
-class Disturbance:
-    """A period in which a gateway was killed, paused or stopping.
-
-    Attributes:
-        gateway: Number of the gateway.
-        from_s: Start of the period, monotonic.
-        until_s: End of the period, monotonic.
-        is_graceful: Whether the gateway was stopped by SIGTERM, so that it must still
-            answer the requests it already has.
-    """
-
-    gateway: int
-    from_s: float
-    until_s: float
-    is_graceful: bool
 
 
 class SoakEnvironment:
@@ -84,8 +67,6 @@
 
     Attributes:
         gateways: The gateways, by their number.
-        disturbances: When gateways were killed, paused or stopped.
-        violations: One line for each gateway that stopped too late or with an error.
     """
 
     def __init__(self, folder: Path) -> None:
@@ -93,15 +74,28 @@
         self._ports = PortBlock()
         self._store = PlatformStore()
         self._store_proxy = FaultyProxy(self._store.address)
-        self._version = 1
+        self._configuration = OperatorConfiguration()
+        self._version_steps = random.Random(0)
         self._targets: list[PlainTarget] = []
         self._proxies: list[FaultyProxy] = []
         self._all_targets: list[PlainTarget] = []
-        self._locks = [threading.Lock() for _ in range(GATEWAYS)]
         self._publishing = threading.Lock()
+        self._store_disturbances: list[Period] = []
+        self._versions = PublishedVersions()
         self.gateways: list[GatewayProcess] = []
-        self.disturbances: list[Disturbance] = []
-        self.violations: list[str] = []
+        self._gateway_faults = GatewayFaults(self.gateways)
+
+    @property
+    def record(self) -> FaultRecord:
+        """What gateways and the store were exposed to, as far as guarantees allow."""
+        return FaultRecord(
+            self._gateway_faults.disturbances, self._store_disturbances, self._versions
+        )
+
+    @property
+    def violations(self) -> list[str]:
+        """One line for each gateway that stopped too late or with an error."""
+        return self._gateway_faults.violations
 
     @property
     def targets(self) -> list[PlainTarget]:
@@ -110,7 +104,7 @@
 
     def start(self) -> None:
         """Starts everything and waits until all gateways accept requests."""
-        self._publish()
+        self._publish(RoutesChanged())
         for number, service in enumerate(SERVICES):
             target, proxy = self._new_target(f"t{number}", service)
             self._targets.append(target)
@@ -166,16 +160,53 @@
                 TargetDelayed() | TargetStalled() | TargetRepliesLost() | TargetReset()
             ):
                 self._inject_target_fault(fault, lasts_s)
-            case GatewayStopped() | GatewayKilled() | GatewayPaused():
-                self._inject_gateway_fault(fault, lasts_s)
+            case (
+                GatewayStopped()
+                | GatewayKilled()
+                | GatewayPaused()
+                | SettingsReloaded()
+            ):
+                self._gateway_faults.inject(fault, lasts_s)
+            case StoreUnavailable() | StoreStalled():
+                self._inject_store_fault(fault, lasts_s)
+            case (
+                RoutesChanged()
+                | PrioritiesChanged()
+                | RouteRemoved()
+                | RouteMoved()
+                | ShardsChanged()
+                | LimitsChanged()
+                | ConfigurationGrown()
+                | VersionsPublished()
+            ):
+                self._change_configuration(fault, lasts_s)
+
+    def _inject_store_fault(
+        self, fault: StoreUnavailable | StoreStalled, lasts_s: float
+    ) -> None:
+        from_s = time.monotonic()
+        match fault:
             case StoreUnavailable():
                 self._store.is_unavailable = True
                 time.sleep(lasts_s)
                 self._store.is_unavailable = False
             case StoreStalled():
                 self._inject_proxy_fault(self._store_proxy, ProxyMode.STALLED, lasts_s)
-            case RoutesChanged():
-                self._publish()
+        self._store_disturbances.append(Period(from_s, time.monotonic()))
+
+    def _change_configuration(
+        self, change: ConfigurationChange, lasts_s: float
+    ) -> None:
+        match change:
+            case VersionsPublished(versions):
+                for priorities in versions:
+                    self._publish(PrioritiesChanged(priorities))
+            case RouteRemoved() | ConfigurationGrown():
+                self._publish(change)
+                time.sleep(lasts_s)
+                self._publish_without(change)
+            case _:
+                self._publish(change)
 
     def _inject_target_fault(self, fault: TargetFault, lasts_s: float) -> None:
         proxy = self._proxies[fault.target]
@@ -196,10 +227,21 @@
         time.sleep(lasts_s)
         proxy.set_mode(ProxyMode.PASS)
 
-    def _publish(self) -> None:
+    def _publish(self, change: ConfigurationChange) -> None:
+        with self._publishing:
+            self._configuration.apply(change)
+            self._write_configuration()
+
+    def _publish_without(self, change: RouteRemoved | ConfigurationGrown) -> None:
         with self._publishing:
-            self._version += 1
-            self._store.put("op/config", configuration(self._version, *SOAK_ROUTES))
+            self._configuration.revert(change)
+            self._write_configuration()
+
+    def _write_configuration(self) -> None:
+        services = self._configuration.services
+        self._versions.add(PublishedVersion(time.monotonic(), services))
+        document = self._configuration.next_document(self._version_steps)
+        self._store.put("op/config", document)
 
     def _new_target(self, name: str, service: str) -> tuple[PlainTarget, FaultyProxy]:
         target = PlainTarget(name, service)
@@ -220,49 +262,3 @@
         self._store.remove(f"servers/{old.name}")
         time.sleep(LEAVING_S)
         old_proxy.close()
-
-    def _inject_gateway_fault(self, fault: GatewayFault, lasts_s: float) -> None:
-        """Injects a fault into a gateway and records the period of the disturbance.
-
-        Faults of the same gateway are injected one after another.
-        """
-        number = fault.gateway
-        gateway = self.gateways[number]
-        with self._locks[number]:
-            from_s = time.monotonic()
-            match fault:
-                case GatewayStopped():
-                    self._stop_gateway(gateway)
-                case GatewayKilled():
-                    self._kill_gateway(gateway, lasts_s)
-                case GatewayPaused():
-                    self._pause_gateway(gateway, lasts_s)
-            is_graceful = isinstance(fault, GatewayStopped)
-            disturbance = Disturbance(number, from_s, time.monotonic(), is_graceful)
-            self.disturbances.append(disturbance)
-
-    def _stop_gateway(self, gateway: GatewayProcess) -> None:
-        # A gateway that is still starting has no requests to finish and may exit at
-        # once, so its exit status is not checked.
-        was_ready = gateway.is_ready()
-        gateway.process.send_signal(signal.SIGTERM)
-        try:
-            status = gateway.process.wait(GRACE_S + GRACE_SLACK_S)
-        except subprocess.TimeoutExpired:
-            self.violations.append(f"stop: {gateway.node} outlived its grace")
-            gateway.process.kill()
-            status = gateway.process.wait()
-        if status != 0 and was_ready:
-            self.violations.append(f"stop: {gateway.node} ended with {status}")
-        gateway.launch()
-
-    def _kill_gateway(self, gateway: GatewayProcess, lasts_s: float) -> None:
-        gateway.process.kill()
-        gateway.process.wait()
-        time.sleep(lasts_s)
-        gateway.launch()
-
-    def _pause_gateway(self, gateway: GatewayProcess, lasts_s: float) -> None:
-        gateway.process.send_signal(signal.SIGSTOP)
-        time.sleep(lasts_s)
-        gateway.process.send_signal(signal.SIGCONT)
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -1,9 +1,12 @@
 """Defines the faults of the soak test and draws a plan of them from a seed."""
 
 import random
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Final
 
+from soak.callers import RequestKind
+
 # Mean rate at which faults begin. Most last longer than the mean interval between two,
 # so that they overlap.
 FAULTS_PER_S: Final = 1.0
@@ -11,6 +14,14 @@
 # recovery.
 LASTS_MIN_S: Final = 0.3
 LASTS_MAX_S: Final = 3.0
+# Mean rate of changes of the configuration and the settings. A request often meets two.
+CHANGES_PER_S: Final = 1.5
+# Shortest limits; the callers stay idle for 2 s and send a request within 0.5 s.
+IDLE_TIMEOUT_MIN_MS: Final = 3_000
+HEADER_TIMEOUT_MIN_MS: Final = 2_000
+# Priorities of routes; more than there are routes, so that classes come and go.
+PRIORITIES: Final = 4
+SHARD_SERVICES: Final = ("shard-0", "shard-1", "other")
 
 
 @dataclass(frozen=True, slots=True)
@@ -89,15 +100,99 @@
     """The operator publishes a new version of the routes."""
 
 
+@dataclass(frozen=True, slots=True)
+class PrioritiesChanged:
+    """The priorities of the routes change.
+
+    Attributes:
+        priorities: The priorities of the routes, in the order of `RequestKind`.
+    """
+
+    priorities: tuple[int, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class RouteRemoved:
+    """A route is removed, and added again when the fault is over."""
+
+    kind: RequestKind
+
+
+@dataclass(frozen=True, slots=True)
+class RouteMoved:
+    """A route of one service moves to its other service."""
+
+    kind: RequestKind
+
+
+@dataclass(frozen=True, slots=True)
+class ShardsChanged:
+    """The set of shards of the searches changes."""
+
+    shards: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class LimitsChanged:
+    """The limits of what callers may do change."""
+
+    idle_timeout_ms: int
+    header_timeout_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigurationGrown:
+    """The configuration gains many routes, and loses them when the fault is over."""
+
+    routes: int
+
+
+@dataclass(frozen=True, slots=True)
+class VersionsPublished:
+    """The operator publishes several versions at once.
+
+    Attributes:
+        priorities: The priorities of the routes in each version.
+    """
+
+    priorities: tuple[tuple[int, ...], ...]
+
+
+@dataclass(frozen=True, slots=True)
+class SettingsReloaded:
+    """The settings file of a gateway changes, and the gateway receives SIGHUP.
+
+    Attributes:
+        retry_slack: The new value of `bounds.retry-slack`.
+        signals: How often SIGHUP is sent.
+        is_stopped: Whether SIGTERM is sent between the signals, or after the only one.
+    """
+
+    gateway: int
+    retry_slack: int
+    signals: int
+    is_stopped: bool
+
+
 TargetFault = TargetDelayed | TargetStalled | TargetRepliesLost | TargetReset
-GatewayFault = GatewayStopped | GatewayKilled | GatewayPaused
+GatewayFault = GatewayStopped | GatewayKilled | GatewayPaused | SettingsReloaded
+ConfigurationChange = (
+    RoutesChanged
+    | PrioritiesChanged
+    | RouteRemoved
+    | RouteMoved
+    | ShardsChanged
+    | LimitsChanged
+    | ConfigurationGrown
+    | VersionsPublished
+)
 Fault = (
     TargetFault
     | TargetReplaced
     | StoreUnavailable
     | StoreStalled
     | GatewayFault
-    | RoutesChanged
+    | ConfigurationChange
 )
 
 
@@ -126,14 +221,30 @@
         targets: Number of targets.
         gateways: Number of gateways.
     """
-    generator = random.Random(seed)
+    faults, changes = random.Random(seed), random.Random(f"changes of {seed}")
+    planned = [
+        *_draw_series(
+            faults, FAULTS_PER_S, duration_s, lambda: _draw(faults, targets, gateways)
+        ),
+        *_draw_series(
+            changes, CHANGES_PER_S, duration_s, lambda: _draw_change(changes, gateways)
+        ),
+    ]
+    return sorted(planned, key=lambda each: each.at_s)
+
+
+def _draw_series(
+    generator: random.Random,
+    rate_per_s: float,
+    duration_s: float,
+    draw: Callable[[], Fault],
+) -> list[PlannedFault]:
     planned: list[PlannedFault] = []
-    at_s = generator.expovariate(FAULTS_PER_S)
+    at_s = generator.expovariate(rate_per_s)
     while at_s < duration_s:
         lasts_s = generator.uniform(LASTS_MIN_S, LASTS_MAX_S)
-        fault = _draw(generator, targets, gateways)
-        planned.append(PlannedFault(at_s, lasts_s, fault))
-        at_s += generator.expovariate(FAULTS_PER_S)
+        planned.append(PlannedFault(at_s, lasts_s, draw()))
+        at_s += generator.expovariate(rate_per_s)
     return planned
 
 
@@ -154,3 +265,31 @@
         RoutesChanged(),
     ]
     return generator.choice(faults)
+
+
+def _draw_change(generator: random.Random, gateways: int) -> Fault:
+    moved = generator.choice([RequestKind.LOOKUP, RequestKind.ORDER])
+    versions = [_draw_priorities(generator) for _ in range(generator.randint(2, 6))]
+    changes: list[Fault] = [
+        PrioritiesChanged(_draw_priorities(generator)),
+        RouteRemoved(generator.choice(list(RequestKind))),
+        RouteMoved(moved),
+        ShardsChanged(tuple(generator.sample(SHARD_SERVICES, generator.randint(2, 3)))),
+        LimitsChanged(
+            generator.randint(IDLE_TIMEOUT_MIN_MS, 15_000),
+            generator.randint(HEADER_TIMEOUT_MIN_MS, 6_000),
+        ),
+        ConfigurationGrown(generator.randint(200, 600)),
+        VersionsPublished(tuple(versions)),
+        SettingsReloaded(
+            generator.randrange(gateways),
+            generator.randint(20, 60),
+            generator.randint(1, 2),
+            generator.random() < 0.3,
+        ),
+    ]
+    return generator.choice(changes)
+
+
+def _draw_priorities(generator: random.Random) -> tuple[int, ...]:
+    return tuple(generator.randrange(PRIORITIES) for _ in RequestKind)
--- /dev/null
+++ b/soak/gateways.py
@@ -0,0 +1,175 @@
+"""Injects faults into gateways and records when they were disturbed."""
+
+import signal
+import subprocess
+import threading
+import time
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+from typing import Final
+
+from soak.callers import Outcome
+from soak.faults import (
+    GatewayFault,
+    GatewayKilled,
+    GatewayPaused,
+    GatewayStopped,
+    SettingsReloaded,
+)
+from soak.operator import Period, PublishedVersions
+from standins.gateway_process import GatewayProcess
+
+# A third one serves while one is stopped and another is killed.
+GATEWAYS: Final = 3
+# Time to stop: `bounds.grace-s` in the settings of `standins.gateway_process`.
+GRACE_S: Final = 6.0
+# Tolerance for the system to report the end of a process.
+GRACE_SLACK_S: Final = 1.0
+# Time between two signals that are sent to a gateway in quick succession.
+SIGNALS_INTERVAL_S: Final = 0.05
+
+
+@dataclass(frozen=True, slots=True)
+class Disturbance:
+    """A period in which a gateway was killed, paused or stopping.
+
+    Attributes:
+        gateway: Number of the gateway.
+        from_s: Start of the period, monotonic.
+        until_s: End of the period, monotonic.
+        is_graceful: Whether the gateway was stopped by SIGTERM, so that it must still
+            answer the requests it already has.
+    """
+
+    gateway: int
+    from_s: float
+    until_s: float
+    is_graceful: bool
+
+
+@dataclass(frozen=True, slots=True)
+class FaultRecord:
+    """The disturbances and versions that decide what a gateway may do with a request.
+
+    Attributes:
+        gateways: When gateways were killed, paused or stopped.
+        store: When the store was unavailable or stalled.
+        versions: The versions of the configuration that were published.
+    """
+
+    gateways: Sequence[Disturbance] = ()
+    store: Sequence[Period] = ()
+    versions: PublishedVersions = field(default_factory=PublishedVersions)
+
+    def find_overlapping(self, outcome: Outcome) -> list[Disturbance]:
+        """Returns the disturbances of the gateway of a request while it ran."""
+        return [
+            each
+            for each in self.gateways
+            if each.gateway == outcome.gateway
+            and each.from_s <= outcome.ended_at_s
+            and each.until_s >= outcome.sent_at_s
+        ]
+
+    def find_services(self, outcome: Outcome) -> list[tuple[str, ...]]:
+        """Returns the services of the route of a request, by version.
+
+        Contains each version that may have been in force while the request ran. A
+        version without the route has no service.
+        """
+        unreadable = [
+            Period(each.from_s, each.until_s)
+            for each in self.gateways
+            if each.gateway == outcome.gateway and not each.is_graceful
+        ]
+        versions = self.versions.find_in_force(
+            Period(outcome.sent_at_s, outcome.ended_at_s), [*self.store, *unreadable]
+        )
+        return [version.services.get(outcome.kind, ()) for version in versions]
+
+
+class GatewayFaults:
+    """Injects faults into gateways.
+
+    Args:
+        gateways: The gateways, by their number.
+
+    Attributes:
+        disturbances: When gateways were killed, paused or stopped.
+        violations: One line for each gateway that stopped too late or with an error.
+    """
+
+    def __init__(self, gateways: Sequence[GatewayProcess]) -> None:
+        self._gateways = gateways
+        self._locks = [threading.Lock() for _ in range(GATEWAYS)]
+        self.disturbances: list[Disturbance] = []
+        self.violations: list[str] = []
+
+    def inject(self, fault: GatewayFault, lasts_s: float) -> None:
+        """Injects a fault into a gateway and records the period of the disturbance.
+
+        Faults of the same gateway are injected one after another.
+        """
+        number = fault.gateway
+        gateway = self._gateways[number]
+        with self._locks[number]:
+            from_s = time.monotonic()
+            match fault:
+                case GatewayStopped():
+                    self._stop_gateway(gateway)
+                case GatewayKilled():
+                    self._kill_gateway(gateway, lasts_s)
+                case GatewayPaused():
+                    self._pause_gateway(gateway, lasts_s)
+                case SettingsReloaded():
+                    self._reload_settings(gateway, fault)
+            if isinstance(fault, SettingsReloaded) and not fault.is_stopped:
+                return
+            is_graceful = isinstance(fault, GatewayStopped | SettingsReloaded)
+            disturbance = Disturbance(number, from_s, time.monotonic(), is_graceful)
+            self.disturbances.append(disturbance)
+
+    def _stop_gateway(self, gateway: GatewayProcess) -> None:
+        # A gateway that is still starting has no requests to finish and may exit at
+        # once, so its exit status is not checked.
+        was_ready = gateway.is_ready()
+        gateway.process.send_signal(signal.SIGTERM)
+        self._await_end(gateway, was_ready)
+        gateway.launch()
+
+    def _await_end(self, gateway: GatewayProcess, was_ready: bool) -> None:
+        try:
+            status = gateway.process.wait(GRACE_S + GRACE_SLACK_S)
+        except subprocess.TimeoutExpired:
+            self.violations.append(f"stop: {gateway.node} outlived its grace")
+            gateway.process.kill()
+            status = gateway.process.wait()
+        if status != 0 and was_ready:
+            self.violations.append(f"stop: {gateway.node} ended with {status}")
+
+    def _reload_settings(
+        self, gateway: GatewayProcess, fault: SettingsReloaded
+    ) -> None:
+        gateway.change_setting("bounds.retry-slack", str(fault.retry_slack))
+        # SIGHUP ends a process that has not run any code yet.
+        was_ready = gateway.is_ready()
+        signals = [signal.SIGHUP] * fault.signals if was_ready else []
+        if fault.is_stopped:
+            signals.insert(1, signal.SIGTERM)
+        for each in signals:
+            gateway.process.send_signal(each)
+            time.sleep(SIGNALS_INTERVAL_S)
+        if fault.is_stopped:
+            self._await_end(gateway, was_ready)
+            gateway.launch()
+
+    def _kill_gateway(self, gateway: GatewayProcess, lasts_s: float) -> None:
+        gateway.process.kill()
+        gateway.process.wait()
+        time.sleep(lasts_s)
+        gateway.launch()
+
+    def _pause_gateway(self, gateway: GatewayProcess, lasts_s: float) -> None:
+        gateway.process.send_signal(signal.SIGSTOP)
+        time.sleep(lasts_s)
+        gateway.process.send_signal(signal.SIGCONT)
--- a/soak/guarantees.py
+++ b/soak/guarantees.py
@@ -1,16 +1,15 @@
 """Checks the outcomes of requests against the guarantees that gateways give callers."""
 
 from collections import Counter
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 from typing import Final
 
 from soak.callers import DEADLINE_S, Outcome, RequestKind
-from soak.environment import Disturbance
+from soak.gateways import FaultRecord
 from standins.platform_store import PlainTarget
 
 # Statuses that guarantee that the request has not run.
 NOT_RUN_STATUSES: Final = frozenset({408, 429, 503})
-SHARDS: Final = 2
 # Tolerance on deadlines: a loaded machine may schedule a process this much later. The
 # performance target demands no tighter one.
 LATE_SLACK_S: Final = 1.0
@@ -19,15 +18,17 @@
 def find_violations(
     outcomes: Sequence[Outcome],
     targets: Iterable[PlainTarget],
-    disturbances: Sequence[Disturbance],
+    record: FaultRecord,
 ) -> list[str]:
     """Returns one line for each violated guarantee.
 
     Args:
         outcomes: The outcomes of all requests of the callers.
         targets: All targets that ever ran, with the requests that they ran.
-        disturbances: When gateways were killed, paused or stopped.
+        record: The disturbances of gateways and the store, and the versions.
     """
+    targets = list(targets)
+    service_of = {target.name: target.service for target in targets}
     ran = Counter(
         (name, target.name) for target in targets for name in target.executed_requests
     )
@@ -38,7 +39,8 @@
     for outcome in outcomes:
         violations += _check_runs(outcome, runs[outcome.name])
         violations += _check_content(outcome, ran)
-        violations += _check_timing(outcome, disturbances)
+        violations += _check_route(outcome, service_of, record)
+        violations += _check_timing(outcome, record)
     return violations
 
 
@@ -62,29 +64,47 @@
     for signature in outcome.signatures:
         if not ran[outcome.name, signature]:
             yield f"mixed: {outcome.name} names {signature}, which did not run it"
-    if outcome.kind is RequestKind.SEARCH:
-        if len(set(outcome.signatures)) + outcome.missing != SHARDS:
-            yield f"whole: {outcome.name} has {outcome.signatures}, {outcome.missing}"
-    elif not outcome.body.startswith(b"".join(s.encode() for s in outcome.signatures)):
+    is_search = outcome.kind is RequestKind.SEARCH
+    if not is_search and not outcome.body.startswith(
+        b"".join(s.encode() for s in outcome.signatures)
+    ):
         yield f"mixed: {outcome.name} has the body {outcome.body!r}"
 
 
-def _check_timing(
-    outcome: Outcome, disturbances: Sequence[Disturbance]
+def _check_route(
+    outcome: Outcome, service_of: Mapping[str, str], record: FaultRecord
 ) -> Iterable[str]:
+    """Checks that a version allows the response that may have been in force.
+
+    The shards of a search are those of one version, and those that its response lacks
+    are reported. Without the route there is no other response than 404.
+    """
+    allowed = record.find_services(outcome)
+    if outcome.status == 404 and () not in allowed:
+        yield f"route: {outcome.name} got 404, but its route is there"
+    if outcome.status != 200:
+        return
+    signatures = set(outcome.signatures)
+    found = sorted(service_of[each] for each in signatures if each in service_of)
+    if outcome.kind is RequestKind.SEARCH:
+        count = len(signatures) + outcome.missing
+        sets = [set(services) for services in allowed if len(services) == count]
+        # Every shard replies for itself alone.
+        is_set = len(set(found)) == len(signatures)
+        if not is_set or not any(each.issuperset(found) for each in sets):
+            yield f"whole: {outcome.name} has {found}, {outcome.missing}"
+    elif any((service,) not in allowed for service in found):
+        yield f"route: {outcome.name} ran at {found}, its services are {allowed}"
+
+
+def _check_timing(outcome: Outcome, record: FaultRecord) -> Iterable[str]:
     """Checks that a request got its response by the deadline.
 
     Requests that overlap with the time in which their gateway was killed or paused are
     exempt. Only a request that was sent after its gateway began to stop may get no
     response at all.
     """
-    overlapping = [
-        each
-        for each in disturbances
-        if each.gateway == outcome.gateway
-        and each.from_s <= outcome.ended_at_s
-        and each.until_s >= outcome.sent_at_s
-    ]
+    overlapping = record.find_overlapping(outcome)
     if any(not each.is_graceful for each in overlapping):
         return
     elapsed_s = outcome.ended_at_s - outcome.sent_at_s
--- a/soak/run.py
+++ b/soak/run.py
@@ -9,8 +9,9 @@
 
 from soak import guarantees
 from soak.callers import Caller, Callers, RequestKind
-from soak.environment import GATEWAYS, SERVICES, SoakEnvironment
+from soak.environment import SERVICES, SoakEnvironment
 from soak.faults import draw_plan
+from soak.gateways import GATEWAYS
 
 # Two for each gateway; together they send about 80 requests per second.
 CALLERS: Final = 6
@@ -59,7 +60,7 @@
             unrecovered = _check_recovery(prober)
             prober.disconnect()
         broken = guarantees.find_violations(
-            callers.outcomes, environment.targets, environment.disturbances
+            callers.outcomes, environment.targets, environment.record
         )
         broken += environment.violations + unrecovered + _find_tracebacks(folder)
     finally:
--- a/standins/gateway_process.py
+++ b/standins/gateway_process.py
@@ -112,9 +112,22 @@
         """Restarts the process after the previous one has ended."""
         self._launch(is_first_start=False)
 
-    def _launch(self, is_first_start: bool) -> None:
-        bootstrap = f"bootstrap={str(is_first_start).lower()}\n"
+    def change_setting(self, name: str, value: str) -> None:
+        """Changes a value in the settings file; the process isn't told."""
+        lines = [
+            f"{name}={value}" if line.startswith(f"{name}=") else line
+            for line in self._settings.splitlines()
+        ]
+        self._settings = "\n".join([*lines, ""])
+        self._write_settings()
+
+    def _write_settings(self) -> None:
+        bootstrap = f"bootstrap={str(self._is_first_start).lower()}\n"
         self._path.write_text(self._settings + bootstrap)
+
+    def _launch(self, is_first_start: bool) -> None:
+        self._is_first_start = is_first_start
+        self._write_settings()
         self.process = subprocess.Popen(
             [sys.executable, "-m", "lavendertide.platform"],
             env=self._environment,
--- a/tests/soak/test_guarantees.py
+++ b/tests/soak/test_guarantees.py
@@ -5,8 +5,9 @@
 from typing import cast
 
 from soak.callers import DEADLINE_S, Outcome, RequestKind
-from soak.environment import Disturbance
+from soak.gateways import Disturbance, FaultRecord
 from soak.guarantees import LATE_SLACK_S, find_violations
+from soak.operator import APPLY_S, Period, PublishedVersion, PublishedVersions
 from standins.platform_store import PlainTarget
 
 SERVED = Outcome(
@@ -23,6 +24,13 @@
 SEARCH = replace(
     SERVED, kind=RequestKind.SEARCH, echoed="", body=b"", signatures=("s0", "s1")
 )
+SERVICES = {
+    RequestKind.LOOKUP: ("desk",),
+    RequestKind.ORDER: ("desk",),
+    RequestKind.SEARCH: ("shard-0", "shard-1"),
+}
+VERSIONS = PublishedVersions([PublishedVersion(0.0, SERVICES)])
+SERVICE_OF_TARGET = {"s0": "shard-0", "s1": "shard-1", "o0": "other"}
 LATE_S = DEADLINE_S + LATE_SLACK_S + 0.1
 
 
@@ -31,6 +39,7 @@
 
     def __init__(self, name: str, *ran: str) -> None:
         self.name = name
+        self.service = SERVICE_OF_TARGET.get(name, "desk")
         self.executed_requests = list(ran)
 
 
@@ -42,10 +51,13 @@
         outcome: Outcome,
         *ran: FakeTarget,
         disturbances: tuple[Disturbance, ...] = (),
+        store: tuple[Period, ...] = (),
+        versions: PublishedVersions = VERSIONS,
     ) -> list[str]:
         """Returns the kinds of the violations of one outcome."""
         targets = [cast(PlainTarget, each) for each in ran]
-        broken = find_violations([outcome], targets, disturbances)
+        record = FaultRecord(disturbances, store, versions)
+        broken = find_violations([outcome], targets, record)
         return [line.partition(":")[0] for line in broken]
 
     def test_a_proper_answer_breaks_none(self) -> None:
@@ -75,6 +87,49 @@
         reported = replace(partial, missing=1)
         self.assertEqual(self.kinds_of(reported, FakeTarget("s0", "c0-1")), [])
 
+    def test_a_search_with_shards_of_two_versions(self) -> None:
+        moved = SERVICES | {RequestKind.SEARCH: ("shard-1", "other")}
+        versions = PublishedVersions(
+            [PublishedVersion(0.0, SERVICES), PublishedVersion(9.0, moved)]
+        )
+        mixed = replace(SEARCH, signatures=("s0", "o0"))
+        ran = FakeTarget("s0", "c0-1"), FakeTarget("o0", "c0-1")
+        self.assertEqual(self.kinds_of(mixed, *ran, versions=versions), ["whole"])
+        whole = replace(SEARCH, signatures=("s1", "o0"))
+        ran = FakeTarget("s1", "c0-1"), FakeTarget("o0", "c0-1")
+        self.assertEqual(self.kinds_of(whole, *ran, versions=versions), [])
+        self.assertEqual(self.kinds_of(whole, *ran), ["whole"])
+
+    def test_a_request_that_another_service_ran(self) -> None:
+        other = replace(SERVED, signatures=("o0",), body=b"o0..............")
+        ran = FakeTarget("o0", "c0-1")
+        self.assertEqual(self.kinds_of(other, ran), ["route"])
+        moved = SERVICES | {RequestKind.ORDER: ("other",)}
+        versions = PublishedVersions(
+            [PublishedVersion(0.0, moved), PublishedVersion(9.0, SERVICES)]
+        )
+        self.assertEqual(self.kinds_of(other, ran, versions=versions), [])
+
+    def test_a_404_while_the_route_is_there(self) -> None:
+        missing = replace(SERVED, status=404, signatures=(), body=b"")
+        self.assertEqual(self.kinds_of(missing), ["route"])
+        without = {RequestKind.SEARCH: ("shard-0", "shard-1")}
+        removed = PublishedVersion(1.0, without)
+        versions = [removed, PublishedVersion(9.0, SERVICES)]
+        judged = self.kinds_of(missing, versions=PublishedVersions(versions))
+        self.assertEqual(judged, [])
+        # Long after the route has been added again.
+        back_at_s = SERVED.sent_at_s - APPLY_S - 0.1
+        versions = [removed, PublishedVersion(back_at_s, SERVICES)]
+        judged = self.kinds_of(missing, versions=PublishedVersions(versions))
+        self.assertEqual(judged, ["route"])
+        # The store could not be read when the route was added again.
+        stalled = Period(back_at_s, back_at_s + 1.0)
+        judged = self.kinds_of(
+            missing, store=(stalled,), versions=PublishedVersions(versions)
+        )
+        self.assertEqual(judged, [])
+
     def test_a_late_answer_of_an_undisturbed_gateway(self) -> None:
         late = replace(SERVED, ended_at_s=10.0 + LATE_S)
         self.assertEqual(self.kinds_of(late, FakeTarget("t0", "c0-1")), ["late"])
