Let the soak's callers use connections in several manners

What was seen: the soak's callers sent one short request after another on kept connections, so it said nothing of requests that arrive in another way.

Change: four more callers pipeline two requests, send long bodies in chunks, wait for 100 Continue, or end their sending side and still read. Now and then a kept connection is idle for two thirds of the shortest idle limit. A pipelined request behind a response that announces the end of the connection may have no response while its gateway stops, but then it must not have run.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -1,4 +1,4 @@
-"""Sends requests from threads with persistent connections and records the outcomes."""
+"""Sends requests from threads in several manners and records the outcomes."""
 
 import contextlib
 import http.client
@@ -6,11 +6,12 @@
 import random
 import threading
 import time
-from collections.abc import Sequence
-from dataclasses import dataclass
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass, replace
 from enum import Enum
 from typing import Final
 
+from soak.connection import CallerConnection, Reply, Request
 from standins.gateway_process import GatewayProcess
 
 # Pause between two requests of a caller; long enough for a machine with other load.
@@ -18,6 +19,13 @@
 DEADLINE_S: Final = 2.0
 # Socket timeout after which a caller gives up a connection; far beyond any deadline.
 SOCKET_TIMEOUT_S: Final = 10.0
+# Now and then a connection is idle for longer: two thirds of the shortest limit.
+LONG_PAUSE_S: Final = 2.0
+LONG_PAUSE_SHARE: Final = 0.02
+# A body that doesn't fit into one segment; less than the default limit of bodies.
+BODY_CHUNKS: Final = (b"x" * 8_192,) * 8
+# Callers that keep connections: two for each gateway.
+KEPT_CALLERS: Final = 6
 
 
 class RequestKind(Enum):
@@ -29,6 +37,21 @@
     SEARCH = "searches"
 
 
+class Manner(Enum):
+    """How a caller uses its connections."""
+
+    # One request after another on a persistent connection.
+    KEPT = "kept"
+    # Two requests at once.
+    PIPELINED = "pipelined"
+    # A long body in chunks.
+    CHUNKED = "chunked"
+    # A body that is sent only after an interim response.
+    EXPECTING = "expecting"
+    # The sending side ends after each request.
+    HALF_CLOSED = "half-closed"
+
+
 @dataclass(frozen=True, slots=True)
 class Outcome:
     """The outcome of one request.
@@ -40,6 +63,8 @@
         echoed: The request id that the response carries.
         signatures: The targets that the response names.
         missing: Number of shards that the response lacks.
+        is_behind_last: Whether it has no response since that to a request before it
+            announced the end of the connection.
     """
 
     name: str
@@ -52,49 +77,63 @@
     body: bytes = b""
     signatures: tuple[str, ...] = ()
     missing: int = 0
+    is_behind_last: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class _SentRequest:
+    name: str
+    kind: RequestKind
+    sent_at_s: float
 
 
 class Caller:
-    """Sends one request after another on a persistent connection.
+    """Sends one request after another, in one manner.
 
     Attributes:
         outcomes: The outcomes of all requests so far.
     """
 
-    def __init__(self, name: str, gateways: Sequence[GatewayProcess]) -> None:
+    def __init__(
+        self,
+        name: str,
+        gateways: Sequence[GatewayProcess],
+        manner: Manner = Manner.KEPT,
+    ) -> None:
         self._name = name
         self._gateways = gateways
+        self._manner = manner
         self._random = random.Random(name)
-        self._connection: http.client.HTTPConnection | None = None
+        self._connection: CallerConnection | None = None
         self._gateway = 0
+        self._sent = 0
         self.outcomes: list[Outcome] = []
 
     def run(self, stopped: threading.Event) -> None:
         """Sends requests of random kinds until `stopped` is set."""
         while not stopped.is_set():
-            self.send(self._random.choice(list(RequestKind)))
-            time.sleep(PAUSE_S)
+            self.send(self._draw_kind())
+            is_long = self._random.random() < LONG_PAUSE_SHARE
+            stopped.wait(LONG_PAUSE_S if is_long else PAUSE_S)
         self.disconnect()
 
     def send(self, kind: RequestKind) -> Outcome | None:
-        """Sends one request and records its outcome.
+        """Sends a request, or two that are pipelined, and records the outcomes.
 
         Returns:
-            The outcome, or None if no gateway resolved the name of the host.
+            The last outcome, or None if no gateway resolved the name of the host.
         """
-        connection = self._connect()
-        if connection is None:
-            return None
-        name = f"{self._name}-{len(self.outcomes)}"
-        sent_at_s = time.monotonic()
-        try:
-            outcome = self._exchange(connection, name, kind, sent_at_s)
-        except (OSError, http.client.HTTPException):
-            self.disconnect()
-            ended_at_s = time.monotonic()
-            outcome = Outcome(name, kind, self._gateway, sent_at_s, ended_at_s)
-        self.outcomes.append(outcome)
-        return outcome
+        if self._connection is None:
+            number = self._resolve()
+            if number is None:
+                return None
+            self._gateway = number
+        match self._manner:
+            case Manner.PIPELINED:
+                self._exchange([self._next(kind), self._next(self._draw_kind())])
+            case _:
+                self._exchange([self._next(kind)])
+        return self.outcomes[-1]
 
     def disconnect(self) -> None:
         """Closes the connection."""
@@ -102,52 +141,75 @@
             self._connection.close()
             self._connection = None
 
-    def _exchange(
-        self,
-        connection: http.client.HTTPConnection,
-        name: str,
-        kind: RequestKind,
-        sent_at_s: float,
-    ) -> Outcome:
+    def _draw_kind(self) -> RequestKind:
+        return self._random.choice(list(RequestKind))
+
+    def _next(self, kind: RequestKind) -> _SentRequest:
+        self._sent += 1
+        return _SentRequest(f"{self._name}-{self._sent}", kind, time.monotonic())
+
+    def _exchange(self, sent: Sequence[_SentRequest]) -> None:
+        replies: list[Reply] = []
+        with contextlib.suppress(OSError):
+            for reply in self._replies(self._connect(), sent):
+                replies.append(reply)
+                self.outcomes.append(self._outcome(sent[len(replies) - 1], reply))
+        is_last = bool(replies) and replies[-1].is_last
+        ended_at_s = time.monotonic()
+        for each in sent[len(replies) :]:
+            outcome = Outcome(
+                each.name, each.kind, self._gateway, each.sent_at_s, ended_at_s
+            )
+            self.outcomes.append(replace(outcome, is_behind_last=is_last))
+        if is_last or len(replies) < len(sent) or self._manner is Manner.HALF_CLOSED:
+            self.disconnect()
+
+    def _replies(
+        self, connection: CallerConnection, sent: Sequence[_SentRequest]
+    ) -> Iterable[Reply]:
+        requests = [self._request(each) for each in sent]
+        match self._manner:
+            case Manner.PIPELINED:
+                yield from connection.pipeline(requests)
+            case Manner.HALF_CLOSED:
+                yield connection.exchange_and_end_sending(requests[0])
+            case Manner.KEPT | Manner.CHUNKED | Manner.EXPECTING:
+                yield connection.exchange(requests[0])
+
+    def _request(self, sent: _SentRequest) -> Request:
         headers = {
             "Host": "shop.example",
-            "Lavendertide-Request-Id": name,
+            "Lavendertide-Request-Id": sent.name,
             "Lavendertide-Deadline-Ms": str(int(DEADLINE_S * 1_000)),
         }
-        method = "POST" if kind is RequestKind.ORDER else "GET"
-        connection.request(method, f"/{kind.value}/{name}", headers=headers)
-        response = connection.getresponse()
-        body = response.read()
-        ended_at_s = time.monotonic()
-        found = response.headers
-        signature = found.get("Lavendertide-Server-Stamp", "")
-        listed = found.get("Lavendertide-Part-Stamps", signature)
-        if found.get("Connection", "").lower() == "close":
-            self.disconnect()
+        path = f"/{sent.kind.value}/{sent.name}"
+        expects = self._manner is Manner.EXPECTING
+        if expects or self._manner is Manner.CHUNKED:
+            return Request("POST", path, headers, BODY_CHUNKS, expects)
+        method = "POST" if sent.kind is RequestKind.ORDER else "GET"
+        return Request(method, path, headers)
+
+    def _outcome(self, sent: _SentRequest, reply: Reply) -> Outcome:
+        found = reply.headers
+        signature = found.get("lavendertide-server-stamp", "")
+        listed = found.get("lavendertide-part-stamps", signature)
         return Outcome(
-            name,
-            kind,
+            sent.name,
+            sent.kind,
             self._gateway,
-            sent_at_s,
-            ended_at_s,
-            response.status,
-            found.get("Lavendertide-Request-Id", ""),
-            body,
+            sent.sent_at_s,
+            time.monotonic(),
+            reply.status,
+            found.get("lavendertide-request-id", ""),
+            reply.body,
             tuple(each for each in listed.split(", ") if each),
-            int(found.get("Lavendertide-Missing-Parts", "0")),
+            int(found.get("lavendertide-missing-parts", "0")),
         )
 
-    def _connect(self) -> http.client.HTTPConnection | None:
-        if self._connection is not None:
-            return self._connection
-        number = self._resolve()
-        if number is None:
-            return None
-        self._gateway = number
-        port = self._gateways[number].ports[0]
-        self._connection = http.client.HTTPConnection(
-            "127.0.0.1", port, SOCKET_TIMEOUT_S
-        )
+    def _connect(self) -> CallerConnection:
+        if self._connection is None:
+            port = self._gateways[self._gateway].ports[0]
+            self._connection = CallerConnection(port, SOCKET_TIMEOUT_S)
         return self._connection
 
     def _resolve(self) -> int | None:
@@ -185,9 +247,14 @@
 class Callers:
     """Runs several callers, each in a thread, while the context is open."""
 
-    def __init__(self, count: int, gateways: Sequence[GatewayProcess]) -> None:
+    def __init__(self, gateways: Sequence[GatewayProcess]) -> None:
         self._stopped = threading.Event()
-        self._callers = [Caller(f"c{n}", gateways) for n in range(count)]
+        manners: list[Manner] = [Manner.KEPT] * KEPT_CALLERS
+        manners += (manner for manner in Manner if manner is not Manner.KEPT)
+        self._callers = [
+            Caller(f"{manner.value}-{number}", gateways, manner)
+            for number, manner in enumerate(manners)
+        ]
         self._threads = [
             threading.Thread(target=caller.run, args=(self._stopped,))
             for caller in self._callers
--- a/soak/guarantees.py
+++ b/soak/guarantees.py
@@ -49,6 +49,8 @@
         yield f"once: {outcome.name} ran {runs} times"
     if outcome.status in NOT_RUN_STATUSES and runs:
         yield f"not run: {outcome.name} got {outcome.status} and ran"
+    if outcome.is_behind_last and runs:
+        yield f"not run: {outcome.name} came after the last response and ran"
 
 
 def _check_content(outcome: Outcome, ran: Counter[tuple[str, str]]) -> Iterable[str]:
@@ -102,7 +104,8 @@
 
     Requests that overlap with the time in which their gateway was killed or paused are
     exempt. Only a request that was sent after its gateway began to stop may get no
-    response at all.
+    response at all, or one behind the response with which the gateway has announced
+    this end.
     """
     overlapping = record.find_overlapping(outcome)
     if any(not each.is_graceful for each in overlapping):
@@ -111,5 +114,6 @@
     if elapsed_s > DEADLINE_S + LATE_SLACK_S:
         yield f"late: {outcome.name} took {elapsed_s:.1f} s, status {outcome.status}"
     is_before_stop = all(each.from_s > outcome.sent_at_s for each in overlapping)
-    if outcome.status == 0 and is_before_stop:
+    is_announced = outcome.is_behind_last and bool(overlapping)
+    if outcome.status == 0 and is_before_stop and not is_announced:
         yield f"cut off: {outcome.name} on gateway {outcome.gateway} got no response"
--- a/soak/run.py
+++ b/soak/run.py
@@ -13,8 +13,6 @@
 from soak.faults import draw_plan
 from soak.gateways import GATEWAYS
 
-# Two for each gateway; together they send about 80 requests per second.
-CALLERS: Final = 6
 # Time after the last fault by which all requests must succeed again, as the deployed
 # sites require.
 RECOVERY_S: Final = 15.0
@@ -52,7 +50,7 @@
     environment = SoakEnvironment(folder)
     try:
         environment.start()
-        with Callers(CALLERS, environment.gateways) as callers:
+        with Callers(environment.gateways) as callers:
             environment.inject_faults(
                 draw_plan(seed, duration_s, len(SERVICES), GATEWAYS)
             )
--- a/tests/soak/test_guarantees.py
+++ b/tests/soak/test_guarantees.py
@@ -143,3 +143,12 @@
         self.assertEqual(self.kinds_of(cut, disturbances=(stop,)), ["cut off"])
         earlier = replace(stop, from_s=9.0)
         self.assertEqual(self.kinds_of(cut, disturbances=(earlier,)), [])
+
+    def test_a_pipelined_request_behind_the_last_response(self) -> None:
+        behind = replace(SERVED, status=0, signatures=(), body=b"", is_behind_last=True)
+        self.assertEqual(self.kinds_of(behind), ["cut off"])
+        stop = Disturbance(0, 10.05, 12.0, is_graceful=True)
+        self.assertEqual(self.kinds_of(behind, disturbances=(stop,)), [])
+        ran = FakeTarget("t0", "c0-1")
+        judged = self.kinds_of(behind, ran, disturbances=(stop,))
+        self.assertEqual(judged, ["not run"])
