Check the gateways' own accounts in the soak test

What was seen: the soak judged only what its callers saw, so it could not tell a request that a gateway had read from one that crossed its close.

Change: at the end of a run, and at each graceful stop, the requests that a gateway has read equal the sum of their ends, each of them was answered, no connection was closed as idle or incomplete with unread data, and no bookkeeping failed. The log of a gateway tells the faults of processes that were killed. Logs of an earlier run are removed.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -7,7 +7,7 @@
 import threading
 import time
 from collections.abc import Iterable, Sequence
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 from enum import Enum
 from typing import Final
 
@@ -65,6 +65,7 @@
         missing: Number of shards that the response lacks.
         is_behind_last: Whether it has no response since that to a request before it
             announced the end of the connection.
+        is_unsent: Whether the gateway refused the connection.
     """
 
     name: str
@@ -78,6 +79,7 @@
     signatures: tuple[str, ...] = ()
     missing: int = 0
     is_behind_last: bool = False
+    is_unsent: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -158,9 +160,15 @@
         ended_at_s = time.monotonic()
         for each in sent[len(replies) :]:
             outcome = Outcome(
-                each.name, each.kind, self._gateway, each.sent_at_s, ended_at_s
+                each.name,
+                each.kind,
+                self._gateway,
+                each.sent_at_s,
+                ended_at_s,
+                is_behind_last=is_last,
+                is_unsent=self._connection is None,
             )
-            self.outcomes.append(replace(outcome, is_behind_last=is_last))
+            self.outcomes.append(outcome)
         if is_last or len(replies) < len(sent) or self._manner is Manner.HALF_CLOSED:
             self.disconnect()
 
--- a/soak/environment.py
+++ b/soak/environment.py
@@ -148,6 +148,10 @@
         for thread in threads:
             thread.join()
 
+    def check_accounts(self) -> list[str]:
+        """Returns one line for each fault in the accounts of the gateways."""
+        return self._gateway_faults.check_accounts()
+
     def _inject_at(self, began_at_s: float, planned: PlannedFault) -> None:
         time.sleep(max(0.0, began_at_s + planned.at_s - time.monotonic()))
         self._inject(planned.fault, planned.lasts_s)
--- a/soak/gateways.py
+++ b/soak/gateways.py
@@ -1,5 +1,6 @@
 """Injects faults into gateways and records when they were disturbed."""
 
+import http.client
 import signal
 import subprocess
 import threading
@@ -8,6 +9,7 @@
 from dataclasses import dataclass, field
 from typing import Final
 
+from soak.accounts import check_account, check_log, count_stops, parse_metrics
 from soak.callers import Outcome
 from soak.faults import (
     GatewayFault,
@@ -27,6 +29,11 @@
 GRACE_SLACK_S: Final = 1.0
 # Time between two signals that are sent to a gateway in quick succession.
 SIGNALS_INTERVAL_S: Final = 0.05
+# Time after which a gateway has started again and has ended what callers have read.
+SETTLE_S: Final = 10.0
+SETTLE_PAUSE_S: Final = 0.2
+# Index of the listener for metrics.
+METRICS_PORT: Final = 4
 
 
 @dataclass(frozen=True, slots=True)
@@ -71,6 +78,15 @@
             and each.until_s >= outcome.sent_at_s
         ]
 
+    def was_disturbed(self, outcome: Outcome, within_s: float) -> bool:
+        """Returns whether the gateway of a request was disturbed shortly before it."""
+        return any(
+            each.gateway == outcome.gateway
+            and each.from_s <= outcome.ended_at_s
+            and each.until_s >= outcome.sent_at_s - within_s
+            for each in self.gateways
+        )
+
     def find_services(self, outcome: Outcome) -> list[tuple[str, ...]]:
         """Returns the services of the route of a request, by version.
 
@@ -129,6 +145,31 @@
             disturbance = Disturbance(number, from_s, time.monotonic(), is_graceful)
             self.disturbances.append(disturbance)
 
+    def check_accounts(self) -> list[str]:
+        """Returns one line for each fault in the accounts of the gateways.
+
+        To be called when no caller waits for a response.
+        """
+        found: list[str] = []
+        for gateway in self._gateways:
+            found += self._check_running(gateway)
+            found += check_log(gateway.node, gateway.log_text)
+        return found
+
+    def _check_running(self, gateway: GatewayProcess) -> list[str]:
+        ends_at_s = time.monotonic() + SETTLE_S
+        while True:
+            try:
+                response = gateway.get("/metrics", METRICS_PORT)
+            except (OSError, http.client.HTTPException) as error:
+                found = [f"account: {gateway.node} can't be read: {error!r}"]
+            else:
+                text = response.body.decode()  # type: ignore[attr-defined]
+                found = list(check_account(gateway.node, parse_metrics(text)))
+            if not found or time.monotonic() > ends_at_s:
+                return found
+            time.sleep(SETTLE_PAUSE_S)
+
     def _stop_gateway(self, gateway: GatewayProcess) -> None:
         # A gateway that is still starting has no requests to finish and may exit at
         # once, so its exit status is not checked.
@@ -138,6 +179,7 @@
         gateway.launch()
 
     def _await_end(self, gateway: GatewayProcess, was_ready: bool) -> None:
+        stops = count_stops(gateway.log_text)
         try:
             status = gateway.process.wait(GRACE_S + GRACE_SLACK_S)
         except subprocess.TimeoutExpired:
@@ -146,6 +188,8 @@
             status = gateway.process.wait()
         if status != 0 and was_ready:
             self.violations.append(f"stop: {gateway.node} ended with {status}")
+        elif was_ready and count_stops(gateway.log_text) == stops:
+            self.violations.append(f"stop: {gateway.node} logged no account")
 
     def _reload_settings(
         self, gateway: GatewayProcess, fault: SettingsReloaded
--- a/soak/guarantees.py
+++ b/soak/guarantees.py
@@ -6,6 +6,7 @@
 
 from soak.callers import DEADLINE_S, Outcome, RequestKind
 from soak.gateways import FaultRecord
+from standins.gateway_process import START_TIMEOUT_S
 from standins.platform_store import PlainTarget
 
 # Statuses that guarantee that the request has not run.
@@ -105,11 +106,15 @@
     Requests that overlap with the time in which their gateway was killed or paused are
     exempt. Only a request that was sent after its gateway began to stop may get no
     response at all, or one behind the response with which the gateway has announced
-    this end.
+    this end. A gateway that starts again refuses connections until it listens.
     """
     overlapping = record.find_overlapping(outcome)
     if any(not each.is_graceful for each in overlapping):
         return
+    if outcome.is_unsent:
+        if not record.was_disturbed(outcome, START_TIMEOUT_S):
+            yield f"cut off: {outcome.name} found gateway {outcome.gateway} closed"
+        return
     elapsed_s = outcome.ended_at_s - outcome.sent_at_s
     if elapsed_s > DEADLINE_S + LATE_SLACK_S:
         yield f"late: {outcome.name} took {elapsed_s:.1f} s, status {outcome.status}"
--- a/soak/run.py
+++ b/soak/run.py
@@ -47,6 +47,9 @@
         with tempfile.TemporaryDirectory() as temporary:
             return run_soak(seed, duration_s, Path(temporary))
     folder.mkdir(parents=True, exist_ok=True)
+    # Gateways append to their logs, and faults of an earlier run aren't of this one.
+    for path in folder.glob("*.log"):
+        path.unlink()
     environment = SoakEnvironment(folder)
     try:
         environment.start()
@@ -60,6 +63,7 @@
         broken = guarantees.find_violations(
             callers.outcomes, environment.targets, environment.record
         )
+        broken += environment.check_accounts()
         broken += environment.violations + unrecovered + _find_tracebacks(folder)
     finally:
         environment.stop()
--- a/tests/soak/test_guarantees.py
+++ b/tests/soak/test_guarantees.py
@@ -152,3 +152,13 @@
         ran = FakeTarget("t0", "c0-1")
         judged = self.kinds_of(behind, ran, disturbances=(stop,))
         self.assertEqual(judged, ["not run"])
+
+    def test_a_gateway_that_refuses_connections(self) -> None:
+        unsent = replace(SERVED, status=0, signatures=(), body=b"", is_unsent=True)
+        self.assertEqual(self.kinds_of(unsent), ["cut off"])
+        killed = Disturbance(0, 8.0, 9.0, is_graceful=False)
+        self.assertEqual(self.kinds_of(unsent, disturbances=(killed,)), [])
+        other = replace(killed, gateway=1)
+        self.assertEqual(self.kinds_of(unsent, disturbances=(other,)), ["cut off"])
+        long_ago = replace(killed, from_s=-40.0, until_s=-30.0)
+        self.assertEqual(self.kinds_of(unsent, disturbances=(long_ago,)), ["cut off"])
