Let the soak's callers look at idle connections before they use them again

Cause: a fault of the soak. The caller was idle for 2 s, its gateway was killed and started again meanwhile, and the request was sent on the connection of the killed process after the period of the kill was over.

Change: as clients do, a caller looks whether the connection was closed before it sends a request. A closed one is recorded and is a violation, unless its gateway was killed or stopped while the connection was idle. So a gateway that closes an idle connection too early is found as well.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -66,6 +66,9 @@
         is_behind_last: Whether it has no response since that to a request before it
             announced the end of the connection.
         is_unsent: Whether the gateway refused the connection.
+        is_dropped: Whether the gateway had closed the idle connection before. The
+            request is sent again under another name, and its times are those from and
+            until which the connection was idle.
     """
 
     name: str
@@ -80,6 +83,7 @@
     missing: int = 0
     is_behind_last: bool = False
     is_unsent: bool = False
+    is_dropped: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -109,6 +113,7 @@
         self._connection: CallerConnection | None = None
         self._gateway = 0
         self._sent = 0
+        self._used_at_s = 0.0
         self.outcomes: list[Outcome] = []
 
     def run(self, stopped: threading.Event) -> None:
@@ -125,6 +130,8 @@
         Returns:
             The last outcome, or None if no gateway resolved the name of the host.
         """
+        if self._connection is not None and self._connection.is_closed:
+            self._record_dropped(kind)
         if self._connection is None:
             number = self._resolve()
             if number is None:
@@ -143,6 +150,19 @@
             self._connection.close()
             self._connection = None
 
+    def _record_dropped(self, kind: RequestKind) -> None:
+        self.disconnect()
+        request = self._next(kind)
+        dropped = Outcome(
+            request.name,
+            kind,
+            self._gateway,
+            self._used_at_s,
+            request.sent_at_s,
+            is_dropped=True,
+        )
+        self.outcomes.append(dropped)
+
     def _draw_kind(self) -> RequestKind:
         return self._random.choice(list(RequestKind))
 
@@ -157,7 +177,7 @@
                 replies.append(reply)
                 self.outcomes.append(self._outcome(sent[len(replies) - 1], reply))
         is_last = bool(replies) and replies[-1].is_last
-        ended_at_s = time.monotonic()
+        self._used_at_s = ended_at_s = time.monotonic()
         for each in sent[len(replies) :]:
             outcome = Outcome(
                 each.name,
--- a/soak/connection.py
+++ b/soak/connection.py
@@ -5,6 +5,7 @@
 """
 
 import contextlib
+import select
 import socket
 import time
 from collections.abc import Iterable, Sequence
@@ -79,6 +80,15 @@
         # Data of the next response that arrived with the previous one.
         self._received = b""
 
+    @property
+    def is_closed(self) -> bool:
+        """Whether the gateway has closed the connection, on which no request waits."""
+        readable, _, _ = select.select([self._socket], [], [], 0.0)
+        try:
+            return bool(readable) and not self._socket.recv(1, socket.MSG_PEEK)
+        except ConnectionError:
+            return True
+
     def exchange(self, request: Request) -> Reply:
         """Sends a request and returns its response.
 
--- a/soak/guarantees.py
+++ b/soak/guarantees.py
@@ -80,7 +80,7 @@
     """Checks that a version allows the response that may have been in force.
 
     The shards of a search are those of one version, and those that its response lacks
-    are reported. Without the route there is no other response than 404.
+    are reported. A version without the route allows only 404.
     """
     allowed = record.find_services(outcome)
     if outcome.status == 404 and () not in allowed:
@@ -106,9 +106,14 @@
     Requests that overlap with the time in which their gateway was killed or paused are
     exempt. Only a request that was sent after its gateway began to stop may get no
     response at all, or one behind the response with which the gateway has announced
-    this end. A gateway that starts again refuses connections until it listens.
+    this end. No other connection is closed while it is idle. A gateway that starts
+    again refuses connections until it listens.
     """
     overlapping = record.find_overlapping(outcome)
+    if outcome.is_dropped:
+        if not overlapping:
+            yield f"dropped: {outcome.name} found its connection closed"
+        return
     if any(not each.is_graceful for each in overlapping):
         return
     if outcome.is_unsent:
--- a/tests/soak/test_guarantees.py
+++ b/tests/soak/test_guarantees.py
@@ -162,3 +162,14 @@
         self.assertEqual(self.kinds_of(unsent, disturbances=(other,)), ["cut off"])
         long_ago = replace(killed, from_s=-40.0, until_s=-30.0)
         self.assertEqual(self.kinds_of(unsent, disturbances=(long_ago,)), ["cut off"])
+
+    def test_an_idle_connection_that_a_gateway_closes(self) -> None:
+        dropped = replace(
+            SERVED, status=0, signatures=(), body=b"", ended_at_s=12.0, is_dropped=True
+        )
+        self.assertEqual(self.kinds_of(dropped), ["dropped"])
+        for is_graceful in (False, True):
+            ended = Disturbance(0, 10.5, 11.5, is_graceful)
+            self.assertEqual(self.kinds_of(dropped, disturbances=(ended,)), [])
+        earlier = Disturbance(0, 8.0, 9.0, is_graceful=False)
+        self.assertEqual(self.kinds_of(dropped, disturbances=(earlier,)), ["dropped"])
