--- a/soak/__init__.py
+++ b/soak/__init__.py
@@ -1,7 +1,8 @@
 """Soak test: runs gateways as processes under injected faults and checks guarantees.
 
-`faults` draws a plan of overlapping faults from a seed, `proxy` disturbs connections,
-`environment` runs the processes and injects the faults, `callers` keeps sending
-requests, and `guarantees` checks the recorded outcomes against the guarantees to
-callers.
+`faults` draws a plan of overlapping faults and changes from a seed, `proxy` disturbs
+connections, `operator` holds the configuration and its versions, `gateways` injects
+faults into gateways, and `environment` runs the processes and injects all other faults.
+`callers` keeps sending requests on `connection`. `guarantees` checks the recorded
+outcomes against the guarantees to callers, and `accounts` checks the gateways' counts.
 """
