Count the accounts in a gateway's log before it is stopped

What was seen: on reading, a gateway that ends within the pause between two signals had its account counted before as well, and a gateway without the metrics of its account passed as one that has read nothing.

Change: the accounts are counted before the first signal. A gateway that exports no account fails the run.

--- a/soak/accounts.py
+++ b/soak/accounts.py
@@ -5,7 +5,7 @@
 """
 
 import json
-from collections import Counter, defaultdict
+from collections import Counter
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
 from typing import Any, Final
@@ -48,20 +48,26 @@
 
 
 def parse_metrics(text: str) -> Account:
-    """Returns the account in the metrics that a gateway exports."""
-    found: defaultdict[str, Counter[str]] = defaultdict(Counter)
+    """Returns the account in the metrics that a gateway exports.
+
+    Raises:
+        KeyError: The gateway exports no account.
+    """
+    found: dict[str, Counter[str]] = {}
     for family in text_string_to_metric_families(text):
         for sample in family.samples:
             if not sample.name.startswith(COUNTED):
                 continue
             label = next(iter(sample.labels.values()), "")
-            found[sample.name.removeprefix(PREFIX)][label] += int(sample.value)
+            counts = found.setdefault(sample.name.removeprefix(PREFIX), Counter())
+            counts[label] += int(sample.value)
     return Account(
         found["caller_requests_read_total"].total(),
         found["caller_requests_ended_total"],
         found["caller_requests_unaccounted"].total(),
         found["caller_connections_unread_total"],
-        found["bookkeeping_failures_total"],
+        # Has no samples until a record has failed.
+        found.get("bookkeeping_failures_total", Counter()),
     )
 
 
--- a/soak/gateways.py
+++ b/soak/gateways.py
@@ -171,41 +171,42 @@
             time.sleep(SETTLE_PAUSE_S)
 
     def _stop_gateway(self, gateway: GatewayProcess) -> None:
-        # A gateway that is still starting has no requests to finish and may exit at
-        # once, so its exit status is not checked.
+        self._send_and_await_end(gateway, [signal.SIGTERM], gateway.is_ready())
+
+    def _reload_settings(
+        self, gateway: GatewayProcess, fault: SettingsReloaded
+    ) -> None:
+        gateway.change_setting("bounds.retry-slack", str(fault.retry_slack))
+        # SIGHUP ends a process that has not run any code yet.
         was_ready = gateway.is_ready()
-        gateway.process.send_signal(signal.SIGTERM)
-        self._await_end(gateway, was_ready)
-        gateway.launch()
+        signals = [signal.SIGHUP] * fault.signals if was_ready else []
+        if fault.is_stopped:
+            signals.insert(1, signal.SIGTERM)
+            self._send_and_await_end(gateway, signals, was_ready)
+        else:
+            _send(gateway, signals)
 
-    def _await_end(self, gateway: GatewayProcess, was_ready: bool) -> None:
+    def _send_and_await_end(
+        self, gateway: GatewayProcess, signals: Sequence[signal.Signals], ready: bool
+    ) -> None:
+        """Sends signals that stop a gateway, checks its end and starts it again.
+
+        A gateway that is still starting has no requests to finish and may exit at once,
+        so its exit status and its account are checked only if it was ready.
+        """
         stops = count_stops(gateway.log_text)
+        _send(gateway, signals)
         try:
             status = gateway.process.wait(GRACE_S + GRACE_SLACK_S)
         except subprocess.TimeoutExpired:
             self.violations.append(f"stop: {gateway.node} outlived its grace")
             gateway.process.kill()
             status = gateway.process.wait()
-        if status != 0 and was_ready:
+        if status != 0 and ready:
             self.violations.append(f"stop: {gateway.node} ended with {status}")
-        elif was_ready and count_stops(gateway.log_text) == stops:
+        elif ready and count_stops(gateway.log_text) == stops:
             self.violations.append(f"stop: {gateway.node} logged no account")
-
-    def _reload_settings(
-        self, gateway: GatewayProcess, fault: SettingsReloaded
-    ) -> None:
-        gateway.change_setting("bounds.retry-slack", str(fault.retry_slack))
-        # SIGHUP ends a process that has not run any code yet.
-        was_ready = gateway.is_ready()
-        signals = [signal.SIGHUP] * fault.signals if was_ready else []
-        if fault.is_stopped:
-            signals.insert(1, signal.SIGTERM)
-        for each in signals:
-            gateway.process.send_signal(each)
-            time.sleep(SIGNALS_INTERVAL_S)
-        if fault.is_stopped:
-            self._await_end(gateway, was_ready)
-            gateway.launch()
+        gateway.launch()
 
     def _kill_gateway(self, gateway: GatewayProcess, lasts_s: float) -> None:
         gateway.process.kill()
@@ -217,3 +218,9 @@
         gateway.process.send_signal(signal.SIGSTOP)
         time.sleep(lasts_s)
         gateway.process.send_signal(signal.SIGCONT)
+
+
+def _send(gateway: GatewayProcess, signals: Sequence[signal.Signals]) -> None:
+    for each in signals:
+        gateway.process.send_signal(each)
+        time.sleep(SIGNALS_INTERVAL_S)
--- a/tests/soak/test_accounts.py
+++ b/tests/soak/test_accounts.py
@@ -86,6 +86,10 @@
         self.assertEqual(+account.unread, Counter(idle=1))
         self.assertEqual(account.failures, Counter(admission=3))
 
+    def test_a_gateway_without_an_account(self) -> None:
+        with self.assertRaises(KeyError):
+            parse_metrics("lavendertide_other 1.0\n")
+
 
 class LogTest(unittest.TestCase):
     """Guards against faults that only the log of an ended process tells."""
