--- a/soak/run.py
+++ b/soak/run.py
@@ -9,11 +9,10 @@
 
 from soak import guarantees
 from soak.callers import Caller, Callers, RequestKind
-from soak.environment import GATEWAYS, SERVICES, SoakEnvironment
+from soak.environment import SERVICES, SoakEnvironment
 from soak.faults import draw_plan
+from soak.gateways import GATEWAYS
 
-# Two for each gateway; together they send about 80 requests per second.
-CALLERS: Final = 6
 # Time after the last fault by which all requests must succeed again, as the deployed
 # sites require.
 RECOVERY_S: Final = 15.0
@@ -48,10 +47,13 @@
         with tempfile.TemporaryDirectory() as temporary:
             return run_soak(seed, duration_s, Path(temporary))
     folder.mkdir(parents=True, exist_ok=True)
+    # Gateways append to their logs, and faults of an earlier run aren't of this one.
+    for path in folder.glob("*.log"):
+        path.unlink()
     environment = SoakEnvironment(folder)
     try:
         environment.start()
-        with Callers(CALLERS, environment.gateways) as callers:
+        with Callers(environment.gateways) as callers:
             environment.inject_faults(
                 draw_plan(seed, duration_s, len(SERVICES), GATEWAYS)
             )
@@ -59,8 +61,9 @@
             unrecovered = _check_recovery(prober)
             prober.disconnect()
         broken = guarantees.find_violations(
-            callers.outcomes, environment.targets, environment.disturbances
+            callers.outcomes, environment.targets, environment.record
         )
+        broken += environment.check_accounts()
         broken += environment.violations + unrecovered + _find_tracebacks(folder)
     finally:
         environment.stop()
