--- a/review/stand_ins_2.py
+++ b/review/stand_ins_2.py
@@ -765,6 +765,8 @@
 
 
 def _raise_stopped(*_: object) -> NoReturn:
+    # The process may be told more than once, and has to end what it started.
+    signal.signal(signal.SIGTERM, signal.SIG_IGN)
     raise CannotRun("stopped from outside")
 
 
