Let the stand-in store come back from an older copy

No test could see what callers lose when the store returns from a copy: the stand-in's revisions only rose and its history had no end. It now has eras, copies, three kinds of absence and responses with 410.

--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -1,20 +1,27 @@
 """Stand-ins for the platform's key-value store and for targets that speak HTTP.
 
 Both implement the part of the platform's published protocol that a gateway uses. The
-store serves range reads and watches. Targets sign their replies and refuse requests
-that are meant for another target.
+store serves range reads and watches, and can come back from an older copy of itself.
+Targets sign their replies and refuse requests that are meant for another target.
 """
 
 import base64
+import contextlib
 import json
+import socket
 import threading
 import time
+from collections.abc import Mapping
+from dataclasses import dataclass
+from enum import Enum
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from typing import Any, Final
 from urllib.parse import parse_qs, urlsplit
 
 # Interval at which a server checks whether it has to shut down.
 POLL_S: Final = 0.02
+# Interval at which a call to a silent store looks whether it responds again.
+SILENCE_POLL_S: Final = 0.05
 # A page of a range holds at most so many items and bytes, but always one item.
 PAGE_ITEMS: Final = 500
 PAGE_BYTES: Final = 1_000_000
@@ -38,31 +45,82 @@
 
 class _Server(ThreadingHTTPServer):
     daemon_threads = True
+    block_on_close = False
+
+    def __init__(self, address: tuple[str, int], handler: type[_Handler]) -> None:
+        self._connections: set[socket.socket] = set()
+        super().__init__(address, handler)
+
+    def process_request(self, request: Any, client_address: Any) -> None:
+        """Remembers a connection, so that it can be closed."""
+        self._connections.add(request)
+        super().process_request(request, client_address)
+
+    def shutdown_request(self, request: Any) -> None:
+        """Closes and forgets a connection."""
+        self._connections.discard(request)
+        super().shutdown_request(request)
 
     def handle_error(self, request: Any, client_address: Any) -> None:
         """Suppresses the traceback of a connection that the client has closed."""
 
+    def stop(self) -> None:
+        """Closes the listener and all connections."""
+        self.shutdown()
+        self.server_close()
+        for connection in list(self._connections):
+            with contextlib.suppress(OSError):
+                connection.shutdown(socket.SHUT_RDWR)
 
-def _serve(handler: type[_Handler]) -> _Server:
-    server = _Server(("127.0.0.1", 0), handler)
+
+def _serve(handler: type[_Handler], port: int = 0) -> _Server:
+    server = _Server(("127.0.0.1", port), handler)
     threading.Thread(
         target=server.serve_forever, kwargs={"poll_interval": POLL_S}, daemon=True
     ).start()
     return server
 
 
+class Absence(Enum):
+    """How a store is away."""
+
+    # Its listener and all connections are closed.
+    STOPPED = "stopped"
+    # It responds to nothing; connections stay open.
+    SILENT = "silent"
+    # It responds to everything with status 503.
+    REFUSING = "refusing"
+
+
+@dataclass(frozen=True, slots=True)
+class StoreCopy:
+    """What the store had at a revision; its history isn't part of it."""
+
+    items: Mapping[str, dict[str, Any]]
+    revision: int
+
+
 class PlatformStore:
     """Serves items with revisions to range reads and watches over HTTP.
 
+    Args:
+        era: Number of the first line of revisions, which each response names; none for
+            a store of an earlier release, which names none.
+
     Attributes:
-        is_unavailable: Whether every request is answered with status 503.
+        is_unavailable: Whether every request is answered with status 503. Writes are
+            accepted, as those of others may be.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, era: int | None = 1) -> None:
         self._items: dict[str, dict[str, Any]] = {}
         self._events: list[dict[str, Any]] = []
         self._revision = 1
+        self._complete_after = 0
+        self._era = era
+        self._absence: Absence | None = None
         self._changed = threading.Condition()
+        self._reads = 0
         self.is_unavailable = False
         store = self
 
@@ -71,21 +129,42 @@
                 """Serves a range read or a watch."""
                 store._handle(self)
 
+        self._handler = Handler
         self._server = _serve(Handler)
+        self._port = int(self._server.server_address[1])
 
     @property
     def address(self) -> str:
         """Loopback address on which the server listens."""
-        return f"127.0.0.1:{self._server.server_address[1]}"
+        return f"127.0.0.1:{self._port}"
+
+    @property
+    def revision(self) -> int:
+        """The present revision."""
+        return self._revision
+
+    @property
+    def reads(self) -> int:
+        """The number of range reads and watches so far."""
+        return self._reads
 
     def put(self, key: str, document: Any) -> None:
-        """Writes an item and wakes the watches."""
+        """Writes an item and wakes the watches.
+
+        Raises:
+            ConnectionError: The store is away.
+        """
         value = base64.b64encode(json.dumps(document).encode()).decode()
         self.put_raw(key, value)
 
     def put_raw(self, key: str, value: str) -> None:
-        """Writes an item whose value may be no base64, and wakes the watches."""
+        """Writes an item whose value may be no base64, and wakes the watches.
+
+        Raises:
+            ConnectionError: The store is away.
+        """
         with self._changed:
+            self._check_present()
             self._revision += 1
             item = {"key": key, "value": value, "rev": self._revision}
             self._items[key] = item
@@ -93,29 +172,77 @@
             self._changed.notify_all()
 
     def remove(self, key: str) -> None:
-        """Removes an item and wakes the watches with a tombstone."""
+        """Removes an item and wakes the watches with a tombstone.
+
+        Raises:
+            ConnectionError: The store is away.
+        """
         with self._changed:
+            self._check_present()
             self._revision += 1
             self._items.pop(key, None)
             event = {"key": key, "rev": self._revision, "tombstone": True}
             self._events.append(event)
             self._changed.notify_all()
 
+    def copy(self) -> StoreCopy:
+        """Returns a copy from which the store may come back later."""
+        with self._changed:
+            return StoreCopy(dict(self._items), self._revision)
+
+    def go_away(self, absence: Absence) -> None:
+        """Makes the store unreachable; writes fail until it comes back."""
+        with self._changed:
+            self._absence = absence
+        if absence is Absence.STOPPED:
+            self._server.stop()
+
+    def come_back(self, copy: StoreCopy | None = None) -> None:
+        """Ends an absence, at the same address.
+
+        Args:
+            copy: What the store comes back from, with its next era. Without it nothing
+                is lost.
+        """
+        with self._changed:
+            if copy is not None:
+                self._items, self._revision = dict(copy.items), copy.revision
+                self._events, self._complete_after = [], copy.revision
+                self._era = None if self._era is None else self._era + 1
+            absence, self._absence = self._absence, None
+            self._changed.notify_all()
+        if absence is Absence.STOPPED:
+            self._server = _serve(self._handler, self._port)
+
+    def discard_history(self) -> None:
+        """Forgets all changes, so that a watch from before now gets status 410."""
+        with self._changed:
+            self._events, self._complete_after = [], self._revision
+
     def close(self) -> None:
         """Stops the server and closes its listener."""
-        self._server.shutdown()
-        self._server.server_close()
+        if self._absence is not Absence.STOPPED:
+            self._server.stop()
+
+    def _check_present(self) -> None:
+        if self._absence is not None:
+            raise ConnectionError("the store is away; write again when it is back")
 
     def _handle(self, handler: _Handler) -> None:
         url = urlsplit(handler.path)
         query = {name: values[0] for name, values in parse_qs(url.query).items()}
-        if self.is_unavailable:
-            handler.reply(503, b"")
-        elif url.path == "/api/kv-range":
-            with self._changed:
-                self._reply(handler, self._page(query.get("after", "")))
-        else:
-            self._handle_watch(handler, int(query["after"]), int(query["wait-ms"]))
+        with self._changed:
+            self._reads += 1
+            while self._absence is Absence.SILENT:
+                self._changed.wait(SILENCE_POLL_S)
+            is_refusing = self.is_unavailable or self._absence is Absence.REFUSING
+            if is_refusing:
+                self._reply(handler, 503, {})
+            elif url.path == "/api/kv-range":
+                self._reply(handler, 200, self._page(query.get("after", "")))
+            else:
+                after, wait_ms = int(query["after"]), int(query["wait-ms"])
+                self._reply(handler, *self._watch(after, wait_ms))
 
     def _page(self, after: str) -> dict[str, Any]:
         """Returns the items after a key, as many as fit into one page."""
@@ -129,18 +256,23 @@
             items.append(self._items[key])
         return {"items": items, "has-more": len(items) < len(keys)}
 
-    def _handle_watch(self, handler: _Handler, after: int, wait_ms: int) -> None:
+    def _watch(self, after: int, wait_ms: int) -> tuple[int, dict[str, Any]]:
+        """Returns the response to a watch, after it has waited for a change."""
         ends_at_s = time.monotonic() + wait_ms / 1_000
-        with self._changed:
-            while self._revision <= after and time.monotonic() < ends_at_s:
-                self._changed.wait(ends_at_s - time.monotonic())
+        while True:
+            if after > self._revision or after < self._complete_after:
+                return 410, {}
             events = [event for event in self._events if event["rev"] > after]
-            self._reply(handler, {"events": events})
+            left_s = ends_at_s - time.monotonic()
+            if events or (left_s <= 0.0 and self._absence is not Absence.SILENT):
+                return 200, {"events": events}
+            self._changed.wait(max(left_s, SILENCE_POLL_S))
 
-    def _reply(self, handler: _Handler, document: dict[str, Any]) -> None:
+    def _reply(self, handler: _Handler, status: int, document: dict[str, Any]) -> None:
         document["current-rev"] = self._revision
         body = json.dumps(document).encode()
-        handler.reply(200, body, Content_Type="application/json")
+        era = {} if self._era is None else {"Store_Era": str(self._era)}
+        handler.reply(status, body, Content_Type="application/json", **era)
 
 
 def target_entry(service: str, address: str, state: str = "ready") -> dict[str, Any]:
