Move what is read from the platform into a module of its own

The follower's module held both the loop that reads and the data classes that its readers return; the change of eras needs room in both.

--- a/bench/evacuation_times.py
+++ b/bench/evacuation_times.py
@@ -26,9 +26,9 @@
 from lavendertide.fleet.peers import Peers
 from lavendertide.fleet.roster import Roster
 from lavendertide.gateway.evacuation_broadcast import EvacuationBroadcast
-from lavendertide.gateway.follower import (
+from lavendertide.gateway.follower import Follower
+from lavendertide.gateway.publications import (
     EvacuationPublished,
-    Follower,
     HistoryLost,
     PublicationBatch,
 )
--- a/lavendertide/gateway/follower.py
+++ b/lavendertide/gateway/follower.py
@@ -8,20 +8,28 @@
 import logging
 import random
 from collections.abc import Iterable
-from dataclasses import dataclass
-from typing import Final, Protocol
+from typing import Final
 
-from returns.result import Failure, Result, Success
+from returns.result import Failure, Success
 
 from lavendertide.errors import Refusal
-from lavendertide.evacuation.evacuated_domains import EvacuatedDomains, Evacuation
+from lavendertide.evacuation.evacuated_domains import EvacuatedDomains
+from lavendertide.gateway.publications import (
+    EvacuationPublished,
+    HistoryLost,
+    PlatformReader,
+    Publication,
+    PublicationBatch,
+    RoutesPublished,
+    TargetPublished,
+    TargetWithdrawn,
+)
 from lavendertide.ids import TargetId
 from lavendertide.registry.history import RegistryHistory
 from lavendertide.registry.record import TargetRecord
 from lavendertide.registry.registry import TargetRegistry
 from lavendertide.routes.active_routes import ActiveRoutes
 from lavendertide.routes.replication import RouteReplication
-from lavendertide.routes.table import RouteTable
 from lavendertide.runtime import clock, tasks
 from lavendertide.warmup.cold_targets import ColdTargets
 
@@ -36,80 +44,6 @@
 _log = logging.getLogger(__name__)
 
 
-@dataclass(frozen=True, slots=True)
-class RoutesPublished:
-    """The newest route table."""
-
-    table: RouteTable
-
-
-@dataclass(frozen=True, slots=True)
-class TargetPublished:
-    """The newest entry of a target."""
-
-    record: TargetRecord
-
-
-@dataclass(frozen=True, slots=True)
-class TargetWithdrawn:
-    """A target was unregistered, or its entry is not usable."""
-
-    target: TargetId
-
-
-@dataclass(frozen=True, slots=True)
-class EvacuationPublished:
-    """The operator has ordered or ended the evacuation of a failure domain."""
-
-    state: Evacuation
-
-
-Publication = RoutesPublished | TargetPublished | TargetWithdrawn | EvacuationPublished
-
-
-@dataclass(frozen=True, slots=True)
-class PublicationBatch:
-    """The publications of one read.
-
-    Attributes:
-        publications: In the order in which they were published.
-        revision: Revision after which the next read continues.
-        is_from_peer: Whether a peer sent it, which may itself be behind.
-        evacuations: All known evacuations, complete as of `revision`; none if the batch
-            has at most changes of them.
-    """
-
-    publications: tuple[Publication, ...]
-    revision: int
-    is_from_peer: bool = False
-    evacuations: tuple[Evacuation, ...] | None = None
-
-
-class HistoryLost:
-    """The changes since a revision can't be read any more; everything must be read.
-
-    The platform has discarded them, or they are too many for one read.
-    """
-
-
-class PlatformReader(Protocol):
-    """Reads what the platform publishes.
-
-    `lavendertide.platform` implements it.
-    """
-
-    def read_all(self) -> Result[PublicationBatch, Refusal]:
-        """Returns everything that is published."""
-
-    def read_changes(
-        self, revision: int
-    ) -> Result[PublicationBatch | HistoryLost, Refusal]:
-        """Returns the changes since a revision; waits for some if there are none.
-
-        The wait is bounded, so the result may be empty.
-        """
-
-
 class Follower:
     """Keeps the routes and the target registry of one host up to date."""
 
--- a/lavendertide/gateway/shared_reading.py
+++ b/lavendertide/gateway/shared_reading.py
@@ -21,8 +21,8 @@
 from lavendertide.fleet.peers import Peers
 from lavendertide.fleet.ranking import score
 from lavendertide.fleet.roster import SILENCE_S, Roster
-from lavendertide.gateway.follower import (
-    Follower,
+from lavendertide.gateway.follower import Follower
+from lavendertide.gateway.publications import (
     HistoryLost,
     PlatformReader,
     Publication,
--- a/lavendertide/platform/store_client.py
+++ b/lavendertide/platform/store_client.py
@@ -15,7 +15,7 @@
 from lavendertide.encodings.http_messages import HttpResponse, render_body, render_head
 from lavendertide.errors import Refusal, unreachable
 from lavendertide.evacuation.evacuated_domains import Evacuation
-from lavendertide.gateway.follower import (
+from lavendertide.gateway.publications import (
     EvacuationPublished,
     HistoryLost,
     Publication,
--- a/tests/gateway/test_following.py
+++ b/tests/gateway/test_following.py
@@ -10,15 +10,15 @@
 from lavendertide.errors import Refusal, unreachable
 from lavendertide.evacuation.evacuated_domains import EvacuatedDomains
 from lavendertide.forwarding.budget import RetryAllowance
-from lavendertide.gateway.follower import (
-    Follower,
+from lavendertide.gateway.follower import Follower
+from lavendertide.gateway.options import GatewayOptions
+from lavendertide.gateway.publications import (
     HistoryLost,
     PublicationBatch,
     RoutesPublished,
     TargetPublished,
     TargetWithdrawn,
 )
-from lavendertide.gateway.options import GatewayOptions
 from lavendertide.gateway.reading_times import ReadingTimes
 from lavendertide.gateway.settings_reloader import SettingsReloader
 from lavendertide.ids import Address, FailureDomain, HostId, Region, TargetId
--- a/tests/gateway/test_shared_reading.py
+++ b/tests/gateway/test_shared_reading.py
@@ -13,8 +13,8 @@
 from lavendertide.evacuation.evacuated_domains import EvacuatedDomains, Evacuation
 from lavendertide.fleet.roster import Roster
 from lavendertide.gateway.fleet_links import ServableRoutes
-from lavendertide.gateway.follower import (
-    Follower,
+from lavendertide.gateway.follower import Follower
+from lavendertide.gateway.publications import (
     HistoryLost,
     PublicationBatch,
     TargetPublished,
--- a/tests/platform/test_store_client.py
+++ b/tests/platform/test_store_client.py
@@ -7,7 +7,7 @@
 
 from lavendertide.encodings.http_replies import BODY_MAX_BYTES
 from lavendertide.evacuation.evacuated_domains import Evacuation
-from lavendertide.gateway.follower import (
+from lavendertide.gateway.publications import (
     EvacuationPublished,
     HistoryLost,
     PublicationBatch,
