--- a/bench/evacuation_times.py
+++ b/bench/evacuation_times.py
@@ -50,9 +50,11 @@
     RegistryPush,
 )
 from lavendertide.registry.registry import TargetRegistry
+from lavendertide.restoration.position import Position
 from lavendertide.routes.active_routes import ActiveRoutes
 from lavendertide.routes.replication import RouteReplication
 from lavendertide.runtime import clock, tasks
+from standins.forwarding_records import at
 from standins.virtual_time import run_on_virtual_clock
 
 DOMAINS: Final = tuple(map(FailureDomain, ("a", "b", "c")))
@@ -74,7 +76,7 @@
 
     def change(self, domain: FailureDomain, is_evacuated: bool) -> None:
         """Sets or removes a domain's order; it is acknowledged at once."""
-        self._append(Evacuation(domain, len(self._events) + 1, is_evacuated))
+        self._append(Evacuation(domain, at(len(self._events) + 1), is_evacuated))
 
     def change_others(self, per_s: float) -> None:
         """Changes other keys at random until the process ends."""
@@ -91,21 +93,21 @@
         """Returns all domains that are evacuated."""
         newest = {state.domain: state for state in self._events if state is not None}
         states = tuple(state for state in newest.values() if state.is_evacuated)
-        return Success(PublicationBatch((), len(self._events), evacuations=states))
+        return Success(PublicationBatch((), at(len(self._events)), evacuations=states))
 
     def read_changes(
-        self, revision: int
+        self, position: Position
     ) -> Result[PublicationBatch | HistoryLost, Refusal]:
-        """Returns the changes since a revision; waits for some as a watch does."""
+        """Returns the changes since a position; waits for some as a watch does."""
         tasks.sleep(STORE_LATENCY_S)
-        if len(self._events) <= revision:
+        if len(self._events) <= position.revision:
             self._changed.wait(TIMES.watch_s)
         changes = tuple(
             EvacuationPublished(state)
-            for state in self._events[revision:]
+            for state in self._events[position.revision :]
             if state is not None
         )
-        batch = PublicationBatch(changes, len(self._events))
+        batch = PublicationBatch(changes, at(len(self._events)))
         tasks.sleep(STORE_LATENCY_S)
         return Success(batch)
 
--- a/lavendertide/encodings/explanation_json.py
+++ b/lavendertide/encodings/explanation_json.py
@@ -109,7 +109,7 @@
 def _pack_domain(domain: EvacuatedDomainStatus) -> dict[str, Any]:
     return {
         "domain": domain.domain,
-        "revision": domain.revision,
+        "revision": domain.position.revision,
         "known_for_s": _round(domain.known_for_s),
         "in_flight": domain.in_flight,
     }
--- a/lavendertide/encodings/peer_protocol.thrift
+++ b/lavendertide/encodings/peer_protocol.thrift
@@ -216,6 +216,7 @@
   70: string failure_domain,
   71: i64 revision,
   72: bool is_evacuated,
+  73: optional i64 era,
 }
 
 struct CapacityNotice {
@@ -294,6 +295,7 @@
 struct RegistryPull {
   70: string exchange,
   71: i64 revision,
+  72: optional i64 era,
 }
 
 struct RegistryPush {
@@ -305,6 +307,7 @@
   75: bool is_current,
   76: i64 routes_version,
   77: optional list<Evacuation> evacuations,
+  78: optional i64 era,
 }
 
 union Frame {
--- a/lavendertide/encodings/registry_frames.py
+++ b/lavendertide/encodings/registry_frames.py
@@ -16,10 +16,15 @@
     ExchangeId,
     FailureDomain,
     ServiceName,
+    StoreEra,
+    StoreRevision,
     TargetId,
 )
 from lavendertide.registry.record import TargetRecord, TargetState, check_record
+from lavendertide.restoration.position import UNNAMED_ERA, Position
 
+# Revision in a pull that requests everything.
+EVERYTHING: Final = -1
 # Characters of a refused record's name that are logged.
 NAMED_MAX: Final = 64
 
@@ -29,19 +34,23 @@
 def to_union(frame: messages.Frame) -> Any | None:
     """Returns the generated union for a registry frame, none for any other frame."""
     match frame:
-        case messages.RegistryPull(exchange, revision):
-            pull = ttypes.RegistryPull(exchange, revision)
+        case messages.RegistryPull(exchange, None):
+            pull = ttypes.RegistryPull(exchange, EVERYTHING)
+            return ttypes.Frame(registry_pull=pull)
+        case messages.RegistryPull(exchange, Position(era, revision)):
+            pull = ttypes.RegistryPull(exchange, revision, era)
             return ttypes.Frame(registry_pull=pull)
         case messages.RegistryPush():
             push = ttypes.RegistryPush(
                 frame.exchange,
-                frame.revision,
+                frame.position.revision,
                 [_pack_record(record) for record in frame.records],
                 list(frame.withdrawn),
                 frame.is_full,
                 frame.is_current,
                 frame.routes_version,
                 pack_evacuations(frame.evacuations),
+                frame.position.era,
             )
             return ttypes.Frame(registry_push=push)
     return None
@@ -51,12 +60,15 @@
     """Returns the registry frame in a generated union, none if it has another."""
     if union.registry_pull is not None:
         pull = union.registry_pull
-        return messages.RegistryPull(ExchangeId(pull.exchange), pull.revision)
+        position = None
+        if pull.revision != EVERYTHING:
+            position = _unpack_position(pull.era, pull.revision)
+        return messages.RegistryPull(ExchangeId(pull.exchange), position)
     if union.registry_push is not None:
         push = union.registry_push
         return messages.RegistryPush(
             ExchangeId(push.exchange),
-            push.revision,
+            _unpack_position(push.era, push.revision),
             _unpack_records(push.records),
             tuple(TargetId(target) for target in push.withdrawn),
             push.is_whole,
@@ -72,7 +84,12 @@
     if states is None:
         return None
     return [
-        ttypes.Evacuation(state.domain, state.revision, state.is_evacuated)
+        ttypes.Evacuation(
+            state.domain,
+            state.position.revision,
+            state.is_evacuated,
+            state.position.era,
+        )
         for state in states
     ]
 
@@ -82,11 +99,28 @@
     if items is None:
         return None
     return tuple(
-        Evacuation(FailureDomain(item.failure_domain), item.revision, item.is_evacuated)
+        Evacuation(
+            FailureDomain(item.failure_domain),
+            _unpack_position(item.era, item.revision),
+            item.is_evacuated,
+        )
         for item in items
     )
 
 
+def _pack_evacuation(state: Evacuation) -> Any:
+    position = state.position
+    return ttypes.Evacuation(
+        state.domain, position.revision, state.is_evacuated, position.era
+    )
+
+
+def _unpack_position(era: int | None, revision: int) -> Position:
+    """Returns a place in the store's history; earlier releases send no era."""
+    known_era = UNNAMED_ERA if era is None else StoreEra(era)
+    return Position(known_era, StoreRevision(revision))
+
+
 def _pack_record(record: TargetRecord) -> Any:
     return ttypes.TargetEntry(
         record.target,
--- a/lavendertide/evacuation/evacuated_domains.py
+++ b/lavendertide/evacuation/evacuated_domains.py
@@ -4,8 +4,8 @@
 domain to those of the others, and back some time later.
 
 A host learns of an evacuation from its reads of the platform, from the host that reads
-for it, and from notices of any peer. Each copy has the platform's revision that set it.
-While hosts disagree, each one goes by the greatest revision that it knows, so copies
+for it, and from notices of any peer. Each copy has the place in the store's history
+that set it. While hosts disagree, each one goes by the latest that it knows, so copies
 that arrive late change nothing. No state ends by time: a host that is cut off keeps to
 what it has read.
 """
@@ -16,6 +16,7 @@
 from typing import Final
 
 from lavendertide.ids import FailureDomain
+from lavendertide.restoration.position import Position, position_fields
 
 # Domains that are remembered; a deployment has fewer. The oldest ended evacuations are
 # dropped first, and an evacuated domain never is.
@@ -26,23 +27,23 @@
 
 @dataclass(frozen=True, slots=True)
 class Evacuation:
-    """Whether a failure domain is evacuated, as of one revision of the platform.
+    """Whether a failure domain is evacuated, as of one place in the store's history.
 
     Attributes:
-        revision: Revision at which the state was set, or at which it was read.
+        position: Place at which the state was set, or at which it was read.
     """
 
     domain: FailureDomain
-    revision: int
+    position: Position
     is_evacuated: bool
 
     def supersedes(self, other: "Evacuation") -> bool:
         """Returns whether this state is newer than another one of the same domain.
 
-        Of two states of one revision, "evacuated" counts.
+        Of two states of one position, "evacuated" counts.
         """
-        own = self.revision, self.is_evacuated
-        return own > (other.revision, other.is_evacuated)
+        own = self.position, self.is_evacuated
+        return own > (other.position, other.is_evacuated)
 
 
 @dataclass(frozen=True, slots=True)
@@ -54,7 +55,7 @@
     """
 
     domain: FailureDomain
-    revision: int
+    position: Position
     since_s: float
 
 
@@ -65,7 +66,7 @@
         self._newest: dict[FailureDomain, Evacuation] = {}
         self._since_s: dict[FailureDomain, float] = {}
         self._listeners: list[Callable[[Evacuation, float], None]] = []
-        self._complete_revision: int | None = None
+        self._complete_position: Position | None = None
 
     @property
     def has_any(self) -> bool:
@@ -76,7 +77,7 @@
     def evacuated(self) -> tuple[EvacuatedDomain, ...]:
         """The domains that are evacuated, in the order in which this became known."""
         return tuple(
-            EvacuatedDomain(domain, self._newest[domain].revision, since_s)
+            EvacuatedDomain(domain, self._newest[domain].position, since_s)
             for domain, since_s in self._since_s.items()
         )
 
@@ -110,7 +111,7 @@
         self.apply((state for state in states if not self._has_ended(state)), now_s)
 
     def apply_complete(
-        self, states: Iterable[Evacuation], revision: int, now_s: float
+        self, states: Iterable[Evacuation], position: Position, now_s: float
     ) -> None:
         """Applies a complete list, so that a removal that was missed is made good.
 
@@ -119,24 +120,24 @@
 
         Args:
             states: All states that the sender knows.
-            revision: Revision of the platform as of which the list is complete.
+            position: Place in the store's history as of which the list is complete.
             now_s: Present time, monotonic.
         """
         listed = tuple(states)
-        self._complete_revision = revision
+        self._complete_position = position
         self.apply(listed, now_s)
         names = {state.domain for state in listed}
         for domain in [name for name in self._since_s if name not in names]:
-            if self._newest[domain].revision <= revision:
-                self._newest[domain] = Evacuation(domain, revision, False)
+            if self._newest[domain].position <= position:
+                self._newest[domain] = Evacuation(domain, position, False)
                 self._record_change(self._newest[domain], now_s)
 
     def _has_ended(self, state: Evacuation) -> bool:
-        complete_revision = self._complete_revision
+        complete_position = self._complete_position
         return (
             state.domain not in self._newest
-            and complete_revision is not None
-            and state.revision <= complete_revision
+            and complete_position is not None
+            and state.position <= complete_position
         )
 
     def _apply_one(self, state: Evacuation, now_s: float) -> None:
@@ -158,7 +159,7 @@
             "failure domain evacuated"
             if state.is_evacuated
             else "evacuation of a failure domain ended",
-            extra={"domain": state.domain, "revision": state.revision},
+            extra={"domain": state.domain, **position_fields(state.position)},
         )
         for listener in self._listeners:
             listener(state, now_s)
@@ -168,6 +169,6 @@
         if surplus <= 0:
             return
         ended = [name for name in self._newest if name not in self._since_s]
-        ended.sort(key=lambda name: self._newest[name].revision)
+        ended.sort(key=lambda name: self._newest[name].position)
         for name in ended[:surplus]:
             del self._newest[name]
--- a/lavendertide/forwarding/host_status.py
+++ b/lavendertide/forwarding/host_status.py
@@ -12,6 +12,7 @@
 from lavendertide.forwarding.target_view import TargetViews
 from lavendertide.ids import FailureDomain, ServiceName
 from lavendertide.registry.registry import TargetRegistry
+from lavendertide.restoration.position import Position
 from lavendertide.routes.active_routes import RoutesAge
 from lavendertide.warmup.cold_status import ColdTargetStatus
 from lavendertide.warmup.cold_targets import ColdTargets
@@ -25,13 +26,13 @@
     """A failure domain that is evacuated.
 
     Attributes:
-        revision: Revision of the platform that set it.
+        position: Place in the store's history that set it.
         known_for_s: Seconds since this host learned of it.
         in_flight: Calls of this host to the domain's targets without a reply.
     """
 
     domain: FailureDomain
-    revision: int
+    position: Position
     known_for_s: float
     in_flight: int
 
@@ -68,7 +69,7 @@
     return tuple(
         EvacuatedDomainStatus(
             each.domain,
-            each.revision,
+            each.position,
             now_s - each.since_s,
             count_calls(registry, views, each.domain),
         )
--- a/lavendertide/gateway/follower.py
+++ b/lavendertide/gateway/follower.py
@@ -28,6 +28,7 @@
 from lavendertide.registry.history import RegistryHistory
 from lavendertide.registry.record import TargetRecord
 from lavendertide.registry.registry import TargetRegistry
+from lavendertide.restoration.position import Position, position_fields
 from lavendertide.routes.active_routes import ActiveRoutes
 from lavendertide.routes.replication import RouteReplication
 from lavendertide.runtime import clock, tasks
@@ -63,7 +64,7 @@
         self._active_routes = active_routes
         self._route_replication = route_replication
         self._registry = registry
-        self._revision: int | None = None
+        self._position: Position | None = None
         self._answered_at_s = now_s
         self._is_platform_lost = False
         self._history = RegistryHistory()
@@ -78,7 +79,7 @@
     @property
     def knows_targets(self) -> bool:
         """Whether the targets were read, from the platform or from a peer."""
-        return self._revision is not None
+        return self._position is not None
 
     @property
     def is_platform_lost(self) -> bool:
@@ -106,30 +107,30 @@
             if is_answered:
                 tasks.sleep(BATCH_DELAY_S)
             else:
-                is_initialized = self._revision is not None
+                is_initialized = self._position is not None
                 longest_s = RETRY_S if is_initialized else RETRY_UNINITIALIZED_S
                 tasks.sleep(random.uniform(longest_s / 2, longest_s))
 
     def read(self) -> bool:
         """Reads once and applies the result; returns whether the read succeeded."""
-        if self._revision is None:
+        if self._position is None:
             return self._read_all()
-        result = self._reader.read_changes(self._revision)
+        result = self._reader.read_changes(self._position)
         now_s = clock.monotonic_s()
         match result:
             case Success(HistoryLost()):
                 _log.info(
                     "platform history lost; reading everything",
-                    extra={"revision": self._revision},
+                    extra=position_fields(self._position),
                 )
                 self._record_answer(now_s)
-                self._revision = None
+                self._position = None
                 return self._read_all()
-            case Success(PublicationBatch(publications, revision) as batch):
+            case Success(PublicationBatch(publications, position) as batch):
                 self._record_answer(now_s)
                 self._apply_evacuations(batch, now_s)
                 self._apply(publications, now_s)
-                self._record_changes(publications, revision)
+                self._record_changes(publications, position)
                 return True
             case Failure(refusal):
                 self._record_failure(refusal, now_s)
@@ -144,8 +145,8 @@
                     self._record_answer(now_s)
                 self._apply_evacuations(batch, now_s)
                 self._apply_all(batch.publications, now_s)
-                self._history.reset(batch.revision)
-                self._record_revision(batch.revision)
+                self._history.reset(batch.position)
+                self._record_position(batch.position)
                 if not batch.is_from_peer:
                     self._platform_was_read.set()
                 return True
@@ -156,7 +157,7 @@
     def _apply_evacuations(self, batch: PublicationBatch, now_s: float) -> None:
         """Applies a complete list, before targets of its domains become usable."""
         if batch.evacuations is not None:
-            self._evacuated.apply_complete(batch.evacuations, batch.revision, now_s)
+            self._evacuated.apply_complete(batch.evacuations, batch.position, now_s)
 
     def _apply_all(self, publications: Iterable[Publication], now_s: float) -> None:
         """Applies a complete list of publications; unlisted targets are removed."""
@@ -190,7 +191,7 @@
         self._registry.put(*records)
 
     def _record_changes(
-        self, publications: tuple[Publication, ...], revision: int
+        self, publications: tuple[Publication, ...], position: Position
     ) -> None:
         changes: list[tuple[TargetId, TargetRecord | None]] = []
         for publication in publications:
@@ -199,12 +200,12 @@
                     changes.append((record.target, record))
                 case TargetWithdrawn(target):
                     changes.append((target, None))
-        self._history.append(changes, revision)
-        if revision != self._revision or changes:
-            self._record_revision(revision)
+        self._history.append(changes, position)
+        if position != self._position or changes:
+            self._record_position(position)
 
-    def _record_revision(self, revision: int) -> None:
-        self._revision = revision
+    def _record_position(self, position: Position) -> None:
+        self._position = position
         self._notify_waiters()
 
     def _notify_waiters(self) -> None:
--- a/lavendertide/gateway/publications.py
+++ b/lavendertide/gateway/publications.py
@@ -9,6 +9,7 @@
 from lavendertide.evacuation.evacuated_domains import Evacuation
 from lavendertide.ids import TargetId
 from lavendertide.registry.record import TargetRecord
+from lavendertide.restoration.position import Position
 from lavendertide.routes.table import RouteTable
 
 
@@ -49,20 +50,20 @@
 
     Attributes:
         publications: In the order in which they were published.
-        revision: Revision after which the next read continues.
+        position: Place after which the next read continues.
         is_from_peer: Whether a peer sent it, which may itself be behind.
-        evacuations: All known evacuations, complete as of `revision`; none if the batch
+        evacuations: All known evacuations, complete as of `position`; none if the batch
             has at most changes of them.
     """
 
     publications: tuple[Publication, ...]
-    revision: int
+    position: Position
     is_from_peer: bool = False
     evacuations: tuple[Evacuation, ...] | None = None
 
 
 class HistoryLost:
-    """The changes since a revision can't be read any more; everything must be read.
+    """The changes since a position can't be read any more; everything must be read.
 
     The platform has discarded them, or they are too many for one read.
     """
@@ -78,9 +79,9 @@
         """Returns everything that is published."""
 
     def read_changes(
-        self, revision: int
+        self, position: Position
     ) -> Result[PublicationBatch | HistoryLost, Refusal]:
-        """Returns the changes since a revision; waits for some if there are none.
+        """Returns the changes since a position; waits for some if there are none.
 
         The wait is bounded, so the result may be empty.
         """
--- a/lavendertide/gateway/shared_reading.py
+++ b/lavendertide/gateway/shared_reading.py
@@ -33,7 +33,9 @@
 from lavendertide.gateway.reading_times import ReadingTimes
 from lavendertide.ids import ConfigurationVersion, DaemonId, ExchangeId
 from lavendertide.messages import MemberRecord, MemberState, RegistryPull, RegistryPush
+from lavendertide.registry.history import NOTHING_READ
 from lavendertide.registry.registry import TargetRegistry
+from lavendertide.restoration.position import Position, position_fields
 from lavendertide.routes.active_routes import ActiveRoutes
 from lavendertide.routes.replication import RouteReplication
 from lavendertide.runtime import clock
@@ -42,8 +44,6 @@
 # How long a host reads the platform directly after its source has failed to supply
 # changes.
 DIRECT_READ_S: Final = 5.0
-# Revision in a pull that requests everything.
-NO_REVISION: Final = -1
 READER_RANKING_KEY: Final = "platform-reader"
 # Most hosts that pull from one source. Each costs the source 0.07% of a core; its other
 # control work costs 0.9% (docs/CAPACITY.md, The gateway), of 1.9% allowed.
@@ -119,8 +119,8 @@
                 continue
             if not self._roster.is_reachable(member.daemon, SILENCE_S, now_s):
                 continue
-            push = self._pull(member, NO_REVISION)
-            if push is not None and push.is_full and push.revision:
+            push = self._pull(member, None)
+            if push is not None and push.is_full and push.position != NOTHING_READ:
                 _log.info(
                     "targets learned from a peer",
                     extra={"peer": member.daemon, "targets": len(push.records)},
@@ -129,30 +129,30 @@
         return direct
 
     def read_changes(
-        self, revision: int
+        self, position: Position
     ) -> Result[PublicationBatch | HistoryLost, Refusal]:
-        """Returns the changes since a revision; waits for some if there are none."""
+        """Returns the changes since a position; waits for some if there are none."""
         now_s = clock.monotonic_s()
         source = select_source(self._roster, now_s)
         if now_s < self._direct_until_s or source.daemon == self._roster.own.daemon:
-            return self._direct.read_changes(revision)
-        push = self._pull(source, revision)
+            return self._direct.read_changes(position)
+        push = self._pull(source, position)
         problem = _detect_problem(push)
-        self._record_problem(source.daemon, problem, revision)
+        self._record_problem(source.daemon, problem, position)
         if push is None or problem is not None:
             self._direct_until_s = clock.monotonic_s() + DIRECT_READ_S
-            return self._direct.read_changes(revision)
+            return self._direct.read_changes(position)
         if push.routes_version > self._active_routes.version:
             self._pull_routes(source, push.routes_version)
         return Success(_to_batch(push))
 
     def _record_problem(
-        self, source: DaemonId, problem: SourceProblem | None, revision: int
+        self, source: DaemonId, problem: SourceProblem | None, position: Position
     ) -> None:
         if problem is self._problem:
             return
         self._problem = problem
-        fields = {"source": source, "revision": revision}
+        fields: dict[str, object] = {"source": source, **position_fields(position)}
         if problem is None:
             _log.info("source of changes regained", extra=fields)
         else:
@@ -161,8 +161,10 @@
                 extra=fields | {"outcome": problem.value},
             )
 
-    def _pull(self, source: MemberRecord, revision: int) -> RegistryPush | None:
-        pull = RegistryPull(ExchangeId(uuid.uuid4().hex), revision)
+    def _pull(
+        self, source: MemberRecord, position: Position | None
+    ) -> RegistryPush | None:
+        pull = RegistryPull(ExchangeId(uuid.uuid4().hex), position)
         link = self._peers.link_to(source)
         return link.pull_registry(pull, self._times.hold_timeout_s)
 
@@ -194,20 +196,21 @@
         self._active_routes = active_routes
 
     def reply_to(self, pull: RegistryPull) -> RegistryPush:
-        """Returns the changes since a revision; waits for some if there are none.
+        """Returns the changes since a position; waits for some if there are none.
 
         A host that has lost the platform replies at once and marks the reply as not
         current.
         """
-        is_known = self._follower.history.revision <= pull.revision != NO_REVISION
+        history = self._follower.history
+        is_known = pull.position is not None and history.position <= pull.position
         if is_known and not self._follower.is_platform_lost:
             self._follower.wait_for_changes(self._times.hold_s)
         changes = None
-        if pull.revision != NO_REVISION:
-            changes = self._follower.history.changes_since(pull.revision)
+        if pull.position is not None:
+            changes = history.changes_since(pull.position)
         # A host that is behind the sender doesn't know of later orders, so its list is
-        # not complete as of the reply's revision, which is never below the pull's.
-        is_behind = self._follower.history.revision < pull.revision
+        # not complete as of the reply's position, which is never below the pull's.
+        is_behind = changes is not None and history.position < changes.position
         evacuations = None if is_behind else self._evacuated.known
         now_s = clock.monotonic_s()
         silence_s = now_s - self._follower.answered_at_s
@@ -217,11 +220,11 @@
         )
         if changes is None:
             # A follower that is too far behind gets no records: it reads the platform.
-            is_full_request = pull.revision == NO_REVISION
+            is_full_request = pull.position is None
             targets = self._registry.targets if is_full_request else ()
             return RegistryPush(
                 pull.exchange,
-                self._follower.history.revision,
+                history.position,
                 self._cold.with_present_left(targets, now_s),
                 (),
                 True,
@@ -231,7 +234,7 @@
             )
         return RegistryPush(
             pull.exchange,
-            changes.revision,
+            changes.position,
             self._cold.with_present_left(changes.records, now_s),
             changes.withdrawn,
             False,
@@ -258,5 +261,5 @@
     publications: list[Publication] = [TargetPublished(r) for r in push.records]
     publications += [TargetWithdrawn(target) for target in push.withdrawn]
     return PublicationBatch(
-        tuple(publications), push.revision, evacuations=push.evacuations
+        tuple(publications), push.position, evacuations=push.evacuations
     )
--- a/lavendertide/messages/targets.py
+++ b/lavendertide/messages/targets.py
@@ -7,6 +7,7 @@
 from lavendertide.overload.capacity_sharing import CapacityObservation
 from lavendertide.overload.shared_overload import OverloadObservation
 from lavendertide.registry.record import TargetRecord, TargetRun
+from lavendertide.restoration.position import Position
 from lavendertide.warmup.grant_requests import ColdGrant
 
 
@@ -72,11 +73,12 @@
     """Requests changed target records from a peer that reads the platform.
 
     Attributes:
-        revision: Revision up to which the sender knows all changes; zero for none.
+        position: Place up to which the sender knows all changes; none if it requests
+            everything.
     """
 
     exchange: ExchangeId
-    revision: int
+    position: Position | None
 
 
 @dataclass(frozen=True, slots=True)
@@ -84,19 +86,19 @@
     """Reply to a registry pull.
 
     Attributes:
-        revision: Revision to send with the next pull.
-        withdrawn: Targets that were removed since the pull's revision.
+        position: Place to send with the next pull.
+        withdrawn: Targets that were removed since the pull's position.
         is_full: Whether `records` lists all targets and not only the changed ones.
         is_current: Whether the sender's own reads from the platform succeed; if not,
             the other fields carry no information.
         routes_version: Version of the routes in force on the sender.
         evacuations: All failure domains whose evacuation the sender knows, complete as
-            of `revision`; none if it has not read as far as that, or runs a release
+            of `position`; none if it has not read as far as that, or runs a release
             without evacuations.
     """
 
     exchange: ExchangeId
-    revision: int
+    position: Position
     records: tuple[TargetRecord, ...]
     withdrawn: tuple[TargetId, ...]
     is_full: bool
--- a/lavendertide/platform/store_client.py
+++ b/lavendertide/platform/store_client.py
@@ -25,7 +25,7 @@
     TargetWithdrawn,
 )
 from lavendertide.gateway.reading_times import ReadingTimes
-from lavendertide.ids import Address, FailureDomain, TargetId
+from lavendertide.ids import Address, FailureDomain, StoreRevision, TargetId
 from lavendertide.overload.response_memory import ResponseMemory
 from lavendertide.platform.names import (
     EVACUATIONS_PREFIX,
@@ -37,6 +37,7 @@
 from lavendertide.platform.operator_routes import decode_routes
 from lavendertide.platform.target_entries import decode_target
 from lavendertide.registry.record import NAME_MAX_CHARACTERS, TARGET_NAME
+from lavendertide.restoration.position import UNNAMED_ERA, Position, check_number
 
 # The store responds within milliseconds; one that takes longer counts as lost.
 CONNECT_TIMEOUT_S: Final = 0.5
@@ -86,13 +87,13 @@
             return Failure(unreachable(self._address, str(error), REMEDY))
 
     def read_changes(
-        self, revision: int
+        self, position: Position
     ) -> Result[PublicationBatch | HistoryLost, Refusal]:
-        """Reads the changes since a revision; waits for some time if there are none."""
+        """Reads the changes since a position; waits for some time if there are none."""
         query = {
             "prefix": ALL_KEYS,
             # Here a revision, not a key as in a range: later changes are returned.
-            "after": revision,
+            "after": position.revision,
             "wait-ms": round(self._times.watch_s * 1_000),
         }
         try:
@@ -109,14 +110,14 @@
             publications = [self._decode(event) for event in document["events"]]
             batch = PublicationBatch(
                 tuple(p for p in publications if p is not None),
-                int(document["current-rev"]),
+                _decode_position(document["current-rev"]),
             )
             return Success(batch)
         except (_StoreError, *_UNREADABLE) as error:
             return Failure(unreachable(self._address, str(error), REMEDY))
 
     def _read_all(self) -> PublicationBatch:
-        revision: int | None = None
+        position: Position | None = None
         publications: list[Publication] = []
         after = ""
         for _ in range(PAGES_MAX):
@@ -124,9 +125,9 @@
             document = _parse_document(self._get(RANGE_PATH, query, RESPONSE_TIMEOUT_S))
             try:
                 # Pages are read at different times. Reading changes from the first
-                # page's revision on includes those that later pages missed.
-                if revision is None:
-                    revision = int(document["current-rev"])
+                # page's position on includes those that later pages missed.
+                if position is None:
+                    position = _decode_position(document["current-rev"])
                 items = document["items"]
                 decoded = [self._decode(item) for item in items]
                 publications += [p for p in decoded if p is not None]
@@ -135,14 +136,14 @@
                 after = items[-1]["key"]
             except _UNREADABLE as error:
                 raise _StoreError(f"unreadable range: {error!r}") from error
+        if position is None:
+            raise _StoreError("a range without pages")
         evacuations = tuple(
             publication.state
             for publication in publications
             if isinstance(publication, EvacuationPublished)
         )
-        return PublicationBatch(
-            tuple(publications), revision or 0, evacuations=evacuations
-        )
+        return PublicationBatch(tuple(publications), position, evacuations=evacuations)
 
     def _get(self, path: str, query: dict[str, Any], timeout_s: float) -> HttpResponse:
         connection = self._connection
@@ -190,7 +191,9 @@
             self._record_refused(item["key"], "the key names no failure domain")
             return None
         state = Evacuation(
-            FailureDomain(domain), int(item["rev"]), "tombstone" not in item
+            FailureDomain(domain),
+            _decode_position(item["rev"]),
+            "tombstone" not in item,
         )
         return EvacuationPublished(state)
 
@@ -225,6 +228,15 @@
     return document
 
 
+def _decode_position(revision: object) -> Position:
+    """Returns the place of a revision in the store's history.
+
+    Raises:
+        ValueError: The revision is no whole number in range.
+    """
+    return Position(UNNAMED_ERA, StoreRevision(check_number(revision, "revision")))
+
+
 def _decode_value(item: dict[str, Any]) -> Any:
     """Returns an item's value, which is JSON encoded as base64.
 
--- a/standins/forwarding_records.py
+++ b/standins/forwarding_records.py
@@ -14,9 +14,12 @@
     Fingerprint,
     RouteName,
     ServiceName,
+    StoreEra,
+    StoreRevision,
     TargetId,
 )
 from lavendertide.registry.record import TargetRecord, TargetState
+from lavendertide.restoration.position import Position
 from lavendertide.routes.route import (
     CallerLimits,
     Destination,
@@ -120,3 +123,8 @@
 ) -> Replied:
     """Builds a target's reply without headers."""
     return Replied(TargetId(name), status, (), body, signature, notice)
+
+
+def at(revision: int, era: int = 1) -> Position:
+    """Returns a place in the history of the platform's store."""
+    return Position(StoreEra(era), StoreRevision(revision))
--- a/standins/slow_peers.py
+++ b/standins/slow_peers.py
@@ -26,6 +26,7 @@
     MemberState,
     RegistryPull,
 )
+from lavendertide.registry.history import NOTHING_READ
 
 TIMEOUT_S: Final = 5.0
 # The longest frame that peers send each other.
@@ -105,7 +106,7 @@
 
     def pull_registry(self, pulls: int) -> None:
         """Requests all target records again and again, as far as it is let."""
-        pull = RegistryPull(ExchangeId(""), 0)
+        pull = RegistryPull(ExchangeId(""), NOTHING_READ)
         frames = [
             encode_frame(replace(pull, exchange=ExchangeId(f"pull-{number}")))
             for number in range(pulls)
--- a/tests/encodings/test_peer_frames.py
+++ b/tests/encodings/test_peer_frames.py
@@ -83,7 +83,7 @@
 )
 from lavendertide.registry.record import TargetRun
 from lavendertide.warmup.grant_requests import ColdGrant
-from standins.forwarding_records import target
+from standins.forwarding_records import at, target
 
 MEMBER = MemberRecord(
     daemon=DaemonId("a-0"),
@@ -141,17 +141,17 @@
     ),
     PlanGrants(ExchangeId("7"), (PlanGrant(PlanId("stall-clerk"), 0.5, True),)),
     StallNotices((TargetId("t1"), TargetId("t2"))),
-    EvacuationNotices((Evacuation(FailureDomain("north-a"), 412, True),)),
+    EvacuationNotices((Evacuation(FailureDomain("north-a"), at(412, 3), True),)),
     ColdGrants(
         (ColdGrant(TargetRun(TargetId("t1"), 17), DaemonId("m1"), 3, 500, 2**40),)
     ),
     OverloadNotices((OverloadObservation(7, 150, 4, 20, 310, 250, True, 250),)),
     CapacityNotices((CapacityObservation(TargetId("t1"), 400, 120),)),
     LeavingNotices((TargetRun(TargetId("t1"), 17), TargetRun(TargetId("t2"), 0))),
-    RegistryPull(ExchangeId("8"), 41),
+    RegistryPull(ExchangeId("8"), at(41)),
     RegistryPush(
         ExchangeId("8"),
-        42,
+        at(42),
         (target("t1"), target("t2")),
         (TargetId("t3"),),
         False,
--- a/tests/encodings/test_registry_frames.py
+++ b/tests/encodings/test_registry_frames.py
@@ -12,7 +12,7 @@
     TargetId,
 )
 from lavendertide.messages import RegistryPull, RegistryPush
-from standins.forwarding_records import target
+from standins.forwarding_records import at, target
 
 
 class RegistryFramesTest(unittest.TestCase):
@@ -22,16 +22,21 @@
         exchange = ExchangeId("e")
         push = RegistryPush(
             exchange,
-            15,
+            at(15, 3),
             (target("b"),),
             (TargetId("a"),),
             False,
             True,
             ConfigurationVersion(3),
-            (Evacuation(FailureDomain("north-a"), 12, True),),
+            (Evacuation(FailureDomain("north-a"), at(12, 3), True),),
         )
         earlier_release = replace(push, evacuations=None)
-        for frame in (RegistryPull(exchange, 10), push, earlier_release):
+        for frame in (
+            RegistryPull(exchange, None),
+            RegistryPull(exchange, at(10, 3)),
+            push,
+            earlier_release,
+        ):
             read = decode_frame(encode_frame(frame)[LENGTH.size :])
             self.assertEqual(read.unwrap(), frame)
 
@@ -39,7 +44,13 @@
         for cold_left_ms in (None, 0, 1_500):
             record = replace(target("b"), cold_left_ms=cold_left_ms)
             push = RegistryPush(
-                ExchangeId("e"), 1, (record,), (), True, True, ConfigurationVersion(1)
+                ExchangeId("e"),
+                at(1),
+                (record,),
+                (),
+                True,
+                True,
+                ConfigurationVersion(1),
             )
             read = decode_frame(encode_frame(push)[LENGTH.size :]).unwrap()
             assert isinstance(read, RegistryPush)
--- a/tests/evacuation/test_evacuated_domains.py
+++ b/tests/evacuation/test_evacuated_domains.py
@@ -11,6 +11,7 @@
     Evacuation,
 )
 from lavendertide.ids import FailureDomain
+from standins.forwarding_records import at
 
 A, B = FailureDomain("a"), FailureDomain("b")
 
@@ -22,30 +23,36 @@
         self.domains = EvacuatedDomains()
 
     def test_an_order_counts_until_it_is_taken_back(self) -> None:
-        self.domains.apply((Evacuation(A, 5, True),), 1.0)
+        self.domains.apply((Evacuation(A, at(5), True),), 1.0)
         self.assertTrue(self.domains.is_evacuated(A))
         self.assertFalse(self.domains.is_evacuated(B))
-        self.domains.apply((Evacuation(A, 9, False),), 2.0)
+        self.domains.apply((Evacuation(A, at(9), False),), 2.0)
         self.assertFalse(self.domains.has_any)
 
     def test_an_older_copy_changes_nothing(self) -> None:
-        self.domains.apply((Evacuation(A, 9, False), Evacuation(A, 5, True)), 1.0)
+        self.domains.apply(
+            (Evacuation(A, at(9), False), Evacuation(A, at(5), True)), 1.0
+        )
         self.assertFalse(self.domains.is_evacuated(A))
 
     def test_of_two_copies_of_one_revision_evacuated_counts(self) -> None:
-        self.domains.apply((Evacuation(A, 5, True), Evacuation(A, 5, False)), 1.0)
+        self.domains.apply(
+            (Evacuation(A, at(5), True), Evacuation(A, at(5), False)), 1.0
+        )
         self.assertTrue(self.domains.is_evacuated(A))
 
     def test_an_order_that_is_repeated_is_no_change(self) -> None:
         changes: list[Evacuation] = []
         self.domains.on_change(lambda state, _: changes.append(state))
-        self.domains.apply((Evacuation(A, 5, True), Evacuation(A, 6, True)), 1.0)
-        self.assertEqual(changes, [Evacuation(A, 5, True)])
+        self.domains.apply(
+            (Evacuation(A, at(5), True), Evacuation(A, at(6), True)), 1.0
+        )
+        self.assertEqual(changes, [Evacuation(A, at(5), True)])
         self.assertEqual([d.since_s for d in self.domains.evacuated], [1.0])
 
     def test_the_state_does_not_end_by_time(self) -> None:
-        self.domains.apply((Evacuation(A, 5, True),), 0.0)
-        self.domains.apply_complete((Evacuation(A, 5, True),), 7, 1e9)
+        self.domains.apply((Evacuation(A, at(5), True),), 0.0)
+        self.domains.apply_complete((Evacuation(A, at(5), True),), at(7), 1e9)
         self.assertTrue(self.domains.is_evacuated(A))
 
 
@@ -54,19 +61,19 @@
 
     def setUp(self) -> None:
         self.domains = EvacuatedDomains()
-        self.domains.apply((Evacuation(A, 5, True),), 0.0)
+        self.domains.apply((Evacuation(A, at(5), True),), 0.0)
 
     def test_what_it_does_not_list_has_ended(self) -> None:
-        self.domains.apply_complete((), 8, 1.0)
+        self.domains.apply_complete((), at(8), 1.0)
         self.assertFalse(self.domains.is_evacuated(A))
 
     def test_it_says_nothing_about_later_orders(self) -> None:
-        self.domains.apply_complete((), 4, 1.0)
+        self.domains.apply_complete((), at(4), 1.0)
         self.assertTrue(self.domains.is_evacuated(A))
 
     def test_a_stale_copy_does_not_evacuate_the_domain_again(self) -> None:
-        self.domains.apply_complete((), 8, 1.0)
-        self.domains.apply((Evacuation(A, 5, True),), 2.0)
+        self.domains.apply_complete((), at(8), 1.0)
+        self.domains.apply((Evacuation(A, at(5), True),), 2.0)
         self.assertFalse(self.domains.is_evacuated(A))
 
 
@@ -80,24 +87,24 @@
 
     def setUp(self) -> None:
         self.domains = EvacuatedDomains()
-        self.domains.apply_complete((), 8, 1.0)
+        self.domains.apply_complete((), at(8), 1.0)
 
     def test_an_order_that_the_complete_list_no_longer_has_is_ignored(self) -> None:
-        self.domains.apply_notices((Evacuation(A, 5, True),), 2.0)
+        self.domains.apply_notices((Evacuation(A, at(5), True),), 2.0)
         self.assertFalse(self.domains.is_evacuated(A))
 
     def test_a_later_order_counts(self) -> None:
-        self.domains.apply_notices((Evacuation(A, 9, True),), 2.0)
+        self.domains.apply_notices((Evacuation(A, at(9), True),), 2.0)
         self.assertTrue(self.domains.is_evacuated(A))
 
     def test_a_host_without_a_complete_list_follows_its_peers(self) -> None:
         domains = EvacuatedDomains()
-        domains.apply_notices((Evacuation(A, 5, True),), 0.0)
+        domains.apply_notices((Evacuation(A, at(5), True),), 0.0)
         self.assertTrue(domains.is_evacuated(A))
 
     def test_an_order_in_a_later_complete_list_counts(self) -> None:
         """Guards against a store that was set up anew and counts from the start."""
-        self.domains.apply_complete((Evacuation(A, 2, True),), 3, 2.0)
+        self.domains.apply_complete((Evacuation(A, at(2), True),), at(3), 2.0)
         self.assertTrue(self.domains.is_evacuated(A))
 
 
@@ -106,12 +113,12 @@
 
     def test_ended_evacuations_are_dropped_first(self) -> None:
         domains = EvacuatedDomains()
-        domains.apply((Evacuation(A, 1, True),), 0.0)
+        domains.apply((Evacuation(A, at(1), True),), 0.0)
         for number in range(2 * DOMAINS_MAX):
             name = FailureDomain(f"d{number}")
             states = (
-                Evacuation(name, 2 * number + 2, True),
-                Evacuation(name, 2 * number + 3, False),
+                Evacuation(name, at(2 * number + 2), True),
+                Evacuation(name, at(2 * number + 3), False),
             )
             domains.apply(states, 0.0)
         self.assertEqual(len(domains.known), DOMAINS_MAX)
@@ -140,7 +147,7 @@
         self, changes: list[Change], data: st.DataObject
     ) -> None:
         history = [
-            Evacuation(change.domain, revision, change.is_evacuated)
+            Evacuation(change.domain, at(revision), change.is_evacuated)
             for revision, change in enumerate(changes, 1)
         ]
         newest = {state.domain: state for state in history}
@@ -148,14 +155,14 @@
         for state in data.draw(st.permutations(history * 2)):
             is_read = data.draw(st.booleans())
             if is_read:
-                read_at = state.revision
+                read_at = state.position.revision
                 seen = {s.domain: s for s in history[:read_at] if s.is_evacuated}
                 for ended in history[:read_at]:
                     if not ended.is_evacuated:
                         last = seen.get(ended.domain)
-                        if last is not None and last.revision < ended.revision:
+                        if last is not None and last.position < ended.position:
                             del seen[ended.domain]
-                host.apply_complete(tuple(seen.values()), read_at, 0.0)
+                host.apply_complete(tuple(seen.values()), at(read_at), 0.0)
             else:
                 host.apply((state,), 0.0)
         host.apply(tuple(newest.values()), 0.0)
--- a/tests/evacuation/test_requests.py
+++ b/tests/evacuation/test_requests.py
@@ -16,6 +16,7 @@
 from standins.forwarding_records import (
     LOCAL_DOMAIN,
     OTHER_DOMAIN,
+    at,
     route,
     shards,
     target,
@@ -28,8 +29,8 @@
 from tests.virtual_time import VirtualTimeTestCase
 
 NEAR, FAR = TargetId("near"), TargetId("far")
-ORDER = Evacuation(LOCAL_DOMAIN, 5, True)
-END = Evacuation(LOCAL_DOMAIN, 9, False)
+ORDER = Evacuation(LOCAL_DOMAIN, at(5), True)
+END = Evacuation(LOCAL_DOMAIN, at(9), False)
 
 
 class EvacuatedRequestsTest(VirtualTimeTestCase):
--- a/tests/fleet/test_peer_link.py
+++ b/tests/fleet/test_peer_link.py
@@ -23,6 +23,7 @@
     SubRequests,
 )
 from lavendertide.runtime import tasks
+from standins.forwarding_records import at
 from tests.fleet.members import member, roster_of
 from tests.virtual_time import VirtualTimeTestCase
 
@@ -94,7 +95,7 @@
 
     def test_a_long_poll_does_not_shorten_the_heartbeat_interval(self) -> None:
         """All hosts of a failure domain have a pull pending at the same reader."""
-        pull = RegistryPull(ExchangeId("x"), 1)
+        pull = RegistryPull(ExchangeId("x"), at(1))
         self.assertIsNone(self.link.pull_registry(pull, REPLY_TIMEOUT_S))
         self.assertIn(pull, self.connection.sent)
         self.assertLessEqual(self.heartbeat_count(), 1)
--- a/tests/forwarding/test_explanation.py
+++ b/tests/forwarding/test_explanation.py
@@ -18,6 +18,7 @@
 from standins.forwarding_records import (
     DESK,
     OTHER_DOMAIN,
+    at,
     request,
     route,
     shards,
@@ -103,7 +104,7 @@
     def test_a_target_of_an_evacuated_domain(self) -> None:
         self.scripted.registry.put(replace(self.record, failure_domain=OTHER_DOMAIN))
         now_s = clock.monotonic_s()
-        self.scripted.evacuated.apply((Evacuation(OTHER_DOMAIN, 5, True),), now_s)
+        self.scripted.evacuated.apply((Evacuation(OTHER_DOMAIN, at(5), True),), now_s)
         self.check("evacuated_domain", None, is_ranked=False)
 
     def test_a_leaving_target(self) -> None:
@@ -218,7 +219,7 @@
             case _:
                 self.revision += 1
                 is_evacuated = generator.random() < 0.5
-                state = Evacuation(OTHER_DOMAIN, self.revision, is_evacuated)
+                state = Evacuation(OTHER_DOMAIN, at(self.revision), is_evacuated)
                 scripted.evacuated.apply((state,), now_s)
 
     def test_the_next_request_goes_where_the_explanation_says(self) -> None:
--- a/tests/gateway/test_following.py
+++ b/tests/gateway/test_following.py
@@ -23,12 +23,13 @@
 from lavendertide.gateway.settings_reloader import SettingsReloader
 from lavendertide.ids import Address, FailureDomain, HostId, Region, TargetId
 from lavendertide.registry.registry import TargetRegistry
+from lavendertide.restoration.position import Position
 from lavendertide.routes.active_routes import ActiveRoutes
 from lavendertide.routes.replication import RouteReplication
 from lavendertide.routes.route import Service
 from lavendertide.runtime import clock, output
 from lavendertide.warmup.cold_targets import ColdTargets
-from standins.forwarding_records import DESK, route, table, target
+from standins.forwarding_records import DESK, at, route, table, target
 
 LOST = Failure(unreachable("store", "timeout", "Wait."))
 SOMEWHERE = Address("10.0.0.1:1")
@@ -58,17 +59,17 @@
     def __init__(self) -> None:
         self.everything: Result[PublicationBatch, Refusal] = LOST
         self.changes: Result[PublicationBatch | HistoryLost, Refusal] = LOST
-        self.requested_revisions: list[int] = []
+        self.requested_positions: list[Position] = []
 
     def read_all(self) -> Result[PublicationBatch, Refusal]:
         """Returns the result for everything."""
         return self.everything
 
     def read_changes(
-        self, revision: int
+        self, position: Position
     ) -> Result[PublicationBatch | HistoryLost, Refusal]:
-        """Returns the result for changes, and records the revision."""
-        self.requested_revisions.append(revision)
+        """Returns the result for changes, and records the position."""
+        self.requested_positions.append(position)
         return self.changes
 
 
@@ -91,7 +92,7 @@
             0.0,
         )
         published = (RoutesPublished(table(3, route())), TargetPublished(target("a")))
-        self.reader.everything = Success(PublicationBatch(published, 7))
+        self.reader.everything = Success(PublicationBatch(published, at(7)))
 
     def ready_names(self) -> set[str]:
         """Returns the names of the targets that accept requests."""
@@ -101,10 +102,10 @@
         self.assertTrue(self.follower.read())
         self.assertEqual((self.active_routes.version, self.ready_names()), (3, {"a"}))
         changes = (TargetPublished(target("b")), TargetWithdrawn(TargetId("a")))
-        self.reader.changes = Success(PublicationBatch(changes, 9))
+        self.reader.changes = Success(PublicationBatch(changes, at(9)))
         self.follower.read()
         self.follower.read()
-        self.assertEqual(self.reader.requested_revisions, [7, 9])
+        self.assertEqual(self.reader.requested_positions, [at(7), at(9)])
         self.assertEqual(self.ready_names(), {"b"})
 
     def test_the_coldness_of_published_targets_is_known(self) -> None:
@@ -123,7 +124,7 @@
             TargetPublished(target("b")),
             TargetPublished(replace(target("c"), cold_left_ms=5_000)),
         )
-        self.reader.changes = Success(PublicationBatch(started, 9))
+        self.reader.changes = Success(PublicationBatch(started, at(9)))
         self.follower.read()
         now_s = clock.monotonic_s()
         known = [cold.is_cold(target(name), now_s) for name in "abc"]
@@ -142,7 +143,7 @@
         self.follower.read()
         self.reader.changes = Success(HistoryLost())
         self.reader.everything = Success(
-            PublicationBatch((TargetPublished(target("b")),), 20)
+            PublicationBatch((TargetPublished(target("b")),), at(20))
         )
         self.assertTrue(self.follower.read())
         self.assertEqual(self.ready_names(), {"b"})
@@ -152,7 +153,7 @@
         self.reader.changes = LOST
         self.follower.read()
         self.reader.changes = Success(
-            PublicationBatch((TargetWithdrawn(TargetId("a")),), 9)
+            PublicationBatch((TargetWithdrawn(TargetId("a")),), at(9))
         )
         self.follower.read()
         self.assertEqual(self.ready_names(), {"a"})
--- a/tests/gateway/test_shared_reading.py
+++ b/tests/gateway/test_shared_reading.py
@@ -23,7 +23,6 @@
 from lavendertide.gateway.reading_times import PAUSE_S, ReadingTimes
 from lavendertide.gateway.shared_reading import (
     FOLLOWERS_MAX,
-    NO_REVISION,
     RegistrySource,
     SharedReader,
     select_source,
@@ -36,11 +35,12 @@
     RegistryPush,
 )
 from lavendertide.registry.registry import TargetRegistry
+from lavendertide.restoration.position import Position
 from lavendertide.routes.active_routes import ActiveRoutes
 from lavendertide.routes.replication import RouteReplication
 from lavendertide.runtime import clock, tasks
 from lavendertide.warmup.cold_targets import ColdTargets
-from standins.forwarding_records import LOCAL_DOMAIN, route, table, target
+from standins.forwarding_records import LOCAL_DOMAIN, at, route, table, target
 from tests.fleet.members import member
 from tests.virtual_time import VirtualTimeTestCase
 
@@ -139,7 +139,7 @@
         return Failure(unreachable("store", "timeout", "Wait."))
 
     def read_changes(
-        self, revision: int
+        self, position: Position
     ) -> Result[PublicationBatch | HistoryLost, Refusal]:
         """Fails."""
         return Failure(unreachable("store", "timeout", "Wait."))
@@ -183,7 +183,7 @@
     def test_the_targets_of_a_peer_are_adopted(self) -> None:
         source_host, source_registry = self.make(LostPlatform())
         source_registry.put(target("a"))
-        source_host.history.reset(7)
+        source_host.history.reset(at(7))
         source = RegistrySource(
             TIMES, source_host, source_registry, ActiveRoutes(), EvacuatedDomains()
         )
@@ -220,7 +220,7 @@
         self.source_evacuated = EvacuatedDomains()
         self.evacuated = EvacuatedDomains()
         source_host, registry = StartInAnOutageTest().make(LostPlatform())
-        source_host.history.reset(7)
+        source_host.history.reset(at(7))
         peers: Any = PeersOfOne(
             RegistrySource(
                 TIMES, source_host, registry, ActiveRoutes(), self.source_evacuated
@@ -248,12 +248,12 @@
         )
 
     def test_a_host_that_starts_knows_them_before_it_knows_targets(self) -> None:
-        self.source_evacuated.apply((Evacuation(LOCAL_DOMAIN, 3, True),), 0.0)
+        self.source_evacuated.apply((Evacuation(LOCAL_DOMAIN, at(3), True),), 0.0)
         self.assertTrue(self.follower.read())
         self.assertTrue(self.evacuated.is_evacuated(LOCAL_DOMAIN))
 
     def test_a_removal_that_was_missed_is_made_good(self) -> None:
-        self.evacuated.apply((Evacuation(LOCAL_DOMAIN, 3, True),), 0.0)
+        self.evacuated.apply((Evacuation(LOCAL_DOMAIN, at(3), True),), 0.0)
         self.assertTrue(self.follower.read())
         self.assertFalse(self.evacuated.is_evacuated(LOCAL_DOMAIN))
 
@@ -266,9 +266,9 @@
     """
 
     def test_a_list_of_before_the_order_does_not_end_it(self) -> None:
-        order = Evacuation(LOCAL_DOMAIN, 15, True)
+        order = Evacuation(LOCAL_DOMAIN, at(15), True)
         platform = LostPlatform()
-        batch = PublicationBatch((), 20, evacuations=(order,))
+        batch = PublicationBatch((), at(20), evacuations=(order,))
         platform.read_all = lambda: Success(batch)  # type: ignore[method-assign]
         routes, registry = ActiveRoutes(), TargetRegistry()
         replication = RouteReplication(routes, encode_table, decode_table, 0.0)
@@ -280,7 +280,7 @@
             EvacuatedDomains(),
             clock.monotonic_s(),
         )
-        source_host.history.reset(10)
+        source_host.history.reset(at(10))
         peers: Any = PeersOfOne(
             RegistrySource(TIMES, source_host, registry, routes, EvacuatedDomains())
         )
@@ -304,7 +304,7 @@
     def test_a_push_has_the_time_that_is_left(self) -> None:
         cold = ColdTargets()
         source_host, registry = StartInAnOutageTest().make(LostPlatform())
-        source_host.history.reset(7)
+        source_host.history.reset(at(7))
         now_s = clock.monotonic_s()
         records = tuple(replace(target(n), cold_left_ms=4_000) for n in ("a", "b"))
         registry.put(*records)
@@ -312,7 +312,7 @@
         source = RegistrySource(
             TIMES, source_host, registry, ActiveRoutes(), EvacuatedDomains(), cold
         )
-        push = source.reply_to(RegistryPull(ExchangeId("e"), NO_REVISION))
+        push = source.reply_to(RegistryPull(ExchangeId("e"), None))
         left_ms = {record.target: record.cold_left_ms for record in push.records}
         self.assertGreater(left_ms[TargetId("a")] or 0, 3_000)
         # The coldness that its entry told of is over.
@@ -334,19 +334,19 @@
 
     def read_all(self) -> Result[PublicationBatch, Refusal]:
         """Returns the first target."""
-        return Success(PublicationBatch((TargetPublished(target("a")),), 1))
+        return Success(PublicationBatch((TargetPublished(target("a")),), at(1)))
 
     def read_changes(
-        self, revision: int
+        self, position: Position
     ) -> Result[PublicationBatch | HistoryLost, Refusal]:
         """Waits for changes as a watch call does, until its timeout if it is cut."""
         began_s = clock.monotonic_s()
         while not self.is_cut and clock.monotonic_s() < began_s + self._times.watch_s:
-            if self._changes and revision == 1:
-                return Success(PublicationBatch(tuple(self._changes), 2))
+            if self._changes and position == at(1):
+                return Success(PublicationBatch(tuple(self._changes), at(2)))
             tasks.sleep(0.01)
         if not self.is_cut:
-            return Success(PublicationBatch((), revision))
+            return Success(PublicationBatch((), position))
         tasks.sleep(began_s + self._times.watch_timeout_s - clock.monotonic_s())
         return Failure(unreachable("store", "timeout", "Wait."))
 
--- a/tests/platform/test_decoder_properties.py
+++ b/tests/platform/test_decoder_properties.py
@@ -28,7 +28,7 @@
 from lavendertide.platform.target_entries import decode_target
 from lavendertide.registry.record import check_record
 from lavendertide.routes.route import Route
-from standins.forwarding_records import request, target
+from standins.forwarding_records import at, request, target
 from tests.platform.test_decoding import CONFIGURATION, ENTRY, ROUTE, SETTINGS
 
 EXAMPLES = 150
@@ -67,7 +67,7 @@
             return
         check_record(record)
         push = RegistryPush(
-            ExchangeId("e"), 1, (record,), (), False, True, ConfigurationVersion(1)
+            ExchangeId("e"), at(1), (record,), (), False, True, ConfigurationVersion(1)
         )
         sent = encode_frame(push)[LENGTH.size :]
         self.assertEqual(decode_frame(sent).unwrap(), push)
--- a/tests/platform/test_store_client.py
+++ b/tests/platform/test_store_client.py
@@ -2,6 +2,7 @@
 
 import time
 import unittest
+from dataclasses import replace
 
 from returns.result import Failure, Success
 
@@ -13,8 +14,9 @@
     PublicationBatch,
 )
 from lavendertide.gateway.reading_times import ReadingTimes
-from lavendertide.ids import Address, FailureDomain
+from lavendertide.ids import Address, FailureDomain, StoreRevision
 from lavendertide.platform.store_client import StoreClient
+from standins.forwarding_records import at
 from standins.platform_store import PlatformStore
 from tests.encodings.fixed_peer import Peer
 
@@ -31,7 +33,7 @@
         peer = Peer([head + b"x" * size])
         self.addCleanup(peer.close)
         client = StoreClient(peer.address, ReadingTimes(3.0))
-        result = client.read_changes(1)
+        result = client.read_changes(at(1, 0))
         assert isinstance(result, Success)
         self.assertIsInstance(result.unwrap(), HistoryLost)
 
@@ -64,11 +66,11 @@
             with self.subTest(is_framed=is_framed):
                 line = b"HTTP/1.1 200 OK"
                 self.assertEqual(
-                    self.client(line, is_framed).read_all().unwrap().revision, 7
+                    self.client(line, is_framed).read_all().unwrap().position, at(7, 0)
                 )
-                changes = self.client(line, is_framed).read_changes(6).unwrap()
+                changes = self.client(line, is_framed).read_changes(at(6, 0)).unwrap()
                 assert isinstance(changes, PublicationBatch)
-                self.assertEqual(changes.revision, 7)
+                self.assertEqual(changes.position, at(7, 0))
 
     def test_another_one_is_a_failure_at_once(self) -> None:
         for line in (
@@ -81,7 +83,7 @@
                 with self.subTest(line=line, is_framed=is_framed):
                     began_s = time.monotonic()
                     listed = self.client(line, is_framed).read_all()
-                    changes = self.client(line, is_framed).read_changes(6)
+                    changes = self.client(line, is_framed).read_changes(at(6, 0))
                     self.assertIsInstance(listed, Failure)
                     self.assertIsInstance(changes, Failure)
                     self.assertLess(time.monotonic() - began_s, 0.2 * self.WATCH_S)
@@ -109,11 +111,12 @@
 
     def test_a_removal_has_a_greater_revision(self) -> None:
         self.store.put("op/evacuate/north-a", {})
-        revision = self.read_all().revision
+        position = self.read_all().position
         self.store.remove("op/evacuate/north-a")
-        changes = self.client.read_changes(revision).unwrap()
+        changes = self.client.read_changes(position).unwrap()
         assert isinstance(changes, PublicationBatch)
-        state = Evacuation(FailureDomain("north-a"), revision + 1, False)
+        removed_at = replace(position, revision=StoreRevision(position.revision + 1))
+        state = Evacuation(FailureDomain("north-a"), removed_at, False)
         self.assertEqual(changes.publications, (EvacuationPublished(state),))
         self.assertIsNone(changes.evacuations)
 
--- a/tests/registry/test_history.py
+++ b/tests/registry/test_history.py
@@ -4,7 +4,7 @@
 
 from lavendertide.ids import TargetId
 from lavendertide.registry.history import CHANGES_MAX, RegistryHistory
-from standins.forwarding_records import target
+from standins.forwarding_records import at, target
 
 
 class RegistryHistoryTest(unittest.TestCase):
@@ -12,29 +12,31 @@
 
     def setUp(self) -> None:
         self.history = RegistryHistory()
-        self.history.reset(10)
-        self.history.append([(TargetId("a"), target("a"))], 12)
-        self.history.append([(TargetId("a"), None), (TargetId("b"), target("b"))], 15)
+        self.history.reset(at(10))
+        self.history.append([(TargetId("a"), target("a"))], at(12))
+        self.history.append(
+            [(TargetId("a"), None), (TargetId("b"), target("b"))], at(15)
+        )
 
     def test_only_the_last_change_of_each_target_is_returned(self) -> None:
-        changes = self.history.changes_since(10)
+        changes = self.history.changes_since(at(10))
         assert changes is not None
         self.assertEqual(changes.records, (target("b"),))
         self.assertEqual(changes.withdrawn, ("a",))
-        self.assertEqual(changes.revision, 15)
+        self.assertEqual(changes.position, at(15))
 
     def test_a_current_follower_gets_no_changes(self) -> None:
-        changes = self.history.changes_since(15)
+        changes = self.history.changes_since(at(15))
         assert changes is not None
         self.assertEqual((changes.records, changes.withdrawn), ((), ()))
 
     def test_a_follower_that_is_ahead_keeps_its_revision(self) -> None:
-        changes = self.history.changes_since(20)
+        changes = self.history.changes_since(at(20))
         assert changes is not None
-        self.assertEqual(changes.revision, 20)
+        self.assertEqual(changes.position, at(20))
 
     def test_a_follower_too_far_behind_needs_everything(self) -> None:
-        self.assertIsNone(self.history.changes_since(9))
+        self.assertIsNone(self.history.changes_since(at(9)))
         many = [(TargetId("x"), target("x"))] * (CHANGES_MAX + 1)
-        self.history.append(list(many), 99)
-        self.assertIsNone(self.history.changes_since(10))
+        self.history.append(list(many), at(99))
+        self.assertIsNone(self.history.changes_since(at(10)))
