Read everything again when the store was restored from a copy

Cause: a host continues from the revision that it read last. A restored store gives revisions out again, so its next changes look like the continuation, and what was written under the revisions that the host had read is skipped. Nothing read the era that the store names.

Fix: an answer of another era, with any status, isn't a continuation; the follower reads everything at once. Pages of two eras never make one list, an answer of an earlier era changes nothing, and one without an era is placed in the known one.

--- a/lavendertide/errors.py
+++ b/lavendertide/errors.py
@@ -33,6 +33,7 @@
     NO_SNAPSHOT = "no_snapshot"
     INTERNAL_ERROR = "internal_error"
     UNREACHABLE = "unreachable"
+    OUTDATED = "outdated"
     NOT_FOUND = "not_found"
     BAD_RUN = "bad_run"
     LIBRARY_MISSING = "library_missing"
@@ -84,6 +85,18 @@
     )
 
 
+def outdated(address: str, problem: str, remedy: str) -> Refusal:
+    """Builds the refusal of an answer that is older than what is known.
+
+    Args:
+        address: The address that has answered.
+        problem: In what the answer is older.
+        remedy: What the reader can do about it, in one sentence.
+    """
+    message = f"Outdated answer from {address}: {problem}."
+    return Refusal(RefusalKind.OUTDATED, message, remedy, Fault.SYSTEM)
+
+
 def unreachable(address: str, problem: str, remedy: str) -> Refusal:
     """Builds the refusal for a host or daemon that did not respond.
 
--- a/lavendertide/gateway/follower.py
+++ b/lavendertide/gateway/follower.py
@@ -12,7 +12,7 @@
 
 from returns.result import Failure, Success
 
-from lavendertide.errors import Refusal
+from lavendertide.errors import Refusal, outdated
 from lavendertide.evacuation.evacuated_domains import EvacuatedDomains
 from lavendertide.gateway.publications import (
     EvacuationPublished,
@@ -24,11 +24,12 @@
     TargetPublished,
     TargetWithdrawn,
 )
-from lavendertide.ids import TargetId
+from lavendertide.ids import StoreEra, TargetId
 from lavendertide.registry.history import RegistryHistory
 from lavendertide.registry.record import TargetRecord
 from lavendertide.registry.registry import TargetRegistry
 from lavendertide.restoration.position import Position, position_fields
+from lavendertide.restoration.restorations import Continuity, Restorations
 from lavendertide.routes.active_routes import ActiveRoutes
 from lavendertide.routes.replication import RouteReplication
 from lavendertide.runtime import clock, tasks
@@ -41,6 +42,9 @@
 # it. A host that has read nothing yet can't serve, so it retries sooner.
 RETRY_S: Final = 0.5
 RETRY_UNINITIALIZED_S: Final = 0.2
+OUTDATED_REMEDY: Final = (
+    "Check which store responds; restart the hosts if it was set up anew."
+)
 
 _log = logging.getLogger(__name__)
 
@@ -65,6 +69,9 @@
         self._route_replication = route_replication
         self._registry = registry
         self._position: Position | None = None
+        # Set while the changes since `_position` can't be read.
+        self._must_read_all = True
+        self._restorations = Restorations()
         self._answered_at_s = now_s
         self._is_platform_lost = False
         self._history = RegistryHistory()
@@ -113,19 +120,14 @@
 
     def read(self) -> bool:
         """Reads once and applies the result; returns whether the read succeeded."""
-        if self._position is None:
+        position = self._position
+        if position is None or self._must_read_all:
             return self._read_all()
-        result = self._reader.read_changes(self._position)
+        result = self._reader.read_changes(position)
         now_s = clock.monotonic_s()
         match result:
-            case Success(HistoryLost()):
-                _log.info(
-                    "platform history lost; reading everything",
-                    extra=position_fields(self._position),
-                )
-                self._record_answer(now_s)
-                self._position = None
-                return self._read_all()
+            case Success(HistoryLost(era)):
+                return self._read_all_after_loss(era, position, now_s)
             case Success(PublicationBatch(publications, position) as batch):
                 self._record_answer(now_s)
                 self._apply_evacuations(batch, now_s)
@@ -141,19 +143,52 @@
         now_s = clock.monotonic_s()
         match result:
             case Success(batch):
-                if not batch.is_from_peer:
-                    self._record_answer(now_s)
-                self._apply_evacuations(batch, now_s)
-                self._apply_all(batch.publications, now_s)
-                self._history.reset(batch.position)
-                self._record_position(batch.position)
-                if not batch.is_from_peer:
-                    self._platform_was_read.set()
-                return True
+                return self._adopt_complete(batch, now_s)
             case Failure(refusal):
                 self._record_failure(refusal, now_s)
         return False
 
+    def _read_all_after_loss(
+        self, era: StoreEra, position: Position, now_s: float
+    ) -> bool:
+        """Reads everything, as the changes since a position can't be read."""
+        match self._restorations.record(era):
+            case Continuity.OUTDATED:
+                self._record_failure(self._describe_outdated(era), now_s)
+                return False
+            case Continuity.CONTINUED:
+                _log.info(
+                    "platform history lost; reading everything",
+                    extra=position_fields(position),
+                )
+                self._record_answer(now_s)
+            case Continuity.RESTORED:
+                # The answer may be an error.
+                pass
+        self._must_read_all = True
+        return self._read_all()
+
+    def _adopt_complete(self, batch: PublicationBatch, now_s: float) -> bool:
+        """Applies a batch of everything; returns whether it is not outdated."""
+        era = batch.position.era
+        if self._restorations.record(era) is Continuity.OUTDATED:
+            self._record_failure(self._describe_outdated(era), now_s)
+            return False
+        if not batch.is_from_peer:
+            self._record_answer(now_s)
+        self._apply_evacuations(batch, now_s)
+        self._apply_all(batch.publications, now_s)
+        self._history.reset(batch.position)
+        self._must_read_all = False
+        self._record_position(batch.position)
+        if not batch.is_from_peer:
+            self._platform_was_read.set()
+        return True
+
+    def _describe_outdated(self, era: StoreEra) -> Refusal:
+        problem = f"it is of era {era}, and era {self._restorations.era} is known"
+        return outdated("the platform's store", problem, OUTDATED_REMEDY)
+
     def _apply_evacuations(self, batch: PublicationBatch, now_s: float) -> None:
         """Applies a complete list, before targets of its domains become usable."""
         if batch.evacuations is not None:
--- a/lavendertide/gateway/publications.py
+++ b/lavendertide/gateway/publications.py
@@ -7,7 +7,7 @@
 
 from lavendertide.errors import Refusal
 from lavendertide.evacuation.evacuated_domains import Evacuation
-from lavendertide.ids import TargetId
+from lavendertide.ids import StoreEra, TargetId
 from lavendertide.registry.record import TargetRecord
 from lavendertide.restoration.position import Position
 from lavendertide.routes.table import RouteTable
@@ -62,12 +62,19 @@
     evacuations: tuple[Evacuation, ...] | None = None
 
 
+@dataclass(frozen=True, slots=True)
 class HistoryLost:
     """The changes since a position can't be read any more; everything must be read.
 
-    The platform has discarded them, or they are too many for one read.
+    The platform has discarded them, they are too many for one read, or the platform's
+    store was restored from an older copy.
+
+    Attributes:
+        era: Era of the answer, which is not the position's if the store was restored.
     """
 
+    era: StoreEra
+
 
 class PlatformReader(Protocol):
     """Reads what the platform publishes.
--- a/lavendertide/platform/names.py
+++ b/lavendertide/platform/names.py
@@ -25,6 +25,8 @@
 COLD_MS: Final = b"lavendertide-cold-ms"
 RETRY_AFTER: Final = b"retry-after"
 CONTENT_ENCODING: Final = b"content-encoding"
+# In all responses of the store; rises by one each time it returns from a copy.
+STORE_ERA: Final = b"store-era"
 KEEP_ALIVE: Final = b"keep-alive"
 
 READY_PATH: Final = "/api/ready"
--- a/lavendertide/platform/store_client.py
+++ b/lavendertide/platform/store_client.py
@@ -25,12 +25,19 @@
     TargetWithdrawn,
 )
 from lavendertide.gateway.reading_times import ReadingTimes
-from lavendertide.ids import Address, FailureDomain, StoreRevision, TargetId
+from lavendertide.ids import (
+    Address,
+    FailureDomain,
+    StoreEra,
+    StoreRevision,
+    TargetId,
+)
 from lavendertide.overload.response_memory import ResponseMemory
 from lavendertide.platform.names import (
     EVACUATIONS_PREFIX,
     RANGE_PATH,
     ROUTES_KEY,
+    STORE_ERA,
     TARGETS_PREFIX,
     WATCH_PATH,
 )
@@ -44,9 +51,12 @@
 RESPONSE_TIMEOUT_S: Final = 1.0
 # Maximum number of pages read of one range; more than any deployment needs.
 PAGES_MAX: Final = 1_000
+# How often everything is read from the start if the store is restored meanwhile.
+RANGES_MAX: Final = 3
 ALL_KEYS: Final = ""
 # Length up to which the key and the problem of a refused entry are logged.
 LOGGED_MAX_CHARACTERS: Final = 200
+ERA_REMEDY: Final = "Check what responds at the address of the platform's store."
 REMEDY: Final = "Check that the platform's store runs; data read before stays in use."
 
 # Raised for a document whose fields are missing or of another type.
@@ -78,6 +88,7 @@
         # Not shared with targets, whose responses may use up the memory for all.
         self._connection = ClientConnection(address, ResponseMemory())
         self._refused: dict[str, str] = {}
+        self._era = UNNAMED_ERA
 
     def read_all(self) -> Result[PublicationBatch, Refusal]:
         """Reads all routes and targets."""
@@ -100,50 +111,87 @@
             response = self._get(WATCH_PATH, query, self._times.watch_timeout_s)
         except _OversizedResponse:
             # The store doesn't divide the changes into pages, as it does a range.
-            return Success(HistoryLost())
+            return Success(HistoryLost(position.era))
         except _StoreError as error:
             return Failure(unreachable(self._address, str(error), REMEDY))
-        if response.status == 410:
-            return Success(HistoryLost())
+        era = self._read_era(response, position.era)
+        if era != position.era or response.status == 410:
+            return Success(HistoryLost(era))
         try:
             document = _parse_document(response)
-            publications = [self._decode(event) for event in document["events"]]
+            publications = [self._decode(event, era) for event in document["events"]]
             batch = PublicationBatch(
                 tuple(p for p in publications if p is not None),
-                _decode_position(document["current-rev"]),
+                _decode_position(era, document["current-rev"]),
             )
             return Success(batch)
         except (_StoreError, *_UNREADABLE) as error:
             return Failure(unreachable(self._address, str(error), REMEDY))
 
     def _read_all(self) -> PublicationBatch:
-        position: Position | None = None
+        for _ in range(RANGES_MAX):
+            batch = self._read_range()
+            if batch is not None:
+                return batch
+        raise _StoreError("restored again while it was read")
+
+    def _read_range(self) -> PublicationBatch | None:
+        """Reads all pages; returns none if the store was restored between two."""
+        # Pages are read at different times. Reading changes from the first page's
+        # position on includes those that later pages missed.
+        first: Position | None = None
         publications: list[Publication] = []
         after = ""
         for _ in range(PAGES_MAX):
             query = {"prefix": ALL_KEYS, "after": after}
-            document = _parse_document(self._get(RANGE_PATH, query, RESPONSE_TIMEOUT_S))
+            response = self._get(RANGE_PATH, query, RESPONSE_TIMEOUT_S)
+            era = self._read_era(response, self._era)
+            document = _parse_document(response)
             try:
-                # Pages are read at different times. Reading changes from the first
-                # page's position on includes those that later pages missed.
-                if position is None:
-                    position = _decode_position(document["current-rev"])
+                position = _decode_position(era, document["current-rev"])
+                first = first or position
+                # A store that names no era is seen to be restored by its revision.
+                if position.era != first.era or position < first:
+                    return None
                 items = document["items"]
-                decoded = [self._decode(item) for item in items]
+                decoded = [self._decode(item, era) for item in items]
                 publications += [p for p in decoded if p is not None]
                 if not document["has-more"] or not items:
                     break
                 after = items[-1]["key"]
             except _UNREADABLE as error:
                 raise _StoreError(f"unreadable range: {error!r}") from error
-        if position is None:
+        if first is None:
             raise _StoreError("a range without pages")
         evacuations = tuple(
             publication.state
             for publication in publications
             if isinstance(publication, EvacuationPublished)
         )
-        return PublicationBatch(tuple(publications), position, evacuations=evacuations)
+        return PublicationBatch(tuple(publications), first, evacuations=evacuations)
+
+    def _read_era(self, response: HttpResponse, known: StoreEra) -> StoreEra:
+        """Returns the era of a response.
+
+        A response that names none, such as that of a proxy or of an earlier release of
+        the store, gives no evidence of another era than the known one.
+        """
+        value = response.header(STORE_ERA)
+        self._era = max(self._era, known)
+        if value is None:
+            return self._era
+        try:
+            era = decode_era(value)
+        except ValueError as error:
+            self._record_refused(STORE_ERA.decode(), str(error))
+            return self._era
+        if era < self._era:
+            # Another process may answer on a new connection.
+            self._connection.close()
+            return era
+        self._refused.pop(STORE_ERA.decode(), None)
+        self._era = era
+        return era
 
     def _get(self, path: str, query: dict[str, Any], timeout_s: float) -> HttpResponse:
         connection = self._connection
@@ -159,12 +207,12 @@
             kind = "timeout" if error.is_timeout else "connection closed"
             raise _StoreError(kind) from error
 
-    def _decode(self, item: dict[str, Any]) -> Publication | None:
+    def _decode(self, item: dict[str, Any], era: StoreEra) -> Publication | None:
         key = item["key"]
         if key == ROUTES_KEY:
             return self._decode_routes(item)
         if key.startswith(EVACUATIONS_PREFIX):
-            return self._decode_evacuation(item)
+            return self._decode_evacuation(item, era)
         if not key.startswith(TARGETS_PREFIX):
             return None
         name = key.removeprefix(TARGETS_PREFIX)
@@ -183,7 +231,9 @@
         self._refused.pop(key, None)
         return TargetPublished(record)
 
-    def _decode_evacuation(self, item: dict[str, Any]) -> Publication | None:
+    def _decode_evacuation(
+        self, item: dict[str, Any], era: StoreEra
+    ) -> Publication | None:
         """Decodes the order to evacuate a domain; the key alone says which one."""
         domain = item["key"].removeprefix(EVACUATIONS_PREFIX)
         is_name = domain.isprintable() and 0 < len(domain) <= NAME_MAX_CHARACTERS
@@ -192,7 +242,7 @@
             return None
         state = Evacuation(
             FailureDomain(domain),
-            _decode_position(item["rev"]),
+            _decode_position(era, item["rev"]),
             "tombstone" not in item,
         )
         return EvacuationPublished(state)
@@ -228,13 +278,28 @@
     return document
 
 
-def _decode_position(revision: object) -> Position:
+def decode_era(value: bytes) -> StoreEra:
+    """Returns the era that a response of the store names.
+
+    Raises:
+        ValueError: The header has no whole number in range.
+    """
+    # `int` accepts signs, underscores and digits of other scripts as well.
+    if not value.isdigit():
+        raise ValueError(f"the era is not a whole number. {ERA_REMEDY}")
+    try:
+        return StoreEra(check_number(int(value), "era"))
+    except ValueError as error:
+        raise ValueError(f"{error}. {ERA_REMEDY}") from error
+
+
+def _decode_position(era: StoreEra, revision: object) -> Position:
     """Returns the place of a revision in the store's history.
 
     Raises:
         ValueError: The revision is no whole number in range.
     """
-    return Position(UNNAMED_ERA, StoreRevision(check_number(revision, "revision")))
+    return Position(era, StoreRevision(check_number(revision, "revision")))
 
 
 def _decode_value(item: dict[str, Any]) -> Any:
--- /dev/null
+++ b/lavendertide/restoration/restorations.py
@@ -0,0 +1,61 @@
+"""Tells from the era of an answer whether the platform's store was restored.
+
+Load pattern: none; the store is away for a moment and comes back from a copy that is
+some seconds old, while requests go on.
+
+A store that is restored loses what it has acknowledged since the copy was made. What
+was written then is written again some time later. Until then a host goes by what it
+knew before, so that no write is undone that will be made again. Hosts that disagree on
+the era each go by the latest that they have seen; the store's next answer tells those
+that are behind.
+"""
+
+import logging
+from enum import Enum
+
+from lavendertide.ids import StoreEra
+
+_log = logging.getLogger(__name__)
+
+
+class Continuity(Enum):
+    """How an answer relates to what was read before."""
+
+    CONTINUED = "continued"
+    # The store was restored since; what was read before can't be continued.
+    RESTORED = "restored"
+    # The answer is of an earlier era than one that is known, and says nothing.
+    OUTDATED = "outdated"
+
+
+class Restorations:
+    """The latest era of the store that this host knows."""
+
+    def __init__(self) -> None:
+        self._era: StoreEra | None = None
+        self._count = 0
+
+    @property
+    def era(self) -> StoreEra | None:
+        """The latest known era; none before the first answer."""
+        return self._era
+
+    @property
+    def count(self) -> int:
+        """How often the store was restored since this host started."""
+        return self._count
+
+    def record(self, era: StoreEra) -> Continuity:
+        """Records the era of an answer, of the store or of a peer."""
+        known = self._era
+        if known is not None and era < known:
+            return Continuity.OUTDATED
+        self._era = era
+        if known is None or era == known:
+            return Continuity.CONTINUED
+        self._count += 1
+        _log.warning(
+            "store restored from an older copy; reading everything",
+            extra={"era": era, "previous_era": known},
+        )
+        return Continuity.RESTORED
--- a/tests/gateway/test_following.py
+++ b/tests/gateway/test_following.py
@@ -21,7 +21,7 @@
 )
 from lavendertide.gateway.reading_times import ReadingTimes
 from lavendertide.gateway.settings_reloader import SettingsReloader
-from lavendertide.ids import Address, FailureDomain, HostId, Region, TargetId
+from lavendertide.ids import Address, FailureDomain, HostId, Region, StoreEra, TargetId
 from lavendertide.registry.registry import TargetRegistry
 from lavendertide.restoration.position import Position
 from lavendertide.routes.active_routes import ActiveRoutes
@@ -141,7 +141,7 @@
 
     def test_everything_is_read_again_after_lost_history(self) -> None:
         self.follower.read()
-        self.reader.changes = Success(HistoryLost())
+        self.reader.changes = Success(HistoryLost(StoreEra(1)))
         self.reader.everything = Success(
             PublicationBatch((TargetPublished(target("b")),), at(20))
         )
--- a/tests/platform/test_store_client.py
+++ b/tests/platform/test_store_client.py
@@ -1,5 +1,6 @@
 """Tests of `lavendertide.platform.store_client`, over a socket within the process."""
 
+import json
 import time
 import unittest
 from dataclasses import replace
@@ -14,7 +15,7 @@
     PublicationBatch,
 )
 from lavendertide.gateway.reading_times import ReadingTimes
-from lavendertide.ids import Address, FailureDomain, StoreRevision
+from lavendertide.ids import Address, FailureDomain, StoreEra, StoreRevision
 from lavendertide.platform.store_client import StoreClient
 from standins.forwarding_records import at
 from standins.platform_store import PlatformStore
@@ -129,3 +130,102 @@
             states = self.read_all().evacuations
         assert states is not None
         self.assertEqual([state.domain for state in states], ["north-a"])
+
+
+class EraTest(unittest.TestCase):
+    """Each answer is placed in the era of the store that it names."""
+
+    BODY = b'{"items": [], "events": [], "has-more": false, "current-rev": 7}'
+
+    def respond(self, *heads: bytes) -> StoreClient:
+        """Returns a client of a store that responds with these status lines."""
+        length = b"Content-Length: %d\r\n\r\n" % len(self.BODY)
+        peer = Peer([head + length + self.BODY for head in heads])
+        self.addCleanup(peer.close)
+        client = StoreClient(peer.address, ReadingTimes(3.0))
+        self.addCleanup(client._connection.close)
+        return client
+
+    def test_it_is_read_from_any_answer(self) -> None:
+        for status in (b"200 OK", b"410 Gone", b"429 Slow Down", b"503 Unavailable"):
+            with self.subTest(status=status):
+                head = b"HTTP/1.1 %b\r\nStore-Era: 12\r\n" % status
+                client = self.respond(head)
+                lost = client.read_changes(at(6, 11)).unwrap()
+                self.assertEqual(lost, HistoryLost(StoreEra(12)))
+
+    def test_changes_of_the_known_era_continue(self) -> None:
+        client = self.respond(b"HTTP/1.1 200 OK\r\nStore-Era: 12\r\n")
+        batch = client.read_changes(at(6, 12)).unwrap()
+        assert isinstance(batch, PublicationBatch)
+        self.assertEqual(batch.position, at(7, 12))
+
+    def test_an_answer_without_one_is_of_the_known_era(self) -> None:
+        for status, expected in (
+            (b"200 OK", PublicationBatch((), at(7, 12))),
+            (b"410 Gone", HistoryLost(StoreEra(12))),
+        ):
+            with self.subTest(status=status):
+                client = self.respond(b"HTTP/1.1 %b\r\n" % status)
+                result = client.read_changes(at(6, 12))
+                self.assertEqual(result.unwrap(), expected)
+
+    def test_an_error_without_one_is_no_answer(self) -> None:
+        client = self.respond(b"HTTP/1.1 503 Unavailable\r\n")
+        self.assertIsInstance(client.read_changes(at(6, 12)), Failure)
+
+    def test_malformed_ones_are_logged_and_change_nothing(self) -> None:
+        """Guards against a zero in place of an era that can't be read."""
+        huge = b"%d" % 2**63
+        for value in (b"", b"-1", b"+13", b"1_3", b"13.0", b"x", b"\xb2", huge):
+            with self.subTest(value=value):
+                head = b"HTTP/1.1 200 OK\r\nStore-Era: %b\r\n" % value
+                client = self.respond(head)
+                with self.assertLogs("lavendertide.platform.store_client") as logs:
+                    batch = client.read_changes(at(6, 12)).unwrap()
+                assert isinstance(batch, PublicationBatch)
+                self.assertEqual(batch.position, at(7, 12))
+                self.assertIn("Check what responds", vars(logs.records[0])["problem"])
+
+    def test_the_least_and_the_greatest_era_are_read(self) -> None:
+        for era in (0, 2**63 - 1):
+            with self.subTest(era=era):
+                client = self.respond(b"HTTP/1.1 200 OK\r\nStore-Era: %d\r\n" % era)
+                self.assertEqual(client.read_all().unwrap().position, at(7, era))
+
+    def test_the_connection_to_an_earlier_era_is_closed(self) -> None:
+        client = self.respond(b"HTTP/1.1 200 OK\r\nStore-Era: 11\r\n")
+        lost = client.read_changes(at(6, 12)).unwrap()
+        self.assertEqual(lost, HistoryLost(StoreEra(11)))
+        self.assertFalse(client._connection.is_open)
+
+
+class RestoredBetweenPagesTest(unittest.TestCase):
+    """Guards against one list that is made of the pages of two eras."""
+
+    def page(self, era: str, revision: int, key: str, has_more: bool) -> bytes:
+        """Returns a response with one page, which holds one evacuation."""
+        item = {"key": f"op/evacuate/{key}", "value": "", "rev": revision}
+        document = {"items": [item], "has-more": has_more, "current-rev": revision}
+        body = json.dumps(document).encode()
+        head = f"HTTP/1.1 200 OK\r\n{era}Content-Length: {len(body)}\r\n\r\n"
+        return head.encode() + body
+
+    def test_everything_is_read_from_the_start(self) -> None:
+        for first, second in (("Store-Era: 1\r\n", "Store-Era: 2\r\n"), ("", "")):
+            with self.subTest(first=first):
+                peer = Peer(
+                    [
+                        self.page(first, 9, "a", True),
+                        self.page(second, 6, "b", False),
+                        self.page(second, 6, "a", True),
+                        self.page(second, 6, "c", False),
+                    ]
+                )
+                self.addCleanup(peer.close)
+                client = StoreClient(peer.address, ReadingTimes(3.0))
+                self.addCleanup(client._connection.close)
+                batch = client.read_all().unwrap()
+                self.assertEqual(batch.position.revision, 6)
+                domains = [state.domain for state in batch.evacuations or ()]
+                self.assertEqual(domains, ["a", "c"])
