Keep what is known of targets until a restored store is written again

Callers: after the store came back from a copy, a live target that the copy lacks was dropped at once unless a call had failed before, a target whose draining was lost got requests again, and so did one that had left.

Cause: a full read replaced all that was known, although what the copy lacks is written again moments later. Only a failed call began the time within which targets register again.

Fix: a list of another era begins that time. In it, an entry of a run that has ended, that drains, or that was followed by a later one isn't believed for up to ten seconds, until the target's entry is written or removed again.

--- a/lavendertide/gateway/follower.py
+++ b/lavendertide/gateway/follower.py
@@ -176,6 +176,8 @@
             return False
         if not batch.is_from_peer:
             self._record_answer(now_s)
+        if self._position is not None and era != self._position.era:
+            self._registry.record_restoration(now_s)
         self._apply_evacuations(batch, now_s)
         self._apply_all(batch.publications, now_s)
         self._history.reset(batch.position)
--- a/lavendertide/registry/registry.py
+++ b/lavendertide/registry/registry.py
@@ -9,6 +9,7 @@
 from lavendertide.registry.announcements import Announcements
 from lavendertide.registry.exclusion import Exclusion, ExclusionReason
 from lavendertide.registry.record import TargetRecord, TargetRun, TargetState
+from lavendertide.registry.restored_entries import RestoredEntries
 
 # Time after a platform outage within which targets register again whose entries lapsed
 # during it.
@@ -34,6 +35,7 @@
         self._evacuated = evacuated or EvacuatedDomains()
         self._evacuated.on_change(self._apply_evacuation)
         self._announcements = Announcements(last_resort_s)
+        self._restored = RestoredEntries()
         self._records: dict[TargetId, TargetRecord] = {}
         self._by_service: dict[ServiceName, tuple[TargetRecord, ...]] = {}
         self._missing_since_s: dict[TargetId, float] = {}
@@ -46,6 +48,17 @@
         """All targets, including draining ones."""
         return tuple(self._records.values())
 
+    @property
+    def listed_targets(self) -> tuple[TargetRecord, ...]:
+        """All targets as the store lists them, also where that is not believed yet."""
+        outdated = self._restored.outdated
+        believed = (
+            record
+            for target, record in self._records.items()
+            if target not in self._missing_since_s and target not in outdated
+        )
+        return (*believed, *outdated.values())
+
     def set_removal_listener(self, listener: Callable[[TargetRecord], None]) -> None:
         """Sets the function that is called with each run of a target that has ended."""
         self._removal_listener = listener
@@ -180,6 +193,12 @@
         return ready_targets
 
     def put(self, *records: TargetRecord) -> None:
+        """Adds or updates targets whose entries were written."""
+        for record in records:
+            self._restored.record_written(record.run)
+        self._put(records)
+
+    def _put(self, records: Iterable[TargetRecord]) -> None:
         """Adds or updates targets; all new ones share one log line."""
         started: list[TargetRecord] = []
         for record in records:
@@ -196,6 +215,9 @@
                 if record.state is not TargetState.READY:
                     self._closing_listener(record)
             if previous is not None and not record.is_same_start(previous):
+                # Without start times both runs have the same identity.
+                if previous.run != record.run:
+                    self._restored.record_ended(previous.run)
                 self._removal_listener(previous)
         if started:
             _log_registered(started)
@@ -206,6 +228,7 @@
         Just after a platform outage the entry may have lapsed although the target is
         alive, so the target is kept until it has had time to register again.
         """
+        self._restored.record_removed(target)
         if target not in self._records:
             return
         if self._is_reregistration_period(now_s):
@@ -214,9 +237,13 @@
         self._discard(target, "unregistered")
 
     def replace(self, records: Iterable[TargetRecord], now_s: float) -> None:
-        """Replaces all targets by a full list."""
+        """Replaces all targets by a full list.
+
+        Just after a restoration of the store, entries that are older than known ones
+        change nothing.
+        """
         listed = tuple(records)
-        self.put(*listed)
+        self._put(self._restored.select_believed(listed, self._records, now_s))
         listed_names = {record.target for record in listed}
         for target in [name for name in self._records if name not in listed_names]:
             self.remove(target, now_s)
@@ -225,8 +252,20 @@
         """Records that the platform answers again after an outage."""
         self._platform_returned_at_s = now_s
 
+    def record_restoration(self, now_s: float) -> None:
+        """Records that the store was restored from a copy, before `replace`.
+
+        Targets that the copy lacks are kept until they have had time to register again.
+        """
+        self.record_platform_return(now_s)
+        self._restored.record_restoration(now_s)
+
     def expire(self, now_s: float) -> None:
-        """Discards targets that have not registered again after a platform outage."""
+        """Discards targets that have not registered again after a platform outage.
+
+        Entries of a restored store that were not written again count from now on.
+        """
+        self.put(*self._restored.expire(now_s))
         if not self._missing_since_s or self._is_reregistration_period(now_s):
             return
         for target in list(self._missing_since_s):
@@ -260,6 +299,7 @@
             return
         self._by_service.clear()
         _log.info("target gone", extra={**_log_fields(record), "reason": reason})
+        self._restored.record_ended(record.run)
         self._removal_listener(record)
 
 
--- a/lavendertide/restoration/restorations.py
+++ b/lavendertide/restoration/restorations.py
@@ -12,9 +12,14 @@
 
 import logging
 from enum import Enum
+from typing import Final
 
 from lavendertide.ids import StoreEra
 
+# Time after a restoration within which the operator and the targets write again what
+# the copy lacks; after that the store is believed in all.
+REWRITE_S: Final = 10.0
+
 _log = logging.getLogger(__name__)
 
 
--- a/tests/platform/test_store_restored.py
+++ b/tests/platform/test_store_restored.py
@@ -107,3 +107,32 @@
         self.store.put(LATER, LATER_ENTRY)
         self.store.put(FIRST, DRAINING_ENTRY)
         self.read_until(lambda: self.ready() == {"later"})
+
+
+class LostWritesTest(RestoredStoreCase):
+    """Guards against beliefs of the copy until what it lacks is written again."""
+
+    def restore_and_read(self, write: Callable[[], None]) -> None:
+        """Has the store lose a write, and reads what the copy has."""
+        self.restore_without(write, Absence.SILENT)
+        self.read_until(lambda: self.follower.history.position.era > 1)
+
+    def test_a_live_target_is_kept_until_it_is_written_again(self) -> None:
+        """Guards against a target that callers lose for a moment."""
+        self.restore_and_read(lambda: self.store.put(LATER, LATER_ENTRY))
+        self.assertEqual(self.ready(), {"first", "later"})
+
+    def test_a_target_whose_draining_is_lost_gets_no_requests(self) -> None:
+        self.restore_and_read(lambda: self.store.put(FIRST, DRAINING_ENTRY))
+        self.assertEqual(self.ready(), set())
+
+    def test_a_target_that_has_left_does_not_return(self) -> None:
+        self.restore_and_read(lambda: self.store.remove(FIRST))
+        self.assertEqual(self.ready(), set())
+        self.store.put(FIRST, FIRST_ENTRY)
+        self.read_until(lambda: self.ready() == {"first"})
+
+    def test_no_older_configuration_is_put_in_force(self) -> None:
+        newer = configuration(8, route("r", service="other"))
+        self.restore_and_read(lambda: self.store.put(CONFIGURATION, newer))
+        self.assertEqual(self.routes.version, 8)
