Keep an evacuation that a restored store has lost until it is ordered again

Callers: after the store came back from a copy without an order to evacuate, requests went to the domain that must get none, until the operator's order was written again. A notice of an order from before the return evacuated a domain without end at a host that had been cut off.

Cause: a complete list ended each order that is older than the list, also one that the restored store has lost.

--- a/lavendertide/evacuation/evacuated_domains.py
+++ b/lavendertide/evacuation/evacuated_domains.py
@@ -7,16 +7,19 @@
 for it, and from notices of any peer. Each copy has the place in the store's history
 that set it. While hosts disagree, each one goes by the latest that it knows, so copies
 that arrive late change nothing. No state ends by time: a host that is cut off keeps to
-what it has read.
+what it has read. The exception is an order of which a restored store knows nothing:
+either it is written again soon, or it is gone.
 """
 
 import logging
+import math
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from typing import Final
 
 from lavendertide.ids import FailureDomain
 from lavendertide.restoration.position import Position, position_fields
+from lavendertide.restoration.restorations import REWRITE_S
 
 # Domains that are remembered; a deployment has fewer. The oldest ended evacuations are
 # dropped first, and an evacuated domain never is.
@@ -67,6 +70,8 @@
         self._since_s: dict[FailureDomain, float] = {}
         self._listeners: list[Callable[[Evacuation, float], None]] = []
         self._complete_position: Position | None = None
+        # End of the time within which what a restored store lacks is written again.
+        self._rewritten_by_s = -math.inf
 
     @property
     def has_any(self) -> bool:
@@ -108,7 +113,8 @@
         An order for a domain that a later complete list did not have has ended. This
         host may have started after its end, so that it knows no newer state.
         """
-        self.apply((state for state in states if not self._has_ended(state)), now_s)
+        current = (state for state in states if not self._has_ended(state, now_s))
+        self.apply(current, now_s)
 
     def apply_complete(
         self, states: Iterable[Evacuation], position: Position, now_s: float
@@ -116,7 +122,9 @@
         """Applies a complete list, so that a removal that was missed is made good.
 
         Domains that it doesn't list are evacuated no more, unless their evacuation is
-        newer than the list.
+        newer than the list. An order of an earlier era may have been lost with the
+        store and is kept until `expire` ends it. A list of an earlier era than a known
+        one changes nothing.
 
         Args:
             states: All states that the sender knows.
@@ -124,21 +132,39 @@
             now_s: Present time, monotonic.
         """
         listed = tuple(states)
+        previous = self._complete_position
+        if previous is not None and position.era < previous.era:
+            return
+        if previous is None or position.era > previous.era:
+            self._rewritten_by_s = now_s + REWRITE_S
         self._complete_position = position
         self.apply(listed, now_s)
         names = {state.domain for state in listed}
         for domain in [name for name in self._since_s if name not in names]:
-            if self._newest[domain].position <= position:
-                self._newest[domain] = Evacuation(domain, position, False)
-                self._record_change(self._newest[domain], now_s)
-
-    def _has_ended(self, state: Evacuation) -> bool:
-        complete_position = self._complete_position
-        return (
-            state.domain not in self._newest
-            and complete_position is not None
-            and state.position <= complete_position
-        )
+            known = self._newest[domain].position
+            if known.era == position.era and known <= position:
+                self._end(domain, position, now_s)
+
+    def expire(self, now_s: float) -> None:
+        """Ends orders that a restored store has lost and that weren't written again."""
+        position = self._complete_position
+        if position is None or now_s < self._rewritten_by_s:
+            return
+        for domain in list(self._since_s):
+            if self._newest[domain].position.era < position.era:
+                self._end(domain, position, now_s)
+
+    def _end(self, domain: FailureDomain, position: Position, now_s: float) -> None:
+        self._newest[domain] = Evacuation(domain, position, False)
+        self._record_change(self._newest[domain], now_s)
+
+    def _has_ended(self, state: Evacuation, now_s: float) -> bool:
+        position = self._complete_position
+        if position is None or state.position > position:
+            return False
+        if state.position.era < position.era:
+            return now_s >= self._rewritten_by_s
+        return state.domain not in self._newest
 
     def _apply_one(self, state: Evacuation, now_s: float) -> None:
         known = self._newest.get(state.domain)
--- a/lavendertide/gateway/follower.py
+++ b/lavendertide/gateway/follower.py
@@ -110,7 +110,9 @@
         """Reads until the process ends."""
         while True:
             is_answered = self.read()
-            self._registry.expire(clock.monotonic_s())
+            now_s = clock.monotonic_s()
+            self._registry.expire(now_s)
+            self._evacuated.expire(now_s)
             if is_answered:
                 tasks.sleep(BATCH_DELAY_S)
             else:
--- a/tests/evacuation/test_evacuated_domains.py
+++ b/tests/evacuation/test_evacuated_domains.py
@@ -11,6 +11,7 @@
     Evacuation,
 )
 from lavendertide.ids import FailureDomain
+from lavendertide.restoration.restorations import REWRITE_S
 from standins.forwarding_records import at
 
 A, B = FailureDomain("a"), FailureDomain("b")
@@ -108,6 +109,75 @@
         self.assertTrue(self.domains.is_evacuated(A))
 
 
+class RestoredStoreTest(unittest.TestCase):
+    """Guards against orders that are lost, or last, after a restored store's copy.
+
+    Revisions of two eras say nothing about each other. What the operator has written
+    since the copy was made is written again within `REWRITE_S`.
+    """
+
+    def setUp(self) -> None:
+        self.domains = EvacuatedDomains()
+        self.domains.apply_complete((), at(90), 0.0)
+
+    def is_evacuated(self, now_s: float) -> bool:
+        """Returns whether the domain is evacuated at a time."""
+        self.domains.expire(now_s)
+        return self.domains.is_evacuated(A)
+
+    def test_an_order_that_the_copy_lacks_is_kept_for_a_while(self) -> None:
+        self.domains.apply((Evacuation(A, at(100), True),), 1.0)
+        self.domains.apply_complete((), at(95, 2), 2.0)
+        self.domains.apply_complete((), at(96, 2), 3.0)
+        self.assertTrue(self.is_evacuated(1.9 + REWRITE_S))
+        self.assertFalse(self.is_evacuated(2.0 + REWRITE_S))
+
+    def test_an_order_that_is_written_again_stays(self) -> None:
+        self.domains.apply((Evacuation(A, at(100), True),), 1.0)
+        self.domains.apply_complete((), at(95, 2), 2.0)
+        self.domains.apply((Evacuation(A, at(97, 2), True),), 3.0)
+        self.assertTrue(self.is_evacuated(2.0 + REWRITE_S))
+
+    def test_a_removal_under_a_lower_revision_ends_the_order(self) -> None:
+        self.domains.apply((Evacuation(A, at(100), True),), 1.0)
+        self.domains.apply_complete((Evacuation(A, at(94, 2), True),), at(95, 2), 2.0)
+        self.domains.apply((Evacuation(A, at(97, 2), False),), 3.0)
+        self.assertFalse(self.is_evacuated(3.0))
+
+    def test_an_order_under_a_lower_revision_counts(self) -> None:
+        self.domains.apply((Evacuation(A, at(100), False),), 1.0)
+        self.domains.apply_complete((), at(95, 2), 2.0)
+        self.domains.apply((Evacuation(A, at(96, 2), True),), 3.0)
+        self.assertTrue(self.is_evacuated(3.0 + REWRITE_S))
+
+    def test_a_list_of_an_earlier_era_changes_nothing(self) -> None:
+        order = Evacuation(A, at(96, 2), True)
+        self.domains.apply_complete((order,), at(96, 2), 2.0)
+        self.domains.apply_complete((), at(200, 1), 3.0)
+        self.assertTrue(self.is_evacuated(3.0))
+
+    def test_notices_of_an_earlier_era_count_for_a_while(self) -> None:
+        """Guards against a host that starts before the order is written again.
+
+        The copy lacks the order, and other hosts know it still.
+        """
+        host = EvacuatedDomains()
+        host.apply_complete((), at(95, 2), 2.0)
+        host.apply_notices((Evacuation(A, at(100), True),), 3.0)
+        self.assertTrue(host.is_evacuated(A))
+        host.expire(2.0 + REWRITE_S)
+        self.assertFalse(host.is_evacuated(A))
+
+    def test_later_notices_of_an_earlier_era_are_ignored(self) -> None:
+        """Guards against a domain that a host evacuates which was cut off for long."""
+        self.domains.apply((Evacuation(A, at(92), False),), 1.0)
+        self.domains.apply_complete((), at(95, 2), 2.0)
+        self.domains.expire(2.0 + REWRITE_S)
+        order = Evacuation(A, at(100), True)
+        self.domains.apply_notices((order,), 2.0 + REWRITE_S)
+        self.assertFalse(self.domains.is_evacuated(A))
+
+
 class BoundTest(unittest.TestCase):
     """Guards against memory without end by names that no domain has."""
 
