Give a host of an earlier era everything that its source has read

Cause: the source went back to a lower revision and took the host for one that was ahead, so it replied with the host's own revision and no changes.

Fix: the log of changes tells a follower of an earlier era from one that is ahead. The first gets at once what the store lists, and a source of an earlier era is read past, as is a peer that names none.

--- a/lavendertide/gateway/follower.py
+++ b/lavendertide/gateway/follower.py
@@ -130,6 +130,8 @@
         match result:
             case Success(HistoryLost(era)):
                 return self._read_all_after_loss(era, position, now_s)
+            case Success(PublicationBatch(is_complete=True) as batch):
+                return self._adopt_complete(batch, now_s)
             case Success(PublicationBatch(publications, position) as batch):
                 self._record_answer(now_s)
                 self._apply_evacuations(batch, now_s)
--- a/lavendertide/gateway/publications.py
+++ b/lavendertide/gateway/publications.py
@@ -54,12 +54,14 @@
         is_from_peer: Whether a peer sent it, which may itself be behind.
         evacuations: All known evacuations, complete as of `position`; none if the batch
             has at most changes of them.
+        is_complete: Whether it has everything that is published, and not changes.
     """
 
     publications: tuple[Publication, ...]
     position: Position
     is_from_peer: bool = False
     evacuations: tuple[Evacuation, ...] | None = None
+    is_complete: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/lavendertide/gateway/shared_reading.py
+++ b/lavendertide/gateway/shared_reading.py
@@ -33,9 +33,14 @@
 from lavendertide.gateway.reading_times import ReadingTimes
 from lavendertide.ids import ConfigurationVersion, DaemonId, ExchangeId
 from lavendertide.messages import MemberRecord, MemberState, RegistryPull, RegistryPush
-from lavendertide.registry.history import NOTHING_READ
+from lavendertide.registry.history import NOTHING_READ, NoChanges, RegistryChanges
+from lavendertide.registry.record import TargetRecord
 from lavendertide.registry.registry import TargetRegistry
-from lavendertide.restoration.position import Position, position_fields
+from lavendertide.restoration.position import (
+    UNNAMED_ERA,
+    Position,
+    position_fields,
+)
 from lavendertide.routes.active_routes import ActiveRoutes
 from lavendertide.routes.replication import RouteReplication
 from lavendertide.runtime import clock
@@ -81,6 +86,8 @@
     NO_ANSWER = "no_answer"
     NOT_CURRENT = "not_current"
     TOO_FAR_BEHIND = "too_far_behind"
+    # It hasn't noticed yet that the store was restored, or runs an earlier release.
+    EARLIER_ERA = "earlier_era"
 
 
 class SharedReader:
@@ -137,7 +144,7 @@
         if now_s < self._direct_until_s or source.daemon == self._roster.own.daemon:
             return self._direct.read_changes(position)
         push = self._pull(source, position)
-        problem = _detect_problem(push)
+        problem = _detect_problem(push, position)
         self._record_problem(source.daemon, problem, position)
         if push is None or problem is not None:
             self._direct_until_s = clock.monotonic_s() + DIRECT_READ_S
@@ -202,55 +209,79 @@
         current.
         """
         history = self._follower.history
-        is_known = pull.position is not None and history.position <= pull.position
+        is_known = (
+            pull.position is not None
+            and pull.position.era == history.position.era
+            and pull.position >= history.position
+        )
         if is_known and not self._follower.is_platform_lost:
             self._follower.wait_for_changes(self._times.hold_s)
-        changes = None
-        if pull.position is not None:
-            changes = history.changes_since(pull.position)
-        # A host that is behind the sender doesn't know of later orders, so its list is
-        # not complete as of the reply's position, which is never below the pull's.
-        is_behind = changes is not None and history.position < changes.position
-        evacuations = None if is_behind else self._evacuated.known
         now_s = clock.monotonic_s()
+        empty = self._make_push(pull, now_s)
+        if pull.position is None:
+            return self._fill(empty, self._registry.targets, now_s)
+        match history.changes_since(pull.position):
+            case RegistryChanges(records, withdrawn, position):
+                # A host that is behind the sender doesn't know of later orders, so its
+                # list is not complete as of the reply's position, which is never below
+                # the pull's.
+                is_behind = history.position < pull.position
+                return replace(
+                    empty,
+                    position=position,
+                    records=self._cold.with_present_left(records, now_s),
+                    withdrawn=withdrawn,
+                    is_full=False,
+                    evacuations=None if is_behind else empty.evacuations,
+                )
+            case NoChanges.FOLLOWER_OUTDATED if pull.position.era != UNNAMED_ERA:
+                # What the store lists, as the follower has beliefs of its own.
+                return self._fill(empty, self._registry.listed_targets, now_s)
+            case NoChanges.SOURCE_OUTDATED:
+                return replace(empty, is_full=False, evacuations=None)
+            case _:
+                # The follower reads the platform.
+                return empty
+
+    def _make_push(self, pull: RegistryPull, now_s: float) -> RegistryPush:
+        """Returns a reply without records, as of this host's own position."""
         silence_s = now_s - self._follower.answered_at_s
         is_current = (
             not self._follower.is_platform_lost
             and silence_s < self._times.silence_max_s
         )
-        if changes is None:
-            # A follower that is too far behind gets no records: it reads the platform.
-            is_full_request = pull.position is None
-            targets = self._registry.targets if is_full_request else ()
-            return RegistryPush(
-                pull.exchange,
-                history.position,
-                self._cold.with_present_left(targets, now_s),
-                (),
-                True,
-                is_current,
-                self._active_routes.version,
-                evacuations,
-            )
         return RegistryPush(
             pull.exchange,
-            changes.position,
-            self._cold.with_present_left(changes.records, now_s),
-            changes.withdrawn,
-            False,
+            self._follower.history.position,
+            (),
+            (),
+            True,
             is_current,
             self._active_routes.version,
-            evacuations,
+            self._evacuated.known,
         )
 
+    def _fill(
+        self, push: RegistryPush, records: tuple[TargetRecord, ...], now_s: float
+    ) -> RegistryPush:
+        return replace(push, records=self._cold.with_present_left(records, now_s))
+
 
-def _detect_problem(push: RegistryPush | None) -> SourceProblem | None:
-    """Returns why a reply can't be used, or none if it can."""
+def _detect_problem(
+    push: RegistryPush | None, position: Position
+) -> SourceProblem | None:
+    """Returns why a reply to a pull of a position can't be used; none if it can."""
     match push:
         case None:
             return SourceProblem.NO_ANSWER
         case RegistryPush(is_current=False):
             return SourceProblem.NOT_CURRENT
+        case RegistryPush(position=reached) if reached.era < position.era:
+            return SourceProblem.EARLIER_ERA
+        case RegistryPush(position=reached) if reached.era > position.era:
+            # A host whose era isn't named gets no records of a later one.
+            is_usable = push.is_full and position.era != UNNAMED_ERA
+            return None if is_usable else SourceProblem.TOO_FAR_BEHIND
         case RegistryPush(is_full=True):
             return SourceProblem.TOO_FAR_BEHIND
         case _:
@@ -261,5 +292,8 @@
     publications: list[Publication] = [TargetPublished(r) for r in push.records]
     publications += [TargetWithdrawn(target) for target in push.withdrawn]
     return PublicationBatch(
-        tuple(publications), push.position, evacuations=push.evacuations
+        tuple(publications),
+        push.position,
+        evacuations=push.evacuations,
+        is_complete=push.is_full,
     )
--- a/lavendertide/messages/targets.py
+++ b/lavendertide/messages/targets.py
@@ -88,7 +88,8 @@
     Attributes:
         position: Place to send with the next pull.
         withdrawn: Targets that were removed since the pull's position.
-        is_full: Whether `records` lists all targets and not only the changed ones.
+        is_full: Whether `records` lists all targets and not only the changed ones. It
+            is empty if the changes since the pull's position were discarded.
         is_current: Whether the sender's own reads from the platform succeed; if not,
             the other fields carry no information.
         routes_version: Version of the routes in force on the sender.
--- a/lavendertide/platform/store_client.py
+++ b/lavendertide/platform/store_client.py
@@ -168,7 +168,9 @@
             for publication in publications
             if isinstance(publication, EvacuationPublished)
         )
-        return PublicationBatch(tuple(publications), first, evacuations=evacuations)
+        return PublicationBatch(
+            tuple(publications), first, evacuations=evacuations, is_complete=True
+        )
 
     def _read_era(self, response: HttpResponse, known: StoreEra) -> StoreEra:
         """Returns the era of a response.
--- a/lavendertide/registry/history.py
+++ b/lavendertide/registry/history.py
@@ -2,6 +2,7 @@
 
 from collections import deque
 from dataclasses import dataclass
+from enum import Enum
 from typing import Final
 
 from lavendertide.ids import StoreRevision, TargetId
@@ -29,6 +30,17 @@
     position: Position
 
 
+class NoChanges(Enum):
+    """Why a follower can't be given the changes since its position."""
+
+    # The oldest of them were discarded.
+    DISCARDED = "discarded"
+    # The follower has read before the store was restored.
+    FOLLOWER_OUTDATED = "follower_outdated"
+    # This host has read before the store was restored.
+    SOURCE_OUTDATED = "source_outdated"
+
+
 @dataclass(frozen=True, slots=True)
 class _Change:
     """A target's new record, or its withdrawal if there is no record."""
@@ -71,13 +83,17 @@
         while len(self._changes) > CHANGES_MAX:
             self._complete_after = self._changes.popleft().position
 
-    def changes_since(self, position: Position) -> RegistryChanges | None:
+    def changes_since(self, position: Position) -> RegistryChanges | NoChanges:
         """Returns the last change of each target since a position.
 
-        Returns none if the log no longer contains all changes since then.
+        Positions of two eras have no changes between them.
         """
+        if position.era < self._position.era:
+            return NoChanges.FOLLOWER_OUTDATED
+        if position.era > self._position.era:
+            return NoChanges.SOURCE_OUTDATED
         if position < self._complete_after:
-            return None
+            return NoChanges.DISCARDED
         latest: dict[TargetId, TargetRecord | None] = {}
         for change in self._changes:
             if change.position > position:
--- a/tests/gateway/test_shared_reading.py
+++ b/tests/gateway/test_shared_reading.py
@@ -5,6 +5,7 @@
 from collections import Counter
 from dataclasses import replace
 from typing import Any, cast
+from unittest import mock
 
 from returns.result import Failure, Result, Success
 
@@ -22,25 +23,27 @@
 )
 from lavendertide.gateway.reading_times import PAUSE_S, ReadingTimes
 from lavendertide.gateway.shared_reading import (
+    DIRECT_READ_S,
     FOLLOWERS_MAX,
     RegistrySource,
     SharedReader,
     select_source,
 )
-from lavendertide.ids import ExchangeId, TargetId
+from lavendertide.ids import ExchangeId, StoreEra, TargetId
 from lavendertide.messages import (
     MemberRecord,
     MemberState,
     RegistryPull,
     RegistryPush,
 )
-from lavendertide.registry.registry import TargetRegistry
+from lavendertide.registry.record import TargetState
+from lavendertide.registry.registry import REREGISTRATION_S, TargetRegistry
 from lavendertide.restoration.position import Position
 from lavendertide.routes.active_routes import ActiveRoutes
 from lavendertide.routes.replication import RouteReplication
 from lavendertide.runtime import clock, tasks
 from lavendertide.warmup.cold_targets import ColdTargets
-from standins.forwarding_records import LOCAL_DOMAIN, at, route, table, target
+from standins.forwarding_records import DESK, LOCAL_DOMAIN, at, route, table, target
 from tests.fleet.members import member
 from tests.virtual_time import VirtualTimeTestCase
 
@@ -351,6 +354,42 @@
         return Failure(unreachable("store", "timeout", "Wait."))
 
 
+class StillPlatform:
+    """A platform that returns at once what a test has set.
+
+    Attributes:
+        reads: How often it was read.
+    """
+
+    def __init__(self) -> None:
+        self.everything = PublicationBatch((), at(0))
+        self.changes: PublicationBatch | HistoryLost | None = None
+        self.reads = 0
+
+    def fail(self) -> None:
+        """Makes the next reads of changes fail."""
+        self.changes = None
+
+    def read_all(self) -> Result[PublicationBatch, Refusal]:
+        """Returns the result for everything."""
+        self.reads += 1
+        return Success(self.everything)
+
+    def read_changes(
+        self, position: Position
+    ) -> Result[PublicationBatch | HistoryLost, Refusal]:
+        """Returns the result for changes, or a failure if there is none."""
+        self.reads += 1
+        if self.changes is None:
+            return Failure(unreachable("store", "timeout", "Wait."))
+        return Success(self.changes)
+
+
+def published(*names: str) -> tuple[TargetPublished, ...]:
+    """Returns the entries of ready targets."""
+    return tuple(TargetPublished(target(name)) for name in names)
+
+
 class CutReaderTest(VirtualTimeTestCase):
     """All hosts notice in time that a target leaves while their reader is cut off.
 
@@ -433,3 +472,98 @@
                     times = ReadingTimes(leaving_s)
                     notice_s = self.measure_notice_s(times, step * 0.17)
                     self.assertLess(notice_s, leaving_s - PAUSE_S)
+
+
+class RestoredStoreTest(VirtualTimeTestCase):
+    """Guards against a host that stays behind its source after a restoration.
+
+    The source read the restored store anew, under a lower revision than that of the
+    host below it, which it took for one that was ahead. So the host missed each change
+    until the source had passed its revision (review/10).
+    """
+
+    def setUp(self) -> None:
+        self.source_platform, self.own_platform = StillPlatform(), StillPlatform()
+        source_host, source_registry = CutReaderTest().make(self.source_platform)
+        self.source_host = source_host
+        self.source_evacuated = EvacuatedDomains()
+        self.source = RegistrySource(
+            TIMES, source_host, source_registry, ActiveRoutes(), self.source_evacuated
+        )
+        self.host, self.registry = CutReaderTest().make_follower(
+            TIMES, cast(Any, self.own_platform), self.source
+        )
+        for platform in (self.source_platform, self.own_platform):
+            platform.everything = PublicationBatch(published("a", "b"), at(121))
+        for host in (self.source_host, self.host):
+            self.assertTrue(host.read())
+        self.own_platform.reads = 0
+
+    def restore_source(self, *names: str) -> None:
+        """Has the source read a store that was restored with these targets."""
+        self.source_platform.everything = PublicationBatch(
+            published(*names), at(112, 2)
+        )
+        self.source_platform.changes = HistoryLost(StoreEra(2))
+        self.assertTrue(self.source_host.read())
+
+    def test_a_change_under_a_lower_revision_arrives(self) -> None:
+        self.restore_source("a", "b")
+        self.assertTrue(self.host.read())
+        draining = replace(target("a"), state=TargetState.DRAINING)
+        self.source_platform.changes = PublicationBatch(
+            (TargetPublished(draining),), at(113, 2)
+        )
+        self.assertTrue(self.source_host.read())
+        self.assertTrue(self.host.read())
+        self.assertEqual(self.registry.find(draining.target), draining)
+        self.assertEqual(self.host.history.position, at(113, 2))
+
+    def test_the_store_is_read_once_for_all(self) -> None:
+        """Guards against a read of everything by each host of a failure domain."""
+        self.restore_source("a", "b")
+        self.source_platform.changes = PublicationBatch((), at(112, 2))
+        for _ in range(3):
+            self.assertTrue(self.host.read())
+            self.assertTrue(self.source_host.read())
+        self.assertEqual(self.own_platform.reads, 0)
+
+    def test_a_pull_that_waits_is_answered_at_once(self) -> None:
+        tasks.spawn(self.restore_source, "a", "b")
+        began_s = clock.monotonic_s()
+        self.assertTrue(self.host.read())
+        self.assertEqual(self.host.history.position, at(112, 2))
+        self.assertLess(clock.monotonic_s() - began_s, TIMES.hold_s)
+
+    def test_a_target_that_the_copy_lacks_is_lost_on_no_host(self) -> None:
+        self.restore_source("a")
+        self.assertTrue(self.host.read())
+        now_s = clock.monotonic_s()
+        self.assertEqual(len(self.registry.ready_targets(DESK, now_s)), 2)
+        self.registry.expire(now_s + REREGISTRATION_S)
+        self.assertEqual(self.registry.targets, (target("a"),))
+
+    def test_a_source_of_an_earlier_era_changes_nothing(self) -> None:
+        self.own_platform.everything = PublicationBatch(published("b"), at(112, 2))
+        self.own_platform.changes = HistoryLost(StoreEra(2))
+        self.source_platform.fail()
+        self.assertFalse(self.source_host.read())
+        self.assertTrue(self.host.read())
+        self.assertEqual(self.host.history.position, at(112, 2))
+        self.own_platform.changes = PublicationBatch((), at(112, 2))
+        self.source_platform.changes = PublicationBatch((), at(130))
+        self.assertTrue(self.source_host.read())
+        tasks.sleep(DIRECT_READ_S)
+        self.assertTrue(self.host.read())
+        self.assertEqual(self.host.history.position, at(112, 2))
+
+    def test_a_peer_of_an_earlier_release_is_read_past(self) -> None:
+        """Guards against a source whose era isn't known."""
+        push = self.source.reply_to(RegistryPull(ExchangeId("e"), at(121, 0)))
+        self.assertTrue(push.is_full)
+        self.assertEqual(push.records, ())
+        self.own_platform.changes = PublicationBatch((), at(122))
+        unnamed = replace(push, position=at(125, 0), is_full=False)
+        with mock.patch.object(self.source, "reply_to", return_value=unnamed):
+            self.assertTrue(self.host.read())
+        self.assertEqual(self.host.history.position, at(122))
