Keep what is known of cold runs when the store was restored

Callers: after a restoration of the store, a target that had warmed up got few requests again, for as long as its old entry said that it was cold. One that had restarted since the copy was made was taken for new once more.

Cause: the entries of a restored store are older than what is known, but each list marked its runs as cold from now on, and an earlier run replaced the one that was seen last.

Fix: the first list of another era says nothing of known or earlier runs. What is remembered of runs is a class of its own now, with the rule.

Evidence: RestoredColdnessTest failed before ([True, True, True]) and passes.

--- a/lavendertide/gateway/follower.py
+++ b/lavendertide/gateway/follower.py
@@ -180,10 +180,11 @@
             return False
         if not batch.is_from_peer:
             self._record_answer(now_s)
-        if self._position is not None and era != self._position.era:
+        is_restored = self._position is not None and era != self._position.era
+        if is_restored:
             self._registry.record_restoration(now_s)
         self._apply_evacuations(batch, now_s)
-        self._apply_all(batch.publications, now_s)
+        self._apply_all(batch.publications, is_restored, now_s)
         self._history.reset(batch.position)
         self._must_read_all = False
         self._record_position(batch.position)
@@ -200,8 +201,16 @@
         if batch.evacuations is not None:
             self._evacuated.apply_complete(batch.evacuations, batch.position, now_s)
 
-    def _apply_all(self, publications: Iterable[Publication], now_s: float) -> None:
-        """Applies a complete list of publications; unlisted targets are removed."""
+    def _apply_all(
+        self, publications: Iterable[Publication], is_restored: bool, now_s: float
+    ) -> None:
+        """Applies a complete list of publications; unlisted targets are removed.
+
+        Args:
+            publications: All publications.
+            is_restored: Whether this is the first list since the store was restored.
+            now_s: Present time, monotonic.
+        """
         records: list[TargetRecord] = []
         for publication in publications:
             match publication:
@@ -209,7 +218,10 @@
                     records.append(record)
                 case _:
                     self._apply((publication,), now_s)
-        self._cold.record_complete(records, now_s)
+        if is_restored:
+            self._cold.record_restored(records, now_s)
+        else:
+            self._cold.record_complete(records, now_s)
         self._registry.replace(records, now_s)
 
     def _apply(self, publications: Iterable[Publication], now_s: float) -> None:
--- a/lavendertide/warmup/cold_targets.py
+++ b/lavendertide/warmup/cold_targets.py
@@ -26,12 +26,9 @@
 from lavendertide.warmup.cold_status import ColdTargetStatus
 from lavendertide.warmup.grant_requests import Shortage
 from lavendertide.warmup.run_allowance import HELD_S, RunAllowance
+from lavendertide.warmup.seen_runs import SeenRuns
 from lavendertide.warmup.target_speed import TargetSpeed, has_capacity, is_fast
 
-# Runs that are remembered, so that one which returns after a lapse of its entry isn't
-# taken for a new one. A large deployment has 2,200 targets. Withdrawn ones are
-# forgotten first, and listed ones never.
-SEEN_MAX: Final = 16_384
 # Runs that one log line names; the others are only counted.
 LOGGED_NAMES_MAX: Final = 8
 
@@ -68,8 +65,7 @@
         self._bounds = bounds
         self._cold: dict[TargetRun, _ColdRun] = {}
         self._last_end_s = -math.inf
-        self._seen: dict[TargetId, TargetRun] = {}
-        self._withdrawn: dict[TargetId, None] = {}
+        self._seen = SeenRuns()
         self._withheld: dict[TargetRun, tuple[TargetRecord, int]] = {}
         self._has_list = False
         self._sent_listener: Callable[[bool], None] = lambda _: None
@@ -97,9 +93,7 @@
         """
         started: list[TargetRun] = []
         for record in records:
-            is_new = self._seen.get(record.target) != record.run
-            self._seen[record.target] = record.run
-            self._withdrawn.pop(record.target, None)
+            is_new = self._seen.record(record.run)
             cold_s = 0.0
             if record.cold_left_ms is not None:
                 cold_s = record.cold_left_ms / 1_000
@@ -108,21 +102,26 @@
             if cold_s > 0.0 and self._mark(record.run, cold_s, now_s):
                 started.append(record.run)
         self._has_list = True
-        self._forget_surplus()
+        self._seen.forget_surplus()
         self._log_started(started, now_s)
 
     def record_complete(self, records: Sequence[TargetRecord], now_s: float) -> None:
         """Records the entries of all targets; unlisted targets were withdrawn."""
         self.record_published(records, now_s)
-        listed = {record.target for record in records}
-        for target in self._seen.keys() - listed:
-            self._withdrawn.setdefault(target)
-        self._forget_surplus()
+        self._seen.record_listed(records)
+
+    def record_restored(self, records: Sequence[TargetRecord], now_s: float) -> None:
+        """Records the list of a restored store, which says nothing of known runs.
+
+        Its entries may be older than what is known.
+        """
+        new = [record for record in records if not self._seen.is_outdated(record.run)]
+        self.record_published(new, now_s)
+        self._seen.record_listed(records)
 
     def record_withdrawn(self, target: TargetId) -> None:
         """Records that a target's entry was removed, which may be a lapse."""
-        if target in self._seen:
-            self._withdrawn.setdefault(target)
+        self._seen.record_withdrawn(target)
 
     def record_notice(self, run: TargetRun, cold_s: float, now_s: float) -> None:
         """Records for how many seconds a run remains cold, as its reply says."""
@@ -293,11 +292,6 @@
         cold.since_s, cold.until_s = now_s, until_s
         return True
 
-    def _forget_surplus(self) -> None:
-        while self._withdrawn and len(self._seen) > SEEN_MAX:
-            target = next(iter(self._withdrawn))
-            del self._withdrawn[target], self._seen[target]
-
     def _discard_warm(self, now_s: float) -> None:
         self._cold = {
             run: cold
--- a/tests/gateway/test_following.py
+++ b/tests/gateway/test_following.py
@@ -73,31 +73,37 @@
         return self.changes
 
 
-class FollowerTest(unittest.TestCase):
-    """Routes and targets follow the platform, and stay while it is unreachable."""
+class FollowerCase(unittest.TestCase):
+    """A host that has read nothing yet."""
 
     def setUp(self) -> None:
         self.reader = ScriptedReader()
         self.active_routes = ActiveRoutes()
         self.registry = TargetRegistry()
-        route_replication = RouteReplication(
-            self.active_routes, encode_table, decode_table, 0.0
-        )
+        self.make_follower(ColdTargets())
+        published = (RoutesPublished(table(3, route())), TargetPublished(target("a")))
+        self.reader.everything = Success(PublicationBatch(published, at(7)))
+
+    def make_follower(self, cold: ColdTargets) -> None:
+        """Replaces the follower by one that has read nothing yet."""
         self.follower = Follower(
             self.reader,
             self.active_routes,
-            route_replication,
+            RouteReplication(self.active_routes, encode_table, decode_table, 0.0),
             self.registry,
             EvacuatedDomains(),
             0.0,
+            cold,
         )
-        published = (RoutesPublished(table(3, route())), TargetPublished(target("a")))
-        self.reader.everything = Success(PublicationBatch(published, at(7)))
 
     def ready_names(self) -> set[str]:
         """Returns the names of the targets that accept requests."""
         return {record.target for record in self.registry.ready_targets(DESK, 0.0)}
 
+
+class FollowerTest(FollowerCase):
+    """Routes and targets follow the platform, and stay while it is unreachable."""
+
     def test_everything_is_read_first_and_then_the_changes(self) -> None:
         self.assertTrue(self.follower.read())
         self.assertEqual((self.active_routes.version, self.ready_names()), (3, {"a"}))
@@ -110,15 +116,7 @@
 
     def test_the_coldness_of_published_targets_is_known(self) -> None:
         cold = ColdTargets(lambda name: Service(name, 24, 6.0, 10.0))
-        self.follower = Follower(
-            self.reader,
-            self.active_routes,
-            RouteReplication(self.active_routes, encode_table, decode_table, 0.0),
-            self.registry,
-            EvacuatedDomains(),
-            0.0,
-            cold,
-        )
+        self.make_follower(cold)
         self.follower.read()
         started = (
             TargetPublished(target("b")),
@@ -159,6 +157,89 @@
         self.assertEqual(self.ready_names(), {"a"})
 
 
+class EraTest(FollowerCase):
+    """What a host does with answers of other eras than the known one."""
+
+    def restore(self, era: int, *names: str) -> None:
+        """Has the platform return from a copy with these targets."""
+        published = tuple(TargetPublished(target(name)) for name in names)
+        self.reader.changes = Success(HistoryLost(StoreEra(era)))
+        self.reader.everything = Success(PublicationBatch(published, at(5, era)))
+
+    def test_an_answer_of_an_earlier_era_changes_nothing(self) -> None:
+        self.restore(1, "b")
+        self.reader.everything = Success(
+            PublicationBatch((TargetPublished(target("a")),), at(7, 2))
+        )
+        self.assertTrue(self.follower.read())
+        with self.assertLogs("lavendertide.gateway.follower", "WARNING") as logs:
+            self.assertFalse(self.follower.read())
+        self.assertIn("era 1", vars(logs.records[0])["problem"])
+        self.assertEqual(self.ready_names(), {"a"})
+        self.assertTrue(self.follower.is_platform_lost)
+
+    def test_a_list_of_an_earlier_era_changes_nothing(self) -> None:
+        """Guards against a late answer to a read of everything."""
+        self.follower.read()
+        self.restore(3, "a")
+        self.reader.everything = Success(PublicationBatch((), at(9, 2)))
+        self.assertFalse(self.follower.read())
+        self.assertEqual(self.ready_names(), {"a"})
+
+    def test_targets_stay_known_while_the_restored_store_refuses(self) -> None:
+        """Guards against a host that callers lose while it can't read everything."""
+        self.follower.read()
+        self.restore(2, "a")
+        self.reader.everything = LOST
+        for _ in range(3):
+            self.assertFalse(self.follower.read())
+        self.assertTrue(self.follower.knows_targets)
+        self.assertEqual(self.ready_names(), {"a"})
+        # The changes since the old position aren't asked for again.
+        self.assertEqual(self.reader.requested_positions, [at(7)])
+
+    def test_two_restorations_in_quick_succession(self) -> None:
+        self.follower.read()
+        for era in (2, 4):
+            self.restore(era, "a", "b")
+            self.assertTrue(self.follower.read())
+        self.assertEqual(self.ready_names(), {"a", "b"})
+        self.assertEqual(self.follower.history.position, at(5, 4))
+
+
+class RestoredColdnessTest(FollowerCase):
+    """Guards against a warm target that an old entry makes cold again."""
+
+    def test_the_copy_says_nothing_of_known_runs(self) -> None:
+        cold = ColdTargets(lambda name: Service(name, 24, 6.0, 10.0))
+        self.make_follower(cold)
+        self.reader.everything = Success(
+            PublicationBatch(
+                (
+                    TargetPublished(target("a", started_at_ms=1)),
+                    TargetPublished(target("b", started_at_ms=9)),
+                ),
+                at(7),
+            )
+        )
+        self.follower.read()
+        copy = (
+            TargetPublished(replace(target("a", started_at_ms=1), cold_left_ms=5_000)),
+            TargetPublished(replace(target("b", started_at_ms=2), cold_left_ms=5_000)),
+            TargetPublished(replace(target("c"), cold_left_ms=5_000)),
+        )
+        self.reader.changes = Success(HistoryLost(StoreEra(2)))
+        self.reader.everything = Success(PublicationBatch(copy, at(5, 2)))
+        self.follower.read()
+        again = (TargetPublished(target("b", started_at_ms=9)),)
+        self.reader.changes = Success(PublicationBatch(again, at(6, 2)))
+        self.follower.read()
+        now_s = clock.monotonic_s()
+        records = (target("a"), target("b", started_at_ms=9), target("c"))
+        known = [cold.is_cold(record, now_s) for record in records]
+        self.assertEqual(known, [False, False, True])
+
+
 class SettingsReloaderTest(unittest.TestCase):
     """Changed settings are applied, and invalid ones refused."""
 
--- a/tests/warmup/test_cold_targets.py
+++ b/tests/warmup/test_cold_targets.py
@@ -6,7 +6,8 @@
 from lavendertide.forwarding.target_view import TargetViews
 from lavendertide.registry.record import TargetRecord
 from lavendertide.routes.route import Service
-from lavendertide.warmup.cold_targets import SEEN_MAX, ColdTargets
+from lavendertide.warmup.cold_targets import ColdTargets
+from lavendertide.warmup.seen_runs import SEEN_MAX
 from standins.forwarding_records import DESK, LOCAL_DOMAIN, target
 
 A, B = target("a"), target("b")
