Report how far a host has read the store, and each restoration

An operator couldn't see that the store had been restored, nor which host was behind. Each host now logs and counts changes of the era, names the entries that it doesn't believe yet, and shows era, revision and age in its status, in `lavendertide route` and in its metrics.

Evidence: tests.forwarding.test_host_status and OperationsPageTest, which checks the page against the exported metrics, pass.

--- a/lavendertide/command_line/route.py
+++ b/lavendertide/command_line/route.py
@@ -71,6 +71,8 @@
 
 def _show(document: dict[str, Any], service: str | None) -> None:
     route = document["route"] or {}
+    # A gateway of an earlier release doesn't report it.
+    store = document.get("store") or {}
     admission = document["admission"]
     limit = admission["limit"] or {}
     output.show_fields(
@@ -79,6 +81,9 @@
             ("state", document["state"]),
             ("routes", document["routes"]["version"]),
             ("routes age (s)", document["routes"]["age_s"]),
+            ("store era", store.get("era")),
+            ("store revision", store.get("revision")),
+            ("store read (s) ago", store.get("age_s")),
             ("route", route.get("name")),
             ("services required", route.get("required")),
             ("refused", admission["cause"]),
--- a/lavendertide/encodings/explanation_json.py
+++ b/lavendertide/encodings/explanation_json.py
@@ -14,7 +14,11 @@
     ServiceExplanation,
     TargetExplanation,
 )
-from lavendertide.forwarding.host_status import EvacuatedDomainStatus, HostStatus
+from lavendertide.forwarding.host_status import (
+    EvacuatedDomainStatus,
+    HostStatus,
+    StoreStatus,
+)
 from lavendertide.routes.active_routes import RoutesAge
 from lavendertide.routes.route import Route
 from lavendertide.warmup.cold_status import ColdTargetStatus
@@ -47,6 +51,7 @@
             "evacuated": [_pack_domain(each) for each in status.evacuated],
             "cold_count": status.cold_count,
             "cold": [_pack_cold(each) for each in status.cold],
+            "store": _pack_store(status.store),
         }
     )
     services = []
@@ -66,6 +71,7 @@
             "evacuated": [_pack_domain(each) for each in status.evacuated],
             "cold_count": status.cold_count,
             "cold": [_pack_cold(each) for each in status.cold],
+            "store": _pack_store(status.store),
             "limits": [_pack_limit(each) for each in status.limits],
         }
     )
@@ -109,12 +115,24 @@
 def _pack_domain(domain: EvacuatedDomainStatus) -> dict[str, Any]:
     return {
         "domain": domain.domain,
+        "era": domain.position.era,
         "revision": domain.position.revision,
         "known_for_s": _round(domain.known_for_s),
         "in_flight": domain.in_flight,
     }
 
 
+def _pack_store(store: StoreStatus | None) -> dict[str, Any] | None:
+    if store is None:
+        return None
+    return {
+        "era": store.position.era,
+        "revision": store.position.revision,
+        "age_s": _round(store.age_s),
+        "restorations": store.restorations,
+    }
+
+
 def _pack_cold(target: ColdTargetStatus) -> dict[str, Any]:
     return {
         "target": target.target,
--- a/lavendertide/forwarding/host_status.py
+++ b/lavendertide/forwarding/host_status.py
@@ -37,6 +37,21 @@
     in_flight: int
 
 
+@dataclass(frozen=True, slots=True)
+class StoreStatus:
+    """How far a host has read the platform's store.
+
+    Attributes:
+        position: Place up to which it has read.
+        age_s: Seconds since the last answer of the store, or of the host's source.
+        restorations: How often the store was restored since the host started.
+    """
+
+    position: Position
+    age_s: float
+    restorations: int
+
+
 @dataclass(frozen=True, slots=True)
 class HostStatus:
     """What is in force on one host.
@@ -48,6 +63,7 @@
         limits: The limits of routes that are in force.
         cold_count: The number of targets that are cold.
         cold: Those of them that remain cold for longest.
+        store: How far it has read the store; none if it doesn't read one.
     """
 
     host: str
@@ -57,6 +73,7 @@
     limits: tuple[RouteLimit, ...]
     cold_count: int = 0
     cold: tuple[ColdTargetStatus, ...] = ()
+    store: StoreStatus | None = None
 
 
 def evacuated_status(
--- a/lavendertide/gateway/follower.py
+++ b/lavendertide/gateway/follower.py
@@ -83,6 +83,11 @@
         """The latest changes, for the hosts that read from this one."""
         return self._history
 
+    @property
+    def restorations(self) -> Restorations:
+        """The eras of the store that this host has seen."""
+        return self._restorations
+
     @property
     def knows_targets(self) -> bool:
         """Whether the targets were read, from the platform or from a peer."""
--- a/lavendertide/gateway/gateway.py
+++ b/lavendertide/gateway/gateway.py
@@ -50,6 +50,7 @@
 from lavendertide.overload.shared_overload import BYTES_PER_S as OVERLOAD_BYTES_PER_S
 from lavendertide.poison.quarantine import Quarantine
 from lavendertide.registry.registry import TargetRegistry
+from lavendertide.restoration.metrics import RestorationMetrics
 from lavendertide.routes.active_routes import ActiveRoutes
 from lavendertide.routes.replication import RouteReplication
 from lavendertide.routes.route import Service
@@ -60,15 +61,6 @@
 LEASE_S: Final = 2.0
 # Interval over which the CPU utilization is measured.
 LOAD_INTERVAL_S: Final = 1.0
-# Fraction of the bound on noticing a leaving target for which it still gets requests
-# that no other target can serve. The rest covers callers that send shortly before.
-LAST_RESORT_SHARE: Final = 0.5
-# Hosts that are named to a caller; enough that the failure of one host doesn't fail all
-# of its requests.
-ADDRESSES_PER_CALLER: Final = 3
-# Lifetime of an address answer of a host that knows no other and names itself alone. If
-# there are other hosts it learns of them within a second.
-ALONE_LIFETIME_S: Final = 1.0
 # Fraction of the grace for which requests are still accepted after SIGTERM.
 ACCEPTING_SHARE: Final = 0.5
 # Fraction of the grace after which requests in flight are no longer awaited.
@@ -86,9 +78,7 @@
         self._adapters = adapters
         self._active_routes = ActiveRoutes()
         self._evacuated = EvacuatedDomains()
-        self._registry = TargetRegistry(
-            LAST_RESORT_SHARE * options.reading.leaving_s, self._evacuated
-        )
+        self._registry = TargetRegistry(options.reading.last_resort_s, self._evacuated)
         cold = ColdParts(
             DaemonId(options.host), self._find_service, options.cold, REGISTRY
         )
@@ -128,8 +118,8 @@
             fleet.roster,
             str,
             options.address_lifetime_s,
-            ADDRESSES_PER_CALLER,
-            ALONE_LIFETIME_S,
+            bounds.ADDRESSES_PER_CALLER,
+            bounds.ALONE_LIFETIME_S,
         )
         self._shares = HostShares(
             options,
@@ -226,6 +216,11 @@
         )
         self._metrics = ForwardingMetrics(REGISTRY)
         self._target_views = TargetViews(options.failure_domain)
+        RestorationMetrics(
+            REGISTRY,
+            self._follower.restorations,
+            lambda: self._follower.history.position,
+        )
         EvacuationMetrics(
             REGISTRY,
             self._evacuated,
@@ -331,6 +326,7 @@
                 self._target_views,
                 self._evacuated,
                 self._cold,
+                self._follower,
             ),
             CallerConnections(
                 None
--- a/lavendertide/gateway/host_reports.py
+++ b/lavendertide/gateway/host_reports.py
@@ -8,11 +8,13 @@
 from lavendertide.forwarding.forwarder import Forwarder
 from lavendertide.forwarding.host_status import (
     HostStatus,
+    StoreStatus,
     cold_status,
     evacuated_status,
 )
 from lavendertide.forwarding.messages import CallerRequest
 from lavendertide.forwarding.target_view import TargetViews
+from lavendertide.gateway.follower import Follower
 from lavendertide.ids import HostId, ServiceName
 from lavendertide.registry.registry import TargetRegistry
 from lavendertide.runtime import tasks
@@ -31,6 +33,7 @@
         views: TargetViews,
         evacuated: EvacuatedDomains,
         cold: ColdTargets,
+        follower: Follower,
     ) -> None:
         self._host = host
         self._forwarder = forwarder
@@ -39,6 +42,7 @@
         self._views = views
         self._evacuated = evacuated
         self._cold = cold
+        self._follower = follower
 
     def explain(self, request: CallerRequest, now_s: float) -> bytes:
         """Returns the document that explains where a request would be sent now."""
@@ -66,4 +70,9 @@
             self._forwarder.admission.limits(now_s),
             self._cold.count(now_s),
             cold_status(self._cold, self._registry, services, now_s),
+            StoreStatus(
+                self._follower.history.position,
+                now_s - self._follower.answered_at_s,
+                self._follower.restorations.count,
+            ),
         )
--- a/lavendertide/gateway/reading_times.py
+++ b/lavendertide/gateway/reading_times.py
@@ -9,6 +9,9 @@
 from dataclasses import dataclass
 from typing import Final
 
+# Fraction of `leaving_s` for which a leaving target still gets requests that no other
+# target can serve. The rest covers callers that send shortly before.
+LAST_RESORT_SHARE: Final = 0.5
 # Fraction of `leaving_s` for which a watch call waits for a change. A partition is
 # noticed after this wait and its margin; the hosts then still have to read directly.
 WATCH_SHARE: Final = 0.35
@@ -33,6 +36,11 @@
 
     leaving_s: float
 
+    @property
+    def last_resort_s(self) -> float:
+        """Seconds for which a leaving target is the last resort of its service."""
+        return LAST_RESORT_SHARE * self.leaving_s
+
     @property
     def watch_s(self) -> float:
         """Seconds for which a watch call waits for a change."""
--- a/lavendertide/registry/restored_entries.py
+++ b/lavendertide/registry/restored_entries.py
@@ -8,6 +8,7 @@
 different things differ for that long; one that has just started knows the copy alone.
 """
 
+import logging
 import math
 from collections.abc import Iterable, Mapping
 from typing import Final
@@ -19,6 +20,10 @@
 # Runs that are remembered as ended; the oldest are forgotten first. A copy is seconds
 # old, so this only has to cover the runs that end meanwhile.
 ENDED_MAX: Final = 4_096
+# Targets that one log line names; the others are only counted.
+LOGGED_NAMES_MAX: Final = 8
+
+_log = logging.getLogger(__name__)
 
 
 class RestoredEntries:
@@ -74,6 +79,14 @@
                 self._outdated[record.target] = record
             else:
                 believed.append(record)
+        if self._outdated:
+            _log.warning(
+                "entries of the restored store are older than known ones",
+                extra={
+                    "count": len(self._outdated),
+                    "targets": list(self._outdated)[:LOGGED_NAMES_MAX],
+                },
+            )
         return tuple(believed)
 
     def expire(self, now_s: float) -> tuple[TargetRecord, ...]:
--- a/tests/forwarding/test_host_status.py
+++ b/tests/forwarding/test_host_status.py
@@ -7,6 +7,7 @@
 from lavendertide.forwarding.host_status import (
     COLD_LISTED_MAX,
     HostStatus,
+    StoreStatus,
     cold_status,
 )
 from lavendertide.ids import NO_VERSION, ServiceName
@@ -15,7 +16,7 @@
 from lavendertide.routes.route import Service
 from lavendertide.warmup.cold_status import ColdTargetStatus
 from lavendertide.warmup.cold_targets import ColdTargets
-from standins.forwarding_records import DESK, target
+from standins.forwarding_records import DESK, at, target
 
 
 class ColdStatusTest(unittest.TestCase):
@@ -57,6 +58,14 @@
         self.assertEqual(document["cold_count"], 1)
         self.assertEqual(document["cold"][0]["part"], 3)
 
+    def test_the_report_has_how_far_the_store_was_read(self) -> None:
+        store = StoreStatus(at(42, 3), 0.25, 2)
+        status = HostStatus(
+            "m1", "serving", RoutesAge(NO_VERSION, 0.0), (), (), store=store
+        )
+        expected = {"era": 3, "revision": 42, "age_s": 0.25, "restorations": 2}
+        self.assertEqual(json.loads(encode_status(status))["store"], expected)
+
     def test_those_of_other_services_and_warm_ones_are_left_out(self) -> None:
         self.add("t1", 5.0)
         self.add("t2", 0.5)
--- a/tests/processes/test_product_operations.py
+++ b/tests/processes/test_product_operations.py
@@ -21,8 +21,11 @@
 from lavendertide.gateway.descriptors import Descriptors
 from lavendertide.gateway.request_ledger import RequestLedger
 from lavendertide.reports.run import dump_run
+from lavendertide.restoration.metrics import RestorationMetrics
+from lavendertide.restoration.restorations import Restorations
 from lavendertide.warmup.metrics import ColdMetrics
 from standins.deployment import ASSOCIATION, KOINOPRAXIA, build_publication, scaled_down
+from standins.forwarding_records import at
 from standins.gateway_process import ROUTES, GatewayProcess, configuration, wait_until
 from standins.launcher import Launcher
 from standins.platform_store import PlainTarget, PlatformStore
@@ -53,6 +56,7 @@
     ForwardingMetrics(registry)
     EvacuationMetrics(registry, EvacuatedDomains(), lambda _: 0)
     ColdMetrics(registry, lambda: 0, lambda: True)
+    RestorationMetrics(registry, Restorations(), lambda: at(1))
     # The bounds of a host without known descriptors ask neither roster nor links.
     Descriptors(None, 1, mock.Mock(), mock.Mock(), registry)
     RequestLedger(registry)
