--- /dev/null
+++ b/tests/restoration/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of `lavendertide.restoration`."""
