Play restorations of the store in the soak

The soak could not see that gateways miss changes: its store never lost a write. Restorations now overlap with the other faults. Targets write after the copy is made, the store is away in one of three ways, a change is written first after its return, and what was lost follows at once or later. Each plan ends with one, and callers go on until what it wrote is due. A request that reaches a target which has drained for longer than the bound is a violation now.

--- a/soak/environment.py
+++ b/soak/environment.py
@@ -21,6 +21,8 @@
     RoutesChanged,
     SettingsReloaded,
     ShardsChanged,
+    StoreFault,
+    StoreRestored,
     StoreStalled,
     StoreUnavailable,
     TargetDelayed,
@@ -39,6 +41,7 @@
     PublishedVersions,
 )
 from soak.proxy import FaultyProxy, ProxyMode
+from soak.published import PublishedEntries
 from standins.gateway_process import (
     GatewayProcess,
     wait_until,
@@ -73,6 +76,7 @@
         self._folder = folder
         self._ports = PortBlock()
         self._store = PlatformStore()
+        self._published = PublishedEntries(self._store)
         self._store_proxy = FaultyProxy(self._store.address)
         self._configuration = OperatorConfiguration()
         self._version_steps = random.Random(0)
@@ -82,6 +86,8 @@
         self._publishing = threading.Lock()
         self._store_disturbances: list[Period] = []
         self._versions = PublishedVersions()
+        self._draining: dict[str, float] = {}
+        self._replaced_proxies: list[FaultyProxy] = []
         self.gateways: list[GatewayProcess] = []
         self._gateway_faults = GatewayFaults(self.gateways)
 
@@ -89,7 +95,10 @@
     def record(self) -> FaultRecord:
         """What gateways and the store were exposed to, as far as guarantees allow."""
         return FaultRecord(
-            self._gateway_faults.disturbances, self._store_disturbances, self._versions
+            self._gateway_faults.disturbances,
+            self._store_disturbances,
+            self._versions,
+            self._draining,
         )
 
     @property
@@ -130,7 +139,7 @@
             gateway.stop()
         self._store_proxy.close()
         self._store.close()
-        for proxy in self._proxies:
+        for proxy in [*self._proxies, *self._replaced_proxies]:
             proxy.close()
         for target in self._all_targets:
             target.close()
@@ -171,7 +180,7 @@
                 | SettingsReloaded()
             ):
                 self._gateway_faults.inject(fault, lasts_s)
-            case StoreUnavailable() | StoreStalled():
+            case StoreUnavailable() | StoreStalled() | StoreRestored():
                 self._inject_store_fault(fault, lasts_s)
             case (
                 RoutesChanged()
@@ -185,11 +194,12 @@
             ):
                 self._change_configuration(fault, lasts_s)
 
-    def _inject_store_fault(
-        self, fault: StoreUnavailable | StoreStalled, lasts_s: float
-    ) -> None:
+    def _inject_store_fault(self, fault: StoreFault, lasts_s: float) -> None:
         from_s = time.monotonic()
         match fault:
+            case StoreRestored():
+                self._restore_store(fault)
+                return
             case StoreUnavailable():
                 self._store.is_unavailable = True
                 time.sleep(lasts_s)
@@ -198,6 +208,13 @@
                 self._inject_proxy_fault(self._store_proxy, ProxyMode.STALLED, lasts_s)
         self._store_disturbances.append(Period(from_s, time.monotonic()))
 
+    def _restore_store(self, fault: StoreRestored) -> None:
+        # A replacement lasts for seconds, of which only the first write is awaited.
+        change = threading.Thread(target=self._inject, args=(fault.change, 0.0))
+        period = self._published.restore(fault, change.start)
+        self._store_disturbances.append(period)
+        change.join()
+
     def _change_configuration(
         self, change: ConfigurationChange, lasts_s: float
     ) -> None:
@@ -245,14 +262,14 @@
         services = self._configuration.services
         self._versions.add(PublishedVersion(time.monotonic(), services))
         document = self._configuration.next_document(self._version_steps)
-        self._store.put("op/config", document)
+        self._published.write("op/config", document)
 
     def _new_target(self, name: str, service: str) -> tuple[PlainTarget, FaultyProxy]:
         target = PlainTarget(name, service)
         target.delay_s = WORK_S
         proxy = FaultyProxy(target.address)
         self._all_targets.append(target)
-        self._store.put(f"servers/{name}", target.entry(address=proxy.address))
+        self._published.write(f"servers/{name}", target.entry(address=proxy.address))
         return target, proxy
 
     def _replace(self, number: int) -> None:
@@ -261,8 +278,11 @@
         new, proxy = self._new_target(name, old.service)
         self._targets[number], self._proxies[number] = new, proxy
         entry = old.entry("draining", address=old_proxy.address)
-        self._store.put(f"servers/{old.name}", entry)
-        time.sleep(LEAVING_S)
-        self._store.remove(f"servers/{old.name}")
+        self._draining[old.name] = self._published.write(f"servers/{old.name}", entry)
         time.sleep(LEAVING_S)
-        old_proxy.close()
+        self._published.remove(f"servers/{old.name}")
+        # Some go on serving for long, so that requests which still reach them are seen.
+        self._replaced_proxies.append(old_proxy)
+        if len(self._replaced_proxies) % 2:
+            time.sleep(LEAVING_S)
+            old_proxy.close()
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -6,6 +6,7 @@
 from typing import Final
 
 from soak.callers import RequestKind
+from standins.platform_store import Absence
 
 # Mean rate at which faults begin. Most last longer than the mean interval between two,
 # so that they overlap.
@@ -16,6 +17,8 @@
 LASTS_MAX_S: Final = 3.0
 # Mean rate of changes of the configuration and the settings. A request often meets two.
 CHANGES_PER_S: Final = 1.5
+# Mean rate at which the store returns from a copy; each takes several seconds.
+RESTORATIONS_PER_S: Final = 0.2
 # Shortest limits; the callers stay idle for 2 s and send a request within 0.5 s.
 IDLE_TIMEOUT_MIN_MS: Final = 3_000
 HEADER_TIMEOUT_MIN_MS: Final = 2_000
@@ -174,6 +177,31 @@
     is_stopped: bool
 
 
+@dataclass(frozen=True, slots=True)
+class StoreRestored:
+    """The store returns from a copy, and what it lost is written again.
+
+    A change that is written first after the return gets a revision that gateways have
+    read before.
+
+    Attributes:
+        absence: How the store is away.
+        lost_writes: How many targets write their entries again after the copy is made.
+        copy_age_s: Age of the copy as the store goes away.
+        away_s: Time for which it is away.
+        rewritten_after_s: Time from its return until what it lost is written again.
+        change: What is written first after the return.
+    """
+
+    absence: Absence
+    lost_writes: int
+    copy_age_s: float
+    away_s: float
+    rewritten_after_s: float
+    change: RouteMoved | TargetReplaced
+
+
+StoreFault = StoreUnavailable | StoreStalled | StoreRestored
 TargetFault = TargetDelayed | TargetStalled | TargetRepliesLost | TargetReset
 GatewayFault = GatewayStopped | GatewayKilled | GatewayPaused | SettingsReloaded
 ConfigurationChange = (
@@ -186,14 +214,7 @@
     | ConfigurationGrown
     | VersionsPublished
 )
-Fault = (
-    TargetFault
-    | TargetReplaced
-    | StoreUnavailable
-    | StoreStalled
-    | GatewayFault
-    | ConfigurationChange
-)
+Fault = TargetFault | TargetReplaced | StoreFault | GatewayFault | ConfigurationChange
 
 
 @dataclass(frozen=True, slots=True)
@@ -222,6 +243,7 @@
         gateways: Number of gateways.
     """
     faults, changes = random.Random(seed), random.Random(f"changes of {seed}")
+    restorations = random.Random(f"restorations of {seed}")
     planned = [
         *_draw_series(
             faults, FAULTS_PER_S, duration_s, lambda: _draw(faults, targets, gateways)
@@ -229,6 +251,14 @@
         *_draw_series(
             changes, CHANGES_PER_S, duration_s, lambda: _draw_change(changes, gateways)
         ),
+        *_draw_series(
+            restorations,
+            RESTORATIONS_PER_S,
+            duration_s,
+            lambda: _draw_restoration(restorations, targets),
+        ),
+        # No later change hides what gateways miss of this one.
+        PlannedFault(duration_s, 0.0, _draw_restoration(restorations, targets)),
     ]
     return sorted(planned, key=lambda each: each.at_s)
 
@@ -291,5 +321,21 @@
     return generator.choice(changes)
 
 
+def _draw_restoration(generator: random.Random, targets: int) -> StoreRestored:
+    moved = generator.choice([RequestKind.LOOKUP, RequestKind.ORDER])
+    changes: list[RouteMoved | TargetReplaced] = [
+        RouteMoved(moved),
+        TargetReplaced(generator.randrange(targets)),
+    ]
+    return StoreRestored(
+        generator.choice(list(Absence)),
+        generator.randint(1, 3),
+        generator.uniform(0.5, 4.0),
+        generator.uniform(0.1, 1.5),
+        generator.choice([0.0, generator.uniform(0.1, 1.5)]),
+        generator.choice(changes),
+    )
+
+
 def _draw_priorities(generator: random.Random) -> tuple[int, ...]:
     return tuple(generator.randrange(PRIORITIES) for _ in RequestKind)
--- a/soak/gateways.py
+++ b/soak/gateways.py
@@ -5,7 +5,7 @@
 import subprocess
 import threading
 import time
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field
 from typing import Final
 
@@ -18,13 +18,15 @@
     GatewayStopped,
     SettingsReloaded,
 )
-from soak.operator import Period, PublishedVersions
+from soak.operator import Period, PublishedVersions, due_by_s
 from standins.gateway_process import GatewayProcess
 
 # A third one serves while one is stopped and another is killed.
 GATEWAYS: Final = 3
 # Time to stop: `bounds.grace-s` in the settings of `standins.gateway_process`.
 GRACE_S: Final = 6.0
+# `bounds.drain-ms` in the same settings.
+DRAIN_S: Final = 3.0
 # Tolerance for the system to report the end of a process.
 GRACE_SLACK_S: Final = 1.0
 # Time between two signals that are sent to a gateway in quick succession.
@@ -62,11 +64,13 @@
         gateways: When gateways were killed, paused or stopped.
         store: When the store was unavailable or stalled.
         versions: The versions of the configuration that were published.
+        draining: When the store accepted that a target drains, by its name.
     """
 
     gateways: Sequence[Disturbance] = ()
     store: Sequence[Period] = ()
     versions: PublishedVersions = field(default_factory=PublishedVersions)
+    draining: Mapping[str, float] = field(default_factory=dict)
 
     def find_overlapping(self, outcome: Outcome) -> list[Disturbance]:
         """Returns the disturbances of the gateway of a request while it ran."""
@@ -93,15 +97,27 @@
         Contains each version that may have been in force while the request ran. A
         version without the route has no service.
         """
-        unreadable = [
+        versions = self.versions.find_in_force(
+            Period(outcome.sent_at_s, outcome.ended_at_s), self._unreadable(outcome)
+        )
+        return [version.services.get(outcome.kind, ()) for version in versions]
+
+    def is_left(self, target: str, outcome: Outcome) -> bool:
+        """Returns whether a target may get nothing of a request any more."""
+        accepted_at_s = self.draining.get(target)
+        if accepted_at_s is None:
+            return False
+        due_by = due_by_s(accepted_at_s, DRAIN_S, self._unreadable(outcome))
+        return outcome.sent_at_s > due_by
+
+    def _unreadable(self, outcome: Outcome) -> list[Period]:
+        """Returns when the gateway of a request could not read the store."""
+        own = [
             Period(each.from_s, each.until_s)
             for each in self.gateways
             if each.gateway == outcome.gateway and not each.is_graceful
         ]
-        versions = self.versions.find_in_force(
-            Period(outcome.sent_at_s, outcome.ended_at_s), [*self.store, *unreadable]
-        )
-        return [version.services.get(outcome.kind, ()) for version in versions]
+        return [*self.store, *own]
 
 
 class GatewayFaults:
--- a/soak/guarantees.py
+++ b/soak/guarantees.py
@@ -1,6 +1,6 @@
 """Checks the outcomes of requests against the guarantees that gateways give callers."""
 
-from collections import Counter
+from collections import Counter, defaultdict
 from collections.abc import Iterable, Mapping, Sequence
 from typing import Final
 
@@ -34,14 +34,19 @@
         (name, target.name) for target in targets for name in target.executed_requests
     )
     runs: Counter[str] = Counter()
-    for (name, _), count in ran.items():
+    targets_of: defaultdict[str, list[str]] = defaultdict(list)
+    for (name, target_name), count in ran.items():
         runs[name] += count
+        targets_of[name].append(target_name)
     violations: list[str] = []
     for outcome in outcomes:
         violations += _check_runs(outcome, runs[outcome.name])
         violations += _check_content(outcome, ran)
         violations += _check_route(outcome, service_of, record)
         violations += _check_timing(outcome, record)
+        for name in targets_of[outcome.name]:
+            if record.is_left(name, outcome):
+                violations.append(f"drain: {outcome.name} reached {name}, which drains")
     return violations
 
 
--- a/soak/operator.py
+++ b/soak/operator.py
@@ -79,19 +79,25 @@
             if version.published_at_s > period.until_s:
                 continue
             found.append(version)
-            if _applied_by_s(version, disturbed) < period.from_s:
+            if due_by_s(version.published_at_s, APPLY_S, disturbed) < period.from_s:
                 break
         return found
 
 
-def _applied_by_s(version: PublishedVersion, disturbed: Sequence[Period]) -> float:
-    """Returns when no gateway may use an older version any more."""
-    applied_by_s = version.published_at_s + APPLY_S
+def due_by_s(written_at_s: float, bound_s: float, disturbed: Sequence[Period]) -> float:
+    """Returns by when all gateways have to go by what was written.
+
+    Args:
+        written_at_s: When the store accepted it, or was asked to.
+        bound_s: How long a gateway may take.
+        disturbed: When it could not be read; the bound starts anew after that.
+    """
+    by_s = written_at_s + bound_s
     for period in sorted(disturbed, key=lambda each: each.from_s):
-        is_over = period.until_s < version.published_at_s
-        if not is_over and period.from_s <= applied_by_s:
-            applied_by_s = max(applied_by_s, period.until_s + APPLY_S)
-    return applied_by_s
+        is_over = period.until_s < written_at_s
+        if not is_over and period.from_s <= by_s:
+            by_s = max(by_s, period.until_s + bound_s)
+    return by_s
 
 
 class OperatorConfiguration:
--- a/soak/run.py
+++ b/soak/run.py
@@ -12,10 +12,13 @@
 from soak.environment import SERVICES, SoakEnvironment
 from soak.faults import draw_plan
 from soak.gateways import GATEWAYS
+from soak.operator import APPLY_S
 
 # Time after the last fault by which all requests must succeed again, as the deployed
 # sites require.
 RECOVERY_S: Final = 15.0
+# Time for which callers go on after the last change is due on all gateways.
+SHOWN_S: Final = 2.0
 # Consecutive successful requests that count as recovery.
 RECOVERED_REQUESTS: Final = 30
 
@@ -60,6 +63,8 @@
             prober = Caller("last", environment.gateways)
             unrecovered = _check_recovery(prober)
             prober.disconnect()
+            # What a gateway has missed shows once it is due.
+            time.sleep(APPLY_S + SHOWN_S)
         broken = guarantees.find_violations(
             callers.outcomes, environment.targets, environment.record
         )
--- a/tests/processes/test_soak.py
+++ b/tests/processes/test_soak.py
@@ -9,6 +9,7 @@
     Fault,
     GatewayStopped,
     SettingsReloaded,
+    StoreRestored,
     draw_plan,
 )
 from soak.run import run_soak
@@ -21,6 +22,10 @@
 CHANGES_SEED = 2
 
 
+# Gateways of 91b8922 missed a change in this run.
+RESTORATION_SEED = 28
+
+
 class SoakTest(unittest.TestCase):
     """Overlapping external faults break no promise, and a seed repeats its faults."""
 
@@ -55,6 +60,15 @@
         self.assertEqual(finding.broken, ())
         self.assertGreater(finding.statuses[200], 100)
 
+    def test_restorations_of_the_store_overlap_with_other_faults(self) -> None:
+        """Plays what a gateway misses that goes on from its old revision."""
+        planned = draw_plan(RESTORATION_SEED, CHANGES_DURATION_S, 8, 3)
+        kinds = [type(each.fault) for each in planned]
+        self.assertGreaterEqual(kinds.count(StoreRestored), 2)
+        finding = run_soak(RESTORATION_SEED, CHANGES_DURATION_S)
+        self.assertEqual(finding.broken, ())
+        self.assertGreater(finding.statuses[200], 100)
+
     def test_changes_of_priorities_break_no_promise(self) -> None:
         finding = run_soak(CHANGES_SEED, CHANGES_DURATION_S)
         self.assertEqual(finding.broken, ())
--- a/tests/soak/test_guarantees.py
+++ b/tests/soak/test_guarantees.py
@@ -5,7 +5,7 @@
 from typing import cast
 
 from soak.callers import DEADLINE_S, Outcome, RequestKind
-from soak.gateways import Disturbance, FaultRecord
+from soak.gateways import DRAIN_S, Disturbance, FaultRecord
 from soak.guarantees import LATE_SLACK_S, find_violations
 from soak.operator import APPLY_S, Period, PublishedVersion, PublishedVersions
 from standins.platform_store import PlainTarget
@@ -53,10 +53,11 @@
         disturbances: tuple[Disturbance, ...] = (),
         store: tuple[Period, ...] = (),
         versions: PublishedVersions = VERSIONS,
+        draining: dict[str, float] | None = None,
     ) -> list[str]:
         """Returns the kinds of the violations of one outcome."""
         targets = [cast(PlainTarget, each) for each in ran]
-        record = FaultRecord(disturbances, store, versions)
+        record = FaultRecord(disturbances, store, versions, draining or {})
         broken = find_violations([outcome], targets, record)
         return [line.partition(":")[0] for line in broken]
 
@@ -81,6 +82,21 @@
     def test_an_answer_of_a_target_that_did_not_run_it(self) -> None:
         self.assertEqual(self.kinds_of(SERVED, FakeTarget("t0", "c0-2")), ["mixed"])
 
+    def test_a_request_that_reaches_a_draining_target(self) -> None:
+        accepted_at_s = SERVED.sent_at_s - DRAIN_S
+        ran = FakeTarget("t0", "c0-1")
+        late = {"t0": accepted_at_s - 0.1}
+        self.assertEqual(self.kinds_of(SERVED, ran, draining=late), ["drain"])
+        self.assertEqual(self.kinds_of(SERVED, ran, draining={"t1": 0.0}), [])
+        in_time = {"t0": accepted_at_s + 0.1}
+        self.assertEqual(self.kinds_of(SERVED, ran, draining=in_time), [])
+        # The store was away meanwhile, or the gateway could not read it.
+        store = (Period(accepted_at_s, accepted_at_s + 0.2),)
+        self.assertEqual(self.kinds_of(SERVED, ran, store=store, draining=late), [])
+        paused = Disturbance(0, accepted_at_s, accepted_at_s + 0.2, False)
+        kinds = self.kinds_of(SERVED, ran, disturbances=(paused,), draining=late)
+        self.assertEqual(kinds, [])
+
     def test_a_search_that_hides_missing_shards(self) -> None:
         partial = replace(SEARCH, signatures=("s0",))
         self.assertEqual(self.kinds_of(partial, FakeTarget("s0", "c0-1")), ["whole"])
