Take a watch that is cut for no outage of the platform

Cause: a cut watch counted as an outage, and the next answer gave all removed targets two more seconds to register again.

Fix: a watch whose connection ends without a byte is followed by one that doesn't wait; the platform is lost only if that fails too.

--- a/lavendertide/platform/store_client.py
+++ b/lavendertide/platform/store_client.py
@@ -69,6 +69,10 @@
     """A call to the store failed, or its response cannot be read."""
 
 
+class _ConnectionClosed(_StoreError):
+    """The store has closed the connection without a response."""
+
+
 class _OversizedResponse(_StoreError):
     """The store's response has more bytes than are read of one."""
 
@@ -101,14 +105,8 @@
         self, position: Position
     ) -> Result[PublicationBatch | HistoryLost, Refusal]:
         """Reads the changes since a position; waits for some time if there are none."""
-        query = {
-            "prefix": ALL_KEYS,
-            # Here a revision, not a key as in a range: later changes are returned.
-            "after": position.revision,
-            "wait-ms": round(self._times.watch_s * 1_000),
-        }
         try:
-            response = self._get(WATCH_PATH, query, self._times.watch_timeout_s)
+            response = self._watch(position)
         except _OversizedResponse:
             # The store doesn't divide the changes into pages, as it does a range.
             return Success(HistoryLost(position.era))
@@ -195,6 +193,20 @@
         self._era = era
         return era
 
+    def _watch(self, position: Position) -> HttpResponse:
+        query = {
+            "prefix": ALL_KEYS,
+            # Here a revision, not a key as in a range: later changes are returned.
+            "after": position.revision,
+            "wait-ms": round(self._times.watch_s * 1_000),
+        }
+        try:
+            return self._get(WATCH_PATH, query, self._times.watch_timeout_s)
+        except _ConnectionClosed:
+            # The store may cut a watch that waits, which says nothing of an outage if
+            # it answers one that doesn't.
+            return self._get(WATCH_PATH, query | {"wait-ms": 0}, RESPONSE_TIMEOUT_S)
+
     def _get(self, path: str, query: dict[str, Any], timeout_s: float) -> HttpResponse:
         connection = self._connection
         if not connection.is_open and not connection.open(CONNECT_TIMEOUT_S):
@@ -206,8 +218,11 @@
         except ExchangeError as error:
             if error.is_oversized:
                 raise _OversizedResponse("response too large") from error
-            kind = "timeout" if error.is_timeout else "connection closed"
-            raise _StoreError(kind) from error
+            if error.is_timeout:
+                raise _StoreError("timeout") from error
+            if error.has_received_data:
+                raise _StoreError("incomplete response") from error
+            raise _ConnectionClosed("connection closed") from error
 
     def _decode(self, item: dict[str, Any], era: StoreEra) -> Publication | None:
         key = item["key"]
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -110,6 +110,8 @@
     Attributes:
         is_unavailable: Whether every request is answered with status 503. Writes are
             accepted, as those of others may be.
+        watches_cut_after_s: Time after which a watch that waits is cut; none if it
+            isn't. All other calls are answered.
     """
 
     def __init__(self, era: int | None = 1) -> None:
@@ -122,6 +124,7 @@
         self._changed = threading.Condition()
         self._reads = 0
         self.is_unavailable = False
+        self.watches_cut_after_s: float | None = None
         store = self
 
         class Handler(_Handler):
@@ -241,8 +244,11 @@
             elif url.path == "/api/kv-range":
                 self._reply(handler, 200, self._page(query.get("after", "")))
             else:
-                after, wait_ms = int(query["after"]), int(query["wait-ms"])
-                self._reply(handler, *self._watch(after, wait_ms))
+                watched = self._watch(int(query["after"]), int(query["wait-ms"]))
+                if watched is None:
+                    handler.close_connection = True
+                else:
+                    self._reply(handler, *watched)
 
     def _page(self, after: str) -> dict[str, Any]:
         """Returns the items after a key, as many as fit into one page."""
@@ -256,9 +262,10 @@
             items.append(self._items[key])
         return {"items": items, "has-more": len(items) < len(keys)}
 
-    def _watch(self, after: int, wait_ms: int) -> tuple[int, dict[str, Any]]:
-        """Returns the response to a watch, after it has waited for a change."""
-        ends_at_s = time.monotonic() + wait_ms / 1_000
+    def _watch(self, after: int, wait_ms: int) -> tuple[int, dict[str, Any]] | None:
+        """Returns the response to a watch after it has waited; none if it is cut."""
+        began_at_s = time.monotonic()
+        ends_at_s = began_at_s + wait_ms / 1_000
         while True:
             if after > self._revision or after < self._complete_after:
                 return 410, {}
@@ -266,7 +273,11 @@
             left_s = ends_at_s - time.monotonic()
             if events or (left_s <= 0.0 and self._absence is not Absence.SILENT):
                 return 200, {"events": events}
-            self._changed.wait(max(left_s, SILENCE_POLL_S))
+            cut_after_s = self.watches_cut_after_s
+            if cut_after_s is not None and time.monotonic() > began_at_s + cut_after_s:
+                return None
+            # A cut is seen within the poll interval.
+            self._changed.wait(min(max(left_s, 0.01), SILENCE_POLL_S))
 
     def _reply(self, handler: _Handler, status: int, document: dict[str, Any]) -> None:
         document["current-rev"] = self._revision
--- a/tests/platform/test_store_restored.py
+++ b/tests/platform/test_store_restored.py
@@ -109,6 +109,35 @@
         self.read_until(lambda: self.ready() == {"later"})
 
 
+class CutWatchTest(RestoredStoreCase):
+    """Guards against a removed target that stays in use while watches are cut.
+
+    Each cut watch counted as an outage, and its next answer gave removed targets two
+    more seconds to register again (review/9).
+    """
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.store.watches_cut_after_s = 0.0
+
+    def test_a_removal_counts_at_once(self) -> None:
+        self.assertTrue(self.follower.read())
+        self.store.remove(FIRST)
+        self.assertTrue(self.follower.read())
+        self.assertEqual(self.ready(), set())
+
+    def test_a_store_that_answers_nothing_is_lost(self) -> None:
+        self.store.go_away(Absence.STOPPED)
+        self.assertFalse(self.follower.read())
+        self.assertTrue(self.follower.is_platform_lost)
+        self.store.come_back()
+
+    def test_each_cut_costs_one_further_call(self) -> None:
+        before = self.store.reads
+        self.assertTrue(self.follower.read())
+        self.assertEqual(self.store.reads, before + 2)
+
+
 class LostWritesTest(RestoredStoreCase):
     """Guards against beliefs of the copy until what it lacks is written again."""
 
