Read a restored store once for all hosts of a failure domain

Cause: while the store is away each host tries to read it itself, as its source has lost it too. When the store returned in another era, each of them read everything: 33 reads by 33 hosts and 73 by 73, which at the target size exceeds what all hosts may read in a second.

Fix: a host that reads directly and finds that the store was restored waits up to 1.5 s for its source, which reads everything at that moment, and takes it from there.

Evidence: tests.restoration.test_spread, virtual time.

--- a/lavendertide/gateway/shared_reading.py
+++ b/lavendertide/gateway/shared_reading.py
@@ -43,12 +43,16 @@
 )
 from lavendertide.routes.active_routes import ActiveRoutes
 from lavendertide.routes.replication import RouteReplication
-from lavendertide.runtime import clock
+from lavendertide.runtime import clock, tasks
 from lavendertide.warmup.cold_targets import ColdTargets
 
 # How long a host reads the platform directly after its source has failed to supply
 # changes.
 DIRECT_READ_S: Final = 5.0
+# How long a host that reads the platform directly waits for its source to have read a
+# store that was restored, and how often it asks.
+SOURCE_WAIT_S: Final = 1.5
+SOURCE_POLL_S: Final = 0.1
 READER_RANKING_KEY: Final = "platform-reader"
 # Most hosts that pull from one source. Each costs the source 0.07% of a core; its other
 # control work costs 0.9% (docs/CAPACITY.md, The gateway), of 1.9% allowed.
@@ -141,17 +145,56 @@
         """Returns the changes since a position; waits for some if there are none."""
         now_s = clock.monotonic_s()
         source = select_source(self._roster, now_s)
-        if now_s < self._direct_until_s or source.daemon == self._roster.own.daemon:
+        if source.daemon == self._roster.own.daemon:
             return self._direct.read_changes(position)
+        if now_s < self._direct_until_s:
+            return self._read_directly(source, position)
         push = self._pull(source, position)
         problem = _detect_problem(push, position)
         self._record_problem(source.daemon, problem, position)
         if push is None or problem is not None:
             self._direct_until_s = clock.monotonic_s() + DIRECT_READ_S
-            return self._direct.read_changes(position)
+            return self._read_directly(source, position)
+        return Success(self._use(push, source))
+
+    def _read_directly(
+        self, source: MemberRecord, position: Position
+    ) -> Result[PublicationBatch | HistoryLost, Refusal]:
+        """Returns changes that the platform itself supplies instead of the source.
+
+        If the platform's store was restored, the source is about to read everything.
+        """
+        result = self._direct.read_changes(position)
+        match result:
+            case Success(HistoryLost(era)) if era > position.era:
+                restored = self._wait_for_restored(source, position)
+                return result if restored is None else Success(restored)
+        return result
+
+    def _wait_for_restored(
+        self, source: MemberRecord, position: Position
+    ) -> PublicationBatch | None:
+        """Returns what the source has read of a restored store; none if it is late.
+
+        While the store was away, all hosts have tried to read it. Without the wait each
+        of them would read everything as it returns.
+        """
+        ends_at_s = clock.monotonic_s() + SOURCE_WAIT_S
+        while clock.monotonic_s() < ends_at_s:
+            push = self._pull(source, position)
+            if push is None:
+                break
+            if push.is_full and _detect_problem(push, position) is None:
+                self._direct_until_s = 0.0
+                return self._use(push, source)
+            tasks.sleep(SOURCE_POLL_S)
+        return None
+
+    def _use(self, push: RegistryPush, source: MemberRecord) -> PublicationBatch:
+        """Returns what a reply of the source has, and pulls later routes from it."""
         if push.routes_version > self._active_routes.version:
             self._pull_routes(source, push.routes_version)
-        return Success(_to_batch(push))
+        return _to_batch(push)
 
     def _record_problem(
         self, source: DaemonId, problem: SourceProblem | None, position: Position
--- a/tests/restoration/model_fleet.py
+++ b/tests/restoration/model_fleet.py
@@ -38,11 +38,14 @@
 from lavendertide.restoration.position import Position
 from lavendertide.routes.active_routes import ActiveRoutes
 from lavendertide.routes.replication import RouteReplication
-from lavendertide.runtime import clock
+from lavendertide.runtime import clock, tasks
 from standins.forwarding_records import route, table, target
 from tests.fleet.members import member
 
 TIMES = ReadingTimes(leaving_s=3.0)
+# Interval at which a watch looks for changes.
+POLL_S = 0.02
+HEARTBEAT_S = 0.25
 
 
 @dataclass(frozen=True, slots=True)
@@ -77,9 +80,16 @@
 
 
 class ModelStore:
-    """A store with eras, copies and a bounded history."""
+    """A store with eras, copies and a bounded history.
+
+    Attributes:
+        is_away: Whether all calls fail.
+        reads_of_all: How often everything was read.
+    """
 
     def __init__(self) -> None:
+        self.is_away = False
+        self.reads_of_all = 0
         self._items: dict[Key, Written] = {}
         self._events: list[Written] = []
         self._position = Position(StoreEra(1), StoreRevision(1))
@@ -161,6 +171,7 @@
 
     def read_all(self) -> PublicationBatch:
         """Returns everything."""
+        self.reads_of_all += 1
         published = tuple(_publish(item) for item in self._items.values())
         states = tuple(
             each.state for each in published if isinstance(each, EvacuationPublished)
@@ -216,6 +227,7 @@
         self._roster.apply_records(records, clock.monotonic_s())
         self.is_cut_from_store = self.is_cut_from_peers = False
         self.reached_era_at_s = -1e9
+        self._is_running = False
         self.restart()
 
     def restart(self) -> None:
@@ -240,6 +252,18 @@
         """The position up to which it has read."""
         return self.follower.history.position
 
+    @property
+    def _is_store_unreachable(self) -> bool:
+        return self.is_cut_from_store or self._store.is_away
+
+    def run(self) -> None:
+        """Reads as a process does, and hears of the routes of its peers."""
+        self._is_running = True
+        tasks.spawn(self.follower.run)
+        while True:
+            self._hear_heartbeats()
+            tasks.sleep(HEARTBEAT_S)
+
     def step(self) -> None:
         """Reads once, as the follower does in its loop."""
         era = self.position.era
@@ -265,17 +289,22 @@
 
     def read_all(self) -> Result[PublicationBatch, Refusal]:
         """Reads everything from the store."""
-        if self.is_cut_from_store:
+        if self._is_store_unreachable:
             return Failure(unreachable("store", "timeout", "Wait."))
         return Success(self._store.read_all())
 
     def read_changes(
         self, position: Position
     ) -> Result[PublicationBatch | HistoryLost, Refusal]:
-        """Reads changes from the store."""
-        if self.is_cut_from_store:
-            return Failure(unreachable("store", "timeout", "Wait."))
-        return Success(self._store.read_changes(position))
+        """Reads changes from the store; waits for some if it runs by itself."""
+        ends_at_s = clock.monotonic_s() + TIMES.watch_s * self._is_running
+        while not self._is_store_unreachable:
+            result = self._store.read_changes(position)
+            is_new = result != PublicationBatch((), position)
+            if is_new or clock.monotonic_s() >= ends_at_s:
+                return Success(result)
+            tasks.sleep(POLL_S)
+        return Failure(unreachable("store", "timeout", "Wait."))
 
     def link_to(self, peer: MemberRecord) -> "ModelLink":
         """Returns the link to a peer."""
