Tell hosts that start of draining which a restored store lacks

Callers: a host that started between the return of the store and the second writing knew the copy alone, so it sent requests to a target whose draining was lost, although the other hosts knew of it.

Fix: such a run counts as leaving although it is published as ready, so new members are sent a notice of it, as after an outage. Evacuations reach them in the same way already. Runs without a start time are left out, since a notice about one would hold for a later run too.

Evidence: test_a_host_that_starts_hears_of_draining_that_a_restored_store_lacks failed before (no notice was sent) and passes now.

--- a/lavendertide/registry/registry.py
+++ b/lavendertide/registry/registry.py
@@ -150,12 +150,20 @@
         return min((end_s for end_s in ends_s if end_s is not None), default=None)
 
     def unlisted_leaving(self, now_s: float) -> tuple[TargetRun, ...]:
-        """Returns the runs that are leaving although they are published as ready."""
+        """Returns the runs that are leaving although they are published as ready.
+
+        A restored store may list a draining run as ready. Without a start time it
+        couldn't be told from a later run.
+        """
+        outdated = self._restored.outdated
         return tuple(
             record.run
-            for record in self._records.values()
-            if record.state is TargetState.READY
-            and self._announcements.is_leaving(record.run, now_s)
+            for target, record in self._records.items()
+            if (
+                record.state is TargetState.READY
+                and self._announcements.is_leaving(record.run, now_s)
+            )
+            or (target in outdated and record.run.is_dated and _is_draining(record))
         )
 
     def find(self, target: TargetId) -> TargetRecord | None:
@@ -303,6 +311,10 @@
         self._removal_listener(record)
 
 
+def _is_draining(record: TargetRecord) -> bool:
+    return record.state is TargetState.DRAINING
+
+
 def _log_registered(records: list[TargetRecord]) -> None:
     """Logs new targets in one line, as hundreds of them are read at a start."""
     if len(records) == 1:
--- a/tests/gateway/test_leaving_broadcast.py
+++ b/tests/gateway/test_leaving_broadcast.py
@@ -72,6 +72,22 @@
         self.assertEqual(len(self.registry.ready_targets(DESK, 1.0)), 2)
         self.assertEqual(self.peers.sent, [])
 
+    def test_a_host_that_starts_hears_of_draining_that_a_restored_store_lacks(
+        self,
+    ) -> None:
+        """Guards against a host that knows the copy alone and uses the target."""
+        undated = target("u", state=TargetState.DRAINING, started_at_ms=0)
+        self.registry.put(target("a", state=TargetState.DRAINING), undated)
+        self.registry.record_restoration(1.0)
+        copy = target("a"), target("b"), target("u", started_at_ms=0)
+        self.registry.replace(copy, 1.0)
+        self.broadcast.send_to_new_members(1.0)
+        started = later_run(member(1))
+        self.roster.apply_records((started,), 1.5)
+        self.broadcast.send_to_new_members(1.6)
+        expected = started.daemon, LeavingNotices((target("a").run,))
+        self.assertEqual(self.peers.sent_to_member[-1], expected)
+
     def test_a_notice_that_comes_before_the_entry_counts_for_it(self) -> None:
         """A host that has just started gets notices before it has read the targets."""
         self.broadcast.apply_notices((target("c").run,), PEER, 1.0)
