--- a/tests/encodings/test_registry_frames.py
+++ b/tests/encodings/test_registry_frames.py
@@ -3,6 +3,10 @@
 import unittest
 from dataclasses import replace
 
+from thrift.protocol.TBinaryProtocol import TBinaryProtocolAcceleratedFactory
+from thrift.TSerialization import serialize
+
+from lavendertide.encodings.generated.peer_protocol import ttypes
 from lavendertide.encodings.peer_frames import LENGTH, decode_frame, encode_frame
 from lavendertide.evacuation.evacuated_domains import Evacuation
 from lavendertide.ids import (
@@ -55,3 +59,27 @@
             read = decode_frame(encode_frame(push)[LENGTH.size :]).unwrap()
             assert isinstance(read, RegistryPush)
             self.assertEqual(read.records[0].cold_left_ms, cold_left_ms)
+
+    def test_frames_of_an_earlier_release_name_no_era(self) -> None:
+        exchange, domain = ExchangeId("e"), FailureDomain("north-a")
+        evacuation = ttypes.Evacuation(domain, 12, True)
+        pull = ttypes.Frame(registry_pull=ttypes.RegistryPull(exchange, 10))
+        push = ttypes.RegistryPush(exchange, 15, [], [], True, True, 3, [evacuation])
+        for union, expected in (
+            (pull, RegistryPull(exchange, at(10, 0))),
+            (
+                ttypes.Frame(registry_push=push),
+                RegistryPush(
+                    exchange,
+                    at(15, 0),
+                    (),
+                    (),
+                    True,
+                    True,
+                    ConfigurationVersion(3),
+                    (Evacuation(domain, at(12, 0), True),),
+                ),
+            ),
+        ):
+            sent = serialize(union, TBinaryProtocolAcceleratedFactory())
+            self.assertEqual(decode_frame(sent).unwrap(), expected)
