Share the body of a request between its calls

Cause: each call held a copy of head and body until its reply was read. A search has a call for each shard, and no account counts calls.

Fix: a call sends its own head and then the body that all calls share.

--- a/lavendertide/encodings/http_client_connection.py
+++ b/lavendertide/encodings/http_client_connection.py
@@ -86,15 +86,17 @@
         request: bytes,
         timeout_s: float,
         is_matching: ReplyMatcher = match_any_reply,
+        body: bytes = b"",
     ) -> HttpResponse:
         """Sends a request and waits for its response.
 
         Args:
             method: The method of the request.
-            request: The complete request, from `render_head` and `render_body`.
+            request: The request, from `render_head` and `render_body`.
             timeout_s: Time limit for the response.
             is_matching: Decides by the headers whether a response belongs to this
                 request.
+            body: The rest of the request, which is sent without a copy of it.
 
         Raises:
             ExchangeError: No complete response arrived; the connection is closed.
@@ -107,7 +109,8 @@
         try:
             if self._socket is None:
                 raise ConnectionResetError
-            transfers.send_pieces(self._socket, request, lambda _: sent_by_s)
+            for part in (request, body):
+                transfers.send_pieces(self._socket, part, lambda _: sent_by_s)
             while not reader.is_complete:
                 data = transfers.receive(self._socket, READ_BYTES, ends_at_s)
                 has_received_data = has_received_data or bool(data)
--- a/lavendertide/encodings/http_messages.py
+++ b/lavendertide/encodings/http_messages.py
@@ -109,8 +109,13 @@
 
 def render_body(method: str, body: bytes) -> bytes:
     """Returns the end of a request: `Content-Length` if needed, blank line, body."""
+    return render_length(method, body) + body
+
+
+def render_length(method: str, body: bytes) -> bytes:
+    """Returns what comes before a body: `Content-Length` if needed, blank line."""
     if body or method in METHODS_WITH_BODY:
-        return b"Content-Length: %d\r\n\r\n%b" % (len(body), body)
+        return b"Content-Length: %d\r\n\r\n" % len(body)
     return b"\r\n"
 
 
--- a/lavendertide/platform/target_channel.py
+++ b/lavendertide/platform/target_channel.py
@@ -7,7 +7,7 @@
     ClientConnection,
     ExchangeError,
 )
-from lavendertide.encodings.http_messages import Header, HttpResponse, render_body
+from lavendertide.encodings.http_messages import Header, HttpResponse, render_length
 from lavendertide.encodings.http_replies import PROCESS_MEMORY
 from lavendertide.forwarding.messages import (
     NO_NOTICE,
@@ -58,6 +58,8 @@
 UNREADABLE_PAUSE_S: Final = 1.0
 # Longest time for which a target may say that it is cold.
 COLD_MAX_S: Final = 3_600.0
+# Bodies below this length are sent in one packet with the head, as a copy.
+SHARED_BODY_MIN_BYTES: Final = 16_384
 # Longest idle time of a connection that a target may promise.
 IDLE_MAX_S: Final = 3_600.0
 # A whole number; bounded, since a target with more requests or slots can't exist.
@@ -106,12 +108,14 @@
         """Sends a request and waits for its reply."""
         target = call.record.target
         remaining_s = call.ends_at_s - now_s
+        request, body = _render(call, remaining_s)
         try:
             response = self._connection.exchange(
                 call.request.method,
-                _render(call, remaining_s),
+                request,
                 remaining_s + DEADLINE_REPLY_S,
                 lambda headers: not has_other_request_id(call, headers),
+                body,
             )
         except ExchangeError as error:
             return Unknown(target, _unknown_reason(error))
@@ -224,16 +228,19 @@
     return min(max_s, float(match[1][-SECONDS_DIGITS_MAX:] + fraction))
 
 
-def _render(call: TargetCall, remaining_s: float) -> bytes:
+def _render(call: TargetCall, remaining_s: float) -> tuple[bytes, bytes]:
+    """Returns the bytes of a call, and the body that all calls of a request share."""
     request = call.request
-    return b"".join(
+    is_shared = len(request.body) >= SHARED_BODY_MIN_BYTES
+    head = b"".join(
         (
             request.head,
             b"%b: %d\r\n" % (DEADLINE_MS, max(1, int(remaining_s * 1_000))),
             b"%b: %b\r\n" % (EXPECTED_TARGET, call.record.target.encode()),
-            render_body(request.method, request.body),
+            render_length(request.method, request.body),
         )
     )
+    return (head, request.body) if is_shared else (head + request.body, b"")
 
 
 def _unknown_reason(error: ExchangeError) -> UnknownReason:
--- a/tests/platform/test_target_channel.py
+++ b/tests/platform/test_target_channel.py
@@ -1,14 +1,22 @@
 """Tests of `lavendertide.platform.target_channel`, over a socket within the process."""
 
+import socket
+import threading
+import tracemalloc
 import unittest
 from dataclasses import replace
 
 from lavendertide.encodings.http_messages import render_head
 from lavendertide.forwarding.messages import Replied, TargetReply
 from lavendertide.forwarding.target_call import TargetCall
+from lavendertide.ids import Address
 from lavendertide.overload.reported_load import ReportedLoad
-from lavendertide.platform.target_channel import PlatformTargetChannel, parse_load
-from lavendertide.runtime import clock
+from lavendertide.platform.target_channel import (
+    SHARED_BODY_MIN_BYTES,
+    PlatformTargetChannel,
+    parse_load,
+)
+from lavendertide.runtime import clock, tasks
 from standins.forwarding_records import request, target
 from tests.encodings.fixed_peer import TIMEOUT_S, Peer
 
@@ -63,6 +71,90 @@
         self.assertEqual(reply.body, b"body")
 
 
+class SharedBodyTest(unittest.TestCase):
+    """Guards against one copy of a long body for each target that reads slowly.
+
+    A search has a call for each shard, so the copies exceeded the memory of a host.
+    """
+
+    CALLS = 30
+    BODY = bytes(250_000)
+
+    def test_all_calls_share_the_body(self) -> None:
+        listener = socket.create_server(("127.0.0.1", 0), backlog=self.CALLS)
+        self.addCleanup(listener.close)
+        address = Address(f"127.0.0.1:{listener.getsockname()[1]}")
+        now_s = clock.monotonic_s()
+        head = render_head("POST", "/x", [])
+        shared = replace(request(now_s), method="POST", head=head, body=self.BODY)
+        call = TargetCall(
+            1, 0, shared, target("t7"), now_s, now_s + TIMEOUT_S, lambda *_: None
+        )
+        channels = [PlatformTargetChannel(address) for _ in range(self.CALLS)]
+        for channel in channels:
+            self.addCleanup(channel.close)
+            self.assertTrue(channel.open(TIMEOUT_S))
+        tracemalloc.start()
+        self.addCleanup(tracemalloc.stop)
+        waiting = [tasks.spawn(each.exchange, call, now_s) for each in channels]
+        tasks.sleep(0.1)
+        held_bytes, _ = tracemalloc.get_traced_memory()
+        for task in waiting:
+            task.stop()
+        self.assertLess(held_bytes, self.CALLS * len(self.BODY) / 10)
+
+    def test_a_target_reads_the_whole_request(self) -> None:
+        for size in (0, 1, SHARED_BODY_MIN_BYTES, len(self.BODY)):
+            with self.subTest(size=size):
+                peer = WholeRequestPeer(REPLY % (b"r1", b"body"))
+                self.addCleanup(peer.close)
+                channel = PlatformTargetChannel(peer.address)
+                self.addCleanup(channel.close)
+                self.assertTrue(channel.open(TIMEOUT_S))
+                now_s = clock.monotonic_s()
+                head = render_head("POST", "/x", [])
+                body = self.BODY[:size]
+                sent = replace(request(now_s), method="POST", head=head, body=body)
+                call = TargetCall(
+                    1, 0, sent, target("t7"), now_s, now_s + TIMEOUT_S, lambda *_: None
+                )
+                self.assertIsInstance(channel.exchange(call, now_s), Replied)
+                self.assertEqual(peer.body, body)
+
+
+class WholeRequestPeer:
+    """Reads one request to its end and replies to it.
+
+    Attributes:
+        address: Where it listens.
+        body: The body that it has read.
+    """
+
+    def __init__(self, reply: bytes) -> None:
+        self._listener = socket.create_server(("127.0.0.1", 0))
+        self.address = Address(f"127.0.0.1:{self._listener.getsockname()[1]}")
+        self.body = b""
+        self._reply = reply
+        self._thread = threading.Thread(target=self._serve, daemon=True)
+        self._thread.start()
+
+    def close(self) -> None:
+        """Waits for the end of the reply and stops listening."""
+        self._thread.join(TIMEOUT_S)
+        self._listener.close()
+
+    def _serve(self) -> None:
+        connection, _ = self._listener.accept()
+        with connection, connection.makefile("rb") as stream:
+            length = 0
+            while (line := stream.readline()) != b"\r\n":
+                name, _, value = line.partition(b":")
+                if name.lower() == b"content-length":
+                    length = int(value)
+            self.body = stream.read(length)
+            connection.sendall(self._reply)
+
+
 class ReportedLoadTest(unittest.TestCase):
     """Invalid figures of a target's load must not steer requests."""
 
