Keep what was read when a peer that has read less far supplies everything

Cause (from reading): a host that needs everything and is refused by the store takes the targets from any peer, also from one that has read less far than the host itself. Targets that had left since were used again.

Fix: a peer's list that is older than what the host has read is left aside.

Evidence: test_a_peer_that_has_read_less_far_changes_nothing failed before and passes now.

--- a/lavendertide/gateway/follower.py
+++ b/lavendertide/gateway/follower.py
@@ -42,6 +42,7 @@
 # it. A host that has read nothing yet can't serve, so it retries sooner.
 RETRY_S: Final = 0.5
 RETRY_UNINITIALIZED_S: Final = 0.2
+PEER_REMEDY: Final = "Check that the platform's store can be read."
 OUTDATED_REMEDY: Final = (
     "Check which store responds; restart the hosts if it was set up anew."
 )
@@ -183,9 +184,14 @@
         if self._restorations.record(era) is Continuity.OUTDATED:
             self._record_failure(self._describe_outdated(era), now_s)
             return False
+        known = self._position
+        if batch.is_from_peer and known is not None and batch.position < known:
+            refusal = outdated("a peer", "it has read less far", PEER_REMEDY)
+            self._record_failure(refusal, now_s)
+            return False
         if not batch.is_from_peer:
             self._record_answer(now_s)
-        is_restored = self._position is not None and era != self._position.era
+        is_restored = known is not None and era != known.era
         if is_restored:
             self._registry.record_restoration(now_s)
         self._apply_evacuations(batch, now_s)
--- a/tests/gateway/test_following.py
+++ b/tests/gateway/test_following.py
@@ -186,6 +186,25 @@
         self.assertFalse(self.follower.read())
         self.assertEqual(self.ready_names(), {"a"})
 
+    def test_a_peer_that_has_read_less_far_changes_nothing(self) -> None:
+        """Guards against targets that left and return with a peer's older list."""
+        self.follower.read()
+        self.reader.changes = Success(HistoryLost(StoreEra(1)))
+        older = (TargetPublished(target("gone")),)
+        for position in (at(6), at(9, 0)):
+            with self.subTest(position=position):
+                self.reader.everything = Success(
+                    PublicationBatch(older, position, is_from_peer=True)
+                )
+                self.assertFalse(self.follower.read())
+                self.assertEqual(self.ready_names(), {"a"})
+        newer = (TargetPublished(target("b")),)
+        self.reader.everything = Success(
+            PublicationBatch(newer, at(8), is_from_peer=True)
+        )
+        self.assertTrue(self.follower.read())
+        self.assertEqual(self.ready_names(), {"b"})
+
     def test_targets_stay_known_while_the_restored_store_refuses(self) -> None:
         """Guards against a host that callers lose while it can't read everything."""
         self.follower.read()
