Count the heads of requests, and drop them before responses are written

Cause: heads counted in no account. Each was held as read, as forwarded and as rendered for a call, the first until the caller had accepted the response.

Fix: a head counts twice in the account of its request, and a request whose head there is no memory for is refused. The request is dropped before its response is written, and calls share the head.

--- a/lavendertide/encodings/http_client_connection.py
+++ b/lavendertide/encodings/http_client_connection.py
@@ -7,6 +7,7 @@
 
 import contextlib
 import socket
+from collections.abc import Sequence
 from typing import Final
 
 from lavendertide.encodings.http_messages import READ_BYTES, HttpResponse
@@ -83,20 +84,19 @@
     def exchange(
         self,
         method: str,
-        request: bytes,
+        request: Sequence[bytes],
         timeout_s: float,
         is_matching: ReplyMatcher = match_any_reply,
-        body: bytes = b"",
     ) -> HttpResponse:
         """Sends a request and waits for its response.
 
         Args:
             method: The method of the request.
-            request: The request, from `render_head` and `render_body`.
+            request: The pieces of the request, from `render_head` and `render_body`.
+                They are sent without a copy.
             timeout_s: Time limit for the response.
             is_matching: Decides by the headers whether a response belongs to this
                 request.
-            body: The rest of the request, which is sent without a copy of it.
 
         Raises:
             ExchangeError: No complete response arrived; the connection is closed.
@@ -109,8 +109,8 @@
         try:
             if self._socket is None:
                 raise ConnectionResetError
-            for part in (request, body):
-                transfers.send_pieces(self._socket, part, lambda _: sent_by_s)
+            for piece in request:
+                transfers.send_pieces(self._socket, piece, lambda _: sent_by_s)
             while not reader.is_complete:
                 data = transfers.receive(self._socket, READ_BYTES, ends_at_s)
                 has_received_data = has_received_data or bool(data)
--- a/lavendertide/encodings/http_server_connection.py
+++ b/lavendertide/encodings/http_server_connection.py
@@ -200,6 +200,9 @@
                 case h11.Request():
                     head = event
                     self._is_head_request = event.method == b"HEAD"
+                    problem = body.add_head(event)
+                    if problem is not None:
+                        return BadRequest(problem)
                 case h11.Data():
                     problem = body.add(event)
                     if problem is not None:
--- a/lavendertide/encodings/request_body.py
+++ b/lavendertide/encodings/request_body.py
@@ -1,4 +1,4 @@
-"""The body of a caller's request while it is read, within its bounds."""
+"""A caller's request while it is read, within the bounds of its body and of memory."""
 
 from collections.abc import Callable
 from http import HTTPStatus
@@ -13,6 +13,8 @@
 
 # Chunks after which other tasks may run, 4 ms apart.
 CHUNKS_AT_A_TIME: Final = 256
+# How often a head is held while its request waits: as read, and as it is forwarded.
+HEAD_COPIES: Final = 2
 
 # Returns the limits in force, which may change while a connection is waited for.
 FindLimits = Callable[[], CallerLimits]
@@ -40,6 +42,7 @@
         self._is_in_short_chunks = False
         # Pieces kept apart would take many times their length if they are short.
         self._data = bytearray()
+        self._head_bytes = 0
         self._chunks = 0
 
     @property
@@ -57,12 +60,18 @@
         """What has been received."""
         return bytes(self._data)
 
+    def add_head(self, head: h11.Request) -> HTTPStatus | None:
+        """Counts the head; returns the status of the refusal if it can't be held."""
+        headers = sum(len(name) + len(value) for name, value in head.headers)
+        self._head_bytes = HEAD_COPIES * (len(head.target) + headers)
+        return None if self._has_room() else HTTPStatus.SERVICE_UNAVAILABLE
+
     def add(self, event: h11.Data) -> HTTPStatus | None:
         """Adds a piece; returns the status of the refusal if it can't be held."""
         self._data += event.data
         if self.size > self._bytes_max:
             return HTTPStatus.REQUEST_ENTITY_TOO_LARGE
-        if self._held and not self._held.try_resize(self.size, clock.monotonic_s()):
+        if not self._has_room():
             return HTTPStatus.SERVICE_UNAVAILABLE
         if event.chunk_start:
             self._chunks += 1
@@ -83,6 +92,12 @@
             self._is_in_short_chunks = False
             self._short_chunks.end()
 
+    def _has_room(self) -> bool:
+        if self._held is None:
+            return True
+        size = self._head_bytes + self.size
+        return self._held.try_resize(size, clock.monotonic_s())
+
     def _may_have_chunks(self) -> bool:
         if self._is_in_short_chunks or is_free(self._chunks, self.size):
             return True
--- a/lavendertide/gateway/caller_front.py
+++ b/lavendertide/gateway/caller_front.py
@@ -190,23 +190,18 @@
             )
             if received is None:
                 return ConnectionEnd.INCOMPLETE
-            return self._respond(connection, received)
-        finally:
-            self._in_flight.record_finished()
-
-    def _respond(
-        self, connection: ServerConnection, received: HttpRequest | BadRequest
-    ) -> ConnectionEnd | None:
-        """Writes a response; returns why the connection can serve no other, if so."""
-        match received:
-            case HttpRequest():
-                with Isolated("account", UNKNOWN_REQUEST):
-                    self._ledger.record_read()
-                with self._ledger.account(clock.monotonic_s()) as account:
-                    return self._respond_to_request(connection, received, account)
-            case BadRequest():
+            if isinstance(received, BadRequest):
                 self._respond_to_malformed(connection, received)
                 return ConnectionEnd.LAST
+            with Isolated("account", UNKNOWN_REQUEST):
+                self._ledger.record_read()
+            with self._ledger.account(clock.monotonic_s()) as account:
+                answer = self._find_answer(connection, received, account)
+                # A caller that reads slowly keeps the encoded response alone.
+                del received
+                return self._respond(connection, answer, account)
+        finally:
+            self._in_flight.record_finished()
 
     def _respond_to_malformed(
         self, connection: ServerConnection, bad: BadRequest
@@ -214,17 +209,16 @@
         _log.info("request malformed", extra={"status": bad.status})
         self._write(connection, self._codec.encode_bad_request(bad), True)
 
-    def _respond_to_request(
+    def _respond(
         self,
         connection: ServerConnection,
-        received: HttpRequest,
+        answer: _Answer | None,
         account: RequestAccount,
     ) -> ConnectionEnd | None:
-        answer = self._find_answer(connection, received, account)
+        """Writes a response; returns why the connection can serve no other, if so."""
         if answer is None:
             account.record_end(RequestEnd.CALLER_LEFT)
             return ConnectionEnd.UNANSWERED
-        # The connection waits for the caller with the encoded response alone.
         is_last = answer.is_last or self._readiness.state is ReadinessState.LEAVING
         self._write(connection, answer.response, is_last)
         account.record_end(end_of_write(connection.write_failure))
--- a/lavendertide/platform/store_client.py
+++ b/lavendertide/platform/store_client.py
@@ -214,7 +214,9 @@
         target = f"{path}?{urlencode(query)}"
         head = render_head("GET", target, [(b"Host", self._address.encode())])
         try:
-            return connection.exchange("GET", head + render_body("GET", b""), timeout_s)
+            return connection.exchange(
+                "GET", [head + render_body("GET", b"")], timeout_s
+            )
         except ExchangeError as error:
             if error.is_oversized:
                 raise _OversizedResponse("response too large") from error
--- a/lavendertide/platform/target_channel.py
+++ b/lavendertide/platform/target_channel.py
@@ -58,8 +58,8 @@
 UNREADABLE_PAUSE_S: Final = 1.0
 # Longest time for which a target may say that it is cold.
 COLD_MAX_S: Final = 3_600.0
-# Bodies below this length are sent in one packet with the head, as a copy.
-SHARED_BODY_MIN_BYTES: Final = 16_384
+# Shorter pieces of a call are sent together, as a copy.
+SHARED_MIN_BYTES: Final = 8_192
 # Longest idle time of a connection that a target may promise.
 IDLE_MAX_S: Final = 3_600.0
 # A whole number; bounded, since a target with more requests or slots can't exist.
@@ -108,14 +108,13 @@
         """Sends a request and waits for its reply."""
         target = call.record.target
         remaining_s = call.ends_at_s - now_s
-        request, body = _render(call, remaining_s)
+        parts = _render(call, remaining_s)
         try:
             response = self._connection.exchange(
                 call.request.method,
-                request,
+                parts,
                 remaining_s + DEADLINE_REPLY_S,
                 lambda headers: not has_other_request_id(call, headers),
-                body,
             )
         except ExchangeError as error:
             return Unknown(target, _unknown_reason(error))
@@ -228,19 +227,24 @@
     return min(max_s, float(match[1][-SECONDS_DIGITS_MAX:] + fraction))
 
 
-def _render(call: TargetCall, remaining_s: float) -> tuple[bytes, bytes]:
-    """Returns the bytes of a call, and the body that all calls of a request share."""
+def _render(call: TargetCall, remaining_s: float) -> list[bytes]:
+    """Returns the pieces of a call, of which the long ones are shared by all calls."""
     request = call.request
-    is_shared = len(request.body) >= SHARED_BODY_MIN_BYTES
-    head = b"".join(
+    own = b"".join(
         (
-            request.head,
             b"%b: %d\r\n" % (DEADLINE_MS, max(1, int(remaining_s * 1_000))),
             b"%b: %b\r\n" % (EXPECTED_TARGET, call.record.target.encode()),
             render_length(request.method, request.body),
         )
     )
-    return (head, request.body) if is_shared else (head + request.body, b"")
+    pieces: list[bytes] = []
+    for piece in (request.head, own, request.body):
+        is_short = len(piece) < SHARED_MIN_BYTES
+        if pieces and is_short and len(pieces[-1]) < SHARED_MIN_BYTES:
+            pieces[-1] += piece
+        else:
+            pieces.append(piece)
+    return pieces
 
 
 def _unknown_reason(error: ExchangeError) -> UnknownReason:
--- a/tests/encodings/test_http_connections.py
+++ b/tests/encodings/test_http_connections.py
@@ -60,7 +60,7 @@
         self.addCleanup(connection.close)
         self.assertTrue(connection.open(TIMEOUT_S))
         for _ in replies:
-            response = connection.exchange("GET", GET, TIMEOUT_S)
+            response = connection.exchange("GET", [GET], TIMEOUT_S)
         return connection, response
 
     def test_a_reply_with_a_length(self) -> None:
@@ -138,7 +138,7 @@
         self.addCleanup(connection.close)
         self.assertTrue(connection.open(TIMEOUT_S))
         response = connection.exchange(
-            "GET", GET, TIMEOUT_S, lambda headers: (b"x-of", b"r2") in headers
+            "GET", [GET], TIMEOUT_S, lambda headers: (b"x-of", b"r2") in headers
         )
         self.assertEqual(response.body, b"body")
 
@@ -172,7 +172,7 @@
             mock.patch.object(http_client_connection, "SEND_TIMEOUT_S", 0.3),
             self.assertRaises(ExchangeError) as raised,
         ):
-            connection.exchange("GET", b"x" * 20_000_000, 60.0)
+            connection.exchange("GET", [b"x" * 20_000_000], 60.0)
         self.assertTrue(raised.exception.is_timeout)
         self.assertLess(time.monotonic() - began_s, TIMEOUT_S)
 
@@ -185,7 +185,7 @@
         connection = ClientConnection(peer.address, memory)
         self.addCleanup(connection.close)
         self.assertTrue(connection.open(TIMEOUT_S))
-        response = connection.exchange("GET", GET, TIMEOUT_S)
+        response = connection.exchange("GET", [GET], TIMEOUT_S)
         self.assertEqual(memory.held, len(response.body))
         del response
         self.assertEqual(memory.held, 0)
@@ -244,6 +244,27 @@
         assert isinstance(read, HttpRequest)
         self.assertEqual(read.body, b"ok")
 
+    def read_long_head(self, memory: ResponseMemory) -> HttpRequest | BadRequest | None:
+        self.caller.sendall(b"GET /%b HTTP/1.1\r\nHost: h\r\n\r\n" % (b"q" * 3_000))
+        self.assertIs(self.wait(TIMEOUT_S), Arrival.BEGUN)
+        return self.connection.read_request(limits, memory)
+
+    def test_a_head_counts_until_its_request_is_dropped(self) -> None:
+        """Guards against heads of waiting requests that exceed a host's memory."""
+        memory = ResponseMemory(10_000, is_bounding_writes=True)
+        read = self.read_long_head(memory)
+        assert isinstance(read, HttpRequest)
+        self.assertGreaterEqual(memory.held, 2 * 3_000)
+        del read
+        self.assertEqual(memory.held, 0)
+
+    def test_a_head_that_there_is_no_memory_for_is_refused(self) -> None:
+        memory = ResponseMemory(10_000, is_bounding_writes=True)
+        others = memory.open()
+        others.try_resize(2 * memory.bytes_max, time.monotonic())
+        self.assertEqual(self.read_long_head(memory), BadRequest(503))
+        self.assertEqual(memory.held, others.size)
+
     def read_chunks(
         self, chunk: bytes, chunks: int, bodies: ShortChunkBodies
     ) -> HttpRequest | BadRequest | None:
--- a/tests/encodings/test_http_replies.py
+++ b/tests/encodings/test_http_replies.py
@@ -47,7 +47,7 @@
         connection = ClientConnection(peer.address)
         self.addCleanup(connection.close)
         self.assertTrue(connection.open(TIMEOUT_S))
-        connection.exchange("GET", GET, TIMEOUT_S)
+        connection.exchange("GET", [GET], TIMEOUT_S)
 
     def test_a_complete_response_leaves_nothing_behind(self) -> None:
         self.exchange(OK + b"Content-Length: 4\r\n\r\nbody")
--- a/tests/gateway/test_caller_front.py
+++ b/tests/gateway/test_caller_front.py
@@ -1,5 +1,6 @@
 """Tests of `lavendertide.gateway.caller_front`, on connections of this machine."""
 
+import gc
 import http.client
 import socket
 import time
@@ -7,6 +8,7 @@
 from typing import Final
 from unittest import mock
 
+from lavendertide.encodings.http_messages import HttpRequest
 from lavendertide.forwarding.capacity import RouteAdmission
 from lavendertide.forwarding.metrics import ForwardingMetrics
 from lavendertide.gateway import caller_front
@@ -23,6 +25,8 @@
 
 TIMEOUT_S: Final = 10.0
 RUN_S: Final = 1.0
+# More than the buffers of both systems hold.
+LONG_BYTES: Final = 30_000_000
 
 
 class FrontTestCase(unittest.TestCase):
@@ -50,6 +54,30 @@
         return self.front.ledger.ends
 
 
+class SlowReaderTest(unittest.TestCase):
+    """Guards against heads that are held while callers read their responses slowly."""
+
+    def test_the_request_that_was_read_is_held_no_more(self) -> None:
+        scripted = ScriptedForwarder(route())
+        scripted.add("a", "desk", replies(bytes(LONG_BYTES)))
+        front = self.enterContext(FrontThread(scripted))
+        caller = socket.create_connection(("127.0.0.1", front.port), TIMEOUT_S)
+        self.addCleanup(caller.close)
+        caller.sendall(b"GET /slow HTTP/1.1\r\nHost: shop.example\r\n\r\n")
+        self.assertTrue(caller.recv(1))
+        wait_until(lambda: not self.find_held(), TIMEOUT_S)
+        # The response is still being written.
+        self.assertEqual(front.ledger.ends, {})
+
+    def find_held(self) -> list[object]:
+        """Returns the requests of the caller that are in memory."""
+        return [
+            each
+            for each in gc.get_objects()
+            if isinstance(each, HttpRequest) and each.target == "/slow"
+        ]
+
+
 class FailedRequestTest(FrontTestCase):
     """An exception in the midst of a request still leaves its caller an answer.
 
--- a/tests/platform/test_target_channel.py
+++ b/tests/platform/test_target_channel.py
@@ -12,7 +12,7 @@
 from lavendertide.ids import Address
 from lavendertide.overload.reported_load import ReportedLoad
 from lavendertide.platform.target_channel import (
-    SHARED_BODY_MIN_BYTES,
+    SHARED_MIN_BYTES,
     PlatformTargetChannel,
     parse_load,
 )
@@ -104,7 +104,7 @@
         self.assertLess(held_bytes, self.CALLS * len(self.BODY) / 10)
 
     def test_a_target_reads_the_whole_request(self) -> None:
-        for size in (0, 1, SHARED_BODY_MIN_BYTES, len(self.BODY)):
+        for size in (0, 1, SHARED_MIN_BYTES, len(self.BODY)):
             with self.subTest(size=size):
                 peer = WholeRequestPeer(REPLY % (b"r1", b"body"))
                 self.addCleanup(peer.close)
--- a/tests/runtime/test_transfers.py
+++ b/tests/runtime/test_transfers.py
@@ -136,7 +136,7 @@
             connection = ClientConnection(Address(f"127.0.0.1:{port}"))
             connection.open(LIMIT_S)
             head = render_head("GET", "/", ()) + render_body("GET", b"")
-            return connection.exchange("GET", head, LIMIT_S)
+            return connection.exchange("GET", [head], LIMIT_S)
 
         def respond() -> None:
             accepted, _ = listener.accept()
