Tell a store that begins to name its era from one that was restored

A host that had read from a store or a peer of an earlier release would have logged and counted a restoration at the first named era. It still reads everything again, as it can't know better, but says what it saw.

--- a/lavendertide/encodings/registry_frames.py
+++ b/lavendertide/encodings/registry_frames.py
@@ -83,15 +83,7 @@
     """Returns the generated structs of evacuations; none if there is no list."""
     if states is None:
         return None
-    return [
-        ttypes.Evacuation(
-            state.domain,
-            state.position.revision,
-            state.is_evacuated,
-            state.position.era,
-        )
-        for state in states
-    ]
+    return [_pack_evacuation(state) for state in states]
 
 
 def unpack_evacuations(items: list[Any] | None) -> tuple[Evacuation, ...] | None:
--- a/lavendertide/gateway/adapters.py
+++ b/lavendertide/gateway/adapters.py
@@ -6,9 +6,7 @@
 from lavendertide.forwarding.target_call import TargetChannel
 from lavendertide.gateway.caller_front import CallerCodec
 from lavendertide.gateway.entry_front import EntryCodec
-from lavendertide.gateway.publications import (
-    PlatformReader,
-)
+from lavendertide.gateway.publications import PlatformReader
 from lavendertide.ids import Address
 from lavendertide.overload.response_memory import ResponseMemory
 
--- a/lavendertide/restoration/restorations.py
+++ b/lavendertide/restoration/restorations.py
@@ -15,6 +15,7 @@
 from typing import Final
 
 from lavendertide.ids import StoreEra
+from lavendertide.restoration.position import UNNAMED_ERA
 
 # Time after a restoration within which the operator and the targets write again what
 # the copy lacks; after that the store is believed in all.
@@ -51,13 +52,20 @@
         return self._count
 
     def record(self, era: StoreEra) -> Continuity:
-        """Records the era of an answer, of the store or of a peer."""
+        """Records the era of an answer, of the store or of a peer.
+
+        Eras that follow the unnamed one don't count as restorations.
+        """
         known = self._era
         if known is not None and era < known:
             return Continuity.OUTDATED
         self._era = era
         if known is None or era == known:
             return Continuity.CONTINUED
+        if known == UNNAMED_ERA:
+            # A host can't know whether the store was restored or only names its era.
+            _log.info("store names its era; reading everything", extra={"era": era})
+            return Continuity.RESTORED
         self._count += 1
         _log.warning(
             "store restored from an older copy; reading everything",
