--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -146,6 +146,11 @@
         """The present revision."""
         return self._revision
 
+    @property
+    def era(self) -> int | None:
+        """The present era; none if responses name none."""
+        return self._era
+
     @property
     def reads(self) -> int:
         """The number of range reads and watches so far."""
